Lay out the workspace, its vocabulary and its ports

Cause: nothing stood yet; every later part needs the same names and the same edges to work against. Before: an empty repository. Conclusion: the parts can be written side by side against the ports.

--- /dev/null
+++ b/crates/base/src/idempotency_rule.rs
@@ -0,0 +1,19 @@
+//! Which requests of a class may be sent twice.
+
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+
+/// Which requests of a class may run more than once.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum IdempotencyRule {
+    /// By method: GET, HEAD, OPTIONS, TRACE, PUT and DELETE are idempotent (RFC 9110, 9.2.2).
+    #[default]
+    ByMethod,
+    /// Every request is idempotent, whatever its method.
+    Always,
+    /// No request is idempotent, whatever its method.
+    Never,
+}
--- /dev/null
+++ b/crates/jbctl/src/main.rs
@@ -0,0 +1,3 @@
+//! Placeholder.
+
+fn main() {}
--- /dev/null
+++ b/crates/planner/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
--- /dev/null
+++ b/crates/ports/src/lib.rs
@@ -0,0 +1,67 @@
+//! The edges of a daemon: one trait for each thing outside the process, and the adapters that
+//! reach it.
+//!
+//! A port is narrow: another table service, object store, VM list, worker or clock is one small
+//! adapter.
+
+mod checkpoint_id;
+mod clock_source;
+mod commit_outcome;
+mod epoch_adoption;
+mod lease_renewal;
+mod object_error;
+mod object_key;
+mod object_store;
+mod ownership_view;
+mod row_change;
+mod row_expectation;
+mod row_key;
+mod row_version;
+mod system_clock;
+mod table_error;
+mod table_row;
+mod table_service;
+mod task_attempt;
+mod task_event;
+mod task_order;
+mod task_usage;
+mod vm_list;
+mod vm_list_error;
+mod worker_error;
+mod worker_inventory;
+mod worker_port;
+mod worker_report;
+mod worker_task;
+mod write_id;
+
+pub use self::{
+    checkpoint_id::CheckpointId,
+    clock_source::ClockSource,
+    commit_outcome::CommitOutcome,
+    epoch_adoption::EpochAdoption,
+    lease_renewal::LeaseRenewal,
+    object_error::ObjectError,
+    object_key::ObjectKey,
+    object_store::ObjectStore,
+    ownership_view::OwnershipView,
+    row_change::RowChange,
+    row_expectation::RowExpectation,
+    row_key::RowKey,
+    row_version::RowVersion,
+    system_clock::SystemClock,
+    table_error::TableError,
+    table_row::TableRow,
+    table_service::TableService,
+    task_attempt::TaskAttempt,
+    task_event::TaskEvent,
+    task_order::TaskOrder,
+    task_usage::TaskUsage,
+    vm_list::VmList,
+    vm_list_error::VmListError,
+    worker_error::WorkerError,
+    worker_inventory::WorkerInventory,
+    worker_port::WorkerPort,
+    worker_report::WorkerReport,
+    worker_task::WorkerTask,
+    write_id::WriteId, //
+};
