--- a/crates/ports/src/lib.rs
+++ b/crates/ports/src/lib.rs
@@ -13,6 +13,7 @@
 mod object_key;
 mod object_store;
 mod ownership_view;
+mod resource_user;
 mod row_change;
 mod row_expectation;
 mod row_key;
@@ -44,6 +45,7 @@
     object_key::ObjectKey,
     object_store::ObjectStore,
     ownership_view::OwnershipView,
+    resource_user::ResourceUser,
     row_change::RowChange,
     row_expectation::RowExpectation,
     row_key::RowKey,
