Put the platform's services behind HTTP, and stand in for the table

The ports had traits but nothing that implements them, so that no part could be wired to another. Add HTTP adapters for the table service, the object store, the VM list and the workers over one small pooled client. A connection that was not made says surely not run; anything after a byte may have been written says unknown; a refusal counts as not run only where the server says so. A write is sent once; a read is repeated once when its pooled connection broke. A call that timed out gives up its pool, since connections that went silent go silent together.

The table's stand-in serves the same core in memory and over HTTP, with a fault plan per call. Row values travel as base64 (`base64` was in the lock file already; `percent-encoding` is for object keys).

--- /dev/null
+++ b/crates/ports/src/http_workers.rs
@@ -0,0 +1,193 @@
+//! The workers over HTTP.
+
+use std::{
+    net::{
+        IpAddr,
+        SocketAddr, //
+    },
+    sync::{
+        Arc,
+        Mutex,
+        MutexGuard,
+        PoisonError, //
+    },
+    time::Duration,
+};
+
+use async_trait::async_trait;
+use http::{
+    Method,
+    StatusCode, //
+};
+use indexmap::IndexMap;
+use jasminebend_base::OwnerEpoch;
+
+use crate::{
+    AccessToken, CheckpointId, EpochAdoption, LeaseRenewal, TaskAttempt, TaskOrder, WorkerAnswer,
+    WorkerError, WorkerInventory, WorkerPort, WorkerReport, WorkerRequest,
+    call_error::CallError,
+    http_caller::{
+        HttpAnswer,
+        HttpCall,
+        HttpCaller,
+        HttpOptions, //
+    },
+};
+
+/// The workers over HTTP, each with its own pooled connections.
+#[derive(Debug, Default)]
+pub struct HttpWorkers {
+    options: HttpOptions,
+    callers: Mutex<IndexMap<SocketAddr, Arc<HttpCaller>>>,
+}
+
+impl HttpWorkers {
+    /// Creates an adapter; a call takes 2 s at the most.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Sets how long a call may take.
+    pub fn with_timeout(mut self, timeout: Duration) -> Self {
+        self.options.timeout = timeout;
+        self
+    }
+
+    /// Sets the token that the workers ask for.
+    pub fn with_token(mut self, token: AccessToken) -> Self {
+        self.options.token = Some(token);
+        self
+    }
+
+    /// Sets the address that connections are made from.
+    pub fn with_local_address(mut self, address: IpAddr) -> Self {
+        self.options.local_address = Some(address);
+        self
+    }
+
+    async fn order(
+        &self,
+        worker: SocketAddr,
+        request: WorkerRequest,
+    ) -> Result<WorkerAnswer, WorkerError> {
+        let body = serde_json::to_vec(&request).map_err(|_| WorkerError::Unreachable)?;
+        let call = HttpCall {
+            address: worker,
+            method: Method::POST,
+            path: WorkerRequest::PATH.to_owned(),
+            body: body.into(),
+        };
+        let answer = self.caller(worker).write(call).await;
+        if answer.as_ref().err() == Some(&CallError::Unreachable) {
+            // A worker that is gone for good must not leave its pool behind.
+            self.lock().swap_remove(&worker);
+        }
+        parse(answer?)
+    }
+
+    async fn order_done(
+        &self,
+        worker: SocketAddr,
+        request: WorkerRequest,
+    ) -> Result<(), WorkerError> {
+        match self.order(worker, request).await? {
+            WorkerAnswer::Done => Ok(()),
+            _ => Err(WorkerError::Unknown),
+        }
+    }
+
+    fn caller(&self, worker: SocketAddr) -> Arc<HttpCaller> {
+        let mut callers = self.lock();
+        let caller = callers
+            .entry(worker)
+            .or_insert_with(|| Arc::new(HttpCaller::new(self.options.clone())));
+        Arc::clone(caller)
+    }
+
+    fn lock(&self) -> MutexGuard<'_, IndexMap<SocketAddr, Arc<HttpCaller>>> {
+        self.callers.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+fn parse(answer: HttpAnswer) -> Result<WorkerAnswer, WorkerError> {
+    match answer.status {
+        StatusCode::OK => serde_json::from_slice(&answer.body).map_err(|_| WorkerError::Unknown),
+        StatusCode::CONFLICT => {
+            Err(serde_json::from_slice(&answer.body).unwrap_or(WorkerError::Unknown))
+        }
+        _ => Err(WorkerError::Unknown),
+    }
+}
+
+#[async_trait]
+impl WorkerPort for HttpWorkers {
+    async fn adopt(
+        &self,
+        worker: SocketAddr,
+        adoption: EpochAdoption,
+    ) -> Result<WorkerInventory, WorkerError> {
+        match self.order(worker, WorkerRequest::Adopt(adoption)).await? {
+            WorkerAnswer::Inventory(inventory) => Ok(inventory),
+            _ => Err(WorkerError::Unknown),
+        }
+    }
+
+    async fn renew(
+        &self,
+        worker: SocketAddr,
+        renewal: LeaseRenewal,
+    ) -> Result<WorkerReport, WorkerError> {
+        match self.order(worker, WorkerRequest::Renew(renewal)).await? {
+            WorkerAnswer::Report(report) => Ok(report),
+            _ => Err(WorkerError::Unknown),
+        }
+    }
+
+    async fn start(
+        &self,
+        worker: SocketAddr,
+        epoch: OwnerEpoch,
+        order: TaskOrder,
+    ) -> Result<(), WorkerError> {
+        let request = WorkerRequest::Start { epoch, order };
+        self.order_done(worker, request).await
+    }
+
+    async fn throttle(
+        &self,
+        worker: SocketAddr,
+        epoch: OwnerEpoch,
+        attempt: TaskAttempt,
+        speed_millis: u32,
+    ) -> Result<(), WorkerError> {
+        let request = WorkerRequest::Throttle {
+            epoch,
+            attempt,
+            speed_millis,
+        };
+        self.order_done(worker, request).await
+    }
+
+    async fn checkpoint(
+        &self,
+        worker: SocketAddr,
+        epoch: OwnerEpoch,
+        attempt: TaskAttempt,
+    ) -> Result<CheckpointId, WorkerError> {
+        let request = WorkerRequest::Checkpoint { epoch, attempt };
+        match self.order(worker, request).await? {
+            WorkerAnswer::Checkpoint(checkpoint) => Ok(checkpoint),
+            _ => Err(WorkerError::Unknown),
+        }
+    }
+
+    async fn stop(
+        &self,
+        worker: SocketAddr,
+        epoch: OwnerEpoch,
+        attempt: TaskAttempt,
+    ) -> Result<(), WorkerError> {
+        let request = WorkerRequest::Stop { epoch, attempt };
+        self.order_done(worker, request).await
+    }
+}
--- a/crates/ports/src/lib.rs
+++ b/crates/ports/src/lib.rs
@@ -4,22 +4,32 @@
 //! A port is narrow: another table service, object store, VM list, worker or clock is one small
 //! adapter.
 
+mod access_token;
+mod call_error;
 mod checkpoint_id;
 mod clock_source;
 mod commit_outcome;
 mod epoch_adoption;
+mod http_caller;
+mod http_objects;
+mod http_table;
+mod http_vm_list;
+mod http_workers;
 mod lease_renewal;
 mod object_error;
 mod object_key;
 mod object_store;
+mod optional_row_value;
 mod ownership_view;
 mod resource_user;
 mod row_change;
 mod row_expectation;
 mod row_key;
+mod row_value;
 mod row_version;
 mod system_clock;
 mod table_error;
+mod table_request;
 mod table_row;
 mod table_service;
 mod task_attempt;
@@ -28,18 +38,25 @@
 mod task_usage;
 mod vm_list;
 mod vm_list_error;
+mod worker_answer;
 mod worker_error;
 mod worker_inventory;
 mod worker_port;
 mod worker_report;
+mod worker_request;
 mod worker_task;
 mod write_id;
 
 pub use self::{
+    access_token::AccessToken,
     checkpoint_id::CheckpointId,
     clock_source::ClockSource,
     commit_outcome::CommitOutcome,
     epoch_adoption::EpochAdoption,
+    http_objects::HttpObjects,
+    http_table::HttpTable,
+    http_vm_list::HttpVmList,
+    http_workers::HttpWorkers,
     lease_renewal::LeaseRenewal,
     object_error::ObjectError,
     object_key::ObjectKey,
@@ -52,6 +69,7 @@
     row_version::RowVersion,
     system_clock::SystemClock,
     table_error::TableError,
+    table_request::TableRequest,
     table_row::TableRow,
     table_service::TableService,
     task_attempt::TaskAttempt,
@@ -60,10 +78,12 @@
     task_usage::TaskUsage,
     vm_list::VmList,
     vm_list_error::VmListError,
+    worker_answer::WorkerAnswer,
     worker_error::WorkerError,
     worker_inventory::WorkerInventory,
     worker_port::WorkerPort,
     worker_report::WorkerReport,
+    worker_request::WorkerRequest,
     worker_task::WorkerTask,
     write_id::WriteId, //
 };
--- a/crates/ports/src/row_change.rs
+++ b/crates/ports/src/row_change.rs
@@ -12,12 +12,14 @@
 
 /// One row's part of a transaction.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
 pub struct RowChange {
     /// The row.
     pub key: RowKey,
     /// What must hold of it beforehand.
     pub expected: RowExpectation,
     /// The new value; `None` deletes the row.
+    #[serde(with = "crate::optional_row_value")]
     pub value: Option<Vec<u8>>,
 }
 
--- a/crates/ports/src/table_row.rs
+++ b/crates/ports/src/table_row.rs
@@ -21,5 +21,6 @@
     /// The identity of the write that made this version.
     pub write: WriteId,
     /// Its value.
+    #[serde(with = "crate::row_value")]
     pub value: Vec<u8>,
 }
