--- /dev/null
+++ b/crates/placement/src/size_model.rs
@@ -0,0 +1,99 @@
+//! What classes are learned to use.
+
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use jasminebend_base::ResourceAmount;
+
+use crate::{
+    ClassKey,
+    RatioSketch, //
+};
+
+/// The measured runs before a declared size is doubted downwards, and upwards.
+const RUNS_TO_SHRINK: f32 = 8.0;
+const RUNS_TO_GROW: f32 = 1.0;
+/// The quantile of the measured use that a reservation covers, and the headroom above it.
+const COVERED: f32 = 0.95;
+const HEADROOM: f32 = 1.15;
+/// A reservation never shrinks below this share of the declared processors.
+const LEAST_SHARE: f32 = 0.1;
+
+#[derive(Clone, Debug, Default)]
+struct LearnedClass {
+    cpu: RatioSketch,
+    memory: RatioSketch,
+    run_time: Option<Duration>,
+}
+
+/// What classes are learned to use, as ratios to what is declared. Declared sizes are off by up to
+/// ten times either way. A class that uses more than it declares grows its reservation from the
+/// first measurement on. One that uses less shrinks only its processors, and only after several
+/// runs: a throttle mends processors given twice, but nothing mends memory given twice.
+#[derive(Clone, Debug, Default)]
+pub struct SizeModel {
+    classes: IndexMap<ClassKey, LearnedClass>,
+}
+
+impl SizeModel {
+    /// Creates a model that knows nothing.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Learns from one measurement.
+    pub fn observe(&mut self, class: ClassKey, declared: ResourceAmount, used: ResourceAmount) {
+        let learned = self.classes.entry(class).or_default();
+        learned.cpu.observe(declared.cpu_millis, used.cpu_millis);
+        learned.memory.observe(declared.memory_mib, used.memory_mib);
+    }
+
+    /// Learns how long a run took.
+    pub fn observe_run(&mut self, class: ClassKey, run_time: Duration) {
+        let learned = self.classes.entry(class).or_default();
+        learned.run_time = Some(match learned.run_time {
+            Some(known) => (known * 3 + run_time) / 4,
+            None => run_time,
+        });
+    }
+
+    /// Returns how long a run is expected to take.
+    pub fn run_time(&self, class: ClassKey) -> Option<Duration> {
+        self.classes.get(&class)?.run_time
+    }
+
+    /// Returns the number of measurements of a class, the older ones counting less.
+    pub fn samples(&self, class: ClassKey) -> f32 {
+        let learned = self.classes.get(&class);
+        learned.map_or(0.0, |learned| learned.cpu.weight())
+    }
+
+    /// Returns what to set aside for a task of a class.
+    pub fn reservation(&self, class: ClassKey, declared: ResourceAmount) -> ResourceAmount {
+        let Some(learned) = self.classes.get(&class) else {
+            return declared;
+        };
+        ResourceAmount {
+            cpu_millis: scaled(declared.cpu_millis, &learned.cpu, LEAST_SHARE),
+            memory_mib: scaled(declared.memory_mib, &learned.memory, 1.0),
+            accelerators: declared.accelerators,
+        }
+    }
+}
+
+fn scaled(declared: u64, sketch: &RatioSketch, least: f32) -> u64 {
+    let Some(ratio) = sketch.quantile(COVERED) else {
+        return declared;
+    };
+    let wanted = ratio * HEADROOM;
+    let needed = if wanted > 1.0 {
+        RUNS_TO_GROW
+    } else {
+        RUNS_TO_SHRINK
+    };
+    if sketch.weight() < needed {
+        return declared;
+    }
+    // CAST: A size in thousandths of a core or mebibytes, far below 2^52.
+    (declared as f64 * f64::from(wanted.max(least))).ceil() as u64
+}
--- /dev/null
+++ b/crates/planner/src/planner_settings.rs
@@ -0,0 +1,81 @@
+//! What a planner is told.
+
+use std::time::Duration;
+
+use jasminebend_placement::PlacementPolicy;
+
+const TICK: Duration = Duration::from_millis(100);
+const SCAN_EVERY: Duration = Duration::from_secs(1);
+const HEARTBEAT: Duration = Duration::from_secs(5);
+const LEASE: Duration = Duration::from_secs(15);
+const ROWS_PER_SNAPSHOT: u64 = 256;
+
+/// What a planner is told.
+#[derive(Clone, Copy, Debug)]
+pub struct PlannerSettings {
+    pub(crate) shards: u16,
+    pub(crate) tick: Duration,
+    pub(crate) scan_every: Duration,
+    pub(crate) heartbeat: Duration,
+    pub(crate) lease: Duration,
+    pub(crate) rows_per_snapshot: u64,
+    pub(crate) policy: PlacementPolicy,
+}
+
+impl PlannerSettings {
+    /// Creates the settings of a planner among whose daemons this many shards are divided. All
+    /// daemons must be told the same number.
+    pub fn new(shards: u16) -> Self {
+        Self {
+            shards: shards.max(1),
+            tick: TICK,
+            scan_every: SCAN_EVERY,
+            heartbeat: HEARTBEAT,
+            lease: LEASE,
+            rows_per_snapshot: ROWS_PER_SNAPSHOT,
+            policy: PlacementPolicy::new(),
+        }
+    }
+
+    /// Sets how often the planner decides and commits.
+    pub fn with_tick(mut self, tick: Duration) -> Self {
+        self.tick = tick;
+        self
+    }
+
+    /// Sets how often a shard's owner looks for submissions.
+    pub fn with_scan_every(mut self, scan_every: Duration) -> Self {
+        self.scan_every = scan_every;
+        self
+    }
+
+    /// Sets how often a worker is heard.
+    pub fn with_heartbeat(mut self, heartbeat: Duration) -> Self {
+        self.heartbeat = heartbeat;
+        self
+    }
+
+    /// Sets how long a worker goes on with its runs unheard; at least twice the heartbeat.
+    pub fn with_lease(mut self, lease: Duration) -> Self {
+        self.lease = lease;
+        self
+    }
+
+    /// Sets after how many journal rows the ledger is written whole to the object store.
+    pub fn with_rows_per_snapshot(mut self, rows: u64) -> Self {
+        self.rows_per_snapshot = rows.max(1);
+        self
+    }
+
+    /// Sets how places are chosen.
+    pub fn with_policy(mut self, policy: PlacementPolicy) -> Self {
+        self.policy = policy;
+        self
+    }
+
+    /// Returns a time on this clock after which a lease of some length, counted on another clock,
+    /// has surely lapsed: clocks that drift 5% apart, and a second for rounding and timers.
+    pub(crate) fn with_drift(&self, time: Duration) -> Duration {
+        time + time / 20 + Duration::from_secs(1)
+    }
+}
--- /dev/null
+++ b/crates/planner/src/shard_ends.rs
@@ -0,0 +1,305 @@
+//! What follows from the end of a run.
+
+use std::time::Duration;
+
+use jasminebend_base::{
+    ClassKind,
+    ClassTarget,
+    ResourceAmount, //
+};
+use jasminebend_placement::{
+    HoldReason,
+    JobId,
+    JobRecord,
+    JobTransition,
+    LatestStart,
+    TaskEnd,
+    TaskId,
+    TaskState,
+    WaitReason,
+    WorkerKey, //
+};
+use jasminebend_ports::{
+    RowChange,
+    RowExpectation, //
+};
+use spdlog::warn;
+
+use crate::{
+    JobStatus,
+    commit_effect::CommitEffect,
+    job_row::{
+        JobRow,
+        fingerprint_of, //
+    },
+    record_codec,
+    row_names,
+    run_phase::RunPhase,
+    shard_state::ShardState,
+    stop_wish::StopWish,
+    task_names::attempt_of,
+    task_run::TaskRun, //
+};
+
+/// The workers on which a task fails before its job is held.
+const FAILED_ON_MOST: usize = 3;
+/// The time that a run is expected to take while nothing is declared or learned.
+const RUN_TIME: Duration = Duration::from_secs(60);
+
+impl ShardState {
+    /// Makes the runs and the queue of a ledger that was just read.
+    pub(crate) fn resume_jobs(&mut self) {
+        let jobs: Vec<JobId> = self.ledger.jobs().map(|(job, _)| job).collect();
+        for job in jobs {
+            self.resume_job(job);
+        }
+    }
+
+    fn resume_job(&mut self, job: JobId) {
+        let Some(record) = self.ledger.job(job) else {
+            return;
+        };
+        let (kind, cancelled) = (record.kind, record.cancelled);
+        let class = self.book.key(&record.spec.team, &record.spec.class);
+        let states: Vec<(TaskState, u32)> = record
+            .tasks
+            .iter()
+            .map(|task| (task.state.clone(), task.attempt))
+            .collect();
+        for ((state, attempt), index) in states.into_iter().zip(0..) {
+            let task = TaskId { job, index };
+            match state {
+                TaskState::Queued => self.enqueue(task),
+                TaskState::Placed { worker, reserved } => {
+                    let key = self.worker_of(&worker);
+                    let mut run = TaskRun::new(attempt, key, class, kind, reserved);
+                    run.phase = RunPhase::Unheard;
+                    run.maybe_started = true;
+                    self.add_run(task, run);
+                    if cancelled {
+                        self.wish(task, StopWish::Stop);
+                    }
+                }
+                TaskState::Finished { .. } | TaskState::Cancelled => {}
+            }
+        }
+    }
+
+    /// Follows a run and sets its room aside.
+    pub(crate) fn add_run(&mut self, task: TaskId, run: TaskRun) {
+        self.pool.reserve(run.worker, run.class, run.counted);
+        self.note_company(run.worker);
+        if run.kind == ClassKind::Batch
+            && let Some(job) = self.ledger.job(task.job)
+        {
+            let team = job.spec.team.clone();
+            *self.team_used.entry(team).or_default() += run.counted;
+        }
+        self.links[&run.worker].runs.insert(task);
+        self.runs.insert(task, run);
+    }
+
+    /// Puts a task into the queue, unless its job is held.
+    pub(crate) fn enqueue(&mut self, task: TaskId) {
+        let Some(job) = self.ledger.job(task.job) else {
+            return;
+        };
+        if job.held.is_some() || job.cancelled {
+            return;
+        }
+        let start = self.latest_start(job);
+        self.queue.push(task, start);
+        self.plan_due = true;
+    }
+
+    fn latest_start(&self, job: &JobRecord) -> LatestStart {
+        let waited = Duration::from_millis(self.wall_ms().saturating_sub(job.submitted_ms));
+        let configuration = self.configuration.borrow();
+        let target = match configuration
+            .class(&job.spec.class)
+            .map(|class| class.target)
+        {
+            Some(ClassTarget::FinishWithin(target)) => target,
+            // Callers wait for a service: each of its tasks is late from the start.
+            Some(ClassTarget::AnswerWithin(_)) | None => Duration::ZERO,
+        };
+        let key = self.book.find(&job.spec.team, &job.spec.class);
+        let learned = key.and_then(|key| self.sizes.run_time(key));
+        let run_time = learned.or(job.spec.run_time).unwrap_or(RUN_TIME);
+        LatestStart::new(self.now(), waited, target, run_time)
+    }
+
+    /// Ends a run in memory and in the journal, and gives its room back.
+    pub(crate) fn end_run(&mut self, task: TaskId, end: TaskEnd) {
+        let Some(run) = self.runs.get(&task) else {
+            return;
+        };
+        let (attempt, worker) = (run.attempt, run.worker);
+        let name = attempt_of(task, attempt);
+        let effect = match run.maybe_started {
+            true => CommitEffect::Acknowledge(worker, name),
+            false => CommitEffect::Nothing,
+        };
+        if run.maybe_started {
+            self.ending.insert(name);
+        }
+        let Some(run) = self.remove_run(task) else {
+            return;
+        };
+        metrics::counter!("jasminebend_planner_run_ends_total", "end" => end_label(&end))
+            .increment(1);
+        let failed = matches!(end, TaskEnd::Failed { .. });
+        if matches!(end, TaskEnd::Finished { .. }) {
+            self.note_success(worker, &run);
+        }
+        let transition = JobTransition::Ended { task, attempt, end };
+        if !self.record(transition, effect) {
+            return;
+        }
+        if failed {
+            self.note_failure(task, worker);
+        }
+        self.continue_task(task, &run);
+    }
+
+    fn continue_task(&mut self, task: TaskId, run: &TaskRun) {
+        let state = self.ledger.task(task).map(|record| &record.state);
+        let queued = state == Some(&TaskState::Queued);
+        match run.moving_to {
+            Some(target) => self.finish_move(task, run, target, queued),
+            None if queued => self.enqueue(task),
+            None => {}
+        }
+    }
+
+    /// Gives a run up whose worker lost it, or that its worker has surely stopped.
+    pub(crate) fn lose_run(&mut self, task: TaskId) {
+        let Some(run) = self.runs.get(&task) else {
+            return;
+        };
+        let name = attempt_of(task, run.attempt);
+        match run.phase {
+            RunPhase::Starting | RunPhase::Committing => return,
+            RunPhase::ToStart if !run.maybe_started => return,
+            RunPhase::Running | RunPhase::Settling { .. } => {}
+            // A start of it may still be on its way: its worker must refuse it before it is adopted
+            // anew.
+            _ => self.links[&run.worker].late_starts.push(name),
+        }
+        let cancelled = self.ledger.job(task.job).is_some_and(|job| job.cancelled);
+        let end = match cancelled {
+            true => TaskEnd::Stopped,
+            false => TaskEnd::Lost { checkpoint: None },
+        };
+        self.end_run(task, end);
+    }
+
+    fn remove_run(&mut self, task: TaskId) -> Option<TaskRun> {
+        let run = self.runs.swap_remove(&task)?;
+        self.pool.release(run.worker, run.class, run.counted);
+        self.note_company(run.worker);
+        self.links[&run.worker].runs.swap_remove(&task);
+        if run.kind == ClassKind::Batch
+            && let Some(job) = self.ledger.job(task.job)
+            && let Some(used) = self.team_used.get_mut(&job.spec.team)
+        {
+            *used = used.saturating_sub(run.counted);
+        }
+        Some(run)
+    }
+
+    fn note_success(&mut self, worker: WorkerKey, run: &TaskRun) {
+        let took = self.now().saturating_sub(run.since);
+        if !run.since.is_zero() {
+            self.sizes.observe_run(run.class, took);
+        }
+        self.note_worker_success(worker);
+    }
+
+    /// Holds a job one of whose tasks fails wherever it runs. A worker on which other jobs fail too
+    /// counts for nothing against the job.
+    fn note_failure(&mut self, task: TaskId, worker: WorkerKey) {
+        self.note_worker_failure(worker, task.job);
+        let Some(record) = self.ledger.task(task) else {
+            return;
+        };
+        let suspect = |name| {
+            let link = self.pool.find(name).and_then(|key| self.links.get(&key));
+            link.is_some_and(|link| link.failed_jobs.len() > 1)
+        };
+        let failed_on = record.failed_on.iter();
+        let distinct = failed_on.filter(|name| !suspect(name)).count();
+        let open = self.links.values().filter(|link| link.listed).count();
+        if distinct < FAILED_ON_MOST.min(open) {
+            return;
+        }
+        let reason = HoldReason::FailsEverywhere {
+            index: task.index,
+            workers: u32::try_from(distinct).unwrap_or(u32::MAX),
+            code: record.last_code,
+        };
+        warn!("[planner] Job {} is held: {}.", task.job, reason);
+        let job = task.job;
+        self.queue.remove(job);
+        self.forgive_workers(job);
+        self.record(JobTransition::Held { job, reason }, CommitEffect::Nothing);
+    }
+
+    /// Returns the rows that go with a transition: what became of a job that ended or is held.
+    pub(crate) fn rows_of(&self, transition: &JobTransition) -> Vec<RowChange> {
+        let job = match transition {
+            JobTransition::Ended { task, .. } => task.job,
+            JobTransition::Cancelled { job } | JobTransition::Held { job, .. } => *job,
+            JobTransition::Accepted { job, .. } => {
+                let key = row_names::inbox_entry(self.calls.permit.shard, *job);
+                return vec![RowChange::delete(key, RowExpectation::Any)];
+            }
+            JobTransition::Placed { .. } => return Vec::new(),
+        };
+        let Some(record) = self.ledger.job(job) else {
+            return Vec::new();
+        };
+        let told = record.ended() || !matches!(transition, JobTransition::Ended { .. });
+        match told {
+            true => self.job_row(job, record).into_iter().collect(),
+            false => Vec::new(),
+        }
+    }
+
+    fn job_row(&self, job: JobId, record: &JobRecord) -> Option<RowChange> {
+        let row = JobRow {
+            shard: self.calls.permit.shard,
+            fingerprint: fingerprint_of(&record.spec),
+            status: JobStatus::new(job, record, WaitReason::New),
+        };
+        let value = record_codec::encode(&row).ok()?;
+        Some(RowChange::put(
+            row_names::job(job),
+            RowExpectation::Any,
+            value,
+        ))
+    }
+
+    pub(crate) fn quota_allows(&self, job: &JobRecord, size: ResourceAmount) -> bool {
+        if job.kind == ClassKind::Service {
+            return true;
+        }
+        let configuration = self.configuration.borrow();
+        let Some(quota) = configuration.team(&job.spec.team) else {
+            return true;
+        };
+        let used = self.team_used.get(&job.spec.team).copied();
+        (used.unwrap_or_default() + size).fits_in(quota.limit)
+    }
+}
+
+fn end_label(end: &TaskEnd) -> &'static str {
+    match end {
+        TaskEnd::Finished { .. } => "finished",
+        TaskEnd::Failed { .. } => "failed",
+        TaskEnd::Checkpointed { .. } => "checkpointed",
+        TaskEnd::Stopped => "stopped",
+        TaskEnd::Lost { .. } => "lost",
+        TaskEnd::NotStarted => "not_started",
+    }
+}
--- /dev/null
+++ b/crates/planner/src/shard_inbox.rs
@@ -0,0 +1,116 @@
+//! How a shard's owner takes in submissions and cancellations.
+
+use std::time::Duration;
+
+use jasminebend_placement::{
+    JobId,
+    JobTransition, //
+};
+use jasminebend_ports::{
+    RowChange,
+    RowExpectation,
+    TableError,
+    TableRow, //
+};
+use spdlog::warn;
+
+use crate::{
+    commit_effect::CommitEffect,
+    inbox_entry::InboxEntry,
+    record_codec,
+    shard_state::ShardState, //
+};
+
+impl ShardState {
+    pub(crate) fn scan(&mut self, now: Duration) {
+        if self.scanning || now < self.next_scan {
+            return;
+        }
+        self.scanning = true;
+        self.next_scan = now + self.settings.scan_every;
+        self.calls.scan(now);
+    }
+
+    pub(crate) fn on_scanned(
+        &mut self,
+        started: Duration,
+        submissions: Result<Vec<TableRow>, TableError>,
+        cancels: Result<Vec<TableRow>, TableError>,
+    ) {
+        self.scanning = false;
+        let (Ok(submissions), Ok(cancels)) = (submissions, cancels) else {
+            return;
+        };
+        for row in &submissions {
+            self.take_in(row);
+        }
+        for row in &cancels {
+            self.take_cancels(row);
+        }
+        // A row that an earlier scan saw may be gone by now, and its job ended: a scan that began
+        // after the commit cannot show it again.
+        self.accepted
+            .retain(|_, committed| committed.is_none_or(|time| time >= started));
+        let now = self.now();
+        self.plan(now);
+        self.commit(now);
+    }
+
+    fn take_in(&mut self, row: &TableRow) {
+        let entry: InboxEntry = match record_codec::decode(&row.value) {
+            Ok(entry) => entry,
+            Err(error) => {
+                warn!("[planner] Submission {} is left alone: {}.", row.key, error);
+                return;
+            }
+        };
+        let job = entry.job;
+        if self.accepted.contains_key(&job) || self.ledger.job(job).is_some() {
+            return;
+        }
+        let tasks = entry.spec.tasks;
+        let transition = JobTransition::Accepted {
+            job,
+            spec: Box::new(entry.spec),
+            kind: entry.kind,
+            submitted_ms: entry.submitted_ms,
+        };
+        if self.record(transition, CommitEffect::Accepted(job)) {
+            self.accepted.insert(job, None);
+            for index in (0..tasks).rev() {
+                self.enqueue(jasminebend_placement::TaskId { job, index });
+            }
+        }
+    }
+
+    fn take_cancels(&mut self, row: &TableRow) {
+        let jobs: Vec<JobId> = match record_codec::decode(&row.value) {
+            Ok(jobs) => jobs,
+            Err(error) => {
+                warn!(
+                    "[planner] Cancellation {} is left alone: {}.",
+                    row.key, error
+                );
+                return;
+            }
+        };
+        for job in jobs {
+            self.cancel(job);
+        }
+        if let Some(writer) = &mut self.writer {
+            let expected = RowExpectation::Any;
+            writer.push_row(RowChange::delete(row.key.clone(), expected));
+        }
+    }
+
+    /// Gives a job up; a second time, or after its end, changes nothing.
+    fn cancel(&mut self, job: JobId) {
+        if self.ledger.job(job).is_none_or(|record| record.cancelled) {
+            return;
+        }
+        self.queue.remove(job);
+        self.reasons.swap_remove(&job);
+        let transition = JobTransition::Cancelled { job };
+        self.record(transition, CommitEffect::StopAll(job));
+    }
+}
--- /dev/null
+++ b/crates/planner/src/shard_workers.rs
@@ -0,0 +1,307 @@
+//! How a shard's owner keeps touch with its workers.
+
+use std::time::Duration;
+
+use indexmap::IndexSet;
+use jasminebend_base::{
+    ResourceAmount,
+    VmName,
+    VmRecord,
+    VmState, //
+};
+use jasminebend_placement::{
+    WorkerCondition,
+    WorkerKey,
+    shard_of_rack, //
+};
+use jasminebend_ports::{
+    EpochAdoption,
+    LeaseRenewal,
+    TaskAttempt,
+    WorkerError,
+    WorkerInventory,
+    WorkerReport, //
+};
+use spdlog::{
+    info,
+    warn, //
+};
+
+use crate::{
+    call_error::CallError,
+    link_phase::LinkPhase,
+    shard_phase::ShardPhase,
+    shard_state::ShardState,
+    worker_link::WorkerLink, //
+};
+
+const RETRY_AFTER: Duration = Duration::from_secs(1);
+/// The lost answers after which a worker that holds runs is left alone until its lease has lapsed:
+/// each renewal that is still on its way might prolong the lease once more.
+const MOST_UNANSWERED: u32 = 3;
+
+impl ShardState {
+    /// Follows the VM list.
+    pub(crate) fn refresh_workers(&mut self, now: Duration) {
+        if !self.vms.has_changed().unwrap_or(false) {
+            return;
+        }
+        let snapshot = self.vms.borrow_and_update().clone();
+        let mut listed = IndexSet::new();
+        for vm in &snapshot.vms {
+            if let Some(key) = self.refresh_worker(vm, now) {
+                listed.insert(key);
+            }
+        }
+        for (key, link) in &mut self.links {
+            link.listed = listed.contains(key);
+        }
+        let keys: Vec<WorkerKey> = self.links.keys().copied().collect();
+        for key in keys {
+            self.refresh_condition(key);
+        }
+    }
+
+    fn refresh_worker(&mut self, vm: &VmRecord, now: Duration) -> Option<WorkerKey> {
+        let worker = vm.worker.as_ref()?;
+        if shard_of_rack(&worker.rack, self.settings.shards) != self.calls.permit.shard {
+            return None;
+        }
+        let key = self.pool.add(&vm.name, &vm.domain, worker.capacity);
+        let holds_until = now + self.former_lease();
+        let link = self.links.entry(key).or_insert_with(|| {
+            self.contacts.insert((now, key));
+            WorkerLink::new(worker.address, vm.domain.clone(), holds_until)
+        });
+        link.leaving = vm.state == VmState::Leaving;
+        if link.address != worker.address {
+            link.address = worker.address;
+            link.phase = LinkPhase::New;
+        }
+        Some(key)
+    }
+
+    /// Returns how long after taking over a worker that cannot be reached may go on with its runs.
+    ///
+    /// A former owner that is paused may have one renewal per worker in hand and send it as it
+    /// wakes: it has an effect only if it arrives before the lease lapses, and then prolongs it once.
+    /// Two leases cover that.
+    fn former_lease(&self) -> Duration {
+        self.settings.with_drift(self.settings.lease * 2)
+    }
+
+    /// Returns the worker of a name from the journal, also if the VM list no longer has it.
+    pub(crate) fn worker_of(&mut self, name: &VmName) -> WorkerKey {
+        if let Some(key) = self.pool.find(name) {
+            return key;
+        }
+        let now = self.now();
+        let domain = jasminebend_base::DomainName::from("");
+        let key = self.pool.add(name, &domain, ResourceAmount::default());
+        let address = std::net::SocketAddr::from(([0, 0, 0, 0], 0));
+        let mut link = WorkerLink::new(address, domain, now + self.former_lease());
+        link.listed = false;
+        self.links.insert(key, link);
+        self.contacts.insert((now, key));
+        key
+    }
+
+    /// Has every worker tell anew what runs there.
+    pub(crate) fn adopt_anew(&mut self, now: Duration) {
+        let keys: Vec<WorkerKey> = self.links.keys().copied().collect();
+        for key in keys {
+            self.links[&key].phase = LinkPhase::New;
+            self.links[&key].holds_until = now + self.former_lease();
+            self.contact_at(key, now);
+        }
+    }
+
+    pub(crate) fn contact_at(&mut self, key: WorkerKey, time: Duration) {
+        self.contacts.insert((time, key));
+    }
+
+    pub(crate) fn contact_workers(&mut self, now: Duration) {
+        while let Some((due, key)) = self.contacts.first().copied()
+            && due <= now
+        {
+            self.contacts.pop_first();
+            self.contact_worker(key, now);
+        }
+    }
+
+    fn contact_worker(&mut self, key: WorkerKey, now: Duration) {
+        if self.links[&key].phase != LinkPhase::Adopted {
+            self.settle_lapsed(key, now);
+        }
+        let link = &mut self.links[&key];
+        if link.calling || link.contact_due.is_some_and(|due| due > now) {
+            return;
+        }
+        link.contact_due = None;
+        if link.address.port() == 0 || link.is_left_alone(MOST_UNANSWERED) {
+            self.contact_at(key, now + RETRY_AFTER);
+            return;
+        }
+        link.calling = true;
+        let epoch = self.calls.permit.epoch;
+        let lease = self.settings.lease;
+        match link.phase {
+            LinkPhase::New => {
+                let adoption = EpochAdoption {
+                    shard: self.calls.permit.shard,
+                    epoch,
+                    lease,
+                };
+                let late_starts = link.late_starts.clone();
+                self.calls.adopt(key, link.address, late_starts, adoption);
+            }
+            LinkPhase::Adopted | LinkPhase::Silent => {
+                let renewal = LeaseRenewal {
+                    epoch,
+                    lease,
+                    acknowledged: link.acknowledged.clone(),
+                };
+                self.calls.renew(key, link.address, renewal);
+            }
+        }
+    }
+
+    /// Gives up the runs of a worker whose lease has surely lapsed: by now it has stopped them.
+    fn settle_lapsed(&mut self, key: WorkerKey, now: Duration) {
+        let link = &self.links[&key];
+        if now < link.holds_until || self.phase != ShardPhase::Open {
+            return;
+        }
+        let runs: Vec<_> = link.runs.iter().copied().collect();
+        for task in runs {
+            self.lose_run(task);
+        }
+        let link = &mut self.links[&key];
+        link.unanswered = 0;
+        link.phase = LinkPhase::New;
+    }
+
+    pub(crate) fn on_adopted(
+        &mut self,
+        key: WorkerKey,
+        sent: Duration,
+        result: Result<WorkerInventory, CallError>,
+    ) {
+        self.links[&key].calling = false;
+        match result {
+            Ok(inventory) => {
+                self.note_heard(key, sent);
+                let link = &mut self.links[&key];
+                link.incarnation = Some(inventory.incarnation);
+                link.late_starts.clear();
+                link.phase = LinkPhase::Adopted;
+                self.pool.set_capacity(key, inventory.capacity);
+                if self.phase == ShardPhase::Open {
+                    self.reconcile(key, &inventory);
+                }
+                self.refresh_condition(key);
+            }
+            Err(error) => self.on_unheard(key, error),
+        }
+    }
+
+    pub(crate) fn on_renewed(
+        &mut self,
+        key: WorkerKey,
+        sent: Duration,
+        acknowledged: &[TaskAttempt],
+        result: Result<WorkerReport, CallError>,
+    ) {
+        self.links[&key].calling = false;
+        let report = match result {
+            Ok(report) => report,
+            Err(error) => return self.on_unheard(key, error),
+        };
+        self.note_heard(key, sent);
+        let link = &mut self.links[&key];
+        link.acknowledged.retain(|run| !acknowledged.contains(run));
+        if link.incarnation != Some(report.incarnation) {
+            // It restarted and has forgotten its runs; it must be told whom to follow.
+            link.phase = LinkPhase::New;
+            self.contact_at(key, self.now());
+            self.refresh_condition(key);
+            return;
+        }
+        // An adoption that overtook this renewal has the newer word.
+        if link.phase == LinkPhase::Silent {
+            link.phase = LinkPhase::Adopted;
+        }
+        if self.phase == ShardPhase::Open {
+            self.take_report(key, sent, &report);
+        }
+        self.refresh_condition(key);
+    }
+
+    fn note_heard(&mut self, key: WorkerKey, sent: Duration) {
+        let now = self.now();
+        let lease = self.settings.with_drift(self.settings.lease);
+        let next = now + self.settings.heartbeat;
+        let link = &mut self.links[&key];
+        link.heard = sent;
+        link.unanswered = 0;
+        link.holds_until = now + lease;
+        link.contact_due = Some(next);
+        self.contact_at(key, next);
+    }
+
+    fn on_unheard(&mut self, key: WorkerKey, error: CallError) {
+        let now = self.now();
+        let lease = self.settings.with_drift(self.settings.lease);
+        let link = &mut self.links[&key];
+        match error {
+            CallError::Worker(WorkerError::StaleEpoch { newer }) => {
+                let own = self.calls.permit.epoch;
+                if newer > own {
+                    info!(
+                        "[planner] Worker {} follows epoch {}, not {}.",
+                        link.address, newer, own
+                    );
+                }
+                link.phase = LinkPhase::New;
+            }
+            CallError::Worker(WorkerError::Unknown) => {
+                // It may have renewed its lease as late as that lease would have lapsed.
+                link.holds_until = link.holds_until.max(now) + lease;
+                link.unanswered += 1;
+                link.note_silence();
+            }
+            CallError::Worker(WorkerError::OutOfDate | WorkerError::UnknownRun) => {
+                // Its lease lapsed; it must be adopted again.
+                link.phase = LinkPhase::New;
+            }
+            CallError::Worker(_) => link.note_silence(),
+            CallError::Withheld => {}
+        }
+        if link.unanswered == MOST_UNANSWERED {
+            warn!("[planner] Worker {} gives no answer.", link.address);
+        }
+        self.contact_at(key, now + RETRY_AFTER);
+        self.refresh_condition(key);
+        self.tend_worker(key);
+    }
+
+    /// Works out whether a worker may take tasks.
+    pub(crate) fn refresh_condition(&mut self, key: WorkerKey) {
+        let link = &self.links[&key];
+        let condition = if link.phase != LinkPhase::Adopted || !link.listed {
+            WorkerCondition::Silent
+        } else if link.leaving {
+            WorkerCondition::Leaving
+        } else if link.set_aside.is_some() {
+            WorkerCondition::SetAside
+        } else if link.ladder.speed_millis() < 1000 {
+            WorkerCondition::Pressed
+        } else {
+            WorkerCondition::Open
+        };
+        self.pool.set_condition(key, condition);
+        if link.leaving {
+            self.leave_worker(key);
+        }
+    }
+}
--- /dev/null
+++ b/crates/planner/src/trace_span.rs
@@ -0,0 +1,16 @@
+//! The planner's trace spans.
+
+use opentelemetry::{
+    global::{
+        self,
+        BoxedSpan, //
+    },
+    trace::Tracer, //
+};
+
+const TRACER: &str = "jasminebend";
+
+/// Begins a span, which ends when it is dropped.
+pub(crate) fn begin(name: &'static str) -> BoxedSpan {
+    global::tracer(TRACER).start(name)
+}
