Stand in for the workers, with a ledger of what ran where

The planner needs workers that hold it to its promises. The stand-in counts its lease on the clock passed in, refuses older epochs, late starts and orders without room, remembers ended runs past their acknowledgement, and settles ends, lapses and interference at their exact times whenever it is called. A ledger outside the system keeps every run, so that overlaps, repeated finishes and repeated resumes are counted where they would happen. `WorkerCalls` makes one message out of the six calls; the HTTP adapter and both stand-ins share it.

--- a/crates/ports/src/access_token.rs
+++ b/crates/ports/src/access_token.rs
@@ -6,7 +6,7 @@
         Arc,
         PoisonError,
         RwLock, //
-    },
+    }, //
 };
 
 /// A bearer token, as its reader took it from a file. Copies share it, so that it is replaced
--- a/crates/ports/src/http_caller.rs
+++ b/crates/ports/src/http_caller.rs
@@ -9,7 +9,7 @@
         Mutex,
         PoisonError, //
     },
-    time::Duration,
+    time::Duration, //
 };
 
 use bytes::Bytes;
@@ -34,7 +34,7 @@
     rt::{
         TokioExecutor,
         TokioTimer, //
-    },
+    }, //
 };
 use tokio::time;
 
--- a/crates/ports/src/http_objects.rs
+++ b/crates/ports/src/http_objects.rs
@@ -18,12 +18,15 @@
 };
 
 use crate::{
-    AccessToken, ObjectError, ObjectKey, ObjectStore,
+    AccessToken,
+    ObjectError,
+    ObjectKey,
+    ObjectStore,
     http_caller::{
         HttpCall,
         HttpCaller,
         HttpOptions, //
-    },
+    }, //
 };
 
 const DEFAULT_BUCKET: &str = "jasminebend";
--- a/crates/ports/src/http_table.rs
+++ b/crates/ports/src/http_table.rs
@@ -13,14 +13,21 @@
 use serde::de::DeserializeOwned;
 
 use crate::{
-    AccessToken, CommitOutcome, RowChange, RowKey, TableError, TableRequest, TableRow,
-    TableService, WriteId,
+    AccessToken,
+    CommitOutcome,
+    RowChange,
+    RowKey,
+    TableError,
+    TableRequest,
+    TableRow,
+    TableService,
+    WriteId,
     http_caller::{
         HttpAnswer,
         HttpCall,
         HttpCaller,
         HttpOptions, //
-    },
+    }, //
 };
 
 /// The table service over HTTP.
--- a/crates/ports/src/http_vm_list.rs
+++ b/crates/ports/src/http_vm_list.rs
@@ -14,12 +14,14 @@
 use jasminebend_base::VmSnapshot;
 
 use crate::{
-    AccessToken, VmList, VmListError,
+    AccessToken,
+    VmList,
+    VmListError,
     http_caller::{
         HttpCall,
         HttpCaller,
         HttpOptions, //
-    },
+    }, //
 };
 
 /// The VM list over HTTP: `GET /v1/vms`, answered with a [`VmSnapshot`] in JSON.
--- a/crates/ports/src/http_workers.rs
+++ b/crates/ports/src/http_workers.rs
@@ -11,7 +11,7 @@
         MutexGuard,
         PoisonError, //
     },
-    time::Duration,
+    time::Duration, //
 };
 
 use async_trait::async_trait;
@@ -20,18 +20,20 @@
     StatusCode, //
 };
 use indexmap::IndexMap;
-use jasminebend_base::OwnerEpoch;
 
 use crate::{
-    AccessToken, CheckpointId, EpochAdoption, LeaseRenewal, TaskAttempt, TaskOrder, WorkerAnswer,
-    WorkerError, WorkerInventory, WorkerPort, WorkerReport, WorkerRequest,
+    AccessToken,
+    WorkerAnswer,
+    WorkerCalls,
+    WorkerError,
+    WorkerRequest,
     call_error::CallError,
     http_caller::{
         HttpAnswer,
         HttpCall,
         HttpCaller,
         HttpOptions, //
-    },
+    }, //
 };
 
 /// The workers over HTTP, each with its own pooled connections.
@@ -65,37 +67,6 @@
         self
     }
 
-    async fn order(
-        &self,
-        worker: SocketAddr,
-        request: WorkerRequest,
-    ) -> Result<WorkerAnswer, WorkerError> {
-        let body = serde_json::to_vec(&request).map_err(|_| WorkerError::Unreachable)?;
-        let call = HttpCall {
-            address: worker,
-            method: Method::POST,
-            path: WorkerRequest::PATH.to_owned(),
-            body: body.into(),
-        };
-        let answer = self.caller(worker).write(call).await;
-        if answer.as_ref().err() == Some(&CallError::Unreachable) {
-            // A worker that is gone for good must not leave its pool behind.
-            self.lock().swap_remove(&worker);
-        }
-        parse(answer?)
-    }
-
-    async fn order_done(
-        &self,
-        worker: SocketAddr,
-        request: WorkerRequest,
-    ) -> Result<(), WorkerError> {
-        match self.order(worker, request).await? {
-            WorkerAnswer::Done => Ok(()),
-            _ => Err(WorkerError::Unknown),
-        }
-    }
-
     fn caller(&self, worker: SocketAddr) -> Arc<HttpCaller> {
         let mut callers = self.lock();
         let caller = callers
@@ -120,74 +91,24 @@
 }
 
 #[async_trait]
-impl WorkerPort for HttpWorkers {
-    async fn adopt(
-        &self,
-        worker: SocketAddr,
-        adoption: EpochAdoption,
-    ) -> Result<WorkerInventory, WorkerError> {
-        match self.order(worker, WorkerRequest::Adopt(adoption)).await? {
-            WorkerAnswer::Inventory(inventory) => Ok(inventory),
-            _ => Err(WorkerError::Unknown),
-        }
-    }
-
-    async fn renew(
+impl WorkerCalls for HttpWorkers {
+    async fn call(
         &self,
         worker: SocketAddr,
-        renewal: LeaseRenewal,
-    ) -> Result<WorkerReport, WorkerError> {
-        match self.order(worker, WorkerRequest::Renew(renewal)).await? {
-            WorkerAnswer::Report(report) => Ok(report),
-            _ => Err(WorkerError::Unknown),
-        }
-    }
-
-    async fn start(
-        &self,
-        worker: SocketAddr,
-        epoch: OwnerEpoch,
-        order: TaskOrder,
-    ) -> Result<(), WorkerError> {
-        let request = WorkerRequest::Start { epoch, order };
-        self.order_done(worker, request).await
-    }
-
-    async fn throttle(
-        &self,
-        worker: SocketAddr,
-        epoch: OwnerEpoch,
-        attempt: TaskAttempt,
-        speed_millis: u32,
-    ) -> Result<(), WorkerError> {
-        let request = WorkerRequest::Throttle {
-            epoch,
-            attempt,
-            speed_millis,
+        request: WorkerRequest,
+    ) -> Result<WorkerAnswer, WorkerError> {
+        let body = serde_json::to_vec(&request).map_err(|_| WorkerError::Unreachable)?;
+        let call = HttpCall {
+            address: worker,
+            method: Method::POST,
+            path: WorkerRequest::PATH.to_owned(),
+            body: body.into(),
         };
-        self.order_done(worker, request).await
-    }
-
-    async fn checkpoint(
-        &self,
-        worker: SocketAddr,
-        epoch: OwnerEpoch,
-        attempt: TaskAttempt,
-    ) -> Result<CheckpointId, WorkerError> {
-        let request = WorkerRequest::Checkpoint { epoch, attempt };
-        match self.order(worker, request).await? {
-            WorkerAnswer::Checkpoint(checkpoint) => Ok(checkpoint),
-            _ => Err(WorkerError::Unknown),
+        let answer = self.caller(worker).write(call).await;
+        if answer.as_ref().err() == Some(&CallError::Unreachable) {
+            // A worker that is gone for good must not leave its pool behind.
+            self.lock().swap_remove(&worker);
         }
-    }
-
-    async fn stop(
-        &self,
-        worker: SocketAddr,
-        epoch: OwnerEpoch,
-        attempt: TaskAttempt,
-    ) -> Result<(), WorkerError> {
-        let request = WorkerRequest::Stop { epoch, attempt };
-        self.order_done(worker, request).await
+        parse(answer?)
     }
 }
--- a/crates/ports/src/lib.rs
+++ b/crates/ports/src/lib.rs
@@ -39,6 +39,7 @@
 mod vm_list;
 mod vm_list_error;
 mod worker_answer;
+mod worker_calls;
 mod worker_error;
 mod worker_inventory;
 mod worker_port;
@@ -79,6 +80,7 @@
     vm_list::VmList,
     vm_list_error::VmListError,
     worker_answer::WorkerAnswer,
+    worker_calls::WorkerCalls,
     worker_error::WorkerError,
     worker_inventory::WorkerInventory,
     worker_port::WorkerPort,
--- a/crates/standins/src/fault_plan.rs
+++ b/crates/standins/src/fault_plan.rs
@@ -8,7 +8,7 @@
         MutexGuard,
         PoisonError, //
     },
-    time::Duration,
+    time::Duration, //
 };
 
 use indexmap::IndexMap;
--- a/crates/standins/src/http_server.rs
+++ b/crates/standins/src/http_server.rs
@@ -6,7 +6,7 @@
         Ipv4Addr,
         SocketAddr, //
     },
-    sync::Arc,
+    sync::Arc, //
 };
 
 use async_trait::async_trait;
@@ -33,7 +33,7 @@
         TcpListener,
         TcpStream, //
     },
-    sync::watch,
+    sync::watch, //
 };
 
 use crate::{
@@ -41,7 +41,7 @@
     wire_answer::{
         WireResult,
         refuse, //
-    },
+    }, //
 };
 
 /// The most bytes that a call's body may have.
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -7,11 +7,22 @@
 mod fault_plan;
 mod fixed_ownership;
 mod http_server;
+mod interference_model;
+mod ledger_summary;
 mod manual_clock;
+mod run_ledger;
+mod run_record;
 mod server_guard;
 mod table_core;
 mod table_stand_in;
+mod task_payload;
+mod usage_lag;
 mod wire_answer;
+mod worker_core;
+mod worker_fleet;
+mod worker_knobs;
+mod worker_run;
+mod worker_stand_in;
 
 pub use self::{
     call_counts::CallCounts,
@@ -22,7 +33,27 @@
         OutageState, //
     },
     fixed_ownership::FixedOwnership,
+    interference_model::InterferenceModel,
+    ledger_summary::LedgerSummary,
     manual_clock::ManualClock,
+    run_ledger::{
+        ReservedPeak,
+        RunLedger, //
+    },
+    run_record::{
+        RunEnd,
+        RunRecord, //
+    },
     server_guard::ServerGuard,
-    table_stand_in::TableStandIn, //
+    table_stand_in::TableStandIn,
+    task_payload::TaskPayload,
+    worker_fleet::{
+        FleetShape,
+        WorkerFleet, //
+    },
+    worker_knobs::{
+        CheckpointMode,
+        WorkerKnobs, //
+    },
+    worker_stand_in::WorkerStandIn, //
 };
--- a/crates/standins/src/table_stand_in.rs
+++ b/crates/standins/src/table_stand_in.rs
@@ -8,7 +8,7 @@
         Mutex,
         MutexGuard,
         PoisonError, //
-    },
+    }, //
 };
 
 use async_trait::async_trait;
@@ -35,7 +35,10 @@
 use tokio::net::TcpListener;
 
 use crate::{
-    CallKind, FaultKind, FaultPlan, ServerGuard,
+    CallKind,
+    FaultKind,
+    FaultPlan,
+    ServerGuard,
     http_server::{
         self,
         CallHandler, //
@@ -46,7 +49,7 @@
         fault,
         json,
         refuse, //
-    },
+    }, //
 };
 
 /// The stand-in of the platform's table service. Copies share their rows, so that one can be used
--- a/crates/standins/src/wire_answer.rs
+++ b/crates/standins/src/wire_answer.rs
@@ -5,7 +5,7 @@
     task::{
         Context,
         Poll, //
-    },
+    }, //
 };
 
 use bytes::Bytes;
--- /dev/null
+++ b/crates/standins/src/worker_core.rs
@@ -0,0 +1,434 @@
+//! The state of a stand-in worker. It reads no clock: every call is told the time, and first brings
+//! the runs up to it.
+
+use std::{
+    sync::Arc,
+    time::Duration, //
+};
+
+use indexmap::IndexMap;
+use jasminebend_base::{
+    ClassKind,
+    DomainName,
+    OwnerEpoch,
+    ResourceAmount,
+    VmName, //
+};
+use jasminebend_ports::{
+    CheckpointId,
+    EpochAdoption,
+    LeaseRenewal,
+    TaskAttempt,
+    TaskEvent,
+    TaskOrder,
+    WorkerError,
+    WorkerInventory,
+    WorkerReport,
+    WorkerTask, //
+};
+
+use crate::{
+    CheckpointMode,
+    RunEnd,
+    RunLedger,
+    RunRecord,
+    WorkerKnobs,
+    usage_lag::UsageLag,
+    worker_run::{
+        FULL_SPEED,
+        WorkerRun, //
+    }, //
+};
+
+/// How long a run takes to fail on a worker that fails every task.
+const DOOM: Duration = Duration::from_millis(10);
+
+type TaskKey = (u64, u32);
+
+/// The state of a stand-in worker.
+#[derive(Debug)]
+pub(crate) struct WorkerCore {
+    pub(crate) name: VmName,
+    pub(crate) domain: DomainName,
+    pub(crate) capacity: ResourceAmount,
+    pub(crate) knobs: WorkerKnobs,
+    pub(crate) ledger: Arc<RunLedger>,
+    incarnation: u64,
+    epoch: OwnerEpoch,
+    renewed: Option<Duration>,
+    lease_end: Option<Duration>,
+    settled: Duration,
+    running: IndexMap<TaskAttempt, WorkerRun>,
+    ended: IndexMap<TaskAttempt, WorkerTask>,
+    /// The last attempt of each task that is known to have ended: a start of it, or of an earlier
+    /// one, that comes late is refused. It outlives the acknowledgement.
+    last_ended: IndexMap<TaskKey, u32>,
+    usage: UsageLag,
+}
+
+impl WorkerCore {
+    pub(crate) fn new(
+        name: VmName,
+        domain: DomainName,
+        capacity: ResourceAmount,
+        ledger: Arc<RunLedger>,
+        seed: u64,
+    ) -> Self {
+        Self {
+            name,
+            domain,
+            capacity,
+            knobs: WorkerKnobs::default(),
+            ledger,
+            incarnation: seed,
+            epoch: OwnerEpoch::default(),
+            renewed: None,
+            lease_end: None,
+            settled: Duration::ZERO,
+            running: IndexMap::new(),
+            ended: IndexMap::new(),
+            last_ended: IndexMap::new(),
+            usage: UsageLag::new(seed),
+        }
+    }
+
+    pub(crate) fn adopt(
+        &mut self,
+        now: Duration,
+        adoption: EpochAdoption,
+    ) -> Result<WorkerInventory, WorkerError> {
+        self.settle(now);
+        self.follow(adoption.epoch)?;
+        self.renew_lease(now, adoption.lease);
+        let running = self.running.values().map(|run| run.to_task(None));
+        Ok(WorkerInventory {
+            incarnation: self.incarnation,
+            epoch: self.epoch,
+            capacity: self.capacity,
+            tasks: running.chain(self.ended.values().cloned()).collect(),
+        })
+    }
+
+    pub(crate) fn renew(
+        &mut self,
+        now: Duration,
+        renewal: &LeaseRenewal,
+    ) -> Result<WorkerReport, WorkerError> {
+        self.settle(now);
+        self.follow(renewal.epoch)?;
+        self.renew_lease(now, renewal.lease);
+        for attempt in &renewal.acknowledged {
+            self.ended.shift_remove(attempt);
+        }
+        self.measure(now);
+        Ok(WorkerReport {
+            incarnation: self.incarnation,
+            // CAST: a worker holds far fewer runs than 2^32.
+            running: self.running.len() as u32,
+            ended: self.ended.values().cloned().collect(),
+            usage: self.usage.due(now),
+        })
+    }
+
+    pub(crate) fn start(
+        &mut self,
+        now: Duration,
+        epoch: OwnerEpoch,
+        order: &TaskOrder,
+    ) -> Result<(), WorkerError> {
+        self.settle(now);
+        self.check_epoch(epoch)?;
+        if self.running.contains_key(&order.attempt) {
+            return Ok(());
+        }
+        self.check_order(now, epoch, order)?;
+        self.check_room(order.reserved)?;
+        self.run(now, order);
+        Ok(())
+    }
+
+    pub(crate) fn throttle(
+        &mut self,
+        now: Duration,
+        epoch: OwnerEpoch,
+        attempt: TaskAttempt,
+        speed_millis: u32,
+    ) -> Result<(), WorkerError> {
+        self.settle(now);
+        self.check_epoch(epoch)?;
+        let run = self
+            .running
+            .get_mut(&attempt)
+            .ok_or(WorkerError::UnknownRun)?;
+        run.speed_millis = speed_millis.min(FULL_SPEED);
+        Ok(())
+    }
+
+    pub(crate) fn checkpoint(
+        &mut self,
+        now: Duration,
+        epoch: OwnerEpoch,
+        attempt: TaskAttempt,
+    ) -> Result<CheckpointId, WorkerError> {
+        self.settle(now);
+        self.check_epoch(epoch)?;
+        if let Some(TaskEvent::Checkpointed { checkpoint }) = self.end_of(attempt) {
+            return Ok(checkpoint.clone());
+        }
+        if !self.running.contains_key(&attempt) {
+            return Err(WorkerError::UnknownRun);
+        }
+        let checkpoint = self.keep(attempt).ok_or(WorkerError::CheckpointFailed)?;
+        let event = TaskEvent::Checkpointed {
+            checkpoint: checkpoint.clone(),
+        };
+        self.end(now, attempt, event);
+        Ok(checkpoint)
+    }
+
+    pub(crate) fn stop(
+        &mut self,
+        now: Duration,
+        epoch: OwnerEpoch,
+        attempt: TaskAttempt,
+    ) -> Result<(), WorkerError> {
+        self.settle(now);
+        self.check_epoch(epoch)?;
+        self.end(now, attempt, TaskEvent::Stopped);
+        self.mark_ended(attempt);
+        Ok(())
+    }
+
+    /// Restarts: everything is forgotten.
+    pub(crate) fn restart(&mut self, now: Duration) {
+        self.settle(now);
+        for run in self.running.values() {
+            self.ledger
+                .end(run.ledger_place, now, RunEnd::Vanished, None);
+        }
+        self.running.clear();
+        self.ended.clear();
+        self.last_ended.clear();
+        self.usage.clear();
+        self.epoch = OwnerEpoch::default();
+        self.renewed = None;
+        self.lease_end = None;
+        self.incarnation += 1;
+    }
+
+    /// Brings the runs up to `now`, one end after another: each changes the others' speed.
+    pub(crate) fn settle(&mut self, now: Duration) {
+        while let Some((at, attempt)) = self.next_end().filter(|(at, _)| *at <= now) {
+            self.advance(at);
+            match attempt {
+                Some(attempt) => self.end_by_itself(at, attempt),
+                None => self.lapse(at),
+            }
+        }
+        self.advance(now);
+    }
+
+    pub(crate) fn running_tasks(&self) -> Vec<WorkerTask> {
+        self.running.values().map(|run| run.to_task(None)).collect()
+    }
+
+    fn follow(&mut self, epoch: OwnerEpoch) -> Result<(), WorkerError> {
+        self.check_epoch(epoch)?;
+        self.epoch = epoch;
+        Ok(())
+    }
+
+    fn check_epoch(&self, epoch: OwnerEpoch) -> Result<(), WorkerError> {
+        if epoch < self.epoch {
+            return Err(WorkerError::StaleEpoch { newer: self.epoch });
+        }
+        Ok(())
+    }
+
+    fn renew_lease(&mut self, now: Duration, lease: Duration) {
+        self.renewed = Some(now);
+        self.lease_end = Some(now + lease);
+    }
+
+    /// Guards against starts that come late: their sender has meanwhile taken the task for not
+    /// started, and may run it elsewhere. Such an order belongs to an epoch that was not adopted
+    /// here, or to a run that ended, or its time since the last renewal is over.
+    fn check_order(
+        &self,
+        now: Duration,
+        epoch: OwnerEpoch,
+        order: &TaskOrder,
+    ) -> Result<(), WorkerError> {
+        let in_time = self
+            .renewed
+            .is_some_and(|renewed| now.saturating_sub(renewed) <= order.valid_for);
+        let task = task_key(order.attempt);
+        let ended = self
+            .last_ended
+            .get(&task)
+            .is_some_and(|last| order.attempt.attempt <= *last);
+        let runs = self.running.keys().any(|other| task_key(*other) == task);
+        if epoch == self.epoch && in_time && self.lease_end.is_some() && !ended && !runs {
+            return Ok(());
+        }
+        Err(WorkerError::OutOfDate)
+    }
+
+    fn check_room(&self, reserved: ResourceAmount) -> Result<(), WorkerError> {
+        if (self.reserved() + reserved).fits_in(self.capacity) {
+            return Ok(());
+        }
+        self.ledger.note_over_capacity();
+        Err(WorkerError::NoRoom)
+    }
+
+    fn run(&mut self, now: Duration, order: &TaskOrder) {
+        let resumed = order.checkpoint.as_ref();
+        let done_seconds = resumed.map_or(0.0, |checkpoint| self.ledger.resume(checkpoint));
+        let place = self.ledger.start(RunRecord {
+            attempt: order.attempt,
+            class: order.class.clone(),
+            kind: order.kind,
+            worker: self.name.clone(),
+            domain: self.domain.clone(),
+            started: now,
+            resumed: resumed.cloned(),
+            ended: None,
+            kept: None,
+        });
+        let doomed = self.knobs.fails_every_task.then_some(now + DOOM);
+        let run = WorkerRun::new(order, now, done_seconds, place).with_doom(doomed);
+        self.running.insert(order.attempt, run);
+        self.ledger
+            .note_reserved(&self.name, self.reserved(), self.capacity);
+    }
+
+    fn reserved(&self) -> ResourceAmount {
+        self.running
+            .values()
+            .map(|run| run.reserved)
+            .fold(ResourceAmount::default(), |sum, part| sum + part)
+    }
+
+    fn end_of(&self, attempt: TaskAttempt) -> Option<&TaskEvent> {
+        self.ended.get(&attempt)?.ended.as_ref()
+    }
+
+    fn end_by_itself(&mut self, now: Duration, attempt: TaskAttempt) {
+        if let Some(event) = self.running.get(&attempt).map(WorkerRun::own_end) {
+            self.end(now, attempt, event);
+        }
+    }
+
+    fn end(&mut self, now: Duration, attempt: TaskAttempt, event: TaskEvent) {
+        let Some(run) = self.running.shift_remove(&attempt) else {
+            return;
+        };
+        let (end, kept) = ledger_end(&event);
+        self.ledger.end(run.ledger_place, now, end, kept);
+        self.ended.insert(attempt, run.to_task(Some(event)));
+        self.mark_ended(attempt);
+    }
+
+    fn mark_ended(&mut self, attempt: TaskAttempt) {
+        let last = self.last_ended.entry(task_key(attempt)).or_default();
+        *last = attempt.attempt.max(*last);
+    }
+
+    /// Keeps a run's state, if this worker can.
+    fn keep(&self, attempt: TaskAttempt) -> Option<CheckpointId> {
+        let run = self.running.get(&attempt)?;
+        let name = format!("{}/{}/{attempt}", self.name, self.incarnation);
+        let checkpoint = CheckpointId::from(name);
+        match self.knobs.checkpoints {
+            CheckpointMode::Kept => self.ledger.keep(checkpoint.clone(), run.done_seconds),
+            CheckpointMode::Lost => {}
+            CheckpointMode::Fails => return None,
+        }
+        Some(checkpoint)
+    }
+
+    /// The lease lapsed: the owner may by now have started the runs elsewhere.
+    fn lapse(&mut self, now: Duration) {
+        self.lease_end = None;
+        let attempts: Vec<_> = self.running.keys().copied().collect();
+        for attempt in attempts {
+            let checkpoint = self.keep_batch(attempt);
+            self.end(now, attempt, TaskEvent::Lapsed { checkpoint });
+        }
+    }
+
+    fn keep_batch(&self, attempt: TaskAttempt) -> Option<CheckpointId> {
+        let kind = self.running.get(&attempt)?.kind;
+        match kind {
+            ClassKind::Batch => self.keep(attempt),
+            ClassKind::Service => None,
+        }
+    }
+
+    /// Returns the next end by itself, or the lapse of the lease as one without a run.
+    fn next_end(&self) -> Option<(Duration, Option<TaskAttempt>)> {
+        let lapse = self.lease_end.map(|at| (at, None));
+        let ends = self.running.values().filter_map(|run| {
+            let at = run.ends_at(self.settled, self.slowdown(run))?;
+            Some((at, Some(run.attempt)))
+        });
+        ends.chain(lapse).min_by_key(|(at, _)| *at)
+    }
+
+    fn advance(&mut self, now: Duration) {
+        let step = now.saturating_sub(self.settled);
+        let slowdowns: Vec<_> = self
+            .running
+            .values()
+            .map(|run| self.slowdown(run))
+            .collect();
+        for (run, slowdown) in self.running.values_mut().zip(slowdowns) {
+            run.advance(step, slowdown);
+        }
+        self.settled = self.settled.max(now);
+    }
+
+    /// Returns how many times as long as alone a run takes now.
+    fn slowdown(&self, run: &WorkerRun) -> f64 {
+        let load = f64::from(self.knobs.load_millis) / 1000.0;
+        let neighbours = self.running.values();
+        let added: f64 = neighbours
+            .filter(|other| other.attempt != run.attempt)
+            .map(|other| {
+                let model = &self.knobs.interference;
+                model.added(&run.class, &other.class, other.speed_millis)
+            })
+            .sum();
+        1.0 + added * load
+    }
+
+    fn measure(&mut self, now: Duration) {
+        let period = self.knobs.usage_period;
+        let slowdowns: Vec<_> = self
+            .running
+            .values()
+            .map(|run| self.slowdown(run))
+            .collect();
+        for (run, slowdown) in self.running.values_mut().zip(slowdowns) {
+            if now.saturating_sub(run.measured) >= period {
+                run.measured = now;
+                self.usage.measure(now, run, slowdown, self.knobs.usage_lag);
+            }
+        }
+    }
+}
+
+fn task_key(attempt: TaskAttempt) -> TaskKey {
+    (attempt.job, attempt.index)
+}
+
+fn ledger_end(event: &TaskEvent) -> (RunEnd, Option<CheckpointId>) {
+    match event {
+        TaskEvent::Finished { .. } => (RunEnd::Finished, None),
+        TaskEvent::Failed { .. } => (RunEnd::Failed, None),
+        TaskEvent::Checkpointed { checkpoint } => (RunEnd::Checkpointed, Some(checkpoint.clone())),
+        TaskEvent::Stopped => (RunEnd::Stopped, None),
+        TaskEvent::Lapsed { checkpoint } => (RunEnd::Lapsed, checkpoint.clone()),
+    }
+}
--- a/crates/standins/tests/contracts/harness.rs
+++ b/crates/standins/tests/contracts/harness.rs
@@ -1,17 +1,25 @@
 //! The builder of the contract tests: a port, the stand-in behind it, and how it is reached.
 
 use std::{
+    net::SocketAddr,
     sync::Arc,
     time::Duration, //
 };
 
+use jasminebend_base::ResourceAmount;
 use jasminebend_ports::{
+    ClockSource,
     HttpTable,
-    TableService, //
+    HttpWorkers,
+    TableService,
+    WorkerPort, //
 };
 use jasminebend_standins::{
+    ManualClock,
+    RunLedger,
     ServerGuard,
-    TableStandIn, //
+    TableStandIn,
+    WorkerStandIn, //
 };
 
 /// So long that no case ends by it.
@@ -65,3 +73,52 @@
     }
     panic!("never came about: {what}");
 }
+
+/// A worker under test, with its clock and ledger.
+pub(crate) struct WorkerHarness {
+    pub(crate) port: Arc<dyn WorkerPort>,
+    pub(crate) address: SocketAddr,
+    pub(crate) stand_in: WorkerStandIn,
+    pub(crate) clock: Arc<ManualClock>,
+    pub(crate) ledger: Arc<RunLedger>,
+    pub(crate) guard: Option<ServerGuard>,
+}
+
+fn make_worker() -> (WorkerStandIn, Arc<ManualClock>, Arc<RunLedger>) {
+    let clock = Arc::new(ManualClock::new());
+    let ledger = Arc::new(RunLedger::new());
+    let stand_in = WorkerStandIn::new(
+        "vm-1",
+        "north",
+        ResourceAmount::new(8_000, 16_000),
+        Arc::clone(&clock) as Arc<dyn ClockSource>,
+        Arc::clone(&ledger),
+        1,
+    );
+    (stand_in, clock, ledger)
+}
+
+pub(crate) async fn worker_in_memory(_timeout: Duration) -> WorkerHarness {
+    let (stand_in, clock, ledger) = make_worker();
+    WorkerHarness {
+        port: Arc::new(stand_in.clone()),
+        address: SocketAddr::from(([127, 0, 0, 1], 1)),
+        stand_in,
+        clock,
+        ledger,
+        guard: None,
+    }
+}
+
+pub(crate) async fn worker_over_http(timeout: Duration) -> WorkerHarness {
+    let (stand_in, clock, ledger) = make_worker();
+    let (address, guard) = stand_in.start_server().await.unwrap();
+    WorkerHarness {
+        port: Arc::new(HttpWorkers::new().with_timeout(timeout)),
+        address,
+        stand_in,
+        clock,
+        ledger,
+        guard: Some(guard),
+    }
+}
--- a/crates/standins/tests/contracts/main.rs
+++ b/crates/standins/tests/contracts/main.rs
@@ -7,3 +7,4 @@
 
 mod harness;
 mod table;
+mod worker;
