Stand in for the object store and the VM list

Both serve one core in memory and over HTTP, as the table's stand-in does. The VM list keeps its history, so that a change shows after a lag on the clock passed in, and a stale reading shows the list of one change before. Their contracts say that an outage is never an empty list nor an absent object.

--- a/crates/standins/src/fault_plan.rs
+++ b/crates/standins/src/fault_plan.rs
@@ -155,32 +155,7 @@
         Answer: Send + 'static,
         Effect: Fn() -> Answer + Send + 'static,
     {
-        let Some(fault) = self.decide(call, now) else {
-            return Ok(effect());
-        };
-        match fault {
-            FaultKind::LoseRequest | FaultKind::Refuse | FaultKind::Unreachable => Err(fault),
-            FaultKind::LoseAnswer | FaultKind::CutAnswer | FaultKind::Malformed => {
-                effect();
-                Err(fault)
-            }
-            FaultKind::Slow(delay) => run_late(delay, effect).await,
-            FaultKind::SlowAnswer(delay) => {
-                let answer = effect();
-                time::sleep(delay).await;
-                Ok(answer)
-            }
-            FaultKind::LateEffect(delay) => {
-                tokio::spawn(run_late(delay, effect));
-                Err(fault)
-            }
-            FaultKind::Duplicate(delay) => {
-                let answer = effect();
-                tokio::spawn(run_late(delay, effect));
-                Ok(answer)
-            }
-            FaultKind::Stale => Ok(effect()),
-        }
+        run_under(self.decide(call, now), effect).await
     }
 
     fn lock(&self) -> MutexGuard<'_, PlanState> {
@@ -188,6 +163,43 @@
     }
 }
 
+/// Runs an effect under a fault. The error is the fault that takes the place of the answer.
+pub(crate) async fn run_under<Answer, Effect>(
+    fault: Option<FaultKind>,
+    effect: Effect,
+) -> Result<Answer, FaultKind>
+where
+    Answer: Send + 'static,
+    Effect: Fn() -> Answer + Send + 'static,
+{
+    let Some(fault) = fault else {
+        return Ok(effect());
+    };
+    match fault {
+        FaultKind::LoseRequest | FaultKind::Refuse | FaultKind::Unreachable => Err(fault),
+        FaultKind::LoseAnswer | FaultKind::CutAnswer | FaultKind::Malformed => {
+            effect();
+            Err(fault)
+        }
+        FaultKind::Slow(delay) => run_late(delay, effect).await,
+        FaultKind::SlowAnswer(delay) => {
+            let answer = effect();
+            time::sleep(delay).await;
+            Ok(answer)
+        }
+        FaultKind::LateEffect(delay) => {
+            tokio::spawn(run_late(delay, effect));
+            Err(fault)
+        }
+        FaultKind::Duplicate(delay) => {
+            let answer = effect();
+            tokio::spawn(run_late(delay, effect));
+            Ok(answer)
+        }
+        FaultKind::Stale => Ok(effect()),
+    }
+}
+
 /// Runs an effect late in a task of its own: a call in progress comes about even when its caller
 /// gave up.
 async fn run_late<Answer, Effect>(delay: Duration, effect: Effect) -> Result<Answer, FaultKind>
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -10,6 +10,7 @@
 mod interference_model;
 mod ledger_summary;
 mod manual_clock;
+mod object_stand_in;
 mod run_ledger;
 mod run_record;
 mod server_guard;
@@ -17,6 +18,8 @@
 mod table_stand_in;
 mod task_payload;
 mod usage_lag;
+mod vm_list_core;
+mod vm_list_stand_in;
 mod wire_answer;
 mod worker_core;
 mod worker_fleet;
@@ -36,6 +39,7 @@
     interference_model::InterferenceModel,
     ledger_summary::LedgerSummary,
     manual_clock::ManualClock,
+    object_stand_in::ObjectStandIn,
     run_ledger::{
         ReservedPeak,
         RunLedger, //
@@ -47,6 +51,7 @@
     server_guard::ServerGuard,
     table_stand_in::TableStandIn,
     task_payload::TaskPayload,
+    vm_list_stand_in::VmListStandIn,
     worker_fleet::{
         FleetShape,
         WorkerFleet, //
--- /dev/null
+++ b/crates/standins/src/vm_list_stand_in.rs
@@ -0,0 +1,205 @@
+//! The stand-in of the platform's VM list.
+
+use std::{
+    io,
+    net::SocketAddr,
+    sync::{
+        Arc,
+        Mutex,
+        MutexGuard,
+        PoisonError, //
+    },
+    time::Duration, //
+};
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use http::{
+    Method,
+    StatusCode,
+    request::Parts, //
+};
+use jasminebend_base::{
+    VmName,
+    VmRecord,
+    VmSnapshot, //
+};
+use jasminebend_ports::{
+    AccessToken,
+    ClockSource,
+    HttpVmList,
+    SystemClock,
+    VmList,
+    VmListError, //
+};
+use tokio::net::TcpListener;
+
+use crate::{
+    CallKind,
+    FaultKind,
+    FaultPlan,
+    ServerGuard,
+    fault_plan::run_under,
+    http_server::{
+        self,
+        CallHandler, //
+    },
+    vm_list_core::VmListCore,
+    wire_answer::{
+        WireResult,
+        fault,
+        json,
+        refuse, //
+    }, //
+};
+
+/// The stand-in of the platform's VM list. Copies share the list, so that one can be used in memory
+/// while another is served over HTTP.
+#[derive(Clone)]
+pub struct VmListStandIn {
+    core: Arc<Mutex<VmListCore>>,
+    lag: Duration,
+    faults: FaultPlan,
+    clock: Arc<dyn ClockSource>,
+    token: Option<AccessToken>,
+}
+
+impl VmListStandIn {
+    /// Creates a list that shows every change at once.
+    pub fn new(vms: Vec<VmRecord>) -> Self {
+        Self {
+            core: Arc::new(Mutex::new(VmListCore::new(vms))),
+            lag: Duration::ZERO,
+            faults: FaultPlan::default(),
+            clock: Arc::new(SystemClock::new()),
+            token: None,
+        }
+    }
+
+    /// Sets how long a change takes to be seen.
+    pub fn with_lag(mut self, lag: Duration) -> Self {
+        self.lag = lag;
+        self
+    }
+
+    /// Sets the clock that the lag is counted on.
+    pub fn with_clock(mut self, clock: Arc<dyn ClockSource>) -> Self {
+        self.clock = clock;
+        self
+    }
+
+    /// Sets the faults.
+    pub fn with_faults(mut self, faults: FaultPlan) -> Self {
+        self.faults = faults;
+        self
+    }
+
+    /// Sets the token that callers over HTTP must show.
+    pub fn with_token(mut self, token: AccessToken) -> Self {
+        self.token = Some(token);
+        self
+    }
+
+    /// Returns the faults and the counts.
+    pub fn faults(&self) -> &FaultPlan {
+        &self.faults
+    }
+
+    /// Replaces the whole list.
+    pub fn set(&self, vms: Vec<VmRecord>) {
+        self.change(|listed| *listed = vms);
+    }
+
+    /// Adds a VM, in the place of one of the same name.
+    pub fn add(&self, record: VmRecord) {
+        self.change(|vms| {
+            vms.retain(|vm| vm.name != record.name);
+            vms.push(record);
+        });
+    }
+
+    /// Marks a VM as leaving.
+    pub fn leave<Name>(&self, name: Name)
+    where
+        Name: Into<VmName>,
+    {
+        self.lock().leave(self.clock.monotonic(), &name.into());
+    }
+
+    /// Takes a VM off the list.
+    pub fn remove<Name>(&self, name: Name)
+    where
+        Name: Into<VmName>,
+    {
+        let name = name.into();
+        self.change(|vms| vms.retain(|vm| vm.name != name));
+    }
+
+    /// Serves the list on an ephemeral port of the loopback interface.
+    ///
+    /// # Errors
+    ///
+    /// The error of the socket.
+    pub async fn start(&self) -> Result<(SocketAddr, ServerGuard), io::Error> {
+        http_server::start(Arc::new(self.clone())).await
+    }
+
+    /// Serves the list until the guard is dropped.
+    pub fn serve(&self, listener: TcpListener) -> ServerGuard {
+        http_server::serve(listener, Arc::new(self.clone()))
+    }
+
+    async fn run_read(&self) -> Result<VmSnapshot, FaultKind> {
+        let fault = self.faults.decide(CallKind::Read, self.clock.monotonic());
+        let stale = fault == Some(FaultKind::Stale);
+        let list = self.clone();
+        let snapshot = run_under(fault, move || {
+            let now = list.clock.monotonic();
+            list.lock().read(now, list.lag, stale)
+        })
+        .await?;
+        self.faults.count_rows(snapshot.vms.len(), 0);
+        Ok(snapshot)
+    }
+
+    fn change<Change>(&self, change: Change)
+    where
+        Change: FnOnce(&mut Vec<VmRecord>),
+    {
+        self.lock().change(self.clock.monotonic(), change);
+    }
+
+    fn lock(&self) -> MutexGuard<'_, VmListCore> {
+        self.core.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+#[async_trait]
+impl VmList for VmListStandIn {
+    async fn read(&self) -> Result<VmSnapshot, VmListError> {
+        self.run_read().await.map_err(|fault| match fault {
+            FaultKind::Malformed => VmListError::Malformed,
+            _ => VmListError::Unavailable,
+        })
+    }
+}
+
+#[async_trait]
+impl CallHandler for VmListStandIn {
+    fn token(&self) -> Option<&AccessToken> {
+        self.token.as_ref()
+    }
+
+    async fn answer(&self, head: Parts, _body: Bytes, _caller: SocketAddr) -> WireResult {
+        if head.uri.path() != HttpVmList::PATH {
+            return refuse(StatusCode::NOT_FOUND, "no such path");
+        }
+        if head.method != Method::GET {
+            return refuse(StatusCode::METHOD_NOT_ALLOWED, "the path takes GET");
+        }
+        match self.run_read().await {
+            Ok(snapshot) => json(StatusCode::OK, &snapshot),
+            Err(kind) => fault(kind),
+        }
+    }
+}
--- a/crates/standins/src/worker_fleet.rs
+++ b/crates/standins/src/worker_fleet.rs
@@ -55,7 +55,7 @@
     rack: String,
 }
 
-/// Many stand-in workers in one process, each at its own address. As a [`WorkerPort`] it reaches
+/// Many stand-in workers in one process, each at its own address. As a [`jasminebend_ports::WorkerPort`] it reaches
 /// them in memory, from one caller's address.
 #[derive(Clone)]
 pub struct WorkerFleet {
--- a/crates/standins/src/worker_stand_in.rs
+++ b/crates/standins/src/worker_stand_in.rs
@@ -109,7 +109,7 @@
 }
 
 /// The stand-in of one worker. Copies share its state, so that one can be used in memory while
-/// another is served over HTTP. As a [`WorkerPort`], it takes every address for its own.
+/// another is served over HTTP. As a [`jasminebend_ports::WorkerPort`], it takes every address for its own.
 #[derive(Clone)]
 pub struct WorkerStandIn {
     cell: Arc<WorkerCell>,
--- a/crates/standins/tests/contracts/harness.rs
+++ b/crates/standins/tests/contracts/harness.rs
@@ -9,16 +9,22 @@
 use jasminebend_base::ResourceAmount;
 use jasminebend_ports::{
     ClockSource,
+    HttpObjects,
     HttpTable,
+    HttpVmList,
     HttpWorkers,
+    ObjectStore,
     TableService,
+    VmList,
     WorkerPort, //
 };
 use jasminebend_standins::{
     ManualClock,
+    ObjectStandIn,
     RunLedger,
     ServerGuard,
     TableStandIn,
+    VmListStandIn,
     WorkerStandIn, //
 };
 
@@ -41,6 +47,9 @@
 
 pub(crate) type TableHarness = Harness<dyn TableService, TableStandIn>;
 
+pub(crate) type ObjectHarness = Harness<dyn ObjectStore, ObjectStandIn>;
+pub(crate) type VmListHarness = Harness<dyn VmList, VmListStandIn>;
+
 pub(crate) async fn table_in_memory(_timeout: Duration) -> TableHarness {
     let stand_in = TableStandIn::new();
     Harness {
@@ -122,3 +131,57 @@
         guard: Some(guard),
     }
 }
+
+/// The size of the largest object under test.
+pub(crate) const LARGEST: usize = 100_000;
+
+pub(crate) async fn objects_in_memory(_timeout: Duration) -> ObjectHarness {
+    let stand_in = ObjectStandIn::new().with_largest(LARGEST);
+    Harness {
+        port: Arc::new(stand_in.clone()),
+        stand_in,
+        guard: None,
+    }
+}
+
+pub(crate) async fn objects_over_http(timeout: Duration) -> ObjectHarness {
+    let stand_in = ObjectStandIn::new().with_largest(LARGEST);
+    let (address, guard) = stand_in.start().await.unwrap();
+    Harness {
+        port: Arc::new(HttpObjects::new(address).with_timeout(timeout)),
+        stand_in,
+        guard: Some(guard),
+    }
+}
+
+/// The lag of the VM list under test, on the returned clock.
+pub(crate) const LAG: Duration = Duration::from_secs(5);
+
+fn make_vm_list() -> (VmListStandIn, Arc<ManualClock>) {
+    let clock = Arc::new(ManualClock::new());
+    let stand_in = VmListStandIn::new(Vec::new())
+        .with_lag(LAG)
+        .with_clock(Arc::clone(&clock) as Arc<dyn ClockSource>);
+    (stand_in, clock)
+}
+
+pub(crate) async fn vm_list_in_memory(_timeout: Duration) -> (VmListHarness, Arc<ManualClock>) {
+    let (stand_in, clock) = make_vm_list();
+    let harness = Harness {
+        port: Arc::new(stand_in.clone()) as Arc<dyn VmList>,
+        stand_in,
+        guard: None,
+    };
+    (harness, clock)
+}
+
+pub(crate) async fn vm_list_over_http(timeout: Duration) -> (VmListHarness, Arc<ManualClock>) {
+    let (stand_in, clock) = make_vm_list();
+    let (address, guard) = stand_in.start().await.unwrap();
+    let harness = Harness {
+        port: Arc::new(HttpVmList::new(address).with_timeout(timeout)) as Arc<dyn VmList>,
+        stand_in,
+        guard: Some(guard),
+    };
+    (harness, clock)
+}
--- a/crates/standins/tests/contracts/main.rs
+++ b/crates/standins/tests/contracts/main.rs
@@ -6,5 +6,7 @@
 )]
 
 mod harness;
+mod objects;
 mod table;
+mod vm_list;
 mod worker;
--- /dev/null
+++ b/crates/standins/tests/contracts/vm_list.rs
@@ -0,0 +1,112 @@
+//! What every adapter of the VM list must do. A new adapter is one more line at the end.
+
+use std::{
+    sync::Arc,
+    time::Duration, //
+};
+
+use jasminebend_base::{
+    ResourceAmount,
+    VmRecord,
+    VmState,
+    WorkerRecord, //
+};
+use jasminebend_ports::VmListError;
+use jasminebend_standins::{
+    CallKind,
+    FaultKind,
+    ManualClock, //
+};
+
+use crate::harness::{
+    LAG,
+    PATIENT,
+    VmListHarness, //
+};
+
+type Fixture = (VmListHarness, Arc<ManualClock>);
+
+fn vm(name: &str) -> VmRecord {
+    VmRecord {
+        name: name.into(),
+        incarnation: 3,
+        domain: "north".into(),
+        state: VmState::Live,
+        executor: None,
+        worker: Some(WorkerRecord {
+            address: ([127, 0, 0, 1], 80).into(),
+            rack: "rack-1".to_owned(),
+            capacity: ResourceAmount::new(32_000, 125_000).with_accelerators(2),
+        }),
+    }
+}
+
+async fn shows_changes_after_its_lag((list, clock): Fixture) {
+    let before = list.port.read().await.unwrap();
+    list.stand_in.add(vm("a"));
+    list.stand_in.add(vm("b"));
+    clock.advance(LAG - Duration::from_millis(1));
+    assert_eq!(list.port.read().await, Ok(before.clone()));
+    list.stand_in.leave("a");
+    clock.advance(Duration::from_millis(1));
+    let added = list.port.read().await.unwrap();
+    assert_eq!(added.vms, [vm("a"), vm("b")]);
+    assert!(added.revision > before.revision);
+    clock.advance(LAG);
+    let left = list.port.read().await.unwrap();
+    assert_eq!(left.vms[0].state, VmState::Leaving);
+    list.stand_in.remove("a");
+    clock.advance(LAG);
+    let removed = list.port.read().await.unwrap();
+    assert_eq!(removed.vms, [vm("b")]);
+    assert!(removed.revision > left.revision && left.revision > added.revision);
+}
+
+/// A VM that left comes back in a reader's eyes: two servers of the list answer in turn, and one is
+/// behind. The older answer shows by its revision.
+async fn a_stale_reading_has_an_older_revision((list, clock): Fixture) {
+    list.stand_in.add(vm("a"));
+    clock.advance(LAG);
+    let fresh = list.port.read().await.unwrap();
+    list.stand_in
+        .faults()
+        .once(CallKind::Read, FaultKind::Stale);
+    let stale = list.port.read().await.unwrap();
+    assert_eq!(stale.vms, []);
+    assert!(stale.revision < fresh.revision);
+}
+
+async fn an_outage_is_never_an_empty_list((list, _clock): Fixture) {
+    let cases = [
+        (FaultKind::LoseAnswer, VmListError::Unavailable),
+        (FaultKind::LoseRequest, VmListError::Unavailable),
+        (FaultKind::CutAnswer, VmListError::Unavailable),
+        (FaultKind::Refuse, VmListError::Unavailable),
+        (FaultKind::Malformed, VmListError::Malformed),
+    ];
+    for (fault, error) in cases {
+        list.stand_in.faults().always(CallKind::Read, fault);
+        assert_eq!(list.port.read().await, Err(error), "{fault:?}");
+    }
+}
+
+macro_rules! vm_list_contract {
+    ($adapter:ident, $make:path) => {
+        mod $adapter {
+            vm_list_contract!(@cases $make;
+                shows_changes_after_its_lag,
+                a_stale_reading_has_an_older_revision,
+                an_outage_is_never_an_empty_list
+            );
+        }
+    };
+    (@cases $make:path; $($case:ident),*) => {$(
+        #[tokio::test]
+        async fn $case() {
+            super::$case($make(super::PATIENT).await).await;
+        }
+    )*};
+}
+
+vm_list_contract!(in_memory, crate::harness::vm_list_in_memory);
+vm_list_contract!(over_http, crate::harness::vm_list_over_http);
