Stand in for the endpoints

The gateway needs endpoints that count what it must never do: requests beyond the slots or the connections, and requests run twice, by `X-Request-Id`. A request that its caller gave up is worked on to its end and keeps its slot, as a real server's would. A tap under the connection replaces, cuts or swallows the answer's bytes, so that malformed heads, trailing bytes and silent connections go over real sockets. An answer carries its request's identity, its length and a checksum.

--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -3,6 +3,13 @@
 
 mod call_counts;
 mod call_kind;
+mod endpoint_answer;
+mod endpoint_fault;
+mod endpoint_knobs;
+mod endpoint_ledger;
+mod endpoint_plan;
+mod endpoint_server;
+mod endpoint_stand_in;
 mod fault_kind;
 mod fault_plan;
 mod fixed_ownership;
@@ -14,8 +21,10 @@
 mod run_ledger;
 mod run_record;
 mod server_guard;
+mod service_time;
 mod table_core;
 mod table_stand_in;
+mod tapped_stream;
 mod task_payload;
 mod usage_lag;
 mod vm_list_core;
@@ -30,6 +39,17 @@
 pub use self::{
     call_counts::CallCounts,
     call_kind::CallKind,
+    endpoint_answer::{
+        AnswerFault,
+        EndpointAnswer, //
+    },
+    endpoint_fault::EndpointFault,
+    endpoint_knobs::EndpointKnobs,
+    endpoint_ledger::{
+        EndpointCounts,
+        EndpointLedger, //
+    },
+    endpoint_stand_in::EndpointStandIn,
     fault_kind::FaultKind,
     fault_plan::{
         FaultPlan,
@@ -49,6 +69,7 @@
         RunRecord, //
     },
     server_guard::ServerGuard,
+    service_time::ServiceTime,
     table_stand_in::TableStandIn,
     task_payload::TaskPayload,
     vm_list_stand_in::VmListStandIn,
--- a/crates/standins/tests/contracts/main.rs
+++ b/crates/standins/tests/contracts/main.rs
@@ -5,6 +5,7 @@
     reason = "a test's helpers panic as the test does"
 )]
 
+mod endpoint;
 mod harness;
 mod objects;
 mod table;
