--- a/crates/standins/tests/contracts/main.rs
+++ b/crates/standins/tests/contracts/main.rs
@@ -1,6 +1,13 @@
 //! The contract of each port, run against each adapter.
 
-#![expect(clippy::unwrap_used, reason = "a test's helpers panic as the test does")]
+#![expect(
+    clippy::unwrap_used,
+    reason = "a test's helpers panic as the test does"
+)]
 
+mod endpoint;
 mod harness;
+mod objects;
 mod table;
+mod vm_list;
+mod worker;
