Prove the planner against faults at every step

Change: tests over the platform's stand-ins on a paused clock.

Conclusion: no task ran in two places and no result was lost in any of these; a task that finished unheard on a worker cut off for longer than its lease, or that forgot it, does run again.

--- a/crates/placement/src/size_model.rs
+++ b/crates/placement/src/size_model.rs
@@ -85,15 +85,11 @@
     let Some(ratio) = sketch.quantile(COVERED) else {
         return declared;
     };
-    let wanted = ratio * HEADROOM;
-    let needed = if wanted > 1.0 {
-        RUNS_TO_GROW
-    } else {
-        RUNS_TO_SHRINK
+    let share = match ratio > 1.0 {
+        true if sketch.weight() >= RUNS_TO_GROW => ratio * HEADROOM,
+        false if sketch.weight() >= RUNS_TO_SHRINK => (ratio * HEADROOM).clamp(least, 1.0),
+        _ => 1.0,
     };
-    if sketch.weight() < needed {
-        return declared;
-    }
     // CAST: A size in thousandths of a core or mebibytes, far below 2^52.
-    (declared as f64 * f64::from(wanted.max(least))).ceil() as u64
+    (declared as f64 * f64::from(share)).ceil() as u64
 }
--- a/crates/planner/src/journal_writer.rs
+++ b/crates/planner/src/journal_writer.rs
@@ -92,8 +92,11 @@
         self.pending.len()
     }
 
-    /// Returns the number of log rows since the last snapshot.
+    /// Returns the number of log rows since the last snapshot, zero while a new one waits to be named.
     pub(crate) fn rows_since_snapshot(&self) -> u64 {
+        if self.snapshot.is_some() {
+            return 0;
+        }
         self.head.next - self.head.first - self.put_off
     }
 
--- a/crates/planner/src/shard_ends.rs
+++ b/crates/planner/src/shard_ends.rs
@@ -5,7 +5,8 @@
 use jasminebend_base::{
     ClassKind,
     ClassTarget,
-    ResourceAmount, //
+    ResourceAmount,
+    VmName, //
 };
 use jasminebend_placement::{
     HoldReason,
@@ -216,32 +217,35 @@
         self.note_worker_success(worker);
     }
 
-    /// Holds a job one of whose tasks fails wherever it runs. A worker on which other jobs fail too
-    /// counts for nothing against the job.
+    /// Holds a job one of whose tasks fails wherever it runs. The first failure counts against the
+    /// worker; from the second worker on the job is to blame, unless those workers are set aside.
     fn note_failure(&mut self, task: TaskId, worker: WorkerKey) {
-        self.note_worker_failure(worker, task.job);
         let Some(record) = self.ledger.task(task) else {
             return;
         };
-        let suspect = |name| {
+        let failed_on = record.failed_on.clone();
+        let code = record.last_code;
+        match failed_on.len() {
+            0 | 1 => self.note_worker_failure(worker, task.job),
+            _ => self.forgive_workers(task.job),
+        }
+        let blameless = |name: &&VmName| {
             let link = self.pool.find(name).and_then(|key| self.links.get(&key));
-            link.is_some_and(|link| link.failed_jobs.len() > 1)
+            link.is_none_or(|link| link.set_aside.is_none())
         };
-        let failed_on = record.failed_on.iter();
-        let distinct = failed_on.filter(|name| !suspect(name)).count();
-        let open = self.links.values().filter(|link| link.listed).count();
-        if distinct < FAILED_ON_MOST.min(open) {
+        let distinct = failed_on.iter().filter(blameless).count();
+        let listed = self.links.values().filter(|link| link.listed).count();
+        if distinct < FAILED_ON_MOST.min(listed) {
             return;
         }
         let reason = HoldReason::FailsEverywhere {
             index: task.index,
             workers: u32::try_from(distinct).unwrap_or(u32::MAX),
-            code: record.last_code,
+            code,
         };
         warn!("[planner] Job {} is held: {}.", task.job, reason);
         let job = task.job;
         self.queue.remove(job);
-        self.forgive_workers(job);
         self.record(JobTransition::Held { job, reason }, CommitEffect::Nothing);
     }
 
--- a/crates/planner/src/shard_health.rs
+++ b/crates/planner/src/shard_health.rs
@@ -42,7 +42,8 @@
         let link = &mut self.links[&key];
         link.failed_jobs.insert(job);
         let probed = std::mem::take(&mut link.probing);
-        if !probed && (link.set_aside.is_some() || link.failed_jobs.len() < FAILED_JOBS_MOST) {
+        let known = link.set_aside.is_some() || link.failed_jobs.len() < FAILED_JOBS_MOST;
+        if !probed && known {
             return;
         }
         link.set_aside_for = (link.set_aside_for * 2).clamp(SET_ASIDE, SET_ASIDE_MOST);
@@ -56,10 +57,11 @@
         self.refresh_condition(key);
     }
 
-    /// Clears the workers of a job that fails everywhere: it tells nothing of them.
+    /// Clears the workers of a job that fails elsewhere too: it tells nothing of them.
     pub(crate) fn forgive_workers(&mut self, job: JobId) {
         let mut cleared = Vec::new();
         for (key, link) in &mut self.links {
+            link.probing = false;
             let known = link.failed_jobs.swap_remove(&job);
             if known && link.set_aside.is_some() && link.failed_jobs.len() < FAILED_JOBS_MOST {
                 link.set_aside = None;
--- a/crates/planner/src/shard_inbox.rs
+++ b/crates/planner/src/shard_inbox.rs
@@ -39,8 +39,10 @@
     ) {
         self.scanning = false;
         let (Ok(submissions), Ok(cancels)) = (submissions, cancels) else {
+            self.unread = true;
             return;
         };
+        self.unread = false;
         for row in &submissions {
             self.take_in(row);
         }
--- a/crates/planner/src/shard_reconcile.rs
+++ b/crates/planner/src/shard_reconcile.rs
@@ -18,6 +18,7 @@
 };
 
 use crate::{
+    link_phase::LinkPhase,
     run_phase::RunPhase,
     shard_state::ShardState,
     stop_wish::StopWish,
@@ -105,8 +106,8 @@
             self.release_stray(key, run);
         } else {
             // The next inventory shows whether it still runs.
-            self.links[&key].phase = crate::link_phase::LinkPhase::New;
-            self.contact_at(key, self.now() + Duration::from_secs(1));
+            self.links[&key].phase = LinkPhase::New;
+            self.contact_soon(key, self.now() + Duration::from_secs(1));
         }
     }
 
@@ -167,8 +168,8 @@
             }
         }
         if expected != running as usize {
-            self.links[&key].phase = crate::link_phase::LinkPhase::New;
-            self.contact_at(key, self.now());
+            self.links[&key].phase = LinkPhase::New;
+            self.contact_soon(key, self.now());
         }
     }
 
--- a/crates/planner/src/shard_runs.rs
+++ b/crates/planner/src/shard_runs.rs
@@ -250,7 +250,6 @@
         };
         run.phase = RunPhase::Settling { since: now };
         let worker = run.worker;
-        self.links[&worker].contact_due = None;
-        self.contact_at(worker, now);
+        self.contact_soon(worker, now);
     }
 }
--- a/crates/planner/src/shard_state.rs
+++ b/crates/planner/src/shard_state.rs
@@ -97,6 +97,8 @@
     pub(crate) links: IndexMap<WorkerKey, WorkerLink>,
     pub(crate) contacts: BTreeSet<(Duration, WorkerKey)>,
 
+    /// Whether the last look for submissions failed.
+    pub(crate) unread: bool,
     pub(crate) scanning: bool,
     pub(crate) next_scan: Duration,
     /// The jobs taken in, with the time when that was committed, until a later scan has shown that
@@ -112,10 +114,15 @@
     ) -> Self {
         let shard = u64::from(calls.permit.shard);
         let seed = edges.seed ^ calls.permit.epoch.0.rotate_left(20) ^ shard.rotate_left(48);
+        let mut configuration = edges.configuration.clone();
+        let mut vms = edges.vms.clone();
+        // What is there at the start is news to this shard.
+        configuration.mark_changed();
+        vms.mark_changed();
         Self {
             settings,
-            configuration: edges.configuration.clone(),
-            vms: edges.vms.clone(),
+            configuration,
+            vms,
             edges,
             calls,
             random: StdRng::seed_from_u64(seed),
@@ -147,6 +154,7 @@
             stops_in_flight: 0,
             links: IndexMap::new(),
             contacts: BTreeSet::new(),
+            unread: false,
             scanning: false,
             next_scan: Duration::ZERO,
             accepted: IndexMap::new(),
@@ -216,7 +224,7 @@
     }
 
     fn reason(&self, job: JobId) -> WaitReason {
-        if self.table_silent.is_some() {
+        if self.unread || self.table_silent.is_some() {
             return WaitReason::Table;
         }
         self.reasons.get(&job).copied().unwrap_or(WaitReason::New)
--- a/crates/planner/src/shard_workers.rs
+++ b/crates/planner/src/shard_workers.rs
@@ -77,6 +77,7 @@
         if link.address != worker.address {
             link.address = worker.address;
             link.phase = LinkPhase::New;
+            self.contact_soon(key, now);
         }
         Some(key)
     }
@@ -112,10 +113,17 @@
         for key in keys {
             self.links[&key].phase = LinkPhase::New;
             self.links[&key].holds_until = now + self.former_lease();
-            self.contact_at(key, now);
+            self.contact_soon(key, now);
+            self.refresh_condition(key);
         }
     }
 
+    /// Contacts a worker at a time, though it is to be heard later.
+    pub(crate) fn contact_soon(&mut self, key: WorkerKey, time: Duration) {
+        self.links[&key].contact_due = None;
+        self.contact_at(key, time);
+    }
+
     pub(crate) fn contact_at(&mut self, key: WorkerKey, time: Duration) {
         self.contacts.insert((time, key));
     }
@@ -134,7 +142,11 @@
             self.settle_lapsed(key, now);
         }
         let link = &mut self.links[&key];
-        if link.calling || link.contact_due.is_some_and(|due| due > now) {
+        if link.calling {
+            link.call_again = true;
+            return;
+        }
+        if link.contact_due.is_some_and(|due| due > now) {
             return;
         }
         link.contact_due = None;
@@ -223,7 +235,7 @@
         if link.incarnation != Some(report.incarnation) {
             // It restarted and has forgotten its runs; it must be told whom to follow.
             link.phase = LinkPhase::New;
-            self.contact_at(key, self.now());
+            self.contact_soon(key, self.now());
             self.refresh_condition(key);
             return;
         }
@@ -240,8 +252,11 @@
     fn note_heard(&mut self, key: WorkerKey, sent: Duration) {
         let now = self.now();
         let lease = self.settings.with_drift(self.settings.lease);
-        let next = now + self.settings.heartbeat;
         let link = &mut self.links[&key];
+        let next = match std::mem::take(&mut link.call_again) {
+            true => now,
+            false => now + self.settings.heartbeat,
+        };
         link.heard = sent;
         link.unanswered = 0;
         link.holds_until = now + lease;
@@ -257,6 +272,9 @@
             CallError::Worker(WorkerError::StaleEpoch { newer }) => {
                 let own = self.calls.permit.epoch;
                 if newer > own {
+                    // Another owner keeps its runs alive: no time makes them lapse. Were they started
+                    // elsewhere once our own lease is over, they would run twice.
+                    link.holds_until = Duration::MAX;
                     info!(
                         "[planner] Worker {} follows epoch {}, not {}.",
                         link.address, newer, own
@@ -266,7 +284,7 @@
             }
             CallError::Worker(WorkerError::Unknown) => {
                 // It may have renewed its lease as late as that lease would have lapsed.
-                link.holds_until = link.holds_until.max(now) + lease;
+                link.holds_until = link.holds_until.max(now).saturating_add(lease);
                 link.unanswered += 1;
                 link.note_silence();
             }
--- a/crates/planner/src/worker_link.rs
+++ b/crates/planner/src/worker_link.rs
@@ -38,6 +38,8 @@
     /// When the last answered renewal or adoption was sent.
     pub(crate) heard: Duration,
     pub(crate) calling: bool,
+    /// Whether it is to be called again as soon as it has answered.
+    pub(crate) call_again: bool,
     /// When it is to be heard next; earlier entries of the calendar are stale.
     pub(crate) contact_due: Option<Duration>,
     /// The lost answers in a row.
@@ -70,6 +72,7 @@
             holds_until,
             heard: Duration::ZERO,
             calling: false,
+            call_again: false,
             contact_due: None,
             unanswered: 0,
             incarnation: None,
--- /dev/null
+++ b/crates/planner/tests/planner/cancellation.rs
@@ -0,0 +1,94 @@
+//! Cancellations, also in waves.
+
+use jasminebend_planner::JobPhase;
+use jasminebend_standins::{
+    CallKind,
+    FaultKind, //
+};
+use tokio::{
+    task::JoinSet,
+    time::sleep, //
+};
+
+use crate::test_bed::{
+    TestBed,
+    batch,
+    seconds,
+    service, //
+};
+
+// Operators cancel ten thousand jobs at once, and a service that customers wait for starts minutes
+// late behind the stops.
+#[tokio::test(start_paused = true)]
+async fn a_wave_of_cancellations_neither_delays_urgent_starts_nor_leaves_a_task_running() {
+    let bed = TestBed::new(40);
+    let planner = bed.planner(1).await;
+    let mut jobs = Vec::new();
+    for _ in 0..10_000 {
+        jobs.push(
+            planner
+                .handle
+                .submit(batch(1, seconds(5_000)))
+                .await
+                .unwrap(),
+        );
+    }
+    sleep(seconds(120)).await;
+    assert_eq!(bed.ledger.running().len(), 320);
+    let writes = bed.table.faults().counts().writes;
+    let mut wave = JoinSet::new();
+    for job in jobs.clone() {
+        let handle = planner.handle.clone();
+        wave.spawn(async move { handle.cancel(job).await });
+    }
+    let urgent = planner.handle.submit(service(20)).await.unwrap();
+    let submitted = bed.now();
+    while let Some(answer) = wave.join_next().await {
+        answer.unwrap().unwrap();
+    }
+    let written = bed.table.faults().counts().writes - writes;
+    assert!(written < 500, "{written} writes");
+    sleep(seconds(60)).await;
+    for index in 0..20 {
+        let runs = bed.ledger.runs_of(urgent.0, index);
+        assert!(runs[0].started - submitted <= seconds(7), "{:?}", runs[0]);
+    }
+    assert_eq!(bed.ledger.running().len(), 20);
+    for job in jobs {
+        assert_eq!(planner.status(job).await.phase, JobPhase::Cancelled);
+    }
+    bed.check();
+}
+
+// A cancelled job still runs. The cancellation comes while its start is committed, on its way, or
+// answered late, or as it finishes.
+#[tokio::test(start_paused = true)]
+async fn cancellations_that_race_starts_and_finishes_leave_nothing_running() {
+    for fault in [
+        None,
+        Some(FaultKind::LoseAnswer),
+        Some(FaultKind::LoseRequest),
+        Some(FaultKind::LateEffect(seconds(1))),
+        Some(FaultKind::SlowAnswer(seconds(2))),
+    ] {
+        for wait in (0..40).map(|step| seconds(1) / 10 * step) {
+            let bed = TestBed::new(2);
+            let planner = bed.planner(1).await;
+            bed.each_worker(|worker| {
+                if let Some(kind) = fault {
+                    worker.faults().once(CallKind::Start, kind);
+                    worker.faults().once(CallKind::Stop, kind);
+                }
+            });
+            let job = planner.handle.submit(batch(4, seconds(2))).await.unwrap();
+            sleep(wait).await;
+            planner.handle.cancel(job).await.unwrap();
+            let status = planner.ended(job, seconds(60)).await;
+            assert!(bed.ledger.running().is_empty(), "{fault:?} {wait:?}");
+            sleep(seconds(30)).await;
+            assert!(bed.ledger.running().is_empty(), "{fault:?} {wait:?}");
+            let finishes = bed.check().finishes;
+            assert!(u64::from(status.finished) <= finishes);
+        }
+    }
+}
--- /dev/null
+++ b/crates/planner/tests/planner/eviction.rs
@@ -0,0 +1,56 @@
+//! Evicted work resumes once.
+
+use jasminebend_base::DomainState;
+use jasminebend_standins::{
+    CallKind,
+    CheckpointMode,
+    FaultKind, //
+};
+use tokio::time::sleep;
+
+use crate::test_bed::{
+    TestBed,
+    batch,
+    seconds, //
+};
+
+// Reconciliation is skipped or done twice. A task is evicted, and its checkpoint fails, or is lost
+// later, or is written while the answer is lost, arrives late, or twice.
+#[tokio::test(start_paused = true)]
+async fn a_checkpoint_that_goes_wrong_costs_work_and_never_a_task() {
+    let modes = [
+        CheckpointMode::Kept,
+        CheckpointMode::Fails,
+        CheckpointMode::Lost,
+    ];
+    let faults = [
+        None,
+        Some(FaultKind::LoseAnswer),
+        Some(FaultKind::LoseRequest),
+        Some(FaultKind::Malformed),
+        Some(FaultKind::LateEffect(seconds(3))),
+        Some(FaultKind::Duplicate(seconds(6))),
+    ];
+    for mode in modes {
+        for fault in faults {
+            let bed = TestBed::new(6);
+            let planner = bed.planner(1).await;
+            let job = planner.handle.submit(batch(40, seconds(30))).await.unwrap();
+            sleep(seconds(12)).await;
+            bed.each_worker(|worker| {
+                worker.set_knobs(|knobs| knobs.checkpoints = mode);
+                for _ in 0..3 {
+                    if let Some(kind) = fault {
+                        worker.faults().once(CallKind::Checkpoint, kind);
+                    }
+                }
+            });
+            bed.set_domain("a", DomainState::Out);
+            assert_eq!(planner.ended(job, seconds(300)).await.finished, 40);
+            let summary = bed.check();
+            assert_eq!(summary.finishes, 40, "{mode:?} {fault:?}");
+            assert_eq!(summary.repeated_resumes, 0, "{mode:?} {fault:?}");
+            assert_eq!(summary.starts_after_finish, 0, "{mode:?} {fault:?}");
+        }
+    }
+}
--- /dev/null
+++ b/crates/planner/tests/planner/failing_work.rs
@@ -0,0 +1,79 @@
+//! Jobs that fail everywhere and workers on which everything fails.
+
+use jasminebend_planner::{
+    HoldReason,
+    JobPhase, //
+};
+use jasminebend_standins::TaskPayload;
+use tokio::time::sleep;
+
+use crate::test_bed::{
+    TestBed,
+    batch,
+    seconds, //
+};
+
+// One team's broken job is retried for ever, or takes the workers that it failed on out of use for
+// everyone.
+#[tokio::test(start_paused = true)]
+async fn a_job_that_fails_everywhere_is_held_and_harms_no_worker() {
+    let bed = TestBed::new(6);
+    let planner = bed.planner(1).await;
+    let mut broken = batch(1, seconds(1));
+    broken.payload = TaskPayload::new(seconds(1)).with_failure(42).to_text();
+    let mut jobs = Vec::new();
+    for _ in 0..5 {
+        jobs.push(planner.handle.submit(broken.clone()).await.unwrap());
+    }
+    sleep(seconds(60)).await;
+    for job in jobs {
+        let status = planner.status(job).await;
+        let JobPhase::Held { reason } = &status.phase else {
+            panic!("not held: {status:?}");
+        };
+        let HoldReason::FailsEverywhere { code, workers, .. } = reason;
+        assert_eq!((*code, *workers), (42, 3));
+        assert!(bed.ledger.runs_of(job.0, 0).len() <= 8);
+    }
+    let job = planner.handle.submit(batch(48, seconds(5))).await.unwrap();
+    sleep(seconds(10)).await;
+    assert_eq!(
+        planner.status(job).await.running + planner.status(job).await.finished,
+        48
+    );
+    planner.ended(job, seconds(30)).await;
+    bed.check();
+}
+
+// Every job that lands on one bad worker fails there at once, which makes it look the emptiest, so
+// that it draws more.
+#[tokio::test(start_paused = true)]
+async fn a_worker_on_which_everything_fails_is_set_aside_probed_and_brought_back() {
+    let bed = TestBed::new(6);
+    bed.worker(2)
+        .set_knobs(|knobs| knobs.fails_every_task = true);
+    let planner = bed.planner(1).await;
+    let mut jobs = Vec::new();
+    for _ in 0..12 {
+        jobs.push(planner.handle.submit(batch(4, seconds(10))).await.unwrap());
+    }
+    for job in jobs {
+        assert_eq!(
+            planner.ended(job, seconds(300)).await.phase,
+            JobPhase::Finished
+        );
+    }
+    let failures = bed.check().failures;
+    assert!((3..=16).contains(&failures), "{failures}");
+    bed.worker(2)
+        .set_knobs(|knobs| knobs.fails_every_task = false);
+    let steady = planner
+        .handle
+        .submit(batch(400, seconds(20)))
+        .await
+        .unwrap();
+    planner.ended(steady, seconds(600)).await;
+    let runs = bed.ledger.runs();
+    let back = runs.iter().filter(|run| run.worker == bed.worker(2).name());
+    assert!(back.count() > 20);
+}
--- /dev/null
+++ b/crates/planner/tests/planner/failure_domain.rs
@@ -0,0 +1,122 @@
+//! Failure domains leave and return.
+
+use jasminebend_base::{
+    DomainName,
+    DomainState, //
+};
+use jasminebend_standins::{
+    CallKind,
+    FaultKind,
+    RunEnd, //
+};
+use tokio::time::sleep;
+
+use crate::test_bed::{
+    TestBed,
+    batch,
+    seconds,
+    service, //
+};
+
+// Operators take a domain out to work on its power, and a task starts there a minute later: it was
+// decided on, committed, or on its way to the worker when the domain went out.
+#[tokio::test(start_paused = true)]
+async fn nothing_starts_in_a_domain_three_seconds_after_it_went_out() {
+    for fault in [
+        None,
+        Some((CallKind::Commit, FaultKind::SlowAnswer(seconds(6)))),
+        Some((CallKind::Start, FaultKind::LateEffect(seconds(8)))),
+        Some((CallKind::Start, FaultKind::LoseAnswer)),
+    ] {
+        let bed = TestBed::new(12);
+        let planner = bed.planner(1).await;
+        sleep(seconds(3)).await;
+        if let Some((CallKind::Commit, kind)) = fault {
+            bed.table.faults().always(CallKind::Commit, kind);
+        }
+        let job = planner
+            .handle
+            .submit(batch(150, seconds(20)))
+            .await
+            .unwrap();
+        bed.each_worker(|worker| {
+            if let Some((CallKind::Start, kind)) = fault {
+                worker.faults().once(CallKind::Start, kind);
+            }
+        });
+        sleep(seconds(2)).await;
+        let out = bed.now();
+        bed.set_domain("b", DomainState::Out);
+        let deadline = out + seconds(3);
+        assert_eq!(planner.ended(job, seconds(400)).await.finished, 150);
+        let late = bed
+            .ledger
+            .starts_in(&DomainName::from("b"), deadline, bed.now());
+        assert!(late.is_empty(), "{fault:?}: {late:?}");
+        bed.check();
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn batch_leaves_by_checkpoint_and_services_move_within_what_others_hold() {
+    let bed = TestBed::new(12);
+    let planner = bed.planner(1).await;
+    let services = planner.handle.submit(service(6)).await.unwrap();
+    let job = planner.handle.submit(batch(40, seconds(60))).await.unwrap();
+    sleep(seconds(10)).await;
+    bed.set_domain("a", DomainState::Out);
+    sleep(seconds(20)).await;
+    let runs = bed.ledger.runs();
+    let left = runs.iter().filter(|run| run.domain.as_str() == "a");
+    for run in left {
+        let (_, end) = run.ended.unwrap();
+        assert_eq!(end, RunEnd::Checkpointed);
+    }
+    assert_eq!(planner.status(services).await.running, 6);
+    assert_eq!(planner.ended(job, seconds(400)).await.finished, 40);
+    let summary = bed.check();
+    assert_eq!(summary.repeated_resumes, 0);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_service_with_no_other_place_stays_until_there_is_one() {
+    let bed = TestBed::new(6);
+    let planner = bed.planner(1).await;
+    let job = planner.handle.submit(service(24)).await.unwrap();
+    sleep(seconds(10)).await;
+    assert_eq!(bed.ledger.running().len(), 24);
+    bed.set_domain("a", DomainState::Out);
+    sleep(seconds(60)).await;
+    assert_eq!(bed.ledger.running().len(), 24);
+    assert_eq!(planner.status(job).await.running, 24);
+    bed.check();
+}
+
+// A domain returns empty and draws every waiting task at once: its switches and disks, cold, slow
+// what starts there.
+#[tokio::test(start_paused = true)]
+async fn a_domain_that_returns_fills_slowly() {
+    let bed = TestBed::new(12);
+    bed.set_domain("a", DomainState::Out);
+    let planner = bed.planner(1).await;
+    planner
+        .handle
+        .submit(batch(200, seconds(900)))
+        .await
+        .unwrap();
+    sleep(seconds(30)).await;
+    let back = bed.now();
+    bed.set_domain("a", DomainState::In);
+    sleep(seconds(10)).await;
+    let domain = DomainName::from("a");
+    let first = bed.ledger.starts_in(&domain, back, back + seconds(1)).len();
+    let ten = bed
+        .ledger
+        .starts_in(&domain, back, back + seconds(10))
+        .len();
+    assert!(first <= 4, "{first} in the first second");
+    assert!((5..=14).contains(&ten), "{ten} in ten seconds");
+    sleep(seconds(60)).await;
+    assert_eq!(bed.ledger.running().len(), 96);
+    bed.check();
+}
--- /dev/null
+++ b/crates/planner/tests/planner/outage.rs
@@ -0,0 +1,87 @@
+//! The table goes down.
+
+use jasminebend_planner::{
+    JobPhase,
+    SubmitError,
+    WaitReason, //
+};
+use jasminebend_standins::{
+    CallKind,
+    FaultKind,
+    OutageState, //
+};
+use tokio::time::sleep;
+
+use crate::test_bed::{
+    TestBed,
+    batch,
+    seconds,
+    service, //
+};
+
+// The table is down for ten minutes and comes back slow. Running tasks must go on, and their results
+// be kept until they are committed; a submission must never be said to be accepted or refused
+// wrongly.
+#[tokio::test(start_paused = true)]
+async fn ten_minutes_without_the_table_lose_and_double_nothing() {
+    for kind in [
+        FaultKind::Unreachable,
+        FaultKind::Refuse,
+        FaultKind::LoseRequest,
+        FaultKind::LoseAnswer,
+    ] {
+        let bed = TestBed::new(4);
+        let planner = bed.planner(1).await;
+        let services = planner.handle.submit(service(3)).await.unwrap();
+        let job = planner.handle.submit(batch(80, seconds(60))).await.unwrap();
+        sleep(seconds(20)).await;
+        bed.table.faults().set_outage(OutageState::Down(kind));
+        sleep(seconds(30)).await;
+        let error = planner
+            .handle
+            .submit(batch(1, seconds(1)))
+            .await
+            .unwrap_err();
+        let truthful = match kind {
+            FaultKind::Unreachable | FaultKind::Refuse => error == SubmitError::TableUnavailable,
+            _ => matches!(error, SubmitError::Unknown { .. }),
+        };
+        assert!(truthful, "{kind:?}: {error}");
+        let reason = WaitReason::Table;
+        let waiting = planner.handle.job(job).await.unwrap().phase;
+        assert_eq!(waiting, JobPhase::Waiting { reason });
+        sleep(seconds(570)).await;
+        let running = bed.ledger.runs_of(services.0, 0);
+        assert!(running.len() == 1 && running[0].ended.is_none());
+        bed.table.faults().set_outage(OutageState::Up);
+        let slow = FaultKind::Slow(seconds(2));
+        bed.table.faults().always(CallKind::Commit, slow);
+        assert_eq!(planner.ended(job, seconds(600)).await.finished, 80);
+        let summary = bed.check();
+        assert_eq!(summary.starts_after_finish, 0, "{kind:?}");
+        assert_eq!(
+            summary.finishes,
+            80 + u64::from(kind == FaultKind::LoseAnswer),
+            "{kind:?}"
+        );
+    }
+}
+
+// The planner dies in the outage with ends in hand that it could not commit. The workers keep them
+// until its successor has committed them.
+#[tokio::test(start_paused = true)]
+async fn a_planner_that_dies_in_an_outage_loses_no_result() {
+    let bed = TestBed::new(4);
+    let first = bed.planner(1).await;
+    let job = first.handle.submit(batch(20, seconds(10))).await.unwrap();
+    sleep(seconds(5)).await;
+    let down = OutageState::Down(FaultKind::LoseAnswer);
+    bed.table.faults().set_outage(down);
+    sleep(seconds(300)).await;
+    drop(first);
+    bed.table.faults().set_outage(OutageState::Up);
+    let second = bed.planner(2).await;
+    assert_eq!(second.ended(job, seconds(60)).await.finished, 20);
+    let summary = bed.check();
+    assert_eq!((summary.starts, summary.finishes), (20, 20));
+}
--- /dev/null
+++ b/crates/planner/tests/planner/step_kill.rs
@@ -0,0 +1,80 @@
+//! A planner that dies at each of its steps: accept, commit, start, renew, evict, resume, finish,
+//! acknowledge and take-over.
+
+use std::sync::Arc;
+
+use jasminebend_base::DomainState;
+use jasminebend_planner::{
+    JobId,
+    JobPhase, //
+};
+use tokio::time::sleep;
+
+use crate::{
+    severed_edges::{
+        DeathPoint,
+        SeveredEdges, //
+    },
+    test_bed::{
+        TestBed,
+        batch,
+        seconds, //
+    },
+};
+
+const NEVER: usize = usize::MAX;
+
+/// Lets a planner start, evict, resume and finish tasks until it dies; then a successor goes on.
+async fn live_and_die(death: DeathPoint) -> usize {
+    let bed = TestBed::new(3);
+    let submitter = bed.planner(0).await;
+    submitter.ownership.lose(crate::test_bed::SHARD);
+    let job = submitter
+        .handle
+        .submit(batch(4, seconds(12)))
+        .await
+        .unwrap();
+    let edges = SeveredEdges::new(&bed.table, &bed.fleet, death);
+    let first = bed
+        .planner_with(1, Arc::new(edges.clone()), Arc::new(edges.clone()))
+        .await;
+    sleep(seconds(6)).await;
+    bed.set_domain("a", DomainState::Out);
+    sleep(seconds(20)).await;
+    drop(first);
+    let calls = edges.calls();
+    bed.set_domain("a", DomainState::In);
+    let second = bed.planner(2).await;
+    let status = second.ended(job, seconds(120)).await;
+    assert_eq!(status.phase, JobPhase::Finished, "{death:?}");
+    assert!(status.results.iter().all(Option::is_some), "{death:?}");
+    sleep(seconds(30)).await;
+    check(&bed, job, death);
+    calls
+}
+
+fn check(bed: &TestBed, job: JobId, death: DeathPoint) {
+    let summary = bed.check();
+    assert_eq!(summary.finishes, 4, "{job} {death:?}: {summary:?}");
+    assert_eq!(summary.repeated_resumes, 0, "{death:?}: {summary:?}");
+    assert_eq!(summary.starts_after_finish, 0, "{death:?}: {summary:?}");
+    assert!(bed.ledger.running().is_empty(), "{death:?}");
+}
+
+// A customer sees a booking reconciled twice, or never. The planner dies between any two of its
+// steps; what it had committed but not started, started but not heard of, or heard of but not
+// committed, is started again elsewhere or forgotten by its successor.
+#[tokio::test(start_paused = true)]
+async fn a_death_at_any_step_doubles_and_loses_nothing() {
+    let unharmed = DeathPoint {
+        call: NEVER,
+        after_effect: false,
+    };
+    let calls = live_and_die(unharmed).await;
+    assert!(calls > 50, "the scenario has steps to die at: {calls}");
+    for call in 1..=calls {
+        for after_effect in [false, true] {
+            live_and_die(DeathPoint { call, after_effect }).await;
+        }
+    }
+}
--- /dev/null
+++ b/crates/planner/tests/planner/take_over.rs
@@ -0,0 +1,186 @@
+//! One shard, two planners.
+
+use std::net::IpAddr;
+
+use jasminebend_base::OwnerEpoch;
+use jasminebend_planner::{
+    JobPhase,
+    PlannerSettings, //
+};
+use jasminebend_ports::{
+    EpochAdoption,
+    ResourceUser,
+    RowChange,
+    RowExpectation,
+    WorkerPort,
+    WriteId, //
+};
+use jasminebend_standins::{
+    CallKind,
+    FaultKind, //
+};
+use tokio::time::sleep;
+
+use crate::test_bed::{
+    SHARD,
+    TestBed,
+    batch,
+    seconds,
+    service, //
+};
+
+// Two planners both believe that they hold the shard: the old one never learns that it was replaced.
+// Workers follow the newer epoch and the journal's head row has moved, so that the old one's orders
+// and commits come to nothing.
+#[tokio::test(start_paused = true)]
+async fn two_planners_in_dispute_run_nothing_twice() {
+    let bed = TestBed::new(4);
+    let old = bed.planner(1).await;
+    let service = old.handle.submit(service(3)).await.unwrap();
+    let job = old.handle.submit(batch(60, seconds(30))).await.unwrap();
+    sleep(seconds(5)).await;
+    let new = bed.planner(2).await;
+    let more = old.handle.submit(batch(10, seconds(5))).await.unwrap();
+    assert_eq!(new.ended(job, seconds(300)).await.finished, 60);
+    assert_eq!(new.ended(more, seconds(300)).await.finished, 10);
+    assert_eq!(new.status(service).await.running, 3);
+    let summary = bed.check();
+    assert_eq!((summary.finishes, summary.starts), (70, 73));
+}
+
+// A task runs in two places. The worker cannot be reached by the new planner, but still by the old
+// one, which goes on renewing its lease; the new one starts the task elsewhere.
+#[tokio::test(start_paused = true)]
+async fn a_worker_out_of_reach_of_the_new_planner_only_lapses_first() {
+    let bed = TestBed::new(3);
+    let old = bed.planner(1).await;
+    let job = old.handle.submit(service(3)).await.unwrap();
+    sleep(seconds(8)).await;
+    bed.worker(0).block_caller(IpAddr::from([10, 9, 0, 2]));
+    // The old planner is paused with renewals in hand, which go out as it wakes.
+    old.ownership.lose(SHARD);
+    let new = bed.planner(2).await;
+    sleep(seconds(90)).await;
+    assert_eq!(new.status(job).await.running, 3);
+    bed.check();
+    bed.worker(0).unblock_caller(IpAddr::from([10, 9, 0, 2]));
+    sleep(seconds(30)).await;
+    assert_eq!(bed.ledger.running().len(), 3);
+    bed.check();
+}
+
+// A task runs in two places. The new planner has raised a worker's epoch, but has not yet fenced the
+// journal; the old one, refused there, takes the worker for lapsed and starts its tasks elsewhere.
+#[tokio::test(start_paused = true)]
+async fn a_worker_that_follows_another_owner_never_counts_as_lapsed() {
+    let bed = TestBed::new(4);
+    let old = bed.planner(1).await;
+    let job = old.handle.submit(service(3)).await.unwrap();
+    sleep(seconds(8)).await;
+    let home = bed.ledger.runs_of(job.0, 0)[0].worker.clone();
+    let (address, _) = bed
+        .fleet
+        .workers()
+        .find(|(_, worker)| worker.name() == home)
+        .unwrap();
+    let adoption = EpochAdoption {
+        shard: 0,
+        epoch: OwnerEpoch(2),
+        lease: seconds(3600),
+    };
+    bed.fleet.adopt(address, adoption).await.unwrap();
+    sleep(seconds(120)).await;
+    bed.check();
+    assert_eq!(old.status(job).await.running, 3);
+}
+
+// A planner is paused with a start in hand; its shard is taken over, the task is started elsewhere,
+// and then the start goes out and arrives.
+#[tokio::test(start_paused = true)]
+async fn a_start_that_arrives_after_a_take_over_is_refused() {
+    for late in [1, 4, 8, 20, 45] {
+        let bed = TestBed::new(3);
+        let old = bed.planner(1).await;
+        sleep(seconds(4)).await;
+        bed.each_worker(|worker| {
+            let fault = FaultKind::LateEffect(seconds(late));
+            worker.faults().once(CallKind::Start, fault);
+        });
+        let job = old.handle.submit(batch(6, seconds(20))).await.unwrap();
+        sleep(seconds(2)).await;
+        drop(old);
+        let new = bed.planner(2).await;
+        assert_eq!(new.ended(job, seconds(200)).await.finished, 6);
+        assert_eq!(bed.check().finishes, 6, "late by {late} s");
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_successor_reads_snapshot_and_log() {
+    let bed = TestBed::new(4);
+    let bed = bed.with_settings(PlannerSettings::new(1).with_rows_per_snapshot(5));
+    let mut jobs = Vec::new();
+    for epoch in 1..6 {
+        let planner = bed.planner(epoch).await;
+        for _ in 0..4 {
+            jobs.push(planner.handle.submit(batch(3, seconds(9))).await.unwrap());
+            sleep(seconds(3)).await;
+        }
+    }
+    let last = bed.planner(9).await;
+    for job in jobs {
+        assert_eq!(last.ended(job, seconds(120)).await.finished, 3);
+    }
+    let summary = bed.check();
+    assert_eq!((summary.finishes, summary.starts), (60, 60));
+    assert!(bed.table.rows("planner/shard/00000/log/").len() < 12);
+}
+
+// Operators see tasks started on a guess. A journal row was cut short, or was written by a release
+// that this one does not know.
+#[tokio::test(start_paused = true)]
+async fn a_journal_that_cannot_be_read_starts_nothing_and_stops_nothing() {
+    for damage in [
+        (|value: &mut Vec<u8>| value.truncate(20)) as fn(&mut Vec<u8>),
+        |value| value[0] = 77,
+        |value| *value.last_mut().unwrap() ^= 1,
+    ] {
+        let bed = TestBed::new(3);
+        let first = bed.planner(1).await;
+        first.handle.submit(service(3)).await.unwrap();
+        sleep(seconds(10)).await;
+        drop(first);
+        let mut row = bed.table.rows("planner/shard/00000/log/").remove(0);
+        damage(&mut row.value);
+        let change = RowChange::put(row.key, RowExpectation::Any, row.value);
+        bed.table.commit_surely(WriteId(7), &[change]);
+        let second = bed.planner(2).await;
+        second.handle.submit(batch(5, seconds(5))).await.unwrap();
+        sleep(seconds(120)).await;
+        assert_eq!(bed.check().starts, 3);
+        assert_eq!(bed.ledger.running().len(), 3);
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_shard_given_back_falls_idle_and_its_work_goes_on() {
+    let bed = TestBed::new(3);
+    let first = bed.planner(1).await;
+    let job = first.handle.submit(batch(30, seconds(10))).await.unwrap();
+    sleep(seconds(3)).await;
+    first.ownership.lose(SHARD);
+    first.handle.wait_idle(SHARD).await;
+    let starts = bed.ledger.summary().starts;
+    sleep(seconds(5)).await;
+    assert_eq!(bed.ledger.summary().starts, starts);
+    let second = bed.planner(2).await;
+    assert_eq!(
+        second.ended(job, seconds(120)).await.phase,
+        JobPhase::Finished
+    );
+    first.ownership.hold(SHARD, OwnerEpoch(3), seconds(0));
+    drop(second);
+    let more = first.handle.submit(batch(3, seconds(1))).await.unwrap();
+    first.ended(more, seconds(60)).await;
+    assert_eq!(bed.check().finishes, 33);
+}
