--- a/crates/standins/src/endpoint_fault.rs
+++ b/crates/standins/src/endpoint_fault.rs
@@ -28,7 +28,7 @@
     Refuse,
     /// It runs the request so much longer.
     Slow(Duration),
-    /// It runs the request and sends these bytes in place of the answer.
+    /// It runs the request, sends these bytes in place of the answer, and closes the connection.
     Raw(Bytes),
     /// It runs the request and sends these bytes after the answer's end.
     TrailingBytes(Bytes),
--- a/crates/standins/src/endpoint_server.rs
+++ b/crates/standins/src/endpoint_server.rs
@@ -175,7 +175,7 @@
             let half = body.slice(..body.len() / 2);
             tap.replace(join([head_of(&body), half]), true);
         }
-        Some(EndpointFault::Raw(bytes)) => tap.replace(bytes, false),
+        Some(EndpointFault::Raw(bytes)) => tap.replace(bytes, true),
         Some(EndpointFault::TrailingBytes(bytes)) => {
             tap.replace(join([head_of(&body), body.clone(), bytes]), false);
         }
--- a/crates/standins/src/worker_core.rs
+++ b/crates/standins/src/worker_core.rs
@@ -247,7 +247,7 @@
 
     fn renew_lease(&mut self, now: Duration, lease: Duration) {
         self.renewed = Some(now);
-        self.lease_end = Some(now + lease);
+        self.lease_end = Some(now.saturating_add(lease));
     }
 
     /// Guards against starts that come late: their sender has meanwhile taken the task for not
@@ -275,7 +275,8 @@
     }
 
     fn check_room(&self, reserved: ResourceAmount) -> Result<(), WorkerError> {
-        if (self.reserved() + reserved).fits_in(self.capacity) {
+        let left = self.capacity.saturating_sub(self.reserved());
+        if reserved.fits_in(left) {
             return Ok(());
         }
         self.ledger.note_over_capacity();
--- a/crates/standins/tests/contracts/worker.rs
+++ b/crates/standins/tests/contracts/worker.rs
@@ -187,6 +187,7 @@
         (ResourceAmount::new(1, 1).with_accelerators(1), false),
         (ResourceAmount::new(8_000, 16_000), true),
         (ResourceAmount::new(1, 1), false),
+        (ResourceAmount::new(u64::MAX, u64::MAX), false),
     ];
     for (index, (reserved, fits)) in (0..).zip(cases) {
         let order = TaskOrder {
@@ -200,7 +201,7 @@
         };
         assert_eq!(worker.start(order).await, expected, "{reserved:?}");
     }
-    assert_eq!(worker.ledger.summary().over_capacity, 4);
+    assert_eq!(worker.ledger.summary().over_capacity, 5);
     let peak = worker.ledger.peaks()[&VmName::from("vm-1")];
     assert_eq!(peak.reserved, peak.capacity);
 }
--- /dev/null
+++ b/crates/standins/tests/fuzz/adapters.rs
@@ -0,0 +1,102 @@
+//! Arbitrary answers to the adapters.
+
+use std::{
+    sync::Arc,
+    time::Duration, //
+};
+
+use jasminebend_base::OwnerEpoch;
+use jasminebend_ports::{
+    CommitOutcome,
+    HttpTable,
+    HttpVmList,
+    HttpWorkers,
+    LeaseRenewal,
+    TableError,
+    TableService,
+    VmList,
+    WorkerError,
+    WorkerPort,
+    WriteId, //
+};
+use jasminebend_standins::{
+    EndpointFault,
+    EndpointKnobs,
+    EndpointLedger,
+    EndpointStandIn,
+    ServiceTime, //
+};
+use tokio::runtime::Runtime;
+
+use crate::mutation::{
+    mutate,
+    with_fixed_seeds, //
+};
+
+/// An answer that never ends is given up after this.
+const TIMEOUT: Duration = Duration::from_millis(200);
+
+fn answers() -> Vec<Vec<u8>> {
+    let committed = serde_json::to_string(&CommitOutcome::Committed(7.into())).unwrap();
+    let length = committed.len();
+    [
+        format!("HTTP/1.1 200 OK\r\ncontent-length: {length}\r\n\r\n{committed}"),
+        format!("HTTP/1.1 200 OK\r\ncontent-length: {length}\r\ncontent-length: 3\r\n\r\n{committed}"),
+        format!("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n{length:x}\r\n{committed}\r\n0\r\n\r\n"),
+        "HTTP/1.1 500 Oops\r\nconnection: close\r\ncontent-length: 0\r\n\r\n".to_owned(),
+    ]
+    .map(String::into_bytes)
+    .to_vec()
+}
+
+fn server() -> EndpointStandIn {
+    let knobs = EndpointKnobs {
+        service_time: ServiceTime::Fixed(Duration::ZERO),
+        ..EndpointKnobs::default()
+    };
+    EndpointStandIn::new("vm-1", Arc::new(EndpointLedger::new()), 1).with_knobs(knobs)
+}
+
+/// A writer believes that its commit did not run, or ran, because the answer was damaged on its way.
+/// Only an undamaged answer may say so.
+#[test]
+fn a_damaged_answer_never_says_that_a_commit_did_not_run() {
+    let runtime = Runtime::new().unwrap();
+    let server = server();
+    let (address, _guard) = runtime.block_on(server.start()).unwrap();
+    let valid = answers();
+    with_fixed_seeds(|source| {
+        let answer = mutate(source, &valid)?;
+        let refuses = answer.starts_with(b"HTTP/1.1 4");
+        server.once(EndpointFault::Raw(answer.clone().into()));
+        let table = HttpTable::new(address).with_timeout(TIMEOUT);
+        let outcome = runtime.block_on(table.commit(WriteId(1), Vec::new()));
+        let damaged = match outcome {
+            Ok(CommitOutcome::Committed(_)) => false,
+            Ok(CommitOutcome::Conflict { .. }) => true,
+            Err(error) => error.surely_not_run() && !refuses,
+        };
+        assert!(!damaged, "{outcome:?} for {}", answer.escape_ascii());
+        Ok(())
+    });
+}
+
+#[test]
+fn a_foreign_answer_is_no_answer() {
+    let runtime = Runtime::new().unwrap();
+    let server = server();
+    let (address, _guard) = runtime.block_on(server.start()).unwrap();
+    let renewal = LeaseRenewal {
+        epoch: OwnerEpoch(1),
+        lease: TIMEOUT,
+        acknowledged: Vec::new(),
+    };
+    runtime.block_on(async {
+        let table = HttpTable::new(address);
+        let read = table.read(&"a".into()).await;
+        assert_eq!(read, Err(TableError::Malformed));
+        assert!(HttpVmList::new(address).read().await.is_err());
+        let report = HttpWorkers::new().renew(address, renewal).await;
+        assert_eq!(report, Err(WorkerError::Unknown));
+    });
+}
