Read settings, answer operators, and drive the API from a command line

The daemon had no way to be told anything. It now reads a YAML settings file into typed settings; every fault names its line, its key and what would do (a table of 38 bad files). The administration API answers over plain HTTP or TLS with bearer tokens bound to roles, logs each change with who, what, before and after, and tells truthfully whether a change is accepted, not accepted or unknown. jbctl speaks to it with one exit code for each.

--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -3,6 +3,7 @@
 //!
 //! Nothing here does I/O, reads a clock or draws a random number of its own.
 
+mod change_outcome;
 mod class_kind;
 mod class_name;
 mod class_target;
@@ -30,6 +31,7 @@
 mod worker_record;
 
 pub use self::{
+    change_outcome::ChangeOutcome,
     class_kind::ClassKind,
     class_name::ClassName,
     class_target::ClassTarget,
--- /dev/null
+++ b/crates/jasminebend/src/access_keys.rs
@@ -0,0 +1,159 @@
+//! Who may come in: the certificate and the tokens in force, replaced without a restart.
+
+use std::{
+    fs,
+    path::Path,
+    sync::{
+        Arc,
+        PoisonError,
+        RwLock, //
+    },
+};
+
+use derive_more::{
+    Display,
+    Error,
+    From, //
+};
+use rustls::ServerConfig;
+use rustls_pki_types::{
+    CertificateDer,
+    PrivateKeyDer,
+    pem::PemObject, //
+};
+
+use crate::{
+    DaemonSettings,
+    OperatorIdentity,
+    TlsError,
+    TlsSettings,
+    TokenError,
+    TokenTable, //
+};
+
+/// Why keys are refused.
+#[derive(Clone, Debug, Display, Eq, Error, From, PartialEq)]
+pub enum AccessError {
+    /// The certificate.
+    #[display("{_0}")]
+    Tls(TlsError),
+    /// The tokens.
+    #[display("{_0}")]
+    Tokens(TokenError),
+}
+
+/// Who may come in: the certificate and the tokens in force.
+#[derive(Debug)]
+pub struct AccessKeys {
+    tls: Option<TlsSettings>,
+    tokens_file: Option<std::path::PathBuf>,
+    current: RwLock<LoadedKeys>,
+}
+
+#[derive(Clone, Debug)]
+struct LoadedKeys {
+    tls: Option<Arc<ServerConfig>>,
+    tokens: Option<Arc<TokenTable>>,
+}
+
+impl AccessKeys {
+    /// Reads the keys that the settings name.
+    ///
+    /// # Errors
+    ///
+    /// Any [`AccessError`].
+    pub fn load(settings: &DaemonSettings) -> Result<Self, AccessError> {
+        let tls = settings.tls.clone();
+        let tokens_file = settings.tokens_file.clone();
+        let current = RwLock::new(read_keys(tls.as_ref(), tokens_file.as_deref())?);
+        Ok(Self {
+            tls,
+            tokens_file,
+            current,
+        })
+    }
+
+    /// Reads the keys again; those in force stay if the new ones are of no use.
+    ///
+    /// # Errors
+    ///
+    /// Any [`AccessError`].
+    pub fn reload(&self) -> Result<(), AccessError> {
+        let loaded = read_keys(self.tls.as_ref(), self.tokens_file.as_deref())?;
+        *self.current.write().unwrap_or_else(PoisonError::into_inner) = loaded;
+        Ok(())
+    }
+
+    /// Returns the TLS configuration for the next connection; `None` without a certificate.
+    pub fn tls(&self) -> Option<Arc<ServerConfig>> {
+        self.loaded().tls
+    }
+
+    /// Finds who sends a request that carries this bearer token, or none.
+    pub fn identify(&self, token: Option<&str>) -> Option<OperatorIdentity> {
+        match self.loaded().tokens {
+            None => Some(OperatorIdentity::anonymous()),
+            Some(tokens) => tokens.identify(token?),
+        }
+    }
+
+    /// Returns a digest of the files' contents; it differs once a file was replaced.
+    ///
+    /// Contents are compared, not times of change: two writes within one tick of the file system's
+    /// clock would look like one.
+    pub fn fingerprint(&self) -> blake3::Hash {
+        let tls = self.tls.iter();
+        let tls = tls.flat_map(|tls| [tls.cert_file.as_path(), tls.key_file.as_path()]);
+        let mut hasher = blake3::Hasher::new();
+        for path in tls.chain(self.tokens_file.as_deref()) {
+            let content = fs::read(path).unwrap_or_default();
+            hasher.update(blake3::hash(&content).as_bytes());
+        }
+        hasher.finalize()
+    }
+
+    fn loaded(&self) -> LoadedKeys {
+        let current = self.current.read().unwrap_or_else(PoisonError::into_inner);
+        current.clone()
+    }
+}
+
+fn read_keys(tls: Option<&TlsSettings>, tokens: Option<&Path>) -> Result<LoadedKeys, AccessError> {
+    Ok(LoadedKeys {
+        tls: tls.map(read_tls).transpose()?,
+        tokens: tokens.map(read_tokens).transpose()?,
+    })
+}
+
+fn read_tokens(path: &Path) -> Result<Arc<TokenTable>, TokenError> {
+    let text = fs::read_to_string(path).map_err(|error| TokenError::Unreadable {
+        reason: error.to_string(),
+    })?;
+    TokenTable::from_yaml(&text).map(Arc::new)
+}
+
+fn read_tls(settings: &TlsSettings) -> Result<Arc<ServerConfig>, TlsError> {
+    let certificate = |error: rustls_pki_types::pem::Error| TlsError::Certificate {
+        reason: error.to_string(),
+    };
+    let chain: Result<Vec<CertificateDer<'static>>, _> =
+        CertificateDer::pem_file_iter(&settings.cert_file)
+            .map_err(certificate)?
+            .collect();
+    let chain = chain.map_err(certificate)?;
+    let key = PrivateKeyDer::from_pem_file(&settings.key_file).map_err(|error| TlsError::Key {
+        reason: error.to_string(),
+    })?;
+    let unusable = |error: rustls::Error| TlsError::Unusable {
+        reason: error.to_string(),
+    };
+    let provider = Arc::new(rustls::crypto::ring::default_provider());
+    let mut config = ServerConfig::builder_with_provider(provider)
+        .with_safe_default_protocol_versions()
+        .map_err(unusable)?
+        .with_no_client_auth()
+        .with_single_cert(chain, key)
+        .map_err(unusable)?;
+    config.alpn_protocols = vec![b"http/1.1".to_vec()];
+    Ok(Arc::new(config))
+}
--- /dev/null
+++ b/crates/jasminebend/src/admin_error.rs
@@ -0,0 +1,82 @@
+//! Why an administration request was not carried out, and the status that says so.
+
+use derive_more::{
+    Display,
+    Error,
+    From, //
+};
+use http::StatusCode;
+use jasminebend_base::ChangeOutcome;
+
+use crate::{
+    AccessRole,
+    ControlError, //
+};
+
+/// Why an administration request was not carried out.
+#[derive(Clone, Debug, Display, Error, From)]
+pub(crate) enum AdminError {
+    #[display("there is nothing at `{path}`")]
+    NoSuchPath { path: String },
+    #[from(ignore)]
+    #[display("this path takes {allowed}")]
+    WrongMethod { allowed: &'static str },
+    #[from(ignore)]
+    #[display("the query `{query}` is not known; `force=true` or `force=false` would do")]
+    BadQuery { query: String },
+    #[display("send a bearer token that the tokens file lists")]
+    Unidentified,
+    #[from(ignore)]
+    #[display("`{name}` has no role `{role}`")]
+    Forbidden { name: String, role: AccessRole },
+    #[from(ignore)]
+    #[display("the body is larger than {limit} bytes")]
+    BodyTooLarge { limit: usize },
+    #[display("the body was cut short")]
+    BodyCut,
+    #[display("the request did not arrive in time")]
+    SlowRequest,
+    #[display("send `If-Match` with the version that the change was made from, such as `\"12\"`")]
+    MissingVersion,
+    #[from]
+    #[display("{_0}")]
+    Control(ControlError),
+}
+
+impl AdminError {
+    pub(crate) fn status(&self) -> StatusCode {
+        match self {
+            Self::NoSuchPath { .. } => StatusCode::NOT_FOUND,
+            Self::WrongMethod { .. } => StatusCode::METHOD_NOT_ALLOWED,
+            Self::BadQuery { .. } | Self::BodyCut => StatusCode::BAD_REQUEST,
+            Self::Unidentified => StatusCode::UNAUTHORIZED,
+            Self::Forbidden { .. } => StatusCode::FORBIDDEN,
+            Self::BodyTooLarge { .. } => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::SlowRequest => StatusCode::REQUEST_TIMEOUT,
+            Self::MissingVersion => StatusCode::PRECONDITION_REQUIRED,
+            Self::Control(error) => control_status(error),
+        }
+    }
+
+    pub(crate) fn outcome(&self) -> ChangeOutcome {
+        match self {
+            Self::Control(ControlError::Unknown { find_out }) => ChangeOutcome::Unknown {
+                find_out: find_out.clone(),
+            },
+            other => ChangeOutcome::NotAccepted {
+                reason: other.to_string(),
+            },
+        }
+    }
+}
+
+fn control_status(error: &ControlError) -> StatusCode {
+    match error {
+        ControlError::Malformed { .. } => StatusCode::BAD_REQUEST,
+        ControlError::Stale { .. } => StatusCode::PRECONDITION_FAILED,
+        ControlError::Refused { .. } => StatusCode::CONFLICT,
+        ControlError::NotFound { .. } => StatusCode::NOT_FOUND,
+        ControlError::Unavailable { .. } => StatusCode::SERVICE_UNAVAILABLE,
+        ControlError::Unknown { .. } => StatusCode::GATEWAY_TIMEOUT,
+    }
+}
--- /dev/null
+++ b/crates/jasminebend/src/admin_front.rs
@@ -0,0 +1,155 @@
+//! The administration API's listeners.
+
+use std::{
+    net::SocketAddr,
+    sync::Arc, //
+};
+
+use tokio::{
+    net::TcpListener,
+    sync::watch,
+    task::JoinSet, //
+};
+
+use crate::{
+    AccessKeys,
+    ControlPort,
+    DaemonError,
+    DaemonSettings,
+    LimitSettings,
+    MetricsHub,
+    admin_server::AdminServer,
+    admin_service::AdminService,
+    key_watch::KeyWatch, //
+};
+
+/// The administration API's listeners, bound but not yet served.
+#[derive(Debug)]
+pub struct AdminFront {
+    keys: Arc<AccessKeys>,
+    limits: LimitSettings,
+    main: TcpListener,
+    health: Option<TcpListener>,
+}
+
+/// The administration API at work. Dropping it ends its tasks.
+#[derive(Debug)]
+pub struct AdminGuard {
+    stop: watch::Sender<()>,
+    tasks: JoinSet<()>,
+    address: SocketAddr,
+    health: Option<SocketAddr>,
+}
+
+impl AdminFront {
+    /// Reads the keys and binds the addresses.
+    ///
+    /// # Errors
+    ///
+    /// [`DaemonError`] if the keys are of no use, an address is taken, or the API would be open to
+    /// the network without the settings saying so.
+    pub async fn bind(settings: &DaemonSettings) -> Result<Self, DaemonError> {
+        if !settings.administration_guarded() {
+            return Err(DaemonError::OpenAdministration);
+        }
+        let keys = Arc::new(AccessKeys::load(settings)?);
+        let listen = &settings.listen;
+        let main = bind("listen.administration", listen.administration).await?;
+        let health = match listen.health {
+            Some(address) => Some(bind("listen.health", address).await?),
+            None => None,
+        };
+        Ok(Self {
+            keys,
+            limits: settings.limits,
+            main,
+            health,
+        })
+    }
+
+    /// Returns where the API listens.
+    ///
+    /// # Errors
+    ///
+    /// [`DaemonError::Listen`] if the socket does not tell.
+    pub fn address(&self) -> Result<SocketAddr, DaemonError> {
+        local_address("listen.administration", &self.main)
+    }
+
+    /// Serves the API for `control`.
+    ///
+    /// # Errors
+    ///
+    /// [`DaemonError::Listen`] if a socket does not tell its address.
+    pub fn serve(
+        self,
+        control: Arc<dyn ControlPort>,
+        metrics: MetricsHub,
+    ) -> Result<AdminGuard, DaemonError> {
+        let address = self.address()?;
+        let health = self.health.as_ref();
+        let health = health.map(|socket| local_address("listen.health", socket));
+        let (stop, stopped) = watch::channel(());
+        let mut tasks = JoinSet::new();
+        let service = AdminService::new(control, Arc::clone(&self.keys), self.limits, metrics);
+        let service = Arc::new(service);
+        if let Some(listener) = self.health {
+            let server = AdminServer::health_only(Arc::clone(&service), self.limits);
+            tasks.spawn(server.serve(listener, stopped.clone()));
+        }
+        tasks.spawn(KeyWatch::new(Arc::clone(&self.keys)).run(stopped.clone()));
+        let server = AdminServer::new(service, self.keys, self.limits);
+        tasks.spawn(server.serve(self.main, stopped));
+        Ok(AdminGuard {
+            stop,
+            tasks,
+            address,
+            health: health.transpose()?,
+        })
+    }
+}
+
+impl AdminGuard {
+    /// Returns where the API listens.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Returns where health, readiness and metrics are served in plain HTTP, if anywhere.
+    pub fn health_address(&self) -> Option<SocketAddr> {
+        self.health
+    }
+
+    /// Stops to listen, and waits until the requests in progress are answered.
+    pub async fn stop(self) {
+        let Self {
+            stop, mut tasks, ..
+        } = self;
+        drop(stop);
+        while tasks.join_next().await.is_some() {}
+    }
+}
+
+pub(crate) async fn bind(
+    key: &'static str,
+    address: SocketAddr,
+) -> Result<TcpListener, DaemonError> {
+    let listener = TcpListener::bind(address).await;
+    listener.map_err(|source| DaemonError::Listen {
+        key,
+        address,
+        source,
+    })
+}
+
+pub(crate) fn local_address(
+    key: &'static str,
+    listener: &TcpListener,
+) -> Result<SocketAddr, DaemonError> {
+    let address = listener.local_addr();
+    address.map_err(|source| DaemonError::Listen {
+        key,
+        address: SocketAddr::from(([0, 0, 0, 0], 0)),
+        source,
+    })
+}
--- /dev/null
+++ b/crates/jasminebend/src/admin_service.rs
@@ -0,0 +1,272 @@
+//! Answers administration requests.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use http::{
+    HeaderMap,
+    Request,
+    Response,
+    StatusCode,
+    header, //
+};
+use http_body::Body;
+use http_body_util::{
+    BodyExt,
+    Full,
+    LengthLimitError,
+    Limited, //
+};
+use jasminebend_base::{
+    ChangeOutcome,
+    ConfigurationVersion, //
+};
+use serde::Serialize;
+use spdlog::warn;
+use tokio::time::timeout;
+
+use crate::{
+    AccessKeys,
+    ControlError,
+    ControlPort,
+    LimitSettings,
+    MetricsHub,
+    OperatorIdentity,
+    admin_change::AdminChange,
+    admin_error::AdminError,
+    admin_route::AdminRoute, //
+};
+
+const JSON: &str = "application/json";
+const TEXT: &str = "text/plain; version=0.0.4";
+const FIND_OUT: &str =
+    "the answer took too long; read the configuration or the job and compare before trying again";
+
+/// What one answer is made of.
+pub(crate) type AdminResponse = Response<Full<Bytes>>;
+
+/// Answers administration requests.
+pub(crate) struct AdminService {
+    control: Arc<dyn ControlPort>,
+    keys: Arc<AccessKeys>,
+    limits: LimitSettings,
+    metrics: MetricsHub,
+}
+
+impl AdminService {
+    pub(crate) fn new(
+        control: Arc<dyn ControlPort>,
+        keys: Arc<AccessKeys>,
+        limits: LimitSettings,
+        metrics: MetricsHub,
+    ) -> Self {
+        Self {
+            control,
+            keys,
+            limits,
+            metrics,
+        }
+    }
+
+    /// Answers one request; `health_only` serves what the balancer and the scraper need, and
+    /// nothing else.
+    pub(crate) async fn answer<Content>(
+        &self,
+        request: Request<Content>,
+        health_only: bool,
+    ) -> AdminResponse
+    where
+        Content: Body + Send,
+        Content::Data: Send,
+        Content::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+    {
+        let answer = self.try_answer(request, health_only).await;
+        answer.unwrap_or_else(|error| refuse(&error))
+    }
+
+    async fn try_answer<Content>(
+        &self,
+        request: Request<Content>,
+        health_only: bool,
+    ) -> Result<AdminResponse, AdminError>
+    where
+        Content: Body + Send,
+        Content::Data: Send,
+        Content::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+    {
+        let (head, body) = request.into_parts();
+        let route = AdminRoute::parse(&head.method, head.uri.path(), head.uri.query())?;
+        if health_only {
+            return self.answer_health(route, head.uri.path());
+        }
+        let operator = self.admit(&route, &head.headers)?;
+        let limit = self.limits.administration_body;
+        let body = timeout(self.limits.administration_timeout, read_body(body, limit));
+        let body = body.await.map_err(|_| AdminError::SlowRequest)??;
+        match route {
+            AdminRoute::Health => Ok(text("alive\n".to_owned())),
+            AdminRoute::Readiness => Ok(self.readiness()),
+            AdminRoute::Metrics => Ok(text(self.metrics.render())),
+            AdminRoute::Status => Ok(json(StatusCode::OK, &self.control.status())),
+            AdminRoute::ReadConfiguration => Ok(self.configuration()),
+            AdminRoute::ListClasses => {
+                let classes = &self.control.configuration().classes;
+                Ok(json(StatusCode::OK, classes))
+            }
+            AdminRoute::ListJobs => Ok(json(StatusCode::OK, &self.control.jobs().await?)),
+            AdminRoute::ReadJob(job) => Ok(json(StatusCode::OK, &self.control.job(&job).await?)),
+            AdminRoute::ReplaceConfiguration => {
+                let expected = expected_version(&head.headers)?;
+                let change = AdminChange::replace(&body, expected)?;
+                self.change(change, operator).await
+            }
+            AdminRoute::SetDomain { name, state, force } => {
+                let change = AdminChange::SetDomain { name, state, force };
+                self.change(change, operator).await
+            }
+            AdminRoute::SubmitJob => self.change(AdminChange::SubmitJob(body), operator).await,
+            AdminRoute::CancelJob(job) => self.change(AdminChange::CancelJob(job), operator).await,
+        }
+    }
+
+    fn answer_health(&self, route: AdminRoute, path: &str) -> Result<AdminResponse, AdminError> {
+        match route {
+            AdminRoute::Health => Ok(text("alive\n".to_owned())),
+            AdminRoute::Readiness => Ok(self.readiness()),
+            AdminRoute::Metrics => Ok(text(self.metrics.render())),
+            _ => Err(AdminError::NoSuchPath {
+                path: path.to_owned(),
+            }),
+        }
+    }
+
+    fn admit(
+        &self,
+        route: &AdminRoute,
+        headers: &HeaderMap,
+    ) -> Result<OperatorIdentity, AdminError> {
+        let Some(role) = route.role() else {
+            return Ok(OperatorIdentity::anonymous());
+        };
+        let operator = self.keys.identify(bearer(headers));
+        let operator = operator.ok_or(AdminError::Unidentified)?;
+        if operator.role >= role {
+            return Ok(operator);
+        }
+        warn!("[administration] {operator} was refused: the request takes the role {role}.");
+        Err(AdminError::Forbidden {
+            name: operator.name,
+            role,
+        })
+    }
+
+    /// Carries out a change on a task of its own: an operator who hangs up must not cut it off
+    /// between its intent and its commit, and the log must say what became of it.
+    async fn change(
+        &self,
+        change: AdminChange,
+        operator: OperatorIdentity,
+    ) -> Result<AdminResponse, AdminError> {
+        let control = Arc::clone(&self.control);
+        let run = tokio::spawn(async move { change.run(control.as_ref(), &operator).await });
+        let limit = self.limits.administration_timeout;
+        let Ok(Ok(outcome)) = timeout(limit, run).await else {
+            return Err(AdminError::Control(ControlError::Unknown {
+                find_out: FIND_OUT.to_owned(),
+            }));
+        };
+        Ok(accept(&outcome?))
+    }
+
+    fn readiness(&self) -> AdminResponse {
+        if self.control.ready() {
+            return text("ready\n".to_owned());
+        }
+        let mut response = text("not ready\n".to_owned());
+        *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+        response
+    }
+
+    fn configuration(&self) -> AdminResponse {
+        let configuration = self.control.configuration();
+        let mut response = json(StatusCode::OK, configuration.as_ref());
+        let tag = format!("\"{}\"", configuration.version);
+        if let Ok(tag) = tag.parse() {
+            response.headers_mut().insert(header::ETAG, tag);
+        }
+        response
+    }
+}
+
+async fn read_body<Content>(body: Content, limit: usize) -> Result<Bytes, AdminError>
+where
+    Content: Body,
+    Content::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
+    let collected = Limited::new(body, limit).collect().await;
+    let body = collected.map_err(|error| match error.downcast_ref::<LengthLimitError>() {
+        Some(_) => AdminError::BodyTooLarge { limit },
+        None => AdminError::BodyCut,
+    })?;
+    Ok(body.to_bytes())
+}
+
+fn bearer(headers: &HeaderMap) -> Option<&str> {
+    let value = headers.get(header::AUTHORIZATION)?.to_str().ok()?;
+    let (scheme, token) = value.split_once(' ')?;
+    scheme.eq_ignore_ascii_case("bearer").then_some(token)
+}
+
+fn expected_version(headers: &HeaderMap) -> Result<ConfigurationVersion, AdminError> {
+    let value = headers.get(header::IF_MATCH);
+    let value = value.and_then(|value| value.to_str().ok());
+    let version = value.and_then(|value| value.trim_matches('"').parse().ok());
+    version
+        .map(ConfigurationVersion)
+        .ok_or(AdminError::MissingVersion)
+}
+
+fn accept(outcome: &ChangeOutcome) -> AdminResponse {
+    json(StatusCode::OK, outcome)
+}
+
+fn refuse(error: &AdminError) -> AdminResponse {
+    let mut response = json(error.status(), &error.outcome());
+    let headers = response.headers_mut();
+    match error {
+        AdminError::Unidentified => {
+            let scheme = header::HeaderValue::from_static("Bearer");
+            headers.insert(header::WWW_AUTHENTICATE, scheme);
+        }
+        AdminError::WrongMethod { allowed } => {
+            headers.insert(header::ALLOW, header::HeaderValue::from_static(allowed));
+        }
+        // The rest of an oversized or late body is not read: the connection cannot go on.
+        AdminError::BodyTooLarge { .. } | AdminError::SlowRequest | AdminError::BodyCut => {
+            let close = header::HeaderValue::from_static("close");
+            headers.insert(header::CONNECTION, close);
+        }
+        _ => {}
+    }
+    response
+}
+
+fn json<Content>(status: StatusCode, content: &Content) -> AdminResponse
+where
+    Content: Serialize,
+{
+    let body = serde_json::to_vec(content).unwrap_or_default();
+    respond(status, JSON, body)
+}
+
+fn text(content: String) -> AdminResponse {
+    respond(StatusCode::OK, TEXT, content.into_bytes())
+}
+
+fn respond(status: StatusCode, kind: &'static str, body: Vec<u8>) -> AdminResponse {
+    let mut response = Response::new(Full::new(Bytes::from(body)));
+    *response.status_mut() = status;
+    let kind = header::HeaderValue::from_static(kind);
+    response.headers_mut().insert(header::CONTENT_TYPE, kind);
+    response
+}
--- /dev/null
+++ b/crates/jasminebend/src/lib.rs
@@ -0,0 +1,103 @@
+//! The daemon: one on each entry VM, all equal. It composes the cluster, the gateway and the
+//! planner, and serves the administration API.
+
+mod access_keys;
+mod access_role;
+mod admin_change;
+mod admin_error;
+mod admin_front;
+mod admin_route;
+mod admin_server;
+mod admin_service;
+mod collector_client;
+mod command_line;
+mod configuration_diff;
+mod control_error;
+mod control_port;
+mod daemon_error;
+mod daemon_settings;
+mod daemon_status;
+pub mod demo;
+mod demo_options;
+mod given_key;
+mod key_reader;
+mod key_watch;
+mod limit_settings;
+mod listen_settings;
+mod log_settings;
+mod log_setup;
+mod metrics_hub;
+mod operator_identity;
+mod peer_key_source;
+mod platform_settings;
+mod program;
+mod secret_text;
+mod service;
+mod settings_error;
+mod settings_file;
+mod tls_error;
+mod tls_settings;
+mod token_error;
+mod token_table;
+mod trace_settings;
+mod trace_setup;
+mod usage_error;
+mod yaml_fault;
+
+pub use self::{
+    access_keys::{
+        AccessError,
+        AccessKeys, //
+    },
+    access_role::AccessRole,
+    admin_front::{
+        AdminFront,
+        AdminGuard, //
+    },
+    command_line::{
+        CommandLine,
+        HELP, //
+    },
+    configuration_diff::ConfigurationDiff,
+    control_error::ControlError,
+    control_port::ControlPort,
+    daemon_error::DaemonError,
+    daemon_settings::{
+        DEFAULT_BALANCER_LAG,
+        DEFAULT_SEATS,
+        DEFAULT_SHARDS,
+        DEFAULT_SLOT_SHARES,
+        DaemonSettings, //
+    },
+    daemon_status::DaemonStatus,
+    demo_options::DemoOptions,
+    limit_settings::LimitSettings,
+    listen_settings::ListenSettings,
+    log_settings::{
+        LogFormat,
+        LogLevel,
+        LogSettings, //
+    },
+    log_setup::{
+        LogError,
+        formatter,
+        set_up_log, //
+    },
+    metrics_hub::MetricsHub,
+    operator_identity::OperatorIdentity,
+    peer_key_source::PeerKeySource,
+    platform_settings::PlatformSettings,
+    program::run_program,
+    secret_text::SecretText,
+    settings_error::SettingsError,
+    tls_error::TlsError,
+    tls_settings::TlsSettings,
+    token_error::TokenError,
+    token_table::TokenTable,
+    trace_settings::TraceSettings,
+    trace_setup::{
+        TraceError,
+        TraceExport, //
+    },
+    usage_error::UsageError, //
+};
--- a/crates/jasminebend/src/main.rs
+++ b/crates/jasminebend/src/main.rs
@@ -1,3 +1,7 @@
-//! Placeholder.
+//! The daemon's program.
 
-fn main() {}
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    jasminebend::run_program(std::env::args_os().skip(1))
+}
--- /dev/null
+++ b/crates/jasminebend/src/trace_setup.rs
@@ -0,0 +1,121 @@
+//! Sets up the process's traces.
+
+use std::time::Duration;
+
+use derive_more::{
+    Display,
+    Error, //
+};
+use opentelemetry::{
+    KeyValue,
+    global, //
+};
+use opentelemetry_otlp::{
+    Protocol,
+    SpanExporter,
+    WithExportConfig,
+    WithHttpConfig, //
+};
+use opentelemetry_sdk::{
+    Resource,
+    propagation::TraceContextPropagator,
+    trace::{
+        BatchConfigBuilder,
+        BatchSpanProcessor,
+        Sampler,
+        SdkTracerProvider, //
+    },
+};
+use spdlog::warn;
+use tokio::runtime::Handle;
+
+use crate::{
+    TraceSettings,
+    collector_client::CollectorClient, //
+};
+
+const BATCH: usize = 512;
+const BATCH_DELAY: Duration = Duration::from_secs(1);
+const SERVICE: &str = "jasminebend";
+
+/// The traces could not be set up.
+#[derive(Clone, Debug, Display, Eq, Error, PartialEq)]
+#[display("the traces could not be set up: {reason}")]
+pub struct TraceError {
+    /// What the trace library says.
+    pub reason: String,
+}
+
+/// The process's traces. Without a collector spans cost next to nothing and go nowhere, but a
+/// caller's `traceparent` is still passed on.
+#[derive(Debug)]
+pub struct TraceExport {
+    provider: Option<SdkTracerProvider>,
+}
+
+impl TraceExport {
+    /// Sets up the process's traces.
+    ///
+    /// # Errors
+    ///
+    /// [`TraceError`] if the exporter cannot be made.
+    pub fn install(
+        settings: Option<TraceSettings>,
+        domain: &str,
+        runtime: Handle,
+    ) -> Result<Self, TraceError> {
+        global::set_text_map_propagator(TraceContextPropagator::new());
+        let Some(settings) = settings else {
+            return Ok(Self { provider: None });
+        };
+        let provider = build(settings, domain, runtime)?;
+        global::set_tracer_provider(provider.clone());
+        Ok(Self {
+            provider: Some(provider),
+        })
+    }
+
+    /// Sends what is left and ends the export; blocks up to a few seconds.
+    pub fn finish(self) {
+        let Some(provider) = self.provider else {
+            return;
+        };
+        if let Err(error) = provider.shutdown() {
+            warn!("[traces] The last spans were not sent: {error}.");
+        }
+    }
+}
+
+fn build(
+    settings: TraceSettings,
+    domain: &str,
+    runtime: Handle,
+) -> Result<SdkTracerProvider, TraceError> {
+    let exporter = SpanExporter::builder()
+        .with_http()
+        .with_http_client(CollectorClient::new(runtime))
+        .with_protocol(Protocol::HttpBinary)
+        .with_endpoint(format!("http://{}/v1/traces", settings.collector))
+        .build()
+        .map_err(|error| TraceError {
+            reason: error.to_string(),
+        })?;
+    let batch = BatchConfigBuilder::default()
+        .with_max_queue_size(settings.queue)
+        .with_max_export_batch_size(BATCH.min(settings.queue))
+        .with_scheduled_delay(BATCH_DELAY)
+        .build();
+    let processor = BatchSpanProcessor::builder(exporter)
+        .with_batch_config(batch)
+        .build();
+    let own = Sampler::TraceIdRatioBased(settings.sample_ratio);
+    let resource = Resource::builder()
+        .with_service_name(SERVICE)
+        .with_attribute(KeyValue::new("failure_domain", domain.to_owned()))
+        .build();
+    Ok(SdkTracerProvider::builder()
+        .with_span_processor(processor)
+        .with_sampler(Sampler::ParentBased(Box::new(own)))
+        .with_resource(resource)
+        .build())
+}
--- /dev/null
+++ b/crates/jasminebend/tests/bad_settings.rs
@@ -0,0 +1,274 @@
+//! Every fault of a settings file is told by its line, its key and what would do.
+
+use jasminebend::{
+    DaemonSettings,
+    SettingsError, //
+};
+
+const EXAMPLE: &str = include_str!("../../../examples/jasminebend.yaml");
+
+/// A settings file with one line after another, all of it in order.
+const GOOD: &str = "\
+listen:
+  callers: 10.0.0.5:8080
+  administration: 127.0.0.1:9090
+  peers: 10.0.0.5:7400
+failure_domain: a
+region: north
+peers:
+  key_file: /etc/jasminebend/peer.key
+platform:
+  table: 10.0.0.9:7000
+  objects: 10.0.0.9:7001
+  vm_list: 10.0.0.9:7002
+";
+
+/// Faults made by replacing one piece of the good file: the piece, its replacement, the sentence.
+const REPLACED: &[(&str, &str, &str)] = &[
+    (
+        "listen:\n  callers: 10.0.0.5:8080\n  administration: 127.0.0.1:9090\n  peers: 10.0.0.5:7400\n",
+        "",
+        "line 1: `listen` is missing; give the section, with its keys indented below",
+    ),
+    (
+        "  callers: 10.0.0.5:8080\n",
+        "",
+        "line 2: `listen.callers` is missing; give an IP address and port to listen on, such as \
+         `10.0.0.5:8080`",
+    ),
+    (
+        "callers: 10.0.0.5:8080",
+        "callers: 10.0.0.5",
+        "line 2: `listen.callers` cannot be `10.0.0.5`; give an IP address and port to listen on, \
+         such as `10.0.0.5:8080`",
+    ),
+    (
+        "callers: 10.0.0.5:8080",
+        "callers: entry-1:8080",
+        "line 2: `listen.callers` cannot be `entry-1:8080`; give an IP address and port to listen \
+         on, such as `10.0.0.5:8080`",
+    ),
+    (
+        "callers: 10.0.0.5:8080",
+        "callers:\n    - 10.0.0.5:8080",
+        "line 3: `callers` has the wrong shape; give one value",
+    ),
+    (
+        "peers: 10.0.0.5:7400",
+        "peers: 10.0.0.5:8080",
+        "line 4: `listen.peers` cannot be the address of `listen.callers` too; give it its own port",
+    ),
+    (
+        "127.0.0.1:9090",
+        "10.0.0.5:9090",
+        "line 3: `listen.administration` is off loopback; set `tls` and `tokens_file`, or, to let \
+         anyone in, `allow_open_administration: true`",
+    ),
+    (
+        "failure_domain: a\n",
+        "",
+        "line 1: `failure_domain` is missing; give a name of 1 to 64 letters, digits, `-`, `_` or \
+         `.`",
+    ),
+    (
+        "failure_domain: a\n",
+        "failure_domain:\n",
+        "line 5: `failure_domain` has the wrong shape; give one value",
+    ),
+    (
+        "failure_domain: a\n",
+        "failure_domain: a b\n",
+        "line 5: `failure_domain` cannot be `a b`; give a name of 1 to 64 letters, digits, `-`, `_` \
+         or `.`",
+    ),
+    (
+        "failure_domain",
+        "failure-domain",
+        "line 5: there is no key `failure-domain` here; the keys are `listen`, `failure_domain`, \
+         `region`, `seats`, `slot_shares`, `shards`, `peers`, `platform`, `tls`, `tokens_file`, \
+         `allow_open_administration`, `log`, `traces`, `limits`, `drain`",
+    ),
+    (
+        "  key_file: /etc/jasminebend/peer.key",
+        "  key: abc",
+        "line 8: there is no key `key` here; the keys are `key_file`",
+    ),
+    (
+        "  key_file: /etc/jasminebend/peer.key",
+        "  key_file: \"\"",
+        "line 8: `peers.key_file` cannot be ``; give the path of a file",
+    ),
+    (
+        "  table: 10.0.0.9:7000\n",
+        "",
+        "line 10: `platform.table` is missing; give the IP address and port of the service, such \
+         as `10.0.0.9:7000`",
+    ),
+    (
+        "table: 10.0.0.9:7000",
+        "table: 0.0.0.0:7000",
+        "line 10: `platform.table` cannot be `0.0.0.0:7000`; give the IP address and port of the \
+         service, such as `10.0.0.9:7000`",
+    ),
+    (
+        "peers:\n  key_file: /etc/jasminebend/peer.key\n",
+        "",
+        "line 1: `peers` is missing; give the section, with its keys indented below",
+    ),
+];
+
+/// Faults made by adding lines to the good file, from its line 13 on: the lines, the sentence.
+const ADDED: &[(&str, &str)] = &[
+    (
+        "seats: many",
+        "line 13: `seats` cannot be `many`; give a whole number from 1 to 63",
+    ),
+    (
+        "seats: 0",
+        "line 13: `seats` cannot be `0`; give a whole number from 1 to 63",
+    ),
+    (
+        "seats: 7\nseats: 8",
+        "line 14: the key `seats` is given twice; give it once",
+    ),
+    (
+        "seats: [7]",
+        "line 13: `seats` has the wrong shape; give one value",
+    ),
+    (
+        "slot_shares: 5",
+        "line 13: `slot_shares` cannot be 5 with 7 seats; give at least 7",
+    ),
+    (
+        "shards: 1025",
+        "line 13: `shards` cannot be `1025`; give a whole number from 1 to 1024",
+    ),
+    (
+        "drain:\n  balancer_lag: 5",
+        "line 14: `drain.balancer_lag` cannot be `5`; give a time from 0s to 10m with its unit, \
+         such as `5s`",
+    ),
+    (
+        "drain:\n  balancer_lag: 5MiB",
+        "line 14: `drain.balancer_lag` cannot be `5MiB`; give a time from 0s to 10m with its unit, \
+         such as `5s`",
+    ),
+    (
+        "drain: 5s",
+        "line 13: `drain` has the wrong shape; give the section, with its keys indented below",
+    ),
+    (
+        "limits:\n  request_body: 64",
+        "line 14: `limits.request_body` cannot be `64`; give a size from 1KiB to 1GiB with its \
+         unit, such as `16MiB`",
+    ),
+    (
+        "limits:\n  request_body: 2s",
+        "line 14: `limits.request_body` cannot be `2s`; give a size from 1KiB to 1GiB with its \
+         unit, such as `16MiB`",
+    ),
+    (
+        "limits:\n  headers: 2MiB",
+        "line 14: `limits.headers` cannot be `2MiB`; give a size from 8KiB to 1MiB with its unit, \
+         such as `32KiB`",
+    ),
+    (
+        "limits:\n  caller_connections: 0",
+        "line 14: `limits.caller_connections` cannot be `0`; give a whole number of connections \
+         from 1 to 65536",
+    ),
+    (
+        "limits:\n  administration_timeout: 1h",
+        "line 14: `limits.administration_timeout` cannot be `1h`; give a time from 100ms to 5m \
+         with its unit, such as `30s`",
+    ),
+    (
+        "log:\n  format: xml",
+        "line 14: `log.format` cannot be `xml`; give `text` or `json`",
+    ),
+    (
+        "log:\n  level: loud",
+        "line 14: `log.level` cannot be `loud`; give `error`, `warn`, `info` or `debug`",
+    ),
+    (
+        "traces:\n  sample_ratio: 0.5",
+        "line 14: `traces.collector` is missing; give the IP address and port of an OTLP/HTTP \
+         collector, such as `10.0.0.9:4318`",
+    ),
+    (
+        "traces:\n  collector: 10.0.0.9:4318\n  sample_ratio: 2",
+        "line 15: `traces.sample_ratio` cannot be `2`; give a ratio from 0 to 1, such as `0.01`",
+    ),
+    (
+        "tls:\n  cert_file: /etc/jasminebend/tls.crt",
+        "line 14: `tls.key_file` is missing; give the path of a PEM file with the certificate's \
+         private key",
+    ),
+    (
+        "allow_open_administration: yes",
+        "line 13: `allow_open_administration` cannot be `yes`; give `true` or `false`",
+    ),
+    (
+        "  table_timeout: 0s",
+        "line 13: `platform.table_timeout` cannot be `0s`; give a time from 10ms to 1m with its \
+         unit, such as `2s`",
+    ),
+    (
+        "log: \"json",
+        "line 13: this is not YAML: unclosed quote at line 13, column 6",
+    ),
+];
+
+fn sentence(text: &str) -> String {
+    let error: SettingsError = DaemonSettings::from_yaml(text).expect_err(text);
+    error.to_string()
+}
+
+#[test]
+fn a_replaced_piece_is_told() {
+    for (piece, replacement, expected) in REPLACED {
+        assert!(GOOD.contains(piece), "{piece}");
+        let bad = GOOD.replacen(piece, replacement, 1);
+        assert_eq!(sentence(&bad), *expected, "\n{bad}");
+    }
+}
+
+#[test]
+fn an_added_line_is_told() {
+    for (lines, expected) in ADDED {
+        let bad = format!("{GOOD}{lines}\n");
+        assert_eq!(sentence(&bad), *expected, "\n{bad}");
+    }
+}
+
+#[test]
+fn a_file_that_is_not_there_is_told() {
+    let error = DaemonSettings::load("no-such-settings.yaml".as_ref()).unwrap_err();
+    assert_eq!(
+        error.to_string(),
+        "the settings file no-such-settings.yaml cannot be read: No such file or directory (os \
+         error 2)"
+    );
+}
+
+#[test]
+fn a_named_file_that_is_not_there_is_told() {
+    let path = std::env::temp_dir().join(format!("jasminebend-{}.yaml", std::process::id()));
+    std::fs::write(&path, GOOD.replace("/etc/jasminebend/", "/no/such/")).unwrap();
+    let error = DaemonSettings::load(&path).unwrap_err();
+    std::fs::remove_file(&path).unwrap();
+    assert_eq!(
+        error.to_string(),
+        "line 8: the file of `peers.key_file`, /no/such/peer.key, cannot be read: No such file or \
+         directory (os error 2)"
+    );
+}
+
+#[test]
+fn the_example_and_the_least_file_are_in_order() {
+    let example = DaemonSettings::from_yaml(EXAMPLE).unwrap();
+    let least = DaemonSettings::from_yaml(GOOD).unwrap();
+    assert_eq!(example.seats, least.seats);
+    assert_eq!(example.slot_shares, least.slot_shares);
+    assert_eq!(example.limits, least.limits);
+}
--- /dev/null
+++ b/crates/jbctl/src/admin_call.rs
@@ -0,0 +1,136 @@
+//! One call of the administration API.
+
+use std::{
+    fs,
+    path::Path, //
+};
+
+use bytes::Bytes;
+use http::Method;
+use jasminebend_base::{
+    Configuration,
+    ConfigurationVersion, //
+};
+use serde::de::DeserializeOwned;
+
+use crate::{
+    OperatorCommand,
+    UsageError, //
+};
+
+/// One call of the administration API.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct AdminCall {
+    /// The method.
+    pub method: Method,
+    /// The path, with its query.
+    pub path: String,
+    /// The configuration's version that the change was made from.
+    pub expected: Option<ConfigurationVersion>,
+    /// The body.
+    pub body: Bytes,
+}
+
+impl AdminCall {
+    /// Makes the call of a command; `None` if the command needs no daemon.
+    ///
+    /// # Errors
+    ///
+    /// [`UsageError`] if a file that the command names cannot be read or is refused.
+    pub fn new(command: &OperatorCommand) -> Result<Option<Self>, UsageError> {
+        let call = match command {
+            OperatorCommand::Status => get("/v1/status"),
+            OperatorCommand::ConfigGet => get("/v1/configuration"),
+            OperatorCommand::ClassList => get("/v1/classes"),
+            OperatorCommand::JobList => get("/v1/jobs"),
+            OperatorCommand::JobStatus(job) => get(&format!("/v1/jobs/{job}")),
+            OperatorCommand::JobCancel(job) => bare(Method::DELETE, format!("/v1/jobs/{job}")),
+            OperatorCommand::Domain { name, state, force } => {
+                let path = format!("/v1/domains/{name}/{state}?force={force}");
+                bare(Method::POST, path)
+            }
+            OperatorCommand::ConfigPut(file) => put(file)?,
+            OperatorCommand::JobSubmit(file) => submit(file)?,
+            OperatorCommand::ConfigCheck(_) | OperatorCommand::TokenHash(_) => return Ok(None),
+        };
+        Ok(Some(call))
+    }
+
+    /// Tells whether the call changes something.
+    pub fn is_change(&self) -> bool {
+        self.method != Method::GET
+    }
+}
+
+/// Reads a configuration file and checks it.
+///
+/// # Errors
+///
+/// [`UsageError`] if it cannot be read or is refused.
+pub(crate) fn read_configuration(file: &Path) -> Result<Configuration, UsageError> {
+    let configuration: Configuration = read_yaml(file)?;
+    let refused = |error| UsageError::BadConfiguration {
+        path: file.to_owned(),
+        error,
+    };
+    configuration.check().map_err(refused)?;
+    Ok(configuration)
+}
+
+/// Reads a file as text.
+///
+/// # Errors
+///
+/// [`UsageError::Unreadable`].
+pub(crate) fn read_text(file: &Path) -> Result<String, UsageError> {
+    fs::read_to_string(file).map_err(|error| UsageError::Unreadable {
+        path: file.to_owned(),
+        reason: error.to_string(),
+    })
+}
+
+fn read_yaml<Content>(file: &Path) -> Result<Content, UsageError>
+where
+    Content: DeserializeOwned,
+{
+    let text = read_text(file)?;
+    serde_saphyr::from_str(&text).map_err(|error| UsageError::BadFile {
+        path: file.to_owned(),
+        reason: error.without_snippet().to_string(),
+    })
+}
+
+fn get(path: &str) -> AdminCall {
+    bare(Method::GET, path.to_owned())
+}
+
+fn bare(method: Method, path: String) -> AdminCall {
+    AdminCall {
+        method,
+        path,
+        expected: None,
+        body: Bytes::new(),
+    }
+}
+
+fn put(file: &Path) -> Result<AdminCall, UsageError> {
+    let configuration = read_configuration(file)?;
+    let mut call = bare(Method::PUT, "/v1/configuration".to_owned());
+    call.expected = Some(configuration.version);
+    call.body = encode(&configuration);
+    Ok(call)
+}
+
+fn submit(file: &Path) -> Result<AdminCall, UsageError> {
+    let job: serde_json::Value = read_yaml(file)?;
+    let mut call = bare(Method::POST, "/v1/jobs".to_owned());
+    call.body = encode(&job);
+    Ok(call)
+}
+
+fn encode<Content>(content: &Content) -> Bytes
+where
+    Content: serde::Serialize,
+{
+    serde_json::to_vec(content).unwrap_or_default().into()
+}
--- /dev/null
+++ b/crates/jbctl/src/lib.rs
@@ -0,0 +1,29 @@
+//! The operator's command line: it speaks to the administration API of any entry VM.
+
+mod admin_answer;
+mod admin_call;
+mod admin_client;
+mod call_error;
+mod command_line;
+mod operator_command;
+mod output_format;
+mod program;
+mod target_options;
+mod tls_client;
+mod usage_error;
+
+pub use self::{
+    admin_answer::AdminAnswer,
+    admin_call::AdminCall,
+    admin_client::AdminClient,
+    call_error::CallError,
+    command_line::{
+        CommandLine,
+        HELP, //
+    },
+    operator_command::OperatorCommand,
+    output_format::OutputFormat,
+    program::run_program,
+    target_options::TargetOptions,
+    usage_error::UsageError, //
+};
--- a/crates/jbctl/src/main.rs
+++ b/crates/jbctl/src/main.rs
@@ -1,3 +1,7 @@
-//! Placeholder.
+//! The operator's program.
 
-fn main() {}
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    jbctl::run_program(std::env::args_os().skip(1))
+}
--- /dev/null
+++ b/crates/jbctl/src/operator_command.rs
@@ -0,0 +1,39 @@
+//! What an operator asks for.
+
+use std::path::PathBuf;
+
+use jasminebend_base::DomainState;
+
+/// What an operator asks for.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum OperatorCommand {
+    /// How the daemon stands.
+    Status,
+    /// Print the configuration.
+    ConfigGet,
+    /// Replace the configuration.
+    ConfigPut(PathBuf),
+    /// Check a configuration file here, without a daemon.
+    ConfigCheck(PathBuf),
+    /// Take a failure domain out or in.
+    Domain {
+        /// The failure domain.
+        name: String,
+        /// Out or in.
+        state: DomainState,
+        /// Whether the last one may be taken out.
+        force: bool,
+    },
+    /// Submit a job.
+    JobSubmit(PathBuf),
+    /// How a job stands.
+    JobStatus(String),
+    /// Cancel a job.
+    JobCancel(String),
+    /// List the jobs.
+    JobList,
+    /// List the classes.
+    ClassList,
+    /// Print the digest of a token, for the daemons' tokens file.
+    TokenHash(PathBuf),
+}
