Test the administration API and jbctl by tables of faults

The API's answers, limits, roles, key replacement, change log and TLS are tested over a control that each test sets, and jbctl by its real program against canned answers, with one table row for each way a call can end.

--- a/crates/jasminebend/src/admin_change.rs
+++ b/crates/jasminebend/src/admin_change.rs
@@ -112,10 +112,10 @@
             Self::Replace { configuration, .. } => {
                 let differences = ConfigurationDiff::between(before, configuration);
                 let lines: Vec<String> = differences.iter().map(ToString::to_string).collect();
-                format!("Changed: {}.", lines.join("; "))
+                format!("Change: {}.", lines.join("; "))
             }
             Self::SetDomain { name, state, .. } => {
-                format!("Changed: {name}: {} -> {state}.", before.domain_state(name))
+                format!("Change: {name}: {} -> {state}.", before.domain_state(name))
             }
             Self::SubmitJob(_) | Self::CancelJob(_) => String::new(),
         }
--- /dev/null
+++ b/crates/jasminebend/tests/administration/main.rs
@@ -0,0 +1,8 @@
+//! The administration API, over a control that each test sets.
+
+mod access;
+mod api;
+mod change_log;
+mod control_fake;
+mod harness;
+mod temporary_directory;
