--- a/crates/jasminebend/src/access_keys.rs
+++ b/crates/jasminebend/src/access_keys.rs
@@ -2,7 +2,10 @@
 
 use std::{
     fs,
-    path::Path,
+    path::{
+        Path,
+        PathBuf, //
+    },
     sync::{
         Arc,
         PoisonError,
@@ -46,7 +49,7 @@
 #[derive(Debug)]
 pub struct AccessKeys {
     tls: Option<TlsSettings>,
-    tokens_file: Option<std::path::PathBuf>,
+    tokens_file: Option<PathBuf>,
     current: RwLock<LoadedKeys>,
 }
 
@@ -97,19 +100,11 @@
         }
     }
 
-    /// Returns a digest of the files' contents; it differs once a file was replaced.
-    ///
-    /// Contents are compared, not times of change: two writes within one tick of the file system's
-    /// clock would look like one.
-    pub fn fingerprint(&self) -> blake3::Hash {
+    /// Lists the files that the keys come from.
+    pub fn files(&self) -> Vec<PathBuf> {
         let tls = self.tls.iter();
-        let tls = tls.flat_map(|tls| [tls.cert_file.as_path(), tls.key_file.as_path()]);
-        let mut hasher = blake3::Hasher::new();
-        for path in tls.chain(self.tokens_file.as_deref()) {
-            let content = fs::read(path).unwrap_or_default();
-            hasher.update(blake3::hash(&content).as_bytes());
-        }
-        hasher.finalize()
+        let tls = tls.flat_map(|tls| [&tls.cert_file, &tls.key_file]);
+        tls.chain(&self.tokens_file).cloned().collect()
     }
 
     fn loaded(&self) -> LoadedKeys {
--- a/crates/jasminebend/src/daemon_settings.rs
+++ b/crates/jasminebend/src/daemon_settings.rs
@@ -5,7 +5,10 @@
     time::Duration, //
 };
 
-use jasminebend_base::DomainName;
+use jasminebend_base::{
+    DomainName,
+    VmName, //
+};
 
 use crate::{
     LimitSettings,
@@ -25,6 +28,8 @@
 pub const DEFAULT_SHARDS: u16 = 8;
 /// The balancer's lag by default.
 pub const DEFAULT_BALANCER_LAG: Duration = Duration::from_secs(5);
+/// How long a stop waits for the table service by default.
+pub const DEFAULT_LEAVE_TIMEOUT: Duration = Duration::from_secs(60);
 
 /// What a daemon is told when it starts.
 #[derive(Clone, Debug, PartialEq)]
@@ -33,6 +38,8 @@
     pub listen: ListenSettings,
     /// The failure domain that it runs in.
     pub domain: DomainName,
+    /// The VM that it runs on, as the VM list names it.
+    pub vm: Option<VmName>,
     /// The region that it runs in.
     pub region: String,
     /// How many daemons there can be at once; the same for all of them.
@@ -59,6 +66,8 @@
     pub limits: LimitSettings,
     /// How long the balancer may go on sending callers here after `/readyz` says no.
     pub balancer_lag: Duration,
+    /// How long a stop waits for the table service to take back what this daemon holds.
+    pub leave_timeout: Duration,
 }
 
 impl DaemonSettings {
@@ -67,6 +76,7 @@
         Self {
             listen,
             domain,
+            vm: None,
             region: "local".to_owned(),
             seats: DEFAULT_SEATS,
             slot_shares: DEFAULT_SLOT_SHARES,
@@ -80,9 +90,16 @@
             traces: None,
             limits: LimitSettings::default(),
             balancer_lag: DEFAULT_BALANCER_LAG,
+            leave_timeout: DEFAULT_LEAVE_TIMEOUT,
         }
     }
 
+    /// Sets the VM that it runs on, as the VM list names it.
+    pub fn with_vm(mut self, vm: VmName) -> Self {
+        self.vm = Some(vm);
+        self
+    }
+
     /// Sets the number of seats.
     pub fn with_seats(mut self, seats: u8) -> Self {
         self.seats = seats;
--- a/crates/jasminebend/src/key_watch.rs
+++ b/crates/jasminebend/src/key_watch.rs
@@ -1,23 +1,17 @@
 //! Replaces the access keys when their files change.
 
-use std::{
-    sync::Arc,
-    time::Duration, //
-};
+use std::sync::Arc;
 
-use blake3::Hash;
 use spdlog::{
     error,
     info, //
 };
-use tokio::{
-    sync::watch,
-    time::sleep, //
-};
-
-use crate::AccessKeys;
+use tokio::sync::watch;
 
-const PERIOD: Duration = Duration::from_secs(1);
+use crate::{
+    AccessKeys,
+    file_watch::FileWatch, //
+};
 
 /// Replaces the access keys when their files change.
 ///
@@ -25,31 +19,26 @@
 /// old key. The pair is then refused, the keys in force stay, and the next change is a new try.
 pub(crate) struct KeyWatch {
     keys: Arc<AccessKeys>,
-    seen: Hash,
+    files: FileWatch,
 }
 
 impl KeyWatch {
     pub(crate) fn new(keys: Arc<AccessKeys>) -> Self {
-        let seen = keys.fingerprint();
-        Self { keys, seen }
+        let files = FileWatch::new(keys.files());
+        Self { keys, files }
     }
 
-    /// Looks at the files each second, until the sender of `stop` is dropped.
+    /// Runs until the sender of `stop` is dropped.
     pub(crate) async fn run(mut self, mut stop: watch::Receiver<()>) {
         loop {
             tokio::select! {
                 _ = stop.changed() => return,
-                () = sleep(PERIOD) => self.look(),
+                () = self.files.changed() => self.reload(),
             }
         }
     }
 
-    fn look(&mut self) {
-        let found = self.keys.fingerprint();
-        if found == self.seen {
-            return;
-        }
-        self.seen = found;
+    fn reload(&self) {
         match self.keys.reload() {
             Ok(()) => info!("[administration] The keys were replaced."),
             Err(error) => {
--- a/crates/jasminebend/src/lib.rs
+++ b/crates/jasminebend/src/lib.rs
@@ -19,6 +19,7 @@
 mod daemon_status;
 pub mod demo;
 mod demo_options;
+mod file_watch;
 mod given_key;
 mod key_reader;
 mod key_watch;
@@ -64,6 +65,7 @@
     daemon_error::DaemonError,
     daemon_settings::{
         DEFAULT_BALANCER_LAG,
+        DEFAULT_LEAVE_TIMEOUT,
         DEFAULT_SEATS,
         DEFAULT_SHARDS,
         DEFAULT_SLOT_SHARES,
--- a/crates/jasminebend/src/listen_settings.rs
+++ b/crates/jasminebend/src/listen_settings.rs
@@ -13,10 +13,13 @@
     key_reader::{
         KeyReader,
         RawText,
-        parse_address, //
+        parse_address,
+        parse_remote, //
     },
 };
 
+const PEER_ADDRESS: &str =
+    "the IP address and port that the other daemons reach, such as `10.0.0.5:7400`";
 const ADDRESS: &str = "an IP address and port to listen on, such as `10.0.0.5:8080`";
 
 /// Where the daemon listens.
@@ -99,13 +102,19 @@
         let listen = ListenSettings {
             callers: address("callers", &self.callers)?,
             administration: address("administration", &self.administration)?,
-            peers: address("peers", &self.peers)?,
+            peers: self.peer_address(reader)?,
             health: reader.parse("health", ADDRESS, self.health.as_ref(), parse_address)?,
         };
         self.check_apart(&listen)?;
         Ok(listen)
     }
 
+    /// The other daemons are told this address, so that it must be this VM's own.
+    fn peer_address(&self, reader: KeyReader) -> Result<SocketAddr, SettingsError> {
+        let address = reader.parse("peers", PEER_ADDRESS, self.peers.as_ref(), parse_remote)?;
+        reader.required("peers", PEER_ADDRESS, address)
+    }
+
     fn check_apart(&self, listen: &ListenSettings) -> Result<(), SettingsError> {
         let all = [
             ("listen.callers", Some(listen.callers), &self.callers),
--- a/crates/jasminebend/src/settings_file.rs
+++ b/crates/jasminebend/src/settings_file.rs
@@ -7,7 +7,10 @@
     time::Duration, //
 };
 
-use jasminebend_base::DomainName;
+use jasminebend_base::{
+    DomainName,
+    VmName, //
+};
 use serde::Deserialize;
 use serde_saphyr::Spanned;
 
@@ -15,6 +18,7 @@
     DaemonSettings, PeerKeySource, SettingsError,
     daemon_settings::{
         DEFAULT_BALANCER_LAG,
+        DEFAULT_LEAVE_TIMEOUT,
         DEFAULT_SEATS,
         DEFAULT_SHARDS,
         DEFAULT_SLOT_SHARES, //
@@ -46,12 +50,15 @@
 const PATH: &str = "the path of a file";
 const FLAG: &str = "`true` or `false`";
 const LAG: &str = "a time from 0s to 10m with its unit, such as `5s`";
+const LEAVE: &str = "a time from 1s to 1h with its unit, such as `1m`";
+const LEAVES: RangeInclusive<Duration> = Duration::from_secs(1)..=Duration::from_secs(3600);
 const LAGS: RangeInclusive<Duration> = Duration::ZERO..=Duration::from_secs(600);
 
 #[derive(Debug, Default, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 struct RawSettings {
     listen: GivenKey<Spanned<RawListen>>,
+    vm: GivenKey<RawText>,
     failure_domain: GivenKey<RawText>,
     region: GivenKey<RawText>,
     seats: GivenKey<RawText>,
@@ -78,6 +85,7 @@
 #[serde(default, deny_unknown_fields)]
 struct RawDrain {
     balancer_lag: GivenKey<RawText>,
+    leave_timeout: GivenKey<RawText>,
 }
 
 impl DaemonSettings {
@@ -120,6 +128,7 @@
         let domain = self.name(reader, "failure_domain", &self.failure_domain)?;
         let mut settings =
             DaemonSettings::new(listen, DomainName::from(domain), self.peer_key(reader)?);
+        settings.vm = Some(VmName::from(self.name(reader, "vm", &self.vm)?));
         settings.region = self.name(reader, "region", &self.region)?;
         settings.platform = Some(platform.value.resolve(platform.referenced.line())?);
         self.resolve_sizes(reader, &mut settings)?;
@@ -214,6 +223,11 @@
         let lag = drain.value.balancer_lag.as_ref();
         let lag = reader.parse("balancer_lag", LAG, lag, |text| parse_time(text, LAGS))?;
         settings.balancer_lag = lag.unwrap_or(DEFAULT_BALANCER_LAG);
+        let leave = drain.value.leave_timeout.as_ref();
+        let leave = reader.parse("leave_timeout", LEAVE, leave, |text| {
+            parse_time(text, LEAVES)
+        })?;
+        settings.leave_timeout = leave.unwrap_or(DEFAULT_LEAVE_TIMEOUT);
         Ok(())
     }
 
