--- /dev/null
+++ b/crates/gateway/src/delivery.rs
@@ -0,0 +1,245 @@
+//! Has a request answered by the endpoints of its class's service.
+
+use std::{
+    pin::{
+        Pin,
+        pin, //
+    },
+    time::Duration,
+};
+
+use http::{
+    Request,
+    StatusCode, //
+};
+use tokio::time::timeout;
+
+use crate::{
+    exchange::{
+        AttemptError,
+        AttemptPlan,
+        EndpointAnswer,
+        EndpointRequest,
+        attempt,
+        drain, //
+    },
+    gateway_shared::GatewayShared,
+    header_names::EXECUTED,
+    refusal::Refusal,
+    request_body::RequestBody,
+    route_snapshot::RequestClass,
+    service_pool::SlotDemand,
+    slot_lease::SlotLease,
+};
+
+const MOST_ATTEMPTS: u32 = 3;
+const LEAST_SAMPLES: u64 = 100;
+const LEAST_HEDGE_DELAY: Duration = Duration::from_millis(2);
+
+/// Has a request answered, with as many attempts as it may have.
+pub(crate) struct Delivery<'a> {
+    shared: &'a GatewayShared,
+    class: &'a RequestClass,
+    plan: AttemptPlan,
+    demand: SlotDemand,
+    maybe_run: bool,
+}
+
+impl<'a> Delivery<'a> {
+    /// Creates the delivery of a request that is ready to be sent.
+    pub(crate) fn new(
+        shared: &'a GatewayShared,
+        class: &'a RequestClass,
+        plan: AttemptPlan,
+        demand: SlotDemand,
+    ) -> Self {
+        Self {
+            shared,
+            class,
+            plan,
+            demand,
+            maybe_run: false,
+        }
+    }
+
+    /// Has the request answered.
+    pub(crate) async fn run(
+        mut self,
+        request: Box<EndpointRequest>,
+    ) -> Result<EndpointAnswer, Refusal> {
+        let lease = self.class.pool.acquire(self.demand).await?;
+        let waited = self
+            .shared
+            .clock
+            .monotonic()
+            .saturating_sub(self.demand.arrival);
+        self.class.metrics.queue_seconds.record(waited);
+        self.class.pool.lock().budget.earn();
+        let outcome = self.deliver(lease, request).await;
+        // Once an attempt may have run, no later refusal may say that the request was not run.
+        outcome.map_err(|refusal| match self.maybe_run && refusal.surely_not_run() {
+            true => Refusal::EndpointFailed,
+            false => refusal,
+        })
+    }
+
+    async fn deliver(
+        &mut self,
+        mut lease: SlotLease,
+        mut request: Box<EndpointRequest>,
+    ) -> Result<EndpointAnswer, Refusal> {
+        for _ in 1..MOST_ATTEMPTS {
+            self.demand.avoid = Some(lease.address);
+            let copy = copy_of(&request);
+            let outcome = self.attempt_hedged(lease, request).await;
+            (lease, request) = match outcome {
+                Ok(answer) => match self.after_answer(&answer, copy) {
+                    Some(next) => {
+                        let latency = answer.latency;
+                        tokio::spawn(drain(answer.response, answer.lease, latency));
+                        next
+                    }
+                    None => return Ok(answer),
+                },
+                Err(AttemptError::NotRun { request, .. }) => {
+                    (self.class.pool.acquire(self.demand).await?, request)
+                }
+                Err(AttemptError::Unknown(refusal)) => {
+                    self.maybe_run = true;
+                    self.after_unknown(copy).ok_or(refusal)?
+                }
+            };
+        }
+        self.last(lease, request).await
+    }
+
+    async fn last(
+        &mut self,
+        lease: SlotLease,
+        request: Box<EndpointRequest>,
+    ) -> Result<EndpointAnswer, Refusal> {
+        match attempt(self.shared, lease, request, self.plan).await {
+            Ok(answer) => Ok(answer),
+            Err(AttemptError::NotRun { refusal, .. }) => Err(refusal),
+            Err(AttemptError::Unknown(refusal)) => {
+                self.maybe_run = true;
+                Err(refusal)
+            }
+        }
+    }
+
+    /// Makes an attempt, and a second one beside it once the first takes longer than most.
+    async fn attempt_hedged(
+        &mut self,
+        lease: SlotLease,
+        request: Box<EndpointRequest>,
+    ) -> Result<EndpointAnswer, AttemptError> {
+        let delay = self.hedge_delay();
+        let copy = delay.and_then(|_| copy_of(&request));
+        let mut first = pin!(attempt(self.shared, lease, request, self.plan));
+        let (Some(delay), Some(copy)) = (delay, copy) else {
+            return first.await;
+        };
+        if let Ok(outcome) = timeout(delay, first.as_mut()).await {
+            return outcome;
+        }
+        let Some((lease, copy)) = self.again(copy) else {
+            return first.await;
+        };
+        self.class.metrics.hedges.increment(1);
+        self.maybe_run = true;
+        let second = pin!(attempt(self.shared, lease, copy, self.plan));
+        first_answer(first, second).await
+    }
+
+    fn hedge_delay(&self) -> Option<Duration> {
+        if !self.plan.idempotent {
+            return None;
+        }
+        let state = self.class.pool.lock();
+        let learned = state.latency.samples() >= LEAST_SAMPLES;
+        learned.then(|| state.latency.quantile().max(LEAST_HEDGE_DELAY))
+    }
+
+    fn after_answer(
+        &mut self,
+        answer: &EndpointAnswer,
+        copy: Option<Box<EndpointRequest>>,
+    ) -> Option<(SlotLease, Box<EndpointRequest>)> {
+        let status = answer.response.status();
+        let not_run = says_not_run(answer);
+        let failed = matches!(
+            status,
+            StatusCode::BAD_GATEWAY | StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT
+        );
+        if !(not_run || self.plan.idempotent && failed) {
+            return None;
+        }
+        self.maybe_run |= !not_run;
+        self.again(copy?)
+            .inspect(|_| self.class.metrics.retries.increment(1))
+    }
+
+    fn after_unknown(
+        &mut self,
+        copy: Option<Box<EndpointRequest>>,
+    ) -> Option<(SlotLease, Box<EndpointRequest>)> {
+        if !self.plan.idempotent || self.shared.clock.monotonic() >= self.plan.give_up {
+            return None;
+        }
+        self.again(copy?)
+            .inspect(|_| self.class.metrics.retries.increment(1))
+    }
+
+    /// Takes a slot for one more attempt, if one is free and the budget allows it.
+    fn again(&self, copy: Box<EndpointRequest>) -> Option<(SlotLease, Box<EndpointRequest>)> {
+        let pool = &self.class.pool;
+        let lease = pool.try_acquire(self.demand.avoid)?;
+        if !pool.lock().budget.spend() {
+            return None;
+        }
+        Some((lease, copy))
+    }
+}
+
+/// Returns the first answer; an attempt that fails leaves the matter to the other one.
+async fn first_answer<First, Second>(
+    mut first: Pin<&mut First>,
+    mut second: Pin<&mut Second>,
+) -> Result<EndpointAnswer, AttemptError>
+where
+    First: Future<Output = Result<EndpointAnswer, AttemptError>>,
+    Second: Future<Output = Result<EndpointAnswer, AttemptError>>,
+{
+    tokio::select! {
+        outcome = first.as_mut() => match outcome {
+            Ok(answer) => Ok(answer),
+            Err(_) => second.await,
+        },
+        outcome = second.as_mut() => match outcome {
+            Ok(answer) => Ok(answer),
+            Err(_) => first.await,
+        },
+    }
+}
+
+/// Tells whether the endpoint itself says that it did not run the request.
+pub(crate) fn says_not_run(answer: &EndpointAnswer) -> bool {
+    let executed = answer.response.headers().get(&EXECUTED);
+    let refused = matches!(
+        answer.response.status(),
+        StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS
+    );
+    refused && executed.is_some_and(|value| value.as_bytes() == b"no")
+}
+
+fn copy_of(request: &EndpointRequest) -> Option<Box<EndpointRequest>> {
+    let RequestBody::Whole(body) = request.body() else {
+        return None;
+    };
+    let mut copy = Request::new(RequestBody::Whole(body.clone()));
+    *copy.method_mut() = request.method().clone();
+    *copy.uri_mut() = request.uri().clone();
+    *copy.headers_mut() = request.headers().clone();
+    Some(Box::new(copy))
+}
--- /dev/null
+++ b/crates/gateway/src/endpoint_connection.rs
@@ -0,0 +1,81 @@
+//! A connection to an endpoint, bound to one slot.
+
+use std::{
+    net::SocketAddr,
+    time::Duration, //
+};
+
+use derive_more::{
+    Display,
+    Error, //
+};
+use hyper::client::conn::http1::{
+    Builder,
+    SendRequest, //
+};
+use hyper_util::rt::TokioIo;
+use tokio::{
+    net::TcpStream,
+    time::timeout, //
+};
+
+use crate::request_body::RequestBody;
+
+const READ_BUFFER_BYTES: usize = 32 * 1024;
+const MOST_HEADERS: usize = 100;
+
+/// A connection to an endpoint, bound to one slot: it carries one exchange at a time, so that an
+/// answer is paired with its request by the connection alone.
+pub(crate) struct EndpointConnection {
+    /// Sends requests; closing it ends the connection's task.
+    pub(crate) sender: SendRequest<RequestBody>,
+    /// When the endpoint was last heard from on it.
+    pub(crate) last_heard: Duration,
+    /// Whether the endpoint ever kept it open after an answer.
+    pub(crate) kept_open: bool,
+}
+
+/// Why no connection was opened; nothing was sent.
+#[derive(Clone, Copy, Debug, Display, Eq, Error, PartialEq)]
+pub(crate) enum DialError {
+    /// The endpoint refused, or there is no way to it.
+    #[display("the endpoint refused the connection")]
+    Refused,
+    /// It did not answer in time.
+    #[display("the endpoint did not accept the connection in time")]
+    Timeout,
+}
+
+impl EndpointConnection {
+    /// Opens a connection.
+    pub(crate) async fn dial(
+        address: SocketAddr,
+        patience: Duration,
+        now: Duration,
+    ) -> Result<Self, DialError> {
+        let stream = timeout(patience, TcpStream::connect(address))
+            .await
+            .map_err(|_| DialError::Timeout)?
+            .map_err(|_| DialError::Refused)?;
+        stream.set_nodelay(true).map_err(|_| DialError::Refused)?;
+        let (sender, connection) = Builder::new()
+            .max_buf_size(READ_BUFFER_BYTES)
+            .max_headers(MOST_HEADERS)
+            .handshake(TokioIo::new(stream))
+            .await
+            .map_err(|_| DialError::Refused)?;
+        // An error of the connection reaches the exchange on it, or finds it closed before the
+        // next one; there is nobody else to tell.
+        tokio::spawn(async move { connection.await.is_ok() });
+        Ok(Self {
+            sender,
+            last_heard: now,
+            kept_open: false,
+        })
+    }
+
+    /// Tells whether the connection can still carry a request, as far as is known.
+    pub(crate) fn is_open(&self) -> bool {
+        !self.sender.is_closed()
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/exchange_end.rs
@@ -0,0 +1,45 @@
+//! What became of a slot's exchange.
+
+use std::time::Duration;
+
+use crate::endpoint_connection::EndpointConnection;
+
+/// What became of a slot's exchange.
+pub(crate) enum ExchangeEnd {
+    /// Nothing was sent.
+    Unused {
+        /// The connection that the slot had, if it may be used again.
+        connection: Option<EndpointConnection>,
+    },
+    /// The endpoint could not be connected to.
+    Unconnected,
+    /// The whole answer came.
+    Answered {
+        /// From sending to the answer's head.
+        latency: Duration,
+        /// What the answer says of the endpoint.
+        verdict: AnswerVerdict,
+        /// The connection, if it may be used again.
+        connection: Option<EndpointConnection>,
+    },
+    /// No answer came, but the longest request there may be is over.
+    Over,
+    /// The endpoint may still be working on it.
+    Unknown,
+}
+
+/// What an answer says of its endpoint.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum AnswerVerdict {
+    /// It does its work.
+    Good,
+    /// It answered that it failed.
+    Failed,
+    /// It takes no more for this long (503).
+    Refusing {
+        /// What its `Retry-After` asks for.
+        asked: Duration,
+    },
+    /// It announced its end (`Connection: close` where it used to keep connections).
+    Leaving,
+}
--- /dev/null
+++ b/crates/gateway/src/gateway_shared.rs
@@ -0,0 +1,106 @@
+//! What the gateway's parts share.
+
+use std::sync::{
+    Arc,
+    PoisonError,
+    RwLock,
+    atomic::AtomicBool, //
+};
+
+use indexmap::IndexMap;
+use jasminebend_base::ServiceName;
+use jasminebend_ports::{
+    ClockSource,
+    OwnershipView, //
+};
+use tokio::sync::Notify;
+
+use crate::{
+    gateway_edges::GatewayEdges,
+    gateway_settings::GatewaySettings,
+    key_store::KeyStore,
+    route_snapshot::RouteSnapshot,
+    service_pool::ServicePool, //
+};
+
+/// What the gateway's parts share.
+pub(crate) struct GatewayShared {
+    /// The settings.
+    pub(crate) settings: Arc<GatewaySettings>,
+    /// The slot shares that this daemon holds.
+    pub(crate) ownership: Arc<dyn OwnershipView>,
+    /// The clock.
+    pub(crate) clock: Arc<dyn ClockSource>,
+    /// The idempotency keys.
+    pub(crate) keys: Arc<KeyStore>,
+    /// The seed of the random picks.
+    pub(crate) seed: u64,
+    /// Told whenever a slot falls idle.
+    pub(crate) idle: Arc<Notify>,
+    /// Whether the gateway is draining.
+    pub(crate) draining: AtomicBool,
+    routes: RwLock<Arc<RouteSnapshot>>,
+    pools: RwLock<IndexMap<ServiceName, Arc<ServicePool>>>,
+}
+
+impl GatewayShared {
+    /// Creates a gateway without routes.
+    pub(crate) fn new(settings: GatewaySettings, edges: &GatewayEdges) -> Self {
+        let keys = KeyStore::new(
+            Arc::clone(&edges.table),
+            Arc::clone(&edges.clock),
+            settings.key_retention,
+            edges.seed,
+        );
+        Self {
+            settings: Arc::new(settings),
+            ownership: Arc::clone(&edges.ownership),
+            clock: Arc::clone(&edges.clock),
+            keys: Arc::new(keys),
+            seed: edges.seed,
+            idle: Arc::new(Notify::new()),
+            draining: AtomicBool::new(false),
+            routes: RwLock::default(),
+            pools: RwLock::default(),
+        }
+    }
+
+    /// Returns the routes in force.
+    pub(crate) fn routes(&self) -> Arc<RouteSnapshot> {
+        let routes = self.routes.read().unwrap_or_else(PoisonError::into_inner);
+        Arc::clone(&routes)
+    }
+
+    /// Puts routes in force.
+    pub(crate) fn set_routes(&self, routes: RouteSnapshot) {
+        let mut own = self.routes.write().unwrap_or_else(PoisonError::into_inner);
+        *own = Arc::new(routes);
+    }
+
+    /// Returns all pools.
+    pub(crate) fn pools(&self) -> Vec<Arc<ServicePool>> {
+        let pools = self.pools.read().unwrap_or_else(PoisonError::into_inner);
+        pools.values().cloned().collect()
+    }
+
+    /// Returns a service's pool, made if there is none. Pools stay for good: a class that returns
+    /// must find the slots that its service's earlier requests still hold.
+    pub(crate) fn pool(&self, service: &ServiceName) -> Arc<ServicePool> {
+        let mut pools = self.pools.write().unwrap_or_else(PoisonError::into_inner);
+        // CAST: a `usize` of these machines fits a `u64`.
+        let seed = self.seed.wrapping_add(pools.len() as u64);
+        let pool = pools.entry(service.clone()).or_insert_with(|| {
+            let settings = Arc::clone(&self.settings);
+            let clock = Arc::clone(&self.clock);
+            let idle = Arc::clone(&self.idle);
+            Arc::new(ServicePool::new(
+                service.clone(),
+                settings,
+                clock,
+                idle,
+                seed,
+            ))
+        });
+        Arc::clone(pool)
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/header_rules.rs
@@ -0,0 +1,187 @@
+//! What of a head is checked, removed and added at this hop (RFC 9110, 7.6; RFC 9112).
+
+use std::net::IpAddr;
+
+use http::{
+    HeaderMap, HeaderName, HeaderValue, Method, Request, Uri, Version,
+    header::{
+        CONNECTION,
+        CONTENT_LENGTH,
+        EXPECT,
+        HOST,
+        TE,
+        TRAILER,
+        TRANSFER_ENCODING,
+        UPGRADE,
+        VIA, //
+    },
+    uri::PathAndQuery,
+};
+
+use crate::{
+    header_names::{
+        FORWARDED_FOR,
+        KEEP_ALIVE,
+        PROXY_CONNECTION, //
+    },
+    refusal::Refusal,
+};
+
+const VIA_SELF: HeaderValue = HeaderValue::from_static("1.1 jasminebend");
+const MOST_CONNECTION_OPTIONS: usize = 16;
+
+/// Checks a request's head for what must not go further.
+///
+/// Which faults hyper leaves to us: two `Host` headers or none, a `Transfer-Encoding` list with
+/// more than `chunked`, a path with dot segments (which could cross from one route to another).
+pub(crate) fn check_head<Body>(request: &Request<Body>) -> Result<(), Refusal> {
+    if request.method() == Method::CONNECT || request.headers().contains_key(UPGRADE) {
+        return Err(Refusal::UpgradeRefused);
+    }
+    check_host(request)?;
+    check_framing(request.headers())?;
+    check_path(request.uri().path())
+}
+
+fn check_host<Body>(request: &Request<Body>) -> Result<(), Refusal> {
+    let mut hosts = request.headers().get_all(HOST).iter();
+    let first = hosts.next();
+    if hosts.next().is_some() {
+        return Err(Refusal::Malformed("it has two Host headers"));
+    }
+    match first {
+        None if request.version() == Version::HTTP_10 => Ok(()),
+        None => Err(Refusal::Malformed("it has no Host header")),
+        Some(host) if is_host(host.as_bytes()) => Ok(()),
+        Some(_) => Err(Refusal::Malformed("its Host header is no host")),
+    }
+}
+
+fn is_host(host: &[u8]) -> bool {
+    let legal = |byte: &u8| byte.is_ascii_alphanumeric() || b"-._~:[]%".contains(byte);
+    host.iter().all(legal)
+}
+
+fn check_framing(headers: &HeaderMap) -> Result<(), Refusal> {
+    let mut codings = headers.get_all(TRANSFER_ENCODING).iter();
+    let Some(coding) = codings.next() else {
+        return check_length(headers);
+    };
+    let chunked = coding.as_bytes().eq_ignore_ascii_case(b"chunked");
+    if !chunked || codings.next().is_some() {
+        return Err(Refusal::Malformed("its Transfer-Encoding is not chunked"));
+    }
+    if headers.contains_key(CONTENT_LENGTH) {
+        return Err(Refusal::Malformed("it has two lengths"));
+    }
+    Ok(())
+}
+
+fn check_length(headers: &HeaderMap) -> Result<(), Refusal> {
+    if headers.get_all(CONTENT_LENGTH).iter().count() > 1 {
+        return Err(Refusal::Malformed("it has two lengths"));
+    }
+    Ok(())
+}
+
+fn check_path(path: &str) -> Result<(), Refusal> {
+    let dotted = path.split('/').any(|segment| {
+        let plain = segment.replace("%2e", ".").replace("%2E", ".");
+        plain == "." || plain == ".."
+    });
+    match path.contains('.') || path.contains('%') {
+        true if dotted => Err(Refusal::Malformed("its path has dot segments")),
+        _ => Ok(()),
+    }
+}
+
+/// Returns the host that a request names, without its port.
+pub(crate) fn host_of<Body>(request: &Request<Body>) -> &str {
+    if let Some(host) = request.uri().host() {
+        return host;
+    }
+    let host = request.headers().get(HOST);
+    let host = host.and_then(|host| host.to_str().ok()).unwrap_or("");
+    match host.rfind(':') {
+        Some(colon) if !host.ends_with(']') => &host[..colon],
+        _ => host,
+    }
+}
+
+/// Turns a caller's head into the one that goes to the endpoint.
+pub(crate) fn prepare_request(uri: &mut Uri, headers: &mut HeaderMap, caller: IpAddr) {
+    if let Some(authority) = uri.authority()
+        && let Ok(host) = HeaderValue::from_str(authority.as_str())
+    {
+        headers.insert(HOST, host);
+    }
+    if uri.authority().is_some() {
+        *uri = origin_form(uri);
+    }
+    remove_hop_headers(headers);
+    headers.remove(EXPECT);
+    headers.remove(TE);
+    headers.append(VIA, VIA_SELF);
+    add_forwarded(headers, caller);
+}
+
+/// Turns an endpoint's head into the one that goes to the caller.
+pub(crate) fn prepare_answer(headers: &mut HeaderMap) {
+    remove_hop_headers(headers);
+    headers.append(VIA, VIA_SELF);
+}
+
+fn origin_form(uri: &Uri) -> Uri {
+    let path = uri
+        .path_and_query()
+        .cloned()
+        .unwrap_or(PathAndQuery::from_static("/"));
+    Uri::from(path)
+}
+
+fn remove_hop_headers(headers: &mut HeaderMap) {
+    for name in named_by_connection(headers) {
+        headers.remove(name);
+    }
+    headers.remove(CONNECTION);
+    headers.remove(&KEEP_ALIVE);
+    headers.remove(&PROXY_CONNECTION);
+    headers.remove(TRANSFER_ENCODING);
+    headers.remove(TRAILER);
+    headers.remove(UPGRADE);
+}
+
+/// Returns the headers that `Connection` names, but for those that frame or address the message:
+/// a caller could otherwise have us drop the length of the body that we pass on.
+fn named_by_connection(headers: &HeaderMap) -> Vec<HeaderName> {
+    headers
+        .get_all(CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .filter_map(|name| HeaderName::try_from(name.trim()).ok())
+        .filter(|name| *name != CONTENT_LENGTH && *name != HOST)
+        .take(MOST_CONNECTION_OPTIONS)
+        .collect()
+}
+
+fn add_forwarded(headers: &mut HeaderMap, caller: IpAddr) {
+    let own = caller.to_string();
+    let whole = match headers.get(&FORWARDED_FOR).and_then(|v| v.to_str().ok()) {
+        Some(earlier) => format!("{earlier}, {own}"),
+        None => own,
+    };
+    if let Ok(value) = HeaderValue::from_str(&whole) {
+        headers.insert(&FORWARDED_FOR, value);
+    }
+}
+
+/// Tells whether a list of tokens, such as `Connection`, holds this one.
+pub(crate) fn has_token(headers: &HeaderMap, name: HeaderName, token: &str) -> bool {
+    headers
+        .get_all(name)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .any(|own| own.trim().eq_ignore_ascii_case(token))
+}
--- /dev/null
+++ b/crates/gateway/src/key_record.rs
@@ -0,0 +1,94 @@
+//! What the table keeps of an idempotency key.
+
+use bytes::Bytes;
+use http::{
+    HeaderMap,
+    HeaderName,
+    HeaderValue,
+    Response,
+    StatusCode, //
+};
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+
+use crate::{
+    answer_body::AnswerBody,
+    header_names::REPLAYED, //
+};
+
+/// What the table keeps of an idempotency key.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub(crate) struct KeyRecord {
+    /// Tells one request from another: a key must not be used for two.
+    pub(crate) fingerprint: [u8; 16],
+    /// Drawn anew for each reservation, so that a writer whose answer was lost knows its own.
+    pub(crate) reservation: u64,
+    /// The hour, counted from the epoch of the wall clock, after which the row may go.
+    pub(crate) expiry_hour: u64,
+    /// What became of the request.
+    pub(crate) state: KeyState,
+}
+
+impl KeyRecord {
+    /// Sets what became of the request.
+    pub(crate) fn with_state(mut self, state: KeyState) -> Self {
+        self.state = state;
+        self
+    }
+}
+
+/// What became of a request with an idempotency key.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub(crate) enum KeyState {
+    /// It was begun; if its daemon died, nobody knows more.
+    Reserved,
+    /// It certainly was not run, so that the key may be used again.
+    NotRun,
+    /// It may have been run.
+    Unknown,
+    /// It was answered.
+    Answered(KeptAnswer),
+    /// It was answered, and the answer was too large to be kept.
+    AnsweredLarge,
+}
+
+/// An answer as the table keeps it.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub(crate) struct KeptAnswer {
+    status: u16,
+    headers: Vec<(String, Vec<u8>)>,
+    body: Bytes,
+}
+
+impl KeptAnswer {
+    /// Keeps an answer.
+    pub(crate) fn new(status: StatusCode, headers: &HeaderMap, body: Bytes) -> Self {
+        let headers = headers
+            .iter()
+            .map(|(name, value)| (name.to_string(), value.as_bytes().to_vec()))
+            .collect();
+        Self {
+            status: status.as_u16(),
+            headers,
+            body,
+        }
+    }
+
+    /// Returns the answer once more, marked as a repetition.
+    pub(crate) fn into_answer(self) -> Response<AnswerBody> {
+        let mut answer = Response::new(AnswerBody::whole(self.body));
+        *answer.status_mut() = StatusCode::from_u16(self.status).unwrap_or(StatusCode::OK);
+        for (name, value) in self.headers {
+            let name = HeaderName::try_from(name);
+            let value = HeaderValue::from_bytes(&value);
+            if let (Ok(name), Ok(value)) = (name, value) {
+                answer.headers_mut().append(name, value);
+            }
+        }
+        let replayed = HeaderValue::from_static("true");
+        answer.headers_mut().insert(&REPLAYED, replayed);
+        answer
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/key_row.rs
@@ -0,0 +1,73 @@
+//! The table's rows of the idempotency keys.
+
+use blake3::Hasher;
+use http::{
+    HeaderMap,
+    Method,
+    Uri,
+    header::AUTHORIZATION, //
+};
+use jasminebend_base::ClassName;
+use jasminebend_ports::{
+    RowKey,
+    WriteId, //
+};
+
+/// Where the rows that list keys by their hour of expiry begin.
+pub(crate) const INDEX_PREFIX: &str = "request-keys/by-expiry/";
+const ROW_PREFIX: &str = "request-keys/by-key/";
+const MOST_KEY_BYTES: usize = 255;
+
+/// Returns the row of a class's idempotency key.
+pub(crate) fn key_row(class: &ClassName, key: &[u8]) -> RowKey {
+    let mut hasher = Hasher::new();
+    hasher.update(class.as_str().as_bytes());
+    hasher.update(&[0]);
+    hasher.update(key);
+    RowKey::from(format!("{ROW_PREFIX}{}", hasher.finalize().to_hex()))
+}
+
+/// Returns the row that lists the keys which one transaction reserved.
+pub(crate) fn index_row(hour: u64, write: WriteId) -> RowKey {
+    RowKey::from(format!("{INDEX_PREFIX}{hour:012}/{write}"))
+}
+
+/// Returns the hour of expiry that an index row is under.
+pub(crate) fn index_hour(row: &RowKey) -> Option<u64> {
+    let rest = row.as_str().strip_prefix(INDEX_PREFIX)?;
+    rest.split('/').next()?.parse().ok()
+}
+
+/// Tells whether a key is one: 1 to 255 visible ASCII characters.
+pub(crate) fn is_key(key: &[u8]) -> bool {
+    let fits = (1..=MOST_KEY_BYTES).contains(&key.len());
+    fits && key.iter().all(u8::is_ascii_graphic)
+}
+
+/// Returns what tells one request from another. The caller's authorization is part of it: nobody
+/// gets another's answer by guessing a key.
+pub(crate) fn fingerprint(
+    method: &Method,
+    uri: &Uri,
+    headers: &HeaderMap,
+    body: &[u8],
+) -> [u8; 16] {
+    let mut hasher = Hasher::new();
+    let path = uri.path_and_query().map_or("", |path| path.as_str());
+    let authorization = headers
+        .get(AUTHORIZATION)
+        .map_or(&b""[..], |v| v.as_bytes());
+    for part in [
+        method.as_str().as_bytes(),
+        path.as_bytes(),
+        authorization,
+        body,
+    ] {
+        // CAST: a `usize` of these machines fits a `u64`.
+        hasher.update(&(part.len() as u64).to_be_bytes());
+        hasher.update(part);
+    }
+    let mut fingerprint = [0; 16];
+    hasher.finalize_xof().fill(&mut fingerprint);
+    fingerprint
+}
--- /dev/null
+++ b/crates/gateway/src/key_store.rs
@@ -0,0 +1,219 @@
+//! Reserves idempotency keys and keeps what became of their requests.
+
+use std::{
+    sync::{
+        Arc,
+        Mutex,
+        PoisonError, //
+    },
+    time::{
+        Duration,
+        SystemTime, //
+    },
+};
+
+use jasminebend_ports::{
+    ClockSource,
+    RowExpectation,
+    RowKey,
+    RowVersion,
+    TableService, //
+};
+use ractor::{
+    Actor,
+    ActorRef,
+    rpc::CallResult, //
+};
+use rand::{
+    RngExt,
+    SeedableRng,
+    rngs::StdRng, //
+};
+use spdlog::error;
+use tokio::sync::{
+    OnceCell,
+    oneshot, //
+};
+
+use crate::{
+    key_record::{
+        KeptAnswer,
+        KeyRecord,
+        KeyState, //
+    },
+    key_write::{
+        KeyPurpose,
+        KeyWrite,
+        ReserveOutcome, //
+    },
+    key_writer::{
+        KeyWriter,
+        WriterMessage,
+        WriterState, //
+    },
+    refusal::Refusal,
+};
+
+const HOUR: Duration = Duration::from_secs(60 * 60);
+const FLUSH_PATIENCE: Duration = Duration::from_secs(5);
+
+/// Reserves idempotency keys and keeps what became of their requests.
+pub(crate) struct KeyStore {
+    /// The table.
+    pub(crate) table: Arc<dyn TableService>,
+    /// The clock.
+    pub(crate) clock: Arc<dyn ClockSource>,
+    retention: Duration,
+    writer: OnceCell<ActorRef<WriterMessage>>,
+    source: Mutex<StdRng>,
+}
+
+/// What a request with a key is to do.
+pub(crate) enum KeyGrant {
+    /// Run: the key is its own.
+    Run(KeyReservation),
+    /// Answer as before.
+    Replay(KeptAnswer),
+}
+
+/// A key that is reserved for a request. Dropping it keeps the outcome as unknown, so that no way
+/// out of the code frees a key whose request may have run.
+pub(crate) struct KeyReservation {
+    writer: ActorRef<WriterMessage>,
+    row: RowKey,
+    record: KeyRecord,
+    version: RowVersion,
+    settled: bool,
+}
+
+impl KeyStore {
+    /// Creates a store over the table.
+    pub(crate) fn new(
+        table: Arc<dyn TableService>,
+        clock: Arc<dyn ClockSource>,
+        retention: Duration,
+        seed: u64,
+    ) -> Self {
+        Self {
+            table,
+            clock,
+            retention,
+            writer: OnceCell::new(),
+            source: Mutex::new(StdRng::seed_from_u64(seed)),
+        }
+    }
+
+    /// Reserves a key for a request, or tells why it must not be run.
+    pub(crate) async fn reserve(
+        &self,
+        row: RowKey,
+        fingerprint: [u8; 16],
+        give_up: Duration,
+    ) -> Result<KeyGrant, Refusal> {
+        let writer = self.writer().await?;
+        let record = KeyRecord {
+            fingerprint,
+            reservation: self.draw(),
+            expiry_hour: self.hour_in(self.retention),
+            state: KeyState::Reserved,
+        };
+        let (reply, outcome) = oneshot::channel();
+        let write = KeyWrite {
+            row: row.clone(),
+            record: record.clone(),
+            expected: RowExpectation::Absent,
+            purpose: KeyPurpose::Reserve { reply, give_up },
+        };
+        writer
+            .cast(WriterMessage::Write(write))
+            .map_err(|_| Refusal::KeyUnreserved)?;
+        let left = give_up.saturating_sub(self.clock.monotonic());
+        let outcome = tokio::time::timeout(left, outcome)
+            .await
+            .map_err(|_| Refusal::KeyUnreserved)?
+            .map_err(|_| Refusal::KeyUnreserved)?;
+        match outcome {
+            ReserveOutcome::Refused(refusal) => Err(refusal),
+            ReserveOutcome::Replay(answer) => Ok(KeyGrant::Replay(answer)),
+            ReserveOutcome::Granted(version) => Ok(KeyGrant::Run(KeyReservation {
+                writer,
+                row,
+                record,
+                version,
+                settled: false,
+            })),
+        }
+    }
+
+    /// Waits until what is known is written, within bounds: the table may be away.
+    pub(crate) async fn flush(&self) {
+        let Some(writer) = self.writer.get() else {
+            return;
+        };
+        let flushed = writer
+            .call(WriterMessage::Flush, Some(FLUSH_PATIENCE))
+            .await;
+        if !matches!(flushed, Ok(CallResult::Success(()))) {
+            error!("[gateway] Some requests' outcomes were not kept before the end.");
+        }
+    }
+
+    /// Ends the writer.
+    pub(crate) fn stop(&self) {
+        if let Some(writer) = self.writer.get() {
+            writer.stop(None);
+        }
+    }
+
+    /// Returns the hour of the wall clock in so long from now. It alone decides when a row may go:
+    /// nothing but the wall clock is common to the daemons that come and go meanwhile, and its
+    /// error only shortens or lengthens the retention by as much.
+    pub(crate) fn hour_in(&self, wait: Duration) -> u64 {
+        let now = self.clock.wall().duration_since(SystemTime::UNIX_EPOCH);
+        let then = now.unwrap_or_default() + wait;
+        then.as_secs() / HOUR.as_secs()
+    }
+
+    async fn writer(&self) -> Result<ActorRef<WriterMessage>, Refusal> {
+        let start = || async {
+            let table = Arc::clone(&self.table);
+            let state = WriterState::new(table, Arc::clone(&self.clock), self.draw());
+            let started = Actor::spawn(None, KeyWriter, state).await;
+            started.map(|(writer, _)| writer)
+        };
+        let writer = self.writer.get_or_try_init(start).await;
+        writer.cloned().map_err(|_| Refusal::KeyUnreserved)
+    }
+
+    fn draw(&self) -> u64 {
+        let mut source = self.source.lock().unwrap_or_else(PoisonError::into_inner);
+        source.random()
+    }
+}
+
+impl KeyReservation {
+    /// Keeps what became of the request.
+    pub(crate) fn settle(mut self, state: KeyState) {
+        self.write(state);
+    }
+
+    fn write(&mut self, state: KeyState) {
+        self.settled = true;
+        let write = KeyWrite {
+            row: self.row.clone(),
+            record: self.record.clone().with_state(state),
+            expected: RowExpectation::Version(self.version),
+            purpose: KeyPurpose::Settle,
+        };
+        // Without a writer the key stays reserved, which never runs its request twice.
+        self.writer.cast(WriterMessage::Write(write)).ok();
+    }
+}
+
+impl Drop for KeyReservation {
+    fn drop(&mut self) {
+        if !self.settled {
+            self.write(KeyState::Unknown);
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/key_sweeper.rs
@@ -0,0 +1,116 @@
+//! Removes idempotency keys whose retention is over.
+
+use std::{
+    sync::Arc,
+    time::Duration, //
+};
+
+use jasminebend_base::ResourceId;
+use jasminebend_ports::{
+    RowChange,
+    RowExpectation,
+    RowKey,
+    TableError,
+    TableRow,
+    WriteId, //
+};
+use rand::{
+    SeedableRng,
+    rngs::StdRng, //
+};
+use spdlog::warn;
+use tokio::time::sleep;
+
+use crate::{
+    gateway_shared::GatewayShared,
+    key_record::KeyRecord,
+    key_row::{
+        INDEX_PREFIX,
+        index_hour, //
+    },
+    key_store::KeyStore,
+};
+
+const SWEEPER_SHARE: ResourceId = ResourceId::Slots(0);
+const ROWS_AT_ONCE: usize = 50;
+const BUSY_PAUSE: Duration = Duration::from_millis(200);
+const IDLE_PAUSE: Duration = Duration::from_secs(600);
+
+/// Removes idempotency keys whose retention is over, for as long as the gateway lives. The daemon
+/// that holds the first slot share does it, to spare the table; two at once would do no harm.
+pub(crate) async fn sweep_keys(shared: Arc<GatewayShared>, store: Arc<KeyStore>, seed: u64) {
+    let mut source = StdRng::seed_from_u64(seed);
+    loop {
+        let pause = match shared.ownership.may_act(SWEEPER_SHARE) {
+            Some(_) => sweep_once(&store, &mut source).await,
+            None => Ok(false),
+        };
+        let pause = match pause {
+            Ok(true) => BUSY_PAUSE,
+            Ok(false) => IDLE_PAUSE,
+            Err(error) => {
+                warn!(
+                    "[gateway] Old idempotency keys were not removed: {}.",
+                    error
+                );
+                IDLE_PAUSE
+            }
+        };
+        sleep(pause).await;
+    }
+}
+
+/// Removes the keys of one index row; tells whether more may be due.
+pub(crate) async fn sweep_once(store: &KeyStore, source: &mut StdRng) -> Result<bool, TableError> {
+    let prefix = RowKey::from(INDEX_PREFIX);
+    let rows = store.table.scan(&prefix, None, 1).await?;
+    let Some(index) = rows.into_iter().next() else {
+        return Ok(false);
+    };
+    let due = index_hour(&index.key).is_some_and(|hour| hour < store.hour_in(Duration::ZERO));
+    if !due {
+        return Ok(false);
+    }
+    remove_listed(store, source, &index).await?;
+    Ok(true)
+}
+
+async fn remove_listed(
+    store: &KeyStore,
+    source: &mut StdRng,
+    index: &TableRow,
+) -> Result<(), TableError> {
+    let rows: Vec<RowKey> = postcard::from_bytes(&index.value).unwrap_or_default();
+    let hour = index_hour(&index.key).unwrap_or_default();
+    for part in rows.chunks(ROWS_AT_ONCE) {
+        let mut changes = Vec::new();
+        for row in part {
+            changes.extend(removal(store, row, hour).await?);
+        }
+        if !changes.is_empty() {
+            store.table.commit(WriteId::new(source), changes).await?;
+        }
+    }
+    let change = RowChange::delete(index.key.clone(), RowExpectation::Any);
+    store
+        .table
+        .commit(WriteId::new(source), vec![change])
+        .await?;
+    Ok(())
+}
+
+/// Returns the removal of a row, if it is as old as its index row says. It names the version read:
+/// a key that was removed and reserved anew in between must stay.
+async fn removal(
+    store: &KeyStore,
+    row: &RowKey,
+    hour: u64,
+) -> Result<Option<RowChange>, TableError> {
+    let Some(row) = store.table.read(row).await? else {
+        return Ok(None);
+    };
+    let record = postcard::from_bytes::<KeyRecord>(&row.value);
+    let newer = record.is_ok_and(|record| record.expiry_hour > hour);
+    let expected = RowExpectation::Version(row.version);
+    Ok((!newer).then(|| RowChange::delete(row.key, expected)))
+}
--- /dev/null
+++ b/crates/gateway/src/key_writer.rs
@@ -0,0 +1,242 @@
+//! Writes idempotency keys to the table, many in one transaction.
+
+use std::{
+    collections::VecDeque,
+    sync::Arc,
+    time::Duration, //
+};
+
+use indexmap::IndexSet;
+use jasminebend_ports::{
+    ClockSource,
+    CommitOutcome,
+    RowChange,
+    RowExpectation,
+    RowKey,
+    TableError,
+    TableService,
+    WriteId, //
+};
+use ractor::{
+    Actor,
+    ActorProcessingErr,
+    ActorRef,
+    RpcReplyPort, //
+};
+use rand::{
+    SeedableRng,
+    rngs::StdRng, //
+};
+use spdlog::{
+    error,
+    warn, //
+};
+
+use crate::{
+    key_row::index_row,
+    key_write::{
+        KeyPurpose,
+        KeyWrite, //
+    },
+};
+
+const MOST_IN_BATCH: usize = 64;
+const MOST_PENDING: usize = 20_000;
+const RETRY_PAUSE: Duration = Duration::from_millis(50);
+
+/// What the writer is told.
+pub(crate) enum WriterMessage {
+    /// Write a row.
+    Write(KeyWrite),
+    /// The table answered a batch, or did not.
+    Finished {
+        /// The batch.
+        batch: Vec<KeyWrite>,
+        /// The table's answer.
+        outcome: Result<CommitOutcome, TableError>,
+    },
+    /// The pause after a failure is over.
+    Resume,
+    /// Tell when nothing is left to be written.
+    Flush(RpcReplyPort<()>),
+}
+
+/// Writes idempotency keys to the table. While one transaction is under way the next one gathers,
+/// so that a busy table gets few and large ones.
+pub(crate) struct KeyWriter;
+
+/// What the writer works with.
+pub(crate) struct WriterState {
+    table: Arc<dyn TableService>,
+    clock: Arc<dyn ClockSource>,
+    source: StdRng,
+    pending: VecDeque<KeyWrite>,
+    in_flight: bool,
+    flushes: Vec<RpcReplyPort<()>>,
+}
+
+impl WriterState {
+    /// Creates a writer with nothing to write.
+    pub(crate) fn new(
+        table: Arc<dyn TableService>,
+        clock: Arc<dyn ClockSource>,
+        seed: u64,
+    ) -> Self {
+        Self {
+            table,
+            clock,
+            source: StdRng::seed_from_u64(seed),
+            pending: VecDeque::new(),
+            in_flight: false,
+            flushes: Vec::new(),
+        }
+    }
+
+    fn push(&mut self, write: KeyWrite) {
+        if self.pending.len() < MOST_PENDING {
+            self.pending.push_back(write);
+            return;
+        }
+        // The table has been away for long: reservations are refused, and outcomes beyond the
+        // bound are given up, which leaves their keys reserved and so never runs them twice.
+        match write.purpose {
+            KeyPurpose::Reserve { .. } => drop(write.unanswered(true, Duration::MAX)),
+            KeyPurpose::Settle => error!("[gateway] Gave up keeping a request's outcome."),
+        }
+    }
+
+    fn next_batch(&mut self) -> Vec<KeyWrite> {
+        let mut rows = IndexSet::new();
+        let mut batch = Vec::new();
+        let mut later = VecDeque::new();
+        while let Some(write) = self.pending.pop_front() {
+            let fits = batch.len() < MOST_IN_BATCH && rows.insert(write.row.clone());
+            match fits {
+                true => batch.push(write),
+                false => later.push_back(write),
+            }
+            if batch.len() >= MOST_IN_BATCH {
+                break;
+            }
+        }
+        later.append(&mut self.pending);
+        self.pending = later;
+        batch
+    }
+
+    fn start(&mut self, myself: &ActorRef<WriterMessage>) {
+        if self.in_flight {
+            return;
+        }
+        if self.pending.is_empty() {
+            return self.flushed();
+        }
+        self.in_flight = true;
+        let batch = self.next_batch();
+        let write = WriteId::new(&mut self.source);
+        let mut changes: Vec<_> = batch.iter().map(KeyWrite::change).collect();
+        changes.extend(index_change(&batch, write));
+        let table = Arc::clone(&self.table);
+        let myself = myself.clone();
+        tokio::spawn(async move {
+            let outcome = table.commit(write, changes).await;
+            // A writer that is gone has nothing left to learn.
+            myself.cast(WriterMessage::Finished { batch, outcome }).ok();
+        });
+    }
+
+    fn finished(
+        &mut self,
+        batch: Vec<KeyWrite>,
+        outcome: Result<CommitOutcome, TableError>,
+        myself: &ActorRef<WriterMessage>,
+    ) {
+        match outcome {
+            Ok(CommitOutcome::Committed(version)) => {
+                self.again(batch, |write| write.committed(version));
+            }
+            Ok(CommitOutcome::Conflict { key, found }) => {
+                let mut found = Some(found);
+                self.again(batch, |write| match write.row == key {
+                    true => write.conflicted(found.take().flatten()),
+                    false => Some(write),
+                });
+            }
+            Err(error) => {
+                warn!("[gateway] Idempotency keys were not written: {}.", error);
+                let now = self.clock.monotonic();
+                self.again(batch, |write| write.unanswered(error.surely_not_run(), now));
+                myself.send_after(RETRY_PAUSE, || WriterMessage::Resume);
+                return;
+            }
+        }
+        self.in_flight = false;
+        self.start(myself);
+    }
+
+    fn again<Judge>(&mut self, batch: Vec<KeyWrite>, judge: Judge)
+    where
+        Judge: FnMut(KeyWrite) -> Option<KeyWrite>,
+    {
+        let left: Vec<_> = batch.into_iter().filter_map(judge).collect();
+        for write in left.into_iter().rev() {
+            self.pending.push_front(write);
+        }
+    }
+
+    fn flushed(&mut self) {
+        for flush in self.flushes.drain(..) {
+            // Whoever asked may have stopped waiting.
+            flush.send(()).ok();
+        }
+    }
+}
+
+/// Lists a batch's new rows under their hour of expiry, in the same transaction, so that they are
+/// found again without a scan of all keys.
+fn index_change(batch: &[KeyWrite], write: WriteId) -> Option<RowChange> {
+    let rows: Vec<&RowKey> = batch
+        .iter()
+        .filter(|write| matches!(write.purpose, KeyPurpose::Reserve { .. }))
+        .map(|write| &write.row)
+        .collect();
+    let hour = batch.iter().map(|write| write.record.expiry_hour).max()?;
+    if rows.is_empty() {
+        return None;
+    }
+    let value = postcard::to_allocvec(&rows).unwrap_or_default();
+    let row = index_row(hour, write);
+    Some(RowChange::put(row, RowExpectation::Any, value))
+}
+
+impl Actor for KeyWriter {
+    type Msg = WriterMessage;
+    type State = WriterState;
+    type Arguments = WriterState;
+
+    async fn pre_start(
+        &self,
+        _myself: ActorRef<WriterMessage>,
+        state: WriterState,
+    ) -> Result<WriterState, ActorProcessingErr> {
+        Ok(state)
+    }
+
+    async fn handle(
+        &self,
+        myself: ActorRef<WriterMessage>,
+        message: WriterMessage,
+        state: &mut WriterState,
+    ) -> Result<(), ActorProcessingErr> {
+        match message {
+            WriterMessage::Write(write) => state.push(write),
+            WriterMessage::Finished { batch, outcome } => {
+                state.finished(batch, outcome, &myself);
+            }
+            WriterMessage::Resume => state.in_flight = false,
+            WriterMessage::Flush(reply) => state.flushes.push(reply),
+        }
+        state.start(&myself);
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/pool_keeper.rs
@@ -0,0 +1,300 @@
+//! Keeps the pools in step with the configuration, the VM list and the held shares.
+
+use std::{
+    net::SocketAddr,
+    sync::Arc,
+    time::Duration, //
+};
+
+use indexmap::{
+    IndexMap,
+    IndexSet, //
+};
+use jasminebend_base::{
+    Configuration,
+    DomainState,
+    ExecutorRecord,
+    OwnerEpoch,
+    ResourceId,
+    VmRecord,
+    VmSnapshot,
+    VmState, //
+};
+use jasminebend_routing::RouteTable;
+use metrics::gauge;
+use ractor::{
+    Actor,
+    ActorProcessingErr,
+    ActorRef, //
+};
+use tokio::sync::watch;
+
+use crate::{
+    class_metrics::{
+        SERVING_SLOTS,
+        UNKNOWN_SLOTS,
+        WAITING, //
+    },
+    endpoint_entry::{
+        EndpointEntry,
+        SlotPhase, //
+    },
+    gateway_shared::GatewayShared,
+    pool_state::PoolState,
+    route_snapshot::RouteSnapshot,
+    service_pool::ServicePool,
+    slot_key::{
+        EndpointKey,
+        SlotKey, //
+    },
+};
+
+/// Why the pools are looked at.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum KeeperMessage {
+    /// The configuration changed.
+    Configuration,
+    /// The VM list changed.
+    Vms,
+    /// Time went by.
+    Tick,
+}
+
+/// Keeps the pools in step with the configuration, the VM list and the held shares.
+pub(crate) struct PoolKeeper;
+
+/// What the keeper works with.
+pub(crate) struct KeeperState {
+    /// The pools.
+    pub(crate) shared: Arc<GatewayShared>,
+    /// The configuration in force.
+    pub(crate) configuration: watch::Receiver<Arc<Configuration>>,
+    /// The latest reading of the VM list.
+    pub(crate) vms: watch::Receiver<Arc<VmSnapshot>>,
+}
+
+type HeldShares = IndexMap<ResourceId, OwnerEpoch>;
+
+impl Actor for PoolKeeper {
+    type Msg = KeeperMessage;
+    type State = KeeperState;
+    type Arguments = KeeperState;
+
+    async fn pre_start(
+        &self,
+        myself: ActorRef<KeeperMessage>,
+        state: KeeperState,
+    ) -> Result<KeeperState, ActorProcessingErr> {
+        forward(
+            state.configuration.clone(),
+            myself.clone(),
+            KeeperMessage::Configuration,
+        );
+        forward(state.vms.clone(), myself.clone(), KeeperMessage::Vms);
+        myself.send_interval(state.shared.settings.refresh_every, || KeeperMessage::Tick);
+        Ok(state)
+    }
+
+    async fn handle(
+        &self,
+        _myself: ActorRef<KeeperMessage>,
+        message: KeeperMessage,
+        state: &mut KeeperState,
+    ) -> Result<(), ActorProcessingErr> {
+        match message {
+            KeeperMessage::Configuration => {
+                state.set_routes();
+                state.set_endpoints();
+            }
+            KeeperMessage::Vms => state.set_endpoints(),
+            KeeperMessage::Tick => {}
+        }
+        state.refresh();
+        Ok(())
+    }
+}
+
+/// Tells the keeper of each change; ends when the channel closes or the keeper is gone.
+fn forward<Value>(
+    mut changes: watch::Receiver<Value>,
+    keeper: ActorRef<KeeperMessage>,
+    message: KeeperMessage,
+) where
+    Value: Send + Sync + 'static,
+{
+    tokio::spawn(async move {
+        while changes.changed().await.is_ok() {
+            if keeper.cast(message).is_err() {
+                return;
+            }
+        }
+    });
+}
+
+impl KeeperState {
+    /// Puts the configuration's routes in force.
+    pub(crate) fn set_routes(&mut self) {
+        let configuration = Arc::clone(&self.configuration.borrow_and_update());
+        let table = RouteTable::new(&configuration);
+        let routes = RouteSnapshot::new(table, |entry| self.shared.pool(&entry.service));
+        self.shared.set_routes(routes);
+    }
+
+    /// Opens and closes endpoints by the VM list and the failure domains.
+    pub(crate) fn set_endpoints(&mut self) {
+        let configuration = Arc::clone(&self.configuration.borrow());
+        let snapshot = Arc::clone(&self.vms.borrow_and_update());
+        let pools = self.shared.pools();
+        for pool in &pools {
+            let foreign = addresses_in_use(&pools, pool);
+            let mut state = pool.lock();
+            for entry in &mut state.endpoints {
+                entry.open = false;
+            }
+            for vm in &snapshot.vms {
+                let Some(executor) = executor_of(vm, pool) else {
+                    continue;
+                };
+                if !foreign.contains(&executor.address) {
+                    self.set_endpoint(&mut state, vm, executor, &configuration);
+                }
+            }
+        }
+    }
+
+    fn set_endpoint(
+        &self,
+        state: &mut PoolState,
+        vm: &VmRecord,
+        executor: &ExecutorRecord,
+        configuration: &Configuration,
+    ) {
+        let settings = &self.shared.settings;
+        let key = endpoint_key(state, executor, settings.slot_shares);
+        let near = vm.domain == settings.domain;
+        let distance = match near {
+            true => Duration::ZERO,
+            false => settings.domain_distance,
+        };
+        let entry = state.entry(key);
+        let domain_in = configuration.domain_state(&vm.domain) == DomainState::In;
+        entry.open = vm.state == VmState::Live && domain_in;
+        entry.score = entry.score.with_distance(distance);
+        entry.set_connections(executor.connections);
+    }
+
+    /// Looks at the held shares and the clock, frees slots whose time is over, and lets waiting
+    /// requests go on.
+    pub(crate) fn refresh(&self) {
+        let held = self.held_shares();
+        for pool in self.shared.pools() {
+            refresh_pool(&pool, &held, self.shared.clock.monotonic());
+            pool.hand_over();
+        }
+        self.shared.idle.notify_waiters();
+    }
+
+    fn held_shares(&self) -> HeldShares {
+        let ownership = &self.shared.ownership;
+        ownership
+            .held()
+            .into_iter()
+            .filter(|(resource, _)| ownership.idle_for(*resource).is_zero())
+            .collect()
+    }
+}
+
+/// Returns the endpoint of a service on a VM.
+fn executor_of<'a>(vm: &'a VmRecord, pool: &ServicePool) -> Option<&'a ExecutorRecord> {
+    vm.executor
+        .as_ref()
+        .filter(|executor| executor.service == pool.service)
+}
+
+/// Returns the addresses at which another service's requests are still in progress: a VM made anew
+/// may serve another service at an address of old, whose slots two pools must not count twice.
+fn addresses_in_use(pools: &[Arc<ServicePool>], own: &Arc<ServicePool>) -> IndexSet<SocketAddr> {
+    let others = pools.iter().filter(|pool| !Arc::ptr_eq(pool, own));
+    let mut addresses = IndexSet::new();
+    for pool in others {
+        let state = pool.lock();
+        let busy = state.endpoints.iter().filter(|entry| !entry.is_idle());
+        addresses.extend(busy.map(|entry| entry.address));
+    }
+    addresses
+}
+
+fn endpoint_key(state: &mut PoolState, executor: &ExecutorRecord, shares: u16) -> EndpointKey {
+    if let Some(key) = state.by_address.get(&executor.address).copied() {
+        state.entry(key).resize(executor.slots, shares);
+        return key;
+    }
+    let entry = EndpointEntry::new(
+        executor.address,
+        shares,
+        executor.slots,
+        executor.connections,
+    );
+    let key = EndpointKey(state.endpoints.len());
+    state.endpoints.push(entry);
+    state.by_address.insert(executor.address, key);
+    key
+}
+
+fn refresh_pool(pool: &ServicePool, held: &HeldShares, now: Duration) {
+    let mut state = pool.lock();
+    let idle_limit = pool.settings.endpoint_idle;
+    let mut serving = 0;
+    let mut unknown = 0;
+    state.weigh_leaving(now);
+    for endpoint in 0..state.endpoints.len() {
+        let heed = state.heed_leaving;
+        let usable = state.endpoints[endpoint].is_usable(now, heed);
+        for slot in 0..state.endpoints[endpoint].usable_slots() {
+            let key = SlotKey {
+                endpoint: EndpointKey(endpoint),
+                slot,
+            };
+            refresh_slot(&mut state, key, held, now, idle_limit);
+            let slot = state.slot(key);
+            let lost = matches!(slot.phase, SlotPhase::Unknown { .. } | SlotPhase::Stray);
+            unknown += usize::from(lost);
+            serving += usize::from(usable && slot.held && !lost);
+            state.list(Some(key).filter(|_| usable));
+        }
+    }
+    state.serving = serving;
+    report(pool, &state, unknown);
+}
+
+fn refresh_slot(
+    state: &mut PoolState,
+    key: SlotKey,
+    held: &HeldShares,
+    now: Duration,
+    idle_limit: Duration,
+) {
+    let slot = state.slot(key);
+    let epoch = held.get(&slot.share);
+    slot.held = epoch.is_some();
+    slot.epoch = epoch.copied().unwrap_or_default();
+    if let SlotPhase::Unknown { until } = slot.phase
+        && until <= now
+    {
+        slot.phase = SlotPhase::Idle;
+    }
+    let held = slot.held;
+    // Dropping a connection closes it, so that no more are open than slots are held.
+    slot.connection.take_if(|connection| {
+        let quiet = now.saturating_sub(connection.last_heard);
+        !held || quiet > idle_limit || !connection.is_open()
+    });
+}
+
+fn report(pool: &ServicePool, state: &PoolState, unknown: usize) {
+    let service = pool.service.to_string();
+    // CAST: counts of slots and requests are far below 2^52.
+    gauge!(SERVING_SLOTS, "service" => service.clone()).set(state.serving as f64);
+    gauge!(UNKNOWN_SLOTS, "service" => service.clone()).set(unknown as f64);
+    gauge!(WAITING, "service" => service).set(state.queue.len() as f64);
+}
--- /dev/null
+++ b/crates/gateway/src/pool_state.rs
@@ -0,0 +1,217 @@
+//! The endpoints, free slots and waiting requests of one service.
+
+use std::{
+    net::SocketAddr,
+    time::Duration, //
+};
+
+use indexmap::IndexMap;
+use jasminebend_base::ResourceId;
+use jasminebend_routing::{
+    EndpointScore,
+    LatencyEstimate,
+    PickCandidate,
+    PickRule,
+    QueueOrder,
+    RequestQueue,
+    RetryBudget, //
+};
+use rand::{
+    SeedableRng,
+    rngs::SmallRng, //
+};
+use tokio::sync::oneshot;
+
+use crate::{
+    endpoint_entry::{
+        EndpointEntry,
+        EndpointSlot,
+        SlotPhase, //
+    },
+    refusal::Refusal,
+    slot_key::{
+        EndpointKey,
+        SlotKey, //
+    },
+    slot_lease::SlotLease,
+};
+
+const HEDGE_QUANTILE: f64 = 0.95;
+const RETRY_BURST: f64 = 10.0;
+const PICK: PickRule = PickRule::LeastCost { samples: 2 };
+
+/// A request that waits for a slot.
+pub(crate) struct SlotWaiter {
+    /// Where the slot or the refusal goes.
+    pub(crate) reply: oneshot::Sender<Result<SlotLease, Refusal>>,
+    /// Until when it can meet its target.
+    pub(crate) deadline: Duration,
+}
+
+/// The endpoints, free slots and waiting requests of one service.
+pub(crate) struct PoolState {
+    /// The endpoints.
+    pub(crate) endpoints: Vec<EndpointEntry>,
+    /// Where in the arena an address lies.
+    pub(crate) by_address: IndexMap<SocketAddr, EndpointKey>,
+    /// The slots that can be picked; each is looked at again when it is.
+    pub(crate) free: Vec<SlotKey>,
+    /// The requests that wait.
+    pub(crate) queue: RequestQueue<SlotWaiter>,
+    /// How long requests hold their slots.
+    pub(crate) holding: LatencyEstimate,
+    /// How long good answers take.
+    pub(crate) latency: LatencyEstimate,
+    /// Bounds retries and hedges.
+    pub(crate) budget: RetryBudget,
+    /// The slots that serve: held and usable, and not of unknown fate.
+    pub(crate) serving: usize,
+    /// Whether endpoints' own announcements of their end are heeded.
+    pub(crate) heed_leaving: bool,
+    /// Idle connections last heard from before this are replaced before use.
+    pub(crate) suspect_before: Duration,
+    source: SmallRng,
+    picks: u64,
+}
+
+struct FreeSlots<'a> {
+    endpoints: &'a [EndpointEntry],
+    free: &'a [SlotKey],
+}
+
+impl PickCandidate for FreeSlots<'_> {
+    fn score(&self, index: usize) -> &EndpointScore {
+        &self.endpoints[self.free[index].endpoint.0].score
+    }
+}
+
+impl PoolState {
+    /// Creates a pool without endpoints.
+    pub(crate) fn new(most_waiting: usize, retry_ratio: f64, seed: u64) -> Self {
+        Self {
+            endpoints: Vec::new(),
+            by_address: IndexMap::new(),
+            free: Vec::new(),
+            queue: RequestQueue::new(QueueOrder::EarliestDeadline, most_waiting),
+            holding: LatencyEstimate::new(HEDGE_QUANTILE),
+            latency: LatencyEstimate::new(HEDGE_QUANTILE),
+            budget: RetryBudget::new(retry_ratio, RETRY_BURST),
+            serving: 0,
+            heed_leaving: true,
+            suspect_before: Duration::ZERO,
+            source: SmallRng::seed_from_u64(seed),
+            picks: 0,
+        }
+    }
+
+    /// Returns an endpoint.
+    pub(crate) fn entry(&mut self, key: EndpointKey) -> &mut EndpointEntry {
+        &mut self.endpoints[key.0]
+    }
+
+    /// Returns a slot.
+    pub(crate) fn slot(&mut self, key: SlotKey) -> &mut EndpointSlot {
+        &mut self.endpoints[key.endpoint.0].slots[usize::from(key.slot)]
+    }
+
+    /// Takes a free slot, if there is one.
+    pub(crate) fn take(&mut self, now: Duration) -> Option<SlotKey> {
+        self.take_avoiding(now, None)
+    }
+
+    /// Puts a slot that was taken, and not used, back.
+    pub(crate) fn put_back(&mut self, key: SlotKey) {
+        self.entry(key.endpoint).score.ended();
+        self.slot(key).phase = SlotPhase::Idle;
+        self.list(Some(key));
+    }
+
+    /// Takes a free slot, if there is one, rather not at the endpoint to avoid.
+    pub(crate) fn take_avoiding(
+        &mut self,
+        now: Duration,
+        avoid: Option<SocketAddr>,
+    ) -> Option<SlotKey> {
+        let mut avoided = None;
+        while let Some(key) = self.draw() {
+            if !self.is_usable(key, now) {
+                continue;
+            }
+            let unwanted = avoid == Some(self.entry(key.endpoint).address);
+            if unwanted && avoided.is_none() {
+                avoided = Some(key);
+                continue;
+            }
+            self.list(avoided);
+            return Some(self.occupy(key));
+        }
+        avoided.map(|key| self.occupy(key))
+    }
+
+    /// Puts a slot into the list of free ones, if it can be picked.
+    pub(crate) fn list(&mut self, key: Option<SlotKey>) {
+        let Some(key) = key else {
+            return;
+        };
+        let slot = self.slot(key);
+        if slot.phase != SlotPhase::Idle || slot.listed || !slot.held {
+            return;
+        }
+        slot.listed = true;
+        self.free.push(key);
+    }
+
+    /// Heeds endpoints' announcements of their end only while at most half of the open ones make
+    /// them: a service whose every endpoint closes each connection now and then would otherwise be
+    /// left without endpoints.
+    pub(crate) fn weigh_leaving(&mut self, now: Duration) {
+        let open = self.endpoints.iter().filter(|entry| entry.open);
+        let (all, leaving) = open.fold((0, 0), |(all, leaving), entry| {
+            (all + 1, leaving + usize::from(entry.leaving.holds(now)))
+        });
+        self.heed_leaving = leaving * 2 <= all;
+    }
+
+    /// Tells whether any slot of a share is in use.
+    pub(crate) fn uses(&self, share: ResourceId) -> bool {
+        self.endpoints
+            .iter()
+            .flat_map(|entry| &entry.slots)
+            .any(|slot| slot.share == share && slot.phase != SlotPhase::Idle)
+    }
+
+    /// Closes the idle connections of a share's slots.
+    pub(crate) fn close_idle(&mut self, share: ResourceId) {
+        let slots = self.endpoints.iter_mut().flat_map(|entry| &mut entry.slots);
+        for slot in slots.filter(|slot| slot.share == share) {
+            slot.connection = None;
+        }
+    }
+
+    fn draw(&mut self) -> Option<SlotKey> {
+        let candidates = FreeSlots {
+            endpoints: &self.endpoints,
+            free: &self.free,
+        };
+        let mean = self.latency.mean();
+        let count = self.free.len();
+        let place = PICK.pick(&candidates, count, self.picks, mean, &mut self.source)?;
+        self.picks = self.picks.wrapping_add(1);
+        let key = self.free.swap_remove(place);
+        self.slot(key).listed = false;
+        Some(key)
+    }
+
+    fn is_usable(&mut self, key: SlotKey, now: Duration) -> bool {
+        let heed = self.heed_leaving;
+        let slot = self.slot(key);
+        let idle = slot.held && slot.phase == SlotPhase::Idle;
+        idle && self.entry(key.endpoint).is_usable(now, heed)
+    }
+
+    fn occupy(&mut self, key: SlotKey) -> SlotKey {
+        self.slot(key).phase = SlotPhase::Busy;
+        self.entry(key.endpoint).score.started();
+        key
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/refusal.rs
@@ -0,0 +1,189 @@
+//! The answers that the gateway gives of its own.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use derive_more::Display;
+use http::{
+    HeaderValue, Response, StatusCode,
+    header::{
+        CONNECTION,
+        CONTENT_TYPE,
+        RETRY_AFTER, //
+    },
+};
+
+use crate::{
+    answer_body::AnswerBody,
+    header_names::{
+        EXECUTED,
+        REASON, //
+    },
+};
+
+const LEAST_RETRY_AFTER: Duration = Duration::from_secs(1);
+const MOST_RETRY_AFTER: Duration = Duration::from_secs(30);
+
+/// Why the gateway answers a request itself. `Display` writes the sentence that the caller reads.
+#[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
+pub(crate) enum Refusal {
+    /// The head or the framing breaks the protocol.
+    #[display("The request is malformed: {_0}.")]
+    Malformed(&'static str),
+    /// The body is too large.
+    #[display("The request's body is larger than allowed.")]
+    TooLarge,
+    /// The body did not come, or stopped coming.
+    #[display("The request's body did not arrive in time.")]
+    BodyStalled,
+    /// The protocol change or method is not offered.
+    #[display("Upgrades and tunnels are not offered here.")]
+    UpgradeRefused,
+    /// No class's route matches.
+    #[display("No class of work has a route for this request.")]
+    NoRoute,
+    /// No endpoint of the service may take requests.
+    #[display("No endpoint of this service can take requests now.")]
+    NoEndpoint,
+    /// The slots are taken, and it would miss its target waiting.
+    #[display("The service is at its limit; the request would miss its target.")]
+    Overloaded {
+        /// When a slot is likely to be free.
+        retry_after: Duration,
+    },
+    /// Too many requests wait already.
+    #[display("Too many requests of this service wait already.")]
+    QueueFull {
+        /// When a slot is likely to be free.
+        retry_after: Duration,
+    },
+    /// It waited until its target could no longer be met.
+    #[display("No slot became free in time.")]
+    QueueTimeout,
+    /// No endpoint could be connected to.
+    #[display("No endpoint of this service could be connected to.")]
+    Unconnected,
+    /// The idempotency key is malformed.
+    #[display("The Idempotency-Key must be 1 to 255 visible ASCII characters, given once.")]
+    BadKey,
+    /// The table that keeps idempotency keys gave no answer.
+    #[display("The idempotency key could not be reserved now; the request was not run.")]
+    KeyUnreserved,
+    /// The key belongs to a request that runs, or whose outcome is not known.
+    #[display("A request with this Idempotency-Key was begun; its outcome is not known.")]
+    KeyInUse,
+    /// The key's request was answered, and the answer is not kept.
+    #[display("The request with this Idempotency-Key was run; its answer was too large to keep.")]
+    KeyAnswered,
+    /// The key belongs to another request.
+    #[display("This Idempotency-Key was used for a different request.")]
+    KeyMismatch,
+    /// The endpoint's answer did not come, or was no answer.
+    #[display("The endpoint failed; whether the request was run is not known.")]
+    EndpointFailed,
+    /// The endpoint did not answer in time.
+    #[display("The endpoint did not answer in time; whether the request was run is not known.")]
+    EndpointTimeout,
+}
+
+impl Refusal {
+    /// Returns the short name that metrics and the `Jasminebend-Reason` header carry.
+    pub(crate) fn reason(self) -> &'static str {
+        match self {
+            Self::Malformed(_) => "malformed",
+            Self::TooLarge => "too_large",
+            Self::BodyStalled => "body_stalled",
+            Self::UpgradeRefused => "upgrade_refused",
+            Self::NoRoute => "no_route",
+            Self::NoEndpoint => "no_endpoint",
+            Self::Overloaded { .. } => "overloaded",
+            Self::QueueFull { .. } => "queue_full",
+            Self::QueueTimeout => "queue_timeout",
+            Self::Unconnected => "unconnected",
+            Self::BadKey => "bad_key",
+            Self::KeyUnreserved => "key_unreserved",
+            Self::KeyInUse => "key_in_use",
+            Self::KeyAnswered => "key_answered",
+            Self::KeyMismatch => "key_mismatch",
+            Self::EndpointFailed => "endpoint_failed",
+            Self::EndpointTimeout => "endpoint_timeout",
+        }
+    }
+
+    pub(crate) fn status(self) -> StatusCode {
+        match self {
+            Self::Malformed(_) | Self::BadKey => StatusCode::BAD_REQUEST,
+            Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::BodyStalled => StatusCode::REQUEST_TIMEOUT,
+            Self::UpgradeRefused => StatusCode::NOT_IMPLEMENTED,
+            Self::NoRoute => StatusCode::NOT_FOUND,
+            Self::QueueFull { .. } => StatusCode::TOO_MANY_REQUESTS,
+            Self::NoEndpoint
+            | Self::Overloaded { .. }
+            | Self::QueueTimeout
+            | Self::Unconnected
+            | Self::KeyUnreserved => StatusCode::SERVICE_UNAVAILABLE,
+            Self::KeyInUse | Self::KeyAnswered => StatusCode::CONFLICT,
+            Self::KeyMismatch => StatusCode::UNPROCESSABLE_ENTITY,
+            Self::EndpointFailed => StatusCode::BAD_GATEWAY,
+            Self::EndpointTimeout => StatusCode::GATEWAY_TIMEOUT,
+        }
+    }
+
+    /// Tells whether the request certainly was not run.
+    pub(crate) fn surely_not_run(self) -> bool {
+        !matches!(
+            self,
+            Self::KeyInUse | Self::KeyAnswered | Self::EndpointFailed | Self::EndpointTimeout
+        )
+    }
+
+    /// Returns when the caller may come back, where coming back can help.
+    pub(crate) fn retry_after(self) -> Option<Duration> {
+        let after = match self {
+            Self::Overloaded { retry_after } | Self::QueueFull { retry_after } => retry_after,
+            Self::NoEndpoint
+            | Self::QueueTimeout
+            | Self::Unconnected
+            | Self::KeyUnreserved
+            | Self::KeyInUse => LEAST_RETRY_AFTER,
+            _ => return None,
+        };
+        Some(after.clamp(LEAST_RETRY_AFTER, MOST_RETRY_AFTER))
+    }
+
+    fn ends_connection(self) -> bool {
+        matches!(
+            self,
+            Self::Malformed(_) | Self::TooLarge | Self::BodyStalled | Self::UpgradeRefused
+        )
+    }
+
+    /// Returns the refusal as an answer.
+    pub(crate) fn into_answer(self) -> Response<AnswerBody> {
+        let text = Bytes::from(format!("{self}\n"));
+        let mut answer = Response::new(AnswerBody::whole(text));
+        *answer.status_mut() = self.status();
+        let headers = answer.headers_mut();
+        let executed = match self {
+            Self::KeyAnswered => "yes",
+            _ if self.surely_not_run() => "no",
+            _ => "unknown",
+        };
+        headers.insert(&EXECUTED, HeaderValue::from_static(executed));
+        headers.insert(&REASON, HeaderValue::from_static(self.reason()));
+        headers.insert(
+            CONTENT_TYPE,
+            HeaderValue::from_static("text/plain; charset=utf-8"),
+        );
+        if let Some(after) = self.retry_after() {
+            let secs = after.as_millis().div_ceil(1000);
+            let secs = u32::try_from(secs).unwrap_or(u32::MAX);
+            headers.insert(RETRY_AFTER, HeaderValue::from(secs));
+        }
+        if self.ends_connection() {
+            headers.insert(CONNECTION, HeaderValue::from_static("close"));
+        }
+        answer
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/service_pool.rs
@@ -0,0 +1,324 @@
+//! The slots of one service's endpoints that this daemon may use, and who waits for them.
+
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        Mutex,
+        MutexGuard,
+        PoisonError, //
+    },
+    time::Duration,
+};
+
+use jasminebend_base::ServiceName;
+use jasminebend_ports::ClockSource;
+use jasminebend_routing::{
+    Admission,
+    AdmissionRule,
+    QueueKey, //
+};
+use spdlog::warn;
+use tokio::{
+    sync::{
+        Notify,
+        oneshot, //
+    },
+    time::timeout,
+};
+
+use crate::{
+    class_metrics::SILENT_CONNECTIONS,
+    endpoint_entry::SlotPhase,
+    exchange_end::{
+        AnswerVerdict,
+        ExchangeEnd, //
+    },
+    gateway_settings::GatewaySettings,
+    pool_state::{
+        PoolState,
+        SlotWaiter, //
+    },
+    refusal::Refusal,
+    slot_key::SlotKey,
+    slot_lease::SlotLease,
+};
+
+const SUSPICION_MULTIPLE: u32 = 4;
+const LEAST_SUSPICION: Duration = Duration::from_millis(50);
+const MOST_SUSPICION: Duration = Duration::from_secs(5);
+
+/// The slots of one service's endpoints that this daemon may use, and who waits for them.
+pub(crate) struct ServicePool {
+    /// The service.
+    pub(crate) service: ServiceName,
+    /// The settings.
+    pub(crate) settings: Arc<GatewaySettings>,
+    /// The clock.
+    pub(crate) clock: Arc<dyn ClockSource>,
+    /// Told whenever a slot falls idle.
+    pub(crate) idle: Arc<Notify>,
+    state: Mutex<PoolState>,
+}
+
+/// What a request wants of a slot.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct SlotDemand {
+    /// When the request arrived.
+    pub(crate) arrival: Duration,
+    /// Until when it is to be answered.
+    pub(crate) deadline: Duration,
+    /// An endpoint that it would rather not meet again.
+    pub(crate) avoid: Option<SocketAddr>,
+}
+
+enum SlotOffer {
+    Taken(SlotLease),
+    Queued(QueueKey, oneshot::Receiver<Result<SlotLease, Refusal>>),
+}
+
+struct QueuePlace<'a> {
+    pool: &'a ServicePool,
+    key: QueueKey,
+}
+
+impl Drop for QueuePlace<'_> {
+    fn drop(&mut self) {
+        self.pool.lock().queue.remove(self.key);
+    }
+}
+
+impl ServicePool {
+    /// Creates a pool without endpoints.
+    pub(crate) fn new(
+        service: ServiceName,
+        settings: Arc<GatewaySettings>,
+        clock: Arc<dyn ClockSource>,
+        idle: Arc<Notify>,
+        seed: u64,
+    ) -> Self {
+        let state = PoolState::new(settings.most_waiting, settings.retry_ratio, seed);
+        Self {
+            service,
+            settings,
+            clock,
+            idle,
+            state: Mutex::new(state),
+        }
+    }
+
+    /// Locks the state; held for a few steps only, and never while waiting.
+    pub(crate) fn lock(&self) -> MutexGuard<'_, PoolState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Takes a slot at once, if one is free.
+    pub(crate) fn try_acquire(self: &Arc<Self>, avoid: Option<SocketAddr>) -> Option<SlotLease> {
+        let now = self.clock.monotonic();
+        let mut state = self.lock();
+        let key = state.take_avoiding(now, avoid)?;
+        Some(self.lease(&mut state, key))
+    }
+
+    /// Takes a slot, waiting for one within the request's target.
+    pub(crate) async fn acquire(
+        self: &Arc<Self>,
+        demand: SlotDemand,
+    ) -> Result<SlotLease, Refusal> {
+        let (key, reply) = match self.offer(demand)? {
+            SlotOffer::Taken(lease) => return Ok(lease),
+            SlotOffer::Queued(key, reply) => (key, reply),
+        };
+        let _place = QueuePlace { pool: self, key };
+        let left = demand.deadline.saturating_sub(self.clock.monotonic());
+        match timeout(left, reply).await {
+            Ok(Ok(outcome)) => outcome,
+            Ok(Err(_)) | Err(_) => Err(Refusal::QueueTimeout),
+        }
+    }
+
+    /// Gives a slot back, and hands it on to whoever waits.
+    pub(crate) fn settle(self: &Arc<Self>, key: SlotKey, end: ExchangeEnd) {
+        let now = self.clock.monotonic();
+        let mut state = self.lock();
+        state.entry(key.endpoint).score.ended();
+        self.apply(&mut state, key, end, now);
+        state.list(Some(key));
+        drop(state);
+        self.idle.notify_waiters();
+        self.hand_over();
+    }
+
+    /// Hands free slots to waiting requests, in the queue's order.
+    pub(crate) fn hand_over(self: &Arc<Self>) {
+        while let Some((waiter, outcome)) = self.next_handover() {
+            let Err(Ok(lease)) = waiter.reply.send(outcome) else {
+                continue;
+            };
+            // The waiter left in this moment: the slot goes back as it was.
+            let key = lease.key();
+            let connection = lease.forget();
+            let mut state = self.lock();
+            state.slot(key).connection = connection;
+            state.put_back(key);
+        }
+    }
+
+    /// Returns how long an exchange that was given up may go unheard before its connection counts
+    /// as silent.
+    pub(crate) fn suspicion_time(&self) -> Duration {
+        let usual = self.lock().latency.quantile() * SUSPICION_MULTIPLE;
+        usual.clamp(LEAST_SUSPICION, MOST_SUSPICION)
+    }
+
+    /// Notes that nothing was heard on a connection since `sent_at`: idle ones that were quiet for
+    /// as long may be lost in the same way, and are replaced before they are used.
+    pub(crate) fn suspect(&self, sent_at: Duration) {
+        let mut state = self.lock();
+        state.suspect_before = state.suspect_before.max(sent_at);
+        metrics::counter!(SILENT_CONNECTIONS, "service" => self.service.to_string()).increment(1);
+        warn!("[gateway] A connection to {} went silent.", self.service);
+    }
+
+    fn next_handover(self: &Arc<Self>) -> Option<(SlotWaiter, Result<SlotLease, Refusal>)> {
+        let now = self.clock.monotonic();
+        let mut state = self.lock();
+        if state.queue.is_empty() {
+            return None;
+        }
+        let key = state.take(now)?;
+        let Some(waiter) = next_waiter(&mut state, now) else {
+            state.put_back(key);
+            return None;
+        };
+        let lease = self.lease(&mut state, key);
+        Some((waiter, Ok(lease)))
+    }
+
+    fn offer(self: &Arc<Self>, demand: SlotDemand) -> Result<SlotOffer, Refusal> {
+        let now = self.clock.monotonic();
+        let mut state = self.lock();
+        if state.queue.is_empty()
+            && let Some(key) = state.take_avoiding(now, demand.avoid)
+        {
+            return Ok(SlotOffer::Taken(self.lease(&mut state, key)));
+        }
+        self.enqueue(&mut state, demand, now)
+    }
+
+    fn enqueue(
+        &self,
+        state: &mut PoolState,
+        demand: SlotDemand,
+        now: Duration,
+    ) -> Result<SlotOffer, Refusal> {
+        let rule = AdmissionRule {
+            slots: state.serving,
+            waiting: state.queue.len(),
+            service_time: state.holding.mean(),
+        };
+        if rule.slots == 0 {
+            return Err(Refusal::NoEndpoint);
+        }
+        if let Admission::Refuse { retry_after } = rule.decide(demand.deadline.saturating_sub(now))
+        {
+            return Err(Refusal::Overloaded { retry_after });
+        }
+        let (reply, receiver) = oneshot::channel();
+        let waiter = SlotWaiter {
+            reply,
+            deadline: demand.deadline,
+        };
+        let key = state
+            .queue
+            .push(waiter, demand.arrival, demand.deadline)
+            .map_err(|_| Refusal::QueueFull {
+                retry_after: rule.expected_wait(),
+            })?;
+        Ok(SlotOffer::Queued(key, receiver))
+    }
+
+    fn lease(self: &Arc<Self>, state: &mut PoolState, key: SlotKey) -> SlotLease {
+        let address = state.entry(key.endpoint).address;
+        let slot = state.slot(key);
+        let grant = (slot.share, slot.epoch);
+        let connection = slot.connection.take();
+        SlotLease::new(Arc::clone(self), key, address, grant, connection)
+    }
+
+    fn apply(&self, state: &mut PoolState, key: SlotKey, end: ExchangeEnd, now: Duration) {
+        state.slot(key).phase = SlotPhase::Idle;
+        match end {
+            ExchangeEnd::Unused { connection } => state.slot(key).connection = connection,
+            ExchangeEnd::Over => state.slot(key).linger(now + self.settings.longest_request),
+            ExchangeEnd::Unconnected => {
+                let hold = self.settings.refusal_hold;
+                let entry = state.entry(key.endpoint);
+                entry.score.failed();
+                entry.refusing.hold(now, hold, Duration::ZERO);
+            }
+            ExchangeEnd::Unknown => {
+                let until = now + self.settings.longest_request;
+                state.entry(key.endpoint).score.failed();
+                let slot = state.slot(key);
+                slot.phase = SlotPhase::Unknown { until };
+                slot.linger(until);
+                state.serving = state.serving.saturating_sub(1);
+            }
+            ExchangeEnd::Answered {
+                latency,
+                verdict,
+                connection,
+            } => {
+                state.slot(key).connection = connection;
+                self.judge(state, key, latency, verdict, now);
+            }
+        }
+    }
+
+    fn judge(
+        &self,
+        state: &mut PoolState,
+        key: SlotKey,
+        latency: Duration,
+        verdict: AnswerVerdict,
+        now: Duration,
+    ) {
+        state.holding.observe(latency);
+        let leaving_hold = self.settings.leaving_hold;
+        let refusal_hold = self.settings.refusal_hold;
+        let entry = state.entry(key.endpoint);
+        match verdict {
+            AnswerVerdict::Good | AnswerVerdict::Leaving => {
+                entry.score.succeeded(latency);
+                entry.refusing.succeeded();
+            }
+            AnswerVerdict::Failed => entry.score.failed(),
+            AnswerVerdict::Refusing { asked } => {
+                entry.score.failed();
+                entry.refusing.hold(now, refusal_hold, asked);
+            }
+        }
+        if verdict == AnswerVerdict::Leaving {
+            entry.leaving.hold(now, leaving_hold, Duration::ZERO);
+            state.weigh_leaving(now);
+        }
+        if verdict == AnswerVerdict::Good {
+            state.latency.observe(latency);
+        }
+    }
+}
+
+/// Takes out the next request that can still meet its target, and refuses those before it that
+/// cannot: they get their final answer at once, and their slot goes to one that it can help.
+fn next_waiter(state: &mut PoolState, now: Duration) -> Option<SlotWaiter> {
+    let needed = state.holding.mean();
+    while let Some(waiter) = state.queue.pop(now) {
+        if now + needed <= waiter.deadline {
+            return Some(waiter);
+        }
+        // A waiter that left needs no answer.
+        waiter.reply.send(Err(Refusal::QueueTimeout)).ok();
+    }
+    None
+}
