--- a/crates/standins/tests/contracts/main.rs
+++ b/crates/standins/tests/contracts/main.rs
@@ -5,5 +5,9 @@
     reason = "a test's helpers panic as the test does"
 )]
 
+mod endpoint;
 mod harness;
+mod objects;
 mod table;
+mod vm_list;
+mod worker;
