--- /dev/null
+++ b/crates/ownership/src/members_row.rs
@@ -0,0 +1,56 @@
+//! The row of the members.
+
+use jasminebend_base::SeatNumber;
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+
+use crate::{
+    HolderId,
+    SeatRecord, //
+};
+
+/// The row of the members: all seats, so that one read shows them as they were at one moment.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct MembersRow {
+    /// The seats, by number.
+    pub seats: Vec<SeatRecord>,
+}
+
+impl MembersRow {
+    /// Creates a row of empty seats.
+    pub fn new(seats: u8) -> Self {
+        Self {
+            seats: vec![SeatRecord::default(); usize::from(seats)],
+        }
+    }
+
+    /// Returns a seat; `None` if the row has no such seat.
+    pub fn seat(&self, seat: SeatNumber) -> Option<&SeatRecord> {
+        self.seats.get(usize::from(seat.0))
+    }
+
+    /// Returns a seat to be changed; `None` if the row has no such seat.
+    pub fn seat_mut(&mut self, seat: SeatNumber) -> Option<&mut SeatRecord> {
+        self.seats.get_mut(usize::from(seat.0))
+    }
+
+    /// Returns the seats with their numbers.
+    pub fn numbered(&self) -> impl Iterator<Item = (SeatNumber, &SeatRecord)> {
+        (0u8..).map(SeatNumber).zip(&self.seats)
+    }
+
+    /// Returns those who sit.
+    pub fn seated(&self) -> impl Iterator<Item = HolderId> {
+        self.numbered()
+            .filter_map(|(seat, record)| record.holder_id(seat))
+    }
+
+    /// Tells whether this process still sits.
+    pub fn is_seated(&self, id: HolderId) -> bool {
+        self.seat(id.seat)
+            .and_then(|record| record.holder_id(id.seat))
+            == Some(id)
+    }
+}
--- /dev/null
+++ b/crates/wire/src/peer_key.rs
@@ -0,0 +1,44 @@
+//! The secret that all daemons share.
+
+use std::fmt;
+
+use crate::PeerKeyError;
+
+const KEY_BYTES: usize = 32;
+const MIN_SECRET_BYTES: usize = 16;
+const KEY_CONTEXT: &str = "jasminebend 2026-12 peer messages";
+
+/// The secret that all daemons share; its text is never shown.
+#[derive(Clone, Copy, Eq, PartialEq)]
+pub struct PeerKey([u8; KEY_BYTES]);
+
+impl PeerKey {
+    /// Creates a key from its bytes.
+    pub fn new(bytes: [u8; KEY_BYTES]) -> Self {
+        Self(bytes)
+    }
+
+    /// Derives a key from the secret in the settings.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`PeerKeyError::TooShort`] if the secret could be guessed.
+    pub fn from_secret(secret: &str) -> Result<Self, PeerKeyError> {
+        if secret.len() < MIN_SECRET_BYTES {
+            return Err(PeerKeyError::TooShort {
+                least: MIN_SECRET_BYTES,
+            });
+        }
+        Ok(Self(blake3::derive_key(KEY_CONTEXT, secret.as_bytes())))
+    }
+
+    pub(crate) fn hash(&self, bytes: &[u8]) -> blake3::Hash {
+        blake3::keyed_hash(&self.0, bytes)
+    }
+}
+
+impl fmt::Debug for PeerKey {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str("PeerKey(hidden)")
+    }
+}
