Provoke the failures of the request path, and mend what they showed

They showed five faults, now mended and each kept as a test: - two daemons given the same seed took each other's reservation for their own, and both ran a keyed booking; the numbers now come from the machine's entropy; - an endpoint's 'not run' to a retry was passed on although the first attempt may have run; - the announcement of an end was only heeded on a connection that had been used before; - suspicion of silent connections came only after the next booking had gone out on one; - a request with a length and chunked was mended in silence by hyper; a watch over heads finds it.

--- a/crates/gateway/src/answer_body.rs
+++ b/crates/gateway/src/answer_body.rs
@@ -99,9 +99,9 @@
 
 impl AnswerSlot {
     fn release(mut self) {
-        self.connection.kept_open = true;
         self.connection.last_heard = self.lease.pool().clock.monotonic();
-        let connection = Some(self.connection).filter(EndpointConnection::is_open);
+        let closes = self.verdict == AnswerVerdict::Closing;
+        let connection = Some(self.connection).filter(|own| own.is_open() && !closes);
         self.lease.end(ExchangeEnd::Answered {
             latency: self.latency,
             verdict: self.verdict,
--- a/crates/gateway/src/answer_rules.rs
+++ b/crates/gateway/src/answer_rules.rs
@@ -89,11 +89,9 @@
         return AnswerVerdict::Refusing { asked };
     }
     let closes = has_token(answer.response.headers(), CONNECTION, "close");
-    if closes && answer.connection.kept_open {
-        return AnswerVerdict::Leaving;
-    }
     match status.is_server_error() {
         true => AnswerVerdict::Failed,
+        false if closes => AnswerVerdict::Closing,
         false => AnswerVerdict::Good,
     }
 }
--- a/crates/gateway/src/caller_server.rs
+++ b/crates/gateway/src/caller_server.rs
@@ -4,7 +4,10 @@
     convert::Infallible,
     net::SocketAddr,
     pin::pin,
-    sync::Arc,
+    sync::{
+        Arc,
+        atomic::Ordering, //
+    },
     time::Duration, //
 };
 
@@ -40,7 +43,10 @@
     caller_stream::CallerStream,
     class_metrics::CALLERS,
     gateway_shared::GatewayShared,
-    request_handler::handle, //
+    request_handler::{
+        CallerView,
+        handle, //
+    },
 };
 
 /// The least that hyper takes.
@@ -101,10 +107,15 @@
     }
     gauge!(CALLERS).increment(1.0);
     let settings = Arc::clone(&shared.settings);
-    let stream = CallerStream::new(stream, settings.body_stall);
+    let stream = CallerStream::new(stream, &settings);
+    let two_lengths = stream.two_lengths();
     let service = service_fn(move |request| {
         let shared = Arc::clone(&shared);
-        async move { Ok::<_, Infallible>(handle(shared, request, address.ip()).await) }
+        let caller = CallerView {
+            address: address.ip(),
+            two_lengths: two_lengths.load(Ordering::Relaxed),
+        };
+        async move { Ok::<_, Infallible>(handle(shared, request, caller).await) }
     });
     let connection = Builder::new()
         .timer(TokioTimer::new())
--- a/crates/gateway/src/caller_stream.rs
+++ b/crates/gateway/src/caller_stream.rs
@@ -3,6 +3,13 @@
 use std::{
     io,
     pin::Pin,
+    sync::{
+        Arc,
+        atomic::{
+            AtomicBool,
+            Ordering, //
+        },
+    },
     task::{
         Context,
         Poll, //
@@ -23,25 +30,70 @@
     },
 };
 
+use crate::{
+    gateway_settings::GatewaySettings,
+    head_watch::HeadWatch, //
+};
+
 /// A caller's connection as bytes. A caller that takes nothing of its answer for too long is cut
 /// off: it would otherwise hold an endpoint's slot and the answer's memory for as long as it likes.
+///
+/// A head that does not come to its end is cut off likewise: the idle time of a connection between
+/// requests is long, and must not be what a caller can take over each request's head.
 pub(crate) struct CallerStream {
     stream: TcpStream,
     stall: Duration,
     timer: Option<Pin<Box<Sleep>>>,
+    head_timeout: Duration,
+    head_timer: Option<Pin<Box<Sleep>>>,
+    watch: HeadWatch,
+    two_lengths: Arc<AtomicBool>,
 }
 
 impl CallerStream {
-    /// Wraps a connection whose writes may stand still for `stall`.
-    pub(crate) fn new(stream: TcpStream, stall: Duration) -> Self {
+    /// Wraps a connection.
+    pub(crate) fn new(stream: TcpStream, settings: &GatewaySettings) -> Self {
         Self {
             stream,
-            stall,
+            stall: settings.body_stall,
             timer: None,
+            head_timeout: settings.head_timeout,
+            head_timer: None,
+            watch: HeadWatch::new(settings.most_head_bytes),
+            two_lengths: Arc::default(),
+        }
+    }
+
+    /// Returns what tells whether a request with two lengths came.
+    pub(crate) fn two_lengths(&self) -> Arc<AtomicBool> {
+        Arc::clone(&self.two_lengths)
+    }
+
+    fn took(&mut self, bytes: &[u8]) {
+        self.watch.feed(bytes);
+        if self.watch.has_two_lengths() {
+            self.two_lengths.store(true, Ordering::Relaxed);
+        }
+        if !self.watch.is_in_head() {
+            self.head_timer = None;
         }
     }
 
-    fn watch<Value>(
+    fn poll_head_timer(&mut self, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        if !self.watch.is_in_head() {
+            return Poll::Pending;
+        }
+        let limit = self.head_timeout;
+        let timer = self
+            .head_timer
+            .get_or_insert_with(|| Box::pin(sleep(limit)));
+        match timer.as_mut().poll(context) {
+            Poll::Ready(()) => Poll::Ready(Err(io::ErrorKind::TimedOut.into())),
+            Poll::Pending => Poll::Pending,
+        }
+    }
+
+    fn guard<Value>(
         &mut self,
         context: &mut Context<'_>,
         outcome: Poll<io::Result<Value>>,
@@ -65,7 +117,15 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_read(context, buffer)
+        let had = buffer.filled().len();
+        match Pin::new(&mut self.stream).poll_read(context, buffer) {
+            Poll::Ready(Ok(())) => {
+                self.took(&buffer.filled()[had..]);
+                Poll::Ready(Ok(()))
+            }
+            Poll::Pending => self.poll_head_timer(context),
+            failed => failed,
+        }
     }
 }
 
@@ -76,7 +136,7 @@
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
         let outcome = Pin::new(&mut self.stream).poll_write(context, bytes);
-        self.watch(context, outcome)
+        self.guard(context, outcome)
     }
 
     fn poll_write_vectored(
@@ -85,7 +145,7 @@
         slices: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         let outcome = Pin::new(&mut self.stream).poll_write_vectored(context, slices);
-        self.watch(context, outcome)
+        self.guard(context, outcome)
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/crates/gateway/src/delivery.rs
+++ b/crates/gateway/src/delivery.rs
@@ -34,6 +34,8 @@
 
 const MOST_ATTEMPTS: u32 = 3;
 const LEAST_SAMPLES: u64 = 100;
+/// Until enough was learned, the second attempt waits for this part of the target.
+const UNLEARNED_DIVISOR: u32 = 4;
 const LEAST_HEDGE_DELAY: Duration = Duration::from_millis(2);
 
 /// Has a request answered, with as many attempts as it may have.
@@ -76,6 +78,10 @@
         self.class.metrics.queue_seconds.record(waited);
         self.class.pool.lock().budget.earn();
         let outcome = self.deliver(lease, request).await;
+        if self.maybe_run && outcome.as_ref().is_ok_and(says_not_run) {
+            // The endpoint speaks for its own attempt alone.
+            return Err(Refusal::EndpointFailed);
+        }
         // Once an attempt may have run, no later refusal may say that the request was not run.
         outcome.map_err(|refusal| match self.maybe_run && refusal.surely_not_run() {
             true => Refusal::EndpointFailed,
@@ -157,8 +163,11 @@
             return None;
         }
         let state = self.class.pool.lock();
-        let learned = state.latency.samples() >= LEAST_SAMPLES;
-        learned.then(|| state.latency.quantile().max(LEAST_HEDGE_DELAY))
+        let unlearned = self.class.entry.target / UNLEARNED_DIVISOR;
+        Some(match state.latency.samples() >= LEAST_SAMPLES {
+            true => state.latency.quantile().max(LEAST_HEDGE_DELAY),
+            false => unlearned.max(LEAST_HEDGE_DELAY),
+        })
     }
 
     fn after_answer(
--- a/crates/gateway/src/endpoint_connection.rs
+++ b/crates/gateway/src/endpoint_connection.rs
@@ -31,8 +31,6 @@
     pub(crate) sender: SendRequest<RequestBody>,
     /// When the endpoint was last heard from on it.
     pub(crate) last_heard: Duration,
-    /// Whether the endpoint ever kept it open after an answer.
-    pub(crate) kept_open: bool,
 }
 
 /// Why no connection was opened; nothing was sent.
@@ -70,7 +68,6 @@
         Ok(Self {
             sender,
             last_heard: now,
-            kept_open: false,
         })
     }
 
--- a/crates/gateway/src/endpoint_entry.rs
+++ b/crates/gateway/src/endpoint_entry.rs
@@ -61,6 +61,8 @@
     pub(crate) slots: Vec<EndpointSlot>,
     /// Whether the VM list and the failure domains let it take requests.
     pub(crate) open: bool,
+    /// Whether it ever kept a connection open after an answer.
+    pub(crate) keeps_open: bool,
     /// Left alone since it refused.
     pub(crate) refusing: HoldBackoff,
     /// Left alone since it announced its end.
@@ -82,6 +84,7 @@
             score: EndpointScore::new(),
             slots,
             open: false,
+            keeps_open: false,
             refusing: HoldBackoff::new(),
             leaving: HoldBackoff::new(),
             declared_slots,
@@ -94,7 +97,7 @@
     /// Follows a change of the number of slots. Slots beyond the new number are kept but no longer
     /// used: a request may still be on them.
     pub(crate) fn resize(&mut self, slots: u16, shares: u16) {
-        for slot in self.usable_slots()..slots {
+        for slot in 0..slots {
             if usize::from(slot) < self.slots.len() {
                 continue;
             }
@@ -109,7 +112,8 @@
 
     /// Returns the number of slots that the endpoint has now.
     pub(crate) fn usable_slots(&self) -> u16 {
-        self.declared_slots
+        let made = u16::try_from(self.slots.len()).unwrap_or(u16::MAX);
+        self.declared_slots.min(made)
     }
 
     /// Divides the endpoint's connections among its slots.
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -30,6 +30,7 @@
     gateway_shared::GatewayShared,
     refusal::Refusal,
     request_body::RequestBody,
+    service_pool::ServicePool,
     slot_lease::SlotLease,
 };
 
@@ -83,6 +84,22 @@
     answer: Option<SendFuture>,
     lease: Option<SlotLease>,
     sent_at: Duration,
+    suspected: bool,
+}
+
+impl PendingExchange {
+    /// Makes connections that were quiet for as long as this one suspect, so that the next request
+    /// does not meet the same end.
+    fn suspect(&mut self, now: Duration) {
+        let Some(lease) = self.lease.as_ref().filter(|_| !self.suspected) else {
+            return;
+        };
+        let pool = lease.pool();
+        if now.saturating_sub(self.sent_at) >= pool.suspicion_time() {
+            pool.suspect(self.sent_at);
+            self.suspected = true;
+        }
+    }
 }
 
 impl Drop for PendingExchange {
@@ -94,7 +111,8 @@
             return;
         };
         lease.pool().lock().slot(lease.key()).phase = SlotPhase::Stray;
-        handle.spawn(follow(answer, lease, self.sent_at));
+        let suspicion = (!self.suspected).then_some(self.sent_at);
+        handle.spawn(follow(answer, lease, self.sent_at, suspicion));
     }
 }
 
@@ -149,12 +167,14 @@
         answer: Some(Box::pin(connection.sender.try_send_request(*request))),
         lease: Some(lease),
         sent_at,
+        suspected: false,
     };
     let left = plan.give_up.saturating_sub(sent_at);
     let Some(answer) = pending.answer.as_mut() else {
         return Err(SendError::Unknown(Refusal::EndpointFailed));
     };
     let Ok(outcome) = timeout(left, answer).await else {
+        pending.suspect(shared.clock.monotonic());
         return Err(SendError::Unknown(Refusal::EndpointTimeout));
     };
     pending.answer = None;
@@ -255,16 +275,21 @@
 }
 
 /// Waits for the answer of an exchange that was given up, so that its slot is known to be free.
-async fn follow(mut answer: SendFuture, lease: SlotLease, sent_at: Duration) {
+async fn follow(
+    mut answer: SendFuture,
+    lease: SlotLease,
+    sent_at: Duration,
+    suspicion: Option<Duration>,
+) {
     let pool = Arc::clone(lease.pool());
     let longest = pool.settings.longest_request;
-    let suspicion = pool.suspicion_time();
-    let head = match timeout(suspicion, &mut answer).await {
-        Ok(head) => Ok(head),
-        Err(_) => {
-            pool.suspect(sent_at);
-            timeout(longest, answer).await
-        }
+    let early = match suspicion {
+        Some(sent_at) => follow_early(&pool, &mut answer, sent_at).await,
+        None => None,
+    };
+    let head = match early {
+        Some(head) => Ok(head),
+        None => timeout(longest, answer).await,
     };
     match head {
         Err(_) => lease.end(ExchangeEnd::Over),
@@ -276,6 +301,19 @@
     }
 }
 
+/// Waits until the connection counts as silent, and then makes others like it suspect.
+async fn follow_early(
+    pool: &ServicePool,
+    answer: &mut SendFuture,
+    sent_at: Duration,
+) -> Option<SendOutcome> {
+    if let Ok(head) = timeout(pool.suspicion_time(), answer).await {
+        return Some(head);
+    }
+    pool.suspect(sent_at);
+    None
+}
+
 /// Reads the rest of an answer that nobody wants, and then frees its slot.
 pub(crate) async fn drain(response: Response<Incoming>, lease: SlotLease, latency: Duration) {
     let longest = lease.pool().settings.longest_request;
--- a/crates/gateway/src/exchange_end.rs
+++ b/crates/gateway/src/exchange_end.rs
@@ -40,6 +40,6 @@
         /// What its `Retry-After` asks for.
         asked: Duration,
     },
-    /// It announced its end (`Connection: close` where it used to keep connections).
-    Leaving,
+    /// It closes its connection, which announces its end if it is not its habit.
+    Closing,
 }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -62,7 +62,7 @@
         state.set_routes();
         state.set_endpoints();
         state.refresh();
-        let sweep = sweep_keys(Arc::clone(&shared), Arc::clone(&shared.keys), edges.seed);
+        let sweep = sweep_keys(Arc::clone(&shared), Arc::clone(&shared.keys));
         let sweeper = tokio::spawn(sweep).abort_handle();
         let gateway = Arc::new(Self {
             shared,
--- a/crates/gateway/src/gateway_settings.rs
+++ b/crates/gateway/src/gateway_settings.rs
@@ -98,6 +98,13 @@
         self
     }
 
+    /// Sets how often the held shares and the clock are looked at, besides each change of the
+    /// configuration and the VM list.
+    pub fn with_refresh(mut self, every: Duration) -> Self {
+        self.refresh_every = every;
+        self
+    }
+
     /// Sets how long a body may stand still, in either direction.
     pub fn with_body_stall(mut self, stall: Duration) -> Self {
         self.body_stall = stall;
--- a/crates/gateway/src/gateway_shared.rs
+++ b/crates/gateway/src/gateway_shared.rs
@@ -50,7 +50,6 @@
             Arc::clone(&edges.table),
             Arc::clone(&edges.clock),
             settings.key_retention,
-            edges.seed,
         );
         Self {
             settings: Arc::new(settings),
--- a/crates/gateway/src/key_store.rs
+++ b/crates/gateway/src/key_store.rs
@@ -26,7 +26,6 @@
 };
 use rand::{
     RngExt,
-    SeedableRng,
     rngs::StdRng, //
 };
 use spdlog::error;
@@ -88,18 +87,21 @@
 
 impl KeyStore {
     /// Creates a store over the table.
+    ///
+    /// Its numbers are drawn from the machine's entropy and not from the daemon's seed: two daemons
+    /// that were given the same seed would take each other's reservations for their own, and both
+    /// would run the request.
     pub(crate) fn new(
         table: Arc<dyn TableService>,
         clock: Arc<dyn ClockSource>,
         retention: Duration,
-        seed: u64,
     ) -> Self {
         Self {
             table,
             clock,
             retention,
             writer: OnceCell::new(),
-            source: Mutex::new(StdRng::seed_from_u64(seed)),
+            source: Mutex::new(rand::make_rng()),
         }
     }
 
@@ -177,7 +179,7 @@
     async fn writer(&self) -> Result<ActorRef<WriterMessage>, Refusal> {
         let start = || async {
             let table = Arc::clone(&self.table);
-            let state = WriterState::new(table, Arc::clone(&self.clock), self.draw());
+            let state = WriterState::new(table, Arc::clone(&self.clock));
             let started = Actor::spawn(None, KeyWriter, state).await;
             started.map(|(writer, _)| writer)
         };
--- a/crates/gateway/src/key_sweeper.rs
+++ b/crates/gateway/src/key_sweeper.rs
@@ -14,10 +14,7 @@
     TableRow,
     WriteId, //
 };
-use rand::{
-    SeedableRng,
-    rngs::StdRng, //
-};
+use rand::rngs::StdRng;
 use spdlog::warn;
 use tokio::time::sleep;
 
@@ -38,8 +35,8 @@
 
 /// Removes idempotency keys whose retention is over, for as long as the gateway lives. The daemon
 /// that holds the first slot share does it, to spare the table; two at once would do no harm.
-pub(crate) async fn sweep_keys(shared: Arc<GatewayShared>, store: Arc<KeyStore>, seed: u64) {
-    let mut source = StdRng::seed_from_u64(seed);
+pub(crate) async fn sweep_keys(shared: Arc<GatewayShared>, store: Arc<KeyStore>) {
+    let mut source: StdRng = rand::make_rng();
     loop {
         let pause = match shared.ownership.may_act(SWEEPER_SHARE) {
             Some(_) => sweep_once(&store, &mut source).await,
--- a/crates/gateway/src/key_writer.rs
+++ b/crates/gateway/src/key_writer.rs
@@ -23,10 +23,7 @@
     ActorRef,
     RpcReplyPort, //
 };
-use rand::{
-    SeedableRng,
-    rngs::StdRng, //
-};
+use rand::rngs::StdRng;
 use spdlog::{
     error,
     warn, //
@@ -77,15 +74,11 @@
 
 impl WriterState {
     /// Creates a writer with nothing to write.
-    pub(crate) fn new(
-        table: Arc<dyn TableService>,
-        clock: Arc<dyn ClockSource>,
-        seed: u64,
-    ) -> Self {
+    pub(crate) fn new(table: Arc<dyn TableService>, clock: Arc<dyn ClockSource>) -> Self {
         Self {
             table,
             clock,
-            source: StdRng::seed_from_u64(seed),
+            source: rand::make_rng(),
             pending: VecDeque::new(),
             in_flight: false,
             flushes: Vec::new(),
--- a/crates/gateway/src/pool_keeper.rs
+++ b/crates/gateway/src/pool_keeper.rs
@@ -147,6 +147,8 @@
         let pools = self.shared.pools();
         for pool in &pools {
             let foreign = addresses_in_use(&pools, pool);
+            let executors = snapshot.vms.iter().filter_map(|vm| executor_of(vm, pool));
+            let listed: IndexSet<_> = executors.map(|executor| executor.address).collect();
             let mut state = pool.lock();
             for entry in &mut state.endpoints {
                 entry.open = false;
@@ -159,6 +161,7 @@
                     self.set_endpoint(&mut state, vm, executor, &configuration);
                 }
             }
+            state.retire_unlisted(|address| listed.contains(address));
         }
     }
 
@@ -235,10 +238,7 @@
         executor.slots,
         executor.connections,
     );
-    let key = EndpointKey(state.endpoints.len());
-    state.endpoints.push(entry);
-    state.by_address.insert(executor.address, key);
-    key
+    state.add(entry)
 }
 
 fn refresh_pool(pool: &ServicePool, held: &HeldShares, now: Duration) {
--- a/crates/gateway/src/pool_state.rs
+++ b/crates/gateway/src/pool_state.rs
@@ -70,6 +70,7 @@
     pub(crate) heed_leaving: bool,
     /// Idle connections last heard from before this are replaced before use.
     pub(crate) suspect_before: Duration,
+    retired: Vec<EndpointKey>,
     source: SmallRng,
     picks: u64,
 }
@@ -99,6 +100,7 @@
             serving: 0,
             heed_leaving: true,
             suspect_before: Duration::ZERO,
+            retired: Vec::new(),
             source: SmallRng::seed_from_u64(seed),
             picks: 0,
         }
@@ -148,6 +150,41 @@
         avoided.map(|key| self.occupy(key))
     }
 
+    /// Adds an endpoint, in the place of one that was retired if there is any.
+    pub(crate) fn add(&mut self, entry: EndpointEntry) -> EndpointKey {
+        let address = entry.address;
+        let key = match self.retired.pop() {
+            Some(key) => {
+                self.endpoints[key.0] = entry;
+                key
+            }
+            None => {
+                self.endpoints.push(entry);
+                EndpointKey(self.endpoints.len() - 1)
+            }
+        };
+        self.by_address.insert(address, key);
+        key
+    }
+
+    /// Forgets the endpoints that are listed no more and on which nothing is in progress.
+    pub(crate) fn retire_unlisted<Listed>(&mut self, listed: Listed)
+    where
+        Listed: Fn(&SocketAddr) -> bool,
+    {
+        let endpoints = &mut self.endpoints;
+        let retired = &mut self.retired;
+        self.by_address.retain(|address, key| {
+            let keep = listed(address) || !endpoints[key.0].is_idle();
+            if !keep {
+                retired.push(*key);
+                endpoints[key.0].slots.clear();
+            }
+            keep
+        });
+        self.free.retain(|key| !retired.contains(&key.endpoint));
+    }
+
     /// Puts a slot into the list of free ones, if it can be picked.
     pub(crate) fn list(&mut self, key: Option<SlotKey>) {
         let Some(key) = key else {
--- a/crates/gateway/src/request_handler.rs
+++ b/crates/gateway/src/request_handler.rs
@@ -8,11 +8,11 @@
 
 use bytes::Bytes;
 use http::{
-    HeaderValue,
-    Method,
-    Request,
-    Response,
-    Version, //
+    HeaderValue, Method, Request, Response, Version,
+    header::{
+        CONNECTION,
+        TRANSFER_ENCODING, //
+    },
 };
 use http_body::Body;
 use http_body_util::{
@@ -57,17 +57,34 @@
     service_pool::SlotDemand,
 };
 
+/// What is known of a request's caller.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct CallerView {
+    /// Its address.
+    pub(crate) address: IpAddr,
+    /// Whether a request with two lengths came on its connection.
+    pub(crate) two_lengths: bool,
+}
+
 /// Takes one request from its arrival to its answer.
 pub(crate) async fn handle(
     shared: Arc<GatewayShared>,
     request: Request<Incoming>,
-    caller: IpAddr,
+    caller: CallerView,
 ) -> Response<AnswerBody> {
     let arrival = shared.clock.monotonic();
-    match run(&shared, request, caller, arrival).await {
+    // The heads after a chunked body are not followed, see `HeadWatch`: such a request is the last
+    // one on its connection.
+    let last = request.headers().contains_key(TRANSFER_ENCODING);
+    let mut answer = match run(&shared, request, caller, arrival).await {
         Ok(answer) => answer,
         Err(refusal) => refuse(refusal),
+    };
+    if last {
+        let close = HeaderValue::from_static("close");
+        answer.headers_mut().insert(CONNECTION, close);
     }
+    answer
 }
 
 fn refuse(refusal: Refusal) -> Response<AnswerBody> {
@@ -78,9 +95,12 @@
 async fn run(
     shared: &Arc<GatewayShared>,
     request: Request<Incoming>,
-    caller: IpAddr,
+    caller: CallerView,
     arrival: Duration,
 ) -> Result<Response<AnswerBody>, Refusal> {
+    if caller.two_lengths {
+        return Err(Refusal::Malformed("it has two lengths"));
+    }
     check_head(&request)?;
     let routes = shared.routes();
     let class = routes
@@ -90,7 +110,7 @@
     let ancient = request.version() == Version::HTTP_10;
     let idempotent = is_idempotent(class.entry.idempotency, request.method());
     let key = key_of(&request).filter(|_| !idempotent);
-    let request = take_in(shared, request, caller).await?;
+    let request = take_in(shared, request, caller.address).await?;
     let job = DeliveryJob {
         shared: Arc::clone(shared),
         plan: AttemptPlan {
--- a/crates/gateway/src/service_pool.rs
+++ b/crates/gateway/src/service_pool.rs
@@ -270,6 +270,7 @@
                 verdict,
                 connection,
             } => {
+                state.entry(key.endpoint).keeps_open |= connection.is_some();
                 state.slot(key).connection = connection;
                 self.judge(state, key, latency, verdict, now);
             }
@@ -289,7 +290,7 @@
         let refusal_hold = self.settings.refusal_hold;
         let entry = state.entry(key.endpoint);
         match verdict {
-            AnswerVerdict::Good | AnswerVerdict::Leaving => {
+            AnswerVerdict::Good | AnswerVerdict::Closing => {
                 entry.score.succeeded(latency);
                 entry.refusing.succeeded();
             }
@@ -299,7 +300,7 @@
                 entry.refusing.hold(now, refusal_hold, asked);
             }
         }
-        if verdict == AnswerVerdict::Leaving {
+        if verdict == AnswerVerdict::Closing && entry.keeps_open {
             entry.leaving.hold(now, leaving_hold, Duration::ZERO);
             state.weigh_leaving(now);
         }
--- /dev/null
+++ b/crates/gateway/tests/requests/idempotency_keys.rs
@@ -0,0 +1,205 @@
+//! A booking with an idempotency key runs at most once for all daemons together.
+//!
+//! The gateways here are all made with the same seed: taken for the numbers of the reservations, it
+//! once made two daemons believe that each other's reservation was their own, and both ran it.
+
+use std::time::Duration;
+
+use jasminebend_standins::{
+    CallKind,
+    FaultKind,
+    OutageState,
+    TableStandIn, //
+};
+use tokio::time::sleep;
+
+use crate::support::{
+    Act,
+    GatewayBuilder,
+    ScriptEndpoint,
+    TestGateway,
+    ask,
+    eventually,
+    send, //
+};
+
+async fn daemon(endpoint: &ScriptEndpoint, table: &TableStandIn, first: bool) -> TestGateway {
+    let shares = if first { 0..8 } else { 8..16 };
+    GatewayBuilder::new()
+        .with_endpoint(endpoint, 8)
+        .with_table(table)
+        .with_shares(shares)
+        .start()
+        .await
+}
+
+async fn pair() -> (ScriptEndpoint, TableStandIn, TestGateway, TestGateway) {
+    let (endpoint, table) = (ScriptEndpoint::start().await, TableStandIn::new());
+    let first = daemon(&endpoint, &table, true).await;
+    let second = daemon(&endpoint, &table, false).await;
+    (endpoint, table, first, second)
+}
+
+// A shopper presses "order" twice, and the balancer sends the two to different daemons at once.
+#[tokio::test]
+async fn the_same_key_through_two_daemons_at_once_runs_once() {
+    let (endpoint, _, first, second) = pair().await;
+    endpoint.always(Act::Hold);
+    let own = tokio::spawn(async move { first.post_keyed("a", "k1").await });
+    eventually(|| endpoint.seen() == 1).await;
+    let other = second.post_keyed("b", "k1").await;
+    assert_eq!((other.status, other.executed()), (409, Some("unknown")));
+    assert!(other.header("retry-after").is_some());
+    endpoint.release();
+    assert_eq!(own.await.unwrap().status, 200);
+    assert_eq!(endpoint.seen(), 1);
+}
+
+// The answer was lost on its way to the shopper, who asks again: the first answer comes once more,
+// from any daemon.
+#[tokio::test]
+async fn a_repetition_gets_the_first_answer() {
+    let (endpoint, table, first, second) = pair().await;
+    assert_eq!(first.post_keyed("a", "k1").await.status, 200);
+    while table.rows("request-keys/by-key/")[0].value.len() < 60 {
+        sleep(Duration::from_millis(5)).await;
+    }
+    let again = second.post_keyed("a", "k1").await;
+    assert_eq!((again.status, again.body.as_str()), (200, "/bookings"));
+    assert_eq!(again.header("idempotency-replayed"), Some("true"));
+    assert_eq!(endpoint.seen(), 1);
+}
+
+// A daemon dies between sending a booking and keeping its outcome. Whether it ran is known to
+// nobody: a repetition is told so, and never runs it again.
+#[tokio::test]
+async fn a_key_whose_daemon_died_is_not_run_again() {
+    let (endpoint, table, first, second) = pair().await;
+    endpoint.always(Act::Hold);
+    let address = first.address;
+    let headers = "x-request-id: a\r\nidempotency-key: k1\r\n";
+    let lost = tokio::spawn(async move { ask(address, "POST /bookings", headers, "guitar").await });
+    eventually(|| endpoint.seen() == 1).await;
+    // From here on nothing that the first daemon writes reaches the table.
+    let rows = table.rows("request-keys/by-key/");
+    assert_eq!(rows.len(), 1);
+    lost.abort();
+    first.serving.abort();
+    let again = second.post_keyed("a", "k1").await;
+    assert_eq!((again.status, again.executed()), (409, Some("unknown")));
+    assert_eq!(endpoint.seen(), 1);
+}
+
+// The caller leaves before the answer. The outcome is kept all the same, and the caller that asks
+// again is not left with "unknown".
+#[tokio::test]
+async fn the_outcome_is_kept_when_the_caller_left() {
+    let (endpoint, _, first, second) = pair().await;
+    endpoint.always(Act::Hold);
+    let text = "POST /bookings HTTP/1.1\r\nhost: shop\r\nidempotency-key: k1\r\ncontent-length: 6\r\n\r\nguitar";
+    let caller = send(first.address, text).await;
+    eventually(|| endpoint.seen() == 1).await;
+    drop(caller);
+    endpoint.release();
+    while second.post_keyed("a", "k1").await.status != 200 {}
+    assert_eq!(endpoint.seen(), 1);
+}
+
+// The table takes the reservation, and its answer is lost, or it takes it only after the answer
+// was given up, or it takes it twice. Read as "not reserved", the booking would be refused though
+// its key is taken; read as "reserved" without a look, two daemons could both believe so.
+#[tokio::test]
+async fn a_lost_answer_of_the_reservation_is_settled() {
+    let late = Duration::from_millis(30);
+    for fault in [
+        FaultKind::LoseAnswer,
+        FaultKind::CutAnswer,
+        FaultKind::LateEffect(late),
+        FaultKind::Duplicate(late),
+        FaultKind::LoseRequest,
+    ] {
+        let (endpoint, table, first, second) = pair().await;
+        table.faults().once(CallKind::Commit, fault);
+        let (own, other) = tokio::join!(first.post_keyed("a", "k1"), second.post_keyed("a", "k1"));
+        let answered = [&own, &other]
+            .iter()
+            .filter(|reply| reply.status == 200)
+            .count();
+        assert!(answered >= 1, "{fault:?}: {own:?} {other:?}");
+        sleep(2 * late).await;
+        second.post_keyed("a", "k1").await;
+        assert_eq!(endpoint.seen(), 1, "{fault:?}");
+    }
+}
+
+// The table is away: without a reservation a booking with a key is not run, and the caller is told
+// to come back. When the table returns the same key works.
+#[tokio::test]
+async fn without_the_table_a_keyed_booking_is_refused() {
+    for fault in [
+        FaultKind::Unreachable,
+        FaultKind::Refuse,
+        FaultKind::LoseAnswer,
+    ] {
+        let (endpoint, table, _, _) = pair().await;
+        let builder = GatewayBuilder::new().with_endpoint(&endpoint, 8);
+        let gateway = builder
+            .with_table(&table)
+            .with_settings(|settings| settings.with_patience(1, Duration::from_millis(200)))
+            .with_target(Duration::from_millis(200))
+            .start()
+            .await;
+        table.faults().set_outage(OutageState::Down(fault));
+        let refused = gateway.post_keyed("a", "k1").await;
+        assert_eq!(
+            (refused.status, refused.executed()),
+            (503, Some("no")),
+            "{fault:?}"
+        );
+        assert!(refused.header("retry-after").is_some());
+        assert_eq!(endpoint.seen(), 0);
+        table.faults().heal();
+        while gateway.post_keyed("a", "k1").await.status != 200 {}
+        assert_eq!(endpoint.seen(), 1);
+    }
+}
+
+// A key is used for another order, or by another customer who guessed it: neither runs the other
+// order nor shows the first one's answer.
+#[tokio::test]
+async fn a_key_of_another_request_is_refused() {
+    let (endpoint, _, first, _) = pair().await;
+    assert_eq!(first.post_keyed("a", "k1").await.status, 200);
+    for (headers, body) in [
+        ("idempotency-key: k1\r\n", "violin"),
+        ("idempotency-key: k1\r\nauthorization: other\r\n", "guitar"),
+    ] {
+        let reply = ask(first.address, "POST /bookings", headers, body).await;
+        assert_eq!((reply.status, reply.executed()), (422, Some("no")));
+    }
+    assert_eq!(endpoint.seen(), 1);
+}
+
+// The endpoint refused the booking and said that it was not run: its key is free again.
+#[tokio::test]
+async fn a_key_whose_request_was_not_run_can_be_used_again() {
+    let (endpoint, _, first, second) = pair().await;
+    let full = "HTTP/1.1 503 Full\r\njasminebend-executed: no\r\ncontent-length: 0\r\n\r\n";
+    for _ in 0..3 {
+        endpoint.once(Act::Raw(full));
+    }
+    assert_eq!(first.post_keyed("a", "k1").await.status, 503);
+    while second.post_keyed("a", "k1").await.status != 200 {}
+}
+
+// Keys are malformed: refused before anything is reserved.
+#[tokio::test]
+async fn a_malformed_key_is_refused() {
+    let (endpoint, table, first, _) = pair().await;
+    let long = format!("idempotency-key: {}\r\n", "k".repeat(256));
+    for headers in ["idempotency-key: a b\r\n", "idempotency-key: \r\n", &long] {
+        let reply = ask(first.address, "POST /bookings", headers, "").await;
+        assert_eq!((reply.status, reply.reason()), (400, Some("bad_key")));
+    }
+    assert_eq!((endpoint.seen(), table.rows("").len()), (0, 0));
+}
--- /dev/null
+++ b/crates/gateway/tests/requests/planned_stop.rs
@@ -0,0 +1,80 @@
+//! A planned stop cuts off no request in progress.
+
+use std::sync::Arc;
+
+use tokio::{
+    io::{
+        AsyncReadExt,
+        AsyncWriteExt, //
+    },
+    net::TcpStream,
+};
+
+use crate::support::{
+    Act,
+    GatewayBuilder,
+    ScriptEndpoint,
+    eventually,
+    send, //
+};
+
+// The daemon is told to stop while requests wait and run. Each gets its whole answer, new
+// connections are refused, and the server ends only after the last one.
+#[tokio::test]
+async fn a_drain_answers_every_request_in_progress() {
+    let endpoint = ScriptEndpoint::start().await;
+    endpoint.always(Act::Hold);
+    let builder = GatewayBuilder::new().with_endpoint(&endpoint, 4);
+    let gateway = builder.start().await;
+    let idle = send(gateway.address, "").await;
+    let asked: Vec<_> = (0..20)
+        .map(|id| gateway.post_later(&id.to_string()))
+        .collect();
+    eventually(|| endpoint.ledger().running == 4).await;
+    let draining = Arc::clone(&gateway.gateway);
+    let drain = tokio::spawn(async move { draining.drain().await });
+    while TcpStream::connect(gateway.address).await.is_ok() {}
+    assert!(!drain.is_finished() && !gateway.serving.is_finished());
+    endpoint.release();
+    let mut answered = 0;
+    for reply in asked {
+        let reply = reply.await;
+        // A connection that the kernel took and the daemon never did is the balancer's to try again.
+        if let Ok(reply) = reply
+            && reply.status != 0
+        {
+            assert!(reply.status == 200 && reply.whole, "{reply:?}");
+            answered += 1;
+        }
+    }
+    assert!(answered >= 4);
+    drain.await.unwrap();
+    gateway.serving.await.unwrap();
+    drop(idle);
+}
+
+// A caller with a kept connection sends its next request while the daemon drains: the answer says
+// that the connection ends, so that the caller goes elsewhere with the one after.
+#[tokio::test]
+async fn a_kept_connection_ends_with_its_request() {
+    let endpoint = ScriptEndpoint::start().await;
+    endpoint.always(Act::Hold);
+    let builder = GatewayBuilder::new().with_endpoint(&endpoint, 4);
+    let gateway = builder.start().await;
+    let mut caller = send(gateway.address, "").await;
+    let text = b"GET /a HTTP/1.1\r\nhost: shop\r\n\r\n";
+    caller.write_all(text).await.unwrap();
+    eventually(|| endpoint.seen() == 1).await;
+    let draining = Arc::clone(&gateway.gateway);
+    let drain = tokio::spawn(async move { draining.drain().await });
+    while TcpStream::connect(gateway.address).await.is_ok() {}
+    endpoint.release();
+    let mut got = String::new();
+    caller.read_to_string(&mut got).await.unwrap();
+    assert!(
+        got.starts_with("HTTP/1.1 200") && got.ends_with("/a"),
+        "{got}"
+    );
+    assert!(got.to_ascii_lowercase().contains("connection: close"));
+    drain.await.unwrap();
+}
--- /dev/null
+++ b/crates/gateway/tests/requests/smuggling.rs
@@ -0,0 +1,102 @@
+//! Requests whose end two readers could see in different places are refused.
+
+use crate::support::{
+    GatewayBuilder,
+    ScriptEndpoint,
+    exchange, //
+};
+
+const HIDDEN: &str = "GET /hidden HTTP/1.1\r\nhost: shop\r\n\r\n";
+
+// Each of these heads has two readings. The balancer takes one and the gateway the other: the rest
+// of the body then counts as a request that nobody checked, and its answer goes to somebody else.
+#[tokio::test]
+async fn heads_with_two_readings_are_refused_and_end_the_connection() {
+    let heads = [
+        "content-length: 4\r\ntransfer-encoding: chunked\r\n",
+        "transfer-encoding: chunked\r\ncontent-length: 4\r\n",
+        "content-length: 4\r\ncontent-length: 5\r\n",
+        "content-length: 4\r\ncontent-length: 4\r\n",
+        "content-length: 4, 4\r\n",
+        "content-length: +4\r\n",
+        "content-length: -1\r\n",
+        "content-length: 4x\r\n",
+        "transfer-encoding: gzip, chunked\r\n",
+        "transfer-encoding: chunked, chunked\r\n",
+        "transfer-encoding: chunked\r\ntransfer-encoding: identity\r\n",
+        "transfer-encoding: xchunked\r\n",
+        "transfer-encoding : chunked\r\n",
+        "transfer-encoding:\x0bchunked\r\n",
+        "x: a\r\n folded\r\ncontent-length: 0\r\n",
+        "x\r\n y: a\r\n",
+        "host: other\r\n",
+        "bad name: a\r\n",
+        "x: a\0b\r\n",
+        "connection: upgrade\r\nupgrade: h2c\r\n",
+    ];
+    for head in heads {
+        let endpoint = ScriptEndpoint::start().await;
+        let gateway = GatewayBuilder::new()
+            .with_endpoint(&endpoint, 4)
+            .start()
+            .await;
+        let text = format!("POST /a HTTP/1.1\r\nhost: shop\r\n{head}\r\n0\r\n\r\n{HIDDEN}");
+        let reply = exchange(gateway.address, &text).await;
+        assert!(matches!(reply.status, 400 | 501), "{head:?}: {reply:?}");
+        assert_eq!(endpoint.seen(), 0, "{head:?}");
+    }
+}
+
+// A second request on the same connection has two lengths, and follows the first one's bytes
+// closely: the watch over heads must find it wherever the reads happen to cut.
+#[tokio::test]
+async fn a_later_head_with_two_lengths_is_refused() {
+    let endpoint = ScriptEndpoint::start().await;
+    let gateway = GatewayBuilder::new()
+        .with_endpoint(&endpoint, 4)
+        .start()
+        .await;
+    let first = "POST /a HTTP/1.1\r\nhost: shop\r\ncontent-length: 3\r\n\r\nabc";
+    let second = "POST /b HTTP/1.1\r\nhost: shop\r\ntransfer-encoding: chunked\r\ncontent-length: 3\r\n\r\n0\r\n\r\n";
+    exchange(gateway.address, &format!("{first}{second}{HIDDEN}")).await;
+    assert!(
+        endpoint
+            .ledger()
+            .heads
+            .iter()
+            .all(|head| head.contains(" /a "))
+    );
+}
+
+// A chunked body's sizes are not what they seem. Read leniently, the body would end elsewhere.
+#[tokio::test]
+async fn bad_chunk_sizes_are_refused() {
+    for size in ["zz", "-1", "0x3", "ffffffffffffffffff", "3 3", ""] {
+        let endpoint = ScriptEndpoint::start().await;
+        let gateway = GatewayBuilder::new()
+            .with_endpoint(&endpoint, 4)
+            .start()
+            .await;
+        let text = format!(
+            "POST /a HTTP/1.1\r\nhost: shop\r\ntransfer-encoding: chunked\r\n\r\n{size}\r\nabc\r\n0\r\n\r\n{HIDDEN}"
+        );
+        let reply = exchange(gateway.address, &text).await;
+        assert!(reply.status >= 400 || !reply.whole, "{size:?}: {reply:?}");
+        let whole = |head: &String| head.contains(" /hidden ");
+        assert!(!endpoint.ledger().heads.iter().any(whole), "{size:?}");
+    }
+}
+
+// A path climbs out of its class's route into another, whose requests may be sent twice.
+#[tokio::test]
+async fn dot_segments_are_refused() {
+    for path in ["/a/../b", "/a/%2e%2E/b", "/./b", "/a/.."] {
+        let endpoint = ScriptEndpoint::start().await;
+        let gateway = GatewayBuilder::new()
+            .with_endpoint(&endpoint, 4)
+            .start()
+            .await;
+        assert_eq!(gateway.get(path).await.status, 400, "{path}");
+        assert_eq!(gateway.get("/a..b/.well-known/x").await.status, 200);
+    }
+}
--- /dev/null
+++ b/crates/gateway/tests/requests/support/caller.rs
@@ -0,0 +1,100 @@
+//! A caller that sees every byte.
+
+use std::{
+    net::SocketAddr,
+    time::Duration, //
+};
+
+use tokio::{
+    io::{
+        AsyncReadExt,
+        AsyncWriteExt, //
+    },
+    net::TcpStream,
+    time::timeout,
+};
+
+const PATIENCE: Duration = Duration::from_secs(20);
+
+/// What a caller got.
+#[derive(Debug)]
+pub(crate) struct Reply {
+    pub(crate) status: u16,
+    pub(crate) head: String,
+    pub(crate) body: String,
+    /// Whether the framing says that the body is whole.
+    pub(crate) whole: bool,
+}
+
+impl Reply {
+    fn parse(bytes: &[u8], clean: bool) -> Self {
+        let text = String::from_utf8_lossy(bytes).into_owned();
+        let (head, body) = text.split_once("\r\n\r\n").unwrap_or((&text, ""));
+        let status = head.split(' ').nth(1).and_then(|code| code.parse().ok());
+        let mut reply = Self {
+            status: status.unwrap_or(0),
+            head: head.to_ascii_lowercase(),
+            body: body.to_owned(),
+            whole: clean && status.is_some(),
+        };
+        if reply.header("transfer-encoding").is_some() {
+            reply.whole = body.ends_with("0\r\n\r\n");
+            reply.body = dechunk(body);
+        } else if let Some(length) = reply.header("content-length") {
+            reply.whole = length.parse() == Ok(body.len());
+        }
+        reply
+    }
+
+    pub(crate) fn header(&self, name: &str) -> Option<&str> {
+        let mut lines = self.head.lines().filter_map(|line| line.split_once(": "));
+        lines.find(|(own, _)| *own == name).map(|(_, value)| value)
+    }
+
+    /// Whether the request was run, as the refusal says.
+    pub(crate) fn executed(&self) -> Option<&str> {
+        self.header("jasminebend-executed")
+    }
+
+    pub(crate) fn reason(&self) -> Option<&str> {
+        self.header("jasminebend-reason")
+    }
+}
+
+fn dechunk(mut rest: &str) -> String {
+    let mut whole = String::new();
+    while let Some((size, tail)) = rest.split_once("\r\n") {
+        let size = usize::from_str_radix(size, 16).unwrap_or(0);
+        let Some(part) = tail.get(..size).filter(|_| size > 0) else {
+            break;
+        };
+        whole.push_str(part);
+        rest = tail[size..].trim_start_matches("\r\n");
+    }
+    whole
+}
+
+/// Opens a connection and sends bytes on it.
+pub(crate) async fn send(address: SocketAddr, bytes: &str) -> TcpStream {
+    let mut stream = TcpStream::connect(address).await.unwrap();
+    stream.write_all(bytes.as_bytes()).await.unwrap();
+    stream
+}
+
+/// Sends bytes and reads until the connection ends.
+pub(crate) async fn exchange(address: SocketAddr, bytes: &str) -> Reply {
+    let mut stream = send(address, bytes).await;
+    let mut got = Vec::new();
+    let read = timeout(PATIENCE, stream.read_to_end(&mut got)).await;
+    let clean = read.expect("the connection never ended").is_ok();
+    Reply::parse(&got, clean)
+}
+
+/// Sends one request; `headers` are whole lines.
+pub(crate) async fn ask(address: SocketAddr, line: &str, headers: &str, body: &str) -> Reply {
+    let length = body.len();
+    let request = format!(
+        "{line} HTTP/1.1\r\nhost: shop\r\nconnection: close\r\ncontent-length: {length}\r\n{headers}\r\n{body}"
+    );
+    exchange(address, &request).await
+}
--- /dev/null
+++ b/crates/gateway/tests/requests/support/test_gateway.rs
@@ -0,0 +1,248 @@
+//! A gateway over scripted endpoints.
+
+use std::{
+    net::SocketAddr,
+    ops::Range,
+    sync::Arc,
+    time::Duration, //
+};
+
+use jasminebend_base::{
+    ClassKind,
+    ClassTarget,
+    Configuration,
+    DomainState,
+    ExecutorRecord,
+    FailureDomain,
+    IdempotencyRule,
+    OwnerEpoch,
+    ResourceId,
+    RouteRule,
+    ServiceClass,
+    VmRecord,
+    VmSnapshot,
+    VmState, //
+};
+use jasminebend_gateway::{
+    Gateway,
+    GatewayEdges,
+    GatewaySettings, //
+};
+use jasminebend_ports::SystemClock;
+use jasminebend_standins::{
+    FixedOwnership,
+    TableStandIn, //
+};
+use tokio::{
+    net::TcpListener,
+    sync::watch,
+    task::JoinHandle,
+    time::sleep, //
+};
+
+use super::{
+    Reply,
+    ScriptEndpoint,
+    caller::ask, //
+};
+
+pub(crate) const SHARES: u16 = 16;
+
+/// Builds a gateway of a daemon in the domain `east` that holds all shares.
+pub(crate) struct GatewayBuilder {
+    settings: GatewaySettings,
+    vms: Vec<VmRecord>,
+    shares: Range<u16>,
+    target: Duration,
+    rule: IdempotencyRule,
+    table: TableStandIn,
+}
+
+impl GatewayBuilder {
+    pub(crate) fn new() -> Self {
+        Self {
+            settings: GatewaySettings::new("east".into(), SHARES),
+            vms: Vec::new(),
+            shares: 0..SHARES,
+            target: Duration::from_secs(10),
+            rule: IdempotencyRule::ByMethod,
+            table: TableStandIn::new(),
+        }
+    }
+
+    /// Adds an endpoint with so many slots, in the domain `east`.
+    pub(crate) fn with_endpoint(self, endpoint: &ScriptEndpoint, slots: u16) -> Self {
+        self.with_endpoint_in(endpoint.address, slots, "east")
+    }
+
+    pub(crate) fn with_endpoint_in(
+        mut self,
+        address: SocketAddr,
+        slots: u16,
+        domain: &str,
+    ) -> Self {
+        self.vms.push(VmRecord {
+            name: format!("vm-{}", self.vms.len()).as_str().into(),
+            incarnation: 1,
+            domain: domain.into(),
+            state: VmState::Live,
+            executor: Some(ExecutorRecord {
+                service: "booking".into(),
+                address,
+                slots,
+                connections: slots * 8,
+            }),
+            worker: None,
+        });
+        self
+    }
+
+    pub(crate) fn with_settings<Change>(mut self, change: Change) -> Self
+    where
+        Change: FnOnce(GatewaySettings) -> GatewaySettings,
+    {
+        self.settings = change(self.settings);
+        self
+    }
+
+    pub(crate) fn with_shares(mut self, shares: Range<u16>) -> Self {
+        self.shares = shares;
+        self
+    }
+
+    pub(crate) fn with_target(mut self, target: Duration) -> Self {
+        self.target = target;
+        self
+    }
+
+    pub(crate) fn with_rule(mut self, rule: IdempotencyRule) -> Self {
+        self.rule = rule;
+        self
+    }
+
+    pub(crate) fn with_table(mut self, table: &TableStandIn) -> Self {
+        self.table = table.clone();
+        self
+    }
+
+    pub(crate) async fn start(self) -> TestGateway {
+        let ownership = Arc::new(FixedOwnership::new());
+        for share in self.shares {
+            ownership.hold(ResourceId::Slots(share), OwnerEpoch(1), Duration::ZERO);
+        }
+        let configuration = watch::Sender::new(Arc::new(configuration(self.target, self.rule)));
+        let vms = watch::Sender::new(Arc::new(VmSnapshot {
+            revision: 1,
+            vms: self.vms,
+        }));
+        let edges = GatewayEdges {
+            ownership: ownership.clone(),
+            configuration: configuration.subscribe(),
+            vms: vms.subscribe(),
+            table: Arc::new(self.table.clone()),
+            clock: Arc::new(SystemClock::new()),
+            seed: 7,
+        };
+        let gateway = Gateway::new(self.settings, edges);
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let serving = tokio::spawn(Arc::clone(&gateway).serve(listener));
+        TestGateway {
+            address,
+            gateway,
+            ownership,
+            configuration,
+            vms,
+            table: self.table,
+            serving,
+        }
+    }
+}
+
+fn configuration(target: Duration, idempotency: IdempotencyRule) -> Configuration {
+    let domain = |name: &str| FailureDomain {
+        name: name.into(),
+        region: "coast".into(),
+        state: DomainState::In,
+    };
+    Configuration {
+        domains: vec![domain("east"), domain("west")],
+        classes: vec![ServiceClass {
+            name: "booking".into(),
+            kind: ClassKind::Service,
+            target: ClassTarget::AnswerWithin(target),
+            service: Some("booking".into()),
+            route: Some(RouteRule {
+                host: None,
+                path_prefix: "/".into(),
+            }),
+            idempotency,
+        }],
+        ..Configuration::default()
+    }
+}
+
+/// A gateway that serves callers.
+pub(crate) struct TestGateway {
+    pub(crate) address: SocketAddr,
+    pub(crate) gateway: Arc<Gateway>,
+    pub(crate) ownership: Arc<FixedOwnership>,
+    pub(crate) configuration: watch::Sender<Arc<Configuration>>,
+    pub(crate) vms: watch::Sender<Arc<VmSnapshot>>,
+    pub(crate) table: TableStandIn,
+    pub(crate) serving: JoinHandle<()>,
+}
+
+impl TestGateway {
+    pub(crate) async fn get(&self, path: &str) -> Reply {
+        ask(self.address, &format!("GET {path}"), "", "").await
+    }
+
+    pub(crate) async fn post(&self, id: &str) -> Reply {
+        let headers = format!("x-request-id: {id}\r\n");
+        ask(self.address, "POST /bookings", &headers, "guitar").await
+    }
+
+    pub(crate) async fn post_keyed(&self, id: &str, key: &str) -> Reply {
+        let headers = format!("x-request-id: {id}\r\nidempotency-key: {key}\r\n");
+        ask(self.address, "POST /bookings", &headers, "guitar").await
+    }
+
+    /// Sends a request in a task of its own.
+    pub(crate) fn post_later(&self, id: &str) -> JoinHandle<Reply> {
+        let address = self.address;
+        let headers = format!("x-request-id: {id}\r\n");
+        tokio::spawn(async move { ask(address, "POST /bookings", &headers, "guitar").await })
+    }
+
+    pub(crate) fn hold(&self, shares: Range<u16>, idle: Duration) {
+        for share in shares {
+            self.ownership
+                .hold(ResourceId::Slots(share), OwnerEpoch(2), idle);
+        }
+    }
+
+    pub(crate) fn lose(&self, shares: Range<u16>) {
+        for share in shares {
+            self.ownership.lose(ResourceId::Slots(share));
+        }
+    }
+
+    /// Changes the VM list.
+    pub(crate) fn change_vms<Change>(&self, change: Change)
+    where
+        Change: FnOnce(&mut VmSnapshot),
+    {
+        self.vms.send_modify(|vms| change(Arc::make_mut(vms)));
+    }
+}
+
+/// Waits until something holds; the test's harness ends a wait that is in vain.
+pub(crate) async fn eventually<Condition>(condition: Condition)
+where
+    Condition: Fn() -> bool,
+{
+    while !condition() {
+        sleep(Duration::from_millis(5)).await;
+    }
+}
