Let the platform's connections go silent, and test who may call

Every stand-in's server now has the tap that the endpoint had, so that open connections go silent while new ones work. The adapters' answer to it is tested: one timeout gives up the whole pool. Tokens are tested on every service: wrong ones refused as not run, replaced ones taken without a restart, none printed. The clock's contract runs against both clocks.

--- a/crates/standins/src/endpoint_server.rs
+++ b/crates/standins/src/endpoint_server.rs
@@ -74,14 +74,13 @@
     cell: Arc<EndpointCell>,
     mut closed: watch::Receiver<()>,
 ) {
-    let tap = StreamTap::default();
-    cell.add_tap(tap.clone());
+    let tap = cell.taps.add();
     cell.ledger.open(&cell.name, cell.connections);
     tokio::select! {
         _ = closed.changed() => {}
         () = serve_connection(stream, Arc::clone(&cell), tap.clone()) => {}
     }
-    cell.remove_tap(&tap);
+    cell.taps.remove(&tap);
     if !tap.is_silent() {
         cell.ledger.close(&cell.name);
     }
--- a/crates/standins/src/endpoint_stand_in.rs
+++ b/crates/standins/src/endpoint_stand_in.rs
@@ -39,6 +39,7 @@
     ServerGuard,
     endpoint_plan::EndpointPlan,
     endpoint_server,
+    tap_set::TapSet,
     tapped_stream::StreamTap, //
 };
 
@@ -52,7 +53,7 @@
     pub(crate) ledger: Arc<EndpointLedger>,
     pub(crate) clock: Arc<dyn ClockSource>,
     plan: Mutex<EndpointPlan>,
-    taps: Mutex<Vec<StreamTap>>,
+    pub(crate) taps: TapSet,
 }
 
 impl EndpointCell {
@@ -60,14 +61,6 @@
         self.plan.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    pub(crate) fn add_tap(&self, tap: StreamTap) {
-        self.taps().push(tap);
-    }
-
-    pub(crate) fn remove_tap(&self, tap: &StreamTap) {
-        self.taps().retain(|other| !other.is_same(tap));
-    }
-
     /// Lets one connection go silent; it counts as open no longer, since its other end may have
     /// closed it unheard.
     pub(crate) fn silence(&self, tap: &StreamTap) {
@@ -76,10 +69,6 @@
             self.ledger.close(&self.name);
         }
     }
-
-    fn taps(&self) -> MutexGuard<'_, Vec<StreamTap>> {
-        self.taps.lock().unwrap_or_else(PoisonError::into_inner)
-    }
 }
 
 /// The stand-in of an endpoint: an HTTP/1.1 server that works on as many requests at once as it has
@@ -105,7 +94,7 @@
                 ledger,
                 clock: Arc::new(SystemClock::new()),
                 plan: Mutex::new(EndpointPlan::new(seed)),
-                taps: Mutex::default(),
+                taps: TapSet::default(),
             }),
             slots: DEFAULT_SLOTS,
         }
@@ -155,8 +144,7 @@
     /// Lets every open connection go silent, as when something between the two ends loses track of
     /// them; new ones work.
     pub fn silence_connections(&self) {
-        let taps = self.cell.taps().clone();
-        for tap in taps {
+        for tap in self.cell.taps.taps() {
             self.cell.silence(&tap);
         }
     }
@@ -206,7 +194,7 @@
             ledger: Arc::clone(&self.cell.ledger),
             clock,
             plan: Mutex::new(self.cell.plan().clone()),
-            taps: Mutex::default(),
+            taps: TapSet::default(),
         };
         Self {
             cell: Arc::new(cell),
@@ -216,7 +204,7 @@
 
     /// Serves the endpoint until the guard is dropped.
     pub fn serve(&self, listener: TcpListener) -> ServerGuard {
-        let (guard, closed) = ServerGuard::new();
+        let (guard, closed) = ServerGuard::new(self.cell.taps.clone());
         tokio::spawn(endpoint_server::accept_all(
             listener,
             Arc::clone(&self.cell),
--- a/crates/standins/src/http_server.rs
+++ b/crates/standins/src/http_server.rs
@@ -38,6 +38,8 @@
 
 use crate::{
     ServerGuard,
+    tap_set::TapSet,
+    tapped_stream::TappedStream,
     wire_answer::{
         WireResult,
         refuse, //
@@ -74,14 +76,16 @@
 where
     Handler: CallHandler,
 {
-    let (guard, closed) = ServerGuard::new();
-    tokio::spawn(accept_all(listener, handler, closed));
+    let taps = TapSet::default();
+    let (guard, closed) = ServerGuard::new(taps.clone());
+    tokio::spawn(accept_all(listener, handler, taps, closed));
     guard
 }
 
 async fn accept_all<Handler>(
     listener: TcpListener,
     handler: Arc<Handler>,
+    taps: TapSet,
     mut closed: watch::Receiver<()>,
 ) where
     Handler: CallHandler,
@@ -91,7 +95,7 @@
             _ = closed.changed() => return,
             accepted = listener.accept() => {
                 let Ok((stream, caller)) = accepted else { continue };
-                let connection = serve_connection(stream, caller, Arc::clone(&handler));
+                let connection = serve_connection(stream, caller, Arc::clone(&handler), taps.clone());
                 tokio::spawn(until_closed(connection, closed.clone()));
             }
         }
@@ -108,12 +112,18 @@
     }
 }
 
-async fn serve_connection<Handler>(stream: TcpStream, caller: SocketAddr, handler: Arc<Handler>)
-where
+async fn serve_connection<Handler>(
+    stream: TcpStream,
+    caller: SocketAddr,
+    handler: Arc<Handler>,
+    taps: TapSet,
+) where
     Handler: CallHandler,
 {
     // A connection that doesn't take the option works all the same, only slower.
     let _ = stream.set_nodelay(true);
+    let tap = taps.add();
+    let stream = TappedStream::new(stream, tap.clone());
     let service = service_fn(move |request| {
         let handler = Arc::clone(&handler);
         async move { answer(handler.as_ref(), request, caller).await }
@@ -122,6 +132,7 @@
     let _ = http1::Builder::new()
         .serve_connection(TokioIo::new(stream), service)
         .await;
+    taps.remove(&tap);
 }
 
 async fn answer<Handler>(
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -24,6 +24,7 @@
 mod service_time;
 mod table_core;
 mod table_stand_in;
+mod tap_set;
 mod tapped_stream;
 mod task_payload;
 mod usage_lag;
--- a/crates/standins/tests/contracts/main.rs
+++ b/crates/standins/tests/contracts/main.rs
@@ -5,9 +5,11 @@
     reason = "a test's helpers panic as the test does"
 )]
 
+mod clock;
 mod endpoint;
 mod harness;
 mod objects;
 mod table;
+mod token;
 mod vm_list;
 mod worker;
--- a/crates/standins/tests/contracts/table.rs
+++ b/crates/standins/tests/contracts/table.rs
@@ -339,3 +339,18 @@
         tokio::task::yield_now().await;
     }
 }
+
+/// Every call times out though the service is well: something between the two ends lost track of the
+/// open connections. One timeout is enough to give up all of them.
+#[tokio::test]
+async fn one_timeout_gives_up_the_silent_connections() {
+    let table = harness::table_over_http(IMPATIENT).await;
+    let row = key("a");
+    // Several connections at once, which then lie idle in the pool.
+    let read = || table.port.read(&row);
+    let calls = tokio::join!(read(), read(), read(), read());
+    assert_eq!(calls, (Ok(None), Ok(None), Ok(None), Ok(None)));
+    table.guard.as_ref().unwrap().silence_connections();
+    assert_eq!(table.port.read(&row).await, Err(TableError::Unknown));
+    assert_eq!(table.port.read(&row).await, Ok(None));
+}
