Close jobs by an entry of their own, and tell how they stand

Cause: a job left the ledger with its last run's end, so that results too large for its row could not be written to the object store first without being lost by a death in between. A daemon that does not hold the job's shard told the state of its submission until the job's end. A sum of sizes could wrap.

A commit names each row once. The quota compares with what is left.

--- a/crates/placement/src/job_ledger.rs
+++ b/crates/placement/src/job_ledger.rs
@@ -45,7 +45,7 @@
         self.jobs.iter().map(|(job, record)| (*job, record))
     }
 
-    /// Makes a transition. A job of which nothing is left to do stays until [`Self::remove_ended`].
+    /// Makes a transition. A job of which nothing is left to do stays until it is closed.
     ///
     /// # Errors
     ///
@@ -75,6 +75,7 @@
             }
             JobTransition::Ended { task, attempt, end } => self.end(*task, *attempt, end),
             JobTransition::Cancelled { job } => self.cancel(*job),
+            JobTransition::Closed { job } => self.close(*job),
             JobTransition::Held { job, reason } => {
                 self.record(*job)?.held = Some(reason.clone());
                 Ok(())
@@ -82,14 +83,6 @@
         }
     }
 
-    /// Removes a job of which nothing is left to do.
-    pub fn remove_ended(&mut self, job: JobId) -> Option<JobRecord> {
-        if !self.jobs.get(&job)?.ended() {
-            return None;
-        }
-        self.jobs.swap_remove(&job)
-    }
-
     fn accept(&mut self, job: JobId, record: JobRecord) -> Result<(), LedgerError> {
         if self.jobs.contains_key(&job) {
             return Err(LedgerError::DuplicateJob { job });
@@ -136,6 +129,14 @@
         Ok(())
     }
 
+    fn close(&mut self, job: JobId) -> Result<(), LedgerError> {
+        if !self.record(job)?.ended() {
+            return Err(LedgerError::OpenTasks { job });
+        }
+        self.jobs.swap_remove(&job);
+        Ok(())
+    }
+
     fn record(&mut self, job: JobId) -> Result<&mut JobRecord, LedgerError> {
         let found = self.jobs.get_mut(&job);
         found.ok_or(LedgerError::UnknownJob { job })
--- a/crates/placement/src/job_transition.rs
+++ b/crates/placement/src/job_transition.rs
@@ -57,6 +57,11 @@
         /// The job.
         job: JobId,
     },
+    /// A job of which nothing was left to do was told to have ended, and is forgotten.
+    Closed {
+        /// The job.
+        job: JobId,
+    },
     /// A job was held.
     Held {
         /// The job.
--- a/crates/placement/src/ledger_error.rs
+++ b/crates/placement/src/ledger_error.rs
@@ -25,6 +25,12 @@
         /// The job.
         job: JobId,
     },
+    /// The job still has something to do.
+    #[display("job {job} is closed before its end")]
+    OpenTasks {
+        /// The job.
+        job: JobId,
+    },
     /// The run does not follow the task's earlier runs.
     #[display("run {attempt} of task {task} does not follow from the journal")]
     OutOfOrder {
--- a/crates/planner/src/job_desk.rs
+++ b/crates/planner/src/job_desk.rs
@@ -18,6 +18,7 @@
 };
 use jasminebend_ports::{
     CommitOutcome,
+    ObjectKey,
     RowChange,
     RowExpectation,
     TableError,
@@ -36,6 +37,7 @@
     JobStatus,
     PlannerEdges,
     PlannerSettings,
+    RecordError,
     SubmitError,
     inbox_entry::InboxEntry,
     job_row::{
@@ -86,6 +88,7 @@
             shard,
             fingerprint: fingerprint_of(&spec),
             status: JobStatus::submitted(job, &spec),
+            results: None,
         };
         let entry = InboxEntry {
             job,
@@ -149,7 +152,17 @@
     pub(crate) async fn row(&self, job: JobId) -> Result<JobRow, JobError> {
         let found = self.edges.table.read(&row_names::job(job)).await?;
         let found = found.ok_or(JobError::UnknownJob { job })?;
-        Ok(record_codec::decode(&found.value)?)
+        let mut row: JobRow = record_codec::decode(&found.value)?;
+        if let Some(key) = &row.results {
+            let body = self
+                .edges
+                .objects
+                .get(&ObjectKey::from(key.as_str()))
+                .await?;
+            let body = body.ok_or(JobError::Record(RecordError::Torn))?;
+            row.status.results = record_codec::decode(&body)?;
+        }
+        Ok(row)
     }
 
     pub(crate) async fn rows(&self) -> Result<Vec<JobRow>, JobError> {
--- a/crates/planner/src/job_error.rs
+++ b/crates/planner/src/job_error.rs
@@ -6,7 +6,10 @@
     From, //
 };
 use jasminebend_placement::JobId;
-use jasminebend_ports::TableError;
+use jasminebend_ports::{
+    ObjectError,
+    TableError, //
+};
 
 use crate::RecordError;
 
@@ -23,6 +26,9 @@
     /// The table service gave no answer.
     #[display("the job's state cannot be read or changed now: {_0}; ask again")]
     Table(TableError),
+    /// The object store gave no answer.
+    #[display("the job's results cannot be read now: {_0}; ask again")]
+    Object(ObjectError),
     /// The record cannot be read.
     #[display("the job's record cannot be read: {_0}")]
     Record(RecordError),
--- a/crates/planner/src/journal_store.rs
+++ b/crates/planner/src/journal_store.rs
@@ -125,16 +125,6 @@
     let transitions: Vec<JobTransition> = record_codec::decode(value)?;
     for transition in &transitions {
         ledger.apply(transition)?;
-        remove_ended(ledger, transition);
     }
     Ok(())
 }
-
-/// Removes the job that a transition ended, as its owner did when it wrote the transition.
-pub(crate) fn remove_ended(ledger: &mut JobLedger, transition: &JobTransition) {
-    match transition {
-        JobTransition::Ended { task, .. } => ledger.remove_ended(task.job),
-        JobTransition::Cancelled { job } => ledger.remove_ended(*job),
-        _ => None,
-    };
-}
--- a/crates/planner/src/journal_writer.rs
+++ b/crates/planner/src/journal_writer.rs
@@ -2,6 +2,7 @@
 
 use std::collections::VecDeque;
 
+use indexmap::IndexMap;
 use jasminebend_placement::JobTransition;
 use jasminebend_ports::{
     ObjectKey,
@@ -88,6 +89,13 @@
         self.rows.push(row);
     }
 
+    /// Adds a row that goes with the entry pushed last.
+    pub(crate) fn add_row(&mut self, row: RowChange) {
+        if let Some(entry) = self.pending.back_mut() {
+            entry.rows.push(row);
+        }
+    }
+
     pub(crate) fn waiting(&self) -> usize {
         self.pending.len()
     }
@@ -157,6 +165,7 @@
             changes.extend(entry.rows.iter().cloned());
         }
         changes.append(&mut self.rows);
+        let changes = last_of_each_row(changes);
         self.in_flight = Some(CommitBatch {
             write,
             changes,
@@ -223,3 +232,12 @@
         to
     }
 }
+
+/// Keeps the last change of each row: a transaction names a row once.
+fn last_of_each_row(changes: Vec<RowChange>) -> Vec<RowChange> {
+    let mut last = IndexMap::with_capacity(changes.len());
+    for change in changes {
+        last.insert(change.key.clone(), change);
+    }
+    last.into_values().collect()
+}
--- a/crates/planner/src/lib.rs
+++ b/crates/planner/src/lib.rs
@@ -36,6 +36,7 @@
 mod shard_phase;
 mod shard_plan;
 mod shard_reconcile;
+mod shard_rows;
 mod shard_runs;
 mod shard_state;
 mod shard_supervisor;
--- a/crates/planner/src/row_names.rs
+++ b/crates/planner/src/row_names.rs
@@ -42,6 +42,10 @@
     RowKey::from(format!("planner/shard/{shard:05}/log/{sequence:016x}"))
 }
 
+pub(crate) fn results(job: JobId) -> ObjectKey {
+    ObjectKey::from(format!("planner/results/{job}"))
+}
+
 pub(crate) fn snapshot(shard: u16, epoch: u64, sequence: u64) -> ObjectKey {
     ObjectKey::from(format!(
         "planner/shard/{shard:05}/snapshot/{epoch:016x}-{sequence:016x}"
--- a/crates/planner/src/shard_actor.rs
+++ b/crates/planner/src/shard_actor.rs
@@ -71,6 +71,9 @@
                 entries,
                 result,
             } => self.on_snapshot(key, entries, result),
+            ShardMessage::ResultsKept { job, body, result } => {
+                self.on_results_kept(job, body, result);
+            }
             ShardMessage::Scanned {
                 started,
                 submissions,
--- a/crates/planner/src/shard_calls.rs
+++ b/crates/planner/src/shard_calls.rs
@@ -14,6 +14,7 @@
     OwnerEpoch, //
 };
 use jasminebend_placement::{
+    JobId,
     TaskId,
     WorkerKey, //
 };
@@ -120,6 +121,21 @@
         });
     }
 
+    pub(crate) fn keep_results(
+        &mut self,
+        job: JobId,
+        key: ObjectKey,
+        body: Bytes,
+        delay: Duration,
+    ) {
+        let edges = Arc::clone(&self.edges);
+        self.run(async move {
+            tokio::time::sleep(delay).await;
+            let result = edges.objects.put(&key, body.clone()).await;
+            ShardMessage::ResultsKept { job, body, result }
+        });
+    }
+
     pub(crate) fn drop_snapshot(&mut self, key: ObjectKey) {
         let edges = Arc::clone(&self.edges);
         self.run(async move {
--- a/crates/planner/src/shard_ends.rs
+++ b/crates/planner/src/shard_ends.rs
@@ -17,24 +17,12 @@
     TaskEnd,
     TaskId,
     TaskState,
-    WaitReason,
     WorkerKey, //
 };
-use jasminebend_ports::{
-    RowChange,
-    RowExpectation, //
-};
 use spdlog::warn;
 
 use crate::{
-    JobStatus,
     commit_effect::CommitEffect,
-    job_row::{
-        JobRow,
-        fingerprint_of, //
-    },
-    record_codec,
-    row_names,
     run_phase::RunPhase,
     shard_state::ShardState,
     stop_wish::StopWish,
@@ -67,6 +55,7 @@
             .iter()
             .map(|task| (task.state.clone(), task.attempt))
             .collect();
+        self.close_if_ended(job);
         for ((state, attempt), index) in states.into_iter().zip(0..) {
             let task = TaskId { job, index };
             match state {
@@ -249,41 +238,6 @@
         self.record(JobTransition::Held { job, reason }, CommitEffect::Nothing);
     }
 
-    /// Returns the rows that go with a transition: what became of a job that ended or is held.
-    pub(crate) fn rows_of(&self, transition: &JobTransition) -> Vec<RowChange> {
-        let job = match transition {
-            JobTransition::Ended { task, .. } => task.job,
-            JobTransition::Cancelled { job } | JobTransition::Held { job, .. } => *job,
-            JobTransition::Accepted { job, .. } => {
-                let key = row_names::inbox_entry(self.calls.permit.shard, *job);
-                return vec![RowChange::delete(key, RowExpectation::Any)];
-            }
-            JobTransition::Placed { .. } => return Vec::new(),
-        };
-        let Some(record) = self.ledger.job(job) else {
-            return Vec::new();
-        };
-        let told = record.ended() || !matches!(transition, JobTransition::Ended { .. });
-        match told {
-            true => self.job_row(job, record).into_iter().collect(),
-            false => Vec::new(),
-        }
-    }
-
-    fn job_row(&self, job: JobId, record: &JobRecord) -> Option<RowChange> {
-        let row = JobRow {
-            shard: self.calls.permit.shard,
-            fingerprint: fingerprint_of(&record.spec),
-            status: JobStatus::new(job, record, WaitReason::New),
-        };
-        let value = record_codec::encode(&row).ok()?;
-        Some(RowChange::put(
-            row_names::job(job),
-            RowExpectation::Any,
-            value,
-        ))
-    }
-
     pub(crate) fn quota_allows(&self, job: &JobRecord, size: ResourceAmount) -> bool {
         if job.kind == ClassKind::Service {
             return true;
@@ -293,7 +247,7 @@
             return true;
         };
         let used = self.team_used.get(&job.spec.team).copied();
-        (used.unwrap_or_default() + size).fits_in(quota.limit)
+        size.fits_in(quota.limit.saturating_sub(used.unwrap_or_default()))
     }
 }
 
--- a/crates/planner/src/shard_journal.rs
+++ b/crates/planner/src/shard_journal.rs
@@ -4,7 +4,9 @@
 
 use bytes::Bytes;
 use jasminebend_placement::{
+    JobId,
     JobTransition,
+    TaskId,
     TaskState, //
 };
 use jasminebend_ports::{
@@ -24,10 +26,7 @@
 use crate::{
     JournalError,
     commit_effect::CommitEffect,
-    journal_store::{
-        self,
-        OpenJournal, //
-    },
+    journal_store::OpenJournal,
     journal_writer::{
         JournalWriter,
         PendingEntry, //
@@ -102,7 +101,11 @@
             return false;
         }
         let rows = self.rows_of(&transition);
-        journal_store::remove_ended(&mut self.ledger, &transition);
+        let job = match &transition {
+            JobTransition::Ended { task, .. } => Some(task.job),
+            JobTransition::Cancelled { job } => Some(*job),
+            _ => None,
+        };
         let entry = PendingEntry {
             transition,
             effect,
@@ -111,6 +114,9 @@
         if let Some(writer) = &mut self.writer {
             writer.push(entry);
         }
+        if let Some(job) = job {
+            self.close_if_ended(job);
+        }
         true
     }
 
@@ -123,6 +129,11 @@
             return;
         }
         let write = self.draw_write();
+        let in_flight = |writer: &JournalWriter| writer.in_flight.is_some();
+        if self.writer.as_ref().is_none_or(in_flight) {
+            return;
+        }
+        self.tell_jobs(now);
         let Some(writer) = &mut self.writer else {
             return;
         };
@@ -294,7 +305,7 @@
         }
     }
 
-    fn stop_job(&mut self, job: jasminebend_placement::JobId) {
+    fn stop_job(&mut self, job: JobId) {
         let Some(record) = self.ledger.job(job) else {
             return;
         };
@@ -302,7 +313,7 @@
         let placed = placed.filter(|(task, _)| matches!(task.state, TaskState::Placed { .. }));
         let tasks: Vec<u32> = placed.map(|(_, index)| index).collect();
         for index in tasks {
-            self.wish(jasminebend_placement::TaskId { job, index }, StopWish::Stop);
+            self.wish(TaskId { job, index }, StopWish::Stop);
         }
     }
 
--- a/crates/planner/src/shard_message.rs
+++ b/crates/planner/src/shard_message.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use bytes::Bytes;
 use jasminebend_placement::{
     JobId,
     TaskId,
@@ -42,6 +43,12 @@
         entries: usize,
         result: Result<(), ObjectError>,
     },
+    /// A job's results were written to the object store.
+    ResultsKept {
+        job: JobId,
+        body: Bytes,
+        result: Result<(), ObjectError>,
+    },
     /// The inbox was read.
     Scanned {
         started: Duration,
--- a/crates/planner/src/shard_state.rs
+++ b/crates/planner/src/shard_state.rs
@@ -24,6 +24,7 @@
     ClassBook,
     JobId,
     JobLedger,
+    JobRecord,
     PairModel,
     ReadyQueue,
     SizeModel,
@@ -78,6 +79,12 @@
     /// The ends that are not committed yet.
     pub(crate) ending: IndexSet<TaskAttempt>,
 
+    /// The jobs whose results are being written to the object store.
+    pub(crate) closing: IndexSet<JobId>,
+    /// The jobs whose rows are older than they are.
+    pub(crate) untold: IndexSet<JobId>,
+    pub(crate) next_told: Duration,
+
     pub(crate) pool: WorkerPool,
     pub(crate) book: ClassBook,
     pub(crate) sizes: SizeModel,
@@ -137,6 +144,9 @@
             commit_retry: Duration::ZERO,
             resend: false,
             ending: IndexSet::new(),
+            closing: IndexSet::new(),
+            untold: IndexSet::new(),
+            next_told: Duration::ZERO,
             pool: WorkerPool::new(),
             book: ClassBook::new(),
             sizes: SizeModel::new(),
@@ -214,16 +224,20 @@
 
     pub(crate) fn status(&self, job: JobId) -> Option<JobStatus> {
         let record = self.ledger.job(job)?;
-        Some(JobStatus::new(job, record, self.reason(job)))
+        Some(self.status_of(job, record))
+    }
+
+    pub(crate) fn status_of(&self, job: JobId, record: &JobRecord) -> JobStatus {
+        JobStatus::new(job, record, self.reason(job))
     }
 
     pub(crate) fn statuses(&self) -> Vec<JobStatus> {
         let jobs = self.ledger.jobs();
-        jobs.map(|(job, record)| JobStatus::new(job, record, self.reason(job)))
+        jobs.map(|(job, record)| self.status_of(job, record))
             .collect()
     }
 
-    fn reason(&self, job: JobId) -> WaitReason {
+    pub(crate) fn reason(&self, job: JobId) -> WaitReason {
         if self.unread || self.table_silent.is_some() {
             return WaitReason::Table;
         }
