Let queued tasks go on without the table

Cause: in an outage of the table, room that fell free stayed idle, since a run may start only once it is committed: a successor that cannot reach its worker would not know of it.

Change: while the table answers, waiting batch tasks are committed ahead to full workers, up to as many as run there and 16 at most; only that worker may run them, and they start as room falls free. They are taken back when their latest start nears or other workers have room with nothing waiting. A successor gives those up that its workers do not know; a second actor under one epoch stops them there first.

--- a/crates/placement/src/worker_pool.rs
+++ b/crates/placement/src/worker_pool.rs
@@ -167,6 +167,21 @@
         self.releases += 1;
     }
 
+    /// Tells whether a worker's failure domain takes one more start now.
+    pub fn domain_admits(&self, key: WorkerKey, now: Duration) -> bool {
+        let entry = self.domains.get(&self.worker(key).domain);
+        entry.is_none_or(|entry| entry.gate.admits(now))
+    }
+
+    /// Returns a worker in a failure domain that takes work with room for this much, if the emptiest
+    /// ones have it.
+    pub fn some_room(&self, size: ResourceAmount) -> Option<WorkerKey> {
+        let open = self.domains.values().filter(|entry| entry.gate.is_open());
+        let mut emptiest =
+            open.filter_map(|entry| entry.index.emptiest_first(size.cpu_millis).next());
+        emptiest.find(|key| size.fits_in(self.worker(*key).room()))
+    }
+
     /// Tells whether a failure domain takes work.
     pub fn domain_takes_work(&self, domain: &DomainName) -> bool {
         self.domains
--- a/crates/planner/src/job_status.rs
+++ b/crates/planner/src/job_status.rs
@@ -82,6 +82,18 @@
         }
         status
     }
+
+    /// Counts runs that were committed ahead as the waiting tasks that they are.
+    pub(crate) fn wait_ahead(&mut self, ahead: u32, reason: WaitReason) {
+        if ahead == 0 {
+            return;
+        }
+        self.queued += ahead;
+        self.running = self.running.saturating_sub(ahead);
+        if self.phase == JobPhase::Running {
+            self.phase = JobPhase::Waiting { reason };
+        }
+    }
 }
 
 fn phase_of(record: &JobRecord, queued: u32, reason: WaitReason) -> JobPhase {
--- a/crates/planner/src/lib.rs
+++ b/crates/planner/src/lib.rs
@@ -25,6 +25,7 @@
 mod row_names;
 mod run_phase;
 mod shard_actor;
+mod shard_ahead;
 mod shard_calls;
 mod shard_domains;
 mod shard_ends;
--- a/crates/planner/src/run_phase.rs
+++ b/crates/planner/src/run_phase.rs
@@ -9,6 +9,8 @@
     Unheard,
     /// Its journal entry is not committed.
     Committing,
+    /// It is committed and waits for room on its worker.
+    Ahead,
     /// It may be started.
     ToStart,
     /// A start is on its way.
--- a/crates/planner/src/shard_actor.rs
+++ b/crates/planner/src/shard_actor.rs
@@ -29,6 +29,8 @@
     pub(crate) edges: Arc<PlannerEdges>,
     pub(crate) permit: ShardPermit,
     pub(crate) flights: FlightCount,
+    /// Whether no other actor of this process ever acted under this epoch.
+    pub(crate) first_of_epoch: bool,
 }
 
 impl Actor for ShardActor {
@@ -43,7 +45,8 @@
     ) -> Result<ShardState, ActorProcessingErr> {
         let edges = Arc::clone(&start.edges);
         let calls = ShardCalls::new(start.permit, start.edges, myself, start.flights);
-        Ok(ShardState::new(start.settings, edges, calls))
+        let first = start.first_of_epoch;
+        Ok(ShardState::new(start.settings, edges, calls, first))
     }
 
     async fn handle(
--- a/crates/planner/src/shard_ends.rs
+++ b/crates/planner/src/shard_ends.rs
@@ -169,9 +169,9 @@
         };
         let name = attempt_of(task, run.attempt);
         match run.phase {
-            RunPhase::Starting | RunPhase::Committing => return,
+            RunPhase::Starting | RunPhase::Committing | RunPhase::Ahead => return,
             RunPhase::ToStart if !run.maybe_started => return,
-            RunPhase::Running | RunPhase::Settling { .. } => {}
+            RunPhase::Running | RunPhase::Settling { .. } | RunPhase::Unheard => {}
             // A start of it may still be on its way: its worker must refuse it before it is adopted
             // anew.
             _ => self.links[&run.worker].late_starts.push(name),
@@ -186,8 +186,11 @@
 
     fn remove_run(&mut self, task: TaskId) -> Option<TaskRun> {
         let run = self.runs.swap_remove(&task)?;
-        self.pool.release(run.worker, run.class, run.counted);
+        if run.holds_room {
+            self.pool.release(run.worker, run.class, run.counted);
+        }
         self.note_company(run.worker);
+        self.links[&run.worker].ahead.shift_remove(&task);
         self.links[&run.worker].runs.swap_remove(&task);
         if run.kind == ClassKind::Batch
             && let Some(job) = self.ledger.job(task.job)
--- a/crates/planner/src/shard_journal.rs
+++ b/crates/planner/src/shard_journal.rs
@@ -82,7 +82,6 @@
             "[planner] Took over shard {} at epoch {}.",
             shard, self.calls.permit.epoch
         );
-        self.taken_over = now;
         self.snapshot_key.clone_from(&journal.head.snapshot);
         self.writer = Some(JournalWriter::new(shard, journal.head, journal.version));
         self.ledger = journal.ledger;
@@ -288,7 +287,13 @@
                 if let Some(run) = self.runs.get_mut(&task)
                     && run.phase == RunPhase::Committing
                 {
-                    run.phase = RunPhase::ToStart;
+                    run.phase = match run.ahead {
+                        true => RunPhase::Ahead,
+                        false => RunPhase::ToStart,
+                    };
+                    if run.ahead {
+                        self.links[&run.worker].ahead.insert(task);
+                    }
                     self.attention.insert(task);
                 }
             }
--- a/crates/planner/src/shard_plan.rs
+++ b/crates/planner/src/shard_plan.rs
@@ -58,6 +58,7 @@
     pub(crate) fn plan(&mut self, now: Duration) {
         let changed = self.plan_due || self.pool.releases() != self.planned_releases;
         let waiting = self.writer.as_ref().map_or(0, |writer| writer.waiting());
+        self.start_ahead(now);
         // Without the table no run can be committed, and room set aside for one would be idle.
         if self.table_silent.is_some() || waiting > MOST_WAITING {
             return;
@@ -80,6 +81,7 @@
                 return;
             }
         }
+        self.plan_ahead(now);
     }
 
     /// Places tasks of a job until one finds no place; returns how many found one.
--- a/crates/planner/src/shard_reconcile.rs
+++ b/crates/planner/src/shard_reconcile.rs
@@ -79,6 +79,9 @@
             return;
         };
         match run.phase {
+            // The worker follows this epoch since before it answered, and refuses the starts of earlier
+            // ones: whatever is not there now will not be.
+            RunPhase::Unheard if self.first_of_epoch => self.lose_run(task),
             RunPhase::Unheard | RunPhase::Running => {
                 run.phase = RunPhase::Unconfirmed { retry: now };
                 self.wish(task, StopWish::Stop);
@@ -163,7 +166,7 @@
             let run = &self.runs[task];
             match run.phase {
                 RunPhase::Running if run.since <= sent => expected += 1,
-                RunPhase::Committing | RunPhase::ToStart => {}
+                RunPhase::Committing | RunPhase::Ahead | RunPhase::ToStart => {}
                 _ => return,
             }
         }
--- a/crates/planner/src/shard_runs.rs
+++ b/crates/planner/src/shard_runs.rs
@@ -63,7 +63,7 @@
         let adopted = self.links[&run.worker].phase == LinkPhase::Adopted;
         let ending = run.wish != StopWish::Keep;
         match run.phase {
-            RunPhase::ToStart if !run.maybe_started && (ending || !adopted) => {
+            RunPhase::ToStart | RunPhase::Ahead if !run.maybe_started && (ending || !adopted) => {
                 self.end_run(task, TaskEnd::NotStarted);
                 false
             }
--- a/crates/planner/src/shard_state.rs
+++ b/crates/planner/src/shard_state.rs
@@ -62,7 +62,8 @@
     pub(crate) calls: ShardCalls,
     pub(crate) random: StdRng,
     pub(crate) phase: ShardPhase,
-    pub(crate) taken_over: Duration,
+    /// Whether no other actor of this process ever acted under this epoch.
+    pub(crate) first_of_epoch: bool,
     pub(crate) retry: Duration,
 
     pub(crate) configuration: watch::Receiver<Arc<Configuration>>,
@@ -97,6 +98,7 @@
     pub(crate) plan_due: bool,
     pub(crate) planned_releases: u64,
     pub(crate) next_plan: Duration,
+    pub(crate) next_ahead: Duration,
 
     pub(crate) runs: IndexMap<TaskId, TaskRun>,
     pub(crate) attention: IndexSet<TaskId>,
@@ -118,6 +120,7 @@
         settings: PlannerSettings,
         edges: Arc<PlannerEdges>,
         calls: ShardCalls,
+        first_of_epoch: bool,
     ) -> Self {
         let shard = u64::from(calls.permit.shard);
         let seed = edges.seed ^ calls.permit.epoch.0.rotate_left(20) ^ shard.rotate_left(48);
@@ -134,7 +137,7 @@
             calls,
             random: StdRng::seed_from_u64(seed),
             phase: ShardPhase::Closed,
-            taken_over: Duration::ZERO,
+            first_of_epoch,
             retry: Duration::ZERO,
             ledger: JobLedger::new(),
             writer: None,
@@ -159,6 +162,7 @@
             plan_due: true,
             planned_releases: 0,
             next_plan: Duration::ZERO,
+            next_ahead: Duration::ZERO,
             runs: IndexMap::new(),
             attention: IndexSet::new(),
             stops_in_flight: 0,
@@ -228,7 +232,14 @@
     }
 
     pub(crate) fn status_of(&self, job: JobId, record: &JobRecord) -> JobStatus {
-        JobStatus::new(job, record, self.reason(job))
+        let mut status = JobStatus::new(job, record, self.reason(job));
+        let tasks = (0..record.spec.tasks).map(|index| TaskId { job, index });
+        let ahead = tasks.filter(|task| {
+            let run = self.runs.get(task);
+            run.is_some_and(|run| run.ahead && !run.holds_room)
+        });
+        status.wait_ahead(u32::try_from(ahead.count()).unwrap_or(0), self.reason(job));
+        status
     }
 
     pub(crate) fn statuses(&self) -> Vec<JobStatus> {
--- a/crates/planner/src/shard_supervisor.rs
+++ b/crates/planner/src/shard_supervisor.rs
@@ -49,6 +49,7 @@
     edges: Arc<PlannerEdges>,
     held: Mutex<IndexMap<u16, HeldShard>>,
     flights: Vec<FlightCount>,
+    begun: Mutex<IndexMap<u16, OwnerEpoch>>,
 }
 
 impl ShardSupervisor {
@@ -58,6 +59,7 @@
             settings,
             edges,
             held: Mutex::new(IndexMap::new()),
+            begun: Mutex::new(IndexMap::new()),
             flights: std::iter::repeat_with(FlightCount::new)
                 .take(shards)
                 .collect(),
@@ -117,6 +119,7 @@
                 epoch,
             },
             flights: self.flights[usize::from(shard)].clone(),
+            first_of_epoch: self.note_epoch(shard, epoch),
         };
         match Actor::spawn(None, ShardActor, start).await {
             Ok((actor, _)) => {
@@ -126,6 +129,12 @@
         }
     }
 
+    /// Notes an epoch as begun; tells whether it is so for the first time.
+    fn note_epoch(&self, shard: u16, epoch: OwnerEpoch) -> bool {
+        let mut begun = self.begun.lock().unwrap_or_else(PoisonError::into_inner);
+        begun.insert(shard, epoch) != Some(epoch)
+    }
+
     pub(crate) fn actor(&self, shard: u16) -> Option<ActorRef<ShardMessage>> {
         let held = self.lock();
         held.get(&shard).map(|known| known.actor.clone())
--- a/crates/planner/src/task_run.rs
+++ b/crates/planner/src/task_run.rs
@@ -8,6 +8,7 @@
 };
 use jasminebend_placement::{
     ClassKey,
+    LatestStart,
     WorkerKey, //
 };
 
@@ -34,6 +35,12 @@
     pub(crate) since: Duration,
     /// When a refused checkpoint may be asked for again.
     pub(crate) not_before: Duration,
+    /// Whether its room is set aside; not for a run that was committed ahead.
+    pub(crate) holds_room: bool,
+    /// Whether it was committed ahead, to start once there is room.
+    pub(crate) ahead: bool,
+    /// Its latest start, if it was committed ahead.
+    pub(crate) latest: LatestStart,
     /// The place that is kept for it while it leaves its worker; for services.
     pub(crate) moving_to: Option<WorkerKey>,
 }
@@ -58,6 +65,9 @@
             used: ResourceAmount::default(),
             since: Duration::ZERO,
             not_before: Duration::ZERO,
+            holds_room: true,
+            ahead: false,
+            latest: LatestStart(0),
             moving_to: None,
         }
     }
--- a/crates/planner/src/worker_link.rs
+++ b/crates/planner/src/worker_link.rs
@@ -46,6 +46,8 @@
     pub(crate) unanswered: u32,
     pub(crate) incarnation: Option<u64>,
     pub(crate) runs: IndexSet<TaskId>,
+    /// The runs that are committed and wait for room.
+    pub(crate) ahead: IndexSet<TaskId>,
     /// The ends that are committed and not yet acknowledged.
     pub(crate) acknowledged: Vec<TaskAttempt>,
     /// The runs given up as lost of which a start may still be on its way.
@@ -77,6 +79,7 @@
             unanswered: 0,
             incarnation: None,
             runs: IndexSet::new(),
+            ahead: IndexSet::new(),
             acknowledged: Vec::new(),
             late_starts: Vec::new(),
             strays: IndexMap::new(),
--- a/crates/planner/tests/planner/outage.rs
+++ b/crates/planner/tests/planner/outage.rs
@@ -53,6 +53,9 @@
         sleep(seconds(570)).await;
         let running = bed.ledger.runs_of(services.0, 0);
         assert!(running.len() == 1 && running[0].ended.is_none());
+        // The 26 that ran, and as many again that were committed ahead.
+        let finishes = bed.ledger.summary().finishes;
+        assert!((52..=58).contains(&finishes), "{kind:?}: {finishes}");
         bed.table.faults().set_outage(OutageState::Up);
         let slow = FaultKind::Slow(seconds(2));
         bed.table.faults().always(CallKind::Commit, slow);
