Start the cluster part: seats, configuration and ownership over the table and nng

Cause: the other parts need a real ClusterHandle to be wired to. Change: an actor around the state machine polls three rows with one scan a second, carries out its actions, keeps the configuration's document in a row of its own, reads the VM list and speaks to peers through a link (nng, or memory in tests). A hot loop at the clock's origin, where the first poll was always due, was found by the first test and is mended: the last poll's time is an Option now.

--- /dev/null
+++ b/crates/cluster/src/change_edit.rs
@@ -0,0 +1,95 @@
+//! What a change makes of the configuration in force.
+
+use jasminebend_base::{
+    Configuration,
+    ConfigurationError,
+    DomainName,
+    DomainState, //
+};
+
+use crate::{
+    ConfigurationChange,
+    RefusalReason, //
+};
+
+/// Returns the document after a change, or `None` if it is as wanted already: a command that is
+/// repeated changes nothing.
+///
+/// # Errors
+///
+/// Returns why the change cannot be accepted on top of `current`.
+pub(crate) fn edit_configuration(
+    current: &Configuration,
+    change: &ConfigurationChange,
+) -> Result<Option<Configuration>, RefusalReason> {
+    let edited = match change {
+        ConfigurationChange::Replace { configuration, .. } => replace(current, configuration)?,
+        ConfigurationChange::Domain { name, state, force } => {
+            set_domain(current, name, *state, *force)?
+        }
+    };
+    if edited == *current {
+        return Ok(None);
+    }
+    check_expected(current, change)?;
+    Ok(Some(edited))
+}
+
+fn check_expected(
+    current: &Configuration,
+    change: &ConfigurationChange,
+) -> Result<(), RefusalReason> {
+    match change {
+        ConfigurationChange::Replace {
+            expected: Some(expected),
+            ..
+        } if *expected != current.version => Err(RefusalReason::Superseded {
+            expected: *expected,
+            current: current.version,
+        }),
+        _ => Ok(()),
+    }
+}
+
+fn replace(
+    current: &Configuration,
+    wanted: &Configuration,
+) -> Result<Configuration, RefusalReason> {
+    let mut edited = wanted.clone();
+    edited.version = current.version;
+    edited.check().map_err(RefusalReason::Invalid)?;
+    if current.domains != edited.domains {
+        check_domain_left(&edited)?;
+    }
+    Ok(edited)
+}
+
+fn set_domain(
+    current: &Configuration,
+    name: &DomainName,
+    state: DomainState,
+    force: bool,
+) -> Result<Configuration, RefusalReason> {
+    let mut edited = current.clone();
+    let Some(domain) = edited
+        .domains
+        .iter_mut()
+        .find(|domain| domain.name == *name)
+    else {
+        return Err(RefusalReason::UnknownDomain {
+            domain: name.clone(),
+        });
+    };
+    let unchanged = domain.state == state;
+    domain.state = state;
+    if !force && !unchanged {
+        check_domain_left(&edited)?;
+    }
+    Ok(edited)
+}
+
+fn check_domain_left(edited: &Configuration) -> Result<(), RefusalReason> {
+    edited
+        .check_domain_left()
+        .map_err(|fault: ConfigurationError| RefusalReason::Invalid(fault))
+}
--- /dev/null
+++ b/crates/cluster/src/cluster_view.rs
@@ -0,0 +1,54 @@
+//! What this daemon holds, for its other parts.
+
+use std::{
+    sync::{
+        Arc,
+        Mutex,
+        MutexGuard,
+        PoisonError, //
+    },
+    time::Duration,
+};
+
+use jasminebend_base::{
+    OwnerEpoch,
+    ResourceId, //
+};
+use jasminebend_ownership::MemberMachine;
+use jasminebend_ports::{
+    ClockSource,
+    OwnershipView, //
+};
+
+/// What this daemon holds. Each question looks at the clock anew, so that a pause is noticed.
+pub(crate) struct ClusterView {
+    machine: Arc<Mutex<MemberMachine>>,
+    clock: Arc<dyn ClockSource>,
+}
+
+impl ClusterView {
+    pub(crate) fn new(machine: Arc<Mutex<MemberMachine>>, clock: Arc<dyn ClockSource>) -> Self {
+        Self { machine, clock }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, MemberMachine> {
+        self.machine.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl OwnershipView for ClusterView {
+    fn may_act(&self, resource: ResourceId) -> Option<OwnerEpoch> {
+        let machine = self.lock();
+        machine.may_act(self.clock.monotonic(), resource)
+    }
+
+    fn held(&self) -> Vec<(ResourceId, OwnerEpoch)> {
+        let machine = self.lock();
+        machine.held(self.clock.monotonic())
+    }
+
+    fn idle_for(&self, resource: ResourceId) -> Duration {
+        let machine = self.lock();
+        machine.idle_for(self.clock.monotonic(), resource)
+    }
+}
--- a/crates/cluster/src/lib.rs
+++ b/crates/cluster/src/lib.rs
@@ -1,1 +1,47 @@
-//! Placeholder.
+//! What the daemons share: membership, the configuration, and who holds which slot share and shard.
+//!
+//! The rule itself is the pure state machine of `jasminebend_ownership`; this crate is its shell over
+//! the platform's table service and nng.
+
+mod change_edit;
+mod cluster_actor;
+mod cluster_edges;
+mod cluster_error;
+mod cluster_handle;
+mod cluster_message;
+mod cluster_settings;
+mod cluster_state;
+mod cluster_status;
+mod cluster_view;
+mod commit_end;
+mod configuration_change;
+mod document_fetch;
+mod nng_link;
+mod peer_link;
+mod probe_outcome;
+mod proposal_error;
+mod proposal_queue;
+mod proposal_steps;
+mod refusal_reason;
+mod row_error;
+mod shared_rows;
+mod status_report;
+mod vm_absences;
+
+pub use self::{
+    cluster_edges::ClusterEdges,
+    cluster_error::ClusterError,
+    cluster_handle::ClusterHandle,
+    cluster_settings::ClusterSettings,
+    cluster_status::{
+        ClusterStatus,
+        DomainStatus,
+        MemberStatus, //
+    },
+    configuration_change::ConfigurationChange,
+    nng_link::NngLink,
+    peer_link::PeerLink,
+    probe_outcome::ProbeOutcome,
+    proposal_error::ProposalError,
+    refusal_reason::RefusalReason, //
+};
--- /dev/null
+++ b/crates/cluster/src/row_error.rs
@@ -0,0 +1,21 @@
+//! Why the shared rows could not be read or written.
+
+use derive_more::{
+    Display,
+    Error, //
+};
+use jasminebend_ports::TableError;
+
+/// Why the shared rows could not be read or written.
+#[derive(Clone, Copy, Debug, Display, Eq, Error, PartialEq)]
+pub(crate) enum RowError {
+    /// The table gave no answer.
+    #[display("{_0}")]
+    Table(#[error(source)] TableError),
+    /// A later release wrote the row.
+    #[display("a shared row is of another release's format")]
+    OtherFormat,
+    /// The row cannot be read.
+    #[display("a shared row is malformed")]
+    Malformed,
+}
--- /dev/null
+++ b/crates/cluster/src/status_report.rs
@@ -0,0 +1,134 @@
+//! How the status is put together.
+
+use std::time::Duration;
+
+use jasminebend_base::{
+    Configuration,
+    ConfigurationVersion,
+    SeatNumber, //
+};
+use jasminebend_ownership::{
+    HolderId,
+    MemberMachine,
+    OwnershipEntry,
+    SeatHolder,
+    TableSnapshot, //
+};
+
+use crate::{
+    ClusterStatus,
+    DomainStatus,
+    MemberStatus, //
+};
+
+/// Puts the status together.
+pub(crate) fn status_of(
+    machine: &MemberMachine,
+    configuration: &Configuration,
+    now: Duration,
+) -> ClusterStatus {
+    let empty = TableSnapshot::default();
+    let table = machine.table().unwrap_or(&empty);
+    ClusterStatus {
+        seat: machine.hold().map(|hold| hold.id.seat),
+        may_start: machine.may_start(now),
+        table_fresh: machine.table_is_fresh(now),
+        peers_vouch: machine.peers_vouch(now),
+        in_force: ConfigurationVersion(machine.in_force()),
+        accepted: ConfigurationVersion(machine.newest_committed()),
+        announced: ConfigurationVersion(machine.newest_announced()),
+        members: members_of(machine, table, now),
+        domains: domains_of(machine, table, configuration, now),
+        slots_unusable: count_unheld(table, &table.ownership.row.slots),
+        shards_unheld: count_unheld(table, &table.ownership.row.shards),
+    }
+}
+
+fn count_unheld(table: &TableSnapshot, entries: &[OwnershipEntry]) -> usize {
+    let members = &table.members.row;
+    let held = |entry: &&OwnershipEntry| entry.holder.is_some_and(|id| members.is_seated(id));
+    entries.len() - entries.iter().filter(held).count()
+}
+
+fn members_of(machine: &MemberMachine, table: &TableSnapshot, now: Duration) -> Vec<MemberStatus> {
+    let seats = table.members.row.numbered();
+    seats
+        .filter_map(|(seat, record)| Some((seat, record.holder.as_ref()?)))
+        .map(|(seat, holder)| member_of(machine, table, seat, holder, now))
+        .collect()
+}
+
+fn member_of(
+    machine: &MemberMachine,
+    table: &TableSnapshot,
+    seat: SeatNumber,
+    holder: &SeatHolder,
+    now: Duration,
+) -> MemberStatus {
+    let id = HolderId {
+        seat,
+        incarnation: holder.incarnation,
+    };
+    let count = |entries: &[OwnershipEntry]| {
+        entries
+            .iter()
+            .filter(|entry| entry.holder == Some(id))
+            .count()
+    };
+    MemberStatus {
+        seat,
+        incarnation: holder.incarnation,
+        peer: holder.daemon.peer.to_string(),
+        admin: holder.daemon.admin.map(|address| address.to_string()),
+        domain: holder.daemon.domain.clone(),
+        heard: machine.is_heard(seat, now),
+        in_force: machine.peer_in_force(seat, now).map(ConfigurationVersion),
+        slots: count(&table.ownership.row.slots),
+        shards: count(&table.ownership.row.shards),
+    }
+}
+
+fn domains_of(
+    machine: &MemberMachine,
+    table: &TableSnapshot,
+    configuration: &Configuration,
+    now: Duration,
+) -> Vec<DomainStatus> {
+    let waiting_for = unconfirmed(machine, table, configuration.version.0, now);
+    configuration
+        .domains
+        .iter()
+        .map(|domain| DomainStatus {
+            name: domain.name.clone(),
+            state: domain.state,
+            confirmed: waiting_for.is_empty(),
+            waiting_for: waiting_for.clone(),
+        })
+        .collect()
+}
+
+/// The owners of shards that may still act by an older version. One that lost its seat acts no more.
+fn unconfirmed(
+    machine: &MemberMachine,
+    table: &TableSnapshot,
+    version: u64,
+    now: Duration,
+) -> Vec<SeatNumber> {
+    let mut seats: Vec<SeatNumber> = table
+        .ownership
+        .row
+        .shards
+        .iter()
+        .filter_map(|entry| entry.holder)
+        .filter(|id| table.members.row.is_seated(*id))
+        .map(|id| id.seat)
+        .filter(|seat| {
+            machine
+                .peer_in_force(*seat, now)
+                .is_none_or(|in_force| in_force < version)
+        })
+        .collect();
+    seats.sort_unstable();
+    seats.dedup();
+    seats
+}
--- /dev/null
+++ b/crates/cluster/tests/cluster/main.rs
@@ -0,0 +1,4 @@
+//! The cluster part against failures, one file a feature.
+
+mod harness;
+mod membership;
--- /dev/null
+++ b/crates/cluster/tests/cluster/membership.rs
@@ -0,0 +1,45 @@
+//! How daemons take seats and divide what is shared.
+
+use crate::harness::{
+    RESOURCES,
+    TestCluster,
+    settle,
+    sleep_ms, //
+};
+use indexmap::IndexSet;
+
+#[tokio::test(start_paused = true)]
+async fn daemons_divide_all_shares_and_shards_evenly() {
+    let mut cluster = TestCluster::new(7);
+    let handles = cluster.start_all(6).await;
+    let mut seen = IndexSet::new();
+    for handle in &handles {
+        for (resource, _) in handle.ownership().held() {
+            assert!(seen.insert(resource), "{resource} is held twice");
+        }
+    }
+    assert_eq!(seen.len(), RESOURCES);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_leaving_daemon_hands_over_everything_at_once() {
+    let mut cluster = TestCluster::new(7);
+    let mut handles = cluster.start_all(3).await;
+    let leaving = handles.remove(0);
+    leaving.leave().await;
+    assert!(leaving.ownership().held().is_empty());
+    sleep_ms(1_500).await;
+    let held: usize = handles.iter().map(|h| h.ownership().held().len()).sum();
+    assert_eq!(held, RESOURCES);
+}
+
+#[tokio::test(start_paused = true)]
+async fn what_a_dead_daemon_held_moves_to_the_others() {
+    let mut cluster = TestCluster::new(7);
+    let mut handles = cluster.start_all(5).await;
+    handles.remove(1).stop();
+    sleep_ms(15_000).await;
+    settle(&handles).await;
+    let held: usize = handles.iter().map(|h| h.ownership().held().len()).sum();
+    assert_eq!(held, RESOURCES);
+}
--- a/crates/ownership/src/machine_configuration.rs
+++ b/crates/ownership/src/machine_configuration.rs
@@ -40,6 +40,12 @@
         Some((version, write))
     }
 
+    /// Takes back a change that was begun, before anything of it was written.
+    pub fn cancel_change(&mut self) {
+        self.committing = false;
+        self.change = None;
+    }
+
     /// Tells whether more than half of the members can be told of a change now.
     pub fn may_change(&self, now: Duration) -> bool {
         let Some(members) = self.members() else {
--- a/crates/ownership/src/machine_peers.rs
+++ b/crates/ownership/src/machine_peers.rs
@@ -75,7 +75,7 @@
         let (true, Some(hold)) = (self.speaking, self.hold) else {
             return Vec::new();
         };
-        let Some(to) = self.address_of(message.nonce) else {
+        let Some(to) = self.peer_address(message.nonce) else {
             return Vec::new();
         };
         let message = PeerMessage {
@@ -91,7 +91,8 @@
         vec![MemberAction::Send { to, message }]
     }
 
-    fn address_of(&self, nonce: u64) -> Option<SocketAddr> {
+    /// Returns the address of a process that sits in a seat, is taking one, or lost one.
+    pub fn peer_address(&self, nonce: u64) -> Option<SocketAddr> {
         let records = self.members()?.seats.iter();
         records
             .flat_map(|record| {
--- a/crates/ownership/src/machine_table.rs
+++ b/crates/ownership/src/machine_table.rs
@@ -30,10 +30,12 @@
         self.advance_attempts(now);
     }
 
-    /// Takes note that the last write ended, whatever its outcome: a read decides what follows.
-    pub fn end_commit(&mut self, now: Duration) {
+    /// Takes note that the last write ended, whatever its outcome: a read decides what follows. No
+    /// further write is made for `pause`, which spares a table that refused.
+    pub fn end_commit(&mut self, now: Duration, pause: Duration) {
         self.committing = false;
         self.read_from = now;
+        self.write_from = now.saturating_add(pause);
         self.poll_wanted = true;
         if !self.settings.guards.has(Guard::ReleaseIsFinal) {
             self.releasing.clear();
--- a/crates/ownership/src/member_machine.rs
+++ b/crates/ownership/src/member_machine.rs
@@ -2,6 +2,7 @@
 
 use std::{
     collections::VecDeque,
+    net::SocketAddr,
     time::Duration, //
 };
 
@@ -11,7 +12,8 @@
 };
 use jasminebend_base::{
     OwnerEpoch,
-    ResourceId, //
+    ResourceId,
+    VmName, //
 };
 
 use crate::{
@@ -46,6 +48,8 @@
     pub(crate) table: Option<TableSnapshot>,
     /// No write is decided before a read that was asked after this.
     pub(crate) read_from: Duration,
+    /// No write is made before this.
+    pub(crate) write_from: Duration,
     pub(crate) poll_wanted: bool,
     pub(crate) committing: bool,
     /// By seat.
@@ -90,6 +94,7 @@
             known: KnownEpochs::new(settings.seats),
             table: None,
             read_from: Duration::ZERO,
+            write_from: Duration::ZERO,
             poll_wanted: true,
             committing: false,
             vouches: vec![VouchRecord::default(); seats],
@@ -165,9 +170,85 @@
     /// A write is decided on a read that is newer than the last write's end, so that it never rests
     /// on a row which that write may have changed.
     fn may_decide(&self, now: Duration) -> bool {
-        self.table.as_ref().is_some_and(|table| {
-            table.asked_at >= self.read_from
-                && now < table.asked_at.saturating_add(self.settings.freshness)
-        })
+        let read = self
+            .table
+            .as_ref()
+            .is_some_and(|table| table.asked_at >= self.read_from);
+        read && now >= self.write_from
+    }
+
+    /// Tells whether [`MemberMachine::tick`] should not wait for its next time.
+    pub fn wants_tick(&self) -> bool {
+        self.poll_wanted
+            || self.attempt.is_some()
+            || self.change.is_some()
+            || self.known.committed > self.in_force
+    }
+
+    /// Tells whether [`MemberMachine::leave`] was called.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving
+    }
+
+    /// Returns the nonce of this process.
+    pub fn nonce(&self) -> u64 {
+        self.daemon.nonce
+    }
+
+    /// Tells whether no write is under way and the table was read since the last one ended.
+    pub fn has_settled_write(&self) -> bool {
+        let read = self
+            .table
+            .as_ref()
+            .is_some_and(|table| table.asked_at >= self.read_from);
+        read && !self.committing
+    }
+
+    /// Returns the members that were not heard lately, and those that lost their seat, with the VMs
+    /// that they run on.
+    pub fn silent_daemons(&self, now: Duration) -> Vec<(HolderId, Option<VmName>)> {
+        let Some(members) = self.members() else {
+            return Vec::new();
+        };
+        let mut silent = Vec::new();
+        for (seat, record) in members.numbered() {
+            let sitting = record.holder.iter().filter(|_| !self.is_heard(seat, now));
+            let former = record.former.iter().map(|former| &former.holder);
+            silent.extend(sitting.chain(former).map(|holder| {
+                let id = HolderId {
+                    seat,
+                    incarnation: holder.incarnation,
+                };
+                (id, holder.daemon.vm.clone())
+            }));
+        }
+        silent
+    }
+
+    /// Returns a member that acts by this version or a newer one.
+    pub fn peer_with(&self, version: u64, now: Duration) -> Option<&DaemonRecord> {
+        let own = self.hold.map(|hold| hold.id.seat);
+        let members = self.members()?.numbered();
+        members
+            .filter(|(seat, _)| Some(*seat) != own)
+            .filter(|(seat, _)| {
+                self.peer_in_force(*seat, now)
+                    .is_some_and(|in_force| in_force >= version)
+            })
+            .find_map(|(_, record)| record.holder.as_ref())
+            .map(|holder| &holder.daemon)
+    }
+
+    /// Returns the addresses of members that were not heard lately.
+    pub fn silent_peers(&self, now: Duration) -> Vec<SocketAddr> {
+        let Some(members) = self.members() else {
+            return Vec::new();
+        };
+        members
+            .numbered()
+            .filter(|(seat, _)| !self.is_heard(*seat, now))
+            .filter_map(|(_, record)| record.holder.as_ref())
+            .map(|holder| holder.daemon.peer)
+            .collect()
     }
 }
