Split the stand-in worker and its suite, and name the cases of a suite once

The runs in progress with their speeds, the ended runs and the cell with the clock are files of their own; the suite is split into orders and runs. The four macros that ran a suite against its adapters are one, and a new adapter is one line of it.

--- a/crates/ports/src/http_caller.rs
+++ b/crates/ports/src/http_caller.rs
@@ -7,6 +7,7 @@
     },
     sync::{
         Mutex,
+        MutexGuard,
         PoisonError, //
     },
     time::Duration, //
@@ -156,7 +157,7 @@
         })
     }
 
-    fn lock(&self) -> std::sync::MutexGuard<'_, PooledClient> {
+    fn lock(&self) -> MutexGuard<'_, PooledClient> {
         self.client.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -3,6 +3,7 @@
 
 mod call_counts;
 mod call_kind;
+mod ended_runs;
 mod endpoint_answer;
 mod endpoint_fault;
 mod endpoint_knobs;
@@ -20,6 +21,7 @@
 mod object_stand_in;
 mod run_ledger;
 mod run_record;
+mod run_set;
 mod server_guard;
 mod service_time;
 mod table_core;
@@ -31,6 +33,7 @@
 mod vm_list_core;
 mod vm_list_stand_in;
 mod wire_answer;
+mod worker_cell;
 mod worker_core;
 mod worker_fleet;
 mod worker_knobs;
--- a/crates/standins/src/worker_core.rs
+++ b/crates/standins/src/worker_core.rs
@@ -6,7 +6,6 @@
     time::Duration, //
 };
 
-use indexmap::IndexMap;
 use jasminebend_base::{
     ClassKind,
     DomainName,
@@ -33,6 +32,8 @@
     RunLedger,
     RunRecord,
     WorkerKnobs,
+    ended_runs::EndedRuns,
+    run_set::RunSet,
     usage_lag::UsageLag,
     worker_run::{
         FULL_SPEED,
@@ -43,8 +44,6 @@
 /// How long a run takes to fail on a worker that fails every task.
 const DOOM: Duration = Duration::from_millis(10);
 
-type TaskKey = (u64, u32);
-
 /// The state of a stand-in worker.
 #[derive(Debug)]
 pub(crate) struct WorkerCore {
@@ -57,12 +56,8 @@
     epoch: OwnerEpoch,
     renewed: Option<Duration>,
     lease_end: Option<Duration>,
-    settled: Duration,
-    running: IndexMap<TaskAttempt, WorkerRun>,
-    ended: IndexMap<TaskAttempt, WorkerTask>,
-    /// The last attempt of each task that is known to have ended: a start of it, or of an earlier
-    /// one, that comes late is refused. It outlives the acknowledgement.
-    last_ended: IndexMap<TaskKey, u32>,
+    running: RunSet,
+    ended: EndedRuns,
     usage: UsageLag,
 }
 
@@ -84,10 +79,8 @@
             epoch: OwnerEpoch::default(),
             renewed: None,
             lease_end: None,
-            settled: Duration::ZERO,
-            running: IndexMap::new(),
-            ended: IndexMap::new(),
-            last_ended: IndexMap::new(),
+            running: RunSet::default(),
+            ended: EndedRuns::default(),
             usage: UsageLag::new(seed),
         }
     }
@@ -100,12 +93,12 @@
         self.settle(now);
         self.follow(adoption.epoch)?;
         self.renew_lease(now, adoption.lease);
-        let running = self.running.values().map(|run| run.to_task(None));
+        let running = self.running.runs().map(|run| run.to_task(None));
         Ok(WorkerInventory {
             incarnation: self.incarnation,
             epoch: self.epoch,
             capacity: self.capacity,
-            tasks: running.chain(self.ended.values().cloned()).collect(),
+            tasks: running.chain(self.ended.tasks()).collect(),
         })
     }
 
@@ -117,15 +110,13 @@
         self.settle(now);
         self.follow(renewal.epoch)?;
         self.renew_lease(now, renewal.lease);
-        for attempt in &renewal.acknowledged {
-            self.ended.shift_remove(attempt);
-        }
-        self.measure(now);
+        self.ended.acknowledge(&renewal.acknowledged);
+        self.running.measure(now, &self.knobs, &mut self.usage);
         Ok(WorkerReport {
             incarnation: self.incarnation,
             // CAST: a worker holds far fewer runs than 2^32.
             running: self.running.len() as u32,
-            ended: self.ended.values().cloned().collect(),
+            ended: self.ended.tasks().collect(),
             usage: self.usage.due(now),
         })
     }
@@ -138,7 +129,7 @@
     ) -> Result<(), WorkerError> {
         self.settle(now);
         self.check_epoch(epoch)?;
-        if self.running.contains_key(&order.attempt) {
+        if self.running.contains(order.attempt) {
             return Ok(());
         }
         self.check_order(now, epoch, order)?;
@@ -158,7 +149,7 @@
         self.check_epoch(epoch)?;
         let run = self
             .running
-            .get_mut(&attempt)
+            .get_mut(attempt)
             .ok_or(WorkerError::UnknownRun)?;
         run.speed_millis = speed_millis.min(FULL_SPEED);
         Ok(())
@@ -172,10 +163,10 @@
     ) -> Result<CheckpointId, WorkerError> {
         self.settle(now);
         self.check_epoch(epoch)?;
-        if let Some(TaskEvent::Checkpointed { checkpoint }) = self.end_of(attempt) {
+        if let Some(TaskEvent::Checkpointed { checkpoint }) = self.ended.end_of(attempt) {
             return Ok(checkpoint.clone());
         }
-        if !self.running.contains_key(&attempt) {
+        if !self.running.contains(attempt) {
             return Err(WorkerError::UnknownRun);
         }
         let checkpoint = self.keep(attempt).ok_or(WorkerError::CheckpointFailed)?;
@@ -195,20 +186,19 @@
         self.settle(now);
         self.check_epoch(epoch)?;
         self.end(now, attempt, TaskEvent::Stopped);
-        self.mark_ended(attempt);
+        self.ended.mark(attempt);
         Ok(())
     }
 
     /// Restarts: everything is forgotten.
     pub(crate) fn restart(&mut self, now: Duration) {
         self.settle(now);
-        for run in self.running.values() {
+        for run in self.running.runs() {
             self.ledger
                 .end(run.ledger_place, now, RunEnd::Vanished, None);
         }
         self.running.clear();
-        self.ended.clear();
-        self.last_ended.clear();
+        self.ended = EndedRuns::default();
         self.usage.clear();
         self.epoch = OwnerEpoch::default();
         self.renewed = None;
@@ -219,17 +209,17 @@
     /// Brings the runs up to `now`, one end after another: each changes the others' speed.
     pub(crate) fn settle(&mut self, now: Duration) {
         while let Some((at, attempt)) = self.next_end().filter(|(at, _)| *at <= now) {
-            self.advance(at);
+            self.running.advance(at, &self.knobs);
             match attempt {
                 Some(attempt) => self.end_by_itself(at, attempt),
                 None => self.lapse(at),
             }
         }
-        self.advance(now);
+        self.running.advance(now, &self.knobs);
     }
 
     pub(crate) fn running_tasks(&self) -> Vec<WorkerTask> {
-        self.running.values().map(|run| run.to_task(None)).collect()
+        self.running.runs().map(|run| run.to_task(None)).collect()
     }
 
     fn follow(&mut self, epoch: OwnerEpoch) -> Result<(), WorkerError> {
@@ -262,12 +252,8 @@
         let in_time = self
             .renewed
             .is_some_and(|renewed| now.saturating_sub(renewed) <= order.valid_for);
-        let task = task_key(order.attempt);
-        let ended = self
-            .last_ended
-            .get(&task)
-            .is_some_and(|last| order.attempt.attempt <= *last);
-        let runs = self.running.keys().any(|other| task_key(*other) == task);
+        let ended = self.ended.rules_out(order.attempt);
+        let runs = self.running.has_task(order.attempt);
         if epoch == self.epoch && in_time && self.lease_end.is_some() && !ended && !runs {
             return Ok(());
         }
@@ -275,7 +261,7 @@
     }
 
     fn check_room(&self, reserved: ResourceAmount) -> Result<(), WorkerError> {
-        let left = self.capacity.saturating_sub(self.reserved());
+        let left = self.capacity.saturating_sub(self.running.reserved());
         if reserved.fits_in(left) {
             return Ok(());
         }
@@ -299,46 +285,29 @@
         });
         let doomed = self.knobs.fails_every_task.then_some(now + DOOM);
         let run = WorkerRun::new(order, now, done_seconds, place).with_doom(doomed);
-        self.running.insert(order.attempt, run);
+        self.running.insert(run);
         self.ledger
-            .note_reserved(&self.name, self.reserved(), self.capacity);
-    }
-
-    fn reserved(&self) -> ResourceAmount {
-        self.running
-            .values()
-            .map(|run| run.reserved)
-            .fold(ResourceAmount::default(), |sum, part| sum + part)
-    }
-
-    fn end_of(&self, attempt: TaskAttempt) -> Option<&TaskEvent> {
-        self.ended.get(&attempt)?.ended.as_ref()
+            .note_reserved(&self.name, self.running.reserved(), self.capacity);
     }
 
     fn end_by_itself(&mut self, now: Duration, attempt: TaskAttempt) {
-        if let Some(event) = self.running.get(&attempt).map(WorkerRun::own_end) {
+        if let Some(event) = self.running.get(attempt).map(WorkerRun::own_end) {
             self.end(now, attempt, event);
         }
     }
 
     fn end(&mut self, now: Duration, attempt: TaskAttempt, event: TaskEvent) {
-        let Some(run) = self.running.shift_remove(&attempt) else {
+        let Some(run) = self.running.remove(attempt) else {
             return;
         };
         let (end, kept) = ledger_end(&event);
         self.ledger.end(run.ledger_place, now, end, kept);
-        self.ended.insert(attempt, run.to_task(Some(event)));
-        self.mark_ended(attempt);
-    }
-
-    fn mark_ended(&mut self, attempt: TaskAttempt) {
-        let last = self.last_ended.entry(task_key(attempt)).or_default();
-        *last = attempt.attempt.max(*last);
+        self.ended.insert(run.to_task(Some(event)));
     }
 
     /// Keeps a run's state, if this worker can.
     fn keep(&self, attempt: TaskAttempt) -> Option<CheckpointId> {
-        let run = self.running.get(&attempt)?;
+        let run = self.running.get(attempt)?;
         let name = format!("{}/{}/{attempt}", self.name, self.incarnation);
         let checkpoint = CheckpointId::from(name);
         match self.knobs.checkpoints {
@@ -352,7 +321,7 @@
     /// The lease lapsed: the owner may by now have started the runs elsewhere.
     fn lapse(&mut self, now: Duration) {
         self.lease_end = None;
-        let attempts: Vec<_> = self.running.keys().copied().collect();
+        let attempts: Vec<_> = self.running.runs().map(|run| run.attempt).collect();
         for attempt in attempts {
             let checkpoint = self.keep_batch(attempt);
             self.end(now, attempt, TaskEvent::Lapsed { checkpoint });
@@ -360,7 +329,7 @@
     }
 
     fn keep_batch(&self, attempt: TaskAttempt) -> Option<CheckpointId> {
-        let kind = self.running.get(&attempt)?.kind;
+        let kind = self.running.get(attempt)?.kind;
         match kind {
             ClassKind::Batch => self.keep(attempt),
             ClassKind::Service => None,
@@ -370,58 +339,11 @@
     /// Returns the next end by itself, or the lapse of the lease as one without a run.
     fn next_end(&self) -> Option<(Duration, Option<TaskAttempt>)> {
         let lapse = self.lease_end.map(|at| (at, None));
-        let ends = self.running.values().filter_map(|run| {
-            let at = run.ends_at(self.settled, self.slowdown(run))?;
-            Some((at, Some(run.attempt)))
-        });
-        ends.chain(lapse).min_by_key(|(at, _)| *at)
-    }
-
-    fn advance(&mut self, now: Duration) {
-        let step = now.saturating_sub(self.settled);
-        let slowdowns: Vec<_> = self
-            .running
-            .values()
-            .map(|run| self.slowdown(run))
-            .collect();
-        for (run, slowdown) in self.running.values_mut().zip(slowdowns) {
-            run.advance(step, slowdown);
-        }
-        self.settled = self.settled.max(now);
-    }
-
-    /// Returns how many times as long as alone a run takes now.
-    fn slowdown(&self, run: &WorkerRun) -> f64 {
-        let load = f64::from(self.knobs.load_millis) / 1000.0;
-        let neighbours = self.running.values();
-        let added: f64 = neighbours
-            .filter(|other| other.attempt != run.attempt)
-            .map(|other| {
-                let model = &self.knobs.interference;
-                model.added(&run.class, &other.class, other.speed_millis)
-            })
-            .sum();
-        1.0 + added * load
+        let end = self.running.next_end(&self.knobs);
+        let end = end.map(|(at, attempt)| (at, Some(attempt)));
+        // A run that ends at the very moment of the lapse has ended.
+        end.into_iter().chain(lapse).min_by_key(|(at, _)| *at)
     }
-
-    fn measure(&mut self, now: Duration) {
-        let period = self.knobs.usage_period;
-        let slowdowns: Vec<_> = self
-            .running
-            .values()
-            .map(|run| self.slowdown(run))
-            .collect();
-        for (run, slowdown) in self.running.values_mut().zip(slowdowns) {
-            if now.saturating_sub(run.measured) >= period {
-                run.measured = now;
-                self.usage.measure(now, run, slowdown, self.knobs.usage_lag);
-            }
-        }
-    }
-}
-
-fn task_key(attempt: TaskAttempt) -> TaskKey {
-    (attempt.job, attempt.index)
 }
 
 fn ledger_end(event: &TaskEvent) -> (RunEnd, Option<CheckpointId>) {
--- a/crates/standins/src/worker_stand_in.rs
+++ b/crates/standins/src/worker_stand_in.rs
@@ -59,55 +59,10 @@
         json,
         refuse, //
     },
+    worker_cell::WorkerCell,
     worker_core::WorkerCore, //
 };
 
-struct WorkerCell {
-    core: Mutex<WorkerCore>,
-    clock: Arc<dyn ClockSource>,
-}
-
-impl WorkerCell {
-    fn lock(&self) -> MutexGuard<'_, WorkerCore> {
-        self.core.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
-    fn carry_out(&self, request: &WorkerRequest) -> Result<WorkerAnswer, WorkerError> {
-        let mut core = self.lock();
-        let now = self.clock.monotonic();
-        match request {
-            WorkerRequest::Adopt(adoption) => {
-                core.adopt(now, *adoption).map(WorkerAnswer::Inventory)
-            }
-            WorkerRequest::Renew(renewal) => core.renew(now, renewal).map(WorkerAnswer::Report),
-            WorkerRequest::Start { epoch, order } => {
-                core.start(now, *epoch, order).map(|()| WorkerAnswer::Done)
-            }
-            WorkerRequest::Throttle {
-                epoch,
-                attempt,
-                speed_millis,
-            } => core
-                .throttle(now, *epoch, *attempt, *speed_millis)
-                .map(|()| WorkerAnswer::Done),
-            WorkerRequest::Checkpoint { epoch, attempt } => core
-                .checkpoint(now, *epoch, *attempt)
-                .map(WorkerAnswer::Checkpoint),
-            WorkerRequest::Stop { epoch, attempt } => core
-                .stop(now, *epoch, *attempt)
-                .map(|()| WorkerAnswer::Done),
-        }
-    }
-}
-
-impl SettleRuns for WorkerCell {
-    fn settle(&self) {
-        let mut core = self.lock();
-        let now = self.clock.monotonic();
-        core.settle(now);
-    }
-}
-
 /// The stand-in of one worker. Copies share its state, so that one can be used in memory while
 /// another is served over HTTP. As a [`jasminebend_ports::WorkerPort`], it takes every address for its own.
 #[derive(Clone)]
@@ -140,10 +95,7 @@
             Arc::clone(&ledger),
             seed,
         );
-        let cell = Arc::new(WorkerCell {
-            core: Mutex::new(core),
-            clock,
-        });
+        let cell = Arc::new(WorkerCell::new(core, clock));
         let settle: Weak<dyn SettleRuns> = Arc::downgrade(&cell) as Weak<dyn SettleRuns>;
         ledger.attach(settle);
         Self {
@@ -203,7 +155,7 @@
 
     /// Restarts the worker: its runs end, it forgets everything, and it is reached again.
     pub fn restart(&self) {
-        let now = self.cell.clock.monotonic();
+        let now = self.cell.now();
         self.cell.lock().restart(now);
         self.faults.set_outage(OutageState::Up);
     }
@@ -255,7 +207,7 @@
     ) -> Result<Result<WorkerAnswer, WorkerError>, FaultKind> {
         let call = call_kind(&request);
         let cell = Arc::clone(&self.cell);
-        let now = self.cell.clock.monotonic();
+        let now = self.cell.now();
         self.faults
             .run(call, now, move || cell.carry_out(&request))
             .await
--- a/crates/standins/tests/contracts/main.rs
+++ b/crates/standins/tests/contracts/main.rs
@@ -5,6 +5,23 @@
     reason = "a test's helpers panic as the test does"
 )]
 
+/// Runs each case of a suite against each adapter. A new adapter is one more line.
+macro_rules! contract {
+    ($cases:tt, $($adapter:ident => $make:path),* $(,)?) => {$(
+        contract!(@adapter $adapter, $make, $cases);
+    )*};
+    (@adapter $adapter:ident, $make:path, [$($case:ident),* $(,)?]) => {
+        mod $adapter {
+            $(
+                #[tokio::test]
+                async fn $case() {
+                    super::$case($make(crate::harness::PATIENT).await).await;
+                }
+            )*
+        }
+    };
+}
+
 mod clock;
 mod endpoint;
 mod harness;
@@ -12,4 +29,6 @@
 mod table;
 mod token;
 mod vm_list;
-mod worker;
+mod worker_calls;
+mod worker_orders;
+mod worker_runs;
--- a/crates/standins/tests/contracts/objects.rs
+++ b/crates/standins/tests/contracts/objects.rs
@@ -16,8 +16,7 @@
     FOREVER,
     IMPATIENT,
     LARGEST,
-    ObjectHarness,
-    PATIENT, //
+    ObjectHarness, //
 };
 
 fn key(text: &str) -> ObjectKey {
@@ -82,27 +81,16 @@
     }
 }
 
-macro_rules! object_contract {
-    ($adapter:ident, $make:path) => {
-        mod $adapter {
-            object_contract!(@cases $make;
-                keeps_any_bytes_under_any_key,
-                refuses_what_is_too_large,
-                tells_the_truth_about_a_failed_write,
-                an_outage_is_never_an_absent_object
-            );
-        }
-    };
-    (@cases $make:path; $($case:ident),*) => {$(
-        #[tokio::test]
-        async fn $case() {
-            super::$case($make(super::PATIENT).await).await;
-        }
-    )*};
-}
-
-object_contract!(in_memory, crate::harness::objects_in_memory);
-object_contract!(over_http, crate::harness::objects_over_http);
+contract!(
+    [
+        keeps_any_bytes_under_any_key,
+        refuses_what_is_too_large,
+        tells_the_truth_about_a_failed_write,
+        an_outage_is_never_an_absent_object,
+    ],
+    in_memory => crate::harness::objects_in_memory,
+    over_http => crate::harness::objects_over_http,
+);
 
 #[tokio::test]
 async fn a_silent_store_gives_an_unknown_outcome_in_time() {
--- a/crates/standins/tests/contracts/table.rs
+++ b/crates/standins/tests/contracts/table.rs
@@ -281,33 +281,22 @@
     }
 }
 
-macro_rules! table_contract {
-    ($adapter:ident, $make:path) => {
-        mod $adapter {
-            table_contract!(@cases $make;
-                commits_all_changes_or_none,
-                tells_version_and_write_of_a_row,
-                scans_in_order_behind_a_key,
-                tells_the_truth_about_a_failed_commit,
-                reads_survive_one_lost_connection,
-                sends_a_commit_once,
-                a_late_commit_is_shut_out_by_compare_and_set,
-                a_commit_delivered_twice_takes_effect_once,
-                outages_refuse_what_they_should,
-                increments_survive_a_mix_of_faults
-            );
-        }
-    };
-    (@cases $make:path; $($case:ident),*) => {$(
-        #[tokio::test]
-        async fn $case() {
-            super::$case($make(super::PATIENT).await).await;
-        }
-    )*};
-}
-
-table_contract!(in_memory, crate::harness::table_in_memory);
-table_contract!(over_http, crate::harness::table_over_http);
+contract!(
+    [
+        commits_all_changes_or_none,
+        tells_version_and_write_of_a_row,
+        scans_in_order_behind_a_key,
+        tells_the_truth_about_a_failed_commit,
+        reads_survive_one_lost_connection,
+        sends_a_commit_once,
+        a_late_commit_is_shut_out_by_compare_and_set,
+        a_commit_delivered_twice_takes_effect_once,
+        outages_refuse_what_they_should,
+        increments_survive_a_mix_of_faults,
+    ],
+    in_memory => crate::harness::table_in_memory,
+    over_http => crate::harness::table_over_http,
+);
 
 /// A commit waits for ever: the service went silent before or after the effect. The adapter gives up
 /// in time and says that the outcome is unknown; its next call takes a fresh connection.
--- a/crates/standins/tests/contracts/vm_list.rs
+++ b/crates/standins/tests/contracts/vm_list.rs
@@ -20,7 +20,6 @@
 
 use crate::harness::{
     LAG,
-    PATIENT,
     VmListHarness, //
 };
 
@@ -90,23 +89,12 @@
     }
 }
 
-macro_rules! vm_list_contract {
-    ($adapter:ident, $make:path) => {
-        mod $adapter {
-            vm_list_contract!(@cases $make;
-                shows_changes_after_its_lag,
-                a_stale_reading_has_an_older_revision,
-                an_outage_is_never_an_empty_list
-            );
-        }
-    };
-    (@cases $make:path; $($case:ident),*) => {$(
-        #[tokio::test]
-        async fn $case() {
-            super::$case($make(super::PATIENT).await).await;
-        }
-    )*};
-}
-
-vm_list_contract!(in_memory, crate::harness::vm_list_in_memory);
-vm_list_contract!(over_http, crate::harness::vm_list_over_http);
+contract!(
+    [
+        shows_changes_after_its_lag,
+        a_stale_reading_has_an_older_revision,
+        an_outage_is_never_an_empty_list,
+    ],
+    in_memory => crate::harness::vm_list_in_memory,
+    over_http => crate::harness::vm_list_over_http,
+);
--- /dev/null
+++ b/crates/standins/tests/contracts/worker_calls.rs
@@ -0,0 +1,100 @@
+//! Short forms of a worker's calls, for its suites.
+
+use std::time::Duration;
+
+use jasminebend_base::{
+    ClassKind,
+    OwnerEpoch,
+    ResourceAmount, //
+};
+use jasminebend_ports::{
+    CheckpointId,
+    EpochAdoption,
+    LeaseRenewal,
+    TaskAttempt,
+    TaskEvent,
+    TaskOrder,
+    WorkerError,
+    WorkerReport, //
+};
+use jasminebend_standins::TaskPayload;
+
+use crate::harness::WorkerHarness;
+
+pub(crate) const EPOCH: OwnerEpoch = OwnerEpoch(5);
+pub(crate) const LEASE: Duration = Duration::from_secs(10);
+pub(crate) const SECOND: Duration = Duration::from_secs(1);
+
+pub(crate) fn run(index: u32, attempt: u32) -> TaskAttempt {
+    TaskAttempt {
+        job: 7,
+        index,
+        attempt,
+    }
+}
+
+pub(crate) fn batch(index: u32, attempt: u32) -> TaskOrder {
+    TaskOrder {
+        attempt: run(index, attempt),
+        class: "sync".into(),
+        kind: ClassKind::Batch,
+        reserved: ResourceAmount::new(1_000, 1_000),
+        payload: TaskPayload::new(4 * SECOND).to_text(),
+        checkpoint: None,
+        valid_for: 5 * SECOND,
+    }
+}
+
+pub(crate) fn service(index: u32) -> TaskOrder {
+    TaskOrder {
+        class: "cart".into(),
+        kind: ClassKind::Service,
+        ..batch(index, 1)
+    }
+}
+
+impl WorkerHarness {
+    pub(crate) async fn adopt(&self, epoch: OwnerEpoch) -> Result<usize, WorkerError> {
+        let adoption = EpochAdoption {
+            shard: 1,
+            epoch,
+            lease: LEASE,
+        };
+        let inventory = self.port.adopt(self.address, adoption).await?;
+        assert_eq!(inventory.epoch, epoch);
+        Ok(inventory.tasks.len())
+    }
+
+    pub(crate) async fn renew(
+        &self,
+        acknowledged: &[TaskAttempt],
+    ) -> Result<WorkerReport, WorkerError> {
+        let renewal = LeaseRenewal {
+            epoch: EPOCH,
+            lease: LEASE,
+            acknowledged: acknowledged.to_vec(),
+        };
+        self.port.renew(self.address, renewal).await
+    }
+
+    pub(crate) async fn start(&self, order: TaskOrder) -> Result<(), WorkerError> {
+        self.port.start(self.address, EPOCH, order).await
+    }
+
+    pub(crate) async fn stop(&self, attempt: TaskAttempt) -> Result<(), WorkerError> {
+        self.port.stop(self.address, EPOCH, attempt).await
+    }
+
+    pub(crate) async fn checkpoint(
+        &self,
+        attempt: TaskAttempt,
+    ) -> Result<CheckpointId, WorkerError> {
+        self.port.checkpoint(self.address, EPOCH, attempt).await
+    }
+
+    pub(crate) async fn ends(&self) -> Vec<(TaskAttempt, Option<TaskEvent>)> {
+        let report = self.renew(&[]).await.unwrap();
+        let ended = report.ended.into_iter();
+        ended.map(|task| (task.attempt, task.ended)).collect()
+    }
+}
--- /dev/null
+++ b/crates/standins/tests/contracts/worker_orders.rs
@@ -0,0 +1,225 @@
+//! What every adapter of the workers must do with orders. A new adapter is one more line.
+
+use std::time::Duration;
+
+use jasminebend_base::{
+    ResourceAmount,
+    VmName, //
+};
+use jasminebend_ports::{
+    EpochAdoption,
+    HttpWorkers,
+    TaskEvent,
+    TaskOrder,
+    WorkerError,
+    WorkerPort, //
+};
+use jasminebend_standins::{
+    CallKind,
+    FaultKind, //
+};
+
+use crate::{
+    harness::{
+        self,
+        FOREVER,
+        IMPATIENT,
+        PATIENT,
+        WorkerHarness, //
+    },
+    worker_calls::{
+        EPOCH,
+        LEASE,
+        SECOND,
+        batch,
+        run, //
+    }, //
+};
+
+async fn follows_the_newest_epoch_alone(worker: WorkerHarness) {
+    worker.adopt(EPOCH).await.unwrap();
+    worker.start(batch(1, 1)).await.unwrap();
+    assert_eq!(worker.adopt(EPOCH.next()).await, Ok(1));
+    let stale = WorkerError::StaleEpoch {
+        newer: EPOCH.next(),
+    };
+    assert_eq!(worker.adopt(EPOCH).await, Err(stale));
+    assert_eq!(worker.renew(&[]).await, Err(stale));
+    assert_eq!(worker.start(batch(2, 1)).await, Err(stale));
+    assert_eq!(worker.stop(run(1, 1)).await, Err(stale));
+    assert_eq!(worker.checkpoint(run(1, 1)).await, Err(stale));
+    let throttled = worker.port.throttle(worker.address, EPOCH, run(1, 1), 500);
+    assert_eq!(throttled.await, Err(stale));
+    assert_eq!(worker.stand_in.running().len(), 1);
+}
+
+async fn repeated_orders_change_nothing(worker: WorkerHarness) {
+    worker.adopt(EPOCH).await.unwrap();
+    for _ in 0..2 {
+        worker.start(batch(1, 1)).await.unwrap();
+    }
+    let first = worker.checkpoint(run(1, 1)).await.unwrap();
+    assert_eq!(worker.checkpoint(run(1, 1)).await, Ok(first));
+    for _ in 0..2 {
+        worker.stop(run(2, 1)).await.unwrap();
+    }
+    assert_eq!(worker.ledger.summary().starts, 1);
+    assert_eq!(worker.ledger.summary().evictions, 1);
+}
+
+async fn reports_an_end_until_it_is_acknowledged(worker: WorkerHarness) {
+    worker.adopt(EPOCH).await.unwrap();
+    worker.start(batch(1, 1)).await.unwrap();
+    worker.clock.advance(4 * SECOND);
+    let finished = TaskEvent::Finished {
+        result: "done 7/1".to_owned(),
+    };
+    for _ in 0..2 {
+        assert_eq!(worker.ends().await, [(run(1, 1), Some(finished.clone()))]);
+    }
+    assert_eq!(worker.renew(&[run(1, 1)]).await.unwrap().ended, []);
+    // The acknowledged run stays shut out.
+    let again = worker.start(batch(1, 1)).await;
+    assert_eq!(again, Err(WorkerError::OutOfDate));
+}
+
+/// A task runs in two places: its start came late, when its sender had given it up and started it
+/// elsewhere. Whatever shows that an order is late shuts it out.
+async fn late_starts_are_refused(worker: WorkerHarness) {
+    let refused = Err(WorkerError::OutOfDate);
+    assert_eq!(worker.start(batch(1, 1)).await, refused, "no lease");
+    worker.adopt(EPOCH).await.unwrap();
+    let early = worker.port.start(worker.address, EPOCH.next(), batch(1, 1));
+    assert_eq!(early.await, refused, "an epoch that was not adopted");
+    worker.stop(run(1, 1)).await.unwrap();
+    assert_eq!(worker.start(batch(1, 1)).await, refused, "stopped before");
+    worker.stop(run(2, 3)).await.unwrap();
+    assert_eq!(worker.start(batch(2, 2)).await, refused, "older attempt");
+    worker.start(batch(3, 1)).await.unwrap();
+    assert_eq!(worker.start(batch(3, 2)).await, refused, "runs already");
+    worker.clock.advance(6 * SECOND);
+    assert_eq!(worker.start(batch(4, 1)).await, refused, "too late");
+    worker.renew(&[]).await.unwrap();
+    worker.start(batch(4, 1)).await.unwrap();
+    worker.stand_in.restart();
+    assert_eq!(worker.start(batch(5, 1)).await, refused, "after a restart");
+    assert_eq!(worker.ledger.overlaps(), []);
+}
+
+async fn never_holds_more_than_it_can(worker: WorkerHarness) {
+    worker.adopt(EPOCH).await.unwrap();
+    let cases = [
+        (ResourceAmount::new(8_001, 1), false),
+        (ResourceAmount::new(1, 16_001), false),
+        (ResourceAmount::new(1, 1).with_accelerators(1), false),
+        (ResourceAmount::new(8_000, 16_000), true),
+        (ResourceAmount::new(1, 1), false),
+        (ResourceAmount::new(u64::MAX, u64::MAX), false),
+    ];
+    for (index, (reserved, fits)) in (0..).zip(cases) {
+        let order = TaskOrder {
+            reserved,
+            ..batch(index, 1)
+        };
+        let expected = if fits {
+            Ok(())
+        } else {
+            Err(WorkerError::NoRoom)
+        };
+        assert_eq!(worker.start(order).await, expected, "{reserved:?}");
+    }
+    assert_eq!(worker.ledger.summary().over_capacity, 5);
+    let peak = worker.ledger.peaks()[&VmName::from("vm-1")];
+    assert_eq!(peak.reserved, peak.capacity);
+}
+
+async fn tells_the_truth_about_a_failed_start(worker: WorkerHarness) {
+    let cases = [
+        (FaultKind::LoseRequest, false, false),
+        (FaultKind::LoseAnswer, false, true),
+        (FaultKind::CutAnswer, false, true),
+        (FaultKind::Malformed, false, true),
+        (FaultKind::Refuse, true, false),
+        (FaultKind::LateEffect(Duration::ZERO), false, true),
+    ];
+    worker.adopt(EPOCH).await.unwrap();
+    for (index, (fault, surely_not_run, starts)) in (0..).zip(cases) {
+        worker.stand_in.faults().once(CallKind::Start, fault);
+        let error = worker.start(batch(index, 1)).await.unwrap_err();
+        let expected = match surely_not_run {
+            true => WorkerError::Unreachable,
+            false => WorkerError::Unknown,
+        };
+        assert_eq!(error, expected, "{fault:?}");
+        let ledger = &worker.ledger;
+        if starts {
+            harness::eventually("the start", || ledger.runs_of(7, index).len() == 1).await;
+        }
+        assert_eq!(ledger.runs_of(7, index).len(), usize::from(starts));
+    }
+}
+
+/// A start is delivered a second time after its run was stopped: the run must not come back.
+async fn a_start_delivered_twice_runs_once(worker: WorkerHarness) {
+    worker.adopt(EPOCH).await.unwrap();
+    let twice = FaultKind::Duplicate(Duration::from_millis(10));
+    worker.stand_in.faults().once(CallKind::Start, twice);
+    worker.start(batch(1, 1)).await.unwrap();
+    worker.stop(run(1, 1)).await.unwrap();
+    tokio::time::sleep(Duration::from_millis(30)).await;
+    assert_eq!(worker.stand_in.running(), []);
+    assert_eq!(worker.ledger.summary().starts, 1);
+}
+
+contract!(
+    [
+        follows_the_newest_epoch_alone,
+        repeated_orders_change_nothing,
+        reports_an_end_until_it_is_acknowledged,
+        late_starts_are_refused,
+        never_holds_more_than_it_can,
+        tells_the_truth_about_a_failed_start,
+        a_start_delivered_twice_runs_once,
+    ],
+    in_memory => crate::harness::worker_in_memory,
+    over_http => crate::harness::worker_over_http,
+);
+
+#[tokio::test]
+async fn a_silent_worker_gives_an_unknown_outcome_in_time() {
+    let worker = harness::worker_over_http(IMPATIENT).await;
+    worker.adopt(EPOCH).await.unwrap();
+    let silent = FaultKind::SlowAnswer(FOREVER);
+    worker.stand_in.faults().once(CallKind::Start, silent);
+    assert_eq!(worker.start(batch(1, 1)).await, Err(WorkerError::Unknown));
+    assert_eq!(worker.stand_in.running().len(), 1);
+    worker.renew(&[]).await.unwrap();
+}
+
+/// A worker is reached by one planner and not by the other: the network between them is broken.
+#[tokio::test]
+async fn a_worker_may_be_cut_off_from_one_caller() {
+    let worker = harness::worker_over_http(PATIENT).await;
+    let cut_off = [127, 0, 0, 2].into();
+    worker.stand_in.block_caller(cut_off);
+    let adoption = EpochAdoption {
+        shard: 1,
+        epoch: EPOCH.next(),
+        lease: LEASE,
+    };
+    let other = HttpWorkers::new().with_local_address(cut_off);
+    let answer = other.adopt(worker.address, adoption).await;
+    assert_eq!(answer, Err(WorkerError::Unknown));
+    worker.adopt(EPOCH).await.unwrap();
+}
+
+#[tokio::test]
+async fn a_refused_connection_says_unreachable() {
+    let mut worker = harness::worker_over_http(PATIENT).await;
+    worker.adopt(EPOCH).await.unwrap();
+    drop(worker.guard.take());
+    // The server's task ends soon after its guard; a call that it still met is lost.
+    while worker.renew(&[]).await != Err(WorkerError::Unreachable) {
+        tokio::task::yield_now().await;
+    }
+}
--- /dev/null
+++ b/crates/standins/tests/contracts/worker_runs.rs
@@ -0,0 +1,171 @@
+//! What every adapter of the workers must tell of their runs. A new adapter is one more line.
+
+use std::time::Duration;
+
+use jasminebend_base::ResourceAmount;
+use jasminebend_ports::{
+    TaskEvent,
+    TaskOrder,
+    WorkerError, //
+};
+use jasminebend_standins::{
+    CheckpointMode,
+    InterferenceModel,
+    RunEnd,
+    TaskPayload, //
+};
+
+use crate::{
+    harness::WorkerHarness,
+    worker_calls::{
+        EPOCH,
+        LEASE,
+        SECOND,
+        batch,
+        run,
+        service, //
+    }, //
+};
+
+/// A task runs in two places: its owner fell silent, a successor waited out the lease and started
+/// the task elsewhere, and the worker went on. A worker stops by itself when its lease lapses.
+async fn a_lapsed_lease_ends_every_run(worker: WorkerHarness) {
+    worker.adopt(EPOCH).await.unwrap();
+    worker.start(service(1)).await.unwrap();
+    let long = TaskOrder {
+        payload: TaskPayload::new(60 * SECOND).to_text(),
+        ..batch(2, 1)
+    };
+    worker.start(long.clone()).await.unwrap();
+    worker.clock.advance(9 * SECOND);
+    worker.renew(&[]).await.unwrap();
+    worker.clock.advance(LEASE);
+    assert_eq!(worker.stand_in.running(), []);
+    let ends = worker.ends().await;
+    assert_eq!(ends[0].1, Some(TaskEvent::Lapsed { checkpoint: None }));
+    let Some(TaskEvent::Lapsed { checkpoint }) = ends[1].1.clone() else {
+        panic!("{ends:?}");
+    };
+    let resumed = TaskOrder {
+        attempt: run(2, 2),
+        checkpoint,
+        ..long
+    };
+    worker.start(resumed).await.unwrap();
+    for _ in 0..8 {
+        worker.clock.advance(5 * SECOND);
+        worker.renew(&[]).await.unwrap();
+    }
+    // 19 of 60 seconds were done before the lapse, and 40 after.
+    assert_eq!(worker.stand_in.running().len(), 1);
+    worker.clock.advance(SECOND);
+    assert_eq!(worker.stand_in.running(), []);
+    assert_eq!(worker.ledger.summary().overlaps, 0);
+}
+
+async fn a_checkpoint_may_fail_or_be_lost(worker: WorkerHarness) {
+    worker.adopt(EPOCH).await.unwrap();
+    worker.start(batch(1, 1)).await.unwrap();
+    worker.clock.advance(3 * SECOND);
+    worker
+        .stand_in
+        .set_knobs(|knobs| knobs.checkpoints = CheckpointMode::Fails);
+    let failed = worker.checkpoint(run(1, 1)).await;
+    assert_eq!(failed, Err(WorkerError::CheckpointFailed));
+    assert_eq!(worker.stand_in.running().len(), 1);
+    worker
+        .stand_in
+        .set_knobs(|knobs| knobs.checkpoints = CheckpointMode::Lost);
+    let lost = worker.checkpoint(run(1, 1)).await.unwrap();
+    let resumed = TaskOrder {
+        checkpoint: Some(lost),
+        ..batch(1, 2)
+    };
+    worker.start(resumed).await.unwrap();
+    worker.clock.advance(2 * SECOND);
+    assert_eq!(worker.stand_in.running().len(), 1, "it starts over");
+    let unknown = worker.checkpoint(run(9, 1)).await;
+    assert_eq!(unknown, Err(WorkerError::UnknownRun));
+}
+
+async fn throttles_and_neighbours_slow_a_run(worker: WorkerHarness) {
+    let model = InterferenceModel::new().with_pair("sync", "cart", 1_000);
+    worker
+        .stand_in
+        .set_knobs(|knobs| knobs.interference = model);
+    worker.adopt(EPOCH).await.unwrap();
+    worker.start(batch(1, 1)).await.unwrap();
+    worker.start(service(2)).await.unwrap();
+    worker.clock.advance(4 * SECOND);
+    assert_eq!(worker.stand_in.running().len(), 2, "half is done");
+    worker.stop(run(2, 1)).await.unwrap();
+    let throttle = worker.port.throttle(worker.address, EPOCH, run(1, 1), 500);
+    throttle.await.unwrap();
+    worker.clock.advance(4 * SECOND - Duration::from_millis(1));
+    assert_eq!(worker.stand_in.running().len(), 1);
+    worker.clock.advance(Duration::from_millis(1));
+    assert_eq!(worker.stand_in.running(), []);
+    let unknown = worker.port.throttle(worker.address, EPOCH, run(1, 1), 500);
+    assert_eq!(unknown.await, Err(WorkerError::UnknownRun));
+}
+
+async fn reports_usage_late_and_once(worker: WorkerHarness) {
+    worker.stand_in.set_knobs(|knobs| {
+        knobs.usage_period = 2 * SECOND;
+        knobs.usage_lag = (3 * SECOND, 3 * SECOND);
+    });
+    worker.adopt(EPOCH).await.unwrap();
+    let used = ResourceAmount::new(10_000, 1);
+    let payload = TaskPayload::new(8 * SECOND).with_used(used);
+    let order = TaskOrder {
+        payload: payload.to_text(),
+        ..batch(1, 1)
+    };
+    worker.start(order).await.unwrap();
+    let mut reports = Vec::new();
+    for _ in 0..6 {
+        worker.clock.advance(SECOND);
+        reports.push(worker.renew(&[]).await.unwrap().usage);
+    }
+    let counts: Vec<_> = reports.iter().map(Vec::len).collect();
+    assert_eq!(counts, [0, 0, 0, 0, 1, 0]);
+    let usage = &reports[4][0];
+    assert_eq!((usage.used, usage.age), (used, 3 * SECOND));
+    assert_eq!(usage.progress_millis, Some(250));
+}
+
+async fn a_restarted_worker_says_so(worker: WorkerHarness) {
+    worker.adopt(EPOCH).await.unwrap();
+    worker.start(batch(1, 1)).await.unwrap();
+    let before = worker.renew(&[]).await.unwrap().incarnation;
+    worker.stand_in.restart();
+    let report = worker.renew(&[]).await.unwrap();
+    assert_ne!(report.incarnation, before);
+    assert_eq!((report.running, report.ended), (0, Vec::new()));
+    let runs = worker.ledger.runs();
+    assert_eq!(runs[0].ended, Some((Duration::ZERO, RunEnd::Vanished)));
+}
+
+async fn a_broken_worker_fails_every_task(worker: WorkerHarness) {
+    worker
+        .stand_in
+        .set_knobs(|knobs| knobs.fails_every_task = true);
+    worker.adopt(EPOCH).await.unwrap();
+    worker.start(batch(1, 1)).await.unwrap();
+    worker.clock.advance(SECOND);
+    let failed = TaskEvent::Failed { code: 1 };
+    assert_eq!(worker.ends().await, [(run(1, 1), Some(failed))]);
+}
+
+contract!(
+    [
+        a_lapsed_lease_ends_every_run,
+        a_checkpoint_may_fail_or_be_lost,
+        throttles_and_neighbours_slow_a_run,
+        reports_usage_late_and_once,
+        a_restarted_worker_says_so,
+        a_broken_worker_fails_every_task,
+    ],
+    in_memory => crate::harness::worker_in_memory,
+    over_http => crate::harness::worker_over_http,
+);
