Send the VM list only when it changed

At the target size the list holds 2,600 workers, several hundred kilobytes in JSON, and every daemon polls it: more than the 30 KB a second that control may take. The adapter now keeps the last list with its entity tag and asks with If-None-Match; the stand-in answers 304.

--- a/crates/ports/src/http_caller.rs
+++ b/crates/ports/src/http_caller.rs
@@ -15,11 +15,16 @@
 
 use bytes::Bytes;
 use http::{
+    HeaderValue,
     Method,
     Request,
     Response,
     StatusCode,
-    header::AUTHORIZATION, //
+    header::{
+        AUTHORIZATION,
+        ETAG,
+        IF_NONE_MATCH, //
+    }, //
 };
 use http_body_util::{
     BodyExt,
@@ -62,12 +67,15 @@
     pub(crate) method: Method,
     pub(crate) path: String,
     pub(crate) body: Bytes,
+    /// The entity tag of the answer that the caller holds already.
+    pub(crate) known: Option<HeaderValue>,
 }
 
 /// An answer that was read whole.
 #[derive(Debug)]
 pub(crate) struct HttpAnswer {
     pub(crate) status: StatusCode,
+    pub(crate) tag: Option<HeaderValue>,
     pub(crate) body: Bytes,
 }
 
@@ -137,6 +145,9 @@
         if let Some(token) = &self.options.token {
             request = request.header(AUTHORIZATION, token.header());
         }
+        if let Some(known) = call.known {
+            request = request.header(IF_NONE_MATCH, known);
+        }
         // A path or token that HTTP can't carry is refused before a byte is written.
         request
             .body(Full::new(call.body))
@@ -206,6 +217,7 @@
         .to_bytes();
     Ok(HttpAnswer {
         status: head.status,
+        tag: head.headers.get(ETAG).cloned(),
         body,
     })
 }
--- a/crates/ports/src/http_vm_list.rs
+++ b/crates/ports/src/http_vm_list.rs
@@ -2,12 +2,18 @@
 
 use std::{
     net::SocketAddr,
+    sync::{
+        Mutex,
+        MutexGuard,
+        PoisonError, //
+    },
     time::Duration, //
 };
 
 use async_trait::async_trait;
 use bytes::Bytes;
 use http::{
+    HeaderValue,
     Method,
     StatusCode, //
 };
@@ -18,18 +24,27 @@
     VmList,
     VmListError,
     http_caller::{
+        HttpAnswer,
         HttpCall,
         HttpCaller,
         HttpOptions, //
     }, //
 };
 
-/// The VM list over HTTP: `GET /v1/vms`, answered with a [`VmSnapshot`] in JSON.
+#[derive(Debug)]
+struct KnownList {
+    tag: HeaderValue,
+    snapshot: VmSnapshot,
+}
+
+/// The VM list over HTTP: `GET /v1/vms`, answered with a [`VmSnapshot`] in JSON. A list that did not
+/// change since the last reading is not sent again: its entity tag says so.
 #[derive(Debug)]
 pub struct HttpVmList {
     address: SocketAddr,
     options: HttpOptions,
     caller: HttpCaller,
+    known: Mutex<Option<KnownList>>,
 }
 
 impl HttpVmList {
@@ -64,8 +79,34 @@
             address,
             caller: HttpCaller::new(options.clone()),
             options,
+            known: Mutex::default(),
         }
     }
+
+    fn known_tag(&self) -> Option<HeaderValue> {
+        self.lock().as_ref().map(|known| known.tag.clone())
+    }
+
+    /// Returns the list that the service says has not changed.
+    fn unchanged(&self) -> Result<VmSnapshot, VmListError> {
+        let known = self.lock();
+        let snapshot = known.as_ref().map(|known| known.snapshot.clone());
+        snapshot.ok_or(VmListError::Malformed)
+    }
+
+    fn keep(&self, answer: HttpAnswer) -> Result<VmSnapshot, VmListError> {
+        let snapshot: VmSnapshot =
+            serde_json::from_slice(&answer.body).map_err(|_| VmListError::Malformed)?;
+        *self.lock() = answer.tag.map(|tag| KnownList {
+            tag,
+            snapshot: snapshot.clone(),
+        });
+        Ok(snapshot)
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Option<KnownList>> {
+        self.known.lock().unwrap_or_else(PoisonError::into_inner)
+    }
 }
 
 #[async_trait]
@@ -76,12 +117,12 @@
             method: Method::GET,
             path: Self::PATH.to_owned(),
             body: Bytes::new(),
+            known: self.known_tag(),
         };
         let answer = self.caller.read(call).await?;
         match answer.status {
-            StatusCode::OK => {
-                serde_json::from_slice(&answer.body).map_err(|_| VmListError::Malformed)
-            }
+            StatusCode::OK => self.keep(answer),
+            StatusCode::NOT_MODIFIED => self.unchanged(),
             _ => Err(VmListError::Malformed),
         }
     }
--- a/crates/ports/src/http_workers.rs
+++ b/crates/ports/src/http_workers.rs
@@ -103,6 +103,7 @@
             method: Method::POST,
             path: WorkerRequest::PATH.to_owned(),
             body: body.into(),
+            known: None,
         };
         let answer = self.caller(worker).write(call).await;
         if answer.as_ref().err() == Some(&CallError::Unreachable) {
--- a/crates/standins/src/object_stand_in.rs
+++ b/crates/standins/src/object_stand_in.rs
@@ -1,11 +1,6 @@
 //! The stand-in of the platform's object store.
 
 use std::{
-    hash::{
-        DefaultHasher,
-        Hash,
-        Hasher, //
-    },
     io,
     net::SocketAddr,
     sync::{
@@ -19,7 +14,6 @@
 use async_trait::async_trait;
 use bytes::Bytes;
 use http::{
-    HeaderValue,
     Method,
     StatusCode,
     header::ETAG,
@@ -49,6 +43,7 @@
     },
     wire_answer::{
         WireResult,
+        entity_tag,
         fault,
         refuse,
         reply, //
@@ -257,10 +252,3 @@
     response.headers_mut().insert(ETAG, tag);
     Ok(response)
 }
-
-fn entity_tag(body: &Bytes) -> HeaderValue {
-    let mut hasher = DefaultHasher::new();
-    body.hash(&mut hasher);
-    let tag = format!("\"{:016x}\"", hasher.finish());
-    HeaderValue::from_str(&tag).unwrap_or(HeaderValue::from_static("\"\""))
-}
--- a/crates/standins/src/vm_list_stand_in.rs
+++ b/crates/standins/src/vm_list_stand_in.rs
@@ -17,6 +17,10 @@
 use http::{
     Method,
     StatusCode,
+    header::{
+        ETAG,
+        IF_NONE_MATCH, //
+    },
     request::Parts, //
 };
 use jasminebend_base::{
@@ -46,10 +50,12 @@
     },
     vm_list_core::VmListCore,
     wire_answer::{
+        CutConnection,
         WireResult,
+        entity_tag,
         fault,
-        json,
-        refuse, //
+        refuse,
+        reply, //
     }, //
 };
 
@@ -162,6 +168,19 @@
         Ok(snapshot)
     }
 
+    fn answer_list(&self, head: &Parts, snapshot: &VmSnapshot) -> WireResult {
+        let body = Bytes::from(serde_json::to_vec(snapshot).map_err(|_| CutConnection)?);
+        let tag = entity_tag(&body);
+        let mut response = if head.headers.get(IF_NONE_MATCH) == Some(&tag) {
+            reply(StatusCode::NOT_MODIFIED, Bytes::new())?
+        } else {
+            self.faults.count_rows(0, body.len());
+            reply(StatusCode::OK, body)?
+        };
+        response.headers_mut().insert(ETAG, tag);
+        Ok(response)
+    }
+
     fn change<Change>(&self, change: Change)
     where
         Change: FnOnce(&mut Vec<VmRecord>),
@@ -198,7 +217,7 @@
             return refuse(StatusCode::METHOD_NOT_ALLOWED, "the path takes GET");
         }
         match self.run_read().await {
-            Ok(snapshot) => json(StatusCode::OK, &snapshot),
+            Ok(snapshot) => self.answer_list(&head, &snapshot),
             Err(kind) => fault(kind),
         }
     }
--- a/crates/standins/src/wire_answer.rs
+++ b/crates/standins/src/wire_answer.rs
@@ -1,6 +1,11 @@
 //! What a stand-in's server puts on the wire.
 
 use std::{
+    hash::{
+        DefaultHasher,
+        Hash,
+        Hasher, //
+    },
     pin::Pin,
     task::{
         Context,
@@ -14,6 +19,7 @@
     Error, //
 };
 use http::{
+    HeaderValue,
     Response,
     StatusCode,
     header::CONTENT_LENGTH, //
@@ -129,3 +135,11 @@
         .body(WireBody::cut(Bytes::from_static(GARBAGE)))
         .map_err(|_| CutConnection)
 }
+
+/// Returns an entity tag that differs with the body.
+pub(crate) fn entity_tag(body: &Bytes) -> HeaderValue {
+    let mut hasher = DefaultHasher::new();
+    body.hash(&mut hasher);
+    let tag = format!("\"{:016x}\"", hasher.finish());
+    HeaderValue::from_str(&tag).unwrap_or(HeaderValue::from_static("\"\""))
+}
--- a/crates/standins/tests/contracts/vm_list.rs
+++ b/crates/standins/tests/contracts/vm_list.rs
@@ -20,6 +20,7 @@
 
 use crate::harness::{
     LAG,
+    PATIENT,
     VmListHarness, //
 };
 
@@ -98,3 +99,20 @@
     in_memory => crate::harness::vm_list_in_memory,
     over_http => crate::harness::vm_list_over_http,
 );
+
+/// The daemons' polls of the list take more of the network than all their other control: a list of
+/// thousands of VMs was sent each time, though it changes every few minutes.
+#[tokio::test]
+async fn an_unchanged_list_is_not_sent_again() {
+    let (list, clock) = crate::harness::vm_list_over_http(PATIENT).await;
+    list.stand_in.add(vm("a"));
+    clock.advance(LAG);
+    let first = list.port.read().await.unwrap();
+    let sent = list.stand_in.faults().counts().bytes;
+    assert_eq!(list.port.read().await, Ok(first));
+    assert_eq!(list.stand_in.faults().counts().bytes, sent);
+    list.stand_in.remove("a");
+    clock.advance(LAG);
+    assert_eq!(list.port.read().await.unwrap().vms, []);
+    assert!(list.stand_in.faults().counts().bytes > sent);
+}
