--- a/crates/ports/src/http_caller.rs
+++ b/crates/ports/src/http_caller.rs
@@ -21,7 +21,9 @@
     Response,
     StatusCode,
     header::{
+        ACCEPT,
         AUTHORIZATION,
+        CONTENT_TYPE,
         ETAG,
         IF_NONE_MATCH, //
     }, //
@@ -67,6 +69,8 @@
     pub(crate) method: Method,
     pub(crate) path: String,
     pub(crate) body: Bytes,
+    /// The formats that the answer may have; `None` for the one there is.
+    pub(crate) accept: Option<HeaderValue>,
     /// The entity tag of the answer that the caller holds already.
     pub(crate) known: Option<HeaderValue>,
 }
@@ -76,6 +80,7 @@
 pub(crate) struct HttpAnswer {
     pub(crate) status: StatusCode,
     pub(crate) tag: Option<HeaderValue>,
+    pub(crate) content_type: Option<HeaderValue>,
     pub(crate) body: Bytes,
 }
 
@@ -145,6 +150,9 @@
         if let Some(token) = &self.options.token {
             request = request.header(AUTHORIZATION, token.header());
         }
+        if let Some(accept) = call.accept {
+            request = request.header(ACCEPT, accept);
+        }
         if let Some(known) = call.known {
             request = request.header(IF_NONE_MATCH, known);
         }
@@ -218,6 +226,7 @@
     Ok(HttpAnswer {
         status: head.status,
         tag: head.headers.get(ETAG).cloned(),
+        content_type: head.headers.get(CONTENT_TYPE).cloned(),
         body,
     })
 }
--- a/crates/ports/src/http_objects.rs
+++ b/crates/ports/src/http_objects.rs
@@ -97,6 +97,7 @@
             method,
             path: format!("/{}/{key}", self.bucket),
             body,
+            accept: None,
             known: None,
         }
     }
--- a/crates/ports/src/http_table.rs
+++ b/crates/ports/src/http_table.rs
@@ -77,6 +77,7 @@
             method: Method::POST,
             path: TableRequest::PATH.to_owned(),
             body: body.into(),
+            accept: None,
             known: None,
         })
     }
--- a/crates/ports/src/http_vm_list.rs
+++ b/crates/ports/src/http_vm_list.rs
@@ -117,6 +117,7 @@
             method: Method::GET,
             path: Self::PATH.to_owned(),
             body: Bytes::new(),
+            accept: None,
             known: self.known_tag(),
         };
         let answer = self.caller.read(call).await?;
--- a/crates/ports/src/http_workers.rs
+++ b/crates/ports/src/http_workers.rs
@@ -23,6 +23,7 @@
 
 use crate::{
     AccessToken,
+    AnswerFormat,
     WorkerAnswer,
     WorkerCalls,
     WorkerError,
@@ -40,6 +41,7 @@
 #[derive(Debug, Default)]
 pub struct HttpWorkers {
     options: HttpOptions,
+    format: AnswerFormat,
     callers: Mutex<IndexMap<SocketAddr, Arc<HttpCaller>>>,
 }
 
@@ -61,6 +63,12 @@
         self
     }
 
+    /// Sets how workers are asked to write their answers.
+    pub fn with_format(mut self, format: AnswerFormat) -> Self {
+        self.format = format;
+        self
+    }
+
     /// Sets the address that connections are made from.
     pub fn with_local_address(mut self, address: IpAddr) -> Self {
         self.options.local_address = Some(address);
@@ -80,9 +88,19 @@
     }
 }
 
+fn read_answer(answer: &HttpAnswer) -> Option<WorkerAnswer> {
+    match AnswerFormat::from_content_type(answer.content_type.as_ref()) {
+        AnswerFormat::Json => serde_json::from_slice(&answer.body).ok(),
+        AnswerFormat::Postcard => match postcard::take_from_bytes(&answer.body) {
+            Ok((answer, [])) => Some(answer),
+            _ => None,
+        },
+    }
+}
+
 fn parse(answer: HttpAnswer) -> Result<WorkerAnswer, WorkerError> {
     match answer.status {
-        StatusCode::OK => serde_json::from_slice(&answer.body).map_err(|_| WorkerError::Unknown),
+        StatusCode::OK => read_answer(&answer).ok_or(WorkerError::Unknown),
         StatusCode::CONFLICT => {
             Err(serde_json::from_slice(&answer.body).unwrap_or(WorkerError::Unknown))
         }
@@ -103,6 +121,7 @@
             method: Method::POST,
             path: WorkerRequest::PATH.to_owned(),
             body: body.into(),
+            accept: Some(self.format.accept()),
             known: None,
         };
         let answer = self.caller(worker).write(call).await;
--- a/crates/ports/src/lib.rs
+++ b/crates/ports/src/lib.rs
@@ -5,6 +5,7 @@
 //! adapter.
 
 mod access_token;
+mod answer_format;
 mod call_error;
 mod checkpoint_id;
 mod clock_source;
@@ -50,6 +51,7 @@
 
 pub use self::{
     access_token::AccessToken,
+    answer_format::AnswerFormat,
     checkpoint_id::CheckpointId,
     clock_source::ClockSource,
     commit_outcome::CommitOutcome,
--- a/crates/standins/src/worker_stand_in.rs
+++ b/crates/standins/src/worker_stand_in.rs
@@ -18,8 +18,13 @@
 use async_trait::async_trait;
 use bytes::Bytes;
 use http::{
+    HeaderValue,
     Method,
     StatusCode,
+    header::{
+        ACCEPT,
+        CONTENT_TYPE, //
+    },
     request::Parts, //
 };
 use indexmap::IndexSet;
@@ -30,6 +35,7 @@
 };
 use jasminebend_ports::{
     AccessToken,
+    AnswerFormat,
     ClockSource,
     WorkerAnswer,
     WorkerCalls,
@@ -57,7 +63,8 @@
         WireResult,
         fault,
         json,
-        refuse, //
+        refuse,
+        reply, //
     },
     worker_cell::WorkerCell,
     worker_core::WorkerCore, //
@@ -266,10 +273,22 @@
         let Ok(request) = serde_json::from_slice(&body) else {
             return refuse(StatusCode::BAD_REQUEST, "the body is no worker request");
         };
+        let format = AnswerFormat::from_accept(head.headers.get(ACCEPT));
         match self.carry_out(request).await {
-            Ok(Ok(answer)) => json(StatusCode::OK, &answer),
+            Ok(Ok(answer)) => write_answer(format, &answer),
             Ok(Err(error)) => json(StatusCode::CONFLICT, &error),
             Err(kind) => fault(kind),
         }
     }
 }
+
+fn write_answer(format: AnswerFormat, answer: &WorkerAnswer) -> WireResult {
+    if format == AnswerFormat::Json {
+        return json(StatusCode::OK, answer);
+    }
+    let body = postcard::to_stdvec(answer).map_err(|_| CutConnection)?;
+    let mut response = reply(StatusCode::OK, body.into())?;
+    let postcard = HeaderValue::from_static(AnswerFormat::POSTCARD_TYPE);
+    response.headers_mut().insert(CONTENT_TYPE, postcard);
+    Ok(response)
+}
--- a/crates/standins/tests/contracts/harness.rs
+++ b/crates/standins/tests/contracts/harness.rs
@@ -8,6 +8,7 @@
 
 use jasminebend_base::ResourceAmount;
 use jasminebend_ports::{
+    AnswerFormat,
     ClockSource,
     HttpObjects,
     HttpTable,
@@ -120,10 +121,19 @@
 }
 
 pub(crate) async fn worker_over_http(timeout: Duration) -> WorkerHarness {
+    serve_worker(HttpWorkers::new().with_timeout(timeout)).await
+}
+
+pub(crate) async fn worker_in_json(timeout: Duration) -> WorkerHarness {
+    let workers = HttpWorkers::new().with_format(AnswerFormat::Json);
+    serve_worker(workers.with_timeout(timeout)).await
+}
+
+async fn serve_worker(workers: HttpWorkers) -> WorkerHarness {
     let (stand_in, clock, ledger) = make_worker();
     let (address, guard) = stand_in.start_server().await.unwrap();
     WorkerHarness {
-        port: Arc::new(HttpWorkers::new().with_timeout(timeout)),
+        port: Arc::new(workers),
         address,
         stand_in,
         clock,
--- a/crates/standins/tests/contracts/worker_runs.rs
+++ b/crates/standins/tests/contracts/worker_runs.rs
@@ -168,4 +168,5 @@
     ],
     in_memory => crate::harness::worker_in_memory,
     over_http => crate::harness::worker_over_http,
+    in_json => crate::harness::worker_in_json,
 );
