--- /dev/null
+++ b/crates/gateway/benches/loopback/endpoint_server.rs
@@ -0,0 +1,44 @@
+//! Endpoints that answer at once.
+
+use std::{
+    convert::Infallible,
+    net::SocketAddr, //
+};
+
+use bytes::Bytes;
+use http::{
+    Request,
+    Response, //
+};
+use http_body_util::Full;
+use hyper::{
+    body::Incoming,
+    server::conn::http1,
+    service::service_fn, //
+};
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpListener;
+
+const ANSWER: Bytes = Bytes::from_static(b"the guitar is ready on friday");
+
+/// Starts so many endpoints.
+pub(crate) async fn start_endpoints(count: usize) -> Vec<SocketAddr> {
+    let mut addresses = Vec::new();
+    for _ in 0..count {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        addresses.push(listener.local_addr().unwrap());
+        tokio::spawn(accept(listener));
+    }
+    addresses
+}
+
+async fn accept(listener: TcpListener) {
+    while let Ok((stream, _)) = listener.accept().await {
+        stream.set_nodelay(true).unwrap();
+        let service = service_fn(|_: Request<Incoming>| async {
+            Ok::<_, Infallible>(Response::new(Full::new(ANSWER)))
+        });
+        let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+        tokio::spawn(async move { connection.await.is_ok() });
+    }
+}
--- /dev/null
+++ b/crates/gateway/benches/loopback/measured_gateway.rs
@@ -0,0 +1,99 @@
+//! The gateway under measurement.
+
+use std::{
+    net::SocketAddr,
+    sync::Arc,
+    time::Duration, //
+};
+
+use jasminebend_base::{
+    ClassKind,
+    ClassTarget,
+    Configuration,
+    ExecutorRecord,
+    OwnerEpoch,
+    ResourceId,
+    RouteRule,
+    ServiceClass,
+    VmRecord,
+    VmSnapshot,
+    VmState, //
+};
+use jasminebend_gateway::{
+    Gateway,
+    GatewayEdges,
+    GatewaySettings, //
+};
+use jasminebend_ports::SystemClock;
+use jasminebend_standins::{
+    FixedOwnership,
+    TableStandIn, //
+};
+use tokio::{
+    net::TcpListener,
+    sync::watch, //
+};
+
+const SHARES: u16 = 70;
+
+/// Starts a gateway that holds all slots of these endpoints.
+pub(crate) async fn start_gateway(endpoints: &[SocketAddr]) -> SocketAddr {
+    let ownership = FixedOwnership::new();
+    for share in 0..SHARES {
+        ownership.hold(ResourceId::Slots(share), OwnerEpoch(1), Duration::ZERO);
+    }
+    let configuration = watch::Sender::new(Arc::new(configuration()));
+    let vms = watch::Sender::new(Arc::new(VmSnapshot {
+        revision: 1,
+        vms: endpoints.iter().map(vm).collect(),
+    }));
+    let edges = GatewayEdges {
+        ownership: Arc::new(ownership),
+        configuration: configuration.subscribe(),
+        vms: vms.subscribe(),
+        table: Arc::new(TableStandIn::new()),
+        clock: Arc::new(SystemClock::new()),
+        seed: 1,
+    };
+    let gateway = Gateway::new(GatewaySettings::new("east".into(), SHARES), edges);
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        gateway.serve(listener).await;
+        drop((configuration, vms));
+    });
+    address
+}
+
+fn vm(address: &SocketAddr) -> VmRecord {
+    VmRecord {
+        name: address.to_string().as_str().into(),
+        incarnation: 1,
+        domain: "east".into(),
+        state: VmState::Live,
+        executor: Some(ExecutorRecord {
+            service: "booking".into(),
+            address: *address,
+            slots: 8,
+            connections: 64,
+        }),
+        worker: None,
+    }
+}
+
+fn configuration() -> Configuration {
+    Configuration {
+        classes: vec![ServiceClass {
+            name: "booking".into(),
+            kind: ClassKind::Service,
+            target: ClassTarget::AnswerWithin(Duration::from_secs(1)),
+            service: Some("booking".into()),
+            route: Some(RouteRule {
+                host: None,
+                path_prefix: "/".into(),
+            }),
+            idempotency: Default::default(),
+        }],
+        ..Configuration::default()
+    }
+}
