--- a/crates/ports/src/http_caller.rs
+++ b/crates/ports/src/http_caller.rs
@@ -7,18 +7,26 @@
     },
     sync::{
         Mutex,
+        MutexGuard,
         PoisonError, //
     },
-    time::Duration,
+    time::Duration, //
 };
 
 use bytes::Bytes;
 use http::{
+    HeaderValue,
     Method,
     Request,
     Response,
     StatusCode,
-    header::AUTHORIZATION, //
+    header::{
+        ACCEPT,
+        AUTHORIZATION,
+        CONTENT_TYPE,
+        ETAG,
+        IF_NONE_MATCH, //
+    }, //
 };
 use http_body_util::{
     BodyExt,
@@ -34,7 +42,7 @@
     rt::{
         TokioExecutor,
         TokioTimer, //
-    },
+    }, //
 };
 use tokio::time;
 
@@ -61,12 +69,18 @@
     pub(crate) method: Method,
     pub(crate) path: String,
     pub(crate) body: Bytes,
+    /// The formats that the answer may have; `None` for the one there is.
+    pub(crate) accept: Option<HeaderValue>,
+    /// The entity tag of the answer that the caller holds already.
+    pub(crate) known: Option<HeaderValue>,
 }
 
 /// An answer that was read whole.
 #[derive(Debug)]
 pub(crate) struct HttpAnswer {
     pub(crate) status: StatusCode,
+    pub(crate) tag: Option<HeaderValue>,
+    pub(crate) content_type: Option<HeaderValue>,
     pub(crate) body: Bytes,
 }
 
@@ -136,6 +150,12 @@
         if let Some(token) = &self.options.token {
             request = request.header(AUTHORIZATION, token.header());
         }
+        if let Some(accept) = call.accept {
+            request = request.header(ACCEPT, accept);
+        }
+        if let Some(known) = call.known {
+            request = request.header(IF_NONE_MATCH, known);
+        }
         // A path or token that HTTP can't carry is refused before a byte is written.
         request
             .body(Full::new(call.body))
@@ -156,7 +176,7 @@
         })
     }
 
-    fn lock(&self) -> std::sync::MutexGuard<'_, PooledClient> {
+    fn lock(&self) -> MutexGuard<'_, PooledClient> {
         self.client.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
@@ -205,6 +225,8 @@
         .to_bytes();
     Ok(HttpAnswer {
         status: head.status,
+        tag: head.headers.get(ETAG).cloned(),
+        content_type: head.headers.get(CONTENT_TYPE).cloned(),
         body,
     })
 }
--- a/crates/ports/src/http_workers.rs
+++ b/crates/ports/src/http_workers.rs
@@ -11,7 +11,7 @@
         MutexGuard,
         PoisonError, //
     },
-    time::Duration,
+    time::Duration, //
 };
 
 use async_trait::async_trait;
@@ -20,24 +20,28 @@
     StatusCode, //
 };
 use indexmap::IndexMap;
-use jasminebend_base::OwnerEpoch;
 
 use crate::{
-    AccessToken, CheckpointId, EpochAdoption, LeaseRenewal, TaskAttempt, TaskOrder, WorkerAnswer,
-    WorkerError, WorkerInventory, WorkerPort, WorkerReport, WorkerRequest,
+    AccessToken,
+    AnswerFormat,
+    WorkerAnswer,
+    WorkerCalls,
+    WorkerError,
+    WorkerRequest,
     call_error::CallError,
     http_caller::{
         HttpAnswer,
         HttpCall,
         HttpCaller,
         HttpOptions, //
-    },
+    }, //
 };
 
 /// The workers over HTTP, each with its own pooled connections.
 #[derive(Debug, Default)]
 pub struct HttpWorkers {
     options: HttpOptions,
+    format: AnswerFormat,
     callers: Mutex<IndexMap<SocketAddr, Arc<HttpCaller>>>,
 }
 
@@ -59,43 +63,18 @@
         self
     }
 
+    /// Sets how workers are asked to write their answers.
+    pub fn with_format(mut self, format: AnswerFormat) -> Self {
+        self.format = format;
+        self
+    }
+
     /// Sets the address that connections are made from.
     pub fn with_local_address(mut self, address: IpAddr) -> Self {
         self.options.local_address = Some(address);
         self
     }
 
-    async fn order(
-        &self,
-        worker: SocketAddr,
-        request: WorkerRequest,
-    ) -> Result<WorkerAnswer, WorkerError> {
-        let body = serde_json::to_vec(&request).map_err(|_| WorkerError::Unreachable)?;
-        let call = HttpCall {
-            address: worker,
-            method: Method::POST,
-            path: WorkerRequest::PATH.to_owned(),
-            body: body.into(),
-        };
-        let answer = self.caller(worker).write(call).await;
-        if answer.as_ref().err() == Some(&CallError::Unreachable) {
-            // A worker that is gone for good must not leave its pool behind.
-            self.lock().swap_remove(&worker);
-        }
-        parse(answer?)
-    }
-
-    async fn order_done(
-        &self,
-        worker: SocketAddr,
-        request: WorkerRequest,
-    ) -> Result<(), WorkerError> {
-        match self.order(worker, request).await? {
-            WorkerAnswer::Done => Ok(()),
-            _ => Err(WorkerError::Unknown),
-        }
-    }
-
     fn caller(&self, worker: SocketAddr) -> Arc<HttpCaller> {
         let mut callers = self.lock();
         let caller = callers
@@ -109,9 +88,19 @@
     }
 }
 
+fn read_answer(answer: &HttpAnswer) -> Option<WorkerAnswer> {
+    match AnswerFormat::from_content_type(answer.content_type.as_ref()) {
+        AnswerFormat::Json => serde_json::from_slice(&answer.body).ok(),
+        AnswerFormat::Postcard => match postcard::take_from_bytes(&answer.body) {
+            Ok((answer, [])) => Some(answer),
+            _ => None,
+        },
+    }
+}
+
 fn parse(answer: HttpAnswer) -> Result<WorkerAnswer, WorkerError> {
     match answer.status {
-        StatusCode::OK => serde_json::from_slice(&answer.body).map_err(|_| WorkerError::Unknown),
+        StatusCode::OK => read_answer(&answer).ok_or(WorkerError::Unknown),
         StatusCode::CONFLICT => {
             Err(serde_json::from_slice(&answer.body).unwrap_or(WorkerError::Unknown))
         }
@@ -120,74 +109,26 @@
 }
 
 #[async_trait]
-impl WorkerPort for HttpWorkers {
-    async fn adopt(
+impl WorkerCalls for HttpWorkers {
+    async fn call(
         &self,
         worker: SocketAddr,
-        adoption: EpochAdoption,
-    ) -> Result<WorkerInventory, WorkerError> {
-        match self.order(worker, WorkerRequest::Adopt(adoption)).await? {
-            WorkerAnswer::Inventory(inventory) => Ok(inventory),
-            _ => Err(WorkerError::Unknown),
-        }
-    }
-
-    async fn renew(
-        &self,
-        worker: SocketAddr,
-        renewal: LeaseRenewal,
-    ) -> Result<WorkerReport, WorkerError> {
-        match self.order(worker, WorkerRequest::Renew(renewal)).await? {
-            WorkerAnswer::Report(report) => Ok(report),
-            _ => Err(WorkerError::Unknown),
-        }
-    }
-
-    async fn start(
-        &self,
-        worker: SocketAddr,
-        epoch: OwnerEpoch,
-        order: TaskOrder,
-    ) -> Result<(), WorkerError> {
-        let request = WorkerRequest::Start { epoch, order };
-        self.order_done(worker, request).await
-    }
-
-    async fn throttle(
-        &self,
-        worker: SocketAddr,
-        epoch: OwnerEpoch,
-        attempt: TaskAttempt,
-        speed_millis: u32,
-    ) -> Result<(), WorkerError> {
-        let request = WorkerRequest::Throttle {
-            epoch,
-            attempt,
-            speed_millis,
+        request: WorkerRequest,
+    ) -> Result<WorkerAnswer, WorkerError> {
+        let body = serde_json::to_vec(&request).map_err(|_| WorkerError::Unreachable)?;
+        let call = HttpCall {
+            address: worker,
+            method: Method::POST,
+            path: WorkerRequest::PATH.to_owned(),
+            body: body.into(),
+            accept: Some(self.format.accept()),
+            known: None,
         };
-        self.order_done(worker, request).await
-    }
-
-    async fn checkpoint(
-        &self,
-        worker: SocketAddr,
-        epoch: OwnerEpoch,
-        attempt: TaskAttempt,
-    ) -> Result<CheckpointId, WorkerError> {
-        let request = WorkerRequest::Checkpoint { epoch, attempt };
-        match self.order(worker, request).await? {
-            WorkerAnswer::Checkpoint(checkpoint) => Ok(checkpoint),
-            _ => Err(WorkerError::Unknown),
+        let answer = self.caller(worker).write(call).await;
+        if answer.as_ref().err() == Some(&CallError::Unreachable) {
+            // A worker that is gone for good must not leave its pool behind.
+            self.lock().swap_remove(&worker);
         }
-    }
-
-    async fn stop(
-        &self,
-        worker: SocketAddr,
-        epoch: OwnerEpoch,
-        attempt: TaskAttempt,
-    ) -> Result<(), WorkerError> {
-        let request = WorkerRequest::Stop { epoch, attempt };
-        self.order_done(worker, request).await
+        parse(answer?)
     }
 }
--- a/crates/ports/src/lib.rs
+++ b/crates/ports/src/lib.rs
@@ -5,6 +5,7 @@
 //! adapter.
 
 mod access_token;
+mod answer_format;
 mod call_error;
 mod checkpoint_id;
 mod clock_source;
@@ -39,6 +40,7 @@
 mod vm_list;
 mod vm_list_error;
 mod worker_answer;
+mod worker_calls;
 mod worker_error;
 mod worker_inventory;
 mod worker_port;
@@ -49,6 +51,7 @@
 
 pub use self::{
     access_token::AccessToken,
+    answer_format::AnswerFormat,
     checkpoint_id::CheckpointId,
     clock_source::ClockSource,
     commit_outcome::CommitOutcome,
@@ -79,6 +82,7 @@
     vm_list::VmList,
     vm_list_error::VmListError,
     worker_answer::WorkerAnswer,
+    worker_calls::WorkerCalls,
     worker_error::WorkerError,
     worker_inventory::WorkerInventory,
     worker_port::WorkerPort,
--- a/crates/standins/tests/contracts/table.rs
+++ b/crates/standins/tests/contracts/table.rs
@@ -281,33 +281,22 @@
     }
 }
 
-macro_rules! table_contract {
-    ($adapter:ident, $make:path) => {
-        mod $adapter {
-            table_contract!(@cases $make;
-                commits_all_changes_or_none,
-                tells_version_and_write_of_a_row,
-                scans_in_order_behind_a_key,
-                tells_the_truth_about_a_failed_commit,
-                reads_survive_one_lost_connection,
-                sends_a_commit_once,
-                a_late_commit_is_shut_out_by_compare_and_set,
-                a_commit_delivered_twice_takes_effect_once,
-                outages_refuse_what_they_should,
-                increments_survive_a_mix_of_faults
-            );
-        }
-    };
-    (@cases $make:path; $($case:ident),*) => {$(
-        #[tokio::test]
-        async fn $case() {
-            super::$case($make(super::PATIENT).await).await;
-        }
-    )*};
-}
-
-table_contract!(in_memory, crate::harness::table_in_memory);
-table_contract!(over_http, crate::harness::table_over_http);
+contract!(
+    [
+        commits_all_changes_or_none,
+        tells_version_and_write_of_a_row,
+        scans_in_order_behind_a_key,
+        tells_the_truth_about_a_failed_commit,
+        reads_survive_one_lost_connection,
+        sends_a_commit_once,
+        a_late_commit_is_shut_out_by_compare_and_set,
+        a_commit_delivered_twice_takes_effect_once,
+        outages_refuse_what_they_should,
+        increments_survive_a_mix_of_faults,
+    ],
+    in_memory => crate::harness::table_in_memory,
+    over_http => crate::harness::table_over_http,
+);
 
 /// A commit waits for ever: the service went silent before or after the effect. The adapter gives up
 /// in time and says that the outcome is unknown; its next call takes a fresh connection.
@@ -339,3 +328,18 @@
         tokio::task::yield_now().await;
     }
 }
+
+/// Every call times out though the service is well: something between the two ends lost track of the
+/// open connections. One timeout is enough to give up all of them.
+#[tokio::test]
+async fn one_timeout_gives_up_the_silent_connections() {
+    let table = harness::table_over_http(IMPATIENT).await;
+    let row = key("a");
+    // Several connections at once, which then lie idle in the pool.
+    let read = || table.port.read(&row);
+    let calls = tokio::join!(read(), read(), read(), read());
+    assert_eq!(calls, (Ok(None), Ok(None), Ok(None), Ok(None)));
+    table.guard.as_ref().unwrap().silence_connections();
+    assert_eq!(table.port.read(&row).await, Err(TableError::Unknown));
+    assert_eq!(table.port.read(&row).await, Ok(None));
+}
