Compose the daemon: cluster, gateway, planner and the administration API

Cause: the parts existed apart. Change: EntryDaemon starts them on one ownership, configuration and VM list, and stops them gracefully; the program runs one by a settings file until SIGTERM or SIGINT, reaches the platform over HTTP, replaces the peer key and the platform's token when their files change, and ends with its own code for wrong settings. An operator's change is a span below the operator's traceparent.

--- a/crates/jasminebend/src/admin_change.rs
+++ b/crates/jasminebend/src/admin_change.rs
@@ -64,12 +64,12 @@
         let details = self.details(&before);
         let outcome = self.apply(control).await;
         match &outcome {
-            Ok(_) => info!("[administration] {operator} {subject}: accepted. {details}"),
+            Ok(_) => info!("[administration] {operator} {subject}: accepted.{details}"),
             Err(error @ ControlError::Unknown { .. }) => {
-                warn!("[administration] {operator} {subject}: unknown, {error}. {details}");
+                warn!("[administration] {operator} {subject}: unknown, {error}.{details}");
             }
             Err(error) => {
-                warn!("[administration] {operator} {subject}: not accepted, {error}. {details}");
+                warn!("[administration] {operator} {subject}: not accepted, {error}.{details}");
             }
         }
         outcome
@@ -112,10 +112,10 @@
             Self::Replace { configuration, .. } => {
                 let differences = ConfigurationDiff::between(before, configuration);
                 let lines: Vec<String> = differences.iter().map(ToString::to_string).collect();
-                format!("Change: {}.", lines.join("; "))
+                format!(" Change: {}.", lines.join("; "))
             }
             Self::SetDomain { name, state, .. } => {
-                format!("Change: {name}: {} -> {state}.", before.domain_state(name))
+                format!(" Change: {name}: {} -> {state}.", before.domain_state(name))
             }
             Self::SubmitJob(_) | Self::CancelJob(_) => String::new(),
         }
--- a/crates/jasminebend/src/admin_front.rs
+++ b/crates/jasminebend/src/admin_front.rs
@@ -27,6 +27,7 @@
 #[derive(Debug)]
 pub struct AdminFront {
     keys: Arc<AccessKeys>,
+    watch: KeyWatch,
     limits: LimitSettings,
     main: TcpListener,
     health: Option<TcpListener>,
@@ -53,6 +54,9 @@
             return Err(DaemonError::OpenAdministration);
         }
         let keys = Arc::new(AccessKeys::load(settings)?);
+        let watch = KeyWatch::new(Arc::clone(&keys));
+        // A file replaced between the first reading and the watch's would go unnoticed.
+        keys.reload()?;
         let listen = &settings.listen;
         let main = bind("listen.administration", listen.administration).await?;
         let health = match listen.health {
@@ -61,6 +65,7 @@
         };
         Ok(Self {
             keys,
+            watch,
             limits: settings.limits,
             main,
             health,
@@ -97,7 +102,7 @@
             let server = AdminServer::health_only(Arc::clone(&service), self.limits);
             tasks.spawn(server.serve(listener, stopped.clone()));
         }
-        tasks.spawn(KeyWatch::new(Arc::clone(&self.keys)).run(stopped.clone()));
+        tasks.spawn(self.watch.run(stopped.clone()));
         let server = AdminServer::new(service, self.keys, self.limits);
         tasks.spawn(server.serve(self.main, stopped));
         Ok(AdminGuard {
--- a/crates/jasminebend/src/admin_service.rs
+++ b/crates/jasminebend/src/admin_service.rs
@@ -6,22 +6,17 @@
 use http::{
     HeaderMap,
     Request,
-    Response,
     StatusCode,
     header, //
 };
 use http_body::Body;
 use http_body_util::{
     BodyExt,
-    Full,
     LengthLimitError,
     Limited, //
 };
-use jasminebend_base::{
-    ChangeOutcome,
-    ConfigurationVersion, //
-};
-use serde::Serialize;
+use jasminebend_base::ConfigurationVersion;
+use opentelemetry::context::FutureExt;
 use spdlog::warn;
 use tokio::time::timeout;
 
@@ -34,17 +29,20 @@
     OperatorIdentity,
     admin_change::AdminChange,
     admin_error::AdminError,
-    admin_route::AdminRoute, //
+    admin_response::{
+        AdminResponse,
+        json,
+        refuse,
+        text, //
+    },
+    admin_route::AdminRoute,
+    admin_trace::change_context, //
 };
 
-const JSON: &str = "application/json";
-const TEXT: &str = "text/plain; version=0.0.4";
+const REQUESTS: &str = "jasminebend_administration_requests_total";
 const FIND_OUT: &str =
     "the answer took too long; read the configuration or the job and compare before trying again";
 
-/// What one answer is made of.
-pub(crate) type AdminResponse = Response<Full<Bytes>>;
-
 /// Answers administration requests.
 pub(crate) struct AdminService {
     control: Arc<dyn ControlPort>,
@@ -81,7 +79,10 @@
         Content::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
     {
         let answer = self.try_answer(request, health_only).await;
-        answer.unwrap_or_else(|error| refuse(&error))
+        let answer = answer.unwrap_or_else(|error| refuse(&error));
+        let status = answer.status().as_str().to_owned();
+        metrics::counter!(REQUESTS, "status" => status).increment(1);
+        answer
     }
 
     async fn try_answer<Content>(
@@ -118,14 +119,20 @@
             AdminRoute::ReplaceConfiguration => {
                 let expected = expected_version(&head.headers)?;
                 let change = AdminChange::replace(&body, expected)?;
-                self.change(change, operator).await
+                self.change(change, operator, &head.headers).await
             }
             AdminRoute::SetDomain { name, state, force } => {
                 let change = AdminChange::SetDomain { name, state, force };
-                self.change(change, operator).await
+                self.change(change, operator, &head.headers).await
+            }
+            AdminRoute::SubmitJob => {
+                let change = AdminChange::SubmitJob(body);
+                self.change(change, operator, &head.headers).await
+            }
+            AdminRoute::CancelJob(job) => {
+                let change = AdminChange::CancelJob(job);
+                self.change(change, operator, &head.headers).await
             }
-            AdminRoute::SubmitJob => self.change(AdminChange::SubmitJob(body), operator).await,
-            AdminRoute::CancelJob(job) => self.change(AdminChange::CancelJob(job), operator).await,
         }
     }
 
@@ -166,16 +173,19 @@
         &self,
         change: AdminChange,
         operator: OperatorIdentity,
+        headers: &HeaderMap,
     ) -> Result<AdminResponse, AdminError> {
         let control = Arc::clone(&self.control);
-        let run = tokio::spawn(async move { change.run(control.as_ref(), &operator).await });
+        let context = change_context(headers);
+        let run = async move { change.run(control.as_ref(), &operator).await };
+        let run = tokio::spawn(run.with_context(context));
         let limit = self.limits.administration_timeout;
         let Ok(Ok(outcome)) = timeout(limit, run).await else {
             return Err(AdminError::Control(ControlError::Unknown {
                 find_out: FIND_OUT.to_owned(),
             }));
         };
-        Ok(accept(&outcome?))
+        Ok(json(StatusCode::OK, &outcome?))
     }
 
     fn readiness(&self) -> AdminResponse {
@@ -225,48 +235,3 @@
         .map(ConfigurationVersion)
         .ok_or(AdminError::MissingVersion)
 }
-
-fn accept(outcome: &ChangeOutcome) -> AdminResponse {
-    json(StatusCode::OK, outcome)
-}
-
-fn refuse(error: &AdminError) -> AdminResponse {
-    let mut response = json(error.status(), &error.outcome());
-    let headers = response.headers_mut();
-    match error {
-        AdminError::Unidentified => {
-            let scheme = header::HeaderValue::from_static("Bearer");
-            headers.insert(header::WWW_AUTHENTICATE, scheme);
-        }
-        AdminError::WrongMethod { allowed } => {
-            headers.insert(header::ALLOW, header::HeaderValue::from_static(allowed));
-        }
-        // The rest of an oversized or late body is not read: the connection cannot go on.
-        AdminError::BodyTooLarge { .. } | AdminError::SlowRequest | AdminError::BodyCut => {
-            let close = header::HeaderValue::from_static("close");
-            headers.insert(header::CONNECTION, close);
-        }
-        _ => {}
-    }
-    response
-}
-
-fn json<Content>(status: StatusCode, content: &Content) -> AdminResponse
-where
-    Content: Serialize,
-{
-    let body = serde_json::to_vec(content).unwrap_or_default();
-    respond(status, JSON, body)
-}
-
-fn text(content: String) -> AdminResponse {
-    respond(StatusCode::OK, TEXT, content.into_bytes())
-}
-
-fn respond(status: StatusCode, kind: &'static str, body: Vec<u8>) -> AdminResponse {
-    let mut response = Response::new(Full::new(Bytes::from(body)));
-    *response.status_mut() = status;
-    let kind = header::HeaderValue::from_static(kind);
-    response.headers_mut().insert(header::CONTENT_TYPE, kind);
-    response
-}
--- a/crates/jasminebend/src/daemon_error.rs
+++ b/crates/jasminebend/src/daemon_error.rs
@@ -12,6 +12,9 @@
     From, //
 };
 
+use jasminebend_cluster::ClusterError;
+use jasminebend_wire::PeerKeyError;
+
 use crate::{
     AccessError,
     LogError,
@@ -45,15 +48,28 @@
         /// What the system says.
         source: io::Error,
     },
-    /// The key that daemons share cannot be read.
+    /// A file that holds a secret cannot be read.
     #[from(ignore)]
-    #[display("the peer key {} cannot be read: {source}", path.display())]
-    PeerKey {
+    #[display("the secret in {} cannot be read: {source}", path.display())]
+    Secret {
         /// The file.
         path: PathBuf,
         /// What the system says.
         source: io::Error,
     },
+    /// The key that daemons share is of no use.
+    #[display("`peers.key_file`: {_0}")]
+    PeerKey(PeerKeyError),
+    /// The cluster part does not start.
+    #[display("{_0}")]
+    Cluster(ClusterError),
+    /// The signals cannot be caught.
+    #[from(ignore)]
+    #[display("the signals cannot be caught: {source}")]
+    Signals {
+        /// What the system says.
+        source: io::Error,
+    },
     /// The administration API would be open to the network.
     #[display(
         "the administration API is off loopback; set `tls` and `tokens_file`, or, to let anyone \
--- a/crates/jasminebend/src/daemon_settings.rs
+++ b/crates/jasminebend/src/daemon_settings.rs
@@ -147,4 +147,11 @@
         self.traces = Some(traces);
         self
     }
+
+    /// Tells whether nobody unknown can reach the administration API, or the settings allow it.
+    pub fn administration_guarded(&self) -> bool {
+        let guarded = self.tls.is_some() && self.tokens_file.is_some();
+        let loopback = self.listen.administration.ip().is_loopback();
+        guarded || loopback || self.allow_open_administration
+    }
 }
--- /dev/null
+++ b/crates/jasminebend/src/entry_control.rs
@@ -0,0 +1,218 @@
+//! Carries out what operators ask for through the daemon's parts.
+
+use std::sync::{
+    Arc,
+    atomic::{
+        AtomicBool,
+        Ordering, //
+    },
+};
+
+use async_trait::async_trait;
+use jasminebend_base::{
+    Configuration,
+    ConfigurationVersion,
+    DomainName,
+    DomainState, //
+};
+use jasminebend_cluster::{
+    ClusterHandle,
+    ConfigurationChange,
+    ProposalError,
+    RefusalReason, //
+};
+use jasminebend_placement::JobId;
+use jasminebend_planner::{
+    JobError,
+    PlannerHandle,
+    SubmitError, //
+};
+use serde::Serialize;
+
+use crate::{
+    ControlError,
+    ControlPort,
+    DaemonStatus, //
+};
+
+/// Carries out what operators ask for through the daemon's parts.
+pub(crate) struct EntryControl {
+    domain: DomainName,
+    region: String,
+    cluster: ClusterHandle,
+    planner: PlannerHandle,
+    stopping: AtomicBool,
+}
+
+impl EntryControl {
+    pub(crate) fn new(
+        domain: DomainName,
+        region: String,
+        cluster: ClusterHandle,
+        planner: PlannerHandle,
+    ) -> Self {
+        Self {
+            domain,
+            region,
+            cluster,
+            planner,
+            stopping: AtomicBool::new(false),
+        }
+    }
+
+    /// Tells the balancer from now on that no caller should be sent here.
+    pub(crate) fn begin_stop(&self) {
+        self.stopping.store(true, Ordering::Relaxed);
+    }
+
+    fn stopping(&self) -> bool {
+        self.stopping.load(Ordering::Relaxed)
+    }
+
+    async fn propose(
+        &self,
+        change: ConfigurationChange,
+    ) -> Result<ConfigurationVersion, ControlError> {
+        self.cluster.propose(change).await.map_err(explain_proposal)
+    }
+}
+
+#[async_trait]
+impl ControlPort for EntryControl {
+    fn status(&self) -> DaemonStatus {
+        DaemonStatus {
+            program: env!("CARGO_PKG_VERSION"),
+            failure_domain: self.domain.clone(),
+            region: self.region.clone(),
+            ready: self.ready(),
+            stopping: self.stopping(),
+            configuration: self.configuration().version,
+            cluster: to_json(&self.cluster.status()),
+        }
+    }
+
+    fn ready(&self) -> bool {
+        !self.stopping() && self.cluster.ready()
+    }
+
+    fn configuration(&self) -> Arc<Configuration> {
+        self.cluster.configuration().borrow().clone()
+    }
+
+    async fn replace(
+        &self,
+        configuration: Configuration,
+        expected: ConfigurationVersion,
+    ) -> Result<ConfigurationVersion, ControlError> {
+        let change = ConfigurationChange::Replace {
+            configuration,
+            expected: Some(expected),
+        };
+        self.propose(change).await
+    }
+
+    async fn set_domain(
+        &self,
+        name: DomainName,
+        state: DomainState,
+        force: bool,
+    ) -> Result<ConfigurationVersion, ControlError> {
+        let change = ConfigurationChange::Domain { name, state, force };
+        self.propose(change).await
+    }
+
+    async fn submit(&self, job: &[u8]) -> Result<String, ControlError> {
+        let spec = serde_json::from_slice(job).map_err(|error| ControlError::Malformed {
+            reason: error.to_string(),
+        })?;
+        let submitted = self.planner.submit(spec).await;
+        submitted
+            .map(|job| job.to_string())
+            .map_err(explain_submission)
+    }
+
+    async fn cancel(&self, job: &str) -> Result<(), ControlError> {
+        let cancelled = self.planner.cancel(parse_job(job)?).await;
+        cancelled.map_err(explain_cancellation)
+    }
+
+    async fn job(&self, job: &str) -> Result<serde_json::Value, ControlError> {
+        let status = self.planner.job(parse_job(job)?).await;
+        status.map(|status| to_json(&status)).map_err(explain_job)
+    }
+
+    async fn jobs(&self) -> Result<serde_json::Value, ControlError> {
+        let statuses = self.planner.jobs().await;
+        statuses
+            .map(|statuses| to_json(&statuses))
+            .map_err(explain_job)
+    }
+}
+
+fn explain_proposal(error: ProposalError) -> ControlError {
+    let reason = match &error {
+        ProposalError::NotAccepted(reason) => reason,
+        ProposalError::Unknown { .. } => {
+            return ControlError::Unknown {
+                find_out: error.to_string(),
+            };
+        }
+    };
+    let text = reason.to_string();
+    match reason {
+        RefusalReason::Superseded { current, .. } => ControlError::Stale { found: *current },
+        RefusalReason::UnknownDomain { domain } => ControlError::NotFound {
+            kind: "failure domain",
+            name: domain.to_string(),
+        },
+        RefusalReason::Invalid(_) | RefusalReason::TooLarge { .. } => {
+            ControlError::Refused { reason: text }
+        }
+        _ => ControlError::Unavailable { reason: text },
+    }
+}
+
+fn explain_submission(error: SubmitError) -> ControlError {
+    let text = error.to_string();
+    match error {
+        SubmitError::Unknown { .. } => ControlError::Unknown { find_out: text },
+        SubmitError::TableUnavailable => ControlError::Unavailable { reason: text },
+        _ => ControlError::Refused { reason: text },
+    }
+}
+
+/// A cancellation whose answer is lost may have been written; to send it again is safe.
+fn explain_cancellation(error: JobError) -> ControlError {
+    match error {
+        JobError::Table(cause) if !cause.surely_not_run() => ControlError::Unknown {
+            find_out: error.to_string(),
+        },
+        other => explain_job(other),
+    }
+}
+
+fn explain_job(error: JobError) -> ControlError {
+    match error {
+        JobError::UnknownJob { job } => ControlError::NotFound {
+            kind: "job",
+            name: job.to_string(),
+        },
+        other => ControlError::Unavailable {
+            reason: other.to_string(),
+        },
+    }
+}
+
+fn parse_job(text: &str) -> Result<JobId, ControlError> {
+    text.parse().map_err(|_| ControlError::NotFound {
+        kind: "job",
+        name: text.to_owned(),
+    })
+}
+
+fn to_json<Content>(content: &Content) -> serde_json::Value
+where
+    Content: Serialize,
+{
+    serde_json::to_value(content).unwrap_or_default()
+}
--- a/crates/jasminebend/src/key_reader.rs
+++ b/crates/jasminebend/src/key_reader.rs
@@ -81,6 +81,12 @@
     text.parse().ok()
 }
 
+/// An address of this VM that others are told: `0.0.0.0` would lead them to themselves.
+pub(crate) fn parse_own_address(text: &str) -> Option<SocketAddr> {
+    let address: SocketAddr = text.parse().ok()?;
+    (!address.ip().is_unspecified()).then_some(address)
+}
+
 pub(crate) fn parse_remote(text: &str) -> Option<SocketAddr> {
     let address: SocketAddr = text.parse().ok()?;
     let reachable = address.port() != 0 && !address.ip().is_unspecified();
@@ -113,11 +119,14 @@
 }
 
 /// A size needs its unit: `64` could be bytes or mebibytes.
-pub(crate) fn parse_size(text: &str, range: RangeInclusive<ByteSize>) -> Option<usize> {
+pub(crate) fn parse_size<Number>(text: &str, range: RangeInclusive<ByteSize>) -> Option<Number>
+where
+    Number: TryFrom<u64>,
+{
     let size: ByteSize = text.parse().ok()?;
     let has_unit = text.ends_with(['b', 'B']);
     let fits = has_unit && range.contains(&size);
-    fits.then(|| usize::try_from(size.as_u64()).ok()).flatten()
+    fits.then(|| Number::try_from(size.as_u64()).ok()).flatten()
 }
 
 pub(crate) fn parse_flag(text: &str) -> Option<bool> {
--- a/crates/jasminebend/src/key_watch.rs
+++ b/crates/jasminebend/src/key_watch.rs
@@ -17,6 +17,7 @@
 ///
 /// A certificate and its key are two files, so that one look may find a new certificate beside the
 /// old key. The pair is then refused, the keys in force stay, and the next change is a new try.
+#[derive(Debug)]
 pub(crate) struct KeyWatch {
     keys: Arc<AccessKeys>,
     files: FileWatch,
--- a/crates/jasminebend/src/lib.rs
+++ b/crates/jasminebend/src/lib.rs
@@ -6,19 +6,24 @@
 mod admin_change;
 mod admin_error;
 mod admin_front;
+mod admin_response;
 mod admin_route;
 mod admin_server;
 mod admin_service;
+mod admin_trace;
 mod collector_client;
 mod command_line;
 mod configuration_diff;
 mod control_error;
 mod control_port;
+mod daemon_edges;
 mod daemon_error;
 mod daemon_settings;
 mod daemon_status;
 pub mod demo;
 mod demo_options;
+mod entry_control;
+mod entry_daemon;
 mod file_watch;
 mod given_key;
 mod key_reader;
@@ -30,9 +35,13 @@
 mod metrics_hub;
 mod operator_identity;
 mod peer_key_source;
+mod peer_keys;
+mod platform_edges;
 mod platform_settings;
 mod program;
+mod raw_settings;
 mod secret_text;
+mod secret_watch;
 mod service;
 mod settings_error;
 mod settings_file;
@@ -62,6 +71,7 @@
     configuration_diff::ConfigurationDiff,
     control_error::ControlError,
     control_port::ControlPort,
+    daemon_edges::DaemonEdges,
     daemon_error::DaemonError,
     daemon_settings::{
         DEFAULT_BALANCER_LAG,
@@ -73,6 +83,7 @@
     },
     daemon_status::DaemonStatus,
     demo_options::DemoOptions,
+    entry_daemon::EntryDaemon,
     limit_settings::LimitSettings,
     listen_settings::ListenSettings,
     log_settings::{
--- a/crates/jasminebend/src/limit_settings.rs
+++ b/crates/jasminebend/src/limit_settings.rs
@@ -35,7 +35,7 @@
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct LimitSettings {
     /// The bytes of a caller's request body.
-    pub request_body: usize,
+    pub request_body: u64,
     /// The callers' connections at once.
     pub caller_connections: usize,
     /// The bytes of an administration request's body.
@@ -84,9 +84,6 @@
 impl RawLimits {
     pub(crate) fn resolve(&self, line: u64) -> Result<LimitSettings, SettingsError> {
         let reader = KeyReader::new("limits", line);
-        let body = |key, raw: &GivenKey<RawText>| {
-            reader.parse(key, BODY, raw.as_ref(), |text| parse_size(text, BODIES))
-        };
         let connections = |key, raw: &GivenKey<RawText>| {
             let parse = |text: &str| parse_number(text, 1..=65536);
             reader.parse(key, CONNECTIONS, raw.as_ref(), parse)
@@ -109,8 +106,14 @@
         let callers = connections("caller_connections", &self.caller_connections)?;
         let operators = &self.administration_connections;
         let operators = connections("administration_connections", operators)?;
-        let administration = body("administration_body", &self.administration_body)?;
-        let request = body("request_body", &self.request_body)?;
+        let administration = self.administration_body.as_ref();
+        let administration = reader.parse("administration_body", BODY, administration, |text| {
+            parse_size(text, BODIES)
+        })?;
+        let request = self.request_body.as_ref();
+        let request = reader.parse("request_body", BODY, request, |text| {
+            parse_size(text, BODIES)
+        })?;
         let default = LimitSettings::default();
         Ok(LimitSettings {
             request_body: request.unwrap_or(default.request_body),
--- a/crates/jasminebend/src/listen_settings.rs
+++ b/crates/jasminebend/src/listen_settings.rs
@@ -14,7 +14,7 @@
         KeyReader,
         RawText,
         parse_address,
-        parse_remote, //
+        parse_own_address, //
     },
 };
 
@@ -111,7 +111,12 @@
 
     /// The other daemons are told this address, so that it must be this VM's own.
     fn peer_address(&self, reader: KeyReader) -> Result<SocketAddr, SettingsError> {
-        let address = reader.parse("peers", PEER_ADDRESS, self.peers.as_ref(), parse_remote)?;
+        let address = reader.parse(
+            "peers",
+            PEER_ADDRESS,
+            self.peers.as_ref(),
+            parse_own_address,
+        )?;
         reader.required("peers", PEER_ADDRESS, address)
     }
 
--- a/crates/jasminebend/src/service.rs
+++ b/crates/jasminebend/src/service.rs
@@ -1,17 +1,107 @@
 //! Runs one daemon until a signal.
 
+use jasminebend_ports::AccessToken;
+use spdlog::{
+    info,
+    warn, //
+};
+use tokio::{
+    runtime::Handle,
+    signal::unix::{
+        Signal,
+        SignalKind,
+        signal, //
+    },
+    sync::watch,
+    task::spawn_blocking, //
+};
+
 use crate::{
     AccessKeys,
     DaemonError,
-    DaemonSettings, //
+    DaemonSettings,
+    EntryDaemon,
+    TraceExport,
+    peer_keys::PeerKeys,
+    platform_edges::PlatformEdges,
+    secret_watch::watch_secret,
+    set_up_log, //
 };
 
-/// Reads the certificate and the tokens that the settings name, as a start would.
+/// Reads the certificate, the tokens and the keys that the settings name, as a start would.
 pub(crate) fn check_keys(settings: &DaemonSettings) -> Result<(), DaemonError> {
     AccessKeys::load(settings)?;
+    PeerKeys::read(&settings.peer_key)?;
     Ok(())
 }
 
-pub(crate) async fn run(_settings: DaemonSettings) -> Result<(), DaemonError> {
+/// Runs one daemon until SIGTERM or SIGINT, and stops it gracefully.
+pub(crate) async fn run(settings: DaemonSettings) -> Result<(), DaemonError> {
+    set_up_log(settings.log)?;
+    let mut signals = StopSignals::new()?;
+    let platform = settings.platform.clone().ok_or(DaemonError::NoPlatform)?;
+    let reached = PlatformEdges::new(&platform, rand::random())?;
+    let traces = settings.traces;
+    let traces = TraceExport::install(traces, settings.domain.as_str(), Handle::current())?;
+    let (background, ended) = watch::channel(());
+    if let (Some(path), Some(token)) = (platform.token_file, reached.token) {
+        tokio::spawn(watch_secret(path, replace(token), ended));
+    }
+    let daemon = EntryDaemon::start(settings, reached.edges).await?;
+    signals.first().await;
+    tokio::select! {
+        () = daemon.stop() => {}
+        () = signals.ignore() => {}
+    }
+    drop(background);
+    // The exporter's thread is waited for off the runtime, which it needs for its last request.
+    drop(spawn_blocking(move || traces.finish()).await);
     Ok(())
 }
+
+fn replace(token: AccessToken) -> impl Fn(&str) -> Result<(), DaemonError> {
+    move |text| {
+        token.replace(text.trim());
+        Ok(())
+    }
+}
+
+/// The signals that a daemon hears. They are caught from the start to the end of the process: a
+/// second SIGTERM, or a SIGHUP from a closing terminal, would else cut off requests in progress.
+struct StopSignals {
+    terminate: Signal,
+    interrupt: Signal,
+    hang_up: Signal,
+}
+
+impl StopSignals {
+    fn new() -> Result<Self, DaemonError> {
+        let catch = |kind| signal(kind).map_err(|source| DaemonError::Signals { source });
+        Ok(Self {
+            terminate: catch(SignalKind::terminate())?,
+            interrupt: catch(SignalKind::interrupt())?,
+            hang_up: catch(SignalKind::hangup())?,
+        })
+    }
+
+    /// Waits for the first signal to stop.
+    async fn first(&mut self) {
+        loop {
+            tokio::select! {
+                _ = self.terminate.recv() => return,
+                _ = self.interrupt.recv() => return,
+                _ = self.hang_up.recv() => {
+                    info!("[daemon] SIGHUP changes nothing: files are looked at each second.");
+                }
+            }
+        }
+    }
+
+    /// Hears further signals and does nothing; never ends.
+    async fn ignore(&mut self) {
+        loop {
+            self.first().await;
+            warn!("[daemon] Stopping already; the signal changes nothing.");
+        }
+    }
+}
--- a/crates/jasminebend/src/settings_file.rs
+++ b/crates/jasminebend/src/settings_file.rs
@@ -2,92 +2,17 @@
 
 use std::{
     fs,
-    ops::RangeInclusive,
-    path::Path,
-    time::Duration, //
+    path::Path, //
 };
 
-use jasminebend_base::{
-    DomainName,
-    VmName, //
-};
-use serde::Deserialize;
-use serde_saphyr::Spanned;
-
 use crate::{
-    DaemonSettings, PeerKeySource, SettingsError,
-    daemon_settings::{
-        DEFAULT_BALANCER_LAG,
-        DEFAULT_LEAVE_TIMEOUT,
-        DEFAULT_SEATS,
-        DEFAULT_SHARDS,
-        DEFAULT_SLOT_SHARES, //
-    },
-    given_key::GivenKey,
-    key_reader::{
-        KeyReader,
-        RawText,
-        SECTION,
-        parse_flag,
-        parse_name,
-        parse_number,
-        parse_path,
-        parse_time, //
-    },
-    limit_settings::RawLimits,
-    listen_settings::RawListen,
-    log_settings::RawLog,
-    platform_settings::RawPlatform,
-    tls_settings::RawTls,
-    trace_settings::RawTraces,
-    yaml_fault::YamlFault,
+    DaemonSettings,
+    SettingsError,
+    key_reader::RawText,
+    raw_settings::RawSettings,
+    yaml_fault::YamlFault, //
 };
 
-const NAME: &str = "a name of 1 to 64 letters, digits, `-`, `_` or `.`";
-const SEATS: &str = "a whole number from 1 to 63";
-const SLOT_SHARES: &str = "a whole number from 1 to 4096";
-const SHARDS: &str = "a whole number from 1 to 1024";
-const PATH: &str = "the path of a file";
-const FLAG: &str = "`true` or `false`";
-const LAG: &str = "a time from 0s to 10m with its unit, such as `5s`";
-const LEAVE: &str = "a time from 1s to 1h with its unit, such as `1m`";
-const LEAVES: RangeInclusive<Duration> = Duration::from_secs(1)..=Duration::from_secs(3600);
-const LAGS: RangeInclusive<Duration> = Duration::ZERO..=Duration::from_secs(600);
-
-#[derive(Debug, Default, Deserialize)]
-#[serde(default, deny_unknown_fields)]
-struct RawSettings {
-    listen: GivenKey<Spanned<RawListen>>,
-    vm: GivenKey<RawText>,
-    failure_domain: GivenKey<RawText>,
-    region: GivenKey<RawText>,
-    seats: GivenKey<RawText>,
-    slot_shares: GivenKey<RawText>,
-    shards: GivenKey<RawText>,
-    peers: GivenKey<Spanned<RawPeers>>,
-    platform: GivenKey<Spanned<RawPlatform>>,
-    tls: GivenKey<Spanned<RawTls>>,
-    tokens_file: GivenKey<RawText>,
-    allow_open_administration: GivenKey<RawText>,
-    log: GivenKey<Spanned<RawLog>>,
-    traces: GivenKey<Spanned<RawTraces>>,
-    limits: GivenKey<Spanned<RawLimits>>,
-    drain: GivenKey<Spanned<RawDrain>>,
-}
-
-#[derive(Debug, Default, Deserialize)]
-#[serde(default, deny_unknown_fields)]
-struct RawPeers {
-    key_file: GivenKey<RawText>,
-}
-
-#[derive(Debug, Default, Deserialize)]
-#[serde(default, deny_unknown_fields)]
-struct RawDrain {
-    balancer_lag: GivenKey<RawText>,
-    leave_timeout: GivenKey<RawText>,
-}
-
 impl DaemonSettings {
     /// Reads a settings file, and sees to it that the files it names can be read.
     ///
@@ -120,117 +45,6 @@
 }
 
 impl RawSettings {
-    fn resolve(&self) -> Result<DaemonSettings, SettingsError> {
-        let reader = KeyReader::new("", 1);
-        let listen = reader.required("listen", SECTION, self.listen.as_ref())?;
-        let platform = reader.required("platform", SECTION, self.platform.as_ref())?;
-        let listen = listen.value.resolve(listen.referenced.line())?;
-        let domain = self.name(reader, "failure_domain", &self.failure_domain)?;
-        let mut settings =
-            DaemonSettings::new(listen, DomainName::from(domain), self.peer_key(reader)?);
-        settings.vm = Some(VmName::from(self.name(reader, "vm", &self.vm)?));
-        settings.region = self.name(reader, "region", &self.region)?;
-        settings.platform = Some(platform.value.resolve(platform.referenced.line())?);
-        self.resolve_sizes(reader, &mut settings)?;
-        self.resolve_access(reader, &mut settings)?;
-        self.resolve_sections(&mut settings)?;
-        Ok(settings)
-    }
-
-    fn name(
-        &self,
-        reader: KeyReader,
-        key: &str,
-        raw: &GivenKey<RawText>,
-    ) -> Result<String, SettingsError> {
-        let name = reader.parse(key, NAME, raw.as_ref(), parse_name)?;
-        reader.required(key, NAME, name)
-    }
-
-    fn peer_key(&self, reader: KeyReader) -> Result<PeerKeySource, SettingsError> {
-        let peers = reader.required("peers", SECTION, self.peers.as_ref())?;
-        let reader = KeyReader::new("peers", peers.referenced.line());
-        let file = peers.value.key_file.as_ref();
-        let file = reader.parse("key_file", PATH, file, parse_path)?;
-        let file = reader.required("key_file", PATH, file)?;
-        Ok(PeerKeySource::File(file))
-    }
-
-    fn resolve_sizes(
-        &self,
-        reader: KeyReader,
-        settings: &mut DaemonSettings,
-    ) -> Result<(), SettingsError> {
-        let seats = self.seats.as_ref();
-        let seats = reader.parse("seats", SEATS, seats, |text| parse_number(text, 1..=63))?;
-        let shares = self.slot_shares.as_ref();
-        let shares = reader.parse("slot_shares", SLOT_SHARES, shares, |text| {
-            parse_number(text, 1..=4096)
-        })?;
-        let shards = self.shards.as_ref();
-        let shards = reader.parse("shards", SHARDS, shards, |text| {
-            parse_number(text, 1..=1024)
-        })?;
-        settings.seats = seats.unwrap_or(DEFAULT_SEATS);
-        settings.slot_shares = shares.unwrap_or(DEFAULT_SLOT_SHARES);
-        settings.shards = shards.unwrap_or(DEFAULT_SHARDS);
-        if settings.slot_shares >= u16::from(settings.seats) {
-            return Ok(());
-        }
-        Err(SettingsError::TooFewShares {
-            line: line_of(&self.slot_shares),
-            shares: settings.slot_shares,
-            seats: settings.seats,
-        })
-    }
-
-    fn resolve_access(
-        &self,
-        reader: KeyReader,
-        settings: &mut DaemonSettings,
-    ) -> Result<(), SettingsError> {
-        if let Some(tls) = self.tls.as_ref() {
-            settings.tls = Some(tls.value.resolve(tls.referenced.line())?);
-        }
-        let tokens = self.tokens_file.as_ref();
-        settings.tokens_file = reader.parse("tokens_file", PATH, tokens, parse_path)?;
-        let open = self.allow_open_administration.as_ref();
-        let open = reader.parse("allow_open_administration", FLAG, open, parse_flag)?;
-        settings.allow_open_administration = open.unwrap_or(false);
-        if settings.administration_guarded() {
-            return Ok(());
-        }
-        let listen = self.listen.as_ref();
-        Err(SettingsError::OpenAdministration {
-            line: listen.map_or(1, |listen| listen.value.administration_line()),
-        })
-    }
-
-    fn resolve_sections(&self, settings: &mut DaemonSettings) -> Result<(), SettingsError> {
-        if let Some(log) = self.log.as_ref() {
-            settings.log = log.value.resolve(log.referenced.line())?;
-        }
-        if let Some(traces) = self.traces.as_ref() {
-            settings.traces = Some(traces.value.resolve(traces.referenced.line())?);
-        }
-        if let Some(limits) = self.limits.as_ref() {
-            settings.limits = limits.value.resolve(limits.referenced.line())?;
-        }
-        let Some(drain) = self.drain.as_ref() else {
-            return Ok(());
-        };
-        let reader = KeyReader::new("drain", drain.referenced.line());
-        let lag = drain.value.balancer_lag.as_ref();
-        let lag = reader.parse("balancer_lag", LAG, lag, |text| parse_time(text, LAGS))?;
-        settings.balancer_lag = lag.unwrap_or(DEFAULT_BALANCER_LAG);
-        let leave = drain.value.leave_timeout.as_ref();
-        let leave = reader.parse("leave_timeout", LEAVE, leave, |text| {
-            parse_time(text, LEAVES)
-        })?;
-        settings.leave_timeout = leave.unwrap_or(DEFAULT_LEAVE_TIMEOUT);
-        Ok(())
-    }
-
     fn check_files(&self, settings: &DaemonSettings) -> Result<(), SettingsError> {
         let peers = self
             .peers
@@ -252,15 +66,6 @@
     }
 }
 
-impl DaemonSettings {
-    /// Tells whether nobody unknown can reach the administration API, or the settings allow it.
-    pub fn administration_guarded(&self) -> bool {
-        let guarded = self.tls.is_some() && self.tokens_file.is_some();
-        let loopback = self.listen.administration.ip().is_loopback();
-        guarded || loopback || self.allow_open_administration
-    }
-}
-
 fn check_file(key: &'static str, raw: Option<&RawText>) -> Result<(), SettingsError> {
     let line = raw.map_or(1, |raw| raw.referenced.line());
     check_path(key, line, raw.map(|raw| Path::new(&raw.value)))
@@ -278,7 +83,3 @@
     };
     fs::read(path).map(drop).map_err(unreadable)
 }
-
-fn line_of(raw: &GivenKey<RawText>) -> u64 {
-    raw.as_ref().map_or(1, |raw| raw.referenced.line())
-}
--- a/crates/jasminebend/tests/administration/main.rs
+++ b/crates/jasminebend/tests/administration/main.rs
@@ -2,6 +2,7 @@
 
 mod access;
 mod api;
+mod bodies;
 mod change_log;
 mod control_fake;
 mod harness;
--- /dev/null
+++ b/crates/jasminebend/tests/daemon/caller.rs
@@ -0,0 +1,118 @@
+//! A caller, and an operator.
+
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use http::{
+    Request,
+    StatusCode, //
+};
+use http_body_util::{
+    BodyExt,
+    Full, //
+};
+use hyper::client::conn::http1;
+use hyper_util::rt::TokioIo;
+use jasminebend_base::Configuration;
+use jasminebend_standins::EndpointAnswer;
+use jbctl::{
+    AdminAnswer,
+    AdminCall,
+    AdminClient,
+    OperatorCommand,
+    TargetOptions, //
+};
+use tokio::net::TcpStream;
+
+/// What became of a caller's request.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub(crate) enum CallerOutcome {
+    /// The whole answer to this request.
+    Whole,
+    /// A refusal that says that the request was not run.
+    NotRun,
+    /// No connection came about.
+    NoConnection,
+    /// Anything else; none of it may happen during a planned stop.
+    Lost,
+}
+
+/// Sends one request that must not run twice, on a connection of its own.
+pub(crate) async fn order(daemon: SocketAddr, id: &str) -> CallerOutcome {
+    let Ok(stream) = TcpStream::connect(daemon).await else {
+        return CallerOutcome::NoConnection;
+    };
+    exchange(stream, id).await.unwrap_or(CallerOutcome::Lost)
+}
+
+async fn exchange(stream: TcpStream, id: &str) -> Result<CallerOutcome, hyper::Error> {
+    let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
+    tokio::spawn(connection);
+    let body = Bytes::from_static(b"an order");
+    let request = Request::post("/orders")
+        .header("host", "shop")
+        .header("x-request-id", id)
+        .body(Full::new(body.clone()))
+        .expect("a request");
+    let response = sender.send_request(request).await?;
+    let (head, answer) = response.into_parts();
+    let answer = answer.collect().await?.to_bytes();
+    let not_run = head.headers.get("jasminebend-executed");
+    if not_run.is_some_and(|value| value == "no") {
+        return Ok(CallerOutcome::NotRun);
+    }
+    let whole = EndpointAnswer::check(id, &body, &answer).is_ok();
+    match head.status == StatusCode::OK && whole {
+        true => Ok(CallerOutcome::Whole),
+        false => Ok(CallerOutcome::Lost),
+    }
+}
+
+/// Makes one call of the administration API.
+pub(crate) async fn operate(daemon: SocketAddr, call: AdminCall) -> AdminAnswer {
+    let mut options = TargetOptions::new();
+    options.address = daemon.to_string();
+    let client = AdminClient::new(&options).expect("a client");
+    client.call(&call).await.expect("an answer")
+}
+
+/// Makes the call of a command that reads no file.
+pub(crate) async fn command(daemon: SocketAddr, command: OperatorCommand) -> AdminAnswer {
+    let call = AdminCall::new(&command).expect("a call").expect("a call");
+    operate(daemon, call).await
+}
+
+/// Puts the first configuration, again and again until the daemon takes it.
+pub(crate) async fn configure(daemon: SocketAddr, configuration: &Configuration) {
+    let call = AdminCall {
+        method: http::Method::PUT,
+        path: "/v1/configuration".to_owned(),
+        expected: Some(configuration.version),
+        body: serde_json::to_vec(configuration).expect("JSON").into(),
+    };
+    while operate(daemon, call.clone()).await.status == StatusCode::SERVICE_UNAVAILABLE {
+        tokio::time::sleep(std::time::Duration::from_millis(20)).await;
+    }
+}
+
+/// Sends a plain request with these headers, and returns its status.
+pub(crate) async fn plain(
+    daemon: SocketAddr,
+    method: http::Method,
+    path: &str,
+    headers: &[(&str, &str)],
+    body: &'static str,
+) -> StatusCode {
+    let stream = TcpStream::connect(daemon).await.expect("a listener");
+    let shaken = http1::handshake(TokioIo::new(stream)).await;
+    let (mut sender, connection) = shaken.expect("a connection");
+    tokio::spawn(connection);
+    let mut request = Request::builder().method(method).uri(path);
+    for (name, value) in headers {
+        request = request.header(*name, *value);
+    }
+    let request = request.header("host", "shop");
+    let request = request.body(Full::new(Bytes::from(body)));
+    let sent = sender.send_request(request.expect("a request")).await;
+    sent.expect("an answer").status()
+}
--- /dev/null
+++ b/crates/jasminebend/tests/daemon/main.rs
@@ -0,0 +1,9 @@
+//! Whole daemons over stand-ins of the platform and of the endpoints, on loopback.
+
+mod caller;
+mod collector;
+mod graceful_stop;
+mod platform;
+mod program;
+mod traces;
+mod whole_path;
--- /dev/null
+++ b/crates/jasminebend/tests/daemon/program.rs
@@ -0,0 +1,94 @@
+//! The real program as a process of its own.
+
+use std::{
+    io::{
+        BufRead,
+        BufReader, //
+    },
+    net::SocketAddr,
+    path::Path,
+    process::{
+        Child,
+        Command,
+        Output,
+        Stdio, //
+    },
+    sync::{
+        Arc,
+        Mutex,
+        mpsc, //
+    },
+    thread,
+};
+
+/// The real program, started on a settings file, with what it logs.
+pub(crate) struct RunningProgram {
+    child: Child,
+    log: Arc<Mutex<Vec<String>>>,
+    pub(crate) callers: SocketAddr,
+    pub(crate) admin: SocketAddr,
+}
+
+impl RunningProgram {
+    /// Starts the program, and reads from its log where it listens.
+    pub(crate) fn start(settings: &Path) -> Self {
+        let mut child = Command::new(env!("CARGO_BIN_EXE_jasminebend"))
+            .arg("--settings")
+            .arg(settings)
+            .stderr(Stdio::piped())
+            .spawn()
+            .expect("the program");
+        let stderr = child.stderr.take().expect("a pipe");
+        let log = Arc::new(Mutex::new(Vec::new()));
+        let (sender, addresses) = mpsc::channel();
+        let written = Arc::clone(&log);
+        thread::spawn(move || {
+            for line in BufReader::new(stderr).lines().map_while(Result::ok) {
+                if let Some((_, address)) = line.split_once(" are served on ") {
+                    drop(sender.send(address.trim_end_matches('.').to_owned()));
+                }
+                written.lock().expect("a log").push(line);
+            }
+        });
+        let next = || {
+            let address = addresses.recv().expect("a started program");
+            address.parse().expect("an address")
+        };
+        let callers = next();
+        let admin = next();
+        Self {
+            child,
+            log,
+            callers,
+            admin,
+        }
+    }
+
+    pub(crate) fn terminate(&self) {
+        let process = i32::try_from(self.child.id()).expect("a process");
+        // SAFETY: The call only sends a signal to the child, which is not waited for yet, so that
+        // its number cannot belong to another process.
+        let sent = unsafe { libc::kill(process, libc::SIGTERM) };
+        assert_eq!(sent, 0);
+    }
+
+    /// Waits for the end, and returns the exit code and the log.
+    pub(crate) fn wait(mut self) -> (Option<i32>, Vec<String>) {
+        let status = self.child.wait().expect("an end");
+        let log = self.log.lock().expect("a log").clone();
+        (status.code(), log)
+    }
+}
+
+impl Drop for RunningProgram {
+    fn drop(&mut self) {
+        drop(self.child.kill());
+        drop(self.child.wait());
+    }
+}
+
+/// Runs the program to its end.
+pub(crate) fn run(arguments: &[&str]) -> Output {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_jasminebend"));
+    command.args(arguments).output().expect("the program")
+}
--- a/crates/jasminebend/tests/traces.rs
+++ b/crates/jasminebend/tests/daemon/traces.rs
@@ -1,29 +1,11 @@
 //! Spans reach an OTLP/HTTP collector under the caller's span.
 
-use std::{
-    convert::Infallible,
-    net::SocketAddr,
-    time::Duration, //
-};
+use std::time::Duration;
 
 use http::{
     HeaderMap,
-    Request,
-    Response, //
-};
-use http_body_util::{
-    BodyExt,
-    Empty, //
-};
-use hyper::{
-    body::{
-        Bytes,
-        Incoming, //
-    },
-    server::conn::http1,
-    service::service_fn, //
+    Method, //
 };
-use hyper_util::rt::TokioIo;
 use jasminebend::{
     TraceExport,
     TraceSettings, //
@@ -37,60 +19,22 @@
     }, //
 };
 use opentelemetry_http::HeaderExtractor;
-use opentelemetry_proto::tonic::{
-    collector::trace::v1::ExportTraceServiceRequest,
-    trace::v1::Span, //
-};
-use prost::Message;
+use opentelemetry_proto::tonic::trace::v1::Span;
 use tokio::{
-    net::TcpListener,
     runtime::Handle,
-    sync::mpsc,
     time::timeout, //
 };
 
+use crate::{
+    caller::plain,
+    collector::CollectorStandIn,
+    platform::TestPlatform,
+    program::RunningProgram, //
+};
+
 const TRACE: &str = "0af7651916cd43dd8448eb211c80319c";
 const PARENT: &str = "b7ad6b7169203331";
-
-/// A collector that hands on the spans it is sent.
-struct CollectorStandIn {
-    address: SocketAddr,
-    spans: mpsc::UnboundedReceiver<Span>,
-}
-
-impl CollectorStandIn {
-    async fn start() -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
-        let address = listener.local_addr().expect("an address");
-        let (sender, spans) = mpsc::unbounded_channel();
-        tokio::spawn(async move {
-            while let Ok((stream, _)) = listener.accept().await {
-                let sender = sender.clone();
-                let service = service_fn(move |request| collect(request, sender.clone()));
-                let connection = http1::Builder::new();
-                tokio::spawn(connection.serve_connection(TokioIo::new(stream), service));
-            }
-        });
-        Self { address, spans }
-    }
-}
-
-async fn collect(
-    request: Request<Incoming>,
-    sender: mpsc::UnboundedSender<Span>,
-) -> Result<Response<Empty<Bytes>>, Infallible> {
-    assert_eq!(request.uri().path(), "/v1/traces");
-    let body = request.into_body().collect().await.expect("a whole body");
-    let export = ExportTraceServiceRequest::decode(body.to_bytes()).expect("spans");
-    let scopes = export
-        .resource_spans
-        .into_iter()
-        .flat_map(|resource| resource.scope_spans);
-    for span in scopes.flat_map(|scope| scope.spans) {
-        drop(sender.send(span));
-    }
-    Ok(Response::new(Empty::new()))
-}
+const PATIENCE: Duration = Duration::from_secs(30);
 
 fn caller_context(sampled: bool) -> Context {
     let mut headers = HeaderMap::new();
@@ -121,11 +65,40 @@
     work("unsampled", &caller_context(false));
     work("gateway", &caller_context(true));
     let finish = tokio::task::spawn_blocking(move || export.finish());
-    let span = timeout(Duration::from_secs(30), collector.spans.recv()).await;
-    let span = span.expect("a span in time").expect("a span");
+    let span = next_span(&mut collector).await;
     finish.await.expect("an end");
     assert_eq!(span.name, "gateway");
     assert_eq!(hexadecimal(&span.trace_id), TRACE);
     assert_eq!(hexadecimal(&span.parent_span_id), PARENT);
     assert!(collector.spans.try_recv().is_err());
 }
+
+async fn next_span(collector: &mut CollectorStandIn) -> Span {
+    let span = timeout(PATIENCE, collector.spans.recv()).await;
+    span.expect("a span in time").expect("a span")
+}
+
+/// A team asks why its job started late, and has the trace that its submission began. The spans of
+/// the change and of the planner's part in it must hang below it, one below the other.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_submission_is_traced_below_its_submitter() {
+    let platform = TestPlatform::start(Duration::from_millis(1)).await;
+    let mut collector = CollectorStandIn::start().await;
+    let lines = format!(
+        "traces:\n  collector: {}\n  sample_ratio: 0\n",
+        collector.address
+    );
+    let program = RunningProgram::start(&platform.settings_file(&lines));
+    let job = r#"{"team": "t", "class": "c", "tasks": 1, "payload": "",
+        "size": {"cpu_millis": 1, "memory_mib": 1}}"#;
+    let parent = format!("00-{TRACE}-{PARENT}-01");
+    let headers = [("traceparent", parent.as_str())];
+    plain(program.admin, Method::POST, "/v1/jobs", &headers, job).await;
+    let submit = next_span(&mut collector).await;
+    let change = next_span(&mut collector).await;
+    assert_eq!(submit.name, "planner.submit");
+    assert_eq!(submit.parent_span_id, change.span_id);
+    assert_eq!(change.name, "administration.change");
+    assert_eq!(hexadecimal(&change.parent_span_id), PARENT);
+    assert_eq!(hexadecimal(&submit.trace_id), TRACE);
+}
--- a/crates/jbctl/tests/exit_codes.rs
+++ b/crates/jbctl/tests/exit_codes.rs
@@ -8,7 +8,8 @@
     },
     net::{
         Shutdown,
-        TcpListener, //
+        TcpListener,
+        TcpStream, //
     },
     path::PathBuf,
     process::{
@@ -18,6 +19,8 @@
     thread,
 };
 
+use jasminebend_base::Configuration;
+
 const CONFIGURATION: &str = "\
 version: 3
 domains:
@@ -49,11 +52,10 @@
         let address = listener.local_addr().expect("an address").to_string();
         let request = thread::spawn(move || {
             let (mut stream, _) = listener.accept().expect("a connection");
-            let mut head = [0; 4096];
-            let length = stream.read(&mut head).expect("a request");
+            let request = read_request(&mut stream);
             stream.write_all(answer.as_bytes()).expect("an answer");
             stream.shutdown(Shutdown::Write).expect("a connection");
-            String::from_utf8_lossy(&head[..length]).into_owned()
+            request
         });
         Self { address, request }
     }
@@ -63,6 +65,27 @@
     }
 }
 
+/// Reads a request to its end: an answer to half of one could be cut off by a reset.
+fn read_request(stream: &mut TcpStream) -> String {
+    let mut request = String::new();
+    let mut piece = [0; 4096];
+    while !is_whole(&request) {
+        let length = stream.read(&mut piece).expect("a request");
+        request.push_str(&String::from_utf8_lossy(&piece[..length]));
+    }
+    request
+}
+
+fn is_whole(request: &str) -> bool {
+    let Some((head, body)) = request.split_once("\r\n\r\n") else {
+        return false;
+    };
+    let length = head
+        .lines()
+        .find_map(|line| line.strip_prefix("content-length: "));
+    body.len() >= length.map_or(0, |length| length.parse().expect("a length"))
+}
+
 fn jbctl(arguments: &[&str]) -> Output {
     let mut command = Command::new(env!("CARGO_BIN_EXE_jbctl"));
     command.args(arguments).output().expect("the program")
@@ -232,6 +255,36 @@
     assert_ends(&output, 1, "no job");
 }
 
+/// An operator prints the configuration, changes a target in an editor and puts it back. What was
+/// printed must be a configuration that is taken, of the version that was read.
+#[test]
+fn a_printed_configuration_can_be_put_back() {
+    let body = r#"{"version":7,"domains":[{"name":"a","region":"north","state":"out"}],
+        "classes":[{"name":"quotes","kind":"service","target":{"answer_within":"200ms"},
+        "service":"shop","route":{"host":null,"path_prefix":"/quotes"},"idempotency":"never"},
+        {"name":"yes","kind":"batch","target":{"finish_within":"1h 30m"},"service":null,
+        "route":null,"idempotency":"by_method"}],
+        "teams":[{"name":"01","limit":{"cpu_millis":1,"memory_mib":2,"accelerators":0}}]}"#;
+    let daemon = CannedDaemon::new("200 OK", body);
+    let output = jbctl(&["--address", &daemon.address, "config", "get"]);
+    let printed = String::from_utf8(output.stdout).expect("text");
+    let printed = &TemporaryFile::new("printed.yaml", &printed);
+    let daemon = CannedDaemon::new("200 OK", r#"{"outcome":"accepted","version":8}"#);
+    let output = jbctl(&[
+        "--address",
+        &daemon.address,
+        "config",
+        "put",
+        printed.path(),
+    ]);
+    assert_ends(&output, 0, "version 8");
+    let sent = daemon.head();
+    let (head, sent) = sent.split_once("\r\n\r\n").expect("a body");
+    assert!(head.contains("if-match: \"7\""), "{head}");
+    let parse = |text: &str| serde_json::from_str::<Configuration>(text).expect("one");
+    assert_eq!(parse(sent), parse(body));
+}
+
 #[test]
 fn a_token_is_sent_and_hashed_but_not_shown() {
     let token = &TemporaryFile::new("token", "secret\n");
