--- a/crates/standins/tests/contracts/harness.rs
+++ b/crates/standins/tests/contracts/harness.rs
@@ -1,17 +1,32 @@
 //! The builder of the contract tests: a port, the stand-in behind it, and how it is reached.
 
 use std::{
+    net::SocketAddr,
     sync::Arc,
     time::Duration, //
 };
 
+use jasminebend_base::ResourceAmount;
 use jasminebend_ports::{
+    AnswerFormat,
+    ClockSource,
+    HttpObjects,
     HttpTable,
-    TableService, //
+    HttpVmList,
+    HttpWorkers,
+    ObjectStore,
+    TableService,
+    VmList,
+    WorkerPort, //
 };
 use jasminebend_standins::{
+    ManualClock,
+    ObjectStandIn,
+    RunLedger,
     ServerGuard,
-    TableStandIn, //
+    TableStandIn,
+    VmListStandIn,
+    WorkerStandIn, //
 };
 
 /// So long that no case ends by it.
@@ -33,6 +48,9 @@
 
 pub(crate) type TableHarness = Harness<dyn TableService, TableStandIn>;
 
+pub(crate) type ObjectHarness = Harness<dyn ObjectStore, ObjectStandIn>;
+pub(crate) type VmListHarness = Harness<dyn VmList, VmListStandIn>;
+
 pub(crate) async fn table_in_memory(_timeout: Duration) -> TableHarness {
     let stand_in = TableStandIn::new();
     Harness {
@@ -65,3 +83,115 @@
     }
     panic!("never came about: {what}");
 }
+
+/// A worker under test, with its clock and ledger.
+pub(crate) struct WorkerHarness {
+    pub(crate) port: Arc<dyn WorkerPort>,
+    pub(crate) address: SocketAddr,
+    pub(crate) stand_in: WorkerStandIn,
+    pub(crate) clock: Arc<ManualClock>,
+    pub(crate) ledger: Arc<RunLedger>,
+    pub(crate) guard: Option<ServerGuard>,
+}
+
+fn make_worker() -> (WorkerStandIn, Arc<ManualClock>, Arc<RunLedger>) {
+    let clock = Arc::new(ManualClock::new());
+    let ledger = Arc::new(RunLedger::new());
+    let stand_in = WorkerStandIn::new(
+        "vm-1",
+        "north",
+        ResourceAmount::new(8_000, 16_000),
+        Arc::clone(&clock) as Arc<dyn ClockSource>,
+        Arc::clone(&ledger),
+        1,
+    );
+    (stand_in, clock, ledger)
+}
+
+pub(crate) async fn worker_in_memory(_timeout: Duration) -> WorkerHarness {
+    let (stand_in, clock, ledger) = make_worker();
+    WorkerHarness {
+        port: Arc::new(stand_in.clone()),
+        address: SocketAddr::from(([127, 0, 0, 1], 1)),
+        stand_in,
+        clock,
+        ledger,
+        guard: None,
+    }
+}
+
+pub(crate) async fn worker_over_http(timeout: Duration) -> WorkerHarness {
+    serve_worker(HttpWorkers::new().with_timeout(timeout)).await
+}
+
+pub(crate) async fn worker_in_json(timeout: Duration) -> WorkerHarness {
+    let workers = HttpWorkers::new().with_format(AnswerFormat::Json);
+    serve_worker(workers.with_timeout(timeout)).await
+}
+
+async fn serve_worker(workers: HttpWorkers) -> WorkerHarness {
+    let (stand_in, clock, ledger) = make_worker();
+    let (address, guard) = stand_in.start_server().await.unwrap();
+    WorkerHarness {
+        port: Arc::new(workers),
+        address,
+        stand_in,
+        clock,
+        ledger,
+        guard: Some(guard),
+    }
+}
+
+/// The size of the largest object under test.
+pub(crate) const LARGEST: usize = 100_000;
+
+pub(crate) async fn objects_in_memory(_timeout: Duration) -> ObjectHarness {
+    let stand_in = ObjectStandIn::new().with_largest(LARGEST);
+    Harness {
+        port: Arc::new(stand_in.clone()),
+        stand_in,
+        guard: None,
+    }
+}
+
+pub(crate) async fn objects_over_http(timeout: Duration) -> ObjectHarness {
+    let stand_in = ObjectStandIn::new().with_largest(LARGEST);
+    let (address, guard) = stand_in.start().await.unwrap();
+    Harness {
+        port: Arc::new(HttpObjects::new(address).with_timeout(timeout)),
+        stand_in,
+        guard: Some(guard),
+    }
+}
+
+/// The lag of the VM list under test, on the returned clock.
+pub(crate) const LAG: Duration = Duration::from_secs(5);
+
+fn make_vm_list() -> (VmListStandIn, Arc<ManualClock>) {
+    let clock = Arc::new(ManualClock::new());
+    let stand_in = VmListStandIn::new(Vec::new())
+        .with_lag(LAG)
+        .with_clock(Arc::clone(&clock) as Arc<dyn ClockSource>);
+    (stand_in, clock)
+}
+
+pub(crate) async fn vm_list_in_memory(_timeout: Duration) -> (VmListHarness, Arc<ManualClock>) {
+    let (stand_in, clock) = make_vm_list();
+    let harness = Harness {
+        port: Arc::new(stand_in.clone()) as Arc<dyn VmList>,
+        stand_in,
+        guard: None,
+    };
+    (harness, clock)
+}
+
+pub(crate) async fn vm_list_over_http(timeout: Duration) -> (VmListHarness, Arc<ManualClock>) {
+    let (stand_in, clock) = make_vm_list();
+    let (address, guard) = stand_in.start().await.unwrap();
+    let harness = Harness {
+        port: Arc::new(HttpVmList::new(address).with_timeout(timeout)) as Arc<dyn VmList>,
+        stand_in,
+        guard: Some(guard),
+    };
+    (harness, clock)
+}
