--- a/crates/planner/tests/planner/main.rs
+++ b/crates/planner/tests/planner/main.rs
@@ -6,6 +6,7 @@
 )]
 
 mod cancellation;
+mod damaged_records;
 mod eviction;
 mod failing_work;
 mod failure_domain;
