Refuse to renew a lease that lapsed

A renewal and a start that were both stuck on their way could arrive together after the owner had given the run up and started it elsewhere: the renewal revived the worker's lease, and the start was accepted, so that the task ran twice. A lease that lapsed, or that a restart forgot, now comes back by an adoption alone; a renewal answers OutOfDate, which the planner takes for that already. The port says so.

--- a/crates/ports/src/worker_port.rs
+++ b/crates/ports/src/worker_port.rs
@@ -34,7 +34,9 @@
     ///
     /// # Errors
     ///
-    /// [`WorkerError::StaleEpoch`] if it follows a newer one; else unreachable or unknown.
+    /// [`WorkerError::StaleEpoch`] if it follows a newer one; [`WorkerError::OutOfDate`] if the lease
+    /// lapsed, the worker restarted, or the epoch was not adopted, so that it must be adopted; else
+    /// unreachable or unknown.
     async fn renew(
         &self,
         worker: SocketAddr,
