--- a/crates/planner/tests/planner/eviction.rs
+++ b/crates/planner/tests/planner/eviction.rs
@@ -64,9 +64,8 @@
         let planner = bed.planner(1).await;
         bed.each_worker(|worker| {
             worker.set_knobs(|knobs| knobs.checkpoints = CheckpointMode::Fails);
-            worker
-                .faults()
-                .always(CallKind::Checkpoint, FaultKind::Slow(seconds(1)));
+            let slow = FaultKind::Slow(seconds(1));
+            worker.faults().always(CallKind::Stop, slow);
         });
         let job = planner.handle.submit(batch(24, seconds(20))).await.unwrap();
         sleep(seconds(18) + seconds(1) / 8 * step).await;
--- a/crates/planner/tests/planner/worker_faults.rs
+++ b/crates/planner/tests/planner/worker_faults.rs
@@ -170,26 +170,30 @@
     }
 }
 
-// A task runs in two places. A start and the renewals around it are stuck in the network for longer
-// than the lease; its run is given up and started elsewhere; then all of them arrive at once.
+// A task runs in two places. A start is stuck in the network for longer than the lease, alone or with
+// the renewals around it; its run is given up and started elsewhere; then what was stuck arrives, at
+// once or after the worker was adopted again.
 #[tokio::test(start_paused = true)]
-async fn a_start_stuck_with_its_renewals_is_refused_when_they_arrive() {
+async fn a_start_stuck_beyond_the_lease_is_refused_when_it_arrives() {
     for late in [30, 60, 90, 150] {
-        let bed = TestBed::new(4);
-        let planner = bed.planner(1).await;
-        sleep(seconds(4)).await;
         let stuck = FaultKind::LateEffect(seconds(late));
-        bed.worker(1).faults().always(CallKind::Start, stuck);
-        let job = planner
-            .handle
-            .submit(batch(32, seconds(200)))
-            .await
-            .unwrap();
-        sleep(seconds(2)).await;
-        bed.worker(1).faults().set_outage(OutageState::Down(stuck));
-        sleep(seconds(late + 40)).await;
-        bed.worker(1).faults().heal();
-        assert_eq!(planner.ended(job, seconds(1200)).await.finished, 32);
-        bed.check_places();
+        for others in [stuck, FaultKind::Unreachable] {
+            let bed = TestBed::new(4);
+            let planner = bed.planner(1).await;
+            sleep(seconds(4)).await;
+            let faults = bed.worker(1).faults();
+            faults.always(CallKind::Start, stuck);
+            let job = planner
+                .handle
+                .submit(batch(32, seconds(200)))
+                .await
+                .unwrap();
+            sleep(seconds(2)).await;
+            faults.set_outage(OutageState::Down(others));
+            sleep(seconds(55)).await;
+            faults.heal();
+            assert_eq!(planner.ended(job, seconds(1200)).await.finished, 32);
+            bed.check_places();
+        }
     }
 }
