Find places in a grid of free room, and keep harmless classes harmless

Cause: at 2,600 workers a decision took 502 us, 39% of a core at 770 starts a second: the index knew processors only, and all workers with too little memory were looked at; a search went on through every worker that the pair model refused. With 80 classes the model spread what a service has alone over its usual company, so that a dozen harmless classes added up to a bad one and half of the cores stayed closed.

Change: workers lie in a grid by processors and memory; a search looks at the 24 fullest and 8 emptiest of a failure domain and ends at 8 good ones. Effects are learned with a narrow prior and count only where they stand out; they are clamped where they are used, not where they are learned.

--- a/crates/placement/benches/scale.rs
+++ b/crates/placement/benches/scale.rs
@@ -43,6 +43,7 @@
 const SERVICES: u16 = 20;
 const BATCHES: u16 = 80;
 const DECISIONS: u32 = 50_000;
+const READINGS: u32 = 20_000;
 const STARTS_A_SECOND: f64 = 770.0;
 const NOW: Duration = Duration::from_secs(100_000);
 
@@ -58,11 +59,12 @@
 fn measure(workers: usize) {
     let mut random = SmallRng::seed_from_u64(workers as u64);
     let mut pool = WorkerPool::new();
-    let keys: Vec<WorkerKey> = (0..workers).map(|place| add(&mut pool, place)).collect();
+    (0..workers).for_each(|place| add(&mut pool, place));
     let mut pairs = PairModel::new();
     for service in 0..SERVICES {
         pairs.set_target(ClassKey(service), Duration::from_millis(100));
     }
+    let reading = learn(&mut pairs, &mut random);
     let tasks = TASKS * workers / SIZES[2];
     let policy = PlacementPolicy::new();
     let mut runs = Vec::new();
@@ -73,7 +75,6 @@
             runs.push((key, demand.class, demand.size));
         }
     }
-    let reading = learn(&mut pairs, &pool, &keys, &mut random);
     let decision = decide(&mut pool, &pairs, policy, &mut runs, &mut random);
     let step = walk(JOBS * workers / SIZES[2], &mut random);
     println!(
@@ -85,12 +86,11 @@
     );
 }
 
-fn add(pool: &mut WorkerPool, place: usize) -> WorkerKey {
+fn add(pool: &mut WorkerPool, place: usize) {
     let domain = DomainName::from(format!("domain-{}", place / 10 % 10));
     let name = VmName::from(format!("worker-{place}"));
     let key = pool.add(&name, &domain, ResourceAmount::new(64_000, 256_000));
     pool.set_condition(key, WorkerCondition::Open);
-    key
 }
 
 fn draw(random: &mut SmallRng) -> TaskDemand<'static> {
@@ -115,34 +115,34 @@
     }
 }
 
-/// Teaches the model what its services have beside them; returns the time per reading.
-fn learn(
-    pairs: &mut PairModel,
-    pool: &WorkerPool,
-    keys: &[WorkerKey],
-    random: &mut SmallRng,
-) -> f64 {
+/// Teaches the model all pairs, of which one in twenty hurts; returns the time per reading.
+fn learn(pairs: &mut PairModel, random: &mut SmallRng) -> f64 {
+    let readings: Vec<(f64, Vec<(ClassKey, f64)>)> = (0..READINGS)
+        .map(|_| {
+            let service = ClassKey(random.random_range(0..SERVICES));
+            let batch = (0..6).map(|_| random.random_range(SERVICES..SERVICES + BATCHES));
+            let mut company: Vec<(ClassKey, f64)> = vec![(service, 1.0)];
+            company.extend(batch.map(|class| (ClassKey(class), 1.0)));
+            (random.random_range(0.2..1.0), company)
+        })
+        .collect();
     let began = Instant::now();
-    let mut count = 0;
-    while count < 20_000 {
-        let worker = pool.worker(keys[random.random_range(0..keys.len())]);
-        let company = worker.company.iter();
-        let company: Vec<(ClassKey, f64)> = company
-            .map(|(class, count)| (*class, f64::from(*count)))
-            .collect();
-        for (service, _) in company.iter().filter(|(class, _)| class.0 < SERVICES) {
-            let load = random.random_range(0.2..1.0);
-            pairs.observe(&ServiceReading {
-                measured: NOW,
-                service: *service,
-                latency_p99: Duration::from_millis(random.random_range(20..90)),
-                load,
-                company: &company,
-            });
-            count += 1;
-        }
+    for (load, company) in &readings {
+        let service = company[0].0;
+        let hurts = |class: &ClassKey| (class.0 * 7 + service.0).is_multiple_of(20);
+        let bad = company[1..]
+            .iter()
+            .filter(|(class, _)| hurts(class))
+            .count();
+        pairs.observe(&ServiceReading {
+            measured: NOW,
+            service,
+            latency_p99: Duration::from_secs_f64(0.05 * (0.6 * load * bad as f64).exp()),
+            load: *load,
+            company,
+        });
     }
-    began.elapsed().as_secs_f64() * 1e6 / f64::from(count)
+    began.elapsed().as_secs_f64() * 1e6 / f64::from(READINGS)
 }
 
 /// Ends a run and places the next, over and over; returns the time of both.
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -19,6 +19,7 @@
 mod load_ladder;
 mod load_track;
 mod pair_model;
+mod place_search;
 mod placement_policy;
 mod pool_worker;
 mod ratio_sketch;
--- a/crates/placement/src/pair_model.rs
+++ b/crates/placement/src/pair_model.rs
@@ -2,7 +2,6 @@
 
 use std::time::Duration;
 
-use indexmap::IndexMap;
 use jasminebend_base::ClassKind;
 
 use crate::{
@@ -37,7 +36,8 @@
 /// would be kept apart for good.
 #[derive(Clone, Debug, Default)]
 pub struct PairModel {
-    services: IndexMap<ClassKey, LearnedService>,
+    /// By the key of their class.
+    services: Vec<Option<LearnedService>>,
     forgotten: Duration,
 }
 
@@ -49,7 +49,11 @@
 
     /// Sets the target of a service's class.
     pub fn set_target(&mut self, service: ClassKey, target: Duration) {
-        if let Some(known) = self.services.get_mut(&service) {
+        let key = usize::from(service.0);
+        if self.services.len() <= key {
+            self.services.resize(key + 1, None);
+        }
+        if let Some(known) = &mut self.services[key] {
             known.target = target;
             return;
         }
@@ -58,19 +62,27 @@
             load: LoadTrack::default(),
             regression: ServiceRegression::new(),
         };
-        self.services.insert(service, learned);
+        self.services[key] = Some(learned);
+    }
+
+    fn service(&self, service: ClassKey) -> Option<&LearnedService> {
+        self.services.get(usize::from(service.0))?.as_ref()
+    }
+
+    fn service_mut(&mut self, service: ClassKey) -> Option<&mut LearnedService> {
+        self.services.get_mut(usize::from(service.0))?.as_mut()
     }
 
     /// Returns how a latency compares with the target of its service.
     pub fn target_ratio(&self, service: ClassKey, latency: Duration) -> Option<f64> {
-        let known = self.services.get(&service)?;
+        let known = self.service(service)?;
         Some(latency.as_secs_f64() / known.target.as_secs_f64().max(1e-6))
     }
 
     /// Learns from one measurement.
     pub fn observe(&mut self, reading: &ServiceReading<'_>) {
         let ratio = self.target_ratio(reading.service, reading.latency_p99);
-        let (Some(ratio), Some(known)) = (ratio, self.services.get_mut(&reading.service)) else {
+        let (Some(ratio), Some(known)) = (ratio, self.service_mut(reading.service)) else {
             return;
         };
         let load = reading.load.clamp(0.0, MOST_LOAD);
@@ -86,7 +98,7 @@
     pub fn forget(&mut self, now: Duration) {
         while now.saturating_sub(self.forgotten) >= FORGET_EVERY {
             self.forgotten += FORGET_EVERY;
-            for service in self.services.values_mut() {
+            for service in self.services.iter_mut().flatten() {
                 service.regression.forget(KEPT);
             }
         }
@@ -95,7 +107,7 @@
     /// Returns the learned effect of one task of a class on a service at the peak of its load, as a
     /// logarithm; zero while it is not known.
     pub fn effect(&self, service: ClassKey, other: ClassKey) -> f64 {
-        self.services.get(&service).map_or(0.0, |known| {
+        self.service(service).map_or(0.0, |known| {
             known.regression.effect(other) * known.load.peak()
         })
     }
@@ -115,10 +127,10 @@
     fn worst(&self, company: &[(ClassKey, f64)], load_of: fn(&LoadTrack) -> f64) -> f64 {
         let services = company
             .iter()
-            .filter_map(|(class, _)| self.services.get_key_value(class));
+            .filter_map(|(class, _)| Some((*class, self.service(*class)?)));
         let ratios = services.map(|(service, known)| {
             let load = load_of(&known.load);
-            let others = company.iter().filter(|(class, _)| class != service);
+            let others = company.iter().filter(|(class, _)| *class != service);
             let added = others
                 .map(|(class, tasks)| known.regression.effect(*class) * load * weight_of(*tasks));
             (known.regression.alone(load) + added.sum::<f64>()).exp()
@@ -129,7 +141,7 @@
     /// Tells whether a class hurts a service on a worker; while that is not known, it may.
     pub fn may_hurt(&self, worker: &PoolWorker, class: ClassKey) -> bool {
         worker.company.iter().any(|(service, _)| {
-            self.services.get(service).is_some_and(|known| {
+            self.service(*service).is_some_and(|known| {
                 !known.regression.knows_class(class) || self.effect(*service, class) > LEAST_EFFECT
             })
         })
@@ -146,7 +158,7 @@
     /// processors are all in use, every one.
     pub fn blames(&self, worker: &PoolWorker, class: ClassKey, overloaded: bool) -> bool {
         let classes = worker.company.iter().map(|(class, _)| *class);
-        let mut batch = classes.filter(|class| !self.services.contains_key(class));
+        let mut batch = classes.filter(|class| self.service(*class).is_none());
         if overloaded {
             return true;
         }
@@ -174,7 +186,7 @@
         }
         let mut sum = 0.0;
         for (service, _) in &worker.company {
-            if self.services.contains_key(service) {
+            if self.service(*service).is_some() {
                 let present = self.company_effect(worker, *service, None);
                 let after = self.company_effect(worker, *service, Some(class));
                 sum += self.allowed(*service, present, after, urgent)?;
@@ -187,11 +199,11 @@
     /// to a service there. One at a time shows soonest which one hurts, and hurts least.
     fn is_second_stranger(&self, worker: &PoolWorker, class: ClassKey) -> bool {
         let services = worker.company.iter();
-        let mut known = services.filter_map(|(service, _)| self.services.get(service));
+        let mut known = services.filter_map(|(service, _)| self.service(*service));
         known.any(|known| {
             let strange = |class: ClassKey| !known.regression.knows_class(class);
             let batch = worker.company.iter().map(|(other, _)| *other);
-            let mut batch = batch.filter(|other| !self.services.contains_key(other));
+            let mut batch = batch.filter(|other| self.service(*other).is_none());
             strange(class) && batch.any(strange)
         })
     }
@@ -218,12 +230,9 @@
             false => CALM_LIMIT,
         };
         let effect = after - before;
-        let alone = self
-            .services
-            .get(&service)
-            .map_or(f64::NEG_INFINITY, |known| {
-                known.regression.alone(known.load.peak())
-            });
+        let alone = self.service(service).map_or(f64::NEG_INFINITY, |known| {
+            known.regression.alone(known.load.peak())
+        });
         if effect > LEAST_EFFECT && (alone + after).exp() > limit {
             return None;
         }
--- a/crates/placement/src/placement_policy.rs
+++ b/crates/placement/src/placement_policy.rs
@@ -14,11 +14,15 @@
     WaitReason,
     WorkerKey,
     WorkerPool,
+    place_search::PlaceSearch,
     worker_pool::PoolDomain, //
 };
 
-/// The workers with room that are compared in each failure domain.
+/// The workers with room that are compared, and those that are looked at in each failure domain: the
+/// fullest for packing, and some of the emptiest where services beside the fullest keep a task out.
 const COMPARED: usize = 8;
+const FULLEST: usize = 24;
+const EMPTIEST: usize = 8;
 /// How much worse a worker is whose services are slowed already.
 const PRESSED: f64 = 1.0;
 
@@ -59,47 +63,72 @@
         demand: &TaskDemand<'_>,
         now: Duration,
     ) -> Result<WorkerKey, WaitReason> {
-        let mut best: Option<(u32, f64, WorkerKey)> = None;
-        let mut reason = WaitReason::NoRoom;
-        for (name, domain) in &pool.domains {
+        let mut search = PlaceSearch::new();
+        // Batch work takes the first good places that it finds; where the search begins goes round,
+        // so that no failure domain fills first.
+        let count = pool.domains.len();
+        let first = pool.releases() as usize % count.max(1);
+        for offset in 0..count {
+            let Some((name, domain)) = pool.domains.get_index((first + offset) % count) else {
+                continue;
+            };
             if !domain.gate.admits(now) {
-                reason = stronger(reason, domain_reason(domain, demand));
+                search.note(domain_reason(domain, demand));
                 continue;
             }
-            let crowd = crowd_of(demand, name);
-            let mut refused = false;
-            let found = self.best_in(pool, domain, pairs, demand, &mut refused);
-            if refused {
-                reason = WaitReason::Interference;
-            }
-            if let Some((score, key)) = found {
-                best = better(best, (crowd, score, key));
+            search.crowd = crowd_of(demand, name);
+            self.search_domain(pool, domain, pairs, demand, &mut search);
+            if demand.kind == ClassKind::Batch && search.compared >= COMPARED {
+                break;
             }
         }
-        best.map(|(_, _, key)| key).ok_or(reason)
+        search.best.map(|(_, _, key)| key).ok_or(search.reason)
     }
 
-    fn best_in(
+    fn search_domain(
         &self,
         pool: &WorkerPool,
         domain: &PoolDomain,
         pairs: &PairModel,
         demand: &TaskDemand<'_>,
-        refused: &mut bool,
-    ) -> Option<(f64, WorkerKey)> {
-        let cpu = demand.size.cpu_millis;
-        let mut rate = |key| {
-            let worker = pool.worker(key);
-            if !fits(worker, demand) {
-                return None;
+        search: &mut PlaceSearch,
+    ) {
+        let fits = |key: &WorkerKey| fits(pool.worker(*key), demand);
+        let emptiest = domain.index.emptiest_first(demand.size).filter(fits);
+        let emptiest = emptiest.take(EMPTIEST);
+        if demand.kind == ClassKind::Service {
+            return self.rate(pool, emptiest, pairs, demand, search);
+        }
+        let fullest = domain.index.fullest_first(demand.size).filter(fits);
+        self.rate(pool, fullest.take(FULLEST), pairs, demand, search);
+        if search.compared == 0 {
+            self.rate(pool, emptiest, pairs, demand, search);
+        }
+    }
+
+    fn rate<Keys>(
+        &self,
+        pool: &WorkerPool,
+        keys: Keys,
+        pairs: &PairModel,
+        demand: &TaskDemand<'_>,
+        search: &mut PlaceSearch,
+    ) where
+        Keys: Iterator<Item = WorkerKey>,
+    {
+        let mut compared = 0;
+        for key in keys {
+            match self.score(pool.worker(key), pairs, demand) {
+                Some(score) => search.take(score, key),
+                None => {
+                    search.note(WaitReason::Interference);
+                    continue;
+                }
+            }
+            compared += 1;
+            if compared >= COMPARED {
+                return;
             }
-            let score = self.score(worker, pairs, demand);
-            *refused |= score.is_none();
-            score.map(|score| (score, key))
-        };
-        match demand.kind {
-            ClassKind::Service => least(domain.index.emptiest_first(cpu).filter_map(&mut rate)),
-            ClassKind::Batch => least(domain.index.fullest_first(cpu).filter_map(&mut rate)),
         }
     }
 
@@ -131,15 +160,6 @@
     }
 }
 
-fn least<Rated>(rated: Rated) -> Option<(f64, WorkerKey)>
-where
-    Rated: Iterator<Item = (f64, WorkerKey)>,
-{
-    rated
-        .take(COMPARED)
-        .min_by(|left, right| left.0.total_cmp(&right.0))
-}
-
 fn fits(worker: &PoolWorker, demand: &TaskDemand<'_>) -> bool {
     demand.size.fits_in(worker.room()) && !demand.failed_on.contains(&worker.name)
 }
@@ -156,32 +176,10 @@
     found.map_or(0, |(_, count)| *count)
 }
 
-fn better(
-    best: Option<(u32, f64, WorkerKey)>,
-    found: (u32, f64, WorkerKey),
-) -> Option<(u32, f64, WorkerKey)> {
-    match best {
-        Some(held) if (held.0, held.1) <= (found.0, found.1) => Some(held),
-        _ => Some(found),
-    }
-}
-
 fn domain_reason(domain: &PoolDomain, demand: &TaskDemand<'_>) -> WaitReason {
-    let has_room = domain
-        .index
-        .emptiest_first(demand.size.cpu_millis)
-        .next()
-        .is_some();
+    let has_room = domain.index.emptiest_first(demand.size).next().is_some();
     match has_room {
         true => WaitReason::Domain,
         false => WaitReason::NoRoom,
     }
 }
-
-fn stronger(held: WaitReason, found: WaitReason) -> WaitReason {
-    match held {
-        WaitReason::Interference => held,
-        _ if found == WaitReason::NoRoom => held,
-        _ => found,
-    }
-}
--- a/crates/placement/src/room_index.rs
+++ b/crates/placement/src/room_index.rs
@@ -1,32 +1,38 @@
-//! Workers ordered by the processors that they have left.
+//! Workers by what they have left.
+
+use jasminebend_base::ResourceAmount;
 
 use crate::WorkerKey;
 
-const STEP_MILLIS: u64 = 250;
-const LINEAR_STEPS: u64 = 16;
-const STEPS_PER_DOUBLING: u64 = 8;
-const BUCKETS: usize = 192;
+/// The cells of one line; a line's occupied cells fit in one word.
+const CELLS: usize = 64;
+const CPU_STEP_MILLIS: u64 = 250;
+const MEMORY_STEP_MIB: u64 = 256;
 
-/// Workers in buckets by the processors that they have left. Moving a worker costs the same however
-/// many there are, and a search visits only buckets that may have room.
+/// Workers in a grid by the processors and the memory that they have left, each in steps that double
+/// every four cells. Moving a worker costs the same however many there are, and a search visits only
+/// cells that may have room.
 #[derive(Clone, Debug)]
 pub(crate) struct RoomIndex {
-    buckets: Vec<Vec<WorkerKey>>,
+    cells: Vec<Vec<WorkerKey>>,
+    occupied: [u64; CELLS],
     places: Vec<Option<(usize, usize)>>,
 }
 
 impl RoomIndex {
     pub(crate) fn new() -> Self {
         Self {
-            buckets: vec![Vec::new(); BUCKETS],
+            cells: vec![Vec::new(); CELLS * CELLS],
+            occupied: [0; CELLS],
             places: Vec::new(),
         }
     }
 
-    pub(crate) fn set(&mut self, worker: WorkerKey, cpu_millis: u64) {
-        let bucket = bucket_of(cpu_millis);
+    pub(crate) fn set(&mut self, worker: WorkerKey, room: ResourceAmount) {
+        let (row, column) = cell_of(room);
+        let cell = row * CELLS + column;
         if let Some(Some((held, _))) = self.places.get(worker.slot())
-            && *held == bucket
+            && *held == cell
         {
             return;
         }
@@ -34,45 +40,66 @@
         if self.places.len() <= worker.slot() {
             self.places.resize(worker.slot() + 1, None);
         }
-        self.places[worker.slot()] = Some((bucket, self.buckets[bucket].len()));
-        self.buckets[bucket].push(worker);
+        self.places[worker.slot()] = Some((cell, self.cells[cell].len()));
+        self.cells[cell].push(worker);
+        self.occupied[row] |= 1 << column;
     }
 
     pub(crate) fn remove(&mut self, worker: WorkerKey) {
         let Some(place) = self.places.get_mut(worker.slot()) else {
             return;
         };
-        let Some((bucket, at)) = place.take() else {
+        let Some((cell, at)) = place.take() else {
             return;
         };
-        self.buckets[bucket].swap_remove(at);
-        if let Some(moved) = self.buckets[bucket].get(at) {
-            self.places[moved.slot()] = Some((bucket, at));
+        self.cells[cell].swap_remove(at);
+        if let Some(moved) = self.cells[cell].get(at) {
+            self.places[moved.slot()] = Some((cell, at));
+        }
+        if self.cells[cell].is_empty() {
+            self.occupied[cell / CELLS] &= !(1 << (cell % CELLS));
         }
     }
 
-    /// Visits workers that may have this much, the fullest first.
-    pub(crate) fn fullest_first(&self, cpu_millis: u64) -> impl Iterator<Item = WorkerKey> {
-        let buckets = &self.buckets[bucket_of(cpu_millis)..];
-        buckets.iter().flatten().copied()
+    /// Visits workers that may have this much, those with the fewest processors left first.
+    pub(crate) fn fullest_first(&self, size: ResourceAmount) -> impl Iterator<Item = WorkerKey> {
+        let (row, column) = cell_of(size);
+        (row..CELLS).flat_map(move |row| self.row_from(row, column))
+    }
+
+    /// Visits workers that may have this much, those with the most processors left first.
+    pub(crate) fn emptiest_first(&self, size: ResourceAmount) -> impl Iterator<Item = WorkerKey> {
+        let (row, column) = cell_of(size);
+        (row..CELLS)
+            .rev()
+            .flat_map(move |row| self.row_from(row, column))
     }
 
-    /// Visits workers that may have this much, the emptiest first.
-    pub(crate) fn emptiest_first(&self, cpu_millis: u64) -> impl Iterator<Item = WorkerKey> {
-        let buckets = &self.buckets[bucket_of(cpu_millis)..];
-        buckets.iter().rev().flatten().copied()
+    fn row_from(&self, row: usize, column: usize) -> impl Iterator<Item = WorkerKey> {
+        let mut left = self.occupied[row] & (u64::MAX << column);
+        let columns = std::iter::from_fn(move || {
+            let next = left.trailing_zeros() as usize;
+            left &= left.wrapping_sub(1);
+            (next < CELLS).then_some(next)
+        });
+        columns.flat_map(move |column| self.cells[row * CELLS + column].iter().copied())
     }
 }
 
-fn bucket_of(cpu_millis: u64) -> usize {
-    let steps = cpu_millis / STEP_MILLIS;
-    if steps < LINEAR_STEPS {
-        // CAST: Less than sixteen.
+fn cell_of(room: ResourceAmount) -> (usize, usize) {
+    let row = step_of(room.cpu_millis / CPU_STEP_MILLIS);
+    let column = step_of(room.memory_mib / MEMORY_STEP_MIB);
+    (row, column)
+}
+
+/// Steps of one up to eight, then four to each doubling.
+fn step_of(steps: u64) -> usize {
+    if steps < 8 {
+        // CAST: Less than eight.
         return steps as usize;
     }
     let doubling = u64::from(steps.ilog2());
-    let within = (steps >> (doubling - 3)) & (STEPS_PER_DOUBLING - 1);
-    let bucket = LINEAR_STEPS + (doubling - 4) * STEPS_PER_DOUBLING + within;
-    // CAST: The last bucket bounds it.
-    (bucket as usize).min(BUCKETS - 1)
+    let within = (steps >> (doubling - 2)) & 3;
+    // CAST: The last cell bounds it.
+    ((8 + (doubling - 3) * 4 + within) as usize).min(CELLS - 1)
 }
--- a/crates/placement/src/service_regression.rs
+++ b/crates/placement/src/service_regression.rs
@@ -1,12 +1,12 @@
 //! What is learned of one service.
 
-use indexmap::IndexMap;
-
 use crate::ClassKey;
 
-/// The variance of what is not known, of the logarithm of latency over target, and that of one
-/// measurement of it.
-const UNKNOWN: f64 = 0.5;
+/// The variance, before it is measured, of what a service has alone, of what a class adds to it, all
+/// as logarithms of latency over target, and that of one measurement. Most classes add next to
+/// nothing: were both alike, what a service has alone would be spread over its usual company.
+const UNKNOWN_OWN: f64 = 1.0;
+const UNKNOWN_CLASS: f64 = 0.05;
 const NOISE: f64 = 0.02;
 /// A measurement teaches as if it were off by no more than this, since one stall of a VM should not
 /// condemn its company.
@@ -21,7 +21,8 @@
 /// covariance is kept: classes that always came together share the blame until they come apart.
 #[derive(Clone, Debug)]
 pub(crate) struct ServiceRegression {
-    classes: IndexMap<ClassKey, ()>,
+    /// The feature of each class by its key, zero for none.
+    features: Vec<usize>,
     means: Vec<f64>,
     covariance: Vec<Vec<f64>>,
 }
@@ -29,7 +30,7 @@
 impl ServiceRegression {
     pub(crate) fn new() -> Self {
         let mut regression = Self {
-            classes: IndexMap::new(),
+            features: Vec::new(),
             means: Vec::new(),
             covariance: Vec::new(),
         };
@@ -58,10 +59,6 @@
                 *cell -= gain * other / total;
             }
         }
-        // No class makes a service faster.
-        for mean in &mut self.means[OWN_FEATURES..] {
-            *mean = mean.clamp(0.0, EFFECT_LIMIT);
-        }
     }
 
     /// Returns the logarithm of the latency over the target without company, as far as it is known.
@@ -69,20 +66,29 @@
         let own = [(0, 1.0), (1, load)];
         let rows = self.covariance[..OWN_FEATURES].iter();
         let spread: Vec<f64> = rows.map(|row| dot(row, &own)).collect();
-        match dot(&spread, &own) < UNKNOWN / 2.0 {
+        match dot(&spread, &own) < UNKNOWN_OWN / 2.0 {
             true => dot(&self.means, &own),
             false => f64::NEG_INFINITY,
         }
     }
 
-    /// Returns what one task of a class adds at full load; zero while that is not known.
+    /// Returns what one task of a class adds at full load; zero while that is not known, or is no more
+    /// than chance: a dozen harmless classes would add up to a bad one.
     pub(crate) fn effect(&self, class: ClassKey) -> f64 {
         match self.feature_of(class) {
-            Some(index) if self.knows(index) => self.means[index],
+            // No class makes a service faster.
+            Some(index) if self.knows(index) && self.stands_out(index) => {
+                self.means[index].clamp(0.0, EFFECT_LIMIT)
+            }
             _ => 0.0,
         }
     }
 
+    fn stands_out(&self, index: usize) -> bool {
+        let mean = self.means[index];
+        mean * mean > self.covariance[index][index]
+    }
+
     /// Tells whether the effect of a class is known better than by a first guess.
     pub(crate) fn knows_class(&self, class: ClassKey) -> bool {
         self.feature_of(class)
@@ -93,7 +99,7 @@
     pub(crate) fn forget(&mut self, kept: f64) {
         for (index, row) in self.covariance.iter_mut().enumerate() {
             row.iter_mut().for_each(|cell| *cell *= kept);
-            row[index] += UNKNOWN * (1.0 - kept);
+            row[index] += unknown(index) * (1.0 - kept);
         }
         for mean in &mut self.means[OWN_FEATURES..] {
             *mean *= kept;
@@ -103,31 +109,48 @@
     fn features(&mut self, load: f64, company: &[(ClassKey, f64)]) -> Vec<(usize, f64)> {
         let mut features = vec![(0, 1.0), (1, load)];
         for (class, tasks) in company {
-            let (index, added) = self.classes.insert_full(*class, ());
-            if added.is_none() {
-                self.add_feature();
-            }
-            features.push((index + OWN_FEATURES, load * weight_of(*tasks)));
+            let feature = self.feature_for(*class);
+            features.push((feature, load * weight_of(*tasks)));
         }
         features
     }
 
+    fn feature_for(&mut self, class: ClassKey) -> usize {
+        let key = usize::from(class.0);
+        if self.features.len() <= key {
+            self.features.resize(key + 1, 0);
+        }
+        if self.features[key] == 0 {
+            self.features[key] = self.means.len();
+            self.add_feature();
+        }
+        self.features[key]
+    }
+
     fn add_feature(&mut self) {
         for row in &mut self.covariance {
             row.push(0.0);
         }
         let mut row = vec![0.0; self.means.len() + 1];
-        row[self.means.len()] = UNKNOWN;
+        row[self.means.len()] = unknown(self.means.len());
         self.covariance.push(row);
         self.means.push(0.0);
     }
 
     fn feature_of(&self, class: ClassKey) -> Option<usize> {
-        Some(self.classes.get_index_of(&class)? + OWN_FEATURES)
+        let feature = *self.features.get(usize::from(class.0))?;
+        (feature > 0).then_some(feature)
     }
 
     fn knows(&self, index: usize) -> bool {
-        self.covariance[index][index] < UNKNOWN / 2.0
+        self.covariance[index][index] < unknown(index) / 2.0
+    }
+}
+
+fn unknown(feature: usize) -> f64 {
+    match feature < OWN_FEATURES {
+        true => UNKNOWN_OWN,
+        false => UNKNOWN_CLASS,
     }
 }
 
--- a/crates/placement/src/worker_pool.rs
+++ b/crates/placement/src/worker_pool.rs
@@ -184,8 +184,7 @@
     /// ones have it.
     pub fn some_room(&self, size: ResourceAmount) -> Option<WorkerKey> {
         let open = self.domains.values().filter(|entry| entry.gate.is_open());
-        let mut emptiest =
-            open.filter_map(|entry| entry.index.emptiest_first(size.cpu_millis).next());
+        let mut emptiest = open.filter_map(|entry| entry.index.emptiest_first(size).next());
         emptiest.find(|key| size.fits_in(self.worker(*key).room()))
     }
 
@@ -239,7 +238,7 @@
             return;
         };
         match worker.condition {
-            WorkerCondition::Open => domain.index.set(key, worker.room().cpu_millis),
+            WorkerCondition::Open => domain.index.set(key, worker.room()),
             _ => domain.index.remove(key),
         }
     }
