Demonstrate the whole path on loopback, under faults

Cause: nothing showed the parts working together. Change: `jasminebend demo` starts the stand-ins, three daemons in three failure domains and thirty callers; it takes a failure domain out and back, drops the table service for 5 s, loses a daemon without warning and starts another. Counts are taken at endpoints and workers.

--- /dev/null
+++ b/crates/jasminebend/src/demo_report.rs
@@ -0,0 +1,108 @@
+//! What the demonstration prints.
+
+use std::{
+    fmt::{
+        Display,
+        Formatter,
+        Result, //
+    },
+    time::Duration,
+};
+
+use jasminebend_standins::LedgerSummary;
+
+use crate::demo_tally::TallyCounts;
+
+/// A row of the table of requests.
+#[derive(Clone, Debug)]
+pub(crate) struct ClassRow {
+    pub(crate) name: &'static str,
+    pub(crate) counts: TallyCounts,
+    pub(crate) run_twice: u64,
+}
+
+/// A count that must be zero.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ZeroCount {
+    pub(crate) what: &'static str,
+    pub(crate) count: u64,
+}
+
+/// What the demonstration prints.
+#[derive(Clone, Debug)]
+pub(crate) struct DemoReport {
+    pub(crate) classes: Vec<ClassRow>,
+    pub(crate) submitted: u64,
+    pub(crate) accepted: u64,
+    pub(crate) refused: u64,
+    pub(crate) unknown: u64,
+    pub(crate) runs: LedgerSummary,
+    pub(crate) zeros: Vec<ZeroCount>,
+}
+
+impl DemoReport {
+    /// Returns how many of the counts that must be zero are not.
+    pub(crate) fn violations(&self) -> usize {
+        self.zeros.iter().filter(|zero| zero.count != 0).count()
+    }
+}
+
+impl Display for DemoReport {
+    fn fmt(&self, formatter: &mut Formatter<'_>) -> Result {
+        writeln!(
+            formatter,
+            "{:<12}{:>8}{:>8}{:>9}{:>9}{:>7}{:>10}{:>10}{:>10}",
+            "class", "sent", "whole", "not run", "unknown", "twice", "p50", "p99", "p99.9"
+        )?;
+        self.classes
+            .iter()
+            .try_for_each(|row| write_class(formatter, row))?;
+        writeln!(
+            formatter,
+            "\njobs: {} submitted, {} accepted, {} refused, {} unknown",
+            self.submitted, self.accepted, self.refused, self.unknown
+        )?;
+        writeln!(
+            formatter,
+            "tasks at the workers: {} starts, {} finished, {} evicted, {} resumed, {} lapsed\n",
+            self.runs.starts,
+            self.runs.finishes,
+            self.runs.evictions,
+            self.runs.resumes,
+            self.runs.lapses
+        )?;
+        writeln!(formatter, "must be zero:")?;
+        self.zeros
+            .iter()
+            .try_for_each(|zero| write_zero(formatter, zero))
+    }
+}
+
+fn write_class(formatter: &mut Formatter<'_>, row: &ClassRow) -> Result {
+    let counts = &row.counts;
+    writeln!(
+        formatter,
+        "{:<12}{:>8}{:>8}{:>9}{:>9}{:>7}{:>10}{:>10}{:>10}",
+        row.name,
+        counts.sent,
+        counts.whole,
+        counts.not_run,
+        counts.unknown,
+        row.run_twice,
+        millis(counts.p50),
+        millis(counts.p99),
+        millis(counts.p999)
+    )
+}
+
+fn write_zero(formatter: &mut Formatter<'_>, zero: &ZeroCount) -> Result {
+    let mark = match zero.count {
+        0 => "",
+        _ => "   <- VIOLATED",
+    };
+    writeln!(formatter, "{:>8}  {}{mark}", zero.count, zero.what)
+}
+
+fn millis(time: Duration) -> String {
+    format!("{:.1} ms", time.as_secs_f64() * 1_000.0)
+}
--- a/crates/jasminebend/src/lib.rs
+++ b/crates/jasminebend/src/lib.rs
@@ -21,7 +21,16 @@
 mod daemon_settings;
 mod daemon_status;
 pub mod demo;
+mod demo_callers;
+mod demo_client;
+mod demo_daemons;
+mod demo_error;
+mod demo_jobs;
+mod demo_operator;
 mod demo_options;
+mod demo_report;
+mod demo_site;
+mod demo_tally;
 mod entry_control;
 mod entry_daemon;
 mod file_watch;
@@ -82,6 +91,10 @@
         DaemonSettings, //
     },
     daemon_status::DaemonStatus,
+    demo_error::{
+        DemoError,
+        OperatorFault, //
+    },
     demo_options::DemoOptions,
     entry_daemon::EntryDaemon,
     limit_settings::LimitSettings,
