Bound what bodies and outcomes take in memory, and refuse waiters that no slot is left for

12,000 callers with 64 KiB each in the making would have held 750 MB: bodies taken in whole now share 64 MiB, and what goes beyond is refused. Transactions of outcomes are bounded in bytes, and an answer that the table finds too large is left out instead of being written for ever. A body that fails on its way for the caller's fault is no longer called the endpoint's failure. Requests that wait when no slot is left get their answer at once instead of at their deadline. The time that a request holds its slot is measured to the answer's end and no longer to its head.

--- a/crates/gateway/benches/loopback/main.rs
+++ b/crates/gateway/benches/loopback/main.rs
@@ -32,7 +32,7 @@
         closed_loop,
         open_loop, //
     },
-    measured_gateway::start_gateway,
+    measured_gateway::start_gateway_with,
     plain_forwarder::start_plain,
     process_view::{
         cpu_seconds,
@@ -65,7 +65,7 @@
         runtime("load", 3),
     );
     let endpoints = server.block_on(start_endpoints(ENDPOINTS));
-    let gateway = own.block_on(start_gateway(&endpoints));
+    let gateway = own.block_on(start_gateway_with(&endpoints, 8, Duration::from_secs(1)));
     load.block_on(closed_loop(&[gateway], CALLERS, Duration::from_secs(1)));
 
     let capacity = measure_capacity(&load, gateway, &endpoints, span);
--- a/crates/gateway/benches/loopback/measured_gateway.rs
+++ b/crates/gateway/benches/loopback/measured_gateway.rs
@@ -36,16 +36,20 @@
 
 const SHARES: u16 = 70;
 
-/// Starts a gateway that holds all slots of these endpoints.
-pub(crate) async fn start_gateway(endpoints: &[SocketAddr]) -> SocketAddr {
+/// Starts a gateway that holds all slots of these endpoints, for one class with this target.
+pub(crate) async fn start_gateway_with(
+    endpoints: &[SocketAddr],
+    slots: u16,
+    target: Duration,
+) -> SocketAddr {
     let ownership = FixedOwnership::new();
     for share in 0..SHARES {
         ownership.hold(ResourceId::Slots(share), OwnerEpoch(1), Duration::ZERO);
     }
-    let configuration = watch::Sender::new(Arc::new(configuration()));
+    let configuration = watch::Sender::new(Arc::new(configuration(target)));
     let vms = watch::Sender::new(Arc::new(VmSnapshot {
         revision: 1,
-        vms: endpoints.iter().map(vm).collect(),
+        vms: endpoints.iter().map(|address| vm(address, slots)).collect(),
     }));
     let edges = GatewayEdges {
         ownership: Arc::new(ownership),
@@ -65,7 +69,7 @@
     address
 }
 
-fn vm(address: &SocketAddr) -> VmRecord {
+fn vm(address: &SocketAddr, slots: u16) -> VmRecord {
     VmRecord {
         name: address.to_string().as_str().into(),
         incarnation: 1,
@@ -74,19 +78,19 @@
         executor: Some(ExecutorRecord {
             service: "booking".into(),
             address: *address,
-            slots: 8,
+            slots,
             connections: 64,
         }),
         worker: None,
     }
 }
 
-fn configuration() -> Configuration {
+fn configuration(target: Duration) -> Configuration {
     Configuration {
         classes: vec![ServiceClass {
             name: "booking".into(),
             kind: ClassKind::Service,
-            target: ClassTarget::AnswerWithin(Duration::from_secs(1)),
+            target: ClassTarget::AnswerWithin(target),
             service: Some("booking".into()),
             route: Some(RouteRule {
                 host: None,
--- a/crates/gateway/src/answer_body.rs
+++ b/crates/gateway/src/answer_body.rs
@@ -28,14 +28,12 @@
 use crate::{
     body_fault::BodyFault,
     endpoint_connection::EndpointConnection,
-    exchange::{
-        EndpointAnswer,
-        drain, //
-    },
+    exchange::EndpointAnswer,
     exchange_end::{
         AnswerVerdict,
         ExchangeEnd, //
     },
+    pending_exchange::drain,
     slot_lease::SlotLease,
 };
 
--- a/crates/gateway/src/answer_rules.rs
+++ b/crates/gateway/src/answer_rules.rs
@@ -21,16 +21,14 @@
 use crate::{
     answer_body::AnswerBody,
     delivery::says_not_run,
-    exchange::{
-        EndpointAnswer,
-        drain, //
-    },
+    exchange::EndpointAnswer,
     exchange_end::AnswerVerdict,
     header_names::EXECUTED,
     header_rules::{
         has_token,
         prepare_answer, //
     },
+    pending_exchange::drain,
     refusal::Refusal,
 };
 
--- a/crates/gateway/src/caller_server.rs
+++ b/crates/gateway/src/caller_server.rs
@@ -115,7 +115,8 @@
             address: address.ip(),
             two_lengths: two_lengths.load(Ordering::Relaxed),
         };
-        async move { Ok::<_, Infallible>(handle(shared, request, caller).await) }
+        // Boxed, since hyper keeps room for it in every connection: idle ones need none.
+        Box::pin(async move { Ok::<_, Infallible>(handle(shared, request, caller).await) })
     });
     let connection = Builder::new()
         .timer(TokioTimer::new())
--- a/crates/gateway/src/delivery.rs
+++ b/crates/gateway/src/delivery.rs
@@ -20,11 +20,11 @@
         AttemptPlan,
         EndpointAnswer,
         EndpointRequest,
-        attempt,
-        drain, //
+        attempt, //
     },
     gateway_shared::GatewayShared,
     header_names::EXECUTED,
+    pending_exchange::drain,
     refusal::Refusal,
     request_body::RequestBody,
     request_trace::RequestTrace,
@@ -33,7 +33,10 @@
     slot_lease::SlotLease,
 };
 
-const MOST_ATTEMPTS: u32 = 3;
+/// How often a request may be sent.
+const MOST_SENT: u32 = 3;
+/// How often an endpoint may be tried for a request, those included that could not be connected to.
+const MOST_TRIED: u32 = 8;
 const LEAST_SAMPLES: u64 = 100;
 /// Until enough was learned, the second attempt waits for this part of the target.
 const UNLEARNED_DIVISOR: u32 = 4;
@@ -46,6 +49,7 @@
     plan: AttemptPlan,
     demand: SlotDemand,
     trace: Option<&'a RequestTrace>,
+    sent: u32,
     maybe_run: bool,
 }
 
@@ -64,6 +68,7 @@
             plan,
             demand,
             trace,
+            sent: 1,
             maybe_run: false,
         }
     }
@@ -100,7 +105,8 @@
         mut lease: SlotLease,
         mut request: Box<EndpointRequest>,
     ) -> Result<EndpointAnswer, Refusal> {
-        for _ in 1..MOST_ATTEMPTS {
+        let mut reason = Refusal::Unconnected;
+        for _ in 0..MOST_TRIED {
             self.demand.avoid = Some(lease.address);
             let copy = copy_of(&request);
             let outcome = self.attempt_hedged(lease, request).await;
@@ -113,7 +119,8 @@
                     }
                     None => return Ok(answer),
                 },
-                Err(AttemptError::NotRun { request, .. }) => {
+                Err(AttemptError::NotRun { refusal, request }) => {
+                    reason = refusal;
                     (self.class.pool.acquire(self.demand).await?, request)
                 }
                 Err(AttemptError::Unknown(refusal)) => {
@@ -122,22 +129,7 @@
                 }
             };
         }
-        self.last(lease, request).await
-    }
-
-    async fn last(
-        &mut self,
-        lease: SlotLease,
-        request: Box<EndpointRequest>,
-    ) -> Result<EndpointAnswer, Refusal> {
-        match attempt_traced(self.hop(), lease, request).await {
-            Ok(answer) => Ok(answer),
-            Err(AttemptError::NotRun { refusal, .. }) => Err(refusal),
-            Err(AttemptError::Unknown(refusal)) => {
-                self.maybe_run = true;
-                Err(refusal)
-            }
-        }
+        Err(reason)
     }
 
     /// Makes an attempt, and a second one beside it once the first takes longer than most.
@@ -216,12 +208,16 @@
     }
 
     /// Takes a slot for one more attempt, if one is free and the budget allows it.
-    fn again(&self, copy: Box<EndpointRequest>) -> Option<(SlotLease, Box<EndpointRequest>)> {
+    fn again(&mut self, copy: Box<EndpointRequest>) -> Option<(SlotLease, Box<EndpointRequest>)> {
+        if self.sent >= MOST_SENT {
+            return None;
+        }
         let pool = &self.class.pool;
         let lease = pool.try_acquire(self.demand.avoid)?;
         if !pool.lock().budget.spend() {
             return None;
         }
+        self.sent += 1;
         Some((lease, copy))
     }
 }
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -1,8 +1,7 @@
 //! One attempt to have a request answered through a slot.
 
 use std::{
-    pin::Pin,
-    sync::Arc,
+    error::Error,
     time::Duration, //
 };
 
@@ -10,28 +9,13 @@
     Request,
     Response, //
 };
-use http_body_util::BodyExt;
-use hyper::{
-    body::Incoming,
-    client::conn::TrySendError, //
-};
-use tokio::{
-    runtime::Handle,
-    time::timeout, //
-};
+use hyper::body::Incoming;
+use tokio::time::timeout;
 
 use crate::{
-    endpoint_connection::EndpointConnection,
-    endpoint_entry::SlotPhase,
-    exchange_end::{
-        AnswerVerdict,
-        ExchangeEnd, //
-    },
-    gateway_shared::GatewayShared,
-    refusal::Refusal,
-    request_body::RequestBody,
-    service_pool::ServicePool,
-    slot_lease::SlotLease,
+    endpoint_connection::EndpointConnection, exchange_end::ExchangeEnd,
+    gateway_shared::GatewayShared, pending_exchange::PendingExchange, refusal::Refusal,
+    request_body::RequestBody, slot_lease::SlotLease,
 };
 
 const MOST_CONNECTIONS_TRIED: usize = 2;
@@ -40,14 +24,14 @@
 /// A request on its way to an endpoint.
 pub(crate) type EndpointRequest = Request<RequestBody>;
 
-type SendOutcome = Result<Response<Incoming>, TrySendError<EndpointRequest>>;
-type SendFuture = Pin<Box<dyn Future<Output = SendOutcome> + Send>>;
-
 /// How an attempt is made.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct AttemptPlan {
     /// When the request is given up.
     pub(crate) give_up: Duration,
+    /// How long a connection may take to open: a part of the target, so that there is time for
+    /// another endpoint when a VM is gone and answers nothing.
+    pub(crate) connect: Duration,
     /// Whether the request may run twice.
     pub(crate) idempotent: bool,
 }
@@ -77,45 +61,6 @@
     Unknown(Refusal),
 }
 
-/// An exchange whose answer's head has not come. If it is dropped, because the caller left, the
-/// time is over or another attempt was faster, the endpoint may still be working on it: a task
-/// then waits for the answer on its behalf and gives the slot back no earlier.
-struct PendingExchange {
-    answer: Option<SendFuture>,
-    lease: Option<SlotLease>,
-    sent_at: Duration,
-    suspected: bool,
-}
-
-impl PendingExchange {
-    /// Makes connections that were quiet for as long as this one suspect, so that the next request
-    /// does not meet the same end.
-    fn suspect(&mut self, now: Duration) {
-        let Some(lease) = self.lease.as_ref().filter(|_| !self.suspected) else {
-            return;
-        };
-        let pool = lease.pool();
-        if now.saturating_sub(self.sent_at) >= pool.suspicion_time() {
-            pool.suspect(self.sent_at);
-            self.suspected = true;
-        }
-    }
-}
-
-impl Drop for PendingExchange {
-    fn drop(&mut self) {
-        let (Some(answer), Some(lease)) = (self.answer.take(), self.lease.take()) else {
-            return;
-        };
-        let Ok(handle) = Handle::try_current() else {
-            return;
-        };
-        lease.pool().lock().slot(lease.key()).phase = SlotPhase::Stray;
-        let suspicion = (!self.suspected).then_some(self.sent_at);
-        handle.spawn(follow(answer, lease, self.sent_at, suspicion));
-    }
-}
-
 /// Sends a request through a slot and waits for the head of its answer.
 pub(crate) async fn attempt(
     shared: &GatewayShared,
@@ -163,24 +108,12 @@
 ) -> Result<EndpointAnswer, SendError> {
     lease.sent = true;
     let sent_at = shared.clock.monotonic();
-    let mut pending = PendingExchange {
-        answer: Some(Box::pin(connection.sender.try_send_request(*request))),
-        lease: Some(lease),
-        sent_at,
-        suspected: false,
-    };
+    let answer = Box::pin(connection.sender.try_send_request(*request));
+    let pending = PendingExchange::new(answer, lease, sent_at);
     let left = plan.give_up.saturating_sub(sent_at);
-    let Some(answer) = pending.answer.as_mut() else {
-        return Err(SendError::Unknown(Refusal::EndpointFailed));
-    };
-    let Ok(outcome) = timeout(left, answer).await else {
-        pending.suspect(shared.clock.monotonic());
+    let Some((outcome, mut lease)) = pending.wait(left).await else {
         return Err(SendError::Unknown(Refusal::EndpointTimeout));
     };
-    pending.answer = None;
-    let Some(mut lease) = pending.lease.take() else {
-        return Err(SendError::Unknown(Refusal::EndpointFailed));
-    };
     match outcome {
         Ok(response) => {
             connection.last_heard = shared.clock.monotonic();
@@ -197,11 +130,20 @@
                 lease.sent = false;
                 Err(SendError::Unsent(lease, Box::new(request)))
             }
-            None => Err(SendError::Unknown(Refusal::EndpointFailed)),
+            None => Err(SendError::Unknown(refusal_of(error.error()))),
         },
     }
 }
 
+/// Tells a fault of the caller's body from one of the endpoint.
+fn refusal_of(error: &hyper::Error) -> Refusal {
+    let fault = error.source().and_then(|cause| cause.downcast_ref());
+    match fault {
+        Some(fault) => Refusal::BodyFailed(*fault),
+        None => Refusal::EndpointFailed,
+    }
+}
+
 /// Returns the slot's connection, or a new one where it has none that can be trusted.
 async fn open(
     shared: &GatewayShared,
@@ -261,7 +203,7 @@
         return None;
     }
     let left = plan.give_up.saturating_sub(now);
-    let patience = shared.settings.connect_timeout.min(left);
+    let patience = plan.connect.min(left);
     EndpointConnection::dial(lease.address, patience, now)
         .await
         .ok()
@@ -273,67 +215,3 @@
     let most = state.entry(key.endpoint).connections_per_slot;
     state.slot(key).may_dial(now, most)
 }
-
-/// Waits for the answer of an exchange that was given up, so that its slot is known to be free.
-async fn follow(
-    mut answer: SendFuture,
-    lease: SlotLease,
-    sent_at: Duration,
-    suspicion: Option<Duration>,
-) {
-    let pool = Arc::clone(lease.pool());
-    let longest = pool.settings.longest_request;
-    let early = match suspicion {
-        Some(sent_at) => follow_early(&pool, &mut answer, sent_at).await,
-        None => None,
-    };
-    let head = match early {
-        Some(head) => Ok(head),
-        None => timeout(longest, answer).await,
-    };
-    match head {
-        Err(_) => lease.end(ExchangeEnd::Over),
-        Ok(Ok(response)) => drain(response, lease, pool.clock.monotonic() - sent_at).await,
-        Ok(Err(mut error)) => lease.end(match error.take_message() {
-            Some(_) => ExchangeEnd::Unused { connection: None },
-            None => ExchangeEnd::Unknown,
-        }),
-    }
-}
-
-/// Waits until the connection counts as silent, and then makes others like it suspect.
-async fn follow_early(
-    pool: &ServicePool,
-    answer: &mut SendFuture,
-    sent_at: Duration,
-) -> Option<SendOutcome> {
-    if let Ok(head) = timeout(pool.suspicion_time(), answer).await {
-        return Some(head);
-    }
-    pool.suspect(sent_at);
-    None
-}
-
-/// Reads the rest of an answer that nobody wants, and then frees its slot.
-pub(crate) async fn drain(response: Response<Incoming>, lease: SlotLease, latency: Duration) {
-    let longest = lease.pool().settings.longest_request;
-    let mut body = response.into_body();
-    let whole = timeout(longest, async {
-        while let Some(frame) = body.frame().await {
-            if frame.is_err() {
-                return false;
-            }
-        }
-        true
-    });
-    let end = match whole.await {
-        Ok(true) => ExchangeEnd::Answered {
-            latency,
-            verdict: AnswerVerdict::Good,
-            connection: None,
-        },
-        Ok(false) => ExchangeEnd::Unknown,
-        Err(_) => ExchangeEnd::Over,
-    };
-    lease.end(end);
-}
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -6,7 +6,7 @@
         Arc,
         Mutex,
         PoisonError,
-        atomic::Ordering, //
+        Weak, //
     },
 };
 
@@ -86,7 +86,6 @@
     /// Stops taking connections, and waits until every request in progress is answered.
     pub async fn drain(&self) {
         info!("[gateway] Draining.");
-        self.shared.draining.store(true, Ordering::Relaxed);
         self.stop.send_replace(true);
         let mut served = self.served.subscribe();
         // The sender is this gateway's own, so that the wait ends only as it should.
@@ -120,7 +119,7 @@
     }
 }
 
-async fn start_keeper(gateway: std::sync::Weak<Gateway>, state: KeeperState) {
+async fn start_keeper(gateway: Weak<Gateway>, state: KeeperState) {
     let Ok((keeper, _)) = Actor::spawn(None, PoolKeeper, state).await else {
         error!("[gateway] The keeper of the pools did not start.");
         return;
--- a/crates/gateway/src/gateway_settings.rs
+++ b/crates/gateway/src/gateway_settings.rs
@@ -4,6 +4,8 @@
 
 use jasminebend_base::DomainName;
 
+const LEAST_CONNECT: Duration = Duration::from_millis(20);
+
 /// How the gateway is set; [`GatewaySettings::new`] gives defaults that fit today's sizes.
 #[derive(Clone, Debug)]
 pub struct GatewaySettings {
@@ -23,6 +25,7 @@
     pub(crate) most_head_bytes: usize,
     pub(crate) most_body_bytes: u64,
     pub(crate) buffered_body_bytes: u64,
+    pub(crate) most_held_bytes: usize,
     pub(crate) domain_distance: Duration,
     pub(crate) refresh_every: Duration,
     pub(crate) leaving_hold: Duration,
@@ -53,6 +56,7 @@
             most_head_bytes: 16 * 1024,
             most_body_bytes: 16 * 1024 * 1024,
             buffered_body_bytes: 64 * 1024,
+            most_held_bytes: 64 * 1024 * 1024,
             domain_distance: Duration::from_millis(2),
             refresh_every: Duration::from_millis(50),
             leaving_hold: Duration::from_secs(30),
@@ -78,7 +82,7 @@
         self
     }
 
-    /// Sets how long a connection to an endpoint may take to open.
+    /// Sets how long a connection to an endpoint may take to open; half of the target if that is less.
     pub fn with_connect_timeout(mut self, timeout: Duration) -> Self {
         self.connect_timeout = timeout;
         self
@@ -127,6 +131,12 @@
         self
     }
 
+    /// Sets how many bytes of bodies may be held in memory at once, for all requests together.
+    pub fn with_held_bytes(mut self, most: usize) -> Self {
+        self.most_held_bytes = most;
+        self
+    }
+
     /// Sets the round trip to an endpoint in another failure domain.
     pub fn with_domain_distance(mut self, distance: Duration) -> Self {
         self.domain_distance = distance;
@@ -158,6 +168,10 @@
         self
     }
 
+    pub(crate) fn connect_patience(&self, target: Duration) -> Duration {
+        (target / 2).clamp(LEAST_CONNECT, self.connect_timeout.max(LEAST_CONNECT))
+    }
+
     pub(crate) fn patience(&self, target: Duration) -> Duration {
         (target * self.target_multiple)
             .max(self.least_patience)
--- a/crates/gateway/src/gateway_shared.rs
+++ b/crates/gateway/src/gateway_shared.rs
@@ -3,8 +3,7 @@
 use std::sync::{
     Arc,
     PoisonError,
-    RwLock,
-    atomic::AtomicBool, //
+    RwLock, //
 };
 
 use indexmap::IndexMap;
@@ -13,7 +12,10 @@
     ClockSource,
     OwnershipView, //
 };
-use tokio::sync::Notify;
+use tokio::sync::{
+    Notify,
+    Semaphore, //
+};
 
 use crate::{
     gateway_edges::GatewayEdges,
@@ -37,8 +39,8 @@
     pub(crate) seed: u64,
     /// Told whenever a slot falls idle.
     pub(crate) idle: Arc<Notify>,
-    /// Whether the gateway is draining.
-    pub(crate) draining: AtomicBool,
+    /// The bytes of bodies that may still be held in memory.
+    pub(crate) held_bytes: Arc<Semaphore>,
     routes: RwLock<Arc<RouteSnapshot>>,
     pools: RwLock<IndexMap<ServiceName, Arc<ServicePool>>>,
 }
@@ -51,6 +53,7 @@
             Arc::clone(&edges.clock),
             settings.key_retention,
         );
+        let held_bytes = Arc::new(Semaphore::new(settings.most_held_bytes));
         Self {
             settings: Arc::new(settings),
             ownership: Arc::clone(&edges.ownership),
@@ -58,7 +61,7 @@
             keys: Arc::new(keys),
             seed: edges.seed,
             idle: Arc::new(Notify::new()),
-            draining: AtomicBool::new(false),
+            held_bytes,
             routes: RwLock::default(),
             pools: RwLock::default(),
         }
--- a/crates/gateway/src/key_record.rs
+++ b/crates/gateway/src/key_record.rs
@@ -62,7 +62,24 @@
     body: Bytes,
 }
 
+impl KeyState {
+    /// Leaves out the answer, for a table that does not take a row of its size.
+    pub(crate) fn without_answer(self) -> Self {
+        match self {
+            Self::Answered(_) => Self::AnsweredLarge,
+            other => other,
+        }
+    }
+}
+
 impl KeptAnswer {
+    /// Returns about how many bytes it takes.
+    pub(crate) fn size(&self) -> usize {
+        let headers = self.headers.iter();
+        let headers: usize = headers.map(|(name, value)| name.len() + value.len()).sum();
+        headers + self.body.len()
+    }
+
     /// Keeps an answer.
     pub(crate) fn new(status: StatusCode, headers: &HeaderMap, body: Bytes) -> Self {
         let headers = headers
--- a/crates/gateway/src/key_write.rs
+++ b/crates/gateway/src/key_write.rs
@@ -7,6 +7,7 @@
     RowExpectation,
     RowKey,
     RowVersion,
+    TableError,
     TableRow, //
 };
 use tokio::sync::oneshot;
@@ -20,6 +21,9 @@
     refusal::Refusal,
 };
 
+/// About what a row takes without an answer.
+const ROW_BYTES: usize = 200;
+
 /// What became of a reservation.
 pub(crate) enum ReserveOutcome {
     /// The key is this request's; its row has this version.
@@ -63,6 +67,14 @@
         RowChange::put(self.row.clone(), self.expected, value)
     }
 
+    /// Returns about how many bytes the write takes.
+    pub(crate) fn size(&self) -> usize {
+        match &self.record.state {
+            KeyState::Answered(answer) => ROW_BYTES + answer.size(),
+            _ => ROW_BYTES,
+        }
+    }
+
     /// Takes in that the write took effect. What comes back is still to be written: the release of
     /// a key whose request is gone.
     pub(crate) fn committed(self, version: RowVersion) -> Option<Self> {
@@ -128,8 +140,12 @@
     /// lost write, should it arrive late, and this one exclude each other, and the number tells
     /// that the row found is its own. When its request's time is over the key is released in the
     /// same way, so that a repetition is not refused for a request that never ran.
-    pub(crate) fn unanswered(self, surely_not_run: bool, now: Duration) -> Option<Self> {
+    pub(crate) fn unanswered(mut self, error: TableError, now: Duration) -> Option<Self> {
+        let surely_not_run = error.surely_not_run();
         let KeyPurpose::Reserve { reply, give_up } = self.purpose else {
+            if error == TableError::TooLarge {
+                self.record.state = self.record.state.without_answer();
+            }
             return Some(self);
         };
         if !surely_not_run && now < give_up && !reply.is_closed() {
--- a/crates/gateway/src/key_writer.rs
+++ b/crates/gateway/src/key_writer.rs
@@ -38,7 +38,10 @@
 };
 
 const MOST_IN_BATCH: usize = 64;
-const MOST_PENDING: usize = 20_000;
+/// The largest transaction, by the values in it: the table may refuse larger ones.
+const MOST_BATCH_BYTES: usize = 128 * 1024;
+/// Outcomes come from requests that held a slot, so that a table's outage leaves far fewer.
+const MOST_PENDING: usize = 4_000;
 const RETRY_PAUSE: Duration = Duration::from_millis(50);
 
 /// What the writer is told.
@@ -93,7 +96,9 @@
         // The table has been away for long: reservations are refused, and outcomes beyond the
         // bound are given up, which leaves their keys reserved and so never runs them twice.
         match write.purpose {
-            KeyPurpose::Reserve { .. } => drop(write.unanswered(true, Duration::MAX)),
+            KeyPurpose::Reserve { .. } => {
+                drop(write.unanswered(TableError::Refused, Duration::MAX))
+            }
             KeyPurpose::Settle => error!("[gateway] Gave up keeping a request's outcome."),
         }
     }
@@ -102,13 +107,15 @@
         let mut rows = IndexSet::new();
         let mut batch = Vec::new();
         let mut later = VecDeque::new();
+        let mut bytes = 0;
         while let Some(write) = self.pending.pop_front() {
-            let fits = batch.len() < MOST_IN_BATCH && rows.insert(write.row.clone());
-            match fits {
-                true => batch.push(write),
-                false => later.push_back(write),
+            if !rows.insert(write.row.clone()) {
+                later.push_back(write);
+                continue;
             }
-            if batch.len() >= MOST_IN_BATCH {
+            bytes += write.size();
+            batch.push(write);
+            if batch.len() >= MOST_IN_BATCH || bytes >= MOST_BATCH_BYTES {
                 break;
             }
         }
@@ -158,7 +165,7 @@
             Err(error) => {
                 warn!("[gateway] Idempotency keys were not written: {}.", error);
                 let now = self.clock.monotonic();
-                self.again(batch, |write| write.unanswered(error.surely_not_run(), now));
+                self.again(batch, |write| write.unanswered(error, now));
                 myself.send_after(RETRY_PAUSE, || WriterMessage::Resume);
                 return;
             }
--- a/crates/gateway/src/pool_keeper.rs
+++ b/crates/gateway/src/pool_keeper.rs
@@ -41,6 +41,7 @@
     },
     gateway_shared::GatewayShared,
     pool_state::PoolState,
+    refusal::Refusal,
     route_snapshot::RouteSnapshot,
     service_pool::ServicePool,
     slot_key::{
@@ -264,9 +265,20 @@
         }
     }
     state.serving = serving;
+    if serving == 0 {
+        refuse_waiting(&mut state, now);
+    }
     report(pool, &state, unknown);
 }
 
+/// Gives waiting requests their final answer at once when no slot is left to wait for.
+fn refuse_waiting(state: &mut PoolState, now: Duration) {
+    while let Some(waiter) = state.queue.pop(now) {
+        // A waiter that left needs no answer.
+        waiter.reply.send(Err(Refusal::NoEndpoint)).ok();
+    }
+}
+
 fn refresh_slot(
     state: &mut PoolState,
     key: SlotKey,
--- /dev/null
+++ b/crates/gateway/src/pool_settlement.rs
@@ -0,0 +1,85 @@
+//! What a pool learns from the end of an exchange.
+
+use std::time::Duration;
+
+use crate::{
+    endpoint_entry::SlotPhase,
+    exchange_end::{
+        AnswerVerdict,
+        ExchangeEnd, //
+    },
+    gateway_settings::GatewaySettings,
+    pool_state::PoolState,
+    slot_key::SlotKey,
+};
+
+impl PoolState {
+    /// Takes in what became of a slot's exchange.
+    pub(crate) fn apply(
+        &mut self,
+        settings: &GatewaySettings,
+        key: SlotKey,
+        end: ExchangeEnd,
+        now: Duration,
+    ) {
+        self.slot(key).phase = SlotPhase::Idle;
+        match end {
+            ExchangeEnd::Unused { connection } => self.slot(key).connection = connection,
+            ExchangeEnd::Over => self.slot(key).linger(now + settings.longest_request),
+            ExchangeEnd::Unconnected => {
+                let hold = settings.refusal_hold;
+                let entry = self.entry(key.endpoint);
+                entry.score.failed();
+                entry.refusing.hold(now, hold, Duration::ZERO);
+            }
+            ExchangeEnd::Unknown => {
+                let until = now + settings.longest_request;
+                self.entry(key.endpoint).score.failed();
+                let slot = self.slot(key);
+                slot.phase = SlotPhase::Unknown { until };
+                slot.linger(until);
+                self.serving = self.serving.saturating_sub(1);
+            }
+            ExchangeEnd::Answered {
+                latency,
+                verdict,
+                connection,
+            } => {
+                self.entry(key.endpoint).keeps_open |= connection.is_some();
+                self.slot(key).connection = connection;
+                self.judge(settings, key, latency, verdict, now);
+            }
+        }
+    }
+
+    fn judge(
+        &mut self,
+        settings: &GatewaySettings,
+        key: SlotKey,
+        latency: Duration,
+        verdict: AnswerVerdict,
+        now: Duration,
+    ) {
+        let leaving_hold = settings.leaving_hold;
+        let refusal_hold = settings.refusal_hold;
+        let entry = self.entry(key.endpoint);
+        match verdict {
+            AnswerVerdict::Good | AnswerVerdict::Closing => {
+                entry.score.succeeded(latency);
+                entry.refusing.succeeded();
+            }
+            AnswerVerdict::Failed => entry.score.failed(),
+            AnswerVerdict::Refusing { asked } => {
+                entry.score.failed();
+                entry.refusing.hold(now, refusal_hold, asked);
+            }
+        }
+        if verdict == AnswerVerdict::Closing && entry.keeps_open {
+            entry.leaving.hold(now, leaving_hold, Duration::ZERO);
+            self.weigh_leaving(now);
+        }
+        if verdict == AnswerVerdict::Good {
+            self.latency.observe(latency);
+        }
+    }
+}
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -15,6 +15,7 @@
 
 use crate::{
     answer_body::AnswerBody,
+    body_fault::BodyFault,
     header_names::{
         EXECUTED,
         REASON, //
@@ -36,6 +37,12 @@
     /// The body did not come, or stopped coming.
     #[display("The request's body did not arrive in time.")]
     BodyStalled,
+    /// The body failed while it was passed on, for a fault of the caller's.
+    #[display("The request was given up: {_0}; whether it was run is not known.")]
+    BodyFailed(BodyFault),
+    /// The bodies that are held in memory have reached their bound.
+    #[display("Too many requests are being taken in; the request was not run.")]
+    MemoryFull,
     /// The protocol change or method is not offered.
     #[display("Upgrades and tunnels are not offered here.")]
     UpgradeRefused,
@@ -93,6 +100,8 @@
             Self::Malformed(_) => "malformed",
             Self::TooLarge => "too_large",
             Self::BodyStalled => "body_stalled",
+            Self::BodyFailed(_) => "body_failed",
+            Self::MemoryFull => "memory_full",
             Self::UpgradeRefused => "upgrade_refused",
             Self::NoRoute => "no_route",
             Self::NoEndpoint => "no_endpoint",
@@ -113,12 +122,14 @@
     pub(crate) fn status(self) -> StatusCode {
         match self {
             Self::Malformed(_) | Self::BadKey => StatusCode::BAD_REQUEST,
-            Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
-            Self::BodyStalled => StatusCode::REQUEST_TIMEOUT,
+            Self::TooLarge | Self::BodyFailed(BodyFault::TooLarge) => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::BodyFailed(BodyFault::CutShort) => StatusCode::BAD_REQUEST,
+            Self::BodyStalled | Self::BodyFailed(_) => StatusCode::REQUEST_TIMEOUT,
             Self::UpgradeRefused => StatusCode::NOT_IMPLEMENTED,
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::QueueFull { .. } => StatusCode::TOO_MANY_REQUESTS,
             Self::NoEndpoint
+            | Self::MemoryFull
             | Self::Overloaded { .. }
             | Self::QueueTimeout
             | Self::Unconnected
@@ -134,7 +145,11 @@
     pub(crate) fn surely_not_run(self) -> bool {
         !matches!(
             self,
-            Self::KeyInUse | Self::KeyAnswered | Self::EndpointFailed | Self::EndpointTimeout
+            Self::BodyFailed(_)
+                | Self::KeyInUse
+                | Self::KeyAnswered
+                | Self::EndpointFailed
+                | Self::EndpointTimeout
         )
     }
 
@@ -143,6 +158,7 @@
         let after = match self {
             Self::Overloaded { retry_after } | Self::QueueFull { retry_after } => retry_after,
             Self::NoEndpoint
+            | Self::MemoryFull
             | Self::QueueTimeout
             | Self::Unconnected
             | Self::KeyUnreserved
@@ -155,7 +171,12 @@
     fn ends_connection(self) -> bool {
         matches!(
             self,
-            Self::Malformed(_) | Self::TooLarge | Self::BodyStalled | Self::UpgradeRefused
+            Self::Malformed(_)
+                | Self::TooLarge
+                | Self::BodyStalled
+                | Self::BodyFailed(_)
+                | Self::MemoryFull
+                | Self::UpgradeRefused
         )
     }
 
--- a/crates/gateway/src/request_handler.rs
+++ b/crates/gateway/src/request_handler.rs
@@ -23,7 +23,10 @@
 use hyper::body::Incoming;
 use jasminebend_base::IdempotencyRule;
 use metrics::counter;
-use tokio::time::timeout;
+use tokio::{
+    sync::OwnedSemaphorePermit,
+    time::timeout, //
+};
 
 use crate::{
     answer_body::AnswerBody,
@@ -113,11 +116,12 @@
     let key = key_of(&request).filter(|_| !idempotent);
     let trace = (shared.settings.traces)
         .then(|| RequestTrace::begin(request.headers(), class.entry.class.as_str()));
-    let request = take_in(shared, request, caller.address).await?;
+    let (request, permit) = take_in(shared, request, caller.address).await?;
     let job = DeliveryJob {
         shared: Arc::clone(shared),
         plan: AttemptPlan {
             give_up: arrival + shared.settings.patience(class.entry.target),
+            connect: shared.settings.connect_patience(class.entry.target),
             idempotent,
         },
         demand: SlotDemand {
@@ -129,6 +133,7 @@
         ancient,
         trace,
         request,
+        _permit: permit,
     };
     let answer = match key {
         None => job.deliver().await,
@@ -151,6 +156,7 @@
     ancient: bool,
     trace: Option<RequestTrace>,
     request: Box<EndpointRequest>,
+    _permit: Option<OwnedSemaphorePermit>,
 }
 
 impl DeliveryJob {
@@ -212,13 +218,16 @@
     }
 }
 
+/// A request that is ready for the endpoint, and the memory that its body was allowed.
+type TakenIn = (Box<EndpointRequest>, Option<OwnedSemaphorePermit>);
+
 /// Prepares the request for the endpoint. A small body is taken in whole before any slot is taken,
-/// so that a slow caller holds no slot.
+/// so that a slow caller holds no slot; what all of them hold is bounded.
 async fn take_in(
     shared: &GatewayShared,
     request: Request<Incoming>,
     caller: IpAddr,
-) -> Result<Box<EndpointRequest>, Refusal> {
+) -> Result<TakenIn, Refusal> {
     let settings = &shared.settings;
     let (mut head, body) = request.into_parts();
     prepare_request(&mut head.uri, &mut head.headers, caller);
@@ -226,19 +235,24 @@
     head.extensions.clear();
     if body.is_end_stream() {
         let body = RequestBody::whole(Bytes::new());
-        return Ok(Box::new(Request::from_parts(head, body)));
+        return Ok((Box::new(Request::from_parts(head, body)), None));
     }
     let size = body.size_hint().exact();
     if size.is_some_and(|size| size > settings.most_body_bytes) {
         return Err(Refusal::TooLarge);
     }
-    let body = match size {
-        Some(size) if size <= settings.buffered_body_bytes => RequestBody::whole(
-            collect(body, settings.buffered_body_bytes, settings.body_stall).await?,
-        ),
-        _ => RequestBody::streamed(body, settings.most_body_bytes, settings.body_stall),
+    let small = size.filter(|size| *size <= settings.buffered_body_bytes);
+    let Some(size) = small else {
+        let body = RequestBody::streamed(body, settings.most_body_bytes, settings.body_stall);
+        return Ok((Box::new(Request::from_parts(head, body)), None));
     };
-    Ok(Box::new(Request::from_parts(head, body)))
+    let permits = u32::try_from(size).unwrap_or(u32::MAX);
+    let permit = Arc::clone(&shared.held_bytes)
+        .try_acquire_many_owned(permits)
+        .map_err(|_| Refusal::MemoryFull)?;
+    let whole = collect(body, settings.buffered_body_bytes, settings.body_stall).await?;
+    let request = Request::from_parts(head, RequestBody::whole(whole));
+    Ok((Box::new(request), Some(permit)))
 }
 
 async fn collect(body: Incoming, most: u64, patience: Duration) -> Result<Bytes, Refusal> {
--- a/crates/gateway/src/service_pool.rs
+++ b/crates/gateway/src/service_pool.rs
@@ -30,11 +30,7 @@
 
 use crate::{
     class_metrics::SILENT_CONNECTIONS,
-    endpoint_entry::SlotPhase,
-    exchange_end::{
-        AnswerVerdict,
-        ExchangeEnd, //
-    },
+    exchange_end::ExchangeEnd,
     gateway_settings::GatewaySettings,
     pool_state::{
         PoolState,
@@ -140,12 +136,15 @@
         }
     }
 
-    /// Gives a slot back, and hands it on to whoever waits.
-    pub(crate) fn settle(self: &Arc<Self>, key: SlotKey, end: ExchangeEnd) {
+    /// Gives a slot back that was held for so long, and hands it on to whoever waits.
+    pub(crate) fn settle(self: &Arc<Self>, key: SlotKey, end: ExchangeEnd, held: Duration) {
         let now = self.clock.monotonic();
         let mut state = self.lock();
         state.entry(key.endpoint).score.ended();
-        self.apply(&mut state, key, end, now);
+        if matches!(end, ExchangeEnd::Answered { .. }) {
+            state.holding.observe(held);
+        }
+        state.apply(&self.settings, key, end, now);
         state.list(Some(key));
         drop(state);
         self.idle.notify_waiters();
@@ -256,69 +255,6 @@
         let connection = slot.connection.take();
         SlotLease::new(Arc::clone(self), key, address, grant, connection)
     }
-
-    fn apply(&self, state: &mut PoolState, key: SlotKey, end: ExchangeEnd, now: Duration) {
-        state.slot(key).phase = SlotPhase::Idle;
-        match end {
-            ExchangeEnd::Unused { connection } => state.slot(key).connection = connection,
-            ExchangeEnd::Over => state.slot(key).linger(now + self.settings.longest_request),
-            ExchangeEnd::Unconnected => {
-                let hold = self.settings.refusal_hold;
-                let entry = state.entry(key.endpoint);
-                entry.score.failed();
-                entry.refusing.hold(now, hold, Duration::ZERO);
-            }
-            ExchangeEnd::Unknown => {
-                let until = now + self.settings.longest_request;
-                state.entry(key.endpoint).score.failed();
-                let slot = state.slot(key);
-                slot.phase = SlotPhase::Unknown { until };
-                slot.linger(until);
-                state.serving = state.serving.saturating_sub(1);
-            }
-            ExchangeEnd::Answered {
-                latency,
-                verdict,
-                connection,
-            } => {
-                state.entry(key.endpoint).keeps_open |= connection.is_some();
-                state.slot(key).connection = connection;
-                self.judge(state, key, latency, verdict, now);
-            }
-        }
-    }
-
-    fn judge(
-        &self,
-        state: &mut PoolState,
-        key: SlotKey,
-        latency: Duration,
-        verdict: AnswerVerdict,
-        now: Duration,
-    ) {
-        state.holding.observe(latency);
-        let leaving_hold = self.settings.leaving_hold;
-        let refusal_hold = self.settings.refusal_hold;
-        let entry = state.entry(key.endpoint);
-        match verdict {
-            AnswerVerdict::Good | AnswerVerdict::Closing => {
-                entry.score.succeeded(latency);
-                entry.refusing.succeeded();
-            }
-            AnswerVerdict::Failed => entry.score.failed(),
-            AnswerVerdict::Refusing { asked } => {
-                entry.score.failed();
-                entry.refusing.hold(now, refusal_hold, asked);
-            }
-        }
-        if verdict == AnswerVerdict::Closing && entry.keeps_open {
-            entry.leaving.hold(now, leaving_hold, Duration::ZERO);
-            state.weigh_leaving(now);
-        }
-        if verdict == AnswerVerdict::Good {
-            state.latency.observe(latency);
-        }
-    }
 }
 
 /// Takes out the next request that can still meet its target, and refuses those before it that
--- a/crates/gateway/src/slot_lease.rs
+++ b/crates/gateway/src/slot_lease.rs
@@ -2,7 +2,8 @@
 
 use std::{
     net::SocketAddr,
-    sync::Arc, //
+    sync::Arc,
+    time::Duration, //
 };
 
 use jasminebend_base::{
@@ -30,6 +31,7 @@
     pub(crate) sent: bool,
     pool: Arc<ServicePool>,
     key: SlotKey,
+    taken_at: Duration,
     held: bool,
 }
 
@@ -47,6 +49,7 @@
             grant,
             connection,
             sent: false,
+            taken_at: pool.clock.monotonic(),
             pool,
             key,
             held: true,
@@ -66,7 +69,12 @@
     /// Gives the slot back.
     pub(crate) fn end(mut self, end: ExchangeEnd) {
         self.held = false;
-        self.pool.settle(self.key, end);
+        self.settle(end);
+    }
+
+    fn settle(&self, end: ExchangeEnd) {
+        let held = self.pool.clock.monotonic().saturating_sub(self.taken_at);
+        self.pool.settle(self.key, end, held);
     }
 
     /// Forgets the lease; whoever calls this gives the slot back by other means.
@@ -87,6 +95,6 @@
                 connection: self.connection.take(),
             },
         };
-        self.pool.settle(self.key, end);
+        self.settle(end);
     }
 }
--- a/crates/gateway/tests/requests/bounds.rs
+++ b/crates/gateway/tests/requests/bounds.rs
@@ -65,6 +65,34 @@
     assert_eq!(endpoint.seen(), 1);
 }
 
+// Many callers begin a body and do not end it. What has come of them is held in memory: beyond the
+// bound more are refused, and no memory is taken for them.
+#[tokio::test]
+async fn the_bodies_held_in_memory_are_bounded() {
+    let endpoint = ScriptEndpoint::start().await;
+    let builder = GatewayBuilder::new().with_endpoint(&endpoint, 1);
+    let gateway = builder
+        .with_settings(|settings| settings.with_held_bytes(1000))
+        .start()
+        .await;
+    let head = "POST /a HTTP/1.1\r\nhost: shop\r\ncontent-length: 900\r\n\r\nab";
+    let held = send(gateway.address, head).await;
+    let body = "x".repeat(900);
+    let refused = loop {
+        let reply = ask(gateway.address, "POST /b", "", &body).await;
+        if reply.status != 200 {
+            break reply;
+        }
+    };
+    assert_eq!(
+        (refused.status, refused.reason()),
+        (503, Some("memory_full"))
+    );
+    assert_eq!(gateway.get("/c").await.status, 200);
+    drop(held);
+    while ask(gateway.address, "POST /b", "", &body).await.status != 200 {}
+}
+
 // A caller takes nothing of a large answer. It is cut off, and the answer is not gathered in memory
 // meanwhile: the endpoint is held back.
 #[tokio::test]
@@ -104,7 +132,7 @@
         "x".repeat(2000)
     );
     let reply = exchange(gateway.address, &chunked).await;
-    assert!(reply.status >= 400, "{reply:?}");
+    assert_eq!((reply.status, reply.executed()), (413, Some("unknown")));
     let header = format!("x: {}\r\n", "y".repeat(20 * 1024));
     assert_eq!(
         ask(gateway.address, "GET /a", &header, "").await.status,
--- a/crates/gateway/tests/requests/idempotency_keys.rs
+++ b/crates/gateway/tests/requests/idempotency_keys.rs
@@ -3,11 +3,18 @@
 //! The gateways here are all made with the same seed: taken for the numbers of the reservations, it
 //! once made two daemons believe that each other's reservation was their own, and both ran it.
 
-use std::time::Duration;
+use std::{
+    sync::Arc,
+    time::{
+        Duration,
+        SystemTime, //
+    },
+};
 
 use jasminebend_standins::{
     CallKind,
     FaultKind,
+    ManualClock,
     OutageState,
     TableStandIn, //
 };
@@ -203,3 +210,44 @@
     }
     assert_eq!((endpoint.seen(), table.rows("").len()), (0, 0));
 }
+
+// Keys are kept for their retention and then removed, so that the table does not grow for ever; the
+// ones that are still due stay.
+#[tokio::test]
+async fn keys_are_removed_after_their_retention_and_no_earlier() {
+    let endpoint = ScriptEndpoint::start().await;
+    let table = TableStandIn::new();
+    let hour = Duration::from_secs(3600);
+    for (shares, retention, key) in [(8..16, hour, "old"), (8..16, 100 * hour, "new")] {
+        let builder = GatewayBuilder::new().with_endpoint(&endpoint, 8);
+        let gateway = builder
+            .with_table(&table)
+            .with_shares(shares)
+            .with_settings(|settings| settings.with_key_retention(retention))
+            .start()
+            .await;
+        assert_eq!(gateway.post_keyed("a", key).await.status, 200);
+        gateway.gateway.drain().await;
+    }
+    let later = Arc::new(ManualClock::new());
+    let now = SystemTime::now()
+        .duration_since(SystemTime::UNIX_EPOCH)
+        .unwrap();
+    later.advance(now + 3 * hour);
+    let builder = GatewayBuilder::new().with_endpoint(&endpoint, 8);
+    let sweeping = builder.with_table(&table).with_clock(later).start().await;
+    while table.rows("request-keys/by-key/").len() > 1 {
+        sleep(Duration::from_millis(5)).await;
+    }
+    let listed = table.rows("request-keys/by-expiry/");
+    drop(sweeping);
+    let second = daemon(&endpoint, &table, false).await;
+    assert_eq!(
+        second
+            .post_keyed("a", "new")
+            .await
+            .header("idempotency-replayed"),
+        Some("true")
+    );
+    assert!(listed.len() <= 2, "{listed:?}");
+}
--- a/crates/gateway/tests/requests/support/test_gateway.rs
+++ b/crates/gateway/tests/requests/support/test_gateway.rs
@@ -28,7 +28,10 @@
     GatewayEdges,
     GatewaySettings, //
 };
-use jasminebend_ports::SystemClock;
+use jasminebend_ports::{
+    ClockSource,
+    SystemClock, //
+};
 use jasminebend_standins::{
     FixedOwnership,
     TableStandIn, //
@@ -56,6 +59,7 @@
     target: Duration,
     rule: IdempotencyRule,
     table: TableStandIn,
+    clock: Arc<dyn ClockSource>,
 }
 
 impl GatewayBuilder {
@@ -67,9 +71,15 @@
             target: Duration::from_secs(10),
             rule: IdempotencyRule::ByMethod,
             table: TableStandIn::new(),
+            clock: Arc::new(SystemClock::new()),
         }
     }
 
+    pub(crate) fn with_clock(mut self, clock: Arc<dyn ClockSource>) -> Self {
+        self.clock = clock;
+        self
+    }
+
     /// Adds an endpoint with so many slots, in the domain `east`.
     pub(crate) fn with_endpoint(self, endpoint: &ScriptEndpoint, slots: u16) -> Self {
         self.with_endpoint_in(endpoint.address, slots, "east")
@@ -140,7 +150,7 @@
             configuration: configuration.subscribe(),
             vms: vms.subscribe(),
             table: Arc::new(self.table.clone()),
-            clock: Arc::new(SystemClock::new()),
+            clock: self.clock,
             seed: 7,
         };
         let gateway = Gateway::new(self.settings, edges);
