Run jobs and three daemons end to end, and name jobs one way

A job was submitted under sixteen hexadecimal digits and listed under a number: an operator could not cancel what the list showed, and readers of JSON lose the last digits of so large a number. The API now names it by its digits everywhere; found by the new test that submits, repeats, lists and cancels.

A test with three daemons in three failure domains takes a domain out at one and sees it at another, then stops one while the others go on. Waits in tests give up after a minute in place of hanging.

--- a/crates/jasminebend/src/entry_control.rs
+++ b/crates/jasminebend/src/entry_control.rs
@@ -24,6 +24,7 @@
 use jasminebend_placement::JobId;
 use jasminebend_planner::{
     JobError,
+    JobStatus,
     PlannerHandle,
     SubmitError, //
 };
@@ -138,14 +139,13 @@
 
     async fn job(&self, job: &str) -> Result<serde_json::Value, ControlError> {
         let status = self.planner.job(parse_job(job)?).await;
-        status.map(|status| to_json(&status)).map_err(explain_job)
+        status.map(|status| present(&status)).map_err(explain_job)
     }
 
     async fn jobs(&self) -> Result<serde_json::Value, ControlError> {
         let statuses = self.planner.jobs().await;
-        statuses
-            .map(|statuses| to_json(&statuses))
-            .map_err(explain_job)
+        let statuses = statuses.map_err(explain_job)?;
+        Ok(statuses.iter().map(present).collect())
     }
 }
 
@@ -203,6 +203,14 @@
     }
 }
 
+/// Names the job as its submission did, by sixteen hexadecimal digits: many readers of JSON lose
+/// the last digits of so large a number.
+fn present(status: &JobStatus) -> serde_json::Value {
+    let mut value = to_json(status);
+    value["job"] = status.job.to_string().into();
+    value
+}
+
 fn parse_job(text: &str) -> Result<JobId, ControlError> {
     text.parse().map_err(|_| ControlError::NotFound {
         kind: "job",
--- a/crates/jasminebend/tests/administration/access.rs
+++ b/crates/jasminebend/tests/administration/access.rs
@@ -1,9 +1,6 @@
 //! Who may come in, and with which role.
 
-use std::{
-    path::Path,
-    time::Duration, //
-};
+use std::path::Path;
 
 use http::Method;
 use jasminebend::{
@@ -25,7 +22,6 @@
     TargetOptions, //
 };
 use rcgen::generate_simple_self_signed;
-use tokio::time::sleep;
 
 use crate::{
     harness::{
@@ -34,7 +30,8 @@
         PlainCall,
         READ,
         settings,
-        tokens_file, //
+        tokens_file,
+        until, //
     },
     temporary_directory::TemporaryDirectory,
 };
@@ -92,9 +89,10 @@
         harness.call(call).await.status.as_u16()
     };
     directory.write("tokens.yaml", &tokens_file(&[("olga", "operate", "new")]));
-    while status("new").await != 200 {
-        sleep(Duration::from_millis(20)).await;
-    }
+    until("the new token in force", async || {
+        status("new").await == 200
+    })
+    .await;
     assert_eq!(status(OPERATE).await, 401);
 }
 
@@ -180,9 +178,8 @@
     let old = directory.write("old.crt", &std::fs::read_to_string(&tls.cert_file).unwrap());
     assert_eq!(ask_over_tls(&harness, &old, &token).await, Ok(200));
     write_certificate(&directory);
-    while ask_over_tls(&harness, &tls.cert_file, &token).await != Ok(200) {
-        sleep(Duration::from_millis(20)).await;
-    }
+    let replaced = async || ask_over_tls(&harness, &tls.cert_file, &token).await == Ok(200);
+    until("the new certificate in force", replaced).await;
     let stale = ask_over_tls(&harness, &old, &token).await;
     assert!(matches!(stale, Err(CallError::Unreachable { .. })));
 }
--- a/crates/jasminebend/tests/administration/harness.rs
+++ b/crates/jasminebend/tests/administration/harness.rs
@@ -2,7 +2,8 @@
 
 use std::{
     net::SocketAddr,
-    sync::Arc, //
+    sync::Arc,
+    time::Duration, //
 };
 
 use bytes::Bytes;
@@ -31,10 +32,16 @@
     ChangeOutcome,
     DomainName, //
 };
-use tokio::net::TcpStream;
+use tokio::{
+    net::TcpStream,
+    time::sleep, //
+};
 
 use crate::control_fake::ControlFake;
 
+const PAUSE: Duration = Duration::from_millis(20);
+const MOST_LOOKS: usize = 3000;
+
 /// The token of the operator `olga`, who may operate.
 pub(crate) const OPERATE: &str = "operate-token";
 /// The token of the operator `rita`, who may read.
@@ -139,3 +146,17 @@
         serde_json::from_str(&self.body).expect("an outcome")
     }
 }
+
+/// Waits until `done`, and fails the test instead of hanging should that never come.
+pub(crate) async fn until<Done>(what: &str, mut done: Done)
+where
+    Done: AsyncFnMut() -> bool,
+{
+    for _ in 0..MOST_LOOKS {
+        if done().await {
+            return;
+        }
+        sleep(PAUSE).await;
+    }
+    panic!("{what}: never");
+}
--- a/crates/jasminebend/tests/daemon/caller.rs
+++ b/crates/jasminebend/tests/daemon/caller.rs
@@ -1,6 +1,9 @@
 //! A caller, and an operator.
 
-use std::net::SocketAddr;
+use std::{
+    net::SocketAddr,
+    time::Duration, //
+};
 
 use bytes::Bytes;
 use http::{
@@ -22,7 +25,13 @@
     OperatorCommand,
     TargetOptions, //
 };
-use tokio::net::TcpStream;
+use tokio::{
+    net::TcpStream,
+    time::sleep, //
+};
+
+const PAUSE: Duration = Duration::from_millis(20);
+const MOST_LOOKS: usize = 3000;
 
 /// What became of a caller's request.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
@@ -68,6 +77,30 @@
     }
 }
 
+/// Waits until `done`, and fails the test instead of hanging should that never come.
+pub(crate) async fn until<Done>(what: &str, mut done: Done)
+where
+    Done: AsyncFnMut() -> bool,
+{
+    for _ in 0..MOST_LOOKS {
+        if done().await {
+            return;
+        }
+        sleep(PAUSE).await;
+    }
+    panic!("{what}: never");
+}
+
+/// Waits until the daemon answers an order whole; each try has an identity of its own.
+pub(crate) async fn wait_until_served(daemon: SocketAddr, id: &str) {
+    let mut number = 0;
+    let served = async || {
+        number += 1;
+        order(daemon, &format!("{id}-{daemon}-{number}")).await == CallerOutcome::Whole
+    };
+    until("an answered order", served).await;
+}
+
 /// Makes one call of the administration API.
 pub(crate) async fn operate(daemon: SocketAddr, call: AdminCall) -> AdminAnswer {
     let mut options = TargetOptions::new();
@@ -90,9 +123,8 @@
         expected: Some(configuration.version),
         body: serde_json::to_vec(configuration).expect("JSON").into(),
     };
-    while operate(daemon, call.clone()).await.status == StatusCode::SERVICE_UNAVAILABLE {
-        tokio::time::sleep(std::time::Duration::from_millis(20)).await;
-    }
+    let taken = async || operate(daemon, call.clone()).await.status == StatusCode::OK;
+    until("a configuration taken", taken).await;
 }
 
 /// Sends a plain request with these headers, and returns its status.
--- a/crates/jasminebend/tests/daemon/graceful_stop.rs
+++ b/crates/jasminebend/tests/daemon/graceful_stop.rs
@@ -32,7 +32,9 @@
         CallerOutcome,
         configure,
         operate,
-        order, //
+        order,
+        until,
+        wait_until_served, //
     },
     platform::{
         TestPlatform,
@@ -57,14 +59,6 @@
     operate(admin, call).await.status.is_success()
 }
 
-async fn wait_until_served(daemon: SocketAddr) {
-    let mut number = 0;
-    while order(daemon, &format!("first-{number}")).await != CallerOutcome::Whole {
-        number += 1;
-        sleep(Duration::from_millis(20)).await;
-    }
-}
-
 /// Sends orders one after another until it is told to stop, and counts what became of them.
 async fn send_orders(
     daemon: SocketAddr,
@@ -91,7 +85,7 @@
     let program = RunningProgram::start(&settings);
     let (callers, admin) = (program.callers, program.admin);
     configure(admin, &configuration()).await;
-    wait_until_served(callers).await;
+    wait_until_served(callers, "first").await;
     assert!(is_ready(admin).await);
     let stop = Arc::new(AtomicBool::new(false));
     let mut load = JoinSet::new();
@@ -100,9 +94,7 @@
     }
     sleep(Duration::from_millis(700)).await;
     program.terminate();
-    while is_ready(admin).await {
-        sleep(Duration::from_millis(5)).await;
-    }
+    until("not ready", async || !is_ready(admin).await).await;
     stop.store(true, Ordering::Relaxed);
     program.terminate();
     let mut total = IndexMap::new();
@@ -130,7 +122,7 @@
     let lines = "drain:\n  balancer_lag: 0s\n  leave_timeout: 1s\n";
     let program = RunningProgram::start(&platform.settings_file(lines));
     configure(program.admin, &configuration()).await;
-    wait_until_served(program.callers).await;
+    wait_until_served(program.callers, "first").await;
     platform
         .table
         .faults()
--- a/crates/jasminebend/tests/daemon/main.rs
+++ b/crates/jasminebend/tests/daemon/main.rs
@@ -3,7 +3,9 @@
 mod caller;
 mod collector;
 mod graceful_stop;
+mod jobs;
 mod platform;
 mod program;
+mod three_daemons;
 mod traces;
 mod whole_path;
--- a/crates/jasminebend/tests/daemon/platform.rs
+++ b/crates/jasminebend/tests/daemon/platform.rs
@@ -13,6 +13,14 @@
     time::Duration,
 };
 
+use jasminebend::{
+    DaemonEdges,
+    DaemonSettings,
+    EntryDaemon,
+    ListenSettings,
+    PeerKeySource,
+    SecretText, //
+};
 use jasminebend_base::{
     ClassKind,
     ClassName,
@@ -22,31 +30,44 @@
     DomainState,
     FailureDomain,
     IdempotencyRule,
+    ResourceAmount,
     RouteRule,
     ServiceClass,
-    ServiceName, //
+    ServiceName,
+    TeamName,
+    TeamQuota, //
+};
+use jasminebend_ports::{
+    ClockSource,
+    HttpWorkers,
+    SystemClock, //
 };
 use jasminebend_standins::{
     EndpointKnobs,
     EndpointLedger,
     EndpointStandIn,
+    FleetShape,
     ObjectStandIn,
+    RunLedger,
     ServerGuard,
     ServiceTime,
     TableStandIn,
-    VmListStandIn, //
+    VmListStandIn,
+    WorkerFleet, //
 };
 
 const SEED: u64 = 7;
+const SECRET: &str = "a secret of the tests";
 const SERVICE: &str = "shop";
 static NEXT: AtomicU32 = AtomicU32::new(0);
 
-/// The platform and one endpoint of the service `shop` in the failure domain `a`.
+/// The platform, one endpoint of the service `shop` and two workers, in the failure domain `a`.
 pub(crate) struct TestPlatform {
     pub(crate) table: TableStandIn,
     pub(crate) objects: ObjectStandIn,
     pub(crate) vm_list: VmListStandIn,
     pub(crate) ledger: Arc<EndpointLedger>,
+    pub(crate) runs: Arc<RunLedger>,
     directory: PathBuf,
     settings: String,
     _guards: Vec<ServerGuard>,
@@ -61,7 +82,12 @@
         };
         let endpoint = EndpointStandIn::new("vm-1", Arc::clone(&ledger), SEED).with_knobs(knobs);
         let (address, endpoint_guard) = endpoint.start().await.expect("a free port");
-        let vm_list = VmListStandIn::new(vec![endpoint.record("a", SERVICE, address)]);
+        let runs = Arc::new(RunLedger::new());
+        let mut fleet = fleet(&runs);
+        let worker_guards = fleet.start_servers().await.expect("free ports");
+        let mut vms = fleet.records();
+        vms.push(endpoint.record("a", SERVICE, address));
+        let vm_list = VmListStandIn::new(vms);
         let (list_address, list_guard) = vm_list.start().await.expect("a free port");
         let table = TableStandIn::new();
         let (table_address, table_guard) = table.start().await.expect("a free port");
@@ -72,7 +98,7 @@
         let directory = std::env::temp_dir().join(name);
         fs::create_dir_all(&directory).expect("a directory");
         let key_file = directory.join("peer.key");
-        fs::write(&key_file, "a secret of the tests\n").expect("a file");
+        fs::write(&key_file, SECRET).expect("a file");
         let settings = format!(
             "listen:\n  callers: 127.0.0.1:0\n  administration: 127.0.0.1:0\n  \
              peers: 127.0.0.1:0\nvm: entry-1\nfailure_domain: a\nregion: north\nseats: 1\n\
@@ -80,17 +106,43 @@
              table: {table_address}\n  objects: {objects_address}\n  vm_list: {list_address}\n",
             key_file.display(),
         );
+        let mut guards = vec![endpoint_guard, list_guard, table_guard, objects_guard];
+        guards.extend(worker_guards);
         Self {
             table,
             objects,
             vm_list,
             ledger,
+            runs,
             directory,
             settings,
-            _guards: vec![endpoint_guard, list_guard, table_guard, objects_guard],
+            _guards: guards,
         }
     }
 
+    /// Starts a daemon in the test's process.
+    pub(crate) async fn daemon(&self, domain: &str, seats: u8) -> EntryDaemon {
+        let settings = DaemonSettings::new(
+            ListenSettings::new(),
+            DomainName::from(domain),
+            PeerKeySource::Text(SecretText::new(SECRET)),
+        );
+        let settings = settings
+            .with_seats(seats)
+            .with_slot_shares(6)
+            .with_shards(1)
+            .with_balancer_lag(Duration::ZERO);
+        let edges = DaemonEdges {
+            table: Arc::new(self.table.clone()),
+            objects: Arc::new(self.objects.clone()),
+            vm_list: Arc::new(self.vm_list.clone()),
+            workers: Arc::new(HttpWorkers::new()),
+            clock: Arc::new(SystemClock::new()),
+            seed: u64::from(NEXT.fetch_add(1, Ordering::Relaxed)),
+        };
+        EntryDaemon::start(settings, edges).await.expect("a daemon")
+    }
+
     /// Writes a settings file for a daemon on this platform, with these lines after its own.
     pub(crate) fn settings_file(&self, lines: &str) -> PathBuf {
         let path = self.directory.join("settings.yaml");
@@ -99,14 +151,25 @@
     }
 }
 
+fn fleet(runs: &Arc<RunLedger>) -> WorkerFleet {
+    let clock: Arc<dyn ClockSource> = Arc::new(SystemClock::new());
+    let shape = FleetShape {
+        workers: 2,
+        domains: vec![DomainName::from("a")],
+        rack_size: 2,
+        capacity: ResourceAmount::new(4000, 4096),
+    };
+    WorkerFleet::new(&shape, &clock, runs, SEED)
+}
+
 impl Drop for TestPlatform {
     fn drop(&mut self) {
         drop(fs::remove_dir_all(&self.directory));
     }
 }
 
-/// A configuration of two failure domains, the class `quotes` of the service, and the batch class
-/// `reconciliation`.
+/// A configuration of two failure domains, the class `quotes` of the service, the batch class
+/// `reconciliation`, and the team `benches`.
 pub(crate) fn configuration() -> Configuration {
     let domain = |name| FailureDomain {
         name: DomainName::from(name),
@@ -115,17 +178,36 @@
     };
     Configuration {
         domains: vec![domain("a"), domain("b")],
-        classes: vec![ServiceClass {
-            name: ClassName::from("quotes"),
-            kind: ClassKind::Service,
-            target: ClassTarget::AnswerWithin(Duration::from_secs(2)),
-            service: Some(ServiceName::from(SERVICE)),
-            route: Some(RouteRule {
-                host: None,
-                path_prefix: "/".to_owned(),
-            }),
-            idempotency: IdempotencyRule::ByMethod,
+        classes: vec![quotes(), reconciliation()],
+        teams: vec![TeamQuota {
+            name: TeamName::from("benches"),
+            limit: ResourceAmount::new(8000, 8192),
         }],
         ..Configuration::default()
     }
 }
+
+fn quotes() -> ServiceClass {
+    ServiceClass {
+        name: ClassName::from("quotes"),
+        kind: ClassKind::Service,
+        target: ClassTarget::AnswerWithin(Duration::from_secs(2)),
+        service: Some(ServiceName::from(SERVICE)),
+        route: Some(RouteRule {
+            host: None,
+            path_prefix: "/".to_owned(),
+        }),
+        idempotency: IdempotencyRule::ByMethod,
+    }
+}
+
+fn reconciliation() -> ServiceClass {
+    ServiceClass {
+        name: ClassName::from("reconciliation"),
+        kind: ClassKind::Batch,
+        target: ClassTarget::FinishWithin(Duration::from_secs(3600)),
+        service: None,
+        route: None,
+        idempotency: IdempotencyRule::ByMethod,
+    }
+}
