Notice a secret that is replaced during the start, and keep the daemon's gauges

A peer key or token file replaced between its first reading and the start of its watch went unnoticed until it was replaced again; seen in review of a test that wrote the file right after the start. The watch now begins before the reading. The real program is tested to follow its peer key, to keep the old one when the new is refused, to survive SIGHUP, and to log one JSON object a line.

A head that does not arrive ends its connection after the administration timeout, if that is shorter than ten seconds. New gauges tell whether the daemon is ready, which configuration it acts by, and what the process uses.

--- a/crates/jasminebend/benches/administration_cost.rs
+++ b/crates/jasminebend/benches/administration_cost.rs
@@ -3,7 +3,6 @@
 //! `cargo bench --package jasminebend --bench administration_cost`
 
 use std::{
-    fs,
     sync::Arc,
     time::{
         Duration,
@@ -21,6 +20,7 @@
     LogLevel,
     LogSettings,
     PeerKeySource,
+    ProcessUsage,
     SecretText,
     set_up_log, //
 };
@@ -57,8 +57,6 @@
 const CHANGES: u32 = 10;
 const READINGS: u32 = 200;
 const IDLE: Duration = Duration::from_secs(10);
-/// The unit of the processor times in `/proc`.
-const TICK: Duration = Duration::from_millis(10);
 
 fn main() {
     let runtime = tokio::runtime::Runtime::new().expect("a runtime");
@@ -75,13 +73,13 @@
     while !daemon.ready() {
         sleep(Duration::from_millis(10)).await;
     }
-    let before = processor_time();
+    let before = usage().processor;
     sleep(IDLE).await;
-    let idle = processor_time() - before;
+    let idle = usage().processor - before;
     let share = 100.0 * idle.as_secs_f64() / IDLE.as_secs_f64();
     println!(
         "one idle daemon with its platform: {share:.2}% of a core, {} KiB",
-        resident()
+        usage().resident >> 10
     );
     println!("classes  body bytes  change ms  change cpu ms  reading ms  reading cpu ms");
     let mut version = 0;
@@ -111,12 +109,12 @@
 /// Returns milliseconds of time, and of processor time, for each run.
 async fn run(times: u32, mut work: impl AsyncFnMut()) -> (f64, f64) {
     let begun = Instant::now();
-    let before = processor_time();
+    let before = usage().processor;
     for _ in 0..times {
         work().await;
     }
     let each = |time: Duration| time.as_secs_f64() * 1000.0 / f64::from(times);
-    (each(begun.elapsed()), each(processor_time() - before))
+    (each(begun.elapsed()), each(usage().processor - before))
 }
 
 async fn start() -> EntryDaemon {
@@ -181,17 +179,6 @@
     call
 }
 
-fn processor_time() -> Duration {
-    let stat = fs::read_to_string("/proc/self/stat").expect("a process");
-    let (_, fields) = stat.rsplit_once(") ").expect("fields");
-    let fields: Vec<&str> = fields.split(' ').collect();
-    let ticks = |place: usize| fields[place].parse::<u32>().expect("ticks");
-    TICK * (ticks(11) + ticks(12))
-}
-
-fn resident() -> u64 {
-    let status = fs::read_to_string("/proc/self/status").expect("a process");
-    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
-    let text = line.expect("a size").trim().trim_end_matches(" kB");
-    text.parse().expect("a number")
+fn usage() -> ProcessUsage {
+    ProcessUsage::read().expect("a Linux process")
 }
--- a/crates/jasminebend/src/admin_server.rs
+++ b/crates/jasminebend/src/admin_server.rs
@@ -135,7 +135,7 @@
         });
         let connection = http1::Builder::new()
             .timer(TokioTimer::new())
-            .header_read_timeout(HEAD_TIMEOUT)
+            .header_read_timeout(HEAD_TIMEOUT.min(self.limits.administration_timeout))
             .max_buf_size(self.limits.headers)
             .serve_connection(TokioIo::new(stream), service);
         let mut connection = std::pin::pin!(connection);
--- a/crates/jasminebend/src/entry_daemon.rs
+++ b/crates/jasminebend/src/entry_daemon.rs
@@ -42,11 +42,11 @@
         local_address, //
     },
     entry_control::EntryControl,
+    gauge_keeper::GaugeKeeper,
     peer_keys::PeerKeys,
-    secret_watch::watch_secret,
+    secret_watch::SecretWatch,
 };
 
-const METRICS_PERIOD: Duration = Duration::from_secs(5);
 /// A request's body up to this size is taken in whole before a slot is taken for it; in bytes.
 const BUFFERED_BODY: u64 = 64 << 10;
 /// Seeds of the parts differ, so that no two parts draw the same numbers.
@@ -78,6 +78,7 @@
         let front = AdminFront::bind(&settings).await?;
         let listener = bind("listen.callers", settings.listen.callers).await?;
         let callers = local_address("listen.callers", &listener)?;
+        let watch = key_watch(&settings.peer_key);
         let keys = PeerKeys::read(&settings.peer_key)?;
         let cluster = start_cluster(&settings, keys, front.address()?, &edges).await?;
         let gateway = start_gateway(&settings, &cluster, &edges);
@@ -91,8 +92,9 @@
         let admin = front.serve(control.clone(), metrics.clone())?;
         let (background, ended) = watch::channel(());
         let mut tasks = JoinSet::new();
-        tasks.spawn(tidy_metrics(metrics, ended.clone()));
-        spawn_key_watch(&mut tasks, &settings.peer_key, &cluster, ended);
+        let gauges = GaugeKeeper::new(control.clone(), metrics, &settings.domain);
+        tasks.spawn(gauges.run(ended.clone()));
+        spawn_key_watch(&mut tasks, watch, &cluster, ended);
         spawn_callers(&mut tasks, &gateway, listener);
         info!("[daemon] Callers are served on {callers}.");
         info!("[daemon] Operators are served on {}.", admin.address());
@@ -229,13 +231,20 @@
     tasks.spawn(Arc::clone(gateway).serve(listener));
 }
 
+fn key_watch(source: &PeerKeySource) -> Option<SecretWatch> {
+    match source {
+        PeerKeySource::File(path) => Some(SecretWatch::new(path)),
+        PeerKeySource::Text(_) => None,
+    }
+}
+
 fn spawn_key_watch(
     tasks: &mut JoinSet<()>,
-    source: &PeerKeySource,
+    watch: Option<SecretWatch>,
     cluster: &ClusterHandle,
     ended: watch::Receiver<()>,
 ) {
-    let PeerKeySource::File(path) = source else {
+    let Some(watch) = watch else {
         return;
     };
     let cluster = cluster.clone();
@@ -243,14 +252,5 @@
         cluster.set_keys(PeerKeys::parse(text)?.ring());
         Ok(())
     };
-    tasks.spawn(watch_secret(path.clone(), apply, ended));
-}
-
-async fn tidy_metrics(metrics: MetricsHub, mut ended: watch::Receiver<()>) {
-    loop {
-        tokio::select! {
-            _ = ended.changed() => return,
-            () = sleep(METRICS_PERIOD) => metrics.tidy(),
-        }
-    }
+    tasks.spawn(watch.run(apply, ended));
 }
--- a/crates/jasminebend/src/lib.rs
+++ b/crates/jasminebend/src/lib.rs
@@ -25,6 +25,7 @@
 mod entry_control;
 mod entry_daemon;
 mod file_watch;
+mod gauge_keeper;
 mod given_key;
 mod key_reader;
 mod key_watch;
@@ -38,6 +39,7 @@
 mod peer_keys;
 mod platform_edges;
 mod platform_settings;
+mod process_usage;
 mod program;
 mod raw_settings;
 mod secret_text;
@@ -100,6 +102,7 @@
     operator_identity::OperatorIdentity,
     peer_key_source::PeerKeySource,
     platform_settings::PlatformSettings,
+    process_usage::ProcessUsage,
     program::run_program,
     secret_text::SecretText,
     settings_error::SettingsError,
--- a/crates/jasminebend/src/service.rs
+++ b/crates/jasminebend/src/service.rs
@@ -24,7 +24,6 @@
     TraceExport,
     peer_keys::PeerKeys,
     platform_edges::PlatformEdges,
-    secret_watch::watch_secret,
     set_up_log, //
 };
 
@@ -44,8 +43,8 @@
     let traces = settings.traces;
     let traces = TraceExport::install(traces, settings.domain.as_str(), Handle::current())?;
     let (background, ended) = watch::channel(());
-    if let (Some(path), Some(token)) = (platform.token_file, reached.token) {
-        tokio::spawn(watch_secret(path, replace(token), ended));
+    if let Some((token, watch)) = reached.token {
+        tokio::spawn(watch.run(replace(token), ended));
     }
     let daemon = EntryDaemon::start(settings, reached.edges).await?;
     signals.first().await;
--- a/crates/jasminebend/tests/administration/api.rs
+++ b/crates/jasminebend/tests/administration/api.rs
@@ -196,6 +196,11 @@
     let mut answer = String::new();
     stream.read_to_string(&mut answer).await.unwrap();
     assert!(answer.starts_with("HTTP/1.1 408"), "{answer}");
+    let mut stream = TcpStream::connect(harness.guard.address()).await.unwrap();
+    stream.write_all(b"GET /v1/status HT").await.unwrap();
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).await.unwrap();
+    assert!(!answer.contains(" 200 "), "{answer}");
 }
 
 #[tokio::test]
--- a/crates/jasminebend/tests/daemon/main.rs
+++ b/crates/jasminebend/tests/daemon/main.rs
@@ -4,6 +4,7 @@
 mod collector;
 mod graceful_stop;
 mod jobs;
+mod key_files;
 mod platform;
 mod program;
 mod three_daemons;
--- a/crates/jasminebend/tests/daemon/platform.rs
+++ b/crates/jasminebend/tests/daemon/platform.rs
@@ -143,6 +143,11 @@
         EntryDaemon::start(settings, edges).await.expect("a daemon")
     }
 
+    /// Writes a file beside the settings.
+    pub(crate) fn write(&self, name: &str, content: &str) {
+        fs::write(self.directory.join(name), content).expect("a file");
+    }
+
     /// Writes a settings file for a daemon on this platform, with these lines after its own.
     pub(crate) fn settings_file(&self, lines: &str) -> PathBuf {
         let path = self.directory.join("settings.yaml");
--- a/crates/jasminebend/tests/daemon/program.rs
+++ b/crates/jasminebend/tests/daemon/program.rs
@@ -44,8 +44,9 @@
         let written = Arc::clone(&log);
         thread::spawn(move || {
             for line in BufReader::new(stderr).lines().map_while(Result::ok) {
-                if let Some((_, address)) = line.split_once(" are served on ") {
-                    drop(sender.send(address.trim_end_matches('.').to_owned()));
+                if let Some((_, rest)) = line.split_once(" are served on ") {
+                    let end = rest.find(['"', ' ']).unwrap_or(rest.len());
+                    drop(sender.send(rest[..end].trim_end_matches('.').to_owned()));
                 }
                 written.lock().expect("a log").push(line);
             }
@@ -64,11 +65,27 @@
         }
     }
 
+    /// Sends SIGTERM.
     pub(crate) fn terminate(&self) {
+        self.signal(libc::SIGTERM);
+    }
+
+    /// Sends SIGHUP.
+    pub(crate) fn hang_up(&self) {
+        self.signal(libc::SIGHUP);
+    }
+
+    /// Tells whether a line with these words is in the log so far.
+    pub(crate) fn has_logged(&self, words: &str) -> bool {
+        let log = self.log.lock().expect("a log");
+        log.iter().any(|line| line.contains(words))
+    }
+
+    fn signal(&self, signal: i32) {
         let process = i32::try_from(self.child.id()).expect("a process");
         // SAFETY: The call only sends a signal to the child, which is not waited for yet, so that
         // its number cannot belong to another process.
-        let sent = unsafe { libc::kill(process, libc::SIGTERM) };
+        let sent = unsafe { libc::kill(process, signal) };
         assert_eq!(sent, 0);
     }
 
--- a/crates/jasminebend/tests/daemon/whole_path.rs
+++ b/crates/jasminebend/tests/daemon/whole_path.rs
@@ -1,16 +1,26 @@
 //! One daemon in the test's process, from the first configuration to an answered request.
 
-use std::time::Duration;
+use std::{
+    net::SocketAddr,
+    time::Duration, //
+};
 
-use http::StatusCode;
+use http::{
+    Method,
+    StatusCode, //
+};
 use jasminebend_base::DomainState;
-use jbctl::OperatorCommand;
+use jbctl::{
+    AdminCall,
+    OperatorCommand, //
+};
 
 use crate::{
     caller::{
         CallerOutcome,
         command,
         configure,
+        operate,
         order,
         wait_until_served, //
     },
@@ -20,6 +30,16 @@
     },
 };
 
+async fn get_text(admin: SocketAddr, path: &str) -> String {
+    let call = AdminCall {
+        method: Method::GET,
+        path: path.to_owned(),
+        expected: None,
+        body: Default::default(),
+    };
+    String::from_utf8(operate(admin, call).await.body.to_vec()).expect("text")
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_configured_daemon_answers_callers_and_operators() {
     let platform = TestPlatform::start(Duration::from_millis(1)).await;
@@ -52,6 +72,9 @@
     assert_eq!(read.json().unwrap()["domains"][1]["state"], "out");
     let status = command(admin, OperatorCommand::Status).await;
     assert_eq!(status.json().unwrap()["ready"], true);
+    let metrics = get_text(admin, "/metrics").await;
+    assert!(metrics.contains("jasminebend_daemon_ready{"), "{metrics}");
+    assert!(metrics.contains("jasminebend_administration_requests_total{"));
     let jobs = command(admin, OperatorCommand::JobList).await;
     assert_eq!(jobs.json().unwrap(), serde_json::json!([]));
     daemon.stop().await;
