Tell the balancer that a daemon without slots is not ready; trace a request end to end

A daemon that had just taken a seat said that it was ready before any slot was its own, so that the balancer's first callers could only wait in its queues. Readiness now takes a held slot share too.

--- a/crates/jasminebend/src/entry_control.rs
+++ b/crates/jasminebend/src/entry_control.rs
@@ -13,7 +13,8 @@
     Configuration,
     ConfigurationVersion,
     DomainName,
-    DomainState, //
+    DomainState,
+    ResourceId, //
 };
 use jasminebend_cluster::{
     ClusterHandle,
@@ -70,6 +71,12 @@
         self.stopping.load(Ordering::Relaxed)
     }
 
+    fn holds_slots(&self) -> bool {
+        let held = self.cluster.ownership().held();
+        held.iter()
+            .any(|(resource, _)| matches!(resource, ResourceId::Slots(_)))
+    }
+
     async fn propose(
         &self,
         change: ConfigurationChange,
@@ -92,8 +99,10 @@
         }
     }
 
+    /// A daemon with a seat but no slots, as after its start, could only keep callers waiting: the
+    /// balancer is told to wait until some slots are its own.
     fn ready(&self) -> bool {
-        !self.stopping() && self.cluster.ready()
+        !self.stopping() && self.cluster.ready() && self.holds_slots()
     }
 
     fn configuration(&self) -> Arc<Configuration> {
--- a/crates/jasminebend/tests/daemon/traces.rs
+++ b/crates/jasminebend/tests/daemon/traces.rs
@@ -4,8 +4,10 @@
 
 use http::{
     HeaderMap,
-    Method, //
+    Method,
+    StatusCode, //
 };
+use indexmap::IndexMap;
 use jasminebend::{
     TraceExport,
     TraceSettings, //
@@ -26,9 +28,16 @@
 };
 
 use crate::{
-    caller::plain,
+    caller::{
+        configure,
+        plain,
+        wait_until_served, //
+    },
     collector::CollectorStandIn,
-    platform::TestPlatform,
+    platform::{
+        TestPlatform,
+        configuration, //
+    },
     program::RunningProgram, //
 };
 
@@ -84,11 +93,7 @@
 async fn a_submission_is_traced_below_its_submitter() {
     let platform = TestPlatform::start(Duration::from_millis(1)).await;
     let mut collector = CollectorStandIn::start().await;
-    let lines = format!(
-        "traces:\n  collector: {}\n  sample_ratio: 0\n",
-        collector.address
-    );
-    let program = RunningProgram::start(&platform.settings_file(&lines));
+    let program = RunningProgram::start(&platform.settings_file(&traces_to(&collector)));
     let job = r#"{"team": "t", "class": "c", "tasks": 1, "payload": "",
         "size": {"cpu_millis": 1, "memory_mib": 1}}"#;
     let parent = format!("00-{TRACE}-{PARENT}-01");
@@ -102,3 +107,33 @@
     assert_eq!(hexadecimal(&change.parent_span_id), PARENT);
     assert_eq!(hexadecimal(&submit.trace_id), TRACE);
 }
+
+/// A shopper's cart quote was slow. The trace that the storefront began must show how long the
+/// request waited for a slot and how long the endpoint worked on it.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_is_traced_from_its_caller_to_its_endpoint() {
+    let platform = TestPlatform::start(Duration::from_millis(1)).await;
+    let mut collector = CollectorStandIn::start().await;
+    let program = RunningProgram::start(&platform.settings_file(&traces_to(&collector)));
+    configure(program.admin, &configuration()).await;
+    wait_until_served(program.callers, "untraced").await;
+    let parent = format!("00-{TRACE}-{PARENT}-01");
+    let headers = [("traceparent", parent.as_str())];
+    let status = plain(program.callers, Method::GET, "/quotes", &headers, "").await;
+    assert_eq!(status, StatusCode::OK);
+    let mut spans = IndexMap::new();
+    for _ in 0..3 {
+        let span = next_span(&mut collector).await;
+        assert_eq!(hexadecimal(&span.trace_id), TRACE);
+        spans.insert(span.name.clone(), span);
+    }
+    let request = &spans["gateway.request"];
+    assert_eq!(hexadecimal(&request.parent_span_id), PARENT);
+    assert_eq!(spans["gateway.queue"].parent_span_id, request.span_id);
+    assert_eq!(spans["gateway.attempt"].parent_span_id, request.span_id);
+}
+
+fn traces_to(collector: &CollectorStandIn) -> String {
+    let address = collector.address;
+    format!("traces:\n  collector: {address}\n  sample_ratio: 0\n")
+}
