Hold the outcomes that operators are told against eleven faults of the table

A change is tried under each fault (answers lost, cut, malformed, late, refused, one or all; outages of writes, reads or both), and read after a later change: what was accepted must be in force, what was not must never come.

A proposal is now given up before the administration request that carries it, so that the operator reads which version may still come in place of a general sentence; and two sentences that gave the same advice twice say it once.

--- a/crates/jasminebend/src/control_error.rs
+++ b/crates/jasminebend/src/control_error.rs
@@ -36,7 +36,7 @@
         name: String,
     },
     /// The daemon cannot do it now; nothing was changed.
-    #[display("{reason}; nothing was changed, try again")]
+    #[display("{reason}; nothing was changed")]
     Unavailable {
         /// What is missing.
         reason: String,
--- a/crates/jasminebend/src/entry_control.rs
+++ b/crates/jasminebend/src/entry_control.rs
@@ -37,6 +37,9 @@
     DaemonStatus, //
 };
 
+const MAY_COME: &str = "may still come into force: the status shows which version is accepted, and \
+                        to ask for the same again is safe";
+
 /// Carries out what operators ask for through the daemon's parts.
 pub(crate) struct EntryControl {
     domain: DomainName,
@@ -161,9 +164,9 @@
 fn explain_proposal(error: ProposalError) -> ControlError {
     let reason = match &error {
         ProposalError::NotAccepted(reason) => reason,
-        ProposalError::Unknown { .. } => {
+        ProposalError::Unknown { version } => {
             return ControlError::Unknown {
-                find_out: error.to_string(),
+                find_out: format!("version {version} {MAY_COME}"),
             };
         }
     };
--- a/crates/jasminebend/src/entry_daemon.rs
+++ b/crates/jasminebend/src/entry_daemon.rs
@@ -47,6 +47,7 @@
     secret_watch::SecretWatch,
 };
 
+const LONGEST_PROPOSAL: Duration = Duration::from_secs(10);
 /// A request's body up to this size is taken in whole before a slot is taken for it; in bytes.
 const BUFFERED_BODY: u64 = 64 << 10;
 /// Seeds of the parts differ, so that no two parts draw the same numbers.
@@ -170,6 +171,7 @@
         .with_slot_shares(settings.slot_shares)
         .with_shards(settings.shards)
         .with_longest_request(settings.limits.longest_request)
+        .with_proposal_timeout(proposal_timeout(settings.limits.administration_timeout))
         .with_admin_address(admin);
     if let Some(next) = keys.next {
         cluster = cluster.with_next_key(next);
@@ -186,6 +188,12 @@
     Ok(ClusterHandle::start(cluster, edges).await?)
 }
 
+/// The cluster part gives up a proposal before the administration API gives up the cluster part, so
+/// that the operator is told which version may still come.
+fn proposal_timeout(administration: Duration) -> Duration {
+    LONGEST_PROPOSAL.min(administration * 4 / 5)
+}
+
 fn start_gateway(
     settings: &DaemonSettings,
     cluster: &ClusterHandle,
--- a/crates/jasminebend/tests/daemon/caller.rs
+++ b/crates/jasminebend/tests/daemon/caller.rs
@@ -115,14 +115,19 @@
     operate(daemon, call).await
 }
 
-/// Puts the first configuration, again and again until the daemon takes it.
-pub(crate) async fn configure(daemon: SocketAddr, configuration: &Configuration) {
-    let call = AdminCall {
+/// Makes the call that replaces the configuration of the same version.
+pub(crate) fn put(configuration: &Configuration) -> AdminCall {
+    AdminCall {
         method: http::Method::PUT,
         path: "/v1/configuration".to_owned(),
         expected: Some(configuration.version),
         body: serde_json::to_vec(configuration).expect("JSON").into(),
-    };
+    }
+}
+
+/// Puts the first configuration, again and again until the daemon takes it.
+pub(crate) async fn configure(daemon: SocketAddr, configuration: &Configuration) {
+    let call = put(configuration);
     let taken = async || operate(daemon, call.clone()).await.status == StatusCode::OK;
     until("a configuration taken", taken).await;
 }
--- a/crates/jasminebend/tests/daemon/main.rs
+++ b/crates/jasminebend/tests/daemon/main.rs
@@ -1,6 +1,7 @@
 //! Whole daemons over stand-ins of the platform and of the endpoints, on loopback.
 
 mod caller;
+mod change_faults;
 mod collector;
 mod graceful_stop;
 mod jobs;
--- a/crates/jasminebend/tests/daemon/platform.rs
+++ b/crates/jasminebend/tests/daemon/platform.rs
@@ -17,6 +17,7 @@
     DaemonEdges,
     DaemonSettings,
     EntryDaemon,
+    LimitSettings,
     ListenSettings,
     PeerKeySource,
     SecretText, //
@@ -131,6 +132,10 @@
             .with_seats(seats)
             .with_slot_shares(6)
             .with_shards(1)
+            .with_limits(LimitSettings {
+                administration_timeout: Duration::from_secs(4),
+                ..LimitSettings::default()
+            })
             .with_balancer_lag(Duration::ZERO);
         let edges = DaemonEdges {
             table: Arc::new(self.table.clone()),
