--- a/crates/jasminebend/src/entry_control.rs
+++ b/crates/jasminebend/src/entry_control.rs
@@ -13,7 +13,8 @@
     Configuration,
     ConfigurationVersion,
     DomainName,
-    DomainState, //
+    DomainState,
+    ResourceId, //
 };
 use jasminebend_cluster::{
     ClusterHandle,
@@ -24,6 +25,7 @@
 use jasminebend_placement::JobId;
 use jasminebend_planner::{
     JobError,
+    JobStatus,
     PlannerHandle,
     SubmitError, //
 };
@@ -35,6 +37,9 @@
     DaemonStatus, //
 };
 
+const MAY_COME: &str = "may still come into force: the status shows which version is accepted, and \
+                        to ask for the same again is safe";
+
 /// Carries out what operators ask for through the daemon's parts.
 pub(crate) struct EntryControl {
     domain: DomainName,
@@ -69,6 +74,12 @@
         self.stopping.load(Ordering::Relaxed)
     }
 
+    fn holds_slots(&self) -> bool {
+        let held = self.cluster.ownership().held();
+        held.iter()
+            .any(|(resource, _)| matches!(resource, ResourceId::Slots(_)))
+    }
+
     async fn propose(
         &self,
         change: ConfigurationChange,
@@ -91,8 +102,10 @@
         }
     }
 
+    /// A daemon with a seat but no slots, as after its start, could only keep callers waiting: the
+    /// balancer is told to wait until some slots are its own.
     fn ready(&self) -> bool {
-        !self.stopping() && self.cluster.ready()
+        !self.stopping() && self.cluster.ready() && self.holds_slots()
     }
 
     fn configuration(&self) -> Arc<Configuration> {
@@ -138,23 +151,22 @@
 
     async fn job(&self, job: &str) -> Result<serde_json::Value, ControlError> {
         let status = self.planner.job(parse_job(job)?).await;
-        status.map(|status| to_json(&status)).map_err(explain_job)
+        status.map(|status| present(&status)).map_err(explain_job)
     }
 
     async fn jobs(&self) -> Result<serde_json::Value, ControlError> {
         let statuses = self.planner.jobs().await;
-        statuses
-            .map(|statuses| to_json(&statuses))
-            .map_err(explain_job)
+        let statuses = statuses.map_err(explain_job)?;
+        Ok(statuses.iter().map(present).collect())
     }
 }
 
 fn explain_proposal(error: ProposalError) -> ControlError {
     let reason = match &error {
         ProposalError::NotAccepted(reason) => reason,
-        ProposalError::Unknown { .. } => {
+        ProposalError::Unknown { version } => {
             return ControlError::Unknown {
-                find_out: error.to_string(),
+                find_out: format!("version {version} {MAY_COME}"),
             };
         }
     };
@@ -203,6 +215,14 @@
     }
 }
 
+/// Names the job as its submission did, by sixteen hexadecimal digits: many readers of JSON lose
+/// the last digits of so large a number.
+fn present(status: &JobStatus) -> serde_json::Value {
+    let mut value = to_json(status);
+    value["job"] = status.job.to_string().into();
+    value
+}
+
 fn parse_job(text: &str) -> Result<JobId, ControlError> {
     text.parse().map_err(|_| ControlError::NotFound {
         kind: "job",
--- a/crates/jasminebend/src/lib.rs
+++ b/crates/jasminebend/src/lib.rs
@@ -34,6 +34,7 @@
 mod entry_control;
 mod entry_daemon;
 mod file_watch;
+mod gauge_keeper;
 mod given_key;
 mod key_reader;
 mod key_watch;
@@ -47,6 +48,7 @@
 mod peer_keys;
 mod platform_edges;
 mod platform_settings;
+mod process_usage;
 mod program;
 mod raw_settings;
 mod secret_text;
@@ -113,6 +115,7 @@
     operator_identity::OperatorIdentity,
     peer_key_source::PeerKeySource,
     platform_settings::PlatformSettings,
+    process_usage::ProcessUsage,
     program::run_program,
     secret_text::SecretText,
     settings_error::SettingsError,
