Show in the demonstration why requests were refused

Cause: the table showed 5 to 9% refused in good times and not why. Change: the reasons that refusals carry are counted a class each. Before: a number alone.

--- a/crates/jasminebend/src/demo.rs
+++ b/crates/jasminebend/src/demo.rs
@@ -249,6 +249,7 @@
         name: kind.name,
         counts: kind.tally.counts(),
         run_twice: kind.tally.count(|id, _| site.requests.runs_of(id) > 1),
+        refusals: kind.tally.refusals(),
     }
 }
 
--- a/crates/jasminebend/src/demo_callers.rs
+++ b/crates/jasminebend/src/demo_callers.rs
@@ -52,6 +52,7 @@
 const LONGEST_PAUSE: Duration = Duration::from_millis(60);
 const BALANCER_RETRY: Duration = Duration::from_millis(50);
 const EXECUTED: &str = "jasminebend-executed";
+const REASON: &str = "jasminebend-reason";
 
 /// A class of requests that the demonstration's callers send.
 pub(crate) struct RequestKind {
@@ -150,6 +151,9 @@
         kind.tally.send();
         let begun = Instant::now();
         let answer = self.client.call(daemon.callers, request).await;
+        if let Some(reason) = refusal(&answer) {
+            kind.tally.refuse(reason);
+        }
         let fate = fate(answer, &id, &body, begun);
         kind.tally.settle(id, fate);
     }
@@ -174,6 +178,14 @@
         .body(Full::new(body.clone()))
 }
 
+fn refusal(answer: &Result<Response<Bytes>, CallFault>) -> Option<&str> {
+    match answer {
+        Err(CallFault::NotSent) => Some("connection_refused"),
+        Err(CallFault::Broken) => None,
+        Ok(response) => response.headers().get(REASON)?.to_str().ok(),
+    }
+}
+
 fn fate(
     answer: Result<Response<Bytes>, CallFault>,
     id: &str,
--- a/crates/jasminebend/src/demo_report.rs
+++ b/crates/jasminebend/src/demo_report.rs
@@ -9,6 +9,7 @@
     time::Duration,
 };
 
+use indexmap::IndexMap;
 use jasminebend_standins::LedgerSummary;
 
 use crate::demo_tally::TallyCounts;
@@ -19,6 +20,7 @@
     pub(crate) name: &'static str,
     pub(crate) counts: TallyCounts,
     pub(crate) run_twice: u64,
+    pub(crate) refusals: IndexMap<String, u64>,
 }
 
 /// A count that must be zero.
@@ -57,6 +59,9 @@
         self.classes
             .iter()
             .try_for_each(|row| write_class(formatter, row))?;
+        self.classes
+            .iter()
+            .try_for_each(|row| write_refusals(formatter, row))?;
         writeln!(
             formatter,
             "\njobs: {} submitted, {} accepted, {} refused, {} unknown",
@@ -95,6 +100,17 @@
     )
 }
 
+fn write_refusals(formatter: &mut Formatter<'_>, row: &ClassRow) -> Result {
+    let reasons = row.refusals.iter();
+    let reasons: Vec<String> = reasons
+        .map(|(reason, count)| format!("{reason} {count}"))
+        .collect();
+    if reasons.is_empty() {
+        return Ok(());
+    }
+    writeln!(formatter, "{} refused: {}", row.name, reasons.join(", "))
+}
+
 fn write_zero(formatter: &mut Formatter<'_>, zero: &ZeroCount) -> Result {
     let mark = match zero.count {
         0 => "",
--- a/crates/jasminebend/src/demo_tally.rs
+++ b/crates/jasminebend/src/demo_tally.rs
@@ -13,6 +13,7 @@
     CreationError,
     Histogram, //
 };
+use indexmap::IndexMap;
 
 const LONGEST_MICROS: u64 = 60_000_000;
 const DIGITS: u8 = 3;
@@ -38,6 +39,7 @@
 struct TallyState {
     sent: u64,
     fates: Vec<(String, RequestFate)>,
+    refusals: IndexMap<String, u64>,
     latency: Histogram<u64>,
 }
 
@@ -59,6 +61,7 @@
         let state = TallyState {
             sent: 0,
             fates: Vec::new(),
+            refusals: IndexMap::new(),
             latency: Histogram::new_with_max(LONGEST_MICROS, DIGITS)?,
         };
         Ok(Self {
@@ -70,6 +73,15 @@
         self.lock().sent += 1;
     }
 
+    pub(crate) fn refuse(&self, reason: &str) {
+        *self.lock().refusals.entry(reason.to_owned()).or_default() += 1;
+    }
+
+    /// Returns how often each reason was given for not running a request.
+    pub(crate) fn refusals(&self) -> IndexMap<String, u64> {
+        self.lock().refusals.clone()
+    }
+
     pub(crate) fn settle(&self, id: String, fate: RequestFate) {
         let mut state = self.lock();
         if let RequestFate::Whole(time) = fate {
