--- a/crates/ownership/src/machine_balance.rs
+++ b/crates/ownership/src/machine_balance.rs
@@ -186,7 +186,7 @@
             .entries()
             .filter(|(resource, entry)| {
                 entry.holder.is_none_or(|holder| {
-                    !members.is_seated(holder) && self.may_take(*resource, holder)
+                    members.has_lost_seat(holder) && self.may_take(*resource, holder)
                 })
             })
             .map(|(resource, _)| resource)
--- a/crates/ownership/src/machine_peers.rs
+++ b/crates/ownership/src/machine_peers.rs
@@ -29,7 +29,7 @@
         if message.to != self.daemon.nonce || message.from.0 >= self.settings.seats {
             return Vec::new();
         }
-        let current = message.epoch >= self.known.seat(message.from);
+        let current = self.is_current(message.from, message.epoch);
         if current {
             self.learn_report(now, &message);
         }
@@ -44,6 +44,11 @@
         }
     }
 
+    /// Tells whether an epoch is that of the seat's process, as far as is known.
+    pub(crate) fn is_current(&self, seat: SeatNumber, epoch: u64) -> bool {
+        epoch >= self.known.seat(seat) || !self.settings.guards.has(Guard::DiscountFormer)
+    }
+
     fn learn_report(&mut self, now: Duration, message: &PeerMessage) {
         let told = self.settings.guards.has(Guard::TellNewer);
         let mut newer = false;
@@ -161,13 +166,16 @@
             .filter(|(seat, vouch)| {
                 Some(*seat) != own
                     && vouch.number > 0
-                    && vouch.epoch >= self.known.seat(*seat)
+                    && self.is_current(*seat, vouch.epoch)
                     && vouch.configuration <= self.in_force
             })
             .map(|(_, vouch)| vouch.asked_at)
             .collect();
         times.sort_unstable_by(|one, other| other.cmp(one));
-        let needed = usize::from(self.settings.seats) / 2;
+        let mut needed = usize::from(self.settings.seats) / 2;
+        if !self.settings.guards.has(Guard::VouchMajority) {
+            needed = 1;
+        }
         if needed == 0 || self.known.configuration > self.in_force {
             return;
         }
--- a/crates/ownership/src/machine_seat.rs
+++ b/crates/ownership/src/machine_seat.rs
@@ -150,7 +150,8 @@
             .find(|(seat, record)| self.is_lost(*seat, record, now))
             .map(|(seat, _)| seat)?;
         let reachable = self.count_reachable(&members, seat, now);
-        if reachable * 2 < members.seats.len() {
+        let enough = reachable * 2 >= members.seats.len();
+        if !enough && self.settings.guards.has(Guard::TellMajority) {
             return None;
         }
         self.announce(now, members, seat, false)
--- a/crates/ownership/src/machine_view.rs
+++ b/crates/ownership/src/machine_view.rs
@@ -156,8 +156,7 @@
                 Some(*seat) != own
                     && vouch.number > 0
                     && self.is_fresh(vouch.asked_at, now)
-                    && (vouch.epoch >= self.known.seat(*seat)
-                        || !self.settings.guards.has(Guard::DiscountFormer))
+                    && self.is_current(*seat, vouch.epoch)
             })
             .map(|(_, vouch)| vouch)
     }
--- a/crates/ownership/src/members_row.rs
+++ b/crates/ownership/src/members_row.rs
@@ -53,4 +53,14 @@
             .and_then(|record| record.holder_id(id.seat))
             == Some(id)
     }
+
+    /// Tells whether this process sat once and sits no more. A poll may have read the resources
+    /// later than the members: a holder whose seat is older here than its incarnation is one that
+    /// has just sat down.
+    pub fn has_lost_seat(&self, id: HolderId) -> bool {
+        let known = self
+            .seat(id.seat)
+            .is_some_and(|record| record.epoch >= id.incarnation);
+        known && !self.is_seated(id)
+    }
 }
