--- a/crates/gateway/src/delivery.rs
+++ b/crates/gateway/src/delivery.rs
@@ -20,19 +20,23 @@
         AttemptPlan,
         EndpointAnswer,
         EndpointRequest,
-        attempt,
-        drain, //
+        attempt, //
     },
     gateway_shared::GatewayShared,
     header_names::EXECUTED,
+    pending_exchange::drain,
     refusal::Refusal,
     request_body::RequestBody,
+    request_trace::RequestTrace,
     route_snapshot::RequestClass,
     service_pool::SlotDemand,
     slot_lease::SlotLease,
 };
 
-const MOST_ATTEMPTS: u32 = 3;
+/// How often a request may be sent.
+const MOST_SENT: u32 = 3;
+/// How often an endpoint may be tried for a request, those included that could not be connected to.
+const MOST_TRIED: u32 = 8;
 const LEAST_SAMPLES: u64 = 100;
 /// Until enough was learned, the second attempt waits for this part of the target.
 const UNLEARNED_DIVISOR: u32 = 4;
@@ -44,6 +48,8 @@
     class: &'a RequestClass,
     plan: AttemptPlan,
     demand: SlotDemand,
+    trace: Option<&'a RequestTrace>,
+    sent: u32,
     maybe_run: bool,
 }
 
@@ -54,12 +60,15 @@
         class: &'a RequestClass,
         plan: AttemptPlan,
         demand: SlotDemand,
+        trace: Option<&'a RequestTrace>,
     ) -> Self {
         Self {
             shared,
             class,
             plan,
             demand,
+            trace,
+            sent: 1,
             maybe_run: false,
         }
     }
@@ -69,7 +78,9 @@
         mut self,
         request: Box<EndpointRequest>,
     ) -> Result<EndpointAnswer, Refusal> {
+        let queue = self.trace.map(RequestTrace::queue);
         let lease = self.class.pool.acquire(self.demand).await?;
+        drop(queue);
         let waited = self
             .shared
             .clock
@@ -94,7 +105,8 @@
         mut lease: SlotLease,
         mut request: Box<EndpointRequest>,
     ) -> Result<EndpointAnswer, Refusal> {
-        for _ in 1..MOST_ATTEMPTS {
+        let mut reason = Refusal::Unconnected;
+        for _ in 0..MOST_TRIED {
             self.demand.avoid = Some(lease.address);
             let copy = copy_of(&request);
             let outcome = self.attempt_hedged(lease, request).await;
@@ -107,7 +119,8 @@
                     }
                     None => return Ok(answer),
                 },
-                Err(AttemptError::NotRun { request, .. }) => {
+                Err(AttemptError::NotRun { refusal, request }) => {
+                    reason = refusal;
                     (self.class.pool.acquire(self.demand).await?, request)
                 }
                 Err(AttemptError::Unknown(refusal)) => {
@@ -116,22 +129,7 @@
                 }
             };
         }
-        self.last(lease, request).await
-    }
-
-    async fn last(
-        &mut self,
-        lease: SlotLease,
-        request: Box<EndpointRequest>,
-    ) -> Result<EndpointAnswer, Refusal> {
-        match attempt(self.shared, lease, request, self.plan).await {
-            Ok(answer) => Ok(answer),
-            Err(AttemptError::NotRun { refusal, .. }) => Err(refusal),
-            Err(AttemptError::Unknown(refusal)) => {
-                self.maybe_run = true;
-                Err(refusal)
-            }
-        }
+        Err(reason)
     }
 
     /// Makes an attempt, and a second one beside it once the first takes longer than most.
@@ -140,9 +138,10 @@
         lease: SlotLease,
         request: Box<EndpointRequest>,
     ) -> Result<EndpointAnswer, AttemptError> {
+        let hop = self.hop();
         let delay = self.hedge_delay();
         let copy = delay.and_then(|_| copy_of(&request));
-        let mut first = pin!(attempt(self.shared, lease, request, self.plan));
+        let mut first = pin!(attempt_traced(hop, lease, request));
         let (Some(delay), Some(copy)) = (delay, copy) else {
             return first.await;
         };
@@ -154,10 +153,18 @@
         };
         self.class.metrics.hedges.increment(1);
         self.maybe_run = true;
-        let second = pin!(attempt(self.shared, lease, copy, self.plan));
+        let second = pin!(attempt_traced(hop, lease, copy));
         first_answer(first, second).await
     }
 
+    fn hop(&self) -> AttemptHop<'a> {
+        AttemptHop {
+            shared: self.shared,
+            trace: self.trace,
+            plan: self.plan,
+        }
+    }
+
     fn hedge_delay(&self) -> Option<Duration> {
         if !self.plan.idempotent {
             return None;
@@ -201,16 +208,41 @@
     }
 
     /// Takes a slot for one more attempt, if one is free and the budget allows it.
-    fn again(&self, copy: Box<EndpointRequest>) -> Option<(SlotLease, Box<EndpointRequest>)> {
+    fn again(&mut self, copy: Box<EndpointRequest>) -> Option<(SlotLease, Box<EndpointRequest>)> {
+        if self.sent >= MOST_SENT {
+            return None;
+        }
         let pool = &self.class.pool;
         let lease = pool.try_acquire(self.demand.avoid)?;
         if !pool.lock().budget.spend() {
             return None;
         }
+        self.sent += 1;
         Some((lease, copy))
     }
 }
 
+/// What each attempt of a request is made with.
+#[derive(Clone, Copy)]
+struct AttemptHop<'a> {
+    shared: &'a GatewayShared,
+    trace: Option<&'a RequestTrace>,
+    plan: AttemptPlan,
+}
+
+async fn attempt_traced(
+    hop: AttemptHop<'_>,
+    lease: SlotLease,
+    mut request: Box<EndpointRequest>,
+) -> Result<EndpointAnswer, AttemptError> {
+    let address = lease.address;
+    // The span ends when it is dropped, also if another attempt was faster.
+    let _span = hop
+        .trace
+        .map(|trace| trace.attempt(address.to_string(), request.headers_mut()));
+    attempt(hop.shared, lease, request, hop.plan).await
+}
+
 /// Returns the first answer; an attempt that fails leaves the matter to the other one.
 async fn first_answer<First, Second>(
     mut first: Pin<&mut First>,
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -6,7 +6,7 @@
         Arc,
         Mutex,
         PoisonError,
-        atomic::Ordering, //
+        Weak, //
     },
 };
 
@@ -86,12 +86,14 @@
     /// Stops taking connections, and waits until every request in progress is answered.
     pub async fn drain(&self) {
         info!("[gateway] Draining.");
-        self.shared.draining.store(true, Ordering::Relaxed);
         self.stop.send_replace(true);
         let mut served = self.served.subscribe();
         // The sender is this gateway's own, so that the wait ends only as it should.
         served.wait_for(|count| *count == 0).await.ok();
-        self.shared.keys.flush().await;
+        self.shared
+            .keys
+            .flush(self.shared.settings.longest_request)
+            .await;
         info!("[gateway] Drained.");
     }
 
@@ -117,7 +119,7 @@
     }
 }
 
-async fn start_keeper(gateway: std::sync::Weak<Gateway>, state: KeeperState) {
+async fn start_keeper(gateway: Weak<Gateway>, state: KeeperState) {
     let Ok((keeper, _)) = Actor::spawn(None, PoolKeeper, state).await else {
         error!("[gateway] The keeper of the pools did not start.");
         return;
--- a/crates/gateway/src/service_pool.rs
+++ b/crates/gateway/src/service_pool.rs
@@ -18,6 +18,7 @@
     AdmissionRule,
     QueueKey, //
 };
+use metrics::counter;
 use spdlog::warn;
 use tokio::{
     sync::{
@@ -29,11 +30,7 @@
 
 use crate::{
     class_metrics::SILENT_CONNECTIONS,
-    endpoint_entry::SlotPhase,
-    exchange_end::{
-        AnswerVerdict,
-        ExchangeEnd, //
-    },
+    exchange_end::ExchangeEnd,
     gateway_settings::GatewaySettings,
     pool_state::{
         PoolState,
@@ -46,6 +43,8 @@
 
 const SUSPICION_MULTIPLE: u32 = 4;
 const LEAST_SUSPICION: Duration = Duration::from_millis(50);
+/// A slow service would otherwise fill the log with this line.
+const WARN_EVERY: Duration = Duration::from_secs(10);
 const MOST_SUSPICION: Duration = Duration::from_secs(5);
 
 /// The slots of one service's endpoints that this daemon may use, and who waits for them.
@@ -137,12 +136,15 @@
         }
     }
 
-    /// Gives a slot back, and hands it on to whoever waits.
-    pub(crate) fn settle(self: &Arc<Self>, key: SlotKey, end: ExchangeEnd) {
+    /// Gives a slot back that was held for so long, and hands it on to whoever waits.
+    pub(crate) fn settle(self: &Arc<Self>, key: SlotKey, end: ExchangeEnd, held: Duration) {
         let now = self.clock.monotonic();
         let mut state = self.lock();
         state.entry(key.endpoint).score.ended();
-        self.apply(&mut state, key, end, now);
+        if matches!(end, ExchangeEnd::Answered { .. }) {
+            state.holding.observe(held);
+        }
+        state.apply(&self.settings, key, end, now);
         state.list(Some(key));
         drop(state);
         self.idle.notify_waiters();
@@ -174,10 +176,18 @@
     /// Notes that nothing was heard on a connection since `sent_at`: idle ones that were quiet for
     /// as long may be lost in the same way, and are replaced before they are used.
     pub(crate) fn suspect(&self, sent_at: Duration) {
+        let now = self.clock.monotonic();
         let mut state = self.lock();
         state.suspect_before = state.suspect_before.max(sent_at);
-        metrics::counter!(SILENT_CONNECTIONS, "service" => self.service.to_string()).increment(1);
-        warn!("[gateway] A connection to {} went silent.", self.service);
+        let quiet = state.warned_at.is_none_or(|at| now >= at + WARN_EVERY);
+        if quiet {
+            state.warned_at = Some(now);
+        }
+        drop(state);
+        counter!(SILENT_CONNECTIONS, "service" => self.service.to_string()).increment(1);
+        if quiet {
+            warn!("[gateway] A connection to {} went silent.", self.service);
+        }
     }
 
     fn next_handover(self: &Arc<Self>) -> Option<(SlotWaiter, Result<SlotLease, Refusal>)> {
@@ -245,69 +255,6 @@
         let connection = slot.connection.take();
         SlotLease::new(Arc::clone(self), key, address, grant, connection)
     }
-
-    fn apply(&self, state: &mut PoolState, key: SlotKey, end: ExchangeEnd, now: Duration) {
-        state.slot(key).phase = SlotPhase::Idle;
-        match end {
-            ExchangeEnd::Unused { connection } => state.slot(key).connection = connection,
-            ExchangeEnd::Over => state.slot(key).linger(now + self.settings.longest_request),
-            ExchangeEnd::Unconnected => {
-                let hold = self.settings.refusal_hold;
-                let entry = state.entry(key.endpoint);
-                entry.score.failed();
-                entry.refusing.hold(now, hold, Duration::ZERO);
-            }
-            ExchangeEnd::Unknown => {
-                let until = now + self.settings.longest_request;
-                state.entry(key.endpoint).score.failed();
-                let slot = state.slot(key);
-                slot.phase = SlotPhase::Unknown { until };
-                slot.linger(until);
-                state.serving = state.serving.saturating_sub(1);
-            }
-            ExchangeEnd::Answered {
-                latency,
-                verdict,
-                connection,
-            } => {
-                state.entry(key.endpoint).keeps_open |= connection.is_some();
-                state.slot(key).connection = connection;
-                self.judge(state, key, latency, verdict, now);
-            }
-        }
-    }
-
-    fn judge(
-        &self,
-        state: &mut PoolState,
-        key: SlotKey,
-        latency: Duration,
-        verdict: AnswerVerdict,
-        now: Duration,
-    ) {
-        state.holding.observe(latency);
-        let leaving_hold = self.settings.leaving_hold;
-        let refusal_hold = self.settings.refusal_hold;
-        let entry = state.entry(key.endpoint);
-        match verdict {
-            AnswerVerdict::Good | AnswerVerdict::Closing => {
-                entry.score.succeeded(latency);
-                entry.refusing.succeeded();
-            }
-            AnswerVerdict::Failed => entry.score.failed(),
-            AnswerVerdict::Refusing { asked } => {
-                entry.score.failed();
-                entry.refusing.hold(now, refusal_hold, asked);
-            }
-        }
-        if verdict == AnswerVerdict::Closing && entry.keeps_open {
-            entry.leaving.hold(now, leaving_hold, Duration::ZERO);
-            state.weigh_leaving(now);
-        }
-        if verdict == AnswerVerdict::Good {
-            state.latency.observe(latency);
-        }
-    }
 }
 
 /// Takes out the next request that can still meet its target, and refuses those before it that
--- a/crates/jasminebend/src/lib.rs
+++ b/crates/jasminebend/src/lib.rs
@@ -6,20 +6,35 @@
 mod admin_change;
 mod admin_error;
 mod admin_front;
+mod admin_response;
 mod admin_route;
 mod admin_server;
 mod admin_service;
+mod admin_trace;
 mod collector_client;
 mod command_line;
 mod configuration_diff;
 mod control_error;
 mod control_port;
+mod daemon_edges;
 mod daemon_error;
 mod daemon_settings;
 mod daemon_status;
 pub mod demo;
+mod demo_callers;
+mod demo_client;
+mod demo_daemons;
+mod demo_error;
+mod demo_jobs;
+mod demo_operator;
 mod demo_options;
+mod demo_report;
+mod demo_site;
+mod demo_tally;
+mod entry_control;
+mod entry_daemon;
 mod file_watch;
+mod gauge_keeper;
 mod given_key;
 mod key_reader;
 mod key_watch;
@@ -30,9 +45,14 @@
 mod metrics_hub;
 mod operator_identity;
 mod peer_key_source;
+mod peer_keys;
+mod platform_edges;
 mod platform_settings;
+mod process_usage;
 mod program;
+mod raw_settings;
 mod secret_text;
+mod secret_watch;
 mod service;
 mod settings_error;
 mod settings_file;
@@ -62,6 +82,7 @@
     configuration_diff::ConfigurationDiff,
     control_error::ControlError,
     control_port::ControlPort,
+    daemon_edges::DaemonEdges,
     daemon_error::DaemonError,
     daemon_settings::{
         DEFAULT_BALANCER_LAG,
@@ -72,7 +93,12 @@
         DaemonSettings, //
     },
     daemon_status::DaemonStatus,
+    demo_error::{
+        DemoError,
+        OperatorFault, //
+    },
     demo_options::DemoOptions,
+    entry_daemon::EntryDaemon,
     limit_settings::LimitSettings,
     listen_settings::ListenSettings,
     log_settings::{
@@ -89,6 +115,7 @@
     operator_identity::OperatorIdentity,
     peer_key_source::PeerKeySource,
     platform_settings::PlatformSettings,
+    process_usage::ProcessUsage,
     program::run_program,
     secret_text::SecretText,
     settings_error::SettingsError,
--- /dev/null
+++ b/crates/jasminebend/tests/daemon/whole_path.rs
@@ -0,0 +1,82 @@
+//! One daemon in the test's process, from the first configuration to an answered request.
+
+use std::{
+    net::SocketAddr,
+    time::Duration, //
+};
+
+use http::{
+    Method,
+    StatusCode, //
+};
+use jasminebend_base::DomainState;
+use jbctl::{
+    AdminCall,
+    OperatorCommand, //
+};
+
+use crate::{
+    caller::{
+        CallerOutcome,
+        command,
+        configure,
+        operate,
+        order,
+        wait_until_served, //
+    },
+    platform::{
+        TestPlatform,
+        configuration, //
+    },
+};
+
+async fn get_text(admin: SocketAddr, path: &str) -> String {
+    let call = AdminCall {
+        method: Method::GET,
+        path: path.to_owned(),
+        expected: None,
+        body: Default::default(),
+    };
+    String::from_utf8(operate(admin, call).await.body.to_vec()).expect("text")
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_configured_daemon_answers_callers_and_operators() {
+    let platform = TestPlatform::start(Duration::from_millis(1)).await;
+    let daemon = platform.daemon("a", 1).await;
+    let admin = daemon.admin_address();
+    configure(admin, &configuration()).await;
+    wait_until_served(daemon.caller_address(), "first").await;
+    let outcome = order(daemon.caller_address(), "order-1").await;
+    assert_eq!(outcome, CallerOutcome::Whole);
+    assert!(daemon.ready());
+    let out = OperatorCommand::Domain {
+        name: "b".to_owned(),
+        state: DomainState::Out,
+        force: false,
+    };
+    assert_eq!(command(admin, out).await.status, StatusCode::OK);
+    let last = OperatorCommand::Domain {
+        name: "a".to_owned(),
+        state: DomainState::Out,
+        force: false,
+    };
+    assert_eq!(command(admin, last).await.status, StatusCode::CONFLICT);
+    let unknown = OperatorCommand::Domain {
+        name: "c".to_owned(),
+        state: DomainState::Out,
+        force: false,
+    };
+    assert_eq!(command(admin, unknown).await.status, StatusCode::NOT_FOUND);
+    let read = command(admin, OperatorCommand::ConfigGet).await;
+    assert_eq!(read.json().unwrap()["domains"][1]["state"], "out");
+    let status = command(admin, OperatorCommand::Status).await;
+    assert_eq!(status.json().unwrap()["ready"], true);
+    let metrics = get_text(admin, "/metrics").await;
+    assert!(metrics.contains("jasminebend_daemon_ready{"), "{metrics}");
+    assert!(metrics.contains("jasminebend_administration_requests_total{"));
+    let jobs = command(admin, OperatorCommand::JobList).await;
+    assert_eq!(jobs.json().unwrap(), serde_json::json!([]));
+    daemon.stop().await;
+    assert_eq!(platform.ledger.runs_of("order-1"), 1);
+}
