Tell peers the port that is really listened on

Cause: nng hands on the port of a listener in network byte order, so that a daemon on a free port told its peers that port with its bytes swapped. Nobody was heard, every address refused, live daemons were taken for gone, and each acted only while its own reading of the table was fresh. Ruled out: load (48 slots, 7 busy on average), the queue, the endpoints. Change: the bytes are put in order; a port that cannot be read is an error in place of a silent fallback to 0.

--- a/crates/cluster/src/cluster_error.rs
+++ b/crates/cluster/src/cluster_error.rs
@@ -19,6 +19,9 @@
         #[error(not(source))]
         cause: nng::Error,
     },
+    /// The port that was taken for peers is not known, so that no peer could be told of it.
+    #[display("the port taken for peers cannot be read; set a port in place of 0")]
+    UnknownPort,
     /// The number of seats is out of range.
     #[display("{seats} seats are set; give from 1 to 64")]
     Seats {
--- a/crates/cluster/src/nng_link.rs
+++ b/crates/cluster/src/nng_link.rs
@@ -78,7 +78,7 @@
             .map_err(failed)?
             .start()
             .map_err(|(_, cause)| failed(cause))?;
-        let address = bound_address(&listener, listen);
+        let address = bound_address(&listener, listen).ok_or(ClusterError::UnknownPort)?;
         let aio = receive_all(&socket, sender).map_err(failed)?;
         Ok(Self {
             address,
@@ -118,12 +118,19 @@
     Ok(aio)
 }
 
-fn bound_address(listener: &Listener, listen: SocketAddr) -> SocketAddr {
-    match listener.get_opt::<LocalAddr>() {
-        Ok(nng::SocketAddr::Inet(bound)) => SocketAddr::new(listen.ip(), bound.port()),
-        Ok(nng::SocketAddr::Inet6(bound)) => SocketAddr::new(listen.ip(), bound.port()),
-        _ => listen,
+/// Returns the address that peers are told. A wrong one is worse than none: it refuses, and peers
+/// take this daemon for gone while it lives.
+fn bound_address(listener: &Listener, listen: SocketAddr) -> Option<SocketAddr> {
+    if listen.port() != 0 {
+        return Some(listen);
     }
+    let port = match listener.get_opt::<LocalAddr>().ok()? {
+        nng::SocketAddr::Inet(bound) => bound.port(),
+        nng::SocketAddr::Inet6(bound) => bound.port(),
+        _ => return None,
+    };
+    // The library passes the port on as the C side keeps it, in network byte order.
+    Some(SocketAddr::new(listen.ip(), u16::from_be(port)))
 }
 
 #[async_trait]
