--- a/crates/cluster/tests/cluster/main.rs
+++ b/crates/cluster/tests/cluster/main.rs
@@ -1,8 +1,12 @@
 //! The cluster part against failures, one file a feature.
 
-#![expect(clippy::unwrap_used, reason = "a test that cannot go on has failed")]
-#![expect(dead_code, reason = "the harness is ahead of its tests")]
+#![expect(
+    clippy::unwrap_used,
+    reason = "a helper of a test that cannot go on ends the test"
+)]
 
+mod configuration;
 mod harness;
 mod link;
 mod membership;
+mod outages;
