Keep rare bookings on their connections, and stay within the endpoints' connections when shares move

Each booking on a connection quiet for longer than it is trusted had the connection replaced, and the old one counted as still open at the endpoint: at a low rate a slot soon had no connection left and refused (503) though all was well. A merely quiet connection is now kept when no replacement fits. A slot's holder uses half of the slot's connections, so that the next holder's fit as well. Slots beyond a lowered number are freed in their time, and idle connections to endpoints that leave are closed.

--- a/crates/gateway/src/endpoint_entry.rs
+++ b/crates/gateway/src/endpoint_entry.rs
@@ -110,16 +110,21 @@
         self.declared_slots = slots;
     }
 
+    /// Returns the number of slots that it has or had.
+    pub(crate) fn all_slots(&self) -> u16 {
+        u16::try_from(self.slots.len()).unwrap_or(u16::MAX)
+    }
+
     /// Returns the number of slots that the endpoint has now.
     pub(crate) fn usable_slots(&self) -> u16 {
-        let made = u16::try_from(self.slots.len()).unwrap_or(u16::MAX);
-        self.declared_slots.min(made)
+        self.declared_slots.min(self.all_slots())
     }
 
-    /// Divides the endpoint's connections among its slots.
+    /// Divides the endpoint's connections among its slots. Half of a slot's part is left to the
+    /// holder of its share before this daemon, whose last connections the endpoint may still count.
     pub(crate) fn set_connections(&mut self, connections: u16) {
         let each = usize::from(connections) / self.slots.len().max(1);
-        self.connections_per_slot = each.max(1);
+        self.connections_per_slot = (each / 2).max(1);
     }
 
     /// Tells whether the endpoint may take requests now.
@@ -155,9 +160,10 @@
         self.lingering.push(until);
     }
 
-    /// Tells whether one more connection fits into what the endpoint can hold.
-    pub(crate) fn may_dial(&mut self, now: Duration, most: usize) -> bool {
+    /// Tells whether one more connection fits into what the endpoint can hold, besides `giving_up`
+    /// ones that are about to be given up.
+    pub(crate) fn may_dial(&mut self, now: Duration, most: usize, giving_up: usize) -> bool {
         self.lingering.retain(|until| *until > now);
-        self.lingering.len() < most
+        self.lingering.len() + giving_up < most
     }
 }
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -184,7 +184,11 @@
         false => shared.settings.trusted_silence,
     };
     let mut state = lease.pool().lock();
-    if quiet <= most_quiet && connection.last_heard >= state.suspect_before {
+    let suspect = connection.last_heard < state.suspect_before;
+    // A connection that is merely quiet is better than none: at a low rate each booking finds its
+    // slot's connection quiet, and the endpoint may not have seen the ends of those before it.
+    let usable = quiet <= most_quiet || !state.may_dial(lease.key(), now, 1);
+    if usable && !suspect {
         return Some(connection);
     }
     state
@@ -199,7 +203,7 @@
     plan: AttemptPlan,
 ) -> Option<EndpointConnection> {
     let now = shared.clock.monotonic();
-    if !may_dial(lease, now) {
+    if !lease.pool().lock().may_dial(lease.key(), now, 0) {
         return None;
     }
     let left = plan.give_up.saturating_sub(now);
@@ -208,10 +212,3 @@
         .await
         .ok()
 }
-
-fn may_dial(lease: &SlotLease, now: Duration) -> bool {
-    let mut state = lease.pool().lock();
-    let key = lease.key();
-    let most = state.entry(key.endpoint).connections_per_slot;
-    state.slot(key).may_dial(now, most)
-}
--- a/crates/gateway/src/pool_keeper.rs
+++ b/crates/gateway/src/pool_keeper.rs
@@ -250,8 +250,9 @@
     state.weigh_leaving(now);
     for endpoint in 0..state.endpoints.len() {
         let heed = state.heed_leaving;
-        let usable = state.endpoints[endpoint].is_usable(now, heed);
-        for slot in 0..state.endpoints[endpoint].usable_slots() {
+        let entry = &state.endpoints[endpoint];
+        let usable = entry.is_usable(now, heed);
+        for slot in 0..entry.all_slots() {
             let key = SlotKey {
                 endpoint: EndpointKey(endpoint),
                 slot,
@@ -286,8 +287,11 @@
     now: Duration,
     idle_limit: Duration,
 ) {
+    let entry = state.entry(key.endpoint);
+    let open = entry.open;
+    let declared = key.slot < entry.usable_slots();
     let slot = state.slot(key);
-    let epoch = held.get(&slot.share);
+    let epoch = held.get(&slot.share).filter(|_| declared);
     slot.held = epoch.is_some();
     slot.epoch = epoch.copied().unwrap_or_default();
     if let SlotPhase::Unknown { until } = slot.phase
@@ -299,7 +303,7 @@
     // Dropping a connection closes it, so that no more are open than slots are held.
     slot.connection.take_if(|connection| {
         let quiet = now.saturating_sub(connection.last_heard);
-        !held || quiet > idle_limit || !connection.is_open()
+        !held || !open || quiet > idle_limit || !connection.is_open()
     });
 }
 
--- a/crates/gateway/src/pool_state.rs
+++ b/crates/gateway/src/pool_state.rs
@@ -121,6 +121,13 @@
         &mut self.endpoints[key.endpoint.0].slots[usize::from(key.slot)]
     }
 
+    /// Tells whether a slot may have one more connection at its endpoint, besides `giving_up` ones
+    /// that are about to be given up.
+    pub(crate) fn may_dial(&mut self, key: SlotKey, now: Duration, giving_up: usize) -> bool {
+        let most = self.entry(key.endpoint).connections_per_slot;
+        self.slot(key).may_dial(now, most, giving_up)
+    }
+
     /// Takes a free slot, if there is one.
     pub(crate) fn take(&mut self, now: Duration) -> Option<SlotKey> {
         self.take_avoiding(now, None)
