--- a/crates/jasminebend/src/lib.rs
+++ b/crates/jasminebend/src/lib.rs
@@ -21,10 +21,20 @@
 mod daemon_settings;
 mod daemon_status;
 pub mod demo;
+mod demo_callers;
+mod demo_client;
+mod demo_daemons;
+mod demo_error;
+mod demo_jobs;
+mod demo_operator;
 mod demo_options;
+mod demo_report;
+mod demo_site;
+mod demo_tally;
 mod entry_control;
 mod entry_daemon;
 mod file_watch;
+mod gauge_keeper;
 mod given_key;
 mod key_reader;
 mod key_watch;
@@ -38,6 +48,7 @@
 mod peer_keys;
 mod platform_edges;
 mod platform_settings;
+mod process_usage;
 mod program;
 mod raw_settings;
 mod secret_text;
@@ -82,6 +93,10 @@
         DaemonSettings, //
     },
     daemon_status::DaemonStatus,
+    demo_error::{
+        DemoError,
+        OperatorFault, //
+    },
     demo_options::DemoOptions,
     entry_daemon::EntryDaemon,
     limit_settings::LimitSettings,
@@ -100,6 +115,7 @@
     operator_identity::OperatorIdentity,
     peer_key_source::PeerKeySource,
     platform_settings::PlatformSettings,
+    process_usage::ProcessUsage,
     program::run_program,
     secret_text::SecretText,
     settings_error::SettingsError,
