Hand a request to a peer where this daemon has no slot of its service

Each daemon now tells in a row of the table for which services it has slots; one that lacks some reads these rows once a second and hands such requests on, once at the most, on a connection of their own. Weighed: dealing slots by seat instead, which rests on how the shares happen to be held; forwarding also when slots are full, measured and not worth it.

--- a/crates/gateway/src/answer_body.rs
+++ b/crates/gateway/src/answer_body.rs
@@ -33,6 +33,7 @@
         AnswerVerdict,
         ExchangeEnd, //
     },
+    gateway_settings::GatewaySettings,
     pending_exchange::drain,
     slot_lease::SlotLease,
 };
@@ -95,6 +96,25 @@
     }
 }
 
+impl AnswerBody {
+    /// Passes another daemon's answer on.
+    pub(crate) fn from_peer(
+        answer: Response<Incoming>,
+        settings: &GatewaySettings,
+    ) -> Response<Self> {
+        answer.map(|incoming| match incoming.is_end_stream() {
+            true => Self::Whole(None),
+            false => Self::Streamed(Box::new(StreamedAnswer {
+                incoming: Some(incoming),
+                slot: None,
+                stall: settings.body_stall,
+                timer: None,
+                end: Box::pin(sleep(settings.longest_request)),
+            })),
+        })
+    }
+}
+
 impl AnswerSlot {
     fn release(mut self) {
         self.connection.last_heard = self.lease.pool().clock.monotonic();
--- a/crates/gateway/src/answer_rules.rs
+++ b/crates/gateway/src/answer_rules.rs
@@ -23,6 +23,7 @@
     delivery::says_not_run,
     exchange::EndpointAnswer,
     exchange_end::AnswerVerdict,
+    gateway_settings::GatewaySettings,
     header_names::EXECUTED,
     header_rules::{
         has_token,
@@ -59,9 +60,24 @@
     }
 }
 
+/// Turns another daemon's answer into the caller's.
+pub(crate) fn pass_on_peer(
+    mut answer: Response<Incoming>,
+    settings: &GatewaySettings,
+) -> Result<Response<AnswerBody>, Refusal> {
+    if !is_framed(&answer) || answer.status() == StatusCode::SWITCHING_PROTOCOLS {
+        return Err(Refusal::EndpointFailed);
+    }
+    prepare_answer(answer.headers_mut());
+    Ok(AnswerBody::from_peer(answer, settings))
+}
+
 /// Takes an answer in whole for a caller of HTTP/1.0, to whom the end of the connection would be
 /// the only sign of the body's end, so that one cut short would look whole.
-async fn whole(response: Response<AnswerBody>, most: u64) -> Result<Response<AnswerBody>, Refusal> {
+pub(crate) async fn whole(
+    response: Response<AnswerBody>,
+    most: u64,
+) -> Result<Response<AnswerBody>, Refusal> {
     let (head, body) = response.into_parts();
     let most = usize::try_from(most).unwrap_or(usize::MAX);
     let whole = Limited::new(body, most)
--- a/crates/gateway/src/class_metrics.rs
+++ b/crates/gateway/src/class_metrics.rs
@@ -32,6 +32,8 @@
     pub(crate) retries: Counter,
     /// Further attempts beside one that is slow.
     pub(crate) hedges: Counter,
+    /// Requests handed to another daemon.
+    pub(crate) forwards: Counter,
     /// From a request's arrival to its answer's head, in seconds.
     pub(crate) seconds: Histogram,
     /// Waiting for a slot, in seconds.
@@ -49,6 +51,7 @@
             ),
             retries: counter!("jasminebend_gateway_retries_total", "class" => class.clone()),
             hedges: counter!("jasminebend_gateway_hedges_total", "class" => class.clone()),
+            forwards: counter!("jasminebend_gateway_forwards_total", "class" => class.clone()),
             seconds: histogram!("jasminebend_gateway_seconds", "class" => class.clone()),
             queue_seconds: histogram!("jasminebend_gateway_queue_seconds", "class" => class),
         }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -33,6 +33,7 @@
     gateway_settings::GatewaySettings,
     gateway_shared::GatewayShared,
     key_sweeper::sweep_keys,
+    peer_directory::keep_directory,
     pool_keeper::{
         KeeperMessage,
         KeeperState,
@@ -47,6 +48,7 @@
     stop: watch::Sender<bool>,
     served: watch::Sender<usize>,
     sweeper: AbortHandle,
+    directory: AbortHandle,
 }
 
 impl Gateway {
@@ -64,12 +66,14 @@
         state.refresh();
         let sweep = sweep_keys(Arc::clone(&shared), Arc::clone(&shared.keys));
         let sweeper = tokio::spawn(sweep).abort_handle();
+        let directory = tokio::spawn(keep_directory(Arc::clone(&shared))).abort_handle();
         let gateway = Arc::new(Self {
             shared,
             keeper: Mutex::new(None),
             stop: watch::Sender::new(false),
             served: watch::Sender::new(0),
             sweeper,
+            directory,
         });
         tokio::spawn(start_keeper(Arc::downgrade(&gateway), state));
         gateway
@@ -86,6 +90,8 @@
     /// Stops taking connections, and waits until every request in progress is answered.
     pub async fn drain(&self) {
         info!("[gateway] Draining.");
+        self.directory.abort();
+        self.shared.peers.withdraw().await;
         self.stop.send_replace(true);
         let mut served = self.served.subscribe();
         // The sender is this gateway's own, so that the wait ends only as it should.
@@ -115,6 +121,7 @@
             keeper.stop(None);
         }
         self.sweeper.abort();
+        self.directory.abort();
         self.shared.keys.stop();
     }
 }
--- a/crates/gateway/src/gateway_settings.rs
+++ b/crates/gateway/src/gateway_settings.rs
@@ -1,6 +1,9 @@
 //! How the gateway is set.
 
-use std::time::Duration;
+use std::{
+    net::SocketAddr,
+    time::Duration, //
+};
 
 use jasminebend_base::DomainName;
 
@@ -33,6 +36,7 @@
     pub(crate) retry_ratio: f64,
     pub(crate) key_retention: Duration,
     pub(crate) traces: bool,
+    pub(crate) peer_address: Option<SocketAddr>,
 }
 
 impl GatewaySettings {
@@ -64,6 +68,7 @@
             retry_ratio: 0.1,
             key_retention: Duration::from_secs(24 * 60 * 60),
             traces: false,
+            peer_address: None,
         }
     }
 
@@ -162,6 +167,13 @@
         self
     }
 
+    /// Sets where the other daemons reach this one's callers' listener. They hand requests to it for
+    /// services of which they have no slot; without it they do not.
+    pub fn with_peer_address(mut self, address: SocketAddr) -> Self {
+        self.peer_address = Some(address);
+        self
+    }
+
     /// Makes a span for each hop of a request.
     pub fn with_traces(mut self, traces: bool) -> Self {
         self.traces = traces;
--- a/crates/gateway/src/gateway_shared.rs
+++ b/crates/gateway/src/gateway_shared.rs
@@ -21,6 +21,7 @@
     gateway_edges::GatewayEdges,
     gateway_settings::GatewaySettings,
     key_store::KeyStore,
+    peer_directory::PeerDirectory,
     route_snapshot::RouteSnapshot,
     service_pool::ServicePool, //
 };
@@ -35,6 +36,8 @@
     pub(crate) clock: Arc<dyn ClockSource>,
     /// The idempotency keys.
     pub(crate) keys: Arc<KeyStore>,
+    /// The other daemons.
+    pub(crate) peers: PeerDirectory,
     /// The seed of the random picks.
     pub(crate) seed: u64,
     /// Told whenever a slot falls idle.
@@ -59,6 +62,7 @@
             ownership: Arc::clone(&edges.ownership),
             clock: Arc::clone(&edges.clock),
             keys: Arc::new(keys),
+            peers: PeerDirectory::new(Arc::clone(&edges.table)),
             seed: edges.seed,
             idle: Arc::new(Notify::new()),
             held_bytes,
--- a/crates/gateway/src/header_names.rs
+++ b/crates/gateway/src/header_names.rs
@@ -14,6 +14,9 @@
 /// Says that an answer is the kept one of an earlier request with the same key.
 pub(crate) static REPLAYED: HeaderName = HeaderName::from_static("idempotency-replayed");
 
+/// Marks a request that another daemon handed on; it is handed on no further.
+pub(crate) static FORWARDED: HeaderName = HeaderName::from_static("jasminebend-forwarded");
+
 /// Announces connection persistence to ancient clients; hop-by-hop.
 pub(crate) static KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 
--- a/crates/gateway/src/header_rules.rs
+++ b/crates/gateway/src/header_rules.rs
@@ -20,6 +20,7 @@
 
 use crate::{
     header_names::{
+        FORWARDED,
         FORWARDED_FOR,
         KEEP_ALIVE,
         PROXY_CONNECTION, //
@@ -121,6 +122,7 @@
     remove_hop_headers(headers);
     headers.remove(EXPECT);
     headers.remove(TE);
+    headers.remove(&FORWARDED);
     headers.append(VIA, VIA_SELF);
     add_forwarded(headers, caller);
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -25,6 +25,8 @@
 mod key_write;
 mod key_writer;
 mod keyed_delivery;
+mod peer_directory;
+mod peer_forward;
 mod pending_exchange;
 mod pool_keeper;
 mod pool_settlement;
--- a/crates/gateway/src/request_handler.rs
+++ b/crates/gateway/src/request_handler.rs
@@ -11,6 +11,7 @@
     HeaderValue, Method, Request, Response, Version,
     header::{
         CONNECTION,
+        CONTENT_LENGTH,
         TRANSFER_ENCODING, //
     },
 };
@@ -30,7 +31,10 @@
 
 use crate::{
     answer_body::AnswerBody,
-    answer_rules::pass_on,
+    answer_rules::{
+        pass_on,
+        whole, //
+    },
     class_metrics::REFUSALS,
     delivery::Delivery,
     exchange::{
@@ -38,7 +42,10 @@
         EndpointRequest, //
     },
     gateway_shared::GatewayShared,
-    header_names::IDEMPOTENCY_KEY,
+    header_names::{
+        FORWARDED,
+        IDEMPOTENCY_KEY, //
+    },
     header_rules::{
         check_head,
         host_of,
@@ -54,6 +61,7 @@
         detached,
         keep, //
     },
+    peer_forward::forward,
     refusal::Refusal,
     request_body::RequestBody,
     request_trace::RequestTrace,
@@ -114,6 +122,7 @@
     let ancient = request.version() == Version::HTTP_10;
     let idempotent = is_idempotent(class.entry.idempotency, request.method());
     let key = key_of(&request).filter(|_| !idempotent);
+    let forwarded = request.headers().contains_key(&FORWARDED);
     let trace = (shared.settings.traces)
         .then(|| RequestTrace::begin(request.headers(), class.entry.class.as_str()));
     let (request, permit) = take_in(shared, request, caller.address).await?;
@@ -136,6 +145,7 @@
         _permit: permit,
     };
     let answer = match key {
+        _ if !forwarded && !job.class.pool.serves() => job.forward().await,
         None => job.deliver().await,
         Some(key) => deliver_keyed(job, &key).await,
     }?;
@@ -160,6 +170,23 @@
 }
 
 impl DeliveryJob {
+    /// Hands the request to another daemon. A key is reserved there.
+    async fn forward(self) -> Result<Response<AnswerBody>, Refusal> {
+        self.class.metrics.forwards.increment(1);
+        let answer = forward(
+            &self.shared,
+            &self.class,
+            self.plan,
+            self.trace.as_ref(),
+            self.request,
+        )
+        .await?;
+        match self.ancient && !answer.headers().contains_key(CONTENT_LENGTH) {
+            true => whole(answer, self.shared.settings.most_body_bytes).await,
+            false => Ok(answer),
+        }
+    }
+
     async fn deliver(self) -> Result<Response<AnswerBody>, Refusal> {
         let trace = self.trace.as_ref();
         let delivery = Delivery::new(&self.shared, &self.class, self.plan, self.demand, trace);
--- a/crates/gateway/src/service_pool.rs
+++ b/crates/gateway/src/service_pool.rs
@@ -111,6 +111,11 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Tells whether this daemon has slots of the service to use.
+    pub(crate) fn serves(&self) -> bool {
+        self.lock().serving > 0
+    }
+
     /// Takes a slot at once, if one is free.
     pub(crate) fn try_acquire(self: &Arc<Self>, avoid: Option<SocketAddr>) -> Option<SlotLease> {
         let now = self.clock.monotonic();
--- a/crates/gateway/tests/requests/main.rs
+++ b/crates/gateway/tests/requests/main.rs
@@ -8,6 +8,7 @@
 mod at_most_once;
 mod bounds;
 mod forwarding;
+mod forwarding_to_peers;
 mod idempotency_keys;
 mod leaving;
 mod planned_stop;
--- a/crates/gateway/tests/requests/support/test_gateway.rs
+++ b/crates/gateway/tests/requests/support/test_gateway.rs
@@ -60,6 +60,7 @@
     rule: IdempotencyRule,
     table: TableStandIn,
     clock: Arc<dyn ClockSource>,
+    told: bool,
 }
 
 impl GatewayBuilder {
@@ -72,9 +73,16 @@
             rule: IdempotencyRule::ByMethod,
             table: TableStandIn::new(),
             clock: Arc::new(SystemClock::new()),
+            told: false,
         }
     }
 
+    /// Has the other daemons know where this one is.
+    pub(crate) fn with_peer_address(mut self) -> Self {
+        self.told = true;
+        self
+    }
+
     pub(crate) fn with_clock(mut self, clock: Arc<dyn ClockSource>) -> Self {
         self.clock = clock;
         self
@@ -153,9 +161,13 @@
             clock: self.clock,
             seed: 7,
         };
-        let gateway = Gateway::new(self.settings, edges);
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let address = listener.local_addr().unwrap();
+        let settings = match self.told {
+            true => self.settings.with_peer_address(address),
+            false => self.settings,
+        };
+        let gateway = Gateway::new(settings, edges);
         let serving = tokio::spawn(Arc::clone(&gateway).serve(listener));
         TestGateway {
             address,
