Start the keeper and the key writer anew if they end early

Either ending by a fault of the program would have left the gateway without changes of its endpoints, or refusing every keyed request, for good. What a writer had not written stays reserved and is never run twice.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -8,6 +8,7 @@
         PoisonError,
         Weak, //
     },
+    time::Duration,
 };
 
 use async_trait::async_trait;
@@ -24,7 +25,8 @@
 use tokio::{
     net::TcpListener,
     sync::watch,
-    task::AbortHandle, //
+    task::AbortHandle,
+    time::sleep, //
 };
 
 use crate::{
@@ -41,6 +43,8 @@
     },
 };
 
+const KEEPER_PAUSE: Duration = Duration::from_secs(1);
+
 /// The gateway: takes callers' requests and has endpoints answer them.
 pub struct Gateway {
     shared: Arc<GatewayShared>,
@@ -75,7 +79,7 @@
             sweeper,
             directory,
         });
-        tokio::spawn(start_keeper(Arc::downgrade(&gateway), state));
+        tokio::spawn(run_keeper(Arc::downgrade(&gateway), state));
         gateway
     }
 
@@ -103,6 +107,11 @@
         info!("[gateway] Drained.");
     }
 
+    fn set_keeper(&self, keeper: ActorRef<KeeperMessage>) -> Option<ActorRef<KeeperMessage>> {
+        let mut own = self.keeper.lock().unwrap_or_else(PoisonError::into_inner);
+        own.replace(keeper)
+    }
+
     fn uses(&self, resource: ResourceId) -> bool {
         self.shared
             .pools()
@@ -126,20 +135,28 @@
     }
 }
 
-async fn start_keeper(gateway: Weak<Gateway>, state: KeeperState) {
-    let Ok((keeper, _)) = Actor::spawn(None, PoolKeeper, state).await else {
-        error!("[gateway] The keeper of the pools did not start.");
-        return;
-    };
-    let Some(gateway) = gateway.upgrade() else {
-        keeper.stop(None);
-        return;
-    };
-    let mut own = gateway
-        .keeper
-        .lock()
-        .unwrap_or_else(PoisonError::into_inner);
-    *own = Some(keeper);
+/// Runs the keeper for as long as the gateway lives. Without it no change of the endpoints or shares
+/// would be followed, so that one which ends before its time is started anew.
+async fn run_keeper(gateway: Weak<Gateway>, state: KeeperState) {
+    loop {
+        let Ok((keeper, ended)) = Actor::spawn(None, PoolKeeper, state.clone()).await else {
+            error!("[gateway] The keeper of the pools did not start.");
+            sleep(KEEPER_PAUSE).await;
+            continue;
+        };
+        let Some(own) = gateway.upgrade() else {
+            return keeper.stop(None);
+        };
+        let former = own.set_keeper(keeper);
+        drop((own, former));
+        // How it ended is told by the line below.
+        ended.await.ok();
+        if gateway.strong_count() == 0 {
+            return;
+        }
+        error!("[gateway] The keeper of the pools ended early and starts anew.");
+        sleep(KEEPER_PAUSE).await;
+    }
 }
 
 #[async_trait]
--- a/crates/gateway/src/key_store.rs
+++ b/crates/gateway/src/key_store.rs
@@ -22,6 +22,7 @@
 use ractor::{
     Actor,
     ActorRef,
+    ActorStatus,
     rpc::CallResult, //
 };
 use rand::{
@@ -34,7 +35,6 @@
 };
 use tokio::{
     sync::{
-        OnceCell,
         oneshot,
         watch, //
     },
@@ -71,7 +71,7 @@
     pub(crate) clock: Arc<dyn ClockSource>,
     retention: Duration,
     running: Arc<watch::Sender<usize>>,
-    writer: OnceCell<ActorRef<WriterMessage>>,
+    writer: Mutex<Option<ActorRef<WriterMessage>>>,
     source: Mutex<StdRng>,
 }
 
@@ -110,7 +110,7 @@
             clock,
             retention,
             running: Arc::new(watch::Sender::new(0)),
-            writer: OnceCell::new(),
+            writer: Mutex::new(None),
             source: Mutex::new(rand::make_rng()),
         }
     }
@@ -169,7 +169,7 @@
         if timeout(longest, over).await.is_err() {
             warn!("[gateway] Requests with idempotency keys are still running at the end.");
         }
-        let Some(writer) = self.writer.get() else {
+        let Some(writer) = self.live_writer() else {
             return;
         };
         let flushed = writer
@@ -182,7 +182,7 @@
 
     /// Ends the writer.
     pub(crate) fn stop(&self) {
-        if let Some(writer) = self.writer.get() {
+        if let Some(writer) = self.live_writer() {
             writer.stop(None);
         }
     }
@@ -196,15 +196,32 @@
         then.as_secs() / HOUR.as_secs()
     }
 
+    /// Returns the writer, started at the first need, and anew if it ended before its time: what it
+    /// had not written stays reserved, and so is never run twice.
     async fn writer(&self) -> Result<ActorRef<WriterMessage>, Refusal> {
-        let start = || async {
-            let table = Arc::clone(&self.table);
-            let state = WriterState::new(table, Arc::clone(&self.clock));
-            let started = Actor::spawn(None, KeyWriter, state).await;
-            started.map(|(writer, _)| writer)
-        };
-        let writer = self.writer.get_or_try_init(start).await;
-        writer.cloned().map_err(|_| Refusal::KeyUnreserved)
+        if let Some(writer) = self.live_writer() {
+            return Ok(writer);
+        }
+        let state = WriterState::new(Arc::clone(&self.table), Arc::clone(&self.clock));
+        let started = Actor::spawn(None, KeyWriter, state).await;
+        let (writer, _) = started.map_err(|_| Refusal::KeyUnreserved)?;
+        let mut own = self.writer.lock().unwrap_or_else(PoisonError::into_inner);
+        // Two may have started one at once: the first to get here stays.
+        match own.as_ref().filter(|own| is_live(own)) {
+            Some(first) => {
+                writer.stop(None);
+                Ok(first.clone())
+            }
+            None => {
+                *own = Some(writer.clone());
+                Ok(writer)
+            }
+        }
+    }
+
+    fn live_writer(&self) -> Option<ActorRef<WriterMessage>> {
+        let writer = self.writer.lock().unwrap_or_else(PoisonError::into_inner);
+        writer.as_ref().filter(|writer| is_live(writer)).cloned()
     }
 
     fn draw(&self) -> u64 {
@@ -213,6 +230,10 @@
     }
 }
 
+fn is_live(writer: &ActorRef<WriterMessage>) -> bool {
+    writer.get_status() <= ActorStatus::Running
+}
+
 impl KeyReservation {
     /// Keeps what became of the request.
     pub(crate) fn settle(mut self, state: KeyState) {
--- a/crates/gateway/src/pool_keeper.rs
+++ b/crates/gateway/src/pool_keeper.rs
@@ -65,6 +65,7 @@
 pub(crate) struct PoolKeeper;
 
 /// What the keeper works with.
+#[derive(Clone)]
 pub(crate) struct KeeperState {
     /// The pools.
     pub(crate) shared: Arc<GatewayShared>,
--- a/crates/gateway/tests/requests/answers.rs
+++ b/crates/gateway/tests/requests/answers.rs
@@ -46,6 +46,21 @@
     }
 }
 
+// An endpoint stops in the middle of its answer and keeps the connection. The caller must not wait
+// for ever, nor take what it has for the whole.
+#[tokio::test]
+async fn an_answer_that_stands_still_is_cut() {
+    let endpoint = ScriptEndpoint::start().await;
+    endpoint.once(Act::Raw("HTTP/1.1 200 OK\r\ncontent-length: 10\r\n\r\nabc"));
+    let builder = GatewayBuilder::new().with_endpoint(&endpoint, 4);
+    let gateway = builder
+        .with_settings(|settings| settings.with_body_stall(SHORT))
+        .start()
+        .await;
+    let reply = gateway.post("a").await;
+    assert!(!reply.whole, "{reply:?}");
+}
+
 // A chunked answer is cut, and its caller speaks HTTP/1.0, to whom the end of the connection is the
 // end of the answer: passed on as it comes, the part would look whole.
 #[tokio::test]
--- a/crates/gateway/tests/requests/smuggling.rs
+++ b/crates/gateway/tests/requests/smuggling.rs
@@ -1,9 +1,15 @@
 //! Requests whose end two readers could see in different places are refused.
 
+use tokio::io::{
+    AsyncReadExt,
+    AsyncWriteExt, //
+};
+
 use crate::support::{
     GatewayBuilder,
     ScriptEndpoint,
-    exchange, //
+    exchange,
+    send, //
 };
 
 const HIDDEN: &str = "GET /hidden HTTP/1.1\r\nhost: shop\r\n\r\n";
@@ -68,6 +74,28 @@
     );
 }
 
+// The two lengths come in two parts, cut anywhere: the watch over heads must see them whole.
+#[tokio::test]
+async fn two_lengths_are_found_wherever_the_reads_cut() {
+    let endpoint = ScriptEndpoint::start().await;
+    let gateway = GatewayBuilder::new()
+        .with_endpoint(&endpoint, 4)
+        .start()
+        .await;
+    let text = "POST /a HTTP/1.1\r\nhost: shop\r\ntransfer-encoding: chunked\r\ncontent-length: 5\r\n\r\n0\r\n\r\n";
+    for cut in 1..text.len() {
+        let (first, second) = text.split_at(cut);
+        let mut stream = send(gateway.address, first).await;
+        stream.set_nodelay(true).unwrap();
+        tokio::task::yield_now().await;
+        stream.write_all(second.as_bytes()).await.unwrap();
+        let mut got = String::new();
+        stream.read_to_string(&mut got).await.ok();
+        assert!(got.starts_with("HTTP/1.1 400"), "cut at {cut}: {got}");
+    }
+    assert_eq!(endpoint.seen(), 0);
+}
+
 // A chunked body's sizes are not what they seem. Read leniently, the body would end elsewhere.
 #[tokio::test]
 async fn bad_chunk_sizes_are_refused() {
