Give each public type of the daemon its own file

Layout only: the errors, the log's format and level, the guard of the administration API and the trace export stand in files named after them, and every import stands on its own line.

--- a/crates/jasminebend/benches/administration_cost.rs
+++ b/crates/jasminebend/benches/administration_cost.rs
@@ -7,7 +7,7 @@
     time::{
         Duration,
         Instant, //
-    },
+    }, //
 };
 
 use http::Method;
--- a/crates/jasminebend/src/access_keys.rs
+++ b/crates/jasminebend/src/access_keys.rs
@@ -10,14 +10,9 @@
         Arc,
         PoisonError,
         RwLock, //
-    },
+    }, //
 };
 
-use derive_more::{
-    Display,
-    Error,
-    From, //
-};
 use rustls::ServerConfig;
 use rustls_pki_types::{
     CertificateDer,
@@ -26,6 +21,7 @@
 };
 
 use crate::{
+    AccessError,
     DaemonSettings,
     OperatorIdentity,
     TlsError,
@@ -34,17 +30,6 @@
     TokenTable, //
 };
 
-/// Why keys are refused.
-#[derive(Clone, Debug, Display, Eq, Error, From, PartialEq)]
-pub enum AccessError {
-    /// The certificate.
-    #[display("{_0}")]
-    Tls(TlsError),
-    /// The tokens.
-    #[display("{_0}")]
-    Tokens(TokenError),
-}
-
 /// Who may come in: the certificate and the tokens in force.
 #[derive(Debug)]
 pub struct AccessKeys {
--- a/crates/jasminebend/src/admin_front.rs
+++ b/crates/jasminebend/src/admin_front.rs
@@ -13,6 +13,7 @@
 
 use crate::{
     AccessKeys,
+    AdminGuard,
     ControlPort,
     DaemonError,
     DaemonSettings,
@@ -33,15 +34,6 @@
     health: Option<TcpListener>,
 }
 
-/// The administration API at work. Dropping it ends its tasks.
-#[derive(Debug)]
-pub struct AdminGuard {
-    stop: watch::Sender<()>,
-    tasks: JoinSet<()>,
-    address: SocketAddr,
-    health: Option<SocketAddr>,
-}
-
 impl AdminFront {
     /// Reads the keys and binds the addresses.
     ///
@@ -105,33 +97,7 @@
         tasks.spawn(self.watch.run(stopped.clone()));
         let server = AdminServer::new(service, self.keys, self.limits);
         tasks.spawn(server.serve(self.main, stopped));
-        Ok(AdminGuard {
-            stop,
-            tasks,
-            address,
-            health: health.transpose()?,
-        })
-    }
-}
-
-impl AdminGuard {
-    /// Returns where the API listens.
-    pub fn address(&self) -> SocketAddr {
-        self.address
-    }
-
-    /// Returns where health, readiness and metrics are served in plain HTTP, if anywhere.
-    pub fn health_address(&self) -> Option<SocketAddr> {
-        self.health
-    }
-
-    /// Stops to listen, and waits until the requests in progress are answered.
-    pub async fn stop(self) {
-        let Self {
-            stop, mut tasks, ..
-        } = self;
-        drop(stop);
-        while tasks.join_next().await.is_some() {}
+        Ok(AdminGuard::new(stop, tasks, address, health.transpose()?))
     }
 }
 
--- a/crates/jasminebend/src/admin_server.rs
+++ b/crates/jasminebend/src/admin_server.rs
@@ -37,7 +37,7 @@
     time::{
         sleep,
         timeout, //
-    },
+    }, //
 };
 use tokio_rustls::TlsAcceptor;
 
--- a/crates/jasminebend/src/admin_trace.rs
+++ b/crates/jasminebend/src/admin_trace.rs
@@ -2,12 +2,13 @@
 
 use http::HeaderMap;
 use opentelemetry::{
-    Context, global,
+    Context,
+    global,
     trace::{
         SpanKind,
         TraceContextExt,
         Tracer, //
-    },
+    }, //
 };
 use opentelemetry_http::HeaderExtractor;
 
--- a/crates/jasminebend/src/entry_control.rs
+++ b/crates/jasminebend/src/entry_control.rs
@@ -5,7 +5,7 @@
     atomic::{
         AtomicBool,
         Ordering, //
-    },
+    }, //
 };
 
 use async_trait::async_trait;
--- a/crates/jasminebend/src/entry_daemon.rs
+++ b/crates/jasminebend/src/entry_daemon.rs
@@ -32,11 +32,17 @@
     time::{
         sleep,
         timeout, //
-    },
+    }, //
 };
 
 use crate::{
-    AdminFront, AdminGuard, DaemonEdges, DaemonError, DaemonSettings, MetricsHub, PeerKeySource,
+    AdminFront,
+    AdminGuard,
+    DaemonEdges,
+    DaemonError,
+    DaemonSettings,
+    MetricsHub,
+    PeerKeySource,
     admin_front::{
         bind,
         local_address, //
@@ -44,7 +50,7 @@
     entry_control::EntryControl,
     gauge_keeper::GaugeKeeper,
     peer_keys::PeerKeys,
-    secret_watch::SecretWatch,
+    secret_watch::SecretWatch, //
 };
 
 const LONGEST_PROPOSAL: Duration = Duration::from_secs(10);
--- a/crates/jasminebend/src/lib.rs
+++ b/crates/jasminebend/src/lib.rs
@@ -1,11 +1,13 @@
 //! The daemon: one on each entry VM, all equal. It composes the cluster, the gateway and the
 //! planner, and serves the administration API.
 
+mod access_error;
 mod access_keys;
 mod access_role;
 mod admin_change;
 mod admin_error;
 mod admin_front;
+mod admin_guard;
 mod admin_response;
 mod admin_route;
 mod admin_server;
@@ -31,6 +33,9 @@
 mod key_watch;
 mod limit_settings;
 mod listen_settings;
+mod log_error;
+mod log_format;
+mod log_level;
 mod log_settings;
 mod log_setup;
 mod metrics_hub;
@@ -51,21 +56,19 @@
 mod tls_settings;
 mod token_error;
 mod token_table;
+mod trace_error;
+mod trace_export;
 mod trace_settings;
-mod trace_setup;
+
 mod usage_error;
 mod yaml_fault;
 
 pub use self::{
-    access_keys::{
-        AccessError,
-        AccessKeys, //
-    },
+    access_error::AccessError,
+    access_keys::AccessKeys,
     access_role::AccessRole,
-    admin_front::{
-        AdminFront,
-        AdminGuard, //
-    },
+    admin_front::AdminFront,
+    admin_guard::AdminGuard,
     command_line::{
         CommandLine,
         HELP, //
@@ -88,13 +91,11 @@
     entry_daemon::EntryDaemon,
     limit_settings::LimitSettings,
     listen_settings::ListenSettings,
-    log_settings::{
-        LogFormat,
-        LogLevel,
-        LogSettings, //
-    },
+    log_error::LogError,
+    log_format::LogFormat,
+    log_level::LogLevel,
+    log_settings::LogSettings,
     log_setup::{
-        LogError,
         formatter,
         set_up_log, //
     },
@@ -110,10 +111,8 @@
     tls_settings::TlsSettings,
     token_error::TokenError,
     token_table::TokenTable,
+    trace_error::TraceError,
+    trace_export::TraceExport,
     trace_settings::TraceSettings,
-    trace_setup::{
-        TraceError,
-        TraceExport, //
-    },
     usage_error::UsageError, //
 };
--- a/crates/jasminebend/src/limit_settings.rs
+++ b/crates/jasminebend/src/limit_settings.rs
@@ -17,7 +17,7 @@
         parse_number,
         parse_size,
         parse_time, //
-    },
+    }, //
 };
 
 const BODY: &str = "a size from 1KiB to 1GiB with its unit, such as `16MiB`";
--- a/crates/jasminebend/src/listen_settings.rs
+++ b/crates/jasminebend/src/listen_settings.rs
@@ -15,7 +15,7 @@
         RawText,
         parse_address,
         parse_own_address, //
-    },
+    }, //
 };
 
 const PEER_ADDRESS: &str =
--- a/crates/jasminebend/src/log_settings.rs
+++ b/crates/jasminebend/src/log_settings.rs
@@ -1,47 +1,18 @@
 //! What the daemon logs, and how.
 
-use derive_more::Display;
 use serde::Deserialize;
 
 use crate::{
+    LogFormat,
+    LogLevel,
     SettingsError,
     given_key::GivenKey,
     key_reader::{
         KeyReader,
         RawText, //
-    },
+    }, //
 };
 
-/// How a log line looks.
-#[derive(Clone, Copy, Debug, Default, Display, Eq, PartialEq)]
-pub enum LogFormat {
-    /// One line of text.
-    #[default]
-    #[display("text")]
-    Text,
-    /// One JSON object a line.
-    #[display("json")]
-    Json,
-}
-
-/// The least severe lines that are logged.
-#[derive(Clone, Copy, Debug, Default, Display, Eq, PartialEq)]
-pub enum LogLevel {
-    /// Failures that need somebody.
-    #[display("error")]
-    Error,
-    /// Failures that the daemon deals with itself.
-    #[display("warn")]
-    Warn,
-    /// Changes of state.
-    #[default]
-    #[display("info")]
-    Info,
-    /// Every decision.
-    #[display("debug")]
-    Debug,
-}
-
 /// What the daemon logs, and how.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct LogSettings {
--- a/crates/jasminebend/src/log_setup.rs
+++ b/crates/jasminebend/src/log_setup.rs
@@ -2,10 +2,6 @@
 
 use std::sync::Arc;
 
-use derive_more::{
-    Display,
-    Error, //
-};
 use spdlog::{
     Level,
     LevelFilter,
@@ -24,19 +20,12 @@
 };
 
 use crate::{
+    LogError,
     LogFormat,
     LogLevel,
     LogSettings, //
 };
 
-/// The log could not be set up.
-#[derive(Clone, Debug, Display, Eq, Error, PartialEq)]
-#[display("the log could not be set up: {reason}")]
-pub struct LogError {
-    /// What the log library says.
-    pub reason: String,
-}
-
 /// Sends the process's log to the standard error stream.
 ///
 /// # Errors
--- a/crates/jasminebend/src/platform_settings.rs
+++ b/crates/jasminebend/src/platform_settings.rs
@@ -18,7 +18,7 @@
         parse_path,
         parse_remote,
         parse_time, //
-    },
+    }, //
 };
 
 const ADDRESS: &str = "the IP address and port of the service, such as `10.0.0.9:7000`";
--- a/crates/jasminebend/src/tls_settings.rs
+++ b/crates/jasminebend/src/tls_settings.rs
@@ -11,7 +11,7 @@
         KeyReader,
         RawText,
         parse_path, //
-    },
+    }, //
 };
 
 const CERT_FILE: &str = "the path of a PEM file with the certificate and its chain";
--- a/crates/jasminebend/src/trace_setup.rs
+++ b/crates/jasminebend/src/trace_export.rs
@@ -2,10 +2,6 @@
 
 use std::time::Duration;
 
-use derive_more::{
-    Display,
-    Error, //
-};
 use opentelemetry::{
     KeyValue,
     global, //
@@ -24,12 +20,13 @@
         BatchSpanProcessor,
         Sampler,
         SdkTracerProvider, //
-    },
+    }, //
 };
 use spdlog::warn;
 use tokio::runtime::Handle;
 
 use crate::{
+    TraceError,
     TraceSettings,
     collector_client::CollectorClient, //
 };
@@ -38,14 +35,6 @@
 const BATCH_DELAY: Duration = Duration::from_secs(1);
 const SERVICE: &str = "jasminebend";
 
-/// The traces could not be set up.
-#[derive(Clone, Debug, Display, Eq, Error, PartialEq)]
-#[display("the traces could not be set up: {reason}")]
-pub struct TraceError {
-    /// What the trace library says.
-    pub reason: String,
-}
-
 /// The process's traces. Without a collector spans cost next to nothing and go nowhere, but a
 /// caller's `traceparent` is still passed on.
 #[derive(Debug)]
--- a/crates/jasminebend/src/trace_settings.rs
+++ b/crates/jasminebend/src/trace_settings.rs
@@ -12,7 +12,7 @@
         RawText,
         parse_number,
         parse_remote, //
-    },
+    }, //
 };
 
 const COLLECTOR: &str =
--- a/crates/jasminebend/tests/administration/access.rs
+++ b/crates/jasminebend/tests/administration/access.rs
@@ -33,7 +33,7 @@
         tokens_file,
         until, //
     },
-    temporary_directory::TemporaryDirectory,
+    temporary_directory::TemporaryDirectory, //
 };
 
 fn guarded(directory: &TemporaryDirectory) -> DaemonSettings {
--- a/crates/jasminebend/tests/administration/change_log.rs
+++ b/crates/jasminebend/tests/administration/change_log.rs
@@ -8,7 +8,7 @@
     sync::{
         Arc,
         Mutex, //
-    },
+    }, //
 };
 
 use http::Method;
@@ -28,7 +28,7 @@
     sink::{
         SinkPropAccess,
         WriteSink, //
-    },
+    }, //
 };
 
 use crate::{
@@ -38,7 +38,7 @@
         settings,
         tokens_file, //
     },
-    temporary_directory::TemporaryDirectory,
+    temporary_directory::TemporaryDirectory, //
 };
 
 const TOKEN: &str = "token-of-lena";
--- a/crates/jasminebend/tests/administration/temporary_directory.rs
+++ b/crates/jasminebend/tests/administration/temporary_directory.rs
@@ -6,7 +6,7 @@
     sync::atomic::{
         AtomicU32,
         Ordering, //
-    },
+    }, //
 };
 
 static NEXT: AtomicU32 = AtomicU32::new(0);
--- a/crates/jasminebend/tests/daemon/change_faults.rs
+++ b/crates/jasminebend/tests/daemon/change_faults.rs
@@ -33,7 +33,7 @@
     platform::{
         TestPlatform,
         configuration, //
-    },
+    }, //
 };
 
 /// A fault of the table service, and whether it lasts until the operator has an answer.
--- a/crates/jasminebend/tests/daemon/graceful_stop.rs
+++ b/crates/jasminebend/tests/daemon/graceful_stop.rs
@@ -9,7 +9,7 @@
             Ordering, //
         },
     },
-    time::Duration,
+    time::Duration, //
 };
 
 use http::Method;
@@ -43,7 +43,7 @@
     program::{
         RunningProgram,
         run, //
-    },
+    }, //
 };
 
 /// More callers than the eight slots: requests wait when the stop begins, and outlast its lag.
--- a/crates/jasminebend/tests/daemon/jobs.rs
+++ b/crates/jasminebend/tests/daemon/jobs.rs
@@ -26,7 +26,7 @@
     platform::{
         TestPlatform,
         configuration, //
-    },
+    }, //
 };
 
 fn submission(job: &Value) -> AdminCall {
--- a/crates/jasminebend/tests/daemon/key_files.rs
+++ b/crates/jasminebend/tests/daemon/key_files.rs
@@ -17,7 +17,7 @@
     program::{
         RunningProgram,
         run, //
-    },
+    }, //
 };
 
 /// Operators replace the key that daemons share, step by step, and one step has a slip. Neither may
--- a/crates/jasminebend/tests/daemon/platform.rs
+++ b/crates/jasminebend/tests/daemon/platform.rs
@@ -10,7 +10,7 @@
             Ordering, //
         },
     },
-    time::Duration,
+    time::Duration, //
 };
 
 use jasminebend::{
--- a/crates/jasminebend/tests/daemon/program.rs
+++ b/crates/jasminebend/tests/daemon/program.rs
@@ -18,7 +18,7 @@
         Mutex,
         mpsc, //
     },
-    thread,
+    thread, //
 };
 
 /// The real program, started on a settings file, with what it logs.
--- a/crates/jasminebend/tests/daemon/three_daemons.rs
+++ b/crates/jasminebend/tests/daemon/three_daemons.rs
@@ -18,7 +18,7 @@
     platform::{
         TestPlatform,
         configuration, //
-    },
+    }, //
 };
 
 async fn status(daemon: &EntryDaemon) -> Value {
--- a/crates/jasminebend/tests/daemon/whole_path.rs
+++ b/crates/jasminebend/tests/daemon/whole_path.rs
@@ -27,7 +27,7 @@
     platform::{
         TestPlatform,
         configuration, //
-    },
+    }, //
 };
 
 async fn get_text(admin: SocketAddr, path: &str) -> String {
--- a/crates/jbctl/src/program.rs
+++ b/crates/jbctl/src/program.rs
@@ -11,12 +11,20 @@
 use tokio::runtime::Builder;
 
 use crate::{
-    AdminAnswer, AdminCall, AdminClient, CallError, CommandLine, HELP, OperatorCommand,
-    OutputFormat, TargetOptions, UsageError,
+    AdminAnswer,
+    AdminCall,
+    AdminClient,
+    CallError,
+    CommandLine,
+    HELP,
+    OperatorCommand,
+    OutputFormat,
+    TargetOptions,
+    UsageError,
     admin_call::{
         read_configuration,
         read_text, //
-    },
+    }, //
 };
 
 const REFUSED: u8 = 1;
--- a/crates/jbctl/tests/exit_codes.rs
+++ b/crates/jbctl/tests/exit_codes.rs
@@ -16,7 +16,7 @@
         Command,
         Output, //
     },
-    thread,
+    thread, //
 };
 
 use jasminebend_base::Configuration;
