Replace every daemon under load, and let slots settle before callers come

Three real programs are stopped and replaced one after another while a balancer sends orders to those that are ready. No order may be lost or run twice and no slot used twice.

--- a/crates/jasminebend/src/entry_control.rs
+++ b/crates/jasminebend/src/entry_control.rs
@@ -2,6 +2,8 @@
 
 use std::sync::{
     Arc,
+    Mutex,
+    PoisonError,
     atomic::{
         AtomicBool,
         Ordering, //
@@ -29,12 +31,14 @@
     PlannerHandle,
     SubmitError, //
 };
+use jasminebend_ports::ClockSource;
 use serde::Serialize;
 
 use crate::{
     ControlError,
     ControlPort,
-    DaemonStatus, //
+    DaemonStatus,
+    SlotSettling, //
 };
 
 const MAY_COME: &str = "may still come into force: the status shows which version is accepted, and \
@@ -46,6 +50,8 @@
     region: String,
     cluster: ClusterHandle,
     planner: PlannerHandle,
+    clock: Arc<dyn ClockSource>,
+    settling: Mutex<SlotSettling>,
     stopping: AtomicBool,
 }
 
@@ -55,12 +61,15 @@
         region: String,
         cluster: ClusterHandle,
         planner: PlannerHandle,
+        clock: Arc<dyn ClockSource>,
     ) -> Self {
         Self {
             domain,
             region,
             cluster,
             planner,
+            clock,
+            settling: Mutex::new(SlotSettling::new()),
             stopping: AtomicBool::new(false),
         }
     }
@@ -74,10 +83,16 @@
         self.stopping.load(Ordering::Relaxed)
     }
 
-    fn holds_slots(&self) -> bool {
-        let held = self.cluster.ownership().held();
-        held.iter()
-            .any(|(resource, _)| matches!(resource, ResourceId::Slots(_)))
+    /// Tells whether slots are held that may be used now, and were for a while.
+    fn slots_settled(&self) -> bool {
+        let ownership = self.cluster.ownership();
+        let usable = |resource: ResourceId| {
+            matches!(resource, ResourceId::Slots(_)) && ownership.idle_for(resource).is_zero()
+        };
+        let held = ownership.held();
+        let held = held.iter().any(|(resource, _)| usable(*resource));
+        let mut settling = self.settling.lock().unwrap_or_else(PoisonError::into_inner);
+        settling.observe(self.clock.monotonic(), held)
     }
 
     async fn propose(
@@ -105,7 +120,7 @@
     /// A daemon with a seat but no slots, as after its start, could only keep callers waiting: the
     /// balancer is told to wait until some slots are its own.
     fn ready(&self) -> bool {
-        !self.stopping() && self.cluster.ready() && self.holds_slots()
+        !self.stopping() && self.cluster.ready() && self.slots_settled()
     }
 
     fn configuration(&self) -> Arc<Configuration> {
--- a/crates/jasminebend/src/entry_daemon.rs
+++ b/crates/jasminebend/src/entry_daemon.rs
@@ -94,7 +94,13 @@
         cluster.add_user(Arc::new(planner.clone()));
         let domain = settings.domain.clone();
         let region = settings.region.clone();
-        let control = EntryControl::new(domain, region, cluster.clone(), planner);
+        let control = EntryControl::new(
+            domain,
+            region,
+            cluster.clone(),
+            planner,
+            Arc::clone(&edges.clock),
+        );
         let control = Arc::new(control);
         let admin = front.serve(control.clone(), metrics.clone())?;
         let (background, ended) = watch::channel(());
--- a/crates/jasminebend/src/lib.rs
+++ b/crates/jasminebend/src/lib.rs
@@ -61,6 +61,7 @@
 mod service;
 mod settings_error;
 mod settings_file;
+mod slot_settling;
 mod tls_error;
 mod tls_settings;
 mod token_error;
@@ -120,6 +121,10 @@
     program::run_program,
     secret_text::SecretText,
     settings_error::SettingsError,
+    slot_settling::{
+        SETTLING,
+        SlotSettling, //
+    },
     tls_error::TlsError,
     tls_settings::TlsSettings,
     token_error::TokenError,
--- a/crates/jasminebend/tests/daemon/caller.rs
+++ b/crates/jasminebend/tests/daemon/caller.rs
@@ -101,12 +101,27 @@
     until("an answered order", served).await;
 }
 
+/// Tells whether the balancer may send callers to a daemon; one that is gone is not ready.
+pub(crate) async fn is_ready(admin: SocketAddr) -> bool {
+    let call = AdminCall {
+        method: http::Method::GET,
+        path: "/readyz".to_owned(),
+        expected: None,
+        body: Default::default(),
+    };
+    let answer = client(admin).call(&call).await;
+    answer.is_ok_and(|answer| answer.status.is_success())
+}
+
 /// Makes one call of the administration API.
 pub(crate) async fn operate(daemon: SocketAddr, call: AdminCall) -> AdminAnswer {
+    client(daemon).call(&call).await.expect("an answer")
+}
+
+fn client(daemon: SocketAddr) -> AdminClient {
     let mut options = TargetOptions::new();
     options.address = daemon.to_string();
-    let client = AdminClient::new(&options).expect("a client");
-    client.call(&call).await.expect("an answer")
+    AdminClient::new(&options).expect("a client")
 }
 
 /// Makes the call of a command that reads no file.
--- a/crates/jasminebend/tests/daemon/graceful_stop.rs
+++ b/crates/jasminebend/tests/daemon/graceful_stop.rs
@@ -12,13 +12,11 @@
     time::Duration, //
 };
 
-use http::Method;
 use indexmap::IndexMap;
 use jasminebend_standins::{
     FaultKind,
     OutageState, //
 };
-use jbctl::AdminCall;
 use tokio::{
     task::{
         JoinSet,
@@ -31,7 +29,7 @@
     caller::{
         CallerOutcome,
         configure,
-        operate,
+        is_ready,
         order,
         until,
         wait_until_served, //
@@ -49,16 +47,6 @@
 /// More callers than the eight slots: requests wait when the stop begins, and outlast its lag.
 const CALLERS: usize = 24;
 
-async fn is_ready(admin: SocketAddr) -> bool {
-    let call = AdminCall {
-        method: Method::GET,
-        path: "/readyz".to_owned(),
-        expected: None,
-        body: Default::default(),
-    };
-    operate(admin, call).await.status.is_success()
-}
-
 /// Sends orders one after another until it is told to stop, and counts what became of them.
 async fn send_orders(
     daemon: SocketAddr,
--- a/crates/jasminebend/tests/daemon/main.rs
+++ b/crates/jasminebend/tests/daemon/main.rs
@@ -8,6 +8,7 @@
 mod key_files;
 mod platform;
 mod program;
+mod rolling_replacement;
 mod three_daemons;
 mod traces;
 mod whole_path;
--- a/crates/jasminebend/tests/daemon/platform.rs
+++ b/crates/jasminebend/tests/daemon/platform.rs
@@ -36,7 +36,8 @@
     ServiceClass,
     ServiceName,
     TeamName,
-    TeamQuota, //
+    TeamQuota,
+    VmRecord, //
 };
 use jasminebend_ports::{
     ClockSource,
@@ -62,7 +63,7 @@
 const SERVICE: &str = "shop";
 static NEXT: AtomicU32 = AtomicU32::new(0);
 
-/// The platform, one endpoint of the service `shop` and two workers, in the failure domain `a`.
+/// The platform, endpoints of the service `shop` and two workers, in the failure domain `a`.
 pub(crate) struct TestPlatform {
     pub(crate) table: TableStandIn,
     pub(crate) objects: ObjectStandIn,
@@ -75,19 +76,24 @@
 }
 
 impl TestPlatform {
+    /// Starts a platform with one endpoint, which works so long on each request.
     pub(crate) async fn start(service_time: Duration) -> Self {
+        Self::start_with(service_time, 1).await
+    }
+
+    /// Starts a platform with so many endpoints.
+    pub(crate) async fn start_with(service_time: Duration, endpoints: u32) -> Self {
         let ledger = Arc::new(EndpointLedger::new());
-        let knobs = EndpointKnobs {
-            service_time: ServiceTime::Fixed(service_time),
-            ..EndpointKnobs::default()
-        };
-        let endpoint = EndpointStandIn::new("vm-1", Arc::clone(&ledger), SEED).with_knobs(knobs);
-        let (address, endpoint_guard) = endpoint.start().await.expect("a free port");
         let runs = Arc::new(RunLedger::new());
         let mut fleet = fleet(&runs);
         let worker_guards = fleet.start_servers().await.expect("free ports");
         let mut vms = fleet.records();
-        vms.push(endpoint.record("a", SERVICE, address));
+        let mut guards = worker_guards;
+        for number in 0..endpoints {
+            let (vm, guard) = start_endpoint(number, service_time, &ledger).await;
+            vms.push(vm);
+            guards.push(guard);
+        }
         let vm_list = VmListStandIn::new(vms);
         let (list_address, list_guard) = vm_list.start().await.expect("a free port");
         let table = TableStandIn::new();
@@ -102,13 +108,12 @@
         fs::write(&key_file, SECRET).expect("a file");
         let settings = format!(
             "listen:\n  callers: 127.0.0.1:0\n  administration: 127.0.0.1:0\n  \
-             peers: 127.0.0.1:0\nvm: entry-1\nfailure_domain: a\nregion: north\nseats: 1\n\
-             slot_shares: 4\nshards: 1\npeers:\n  key_file: {}\nplatform:\n  \
+             peers: 127.0.0.1:0\nvm: entry-1\nfailure_domain: a\nregion: north\n\
+             shards: 1\npeers:\n  key_file: {}\nplatform:\n  \
              table: {table_address}\n  objects: {objects_address}\n  vm_list: {list_address}\n",
             key_file.display(),
         );
-        let mut guards = vec![endpoint_guard, list_guard, table_guard, objects_guard];
-        guards.extend(worker_guards);
+        guards.extend([list_guard, table_guard, objects_guard]);
         Self {
             table,
             objects,
@@ -153,14 +158,37 @@
         fs::write(self.directory.join(name), content).expect("a file");
     }
 
-    /// Writes a settings file for a daemon on this platform, with these lines after its own.
+    /// Writes a settings file for the only daemon on this platform, with these lines after its own.
     pub(crate) fn settings_file(&self, lines: &str) -> PathBuf {
+        self.settings_file_of(1, lines)
+    }
+
+    /// Writes a settings file for so many daemons.
+    pub(crate) fn settings_file_of(&self, daemons: u8, lines: &str) -> PathBuf {
+        let shares = u16::from(daemons) * 4;
         let path = self.directory.join("settings.yaml");
-        fs::write(&path, format!("{}{lines}", self.settings)).expect("a file");
+        let sizes = format!("seats: {daemons}\nslot_shares: {shares}\n");
+        fs::write(&path, format!("{}{sizes}{lines}", self.settings)).expect("a file");
         path
     }
 }
 
+async fn start_endpoint(
+    number: u32,
+    service_time: Duration,
+    ledger: &Arc<EndpointLedger>,
+) -> (VmRecord, ServerGuard) {
+    let knobs = EndpointKnobs {
+        service_time: ServiceTime::Fixed(service_time),
+        ..EndpointKnobs::default()
+    };
+    let seed = SEED + u64::from(number);
+    let endpoint = EndpointStandIn::new(format!("vm-{number}"), Arc::clone(ledger), seed);
+    let endpoint = endpoint.with_knobs(knobs);
+    let (address, guard) = endpoint.start().await.expect("a free port");
+    (endpoint.record("a", SERVICE, address), guard)
+}
+
 fn fleet(runs: &Arc<RunLedger>) -> WorkerFleet {
     let clock: Arc<dyn ClockSource> = Arc::new(SystemClock::new());
     let shape = FleetShape {
