--- a/crates/jasminebend/tests/daemon/rolling_replacement.rs
+++ b/crates/jasminebend/tests/daemon/rolling_replacement.rs
@@ -45,6 +45,9 @@
 const LOOK: Duration = Duration::from_millis(50);
 const LINES: &str = "drain:\n  balancer_lag: 400ms\n";
 
+/// What a daemon logs when it takes another one for gone: never of one that runs, or that left.
+const GONE: &str = "is gone";
+
 /// A balancer that sends each request to the next daemon of those that were ready at its last look.
 struct TestBalancer {
     listed: Mutex<Vec<(SocketAddr, SocketAddr)>>,
@@ -143,6 +146,7 @@
         old.terminate();
         let (code, log) = spawn_blocking(move || old.wait()).await.expect("an end");
         assert_eq!(code, Some(0), "{log:#?}");
+        assert!(!log.iter().any(|line| line.contains(GONE)), "{log:#?}");
         programs.push(RunningProgram::start(&settings));
         balancer.list(&programs);
         let newest = programs.last().expect("a program").admin;
@@ -157,6 +161,7 @@
         }
     }
     println!("{total:?}");
+    assert!(!programs.iter().any(|program| program.has_logged(GONE)));
     assert_eq!(total.get(&CallerOutcome::Lost), None, "{total:?}");
     assert_eq!(total.get(&CallerOutcome::NoConnection), None, "{total:?}");
     assert!(total[&CallerOutcome::Whole] > 100, "{total:?}");
