--- a/crates/gateway/src/answer_body.rs
+++ b/crates/gateway/src/answer_body.rs
@@ -16,6 +16,7 @@
     Frame,
     SizeHint, //
 };
+use http_body_util::Full;
 use hyper::body::Incoming;
 use tokio::{
     runtime::Handle,
@@ -42,7 +43,7 @@
 /// hyper abort the caller's connection, so that a part is never taken for the whole.
 pub(crate) enum AnswerBody {
     /// There in whole.
-    Whole(Option<Bytes>),
+    Whole(Full<Bytes>),
     /// Passed on as the endpoint sends it.
     Streamed(Box<StreamedAnswer>),
 }
@@ -66,7 +67,7 @@
 impl AnswerBody {
     /// Creates a body that is there in whole.
     pub(crate) fn whole(bytes: Bytes) -> Self {
-        Self::Whole(Some(bytes).filter(|bytes| !bytes.is_empty()))
+        Self::Whole(Full::new(bytes))
     }
 
     /// Passes an endpoint's answer on; the slot is given back when its body has come in whole.
@@ -83,7 +84,7 @@
         };
         if incoming.is_end_stream() {
             slot.release();
-            return Response::from_parts(head, Self::Whole(None));
+            return Response::from_parts(head, Self::Whole(Full::default()));
         }
         let streamed = StreamedAnswer {
             incoming: Some(incoming),
@@ -103,7 +104,7 @@
         settings: &GatewaySettings,
     ) -> Response<Self> {
         answer.map(|incoming| match incoming.is_end_stream() {
-            true => Self::Whole(None),
+            true => Self::Whole(Full::default()),
             false => Self::Streamed(Box::new(StreamedAnswer {
                 incoming: Some(incoming),
                 slot: None,
@@ -201,24 +202,24 @@
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyFault>>> {
         match self.get_mut() {
-            Self::Whole(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
+            Self::Whole(body) => {
+                let frame = Pin::new(body).poll_frame(context);
+                frame.map_err(|never| match never {})
+            }
             Self::Streamed(answer) => answer.poll(context),
         }
     }
 
     fn is_end_stream(&self) -> bool {
         match self {
-            Self::Whole(bytes) => bytes.is_none(),
+            Self::Whole(body) => body.is_end_stream(),
             Self::Streamed(answer) => answer.incoming.is_none(),
         }
     }
 
     fn size_hint(&self) -> SizeHint {
         match self {
-            // CAST: a `usize` of these machines fits a `u64`.
-            Self::Whole(bytes) => {
-                SizeHint::with_exact(bytes.as_ref().map_or(0, |bytes| bytes.len() as u64))
-            }
+            Self::Whole(body) => body.size_hint(),
             Self::Streamed(answer) => answer
                 .incoming
                 .as_ref()
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -29,6 +29,7 @@
 mod peer_forward;
 mod pending_exchange;
 mod pool_keeper;
+mod pool_refresh;
 mod pool_settlement;
 mod pool_state;
 mod refusal;
@@ -39,6 +40,7 @@
 mod service_pool;
 mod slot_key;
 mod slot_lease;
+mod taken_request;
 
 pub use self::{
     gateway::Gateway,
--- /dev/null
+++ b/crates/gateway/src/pool_refresh.rs
@@ -0,0 +1,103 @@
+//! What time and the held shares change in a pool.
+
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use jasminebend_base::{
+    OwnerEpoch,
+    ResourceId, //
+};
+use metrics::gauge;
+
+use crate::{
+    class_metrics::{
+        SERVING_SLOTS,
+        UNKNOWN_SLOTS,
+        WAITING, //
+    },
+    endpoint_entry::SlotPhase,
+    pool_state::PoolState,
+    refusal::Refusal,
+    service_pool::ServicePool,
+    slot_key::{
+        EndpointKey,
+        SlotKey, //
+    },
+};
+
+/// The shares that this daemon holds and may use, with their epochs.
+pub(crate) type HeldShares = IndexMap<ResourceId, OwnerEpoch>;
+
+/// Looks at a pool's slots again: which are held, whose time is over, which connections to close.
+pub(crate) fn refresh_pool(pool: &ServicePool, held: &HeldShares, now: Duration) {
+    let mut state = pool.lock();
+    let idle_limit = pool.settings.endpoint_idle;
+    let mut serving = 0;
+    let mut unknown = 0;
+    state.weigh_leaving(now);
+    for endpoint in 0..state.endpoints.len() {
+        let heed = state.heed_leaving;
+        let entry = &state.endpoints[endpoint];
+        let usable = entry.is_usable(now, heed);
+        for slot in 0..entry.all_slots() {
+            let key = SlotKey {
+                endpoint: EndpointKey(endpoint),
+                slot,
+            };
+            refresh_slot(&mut state, key, held, now, idle_limit);
+            let slot = state.slot(key);
+            let lost = matches!(slot.phase, SlotPhase::Unknown { .. } | SlotPhase::Stray);
+            unknown += usize::from(lost);
+            serving += usize::from(usable && slot.held && !lost);
+            state.list(Some(key).filter(|_| usable));
+        }
+    }
+    state.serving = serving;
+    if serving == 0 {
+        refuse_waiting(&mut state, now);
+    }
+    report(pool, &state, unknown);
+}
+
+/// Gives waiting requests their final answer at once when no slot is left to wait for.
+fn refuse_waiting(state: &mut PoolState, now: Duration) {
+    while let Some(waiter) = state.queue.pop(now) {
+        // A waiter that left needs no answer.
+        waiter.reply.send(Err(Refusal::NoEndpoint)).ok();
+    }
+}
+
+fn refresh_slot(
+    state: &mut PoolState,
+    key: SlotKey,
+    held: &HeldShares,
+    now: Duration,
+    idle_limit: Duration,
+) {
+    let entry = state.entry(key.endpoint);
+    let open = entry.open;
+    let declared = key.slot < entry.usable_slots();
+    let slot = state.slot(key);
+    let epoch = held.get(&slot.share).filter(|_| declared);
+    slot.held = epoch.is_some();
+    slot.epoch = epoch.copied().unwrap_or_default();
+    if let SlotPhase::Unknown { until } = slot.phase
+        && until <= now
+    {
+        slot.phase = SlotPhase::Idle;
+    }
+    let held = slot.held;
+    // Dropping a connection closes it, so that no more are open than slots are held.
+    slot.connection.take_if(|connection| {
+        let quiet = now.saturating_sub(connection.last_heard);
+        !held || !open || quiet > idle_limit || !connection.is_open()
+    });
+}
+
+fn report(pool: &ServicePool, state: &PoolState, unknown: usize) {
+    let service = pool.service.to_string();
+    // CAST: counts of slots and requests are far below 2^52.
+    gauge!(SERVING_SLOTS, "service" => service.clone()).set(state.serving as f64);
+    gauge!(UNKNOWN_SLOTS, "service" => service.clone()).set(unknown as f64);
+    gauge!(WAITING, "service" => service).set(state.queue.len() as f64);
+}
--- a/crates/gateway/src/request_body.rs
+++ b/crates/gateway/src/request_body.rs
@@ -16,6 +16,7 @@
     Frame,
     SizeHint, //
 };
+use http_body_util::Full;
 use hyper::body::Incoming;
 use tokio::time::{
     Instant,
@@ -28,7 +29,7 @@
 /// The body of a request on its way to an endpoint.
 pub(crate) enum RequestBody {
     /// Taken in whole beforehand; can be sent again.
-    Whole(Option<Bytes>),
+    Whole(Full<Bytes>),
     /// Passed on as it comes; can be sent once.
     Streamed(Box<StreamedBody>),
 }
@@ -44,7 +45,7 @@
 impl RequestBody {
     /// Creates a body that is there in whole.
     pub(crate) fn whole(bytes: Bytes) -> Self {
-        Self::Whole(Some(bytes).filter(|bytes| !bytes.is_empty()))
+        Self::Whole(Full::new(bytes))
     }
 
     /// Creates a body that is passed on, `most` bytes of it, and that may stand still for `stall`.
@@ -94,24 +95,24 @@
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyFault>>> {
         match self.get_mut() {
-            Self::Whole(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
+            Self::Whole(body) => {
+                let frame = Pin::new(body).poll_frame(context);
+                frame.map_err(|never| match never {})
+            }
             Self::Streamed(body) => body.poll(context),
         }
     }
 
     fn is_end_stream(&self) -> bool {
         match self {
-            Self::Whole(bytes) => bytes.is_none(),
+            Self::Whole(body) => body.is_end_stream(),
             Self::Streamed(body) => body.incoming.is_end_stream(),
         }
     }
 
     fn size_hint(&self) -> SizeHint {
         match self {
-            // CAST: a `usize` of these machines fits a `u64`.
-            Self::Whole(bytes) => {
-                SizeHint::with_exact(bytes.as_ref().map_or(0, |bytes| bytes.len() as u64))
-            }
+            Self::Whole(body) => body.size_hint(),
             Self::Streamed(body) => body.incoming.size_hint(),
         }
     }
--- a/crates/gateway/src/request_handler.rs
+++ b/crates/gateway/src/request_handler.rs
@@ -6,7 +6,6 @@
     time::Duration, //
 };
 
-use bytes::Bytes;
 use http::{
     HeaderValue, Method, Request, Response, Version,
     header::{
@@ -15,19 +14,9 @@
         TRANSFER_ENCODING, //
     },
 };
-use http_body::Body;
-use http_body_util::{
-    BodyExt,
-    LengthLimitError,
-    Limited, //
-};
 use hyper::body::Incoming;
 use jasminebend_base::IdempotencyRule;
 use metrics::counter;
-use tokio::{
-    sync::OwnedSemaphorePermit,
-    time::timeout, //
-};
 
 use crate::{
     answer_body::AnswerBody,
@@ -37,10 +26,7 @@
     },
     class_metrics::REFUSALS,
     delivery::Delivery,
-    exchange::{
-        AttemptPlan,
-        EndpointRequest, //
-    },
+    exchange::AttemptPlan,
     gateway_shared::GatewayShared,
     header_names::{
         FORWARDED,
@@ -48,8 +34,7 @@
     },
     header_rules::{
         check_head,
-        host_of,
-        prepare_request, //
+        host_of, //
     },
     key_row::{
         fingerprint,
@@ -63,10 +48,13 @@
     },
     peer_forward::forward,
     refusal::Refusal,
-    request_body::RequestBody,
     request_trace::RequestTrace,
     route_snapshot::RequestClass,
     service_pool::SlotDemand,
+    taken_request::{
+        TakenRequest,
+        take_in, //
+    },
 };
 
 /// What is known of a request's caller.
@@ -125,7 +113,7 @@
     let forwarded = request.headers().contains_key(&FORWARDED);
     let trace = (shared.settings.traces)
         .then(|| RequestTrace::begin(request.headers(), class.entry.class.as_str()));
-    let (request, permit) = take_in(shared, request, caller.address).await?;
+    let taken = take_in(shared, request, caller.address).await?;
     let job = DeliveryJob {
         shared: Arc::clone(shared),
         plan: AttemptPlan {
@@ -141,8 +129,7 @@
         class: class.clone(),
         ancient,
         trace,
-        request,
-        _permit: permit,
+        taken,
     };
     let answer = match key {
         _ if !forwarded && !job.class.pool.serves() => job.forward().await,
@@ -165,8 +152,7 @@
     demand: SlotDemand,
     ancient: bool,
     trace: Option<RequestTrace>,
-    request: Box<EndpointRequest>,
-    _permit: Option<OwnedSemaphorePermit>,
+    taken: TakenRequest,
 }
 
 impl DeliveryJob {
@@ -178,7 +164,7 @@
             &self.class,
             self.plan,
             self.trace.as_ref(),
-            self.request,
+            self.taken.request,
         )
         .await?;
         match self.ancient && !answer.headers().contains_key(CONTENT_LENGTH) {
@@ -190,7 +176,7 @@
     async fn deliver(self) -> Result<Response<AnswerBody>, Refusal> {
         let trace = self.trace.as_ref();
         let delivery = Delivery::new(&self.shared, &self.class, self.plan, self.demand, trace);
-        let outcome = match delivery.run(self.request).await {
+        let outcome = match delivery.run(self.taken.request).await {
             Ok(answer) => pass_on(answer, self.ancient).await,
             Err(refusal) => Err(refusal),
         };
@@ -221,12 +207,13 @@
         return Err(Refusal::BadKey);
     }
     let row = key_row(&job.class.entry.class, key.as_bytes());
-    let request = &job.request;
-    let body = match request.body() {
-        RequestBody::Whole(Some(body)) => body.clone(),
-        _ => Bytes::new(),
-    };
-    let print = fingerprint(request.method(), request.uri(), request.headers(), &body);
+    let request = &job.taken.request;
+    let print = fingerprint(
+        request.method(),
+        request.uri(),
+        request.headers(),
+        &job.taken.body,
+    );
     let keys = Arc::clone(&job.shared.keys);
     match keys.reserve(row, print, job.plan.give_up).await? {
         KeyGrant::Replay(answer) => Ok(answer.into_answer()),
@@ -244,52 +231,3 @@
         IdempotencyRule::ByMethod => method.is_idempotent(),
     }
 }
-
-/// A request that is ready for the endpoint, and the memory that its body was allowed.
-type TakenIn = (Box<EndpointRequest>, Option<OwnedSemaphorePermit>);
-
-/// Prepares the request for the endpoint. A small body is taken in whole before any slot is taken,
-/// so that a slow caller holds no slot; what all of them hold is bounded.
-async fn take_in(
-    shared: &GatewayShared,
-    request: Request<Incoming>,
-    caller: IpAddr,
-) -> Result<TakenIn, Refusal> {
-    let settings = &shared.settings;
-    let (mut head, body) = request.into_parts();
-    prepare_request(&mut head.uri, &mut head.headers, caller);
-    head.version = Version::HTTP_11;
-    head.extensions.clear();
-    if body.is_end_stream() {
-        let body = RequestBody::whole(Bytes::new());
-        return Ok((Box::new(Request::from_parts(head, body)), None));
-    }
-    let size = body.size_hint().exact();
-    if size.is_some_and(|size| size > settings.most_body_bytes) {
-        return Err(Refusal::TooLarge);
-    }
-    let small = size.filter(|size| *size <= settings.buffered_body_bytes);
-    let Some(size) = small else {
-        let body = RequestBody::streamed(body, settings.most_body_bytes, settings.body_stall);
-        return Ok((Box::new(Request::from_parts(head, body)), None));
-    };
-    let permits = u32::try_from(size).unwrap_or(u32::MAX);
-    let permit = Arc::clone(&shared.held_bytes)
-        .try_acquire_many_owned(permits)
-        .map_err(|_| Refusal::MemoryFull)?;
-    let whole = collect(body, settings.buffered_body_bytes, settings.body_stall).await?;
-    let request = Request::from_parts(head, RequestBody::whole(whole));
-    Ok((Box::new(request), Some(permit)))
-}
-
-async fn collect(body: Incoming, most: u64, patience: Duration) -> Result<Bytes, Refusal> {
-    let most = usize::try_from(most).unwrap_or(usize::MAX);
-    let whole = timeout(patience, Limited::new(body, most).collect())
-        .await
-        .map_err(|_| Refusal::BodyStalled)?;
-    match whole {
-        Ok(whole) => Ok(whole.to_bytes()),
-        Err(error) if error.is::<LengthLimitError>() => Err(Refusal::TooLarge),
-        Err(_) => Err(Refusal::Malformed("its body is cut short or badly framed")),
-    }
-}
