--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -6,8 +6,9 @@
         Arc,
         Mutex,
         PoisonError,
-        atomic::Ordering, //
+        Weak, //
     },
+    time::Duration,
 };
 
 use async_trait::async_trait;
@@ -24,7 +25,8 @@
 use tokio::{
     net::TcpListener,
     sync::watch,
-    task::AbortHandle, //
+    task::AbortHandle,
+    time::sleep, //
 };
 
 use crate::{
@@ -33,6 +35,7 @@
     gateway_settings::GatewaySettings,
     gateway_shared::GatewayShared,
     key_sweeper::sweep_keys,
+    peer_directory::keep_directory,
     pool_keeper::{
         KeeperMessage,
         KeeperState,
@@ -40,6 +43,8 @@
     },
 };
 
+const KEEPER_PAUSE: Duration = Duration::from_secs(1);
+
 /// The gateway: takes callers' requests and has endpoints answer them.
 pub struct Gateway {
     shared: Arc<GatewayShared>,
@@ -47,6 +52,7 @@
     stop: watch::Sender<bool>,
     served: watch::Sender<usize>,
     sweeper: AbortHandle,
+    directory: AbortHandle,
 }
 
 impl Gateway {
@@ -64,14 +70,16 @@
         state.refresh();
         let sweep = sweep_keys(Arc::clone(&shared), Arc::clone(&shared.keys));
         let sweeper = tokio::spawn(sweep).abort_handle();
+        let directory = tokio::spawn(keep_directory(Arc::clone(&shared))).abort_handle();
         let gateway = Arc::new(Self {
             shared,
             keeper: Mutex::new(None),
             stop: watch::Sender::new(false),
             served: watch::Sender::new(0),
             sweeper,
+            directory,
         });
-        tokio::spawn(start_keeper(Arc::downgrade(&gateway), state));
+        tokio::spawn(run_keeper(Arc::downgrade(&gateway), state));
         gateway
     }
 
@@ -86,7 +94,8 @@
     /// Stops taking connections, and waits until every request in progress is answered.
     pub async fn drain(&self) {
         info!("[gateway] Draining.");
-        self.shared.draining.store(true, Ordering::Relaxed);
+        self.directory.abort();
+        self.shared.peers.withdraw().await;
         self.stop.send_replace(true);
         let mut served = self.served.subscribe();
         // The sender is this gateway's own, so that the wait ends only as it should.
@@ -98,6 +107,11 @@
         info!("[gateway] Drained.");
     }
 
+    fn set_keeper(&self, keeper: ActorRef<KeeperMessage>) -> Option<ActorRef<KeeperMessage>> {
+        let mut own = self.keeper.lock().unwrap_or_else(PoisonError::into_inner);
+        own.replace(keeper)
+    }
+
     fn uses(&self, resource: ResourceId) -> bool {
         self.shared
             .pools()
@@ -116,24 +130,33 @@
             keeper.stop(None);
         }
         self.sweeper.abort();
+        self.directory.abort();
         self.shared.keys.stop();
     }
 }
 
-async fn start_keeper(gateway: std::sync::Weak<Gateway>, state: KeeperState) {
-    let Ok((keeper, _)) = Actor::spawn(None, PoolKeeper, state).await else {
-        error!("[gateway] The keeper of the pools did not start.");
-        return;
-    };
-    let Some(gateway) = gateway.upgrade() else {
-        keeper.stop(None);
-        return;
-    };
-    let mut own = gateway
-        .keeper
-        .lock()
-        .unwrap_or_else(PoisonError::into_inner);
-    *own = Some(keeper);
+/// Runs the keeper for as long as the gateway lives. Without it no change of the endpoints or shares
+/// would be followed, so that one which ends before its time is started anew.
+async fn run_keeper(gateway: Weak<Gateway>, state: KeeperState) {
+    loop {
+        let Ok((keeper, ended)) = Actor::spawn(None, PoolKeeper, state.clone()).await else {
+            error!("[gateway] The keeper of the pools did not start.");
+            sleep(KEEPER_PAUSE).await;
+            continue;
+        };
+        let Some(own) = gateway.upgrade() else {
+            return keeper.stop(None);
+        };
+        let former = own.set_keeper(keeper);
+        drop((own, former));
+        // How it ended is told by the line below.
+        ended.await.ok();
+        if gateway.strong_count() == 0 {
+            return;
+        }
+        error!("[gateway] The keeper of the pools ended early and starts anew.");
+        sleep(KEEPER_PAUSE).await;
+    }
 }
 
 #[async_trait]
--- a/crates/gateway/src/request_handler.rs
+++ b/crates/gateway/src/request_handler.rs
@@ -6,40 +6,35 @@
     time::Duration, //
 };
 
-use bytes::Bytes;
 use http::{
     HeaderValue, Method, Request, Response, Version,
     header::{
         CONNECTION,
+        CONTENT_LENGTH,
         TRANSFER_ENCODING, //
     },
 };
-use http_body::Body;
-use http_body_util::{
-    BodyExt,
-    LengthLimitError,
-    Limited, //
-};
 use hyper::body::Incoming;
 use jasminebend_base::IdempotencyRule;
 use metrics::counter;
-use tokio::time::timeout;
 
 use crate::{
     answer_body::AnswerBody,
-    answer_rules::pass_on,
+    answer_rules::{
+        pass_on,
+        whole, //
+    },
     class_metrics::REFUSALS,
     delivery::Delivery,
-    exchange::{
-        AttemptPlan,
-        EndpointRequest, //
-    },
+    exchange::AttemptPlan,
     gateway_shared::GatewayShared,
-    header_names::IDEMPOTENCY_KEY,
+    header_names::{
+        FORWARDED,
+        IDEMPOTENCY_KEY, //
+    },
     header_rules::{
         check_head,
-        host_of,
-        prepare_request, //
+        host_of, //
     },
     key_row::{
         fingerprint,
@@ -51,11 +46,15 @@
         detached,
         keep, //
     },
+    peer_forward::forward,
     refusal::Refusal,
-    request_body::RequestBody,
     request_trace::RequestTrace,
     route_snapshot::RequestClass,
     service_pool::SlotDemand,
+    taken_request::{
+        TakenRequest,
+        take_in, //
+    },
 };
 
 /// What is known of a request's caller.
@@ -111,13 +110,15 @@
     let ancient = request.version() == Version::HTTP_10;
     let idempotent = is_idempotent(class.entry.idempotency, request.method());
     let key = key_of(&request).filter(|_| !idempotent);
+    let forwarded = request.headers().contains_key(&FORWARDED);
     let trace = (shared.settings.traces)
         .then(|| RequestTrace::begin(request.headers(), class.entry.class.as_str()));
-    let request = take_in(shared, request, caller.address).await?;
+    let taken = take_in(shared, request, caller.address).await?;
     let job = DeliveryJob {
         shared: Arc::clone(shared),
         plan: AttemptPlan {
             give_up: arrival + shared.settings.patience(class.entry.target),
+            connect: shared.settings.connect_patience(class.entry.target),
             idempotent,
         },
         demand: SlotDemand {
@@ -128,9 +129,10 @@
         class: class.clone(),
         ancient,
         trace,
-        request,
+        taken,
     };
     let answer = match key {
+        _ if !forwarded && !job.class.pool.serves() => job.forward().await,
         None => job.deliver().await,
         Some(key) => deliver_keyed(job, &key).await,
     }?;
@@ -150,14 +152,31 @@
     demand: SlotDemand,
     ancient: bool,
     trace: Option<RequestTrace>,
-    request: Box<EndpointRequest>,
+    taken: TakenRequest,
 }
 
 impl DeliveryJob {
+    /// Hands the request to another daemon. A key is reserved there.
+    async fn forward(self) -> Result<Response<AnswerBody>, Refusal> {
+        self.class.metrics.forwards.increment(1);
+        let answer = forward(
+            &self.shared,
+            &self.class,
+            self.plan,
+            self.trace.as_ref(),
+            self.taken.request,
+        )
+        .await?;
+        match self.ancient && !answer.headers().contains_key(CONTENT_LENGTH) {
+            true => whole(answer, self.shared.settings.most_body_bytes).await,
+            false => Ok(answer),
+        }
+    }
+
     async fn deliver(self) -> Result<Response<AnswerBody>, Refusal> {
         let trace = self.trace.as_ref();
         let delivery = Delivery::new(&self.shared, &self.class, self.plan, self.demand, trace);
-        let outcome = match delivery.run(self.request).await {
+        let outcome = match delivery.run(self.taken.request).await {
             Ok(answer) => pass_on(answer, self.ancient).await,
             Err(refusal) => Err(refusal),
         };
@@ -188,12 +207,13 @@
         return Err(Refusal::BadKey);
     }
     let row = key_row(&job.class.entry.class, key.as_bytes());
-    let request = &job.request;
-    let body = match request.body() {
-        RequestBody::Whole(Some(body)) => body.clone(),
-        _ => Bytes::new(),
-    };
-    let print = fingerprint(request.method(), request.uri(), request.headers(), &body);
+    let request = &job.taken.request;
+    let print = fingerprint(
+        request.method(),
+        request.uri(),
+        request.headers(),
+        &job.taken.body,
+    );
     let keys = Arc::clone(&job.shared.keys);
     match keys.reserve(row, print, job.plan.give_up).await? {
         KeyGrant::Replay(answer) => Ok(answer.into_answer()),
@@ -211,44 +231,3 @@
         IdempotencyRule::ByMethod => method.is_idempotent(),
     }
 }
-
-/// Prepares the request for the endpoint. A small body is taken in whole before any slot is taken,
-/// so that a slow caller holds no slot.
-async fn take_in(
-    shared: &GatewayShared,
-    request: Request<Incoming>,
-    caller: IpAddr,
-) -> Result<Box<EndpointRequest>, Refusal> {
-    let settings = &shared.settings;
-    let (mut head, body) = request.into_parts();
-    prepare_request(&mut head.uri, &mut head.headers, caller);
-    head.version = Version::HTTP_11;
-    head.extensions.clear();
-    if body.is_end_stream() {
-        let body = RequestBody::whole(Bytes::new());
-        return Ok(Box::new(Request::from_parts(head, body)));
-    }
-    let size = body.size_hint().exact();
-    if size.is_some_and(|size| size > settings.most_body_bytes) {
-        return Err(Refusal::TooLarge);
-    }
-    let body = match size {
-        Some(size) if size <= settings.buffered_body_bytes => RequestBody::whole(
-            collect(body, settings.buffered_body_bytes, settings.body_stall).await?,
-        ),
-        _ => RequestBody::streamed(body, settings.most_body_bytes, settings.body_stall),
-    };
-    Ok(Box::new(Request::from_parts(head, body)))
-}
-
-async fn collect(body: Incoming, most: u64, patience: Duration) -> Result<Bytes, Refusal> {
-    let most = usize::try_from(most).unwrap_or(usize::MAX);
-    let whole = timeout(patience, Limited::new(body, most).collect())
-        .await
-        .map_err(|_| Refusal::BodyStalled)?;
-    match whole {
-        Ok(whole) => Ok(whole.to_bytes()),
-        Err(error) if error.is::<LengthLimitError>() => Err(Refusal::TooLarge),
-        Err(_) => Err(Refusal::Malformed("its body is cut short or badly framed")),
-    }
-}
--- a/crates/gateway/tests/requests/support/test_gateway.rs
+++ b/crates/gateway/tests/requests/support/test_gateway.rs
@@ -28,7 +28,10 @@
     GatewayEdges,
     GatewaySettings, //
 };
-use jasminebend_ports::SystemClock;
+use jasminebend_ports::{
+    ClockSource,
+    SystemClock, //
+};
 use jasminebend_standins::{
     FixedOwnership,
     TableStandIn, //
@@ -56,6 +59,8 @@
     target: Duration,
     rule: IdempotencyRule,
     table: TableStandIn,
+    clock: Arc<dyn ClockSource>,
+    told: bool,
 }
 
 impl GatewayBuilder {
@@ -67,9 +72,22 @@
             target: Duration::from_secs(10),
             rule: IdempotencyRule::ByMethod,
             table: TableStandIn::new(),
+            clock: Arc::new(SystemClock::new()),
+            told: false,
         }
     }
 
+    /// Has the other daemons know where this one is.
+    pub(crate) fn with_peer_address(mut self) -> Self {
+        self.told = true;
+        self
+    }
+
+    pub(crate) fn with_clock(mut self, clock: Arc<dyn ClockSource>) -> Self {
+        self.clock = clock;
+        self
+    }
+
     /// Adds an endpoint with so many slots, in the domain `east`.
     pub(crate) fn with_endpoint(self, endpoint: &ScriptEndpoint, slots: u16) -> Self {
         self.with_endpoint_in(endpoint.address, slots, "east")
@@ -140,12 +158,16 @@
             configuration: configuration.subscribe(),
             vms: vms.subscribe(),
             table: Arc::new(self.table.clone()),
-            clock: Arc::new(SystemClock::new()),
+            clock: self.clock,
             seed: 7,
         };
-        let gateway = Gateway::new(self.settings, edges);
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let address = listener.local_addr().unwrap();
+        let settings = match self.told {
+            true => self.settings.with_peer_address(address),
+            false => self.settings,
+        };
+        let gateway = Gateway::new(settings, edges);
         let serving = tokio::spawn(Arc::clone(&gateway).serve(listener));
         TestGateway {
             address,
--- a/crates/jasminebend/src/entry_control.rs
+++ b/crates/jasminebend/src/entry_control.rs
@@ -2,10 +2,12 @@
 
 use std::sync::{
     Arc,
+    Mutex,
+    PoisonError,
     atomic::{
         AtomicBool,
         Ordering, //
-    },
+    }, //
 };
 
 use async_trait::async_trait;
@@ -13,7 +15,8 @@
     Configuration,
     ConfigurationVersion,
     DomainName,
-    DomainState, //
+    DomainState,
+    ResourceId, //
 };
 use jasminebend_cluster::{
     ClusterHandle,
@@ -24,23 +27,31 @@
 use jasminebend_placement::JobId;
 use jasminebend_planner::{
     JobError,
+    JobStatus,
     PlannerHandle,
     SubmitError, //
 };
+use jasminebend_ports::ClockSource;
 use serde::Serialize;
 
 use crate::{
     ControlError,
     ControlPort,
-    DaemonStatus, //
+    DaemonStatus,
+    SlotSettling, //
 };
 
+const MAY_COME: &str = "may still come into force: the status shows which version is accepted, and \
+                        to ask for the same again is safe";
+
 /// Carries out what operators ask for through the daemon's parts.
 pub(crate) struct EntryControl {
     domain: DomainName,
     region: String,
     cluster: ClusterHandle,
     planner: PlannerHandle,
+    clock: Arc<dyn ClockSource>,
+    settling: Mutex<SlotSettling>,
     stopping: AtomicBool,
 }
 
@@ -50,12 +61,15 @@
         region: String,
         cluster: ClusterHandle,
         planner: PlannerHandle,
+        clock: Arc<dyn ClockSource>,
     ) -> Self {
         Self {
             domain,
             region,
             cluster,
             planner,
+            clock,
+            settling: Mutex::new(SlotSettling::new()),
             stopping: AtomicBool::new(false),
         }
     }
@@ -69,6 +83,18 @@
         self.stopping.load(Ordering::Relaxed)
     }
 
+    /// Tells whether slots are held that may be used now, and were for a while.
+    fn slots_settled(&self) -> bool {
+        let ownership = self.cluster.ownership();
+        let usable = |resource: ResourceId| {
+            matches!(resource, ResourceId::Slots(_)) && ownership.idle_for(resource).is_zero()
+        };
+        let held = ownership.held();
+        let held = held.iter().any(|(resource, _)| usable(*resource));
+        let mut settling = self.settling.lock().unwrap_or_else(PoisonError::into_inner);
+        settling.observe(self.clock.monotonic(), held)
+    }
+
     async fn propose(
         &self,
         change: ConfigurationChange,
@@ -91,8 +117,10 @@
         }
     }
 
+    /// A daemon with a seat but no slots, as after its start, could only keep callers waiting: the
+    /// balancer is told to wait until some slots are its own.
     fn ready(&self) -> bool {
-        !self.stopping() && self.cluster.ready()
+        !self.stopping() && self.cluster.ready() && self.slots_settled()
     }
 
     fn configuration(&self) -> Arc<Configuration> {
@@ -138,23 +166,22 @@
 
     async fn job(&self, job: &str) -> Result<serde_json::Value, ControlError> {
         let status = self.planner.job(parse_job(job)?).await;
-        status.map(|status| to_json(&status)).map_err(explain_job)
+        status.map(|status| present(&status)).map_err(explain_job)
     }
 
     async fn jobs(&self) -> Result<serde_json::Value, ControlError> {
         let statuses = self.planner.jobs().await;
-        statuses
-            .map(|statuses| to_json(&statuses))
-            .map_err(explain_job)
+        let statuses = statuses.map_err(explain_job)?;
+        Ok(statuses.iter().map(present).collect())
     }
 }
 
 fn explain_proposal(error: ProposalError) -> ControlError {
     let reason = match &error {
         ProposalError::NotAccepted(reason) => reason,
-        ProposalError::Unknown { .. } => {
+        ProposalError::Unknown { version } => {
             return ControlError::Unknown {
-                find_out: error.to_string(),
+                find_out: format!("version {version} {MAY_COME}"),
             };
         }
     };
@@ -203,6 +230,14 @@
     }
 }
 
+/// Names the job as its submission did, by sixteen hexadecimal digits: many readers of JSON lose
+/// the last digits of so large a number.
+fn present(status: &JobStatus) -> serde_json::Value {
+    let mut value = to_json(status);
+    value["job"] = status.job.to_string().into();
+    value
+}
+
 fn parse_job(text: &str) -> Result<JobId, ControlError> {
     text.parse().map_err(|_| ControlError::NotFound {
         kind: "job",
--- a/crates/jasminebend/src/lib.rs
+++ b/crates/jasminebend/src/lib.rs
@@ -1,11 +1,13 @@
 //! The daemon: one on each entry VM, all equal. It composes the cluster, the gateway and the
 //! planner, and serves the administration API.
 
+mod access_error;
 mod access_keys;
 mod access_role;
 mod admin_change;
 mod admin_error;
 mod admin_front;
+mod admin_guard;
 mod admin_response;
 mod admin_route;
 mod admin_server;
@@ -21,15 +23,28 @@
 mod daemon_settings;
 mod daemon_status;
 pub mod demo;
+mod demo_callers;
+mod demo_client;
+mod demo_daemons;
+mod demo_error;
+mod demo_jobs;
+mod demo_operator;
 mod demo_options;
+mod demo_report;
+mod demo_site;
+mod demo_tally;
 mod entry_control;
 mod entry_daemon;
 mod file_watch;
+mod gauge_keeper;
 mod given_key;
 mod key_reader;
 mod key_watch;
 mod limit_settings;
 mod listen_settings;
+mod log_error;
+mod log_format;
+mod log_level;
 mod log_settings;
 mod log_setup;
 mod metrics_hub;
@@ -38,6 +53,7 @@
 mod peer_keys;
 mod platform_edges;
 mod platform_settings;
+mod process_usage;
 mod program;
 mod raw_settings;
 mod secret_text;
@@ -45,25 +61,24 @@
 mod service;
 mod settings_error;
 mod settings_file;
+mod slot_settling;
 mod tls_error;
 mod tls_settings;
 mod token_error;
 mod token_table;
+mod trace_error;
+mod trace_export;
 mod trace_settings;
-mod trace_setup;
+
 mod usage_error;
 mod yaml_fault;
 
 pub use self::{
-    access_keys::{
-        AccessError,
-        AccessKeys, //
-    },
+    access_error::AccessError,
+    access_keys::AccessKeys,
     access_role::AccessRole,
-    admin_front::{
-        AdminFront,
-        AdminGuard, //
-    },
+    admin_front::AdminFront,
+    admin_guard::AdminGuard,
     command_line::{
         CommandLine,
         HELP, //
@@ -82,17 +97,19 @@
         DaemonSettings, //
     },
     daemon_status::DaemonStatus,
+    demo_error::{
+        DemoError,
+        OperatorFault, //
+    },
     demo_options::DemoOptions,
     entry_daemon::EntryDaemon,
     limit_settings::LimitSettings,
     listen_settings::ListenSettings,
-    log_settings::{
-        LogFormat,
-        LogLevel,
-        LogSettings, //
-    },
+    log_error::LogError,
+    log_format::LogFormat,
+    log_level::LogLevel,
+    log_settings::LogSettings,
     log_setup::{
-        LogError,
         formatter,
         set_up_log, //
     },
@@ -100,17 +117,20 @@
     operator_identity::OperatorIdentity,
     peer_key_source::PeerKeySource,
     platform_settings::PlatformSettings,
+    process_usage::ProcessUsage,
     program::run_program,
     secret_text::SecretText,
     settings_error::SettingsError,
+    slot_settling::{
+        SETTLING,
+        SlotSettling, //
+    },
     tls_error::TlsError,
     tls_settings::TlsSettings,
     token_error::TokenError,
     token_table::TokenTable,
+    trace_error::TraceError,
+    trace_export::TraceExport,
     trace_settings::TraceSettings,
-    trace_setup::{
-        TraceError,
-        TraceExport, //
-    },
     usage_error::UsageError, //
 };
--- a/crates/jasminebend/tests/daemon/main.rs
+++ b/crates/jasminebend/tests/daemon/main.rs
@@ -1,9 +1,14 @@
 //! Whole daemons over stand-ins of the platform and of the endpoints, on loopback.
 
 mod caller;
+mod change_faults;
 mod collector;
 mod graceful_stop;
+mod jobs;
+mod key_files;
 mod platform;
 mod program;
+mod rolling_replacement;
+mod three_daemons;
 mod traces;
 mod whole_path;
--- a/crates/ownership/src/machine_seat.rs
+++ b/crates/ownership/src/machine_seat.rs
@@ -150,7 +150,8 @@
             .find(|(seat, record)| self.is_lost(*seat, record, now))
             .map(|(seat, _)| seat)?;
         let reachable = self.count_reachable(&members, seat, now);
-        if reachable * 2 < members.seats.len() {
+        let enough = reachable * 2 >= members.seats.len();
+        if !enough && self.settings.guards.has(Guard::TellMajority) {
             return None;
         }
         self.announce(now, members, seat, false)
@@ -217,11 +218,7 @@
             return;
         };
         if self.settings.guards.has(Guard::IntentBeforeTelling) && !self.shows_intent(&attempt) {
-            let read = self
-                .table
-                .as_ref()
-                .is_some_and(|table| table.asked_at >= self.read_from && !self.committing);
-            if read {
+            if self.has_settled_write() {
                 self.attempt = None;
             }
             return;
