Split the three largest files of the planner

The bench of decisions has a run that begins with one wrong belief; the bench of a shard submits a job that fits as soon as the successor stands.

--- a/crates/placement/benches/decisions/fake_cluster.rs
+++ b/crates/placement/benches/decisions/fake_cluster.rs
@@ -96,6 +96,9 @@
         for service in 0..SERVICES {
             pairs.set_target(ClassKey(service), Duration::from_millis(100));
         }
+        if rules.wrong_belief {
+            believe_wrongly(&mut pairs);
+        }
         Self {
             policy: PlacementPolicy::new().with_pairs(rules.learns_pairs),
             ladders: vec![LoadLadder::new(); keys.len()],
@@ -547,6 +550,21 @@
     }
 }
 
+/// Has the model believe that the first batch class doubles and more the latency of every service.
+fn believe_wrongly(pairs: &mut PairModel) {
+    for service in 0..SERVICES {
+        for beside in [0.0, 1.0].repeat(20) {
+            pairs.observe(&ServiceReading {
+                measured: Duration::ZERO,
+                service: ClassKey(service),
+                latency_p99: Duration::from_secs_f64(0.05 * (1.0 + 1.5 * beside)),
+                load: 1.0,
+                company: &[(ClassKey(SERVICES), beside)],
+            });
+        }
+    }
+}
+
 fn duration(time: f64) -> Duration {
     Duration::from_secs_f64(time)
 }
--- a/crates/placement/benches/decisions/fake_load.rs
+++ b/crates/placement/benches/decisions/fake_load.rs
@@ -71,9 +71,11 @@
 impl FakeLoad {
     pub(crate) fn new(shape: VmShape, seed: u64) -> Self {
         let mut random = SmallRng::seed_from_u64(seed);
-        let effects = (0..SERVICES)
+        let mut effects: Vec<[f64; BATCHES as usize]> = (0..SERVICES)
             .map(|_| std::array::from_fn(|_| effect(&mut random)))
             .collect();
+        // The first class hurts no service, for the run that believes that it does.
+        effects.iter_mut().for_each(|row| row[0] = 0.02);
         let mut tasks = services(shape, &mut random);
         // How far each class's declared sizes are off, between a tenth and ten times.
         let off: Vec<f64> = (0..BATCHES)
--- a/crates/placement/benches/decisions/rule_set.rs
+++ b/crates/placement/benches/decisions/rule_set.rs
@@ -30,6 +30,8 @@
     pub(crate) learns_pairs: bool,
     pub(crate) by_laxity: bool,
     pub(crate) pressure: PressureRule,
+    /// Whether one harmless class is believed to be harmful at first.
+    pub(crate) wrong_belief: bool,
 }
 
 impl RuleSet {
@@ -40,6 +42,7 @@
             learns_pairs: true,
             by_laxity: true,
             pressure: PressureRule::Ladder,
+            wrong_belief: false,
         }
     }
 
@@ -51,6 +54,7 @@
             learns_pairs: false,
             by_laxity: false,
             pressure,
+            wrong_belief: false,
         };
         vec![
             (
@@ -97,6 +101,13 @@
                     ..own
                 },
             ),
+            (
+                "one wrong belief",
+                Self {
+                    wrong_belief: true,
+                    ..own
+                },
+            ),
             (
                 "no ladder",
                 Self {
--- a/crates/planner/benches/shard/main.rs
+++ b/crates/planner/benches/shard/main.rs
@@ -135,7 +135,11 @@
     let died = bench.clock.monotonic();
     bench.workers.reset_first_start();
     let began = Instant::now();
-    let _successor = bench.planner(2, &objects).await;
+    let successor = bench.planner(2, &objects).await;
+    // Every worker is full but for what this one takes.
+    let mut spec = spec(0);
+    spec.size = ResourceAmount::new(100, 100);
+    successor.submit(spec).await.unwrap();
     sleep(Duration::from_secs(30)).await;
     let first = bench.workers.counts().first_start;
     println!(
@@ -156,16 +160,19 @@
 async fn submit(planner: &PlannerHandle, workers: usize) {
     let jobs = workers * 17_000 / 2_600;
     for index in 0..jobs {
-        let spec = JobSpec {
-            team: "team".into(),
-            class: format!("class-{}", index % 20).as_str().into(),
-            tasks: 16,
-            size: ResourceAmount::new(2_700, 8_000),
-            payload: "run".to_owned(),
-            run_time: Some(RUN_TIME),
-            key: None,
-        };
-        planner.submit(spec).await.unwrap();
+        planner.submit(spec(index)).await.unwrap();
+    }
+}
+
+fn spec(index: usize) -> JobSpec {
+    JobSpec {
+        team: "team".into(),
+        class: format!("class-{}", index % 20).as_str().into(),
+        tasks: 16,
+        size: ResourceAmount::new(2_700, 8_000),
+        payload: "run".to_owned(),
+        run_time: Some(RUN_TIME),
+        key: None,
     }
 }
 
--- a/crates/planner/src/shard_calls.rs
+++ b/crates/planner/src/shard_calls.rs
@@ -19,13 +19,10 @@
     WorkerKey, //
 };
 use jasminebend_ports::{
-    EpochAdoption,
-    LeaseRenewal,
     ObjectKey,
     RowChange,
     TaskAttempt,
     TaskOrder,
-    WorkerError,
     WriteId, //
 };
 use ractor::ActorRef;
@@ -50,7 +47,7 @@
 /// slow worker or table never keeps the actor; all end with the actor.
 pub(crate) struct ShardCalls {
     pub(crate) permit: ShardPermit,
-    edges: Arc<PlannerEdges>,
+    pub(crate) edges: Arc<PlannerEdges>,
     actor: ActorRef<ShardMessage>,
     flights: FlightCount,
     tasks: JoinSet<()>,
@@ -76,7 +73,7 @@
         self.permit.epoch
     }
 
-    fn run<Call>(&mut self, call: Call)
+    pub(crate) fn run<Call>(&mut self, call: Call)
     where
         Call: Future<Output = ShardMessage> + Send + 'static,
     {
@@ -161,65 +158,6 @@
         });
     }
 
-    /// Adopts a worker, after having it refuse the starts that may still be on their way.
-    pub(crate) fn adopt(
-        &mut self,
-        worker: WorkerKey,
-        address: SocketAddr,
-        late_starts: Vec<TaskAttempt>,
-        adoption: EpochAdoption,
-    ) {
-        let edges = Arc::clone(&self.edges);
-        let permit = self.permit.clone();
-        self.run(async move {
-            let sent = edges.clock.monotonic();
-            let result = async {
-                for run in late_starts {
-                    withhold_unless(permit.granted())?;
-                    let stopped = edges.workers.stop(address, adoption.epoch, run).await;
-                    if let Err(error @ (WorkerError::Unreachable | WorkerError::Unknown)) = stopped
-                    {
-                        return Err(CallError::from(error));
-                    }
-                }
-                withhold_unless(permit.granted())?;
-                Ok(edges.workers.adopt(address, adoption).await?)
-            };
-            let result = result.await;
-            ShardMessage::Adopted {
-                worker,
-                sent,
-                result,
-            }
-        });
-    }
-
-    pub(crate) fn renew(&mut self, worker: WorkerKey, address: SocketAddr, renewal: LeaseRenewal) {
-        let edges = Arc::clone(&self.edges);
-        let permit = self.permit.clone();
-        self.run(async move {
-            let sent = edges.clock.monotonic();
-            let acknowledged = renewal.acknowledged.clone();
-            let result = match permit.granted() {
-                true => edges.workers.renew(address, renewal).await,
-                false => {
-                    return ShardMessage::Renewed {
-                        worker,
-                        sent,
-                        acknowledged,
-                        result: Err(CallError::Withheld),
-                    };
-                }
-            };
-            ShardMessage::Renewed {
-                worker,
-                sent,
-                acknowledged,
-                result: result.map_err(CallError::from),
-            }
-        });
-    }
-
     /// Starts a run, unless its failure domain was taken out in the meantime: the newest
     /// configuration is looked at here, after every wait.
     pub(crate) fn start(
@@ -323,7 +261,7 @@
     Ok(edges.workers.stop(address, permit.epoch, run).await?)
 }
 
-fn withhold_unless(granted: bool) -> Result<(), CallError> {
+pub(crate) fn withhold_unless(granted: bool) -> Result<(), CallError> {
     match granted {
         true => Ok(()),
         false => Err(CallError::Withheld),
--- a/crates/planner/src/shard_journal.rs
+++ b/crates/planner/src/shard_journal.rs
@@ -2,7 +2,6 @@
 
 use std::time::Duration;
 
-use bytes::Bytes;
 use jasminebend_placement::{
     JobId,
     JobTransition,
@@ -11,7 +10,6 @@
 };
 use jasminebend_ports::{
     CommitOutcome,
-    ObjectError,
     ObjectKey,
     RowVersion,
     TableError,
@@ -31,19 +29,15 @@
         JournalWriter,
         PendingEntry, //
     },
-    record_codec,
     row_names,
     run_phase::RunPhase,
     shard_phase::ShardPhase,
+    shard_snapshot,
     shard_state::ShardState,
     stop_wish::StopWish, //
 };
 
-/// A snapshot also holds what was learned, which a successor would have to learn again.
-const SNAPSHOT_EVERY: Duration = Duration::from_secs(300);
 const RETRY_AFTER: Duration = Duration::from_millis(500);
-/// A snapshot waits until no more than this many entries have to be committed with it.
-const MOST_WITH_SNAPSHOT: usize = 256;
 
 impl ShardState {
     pub(crate) fn open(&mut self, now: Duration) {
@@ -89,7 +83,7 @@
         self.ledger = journal.ledger;
         self.learned = journal.learned;
         self.learned.rebase(now);
-        self.next_snapshot = now + SNAPSHOT_EVERY;
+        self.next_snapshot = now + shard_snapshot::SNAPSHOT_EVERY;
         self.vms.mark_changed();
         self.configuration.mark_changed();
         self.phase = ShardPhase::Open;
@@ -162,56 +156,6 @@
         self.calls.commit(batch.write, batch.changes.clone());
     }
 
-    fn snapshot_is_due(&self, now: Duration) -> bool {
-        let Some(writer) = &self.writer else {
-            return false;
-        };
-        let rows = writer.rows_since_snapshot();
-        let full = rows >= self.settings.rows_per_snapshot;
-        let old = rows > 0 && now >= self.next_snapshot;
-        writer.in_flight.is_none() && writer.waiting() <= MOST_WITH_SNAPSHOT && (full || old)
-    }
-
-    fn take_snapshot(&mut self, now: Duration) {
-        let Some(writer) = &self.writer else { return };
-        let permit = &self.calls.permit;
-        let key = row_names::snapshot(permit.shard, permit.epoch.0, writer.next_sequence());
-        let entries = writer.waiting();
-        let learned = record_codec::encode(&self.learned).unwrap_or_default();
-        match record_codec::encode(&(&self.ledger, learned)) {
-            Ok(body) => {
-                self.snapshotting = true;
-                self.next_snapshot = now + SNAPSHOT_EVERY;
-                self.calls.keep_snapshot(key, entries, Bytes::from(body));
-            }
-            Err(error) => self.fault(error.into()),
-        }
-    }
-
-    /// A snapshot that may not have been written is not named; the log goes on, and the next one has
-    /// another key.
-    pub(crate) fn on_snapshot(
-        &mut self,
-        key: ObjectKey,
-        entries: usize,
-        result: Result<(), ObjectError>,
-    ) {
-        self.snapshotting = false;
-        let Some(writer) = &mut self.writer else {
-            return;
-        };
-        match result {
-            Ok(()) => {
-                let old = self.snapshot_key.replace(key.as_str().to_owned());
-                writer.set_snapshot(key, entries, old);
-            }
-            Err(error) => {
-                warn!("[planner] A snapshot was not kept: {}.", error);
-                writer.put_snapshot_off();
-            }
-        }
-    }
-
     pub(crate) fn on_committed(&mut self, result: Result<CommitOutcome, TableError>) {
         match result {
             Ok(CommitOutcome::Committed(version)) => self.finish_commit(version),
