Tell what an eviction cost, and why a job waits, in words

Cause: a job's status told how often its tasks were evicted, not what that cost, and its reason only as a name. A run time had to be written as seconds and nanoseconds.

The status holds its phase in words with what would change it. Run times are read as `5min`.

Conclusion: an eviction by checkpoint costs nothing that is counted here; one without costs what the run had done.

--- a/crates/placement/src/hold_reason.rs
+++ b/crates/placement/src/hold_reason.rs
@@ -8,6 +8,7 @@
 
 /// Why a job is held: nothing of it starts until it is released or cancelled.
 #[derive(Clone, Debug, Deserialize, Display, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
 pub enum HoldReason {
     /// One of its tasks failed on several workers.
     #[display(
--- a/crates/placement/src/job_ledger.rs
+++ b/crates/placement/src/job_ledger.rs
@@ -73,7 +73,12 @@
                 };
                 self.place(*task, *attempt, place)
             }
-            JobTransition::Ended { task, attempt, end } => self.end(*task, *attempt, end),
+            JobTransition::Ended {
+                task,
+                attempt,
+                end,
+                ran_ms,
+            } => self.end(*task, *attempt, end, *ran_ms),
             JobTransition::Cancelled { job } => self.cancel(*job),
             JobTransition::Closed { job } => self.close(*job),
             JobTransition::Held { job, reason } => {
@@ -102,7 +107,13 @@
         Ok(())
     }
 
-    fn end(&mut self, task: TaskId, attempt: u32, end: &TaskEnd) -> Result<(), LedgerError> {
+    fn end(
+        &mut self,
+        task: TaskId,
+        attempt: u32,
+        end: &TaskEnd,
+        ran_ms: u64,
+    ) -> Result<(), LedgerError> {
         let record = self.record(task.job)?;
         let cancelled = record.cancelled;
         let found = task_of(record, task, attempt)?;
@@ -110,7 +121,7 @@
         if !running || found.attempt != attempt {
             return Err(LedgerError::OutOfOrder { task, attempt });
         }
-        found.end(end, cancelled);
+        found.end(end, cancelled, ran_ms);
         if found.state != TaskState::Queued {
             record.open -= 1;
         }
--- a/crates/placement/src/job_spec.rs
+++ b/crates/placement/src/job_spec.rs
@@ -27,7 +27,7 @@
     /// What the tasks run; the workers' own business.
     pub payload: String,
     /// How long a task is declared to run; learned from the class's runs when absent.
-    #[serde(default)]
+    #[serde(default, with = "humantime_serde::option")]
     pub run_time: Option<Duration>,
     /// A key of the submitter's: submissions with the same team and key are one job.
     #[serde(default)]
--- a/crates/placement/src/job_transition.rs
+++ b/crates/placement/src/job_transition.rs
@@ -51,6 +51,8 @@
         attempt: u32,
         /// How.
         end: TaskEnd,
+        /// How long it ran, as far as its owner knows, in milliseconds.
+        ran_ms: u64,
     },
     /// Operators or the submitter gave a job up.
     Cancelled {
--- a/crates/placement/src/task_end.rs
+++ b/crates/placement/src/task_end.rs
@@ -42,3 +42,18 @@
     #[display("never begun")]
     NotStarted,
 }
+
+impl TaskEnd {
+    /// Tells whether the work of the run is lost.
+    pub fn loses_work(&self) -> bool {
+        match self {
+            Self::Failed { .. } | Self::Stopped | Self::Lost { checkpoint: None } => true,
+            Self::Finished { .. }
+            | Self::Checkpointed { .. }
+            | Self::Lost {
+                checkpoint: Some(_),
+            }
+            | Self::NotStarted => false,
+        }
+    }
+}
--- a/crates/placement/src/task_record.rs
+++ b/crates/placement/src/task_record.rs
@@ -25,13 +25,18 @@
     pub failed_on: Vec<VmName>,
     /// The number of its evictions.
     pub evictions: u32,
+    /// The time of its runs whose work was lost, in milliseconds.
+    pub lost_ms: u64,
     /// The code of its last failure.
     pub last_code: i32,
 }
 
 impl TaskRecord {
     /// Ends the current run.
-    pub(crate) fn end(&mut self, end: &TaskEnd, cancelled: bool) {
+    pub(crate) fn end(&mut self, end: &TaskEnd, cancelled: bool, ran_ms: u64) {
+        if end.loses_work() && !cancelled {
+            self.lost_ms += ran_ms;
+        }
         let worker = match std::mem::take(&mut self.state) {
             TaskState::Placed { worker, .. } => Some(worker),
             _ => None,
--- a/crates/placement/src/wait_reason.rs
+++ b/crates/placement/src/wait_reason.rs
@@ -8,6 +8,7 @@
 
 /// Why a task waits, and what would change it.
 #[derive(Clone, Copy, Debug, Deserialize, Display, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
 pub enum WaitReason {
     /// It was not looked at yet.
     #[display("it was submitted just now; it is looked at within a second")]
--- a/crates/placement/tests/placement/ledger.rs
+++ b/crates/placement/tests/placement/ledger.rs
@@ -50,6 +50,7 @@
         task: TASK,
         attempt,
         end,
+        ran_ms: 5_000,
     }
 }
 
@@ -139,7 +140,7 @@
     ]);
     let task = ledger.task(TASK).unwrap();
     assert_eq!(task.checkpoint, Some(checkpoint));
-    assert_eq!((task.attempt, task.evictions), (2, 1));
+    assert_eq!((task.attempt, task.evictions, task.lost_ms), (2, 1, 5_000));
     assert_eq!(task.state, TaskState::Queued);
 }
 
--- a/crates/planner/src/job_status.rs
+++ b/crates/planner/src/job_status.rs
@@ -41,6 +41,11 @@
     pub evictions: u32,
     /// How often one of them ran again from the beginning or a checkpoint, for whatever cause.
     pub reruns: u32,
+    /// How long those runs had run whose work was lost, in seconds: the cost of evictions without a
+    /// checkpoint, of lost workers and of failures.
+    pub lost_seconds: u64,
+    /// Its phase in words, with what would change it.
+    pub explanation: String,
     /// The results of its tasks in their order, once the job has ended.
     pub results: Vec<Option<String>>,
 }
@@ -61,8 +66,16 @@
             finished: 0,
             evictions: 0,
             reruns: 0,
+            lost_seconds: 0,
+            explanation: String::new(),
             results: Vec::new(),
         }
+        .explained()
+    }
+
+    fn explained(mut self) -> Self {
+        self.explanation = self.phase.to_string();
+        self
     }
 
     /// Creates the status of a job from its record.
@@ -77,10 +90,12 @@
         status.finished = record.count(|state| matches!(state, TaskState::Finished { .. }));
         status.evictions = record.tasks.iter().map(|task| task.evictions).sum();
         status.reruns = attempts.map(|attempt| attempt.saturating_sub(1)).sum();
+        let lost: u64 = record.tasks.iter().map(|task| task.lost_ms).sum();
+        status.lost_seconds = lost / 1000;
         if record.ended() {
             status.results = results_of(record);
         }
-        status
+        status.explained()
     }
 
     /// Counts runs that were committed ahead as the waiting tasks that they are.
@@ -92,6 +107,7 @@
         self.running = self.running.saturating_sub(ahead);
         if self.phase == JobPhase::Running {
             self.phase = JobPhase::Waiting { reason };
+            self.explanation = self.phase.to_string();
         }
     }
 }
--- a/crates/planner/src/shard_ends.rs
+++ b/crates/planner/src/shard_ends.rs
@@ -143,7 +143,12 @@
         if matches!(end, TaskEnd::Finished { .. }) {
             self.note_success(worker, &run);
         }
-        let transition = JobTransition::Ended { task, attempt, end };
+        let transition = JobTransition::Ended {
+            task,
+            attempt,
+            end,
+            ran_ms: self.ran_ms(&run),
+        };
         if !self.record(transition, effect) {
             return;
         }
@@ -153,6 +158,14 @@
         self.continue_task(task, &run);
     }
 
+    fn ran_ms(&self, run: &TaskRun) -> u64 {
+        if run.since.is_zero() {
+            return 0;
+        }
+        let ran = self.now().saturating_sub(run.since);
+        u64::try_from(ran.as_millis()).unwrap_or(u64::MAX)
+    }
+
     fn continue_task(&mut self, task: TaskId, run: &TaskRun) {
         let state = self.ledger.task(task).map(|record| &record.state);
         let queued = state == Some(&TaskState::Queued);
--- a/crates/planner/src/shard_reconcile.rs
+++ b/crates/planner/src/shard_reconcile.rs
@@ -52,6 +52,7 @@
     }
 
     fn on_running(&mut self, key: WorkerKey, known: &WorkerTask) {
+        let now = self.now();
         let task = task_of(known.attempt);
         let own = self
             .runs
@@ -65,6 +66,7 @@
             RunPhase::Unheard | RunPhase::Starting | RunPhase::Unconfirmed { .. } => {
                 run.phase = RunPhase::Running;
                 run.maybe_started = true;
+                run.since = now;
                 run.speed_millis = known.speed_millis;
                 self.links[&key].ladder.resume(known.speed_millis);
             }
