Forget ended jobs after a week, and live with small transactions

Cause: rows of ended jobs were kept for ever. A table that takes smaller transactions than expected made a shard stop: only the entries of a commit were halved, not the old log rows that it deletes nor the rows that go with it; a row told late could have replaced a job's last one.

Conclusion: the limits of the platform's table need not be known beforehand.

--- a/crates/planner/src/job_desk.rs
+++ b/crates/planner/src/job_desk.rs
@@ -88,6 +88,7 @@
             shard,
             fingerprint: fingerprint_of(&spec),
             status: JobStatus::submitted(job, &spec),
+            ended_ms: None,
             results: None,
         };
         let entry = InboxEntry {
--- a/crates/planner/src/job_row.rs
+++ b/crates/planner/src/job_row.rs
@@ -16,6 +16,8 @@
     /// That of the submission, which tells a repeated one from another with the same key.
     pub(crate) fingerprint: [u8; 32],
     pub(crate) status: JobStatus,
+    /// When it ended, in milliseconds of the time of day since 1970.
+    pub(crate) ended_ms: Option<u64>,
     /// The key of the object that holds the results, if they are too large for the row.
     pub(crate) results: Option<String>,
 }
--- a/crates/planner/src/journal_writer.rs
+++ b/crates/planner/src/journal_writer.rs
@@ -44,6 +44,7 @@
     pub(crate) changes: Vec<RowChange>,
     head: JournalHead,
     entries: Vec<PendingEntry>,
+    others: Vec<RowChange>,
     deleted_to: u64,
 }
 
@@ -60,6 +61,8 @@
     put_off: u64,
     rows: Vec<RowChange>,
     most_entries: usize,
+    most_rows: usize,
+    most_deleted: u64,
     pub(crate) in_flight: Option<CommitBatch>,
 }
 
@@ -76,6 +79,8 @@
             put_off: 0,
             rows: Vec::new(),
             most_entries: MOST_ENTRIES,
+            most_rows: MOST_ROWS,
+            most_deleted: MOST_DELETED,
             in_flight: None,
         }
     }
@@ -91,6 +96,8 @@
 
     /// Adds a row that goes with the entry pushed last.
     pub(crate) fn add_row(&mut self, row: RowChange) {
+        // What waits to be told of the same row is older.
+        self.rows.retain(|other| other.key != row.key);
         if let Some(entry) = self.pending.back_mut() {
             entry.rows.push(row);
         }
@@ -131,8 +138,21 @@
         let Some(batch) = self.in_flight.take() else {
             return false;
         };
-        let helps = batch.entries.len() > 1;
+        let deleted = batch.deleted_to - self.deleted_to;
+        let named = batch.head.first > self.head.first;
+        let helps = batch.entries.len() > 1 || batch.others.len() > 1 || deleted > 1 || named;
+        self.most_deleted = (deleted / 2).max(1);
+        if named {
+            // The entries that went with the snapshot are logged instead, and the head goes on naming
+            // the former one, which must stay.
+            self.replaced = None;
+            self.put_snapshot_off();
+        }
         self.most_entries = (batch.entries.len() / 2).max(1);
+        self.most_rows = (batch.others.len() / 2).max(1);
+        // Deletions are made later; what was to be told may be old by then.
+        let deletions = batch.others.into_iter().filter(|row| row.value.is_none());
+        self.rows.splice(..0, deletions);
         for entry in batch.entries.into_iter().rev() {
             self.pending.push_front(entry);
         }
@@ -161,16 +181,19 @@
             0,
             RowChange::put(row_names::head(self.shard), expected, value),
         );
+        let count = self.rows.len().min(self.most_rows);
+        let others: Vec<RowChange> = self.rows.drain(..count).collect();
+        changes.extend(others.iter().cloned());
         for entry in &entries {
             changes.extend(entry.rows.iter().cloned());
         }
-        changes.append(&mut self.rows);
         let changes = last_of_each_row(changes);
         self.in_flight = Some(CommitBatch {
             write,
             changes,
             head,
             entries,
+            others,
             deleted_to,
         });
         Ok(Some(()))
@@ -224,7 +247,7 @@
     }
 
     fn add_deletions(&self, head: &JournalHead, changes: &mut Vec<RowChange>) -> u64 {
-        let to = head.first.min(self.deleted_to + MOST_DELETED);
+        let to = head.first.min(self.deleted_to + self.most_deleted);
         for sequence in self.deleted_to..to {
             let key = row_names::log_row(self.shard, sequence);
             changes.push(RowChange::delete(key, RowExpectation::Any));
--- a/crates/planner/src/lib.rs
+++ b/crates/planner/src/lib.rs
@@ -43,6 +43,7 @@
 mod shard_snapshot;
 mod shard_state;
 mod shard_supervisor;
+mod shard_sweep;
 mod shard_usage;
 mod shard_vms;
 mod shard_workers;
--- a/crates/planner/src/planner_settings.rs
+++ b/crates/planner/src/planner_settings.rs
@@ -8,6 +8,7 @@
 const SCAN_EVERY: Duration = Duration::from_secs(1);
 const HEARTBEAT: Duration = Duration::from_secs(5);
 const LEASE: Duration = Duration::from_secs(15);
+const KEEP_ENDED: Duration = Duration::from_secs(7 * 24 * 3600);
 const ROWS_PER_SNAPSHOT: u64 = 256;
 
 /// What a planner is told.
@@ -19,6 +20,7 @@
     pub(crate) heartbeat: Duration,
     pub(crate) lease: Duration,
     pub(crate) rows_per_snapshot: u64,
+    pub(crate) keep_ended: Duration,
     pub(crate) policy: PlacementPolicy,
 }
 
@@ -33,6 +35,7 @@
             heartbeat: HEARTBEAT,
             lease: LEASE,
             rows_per_snapshot: ROWS_PER_SNAPSHOT,
+            keep_ended: KEEP_ENDED,
             policy: PlacementPolicy::new(),
         }
     }
@@ -67,6 +70,12 @@
         self
     }
 
+    /// Sets how long an ended job can be asked for.
+    pub fn with_keep_ended(mut self, time: Duration) -> Self {
+        self.keep_ended = time;
+        self
+    }
+
     /// Sets how places are chosen.
     pub fn with_policy(mut self, policy: PlacementPolicy) -> Self {
         self.policy = policy;
--- a/crates/planner/src/shard_actor.rs
+++ b/crates/planner/src/shard_actor.rs
@@ -82,6 +82,7 @@
                 submissions,
                 cancels,
             } => self.on_scanned(started, submissions, cancels),
+            ShardMessage::Swept(rows) => self.on_swept(rows),
             ShardMessage::Adopted {
                 worker,
                 sent,
--- a/crates/planner/src/shard_calls.rs
+++ b/crates/planner/src/shard_calls.rs
@@ -21,6 +21,7 @@
 use jasminebend_ports::{
     ObjectKey,
     RowChange,
+    RowKey,
     TaskAttempt,
     TaskOrder,
     WriteId, //
@@ -133,7 +134,7 @@
         });
     }
 
-    pub(crate) fn drop_snapshot(&mut self, key: ObjectKey) {
+    pub(crate) fn drop_object(&mut self, key: ObjectKey) {
         let edges = Arc::clone(&self.edges);
         self.run(async move {
             // What stays behind costs room and nothing else.
@@ -142,6 +143,15 @@
         });
     }
 
+    pub(crate) fn sweep(&mut self, after: Option<RowKey>) {
+        let edges = Arc::clone(&self.edges);
+        self.run(async move {
+            let prefix = RowKey::from(row_names::JOBS);
+            let rows = edges.table.scan(&prefix, after.as_ref(), ROWS_PER_SCAN);
+            ShardMessage::Swept(rows.await)
+        });
+    }
+
     pub(crate) fn scan(&mut self, started: Duration) {
         let edges = Arc::clone(&self.edges);
         let shard = self.permit.shard;
--- a/crates/planner/src/shard_journal.rs
+++ b/crates/planner/src/shard_journal.rs
@@ -219,7 +219,7 @@
         };
         let (entries, dropped) = writer.committed(version);
         if let Some(key) = dropped {
-            self.calls.drop_snapshot(ObjectKey::from(key));
+            self.calls.drop_object(ObjectKey::from(key));
         }
         let count = u32::try_from(entries.len()).unwrap_or(u32::MAX);
         metrics::histogram!("jasminebend_planner_commit_entries").record(f64::from(count));
--- a/crates/planner/src/shard_message.rs
+++ b/crates/planner/src/shard_message.rs
@@ -55,6 +55,8 @@
         submissions: Result<Vec<TableRow>, TableError>,
         cancels: Result<Vec<TableRow>, TableError>,
     },
+    /// Some rows of jobs were read.
+    Swept(Result<Vec<TableRow>, TableError>),
     /// A worker answered an adoption.
     Adopted {
         worker: WorkerKey,
--- a/crates/planner/src/shard_rows.rs
+++ b/crates/planner/src/shard_rows.rs
@@ -122,6 +122,7 @@
             shard: self.calls.permit.shard,
             fingerprint: fingerprint_of(&record.spec),
             status,
+            ended_ms: record.ended().then(|| self.wall_ms()),
             results,
         };
         let value = record_codec::encode(&row).ok()?;
--- a/crates/planner/src/shard_state.rs
+++ b/crates/planner/src/shard_state.rs
@@ -32,6 +32,7 @@
     WorkerPool, //
 };
 use jasminebend_ports::{
+    RowKey,
     TaskAttempt,
     WriteId, //
 };
@@ -84,6 +85,8 @@
     /// The jobs whose rows are older than they are.
     pub(crate) untold: IndexSet<JobId>,
     pub(crate) next_told: Duration,
+    pub(crate) next_sweep: Duration,
+    pub(crate) swept_to: Option<RowKey>,
 
     pub(crate) pool: WorkerPool,
     pub(crate) learned: LearnedState,
@@ -148,6 +151,8 @@
             closing: IndexSet::new(),
             untold: IndexSet::new(),
             next_told: Duration::ZERO,
+            next_sweep: Duration::ZERO,
+            swept_to: None,
             pool: WorkerPool::new(),
             learned: LearnedState::default(),
             queue: ReadyQueue::new(),
@@ -218,6 +223,7 @@
         self.tend_runs(now);
         self.plan(now);
         self.scan(now);
+        self.sweep(now);
         self.resend_batch(now);
         self.commit(now);
     }
--- a/crates/planner/tests/planner/outage.rs
+++ b/crates/planner/tests/planner/outage.rs
@@ -1,14 +1,28 @@
 //! The table goes down.
 
+use std::sync::Arc;
+
+use async_trait::async_trait;
 use jasminebend_planner::{
     JobPhase,
+    PlannerSettings,
     SubmitError,
     WaitReason, //
 };
+use jasminebend_ports::{
+    CommitOutcome,
+    RowChange,
+    RowKey,
+    TableError,
+    TableRow,
+    TableService,
+    WriteId, //
+};
 use jasminebend_standins::{
     CallKind,
     FaultKind,
-    OutageState, //
+    OutageState,
+    TableStandIn, //
 };
 use tokio::time::sleep;
 
@@ -93,3 +107,69 @@
     let summary = bed.check();
     assert_eq!((summary.starts, summary.finishes), (20, 20));
 }
+
+// A table that takes small transactions only: a commit that it finds too large is made again in halves,
+// and the shard must not stop over it.
+#[tokio::test(start_paused = true)]
+async fn commits_that_are_too_large_are_halved() {
+    let settings = PlannerSettings::new(1).with_rows_per_snapshot(20);
+    let bed = TestBed::new(8).with_settings(settings);
+    let table = Arc::new(NarrowTable {
+        table: bed.table.clone(),
+        most_changes: 12,
+        most_bytes: 3_000,
+    });
+    let workers = Arc::new(bed.fleet.clone());
+    let planner = bed.planner_with(1, table, workers).await;
+    let mut jobs = Vec::new();
+    for index in 0..120 {
+        jobs.push(planner.handle.submit(batch(5, seconds(20))).await.unwrap());
+        if index % 30 == 29 {
+            sleep(seconds(60)).await;
+        }
+    }
+    for job in jobs {
+        assert_eq!(planner.ended(job, seconds(900)).await.finished, 5);
+    }
+    assert_eq!(bed.check().starts, 600);
+    // A snapshot that was not named in the end must not have cost the one that is.
+    drop(planner);
+    let successor = bed.planner(2).await;
+    let job = successor.handle.submit(batch(1, seconds(1))).await.unwrap();
+    successor.ended(job, seconds(30)).await;
+}
+
+struct NarrowTable {
+    table: TableStandIn,
+    most_changes: usize,
+    most_bytes: usize,
+}
+
+#[async_trait]
+impl TableService for NarrowTable {
+    async fn read(&self, key: &RowKey) -> Result<Option<TableRow>, TableError> {
+        self.table.read(key).await
+    }
+
+    async fn scan(
+        &self,
+        prefix: &RowKey,
+        after: Option<&RowKey>,
+        limit: usize,
+    ) -> Result<Vec<TableRow>, TableError> {
+        self.table.scan(prefix, after, limit).await
+    }
+
+    async fn commit(
+        &self,
+        write: WriteId,
+        changes: Vec<RowChange>,
+    ) -> Result<CommitOutcome, TableError> {
+        let values = changes.iter().filter_map(|change| change.value.as_ref());
+        let bytes: usize = values.map(Vec::len).sum();
+        if changes.len() > self.most_changes || bytes > self.most_bytes {
+            return Err(TableError::TooLarge);
+        }
+        self.table.commit(write, changes).await
+    }
+}
--- a/crates/planner/tests/planner/submission.rs
+++ b/crates/planner/tests/planner/submission.rs
@@ -7,8 +7,10 @@
     ResourceAmount, //
 };
 use jasminebend_planner::{
+    JobError,
     JobPhase,
     JobSpec,
+    PlannerSettings,
     SubmitError,
     WaitReason, //
 };
@@ -164,3 +166,23 @@
     sleep(seconds(60)).await;
     assert_eq!(bed.check().starts, 1);
 }
+
+#[tokio::test(start_paused = true)]
+async fn jobs_that_ended_long_ago_are_forgotten_and_others_are_not() {
+    let bed = TestBed::new(2);
+    let settings = PlannerSettings::new(1).with_keep_ended(seconds(600));
+    let bed = bed.with_settings(settings);
+    let planner = bed.planner(1).await;
+    let short = planner.handle.submit(batch(1, seconds(5))).await.unwrap();
+    let long = planner
+        .handle
+        .submit(batch(1, seconds(5_000)))
+        .await
+        .unwrap();
+    sleep(seconds(500)).await;
+    assert_eq!(planner.status(short).await.finished, 1);
+    sleep(seconds(600)).await;
+    let error = planner.handle.job(short).await.unwrap_err();
+    assert_eq!(error, JobError::UnknownJob { job: short });
+    assert_eq!(planner.status(long).await.running, 1);
+}
