--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -13,9 +13,14 @@
 use tokio::time::timeout;
 
 use crate::{
-    endpoint_connection::EndpointConnection, exchange_end::ExchangeEnd,
-    gateway_shared::GatewayShared, pending_exchange::PendingExchange, refusal::Refusal,
-    request_body::RequestBody, slot_lease::SlotLease,
+    endpoint_connection::EndpointConnection,
+    exchange_end::ExchangeEnd,
+    gateway_shared::GatewayShared,
+    pending_exchange::PendingExchange,
+    pool_refresh::refresh_pool,
+    refusal::Refusal,
+    request_body::RequestBody,
+    slot_lease::SlotLease, //
 };
 
 const MOST_CONNECTIONS_TRIED: usize = 2;
@@ -81,6 +86,9 @@
         // learns here that another one may have the slot by now.
         if shared.ownership.may_act(lease.grant.0) != Some(lease.grant.1) {
             lease.connection = Some(connection);
+            // The next pick must not meet the other slots of what was lost.
+            let held = shared.held_shares();
+            refresh_pool(lease.pool(), &held, shared.clock.monotonic());
             let refusal = Refusal::NoEndpoint;
             return Err(AttemptError::NotRun { refusal, request });
         }
--- a/crates/gateway/src/gateway_shared.rs
+++ b/crates/gateway/src/gateway_shared.rs
@@ -22,6 +22,7 @@
     gateway_settings::GatewaySettings,
     key_store::KeyStore,
     peer_directory::PeerDirectory,
+    pool_refresh::HeldShares,
     route_snapshot::RouteSnapshot,
     service_pool::ServicePool, //
 };
@@ -71,6 +72,14 @@
         }
     }
 
+    /// Returns the shares that may be used now.
+    pub(crate) fn held_shares(&self) -> HeldShares {
+        let ownership = &self.ownership;
+        let held = ownership.held().into_iter();
+        held.filter(|(resource, _)| ownership.idle_for(*resource).is_zero())
+            .collect()
+    }
+
     /// Returns the routes in force.
     pub(crate) fn routes(&self) -> Arc<RouteSnapshot> {
         let routes = self.routes.read().unwrap_or_else(PoisonError::into_inner);
--- a/crates/gateway/src/header_rules.rs
+++ b/crates/gateway/src/header_rules.rs
@@ -3,7 +3,13 @@
 use std::net::IpAddr;
 
 use http::{
-    HeaderMap, HeaderName, HeaderValue, Method, Request, Uri, Version,
+    HeaderMap,
+    HeaderName,
+    HeaderValue,
+    Method,
+    Request,
+    Uri,
+    Version,
     header::{
         CONNECTION,
         CONTENT_LENGTH,
@@ -15,7 +21,7 @@
         UPGRADE,
         VIA, //
     },
-    uri::PathAndQuery,
+    uri::PathAndQuery, //
 };
 
 use crate::{
--- a/crates/gateway/src/pool_keeper.rs
+++ b/crates/gateway/src/pool_keeper.rs
@@ -26,14 +26,11 @@
 use crate::{
     endpoint_entry::EndpointEntry,
     gateway_shared::GatewayShared,
-    pool_refresh::{
-        HeldShares,
-        refresh_pool, //
-    },
+    pool_refresh::refresh_pool,
     pool_state::PoolState,
     route_snapshot::RouteSnapshot,
     service_pool::ServicePool,
-    slot_key::EndpointKey,
+    slot_key::EndpointKey, //
 };
 
 /// Why the pools are looked at.
@@ -177,22 +174,13 @@
     /// Looks at the held shares and the clock, frees slots whose time is over, and lets waiting
     /// requests go on.
     pub(crate) fn refresh(&self) {
-        let held = self.held_shares();
+        let held = self.shared.held_shares();
         for pool in self.shared.pools() {
             refresh_pool(&pool, &held, self.shared.clock.monotonic());
             pool.hand_over();
         }
         self.shared.idle.notify_waiters();
     }
-
-    fn held_shares(&self) -> HeldShares {
-        let ownership = &self.shared.ownership;
-        ownership
-            .held()
-            .into_iter()
-            .filter(|(resource, _)| ownership.idle_for(*resource).is_zero())
-            .collect()
-    }
 }
 
 /// Returns the endpoint of a service on a VM.
--- a/crates/gateway/src/pool_refresh.rs
+++ b/crates/gateway/src/pool_refresh.rs
@@ -35,6 +35,9 @@
     let mut serving = 0;
     let mut unknown = 0;
     state.weigh_leaving(now);
+    let mut slots = state.endpoints.iter().flat_map(|entry| &entry.slots);
+    let some = slots.any(|slot| held.contains_key(&slot.share));
+    state.note_held(some, now);
     for endpoint in 0..state.endpoints.len() {
         let heed = state.heed_leaving;
         let entry = &state.endpoints[endpoint];
@@ -53,7 +56,7 @@
         }
     }
     state.serving = serving;
-    if serving == 0 {
+    if serving == 0 && state.shares_awaited(now).is_none() {
         refuse_waiting(&mut state, now);
     }
     report(pool, &state, unknown);
@@ -74,6 +77,7 @@
     now: Duration,
     idle_limit: Duration,
 ) {
+    let awaited = state.shares_awaited(now).is_some();
     let entry = state.entry(key.endpoint);
     let open = entry.open;
     let declared = key.slot < entry.usable_slots();
@@ -86,7 +90,7 @@
     {
         slot.phase = SlotPhase::Idle;
     }
-    let held = slot.held;
+    let held = slot.held || awaited;
     // Dropping a connection closes it, so that no more are open than slots are held.
     slot.connection.take_if(|connection| {
         let quiet = now.saturating_sub(connection.last_heard);
--- a/crates/gateway/src/pool_state.rs
+++ b/crates/gateway/src/pool_state.rs
@@ -37,6 +37,7 @@
 };
 
 const HEDGE_QUANTILE: f64 = 0.95;
+const SHARE_GRACE: Duration = Duration::from_millis(500);
 const RETRY_BURST: f64 = 10.0;
 /// See the measurement `endpoint_pick`: p99 falls to 0.66 of random's where two give 0.80, and more
 /// than eight bring little.
@@ -68,6 +69,10 @@
     pub(crate) budget: RetryBudget,
     /// The slots that serve: held and usable, and not of unknown fate.
     pub(crate) serving: usize,
+    /// Since when none of its shares is held, if some were before.
+    pub(crate) vanished_at: Option<Duration>,
+    /// Whether some of its shares are held.
+    pub(crate) holds_some: bool,
     /// Whether endpoints' own announcements of their end are heeded.
     pub(crate) heed_leaving: bool,
     /// Idle connections last heard from before this are replaced before use.
@@ -102,6 +107,8 @@
             latency: LatencyEstimate::new(HEDGE_QUANTILE),
             budget: RetryBudget::new(retry_ratio, RETRY_BURST),
             serving: 0,
+            vanished_at: None,
+            holds_some: false,
             heed_leaving: true,
             suspect_before: Duration::ZERO,
             warned_at: None,
@@ -162,6 +169,25 @@
         avoided.map(|key| self.occupy(key))
     }
 
+    /// Notes whether some of its shares are held.
+    pub(crate) fn note_held(&mut self, some: bool, now: Duration) {
+        match (self.holds_some, some) {
+            (_, true) => self.vanished_at = None,
+            (true, false) => self.vanished_at = Some(now),
+            (false, false) => {}
+        }
+        self.holds_some = some;
+    }
+
+    /// Returns until when requests may wait for the shares to come back, if they just went.
+    ///
+    /// While a newer epoch of another member is told, a daemon may hold nothing for a moment: all of
+    /// them would refuse at the same time what any could answer a few milliseconds later.
+    pub(crate) fn shares_awaited(&self, now: Duration) -> Option<Duration> {
+        let end = self.vanished_at? + SHARE_GRACE;
+        (now < end).then_some(end)
+    }
+
     /// Adds an endpoint, in the place of one that was retired if there is any.
     pub(crate) fn add(&mut self, entry: EndpointEntry) -> EndpointKey {
         let address = entry.address;
--- a/crates/gateway/src/service_pool.rs
+++ b/crates/gateway/src/service_pool.rs
@@ -111,9 +111,12 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Tells whether this daemon has slots of the service to use.
+    /// Tells whether this daemon has slots of the service to use, or just had some and may have
+    /// them again in a moment.
     pub(crate) fn serves(&self) -> bool {
-        self.lock().serving > 0
+        let now = self.clock.monotonic();
+        let state = self.lock();
+        state.serving > 0 || state.shares_awaited(now).is_some()
     }
 
     /// Takes a slot at once, if one is free.
@@ -134,9 +137,12 @@
             SlotOffer::Queued(key, reply) => (key, reply),
         };
         let _place = QueuePlace { pool: self, key };
-        let left = demand.deadline.saturating_sub(self.clock.monotonic());
-        match timeout(left, reply).await {
+        let now = self.clock.monotonic();
+        let awaited = self.lock().shares_awaited(now);
+        let until = demand.deadline.min(awaited.unwrap_or(demand.deadline));
+        match timeout(until.saturating_sub(now), reply).await {
             Ok(Ok(outcome)) => outcome,
+            Ok(Err(_)) | Err(_) if awaited.is_some() => Err(Refusal::NoEndpoint),
             Ok(Err(_)) | Err(_) => Err(Refusal::QueueTimeout),
         }
     }
@@ -232,10 +238,12 @@
             waiting: state.queue.len(),
             service_time: state.holding.mean(),
         };
-        if rule.slots == 0 {
+        if rule.slots == 0 && state.shares_awaited(now).is_none() {
             return Err(Refusal::NoEndpoint);
         }
-        if let Admission::Refuse { retry_after } = rule.decide(demand.deadline.saturating_sub(now))
+        let left = demand.deadline.saturating_sub(now);
+        if rule.slots > 0
+            && let Admission::Refuse { retry_after } = rule.decide(left)
         {
             return Err(Refusal::Overloaded { retry_after });
         }
--- a/crates/gateway/tests/requests/slots.rs
+++ b/crates/gateway/tests/requests/slots.rs
@@ -165,6 +165,29 @@
     assert_eq!(endpoint.seen(), 1);
 }
 
+// A new daemon takes a seat, and for a moment no daemon may act on anything. A request that comes
+// just then, or was about to be sent, is answered a moment later and not refused by all of them.
+#[tokio::test]
+async fn a_moment_without_shares_is_waited_out() {
+    let endpoint = ScriptEndpoint::start().await;
+    let builder = GatewayBuilder::new().with_endpoint(&endpoint, 4);
+    let gateway = builder
+        .with_settings(|settings| settings.with_refresh(Duration::from_millis(10)))
+        .start()
+        .await;
+    for round in 0..5 {
+        gateway.lose(0..16);
+        let asked: Vec<_> = (0..6)
+            .map(|id| gateway.post_later(&format!("{round}-{id}")))
+            .collect();
+        sleep(Duration::from_millis(40)).await;
+        gateway.hold(0..16, Duration::ZERO);
+        for reply in asked {
+            assert_eq!(reply.await.unwrap().status, 200);
+        }
+    }
+}
+
 // A share is given back while a request is in progress on it. If the daemon said "idle" before the
 // answer, the next holder would send a second request to the same slot.
 #[tokio::test]
