--- a/crates/planner/src/shard_ends.rs
+++ b/crates/planner/src/shard_ends.rs
@@ -49,7 +49,7 @@
             return;
         };
         let (kind, cancelled) = (record.kind, record.cancelled);
-        let class = self.book.key(&record.spec.team, &record.spec.class);
+        let class = self.learned.book.key(&record.spec.team, &record.spec.class);
         let states: Vec<(TaskState, u32)> = record
             .tasks
             .iter()
@@ -114,8 +114,8 @@
             // Callers wait for a service: each of its tasks is late from the start.
             Some(ClassTarget::AnswerWithin(_)) | None => Duration::ZERO,
         };
-        let key = self.book.find(&job.spec.team, &job.spec.class);
-        let learned = key.and_then(|key| self.sizes.run_time(key));
+        let key = self.learned.book.find(&job.spec.team, &job.spec.class);
+        let learned = key.and_then(|key| self.learned.sizes.run_time(key));
         let run_time = learned.or(job.spec.run_time).unwrap_or(RUN_TIME);
         LatestStart::new(self.now(), waited, target, run_time)
     }
@@ -143,7 +143,12 @@
         if matches!(end, TaskEnd::Finished { .. }) {
             self.note_success(worker, &run);
         }
-        let transition = JobTransition::Ended { task, attempt, end };
+        let transition = JobTransition::Ended {
+            task,
+            attempt,
+            end,
+            ran_ms: self.ran_ms(&run),
+        };
         if !self.record(transition, effect) {
             return;
         }
@@ -153,6 +158,14 @@
         self.continue_task(task, &run);
     }
 
+    fn ran_ms(&self, run: &TaskRun) -> u64 {
+        if run.since.is_zero() {
+            return 0;
+        }
+        let ran = self.now().saturating_sub(run.since);
+        u64::try_from(ran.as_millis()).unwrap_or(u64::MAX)
+    }
+
     fn continue_task(&mut self, task: TaskId, run: &TaskRun) {
         let state = self.ledger.task(task).map(|record| &record.state);
         let queued = state == Some(&TaskState::Queued);
@@ -205,7 +218,7 @@
     fn note_success(&mut self, worker: WorkerKey, run: &TaskRun) {
         let took = self.now().saturating_sub(run.since);
         if !run.since.is_zero() {
-            self.sizes.observe_run(run.class, took);
+            self.learned.sizes.observe_run(run.class, took);
         }
         self.note_worker_success(worker);
     }
--- a/crates/planner/src/shard_journal.rs
+++ b/crates/planner/src/shard_journal.rs
@@ -2,7 +2,6 @@
 
 use std::time::Duration;
 
-use bytes::Bytes;
 use jasminebend_placement::{
     JobId,
     JobTransition,
@@ -11,7 +10,6 @@
 };
 use jasminebend_ports::{
     CommitOutcome,
-    ObjectError,
     ObjectKey,
     RowVersion,
     TableError,
@@ -31,17 +29,15 @@
         JournalWriter,
         PendingEntry, //
     },
-    record_codec,
     row_names,
     run_phase::RunPhase,
     shard_phase::ShardPhase,
+    shard_snapshot,
     shard_state::ShardState,
     stop_wish::StopWish, //
 };
 
 const RETRY_AFTER: Duration = Duration::from_millis(500);
-/// A snapshot waits until no more than this many entries have to be committed with it.
-const MOST_WITH_SNAPSHOT: usize = 256;
 
 impl ShardState {
     pub(crate) fn open(&mut self, now: Duration) {
@@ -85,6 +81,9 @@
         self.snapshot_key.clone_from(&journal.head.snapshot);
         self.writer = Some(JournalWriter::new(shard, journal.head, journal.version));
         self.ledger = journal.ledger;
+        self.learned = journal.learned;
+        self.learned.rebase(now);
+        self.next_snapshot = now + shard_snapshot::SNAPSHOT_EVERY;
         self.vms.mark_changed();
         self.configuration.mark_changed();
         self.phase = ShardPhase::Open;
@@ -123,8 +122,8 @@
         if self.snapshotting || now < self.commit_retry {
             return;
         }
-        if self.snapshot_is_due() {
-            self.take_snapshot();
+        if self.snapshot_is_due(now) {
+            self.take_snapshot(now);
             return;
         }
         let write = self.draw_write();
@@ -157,53 +156,6 @@
         self.calls.commit(batch.write, batch.changes.clone());
     }
 
-    fn snapshot_is_due(&self) -> bool {
-        let Some(writer) = &self.writer else {
-            return false;
-        };
-        writer.in_flight.is_none()
-            && writer.waiting() <= MOST_WITH_SNAPSHOT
-            && writer.rows_since_snapshot() >= self.settings.rows_per_snapshot
-    }
-
-    fn take_snapshot(&mut self) {
-        let Some(writer) = &self.writer else { return };
-        let permit = &self.calls.permit;
-        let key = row_names::snapshot(permit.shard, permit.epoch.0, writer.next_sequence());
-        let entries = writer.waiting();
-        match record_codec::encode(&self.ledger) {
-            Ok(body) => {
-                self.snapshotting = true;
-                self.calls.keep_snapshot(key, entries, Bytes::from(body));
-            }
-            Err(error) => self.fault(error.into()),
-        }
-    }
-
-    /// A snapshot that may not have been written is not named; the log goes on, and the next one has
-    /// another key.
-    pub(crate) fn on_snapshot(
-        &mut self,
-        key: ObjectKey,
-        entries: usize,
-        result: Result<(), ObjectError>,
-    ) {
-        self.snapshotting = false;
-        let Some(writer) = &mut self.writer else {
-            return;
-        };
-        match result {
-            Ok(()) => {
-                let old = self.snapshot_key.replace(key.as_str().to_owned());
-                writer.set_snapshot(key, entries, old);
-            }
-            Err(error) => {
-                warn!("[planner] A snapshot was not kept: {}.", error);
-                writer.put_snapshot_off();
-            }
-        }
-    }
-
     pub(crate) fn on_committed(&mut self, result: Result<CommitOutcome, TableError>) {
         match result {
             Ok(CommitOutcome::Committed(version)) => self.finish_commit(version),
