--- a/crates/jasminebend/src/entry_daemon.rs
+++ b/crates/jasminebend/src/entry_daemon.rs
@@ -32,11 +32,17 @@
     time::{
         sleep,
         timeout, //
-    },
+    }, //
 };
 
 use crate::{
-    AdminFront, AdminGuard, DaemonEdges, DaemonError, DaemonSettings, MetricsHub, PeerKeySource,
+    AdminFront,
+    AdminGuard,
+    DaemonEdges,
+    DaemonError,
+    DaemonSettings,
+    MetricsHub,
+    PeerKeySource,
     admin_front::{
         bind,
         local_address, //
@@ -44,7 +50,7 @@
     entry_control::EntryControl,
     gauge_keeper::GaugeKeeper,
     peer_keys::PeerKeys,
-    secret_watch::SecretWatch,
+    secret_watch::SecretWatch, //
 };
 
 const LONGEST_PROPOSAL: Duration = Duration::from_secs(10);
@@ -88,7 +94,13 @@
         cluster.add_user(Arc::new(planner.clone()));
         let domain = settings.domain.clone();
         let region = settings.region.clone();
-        let control = EntryControl::new(domain, region, cluster.clone(), planner);
+        let control = EntryControl::new(
+            domain,
+            region,
+            cluster.clone(),
+            planner,
+            Arc::clone(&edges.clock),
+        );
         let control = Arc::new(control);
         let admin = front.serve(control.clone(), metrics.clone())?;
         let (background, ended) = watch::channel(());
--- a/crates/ownership/tests/explore/main.rs
+++ b/crates/ownership/tests/explore/main.rs
@@ -60,6 +60,7 @@
         (Guard::CountFromAsk, 244, Harm::OldConfiguration),
         (Guard::CountFromPoll, 27, Harm::OldConfiguration),
         (Guard::DriftMargin, 19, Harm::OldConfiguration),
+        (Guard::DiscountFormer, 7_474, Harm::OldConfiguration),
         (Guard::SilenceIsNotGone, 58, Harm::OldConfiguration),
         (Guard::ReleaseIsFinal, 15, Harm::TwoAtEndpoint),
         (Guard::IdleAfterForce, 59, Harm::TwoAtEndpoint),
