--- a/crates/wire/tests/codec.rs
+++ b/crates/wire/tests/codec.rs
@@ -2,7 +2,7 @@
 
 #![expect(
     clippy::unwrap_used,
-    reason = "a helper of a test that cannot go on ends the test"
+    reason = "The helpers of tests unwrap as their tests do."
 )]
 
 use jasminebend_ownership::{
