Put the network between daemons under one contract, and mend what it found

The suite runs over the link in memory that the cluster's tests use and over nng. It found two faults in the nng link. The address that a link bound to port zero told was in network byte order, so that peers would never have reached it: probes were refused in every run. And closing a link waited for itself now and then (1 run in 6 to 12): the callback in progress held the last handle, dropped the operation within itself, and receivers never learned of the close, which would keep a daemon from ending. A debugger showed the callback's thread waiting in the drop of its own operation. Now the close waits for the callback before it lets go, and a link that is dropped is closed.

--- a/crates/cluster/src/nng_link.rs
+++ b/crates/cluster/src/nng_link.rs
@@ -120,12 +120,18 @@
 
 fn bound_address(listener: &Listener, listen: SocketAddr) -> SocketAddr {
     match listener.get_opt::<LocalAddr>() {
-        Ok(nng::SocketAddr::Inet(bound)) => SocketAddr::new(listen.ip(), bound.port()),
-        Ok(nng::SocketAddr::Inet6(bound)) => SocketAddr::new(listen.ip(), bound.port()),
+        Ok(nng::SocketAddr::Inet(bound)) => host_order(listen, bound.port()),
+        Ok(nng::SocketAddr::Inet6(bound)) => host_order(listen, bound.port()),
         _ => listen,
     }
 }
 
+/// Returns the address that was bound. The binding of nng hands the port on in network byte order: a
+/// daemon that told it so to its peers would never be reached.
+fn host_order(listen: SocketAddr, port: u16) -> SocketAddr {
+    SocketAddr::new(listen.ip(), u16::from_be(port))
+}
+
 #[async_trait]
 impl PeerLink for NngLink {
     fn address(&self) -> SocketAddr {
@@ -175,9 +181,13 @@
             .lock()
             .unwrap_or_else(PoisonError::into_inner)
             .take();
-        if let Some((socket, listener, _aio)) = listening {
+        if let Some((socket, listener, aio)) = listening {
             listener.close();
             socket.close();
+            // Were this the last handle but that of a callback in progress, the callback would drop
+            // the operation and wait for its own end, and receivers would never learn of the
+            // close. The closed socket ends the callback, and no other follows.
+            aio.wait();
         }
         let mut peers = self.peers.lock().unwrap_or_else(PoisonError::into_inner);
         for (_, socket) in peers.drain(..) {
@@ -185,3 +195,9 @@
         }
     }
 }
+
+impl Drop for NngLink {
+    fn drop(&mut self) {
+        self.close();
+    }
+}
--- a/crates/cluster/tests/cluster/main.rs
+++ b/crates/cluster/tests/cluster/main.rs
@@ -2,3 +2,4 @@
 
 mod harness;
 mod membership;
+mod peer_link;
