--- a/crates/gateway/src/gateway_shared.rs
+++ b/crates/gateway/src/gateway_shared.rs
@@ -3,8 +3,7 @@
 use std::sync::{
     Arc,
     PoisonError,
-    RwLock,
-    atomic::AtomicBool, //
+    RwLock, //
 };
 
 use indexmap::IndexMap;
@@ -13,12 +12,16 @@
     ClockSource,
     OwnershipView, //
 };
-use tokio::sync::Notify;
+use tokio::sync::{
+    Notify,
+    Semaphore, //
+};
 
 use crate::{
     gateway_edges::GatewayEdges,
     gateway_settings::GatewaySettings,
     key_store::KeyStore,
+    peer_directory::PeerDirectory,
     route_snapshot::RouteSnapshot,
     service_pool::ServicePool, //
 };
@@ -33,12 +36,14 @@
     pub(crate) clock: Arc<dyn ClockSource>,
     /// The idempotency keys.
     pub(crate) keys: Arc<KeyStore>,
+    /// The other daemons.
+    pub(crate) peers: PeerDirectory,
     /// The seed of the random picks.
     pub(crate) seed: u64,
     /// Told whenever a slot falls idle.
     pub(crate) idle: Arc<Notify>,
-    /// Whether the gateway is draining.
-    pub(crate) draining: AtomicBool,
+    /// The bytes of bodies that may still be held in memory.
+    pub(crate) held_bytes: Arc<Semaphore>,
     routes: RwLock<Arc<RouteSnapshot>>,
     pools: RwLock<IndexMap<ServiceName, Arc<ServicePool>>>,
 }
@@ -51,14 +56,16 @@
             Arc::clone(&edges.clock),
             settings.key_retention,
         );
+        let held_bytes = Arc::new(Semaphore::new(settings.most_held_bytes));
         Self {
             settings: Arc::new(settings),
             ownership: Arc::clone(&edges.ownership),
             clock: Arc::clone(&edges.clock),
             keys: Arc::new(keys),
+            peers: PeerDirectory::new(Arc::clone(&edges.table)),
             seed: edges.seed,
             idle: Arc::new(Notify::new()),
-            draining: AtomicBool::new(false),
+            held_bytes,
             routes: RwLock::default(),
             pools: RwLock::default(),
         }
--- a/crates/jasminebend/src/entry_daemon.rs
+++ b/crates/jasminebend/src/entry_daemon.rs
@@ -32,21 +32,28 @@
     time::{
         sleep,
         timeout, //
-    },
+    }, //
 };
 
 use crate::{
-    AdminFront, AdminGuard, DaemonEdges, DaemonError, DaemonSettings, MetricsHub, PeerKeySource,
+    AdminFront,
+    AdminGuard,
+    DaemonEdges,
+    DaemonError,
+    DaemonSettings,
+    MetricsHub,
+    PeerKeySource,
     admin_front::{
         bind,
         local_address, //
     },
     entry_control::EntryControl,
+    gauge_keeper::GaugeKeeper,
     peer_keys::PeerKeys,
-    secret_watch::watch_secret,
+    secret_watch::SecretWatch, //
 };
 
-const METRICS_PERIOD: Duration = Duration::from_secs(5);
+const LONGEST_PROPOSAL: Duration = Duration::from_secs(10);
 /// A request's body up to this size is taken in whole before a slot is taken for it; in bytes.
 const BUFFERED_BODY: u64 = 64 << 10;
 /// Seeds of the parts differ, so that no two parts draw the same numbers.
@@ -78,6 +85,7 @@
         let front = AdminFront::bind(&settings).await?;
         let listener = bind("listen.callers", settings.listen.callers).await?;
         let callers = local_address("listen.callers", &listener)?;
+        let watch = key_watch(&settings.peer_key);
         let keys = PeerKeys::read(&settings.peer_key)?;
         let cluster = start_cluster(&settings, keys, front.address()?, &edges).await?;
         let gateway = start_gateway(&settings, &cluster, &edges);
@@ -86,13 +94,20 @@
         cluster.add_user(Arc::new(planner.clone()));
         let domain = settings.domain.clone();
         let region = settings.region.clone();
-        let control = EntryControl::new(domain, region, cluster.clone(), planner);
+        let control = EntryControl::new(
+            domain,
+            region,
+            cluster.clone(),
+            planner,
+            Arc::clone(&edges.clock),
+        );
         let control = Arc::new(control);
         let admin = front.serve(control.clone(), metrics.clone())?;
         let (background, ended) = watch::channel(());
         let mut tasks = JoinSet::new();
-        tasks.spawn(tidy_metrics(metrics, ended.clone()));
-        spawn_key_watch(&mut tasks, &settings.peer_key, &cluster, ended);
+        let gauges = GaugeKeeper::new(control.clone(), metrics, &settings.domain);
+        tasks.spawn(gauges.run(ended.clone()));
+        spawn_key_watch(&mut tasks, watch, &cluster, ended);
         spawn_callers(&mut tasks, &gateway, listener);
         info!("[daemon] Callers are served on {callers}.");
         info!("[daemon] Operators are served on {}.", admin.address());
@@ -168,6 +183,7 @@
         .with_slot_shares(settings.slot_shares)
         .with_shards(settings.shards)
         .with_longest_request(settings.limits.longest_request)
+        .with_proposal_timeout(proposal_timeout(settings.limits.administration_timeout))
         .with_admin_address(admin);
     if let Some(next) = keys.next {
         cluster = cluster.with_next_key(next);
@@ -184,6 +200,12 @@
     Ok(ClusterHandle::start(cluster, edges).await?)
 }
 
+/// The cluster part gives up a proposal before the administration API gives up the cluster part, so
+/// that the operator is told which version may still come.
+fn proposal_timeout(administration: Duration) -> Duration {
+    LONGEST_PROPOSAL.min(administration * 4 / 5)
+}
+
 fn start_gateway(
     settings: &DaemonSettings,
     cluster: &ClusterHandle,
@@ -229,13 +251,20 @@
     tasks.spawn(Arc::clone(gateway).serve(listener));
 }
 
+fn key_watch(source: &PeerKeySource) -> Option<SecretWatch> {
+    match source {
+        PeerKeySource::File(path) => Some(SecretWatch::new(path)),
+        PeerKeySource::Text(_) => None,
+    }
+}
+
 fn spawn_key_watch(
     tasks: &mut JoinSet<()>,
-    source: &PeerKeySource,
+    watch: Option<SecretWatch>,
     cluster: &ClusterHandle,
     ended: watch::Receiver<()>,
 ) {
-    let PeerKeySource::File(path) = source else {
+    let Some(watch) = watch else {
         return;
     };
     let cluster = cluster.clone();
@@ -243,14 +272,5 @@
         cluster.set_keys(PeerKeys::parse(text)?.ring());
         Ok(())
     };
-    tasks.spawn(watch_secret(path.clone(), apply, ended));
-}
-
-async fn tidy_metrics(metrics: MetricsHub, mut ended: watch::Receiver<()>) {
-    loop {
-        tokio::select! {
-            _ = ended.changed() => return,
-            () = sleep(METRICS_PERIOD) => metrics.tidy(),
-        }
-    }
+    tasks.spawn(watch.run(apply, ended));
 }
--- a/crates/jasminebend/tests/daemon/platform.rs
+++ b/crates/jasminebend/tests/daemon/platform.rs
@@ -10,9 +10,18 @@
             Ordering, //
         },
     },
-    time::Duration,
+    time::Duration, //
 };
 
+use jasminebend::{
+    DaemonEdges,
+    DaemonSettings,
+    EntryDaemon,
+    LimitSettings,
+    ListenSettings,
+    PeerKeySource,
+    SecretText, //
+};
 use jasminebend_base::{
     ClassKind,
     ClassName,
@@ -22,46 +31,70 @@
     DomainState,
     FailureDomain,
     IdempotencyRule,
+    ResourceAmount,
     RouteRule,
     ServiceClass,
-    ServiceName, //
+    ServiceName,
+    TeamName,
+    TeamQuota,
+    VmRecord, //
+};
+use jasminebend_ports::{
+    ClockSource,
+    HttpWorkers,
+    SystemClock, //
 };
 use jasminebend_standins::{
     EndpointKnobs,
     EndpointLedger,
     EndpointStandIn,
+    FleetShape,
     ObjectStandIn,
+    RunLedger,
     ServerGuard,
     ServiceTime,
     TableStandIn,
-    VmListStandIn, //
+    VmListStandIn,
+    WorkerFleet, //
 };
 
 const SEED: u64 = 7;
+const SECRET: &str = "a secret of the tests";
 const SERVICE: &str = "shop";
 static NEXT: AtomicU32 = AtomicU32::new(0);
 
-/// The platform and one endpoint of the service `shop` in the failure domain `a`.
+/// The platform, endpoints of the service `shop` and two workers, in the failure domain `a`.
 pub(crate) struct TestPlatform {
     pub(crate) table: TableStandIn,
     pub(crate) objects: ObjectStandIn,
     pub(crate) vm_list: VmListStandIn,
     pub(crate) ledger: Arc<EndpointLedger>,
+    pub(crate) runs: Arc<RunLedger>,
     directory: PathBuf,
     settings: String,
     _guards: Vec<ServerGuard>,
 }
 
 impl TestPlatform {
+    /// Starts a platform with one endpoint, which works so long on each request.
     pub(crate) async fn start(service_time: Duration) -> Self {
+        Self::start_with(service_time, 1).await
+    }
+
+    /// Starts a platform with so many endpoints.
+    pub(crate) async fn start_with(service_time: Duration, endpoints: u32) -> Self {
         let ledger = Arc::new(EndpointLedger::new());
-        let knobs = EndpointKnobs {
-            service_time: ServiceTime::Fixed(service_time),
-            ..EndpointKnobs::default()
-        };
-        let endpoint = EndpointStandIn::new("vm-1", Arc::clone(&ledger), SEED).with_knobs(knobs);
-        let (address, endpoint_guard) = endpoint.start().await.expect("a free port");
-        let vm_list = VmListStandIn::new(vec![endpoint.record("a", SERVICE, address)]);
+        let runs = Arc::new(RunLedger::new());
+        let mut fleet = fleet(&runs);
+        let worker_guards = fleet.start_servers().await.expect("free ports");
+        let mut vms = fleet.records();
+        let mut guards = worker_guards;
+        for number in 0..endpoints {
+            let (vm, guard) = start_endpoint(number, service_time, &ledger).await;
+            vms.push(vm);
+            guards.push(guard);
+        }
+        let vm_list = VmListStandIn::new(vms);
         let (list_address, list_guard) = vm_list.start().await.expect("a free port");
         let table = TableStandIn::new();
         let (table_address, table_guard) = table.start().await.expect("a free port");
@@ -72,41 +105,109 @@
         let directory = std::env::temp_dir().join(name);
         fs::create_dir_all(&directory).expect("a directory");
         let key_file = directory.join("peer.key");
-        fs::write(&key_file, "a secret of the tests\n").expect("a file");
+        fs::write(&key_file, SECRET).expect("a file");
         let settings = format!(
             "listen:\n  callers: 127.0.0.1:0\n  administration: 127.0.0.1:0\n  \
-             peers: 127.0.0.1:0\nvm: entry-1\nfailure_domain: a\nregion: north\nseats: 1\n\
-             slot_shares: 4\nshards: 1\npeers:\n  key_file: {}\nplatform:\n  \
+             peers: 127.0.0.1:0\nvm: entry-1\nfailure_domain: a\nregion: north\n\
+             shards: 1\npeers:\n  key_file: {}\nplatform:\n  \
              table: {table_address}\n  objects: {objects_address}\n  vm_list: {list_address}\n",
             key_file.display(),
         );
+        guards.extend([list_guard, table_guard, objects_guard]);
         Self {
             table,
             objects,
             vm_list,
             ledger,
+            runs,
             directory,
             settings,
-            _guards: vec![endpoint_guard, list_guard, table_guard, objects_guard],
+            _guards: guards,
         }
     }
 
-    /// Writes a settings file for a daemon on this platform, with these lines after its own.
+    /// Starts a daemon in the test's process.
+    pub(crate) async fn daemon(&self, domain: &str, seats: u8) -> EntryDaemon {
+        let settings = DaemonSettings::new(
+            ListenSettings::new(),
+            DomainName::from(domain),
+            PeerKeySource::Text(SecretText::new(SECRET)),
+        );
+        let settings = settings
+            .with_seats(seats)
+            .with_slot_shares(6)
+            .with_shards(1)
+            .with_limits(LimitSettings {
+                administration_timeout: Duration::from_secs(4),
+                ..LimitSettings::default()
+            })
+            .with_balancer_lag(Duration::ZERO);
+        let edges = DaemonEdges {
+            table: Arc::new(self.table.clone()),
+            objects: Arc::new(self.objects.clone()),
+            vm_list: Arc::new(self.vm_list.clone()),
+            workers: Arc::new(HttpWorkers::new()),
+            clock: Arc::new(SystemClock::new()),
+            seed: u64::from(NEXT.fetch_add(1, Ordering::Relaxed)),
+        };
+        EntryDaemon::start(settings, edges).await.expect("a daemon")
+    }
+
+    /// Writes a file beside the settings.
+    pub(crate) fn write(&self, name: &str, content: &str) {
+        fs::write(self.directory.join(name), content).expect("a file");
+    }
+
+    /// Writes a settings file for the only daemon on this platform, with these lines after its own.
     pub(crate) fn settings_file(&self, lines: &str) -> PathBuf {
+        self.settings_file_of(1, lines)
+    }
+
+    /// Writes a settings file for so many daemons.
+    pub(crate) fn settings_file_of(&self, daemons: u8, lines: &str) -> PathBuf {
+        let shares = u16::from(daemons) * 4;
         let path = self.directory.join("settings.yaml");
-        fs::write(&path, format!("{}{lines}", self.settings)).expect("a file");
+        let sizes = format!("seats: {daemons}\nslot_shares: {shares}\n");
+        fs::write(&path, format!("{}{sizes}{lines}", self.settings)).expect("a file");
         path
     }
 }
 
+async fn start_endpoint(
+    number: u32,
+    service_time: Duration,
+    ledger: &Arc<EndpointLedger>,
+) -> (VmRecord, ServerGuard) {
+    let knobs = EndpointKnobs {
+        service_time: ServiceTime::Fixed(service_time),
+        ..EndpointKnobs::default()
+    };
+    let seed = SEED + u64::from(number);
+    let endpoint = EndpointStandIn::new(format!("vm-{number}"), Arc::clone(ledger), seed);
+    let endpoint = endpoint.with_knobs(knobs);
+    let (address, guard) = endpoint.start().await.expect("a free port");
+    (endpoint.record("a", SERVICE, address), guard)
+}
+
+fn fleet(runs: &Arc<RunLedger>) -> WorkerFleet {
+    let clock: Arc<dyn ClockSource> = Arc::new(SystemClock::new());
+    let shape = FleetShape {
+        workers: 2,
+        domains: vec![DomainName::from("a")],
+        rack_size: 2,
+        capacity: ResourceAmount::new(4000, 4096),
+    };
+    WorkerFleet::new(&shape, &clock, runs, SEED)
+}
+
 impl Drop for TestPlatform {
     fn drop(&mut self) {
         drop(fs::remove_dir_all(&self.directory));
     }
 }
 
-/// A configuration of two failure domains, the class `quotes` of the service, and the batch class
-/// `reconciliation`.
+/// A configuration of two failure domains, the class `quotes` of the service, the batch class
+/// `reconciliation`, and the team `benches`.
 pub(crate) fn configuration() -> Configuration {
     let domain = |name| FailureDomain {
         name: DomainName::from(name),
@@ -115,17 +216,36 @@
     };
     Configuration {
         domains: vec![domain("a"), domain("b")],
-        classes: vec![ServiceClass {
-            name: ClassName::from("quotes"),
-            kind: ClassKind::Service,
-            target: ClassTarget::AnswerWithin(Duration::from_secs(2)),
-            service: Some(ServiceName::from(SERVICE)),
-            route: Some(RouteRule {
-                host: None,
-                path_prefix: "/".to_owned(),
-            }),
-            idempotency: IdempotencyRule::ByMethod,
+        classes: vec![quotes(), reconciliation()],
+        teams: vec![TeamQuota {
+            name: TeamName::from("benches"),
+            limit: ResourceAmount::new(8000, 8192),
         }],
         ..Configuration::default()
     }
 }
+
+fn quotes() -> ServiceClass {
+    ServiceClass {
+        name: ClassName::from("quotes"),
+        kind: ClassKind::Service,
+        target: ClassTarget::AnswerWithin(Duration::from_secs(2)),
+        service: Some(ServiceName::from(SERVICE)),
+        route: Some(RouteRule {
+            host: None,
+            path_prefix: "/".to_owned(),
+        }),
+        idempotency: IdempotencyRule::ByMethod,
+    }
+}
+
+fn reconciliation() -> ServiceClass {
+    ServiceClass {
+        name: ClassName::from("reconciliation"),
+        kind: ClassKind::Batch,
+        target: ClassTarget::FinishWithin(Duration::from_secs(3600)),
+        service: None,
+        route: None,
+        idempotency: IdempotencyRule::ByMethod,
+    }
+}
