--- a/crates/cluster/tests/cluster/main.rs
+++ b/crates/cluster/tests/cluster/main.rs
@@ -15,3 +15,4 @@
 mod link;
 mod membership;
 mod outages;
+mod peer_link;
