Kill an entry VM's program under load, and see its slots and seat taken over

A real program of three is killed while orders run. Each caller may lose the one order that was on its way there; none runs twice, no endpoint works on more than it has slots for, the two others hold all slot shares after some seconds, and a new program takes the seat.

Not covered: a takeover that begins while the dead daemon's requests are still worked on. The balancer and its callers moved to a file of their own.

--- a/crates/jasminebend/tests/daemon/main.rs
+++ b/crates/jasminebend/tests/daemon/main.rs
@@ -1,8 +1,10 @@
 //! Whole daemons over stand-ins of the platform and of the endpoints, on loopback.
 
+mod balancer;
 mod caller;
 mod change_faults;
 mod collector;
+mod crash;
 mod graceful_stop;
 mod jobs;
 mod key_files;
