Tell the other daemons where this one takes requests

The gateway hands a request for a service of which it holds no slot to a peer that does; for that it must be told where it is reached itself. A listener on every address is named by the address for peers.

--- a/crates/jasminebend/src/entry_daemon.rs
+++ b/crates/jasminebend/src/entry_daemon.rs
@@ -88,7 +88,7 @@
         let watch = key_watch(&settings.peer_key);
         let keys = PeerKeys::read(&settings.peer_key)?;
         let cluster = start_cluster(&settings, keys, front.address()?, &edges).await?;
-        let gateway = start_gateway(&settings, &cluster, &edges);
+        let gateway = start_gateway(&settings, callers, &cluster, &edges);
         let planner = start_planner(&settings, &cluster, &edges).await;
         cluster.add_user(gateway.clone());
         cluster.add_user(Arc::new(planner.clone()));
@@ -206,14 +206,25 @@
     LONGEST_PROPOSAL.min(administration * 4 / 5)
 }
 
+/// Returns where other daemons reach this one's gateway: a listener on every address is reached at
+/// the address for peers, which is this VM's own.
+fn forward_address(settings: &DaemonSettings, callers: SocketAddr) -> SocketAddr {
+    if callers.ip().is_unspecified() {
+        return SocketAddr::new(settings.listen.peers.ip(), callers.port());
+    }
+    callers
+}
+
 fn start_gateway(
     settings: &DaemonSettings,
+    callers: SocketAddr,
     cluster: &ClusterHandle,
     edges: &DaemonEdges,
 ) -> Arc<Gateway> {
     let limits = &settings.limits;
     let defaults = GatewaySettings::new(settings.domain.clone(), settings.slot_shares);
     let gateway = defaults
+        .with_peer_address(forward_address(settings, callers))
         .with_longest_request(limits.longest_request)
         .with_bounds(limits.caller_connections, limits.waiting_requests)
         .with_sizes(limits.headers, limits.request_body, BUFFERED_BODY)
