--- a/crates/gateway/tests/requests/slots.rs
+++ b/crates/gateway/tests/requests/slots.rs
@@ -30,7 +30,8 @@
     ScriptEndpoint,
     TestGateway,
     eventually,
-    send, //
+    send,
+    until_answered, //
 };
 
 const SHORT: Duration = Duration::from_millis(100);
@@ -86,7 +87,7 @@
     assert_eq!((next.status, next.executed()), (503, Some("no")));
     assert_eq!(endpoint.seen(), 1);
     endpoint.release();
-    while gateway.post("c").await.status != 200 {}
+    until_answered(async || gateway.post("c").await).await;
     assert_eq!(endpoint.ledger().most_running, 1);
 }
 
@@ -103,7 +104,7 @@
     assert_eq!(gateway.post("b").await.executed(), Some("no"));
     assert_eq!(endpoint.seen(), 1);
     endpoint.release();
-    while gateway.post("c").await.status != 200 {}
+    until_answered(async || gateway.post("c").await).await;
     assert_eq!(endpoint.ledger().most_running, 1);
 }
 
@@ -125,7 +126,7 @@
         gateway.post("a").await;
         assert_eq!(gateway.post("b").await.executed(), Some("no"));
         sleep(4 * SHORT).await;
-        while gateway.post("c").await.status != 200 {}
+        until_answered(async || gateway.post("c").await).await;
     }
 }
 
@@ -142,7 +143,7 @@
     assert_eq!((refused.status, refused.executed()), (503, Some("no")));
     assert_eq!(endpoint.seen(), 0);
     gateway.hold(0..16, Duration::ZERO);
-    while gateway.post("b").await.status != 200 {}
+    until_answered(async || gateway.post("b").await).await;
 }
 
 // A daemon is paused between picking a slot and sending. Meanwhile its shares went to another one:
@@ -164,6 +165,29 @@
     assert_eq!(endpoint.seen(), 1);
 }
 
+// A new daemon takes a seat, and for a moment no daemon may act on anything. A request that comes
+// just then, or was about to be sent, is answered a moment later and not refused by all of them.
+#[tokio::test]
+async fn a_moment_without_shares_is_waited_out() {
+    let endpoint = ScriptEndpoint::start().await;
+    let builder = GatewayBuilder::new().with_endpoint(&endpoint, 4);
+    let gateway = builder
+        .with_settings(|settings| settings.with_refresh(Duration::from_millis(10)))
+        .start()
+        .await;
+    for round in 0..5 {
+        gateway.lose(0..16);
+        let asked: Vec<_> = (0..6)
+            .map(|id| gateway.post_later(&format!("{round}-{id}")))
+            .collect();
+        sleep(Duration::from_millis(40)).await;
+        gateway.hold(0..16, Duration::ZERO);
+        for reply in asked {
+            assert_eq!(reply.await.unwrap().status, 200);
+        }
+    }
+}
+
 // A share is given back while a request is in progress on it. If the daemon said "idle" before the
 // answer, the next holder would send a second request to the same slot.
 #[tokio::test]
