--- a/crates/cluster/src/nng_link.rs
+++ b/crates/cluster/src/nng_link.rs
@@ -118,24 +118,11 @@
     Ok(aio)
 }
 
-<<<<<<< HEAD
-/// The binding hands out the port in network byte order, although it converts the address.
-fn bound_address(listener: &Listener, listen: SocketAddr) -> SocketAddr {
-    match listener.get_opt::<LocalAddr>() {
-        Ok(nng::SocketAddr::Inet(bound)) => {
-            SocketAddr::new(listen.ip(), u16::from_be(bound.port()))
-        }
-        Ok(nng::SocketAddr::Inet6(bound)) => {
-            SocketAddr::new(listen.ip(), u16::from_be(bound.port()))
-        }
-        _ => listen,
-=======
 /// Returns the address that peers are told. A wrong one is worse than none: it refuses, and peers
 /// take this daemon for gone while it lives.
 fn bound_address(listener: &Listener, listen: SocketAddr) -> Option<SocketAddr> {
     if listen.port() != 0 {
         return Some(listen);
->>>>>>> main
     }
     let port = match listener.get_opt::<LocalAddr>().ok()? {
         nng::SocketAddr::Inet(bound) => bound.port(),
--- a/crates/cluster/tests/cluster/configuration.rs
+++ b/crates/cluster/tests/cluster/configuration.rs
@@ -134,17 +134,8 @@
     let first = handles[0].propose(change.clone()).await;
     wait_for(&handles, 2).await;
     assert_eq!(handles[1].propose(change).await, first);
-<<<<<<< HEAD
     let outdated = replace(three_domains(), Some(ConfigurationVersion(1)));
     assert!(handles[1].propose(outdated).await.is_err());
-=======
-    assert!(
-        handles[1]
-            .propose(replace(three_domains(), Some(ConfigurationVersion(1))))
-            .await
-            .is_err()
-    );
->>>>>>> main
 }
 
 /// The table takes the write and its answer is lost, or comes late, or the write itself takes effect
--- a/crates/cluster/tests/cluster/harness.rs
+++ b/crates/cluster/tests/cluster/harness.rs
@@ -65,10 +65,7 @@
 struct NetState {
     queues: IndexMap<SocketAddr, mpsc::Sender<Bytes>>,
     cut: IndexSet<(SocketAddr, SocketAddr)>,
-<<<<<<< HEAD
     recorded: Option<(SocketAddr, Arc<Mutex<Vec<Bytes>>>)>,
-=======
->>>>>>> main
 }
 
 impl MemoryNet {
@@ -100,7 +97,6 @@
     pub(crate) fn mend(&self) {
         self.inner.lock().unwrap().cut.clear();
     }
-<<<<<<< HEAD
 
     /// Puts a frame into a daemon's queue as if it came from the network.
     pub(crate) fn inject(&self, to: SocketAddr, frame: Bytes) {
@@ -114,8 +110,6 @@
         self.inner.lock().unwrap().recorded = Some((to, Arc::clone(&recorded)));
         recorded
     }
-=======
->>>>>>> main
 }
 
 pub(crate) struct MemoryLink {
@@ -132,12 +126,9 @@
 
     fn send(&self, to: SocketAddr, frame: Bytes) {
         let state = self.net.inner.lock().unwrap();
-<<<<<<< HEAD
         if let Some((_, recorded)) = state.recorded.as_ref().filter(|(of, _)| *of == to) {
             recorded.lock().unwrap().push(frame.clone());
         }
-=======
->>>>>>> main
         if state.cut.contains(&(self.address, to)) {
             return;
         }
--- a/crates/cluster/tests/cluster/main.rs
+++ b/crates/cluster/tests/cluster/main.rs
@@ -2,11 +2,7 @@
 
 #![expect(
     clippy::unwrap_used,
-<<<<<<< HEAD
     reason = "The helpers of tests unwrap as their tests do."
-=======
-    reason = "a helper of a test that cannot go on ends the test"
->>>>>>> main
 )]
 
 mod configuration;
--- a/crates/ownership/benches/explore.rs
+++ b/crates/ownership/benches/explore.rs
@@ -27,16 +27,6 @@
 const THREADS: u64 = 3;
 
 fn main() {
-<<<<<<< HEAD
-=======
-    if let Ok(seed) = std::env::var("TR") {
-        println!(
-            "{:?}",
-            world::explore(seed.parse().unwrap_or_default(), GuardSet::new()).err()
-        );
-        return;
-    }
->>>>>>> main
     let mut arguments = std::env::args().skip(1).filter(|word| word != "--bench");
     let seeds: u64 = arguments
         .next()
