--- a/crates/cluster/tests/cluster/main.rs
+++ b/crates/cluster/tests/cluster/main.rs
@@ -11,3 +11,4 @@
 mod link;
 mod membership;
 mod outages;
+mod peer_link;
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -15,10 +15,12 @@
 mod ladder_action;
 mod ladder_reading;
 mod latest_start;
+mod learned_state;
 mod ledger_error;
 mod load_ladder;
 mod load_track;
 mod pair_model;
+mod place_search;
 mod placement_policy;
 mod pool_worker;
 mod ratio_sketch;
@@ -54,6 +56,7 @@
     ladder_action::LadderAction,
     ladder_reading::LadderReading,
     latest_start::LatestStart,
+    learned_state::LearnedState,
     ledger_error::LedgerError,
     load_ladder::LoadLadder,
     pair_model::PairModel,
