--- /dev/null
+++ b/crates/standins/benches/capacity/workers.rs
@@ -0,0 +1,196 @@
+//! What a worker's report costs its owner.
+
+use std::{
+    hint::black_box,
+    net::SocketAddr,
+    sync::Arc,
+    time::Duration, //
+};
+
+use jasminebend_base::{
+    ClassKind,
+    OwnerEpoch,
+    ResourceAmount, //
+};
+use jasminebend_ports::{
+    AnswerFormat,
+    ClockSource,
+    EpochAdoption,
+    HttpWorkers,
+    LeaseRenewal,
+    TaskAttempt,
+    TaskEvent,
+    TaskOrder,
+    TaskUsage,
+    WorkerPort,
+    WorkerReport,
+    WorkerTask, //
+};
+use jasminebend_standins::{
+    ManualClock,
+    RunLedger,
+    TaskPayload,
+    WorkerStandIn, //
+};
+use serde::{
+    Serialize,
+    de::DeserializeOwned, //
+};
+
+use crate::{
+    spread::spread,
+    wire::{
+        runtime,
+        serve_apart,
+        wire_bytes, //
+    }, //
+};
+
+const EPOCH: OwnerEpoch = OwnerEpoch(5);
+const LEASE: Duration = Duration::from_secs(15);
+
+fn run(index: u32) -> TaskAttempt {
+    TaskAttempt {
+        job: 0x5eed_0000_0000_0007,
+        index,
+        attempt: 1,
+    }
+}
+
+fn order(index: u32) -> TaskOrder {
+    TaskOrder {
+        attempt: run(index),
+        class: "reconciliation".into(),
+        kind: ClassKind::Batch,
+        reserved: ResourceAmount::new(500, 1_000),
+        payload: TaskPayload::new(Duration::from_secs(86_400)).to_text(),
+        checkpoint: None,
+        valid_for: LEASE,
+    }
+}
+
+/// A report with measurements of so many runs, and one end for each ten.
+fn report(runs: u32) -> WorkerReport {
+    let usage = (0..runs).map(|index| TaskUsage {
+        attempt: run(index),
+        used: ResourceAmount::new(431, 977),
+        latency_p99: None,
+        progress_millis: Some(431),
+        age: Duration::from_millis(12_345),
+    });
+    let ended = (0..runs / 10).map(|index| WorkerTask {
+        attempt: run(index),
+        class: "reconciliation".into(),
+        reserved: ResourceAmount::new(500, 1_000),
+        speed_millis: 1_000,
+        ended: Some(TaskEvent::Finished {
+            result: "done 7/1".to_owned(),
+        }),
+    });
+    WorkerReport {
+        incarnation: 0x5eed,
+        running: runs,
+        ended: ended.collect(),
+        usage: usage.collect(),
+    }
+}
+
+pub(crate) fn codec() {
+    println!("### A worker's report by codec\n");
+    println!("| runs measured | codec | bytes | encode, us | decode, us |");
+    println!("|---|---|---|---|---|");
+    for runs in [0, 6, 23, 64, 200] {
+        let report = report(runs);
+        let json = |report: &WorkerReport| serde_json::to_vec(report).unwrap();
+        let postcard = |report: &WorkerReport| postcard::to_stdvec(report).unwrap();
+        codec_row(runs, "JSON", &report, json, |bytes| {
+            serde_json::from_slice(bytes).unwrap()
+        });
+        codec_row(runs, "postcard", &report, postcard, |bytes| {
+            postcard::from_bytes(bytes).unwrap()
+        });
+    }
+    println!();
+}
+
+fn codec_row<Message, Encode, Decode>(
+    runs: u32,
+    name: &str,
+    message: &Message,
+    encode: Encode,
+    decode: Decode,
+) where
+    Message: Serialize + DeserializeOwned,
+    Encode: Fn(&Message) -> Vec<u8>,
+    Decode: Fn(&[u8]) -> Message,
+{
+    let bytes = encode(message);
+    let encoding = spread(|| drop(black_box(encode(message))));
+    let decoding = spread(|| drop(black_box(decode(&bytes))));
+    println!(
+        "| {runs} | {name} | {} | {encoding} | {decoding} |",
+        bytes.len()
+    );
+}
+
+/// Serves a worker with so many runs, each measured at every heartbeat.
+fn serve_worker(runs: u32) -> SocketAddr {
+    serve_apart(move || async move {
+        let clock = Arc::new(ManualClock::new());
+        let worker = WorkerStandIn::new(
+            "worker-1",
+            "north",
+            ResourceAmount::new(1_000_000, 1_000_000),
+            Arc::clone(&clock) as Arc<dyn ClockSource>,
+            Arc::new(RunLedger::new()),
+            1,
+        );
+        worker.set_knobs(|knobs| {
+            knobs.usage_period = Duration::ZERO;
+            knobs.usage_lag = (Duration::ZERO, Duration::ZERO);
+        });
+        let (address, guard) = worker.start_server().await.unwrap();
+        let adoption = EpochAdoption {
+            shard: 1,
+            epoch: EPOCH,
+            lease: LEASE,
+        };
+        worker.adopt(address, adoption).await.unwrap();
+        for index in 0..runs {
+            WorkerPort::start(&worker, address, EPOCH, order(index))
+                .await
+                .unwrap();
+        }
+        (address, guard)
+    })
+}
+
+async fn renew(workers: &HttpWorkers, address: SocketAddr) {
+    let renewal = LeaseRenewal {
+        epoch: EPOCH,
+        lease: LEASE,
+        acknowledged: Vec::new(),
+    };
+    black_box(workers.renew(address, renewal).await.unwrap());
+}
+
+pub(crate) fn renewals() {
+    println!("### A heartbeat to a worker and its report, over HTTP\n");
+    println!("| runs measured | answer | bytes there | bytes back | time of the owner, us |");
+    println!("|---|---|---|---|---|");
+    for runs in [0, 6, 23, 64, 200] {
+        let server = serve_worker(runs);
+        renewals_row(server, runs, AnswerFormat::Json);
+        renewals_row(server, runs, AnswerFormat::Postcard);
+    }
+    println!();
+}
+
+fn renewals_row(server: SocketAddr, runs: u32, format: AnswerFormat) {
+    let make = |_| HttpWorkers::new().with_format(format);
+    let (there, back) = wire_bytes(server, make, renew);
+    let workers = make(server);
+    let runtime = runtime();
+    let time = spread(|| runtime.block_on(renew(&workers, server)));
+    println!("| {runs} | {format:?} | {there} | {back} | {time} |");
+}
