--- a/crates/cluster/tests/cluster/harness.rs
+++ b/crates/cluster/tests/cluster/harness.rs
@@ -65,7 +65,10 @@
 struct NetState {
     queues: IndexMap<SocketAddr, mpsc::Sender<Bytes>>,
     cut: IndexSet<(SocketAddr, SocketAddr)>,
-    sent: u64,
+<<<<<<< HEAD
+    recorded: Option<(SocketAddr, Arc<Mutex<Vec<Bytes>>>)>,
+=======
+>>>>>>> main
 }
 
 impl MemoryNet {
@@ -97,6 +100,7 @@
     pub(crate) fn mend(&self) {
         self.inner.lock().unwrap().cut.clear();
     }
+<<<<<<< HEAD
 
     /// Puts a frame into a daemon's queue as if it came from the network.
     pub(crate) fn inject(&self, to: SocketAddr, frame: Bytes) {
@@ -104,9 +108,14 @@
         let _ = state.queues[&to].try_send(frame);
     }
 
-    pub(crate) fn sent(&self) -> u64 {
-        self.inner.lock().unwrap().sent
+    /// Records from now on what is sent to a daemon.
+    pub(crate) fn record(&self, to: SocketAddr) -> Arc<Mutex<Vec<Bytes>>> {
+        let recorded = Arc::default();
+        self.inner.lock().unwrap().recorded = Some((to, Arc::clone(&recorded)));
+        recorded
     }
+=======
+>>>>>>> main
 }
 
 pub(crate) struct MemoryLink {
@@ -122,8 +131,13 @@
     }
 
     fn send(&self, to: SocketAddr, frame: Bytes) {
-        let mut state = self.net.inner.lock().unwrap();
-        state.sent += 1;
+        let state = self.net.inner.lock().unwrap();
+<<<<<<< HEAD
+        if let Some((_, recorded)) = state.recorded.as_ref().filter(|(of, _)| *of == to) {
+            recorded.lock().unwrap().push(frame.clone());
+        }
+=======
+>>>>>>> main
         if state.cut.contains(&(self.address, to)) {
             return;
         }
--- a/crates/ownership/benches/explore.rs
+++ b/crates/ownership/benches/explore.rs
@@ -27,6 +27,8 @@
 const THREADS: u64 = 3;
 
 fn main() {
+<<<<<<< HEAD
+=======
     if let Ok(seed) = std::env::var("TR") {
         println!(
             "{:?}",
@@ -34,6 +36,7 @@
         );
         return;
     }
+>>>>>>> main
     let mut arguments = std::env::args().skip(1).filter(|word| word != "--bench");
     let seeds: u64 = arguments
         .next()
