--- a/crates/standins/tests/contracts/objects.rs
+++ b/crates/standins/tests/contracts/objects.rs
@@ -1,5 +1,7 @@
 //! What every adapter of the object store must do. A new adapter is one more line at the end.
 
+use std::time::Duration;
+
 use bytes::Bytes;
 use jasminebend_ports::{
     ObjectError,
@@ -63,6 +65,17 @@
     }
 }
 
+/// An object is damaged: its write was delivered a second time, late. The same bytes change nothing.
+async fn a_write_delivered_twice_is_one_object(objects: ObjectHarness) {
+    let twice = FaultKind::Duplicate(Duration::from_millis(10));
+    objects.stand_in.faults().once(CallKind::Put, twice);
+    let body = Bytes::from_static(b"1");
+    objects.port.put(&key("a"), body.clone()).await.unwrap();
+    tokio::time::sleep(Duration::from_millis(30)).await;
+    assert_eq!(objects.port.get(&key("a")).await, Ok(Some(body)));
+    assert_eq!(objects.stand_in.keys().len(), 1);
+}
+
 /// A snapshot that exists is taken for absent, and the state starts over: an outage's refusal was
 /// read as "no such object".
 async fn an_outage_is_never_an_absent_object(objects: ObjectHarness) {
@@ -86,6 +99,7 @@
         keeps_any_bytes_under_any_key,
         refuses_what_is_too_large,
         tells_the_truth_about_a_failed_write,
+        a_write_delivered_twice_is_one_object,
         an_outage_is_never_an_absent_object,
     ],
     in_memory => crate::harness::objects_in_memory,
@@ -94,11 +108,15 @@
 
 #[tokio::test]
 async fn a_silent_store_gives_an_unknown_outcome_in_time() {
-    let objects = harness::objects_over_http(IMPATIENT).await;
-    let silent = FaultKind::SlowAnswer(FOREVER);
-    objects.port.get(&key("a")).await.unwrap();
-    objects.stand_in.faults().once(CallKind::Put, silent);
-    let answer = objects.port.put(&key("a"), Bytes::new()).await;
-    assert_eq!(answer, Err(ObjectError::Unknown));
-    assert_eq!(objects.port.get(&key("a")).await, Ok(Some(Bytes::new())));
+    for (fault, effect) in [
+        (FaultKind::Slow(FOREVER), None),
+        (FaultKind::SlowAnswer(FOREVER), Some(Bytes::new())),
+    ] {
+        let objects = harness::objects_over_http(IMPATIENT).await;
+        objects.port.get(&key("a")).await.unwrap();
+        objects.stand_in.faults().once(CallKind::Put, fault);
+        let answer = objects.port.put(&key("a"), Bytes::new()).await;
+        assert_eq!(answer, Err(ObjectError::Unknown), "{fault:?}");
+        assert_eq!(objects.port.get(&key("a")).await, Ok(effect), "{fault:?}");
+    }
 }
--- a/crates/standins/tests/contracts/vm_list.rs
+++ b/crates/standins/tests/contracts/vm_list.rs
@@ -19,6 +19,8 @@
 };
 
 use crate::harness::{
+    FOREVER,
+    IMPATIENT,
     LAG,
     PATIENT,
     VmListHarness, //
@@ -116,3 +118,14 @@
     assert_eq!(list.port.read().await.unwrap().vms, []);
     assert!(list.stand_in.faults().counts().bytes > sent);
 }
+
+#[tokio::test]
+async fn a_silent_list_is_given_up_in_time() {
+    let (list, _clock) = crate::harness::vm_list_over_http(IMPATIENT).await;
+    for fault in [FaultKind::Slow(FOREVER), FaultKind::SlowAnswer(FOREVER)] {
+        list.stand_in.faults().once(CallKind::Read, fault);
+        let answer = list.port.read().await;
+        assert_eq!(answer, Err(VmListError::Unavailable), "{fault:?}");
+    }
+    assert!(list.port.read().await.is_ok());
+}
--- a/crates/standins/tests/contracts/worker_orders.rs
+++ b/crates/standins/tests/contracts/worker_orders.rs
@@ -207,13 +207,18 @@
 
 #[tokio::test]
 async fn a_silent_worker_gives_an_unknown_outcome_in_time() {
-    let worker = harness::worker_over_http(IMPATIENT).await;
-    worker.adopt(EPOCH).await.unwrap();
-    let silent = FaultKind::SlowAnswer(FOREVER);
-    worker.stand_in.faults().once(CallKind::Start, silent);
-    assert_eq!(worker.start(batch(1, 1)).await, Err(WorkerError::Unknown));
-    assert_eq!(worker.stand_in.running().len(), 1);
-    worker.renew(&[]).await.unwrap();
+    for (fault, runs) in [
+        (FaultKind::Slow(FOREVER), 0),
+        (FaultKind::SlowAnswer(FOREVER), 1),
+    ] {
+        let worker = harness::worker_over_http(IMPATIENT).await;
+        worker.adopt(EPOCH).await.unwrap();
+        worker.stand_in.faults().once(CallKind::Start, fault);
+        let answer = worker.start(batch(1, 1)).await;
+        assert_eq!(answer, Err(WorkerError::Unknown), "{fault:?}");
+        assert_eq!(worker.stand_in.running().len(), runs, "{fault:?}");
+        worker.renew(&[]).await.unwrap();
+    }
 }
 
 /// A worker is reached by one planner and not by the other: the network between them is broken.
