--- a/crates/standins/tests/fuzz/adapters.rs
+++ b/crates/standins/tests/fuzz/adapters.rs
@@ -5,8 +5,12 @@
     time::Duration, //
 };
 
-use jasminebend_base::OwnerEpoch;
+use jasminebend_base::{
+    OwnerEpoch,
+    ResourceAmount, //
+};
 use jasminebend_ports::{
+    AnswerFormat,
     CommitOutcome,
     HttpTable,
     HttpVmList,
@@ -14,9 +18,13 @@
     LeaseRenewal,
     TableError,
     TableService,
+    TaskAttempt,
+    TaskUsage,
     VmList,
+    WorkerAnswer,
     WorkerError,
     WorkerPort,
+    WorkerReport,
     WriteId, //
 };
 use jasminebend_standins::{
@@ -100,3 +108,62 @@
         assert_eq!(report, Err(WorkerError::Unknown));
     });
 }
+
+/// An owner believes that a worker was never reached, and starts its tasks elsewhere: the worker's
+/// report was damaged on its way. Whatever came back, the worker was reached.
+#[test]
+fn a_damaged_report_never_says_that_a_worker_was_not_reached() {
+    let runtime = Runtime::new().unwrap();
+    let server = server();
+    let (address, _guard) = runtime.block_on(server.start()).unwrap();
+    let valid = [
+        report_in(AnswerFormat::Json),
+        report_in(AnswerFormat::Postcard),
+    ];
+    with_fixed_seeds(|source| {
+        let answer = mutate(source, &valid)?;
+        let refuses = answer.starts_with(b"HTTP/1.1 4");
+        server.once(EndpointFault::Raw(answer.clone().into()));
+        let renewal = LeaseRenewal {
+            epoch: OwnerEpoch(1),
+            lease: TIMEOUT,
+            acknowledged: Vec::new(),
+        };
+        let workers = HttpWorkers::new().with_timeout(TIMEOUT);
+        let report = runtime.block_on(workers.renew(address, renewal));
+        let unreached = report == Err(WorkerError::Unreachable);
+        assert!(!unreached || refuses, "{}", answer.escape_ascii());
+        Ok(())
+    });
+}
+
+fn report_in(format: AnswerFormat) -> Vec<u8> {
+    let usage = TaskUsage {
+        attempt: TaskAttempt {
+            job: 7,
+            index: 1,
+            attempt: 1,
+        },
+        used: ResourceAmount::new(431, 977),
+        latency_p99: None,
+        progress_millis: Some(431),
+        age: Duration::from_secs(12),
+    };
+    let answer = WorkerAnswer::Report(WorkerReport {
+        incarnation: 5,
+        running: 3,
+        ended: Vec::new(),
+        usage: vec![usage],
+    });
+    let (kind, body) = match format {
+        AnswerFormat::Json => ("application/json", serde_json::to_vec(&answer).unwrap()),
+        AnswerFormat::Postcard => (
+            AnswerFormat::POSTCARD_TYPE,
+            postcard::to_stdvec(&answer).unwrap(),
+        ),
+    };
+    let length = body.len();
+    let head =
+        format!("HTTP/1.1 200 OK\r\ncontent-type: {kind}\r\ncontent-length: {length}\r\n\r\n");
+    [head.into_bytes(), body].concat()
+}
