Keep a cancellation until its job was seen

Cause: an owner read submissions before cancellations and 200 of each at a time. A job cancelled right after its submission, or in a wave of submissions, could be cancelled before it was taken in: the cancellation was dropped and the job ran for good. Results that could not be written to the object store were tried again without end, and a chain of commits went on, after the shard was given back, so that it did not fall idle.

Change: cancellations are read first, and kept while not all submissions were read; a full page is followed by the next at once. A shard that is given back begins no commit and no write of results.

Conclusion: the order of the two reads carries the guarantee, not their speed.

--- a/crates/planner/src/shard_calls.rs
+++ b/crates/planner/src/shard_calls.rs
@@ -42,7 +42,7 @@
 };
 
 /// The most submissions and the most cancellation rows that are read at once.
-const ROWS_PER_SCAN: usize = 200;
+pub(crate) const ROWS_PER_SCAN: usize = 200;
 
 /// The calls that a shard's actor makes. Each runs by itself and answers with a message, so that a
 /// slow worker or table never keeps the actor; all end with the actor.
@@ -158,8 +158,10 @@
         self.run(async move {
             let inbox = row_names::inbox(shard);
             let cancels = row_names::cancels(shard);
-            let submissions = edges.table.scan(&inbox, None, ROWS_PER_SCAN).await;
+            // Cancellations are read first: a job is submitted before it is cancelled, so that the
+            // second look shows every job that the first one names, or it was taken in before.
             let cancels = edges.table.scan(&cancels, None, ROWS_PER_SCAN).await;
+            let submissions = edges.table.scan(&inbox, None, ROWS_PER_SCAN).await;
             ShardMessage::Scanned {
                 started,
                 submissions,
--- a/crates/planner/src/shard_inbox.rs
+++ b/crates/planner/src/shard_inbox.rs
@@ -18,6 +18,7 @@
     commit_effect::CommitEffect,
     inbox_entry::InboxEntry,
     record_codec,
+    shard_calls::ROWS_PER_SCAN,
     shard_state::ShardState, //
 };
 
@@ -46,8 +47,12 @@
         for row in &submissions {
             self.take_in(row);
         }
+        let all_seen = submissions.len() < ROWS_PER_SCAN;
         for row in &cancels {
-            self.take_cancels(row);
+            self.take_cancels(row, all_seen);
+        }
+        if !all_seen {
+            self.next_scan = self.now();
         }
         // A row that an earlier scan saw may be gone by now, and its job ended: a scan that began
         // after the commit cannot show it again.
@@ -85,7 +90,9 @@
         }
     }
 
-    fn take_cancels(&mut self, row: &TableRow) {
+    /// Takes cancellations in. While some submissions were not read yet, a job that is not known may be
+    /// among them; its cancellation is kept for the next look, or the job would run for good.
+    fn take_cancels(&mut self, row: &TableRow, all_seen: bool) {
         let jobs: Vec<JobId> = match record_codec::decode(&row.value) {
             Ok(jobs) => jobs,
             Err(error) => {
@@ -99,6 +106,9 @@
         for job in jobs {
             self.cancel(job);
         }
+        if !all_seen {
+            return;
+        }
         if let Some(writer) = &mut self.writer {
             let expected = RowExpectation::Any;
             writer.push_row(RowChange::delete(row.key.clone(), expected));
--- a/crates/planner/src/shard_journal.rs
+++ b/crates/planner/src/shard_journal.rs
@@ -119,7 +119,9 @@
     }
 
     pub(crate) fn commit(&mut self, now: Duration) {
-        if self.snapshotting || now < self.commit_retry {
+        // A shard that is given back must fall idle, whatever still waits: its next owner finds it at
+        // the workers.
+        if self.snapshotting || now < self.commit_retry || !self.calls.permit.granted() {
             return;
         }
         if self.snapshot_is_due(now) {
--- a/crates/planner/src/shard_rows.rs
+++ b/crates/planner/src/shard_rows.rs
@@ -93,6 +93,11 @@
         result: Result<(), ObjectError>,
     ) {
         let key = row_names::results(job);
+        // Whoever owns the shard next closes the job; if that is this owner again, at its next sweep.
+        if !self.calls.permit.granted() {
+            self.closing.swap_remove(&job);
+            return;
+        }
         if let Err(error) = result {
             warn!("[planner] The results of job {} wait: {}.", job, error);
             return self.calls.keep_results(job, key, body, RETRY_AFTER);
--- a/crates/planner/src/shard_sweep.rs
+++ b/crates/planner/src/shard_sweep.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use jasminebend_placement::JobId;
 use jasminebend_ports::{
     ObjectKey,
     RowChange,
@@ -27,6 +28,11 @@
         }
         self.next_sweep = now + SWEEP_EVERY;
         self.calls.sweep(self.swept_to.clone());
+        let ended = self.ledger.jobs().filter(|(_, record)| record.ended());
+        let ended: Vec<JobId> = ended.map(|(job, _)| job).collect();
+        for job in ended {
+            self.close_if_ended(job);
+        }
     }
 
     /// Deletes the rows of this shard's jobs that ended longer ago than they are kept. Their keys may
--- a/crates/planner/tests/planner/cancellation.rs
+++ b/crates/planner/tests/planner/cancellation.rs
@@ -92,3 +92,42 @@
         }
     }
 }
+
+// A job that was cancelled right after its submission runs for ever. Its owner reads cancellations and
+// submissions one after the other, some at a time: it sees the cancellation before the job.
+#[tokio::test(start_paused = true)]
+async fn a_cancellation_that_is_seen_before_its_job_holds() {
+    for slow in [0, 300] {
+        let bed = TestBed::new(4);
+        let planner = bed.planner(1).await;
+        let fault = FaultKind::Slow(seconds(1) * slow / 1000);
+        bed.table.faults().always(CallKind::Scan, fault);
+        let mut jobs = Vec::new();
+        for _ in 0..3 {
+            for _ in 0..300 {
+                let spec = batch(1, seconds(100_000));
+                jobs.push(planner.handle.submit(spec).await.unwrap());
+            }
+            let mut wave = JoinSet::new();
+            for job in jobs.iter().rev().take(300).copied() {
+                let handle = planner.handle.clone();
+                wave.spawn(async move { handle.cancel(job).await });
+            }
+            wave.join_all().await.into_iter().for_each(Result::unwrap);
+            sleep(seconds(1) * 777 / 1000).await;
+        }
+        // One by one, at every moment between two looks.
+        for _ in 0..40 {
+            let spec = batch(1, seconds(100_000));
+            let job = planner.handle.submit(spec).await.unwrap();
+            planner.handle.cancel(job).await.unwrap();
+            jobs.push(job);
+            sleep(seconds(1) * 73 / 1000).await;
+        }
+        sleep(seconds(60)).await;
+        for job in jobs {
+            assert_eq!(planner.status(job).await.phase, JobPhase::Cancelled);
+        }
+        assert!(bed.ledger.running().is_empty());
+    }
+}
