Say that a shard is being taken over where that is why a job waits

Cause: the reason was documented and never given.

Change: while no worker of the shard has answered its new owner, jobs wait for that reason.

--- a/crates/planner/src/shard_plan.rs
+++ b/crates/planner/src/shard_plan.rs
@@ -22,6 +22,7 @@
 
 use crate::{
     commit_effect::CommitEffect,
+    link_phase::LinkPhase,
     shard_state::ShardState,
     task_run::TaskRun, //
 };
@@ -39,6 +40,8 @@
 /// The sizes that fitted nowhere in this pass; larger ones need no look.
 #[derive(Debug, Default)]
 struct PassMemo {
+    /// Whether no worker has answered yet.
+    unheard: bool,
     unfit: Vec<(ClassKey, bool, ResourceAmount, WaitReason)>,
 }
 
@@ -70,7 +73,11 @@
         self.planned_releases = self.pool.releases();
         self.next_plan = now + PLAN_EVERY;
         self.probe_workers(now);
-        let mut memo = PassMemo::default();
+        let mut links = self.links.values();
+        let mut memo = PassMemo {
+            unheard: links.all(|link| link.phase == LinkPhase::New),
+            ..PassMemo::default()
+        };
         let mut decisions = 0;
         let mut at = None;
         while let Some((start, job)) = self.queue.next_after(at) {
@@ -101,6 +108,10 @@
                     placed += 1;
                 }
                 Err(reason) => {
+                    let reason = match memo.unheard {
+                        true => WaitReason::TakeOver,
+                        false => reason,
+                    };
                     self.reasons.insert(job, reason);
                     return placed;
                 }
