Divide a team's quota among the shards

Cause: with more than one shard each granted a team its whole quota, so that it could hold it as many times as there are shards. A row that cannot be read was logged at every look, once a second.

Change: a shard grants its even part; the submission check uses the same and its refusal says so. Unreadable rows are logged once each and counted.

Conclusion: a part that lies idle in one shard is not lent to another; with one shard, today's setting, nothing changes.

--- a/crates/planner/src/job_desk.rs
+++ b/crates/planner/src/job_desk.rs
@@ -81,7 +81,7 @@
         let _span = trace_span::begin("planner.submit");
         let configuration = self.edges.configuration.borrow().clone();
         let vms = self.edges.vms.borrow().clone();
-        let kind = submit_check::check(&spec, &configuration, &vms)?;
+        let kind = submit_check::check(&spec, &configuration, &vms, self.settings.shards)?;
         let job = self.identity(&spec);
         let shard = submit_check::home_shard(job, spec.size, &vms, self.settings.shards);
         let row = JobRow {
--- a/crates/planner/src/shard_ends.rs
+++ b/crates/planner/src/shard_ends.rs
@@ -26,6 +26,7 @@
     run_phase::RunPhase,
     shard_state::ShardState,
     stop_wish::StopWish,
+    submit_check::quota_part,
     task_names::attempt_of,
     task_run::TaskRun, //
 };
@@ -264,7 +265,8 @@
             return true;
         };
         let used = self.team_used.get(&job.spec.team).copied();
-        size.fits_in(quota.limit.saturating_sub(used.unwrap_or_default()))
+        let part = quota_part(quota.limit, self.settings.shards);
+        size.fits_in(part.saturating_sub(used.unwrap_or_default()))
     }
 }
 
--- a/crates/planner/src/shard_inbox.rs
+++ b/crates/planner/src/shard_inbox.rs
@@ -15,6 +15,7 @@
 use spdlog::warn;
 
 use crate::{
+    RecordError,
     commit_effect::CommitEffect,
     inbox_entry::InboxEntry,
     record_codec,
@@ -67,8 +68,7 @@
         let entry: InboxEntry = match record_codec::decode(&row.value) {
             Ok(entry) => entry,
             Err(error) => {
-                warn!("[planner] Submission {} is left alone: {}.", row.key, error);
-                return;
+                return self.leave_alone(row, error);
             }
         };
         let job = entry.job;
@@ -96,11 +96,7 @@
         let jobs: Vec<JobId> = match record_codec::decode(&row.value) {
             Ok(jobs) => jobs,
             Err(error) => {
-                warn!(
-                    "[planner] Cancellation {} is left alone: {}.",
-                    row.key, error
-                );
-                return;
+                return self.leave_alone(row, error);
             }
         };
         for job in jobs {
@@ -115,6 +111,14 @@
         }
     }
 
+    /// Leaves a row that cannot be read for a release that can, and tells so once.
+    fn leave_alone(&mut self, row: &TableRow, error: RecordError) {
+        if self.left_alone.insert(row.key.clone()) {
+            warn!("[planner] Row {} is left alone: {}.", row.key, error);
+            metrics::counter!("jasminebend_planner_unreadable_rows_total").increment(1);
+        }
+    }
+
     /// Gives a job up; a second time, or after its end, changes nothing.
     fn cancel(&mut self, job: JobId) {
         if self.ledger.job(job).is_none_or(|record| record.cancelled) {
--- a/crates/planner/src/shard_state.rs
+++ b/crates/planner/src/shard_state.rs
@@ -106,6 +106,8 @@
     pub(crate) links: IndexMap<WorkerKey, WorkerLink>,
     pub(crate) contacts: BTreeSet<(Duration, WorkerKey)>,
 
+    /// The rows that could not be read.
+    pub(crate) left_alone: IndexSet<RowKey>,
     /// Whether the last look for submissions failed.
     pub(crate) unread: bool,
     pub(crate) scanning: bool,
@@ -169,6 +171,7 @@
             stops_in_flight: 0,
             links: IndexMap::new(),
             contacts: BTreeSet::new(),
+            left_alone: IndexSet::new(),
             unread: false,
             scanning: false,
             next_scan: Duration::ZERO,
--- a/crates/planner/src/submit_check.rs
+++ b/crates/planner/src/submit_check.rs
@@ -26,13 +26,14 @@
     spec: &JobSpec,
     configuration: &Configuration,
     vms: &VmSnapshot,
+    shards: u16,
 ) -> Result<ClassKind, SubmitError> {
     check_form(spec)?;
     let class = configuration.class(&spec.class);
     let class = class.ok_or_else(|| SubmitError::UnknownClass {
         class: spec.class.clone(),
     })?;
-    check_quota(spec, class.kind, configuration)?;
+    check_quota(spec, class.kind, configuration, shards)?;
     check_fit(spec, vms)?;
     Ok(class.kind)
 }
@@ -63,6 +64,7 @@
     spec: &JobSpec,
     kind: ClassKind,
     configuration: &Configuration,
+    shards: u16,
 ) -> Result<(), SubmitError> {
     if configuration.teams.is_empty() {
         return Ok(());
@@ -71,12 +73,23 @@
     let Some(quota) = configuration.team(&spec.team) else {
         return Err(SubmitError::UnknownTeam { team });
     };
-    if kind == ClassKind::Batch && !spec.size.fits_in(quota.limit) {
-        return Err(SubmitError::BeyondQuota { team });
+    if kind == ClassKind::Batch && !spec.size.fits_in(quota_part(quota.limit, shards)) {
+        return Err(SubmitError::BeyondQuota { team, shards });
     }
     Ok(())
 }
 
+/// Returns a shard's part of a team's quota: were each shard to grant the whole, a team could hold it
+/// as many times as there are shards.
+pub(crate) fn quota_part(limit: ResourceAmount, shards: u16) -> ResourceAmount {
+    let shards = u64::from(shards.max(1));
+    ResourceAmount {
+        cpu_millis: limit.cpu_millis / shards,
+        memory_mib: limit.memory_mib / shards,
+        accelerators: limit.accelerators / shards,
+    }
+}
+
 /// A list that was never read, or names no worker, proves nothing.
 fn check_fit(spec: &JobSpec, vms: &VmSnapshot) -> Result<(), SubmitError> {
     let mut capacities = workers(vms).map(|worker| worker.capacity).peekable();
--- a/crates/planner/src/submit_error.rs
+++ b/crates/planner/src/submit_error.rs
@@ -47,11 +47,15 @@
     /// No worker could ever hold one of its tasks.
     #[display("no worker is large enough for one of its tasks, even if empty; declare less")]
     NeverFits,
-    /// The team's quota is smaller than one of its tasks.
-    #[display("one of its tasks needs more than the whole quota of team `{team}`")]
+    /// A shard's part of the team's quota is smaller than one of its tasks.
+    #[display(
+        "one of its tasks needs more than the quota of team `{team}` allows; the quota is divided among {shards} shard(s)"
+    )]
     BeyondQuota {
         /// The team.
         team: TeamName,
+        /// The number of shards.
+        shards: u16,
     },
     /// The key was used for another job.
     #[display("the key was used for job {job}, which is not the same; use a new key")]
--- a/crates/planner/tests/planner/submission.rs
+++ b/crates/planner/tests/planner/submission.rs
@@ -4,7 +4,9 @@
 
 use jasminebend_base::{
     Configuration,
-    ResourceAmount, //
+    OwnerEpoch,
+    ResourceAmount,
+    ResourceId, //
 };
 use jasminebend_planner::{
     JobError,
@@ -186,3 +188,26 @@
     assert_eq!(error, JobError::UnknownJob { job: short });
     assert_eq!(planner.status(long).await.running, 1);
 }
+
+// A team holds twice its quota, since each of two shards grants all of it.
+#[tokio::test(start_paused = true)]
+async fn a_quota_is_divided_among_shards() {
+    let bed = TestBed::new(12).with_settings(PlannerSettings::new(2));
+    bed.configuration.send_modify(|configuration| {
+        let mut changed = Configuration::clone(configuration);
+        changed.teams[0].limit = ResourceAmount::new(8_000, 100_000);
+        *configuration = Arc::new(changed);
+    });
+    let planner = bed.planner(1).await;
+    let other = ResourceId::Shard(1);
+    planner.ownership.hold(other, OwnerEpoch(1), seconds(0));
+    for _ in 0..12 {
+        planner.handle.submit(batch(4, seconds(600))).await.unwrap();
+    }
+    sleep(seconds(20)).await;
+    assert_eq!(bed.ledger.running().len(), 8);
+    let mut wide = batch(1, seconds(1));
+    wide.size.cpu_millis = 5_000;
+    let error = planner.handle.submit(wide).await.unwrap_err();
+    assert!(matches!(error, SubmitError::BeyondQuota { shards: 2, .. }));
+}
