--- a/crates/cluster/src/nng_link.rs
+++ b/crates/cluster/src/nng_link.rs
@@ -182,9 +182,13 @@
             .lock()
             .unwrap_or_else(PoisonError::into_inner)
             .take();
-        if let Some((socket, listener, _aio)) = listening {
+        if let Some((socket, listener, aio)) = listening {
             listener.close();
             socket.close();
+            // Were this the last handle but that of a callback in progress, the callback would drop
+            // the operation and wait for its own end, and receivers would never learn of the
+            // close. The closed socket ends the callback, and no other follows.
+            aio.wait();
         }
         let mut peers = self.peers.lock().unwrap_or_else(PoisonError::into_inner);
         for (_, socket) in peers.drain(..) {
@@ -192,3 +196,9 @@
         }
     }
 }
+
+impl Drop for NngLink {
+    fn drop(&mut self) {
+        self.close();
+    }
+}
--- a/crates/cluster/tests/cluster/harness.rs
+++ b/crates/cluster/tests/cluster/harness.rs
@@ -65,6 +65,7 @@
 struct NetState {
     queues: IndexMap<SocketAddr, mpsc::Sender<Bytes>>,
     cut: IndexSet<(SocketAddr, SocketAddr)>,
+    recorded: Option<(SocketAddr, Arc<Mutex<Vec<Bytes>>>)>,
 }
 
 impl MemoryNet {
@@ -96,6 +97,19 @@
     pub(crate) fn mend(&self) {
         self.inner.lock().unwrap().cut.clear();
     }
+
+    /// Puts a frame into a daemon's queue as if it came from the network.
+    pub(crate) fn inject(&self, to: SocketAddr, frame: Bytes) {
+        let state = self.inner.lock().unwrap();
+        let _ = state.queues[&to].try_send(frame);
+    }
+
+    /// Records from now on what is sent to a daemon.
+    pub(crate) fn record(&self, to: SocketAddr) -> Arc<Mutex<Vec<Bytes>>> {
+        let recorded = Arc::default();
+        self.inner.lock().unwrap().recorded = Some((to, Arc::clone(&recorded)));
+        recorded
+    }
 }
 
 pub(crate) struct MemoryLink {
@@ -112,6 +126,9 @@
 
     fn send(&self, to: SocketAddr, frame: Bytes) {
         let state = self.net.inner.lock().unwrap();
+        if let Some((_, recorded)) = state.recorded.as_ref().filter(|(of, _)| *of == to) {
+            recorded.lock().unwrap().push(frame.clone());
+        }
         if state.cut.contains(&(self.address, to)) {
             return;
         }
--- a/crates/cluster/tests/cluster/main.rs
+++ b/crates/cluster/tests/cluster/main.rs
@@ -2,11 +2,13 @@
 
 #![expect(
     clippy::unwrap_used,
-    reason = "a helper of a test that cannot go on ends the test"
+    reason = "The helpers of tests unwrap as their tests do."
 )]
 
 mod configuration;
+mod frames;
 mod harness;
 mod link;
 mod membership;
 mod outages;
+mod peer_link;
