Keep the connection of an attempt that lost, and hedge by the target

A second attempt goes out no earlier than a twentieth of the target: where answers take 100 us a pause of the machine had one go out for each of them.

--- a/crates/gateway/benches/loopback/main.rs
+++ b/crates/gateway/benches/loopback/main.rs
@@ -74,7 +74,10 @@
     }
     let bare = runtime("plain", GATEWAY_THREADS);
     let plain = bare.block_on(start_plain(endpoints.clone()));
-    measure_plain(&load, plain, &endpoints, span);
+    measure_plain(&load, plain, span);
+    for rate in [capacity / 2.0, 10_000.0] {
+        measure_latency(plain, &endpoints, rate, span);
+    }
     bare.shutdown_background();
     measure_idle(&load, gateway);
     own.shutdown_background();
@@ -140,7 +143,7 @@
     println!("  {} sent, {} failed", through.len(), through.failed());
 }
 
-fn measure_plain(load: &Runtime, plain: SocketAddr, endpoints: &[SocketAddr], span: Duration) {
+fn measure_plain(load: &Runtime, plain: SocketAddr, span: Duration) {
     let before = cpu_seconds("plain");
     let through = load.block_on(closed_loop(&[plain], CALLERS, span));
     let cpu = cpu_seconds("plain") - before;
@@ -153,7 +156,6 @@
         "  {:.1} us of processor time a request",
         cpu * 1e6 / through.len() as f64
     );
-    measure_latency(plain, endpoints, 10_000.0, span);
 }
 
 fn measure_idle(load: &Runtime, gateway: SocketAddr) {
--- a/crates/gateway/src/answer_body.rs
+++ b/crates/gateway/src/answer_body.rs
@@ -188,7 +188,9 @@
             return;
         };
         if let Ok(handle) = Handle::try_current() {
-            handle.spawn(drain(Response::new(incoming), slot.lease, slot.latency));
+            let connection = Some(slot.connection);
+            let response = Response::new(incoming);
+            handle.spawn(drain(response, slot.lease, connection, slot.latency));
         }
     }
 }
--- a/crates/gateway/src/answer_rules.rs
+++ b/crates/gateway/src/answer_rules.rs
@@ -44,7 +44,7 @@
     let framed = is_framed(&answer.response);
     if !framed || answer.response.status() == StatusCode::SWITCHING_PROTOCOLS {
         // An answer that ends where its connection does cannot be told from one cut short.
-        tokio::spawn(drain(answer.response, answer.lease, answer.latency));
+        tokio::spawn(drain(answer.response, answer.lease, None, answer.latency));
         return Err(Refusal::EndpointFailed);
     }
     if !says_not_run(&answer) {
--- a/crates/gateway/src/delivery.rs
+++ b/crates/gateway/src/delivery.rs
@@ -41,6 +41,9 @@
 /// Until enough was learned, the second attempt waits for this part of the target.
 const UNLEARNED_DIVISOR: u32 = 4;
 const LEAST_HEDGE_DELAY: Duration = Duration::from_millis(2);
+/// No second attempt goes out before this part of the target is used up: answers that come well
+/// within the target need none, and a pause of this machine would make one for each of them.
+const HEDGE_DIVISOR: u32 = 20;
 
 /// Has a request answered, with as many attempts as it may have.
 pub(crate) struct Delivery<'a> {
@@ -121,7 +124,8 @@
                 Ok(answer) => match self.after_answer(&answer, copy) {
                     Some(next) => {
                         let latency = answer.latency;
-                        tokio::spawn(drain(answer.response, answer.lease, latency));
+                        let connection = Some(answer.connection);
+                        tokio::spawn(drain(answer.response, answer.lease, connection, latency));
                         next
                     }
                     None => return Ok(answer),
@@ -177,11 +181,12 @@
             return None;
         }
         let latency = self.class.latency();
-        let unlearned = self.class.entry.target / UNLEARNED_DIVISOR;
-        Some(match latency.samples() >= LEAST_SAMPLES {
-            true => latency.quantile().max(LEAST_HEDGE_DELAY),
-            false => unlearned.max(LEAST_HEDGE_DELAY),
-        })
+        let target = self.class.entry.target;
+        let usual = match latency.samples() >= LEAST_SAMPLES {
+            true => latency.quantile(),
+            false => target / UNLEARNED_DIVISOR,
+        };
+        Some(usual.max(target / HEDGE_DIVISOR).max(LEAST_HEDGE_DELAY))
     }
 
     fn after_answer(
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -117,9 +117,9 @@
     lease.sent = true;
     let sent_at = shared.clock.monotonic();
     let answer = Box::pin(connection.sender.try_send_request(*request));
-    let pending = PendingExchange::new(answer, lease, sent_at);
+    let pending = PendingExchange::new(answer, lease, connection, sent_at);
     let left = plan.give_up.saturating_sub(sent_at);
-    let Some((outcome, mut lease)) = pending.wait(left).await else {
+    let Some((outcome, mut lease, mut connection)) = pending.wait(left).await else {
         return Err(SendError::Unknown(Refusal::EndpointTimeout));
     };
     match outcome {
--- a/crates/gateway/src/pending_exchange.rs
+++ b/crates/gateway/src/pending_exchange.rs
@@ -18,6 +18,7 @@
 };
 
 use crate::{
+    endpoint_connection::EndpointConnection,
     endpoint_entry::SlotPhase,
     exchange::EndpointRequest,
     exchange_end::{
@@ -39,30 +40,42 @@
 pub(crate) struct PendingExchange {
     answer: Option<SendFuture>,
     lease: Option<SlotLease>,
+    connection: Option<EndpointConnection>,
     sent_at: Duration,
     suspected: bool,
 }
 
 impl PendingExchange {
     /// Creates the exchange of a request that is being sent.
-    pub(crate) fn new(answer: SendFuture, lease: SlotLease, sent_at: Duration) -> Self {
+    pub(crate) fn new(
+        answer: SendFuture,
+        lease: SlotLease,
+        connection: EndpointConnection,
+        sent_at: Duration,
+    ) -> Self {
         Self {
             answer: Some(answer),
             lease: Some(lease),
+            connection: Some(connection),
             sent_at,
             suspected: false,
         }
     }
 
     /// Waits for the answer's head; `None` if the time is over first.
-    pub(crate) async fn wait(mut self, left: Duration) -> Option<(SendOutcome, SlotLease)> {
+    pub(crate) async fn wait(
+        mut self,
+        left: Duration,
+    ) -> Option<(SendOutcome, SlotLease, EndpointConnection)> {
         let answer = self.answer.as_mut()?;
         let Ok(outcome) = timeout(left, answer).await else {
             self.suspect();
+            // A request that timed out takes its connection with it.
+            self.connection = None;
             return None;
         };
         self.answer = None;
-        self.lease.take().map(|lease| (outcome, lease))
+        Some((outcome, self.lease.take()?, self.connection.take()?))
     }
 
     /// Makes connections that were quiet for as long as this one suspect, so that the next request
@@ -90,7 +103,8 @@
         };
         lease.pool().lock().slot(lease.key()).phase = SlotPhase::Stray;
         let suspicion = (!self.suspected).then_some(self.sent_at);
-        handle.spawn(follow(answer, lease, self.sent_at, suspicion));
+        let connection = self.connection.take();
+        handle.spawn(follow(answer, lease, connection, self.sent_at, suspicion));
     }
 }
 
@@ -98,6 +112,7 @@
 async fn follow(
     mut answer: SendFuture,
     lease: SlotLease,
+    connection: Option<EndpointConnection>,
     sent_at: Duration,
     suspicion: Option<Duration>,
 ) {
@@ -107,13 +122,16 @@
         Some(sent_at) => follow_early(&pool, &mut answer, sent_at).await,
         None => None,
     };
-    let head = match early {
-        Some(head) => Ok(head),
-        None => timeout(longest, answer).await,
+    let (head, connection) = match early {
+        Some(head) => (Ok(head), connection),
+        None => (timeout(longest, answer).await, None),
     };
     match head {
         Err(_) => lease.end(ExchangeEnd::Over),
-        Ok(Ok(response)) => drain(response, lease, pool.clock.monotonic() - sent_at).await,
+        Ok(Ok(response)) => {
+            let latency = pool.clock.monotonic().saturating_sub(sent_at);
+            drain(response, lease, connection, latency).await;
+        }
         Ok(Err(mut error)) => lease.end(match error.take_message() {
             Some(_) => ExchangeEnd::Unused { connection: None },
             None => ExchangeEnd::Unknown,
@@ -134,8 +152,14 @@
     None
 }
 
-/// Reads the rest of an answer that nobody wants, and then frees its slot.
-pub(crate) async fn drain(response: Response<Incoming>, lease: SlotLease, latency: Duration) {
+/// Reads the rest of an answer that nobody wants, and then frees its slot. A connection whose answer
+/// was read in whole can carry the next request.
+pub(crate) async fn drain(
+    response: Response<Incoming>,
+    lease: SlotLease,
+    connection: Option<EndpointConnection>,
+    latency: Duration,
+) {
     let longest = lease.pool().settings.longest_request;
     let mut body = response.into_body();
     let whole = timeout(longest, async {
@@ -150,10 +174,19 @@
         Ok(true) => ExchangeEnd::Answered {
             latency,
             verdict: AnswerVerdict::Good,
-            connection: None,
+            connection: heard_now(connection, &lease),
         },
         Ok(false) => ExchangeEnd::Unknown,
         Err(_) => ExchangeEnd::Over,
     };
     lease.end(end);
 }
+
+fn heard_now(
+    connection: Option<EndpointConnection>,
+    lease: &SlotLease,
+) -> Option<EndpointConnection> {
+    let mut connection = connection.filter(EndpointConnection::is_open)?;
+    connection.last_heard = lease.pool().clock.monotonic();
+    Some(connection)
+}
