Measure what agreement costs, and watch those who stay in a roll-out

Cause: the issue asks for figures, and a roll-out of real programs was seen to refuse for 30 ms. Change: a bench over loopback (force, idle, change, lose, replace, memory, look), and a test that those who stay hold something at every moment of a replacement.

--- a/crates/cluster/benches/shared.rs
+++ b/crates/cluster/benches/shared.rs
@@ -1,5 +1,5 @@
 //! What agreement costs, in one process over loopback: `cargo bench -p jasminebend-cluster --bench
-//! shared -- force|idle|change|lose|memory|look [DAEMONS]`.
+//! shared -- force|idle|change|lose|replace|memory|look [DAEMONS]`.
 
 #![expect(clippy::unwrap_used, reason = "A bench that cannot go on may panic.")]
 
@@ -321,6 +321,33 @@
     );
 }
 
+/// A roll-out: each daemon leaves and another one comes, while those who stay are watched.
+async fn replace(count: u8) {
+    let mut bench = Bench::start(count).await;
+    let (mut empty, mut looks) = (0u64, 0u64);
+    for _ in 0..LOSSES {
+        bench.handles.remove(0).leave().await;
+        let staying = bench.handles.clone();
+        let handle = bench.start_one().await;
+        bench.handles.push(handle);
+        let started = Instant::now();
+        while started.elapsed() < Duration::from_secs(3) {
+            tokio::time::sleep(Duration::from_millis(1)).await;
+            for handle in &staying {
+                looks += 1;
+                if held(handle) == 0 {
+                    empty += 1;
+                    println!("{:?}: {:?}", started.elapsed(), handle.status());
+                }
+            }
+        }
+        bench.settle().await;
+    }
+    println!(
+        "{count} daemons replaced: {empty} of {looks} looks at one that stays saw nothing held"
+    );
+}
+
 async fn wait<Condition>(mut condition: Condition)
 where
     Condition: FnMut() -> bool,
@@ -370,6 +397,7 @@
             "idle" => measure(count, false).await,
             "change" => measure(count, true).await,
             "lose" => lose(count).await,
+            "replace" => replace(count).await,
             "look" => look(count).await,
             _ => sizes(count).await,
         }
--- a/crates/cluster/tests/cluster/membership.rs
+++ b/crates/cluster/tests/cluster/membership.rs
@@ -43,3 +43,23 @@
     let held: usize = handles.iter().map(|h| h.ownership().held().len()).sum();
     assert_eq!(held, RESOURCES);
 }
+
+/// A roll-out: callers of the daemons that stay would be refused for a moment, each time that a new
+/// daemon takes the seat of one that left.
+#[tokio::test(start_paused = true)]
+async fn those_who_stay_hold_something_at_every_moment_of_a_replacement() {
+    let mut cluster = TestCluster::new(3);
+    let mut handles = cluster.start_all(3).await;
+    for number in 11..14 {
+        handles.remove(0).leave().await;
+        let staying = handles.clone();
+        handles.push(cluster.start(number).await);
+        for step in 0..1_000 {
+            sleep_ms(4).await;
+            for handle in &staying {
+                assert!(!handle.ownership().held().is_empty(), "step {step}");
+            }
+        }
+        settle(&handles).await;
+    }
+}
