--- a/crates/cluster/src/cluster_state.rs
+++ b/crates/cluster/src/cluster_state.rs
@@ -24,16 +24,9 @@
     DaemonRecord,
     HolderId,
     MemberAction,
-    MemberMachine,
-    SharedWrite,
-    TableSnapshot, //
-};
-use jasminebend_ports::{
-    CommitOutcome,
-    ResourceUser,
-    RowChange,
-    WriteId, //
+    MemberMachine, //
 };
+use jasminebend_ports::ResourceUser;
 use jasminebend_wire::{
     PeerCodec,
     WireBody, //
@@ -47,46 +40,20 @@
     SeedableRng,
     rngs::StdRng, //
 };
-use spdlog::{
-    info,
-    warn, //
-};
-use tokio::{
-    sync::watch,
-    time::timeout, //
-};
+use spdlog::warn;
+use tokio::sync::watch;
 
 use crate::{
     ClusterEdges,
     ClusterSettings,
     PeerLink,
-    ProbeOutcome,
     cluster_message::ClusterMessage,
-    commit_end::CommitEnd,
     proposal_queue::ProposalQueue,
-    row_error::RowError,
-    shared_rows::{
-        read_snapshot,
-        row_changes, //
-    },
     vm_absences::VmAbsences, //
 };
 
 /// No answer of the table is waited for longer: it would be too old to act on.
-const TABLE_TIMEOUT: Duration = Duration::from_secs(10);
-
-/// Polls out of turn are at least this far apart.
-const URGENT_POLL: Duration = Duration::from_millis(100);
-
-/// How often a connection to a silent peer is replaced.
-const RESET_INTERVAL: Duration = Duration::from_secs(2);
-
-/// How many refused probes in a row show that a process is gone.
-const REFUSALS: u8 = 2;
-
-/// How long a daemon waits after a conflict at the most, and after a refusal at the least and most.
-const CONFLICT_PAUSE_MS: u64 = 60;
-const REFUSAL_PAUSE_MS: std::ops::Range<u64> = 500..1_500;
+pub(crate) const TABLE_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// What the cluster actor works on.
 pub(crate) struct ClusterState {
@@ -102,19 +69,19 @@
     pub(crate) fetching: bool,
     pub(crate) fetch_due: Duration,
     pub(crate) asked_peers_at: Duration,
-    users: Vec<Arc<dyn ResourceUser>>,
-    absences: VmAbsences,
-    polling: bool,
-    poll_wanted: bool,
-    polled_at: Option<Duration>,
-    poll_due: Duration,
-    vm_due: Duration,
-    vm_read_at: Duration,
-    reset_due: Duration,
-    refusals: IndexMap<HolderId, u8>,
+    pub(crate) users: Vec<Arc<dyn ResourceUser>>,
+    pub(crate) absences: VmAbsences,
+    pub(crate) polling: bool,
+    pub(crate) poll_wanted: bool,
+    pub(crate) polled_at: Option<Duration>,
+    pub(crate) poll_due: Duration,
+    pub(crate) vm_due: Duration,
+    pub(crate) vm_read_at: Duration,
+    pub(crate) reset_due: Duration,
+    pub(crate) refusals: IndexMap<HolderId, u8>,
     waiting: IndexSet<ResourceId>,
     leaving: Vec<RpcReplyPort<()>>,
-    table_lost: bool,
+    pub(crate) table_lost: bool,
 }
 
 impl ClusterState {
@@ -214,7 +181,7 @@
         }
     }
 
-    fn tick(&mut self, myself: &ActorRef<ClusterMessage>) {
+    pub(crate) fn tick(&mut self, myself: &ActorRef<ClusterMessage>) {
         let now = self.now();
         self.fetch_document(myself);
         self.advance_proposals(myself);
@@ -294,103 +261,6 @@
         }
     }
 
-    /// Makes a transaction; the one that announces a configuration carries its document too.
-    pub(crate) fn commit(
-        &mut self,
-        myself: &ActorRef<ClusterMessage>,
-        write: &SharedWrite,
-        more: Vec<RowChange>,
-    ) {
-        let changes = row_changes(write);
-        let id = WriteId::new(&mut self.random);
-        let table = self.edges.table.clone();
-        metrics::counter!("jasminebend_shared_writes_total").increment(1);
-        report(myself, async move {
-            let end = match changes {
-                Ok(mut changes) => {
-                    changes.extend(more);
-                    commit_end(timeout(TABLE_TIMEOUT, table.commit(id, changes)).await)
-                }
-                Err(_) => CommitEnd::NotRun,
-            };
-            ClusterMessage::CommitEnded(end)
-        });
-    }
-
-    fn end_commit(&mut self, myself: &ActorRef<ClusterMessage>, end: CommitEnd) {
-        let pause = match end {
-            CommitEnd::Committed => 0,
-            CommitEnd::Conflict => self.random.random_range(0..CONFLICT_PAUSE_MS),
-            CommitEnd::NotRun | CommitEnd::Unknown => self.random.random_range(REFUSAL_PAUSE_MS),
-        };
-        let now = self.now();
-        self.lock().end_commit(now, Duration::from_millis(pause));
-        self.proposals.end_write(end);
-        self.tick(myself);
-    }
-
-    fn poll_if_due(&mut self, myself: &ActorRef<ClusterMessage>) {
-        let now = self.now();
-        let rested = self.polled_at.is_none_or(|at| now >= at + URGENT_POLL);
-        let urgent = self.poll_wanted && rested && !self.table_lost;
-        if self.polling || !(urgent || now >= self.poll_due) {
-            return;
-        }
-        self.polling = true;
-        self.poll_wanted = false;
-        self.polled_at = Some(now);
-        let jitter = self.random.random_range(0.8..1.2);
-        self.poll_due = now + self.settings.poll.mul_f64(jitter);
-        metrics::counter!("jasminebend_shared_polls_total").increment(1);
-        let table = self.edges.table.clone();
-        report(myself, async move {
-            let read = timeout(TABLE_TIMEOUT, read_snapshot(&*table, now)).await;
-            let late = Err(RowError::Table(jasminebend_ports::TableError::Unknown));
-            ClusterMessage::Polled(read.unwrap_or(late), now)
-        });
-    }
-
-    fn end_poll(
-        &mut self,
-        myself: &ActorRef<ClusterMessage>,
-        result: Result<TableSnapshot, RowError>,
-        _asked_at: Duration,
-    ) {
-        self.polling = false;
-        self.note_table(result.as_ref().err());
-        if let Ok(snapshot) = result {
-            let now = self.now();
-            self.lock().read_table(now, snapshot);
-        }
-        self.tick(myself);
-    }
-
-    fn note_table(&mut self, error: Option<&RowError>) {
-        match (error, self.table_lost) {
-            (Some(error), false) => warn!("[cluster] The table cannot be read: {}.", error),
-            (None, true) => info!("[cluster] The table can be read again."),
-            _ => (),
-        }
-        self.table_lost = error.is_some();
-    }
-
-    fn end_probe(&mut self, holder: HolderId, outcome: ProbeOutcome) {
-        if outcome != ProbeOutcome::Refused {
-            self.refusals.shift_remove(&holder);
-            return;
-        }
-        let refusals = self.refusals.entry(holder).or_insert(0);
-        *refusals += 1;
-        if *refusals >= REFUSALS {
-            self.refusals.shift_remove(&holder);
-            info!(
-                "[cluster] The daemon of {} is gone: its address refuses.",
-                holder
-            );
-            self.lock().observe_gone(holder);
-        }
-    }
-
     fn release(&mut self, myself: &ActorRef<ClusterMessage>, resource: ResourceId) {
         if !self.waiting.insert(resource) {
             return;
@@ -409,75 +279,6 @@
         self.lock().end_release(resource);
         self.tick(myself);
     }
-
-    fn read_vms_if_due(&mut self, myself: &ActorRef<ClusterMessage>) {
-        let now = self.now();
-        if now < self.vm_due {
-            return;
-        }
-        let jitter = self.random.random_range(0.8..1.2);
-        self.vm_due = now + self.settings.vm_poll.mul_f64(jitter);
-        let list = self.edges.vm_list.clone();
-        report(myself, async move {
-            let read = timeout(TABLE_TIMEOUT, list.read()).await;
-            ClusterMessage::VmsRead(read.ok().and_then(Result::ok))
-        });
-    }
-
-    fn read_vms(&mut self, list: Option<VmSnapshot>) {
-        let now = self.now();
-        let Some(list) = list else {
-            if now > self.vm_read_at + self.settings.vm_poll * 3 {
-                self.absences.forget();
-            }
-            return;
-        };
-        self.vm_read_at = now;
-        self.observe_absent(now, &list);
-        let newer = list.revision > self.vms.borrow().revision;
-        if newer || self.vms.borrow().vms.is_empty() {
-            self.vms.send_replace(Arc::new(list));
-        }
-    }
-
-    fn observe_absent(&mut self, now: Duration, list: &VmSnapshot) {
-        let silent = self.lock().silent_daemons(now);
-        let watched = silent.iter().filter_map(|(_, vm)| vm.clone());
-        let gone = self.absences.read(now, list, watched);
-        for (holder, vm) in silent {
-            if vm.is_some_and(|vm| gone.contains(&vm)) {
-                info!(
-                    "[cluster] The daemon of {} is gone: its VM left the VM list.",
-                    holder
-                );
-                self.lock().observe_gone(holder);
-            }
-        }
-    }
-
-    /// Something between two daemons may have lost track of a connection; a new one may work.
-    fn reset_silent(&mut self) {
-        let now = self.now();
-        if now < self.reset_due {
-            return;
-        }
-        self.reset_due = now + RESET_INTERVAL;
-        let silent = self.lock().silent_peers(now);
-        for address in silent {
-            self.link.reset(address);
-        }
-    }
-}
-
-fn commit_end<Late>(
-    result: Result<Result<CommitOutcome, jasminebend_ports::TableError>, Late>,
-) -> CommitEnd {
-    match result {
-        Ok(Ok(CommitOutcome::Committed(_))) => CommitEnd::Committed,
-        Ok(Ok(CommitOutcome::Conflict { .. })) => CommitEnd::Conflict,
-        Ok(Err(error)) if error.surely_not_run() => CommitEnd::NotRun,
-        Ok(Err(_)) | Err(_) => CommitEnd::Unknown,
-    }
 }
 
 /// Runs something slow, and tells the actor what came of it.
--- a/crates/cluster/src/lib.rs
+++ b/crates/cluster/src/lib.rs
@@ -16,6 +16,7 @@
 mod commit_end;
 mod configuration_change;
 mod document_fetch;
+mod liveness_checks;
 mod nng_link;
 mod peer_link;
 mod probe_outcome;
@@ -26,6 +27,7 @@
 mod row_error;
 mod shared_rows;
 mod status_report;
+mod table_traffic;
 mod vm_absences;
 
 pub use self::{
--- a/crates/cluster/src/row_error.rs
+++ b/crates/cluster/src/row_error.rs
@@ -15,6 +15,11 @@
     /// A later release wrote the row.
     #[display("a shared row is of another release's format")]
     OtherFormat,
+    /// Other daemons were started with other numbers of seats, slot shares or shards.
+    #[display(
+        "the numbers of seats, slot shares and shards differ from those of the other daemons"
+    )]
+    OtherSizes,
     /// The row cannot be read.
     #[display("a shared row is malformed")]
     Malformed,
--- a/crates/ownership/src/machine_balance.rs
+++ b/crates/ownership/src/machine_balance.rs
@@ -14,15 +14,13 @@
     OwnershipRow,
     SharedWrite,
     TableSnapshot,
-    VersionedRow, //
+    VersionedRow,
+    machine_table::RANK_DELAY, //
 };
 
 /// How many resources a daemon gives away at once; the others go on meanwhile.
 const RELEASES_AT_ONCE: usize = 16;
 
-/// By how much each daemon of a later rank waits longer before it assigns what nobody holds.
-const RANK_DELAY: Duration = Duration::from_millis(700);
-
 type Load = IndexMap<HolderId, usize>;
 
 impl MemberMachine {
@@ -157,7 +155,7 @@
         self.ownership_write(row)
     }
 
-    fn ownership_write(&self, row: OwnershipRow) -> Option<SharedWrite> {
+    pub(crate) fn ownership_write(&self, row: OwnershipRow) -> Option<SharedWrite> {
         let table = self.table.as_ref()?;
         let version = table.ownership.version;
         (row != table.ownership.row).then(|| SharedWrite {
@@ -219,7 +217,7 @@
             || !self.settings.guards.has(Guard::SlotsOnlyFromGone)
     }
 
-    fn receiver(
+    pub(crate) fn receiver(
         &self,
         members: &MembersRow,
         row: &OwnershipRow,
@@ -246,63 +244,6 @@
         }
         least_loaded(&load).map(|(receiver, _)| receiver)
     }
-
-    /// A daemon that lost its seat gives back what it held once nothing of it is in progress.
-    pub(crate) fn returning_write(&mut self) -> Option<SharedWrite> {
-        let lost = self.lost?;
-        let table = self.table.as_ref()?;
-        let mut row = table.ownership.row.clone();
-        let mut busy = false;
-        for (resource, _) in table.ownership.row.held_by(lost) {
-            if !self.released.contains(&resource) {
-                busy = true;
-                continue;
-            }
-            match self.receiver(&table.members.row, &row, resource, None) {
-                Some(receiver) => row.assign(resource, receiver, false),
-                None => give_back(&mut row, resource),
-            }
-        }
-        if !busy && row == table.ownership.row {
-            self.lost = None;
-            self.releasing.clear();
-            self.released.clear();
-            return None;
-        }
-        self.ownership_write(row)
-    }
-
-    /// Gives up the seat together with the last resource.
-    pub(crate) fn leave_write(&mut self) -> Option<SharedWrite> {
-        let hold = self.hold.filter(|_| self.leaving)?;
-        let table = self.table.as_ref()?;
-        let mut row = table.ownership.row.clone();
-        for resource in &self.released {
-            match self.receiver(&table.members.row, &row, *resource, Some(hold.id)) {
-                Some(receiver) => row.assign(*resource, receiver, false),
-                None => give_back(&mut row, *resource),
-            }
-        }
-        if row.held_by(hold.id).next().is_some() {
-            return self.ownership_write(row);
-        }
-        let mut members = table.members.row.clone();
-        let record = members.seat_mut(hold.id.seat)?;
-        record.epoch = record.newest_epoch() + 1;
-        record.holder = None;
-        record.intent = None;
-        let mut write = self.members_write(members);
-        write.ownership = self.ownership_write(row).and_then(|write| write.ownership);
-        Some(write)
-    }
-}
-
-fn give_back(row: &mut OwnershipRow, resource: ResourceId) {
-    if let Some(entry) = row.entry_mut(resource) {
-        entry.holder = None;
-        entry.epoch = entry.epoch.next();
-        entry.forced = false;
-    }
 }
 
 fn is_slots(resource: &ResourceId) -> bool {
--- a/crates/ownership/src/machine_table.rs
+++ b/crates/ownership/src/machine_table.rs
@@ -16,9 +16,15 @@
     VersionedRow, //
 };
 
+/// By how much each daemon of a later rank waits longer before it steps in.
+pub(crate) const RANK_DELAY: Duration = Duration::from_millis(700);
+
 impl MemberMachine {
     /// Takes in a poll of the table that was answered now.
     pub fn read_table(&mut self, now: Duration, snapshot: TableSnapshot) {
+        if !self.accepts(&snapshot) {
+            return;
+        }
         self.merge_snapshot(now, snapshot);
         let Some(table) = self.table.take() else {
             return;
@@ -31,6 +37,16 @@
         self.advance_attempts(now);
     }
 
+    /// Tells whether the rows have as many seats, slot shares and shards as this daemon's settings;
+    /// one with other settings would count other majorities, and must take no part.
+    pub fn accepts(&self, snapshot: &TableSnapshot) -> bool {
+        let (members, ownership) = (&snapshot.members, &snapshot.ownership);
+        let seats = members.row.seats.len() == usize::from(self.settings.seats);
+        let slots = ownership.row.slots.len() == usize::from(self.settings.slot_shares);
+        let shards = ownership.row.shards.len() == usize::from(self.settings.shards);
+        (members.version.is_none() || seats) && (ownership.version.is_none() || (slots && shards))
+    }
+
     /// Takes note that the last write ended, whatever its outcome: a read decides what follows. No
     /// further write is made for `pause`, which spares a table that refused.
     pub fn end_commit(&mut self, now: Duration, pause: Duration) {
