--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -37,6 +37,7 @@
 mod worker_core;
 mod worker_fleet;
 mod worker_knobs;
+mod worker_lease;
 mod worker_run;
 mod worker_stand_in;
 
--- a/crates/standins/src/worker_core.rs
+++ b/crates/standins/src/worker_core.rs
@@ -35,6 +35,7 @@
     ended_runs::EndedRuns,
     run_set::RunSet,
     usage_lag::UsageLag,
+    worker_lease::WorkerLease,
     worker_run::{
         FULL_SPEED,
         WorkerRun, //
@@ -53,9 +54,7 @@
     pub(crate) knobs: WorkerKnobs,
     pub(crate) ledger: Arc<RunLedger>,
     incarnation: u64,
-    epoch: OwnerEpoch,
-    renewed: Option<Duration>,
-    lease_end: Option<Duration>,
+    lease: WorkerLease,
     running: RunSet,
     ended: EndedRuns,
     usage: UsageLag,
@@ -76,9 +75,7 @@
             knobs: WorkerKnobs::default(),
             ledger,
             incarnation: seed,
-            epoch: OwnerEpoch::default(),
-            renewed: None,
-            lease_end: None,
+            lease: WorkerLease::default(),
             running: RunSet::default(),
             ended: EndedRuns::default(),
             usage: UsageLag::new(seed),
@@ -91,13 +88,11 @@
         adoption: EpochAdoption,
     ) -> Result<WorkerInventory, WorkerError> {
         self.settle(now);
-        self.check_epoch(adoption.epoch)?;
-        self.epoch = adoption.epoch;
-        self.renew_lease(now, adoption.lease);
+        self.lease.adopt(now, adoption.epoch, adoption.lease)?;
         let running = self.running.runs().map(|run| run.to_task(None));
         Ok(WorkerInventory {
             incarnation: self.incarnation,
-            epoch: self.epoch,
+            epoch: self.lease.epoch(),
             capacity: self.capacity,
             tasks: running.chain(self.ended.tasks()).collect(),
         })
@@ -109,9 +104,7 @@
         renewal: &LeaseRenewal,
     ) -> Result<WorkerReport, WorkerError> {
         self.settle(now);
-        self.check_epoch(renewal.epoch)?;
-        self.check_lease(renewal.epoch)?;
-        self.renew_lease(now, renewal.lease);
+        self.lease.renew(now, renewal.epoch, renewal.lease)?;
         self.ended.acknowledge(&renewal.acknowledged);
         self.running.measure(now, &self.knobs, &mut self.usage);
         Ok(WorkerReport {
@@ -130,7 +123,7 @@
         order: &TaskOrder,
     ) -> Result<(), WorkerError> {
         self.settle(now);
-        self.check_epoch(epoch)?;
+        self.lease.check_epoch(epoch)?;
         if self.running.contains(order.attempt) {
             return Ok(());
         }
@@ -148,7 +141,7 @@
         speed_millis: u32,
     ) -> Result<(), WorkerError> {
         self.settle(now);
-        self.check_epoch(epoch)?;
+        self.lease.check_epoch(epoch)?;
         let run = self
             .running
             .get_mut(attempt)
@@ -164,7 +157,7 @@
         attempt: TaskAttempt,
     ) -> Result<CheckpointId, WorkerError> {
         self.settle(now);
-        self.check_epoch(epoch)?;
+        self.lease.check_epoch(epoch)?;
         if let Some(TaskEvent::Checkpointed { checkpoint }) = self.ended.end_of(attempt) {
             return Ok(checkpoint.clone());
         }
@@ -186,7 +179,7 @@
         attempt: TaskAttempt,
     ) -> Result<(), WorkerError> {
         self.settle(now);
-        self.check_epoch(epoch)?;
+        self.lease.check_epoch(epoch)?;
         self.end(now, attempt, TaskEvent::Stopped);
         self.ended.mark(attempt);
         Ok(())
@@ -202,9 +195,7 @@
         self.running.clear();
         self.ended = EndedRuns::default();
         self.usage.clear();
-        self.epoch = OwnerEpoch::default();
-        self.renewed = None;
-        self.lease_end = None;
+        self.lease = WorkerLease::default();
         self.incarnation += 1;
     }
 
@@ -224,28 +215,6 @@
         self.running.runs().map(|run| run.to_task(None)).collect()
     }
 
-    fn check_epoch(&self, epoch: OwnerEpoch) -> Result<(), WorkerError> {
-        if epoch < self.epoch {
-            return Err(WorkerError::StaleEpoch { newer: self.epoch });
-        }
-        Ok(())
-    }
-
-    /// Guards against renewals that come late: with a start that came late beside it, such a renewal
-    /// would revive the lease, and the start would be accepted although its sender has given it up.
-    /// So a lease that lapsed, or that a restart forgot, comes back by an adoption alone.
-    fn check_lease(&self, epoch: OwnerEpoch) -> Result<(), WorkerError> {
-        if epoch == self.epoch && self.lease_end.is_some() {
-            return Ok(());
-        }
-        Err(WorkerError::OutOfDate)
-    }
-
-    fn renew_lease(&mut self, now: Duration, lease: Duration) {
-        self.renewed = Some(now);
-        self.lease_end = Some(now.saturating_add(lease));
-    }
-
     /// Guards against starts that come late: their sender has meanwhile taken the task for not
     /// started, and may run it elsewhere. Such an order belongs to an epoch that was not adopted
     /// here, or to a run that ended, or its time since the last renewal is over.
@@ -255,13 +224,10 @@
         epoch: OwnerEpoch,
         order: &TaskOrder,
     ) -> Result<(), WorkerError> {
-        let in_time = self
-            .renewed
-            .is_some_and(|renewed| now.saturating_sub(renewed) <= order.valid_for);
+        self.lease.check_order(now, epoch, order.valid_for)?;
         let ended = self.ended.rules_out(order.attempt);
         let runs = self.running.has_task(order.attempt);
-        self.check_lease(epoch)?;
-        if in_time && !ended && !runs {
+        if !ended && !runs {
             return Ok(());
         }
         Err(WorkerError::OutOfDate)
@@ -327,7 +293,7 @@
 
     /// The lease lapsed: the owner may by now have started the runs elsewhere.
     fn lapse(&mut self, now: Duration) {
-        self.lease_end = None;
+        self.lease.lapse();
         let attempts: Vec<_> = self.running.runs().map(|run| run.attempt).collect();
         for attempt in attempts {
             let checkpoint = self.keep_batch(attempt);
@@ -345,7 +311,7 @@
 
     /// Returns the next end by itself, or the lapse of the lease as one without a run.
     fn next_end(&self) -> Option<(Duration, Option<TaskAttempt>)> {
-        let lapse = self.lease_end.map(|at| (at, None));
+        let lapse = self.lease.end().map(|at| (at, None));
         let end = self.running.next_end(&self.knobs);
         let end = end.map(|(at, attempt)| (at, Some(attempt)));
         // A run that ends at the very moment of the lapse has ended.
