Refuse calls that are too large before a byte is sent

A server that refuses a large body may close before it has read it all; its 413 is then lost, the commit's outcome looks unknown, and its writer tries it without end. The adapters now refuse above 16 MiB themselves, which the stand-ins take at the most.

--- a/crates/ports/src/http_caller.rs
+++ b/crates/ports/src/http_caller.rs
@@ -58,6 +58,7 @@
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(2);
 const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
 const IDLE_CONNECTIONS: usize = 16;
+const MAX_CALL_BYTES: usize = 16 << 20;
 const MAX_ANSWER_BYTES: usize = 32 << 20;
 
 type PooledClient = Client<HttpConnector, Full<Bytes>>;
@@ -145,6 +146,11 @@
     }
 
     fn build_request(&self, call: HttpCall) -> Result<Request<Full<Bytes>>, CallError> {
+        // A server that refuses a large body may close before it has read it, which cuts its answer
+        // off: the call would be taken for one of unknown outcome, and be tried without end.
+        if call.body.len() > MAX_CALL_BYTES {
+            return Err(CallError::TooLarge);
+        }
         let uri = format!("http://{}{}", call.address, call.path);
         let mut request = Request::builder().method(call.method).uri(uri);
         if let Some(token) = &self.options.token {
--- a/crates/standins/tests/contracts/main.rs
+++ b/crates/standins/tests/contracts/main.rs
@@ -25,6 +25,7 @@
 mod clock;
 mod endpoint;
 mod harness;
+mod limits;
 mod objects;
 mod table;
 mod token;
