Take one shard by default

Quotas are divided among shards, so that with eight shards a team whose jobs lie in one of them could hold an eighth of its quota.

--- a/crates/jasminebend/src/daemon_settings.rs
+++ b/crates/jasminebend/src/daemon_settings.rs
@@ -24,8 +24,8 @@
 pub const DEFAULT_SEATS: u8 = 7;
 /// The slot shares by default: about ten for each seat.
 pub const DEFAULT_SLOT_SHARES: u16 = 70;
-/// The shards by default.
-pub const DEFAULT_SHARDS: u16 = 8;
+/// The shards by default: one carries today's sizes, and quotas are divided among shards.
+pub const DEFAULT_SHARDS: u16 = 1;
 /// The balancer's lag by default.
 pub const DEFAULT_BALANCER_LAG: Duration = Duration::from_secs(5);
 /// How long a stop waits for the table service by default.
