Spread heartbeats, and tell how a shard stands

Cause: all workers of a shard were adopted at once and from then on called at once, every five seconds. No gauge told how many tasks wait.

Change: the first call after an adoption falls at any moment within a heartbeat. Four gauges a shard. A test that added two answers given at different moments reads one; it asserts the same.

Figures: none; the calls a second are as before, their peak was not measured.

Conclusion: a heartbeat's burst no longer grows with the shard.

--- a/crates/planner/src/shard_inbox.rs
+++ b/crates/planner/src/shard_inbox.rs
@@ -4,7 +4,8 @@
 
 use jasminebend_placement::{
     JobId,
-    JobTransition, //
+    JobTransition,
+    WorkerCondition, //
 };
 use jasminebend_ports::{
     RowChange,
@@ -18,6 +19,7 @@
     RecordError,
     commit_effect::CommitEffect,
     inbox_entry::InboxEntry,
+    journal_writer::JournalWriter,
     record_codec,
     shard_calls::ROWS_PER_SCAN,
     shard_state::ShardState, //
@@ -28,11 +30,29 @@
         if self.scanning || now < self.next_scan {
             return;
         }
+        self.tell_gauges();
         self.scanning = true;
         self.next_scan = now + self.settings.scan_every;
         self.calls.scan(now);
     }
 
+    fn tell_gauges(&self) {
+        let shard = self.calls.permit.shard.to_string();
+        let waiting = self.writer.as_ref().map_or(0, JournalWriter::waiting);
+        let open = self.pool.workers();
+        let open = open.filter(|(_, worker)| worker.condition == WorkerCondition::Open);
+        let gauges = [
+            ("jasminebend_planner_queued_tasks", self.queue.len()),
+            ("jasminebend_planner_placed_tasks", self.runs.len()),
+            ("jasminebend_planner_open_workers", open.count()),
+            ("jasminebend_planner_uncommitted_entries", waiting),
+        ];
+        for (name, value) in gauges {
+            // CAST: Far below 2^52.
+            metrics::gauge!(name, "shard" => shard.clone()).set(value as f64);
+        }
+    }
+
     pub(crate) fn on_scanned(
         &mut self,
         started: Duration,
--- a/crates/planner/src/shard_workers.rs
+++ b/crates/planner/src/shard_workers.rs
@@ -11,6 +11,7 @@
     WorkerInventory,
     WorkerReport, //
 };
+use rand::RngExt;
 use spdlog::{
     info,
     warn, //
@@ -134,6 +135,7 @@
         match result {
             Ok(inventory) => {
                 self.note_heard(key, sent);
+                self.spread_contact(key);
                 let link = &mut self.links[&key];
                 link.incarnation = Some(inventory.incarnation);
                 link.late_starts.clear();
@@ -180,6 +182,15 @@
         self.refresh_condition(key);
     }
 
+    /// Calls a worker for the first time at any moment within a heartbeat: all workers of a shard are
+    /// adopted at once, and would else be called at once for good.
+    fn spread_contact(&mut self, key: WorkerKey) {
+        let offset = self.settings.heartbeat.mul_f64(self.random.random());
+        let next = self.now() + offset;
+        self.links[&key].contact_due = Some(next);
+        self.contact_at(key, next);
+    }
+
     fn note_heard(&mut self, key: WorkerKey, sent: Duration) {
         let now = self.now();
         let lease = self.settings.with_drift(self.settings.lease);
--- a/crates/planner/tests/planner/failing_work.rs
+++ b/crates/planner/tests/planner/failing_work.rs
@@ -37,10 +37,8 @@
     }
     let job = planner.handle.submit(batch(48, seconds(5))).await.unwrap();
     sleep(seconds(10)).await;
-    assert_eq!(
-        planner.status(job).await.running + planner.status(job).await.finished,
-        48
-    );
+    let status = planner.status(job).await;
+    assert_eq!(status.running + status.finished, 48);
     planner.ended(job, seconds(30)).await;
     bed.check();
 }
