Have a worker lapse before it is called at a new address

Cause: when the VM list showed a worker at another address, it was adopted there at once, and what the new address did not know was started elsewhere, though it may still have run at the former one. The list lags and may be wrong.

Change: such a worker is not called until its former lease has surely lapsed; its runs count as running until then.

--- a/crates/planner/src/shard_vms.rs
+++ b/crates/planner/src/shard_vms.rs
@@ -59,10 +59,17 @@
             WorkerLink::new(worker.address, vm.domain.clone(), holds_until)
         });
         link.leaving = vm.state == VmState::Leaving;
-        if link.address != worker.address {
+        if link.address.port() == 0 {
             link.address = worker.address;
-            link.phase = LinkPhase::New;
             self.contact_soon(key, now);
+        } else if link.address != worker.address {
+            // The list lags and may be wrong: what runs at the former address is not lost because the
+            // new one does not know it, but only once its lease has surely lapsed.
+            link.moved_to = Some(worker.address);
+            link.note_silence();
+            self.contact_soon(key, now);
+        } else {
+            link.moved_to = None;
         }
         Some(key)
     }
--- a/crates/planner/src/shard_workers.rs
+++ b/crates/planner/src/shard_workers.rs
@@ -70,9 +70,11 @@
     }
 
     fn contact_worker(&mut self, key: WorkerKey, now: Duration) {
-        if self.links[&key].phase != LinkPhase::Adopted {
+        let link = &self.links[&key];
+        if link.phase != LinkPhase::Adopted || link.moved_to.is_some() {
             self.settle_lapsed(key, now);
         }
+        self.follow_move(key);
         let link = &mut self.links[&key];
         if link.calling {
             link.call_again = true;
@@ -82,7 +84,10 @@
             return;
         }
         link.contact_due = None;
-        if link.address.port() == 0 || link.is_left_alone(MOST_UNANSWERED) {
+        if link.address.port() == 0
+            || link.moved_to.is_some()
+            || link.is_left_alone(MOST_UNANSWERED)
+        {
             self.contact_at(key, now + RETRY_AFTER);
             return;
         }
@@ -110,6 +115,18 @@
         }
     }
 
+    /// Calls a worker at its new address once nothing can run at the former one.
+    fn follow_move(&mut self, key: WorkerKey) {
+        let link = &mut self.links[&key];
+        if !link.runs.is_empty() || link.calling {
+            return;
+        }
+        if let Some(address) = link.moved_to.take() {
+            link.address = address;
+            link.phase = LinkPhase::New;
+        }
+    }
+
     /// Gives up the runs of a worker whose lease has surely lapsed: by now it has stopped them.
     fn settle_lapsed(&mut self, key: WorkerKey, now: Duration) {
         let link = &self.links[&key];
--- a/crates/planner/src/worker_link.rs
+++ b/crates/planner/src/worker_link.rs
@@ -29,6 +29,8 @@
 #[derive(Debug)]
 pub(crate) struct WorkerLink {
     pub(crate) address: SocketAddr,
+    /// Where the VM list shows it now, while its runs may go on at its former address.
+    pub(crate) moved_to: Option<SocketAddr>,
     pub(crate) domain: DomainName,
     pub(crate) listed: bool,
     pub(crate) leaving: bool,
@@ -67,6 +69,7 @@
     pub(crate) fn new(address: SocketAddr, domain: DomainName, holds_until: Duration) -> Self {
         Self {
             address,
+            moved_to: None,
             domain,
             listed: true,
             leaving: false,
--- a/crates/planner/tests/planner/worker_faults.rs
+++ b/crates/planner/tests/planner/worker_faults.rs
@@ -1,6 +1,11 @@
 //! Workers that restart, fail, fall silent, or lie about their size.
 
-use jasminebend_base::ResourceAmount;
+use std::sync::Arc;
+
+use jasminebend_base::{
+    ResourceAmount,
+    VmSnapshot, //
+};
 use jasminebend_standins::{
     CallKind,
     FaultKind,
@@ -197,3 +202,31 @@
         }
     }
 }
+
+// A task runs in two places. The VM list shows a VM at a new address while the old one still runs: it
+// lags, or is wrong; the new one knows nothing of the tasks, which are taken for lost.
+#[tokio::test(start_paused = true)]
+async fn a_worker_that_is_listed_elsewhere_lapses_first() {
+    let bed = TestBed::new(6);
+    let listed = bed.vms.borrow().clone();
+    let spare = listed.vms[5].worker.clone().unwrap().address;
+    let show = |moved: bool| {
+        let mut vms = VmSnapshot::clone(&listed);
+        vms.revision += u64::from(moved);
+        vms.vms.truncate(5);
+        if let (true, Some(worker)) = (moved, &mut vms.vms[1].worker) {
+            worker.address = spare;
+        }
+        bed.vms.send_replace(Arc::new(vms));
+    };
+    show(false);
+    let planner = bed.planner(1).await;
+    let services = planner.handle.submit(service(20)).await.unwrap();
+    sleep(seconds(11)).await;
+    assert!(!bed.worker(1).running().is_empty());
+    show(true);
+    sleep(seconds(90)).await;
+    bed.check();
+    assert_eq!(planner.status(services).await.running, 20);
+    assert_eq!(bed.ledger.running().len(), 20);
+}
