Name the worker's incarnation in a start

Cause: a task ran in two places. A worker followed the new owner's epoch and told it that the task was not there; it restarted and forgot the epoch; an adoption and a start of the deposed owner, both stuck in the network, arrived one after the other and were taken.

Change: a start names the incarnation of the worker that it is meant for, and another refuses it: one more field of the order in crates/ports, one more check in the stand-in worker, and three places of its tests and bench that make orders.

Conclusion: an epoch guards a worker only as long as the worker remembers it.

--- a/crates/planner/src/shard_runs.rs
+++ b/crates/planner/src/shard_runs.rs
@@ -125,6 +125,7 @@
             reserved: *reserved,
             payload: job.spec.payload.clone(),
             checkpoint: checkpoint.map(|name| CheckpointId::from(name.as_str())),
+            incarnation: self.links[&run.worker].incarnation,
             valid_for: since + START_WINDOW,
         })
     }
--- a/crates/planner/tests/planner/main.rs
+++ b/crates/planner/tests/planner/main.rs
@@ -11,6 +11,7 @@
 mod failing_work;
 mod failure_domain;
 mod outage;
+mod random_faults;
 mod severed_edges;
 mod step_kill;
 mod submission;
--- a/crates/ports/src/task_order.rs
+++ b/crates/ports/src/task_order.rs
@@ -32,6 +32,10 @@
     pub payload: String,
     /// Where it resumes from; `None` starts it from the beginning.
     pub checkpoint: Option<CheckpointId>,
+    /// The incarnation of the worker that it is meant for. A worker that restarted meanwhile refuses
+    /// it: it has forgotten the epoch that it followed and the runs that ended, by which it would
+    /// know that the order comes late.
+    pub incarnation: Option<u64>,
     /// How long the order may wait on its way: a worker that gets it later than this after the
     /// last renewal it answered refuses it.
     pub valid_for: Duration,
--- a/crates/standins/benches/capacity/workers.rs
+++ b/crates/standins/benches/capacity/workers.rs
@@ -65,6 +65,7 @@
         reserved: ResourceAmount::new(500, 1_000),
         payload: TaskPayload::new(Duration::from_secs(86_400)).to_text(),
         checkpoint: None,
+        incarnation: None,
         valid_for: LEASE,
     }
 }
--- a/crates/standins/src/worker_core.rs
+++ b/crates/standins/src/worker_core.rs
@@ -225,6 +225,10 @@
         order: &TaskOrder,
     ) -> Result<(), WorkerError> {
         self.lease.check_order(now, epoch, order.valid_for)?;
+        let other = |meant| meant != self.incarnation;
+        if order.incarnation.is_some_and(other) {
+            return Err(WorkerError::OutOfDate);
+        }
         let ended = self.ended.rules_out(order.attempt);
         let runs = self.running.has_task(order.attempt);
         if !ended && !runs {
--- a/crates/standins/tests/contracts/worker_calls.rs
+++ b/crates/standins/tests/contracts/worker_calls.rs
@@ -42,6 +42,7 @@
         reserved: ResourceAmount::new(1_000, 1_000),
         payload: TaskPayload::new(4 * SECOND).to_text(),
         checkpoint: None,
+        incarnation: None,
         valid_for: 5 * SECOND,
     }
 }
--- a/crates/standins/tests/fuzz/servers.rs
+++ b/crates/standins/tests/fuzz/servers.rs
@@ -149,6 +149,7 @@
         reserved: ResourceAmount::new(1_000, 1_000),
         payload: TaskPayload::default().to_text(),
         checkpoint: Some("vm-1/1".into()),
+        incarnation: None,
         valid_for: Duration::from_secs(1),
     }
 }
