--- a/crates/standins/tests/fuzz/adapters.rs
+++ b/crates/standins/tests/fuzz/adapters.rs
@@ -137,7 +137,31 @@
     });
 }
 
+#[test]
+fn a_report_with_bytes_after_its_end_is_none() {
+    let runtime = Runtime::new().unwrap();
+    let server = server();
+    let (address, _guard) = runtime.block_on(server.start()).unwrap();
+    for format in [AnswerFormat::Json, AnswerFormat::Postcard] {
+        for (extra, is_report) in [("", true), ("0", false)] {
+            let answer = report_and(format, extra);
+            server.once(EndpointFault::Raw(answer.into()));
+            let renewal = LeaseRenewal {
+                epoch: OwnerEpoch(1),
+                lease: TIMEOUT,
+                acknowledged: Vec::new(),
+            };
+            let report = runtime.block_on(HttpWorkers::new().renew(address, renewal));
+            assert_eq!(report.is_ok(), is_report, "{format:?} {extra}");
+        }
+    }
+}
+
 fn report_in(format: AnswerFormat) -> Vec<u8> {
+    report_and(format, "")
+}
+
+fn report_and(format: AnswerFormat, extra: &str) -> Vec<u8> {
     let usage = TaskUsage {
         attempt: TaskAttempt {
             job: 7,
@@ -155,13 +179,14 @@
         ended: Vec::new(),
         usage: vec![usage],
     });
-    let (kind, body) = match format {
+    let (kind, mut body) = match format {
         AnswerFormat::Json => ("application/json", serde_json::to_vec(&answer).unwrap()),
         AnswerFormat::Postcard => (
             AnswerFormat::POSTCARD_TYPE,
             postcard::to_stdvec(&answer).unwrap(),
         ),
     };
+    body.extend(extra.as_bytes());
     let length = body.len();
     let head =
         format!("HTTP/1.1 200 OK\r\ncontent-type: {kind}\r\ncontent-length: {length}\r\n\r\n");
