--- a/crates/cluster/tests/cluster/membership.rs
+++ b/crates/cluster/tests/cluster/membership.rs
@@ -4,7 +4,8 @@
     RESOURCES,
     TestCluster,
     settle,
-    sleep_ms, //
+    sleep_ms,
+    watch_holders, //
 };
 use indexmap::IndexSet;
 
@@ -43,3 +44,36 @@
     let held: usize = handles.iter().map(|h| h.ownership().held().len()).sum();
     assert_eq!(held, RESOURCES);
 }
+
+/// A roll-out: callers of the daemons that stay would be refused for a moment, each time that a new
+/// daemon takes the seat of one that left.
+#[tokio::test(start_paused = true)]
+async fn those_who_stay_hold_something_at_every_moment_of_a_replacement() {
+    let mut cluster = TestCluster::new(3);
+    let mut handles = cluster.start_all(3).await;
+    for number in 11..14 {
+        handles.remove(0).leave().await;
+        let staying = handles.clone();
+        handles.push(cluster.start(number).await);
+        for step in 0..1_000 {
+            sleep_ms(4).await;
+            for handle in &staying {
+                assert!(!handle.ownership().held().is_empty(), "step {step}");
+            }
+        }
+        settle(&handles).await;
+    }
+}
+
+/// One daemon is started with another number of seats: it would count other majorities than the
+/// others, so it must take no part, and must not disturb them.
+#[tokio::test(start_paused = true)]
+async fn a_daemon_with_other_numbers_takes_no_part() {
+    let mut cluster = TestCluster::new(5);
+    let handles = cluster.start_all(3).await;
+    let settings = cluster.settings(9).with_seats(9);
+    let table = std::sync::Arc::new(cluster.table.clone());
+    let odd = cluster.start_with(9, settings, table).await;
+    assert_eq!(watch_holders(&handles, 5_000).await, RESOURCES);
+    assert!(!odd.ready() && odd.status().seat.is_none());
+}
