Declare names and counts once

Cause: eleven files held the same thirty lines around a text or a number. Change: two macros declare them; a name's file is its doc comment and its name.

--- a/crates/base/src/owner_epoch.rs
+++ b/crates/base/src/owner_epoch.rs
@@ -1,36 +1,8 @@
 //! The epoch of a resource; each change of its holder adds one.
 
-use derive_more::{
-    Display,
-    From, //
-};
-use serde::{
-    Deserialize,
-    Serialize, //
-};
+use crate::count_type::count_type;
 
-/// The epoch of a resource; each change of its holder adds one.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    Default,
-    Deserialize,
-    Display,
-    Eq,
-    From,
-    Hash,
-    Ord,
-    PartialEq,
-    PartialOrd,
-    Serialize,
-)]
-#[serde(transparent)]
-pub struct OwnerEpoch(pub u64);
-
-impl OwnerEpoch {
-    /// Returns the value that follows this one.
-    pub fn next(self) -> Self {
-        Self(self.0.saturating_add(1))
-    }
-}
+count_type!(
+    /// The epoch of a resource; each change of its holder adds one.
+    OwnerEpoch(u64)
+);
--- a/crates/ports/src/row_key.rs
+++ b/crates/ports/src/row_key.rs
@@ -1,27 +1,8 @@
 //! The key of a row: path segments joined by slashes.
 
-use derive_more::{
-    AsRef,
-    Display,
-    From, //
-};
-use serde::{
-    Deserialize,
-    Serialize, //
-};
+use jasminebend_base::text_name;
 
-/// The key of a row: path segments joined by slashes.
-#[derive(
-    AsRef, Clone, Debug, Deserialize, Display, Eq, From, Hash, Ord, PartialEq, PartialOrd, Serialize,
-)]
-#[as_ref(str)]
-#[from(String, &str)]
-#[serde(transparent)]
-pub struct RowKey(String);
-
-impl RowKey {
-    /// Returns the key as text.
-    pub fn as_str(&self) -> &str {
-        &self.0
-    }
-}
+text_name!(
+    /// The key of a row: path segments joined by slashes.
+    RowKey
+);
