Take a pool's lock twice a request instead of six times

At half of what it carries the gateway added 3,898 and 4,683 us of p99 where a plain forwarder at the same rate added 705 and 945: a thread that the machine takes its core from while it holds the lock stops the other as well. Whether there are slots, and which connections are suspect, is now read without the lock; the budget earns where the slot is taken; the queue is looked at where the slot is given back.

--- a/crates/gateway/src/delivery.rs
+++ b/crates/gateway/src/delivery.rs
@@ -90,7 +90,6 @@
             .monotonic()
             .saturating_sub(self.demand.arrival);
         self.class.metrics.queue_seconds.record(waited);
-        self.class.pool.lock().budget.earn();
         let sent_at = self.shared.clock.monotonic();
         let outcome = self.deliver(lease, request).await;
         if let Ok(answer) = &outcome
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -191,12 +191,14 @@
         true => shared.settings.endpoint_idle,
         false => shared.settings.trusted_silence,
     };
+    let suspect = lease.pool().is_suspect(connection.last_heard);
+    if quiet <= most_quiet && !suspect {
+        return Some(connection);
+    }
     let mut state = lease.pool().lock();
-    let suspect = connection.last_heard < state.suspect_before;
     // A connection that is merely quiet is better than none: at a low rate each booking finds its
     // slot's connection quiet, and the endpoint may not have seen the ends of those before it.
-    let usable = quiet <= most_quiet || !state.may_dial(lease.key(), now, 1);
-    if usable && !suspect {
+    if !suspect && !state.may_dial(lease.key(), now, 1) {
         return Some(connection);
     }
     state
--- a/crates/gateway/src/pool_refresh.rs
+++ b/crates/gateway/src/pool_refresh.rs
@@ -56,6 +56,7 @@
         }
     }
     state.serving = serving;
+    pool.set_able(serving > 0 || state.shares_awaited(now).is_some());
     if serving == 0 && state.shares_awaited(now).is_none() {
         refuse_waiting(&mut state, now);
     }
--- a/crates/gateway/src/pool_state.rs
+++ b/crates/gateway/src/pool_state.rs
@@ -75,8 +75,6 @@
     pub(crate) holds_some: bool,
     /// Whether endpoints' own announcements of their end are heeded.
     pub(crate) heed_leaving: bool,
-    /// Idle connections last heard from before this are replaced before use.
-    pub(crate) suspect_before: Duration,
     /// When the log last told of a silent connection.
     pub(crate) warned_at: Option<Duration>,
     retired: Vec<EndpointKey>,
@@ -110,7 +108,6 @@
             vanished_at: None,
             holds_some: false,
             heed_leaving: true,
-            suspect_before: Duration::ZERO,
             warned_at: None,
             retired: Vec::new(),
             source: SmallRng::seed_from_u64(seed),
--- a/crates/gateway/src/service_pool.rs
+++ b/crates/gateway/src/service_pool.rs
@@ -3,10 +3,12 @@
 use std::{
     net::SocketAddr,
     sync::{
-        Arc,
-        Mutex,
-        MutexGuard,
-        PoisonError, //
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{
+            AtomicBool,
+            AtomicU64,
+            Ordering, //
+        },
     },
     time::Duration,
 };
@@ -57,6 +59,10 @@
     pub(crate) clock: Arc<dyn ClockSource>,
     /// Told whenever a slot falls idle.
     pub(crate) idle: Arc<Notify>,
+    /// Whether there are slots to use, or some may come back in a moment; as of the last refresh.
+    able: AtomicBool,
+    /// Idle connections last heard from before this, in nanoseconds, are replaced before use.
+    suspect_before: AtomicU64,
     state: Mutex<PoolState>,
 }
 
@@ -102,6 +108,8 @@
             settings,
             clock,
             idle,
+            able: AtomicBool::new(false),
+            suspect_before: AtomicU64::new(0),
             state: Mutex::new(state),
         }
     }
@@ -114,9 +122,17 @@
     /// Tells whether this daemon has slots of the service to use, or just had some and may have
     /// them again in a moment.
     pub(crate) fn serves(&self) -> bool {
-        let now = self.clock.monotonic();
-        let state = self.lock();
-        state.serving > 0 || state.shares_awaited(now).is_some()
+        self.able.load(Ordering::Relaxed)
+    }
+
+    /// Notes whether there are slots to use.
+    pub(crate) fn set_able(&self, able: bool) {
+        self.able.store(able, Ordering::Relaxed);
+    }
+
+    /// Tells whether an idle connection last heard from at this time may be lost as another one was.
+    pub(crate) fn is_suspect(&self, last_heard: Duration) -> bool {
+        nanos(last_heard) < self.suspect_before.load(Ordering::Relaxed)
     }
 
     /// Takes a slot at once, if one is free.
@@ -157,9 +173,12 @@
         }
         state.apply(&self.settings, key, end, now);
         state.list(Some(key));
+        let wanted = !state.queue.is_empty();
         drop(state);
         self.idle.notify_waiters();
-        self.hand_over();
+        if wanted {
+            self.hand_over();
+        }
     }
 
     /// Hands free slots to waiting requests, in the queue's order.
@@ -188,8 +207,9 @@
     /// as long may be lost in the same way, and are replaced before they are used.
     pub(crate) fn suspect(&self, sent_at: Duration) {
         let now = self.clock.monotonic();
+        self.suspect_before
+            .fetch_max(nanos(sent_at), Ordering::Relaxed);
         let mut state = self.lock();
-        state.suspect_before = state.suspect_before.max(sent_at);
         let quiet = state.warned_at.is_none_or(|at| now >= at + WARN_EVERY);
         if quiet {
             state.warned_at = Some(now);
@@ -219,6 +239,9 @@
     fn offer(self: &Arc<Self>, demand: SlotDemand) -> Result<SlotOffer, Refusal> {
         let now = self.clock.monotonic();
         let mut state = self.lock();
+        if demand.avoid.is_none() {
+            state.budget.earn();
+        }
         if state.queue.is_empty()
             && let Some(key) = state.take_avoiding(now, demand.avoid)
         {
@@ -270,6 +293,11 @@
     }
 }
 
+/// Returns a time in nanoseconds, which suffice for 584 years.
+fn nanos(time: Duration) -> u64 {
+    u64::try_from(time.as_nanos()).unwrap_or(u64::MAX)
+}
+
 /// Takes out the next request that can still meet its target, and refuses those before it that
 /// cannot: they get their final answer at once, and their slot goes to one that it can help.
 fn next_waiter(state: &mut PoolState, now: Duration) -> Option<SlotWaiter> {
