--- a/crates/planner/src/shard_inbox.rs
+++ b/crates/planner/src/shard_inbox.rs
@@ -15,9 +15,11 @@
 use spdlog::warn;
 
 use crate::{
+    RecordError,
     commit_effect::CommitEffect,
     inbox_entry::InboxEntry,
     record_codec,
+    shard_calls::ROWS_PER_SCAN,
     shard_state::ShardState, //
 };
 
@@ -46,8 +48,12 @@
         for row in &submissions {
             self.take_in(row);
         }
+        let all_seen = submissions.len() < ROWS_PER_SCAN;
         for row in &cancels {
-            self.take_cancels(row);
+            self.take_cancels(row, all_seen);
+        }
+        if !all_seen {
+            self.next_scan = self.now();
         }
         // A row that an earlier scan saw may be gone by now, and its job ended: a scan that began
         // after the commit cannot show it again.
@@ -62,8 +68,7 @@
         let entry: InboxEntry = match record_codec::decode(&row.value) {
             Ok(entry) => entry,
             Err(error) => {
-                warn!("[planner] Submission {} is left alone: {}.", row.key, error);
-                return;
+                return self.leave_alone(row, error);
             }
         };
         let job = entry.job;
@@ -85,26 +90,35 @@
         }
     }
 
-    fn take_cancels(&mut self, row: &TableRow) {
+    /// Takes cancellations in. While some submissions were not read yet, a job that is not known may be
+    /// among them; its cancellation is kept for the next look, or the job would run for good.
+    fn take_cancels(&mut self, row: &TableRow, all_seen: bool) {
         let jobs: Vec<JobId> = match record_codec::decode(&row.value) {
             Ok(jobs) => jobs,
             Err(error) => {
-                warn!(
-                    "[planner] Cancellation {} is left alone: {}.",
-                    row.key, error
-                );
-                return;
+                return self.leave_alone(row, error);
             }
         };
         for job in jobs {
             self.cancel(job);
         }
+        if !all_seen {
+            return;
+        }
         if let Some(writer) = &mut self.writer {
             let expected = RowExpectation::Any;
             writer.push_row(RowChange::delete(row.key.clone(), expected));
         }
     }
 
+    /// Leaves a row that cannot be read for a release that can, and tells so once.
+    fn leave_alone(&mut self, row: &TableRow, error: RecordError) {
+        if self.left_alone.insert(row.key.clone()) {
+            warn!("[planner] Row {} is left alone: {}.", row.key, error);
+            metrics::counter!("jasminebend_planner_unreadable_rows_total").increment(1);
+        }
+    }
+
     /// Gives a job up; a second time, or after its end, changes nothing.
     fn cancel(&mut self, job: JobId) {
         if self.ledger.job(job).is_none_or(|record| record.cancelled) {
