Check that all recover, and mend two ways in which a share stayed unused for good

Cause: the exploration looked for harm only, not for daemons or shares that never work again. Change: each course ends with everything mended, and all daemons must work and all resources be held 45 s later. That showed shares unused for good: given to a daemon whose seat was emptied by a write on another row at the same moment (10 of 1,500 seeds), or to a daemon that never learned of its seat (2 of 4,000). Writes that give resources or take seats expect both rows now, and a process takes over what was given to itself unknowingly. The seeds of the guards were found anew, as the courses are other ones; the discount of former processes is shown on the machine itself now. Conclusion: recovery is checked as strictly as safety.

--- a/crates/ownership/benches/explore.rs
+++ b/crates/ownership/benches/explore.rs
@@ -1,5 +1,5 @@
 //! A long exploration of the rule, by hand: `cargo bench -p jasminebend-ownership --bench explore --
-//! [SEEDS] [GUARD]`. Without a guard's name it looks for a fault with all guards; with one, or
+//! [SEEDS] [GUARD] [FIRST]`. Without a guard's name it looks for a fault with all guards; with one, or
 //! `each`, for the first seed that shows a fault without that guard.
 
 #[path = "../tests/explore/referee.rs"]
@@ -23,6 +23,8 @@
     GuardSet, //
 };
 
+use crate::referee::Fault;
+
 /// Few threads: the machine is shared.
 const THREADS: u64 = 3;
 
@@ -36,9 +38,10 @@
         run_all(seeds);
         return;
     };
+    let first = arguments.next().and_then(|word| word.parse().ok());
     for guard in Guard::ALL {
         if name == "each" || name == format!("{guard:?}") {
-            find_first(guard, seeds);
+            find_first(guard, first.unwrap_or(0), seeds);
         }
     }
 }
@@ -73,10 +76,13 @@
     );
 }
 
-fn find_first(guard: Guard, seeds: u64) {
+fn find_first(guard: Guard, first: u64, seeds: u64) {
     let guards = GuardSet::new().without(guard);
     let started = Instant::now();
-    let found = (0..seeds).find_map(|seed| Some((seed, world::explore(seed, guards).err()?)));
+    let found = (first..first + seeds).find_map(|seed| match world::explore(seed, guards) {
+        Ok(_) | Err(Fault::Stuck { .. } | Fault::Unheld { .. }) => None,
+        Err(fault) => Some((seed, fault)),
+    });
     match found {
         Some((seed, fault)) => {
             println!("{guard:?}: seed {seed}, {fault:?}, {:?}", started.elapsed())
--- a/crates/ownership/src/machine_attempt.rs
+++ b/crates/ownership/src/machine_attempt.rs
@@ -150,49 +150,34 @@
             });
         }
         let ownership = self.after_seat_change(&members, attempt, old);
-        self.drop_former(&mut members, ownership.as_ref().map(|row| &row.row));
+        drop_former(&mut members, &ownership.row);
         let mut write = self.members_write(members);
-        write.ownership = ownership;
+        write.ownership = ownership.version.is_some().then_some(ownership);
         Some(write)
     }
 
-    fn drop_former(&self, members: &mut MembersRow, ownership: Option<&OwnershipRow>) {
-        let Some(table) = &self.table else {
-            return;
-        };
-        let ownership = ownership.unwrap_or(&table.ownership.row);
-        for (seat, record) in (0u8..).map(SeatNumber).zip(&mut members.seats) {
-            record.former.retain(|former| {
-                let id = HolderId {
-                    seat,
-                    incarnation: former.holder.incarnation,
-                };
-                ownership.held_by(id).next().is_some()
-            });
-        }
-    }
-
+    /// Returns the resources after the change. They are written even if they are the same, so that
+    /// nothing can have been given to the seat's former holder meanwhile.
     fn after_seat_change(
         &self,
         members: &MembersRow,
         attempt: &SeatAttempt,
         old: Option<HolderId>,
-    ) -> Option<VersionedRow<OwnershipRow>> {
-        let table = self.table.as_ref()?;
-        table.ownership.version?;
-        let mut row = table.ownership.row.clone();
+    ) -> VersionedRow<OwnershipRow> {
+        let mut ownership = self
+            .table
+            .as_ref()
+            .map(|table| table.ownership.clone())
+            .unwrap_or_default();
         if let (true, Some(old)) = (attempt.claim, old) {
             let id = HolderId {
                 seat: attempt.seat,
                 incarnation: attempt.epoch,
             };
-            self.inherit(&mut row, old, id);
+            self.inherit(&mut ownership.row, old, id);
         }
-        self.assign_orphans(members, &mut row);
-        (row != table.ownership.row).then_some(VersionedRow {
-            version: table.ownership.version,
-            row,
-        })
+        self.assign_orphans(members, &mut ownership.row);
+        ownership
     }
 
     /// Tells whether more than half of all members can vouch for nothing older any more.
@@ -201,3 +186,16 @@
         count.asked > 0 && count.is_majority()
     }
 }
+
+/// Forgets former holders that hold nothing any more.
+fn drop_former(members: &mut MembersRow, ownership: &OwnershipRow) {
+    for (seat, record) in (0u8..).map(SeatNumber).zip(&mut members.seats) {
+        record.former.retain(|former| {
+            let id = HolderId {
+                seat,
+                incarnation: former.holder.incarnation,
+            };
+            ownership.held_by(id).next().is_some()
+        });
+    }
+}
--- a/crates/ownership/src/machine_balance.rs
+++ b/crates/ownership/src/machine_balance.rs
@@ -155,11 +155,16 @@
         self.ownership_write(row)
     }
 
+    /// Returns the write of the resources, if they change. It expects the members as they were read
+    /// too: were a resource given to a daemon that has just lost its seat, nobody would find it again.
     pub(crate) fn ownership_write(&self, row: OwnershipRow) -> Option<SharedWrite> {
         let table = self.table.as_ref()?;
-        let version = table.ownership.version;
         (row != table.ownership.row).then(|| SharedWrite {
-            ownership: Some(VersionedRow { version, row }),
+            members: Some(table.members.clone()),
+            ownership: Some(VersionedRow {
+                version: table.ownership.version,
+                row,
+            }),
             ..SharedWrite::default()
         })
     }
@@ -184,7 +189,8 @@
             .entries()
             .filter(|(resource, entry)| {
                 entry.holder.is_none_or(|holder| {
-                    members.has_lost_seat(holder) && self.may_take(*resource, holder)
+                    members.has_lost_seat(holder)
+                        && (self.may_take(*resource, holder) || self.was_self(members, holder))
                 })
             })
             .map(|(resource, _)| resource)
@@ -211,6 +217,19 @@
         }
     }
 
+    /// Tells whether this process itself sat there without ever learning of it: the answer that would
+    /// have told it was lost, and then the seat. It cannot have acted; what it did learn of holding is
+    /// given back before another seat is taken.
+    fn was_self(&self, members: &MembersRow, holder: HolderId) -> bool {
+        let record = members.seat(holder.seat);
+        let mut former = record.iter().flat_map(|record| &record.former);
+        self.lost.is_none()
+            && former.any(|former| {
+                former.holder.incarnation == holder.incarnation
+                    && former.holder.daemon.nonce == self.daemon.nonce
+            })
+    }
+
     fn may_take(&self, resource: ResourceId, holder: HolderId) -> bool {
         is_shard(&resource)
             || self.gone.contains(&holder)
--- a/crates/ownership/src/machine_peers.rs
+++ b/crates/ownership/src/machine_peers.rs
@@ -19,6 +19,9 @@
     vouch_record::VouchRecord, //
 };
 
+/// Up to how many members ask each other at the full pace.
+const MEMBERS_AT_FULL_PACE: u32 = 25;
+
 /// How often a silent process is probed.
 const PROBE_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -187,7 +190,7 @@
     pub(crate) fn ask_if_due(&mut self, now: Duration, actions: &mut Vec<MemberAction>) {
         let due = self
             .asked_at
-            .is_none_or(|at| now >= at.saturating_add(self.settings.heartbeat));
+            .is_none_or(|at| now >= at.saturating_add(self.heartbeat()));
         let Some((from, epoch)) = self.voice().filter(|_| due) else {
             return;
         };
@@ -217,6 +220,23 @@
         }
     }
 
+    /// Each daemon asks every other one, so among many members they ask less often, which keeps the
+    /// bytes of each within bounds.
+    fn heartbeat(&self) -> Duration {
+        self.settings.heartbeat * self.pace()
+    }
+
+    /// After which silence a daemon is probed; some heartbeats may be lost before.
+    pub(crate) fn probe_after(&self) -> Duration {
+        self.settings.probe_after * self.pace()
+    }
+
+    fn pace(&self) -> u32 {
+        let members = self.members().map_or(0, |members| members.seated().count());
+        // CAST: there are at most 64 seats.
+        (members as u32).div_ceil(MEMBERS_AT_FULL_PACE).max(1)
+    }
+
     /// As whom this daemon speaks: as who sits in its seat, or as who is taking one.
     fn voice(&self) -> Option<(SeatNumber, u64)> {
         if let Some(hold) = self.hold {
--- a/crates/ownership/src/machine_return.rs
+++ b/crates/ownership/src/machine_return.rs
@@ -5,7 +5,8 @@
 use crate::{
     MemberMachine,
     OwnershipRow,
-    SharedWrite, //
+    SharedWrite,
+    VersionedRow, //
 };
 
 impl MemberMachine {
@@ -25,7 +26,9 @@
                 None => give_back(&mut row, resource),
             }
         }
-        if !busy && row == table.ownership.row {
+        // What was read before the loss may lack what was given to this daemon just before it.
+        let read_since = self.lost_at.is_some_and(|lost_at| table.asked_at > lost_at);
+        if !busy && read_since && row == table.ownership.row {
             self.lost = None;
             self.releasing.clear();
             self.released.clear();
@@ -54,7 +57,8 @@
         record.holder = None;
         record.intent = None;
         let mut write = self.members_write(members);
-        write.ownership = self.ownership_write(row).and_then(|write| write.ownership);
+        let version = table.ownership.version;
+        write.ownership = version.is_some().then_some(VersionedRow { version, row });
         Some(write)
     }
 }
--- a/crates/ownership/src/machine_seat.rs
+++ b/crates/ownership/src/machine_seat.rs
@@ -149,7 +149,7 @@
         let delay = RANK_DELAY * self.rank(now);
         let silent_since = self.heard[usize::from(seat.0)].1;
         if self.gone.contains(&id) {
-            return now >= silent_since.saturating_add(self.settings.probe_after + delay);
+            return now >= silent_since.saturating_add(self.probe_after() + delay);
         }
         let defended = self.defended[usize::from(seat.0)]
             .is_some_and(|at| now < at.saturating_add(self.settings.defended_for));
--- a/crates/ownership/src/machine_table.rs
+++ b/crates/ownership/src/machine_table.rs
@@ -150,7 +150,7 @@
         match (self.hold, found) {
             (None, Some(hold)) if self.lost.is_none() => self.begin_hold(now, hold),
             (Some(old), Some(new)) if old.id == new.id => self.hold = Some(new),
-            (Some(old), _) => self.lose_hold(old.id),
+            (Some(old), _) => self.lose_hold(now, old.id),
             (None, _) => (),
         }
         let read_since = self
@@ -167,13 +167,15 @@
         self.speaking = !self.settings.guards.has(Guard::ReadBeforeSpeaking);
     }
 
-    fn lose_hold(&mut self, id: HolderId) {
+    fn lose_hold(&mut self, now: Duration, id: HolderId) {
         self.hold = None;
         self.seated_at = None;
         self.speaking = false;
         self.attempt = None;
         self.change = None;
         self.lost = Some(id);
+        self.lost_at = Some(now);
+        self.poll_wanted = true;
     }
 
     fn find_own_seat(&self, members: &MembersRow) -> Option<SeatHold> {
--- a/crates/ownership/src/machine_view.rs
+++ b/crates/ownership/src/machine_view.rs
@@ -133,9 +133,7 @@
         }
         self.heard
             .get(usize::from(seat.0))
-            .is_some_and(|(nonce, at)| {
-                *nonce != 0 && now < at.saturating_add(self.settings.probe_after)
-            })
+            .is_some_and(|(nonce, at)| *nonce != 0 && now < at.saturating_add(self.probe_after()))
     }
 
     fn usable(&self, resource: ResourceId) -> Option<&OwnershipEntry> {
--- a/crates/ownership/src/member_machine.rs
+++ b/crates/ownership/src/member_machine.rs
@@ -44,6 +44,7 @@
     pub(crate) speaking: bool,
     /// The identity that was lost while it held resources.
     pub(crate) lost: Option<HolderId>,
+    pub(crate) lost_at: Option<Duration>,
     pub(crate) known: KnownEpochs,
     pub(crate) table: Option<TableSnapshot>,
     /// No write is decided before a read that was asked after this.
@@ -91,6 +92,7 @@
             seated_at: None,
             speaking: false,
             lost: None,
+            lost_at: None,
             known: KnownEpochs::new(settings.seats),
             table: None,
             read_from: None,
--- a/crates/ownership/tests/claims.rs
+++ b/crates/ownership/tests/claims.rs
@@ -1,4 +1,4 @@
-//! Courses shown on the machine itself: two guards whose fault is too rare for random courses, and
+//! Courses shown on the machine itself: guards whose fault is too rare for random courses, and
 //! what the exploration found once.
 
 #![expect(
@@ -142,6 +142,32 @@
     )
 }
 
+/// A daemon without the table is vouched for by a peer; then the peer's seat passes to another
+/// process, which was told of a change. What the former process said must count no more.
+#[test]
+fn what_a_seats_former_process_said_counts_no_more() {
+    for (guards, vouched) in [
+        (GuardSet::new(), false),
+        (GuardSet::new().without(Guard::DiscountFormer), true),
+    ] {
+        let mut machine = machine(guards);
+        let at = Duration::from_secs;
+        machine.read_table(at(1), snapshot(1, 1, &[SELF, PEER]));
+        machine.read_table(at(3), snapshot(2, 1, &[SELF, PEER]));
+        machine.tick(at(4));
+        let answer = PeerBody::Answer {
+            number: 1,
+            report: PeerReport::default(),
+        };
+        machine.receive(at(4), message(answer));
+        assert!(machine.peers_vouch(at(5)), "the peer sits in its seat");
+        let mut passed = snapshot(3, 2, &[SELF, 9]);
+        passed.members.row.seats[1].epoch = 2;
+        machine.read_table(at(5), passed);
+        assert_eq!(machine.peers_vouch(at(5)), vouched, "{guards:?}");
+    }
+}
+
 /// A poll reads the members, then another daemon sits down and is given a shard, then the poll reads
 /// the resources. The reader took the shard for one whose holder had lost its seat, and two daemons
 /// held it. An early world of the exploration showed this under seed 21.
--- a/crates/ownership/tests/explore/main.rs
+++ b/crates/ownership/tests/explore/main.rs
@@ -14,6 +14,21 @@
 /// Seeds that CI runs each time.
 const SEEDS: std::ops::Range<u64> = 0..40;
 
+/// Courses that showed a fault once, all at their end, when everything worked again: a share stayed
+/// unused for good, because it was given to a daemon in the moment in which that lost its seat, or
+/// because a daemon lost a seat that it had never learned of holding.
+const FOUND: [u64; 12] = [
+    43, 72, 150, 170, 198, 373, 435, 520, 611, 1_432, 1_895, 3_181,
+];
+
+#[test]
+fn courses_that_showed_a_fault_once_show_none() {
+    for seed in FOUND {
+        let fault = world::explore(seed, GuardSet::new()).err();
+        assert_eq!(fault, None, "seed {seed}");
+    }
+}
+
 #[test]
 fn no_course_shows_a_fault_with_all_guards() {
     let mut moves = 0;
@@ -36,6 +51,7 @@
     TwoAtEndpoint,
     OldConfiguration,
     Reverted,
+    NoRecovery,
 }
 
 fn harm_of(fault: &Fault) -> Harm {
@@ -44,29 +60,29 @@
         Fault::TwoAtEndpoint { .. } => Harm::TwoAtEndpoint,
         Fault::OldConfiguration { .. } => Harm::OldConfiguration,
         Fault::Reverted { .. } => Harm::Reverted,
+        Fault::Stuck { .. } | Fault::Unheld { .. } => Harm::NoRecovery,
     }
 }
 
-/// Each guard is taken out once: the course of the seed shows the fault without it, and none with
+/// Each guard but three is taken out once (`claims.rs` shows those): the course of the seed shows the fault without it, and none with
 /// it. The seeds are the first that did; `cargo bench --bench explore -- 6000 each` finds them.
 #[test]
 fn each_guard_is_missed_when_it_is_taken_out() {
     let cases = [
-        (Guard::IntentBeforeTelling, 2, Harm::TwoHolders),
-        (Guard::TellMajority, 280, Harm::TwoHolders),
-        (Guard::WaitAfterTelling, 28, Harm::TwoHolders),
-        (Guard::TellNewer, 20, Harm::OldConfiguration),
-        (Guard::VouchMajority, 217, Harm::TwoHolders),
-        (Guard::CountFromAsk, 244, Harm::OldConfiguration),
-        (Guard::CountFromPoll, 27, Harm::OldConfiguration),
+        (Guard::IntentBeforeTelling, 1, Harm::TwoAtEndpoint),
+        (Guard::TellMajority, 140, Harm::TwoHolders),
+        (Guard::WaitAfterTelling, 129, Harm::TwoHolders),
+        (Guard::TellNewer, 13, Harm::TwoHolders),
+        (Guard::VouchMajority, 39, Harm::TwoHolders),
+        (Guard::CountFromAsk, 504, Harm::OldConfiguration),
+        (Guard::CountFromPoll, 20, Harm::OldConfiguration),
         (Guard::DriftMargin, 19, Harm::OldConfiguration),
-        (Guard::DiscountFormer, 7_474, Harm::OldConfiguration),
-        (Guard::SilenceIsNotGone, 58, Harm::OldConfiguration),
-        (Guard::ReleaseIsFinal, 15, Harm::TwoAtEndpoint),
-        (Guard::IdleAfterForce, 59, Harm::TwoAtEndpoint),
-        (Guard::SlotsOnlyFromGone, 3_272, Harm::TwoAtEndpoint),
+        (Guard::SilenceIsNotGone, 140, Harm::OldConfiguration),
+        (Guard::ReleaseIsFinal, 17, Harm::TwoHolders),
+        (Guard::IdleAfterForce, 30, Harm::TwoAtEndpoint),
+        (Guard::SlotsOnlyFromGone, 1_190, Harm::TwoAtEndpoint),
         (Guard::RowsNeverRevert, 3, Harm::TwoHolders),
-        (Guard::TellConfiguration, 8, Harm::OldConfiguration),
+        (Guard::TellConfiguration, 140, Harm::OldConfiguration),
     ];
     for (guard, seed, harm) in cases {
         let without = world::explore(seed, GuardSet::new().without(guard));
--- a/crates/ownership/tests/explore/referee.rs
+++ b/crates/ownership/tests/explore/referee.rs
@@ -19,6 +19,10 @@
     OldConfiguration { at: u64 },
     /// The configuration in force at a daemon, or in the table, went back.
     Reverted { at: u64 },
+    /// A daemon does not work again although all else does.
+    Stuck { address: u16 },
+    /// Not all resources are held again.
+    Unheld { held: usize },
 }
 
 /// A request that a daemon began.
--- a/crates/ownership/tests/explore/world.rs
+++ b/crates/ownership/tests/explore/world.rs
@@ -46,6 +46,9 @@
 pub(crate) const LONGEST_MS: u64 = 4_000;
 const RUN_MS: u64 = 60_000;
 
+/// How long all works at the end of a course, until all must have recovered.
+const RECOVERY_MS: u64 = 45_000;
+
 #[derive(Clone, Debug)]
 pub(crate) enum Event {
     Tick(usize),
@@ -108,18 +111,17 @@
     pub(crate) referee: Referee,
     next_address: u16,
     slow: bool,
+    healed: bool,
     fast_drift: bool,
 }
 
 /// Runs one course; the first fault that the referee sees ends it.
 pub(crate) fn explore(seed: u64, guards: GuardSet) -> Result<Referee, Fault> {
     let mut world = World::new(seed, guards);
-    while world.now < RUN_MS {
-        world.step();
-        if let Some(fault) = world.referee.fault.take() {
-            return Err(fault);
-        }
-    }
+    world.run_until(RUN_MS)?;
+    world.heal();
+    world.run_until(RUN_MS + RECOVERY_MS)?;
+    world.check_recovered()?;
     Ok(world.referee)
 }
 
@@ -140,6 +142,7 @@
             referee: Referee::default(),
             next_address: u16::from(SEATS) + 1,
             slow: false,
+            healed: false,
             fast_drift: seed % 2 == 1,
         };
         for address in 1..=u16::from(SEATS) {
@@ -151,6 +154,41 @@
         world
     }
 
+    fn run_until(&mut self, end: u64) -> Result<(), Fault> {
+        while self.now < end {
+            self.step();
+            if let Some(fault) = self.referee.fault.take() {
+                return Err(fault);
+            }
+        }
+        Ok(())
+    }
+
+    fn heal(&mut self) {
+        self.healed = true;
+        self.slow = false;
+        self.cut.clear();
+        self.no_table.clear();
+    }
+
+    /// Everybody works again by the newest configuration, and every resource is held.
+    fn check_recovered(&self) -> Result<(), Fault> {
+        let version = self.rows.configuration.row.version;
+        let mut held = 0;
+        for (address, p) in &self.listening {
+            let machine = &self.processes[*p].machine;
+            let ready = machine.may_start(self.local(*p)) && machine.in_force() == version;
+            if !ready {
+                return Err(Fault::Stuck { address: *address });
+            }
+            held += machine.held(self.local(*p)).len();
+        }
+        match held == usize::from(SLOTS + SHARDS) {
+            true => Ok(()),
+            false => Err(Fault::Unheld { held }),
+        }
+    }
+
     fn schedule(&mut self, delay: u64, event: Event) {
         self.order += 1;
         self.events.push(Some(event));
@@ -164,7 +202,7 @@
 
     fn step(&mut self) {
         let Some(Reverse((at, _, index))) = self.queue.pop() else {
-            self.now = RUN_MS;
+            self.now = RUN_MS + RECOVERY_MS;
             return;
         };
         self.now = at;
@@ -228,8 +266,9 @@
                 self.processes[p].machine.install_configuration(version);
                 self.processes[p].installing = 0;
             }
-            Event::Propose => self.propose(),
-            Event::Chaos => self.chaos(),
+            Event::Propose if !self.healed => self.propose(),
+            Event::Chaos if !self.healed => self.chaos(),
+            Event::Propose | Event::Chaos => (),
         }
     }
 
