--- a/crates/jasminebend/src/process_usage.rs
+++ b/crates/jasminebend/src/process_usage.rs
@@ -1,4 +1,4 @@
-//! What this process uses.
+//! What a process uses.
 
 use std::{
     fs,
@@ -8,11 +8,11 @@
 const PAGE: u64 = 4096;
 /// The unit of the processor times in `/proc`; 100 a second on every Linux that Rust runs on.
 const TICK: Duration = Duration::from_millis(10);
-/// The places of the user and the system time in `/proc/self/stat`, after the program's name.
+/// The places of the user and the system time in `/proc/PROCESS/stat`, after the program's name.
 const USER_TIME: usize = 11;
 const SYSTEM_TIME: usize = 12;
 
-/// What this process uses.
+/// What a process uses.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct ProcessUsage {
     /// Bytes of memory that are resident.
@@ -22,23 +22,28 @@
 }
 
 impl ProcessUsage {
-    /// Reads `/proc`; `None` where there is none.
+    /// Reads `/proc` for this process; `None` where there is none.
     pub fn read() -> Option<Self> {
+        Self::of("self")
+    }
+
+    /// Reads `/proc` for the process of this number.
+    pub fn of(process: &str) -> Option<Self> {
         Some(Self {
-            resident: resident()?,
-            processor: processor()?,
+            resident: resident(process)?,
+            processor: processor(process)?,
         })
     }
 }
 
-fn resident() -> Option<u64> {
-    let sizes = fs::read_to_string("/proc/self/statm").ok()?;
+fn resident(process: &str) -> Option<u64> {
+    let sizes = fs::read_to_string(format!("/proc/{process}/statm")).ok()?;
     let pages: u64 = sizes.split(' ').nth(1)?.parse().ok()?;
     Some(pages * PAGE)
 }
 
-fn processor() -> Option<Duration> {
-    let stat = fs::read_to_string("/proc/self/stat").ok()?;
+fn processor(process: &str) -> Option<Duration> {
+    let stat = fs::read_to_string(format!("/proc/{process}/stat")).ok()?;
     let (_, fields) = stat.rsplit_once(") ")?;
     let ticks = |place: usize| fields.split(' ').nth(place)?.parse::<u32>().ok();
     Some(TICK * (ticks(USER_TIME)? + ticks(SYSTEM_TIME)?))
