--- a/crates/jasminebend/benches/control_cost.rs
+++ b/crates/jasminebend/benches/control_cost.rs
@@ -1,11 +1,10 @@
-//! What control costs seven idle daemons, at several numbers of workers.
+//! What control costs each of seven real daemons, at several numbers of workers: processor time, memory, calls of the
+//! table. No caller sends anything.
 //!
-//! `cargo bench --package jasminebend --bench control_cost`
-//!
-//! The daemons are processes of their own; the platform, the endpoints and the workers are stand-ins
-//! in this one, over real HTTP. Nothing is asked of the daemons, so that all they do is control.
+//! `cargo bench --package jasminebend --bench control_cost -- [SHARDS]` (long: about 3 minutes)
 
 use std::{
+    env,
     fs,
     io::{
         BufRead,
@@ -26,183 +25,327 @@
     time::Duration, //
 };
 
-use jasminebend::ProcessUsage;
+use http::Method;
 use jasminebend_base::{
+    ConfigurationVersion,
     DomainName,
     ResourceAmount,
-    VmRecord, //
+    VmName,
+    VmRecord,
+    VmState, //
 };
 use jasminebend_ports::{
     ClockSource,
     SystemClock, //
 };
 use jasminebend_standins::{
-    EndpointLedger,
-    EndpointStandIn,
     FleetShape,
     ObjectStandIn,
     RunLedger,
     ServerGuard,
     TableStandIn,
+    TaskPayload,
     VmListStandIn,
     WorkerFleet, //
 };
-use tokio::{
-    runtime::Runtime,
-    time::sleep, //
+use jbctl::{
+    AdminAnswer,
+    AdminCall,
+    AdminClient,
+    TargetOptions, //
 };
+use tokio::time::sleep;
 
+const SIZES: [usize; 4] = [10, 50, 200, 650];
+const TASKS_A_WORKER: usize = 8;
 const DAEMONS: usize = 7;
-const ENDPOINTS: usize = 50;
+const DOMAINS: [&str; 3] = ["a", "b", "c"];
 const RACK: usize = 8;
-/// Numbers of workers, and of shards among which they are divided.
-const SIZES: [(usize, u16); 5] = [(0, 1), (65, 1), (500, 1), (500, 8), (2600, 8)];
-/// Until seats, shares and workers are taken.
-const SETTLE: Duration = Duration::from_secs(20);
+const SETTLE: Duration = Duration::from_secs(15);
 const MEASURE: Duration = Duration::from_secs(20);
-const SEED: u64 = 7;
+const LONG_WORK: Duration = Duration::from_secs(3_600);
 
 fn main() {
-    let runtime = Runtime::new().expect("a runtime");
-    println!("workers shards  cpu % of a core: least mean most  MiB: mean most  calls a worker");
-    for (workers, shards) in SIZES {
-        runtime.block_on(measure(workers, shards));
+    let shards = env::args().filter_map(|word| word.parse().ok()).next();
+    let runtime = tokio::runtime::Runtime::new().expect("a runtime");
+    runtime.block_on(measure(shards.unwrap_or(1)));
+}
+
+async fn measure(shards: u16) {
+    println!(
+        "{DAEMONS} daemons, {shards} shards, {TASKS_A_WORKER} running tasks a worker; the most of any daemon:"
+    );
+    println!(
+        "| workers | tasks | core | core, median | memory | table reads/s | table writes/s | of peers, bytes/s |"
+    );
+    println!("|---|---|---|---|---|---|---|---|");
+    for workers in SIZES {
+        measure_size(workers, shards).await;
     }
 }
 
-async fn measure(workers: usize, shards: u16) {
-    let platform = BenchPlatform::start(workers, shards).await;
-    let mut daemons = BenchDaemons::start(&platform.settings);
+async fn measure_size(workers: usize, shards: u16) {
+    let site = BenchSite::start(workers).await;
+    let daemons: Vec<DaemonProcess> = (0..DAEMONS)
+        .map(|place| DaemonProcess::start(&site, place, shards))
+        .collect();
+    let operator = daemons[0].admin;
+    configure(operator).await;
+    submit(operator, workers * TASKS_A_WORKER).await;
     sleep(SETTLE).await;
-    let calls = platform.worker_calls();
-    let before = daemons.usage();
+    let running = site.runs.running().len();
+    let before: Vec<Duration> = daemons.iter().map(DaemonProcess::processor).collect();
+    let peers = peer_bytes(&daemons).await;
+    let calls = site.table.faults().counts();
     sleep(MEASURE).await;
-    let after = daemons.usage();
-    let calls = platform.worker_calls() - calls;
-    let shares = before.iter().zip(&after).map(|(before, after)| {
-        let used = after.processor - before.processor;
-        100.0 * used.as_secs_f64() / MEASURE.as_secs_f64()
-    });
-    let shares: Vec<f64> = shares.collect();
-    let least = shares.iter().copied().fold(f64::MAX, f64::min);
-    let most = shares.iter().copied().fold(0.0, f64::max);
-    // CAST: these numbers are small.
-    let mean = shares.iter().sum::<f64>() / DAEMONS as f64;
-    let sizes = after.iter().map(|usage| usage.resident >> 20);
-    let largest = sizes.clone().max().unwrap_or_default();
-    let size = sizes.sum::<u64>() / DAEMONS as u64;
-    // CAST: these numbers are small.
-    let calls = calls as f64 / workers.max(1) as f64;
+    let after = site.table.faults().counts();
+    let sent = peer_bytes(&daemons).await - peers;
+    let mut cores: Vec<f64> = daemons
+        .iter()
+        .zip(before)
+        .map(|(daemon, before)| (daemon.processor() - before).as_secs_f64() / MEASURE.as_secs_f64())
+        .collect();
+    cores.sort_by(f64::total_cmp);
+    let memory = daemons
+        .iter()
+        .map(DaemonProcess::resident_mib)
+        .max()
+        .unwrap_or(0);
+    let rate = |count: u64| count as f64 / MEASURE.as_secs_f64();
     println!(
-        "{workers:7} {shards:6}  {least:22.2} {mean:4.2} {most:4.2}  {size:9} {largest:4}  {calls:14.1}"
+        "| {workers} | {running} | {:.2}% | {:.2}% | {memory} MiB | {:.1} | {:.2} | {:.0} |",
+        100.0 * cores[DAEMONS - 1],
+        100.0 * cores[DAEMONS / 2],
+        rate(after.reads - calls.reads),
+        rate(after.writes - calls.writes),
+        sent / MEASURE.as_secs_f64() / DAEMONS as f64,
+    );
+}
+
+async fn configure(operator: SocketAddr) {
+    let domains: Vec<_> = DOMAINS
+        .iter()
+        .map(|name| serde_json::json!({"name": name, "region": "r"}))
+        .collect();
+    let configuration = serde_json::json!({
+        "version": 0,
+        "domains": domains,
+        "classes": [{"name": "batch", "kind": "batch", "target": {"finish_within": "10h"}}],
+        "teams": [{"name": "t", "limit": ResourceAmount::new(u64::MAX / 2, u64::MAX / 2)}],
+    });
+    let version = Some(ConfigurationVersion(0));
+    let call = call(
+        Method::PUT,
+        "/v1/configuration",
+        configuration.to_string(),
+        version,
     );
-    daemons.stop();
+    call_until_done(operator, call).await;
 }
 
-/// The platform, fifty endpoints and some workers.
-struct BenchPlatform {
-    settings: PathBuf,
-    fleet: WorkerFleet,
+async fn submit(operator: SocketAddr, tasks: usize) {
+    let job = serde_json::json!({
+        "team": "t",
+        "class": "batch",
+        "tasks": tasks,
+        "size": ResourceAmount::new(1_000, 1_024),
+        "payload": TaskPayload::new(LONG_WORK).to_text(),
+        "key": "bench",
+    });
+    let call = call(Method::POST, "/v1/jobs", job.to_string(), None);
+    call_until_done(operator, call).await;
+}
+
+async fn call_until_done(operator: SocketAddr, call: AdminCall) {
+    loop {
+        let answer = ask(operator, call.clone()).await;
+        if answer
+            .as_ref()
+            .is_some_and(|answer| answer.status.is_success())
+        {
+            return;
+        }
+        sleep(Duration::from_millis(300)).await;
+    }
+}
+
+async fn ask(operator: SocketAddr, call: AdminCall) -> Option<AdminAnswer> {
+    let target = TargetOptions {
+        address: operator.to_string(),
+        ..TargetOptions::new()
+    };
+    let client = AdminClient::new(&target).ok()?;
+    client.call(&call).await.ok()
+}
+
+fn call(
+    method: Method,
+    path: &str,
+    body: String,
+    expected: Option<ConfigurationVersion>,
+) -> AdminCall {
+    AdminCall {
+        method,
+        path: path.to_owned(),
+        expected,
+        body: body.into(),
+    }
+}
+
+async fn peer_bytes(daemons: &[DaemonProcess]) -> f64 {
+    let mut sum = 0.0;
+    for daemon in daemons {
+        let call = call(Method::GET, "/metrics", String::new(), None);
+        let Some(answer) = ask(daemon.admin, call).await else {
+            continue;
+        };
+        let text = String::from_utf8_lossy(&answer.body).into_owned();
+        let lines = text
+            .lines()
+            .filter(|line| line.starts_with("jasminebend_peer_bytes_sent_total"));
+        let values = lines.filter_map(|line| line.rsplit(' ').next()?.parse::<f64>().ok());
+        sum += values.sum::<f64>();
+    }
+    sum
+}
+
+/// The platform and the workers of one measurement.
+struct BenchSite {
+    table: TableStandIn,
+    runs: Arc<RunLedger>,
+    addresses: [SocketAddr; 3],
+    directory: PathBuf,
     _guards: Vec<ServerGuard>,
 }
 
-impl BenchPlatform {
-    async fn start(workers: usize, shards: u16) -> Self {
-        let mut guards = Vec::new();
+impl BenchSite {
+    async fn start(workers: usize) -> Self {
         let clock: Arc<dyn ClockSource> = Arc::new(SystemClock::new());
+        let runs = Arc::new(RunLedger::new());
         let shape = FleetShape {
             workers,
-            domains: ["a", "b", "c"].map(DomainName::from).to_vec(),
+            domains: DOMAINS.map(DomainName::from).to_vec(),
             rack_size: RACK,
-            capacity: ResourceAmount::new(32_000, 125 << 10),
+            capacity: ResourceAmount::new(32_000, 128_000),
         };
-        let mut fleet = WorkerFleet::new(&shape, &clock, &Arc::new(RunLedger::new()), SEED);
-        guards.extend(fleet.start_servers().await.expect("free ports"));
+        let mut fleet = WorkerFleet::new(&shape, &clock, &runs, 1);
+        let mut guards = fleet.start_servers().await.expect("workers");
+        let table = TableStandIn::new().with_clock(Arc::clone(&clock));
         let mut vms = fleet.records();
-        let ledger = Arc::new(EndpointLedger::new());
-        for number in 0..ENDPOINTS {
-            let (vm, guard) = start_endpoint(number, &ledger).await;
-            vms.push(vm);
-            guards.push(guard);
-        }
-        let (vm_list, guard) = VmListStandIn::new(vms).start().await.expect("a port");
-        guards.push(guard);
-        let (table, guard) = TableStandIn::new().start().await.expect("a port");
-        guards.push(guard);
-        let (objects, guard) = ObjectStandIn::new().start().await.expect("a port");
-        guards.push(guard);
+        vms.extend((0..DAEMONS).map(entry));
+        let (table_address, table_guard) = table.start().await.expect("a table");
+        let (objects, object_guard) = ObjectStandIn::new().start().await.expect("objects");
+        let (vm_list, list_guard) = VmListStandIn::new(vms).start().await.expect("a list");
+        guards.extend([table_guard, object_guard, list_guard]);
+        let directory =
+            env::temp_dir().join(format!("jasminebend-control-cost-{}", std::process::id()));
+        fs::create_dir_all(&directory).expect("a directory");
+        fs::write(
+            directory.join("peer.key"),
+            "a key of the control cost bench",
+        )
+        .expect("a key");
         Self {
-            settings: write_settings(table, objects, vm_list, shards),
-            fleet,
+            table,
+            runs,
+            addresses: [table_address, objects, vm_list],
+            directory,
             _guards: guards,
         }
     }
+}
 
-    fn worker_calls(&self) -> u64 {
-        let workers = self.fleet.workers();
-        workers.map(|(_, one)| one.faults().counts().writes).sum()
+impl Drop for BenchSite {
+    fn drop(&mut self) {
+        // What is left lies in the directory for temporary files.
+        let _ = fs::remove_dir_all(&self.directory);
     }
 }
 
-async fn start_endpoint(number: usize, ledger: &Arc<EndpointLedger>) -> (VmRecord, ServerGuard) {
-    let endpoint = EndpointStandIn::new(format!("vm-{number}"), Arc::clone(ledger), SEED);
-    let (address, guard) = endpoint.start().await.expect("a port");
-    (endpoint.record("a", "shop", address), guard)
-}
-
-fn write_settings(
-    table: SocketAddr,
-    objects: SocketAddr,
-    vm_list: SocketAddr,
-    shards: u16,
-) -> PathBuf {
-    let directory = std::env::temp_dir().join(format!("jasminebend-bench-{}", std::process::id()));
-    fs::create_dir_all(&directory).expect("a directory");
-    let key = directory.join("peer.key");
-    fs::write(&key, "a secret of the bench\n").expect("a file");
-    let path = directory.join("settings.yaml");
-    let settings = format!(
-        "listen:\n  callers: 127.0.0.1:0\n  administration: 127.0.0.1:0\n  peers: 127.0.0.1:0\n\
-         vm: entry\nfailure_domain: a\nregion: north\nshards: {shards}\npeers:\n  key_file: {}\nplatform:\n  \
-         table: {table}\n  objects: {objects}\n  vm_list: {vm_list}\nlog:\n  level: warn\n",
-        key.display(),
-    );
-    fs::write(&path, settings).expect("a file");
-    path
-}
-
-/// Seven daemons, each a process.
-struct BenchDaemons(Vec<Child>);
-
-impl BenchDaemons {
-    fn start(settings: &Path) -> Self {
-        let start = |_| {
-            let mut command = Command::new(env!("CARGO_BIN_EXE_jasminebend"));
-            let command = command.arg("--settings").arg(settings);
-            let mut child = command.stderr(Stdio::piped()).spawn().expect("a daemon");
-            let stderr = child.stderr.take().expect("a pipe");
-            thread::spawn(move || {
-                for line in BufReader::new(stderr).lines().map_while(Result::ok) {
-                    eprintln!("{line}");
-                }
-            });
-            child
-        };
-        Self((0..DAEMONS).map(start).collect())
+fn entry(place: usize) -> VmRecord {
+    VmRecord {
+        name: VmName::from(format!("entry-{place}")),
+        incarnation: 1,
+        domain: DomainName::from(DOMAINS[place % DOMAINS.len()]),
+        state: VmState::Live,
+        executor: None,
+        worker: None,
+    }
+}
+
+/// A real daemon.
+struct DaemonProcess {
+    child: Child,
+    admin: SocketAddr,
+}
+
+impl DaemonProcess {
+    fn start(site: &BenchSite, place: usize, shards: u16) -> Self {
+        let file = site.directory.join(format!("entry-{place}.yaml"));
+        fs::write(&file, settings(site, place, shards)).expect("a settings file");
+        let mut child = Command::new(env!("CARGO_BIN_EXE_jasminebend"))
+            .arg("--settings")
+            .arg(&file)
+            .stderr(Stdio::piped())
+            .spawn()
+            .expect("the program");
+        let mut lines = BufReader::new(child.stderr.take().expect("a pipe")).lines();
+        let admin = lines
+            .by_ref()
+            .map_while(Result::ok)
+            .find_map(|line| {
+                let (_, rest) = line.split_once("Operators are served on ")?;
+                rest.trim_end_matches('.').parse().ok()
+            })
+            .expect("an address");
+        // A full pipe would stop the daemon.
+        thread::spawn(move || lines.map_while(Result::ok).for_each(drop));
+        Self { child, admin }
     }
 
-    fn usage(&self) -> Vec<ProcessUsage> {
-        let usage = |child: &Child| ProcessUsage::of(&child.id().to_string());
-        let usage = self.0.iter().map(usage);
-        usage
-            .map(|usage| usage.expect("a running daemon"))
-            .collect()
+    /// Returns the processor time used so far.
+    fn processor(&self) -> Duration {
+        let stat = read(Path::new(&format!("/proc/{}/stat", self.child.id())));
+        let fields: Vec<u64> = stat
+            .rsplit(") ")
+            .next()
+            .unwrap_or_default()
+            .split(' ')
+            .map(|field| field.parse().unwrap_or(0))
+            .collect();
+        // The fields 14 and 15 of the whole line, in hundredths of a second.
+        Duration::from_millis(10 * (fields[11] + fields[12]))
     }
 
-    fn stop(&mut self) {
-        for child in &mut self.0 {
-            child.kill().expect("a running daemon");
-            child.wait().expect("an end");
-        }
+    fn resident_mib(&self) -> u64 {
+        let status = read(Path::new(&format!("/proc/{}/status", self.child.id())));
+        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+        let kib = line.and_then(|line| line.trim().trim_end_matches(" kB").parse::<u64>().ok());
+        kib.unwrap_or(0) >> 10
+    }
+}
+
+impl Drop for DaemonProcess {
+    fn drop(&mut self) {
+        // It may have ended of itself.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
     }
 }
+
+fn read(path: &Path) -> String {
+    fs::read_to_string(path).unwrap_or_default()
+}
+
+fn settings(site: &BenchSite, place: usize, shards: u16) -> String {
+    let [table, objects, vm_list] = site.addresses;
+    let key = site.directory.join("peer.key");
+    format!(
+        "listen:\n  callers: 127.0.0.1:0\n  administration: 127.0.0.1:0\n  peers: 127.0.0.1:0\n\
+         vm: entry-{place}\nfailure_domain: {}\nregion: r\nseats: {DAEMONS}\nshards: {shards}\n\
+         peers:\n  key_file: {}\n\
+         platform:\n  table: {table}\n  objects: {objects}\n  vm_list: {vm_list}\n",
+        DOMAINS[place % DOMAINS.len()],
+        key.display(),
+    )
+}
