--- a/crates/planner/src/journal_store.rs
+++ b/crates/planner/src/journal_store.rs
@@ -43,6 +43,9 @@
 /// dropped where it cannot be read.
 pub(crate) type StoredSnapshot = (JobLedger, Vec<u8>);
 
+/// By which a missing head is reported: log rows count from one.
+const HEAD_SEQUENCE: u64 = 0;
+
 /// Reads a shard's journal for a new owner.
 ///
 /// The owner's epoch goes into the head row first: a commit of the former owner that is still on its
@@ -55,6 +58,9 @@
     write: WriteId,
 ) -> Result<OpenJournal, JournalError> {
     let found = table.read(&row_names::head(shard)).await?;
+    if found.is_none() {
+        check_unused(table, shard).await?;
+    }
     let mut head = decode_head(found.as_ref())?;
     if head.epoch > epoch {
         return Err(JournalError::Deposed { newer: head.epoch });
@@ -79,6 +85,22 @@
     })
 }
 
+/// A shard whose head was lost looks like a new one, and its owner would stop and forget what runs.
+/// A shard that was used shows by its log; between this look and the owner's first commit nobody can
+/// begin one unnoticed, since that commit expects the head to be absent.
+async fn check_unused(table: &Arc<dyn TableService>, shard: u16) -> Result<(), JournalError> {
+    match table
+        .scan(&row_names::log(shard), None, 1)
+        .await?
+        .is_empty()
+    {
+        true => Ok(()),
+        false => Err(JournalError::Missing {
+            sequence: HEAD_SEQUENCE,
+        }),
+    }
+}
+
 fn decode_head(row: Option<&TableRow>) -> Result<JournalHead, JournalError> {
     match row {
         Some(row) => Ok(record_codec::decode(&row.value)?),
--- a/crates/planner/tests/planner/damaged_records.rs
+++ b/crates/planner/tests/planner/damaged_records.rs
@@ -147,3 +147,31 @@
         .seed(number << 32 | SEED_BYTES);
     }
 }
+
+// A customer's running job is stopped and forgotten: the shard's head row is gone while its log is
+// there, and the planner that took the shard over took it for a new one.
+#[tokio::test(start_paused = true)]
+async fn a_journal_without_its_head_is_not_taken_for_a_new_one() {
+    let bed = TestBed::new(3);
+    let jobs = leave_records(&bed).await;
+    let key = RowKey::from("planner/shard/00000/head");
+    let head = bed.table.rows(key.clone()).remove(0).value;
+    let delete = RowChange::delete(key.clone(), RowExpectation::Any);
+    bed.table.commit_surely(WriteId(7), &[delete]);
+    let before = bed.ledger.summary();
+
+    let second = bed.planner(2).await;
+    sleep(seconds(20)).await;
+    let during = bed.check();
+    assert_eq!(during.starts, before.starts);
+    assert_eq!(bed.ledger.running().len(), TASKS as usize);
+    drop(second);
+
+    store(&bed, &RecordPlace::Row(key), head);
+    let third = bed.planner(3).await;
+    for job in jobs {
+        let status = third.ended(job, Duration::from_secs(300)).await;
+        assert_eq!(status.finished, TASKS);
+    }
+    bed.check();
+}
