Run daemons of two releases side by side in a test

Cause: only the codec's side of it was tested. Change: frames of two of four daemons carry a higher minor version and a field more; with the table out of reach everything rests on them. Conclusion: all is held for 10 s and everybody is heard.

--- a/crates/cluster/tests/cluster/frames.rs
+++ b/crates/cluster/tests/cluster/frames.rs
@@ -7,6 +7,7 @@
 
 use bytes::Bytes;
 use jasminebend_cluster::{
+    ClusterHandle,
     NngLink,
     PeerLink,
     ProbeOutcome, //
@@ -16,6 +17,10 @@
     PeerMessage,
     PeerReport, //
 };
+use jasminebend_standins::{
+    FaultKind,
+    OutageState, //
+};
 use jasminebend_wire::{
     KeyRing,
     MAX_FRAME_BYTES,
@@ -26,6 +31,7 @@
 use tokio::time::timeout;
 
 use crate::harness::{
+    KEY,
     RESOURCES,
     TestCluster,
     settle,
@@ -80,12 +86,27 @@
     settle(&handles).await;
 }
 
+/// Half of the daemons run a later release, whose frames carry more than the others know. They must
+/// hear each other all the same, also without the table, where everything rests on their frames.
+#[tokio::test(start_paused = true)]
+async fn daemons_of_two_releases_run_side_by_side() {
+    let mut cluster = TestCluster::new(5);
+    cluster.net.upgrade(TestCluster::address(1));
+    cluster.net.upgrade(TestCluster::address(3));
+    let handles = cluster.start_all(4).await;
+    let outage = OutageState::Down(FaultKind::Unreachable);
+    cluster.table.faults().set_outage(outage);
+    assert_eq!(watch_holders(&handles, 10_000).await, RESOURCES);
+    let heard = |handle: &ClusterHandle| handle.status().members.iter().all(|one| one.heard);
+    assert!(handles.iter().all(heard));
+}
+
 /// Operators replace the key of all daemons, one by one, while these run.
 #[tokio::test(start_paused = true)]
 async fn keys_are_replaced_without_a_restart() {
     let mut cluster = TestCluster::new(5);
     let handles = cluster.start_all(4).await;
-    let old = PeerKey::from_secret("a secret of the tests").unwrap();
+    let old = PeerKey::new(KEY);
     let new = PeerKey::from_secret("the secret that follows it").unwrap();
     let steps = [
         KeyRing::new(old).with_next(new),
@@ -98,9 +119,7 @@
             assert_eq!(watch_holders(&handles, 1_500).await, RESOURCES);
         }
     }
-    let heard = |handle: &jasminebend_cluster::ClusterHandle| {
-        handle.status().members.iter().all(|member| member.heard)
-    };
+    let heard = |handle: &ClusterHandle| handle.status().members.iter().all(|member| member.heard);
     assert!(handles.iter().all(heard));
 }
 
--- a/crates/cluster/tests/cluster/harness.rs
+++ b/crates/cluster/tests/cluster/harness.rs
@@ -55,6 +55,9 @@
 /// How many shares and shards there are.
 pub(crate) const RESOURCES: usize = 34;
 
+/// The key between the daemons of a test.
+pub(crate) const KEY: [u8; 32] = [7; 32];
+
 /// The network in memory: who listens, and which pairs are cut.
 #[derive(Clone, Default)]
 pub(crate) struct MemoryNet {
@@ -65,6 +68,7 @@
 struct NetState {
     queues: IndexMap<SocketAddr, mpsc::Sender<Bytes>>,
     cut: IndexSet<(SocketAddr, SocketAddr)>,
+    later: IndexSet<SocketAddr>,
     recorded: Option<(SocketAddr, Arc<Mutex<Vec<Bytes>>>)>,
 }
 
@@ -104,6 +108,11 @@
         let _ = state.queues[&to].try_send(frame);
     }
 
+    /// Lets a daemon speak as a later release may: with a higher minor version and a field more.
+    pub(crate) fn upgrade(&self, address: SocketAddr) {
+        self.inner.lock().unwrap().later.insert(address);
+    }
+
     /// Records from now on what is sent to a daemon.
     pub(crate) fn record(&self, to: SocketAddr) -> Arc<Mutex<Vec<Bytes>>> {
         let recorded = Arc::default();
@@ -118,6 +127,15 @@
     frames: tokio::sync::Mutex<mpsc::Receiver<Bytes>>,
 }
 
+fn as_later_release(frame: &Bytes) -> Bytes {
+    let mut later = frame[..frame.len() - blake3::OUT_LEN].to_vec();
+    later[1] += 1;
+    later.extend_from_slice(b"a new field");
+    let hash = blake3::keyed_hash(&KEY, &later);
+    later.extend_from_slice(hash.as_bytes());
+    Bytes::from(later)
+}
+
 #[async_trait]
 impl PeerLink for MemoryLink {
     fn address(&self) -> SocketAddr {
@@ -129,6 +147,10 @@
         if let Some((_, recorded)) = state.recorded.as_ref().filter(|(of, _)| *of == to) {
             recorded.lock().unwrap().push(frame.clone());
         }
+        let frame = match state.later.contains(&self.address) {
+            true => as_later_release(&frame),
+            false => frame,
+        };
         if state.cut.contains(&(self.address, to)) {
             return;
         }
@@ -269,7 +291,7 @@
     }
 
     pub(crate) fn settings(&self, number: u16) -> ClusterSettings {
-        let key = PeerKey::from_secret("a secret of the tests").unwrap();
+        let key = PeerKey::new(KEY);
         ClusterSettings::new(Self::address(number), "east".into(), key)
             .with_seats(self.seats)
             .with_slot_shares(30)
