Tell the balancer that a daemon that knows no VM is not ready

A daemon started while the VM list is out of reach took its seat and its slots, said that it was ready, and refused every caller, though the other daemons knew the list of before. It is now ready only once the list was read, if the configuration has a service class. The test fails without the check.

--- a/crates/jasminebend/src/entry_control.rs
+++ b/crates/jasminebend/src/entry_control.rs
@@ -12,6 +12,7 @@
 
 use async_trait::async_trait;
 use jasminebend_base::{
+    ClassKind,
     Configuration,
     ConfigurationVersion,
     DomainName,
@@ -83,6 +84,15 @@
         self.stopping.load(Ordering::Relaxed)
     }
 
+    /// Tells whether the endpoints of the services are known. A daemon that started while the VM list
+    /// was out of reach would refuse every caller, while the others know the list of before.
+    fn knows_vms(&self) -> bool {
+        let configuration = self.configuration();
+        let mut classes = configuration.classes.iter();
+        let serves = classes.any(|class| class.kind == ClassKind::Service);
+        !serves || !self.cluster.vms().borrow().vms.is_empty()
+    }
+
     /// Tells whether slots are held that may be used now, and were for a while.
     fn slots_settled(&self) -> bool {
         let ownership = self.cluster.ownership();
@@ -120,7 +130,7 @@
     /// A daemon with a seat but no slots, as after its start, could only keep callers waiting: the
     /// balancer is told to wait until some slots are its own.
     fn ready(&self) -> bool {
-        !self.stopping() && self.cluster.ready() && self.slots_settled()
+        !self.stopping() && self.cluster.ready() && self.knows_vms() && self.slots_settled()
     }
 
     fn configuration(&self) -> Arc<Configuration> {
--- a/crates/jasminebend/tests/daemon/whole_path.rs
+++ b/crates/jasminebend/tests/daemon/whole_path.rs
@@ -9,12 +9,19 @@
     Method,
     StatusCode, //
 };
+use jasminebend::SETTLING;
 use jasminebend_base::DomainState;
+use jasminebend_standins::{
+    FaultKind,
+    OutageState, //
+};
 use jbctl::{
     AdminCall,
     OperatorCommand, //
 };
 
+use tokio::time::sleep;
+
 use crate::{
     caller::{
         CallerOutcome,
@@ -81,3 +88,23 @@
     daemon.stop().await;
     assert_eq!(platform.ledger.runs_of("order-1"), 1);
 }
+
+/// An entry VM is replaced while the VM list is down. The new daemon takes its seat and its slots,
+/// but knows no endpoint: it would refuse every caller whom the balancer sends to it.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_daemon_that_knows_no_vm_is_not_ready() {
+    let platform = TestPlatform::start(Duration::from_millis(1)).await;
+    let faults = platform.vm_list.faults();
+    faults.set_outage(OutageState::Down(FaultKind::Unreachable));
+    let daemon = platform.daemon("a", 1).await;
+    configure(daemon.admin_address(), &configuration()).await;
+    let refused = async || order(daemon.caller_address(), "order-1").await == CallerOutcome::NotRun;
+    until("a refused caller", refused).await;
+    for _ in 0..3 {
+        assert!(!daemon.ready());
+        sleep(SETTLING).await;
+    }
+    faults.heal();
+    until("ready", async || daemon.ready()).await;
+    daemon.stop().await;
+}
