Look at the slots in the background, so that the first to ask is told the truth

Readiness began to count when somebody first asked for it: an operator's first `jbctl status` said `ready: false` of a daemon that had held its slots for long. The slots are now looked at each 50 ms, whoever asks.

--- a/crates/jasminebend/src/entry_control.rs
+++ b/crates/jasminebend/src/entry_control.rs
@@ -1,13 +1,14 @@
 //! Carries out what operators ask for through the daemon's parts.
 
-use std::sync::{
-    Arc,
-    Mutex,
-    PoisonError,
-    atomic::{
-        AtomicBool,
-        Ordering, //
-    }, //
+use std::{
+    sync::{
+        Arc,
+        atomic::{
+            AtomicBool,
+            Ordering, //
+        }, //
+    },
+    time::Duration, //
 };
 
 use async_trait::async_trait;
@@ -34,6 +35,10 @@
 };
 use jasminebend_ports::ClockSource;
 use serde::Serialize;
+use tokio::{
+    sync::watch,
+    time::sleep, //
+};
 
 use crate::{
     ControlError,
@@ -42,6 +47,8 @@
     SlotSettling, //
 };
 
+/// How often the slots are looked at.
+const LOOK: Duration = Duration::from_millis(50);
 const MAY_COME: &str = "may still come into force: the status shows which version is accepted, and \
                         to ask for the same again is safe";
 
@@ -52,7 +59,7 @@
     cluster: ClusterHandle,
     planner: PlannerHandle,
     clock: Arc<dyn ClockSource>,
-    settling: Mutex<SlotSettling>,
+    settled: AtomicBool,
     stopping: AtomicBool,
 }
 
@@ -70,7 +77,7 @@
             cluster,
             planner,
             clock,
-            settling: Mutex::new(SlotSettling::new()),
+            settled: AtomicBool::new(false),
             stopping: AtomicBool::new(false),
         }
     }
@@ -93,16 +100,28 @@
         !serves || !self.cluster.vms().borrow().vms.is_empty()
     }
 
-    /// Tells whether slots are held that may be used now, and were for a while.
-    fn slots_settled(&self) -> bool {
+    /// Looks at the slots from time to time, until the sender of `stop` is dropped. Whoever asks
+    /// for the readiness, be it for the first time, is then told of what was seen before.
+    pub(crate) async fn watch_slots(self: Arc<Self>, mut stop: watch::Receiver<()>) {
+        let mut settling = SlotSettling::new();
+        loop {
+            let settled = settling.observe(self.clock.monotonic(), self.holds_slots());
+            self.settled.store(settled, Ordering::Relaxed);
+            tokio::select! {
+                _ = stop.changed() => return,
+                () = sleep(LOOK) => {}
+            }
+        }
+    }
+
+    /// Tells whether slots are held that may be used now.
+    fn holds_slots(&self) -> bool {
         let ownership = self.cluster.ownership();
         let usable = |resource: ResourceId| {
             matches!(resource, ResourceId::Slots(_)) && ownership.idle_for(resource).is_zero()
         };
         let held = ownership.held();
-        let held = held.iter().any(|(resource, _)| usable(*resource));
-        let mut settling = self.settling.lock().unwrap_or_else(PoisonError::into_inner);
-        settling.observe(self.clock.monotonic(), held)
+        held.iter().any(|(resource, _)| usable(*resource))
     }
 
     async fn propose(
@@ -130,7 +149,10 @@
     /// A daemon with a seat but no slots, as after its start, could only keep callers waiting: the
     /// balancer is told to wait until some slots are its own.
     fn ready(&self) -> bool {
-        !self.stopping() && self.cluster.ready() && self.knows_vms() && self.slots_settled()
+        !self.stopping()
+            && self.cluster.ready()
+            && self.knows_vms()
+            && self.settled.load(Ordering::Relaxed)
     }
 
     fn configuration(&self) -> Arc<Configuration> {
--- a/crates/jasminebend/src/entry_daemon.rs
+++ b/crates/jasminebend/src/entry_daemon.rs
@@ -107,6 +107,7 @@
         let mut tasks = JoinSet::new();
         let gauges = GaugeKeeper::new(control.clone(), metrics, &settings.domain);
         tasks.spawn(gauges.run(ended.clone()));
+        tasks.spawn(control.clone().watch_slots(ended.clone()));
         spawn_key_watch(&mut tasks, watch, &cluster, ended);
         spawn_callers(&mut tasks, &gateway, listener);
         info!("[daemon] Callers are served on {callers}.");
