--- a/crates/gateway/benches/loopback/main.rs
+++ b/crates/gateway/benches/loopback/main.rs
@@ -13,6 +13,7 @@
 
 use std::{
     net::SocketAddr,
+    thread,
     time::Duration, //
 };
 
@@ -80,6 +81,9 @@
     }
     bare.shutdown_background();
     measure_idle(&load, gateway);
+    for endpoints in [65, 1_000, 8_900] {
+        measure_upkeep(endpoints, span);
+    }
     own.shutdown_background();
 }
 
@@ -158,6 +162,25 @@
     );
 }
 
+/// What following so many endpoints costs when no request comes.
+fn measure_upkeep(endpoints: u16, span: Duration) {
+    let name = format!("upkeep-{endpoints}");
+    let own = runtime(&name, 1);
+    let listed: Vec<_> = (0..endpoints)
+        .map(|endpoint| SocketAddr::from(([10, 0, 0, 1], 1000 + endpoint)))
+        .collect();
+    let before = resident_kib();
+    own.block_on(start_gateway_with(&listed, 8, Duration::from_secs(1)));
+    thread::sleep(Duration::from_millis(500));
+    let grown = resident_kib().saturating_sub(before);
+    let before = cpu_seconds(&name);
+    thread::sleep(span);
+    let cpu = cpu_seconds(&name) - before;
+    let share = cpu / span.as_secs_f64() * 100.0;
+    println!("{endpoints} endpoints of 8 slots, no requests: {share:.2}% of a core, {grown} KiB");
+    own.shutdown_background();
+}
+
 fn measure_idle(load: &Runtime, gateway: SocketAddr) {
     let before = resident_kib();
     let held = load.block_on(async {
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -2,6 +2,7 @@
 
 use std::{
     error::Error,
+    sync::atomic::Ordering,
     time::Duration, //
 };
 
@@ -87,6 +88,7 @@
         if shared.ownership.may_act(lease.grant.0) != Some(lease.grant.1) {
             lease.connection = Some(connection);
             // The next pick must not meet the other slots of what was lost.
+            shared.outdated.store(true, Ordering::Relaxed);
             let held = shared.held_shares();
             refresh_pool(lease.pool(), &held, shared.clock.monotonic());
             let refusal = Refusal::NoEndpoint;
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -41,6 +41,7 @@
         KeeperState,
         PoolKeeper, //
     },
+    pool_refresh::HeldShares,
 };
 
 const KEEPER_PAUSE: Duration = Duration::from_secs(1);
@@ -64,6 +65,8 @@
             shared: Arc::clone(&shared),
             configuration: edges.configuration,
             vms: edges.vms,
+            seen: HeldShares::new(),
+            looked_at: Duration::ZERO,
         };
         state.set_routes();
         state.set_endpoints();
--- a/crates/gateway/src/gateway_shared.rs
+++ b/crates/gateway/src/gateway_shared.rs
@@ -3,7 +3,8 @@
 use std::sync::{
     Arc,
     PoisonError,
-    RwLock, //
+    RwLock,
+    atomic::AtomicBool, //
 };
 
 use indexmap::IndexMap;
@@ -43,6 +44,8 @@
     pub(crate) seed: u64,
     /// Told whenever a slot falls idle.
     pub(crate) idle: Arc<Notify>,
+    /// Whether a request found the keeper's last look at the shares outdated.
+    pub(crate) outdated: AtomicBool,
     /// The bytes of bodies that may still be held in memory.
     pub(crate) held_bytes: Arc<Semaphore>,
     routes: RwLock<Arc<RouteSnapshot>>,
@@ -66,6 +69,7 @@
             peers: PeerDirectory::new(Arc::clone(&edges.table)),
             seed: edges.seed,
             idle: Arc::new(Notify::new()),
+            outdated: AtomicBool::new(false),
             held_bytes,
             routes: RwLock::default(),
             pools: RwLock::default(),
--- a/crates/gateway/src/pool_keeper.rs
+++ b/crates/gateway/src/pool_keeper.rs
@@ -2,8 +2,11 @@
 
 use std::{
     net::SocketAddr,
-    sync::Arc,
-    time::Duration, //
+    sync::{
+        Arc,
+        atomic::Ordering, //
+    },
+    time::Duration,
 };
 
 use indexmap::IndexSet;
@@ -26,13 +29,20 @@
 use crate::{
     endpoint_entry::EndpointEntry,
     gateway_shared::GatewayShared,
-    pool_refresh::refresh_pool,
+    pool_refresh::{
+        HeldShares,
+        refresh_pool, //
+    },
     pool_state::PoolState,
     route_snapshot::RouteSnapshot,
     service_pool::ServicePool,
     slot_key::EndpointKey, //
 };
 
+/// How often every slot is looked at when no share changed: for slots whose time is over, endpoints
+/// that were left alone, and connections that were idle for long.
+const FULL_LOOK_EVERY: Duration = Duration::from_millis(250);
+
 /// Why the pools are looked at.
 #[derive(Clone, Copy, Debug)]
 pub(crate) enum KeeperMessage {
@@ -56,6 +66,10 @@
     pub(crate) configuration: watch::Receiver<Arc<Configuration>>,
     /// The latest reading of the VM list.
     pub(crate) vms: watch::Receiver<Arc<VmSnapshot>>,
+    /// The shares as of the last look at every slot.
+    pub(crate) seen: HeldShares,
+    /// When every slot was last looked at.
+    pub(crate) looked_at: Duration,
 }
 
 impl Actor for PoolKeeper {
@@ -90,7 +104,10 @@
                 state.set_endpoints();
             }
             KeeperMessage::Vms => state.set_endpoints(),
-            KeeperMessage::Tick => {}
+            KeeperMessage::Tick => {
+                state.refresh_if_due();
+                return Ok(());
+            }
         }
         state.refresh();
         Ok(())
@@ -171,15 +188,32 @@
         entry.set_connections(executor.connections);
     }
 
+    /// Looks at every slot if the held shares changed, or if it is time for the clock's sake. Looking
+    /// at all of them at each tick took 5.4% of a core at 8,900 endpoints.
+    fn refresh_if_due(&mut self) {
+        let held = self.shared.held_shares();
+        let due = self.looked_at + FULL_LOOK_EVERY <= self.shared.clock.monotonic();
+        if due || held != self.seen || self.shared.outdated.swap(false, Ordering::Relaxed) {
+            self.refresh_with(held);
+        }
+    }
+
     /// Looks at the held shares and the clock, frees slots whose time is over, and lets waiting
     /// requests go on.
-    pub(crate) fn refresh(&self) {
+    pub(crate) fn refresh(&mut self) {
         let held = self.shared.held_shares();
+        self.refresh_with(held);
+    }
+
+    fn refresh_with(&mut self, held: HeldShares) {
+        let now = self.shared.clock.monotonic();
         for pool in self.shared.pools() {
-            refresh_pool(&pool, &held, self.shared.clock.monotonic());
+            refresh_pool(&pool, &held, now);
             pool.hand_over();
         }
         self.shared.idle.notify_waiters();
+        self.seen = held;
+        self.looked_at = now;
     }
 }
 
