--- a/crates/planner/src/shard_workers.rs
+++ b/crates/planner/src/shard_workers.rs
@@ -11,6 +11,7 @@
     WorkerInventory,
     WorkerReport, //
 };
+use rand::RngExt;
 use spdlog::{
     info,
     warn, //
@@ -69,9 +70,11 @@
     }
 
     fn contact_worker(&mut self, key: WorkerKey, now: Duration) {
-        if self.links[&key].phase != LinkPhase::Adopted {
+        let link = &self.links[&key];
+        if link.phase != LinkPhase::Adopted || link.moved_to.is_some() {
             self.settle_lapsed(key, now);
         }
+        self.follow_move(key);
         let link = &mut self.links[&key];
         if link.calling {
             link.call_again = true;
@@ -81,7 +84,10 @@
             return;
         }
         link.contact_due = None;
-        if link.address.port() == 0 || link.is_left_alone(MOST_UNANSWERED) {
+        if link.address.port() == 0
+            || link.moved_to.is_some()
+            || link.is_left_alone(MOST_UNANSWERED)
+        {
             self.contact_at(key, now + RETRY_AFTER);
             return;
         }
@@ -109,6 +115,18 @@
         }
     }
 
+    /// Calls a worker at its new address once nothing can run at the former one.
+    fn follow_move(&mut self, key: WorkerKey) {
+        let link = &mut self.links[&key];
+        if !link.runs.is_empty() || link.calling {
+            return;
+        }
+        if let Some(address) = link.moved_to.take() {
+            link.address = address;
+            link.phase = LinkPhase::New;
+        }
+    }
+
     /// Gives up the runs of a worker whose lease has surely lapsed: by now it has stopped them.
     fn settle_lapsed(&mut self, key: WorkerKey, now: Duration) {
         let link = &self.links[&key];
@@ -134,6 +152,7 @@
         match result {
             Ok(inventory) => {
                 self.note_heard(key, sent);
+                self.spread_contact(key);
                 let link = &mut self.links[&key];
                 link.incarnation = Some(inventory.incarnation);
                 link.late_starts.clear();
@@ -180,6 +199,15 @@
         self.refresh_condition(key);
     }
 
+    /// Calls a worker for the first time at any moment within a heartbeat: all workers of a shard are
+    /// adopted at once, and would else be called at once for good.
+    fn spread_contact(&mut self, key: WorkerKey) {
+        let offset = self.settings.heartbeat.mul_f64(self.random.random());
+        let next = self.now() + offset;
+        self.links[&key].contact_due = Some(next);
+        self.contact_at(key, next);
+    }
+
     fn note_heard(&mut self, key: WorkerKey, sent: Duration) {
         let now = self.now();
         let lease = self.settings.with_drift(self.settings.lease);
