--- a/crates/cluster/tests/cluster/harness.rs
+++ b/crates/cluster/tests/cluster/harness.rs
@@ -69,6 +69,7 @@
     queues: IndexMap<SocketAddr, mpsc::Sender<Bytes>>,
     cut: IndexSet<(SocketAddr, SocketAddr)>,
     later: IndexSet<SocketAddr>,
+    refusing: IndexSet<SocketAddr>,
     recorded: Option<(SocketAddr, Arc<Mutex<Vec<Bytes>>>)>,
 }
 
@@ -108,6 +109,11 @@
         let _ = state.queues[&to].try_send(frame);
     }
 
+    /// Lets something on the way refuse connections to a daemon that lives.
+    pub(crate) fn refuse(&self, address: SocketAddr) {
+        self.inner.lock().unwrap().refusing.insert(address);
+    }
+
     /// Lets a daemon speak as a later release may: with a higher minor version and a field more.
     pub(crate) fn upgrade(&self, address: SocketAddr) {
         self.inner.lock().unwrap().later.insert(address);
@@ -169,6 +175,9 @@
 
     async fn probe(&self, address: SocketAddr) -> ProbeOutcome {
         let state = self.net.inner.lock().unwrap();
+        if state.refusing.contains(&address) {
+            return ProbeOutcome::Refused;
+        }
         if state.cut.contains(&(self.address, address)) {
             return ProbeOutcome::Silent;
         }
--- a/crates/cluster/tests/cluster/outages.rs
+++ b/crates/cluster/tests/cluster/outages.rs
@@ -239,3 +239,20 @@
     watch_holders(&handles, 20_000).await;
     settle(&handles).await;
 }
+
+/// Something on the way to a live daemon refuses its connections, so that the others take it for
+/// gone and begin to empty its seat. It has the table, sees that, and keeps its seat.
+#[tokio::test(start_paused = true)]
+async fn a_live_daemon_that_is_taken_for_gone_keeps_its_seat_by_the_table() {
+    let mut cluster = TestCluster::new(5);
+    let handles = cluster.start_all(4).await;
+    let seat = handles[1].status().seat;
+    cluster.net.refuse(TestCluster::address(2));
+    cluster.net.split(&[2], &[1, 3, 4]);
+    let least = watch_holders(&handles, 120_000).await;
+    assert!(least >= RESOURCES * 2 / 3, "{least}");
+    assert!(handles[1].ready() && handles[1].status().seat == seat);
+    assert_eq!(handles[1].status().members[1].incarnation, 1);
+    cluster.net.mend();
+    settle(&handles).await;
+}
--- a/crates/ownership/src/machine_table.rs
+++ b/crates/ownership/src/machine_table.rs
@@ -11,6 +11,7 @@
     MemberMachine,
     MembersRow,
     SeatHold,
+    SeatRecord,
     SharedWrite,
     TableSnapshot,
     VersionedRow, //
@@ -109,13 +110,21 @@
                     .is_some_and(|holder| holder.incarnation < record.epoch);
                 self.intents[index] = (announced, now);
                 if withdrawn && same {
-                    self.defended[index] = Some(now);
+                    self.note_defence(now, seat, record);
                 }
             }
         }
         self.learn_replaced(members);
     }
 
+    /// Only the process itself defends its seat, so it lives, whatever a probe or the VM list said.
+    fn note_defence(&mut self, now: Duration, seat: SeatNumber, record: &SeatRecord) {
+        self.defended[usize::from(seat.0)] = Some(now);
+        if let Some(id) = record.holder_id(seat) {
+            self.observe_alive(id);
+        }
+    }
+
     /// A process whose address now belongs to another one is gone: two cannot listen there at once.
     /// This is what lets daemons that were all replaced at once take their seats.
     fn learn_replaced(&mut self, members: &MembersRow) {
