--- a/crates/cluster/tests/cluster/harness.rs
+++ b/crates/cluster/tests/cluster/harness.rs
@@ -14,11 +14,7 @@
 };
 
 use async_trait::async_trait;
-use bytes::Bytes;
-use indexmap::{
-    IndexMap,
-    IndexSet, //
-};
+use indexmap::IndexSet;
 use jasminebend_base::{
     Configuration,
     ConfigurationVersion,
@@ -32,9 +28,7 @@
     ClusterEdges,
     ClusterHandle,
     ClusterSettings,
-    ConfigurationChange,
-    PeerLink,
-    ProbeOutcome, //
+    ConfigurationChange, //
 };
 use jasminebend_ports::{
     CommitOutcome,
@@ -50,7 +44,8 @@
 };
 use jasminebend_standins::TableStandIn;
 use jasminebend_wire::PeerKey;
-use tokio::sync::mpsc;
+
+use crate::memory_net::MemoryNet;
 
 /// How many shares and shards there are.
 pub(crate) const RESOURCES: usize = 34;
@@ -58,141 +53,6 @@
 /// The key between the daemons of a test.
 pub(crate) const KEY: [u8; 32] = [7; 32];
 
-/// The network in memory: who listens, and which pairs are cut.
-#[derive(Clone, Default)]
-pub(crate) struct MemoryNet {
-    inner: Arc<Mutex<NetState>>,
-}
-
-#[derive(Default)]
-struct NetState {
-    queues: IndexMap<SocketAddr, mpsc::Sender<Bytes>>,
-    cut: IndexSet<(SocketAddr, SocketAddr)>,
-    later: IndexSet<SocketAddr>,
-    refusing: IndexSet<SocketAddr>,
-    recorded: Option<(SocketAddr, Arc<Mutex<Vec<Bytes>>>)>,
-}
-
-impl MemoryNet {
-    pub(crate) fn link(&self, address: SocketAddr) -> Arc<MemoryLink> {
-        let (sender, frames) = mpsc::channel(512);
-        self.inner.lock().unwrap().queues.insert(address, sender);
-        Arc::new(MemoryLink {
-            address,
-            net: self.clone(),
-            frames: tokio::sync::Mutex::new(frames),
-        })
-    }
-
-    pub(crate) fn cut(&self, one: SocketAddr, other: SocketAddr) {
-        let mut state = self.inner.lock().unwrap();
-        state.cut.insert((one, other));
-        state.cut.insert((other, one));
-    }
-
-    /// Cuts every pair with one daemon on either side.
-    pub(crate) fn split(&self, one_side: &[u16], other_side: &[u16]) {
-        for one in one_side {
-            for other in other_side {
-                self.cut(TestCluster::address(*one), TestCluster::address(*other));
-            }
-        }
-    }
-
-    pub(crate) fn mend(&self) {
-        self.inner.lock().unwrap().cut.clear();
-    }
-
-    /// Puts a frame into a daemon's queue as if it came from the network.
-    pub(crate) fn inject(&self, to: SocketAddr, frame: Bytes) {
-        let state = self.inner.lock().unwrap();
-        let _ = state.queues[&to].try_send(frame);
-    }
-
-    /// Lets something on the way refuse connections to a daemon that lives.
-    pub(crate) fn refuse(&self, address: SocketAddr) {
-        self.inner.lock().unwrap().refusing.insert(address);
-    }
-
-    /// Lets a daemon speak as a later release may: with a higher minor version and a field more.
-    pub(crate) fn upgrade(&self, address: SocketAddr) {
-        self.inner.lock().unwrap().later.insert(address);
-    }
-
-    /// Records from now on what is sent to a daemon.
-    pub(crate) fn record(&self, to: SocketAddr) -> Arc<Mutex<Vec<Bytes>>> {
-        let recorded = Arc::default();
-        self.inner.lock().unwrap().recorded = Some((to, Arc::clone(&recorded)));
-        recorded
-    }
-}
-
-pub(crate) struct MemoryLink {
-    address: SocketAddr,
-    net: MemoryNet,
-    frames: tokio::sync::Mutex<mpsc::Receiver<Bytes>>,
-}
-
-fn as_later_release(frame: &Bytes) -> Bytes {
-    let mut later = frame[..frame.len() - blake3::OUT_LEN].to_vec();
-    later[1] += 1;
-    later.extend_from_slice(b"a new field");
-    let hash = blake3::keyed_hash(&KEY, &later);
-    later.extend_from_slice(hash.as_bytes());
-    Bytes::from(later)
-}
-
-#[async_trait]
-impl PeerLink for MemoryLink {
-    fn address(&self) -> SocketAddr {
-        self.address
-    }
-
-    fn send(&self, to: SocketAddr, frame: Bytes) {
-        let state = self.net.inner.lock().unwrap();
-        if let Some((_, recorded)) = state.recorded.as_ref().filter(|(of, _)| *of == to) {
-            recorded.lock().unwrap().push(frame.clone());
-        }
-        let frame = match state.later.contains(&self.address) {
-            true => as_later_release(&frame),
-            false => frame,
-        };
-        if state.cut.contains(&(self.address, to)) {
-            return;
-        }
-        if let Some(queue) = state.queues.get(&to) {
-            let _ = queue.try_send(frame);
-        }
-    }
-
-    fn reset(&self, _to: SocketAddr) {}
-
-    async fn receive(&self, limit: usize) -> Vec<Bytes> {
-        let mut frames = Vec::new();
-        self.frames.lock().await.recv_many(&mut frames, limit).await;
-        frames
-    }
-
-    async fn probe(&self, address: SocketAddr) -> ProbeOutcome {
-        let state = self.net.inner.lock().unwrap();
-        if state.refusing.contains(&address) {
-            return ProbeOutcome::Refused;
-        }
-        if state.cut.contains(&(self.address, address)) {
-            return ProbeOutcome::Silent;
-        }
-        match state.queues.contains_key(&address) {
-            true => ProbeOutcome::Listens,
-            false => ProbeOutcome::Refused,
-        }
-    }
-
-    fn close(&self) {
-        let mut state = self.net.inner.lock().unwrap();
-        state.queues.swap_remove(&self.address);
-    }
-}
-
 /// A VM list that a test sets.
 #[derive(Default)]
 pub(crate) struct FixedVms(pub(crate) Mutex<VmSnapshot>);
--- a/crates/cluster/tests/cluster/main.rs
+++ b/crates/cluster/tests/cluster/main.rs
@@ -10,5 +10,6 @@
 mod harness;
 mod link;
 mod membership;
+mod memory_net;
 mod outages;
 mod peer_link;
--- a/crates/cluster/tests/cluster/peer_link.rs
+++ b/crates/cluster/tests/cluster/peer_link.rs
@@ -26,7 +26,7 @@
     time::timeout, //
 };
 
-use crate::harness::MemoryNet;
+use crate::memory_net::MemoryNet;
 
 /// A frame may be lost, so that a sender repeats it.
 const TRIES: usize = 400;
--- a/crates/ownership/benches/explore.rs
+++ b/crates/ownership/benches/explore.rs
@@ -2,10 +2,14 @@
 //! [SEEDS] [GUARD] [FIRST]`. Without a guard's name it looks for a fault with all guards; with one, or
 //! `each`, for the first seed that shows a fault without that guard.
 
+#[path = "../tests/explore/chaos.rs"]
+mod chaos;
 #[path = "../tests/explore/referee.rs"]
 mod referee;
 #[path = "../tests/explore/rows.rs"]
 mod rows;
+#[path = "../tests/explore/traffic.rs"]
+mod traffic;
 #[path = "../tests/explore/world.rs"]
 mod world;
 
--- a/crates/ownership/tests/explore/main.rs
+++ b/crates/ownership/tests/explore/main.rs
@@ -1,7 +1,9 @@
 //! The rule explored at random: the same machine as in the daemon, driven through failures.
 
+mod chaos;
 mod referee;
 mod rows;
+mod traffic;
 mod world;
 
 use jasminebend_ownership::{
--- a/crates/ownership/tests/explore/world.rs
+++ b/crates/ownership/tests/explore/world.rs
@@ -28,8 +28,7 @@
 use rand::{
     RngExt,
     SeedableRng,
-    rngs::StdRng,
-    seq::SliceRandom, //
+    rngs::StdRng, //
 };
 
 use crate::{
@@ -83,36 +82,36 @@
     }
 }
 
-struct Process {
-    machine: MemberMachine,
-    address: u16,
-    offset: Duration,
-    rate: f64,
-    alive: bool,
-    paused_until: u64,
-    polls: u8,
-    poll_due: u64,
-    installing: u64,
+pub(crate) struct Process {
+    pub(crate) machine: MemberMachine,
+    pub(crate) address: u16,
+    pub(crate) offset: Duration,
+    pub(crate) rate: f64,
+    pub(crate) alive: bool,
+    pub(crate) paused_until: u64,
+    pub(crate) polls: u8,
+    pub(crate) poll_due: u64,
+    pub(crate) installing: u64,
 }
 
 pub(crate) struct World {
-    guards: GuardSet,
-    random: StdRng,
-    now: u64,
-    order: u64,
-    queue: BinaryHeap<Reverse<(u64, u64, usize)>>,
-    events: Vec<Option<Event>>,
-    processes: Vec<Process>,
+    pub(crate) guards: GuardSet,
+    pub(crate) random: StdRng,
+    pub(crate) now: u64,
+    pub(crate) order: u64,
+    pub(crate) queue: BinaryHeap<Reverse<(u64, u64, usize)>>,
+    pub(crate) events: Vec<Option<Event>>,
+    pub(crate) processes: Vec<Process>,
     /// By address: the process that listens there.
-    listening: IndexMap<u16, usize>,
-    rows: Rows,
-    cut: IndexSet<(u16, u16)>,
-    no_table: IndexSet<u16>,
+    pub(crate) listening: IndexMap<u16, usize>,
+    pub(crate) rows: Rows,
+    pub(crate) cut: IndexSet<(u16, u16)>,
+    pub(crate) no_table: IndexSet<u16>,
     pub(crate) referee: Referee,
-    next_address: u16,
-    slow: bool,
-    healed: bool,
-    fast_drift: bool,
+    pub(crate) next_address: u16,
+    pub(crate) slow: bool,
+    pub(crate) healed: bool,
+    pub(crate) fast_drift: bool,
 }
 
 /// Runs one course; the first fault that the referee sees ends it.
@@ -189,14 +188,14 @@
         }
     }
 
-    fn schedule(&mut self, delay: u64, event: Event) {
+    pub(crate) fn schedule(&mut self, delay: u64, event: Event) {
         self.order += 1;
         self.events.push(Some(event));
         let key = (self.now + delay, self.order, self.events.len() - 1);
         self.queue.push(Reverse(key));
     }
 
-    fn chance(&mut self, percent: u32) -> bool {
+    pub(crate) fn chance(&mut self, percent: u32) -> bool {
         self.random.random_range(0..100) < percent
     }
 
@@ -223,7 +222,7 @@
         self.handle(event);
     }
 
-    fn local(&self, p: usize) -> Duration {
+    pub(crate) fn local(&self, p: usize) -> Duration {
         let process = &self.processes[p];
         process.offset + Duration::from_millis(self.now).mul_f64(process.rate)
     }
@@ -309,14 +308,14 @@
         self.schedule(50, Event::Look(p));
     }
 
-    fn tick(&mut self, p: usize) {
+    pub(crate) fn tick(&mut self, p: usize) {
         self.fetch(p);
         let now = self.local(p);
         let actions = self.processes[p].machine.tick(now);
         self.carry_out(p, actions);
     }
 
-    fn carry_out(&mut self, p: usize, actions: Vec<MemberAction>) {
+    pub(crate) fn carry_out(&mut self, p: usize, actions: Vec<MemberAction>) {
         for action in actions {
             match action {
                 MemberAction::Send { to, message } => self.send(p, to, message),
@@ -328,118 +327,6 @@
         }
     }
 
-    fn delay(&mut self) -> u64 {
-        let kind = self.random.random_range(0..100);
-        match kind {
-            _ if self.slow && kind < 50 => self.random.random_range(400..3_500),
-            0..90 => self.random.random_range(1..20),
-            90..97 => self.random.random_range(20..400),
-            _ => self.random.random_range(400..3_500),
-        }
-    }
-
-    fn send(&mut self, p: usize, to: SocketAddr, message: PeerMessage) {
-        let from = self.processes[p].address;
-        if self.cut.contains(&(from, to.port())) || self.chance(3) {
-            return;
-        }
-        let delay = self.delay();
-        self.schedule(delay, Event::Deliver(to, message.clone()));
-        if self.chance(3) {
-            let delay = self.delay();
-            self.schedule(delay, Event::Deliver(to, message));
-        }
-    }
-
-    fn deliver(&mut self, to: SocketAddr, message: PeerMessage) {
-        let Some(&p) = self.listening.get(&to.port()) else {
-            return;
-        };
-        let resume = self.processes[p].paused_until;
-        if resume > self.now {
-            let delay = resume - self.now;
-            self.schedule(delay, Event::Deliver(to, message));
-            return;
-        }
-        let now = self.local(p);
-        let actions = self.processes[p].machine.receive(now, message);
-        self.carry_out(p, actions);
-        if self.processes[p].machine.wants_tick() {
-            self.tick(p);
-        }
-    }
-
-    fn probe(&mut self, p: usize, holder: HolderId, address: SocketAddr) {
-        let from = self.processes[p].address;
-        let refused = !self.listening.contains_key(&address.port());
-        if refused && !self.cut.contains(&(from, address.port())) {
-            self.schedule(20, Event::Gone(p, holder));
-        }
-    }
-
-    fn poll_if_due(&mut self, p: usize, urgent: bool) {
-        let now = self.now;
-        let asked = self.local(p);
-        let process = &mut self.processes[p];
-        if process.polls == 2 || !(urgent || now >= process.poll_due) {
-            return;
-        }
-        process.polls += 1;
-        process.poll_due = now + 1_000;
-        if self.no_table.contains(&self.processes[p].address) {
-            self.schedule(300, Event::Polled(p, None));
-            return;
-        }
-        let snapshot = TableSnapshot {
-            asked_at: asked,
-            ..TableSnapshot::default()
-        };
-        let delay = self.delay();
-        let mut rows = vec![0, 1, 2];
-        rows.shuffle(&mut self.random);
-        self.schedule(delay, Event::ReadRow(p, rows, snapshot));
-    }
-
-    /// A scan reads row after row, in any order, and others write in between.
-    fn read_row(&mut self, p: usize, mut rows: Vec<u8>, mut snapshot: TableSnapshot) {
-        match rows.pop() {
-            Some(0) => snapshot.configuration = self.rows.configuration.clone(),
-            Some(1) => snapshot.members = self.rows.members.clone(),
-            _ => snapshot.ownership = self.rows.ownership.clone(),
-        }
-        let event = match rows.is_empty() {
-            false => Event::ReadRow(p, rows, snapshot),
-            true if self.chance(3) => Event::Polled(p, None),
-            true => Event::Polled(p, Some(snapshot)),
-        };
-        let delay = self.delay();
-        self.schedule(delay, event);
-    }
-
-    fn end_poll(&mut self, p: usize, snapshot: Option<TableSnapshot>) {
-        self.processes[p].polls -= 1;
-        if let Some(snapshot) = snapshot {
-            let now = self.local(p);
-            self.processes[p].machine.read_table(now, snapshot);
-        }
-        self.tick(p);
-    }
-
-    /// A write may take effect long after its maker gave up waiting for the answer.
-    fn commit(&mut self, p: usize, write: SharedWrite) {
-        if self.no_table.contains(&self.processes[p].address) {
-            self.schedule(300, Event::CommitEnded(p, 500));
-            return;
-        }
-        let effect = self.delay();
-        self.schedule(effect, Event::Apply(p, write));
-        let answer = match self.chance(5) {
-            true => self.random.random_range(1..1_000),
-            false => effect + self.delay(),
-        };
-        self.schedule(answer, Event::CommitEnded(p, 30));
-    }
-
     fn check_idle(&mut self, p: usize, resource: ResourceId) {
         if self.referee.is_idle(self.now, p, resource) {
             self.processes[p].machine.end_release(resource);
@@ -499,107 +386,6 @@
             self.commit(p, write);
         }
     }
-
-    fn any_alive(&mut self) -> Option<usize> {
-        let alive: Vec<usize> = self.listening.values().copied().collect();
-        let index = self.random.random_range(0..alive.len().max(1));
-        alive.get(index).copied()
-    }
-
-    fn chaos(&mut self) {
-        let again = self.random.random_range(300..4_000);
-        self.schedule(again, Event::Chaos);
-        self.slow = self.chance(25);
-        match self.random.random_range(0..15) {
-            0..3 => self.crash(),
-            3 => (0..SEATS).for_each(|_| self.crash()),
-            4..6 => self.pause(),
-            6..8 => self.split(),
-            8 => self.cut.clear(),
-            9 => {
-                let addresses: Vec<u16> = self.listening.keys().copied().collect();
-                let kept = addresses
-                    .into_iter()
-                    .filter(|_| self.random.random_bool(0.6));
-                self.no_table = kept.collect();
-            }
-            10 => self.no_table.clear(),
-            11 => self.isolate(),
-            12..14 => {
-                if let Some(p) = self.any_alive() {
-                    self.processes[p].machine.leave();
-                }
-            }
-            _ => {
-                self.cut.clear();
-                self.no_table.clear();
-            }
-        }
-    }
-
-    fn crash(&mut self) {
-        if let Some(p) = self.any_alive() {
-            self.end(p);
-        }
-    }
-
-    /// Ends a process; another one starts at its address or elsewhere, sooner or later.
-    fn end(&mut self, p: usize) {
-        self.processes[p].alive = false;
-        let address = self.processes[p].address;
-        self.listening.swap_remove(&address);
-        self.referee.die(self.now, p);
-        let mut back = address;
-        if self.chance(40) {
-            self.next_address += 1;
-            back = self.next_address;
-        }
-        let delay = self.random.random_range(10..8_000);
-        self.schedule(delay, Event::Start(back));
-    }
-
-    fn pause(&mut self) {
-        if let Some(p) = self.any_alive() {
-            let length = self.random.random_range(100..8_000);
-            self.processes[p].paused_until = self.now + length;
-        }
-    }
-
-    /// One daemon keeps the table and loses all peers, the others keep each other.
-    fn isolate(&mut self) {
-        let Some(p) = self.any_alive() else {
-            return;
-        };
-        let alone = self.processes[p].address;
-        self.cut.clear();
-        self.no_table.clear();
-        for other in 1..=self.next_address {
-            if other != alone {
-                self.cut.insert((alone, other));
-                self.cut.insert((other, alone));
-                self.no_table.insert(other);
-            }
-        }
-    }
-
-    fn split(&mut self) {
-        let addresses: Vec<u16> = self.listening.keys().copied().collect();
-        let side: Vec<bool> = addresses
-            .iter()
-            .map(|_| self.random.random_bool(0.5))
-            .collect();
-        let one_way = self.random.random_bool(0.2);
-        for (index, one) in addresses.iter().enumerate() {
-            for (other_index, other) in addresses.iter().enumerate() {
-                if side[index] && !side[other_index] {
-                    self.cut.insert((*one, *other));
-                    if !one_way {
-                        self.cut.insert((*other, *one));
-                    }
-                }
-            }
-        }
-    }
 }
 
 fn socket(address: u16) -> SocketAddr {
