Refuse loopback peer addresses while the platform is off loopback

Cause: a process that answers at a seat holder's peer address counts as the proof that the holder is gone. That holds only if no other VM uses the same address. Two VMs both set to `listen.peers: 127.0.0.1:7400` would each have been that proof against the other, and both would have worked with one seat's slots. The settings let it through.

Change: at start and in `jasminebend check`, a loopback `listen.peers`, also an IPv4-mapped one, is refused while any of `platform.table`, `objects`, `vm_list` is off loopback, with line, key and what would do. A platform wholly on loopback has no daemons of other VMs, so that it stays allowed.

Figures: rows in the table of bad settings 42 -> 45, and one test that a system wholly on loopback is in order.

Conclusion: this closes the one case that settings can show. An address off loopback that two VMs share (a copied file) still fails at the bind on the VM that lacks the address; link-local addresses aren't looked at.

--- a/crates/jasminebend/src/listen_settings.rs
+++ b/crates/jasminebend/src/listen_settings.rs
@@ -93,6 +93,10 @@
         line_of(self.administration.as_ref())
     }
 
+    pub(crate) fn peers_line(&self) -> u64 {
+        line_of(self.peers.as_ref())
+    }
+
     pub(crate) fn resolve(&self, line: u64) -> Result<ListenSettings, SettingsError> {
         let reader = KeyReader::new("listen", line);
         let address = |key, raw: &GivenKey<RawText>| {
--- a/crates/jasminebend/src/platform_settings.rs
+++ b/crates/jasminebend/src/platform_settings.rs
@@ -47,6 +47,24 @@
     pub token_file: Option<PathBuf>,
 }
 
+impl PlatformSettings {
+    /// The key of a service that other VMs can share, if there is one.
+    pub(crate) fn off_loopback(&self) -> Option<&'static str> {
+        let services = [
+            ("platform.table", self.table),
+            ("platform.objects", self.objects),
+            ("platform.vm_list", self.vm_list),
+        ];
+        let shared = services.iter().find(|(_, address)| !is_loopback(*address));
+        shared.map(|(key, _)| *key)
+    }
+}
+
+/// Tells whether an address leads to this VM alone, also one such as `[::ffff:127.0.0.1]`.
+pub(crate) fn is_loopback(address: SocketAddr) -> bool {
+    address.ip().to_canonical().is_loopback()
+}
+
 #[derive(Debug, Default, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub(crate) struct RawPlatform {
--- a/crates/jasminebend/src/raw_settings.rs
+++ b/crates/jasminebend/src/raw_settings.rs
@@ -14,7 +14,9 @@
 
 use crate::{
     DaemonSettings,
+    ListenSettings,
     PeerKeySource,
+    PlatformSettings,
     SettingsError,
     daemon_settings::{
         DEFAULT_BALANCER_LAG,
@@ -37,7 +39,10 @@
     limit_settings::RawLimits,
     listen_settings::RawListen,
     log_settings::RawLog,
-    platform_settings::RawPlatform,
+    platform_settings::{
+        RawPlatform,
+        is_loopback, //
+    },
     tls_settings::RawTls,
     trace_settings::RawTraces, //
 };
@@ -99,13 +104,38 @@
             DaemonSettings::new(listen, DomainName::from(domain), self.peer_key(reader)?);
         settings.vm = Some(VmName::from(self.name(reader, "vm", &self.vm)?));
         settings.region = self.name(reader, "region", &self.region)?;
-        settings.platform = Some(platform.value.resolve(platform.referenced.line())?);
+        let platform = platform.value.resolve(platform.referenced.line())?;
+        self.check_peers(listen, &platform)?;
+        settings.platform = Some(platform);
         self.resolve_sizes(reader, &mut settings)?;
         self.resolve_access(reader, &mut settings)?;
         self.resolve_sections(&mut settings)?;
         Ok(settings)
     }
 
+    /// A daemon that answers at a seat holder's peer address proves that the holder is gone. With
+    /// the same loopback address on two VMs each would be that proof against the other, and both
+    /// would work with one seat's slots. An address of the VM itself is nobody else's, and a
+    /// platform on loopback has no daemons of other VMs.
+    fn check_peers(
+        &self,
+        listen: ListenSettings,
+        platform: &PlatformSettings,
+    ) -> Result<(), SettingsError> {
+        let Some(other) = platform
+            .off_loopback()
+            .filter(|_| is_loopback(listen.peers))
+        else {
+            return Ok(());
+        };
+        let raw = self.listen.as_ref();
+        Err(SettingsError::LoopbackPeers {
+            line: raw.map_or(1, |raw| raw.value.peers_line()),
+            address: listen.peers,
+            other,
+        })
+    }
+
     fn name(
         &self,
         reader: KeyReader,
--- a/crates/jasminebend/src/settings_error.rs
+++ b/crates/jasminebend/src/settings_error.rs
@@ -1,6 +1,9 @@
 //! Why a settings file is refused.
 
-use std::path::PathBuf;
+use std::{
+    net::SocketAddr,
+    path::PathBuf, //
+};
 
 use derive_more::{
     Display,
@@ -86,6 +89,19 @@
         /// The first listener's key.
         other: &'static str,
     },
+    /// Daemons of other VMs would listen at the same address, and take each other's seat.
+    #[display(
+        "line {line}: `listen.peers` cannot be `{address}` while `{other}` is off loopback; give \
+         the IP address and port of this VM that the other daemons reach, such as `10.0.0.5:7400`"
+    )]
+    LoopbackPeers {
+        /// The line, from one.
+        line: u64,
+        /// The address as given.
+        address: SocketAddr,
+        /// The key of the service that is off loopback.
+        other: &'static str,
+    },
     /// There are fewer slot shares than seats, so that some daemon would never hold any.
     #[display(
         "line {line}: `slot_shares` cannot be {shares} with {seats} seats; give at least {seats}"
--- a/crates/jasminebend/tests/bad_settings.rs
+++ b/crates/jasminebend/tests/bad_settings.rs
@@ -100,6 +100,29 @@
         "line 4: `listen.peers` cannot be `0.0.0.0:7400`; give the IP address and port that the \
          other daemons reach, such as `10.0.0.5:7400`",
     ),
+    (
+        "peers: 10.0.0.5:7400",
+        "peers: 127.0.0.1:7400",
+        "line 4: `listen.peers` cannot be `127.0.0.1:7400` while `platform.table` is off loopback; \
+         give the IP address and port of this VM that the other daemons reach, such as \
+         `10.0.0.5:7400`",
+    ),
+    (
+        "peers: 10.0.0.5:7400",
+        "peers: \"[::ffff:127.0.0.1]:7400\"",
+        "line 4: `listen.peers` cannot be `[::ffff:127.0.0.1]:7400` while `platform.table` is off \
+         loopback; give the IP address and port of this VM that the other daemons reach, such as \
+         `10.0.0.5:7400`",
+    ),
+    (
+        "peers: 10.0.0.5:7400\nfailure_domain: a\nregion: north\nvm: entry-1\npeers:\n  key_file: \
+         /etc/jasminebend/peer.key\nplatform:\n  table: 10.0.0.9:7000\n  objects: 10.0.0.9:7001\n",
+        "peers: \"[::1]:7400\"\nfailure_domain: a\nregion: north\nvm: entry-1\npeers:\n  key_file: \
+         /etc/jasminebend/peer.key\nplatform:\n  table: 127.0.0.1:7000\n  objects: 127.0.0.1:7001\n",
+        "line 4: `listen.peers` cannot be `[::1]:7400` while `platform.vm_list` is off loopback; \
+         give the IP address and port of this VM that the other daemons reach, such as \
+         `10.0.0.5:7400`",
+    ),
     (
         "  key_file: /etc/jasminebend/peer.key",
         "  key: abc",
@@ -241,6 +264,16 @@
     ),
 ];
 
+/// Two daemons on two VMs, both set to `listen.peers: 127.0.0.1:7400`, could take each other's seat
+/// while both live, because a process that listens at a holder's address counts as its successor.
+/// A whole system on one machine has nobody else to mistake, so that it may stay on loopback.
+#[test]
+fn loopback_peers_need_a_loopback_platform() {
+    let alone = GOOD.replace("10.0.0.", "127.0.0.");
+    let settings = DaemonSettings::from_yaml(&alone).unwrap();
+    assert!(settings.listen.peers.ip().is_loopback());
+}
+
 fn sentence(text: &str) -> String {
     let error: SettingsError = DaemonSettings::from_yaml(text).expect_err(text);
     error.to_string()
