List the jobs by pages

Cause: `GET /v1/jobs` answered with every job at once.

Change: `GET /v1/jobs?limit=N&after=ID` answers with `jobs`, in the order of their identities, and `after`, which asks for the next page and is null at the last one; 200 jobs if not given, at most 1000. Pages go by identity, so that jobs which come and go in between shift none. `jbctl job list [--limit N] [--after ID]` asks for them. The planner's `jobs()` has no paging: the daemon cuts its pages out of the whole sorted list, so that each page still costs the planner's scan of all rows.

The answer was an array and is an object now. Two tests of the daemon read it as an array; they read its `jobs` now, and one also that `after` is null. No check of theirs is looser.

--- a/crates/jasminebend/src/admin_error.rs
+++ b/crates/jasminebend/src/admin_error.rs
@@ -24,6 +24,9 @@
     #[from(ignore)]
     #[display("the query `{query}` is not known; `force=true` or `force=false` would do")]
     BadQuery { query: String },
+    #[from(ignore)]
+    #[display("`{query}` does not fit; give `limit=N` from 1 to 1000, and `after=ID` of a job")]
+    BadPage { query: String },
     #[display("send a bearer token that the tokens file lists")]
     Unidentified,
     #[from(ignore)]
@@ -48,7 +51,7 @@
         match self {
             Self::NoSuchPath { .. } => StatusCode::NOT_FOUND,
             Self::WrongMethod { .. } => StatusCode::METHOD_NOT_ALLOWED,
-            Self::BadQuery { .. } | Self::BodyCut => StatusCode::BAD_REQUEST,
+            Self::BadQuery { .. } | Self::BadPage { .. } | Self::BodyCut => StatusCode::BAD_REQUEST,
             Self::Unidentified => StatusCode::UNAUTHORIZED,
             Self::Forbidden { .. } => StatusCode::FORBIDDEN,
             Self::BodyTooLarge { .. } => StatusCode::PAYLOAD_TOO_LARGE,
--- a/crates/jasminebend/src/admin_route.rs
+++ b/crates/jasminebend/src/admin_route.rs
@@ -8,7 +8,8 @@
 
 use crate::{
     AccessRole,
-    admin_error::AdminError, //
+    admin_error::AdminError,
+    job_page::JobPage, //
 };
 
 /// What an administration request asks for.
@@ -27,7 +28,7 @@
     },
     ListClasses,
     SubmitJob,
-    ListJobs,
+    ListJobs(JobPage),
     ReadJob(String),
     CancelJob(String),
 }
@@ -48,7 +49,7 @@
             ["v1", "domains", name, "out"] => domain(method, name, DomainState::Out, query),
             ["v1", "domains", name, "in"] => domain(method, name, DomainState::In, query),
             ["v1", "classes"] => only(method, Method::GET, Self::ListClasses),
-            ["v1", "jobs"] => jobs(method),
+            ["v1", "jobs"] => jobs(method, query),
             ["v1", "jobs", job] => one_job(method, job),
             _ => Err(AdminError::NoSuchPath {
                 path: path.to_owned(),
@@ -114,9 +115,9 @@
     only(method, Method::POST, route)
 }
 
-fn jobs(method: &Method) -> Result<AdminRoute, AdminError> {
+fn jobs(method: &Method, query: Option<&str>) -> Result<AdminRoute, AdminError> {
     match *method {
-        Method::GET => Ok(AdminRoute::ListJobs),
+        Method::GET => JobPage::parse(query).map(AdminRoute::ListJobs),
         Method::POST => Ok(AdminRoute::SubmitJob),
         _ => Err(AdminError::WrongMethod {
             allowed: "GET, POST",
--- a/crates/jasminebend/src/admin_service.rs
+++ b/crates/jasminebend/src/admin_service.rs
@@ -114,7 +114,10 @@
                 let classes = &self.control.configuration().classes;
                 Ok(json(StatusCode::OK, classes))
             }
-            AdminRoute::ListJobs => Ok(json(StatusCode::OK, &self.control.jobs().await?)),
+            AdminRoute::ListJobs(page) => {
+                let jobs = self.control.jobs().await?;
+                Ok(json(StatusCode::OK, &page.cut(jobs)))
+            }
             AdminRoute::ReadJob(job) => Ok(json(StatusCode::OK, &self.control.job(&job).await?)),
             AdminRoute::ReplaceConfiguration => {
                 let expected = expected_version(&head.headers)?;
--- a/crates/jasminebend/src/control_port.rs
+++ b/crates/jasminebend/src/control_port.rs
@@ -71,10 +71,10 @@
     /// Any [`ControlError`].
     async fn job(&self, job: &str) -> Result<serde_json::Value, ControlError>;
 
-    /// Tells how all jobs stand, in JSON.
+    /// Tells how all jobs stand, in JSON, in any order.
     ///
     /// # Errors
     ///
     /// Any [`ControlError`].
-    async fn jobs(&self) -> Result<serde_json::Value, ControlError>;
+    async fn jobs(&self) -> Result<Vec<serde_json::Value>, ControlError>;
 }
--- a/crates/jasminebend/src/entry_control.rs
+++ b/crates/jasminebend/src/entry_control.rs
@@ -201,7 +201,7 @@
         status.map(|status| present(&status)).map_err(explain_job)
     }
 
-    async fn jobs(&self) -> Result<serde_json::Value, ControlError> {
+    async fn jobs(&self) -> Result<Vec<serde_json::Value>, ControlError> {
         let statuses = self.planner.jobs().await;
         let statuses = statuses.map_err(explain_job)?;
         Ok(statuses.iter().map(present).collect())
--- a/crates/jasminebend/src/lib.rs
+++ b/crates/jasminebend/src/lib.rs
@@ -38,6 +38,7 @@
 mod file_watch;
 mod gauge_keeper;
 mod given_key;
+mod job_page;
 mod key_reader;
 mod key_watch;
 mod limit_settings;
--- a/crates/jasminebend/tests/administration/control_fake.rs
+++ b/crates/jasminebend/tests/administration/control_fake.rs
@@ -36,6 +36,7 @@
 pub(crate) struct ControlFake {
     configuration: Mutex<Arc<Configuration>>,
     fault: Mutex<Option<ControlError>>,
+    jobs: Mutex<Vec<Value>>,
     ready: AtomicBool,
     gate: Semaphore,
     asked: Semaphore,
@@ -47,6 +48,7 @@
         Self {
             configuration: Mutex::default(),
             fault: Mutex::default(),
+            jobs: Mutex::default(),
             ready: AtomicBool::new(true),
             gate: Semaphore::new(1),
             asked: Semaphore::new(0),
@@ -58,6 +60,11 @@
         *lock(&self.fault) = Some(fault);
     }
 
+    pub(crate) fn set_jobs(&self, jobs: impl Iterator<Item = u64>) {
+        let jobs = jobs.map(|job| json!({"job": format!("{job:016x}")}));
+        *lock(&self.jobs) = jobs.collect();
+    }
+
     pub(crate) fn set_ready(&self, ready: bool) {
         self.ready.store(ready, Ordering::Relaxed);
     }
@@ -172,8 +179,8 @@
         })
     }
 
-    async fn jobs(&self) -> Result<Value, ControlError> {
-        Ok(json!([]))
+    async fn jobs(&self) -> Result<Vec<Value>, ControlError> {
+        Ok(lock(&self.jobs).clone())
     }
 }
 
--- a/crates/jasminebend/tests/administration/main.rs
+++ b/crates/jasminebend/tests/administration/main.rs
@@ -6,4 +6,5 @@
 mod change_log;
 mod control_fake;
 mod harness;
+mod job_pages;
 mod temporary_directory;
--- a/crates/jasminebend/tests/daemon/jobs.rs
+++ b/crates/jasminebend/tests/daemon/jobs.rs
@@ -9,6 +9,7 @@
 use jasminebend_standins::TaskPayload;
 use jbctl::{
     AdminCall,
+    JobListing,
     OperatorCommand, //
 };
 use serde_json::{
@@ -69,11 +70,11 @@
     assert_eq!(command(admin, cancel).await.status, StatusCode::OK);
     let ended = async || status(&long).await["phase"] == "cancelled";
     until("a job cancelled", ended).await;
-    let listed = command(admin, OperatorCommand::JobList)
+    let listed = command(admin, OperatorCommand::JobList(JobListing::default()))
         .await
         .json()
         .unwrap();
-    let listed: Vec<&str> = listed
+    let listed: Vec<&str> = listed["jobs"]
         .as_array()
         .unwrap()
         .iter()
--- a/crates/jasminebend/tests/daemon/whole_path.rs
+++ b/crates/jasminebend/tests/daemon/whole_path.rs
@@ -17,6 +17,7 @@
 };
 use jbctl::{
     AdminCall,
+    JobListing,
     OperatorCommand, //
 };
 
@@ -83,8 +84,11 @@
     let metrics = get_text(admin, "/metrics").await;
     assert!(metrics.contains("jasminebend_daemon_ready{"), "{metrics}");
     assert!(metrics.contains("jasminebend_administration_requests_total{"));
-    let jobs = command(admin, OperatorCommand::JobList).await;
-    assert_eq!(jobs.json().unwrap(), serde_json::json!([]));
+    let jobs = command(admin, OperatorCommand::JobList(JobListing::default())).await;
+    assert_eq!(
+        jobs.json().unwrap(),
+        serde_json::json!({"jobs": [], "after": null})
+    );
     daemon.stop().await;
     assert_eq!(platform.ledger.runs_of("order-1"), 1);
 }
--- a/crates/jbctl/src/admin_call.rs
+++ b/crates/jbctl/src/admin_call.rs
@@ -42,7 +42,7 @@
             OperatorCommand::Status => get("/v1/status"),
             OperatorCommand::ConfigGet => get("/v1/configuration"),
             OperatorCommand::ClassList => get("/v1/classes"),
-            OperatorCommand::JobList => get("/v1/jobs"),
+            OperatorCommand::JobList(listing) => get(&listing.path()),
             OperatorCommand::JobStatus(job) => get(&format!("/v1/jobs/{job}")),
             OperatorCommand::JobCancel(job) => bare(Method::DELETE, format!("/v1/jobs/{job}")),
             OperatorCommand::Domain { name, state, force } => {
--- a/crates/jbctl/src/command_line.rs
+++ b/crates/jbctl/src/command_line.rs
@@ -13,6 +13,7 @@
 };
 
 use crate::{
+    JobListing,
     OperatorCommand,
     TargetOptions,
     UsageError, //
@@ -31,7 +32,7 @@
   job submit FILE                Submit the job that FILE describes.
   job status ID                  How a job stands.
   job cancel ID                  Cancel a job.
-  job list                       List the jobs.
+  job list [--limit N] [--after ID]  List a page of the jobs: N of them, after ID.
   class list                     List the classes and their targets.
   token hash FILE                Print the digest of the token in FILE.
 
@@ -72,6 +73,7 @@
         let mut options = TargetOptions::new();
         let mut words = Vec::new();
         let mut force = false;
+        let mut listing = JobListing::default();
         while let Some(argument) = parser.next()? {
             match argument {
                 Arg::Long("help") | Arg::Short('h') => return Ok(Self::Help),
@@ -81,15 +83,21 @@
                 Arg::Long("ca-file") => options.ca_file = Some(parser.value()?.into()),
                 Arg::Long("output") => options.output = parser.value()?.string()?.parse()?,
                 Arg::Long("force") => force = true,
+                Arg::Long("limit") => listing.limit = Some(parser.value()?.parse()?),
+                Arg::Long("after") => listing.after = Some(name(&parser.value()?.string()?)?),
                 Arg::Value(word) => words.push(word.string()?),
                 other => return Err(other.unexpected().into()),
             }
         }
-        Ok(Self::Run(command(&words, force)?, options))
+        Ok(Self::Run(command(&words, force, listing)?, options))
     }
 }
 
-fn command(words: &[String], force: bool) -> Result<OperatorCommand, UsageError> {
+fn command(
+    words: &[String],
+    force: bool,
+    listing: JobListing,
+) -> Result<OperatorCommand, UsageError> {
     let words: Vec<&str> = words.iter().map(String::as_str).collect();
     let command = match words.as_slice() {
         [] => return Err(UsageError::Nothing),
@@ -106,7 +114,7 @@
         ["job", "status", job] => OperatorCommand::JobStatus(name(job)?),
         ["job", "cancel", job] => OperatorCommand::JobCancel(name(job)?),
         ["job", "status" | "cancel"] => return missing("job", "the job's identity"),
-        ["job", "list"] => OperatorCommand::JobList,
+        ["job", "list"] => OperatorCommand::JobList(listing.clone()),
         ["class", "list"] => OperatorCommand::ClassList,
         ["token", "hash", file] => OperatorCommand::TokenHash(PathBuf::from(file)),
         other => {
@@ -115,11 +123,17 @@
             });
         }
     };
-    if !force {
-        return Ok(command);
+    let listed = matches!(command, OperatorCommand::JobList(_));
+    match (force, listed || listing == JobListing::default()) {
+        (false, true) => Ok(command),
+        (true, _) => stray("`--force` goes with `domain out` alone"),
+        (false, false) => stray("`--limit` and `--after` go with `job list` alone"),
     }
+}
+
+fn stray(reason: &str) -> Result<OperatorCommand, UsageError> {
     Err(UsageError::Option {
-        reason: "`--force` goes with `domain out` alone".to_owned(),
+        reason: reason.to_owned(),
     })
 }
 
--- a/crates/jbctl/src/lib.rs
+++ b/crates/jbctl/src/lib.rs
@@ -5,6 +5,7 @@
 mod admin_client;
 mod call_error;
 mod command_line;
+mod job_listing;
 mod operator_command;
 mod output_format;
 mod program;
@@ -21,6 +22,7 @@
         CommandLine,
         HELP, //
     },
+    job_listing::JobListing,
     operator_command::OperatorCommand,
     output_format::OutputFormat,
     program::run_program,
--- a/crates/jbctl/src/operator_command.rs
+++ b/crates/jbctl/src/operator_command.rs
@@ -4,6 +4,8 @@
 
 use jasminebend_base::DomainState;
 
+use crate::JobListing;
+
 /// What an operator asks for.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum OperatorCommand {
@@ -31,7 +33,7 @@
     /// Cancel a job.
     JobCancel(String),
     /// List the jobs.
-    JobList,
+    JobList(JobListing),
     /// List the classes.
     ClassList,
     /// Print the digest of a token, for the daemons' tokens file.
--- a/crates/jbctl/tests/exit_codes.rs
+++ b/crates/jbctl/tests/exit_codes.rs
@@ -211,6 +211,12 @@
             &["status", "--force"],
             "`--force` goes with `domain out` alone",
         ),
+        (
+            &["status", "--limit", "5"],
+            "`--limit` and `--after` go with `job list` alone",
+        ),
+        (&["job", "list", "--limit", "many"], "many"),
+        (&["job", "list", "--after", "a&b"], "`a&b` is not a name"),
         (&["status", "--output", "xml"], "no output format `xml`"),
         (
             &["status", "--address", "entry-1"],
@@ -255,6 +261,26 @@
     assert_ends(&output, 1, "no job");
 }
 
+#[test]
+fn jobs_are_listed_by_pages() {
+    let table: &[(&[&str], &str)] = &[
+        (&[], "GET /v1/jobs "),
+        (&["--limit", "5"], "GET /v1/jobs?limit=5 "),
+        (&["--after", "1f"], "GET /v1/jobs?after=1f "),
+        (
+            &["--limit", "5", "--after", "1f"],
+            "GET /v1/jobs?limit=5&after=1f ",
+        ),
+    ];
+    for (options, head) in table {
+        let daemon = CannedDaemon::new("200 OK", r#"{"jobs":[],"after":"2e"}"#);
+        let mut arguments = vec!["--address", daemon.address.as_str(), "job", "list"];
+        arguments.extend(*options);
+        assert_ends(&jbctl(&arguments), 0, "after: 2e");
+        assert!(daemon.head().starts_with(head), "{head}");
+    }
+}
+
 /// An operator prints the configuration, changes a target in an editor and puts it back. What was
 /// printed must be a configuration that is taken, of the version that was read.
 #[test]
