Bound how fast one address may try tokens

Cause: a wrong token was answered with 401 as often as somebody sent one, so that guesses were bounded by the network alone, and a flood of them by nothing.

Change: each address (64 bits of an IPv6 one) has a bucket of ten failed tries that regains ten a second. Without one left, its tokens are not looked at: 429, Retry-After, `jasminebend_administration_failed_tokens_total{answer}`, and a line of the log once in ten seconds at most over all addresses. A right token is refused then too, since its answer would give it away; right tokens and requests without one take nothing. At most 1024 addresses are remembered; for a further one the fullest bucket is forgotten. The clock is passed in.

The test is unchanged; the harness takes the system's clock, as the daemon does, and only the new test brings its own.

Conclusion: operators behind the same address as a guesser are shut out with it while it guesses; from any other address they notice nothing.

--- a/crates/jasminebend/src/admin_error.rs
+++ b/crates/jasminebend/src/admin_error.rs
@@ -29,6 +29,8 @@
     BadPage { query: String },
     #[display("send a bearer token that the tokens file lists")]
     Unidentified,
+    #[display("too many tokens from this address were nobody's; try again in a second")]
+    TooManyTries,
     #[from(ignore)]
     #[display("`{name}` has no role `{role}`")]
     Forbidden { name: String, role: AccessRole },
@@ -53,6 +55,7 @@
             Self::WrongMethod { .. } => StatusCode::METHOD_NOT_ALLOWED,
             Self::BadQuery { .. } | Self::BadPage { .. } | Self::BodyCut => StatusCode::BAD_REQUEST,
             Self::Unidentified => StatusCode::UNAUTHORIZED,
+            Self::TooManyTries => StatusCode::TOO_MANY_REQUESTS,
             Self::Forbidden { .. } => StatusCode::FORBIDDEN,
             Self::BodyTooLarge { .. } => StatusCode::PAYLOAD_TOO_LARGE,
             Self::SlowRequest => StatusCode::REQUEST_TIMEOUT,
--- a/crates/jasminebend/src/admin_front.rs
+++ b/crates/jasminebend/src/admin_front.rs
@@ -5,6 +5,7 @@
     sync::Arc, //
 };
 
+use jasminebend_ports::ClockSource;
 use tokio::{
     net::TcpListener,
     sync::watch,
@@ -73,7 +74,7 @@
         local_address("listen.administration", &self.main)
     }
 
-    /// Serves the API for `control`.
+    /// Serves the API for `control`; how fast tokens may be tried goes by `clock`.
     ///
     /// # Errors
     ///
@@ -82,13 +83,15 @@
         self,
         control: Arc<dyn ControlPort>,
         metrics: MetricsHub,
+        clock: Arc<dyn ClockSource>,
     ) -> Result<AdminGuard, DaemonError> {
         let address = self.address()?;
         let health = self.health.as_ref();
         let health = health.map(|socket| local_address("listen.health", socket));
         let (stop, stopped) = watch::channel(());
         let mut tasks = JoinSet::new();
-        let service = AdminService::new(control, Arc::clone(&self.keys), self.limits, metrics);
+        let keys = Arc::clone(&self.keys);
+        let service = AdminService::new(control, keys, self.limits, metrics, clock);
         let service = Arc::new(service);
         if let Some(listener) = self.health {
             let server = AdminServer::health_only(Arc::clone(&service), self.limits);
--- a/crates/jasminebend/src/admin_response.rs
+++ b/crates/jasminebend/src/admin_response.rs
@@ -25,6 +25,10 @@
             let scheme = header::HeaderValue::from_static("Bearer");
             headers.insert(header::WWW_AUTHENTICATE, scheme);
         }
+        AdminError::TooManyTries => {
+            let second = header::HeaderValue::from_static("1");
+            headers.insert(header::RETRY_AFTER, second);
+        }
         AdminError::WrongMethod { allowed } => {
             headers.insert(header::ALLOW, header::HeaderValue::from_static(allowed));
         }
--- a/crates/jasminebend/src/admin_server.rs
+++ b/crates/jasminebend/src/admin_server.rs
@@ -2,6 +2,7 @@
 
 use std::{
     convert::Infallible,
+    net::IpAddr,
     sync::Arc,
     time::Duration, //
 };
@@ -105,7 +106,7 @@
             let server = Arc::clone(&server);
             let stop = stop.clone();
             connections.spawn(async move {
-                server.connect(stream, stop).await;
+                server.connect(stream, peer.ip(), stop).await;
                 drop(place);
             });
         }
@@ -113,25 +114,25 @@
         while connections.join_next().await.is_some() {}
     }
 
-    async fn connect(&self, stream: TcpStream, stop: watch::Receiver<()>) {
+    async fn connect(&self, stream: TcpStream, peer: IpAddr, stop: watch::Receiver<()>) {
         let Some(tls) = self.keys.as_ref().and_then(|keys| keys.tls()) else {
-            return self.converse(stream, stop).await;
+            return self.converse(stream, peer, stop).await;
         };
         let handshake = TlsAcceptor::from(tls).accept(stream);
         match timeout(HANDSHAKE_TIMEOUT, handshake).await {
-            Ok(Ok(stream)) => self.converse(stream, stop).await,
+            Ok(Ok(stream)) => self.converse(stream, peer, stop).await,
             Ok(Err(error)) => debug!("[administration] A TLS handshake failed: {error}."),
             Err(_) => debug!("[administration] A TLS handshake took too long."),
         }
     }
 
-    async fn converse<Stream>(&self, stream: Stream, mut stop: watch::Receiver<()>)
+    async fn converse<Stream>(&self, stream: Stream, peer: IpAddr, mut stop: watch::Receiver<()>)
     where
         Stream: AsyncRead + AsyncWrite + Unpin + Send + 'static,
     {
         let health_only = self.keys.is_none();
         let service = service_fn(|request: Request<Incoming>| async move {
-            Ok::<_, Infallible>(self.service.answer(request, health_only).await)
+            Ok::<_, Infallible>(self.service.answer(request, peer, health_only).await)
         });
         let connection = http1::Builder::new()
             .timer(TokioTimer::new())
--- a/crates/jasminebend/src/admin_service.rs
+++ b/crates/jasminebend/src/admin_service.rs
@@ -1,6 +1,13 @@
 //! Answers administration requests.
 
-use std::sync::Arc;
+use std::{
+    net::IpAddr,
+    sync::{
+        Arc,
+        Mutex,
+        PoisonError, //
+    }, //
+};
 
 use bytes::Bytes;
 use http::{
@@ -16,6 +23,7 @@
     Limited, //
 };
 use jasminebend_base::ConfigurationVersion;
+use jasminebend_ports::ClockSource;
 use opentelemetry::context::FutureExt;
 use spdlog::warn;
 use tokio::time::timeout;
@@ -27,6 +35,8 @@
     LimitSettings,
     MetricsHub,
     OperatorIdentity,
+    TokenTries,
+    TryOutcome,
     admin_change::AdminChange,
     admin_error::AdminError,
     admin_response::{
@@ -40,6 +50,7 @@
 };
 
 const REQUESTS: &str = "jasminebend_administration_requests_total";
+const FAILED_TOKENS: &str = "jasminebend_administration_failed_tokens_total";
 const FIND_OUT: &str =
     "the answer took too long; read the configuration or the job and compare before trying again";
 
@@ -49,6 +60,8 @@
     keys: Arc<AccessKeys>,
     limits: LimitSettings,
     metrics: MetricsHub,
+    clock: Arc<dyn ClockSource>,
+    tries: Mutex<TokenTries>,
 }
 
 impl AdminService {
@@ -57,12 +70,15 @@
         keys: Arc<AccessKeys>,
         limits: LimitSettings,
         metrics: MetricsHub,
+        clock: Arc<dyn ClockSource>,
     ) -> Self {
         Self {
             control,
             keys,
             limits,
             metrics,
+            clock,
+            tries: Mutex::new(TokenTries::new()),
         }
     }
 
@@ -71,6 +87,7 @@
     pub(crate) async fn answer<Content>(
         &self,
         request: Request<Content>,
+        peer: IpAddr,
         health_only: bool,
     ) -> AdminResponse
     where
@@ -78,7 +95,7 @@
         Content::Data: Send,
         Content::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
     {
-        let answer = self.try_answer(request, health_only).await;
+        let answer = self.try_answer(request, peer, health_only).await;
         let answer = answer.unwrap_or_else(|error| refuse(&error));
         let status = answer.status().as_str().to_owned();
         metrics::counter!(REQUESTS, "status" => status).increment(1);
@@ -88,6 +105,7 @@
     async fn try_answer<Content>(
         &self,
         request: Request<Content>,
+        peer: IpAddr,
         health_only: bool,
     ) -> Result<AdminResponse, AdminError>
     where
@@ -100,7 +118,7 @@
         if health_only {
             return self.answer_health(route, head.uri.path());
         }
-        let operator = self.admit(&route, &head.headers)?;
+        let operator = self.admit(&route, &head.headers, peer)?;
         let limit = self.limits.administration_body;
         let body = timeout(self.limits.administration_timeout, read_body(body, limit));
         let body = body.await.map_err(|_| AdminError::SlowRequest)??;
@@ -154,12 +172,12 @@
         &self,
         route: &AdminRoute,
         headers: &HeaderMap,
+        peer: IpAddr,
     ) -> Result<OperatorIdentity, AdminError> {
         let Some(role) = route.role() else {
             return Ok(OperatorIdentity::anonymous());
         };
-        let operator = self.keys.identify(bearer(headers));
-        let operator = operator.ok_or(AdminError::Unidentified)?;
+        let operator = self.identify(bearer(headers), peer)?;
         if operator.role >= role {
             return Ok(operator);
         }
@@ -170,6 +188,31 @@
         })
     }
 
+    /// A request without a token tries none, so that it costs its address nothing.
+    fn identify(&self, token: Option<&str>, peer: IpAddr) -> Result<OperatorIdentity, AdminError> {
+        let find = || self.keys.identify(token);
+        if token.is_none() {
+            return find().ok_or(AdminError::Unidentified);
+        }
+        let mut tries = self.tries.lock().unwrap_or_else(PoisonError::into_inner);
+        let outcome = tries.attempt(peer, self.clock.monotonic(), find);
+        drop(tries);
+        match outcome {
+            TryOutcome::Found(operator) => Ok(operator),
+            TryOutcome::Unknown => {
+                metrics::counter!(FAILED_TOKENS, "answer" => "unknown").increment(1);
+                Err(AdminError::Unidentified)
+            }
+            TryOutcome::TooFast { log } => {
+                metrics::counter!(FAILED_TOKENS, "answer" => "too_fast").increment(1);
+                if log {
+                    warn!("[administration] {peer} tries tokens too fast and is refused.");
+                }
+                Err(AdminError::TooManyTries)
+            }
+        }
+    }
+
     /// Carries out a change on a task of its own: an operator who hangs up must not cut it off
     /// between its intent and its commit, and the log must say what became of it.
     async fn change(
--- a/crates/jasminebend/src/entry_daemon.rs
+++ b/crates/jasminebend/src/entry_daemon.rs
@@ -102,7 +102,7 @@
             Arc::clone(&edges.clock),
         );
         let control = Arc::new(control);
-        let admin = front.serve(control.clone(), metrics.clone())?;
+        let admin = front.serve(control.clone(), metrics.clone(), Arc::clone(&edges.clock))?;
         let (background, ended) = watch::channel(());
         let mut tasks = JoinSet::new();
         let gauges = GaugeKeeper::new(control.clone(), metrics, &settings.domain);
--- a/crates/jasminebend/src/lib.rs
+++ b/crates/jasminebend/src/lib.rs
@@ -67,6 +67,7 @@
 mod tls_settings;
 mod token_error;
 mod token_table;
+mod token_tries;
 mod trace_error;
 mod trace_export;
 mod trace_settings;
@@ -130,6 +131,10 @@
     tls_settings::TlsSettings,
     token_error::TokenError,
     token_table::TokenTable,
+    token_tries::{
+        TokenTries,
+        TryOutcome, //
+    },
     trace_error::TraceError,
     trace_export::TraceExport,
     trace_settings::TraceSettings,
--- a/crates/jasminebend/tests/administration/access.rs
+++ b/crates/jasminebend/tests/administration/access.rs
@@ -36,7 +36,7 @@
     temporary_directory::TemporaryDirectory, //
 };
 
-fn guarded(directory: &TemporaryDirectory) -> DaemonSettings {
+pub(crate) fn guarded(directory: &TemporaryDirectory) -> DaemonSettings {
     let operators = [("olga", "operate", OPERATE), ("rita", "read", READ)];
     settings().with_tokens_file(directory.write("tokens.yaml", &tokens_file(&operators)))
 }
--- a/crates/jasminebend/tests/administration/harness.rs
+++ b/crates/jasminebend/tests/administration/harness.rs
@@ -32,6 +32,10 @@
     ChangeOutcome,
     DomainName, //
 };
+use jasminebend_ports::{
+    ClockSource,
+    SystemClock, //
+};
 use tokio::{
     net::TcpStream,
     time::sleep, //
@@ -72,10 +76,16 @@
 
 impl AdminHarness {
     pub(crate) async fn start(settings: &DaemonSettings) -> Self {
+        Self::start_at(settings, Arc::new(SystemClock::new())).await
+    }
+
+    /// Starts the API by the test's own clock.
+    pub(crate) async fn start_at(settings: &DaemonSettings, clock: Arc<dyn ClockSource>) -> Self {
         let control = Arc::new(ControlFake::new());
         let front = AdminFront::bind(settings).await.expect("free addresses");
         let port = Arc::clone(&control);
-        let guard = front.serve(port, MetricsHub::install()).expect("addresses");
+        let guard = front.serve(port, MetricsHub::install(), clock);
+        let guard = guard.expect("addresses");
         Self { control, guard }
     }
 
--- a/crates/jasminebend/tests/administration/main.rs
+++ b/crates/jasminebend/tests/administration/main.rs
@@ -8,3 +8,4 @@
 mod harness;
 mod job_pages;
 mod temporary_directory;
+mod token_tries;
