Name the line of every fault of a configuration file

Cause: `jbctl config put` and `check` named the line of an unknown key and of a wrong unit, but not that of a target of the wrong kind, a name given twice, or any other fault that is found after reading. A wrong unit did not say what would do, and a repeated key showed the YAML reader's own advice to programmers.

Change: on such a fault jbctl reads the file once more for the lines of its names and targets and says "line N: ...". A time without its unit is answered with one that would do, a repeated key with "given twice; give it once".

Conclusion: a first configuration can be mended from its one sentence. The daemon itself, which gets JSON from other clients, names the item but no line.

--- a/crates/jbctl/src/admin_call.rs
+++ b/crates/jbctl/src/admin_call.rs
@@ -12,12 +12,18 @@
     ConfigurationVersion, //
 };
 use serde::de::DeserializeOwned;
+use serde_saphyr::Error as YamlError;
 
 use crate::{
     OperatorCommand,
-    UsageError, //
+    UsageError,
+    configuration_lines::ConfigurationLines, //
 };
 
+/// What the reader of times calls them.
+const DURATION: &str = "a duration";
+const TIME: &str = "give a time with its unit, such as `200ms` or `5h`";
+
 /// One call of the administration API.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct AdminCall {
@@ -68,9 +74,11 @@
 ///
 /// [`UsageError`] if it cannot be read or is refused.
 pub(crate) fn read_configuration(file: &Path) -> Result<Configuration, UsageError> {
-    let configuration: Configuration = read_yaml(file)?;
+    let text = read_text(file)?;
+    let configuration: Configuration = parse_yaml(file, &text)?;
     let refused = |error| UsageError::BadConfiguration {
         path: file.to_owned(),
+        line: ConfigurationLines::read(&text).line(&error),
         error,
     };
     configuration.check().map_err(refused)?;
@@ -89,17 +97,30 @@
     })
 }
 
-fn read_yaml<Content>(file: &Path) -> Result<Content, UsageError>
+fn parse_yaml<Content>(file: &Path, text: &str) -> Result<Content, UsageError>
 where
     Content: DeserializeOwned,
 {
-    let text = read_text(file)?;
-    serde_saphyr::from_str(&text).map_err(|error| UsageError::BadFile {
+    serde_saphyr::from_str(text).map_err(|error| UsageError::BadFile {
         path: file.to_owned(),
-        reason: error.without_snippet().to_string(),
+        reason: explain(error.without_snippet()),
     })
 }
 
+fn explain(error: &YamlError) -> String {
+    let line = error.location().map_or(1, |location| location.line());
+    match error {
+        YamlError::DuplicateMappingKey { key, .. } => {
+            let key = key.as_deref().unwrap_or_default();
+            format!("line {line}: the key `{key}` is given twice; give it once")
+        }
+        YamlError::SerdeInvalidValue { expected, .. } if expected == DURATION => {
+            format!("{error}; {TIME}")
+        }
+        other => other.to_string(),
+    }
+}
+
 fn get(path: &str) -> AdminCall {
     bare(Method::GET, path.to_owned())
 }
@@ -122,7 +143,7 @@
 }
 
 fn submit(file: &Path) -> Result<AdminCall, UsageError> {
-    let job: serde_json::Value = read_yaml(file)?;
+    let job: serde_json::Value = parse_yaml(file, &read_text(file)?)?;
     let mut call = bare(Method::POST, "/v1/jobs".to_owned());
     call.body = encode(&job);
     Ok(call)
--- a/crates/jbctl/src/lib.rs
+++ b/crates/jbctl/src/lib.rs
@@ -5,6 +5,7 @@
 mod admin_client;
 mod call_error;
 mod command_line;
+mod configuration_lines;
 mod job_listing;
 mod operator_command;
 mod output_format;
--- a/crates/jbctl/src/usage_error.rs
+++ b/crates/jbctl/src/usage_error.rs
@@ -71,10 +71,12 @@
         reason: String,
     },
     /// A configuration is impossible.
-    #[display("the configuration {} is refused: {error}", path.display())]
+    #[display("the configuration {} is refused: line {line}: {error}", path.display())]
     BadConfiguration {
         /// The file.
         path: PathBuf,
+        /// The line, from one.
+        line: u64,
         /// The fault.
         error: ConfigurationError,
     },
