--- a/crates/jasminebend/src/lib.rs
+++ b/crates/jasminebend/src/lib.rs
@@ -38,6 +38,7 @@
 mod file_watch;
 mod gauge_keeper;
 mod given_key;
+mod job_page;
 mod key_reader;
 mod key_watch;
 mod limit_settings;
@@ -66,6 +67,7 @@
 mod tls_settings;
 mod token_error;
 mod token_table;
+mod token_tries;
 mod trace_error;
 mod trace_export;
 mod trace_settings;
@@ -129,6 +131,10 @@
     tls_settings::TlsSettings,
     token_error::TokenError,
     token_table::TokenTable,
+    token_tries::{
+        TokenTries,
+        TryOutcome, //
+    },
     trace_error::TraceError,
     trace_export::TraceExport,
     trace_settings::TraceSettings,
--- a/crates/jasminebend/tests/administration/main.rs
+++ b/crates/jasminebend/tests/administration/main.rs
@@ -6,4 +6,6 @@
 mod change_log;
 mod control_fake;
 mod harness;
+mod job_pages;
 mod temporary_directory;
+mod token_tries;
