Bound the measurements that a worker's report carries

Cause: each report named the use of every run. At 2,600 workers with 23 runs each that made 304 KB a second of reports, 43 KB for each of seven daemons, while all control may cost a daemon 30 KB.

Change: a heartbeat says how many measurements its report may carry. Beyond that, a worker keeps the newest of each run and reports services first, then the runs longest unreported; ends are never held back. The planner shares 15,000 bytes a second (PlannerSettings::with_usage_bytes) among the workers of all shards that its daemon holds, and always leaves room for one batch run beside a worker's services. The field is optional in JSON, so that an older owner's heartbeat still means no limit; in postcard owner and worker must know it. The bench of the shard gained the sizes 65 and 371 (a seventh of 2,600).

Tests: a worker with seven runs and room for two names each in any four reports and ends at once (red with the turn taken out); services come first; sizes declared wrong by ten times are also learned from one measurement a report.

HTTP's heads, some 23 KB a second at 371 workers by calculation, remain: the sum of some 40 KB is still above what control may cost, and only fewer heartbeats mend that. What sampling does to learning at that size is not measured.

--- a/crates/planner/benches/shard/main.rs
+++ b/crates/planner/benches/shard/main.rs
@@ -64,7 +64,7 @@
     println!(
         "workers running starts/s  core%  commits/s rows/s KB/s  report B/worker/s  MB resident  first start after"
     );
-    for workers in [50, 500, 2600] {
+    for workers in [50, 65, 371, 500, 2600] {
         let runtime = Builder::new_current_thread()
             .enable_all()
             .start_paused(true)
--- a/crates/planner/benches/shard/quick_workers.rs
+++ b/crates/planner/benches/shard/quick_workers.rs
@@ -46,7 +46,7 @@
     pub(crate) first_start: Option<Duration>,
 }
 
-/// Workers that run each task for a fixed time and report the use of all once in each report.
+/// Workers that run each task for a fixed time and report the use of as many as they may.
 pub(crate) struct QuickWorkers {
     clock: Arc<dyn ClockSource>,
     run_time: Duration,
@@ -134,6 +134,7 @@
                 .collect(),
             usage: running
                 .iter()
+                .take(renewal.usage_limit as usize)
                 .map(|(_, task)| TaskUsage {
                     attempt: task.attempt,
                     used: task.reserved,
--- a/crates/planner/src/planner_settings.rs
+++ b/crates/planner/src/planner_settings.rs
@@ -9,6 +9,10 @@
 const HEARTBEAT: Duration = Duration::from_secs(5);
 const LEASE: Duration = Duration::from_secs(15);
 const KEEP_ENDED: Duration = Duration::from_secs(7 * 24 * 3600);
+/// With the ends beside it, this keeps reports below 20 KB a second at 371 workers of 23 runs each.
+const USAGE_BYTES_PER_SECOND: u32 = 15_000;
+/// A measurement in postcard, by the capacity bench.
+const BYTES_PER_USAGE: f64 = 32.0;
 const ROWS_PER_SNAPSHOT: u64 = 256;
 
 /// What a planner is told.
@@ -19,6 +23,7 @@
     pub(crate) scan_every: Duration,
     pub(crate) heartbeat: Duration,
     pub(crate) lease: Duration,
+    pub(crate) usage_bytes: u32,
     pub(crate) rows_per_snapshot: u64,
     pub(crate) keep_ended: Duration,
     pub(crate) policy: PlacementPolicy,
@@ -34,6 +39,7 @@
             scan_every: SCAN_EVERY,
             heartbeat: HEARTBEAT,
             lease: LEASE,
+            usage_bytes: USAGE_BYTES_PER_SECOND,
             rows_per_snapshot: ROWS_PER_SNAPSHOT,
             keep_ended: KEEP_ENDED,
             policy: PlacementPolicy::new(),
@@ -64,6 +70,13 @@
         self
     }
 
+    /// Sets how many bytes a second the measurements of this daemon's workers may cost; beyond it,
+    /// they are sampled.
+    pub fn with_usage_bytes(mut self, bytes_per_second: u32) -> Self {
+        self.usage_bytes = bytes_per_second;
+        self
+    }
+
     /// Sets after how many journal rows the ledger is written whole to the object store.
     pub fn with_rows_per_snapshot(mut self, rows: u64) -> Self {
         self.rows_per_snapshot = rows.max(1);
@@ -82,6 +95,13 @@
         self
     }
 
+    /// Returns how many measurements a report may carry on a daemon that hears this many workers.
+    pub(crate) fn usage_limit(&self, workers: usize) -> u32 {
+        let bytes = f64::from(self.usage_bytes) * self.heartbeat.as_secs_f64();
+        // CAST: the quotient is not negative; what is beyond u32 saturates.
+        (bytes / BYTES_PER_USAGE / workers.max(1) as f64) as u32
+    }
+
     /// Returns a time on this clock after which a lease of some length, counted on another clock,
     /// has surely lapsed: clocks that drift 5% apart, and a second for rounding and timers.
     pub(crate) fn with_drift(&self, time: Duration) -> Duration {
--- a/crates/planner/src/shard_state.rs
+++ b/crates/planner/src/shard_state.rs
@@ -104,6 +104,8 @@
     pub(crate) attention: IndexSet<TaskId>,
     pub(crate) stops_in_flight: usize,
     pub(crate) links: IndexMap<WorkerKey, WorkerLink>,
+    /// The number of workers in the VM list, by shard.
+    pub(crate) listed: IndexMap<u16, usize>,
     pub(crate) contacts: BTreeSet<(Duration, WorkerKey)>,
 
     /// The rows that could not be read.
@@ -170,6 +172,7 @@
             attention: IndexSet::new(),
             stops_in_flight: 0,
             links: IndexMap::new(),
+            listed: IndexMap::new(),
             contacts: BTreeSet::new(),
             left_alone: IndexSet::new(),
             unread: false,
--- a/crates/planner/src/shard_usage.rs
+++ b/crates/planner/src/shard_usage.rs
@@ -2,7 +2,10 @@
 
 use std::time::Duration;
 
-use jasminebend_base::ClassKind;
+use jasminebend_base::{
+    ClassKind,
+    ResourceId, //
+};
 use jasminebend_placement::{
     ClassKey,
     LadderAction,
@@ -76,6 +79,23 @@
         }
     }
 
+    /// Returns how many measurements a worker may report. Its services are reported first, so that
+    /// there is always room for one batch run beside them: else no batch run would ever be measured.
+    pub(crate) fn usage_limit(&self, key: WorkerKey) -> u32 {
+        let held = self.edges.ownership.held();
+        let workers: usize = held
+            .iter()
+            .map(|(resource, _)| match resource {
+                ResourceId::Shard(shard) => self.listed.get(shard).copied().unwrap_or(0),
+                _ => 0,
+            })
+            .sum();
+        let runs = self.links[&key].runs.iter().map(|task| &self.runs[task]);
+        let services = runs.filter(|run| run.kind == ClassKind::Service).count();
+        // CAST: a worker holds far fewer runs than 2^32.
+        self.settings.usage_limit(workers).max(services as u32 + 1)
+    }
+
     /// Learns from what a worker measured, and climbs its ladder.
     pub(crate) fn take_usage(&mut self, key: WorkerKey, usage: &[TaskUsage]) {
         if usage.is_empty() {
--- a/crates/planner/src/shard_vms.rs
+++ b/crates/planner/src/shard_vms.rs
@@ -32,6 +32,11 @@
             return;
         }
         let snapshot = self.vms.borrow_and_update().clone();
+        self.listed.clear();
+        for worker in snapshot.vms.iter().filter_map(|vm| vm.worker.as_ref()) {
+            let shard = shard_of_rack(&worker.rack, self.settings.shards);
+            *self.listed.entry(shard).or_default() += 1;
+        }
         let mut listed = IndexSet::new();
         for vm in &snapshot.vms {
             if let Some(key) = self.refresh_worker(vm, now) {
--- a/crates/planner/src/shard_workers.rs
+++ b/crates/planner/src/shard_workers.rs
@@ -92,6 +92,8 @@
             return;
         }
         link.calling = true;
+        let usage_limit = self.usage_limit(key);
+        let link = &self.links[&key];
         let epoch = self.calls.permit.epoch;
         let lease = self.settings.lease;
         match link.phase {
@@ -109,6 +111,7 @@
                     epoch,
                     lease,
                     acknowledged: link.acknowledged.clone(),
+                    usage_limit,
                 };
                 self.calls.renew(key, link.address, renewal);
             }
--- a/crates/planner/tests/planner/worker_faults.rs
+++ b/crates/planner/tests/planner/worker_faults.rs
@@ -6,6 +6,7 @@
     ResourceAmount,
     VmSnapshot, //
 };
+use jasminebend_planner::PlannerSettings;
 use jasminebend_standins::{
     CallKind,
     FaultKind,
@@ -102,11 +103,15 @@
 }
 
 // A class declares a tenth, or ten times, of what it uses. Counted as declared, ten times too many
-// tasks go on a worker, or nine tenths of it stay idle.
+// tasks go on a worker, or nine tenths of it stay idle. One measurement a report has to do.
 #[tokio::test(start_paused = true)]
 async fn sizes_declared_wrong_by_ten_times_are_learned() {
-    for (used, share) in [(5_000, 1), (100, 20)] {
-        let bed = TestBed::new(4);
+    let sampled = PlannerSettings::new(1).with_usage_bytes(0);
+    let cases = [(5_000, 1), (100, 20)];
+    let cases =
+        cases.map(|case| [PlannerSettings::new(1), sampled].map(|settings| (case, settings)));
+    for ((used, share), settings) in cases.into_iter().flatten() {
+        let bed = TestBed::new(4).with_settings(settings);
         let planner = bed.planner(1).await;
         let mut spec = batch(2_000, seconds(45));
         spec.size = ResourceAmount::new(1_000, 200);
--- a/crates/ports/src/lease_renewal.rs
+++ b/crates/ports/src/lease_renewal.rs
@@ -20,4 +20,14 @@
     pub lease: Duration,
     /// The ended runs whose end is committed.
     pub acknowledged: Vec<TaskAttempt>,
+    /// The most measurements that the report may carry. Beyond it, the worker keeps the newest one
+    /// of each run and reports services first, then the runs longest unreported. Ends are never
+    /// held back.
+    #[serde(default = "unlimited")]
+    pub usage_limit: u32,
+}
+
+/// What an owner allows that knows of no limit yet.
+fn unlimited() -> u32 {
+    u32::MAX
 }
--- a/crates/ports/src/worker_report.rs
+++ b/crates/ports/src/worker_report.rs
@@ -19,6 +19,6 @@
     pub running: u32,
     /// The runs that ended and are not acknowledged.
     pub ended: Vec<WorkerTask>,
-    /// Late measurements, each reported once.
+    /// Late measurements, each reported at most once, and at most as many as the renewal allows.
     pub usage: Vec<TaskUsage>,
 }
--- a/crates/standins/benches/capacity/workers.rs
+++ b/crates/standins/benches/capacity/workers.rs
@@ -171,6 +171,7 @@
         epoch: EPOCH,
         lease: LEASE,
         acknowledged: Vec::new(),
+        usage_limit: 1000,
     };
     black_box(workers.renew(address, renewal).await.unwrap());
 }
--- a/crates/standins/src/worker_core.rs
+++ b/crates/standins/src/worker_core.rs
@@ -20,6 +20,7 @@
     TaskAttempt,
     TaskEvent,
     TaskOrder,
+    TaskUsage,
     WorkerError,
     WorkerInventory,
     WorkerReport,
@@ -112,10 +113,17 @@
             // CAST: a worker holds far fewer runs than 2^32.
             running: self.running.len() as u32,
             ended: self.ended.tasks().collect(),
-            usage: self.usage.due(now),
+            usage: self.report_usage(now, renewal.usage_limit),
         })
     }
 
+    fn report_usage(&mut self, now: Duration, limit: u32) -> Vec<TaskUsage> {
+        let running = &self.running;
+        self.usage.keep_running(|run| running.contains(run));
+        // CAST: usize has at least 32 bits here.
+        self.usage.due(now, limit as usize)
+    }
+
     pub(crate) fn start(
         &mut self,
         now: Duration,
--- a/crates/standins/tests/contracts/worker_calls.rs
+++ b/crates/standins/tests/contracts/worker_calls.rs
@@ -70,11 +70,20 @@
     pub(crate) async fn renew(
         &self,
         acknowledged: &[TaskAttempt],
+    ) -> Result<WorkerReport, WorkerError> {
+        self.renew_within(acknowledged, u32::MAX).await
+    }
+
+    pub(crate) async fn renew_within(
+        &self,
+        acknowledged: &[TaskAttempt],
+        usage_limit: u32,
     ) -> Result<WorkerReport, WorkerError> {
         let renewal = LeaseRenewal {
             epoch: EPOCH,
             lease: LEASE,
             acknowledged: acknowledged.to_vec(),
+            usage_limit,
         };
         self.port.renew(self.address, renewal).await
     }
--- a/crates/standins/tests/contracts/worker_runs.rs
+++ b/crates/standins/tests/contracts/worker_runs.rs
@@ -135,6 +135,64 @@
     assert_eq!(usage.progress_millis, Some(250));
 }
 
+// At 2,600 workers the use of every run in every report costs a daemon more than control may cost. The
+// owner bounds it; a run beyond the bound must not stay unseen, and no end may wait for its turn.
+async fn bounded_reports_name_all_runs_in_turn_and_ends_at_once(worker: WorkerHarness) {
+    worker.stand_in.set_knobs(|knobs| {
+        knobs.usage_period = SECOND;
+        knobs.usage_lag = (Duration::ZERO, Duration::ZERO);
+    });
+    worker.adopt(EPOCH).await.unwrap();
+    let long = TaskPayload::new(60 * SECOND).to_text();
+    for index in 0..7 {
+        let order = TaskOrder {
+            payload: long.clone(),
+            ..batch(index, 1)
+        };
+        worker.start(order).await.unwrap();
+    }
+    let mut reported = Vec::new();
+    for _ in 0..12 {
+        worker.clock.advance(SECOND);
+        let report = worker.renew_within(&[], 2).await.unwrap();
+        assert_eq!(report.usage.len(), 2);
+        let fresh = report.usage.iter().all(|usage| usage.age.is_zero());
+        assert!(fresh, "{:?}", report.usage);
+        reported.push([0, 1].map(|place| report.usage[place].attempt));
+    }
+    // Seven runs, two at a time: any four reports in a row name each.
+    for round in reported.windows(4) {
+        for index in 0..7 {
+            let named = round.as_flattened().contains(&run(index, 1));
+            assert!(named, "{index}: {round:?}");
+        }
+    }
+    for index in 0..3 {
+        worker.stop(run(index, 1)).await.unwrap();
+    }
+    let ended = worker.renew_within(&[], 1).await.unwrap().ended;
+    assert_eq!(ended.len(), 3);
+}
+
+// A report that leaves out a slow service would have the owner lift its throttle.
+async fn a_bounded_report_names_services_first(worker: WorkerHarness) {
+    worker.stand_in.set_knobs(|knobs| {
+        knobs.usage_period = SECOND;
+        knobs.usage_lag = (Duration::ZERO, Duration::ZERO);
+    });
+    worker.adopt(EPOCH).await.unwrap();
+    for index in 0..4 {
+        worker.start(batch(index, 1)).await.unwrap();
+    }
+    worker.start(service(4)).await.unwrap();
+    for _ in 0..3 {
+        worker.clock.advance(SECOND);
+        let usage = worker.renew_within(&[], 2).await.unwrap().usage;
+        assert_eq!(usage.len(), 2);
+        assert_eq!(usage[0].attempt, run(4, 1));
+    }
+}
+
 async fn a_restarted_worker_says_so(worker: WorkerHarness) {
     worker.adopt(EPOCH).await.unwrap();
     worker.start(batch(1, 1)).await.unwrap();
@@ -164,6 +222,8 @@
         a_checkpoint_may_fail_or_be_lost,
         throttles_and_neighbours_slow_a_run,
         reports_usage_late_and_once,
+        bounded_reports_name_all_runs_in_turn_and_ends_at_once,
+        a_bounded_report_names_services_first,
         a_restarted_worker_says_so,
         a_broken_worker_fails_every_task,
     ],
--- a/crates/standins/tests/fuzz/adapters.rs
+++ b/crates/standins/tests/fuzz/adapters.rs
@@ -98,6 +98,7 @@
         epoch: OwnerEpoch(1),
         lease: TIMEOUT,
         acknowledged: Vec::new(),
+        usage_limit: 1000,
     };
     runtime.block_on(async {
         let table = HttpTable::new(address);
@@ -128,6 +129,7 @@
             epoch: OwnerEpoch(1),
             lease: TIMEOUT,
             acknowledged: Vec::new(),
+            usage_limit: 1000,
         };
         let workers = HttpWorkers::new().with_timeout(TIMEOUT);
         let report = runtime.block_on(workers.renew(address, renewal));
@@ -150,6 +152,7 @@
                 epoch: OwnerEpoch(1),
                 lease: TIMEOUT,
                 acknowledged: Vec::new(),
+                usage_limit: 1000,
             };
             let report = runtime.block_on(HttpWorkers::new().renew(address, renewal));
             assert_eq!(report.is_ok(), is_report, "{format:?} {extra}");
--- a/crates/standins/tests/fuzz/servers.rs
+++ b/crates/standins/tests/fuzz/servers.rs
@@ -166,6 +166,7 @@
             epoch: EPOCH,
             lease,
             acknowledged: vec![run(3)],
+            usage_limit: 1000,
         }),
         WorkerRequest::Start {
             epoch: EPOCH,
