Have a test tell the runs longest unreported from those left over

What is left over from one report stands first in the next anyway, so that the runs come in turn without them.

Change: the test now starts a run beside seven that wait for their turn; never reported, it must come first in the next report.

Conclusion: the order that the port promises is now held by a test.

--- a/crates/standins/tests/contracts/worker_runs.rs
+++ b/crates/standins/tests/contracts/worker_runs.rs
@@ -167,6 +167,11 @@
             assert!(named, "{index}: {round:?}");
         }
     }
+    // A run that begins was never reported, and goes before those left over from earlier reports.
+    worker.start(batch(7, 1)).await.unwrap();
+    worker.clock.advance(SECOND);
+    let first = worker.renew_within(&[], 2).await.unwrap().usage;
+    assert_eq!(first[0].attempt, run(7, 1));
     for index in 0..3 {
         worker.stop(run(index, 1)).await.unwrap();
     }
