Let a worker come to another shard whose epoch is lower

Cause: a worker compared the epochs of all shards as one. After the number of shards or a rack's name changed, a worker could come to a shard with a lower epoch and refuse its owner for good; with a higher one, it was taken over with the former shard's runs still in progress.

Change: a worker follows a shard and its epoch. An adoption by another shard is refused as out of date until the lease from the former shard has lapsed, and its runs with it; then any epoch of that shard is accepted, under a new incarnation, so that a late start of the former owner is refused even if both epochs are equal. A heartbeat names its shard, so that a late one cannot prolong the other's lease. The planner needs no other answer: whoever is refused by another shard's live lease has no runs left there.

Conclusion: such a change costs one lease of waiting and a rerun of what ran there. Not solved: an end that the former shard had not committed is acknowledged by the new one, so that its result is lost and the task runs again. Stops, checkpoints and throttles still name no shard; they can only meet runs of their own task.

--- a/crates/planner/src/shard_workers.rs
+++ b/crates/planner/src/shard_workers.rs
@@ -108,6 +108,7 @@
             }
             LinkPhase::Adopted | LinkPhase::Silent => {
                 let renewal = LeaseRenewal {
+                    shard: self.calls.permit.shard,
                     epoch,
                     lease,
                     acknowledged: link.acknowledged.clone(),
--- a/crates/planner/tests/planner/take_over.rs
+++ b/crates/planner/tests/planner/take_over.rs
@@ -4,7 +4,8 @@
 
 use jasminebend_base::{
     OwnerEpoch,
-    ResourceAmount, //
+    ResourceAmount,
+    ResourceId, //
 };
 use jasminebend_planner::{
     JobPhase,
@@ -15,6 +16,7 @@
     ResourceUser,
     RowChange,
     RowExpectation,
+    WorkerError,
     WorkerPort,
     WriteId, //
 };
@@ -98,6 +100,43 @@
     assert_eq!(old.status(job).await.running, 3);
 }
 
+// All daemons stop, the number of shards is set from one to two, and they start again. Half of the
+// workers follow epoch 7 of the former shard and come to a shard at epoch 1: compared with each other,
+// these epochs would shut its owner out for good, and its jobs would wait for ever.
+#[tokio::test(start_paused = true)]
+async fn workers_come_to_another_shard_with_a_lower_epoch() {
+    let bed = TestBed::new(8);
+    let old = bed.planner(7).await;
+    let services = old.handle.submit(service(6)).await.unwrap();
+    sleep(seconds(8)).await;
+    assert_eq!(old.status(services).await.running, 6);
+    drop(old);
+    let bed = bed.with_settings(PlannerSettings::new(2));
+    let new = bed.planner(8).await;
+    new.ownership
+        .hold(ResourceId::Shard(1), OwnerEpoch(1), seconds(0));
+    let mut jobs = Vec::new();
+    for _ in 0..20 {
+        jobs.push(new.handle.submit(batch(4, seconds(5))).await.unwrap());
+    }
+    for job in jobs {
+        assert_eq!(new.ended(job, seconds(300)).await.finished, 4);
+    }
+    sleep(seconds(60)).await;
+    assert_eq!(new.status(services).await.running, 6);
+    // Each worker holds a lease from its shard, so that it refuses any other.
+    for (address, _) in bed.fleet.workers() {
+        let stale = EpochAdoption {
+            shard: 9,
+            epoch: OwnerEpoch(99),
+            lease: seconds(15),
+        };
+        let answer = bed.fleet.adopt(address, stale).await;
+        assert_eq!(answer, Err(WorkerError::OutOfDate), "{address}");
+    }
+    bed.check();
+}
+
 // A planner is paused with a start in hand; its shard is taken over, the task is started elsewhere,
 // and then the start goes out and arrives.
 #[tokio::test(start_paused = true)]
--- a/crates/ports/src/lease_renewal.rs
+++ b/crates/ports/src/lease_renewal.rs
@@ -14,6 +14,8 @@
 /// records the worker then drops.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct LeaseRenewal {
+    /// The owner's shard.
+    pub shard: u16,
     /// The owner's epoch.
     pub epoch: OwnerEpoch,
     /// How long, from the arrival of this renewal, the worker may go on with its runs unheard.
--- a/crates/ports/src/worker_inventory.rs
+++ b/crates/ports/src/worker_inventory.rs
@@ -14,7 +14,8 @@
 /// All runs that a worker knows.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct WorkerInventory {
-    /// Differs after each restart of the worker; a restarted worker has forgotten its runs.
+    /// Differs after each restart of the worker and after each move to another shard; a restarted
+    /// worker has forgotten its runs, and at a move all have ended.
     pub incarnation: u64,
     /// The epoch that the worker follows.
     pub epoch: OwnerEpoch,
--- a/crates/ports/src/worker_port.rs
+++ b/crates/ports/src/worker_port.rs
@@ -23,7 +23,9 @@
     ///
     /// # Errors
     ///
-    /// [`WorkerError::StaleEpoch`] if it follows a newer one; else unreachable or unknown.
+    /// [`WorkerError::StaleEpoch`] if it follows a newer one of the same shard;
+    /// [`WorkerError::OutOfDate`] while the lease from another shard lasts; else unreachable or
+    /// unknown.
     async fn adopt(
         &self,
         worker: SocketAddr,
@@ -35,7 +37,7 @@
     /// # Errors
     ///
     /// [`WorkerError::StaleEpoch`] if it follows a newer one; [`WorkerError::OutOfDate`] if the lease
-    /// lapsed, the worker restarted, or the epoch was not adopted, so that it must be adopted; else
+    /// lapsed, the worker restarted or follows another shard, or the epoch was not adopted, so that it must be adopted; else
     /// unreachable or unknown.
     async fn renew(
         &self,
--- a/crates/ports/src/worker_report.rs
+++ b/crates/ports/src/worker_report.rs
@@ -13,7 +13,7 @@
 /// A worker's answer to a heartbeat: what changed, and what was measured.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct WorkerReport {
-    /// Differs after each restart of the worker.
+    /// Differs after each restart of the worker and after each move to another shard.
     pub incarnation: u64,
     /// The number of runs in progress.
     pub running: u32,
--- a/crates/standins/benches/capacity/workers.rs
+++ b/crates/standins/benches/capacity/workers.rs
@@ -168,6 +168,7 @@
 
 async fn renew(workers: &HttpWorkers, address: SocketAddr) {
     let renewal = LeaseRenewal {
+        shard: 1,
         epoch: EPOCH,
         lease: LEASE,
         acknowledged: Vec::new(),
--- a/crates/standins/src/worker_core.rs
+++ b/crates/standins/src/worker_core.rs
@@ -89,7 +89,13 @@
         adoption: EpochAdoption,
     ) -> Result<WorkerInventory, WorkerError> {
         self.settle(now);
-        self.lease.adopt(now, adoption.epoch, adoption.lease)?;
+        let moves = self.lease.moves_to(adoption.shard);
+        self.lease.adopt(now, adoption)?;
+        if moves {
+            // A start of the former shard that comes late may carry the very epoch of this one; it
+            // names the former incarnation.
+            self.incarnation += 1;
+        }
         let running = self.running.runs().map(|run| run.to_task(None));
         Ok(WorkerInventory {
             incarnation: self.incarnation,
@@ -105,7 +111,7 @@
         renewal: &LeaseRenewal,
     ) -> Result<WorkerReport, WorkerError> {
         self.settle(now);
-        self.lease.renew(now, renewal.epoch, renewal.lease)?;
+        self.lease.renew(now, renewal)?;
         self.ended.acknowledge(&renewal.acknowledged);
         self.running.measure(now, &self.knobs, &mut self.usage);
         Ok(WorkerReport {
--- a/crates/standins/src/worker_lease.rs
+++ b/crates/standins/src/worker_lease.rs
@@ -3,11 +3,17 @@
 use std::time::Duration;
 
 use jasminebend_base::OwnerEpoch;
-use jasminebend_ports::WorkerError;
+use jasminebend_ports::{
+    EpochAdoption,
+    LeaseRenewal,
+    WorkerError, //
+};
 
 /// The epoch that a stand-in worker follows, and the lease that its owner grants.
 #[derive(Debug, Default)]
 pub(crate) struct WorkerLease {
+    /// The shard whose epoch it is; `None` until the first adoption.
+    shard: Option<u16>,
     epoch: OwnerEpoch,
     renewed: Option<Duration>,
     end: Option<Duration>,
@@ -31,26 +37,36 @@
         Ok(())
     }
 
+    /// Tells whether the worker would follow another shard than before.
+    pub(crate) fn moves_to(&self, shard: u16) -> bool {
+        self.shard.is_some_and(|followed| followed != shard)
+    }
+
     pub(crate) fn adopt(
         &mut self,
         now: Duration,
-        epoch: OwnerEpoch,
-        lease: Duration,
+        adoption: EpochAdoption,
     ) -> Result<(), WorkerError> {
-        self.check_epoch(epoch)?;
-        self.epoch = epoch;
-        self.grant(now, lease);
+        match self.moves_to(adoption.shard) {
+            true => self.check_lapsed()?,
+            false => self.check_epoch(adoption.epoch)?,
+        }
+        self.shard = Some(adoption.shard);
+        self.epoch = adoption.epoch;
+        self.grant(now, adoption.lease);
         Ok(())
     }
 
     pub(crate) fn renew(
         &mut self,
         now: Duration,
-        epoch: OwnerEpoch,
-        lease: Duration,
+        renewal: &LeaseRenewal,
     ) -> Result<(), WorkerError> {
-        self.check_live(epoch)?;
-        self.grant(now, lease);
+        if self.moves_to(renewal.shard) {
+            return Err(WorkerError::OutOfDate);
+        }
+        self.check_live(renewal.epoch)?;
+        self.grant(now, renewal.lease);
         Ok(())
     }
 
@@ -73,6 +89,16 @@
         self.end = None;
     }
 
+    /// Guards against two shards that own the worker by turns: the epochs of different shards cannot be
+    /// compared, so that a task could run in two places, or the worker never be taken over. Once the
+    /// former shard's lease has lapsed, nothing of it runs here, whatever its owner believes.
+    fn check_lapsed(&self) -> Result<(), WorkerError> {
+        match self.end {
+            Some(_) => Err(WorkerError::OutOfDate),
+            None => Ok(()),
+        }
+    }
+
     /// Guards against renewals that come late: with a start that came late beside it, such a renewal
     /// would revive the lease, and the start would be accepted although its sender has given it up.
     /// So a lease that lapsed, or that a restart forgot, comes back by an adoption alone.
--- a/crates/standins/tests/contracts/worker_calls.rs
+++ b/crates/standins/tests/contracts/worker_calls.rs
@@ -57,8 +57,16 @@
 
 impl WorkerHarness {
     pub(crate) async fn adopt(&self, epoch: OwnerEpoch) -> Result<WorkerInventory, WorkerError> {
+        self.adopt_for(1, epoch).await
+    }
+
+    pub(crate) async fn adopt_for(
+        &self,
+        shard: u16,
+        epoch: OwnerEpoch,
+    ) -> Result<WorkerInventory, WorkerError> {
         let adoption = EpochAdoption {
-            shard: 1,
+            shard,
             epoch,
             lease: LEASE,
         };
@@ -80,6 +88,7 @@
         usage_limit: u32,
     ) -> Result<WorkerReport, WorkerError> {
         let renewal = LeaseRenewal {
+            shard: 1,
             epoch: EPOCH,
             lease: LEASE,
             acknowledged: acknowledged.to_vec(),
--- a/crates/standins/tests/contracts/worker_orders.rs
+++ b/crates/standins/tests/contracts/worker_orders.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use jasminebend_base::{
+    OwnerEpoch,
     ResourceAmount,
     VmName, //
 };
@@ -32,7 +33,8 @@
         LEASE,
         SECOND,
         batch,
-        run, //
+        run,
+        service, //
     }, //
 };
 
@@ -54,6 +56,38 @@
     assert_eq!(worker.stand_in.running().len(), 1);
 }
 
+// The number of shards changes and a worker comes to a shard with a lower epoch. Compared with the
+// former shard's, that epoch would shut its owner out for good; a higher one would take over runs that
+// the former owner still answers for.
+async fn follows_another_shard_once_the_former_lease_lapsed(worker: WorkerHarness) {
+    for epoch in [OwnerEpoch(EPOCH.0 - 1), EPOCH, EPOCH.next()] {
+        worker.stand_in.restart();
+        let before = worker.adopt_for(1, EPOCH).await.unwrap().incarnation;
+        let order = |index| TaskOrder {
+            incarnation: Some(before),
+            ..service(index)
+        };
+        worker.start(order(1)).await.unwrap();
+        let early = worker.adopt_for(2, epoch).await;
+        assert_eq!(early, Err(WorkerError::OutOfDate), "{epoch}");
+        worker.clock.advance(LEASE - SECOND);
+        worker.renew(&[]).await.unwrap();
+        worker.clock.advance(LEASE - SECOND);
+        let renewed = worker.adopt_for(2, epoch).await;
+        assert_eq!(renewed, Err(WorkerError::OutOfDate), "{epoch}");
+        worker.clock.advance(SECOND);
+        let inventory = worker.adopt_for(2, epoch).await.unwrap();
+        assert_eq!(worker.stand_in.running(), [], "{epoch}");
+        assert_ne!(inventory.incarnation, before, "{epoch}");
+        // What the former owner sent comes late, also under the same epoch.
+        assert!(worker.renew(&[]).await.is_err(), "{epoch}");
+        assert!(worker.start(order(2)).await.is_err(), "{epoch}");
+        let back = worker.adopt_for(1, EPOCH).await;
+        assert_eq!(back, Err(WorkerError::OutOfDate), "{epoch}");
+        worker.clock.advance(LEASE);
+    }
+}
+
 async fn repeated_orders_change_nothing(worker: WorkerHarness) {
     worker.adopt(EPOCH).await.unwrap();
     for _ in 0..2 {
@@ -192,6 +226,7 @@
 contract!(
     [
         follows_the_newest_epoch_alone,
+        follows_another_shard_once_the_former_lease_lapsed,
         repeated_orders_change_nothing,
         reports_an_end_until_it_is_acknowledged,
         late_starts_are_refused,
--- a/crates/standins/tests/fuzz/adapters.rs
+++ b/crates/standins/tests/fuzz/adapters.rs
@@ -95,6 +95,7 @@
     let server = server();
     let (address, _guard) = runtime.block_on(server.start()).unwrap();
     let renewal = LeaseRenewal {
+        shard: 1,
         epoch: OwnerEpoch(1),
         lease: TIMEOUT,
         acknowledged: Vec::new(),
@@ -126,6 +127,7 @@
         let refuses = answer.starts_with(b"HTTP/1.1 4");
         server.once(EndpointFault::Raw(answer.clone().into()));
         let renewal = LeaseRenewal {
+            shard: 1,
             epoch: OwnerEpoch(1),
             lease: TIMEOUT,
             acknowledged: Vec::new(),
@@ -149,6 +151,7 @@
             let answer = report_and(format, extra);
             server.once(EndpointFault::Raw(answer.into()));
             let renewal = LeaseRenewal {
+                shard: 1,
                 epoch: OwnerEpoch(1),
                 lease: TIMEOUT,
                 acknowledged: Vec::new(),
--- a/crates/standins/tests/fuzz/servers.rs
+++ b/crates/standins/tests/fuzz/servers.rs
@@ -163,6 +163,7 @@
             lease,
         }),
         WorkerRequest::Renew(LeaseRenewal {
+            shard: 1,
             epoch: EPOCH,
             lease,
             acknowledged: vec![run(3)],
