Test the second look at a domain and the limit of stops in flight

Cause: two guards of the planner could be taken out with every test green: the second look at the failure domain right before a start is sent, and the limit of stops in flight.

Change: workers that watch their calls. They take a domain out as its first start arrives, so that the other starts of the same tick meet the second look alone; and they answer stops slowly, so that more than the limit would be in flight.

--- a/crates/planner/tests/planner/cancellation.rs
+++ b/crates/planner/tests/planner/cancellation.rs
@@ -1,5 +1,7 @@
 //! Cancellations, also in waves.
 
+use std::sync::Arc;
+
 use jasminebend_planner::JobPhase;
 use jasminebend_standins::{
     CallKind,
@@ -10,11 +12,14 @@
     time::sleep, //
 };
 
-use crate::test_bed::{
-    TestBed,
-    batch,
-    seconds,
-    service, //
+use crate::{
+    test_bed::{
+        TestBed,
+        batch,
+        seconds,
+        service, //
+    },
+    watched_workers::WatchedWorkers, //
 };
 
 // Operators cancel ten thousand jobs at once, and a service that customers wait for starts minutes
@@ -131,3 +136,24 @@
         assert!(bed.ledger.running().is_empty());
     }
 }
+
+// A job of hundreds of tasks is cancelled while workers answer slowly. Were all stops sent at once, a
+// wave of them would leave no room for starts.
+#[tokio::test(start_paused = true)]
+async fn stops_in_flight_are_limited() {
+    let bed = TestBed::new(40);
+    let workers = Arc::new(WatchedWorkers::new(&bed).with_stop_time(seconds(1)));
+    let table = Arc::new(bed.table.clone());
+    let planner = bed.planner_with(1, table, Arc::clone(&workers) as _).await;
+    let job = batch(300, seconds(5_000));
+    let job = planner.handle.submit(job).await.unwrap();
+    sleep(seconds(60)).await;
+    assert_eq!(bed.ledger.running().len(), 300);
+    planner.handle.cancel(job).await.unwrap();
+    let status = planner.ended(job, seconds(60)).await;
+    assert_eq!(status.phase, JobPhase::Cancelled);
+    let counts = workers.counts();
+    assert_eq!((counts.stops, counts.most_stops_in_flight), (300, 64));
+    assert_eq!(bed.ledger.running().len(), 0);
+    bed.check();
+}
--- a/crates/planner/tests/planner/failure_domain.rs
+++ b/crates/planner/tests/planner/failure_domain.rs
@@ -1,5 +1,7 @@
 //! Failure domains leave and return.
 
+use std::sync::Arc;
+
 use jasminebend_base::{
     DomainName,
     DomainState, //
@@ -11,11 +13,14 @@
 };
 use tokio::time::sleep;
 
-use crate::test_bed::{
-    TestBed,
-    batch,
-    seconds,
-    service, //
+use crate::{
+    test_bed::{
+        TestBed,
+        batch,
+        seconds,
+        service, //
+    },
+    watched_workers::WatchedWorkers, //
 };
 
 // Operators take a domain out to work on its power, and a task starts there a minute later: it was
@@ -57,6 +62,22 @@
     }
 }
 
+// Operators take a domain out while the starts that were decided on together are being sent: the
+// first of them is on its way, the others must not follow. The stops that come later end them, but by
+// then work has begun where somebody is about to cut the power.
+#[tokio::test(start_paused = true)]
+async fn no_start_is_sent_once_its_domain_went_out() {
+    let bed = TestBed::new(12);
+    let workers = Arc::new(WatchedWorkers::new(&bed).with_domain_going_out("b"));
+    let table = Arc::new(bed.table.clone());
+    let planner = bed.planner_with(1, table, Arc::clone(&workers) as _).await;
+    sleep(seconds(3)).await;
+    let job = planner.handle.submit(batch(90, seconds(20))).await.unwrap();
+    assert_eq!(planner.ended(job, seconds(400)).await.finished, 90);
+    assert_eq!(workers.counts().starts_in_domain, 1);
+    bed.check();
+}
+
 #[tokio::test(start_paused = true)]
 async fn batch_leaves_by_checkpoint_and_services_move_within_what_others_hold() {
     let bed = TestBed::new(12);
--- a/crates/planner/tests/planner/main.rs
+++ b/crates/planner/tests/planner/main.rs
@@ -17,4 +17,5 @@
 mod submission;
 mod take_over;
 mod test_bed;
+mod watched_workers;
 mod worker_faults;
