Drop a default that no heartbeat can use any more

Cause: a heartbeat's bound on measurements was made optional in JSON for the sake of older owners. The shard that a heartbeat names since then is required, so that an older owner's heartbeat is refused anyway: the default, and what was said of it, held no longer.

Owners and workers must be of one version of the port.

Conclusion: there is no half support of mixed versions.

--- a/crates/ports/src/lease_renewal.rs
+++ b/crates/ports/src/lease_renewal.rs
@@ -25,11 +25,5 @@
     /// The most measurements that the report may carry. Beyond it, the worker keeps the newest one
     /// of each run and reports services first, then the runs longest unreported. Ends are never
     /// held back.
-    #[serde(default = "unlimited")]
     pub usage_limit: u32,
 }
-
-/// What an owner allows that knows of no limit yet.
-fn unlimited() -> u32 {
-    u32::MAX
-}
