--- a/crates/standins/benches/capacity/workers.rs
+++ b/crates/standins/benches/capacity/workers.rs
@@ -168,9 +168,11 @@
 
 async fn renew(workers: &HttpWorkers, address: SocketAddr) {
     let renewal = LeaseRenewal {
+        shard: 1,
         epoch: EPOCH,
         lease: LEASE,
         acknowledged: Vec::new(),
+        usage_limit: 1000,
     };
     black_box(workers.renew(address, renewal).await.unwrap());
 }
--- a/crates/standins/src/worker_core.rs
+++ b/crates/standins/src/worker_core.rs
@@ -20,6 +20,7 @@
     TaskAttempt,
     TaskEvent,
     TaskOrder,
+    TaskUsage,
     WorkerError,
     WorkerInventory,
     WorkerReport,
@@ -88,7 +89,13 @@
         adoption: EpochAdoption,
     ) -> Result<WorkerInventory, WorkerError> {
         self.settle(now);
-        self.lease.adopt(now, adoption.epoch, adoption.lease)?;
+        let moves = self.lease.moves_to(adoption.shard);
+        self.lease.adopt(now, adoption)?;
+        if moves {
+            // A start of the former shard that comes late may carry the very epoch of this one; it
+            // names the former incarnation.
+            self.incarnation += 1;
+        }
         let running = self.running.runs().map(|run| run.to_task(None));
         Ok(WorkerInventory {
             incarnation: self.incarnation,
@@ -104,7 +111,7 @@
         renewal: &LeaseRenewal,
     ) -> Result<WorkerReport, WorkerError> {
         self.settle(now);
-        self.lease.renew(now, renewal.epoch, renewal.lease)?;
+        self.lease.renew(now, renewal)?;
         self.ended.acknowledge(&renewal.acknowledged);
         self.running.measure(now, &self.knobs, &mut self.usage);
         Ok(WorkerReport {
@@ -112,10 +119,17 @@
             // CAST: a worker holds far fewer runs than 2^32.
             running: self.running.len() as u32,
             ended: self.ended.tasks().collect(),
-            usage: self.usage.due(now),
+            usage: self.report_usage(now, renewal.usage_limit),
         })
     }
 
+    fn report_usage(&mut self, now: Duration, limit: u32) -> Vec<TaskUsage> {
+        let running = &self.running;
+        self.usage.keep_running(|run| running.contains(run));
+        // CAST: usize has at least 32 bits here.
+        self.usage.due(now, limit as usize)
+    }
+
     pub(crate) fn start(
         &mut self,
         now: Duration,
--- a/crates/standins/tests/fuzz/servers.rs
+++ b/crates/standins/tests/fuzz/servers.rs
@@ -163,9 +163,11 @@
             lease,
         }),
         WorkerRequest::Renew(LeaseRenewal {
+            shard: 1,
             epoch: EPOCH,
             lease,
             acknowledged: vec![run(3)],
+            usage_limit: 1000,
         }),
         WorkerRequest::Start {
             epoch: EPOCH,
