Count the retention of idempotency keys in hours that the daemons share

Cause: a key's row was removed by the wall clock of one daemon against a stamp of another's. A daemon years ahead removed every key, also of requests under way; one years behind reserved keys that were expired at once. In both cases a repetition was booked a second time.

Change: a row `request-keys/hours` is counted on by one, by compare-and-set, only after a daemon saw it unchanged for an hour of its own monotonic clock. Keys expire by that count plus two hours' margin; no wall clock has a part. While nobody counts, keys are kept longer. A daemon reads the row once a minute at the most, while keys are reserved; without an answer a request with a key is refused as before.

Tests: three new ones (a clock years ahead, a clock years behind, two daemons that count at once). keys_are_removed_after_their_retention_and_no_earlier leapt the wall clock by three hours, which is just what must not remove a key any more: it now lets three hours be counted, and also asserts that both keys are there before the third.

Conclusion: an error of a wall clock, either way, can no longer make a key be forgotten.

--- a/crates/gateway/src/gateway_settings.rs
+++ b/crates/gateway/src/gateway_settings.rs
@@ -35,6 +35,8 @@
     pub(crate) refusal_hold: Duration,
     pub(crate) retry_ratio: f64,
     pub(crate) key_retention: Duration,
+    /// How often expired idempotency keys are looked for.
+    pub(crate) key_sweep_every: Duration,
     pub(crate) traces: bool,
     pub(crate) peer_address: Option<SocketAddr>,
 }
@@ -67,6 +69,7 @@
             refusal_hold: Duration::from_secs(2),
             retry_ratio: 0.1,
             key_retention: Duration::from_secs(24 * 60 * 60),
+            key_sweep_every: Duration::from_secs(600),
             traces: false,
             peer_address: None,
         }
@@ -167,6 +170,12 @@
         self
     }
 
+    /// Sets how often expired idempotency keys are looked for.
+    pub fn with_key_sweep_every(mut self, pause: Duration) -> Self {
+        self.key_sweep_every = pause;
+        self
+    }
+
     /// Sets where the other daemons reach this one's callers' listener. They hand requests to it for
     /// services of which they have no slot; without it they do not.
     pub fn with_peer_address(mut self, address: SocketAddr) -> Self {
--- a/crates/gateway/src/key_record.rs
+++ b/crates/gateway/src/key_record.rs
@@ -25,7 +25,7 @@
     pub(crate) fingerprint: [u8; 16],
     /// Drawn anew for each reservation, so that a writer whose answer was lost knows its own.
     pub(crate) reservation: u64,
-    /// The hour, counted from the epoch of the wall clock, after which the row may go.
+    /// The hour of the count in the table after which the row may go.
     pub(crate) expiry_hour: u64,
     /// What became of the request.
     pub(crate) state: KeyState,
--- a/crates/gateway/src/key_store.rs
+++ b/crates/gateway/src/key_store.rs
@@ -6,10 +6,7 @@
         Mutex,
         PoisonError, //
     },
-    time::{
-        Duration,
-        SystemTime, //
-    },
+    time::Duration,
 };
 
 use jasminebend_ports::{
@@ -42,6 +39,7 @@
 };
 
 use crate::{
+    key_hours::KeyHours,
     key_record::{
         KeptAnswer,
         KeyRecord,
@@ -60,7 +58,6 @@
     refusal::Refusal,
 };
 
-const HOUR: Duration = Duration::from_secs(60 * 60);
 const FLUSH_PATIENCE: Duration = Duration::from_secs(5);
 
 /// Reserves idempotency keys and keeps what became of their requests.
@@ -69,6 +66,8 @@
     pub(crate) table: Arc<dyn TableService>,
     /// The clock.
     pub(crate) clock: Arc<dyn ClockSource>,
+    /// The hours by which keys are kept.
+    pub(crate) hours: KeyHours,
     retention: Duration,
     running: Arc<watch::Sender<usize>>,
     writer: Mutex<Option<ActorRef<WriterMessage>>>,
@@ -105,7 +104,9 @@
         clock: Arc<dyn ClockSource>,
         retention: Duration,
     ) -> Self {
+        let hours = KeyHours::new(Arc::clone(&table), Arc::clone(&clock));
         Self {
+            hours,
             table,
             clock,
             retention,
@@ -126,7 +127,7 @@
         let record = KeyRecord {
             fingerprint,
             reservation: self.draw(),
-            expiry_hour: self.hour_in(self.retention),
+            expiry_hour: self.expiry_hour(give_up).await?,
             state: KeyState::Reserved,
         };
         let (reply, outcome) = oneshot::channel();
@@ -187,15 +188,6 @@
         }
     }
 
-    /// Returns the hour of the wall clock in so long from now. It alone decides when a row may go:
-    /// nothing but the wall clock is common to the daemons that come and go meanwhile, and its
-    /// error only shortens or lengthens the retention by as much.
-    pub(crate) fn hour_in(&self, wait: Duration) -> u64 {
-        let now = self.clock.wall().duration_since(SystemTime::UNIX_EPOCH);
-        let then = now.unwrap_or_default() + wait;
-        then.as_secs() / HOUR.as_secs()
-    }
-
     /// Returns the writer, started at the first need, and anew if it ended before its time: what it
     /// had not written stays reserved, and so is never run twice.
     async fn writer(&self) -> Result<ActorRef<WriterMessage>, Refusal> {
@@ -219,6 +211,14 @@
         }
     }
 
+    async fn expiry_hour(&self, give_up: Duration) -> Result<u64, Refusal> {
+        let left = give_up.saturating_sub(self.clock.monotonic());
+        timeout(left, self.hours.expiry_after(self.retention))
+            .await
+            .map_err(|_| Refusal::KeyUnreserved)?
+            .map_err(|_| Refusal::KeyUnreserved)
+    }
+
     fn live_writer(&self) -> Option<ActorRef<WriterMessage>> {
         let writer = self.writer.lock().unwrap_or_else(PoisonError::into_inner);
         writer.as_ref().filter(|writer| is_live(writer)).cloned()
--- a/crates/gateway/src/key_sweeper.rs
+++ b/crates/gateway/src/key_sweeper.rs
@@ -31,11 +31,11 @@
 const SWEEPER_SHARE: ResourceId = ResourceId::Slots(0);
 const ROWS_AT_ONCE: usize = 50;
 const BUSY_PAUSE: Duration = Duration::from_millis(200);
-const IDLE_PAUSE: Duration = Duration::from_secs(600);
 
 /// Removes idempotency keys whose retention is over, for as long as the gateway lives. The daemon
 /// that holds the first slot share does it, to spare the table; two at once would do no harm.
 pub(crate) async fn sweep_keys(shared: Arc<GatewayShared>, store: Arc<KeyStore>) {
+    let idle_pause = shared.settings.key_sweep_every;
     let mut source: StdRng = rand::make_rng();
     loop {
         let pause = match shared.ownership.may_act(SWEEPER_SHARE) {
@@ -44,13 +44,13 @@
         };
         let pause = match pause {
             Ok(true) => BUSY_PAUSE,
-            Ok(false) => IDLE_PAUSE,
+            Ok(false) => idle_pause,
             Err(error) => {
                 warn!(
                     "[gateway] Old idempotency keys were not removed: {}.",
                     error
                 );
-                IDLE_PAUSE
+                idle_pause
             }
         };
         sleep(pause).await;
@@ -59,12 +59,13 @@
 
 /// Removes the keys of one index row; tells whether more may be due.
 pub(crate) async fn sweep_once(store: &KeyStore, source: &mut StdRng) -> Result<bool, TableError> {
+    let now = store.hours.count(source).await?;
     let prefix = RowKey::from(INDEX_PREFIX);
     let rows = store.table.scan(&prefix, None, 1).await?;
     let Some(index) = rows.into_iter().next() else {
         return Ok(false);
     };
-    let due = index_hour(&index.key).is_some_and(|hour| hour < store.hour_in(Duration::ZERO));
+    let due = index_hour(&index.key).is_some_and(|hour| hour < now);
     if !due {
         return Ok(false);
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -18,6 +18,7 @@
 mod head_watch;
 mod header_names;
 mod header_rules;
+mod key_hours;
 mod key_record;
 mod key_row;
 mod key_store;
--- a/crates/gateway/tests/requests/idempotency_keys.rs
+++ b/crates/gateway/tests/requests/idempotency_keys.rs
@@ -31,6 +31,9 @@
     until_answered, //
 };
 
+const HOUR: Duration = Duration::from_secs(3600);
+const LOOKS: u64 = 10;
+
 async fn daemon(endpoint: &ScriptEndpoint, table: &TableStandIn, first: bool) -> TestGateway {
     let shares = if first { 0..8 } else { 8..16 };
     GatewayBuilder::new()
@@ -220,8 +223,7 @@
 async fn keys_are_removed_after_their_retention_and_no_earlier() {
     let endpoint = ScriptEndpoint::start().await;
     let table = TableStandIn::new();
-    let hour = Duration::from_secs(3600);
-    for (shares, retention, key) in [(8..16, hour, "old"), (8..16, 100 * hour, "new")] {
+    for (shares, retention, key) in [(8..16, HOUR, "old"), (8..16, 100 * HOUR, "new")] {
         let builder = GatewayBuilder::new().with_endpoint(&endpoint, 8);
         let gateway = builder
             .with_table(&table)
@@ -233,12 +235,12 @@
         gateway.gateway.drain().await;
     }
     let later = Arc::new(ManualClock::new());
-    let now = SystemTime::now()
-        .duration_since(SystemTime::UNIX_EPOCH)
-        .unwrap();
-    later.advance(now + 3 * hour);
-    let builder = GatewayBuilder::new().with_endpoint(&endpoint, 8);
-    let sweeping = builder.with_table(&table).with_clock(later).start().await;
+    let sweeping = sweeper(&endpoint, &table, &later).await;
+    for hour in 1..=3 {
+        looks(&table).await;
+        assert_eq!(table.rows("request-keys/by-key/").len(), 2);
+        count_one_hour(&table, &later, hour).await;
+    }
     while table.rows("request-keys/by-key/").len() > 1 {
         sleep(Duration::from_millis(5)).await;
     }
@@ -254,3 +256,100 @@
     );
     assert!(listed.len() <= 2, "{listed:?}");
 }
+
+async fn sweeper(
+    endpoint: &ScriptEndpoint,
+    table: &TableStandIn,
+    clock: &Arc<ManualClock>,
+) -> TestGateway {
+    let builder = GatewayBuilder::new().with_endpoint(endpoint, 8);
+    let clock = Arc::clone(clock);
+    builder
+        .with_table(table)
+        .with_clock(clock)
+        .with_settings(|settings| settings.with_key_sweep_every(Duration::from_millis(5)))
+        .start()
+        .await
+}
+
+fn counted(table: &TableStandIn) -> u64 {
+    let rows = table.rows("request-keys/hours");
+    let value = rows.first().map(|row| row.value.clone());
+    value.map_or(0, |value| u64::from_be_bytes(value[..].try_into().unwrap()))
+}
+
+// Several reads, so that a look of the sweeper is over at least once among them.
+async fn looks(table: &TableStandIn) {
+    let before = table.faults().counts().reads;
+    eventually(|| table.faults().counts().reads >= before + LOOKS).await;
+}
+
+async fn count_one_hour(table: &TableStandIn, clock: &ManualClock, hour: u64) {
+    looks(table).await;
+    clock.advance(HOUR);
+    eventually(|| counted(table) == hour).await;
+}
+
+// A shopper's order went through, its answer was lost, and the shop sends it again. Meanwhile the
+// daemon that removes old keys woke up with its wall clock years ahead, took the key for expired and
+// removed it: the second order was booked as well. Years by one daemon's wall clock are no hours.
+#[tokio::test]
+async fn a_clock_that_is_years_ahead_forgets_no_key() {
+    let (endpoint, table) = (ScriptEndpoint::start().await, TableStandIn::new());
+    let clock = Arc::new(ManualClock::new());
+    clock.advance(Duration::from_secs(200 * 365 * 24 * 3600));
+    let second = daemon(&endpoint, &table, false).await;
+    assert_eq!(second.post_keyed("a", "k1").await.status, 200);
+    let sweeping = sweeper(&endpoint, &table, &clock).await;
+    looks(&table).await;
+    assert_eq!(table.rows("request-keys/by-key/").len(), 1);
+    // A leap of its clock while it runs counts for one hour at the most.
+    clock.advance(Duration::from_secs(100 * 365 * 24 * 3600));
+    eventually(|| counted(&table) == 1).await;
+    looks(&table).await;
+    drop(sweeping);
+    let again = second.post_keyed("a", "k1").await;
+    assert_eq!(again.header("idempotency-replayed"), Some("true"));
+    assert_eq!((endpoint.seen(), counted(&table)), (1, 1));
+}
+
+// As above, but the daemon that took the order had its wall clock at 1970, so that its key was
+// expired from the first moment for a daemon whose clock was right.
+#[tokio::test]
+async fn a_key_reserved_by_a_clock_that_is_years_behind_is_kept() {
+    let (endpoint, table) = (ScriptEndpoint::start().await, TableStandIn::new());
+    let behind = GatewayBuilder::new()
+        .with_endpoint(&endpoint, 8)
+        .with_table(&table)
+        .with_shares(8..16)
+        .with_clock(Arc::new(ManualClock::new()))
+        .start()
+        .await;
+    assert_eq!(behind.post_keyed("a", "k1").await.status, 200);
+    let now = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+    let right = Arc::new(ManualClock::new());
+    right.advance(now.unwrap());
+    let sweeping = sweeper(&endpoint, &table, &right).await;
+    looks(&table).await;
+    drop(sweeping);
+    let again = behind.post_keyed("a", "k1").await;
+    assert_eq!(again.header("idempotency-replayed"), Some("true"));
+    assert_eq!(endpoint.seen(), 1);
+}
+
+// A share changes hands, and for a while two daemons take themselves for the one that counts. Each
+// counted the same hour, so that a key went after half of its retention and its order ran again.
+#[tokio::test]
+async fn two_daemons_that_count_at_once_count_an_hour_once() {
+    let (endpoint, table) = (ScriptEndpoint::start().await, TableStandIn::new());
+    let clock = Arc::new(ManualClock::new());
+    let _both = (
+        sweeper(&endpoint, &table, &clock).await,
+        sweeper(&endpoint, &table, &clock).await,
+    );
+    for hour in 1..=20 {
+        count_one_hour(&table, &clock, hour).await;
+        looks(&table).await;
+        assert_eq!(counted(&table), hour);
+    }
+}
