Say "not run" with the refusal of a connection's first broken or too large head

Cause: hyper answers a head that it cannot parse, or that is too large, by itself and before any service is called: a bare 400 or 431 without `Jasminebend-Executed`. hyper offers no place to add a header there.

Change: the watch over the caller's bytes, which parses each head with httparse as hyper does, now tells a fault of the connection's first head; the stream answers with the whole refusal (`malformed`, `head_too_large`, both counted in `refusals_total`) and ends the connection before hyper sees the bytes. On a connection on which nothing was sent the answer can overtake no other. Two lengths in a first head, a last coding that is not chunked, and a length that is not digits alone are answered there as well.

A new test has a broken head first on its connection, and after a good request, whose answer must still come. Before: 431 and hyper's 400 had no such header.

Conclusion: done for the first head of a connection.

--- a/crates/gateway/src/caller_stream.rs
+++ b/crates/gateway/src/caller_stream.rs
@@ -17,6 +17,7 @@
     time::Duration,
 };
 
+use metrics::counter;
 use tokio::{
     io::{
         AsyncRead,
@@ -31,7 +32,9 @@
 };
 
 use crate::{
+    class_metrics::REFUSALS,
     gateway_settings::GatewaySettings,
+    head_fault::HeadFault,
     head_watch::HeadWatch, //
 };
 
@@ -79,6 +82,17 @@
         }
     }
 
+    /// Answers a first head that cannot be taken, and returns what ends the connection.
+    ///
+    /// hyper would answer it without saying that nothing was run. Nothing has been sent on this
+    /// connection, so that the answer cannot get before another, and fits the socket's buffer.
+    fn refuse(&self, fault: HeadFault) -> io::Error {
+        counter!(REFUSALS, "reason" => fault.reason()).increment(1);
+        // A caller that is gone gets no answer.
+        self.stream.try_write(fault.answer()).ok();
+        io::ErrorKind::InvalidData.into()
+    }
+
     fn poll_head_timer(&mut self, context: &mut Context<'_>) -> Poll<io::Result<()>> {
         if !self.watch.is_in_head() {
             return Poll::Pending;
@@ -121,7 +135,10 @@
         match Pin::new(&mut self.stream).poll_read(context, buffer) {
             Poll::Ready(Ok(())) => {
                 self.took(&buffer.filled()[had..]);
-                Poll::Ready(Ok(()))
+                match self.watch.first_fault() {
+                    Some(fault) => Poll::Ready(Err(self.refuse(fault))),
+                    None => Poll::Ready(Ok(())),
+                }
             }
             Poll::Pending => self.poll_head_timer(context),
             failed => failed,
--- a/crates/gateway/src/head_watch.rs
+++ b/crates/gateway/src/head_watch.rs
@@ -2,6 +2,8 @@
 
 use std::mem;
 
+use crate::head_fault::HeadFault;
+
 const MOST_HEADERS: usize = 100;
 
 /// Follows the heads of a caller's requests as bytes, for the one fault that hyper mends in
@@ -12,6 +14,8 @@
 pub(crate) struct HeadWatch {
     state: WatchState,
     two_lengths: bool,
+    first: bool,
+    fault: Option<HeadFault>,
     most_bytes: usize,
 }
 
@@ -25,6 +29,7 @@
 enum HeadFind {
     Partial,
     Sized(usize, u64),
+    Faulty,
     Unfollowed { two_lengths: bool },
 }
 
@@ -34,6 +39,8 @@
         Self {
             state: WatchState::Head(Vec::new()),
             two_lengths: false,
+            first: true,
+            fault: None,
             most_bytes,
         }
     }
@@ -57,6 +64,12 @@
         self.two_lengths
     }
 
+    /// Returns what is wrong with the connection's first head. Later ones are left to hyper, which
+    /// knows whether earlier answers have gone out.
+    pub(crate) fn first_fault(&self) -> Option<HeadFault> {
+        self.fault
+    }
+
     /// Tells whether a head has begun and not ended.
     pub(crate) fn is_in_head(&self) -> bool {
         matches!(&self.state, WatchState::Head(head) if !head.is_empty())
@@ -79,12 +92,22 @@
                 self.keep_partial(bytes, had);
                 &[]
             }
+            HeadFind::Faulty => {
+                self.fail(HeadFault::Malformed);
+                &[]
+            }
             HeadFind::Unfollowed { two_lengths } => {
                 self.two_lengths |= two_lengths;
+                if two_lengths {
+                    self.fail(HeadFault::Malformed);
+                    return &[];
+                }
+                self.first = false;
                 self.state = WatchState::Unfollowed;
                 &[]
             }
             HeadFind::Sized(head, body) => {
+                self.first = false;
                 self.state = WatchState::Body(body);
                 &bytes[head - had..]
             }
@@ -98,12 +121,17 @@
         if had == 0 {
             *earlier = bytes.to_vec();
         }
-        if earlier.len() > self.most_bytes {
-            // hyper refuses a head of this size; there is no need to keep it here as well.
+        if earlier.len() >= self.most_bytes {
+            // hyper reads no further than this either, and refuses the head.
             drop(mem::take(earlier));
-            self.state = WatchState::Unfollowed;
+            self.fail(HeadFault::TooLarge);
         }
     }
+
+    fn fail(&mut self, fault: HeadFault) {
+        self.fault = self.first.then_some(fault);
+        self.state = WatchState::Unfollowed;
+    }
 }
 
 fn skip<'a>(left: &mut u64, bytes: &'a [u8]) -> &'a [u8] {
@@ -120,8 +148,7 @@
     let mut request = httparse::Request::new(&mut headers);
     match request.parse(bytes) {
         Ok(httparse::Status::Partial) => HeadFind::Partial,
-        // hyper finds the same fault and answers it.
-        Err(_) => HeadFind::Unfollowed { two_lengths: false },
+        Err(_) => HeadFind::Faulty,
         Ok(httparse::Status::Complete(size)) => judge_head(request.headers, size),
     }
 }
@@ -137,15 +164,28 @@
     if lengths > 1 || (lengths == 1 && chunked) {
         return HeadFind::Unfollowed { two_lengths: true };
     }
+    if chunked && !ends_chunked(headers) {
+        return HeadFind::Faulty;
+    }
     if chunked {
         return HeadFind::Unfollowed { two_lengths: false };
     }
     let length = named("content-length").next();
     let length = length.map_or(Some(0), |header| {
-        str::from_utf8(header.value).ok()?.trim().parse().ok()
+        let digits = header.value.iter().all(u8::is_ascii_digit);
+        let text = str::from_utf8(header.value).ok().filter(|_| digits)?;
+        text.parse().ok()
     });
     match length {
         Some(length) => HeadFind::Sized(size, length),
-        None => HeadFind::Unfollowed { two_lengths: false },
+        None => HeadFind::Faulty,
     }
 }
+
+fn ends_chunked(headers: &[httparse::Header<'_>]) -> bool {
+    let coded = headers
+        .iter()
+        .rfind(|header| header.name.eq_ignore_ascii_case("transfer-encoding"));
+    let last = coded.and_then(|header| header.value.rsplit(|byte| *byte == b',').next());
+    last.is_some_and(|last| last.trim_ascii().eq_ignore_ascii_case(b"chunked"))
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -15,6 +15,7 @@
 mod gateway_edges;
 mod gateway_settings;
 mod gateway_shared;
+mod head_fault;
 mod head_watch;
 mod header_names;
 mod header_rules;
--- a/crates/gateway/tests/requests/bounds.rs
+++ b/crates/gateway/tests/requests/bounds.rs
@@ -135,10 +135,9 @@
     let reply = exchange(gateway.address, &chunked).await;
     assert_eq!((reply.status, reply.executed()), (413, Some("unknown")));
     let header = format!("x: {}\r\n", "y".repeat(20 * 1024));
-    assert_eq!(
-        ask(gateway.address, "GET /a", &header, "").await.status,
-        431
-    );
+    let reply = ask(gateway.address, "GET /a", &header, "").await;
+    assert_eq!((reply.status, reply.executed()), (431, Some("no")));
+    assert_eq!(reply.reason(), Some("head_too_large"));
     let whole = ask(gateway.address, "POST /a", "", &"x".repeat(1000)).await;
     assert_eq!(whole.status, 200);
 }
--- a/crates/gateway/tests/requests/smuggling.rs
+++ b/crates/gateway/tests/requests/smuggling.rs
@@ -49,6 +49,7 @@
         let text = format!("POST /a HTTP/1.1\r\nhost: shop\r\n{head}\r\n0\r\n\r\n{HIDDEN}");
         let reply = exchange(gateway.address, &text).await;
         assert!(matches!(reply.status, 400 | 501), "{head:?}: {reply:?}");
+        assert_eq!(reply.executed(), Some("no"), "{head:?}: {reply:?}");
         assert_eq!(endpoint.seen(), 0, "{head:?}");
     }
 }
@@ -135,3 +136,22 @@
         assert_eq!(gateway.get("/a..b/.well-known/x").await.status, 200);
     }
 }
+
+// A shop's program sent a booking with a broken head and got a bare 400. Nothing in it said whether the
+// booking was made, so that its operators looked through the books for one that was never begun. The
+// same head after a good request must not be answered before that request's own answer.
+#[tokio::test]
+async fn a_broken_head_is_told_that_it_was_not_run_and_never_before_an_earlier_answer() {
+    let endpoint = ScriptEndpoint::start().await;
+    let gateway = GatewayBuilder::new()
+        .with_endpoint(&endpoint, 4)
+        .start()
+        .await;
+    let broken = "POST /b HTTP/1.1\r\nbad name: a\r\n\r\n";
+    let reply = exchange(gateway.address, broken).await;
+    assert_eq!((reply.status, reply.executed()), (400, Some("no")));
+    assert_eq!((reply.reason(), endpoint.seen()), (Some("malformed"), 0));
+    let first = "POST /a HTTP/1.1\r\nhost: shop\r\ncontent-length: 3\r\n\r\nabc";
+    let reply = exchange(gateway.address, &format!("{first}{broken}")).await;
+    assert_eq!((reply.status, endpoint.seen()), (200, 1));
+}
