--- a/crates/jasminebend/src/demo_jobs.rs
+++ b/crates/jasminebend/src/demo_jobs.rs
@@ -52,6 +52,15 @@
     pub(crate) accepted: Vec<u64>,
     pub(crate) refused: u64,
     pub(crate) unknown: u64,
+    /// The numbers of the submissions whose outcome is still not known.
+    unsettled: Vec<u64>,
+}
+
+impl JobCounts {
+    /// Returns how many submissions' outcome is still not known.
+    pub(crate) fn unsettled(&self) -> usize {
+        self.unsettled.len()
+    }
 }
 
 impl DemoJobs {
@@ -123,10 +132,33 @@
         match answer {
             Ok(job) => counts.accepted.extend(u64::from_str_radix(&job, 16)),
             Err(fault) if fault.status == UNAVAILABLE => counts.refused += 1,
-            Err(_) => counts.unknown += 1,
+            Err(_) => {
+                counts.unknown += 1;
+                counts.unsettled.push(number);
+            }
         }
     }
 
+    /// Submits once more what nobody knows the outcome of: the key makes it the same job.
+    pub(crate) async fn settle_unknown(&self) {
+        for number in self.counts().unsettled {
+            self.repeat(number).await;
+        }
+    }
+
+    async fn repeat(&self, number: u64) {
+        let Some(daemon) = self.balancer.pick(number) else {
+            return;
+        };
+        let job = self.job(number);
+        let Ok(job) = self.operator.submit(daemon.administration, &job).await else {
+            return;
+        };
+        let mut counts = self.counts.lock().unwrap_or_else(PoisonError::into_inner);
+        counts.unsettled.retain(|unsettled| *unsettled != number);
+        counts.accepted.extend(u64::from_str_radix(&job, 16));
+    }
+
     fn job(&self, number: u64) -> Value {
         json!({
             "team": "workshop",
