Call whoever sends a request a caller in the tests' stories

Cause: some stories and test teams used words for callers that no other page has. Change: the glossary's word; no check differs. Conclusion: one word for one thing.

--- a/crates/gateway/tests/requests/idempotency_keys.rs
+++ b/crates/gateway/tests/requests/idempotency_keys.rs
@@ -51,7 +51,7 @@
     (endpoint, table, first, second)
 }
 
-// A shopper presses "order" twice, and the balancer sends the two to different daemons at once.
+// A caller presses "order" twice, and the balancer sends the two to different daemons at once.
 #[tokio::test]
 async fn the_same_key_through_two_daemons_at_once_runs_once() {
     let (endpoint, _, first, second) = pair().await;
@@ -66,7 +66,7 @@
     assert_eq!(endpoint.seen(), 1);
 }
 
-// The answer was lost on its way to the shopper, who asks again: the first answer comes once more,
+// The answer was lost on its way to the caller, who asks again: the first answer comes once more,
 // from any daemon.
 #[tokio::test]
 async fn a_repetition_gets_the_first_answer() {
@@ -290,7 +290,7 @@
     eventually(|| counted(table) == hour).await;
 }
 
-// A shopper's order went through, its answer was lost, and the shop sends it again. Meanwhile the
+// A caller's order went through, its answer was lost, and the shop sends it again. Meanwhile the
 // daemon that removes old keys woke up with its wall clock years ahead, took the key for expired and
 // removed it: the second order was booked as well. Years by one daemon's wall clock are no hours.
 #[tokio::test]
--- a/crates/jasminebend/tests/daemon/crash.rs
+++ b/crates/jasminebend/tests/daemon/crash.rs
@@ -34,7 +34,7 @@
 const SERVICE_TIME: Duration = Duration::from_millis(20);
 const LINES: &str = "limits:\n  longest_request: 2s\n";
 
-/// An entry VM dies while shoppers order, without a word to anybody. Each shopper may lose the one
+/// An entry VM dies while callers order, without a word to anybody. Each caller may lose the one
 /// order that was on its way there and reads that its outcome is unknown; no order runs twice. The
 /// other daemons must take over all that the dead one held, and a new daemon must take its seat.
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/jasminebend/tests/daemon/graceful_stop.rs
+++ b/crates/jasminebend/tests/daemon/graceful_stop.rs
@@ -63,7 +63,7 @@
     counts
 }
 
-/// An operator replaces an entry VM while shoppers order. The balancer sees that the daemon is not
+/// An operator replaces an entry VM while callers order. The balancer sees that the daemon is not
 /// ready and sends no more; an impatient script sends a second SIGTERM. What was sent must be
 /// answered whole, the slots must be given back, and the program must end with success.
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/jasminebend/tests/daemon/rolling_replacement.rs
+++ b/crates/jasminebend/tests/daemon/rolling_replacement.rs
@@ -35,7 +35,7 @@
 const GONE: &str = "is gone";
 
 /// Operators roll out a new image: each entry VM is stopped and another started in its place, while
-/// the balancer sends shoppers to those that are ready. No order may be cut off, lost or run twice,
+/// the balancer sends callers to those that are ready. No order may be cut off, lost or run twice,
 /// and the slots must move from the old daemons to the new ones without ever being used twice.
 #[tokio::test(flavor = "multi_thread")]
 async fn replacing_every_daemon_loses_no_order() {
--- a/crates/jasminebend/tests/daemon/traces.rs
+++ b/crates/jasminebend/tests/daemon/traces.rs
@@ -108,7 +108,7 @@
     assert_eq!(hexadecimal(&submit.trace_id), TRACE);
 }
 
-/// A shopper's cart quote was slow. The trace that the storefront began must show how long the
+/// A caller's cart quote was slow. The trace that the storefront began must show how long the
 /// request waited for a slot and how long the endpoint worked on it.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_request_is_traced_from_its_caller_to_its_endpoint() {
--- a/crates/placement/tests/placement/ledger.rs
+++ b/crates/placement/tests/placement/ledger.rs
@@ -23,7 +23,7 @@
     JobTransition::Accepted {
         job: JOB,
         spec: Box::new(JobSpec {
-            team: "luthiers".into(),
+            team: "repairs".into(),
             class: "reconciliation".into(),
             tasks: 2,
             size: ResourceAmount::new(1000, 1024),
--- a/crates/planner/tests/planner/test_bed.rs
+++ b/crates/planner/tests/planner/test_bed.rs
@@ -219,7 +219,7 @@
 /// A batch job of `tasks` tasks of one core that run this long.
 pub(crate) fn batch(tasks: u32, work: Duration) -> JobSpec {
     JobSpec {
-        team: "luthiers".into(),
+        team: "repairs".into(),
         class: "reconciliation".into(),
         tasks,
         size: ResourceAmount::new(1_000, 1_024),
@@ -262,7 +262,7 @@
             class("reconciliation", ClassTarget::FinishWithin(seconds(3600))),
             class("sync", ClassTarget::FinishWithin(seconds(3600))),
         ],
-        teams: ["luthiers", "straps"].map(team).to_vec(),
+        teams: ["repairs", "straps"].map(team).to_vec(),
         ..Configuration::default()
     }
 }
