Let any of the daemon's signals end a demonstration that goes on

Change: the daemon's StopSignals have a file of their own and serve both. Before: SIGTERM ended the demonstration with 143.

--- a/crates/jasminebend/src/demo.rs
+++ b/crates/jasminebend/src/demo.rs
@@ -8,10 +8,21 @@
 use tokio::time::sleep;
 
 use crate::{
-    DemoError, DemoOptions, LogLevel, LogSettings, demo_callers::DemoCallers,
-    demo_client::DemoClient, demo_configuration::configuration, demo_daemons::DemoDaemons,
-    demo_faults::run_faults, demo_jobs::DemoJobs, demo_operator::DemoOperator, demo_site::DemoSite,
-    demo_verdict::report, set_up_log,
+    DemoError,
+    DemoOptions,
+    LogLevel,
+    LogSettings,
+    demo_callers::DemoCallers,
+    demo_client::DemoClient,
+    demo_configuration::configuration,
+    demo_daemons::DemoDaemons,
+    demo_faults::run_faults,
+    demo_jobs::DemoJobs,
+    demo_operator::DemoOperator,
+    demo_site::DemoSite,
+    demo_verdict::report,
+    set_up_log,
+    stop_signals::StopSignals, //
 };
 
 const LONGEST_FINISH: Duration = Duration::from_secs(60);
@@ -50,7 +61,7 @@
     let report = report(&site, &callers, &jobs, late, unfinished);
     println!("\n{report}");
     if options.keep_running {
-        serve_until_signal(&daemons).await;
+        serve_until_signal(&daemons).await?;
     }
     daemons.stop().await;
     match report.violations() {
@@ -68,7 +79,7 @@
     Ok(())
 }
 
-async fn serve_until_signal(daemons: &DemoDaemons) {
+async fn serve_until_signal(daemons: &DemoDaemons) -> Result<(), DemoError> {
     for daemon in daemons.balancer.ready() {
         println!(
             "callers {}   operators {}",
@@ -78,7 +89,8 @@
         println!("  curl -i -d 'bench 7' http://{}/booking", daemon.callers);
         println!("  curl -s http://{}/v1/status", daemon.administration);
     }
+    let mut signals = StopSignals::new()?;
     println!("Serving until a signal.");
-    // Without signals there is nothing to wait for.
-    let _ = tokio::signal::ctrl_c().await;
+    signals.first().await;
+    Ok(())
 }
--- a/crates/jasminebend/src/lib.rs
+++ b/crates/jasminebend/src/lib.rs
@@ -66,6 +66,7 @@
 mod settings_error;
 mod settings_file;
 mod slot_settling;
+mod stop_signals;
 mod tls_error;
 mod tls_settings;
 mod token_error;
--- a/crates/jasminebend/src/service.rs
+++ b/crates/jasminebend/src/service.rs
@@ -1,17 +1,8 @@
 //! Runs one daemon until a signal.
 
 use jasminebend_ports::AccessToken;
-use spdlog::{
-    info,
-    warn, //
-};
 use tokio::{
     runtime::Handle,
-    signal::unix::{
-        Signal,
-        SignalKind,
-        signal, //
-    },
     sync::watch,
     task::spawn_blocking, //
 };
@@ -24,7 +15,8 @@
     TraceExport,
     peer_keys::PeerKeys,
     platform_edges::PlatformEdges,
-    set_up_log, //
+    set_up_log,
+    stop_signals::StopSignals, //
 };
 
 /// Reads the certificate, the tokens and the keys that the settings name, as a start would.
@@ -64,43 +56,3 @@
         Ok(())
     }
 }
-
-/// The signals that a daemon hears. They are caught from the start to the end of the process: a
-/// second SIGTERM, or a SIGHUP from a closing terminal, would else cut off requests in progress.
-struct StopSignals {
-    terminate: Signal,
-    interrupt: Signal,
-    hang_up: Signal,
-}
-
-impl StopSignals {
-    fn new() -> Result<Self, DaemonError> {
-        let catch = |kind| signal(kind).map_err(|source| DaemonError::Signals { source });
-        Ok(Self {
-            terminate: catch(SignalKind::terminate())?,
-            interrupt: catch(SignalKind::interrupt())?,
-            hang_up: catch(SignalKind::hangup())?,
-        })
-    }
-
-    /// Waits for the first signal to stop.
-    async fn first(&mut self) {
-        loop {
-            tokio::select! {
-                _ = self.terminate.recv() => return,
-                _ = self.interrupt.recv() => return,
-                _ = self.hang_up.recv() => {
-                    info!("[daemon] SIGHUP changes nothing: files are looked at each second.");
-                }
-            }
-        }
-    }
-
-    /// Hears further signals and does nothing; never ends.
-    async fn ignore(&mut self) {
-        loop {
-            self.first().await;
-            warn!("[daemon] Stopping already; the signal changes nothing.");
-        }
-    }
-}
