Fail a demonstration that served nothing

Cause: every count of the demonstration is one that must be zero, so that a run in which nobody was answered, or a submitter had panicked, would have exited 0; a comment said that a panic shows in the counts, and it did not. Change: a class without one whole answer and a run without one accepted job are counts that must be zero; a task that ended early ends the run with its error. Before: not tried. Ruled out: that earlier runs were empty; their tables show some 14,500 requests and 35 jobs each. Not shown: the panic path, by a run. Conclusion: the demonstration can fail for want of work.

--- a/crates/jasminebend/src/demo.rs
+++ b/crates/jasminebend/src/demo.rs
@@ -53,9 +53,10 @@
     let late = run_faults(&site, &operator, &mut daemons, &callers, options.seconds).await?;
     callers.end();
     jobs.end();
-    while calls.join_next().await.is_some() {}
-    // A task that panicked shows in the counts.
-    let _ = submissions.await;
+    while let Some(ended) = calls.join_next().await {
+        ended?;
+    }
+    submissions.await?;
     jobs.settle_unknown().await;
     let unfinished = jobs.wait_finished(&site.runs, LONGEST_FINISH).await;
     let report = report(&site, &callers, &jobs, late, unfinished);
--- a/crates/jasminebend/src/demo_error.rs
+++ b/crates/jasminebend/src/demo_error.rs
@@ -8,6 +8,7 @@
     From, //
 };
 use hdrhistogram::CreationError;
+use tokio::task::JoinError;
 
 use crate::{
     DaemonError,
@@ -30,6 +31,9 @@
     #[display("no daemon became ready in time")]
     #[from(skip)]
     NotReady,
+    /// A caller or the submitter ended early, so that its counts are not whole.
+    #[display("a part of the demonstration ended early: {_0}")]
+    EndedEarly(JoinError),
     /// The log could not be set up.
     #[display("{_0}")]
     Log(LogError),
--- a/crates/jasminebend/src/demo_verdict.rs
+++ b/crates/jasminebend/src/demo_verdict.rs
@@ -6,7 +6,10 @@
         RequestKind, //
     },
     demo_faults::LateStarts,
-    demo_jobs::DemoJobs,
+    demo_jobs::{
+        DemoJobs,
+        JobCounts, //
+    },
     demo_report::{
         ClassRow,
         DemoReport,
@@ -32,7 +35,10 @@
         refused: counts.refused,
         unknown: counts.unknown,
         runs: site.runs.summary(),
-        zeros: zeros(site, callers, late, (counts.unsettled(), unfinished)),
+        zeros: zeros(site, callers, late, (counts.unsettled(), unfinished))
+            .into_iter()
+            .chain(unserved(callers, &counts))
+            .collect(),
     }
 }
 
@@ -107,6 +113,21 @@
     ]
 }
 
+/// A run that served nothing would have nothing to count, and every other count would be zero.
+fn unserved(callers: &DemoCallers, counts: &JobCounts) -> [ZeroCount; 2] {
+    let empty = |kind: &&RequestKind| kind.tally.counts().whole == 0;
+    [
+        ZeroCount {
+            what: "classes without one whole answer",
+            count: number(callers.kinds.iter().filter(empty).count()),
+        },
+        ZeroCount {
+            what: "demonstrations without one accepted job",
+            count: u64::from(counts.accepted.is_empty()),
+        },
+    ]
+}
+
 fn unaccounted(kind: &RequestKind) -> u64 {
     let counts = kind.tally.counts();
     let settled = counts.whole + counts.not_run + counts.unknown + counts.wrong;
