Count a repeated job's occurrences from their state, so that it is over after its last

Cause: every end of a step that was whole already counted one more occurrence: each member of a gang tells the same end, and a successor hears ends again. Jobs with a schedule were shown as completed with occurrences to come, and what ran of them was stopped. Ruled out: the record (it holds each step's wholeness) and the times (nothing began early). Change: whole occurrences are counted when one becomes whole.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -138,7 +138,6 @@
             outcome: None,
             recorded: None,
             occurrences: Default::default(),
-            whole_occurrences: 0,
             graph: job.graph,
         };
         self.jobs.insert(key, state);
--- a/crates/dispatch/src/dispatcher_records.rs
+++ b/crates/dispatch/src/dispatcher_records.rs
@@ -74,7 +74,6 @@
             job.outcome = record.outcome;
             job.recorded = record.outcome;
         }
-        job.whole_occurrences = count(job.occurrences.values().filter(|state| state.is_whole()));
         let occurrences: Vec<u32> = job.occurrences.keys().copied().collect();
         if job.is_over() {
             self.end_job(key);
--- a/crates/dispatch/src/dispatcher_workers.rs
+++ b/crates/dispatch/src/dispatcher_workers.rs
@@ -613,15 +613,13 @@
 
     fn finish_if_whole(&mut self, task: TaskKey) {
         let step = task.step;
-        let Some(job) = self.jobs.get_mut(&step.job) else {
+        let Some(job) = self.jobs.get(&step.job) else {
             return;
         };
-        let whole = job.occurrences.get(&step.occurrence);
-        if !whole.is_some_and(|occurrence| occurrence.is_whole()) {
-            return;
-        }
-        job.whole_occurrences += 1;
-        if job.whole_occurrences >= job.graph.occurrences() {
+        // The same end is heard from each member of a gang, and again by a successor, so that nothing is
+        // counted up.
+        let whole = job.occurrences.values().filter(|state| state.is_whole());
+        if whole.count() >= job.graph.occurrences() as usize {
             self.finish(step.job, JobOutcome::Completed);
         }
     }
--- a/crates/dispatch/src/job_state.rs
+++ b/crates/dispatch/src/job_state.rs
@@ -34,7 +34,6 @@
     /// How it ended by the record.
     pub(crate) recorded: Option<JobOutcome>,
     pub(crate) occurrences: BTreeMap<u32, OccurrenceState>,
-    pub(crate) whole_occurrences: u32,
 }
 
 /// One occurrence of a job.
--- a/crates/dispatch/tests/common/mod.rs
+++ b/crates/dispatch/tests/common/mod.rs
@@ -340,6 +340,8 @@
         }
         state.acted = now;
         state.dispatcher.note_lapses(now);
+        // The fleet's time of day is its clock.
+        state.dispatcher.begin_due(now);
         let outcome = state.dispatcher.plan(now);
         for order in outcome.orders {
             self.send(owner, order);
