Let no demand without room keep out what fits elsewhere, and look only where something changed

Change: fillers' demands are told apart by image, gangs count only when their first member finds none; a demand is kept for 0.4 s, in which only workers that changed since are looked at. Tests that failed first: a_gang_that_does_not_fit_keeps_nothing_else_out, a_filler_that_finds_no_place_keeps_no_other_image_out.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -29,6 +29,7 @@
     WorkerOrder,
     commit_ledger::CommitLedger,
     harm_model::HarmModel,
+    hopeless_demand::HopelessDemands,
     job_state::{
         JobState,
         OccurrenceState, //
@@ -76,6 +77,9 @@
     pub(crate) notes: Vec<DecisionNote>,
     pub(crate) ledger: CommitLedger,
     pub(crate) harm: HarmModel,
+    pub(crate) hopeless: HopelessDemands,
+    /// How many plans were made.
+    pub(crate) plans: u64,
     /// Repeated jobs of which occurrences are still to come.
     pub(crate) scheduled: IndexMap<JobKey, u32>,
 }
@@ -99,6 +103,8 @@
             notes: Vec::new(),
             ledger: CommitLedger::default(),
             harm: HarmModel::default(),
+            hopeless: HopelessDemands::default(),
+            plans: 0,
             scheduled: IndexMap::new(),
         }
     }
@@ -114,11 +120,13 @@
             self.rules.insert(Arc::clone(name), rule.clone());
         }
         self.configuration = configuration;
+        self.hopeless.clear();
     }
 
     /// Sets the failure domains in which nothing is to start.
     pub fn close_domains(&mut self, closed: BTreeSet<DomainName>) {
         self.closed = closed;
+        self.hopeless.clear();
     }
 
     /// Takes a job in. A job that is known already stays as it is.
@@ -301,7 +309,10 @@
         &self.workers[key.place()]
     }
 
+    /// Returns a worker that is about to change.
     pub(crate) fn worker_mut(&mut self, key: WorkerKey) -> &mut WorkerState {
-        &mut self.workers[key.place()]
+        let worker = &mut self.workers[key.place()];
+        worker.changed = self.plans;
+        worker
     }
 }
--- a/crates/dispatch/src/dispatcher_plan.rs
+++ b/crates/dispatch/src/dispatcher_plan.rs
@@ -6,8 +6,6 @@
     time::Duration, //
 };
 
-use jasminebend_base::ResourceAmount;
-
 use crate::{
     AdviceWish,
     DecisionNote,
@@ -19,6 +17,7 @@
     TaskKey,
     WorkerKey,
     WorkerOrder,
+    hopeless_demand::TaskDemand,
     job_state::JobState,
     place_score::PlaceScore,
     run_state::{
@@ -147,9 +146,10 @@
             self.open.swap_remove(&step);
         }
         ranked.sort_unstable();
-        let mut hopeless: Vec<HopelessDemand> = Vec::new();
+        self.plans += 1;
+        self.hopeless.forget(now);
         for (_, step) in ranked {
-            self.plan_step(step, now, &mut hopeless, outcome);
+            self.plan_step(step, now, outcome);
         }
     }
 
@@ -189,13 +189,7 @@
         }
     }
 
-    fn plan_step(
-        &mut self,
-        step: StepKey,
-        now: Duration,
-        hopeless: &mut Vec<HopelessDemand>,
-        outcome: &mut PlanOutcome,
-    ) {
+    fn plan_step(&mut self, step: StepKey, now: Duration, outcome: &mut PlanOutcome) {
         let Some(job) = self.jobs.get(&step.job) else {
             return;
         };
@@ -226,17 +220,19 @@
         if spec.gang && pending.len() < state_len(&self.jobs, step) {
             return;
         }
-        let demand = HopelessDemand::new(spec, &pool);
-        if hopeless.iter().any(|known| known.covers(&demand)) {
+        let demand = TaskDemand::new(spec, &pool, advice.is_some());
+        let tried = self.hopeless.last_plan(&demand, now);
+        if tried == Some(self.plans) {
             return;
         }
         let gang_run = spec.gang.then(|| self.next_run());
         let mut placed: Vec<(u32, WorkerKey, RunNumber)> = Vec::with_capacity(pending.len());
         for &index in &pending {
-            let found = self.find_place(step, index, spec, &pool, advice.is_some(), now);
+            let found = self.find_place(step.task(index), spec, &demand, tried, now);
             let Some(worker) = found else {
-                if advice.is_none() && demand.is_plain {
-                    hopeless.push(demand.clone());
+                // What members of a gang took is given back if it has no room for all of them.
+                if !spec.gang || placed.is_empty() {
+                    self.hopeless.note(&demand, self.plans, now);
                 }
                 break;
             };
@@ -395,19 +391,22 @@
 
     fn find_place(
         &self,
-        step: StepKey,
-        index: u32,
+        task: TaskKey,
         spec: &StepSpec,
-        pool: &Arc<str>,
-        ticketed: bool,
+        demand: &TaskDemand,
+        tried: Option<u64>,
         now: Duration,
     ) -> Option<WorkerKey> {
+        let step = task.step;
         let state = self.jobs.get(&step.job)?.step(step.occurrence, step.step)?;
-        let failed_on = state.tasks.get(index as usize)?.failed_on;
-        let reserved = spec.reserved();
+        let failed_on = state.tasks.get(task.index as usize)?.failed_on;
         let mut best: Option<(PlaceScore, WorkerKey)> = None;
         for (place, worker) in self.workers.iter().enumerate() {
-            if !reserved.fits_in(worker.free()) || !self.is_usable(worker, pool, now) {
+            if tried.is_some_and(|plan| worker.changed < plan) {
+                continue;
+            }
+            let fits = demand.reserved.fits_in(worker.free());
+            if !fits || !self.is_usable(worker, &demand.pool, now) {
                 continue;
             }
             let key = WorkerKey::new(place);
@@ -418,7 +417,7 @@
             if spec.spread.is_some_and(|most| held >= most) {
                 continue;
             }
-            if ticketed && !holds_ticket(state.tickets.get(&key), now) {
+            if demand.ticketed && !holds_ticket(state.tickets.get(&key), now) {
                 continue;
             }
             let trusted = failed_on != Some(key) && !worker.health.is_doubtful(now);
@@ -472,33 +471,3 @@
         .as_ref()
         .is_none_or(|label| worker.record.labels.contains(label))
 }
-
-/// A demand for which no worker had room in this plan, so that larger ones need not be tried.
-#[derive(Clone, Debug)]
-struct HopelessDemand {
-    pool: Arc<str>,
-    reserved: ResourceAmount,
-    filler: bool,
-    cpu: u64,
-    /// Whether nothing but its size speaks against a worker.
-    is_plain: bool,
-}
-
-impl HopelessDemand {
-    fn new(spec: &StepSpec, pool: &Arc<str>) -> Self {
-        Self {
-            pool: Arc::clone(pool),
-            reserved: spec.reserved(),
-            filler: spec.filler,
-            cpu: spec.size.cpu_millis,
-            is_plain: spec.label.is_none() && spec.spread.is_none(),
-        }
-    }
-
-    fn covers(&self, other: &Self) -> bool {
-        self.pool == other.pool
-            && self.filler == other.filler
-            && self.cpu <= other.cpu
-            && self.reserved.fits_in(other.reserved)
-    }
-}
--- a/crates/dispatch/src/dispatcher_workers.rs
+++ b/crates/dispatch/src/dispatcher_workers.rs
@@ -63,6 +63,7 @@
         self.by_id.insert(Arc::clone(&record.id), key);
         let mut state = WorkerState::new(record);
         state.inherited_until = inherited;
+        state.changed = self.plans;
         self.workers.push(state);
         key
     }
@@ -290,7 +291,8 @@
     pub fn note_lapses(&mut self, now: Duration) {
         for place in 0..self.workers.len() {
             let key = WorkerKey::new(place);
-            let worker = self.worker_mut(key);
+            // A look at a worker does not change it.
+            let worker = &mut self.workers[place];
             if worker.inherited_until.is_some_and(|until| now > until) {
                 worker.inherited_until = None;
             }
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -18,6 +18,7 @@
 mod graph_error;
 mod harm_model;
 mod hold_report;
+mod hopeless_demand;
 mod job_graph;
 mod job_key;
 mod job_outcome;
--- a/crates/dispatch/src/worker_state.rs
+++ b/crates/dispatch/src/worker_state.rs
@@ -56,6 +56,8 @@
     pub(crate) watch: ServiceWatch,
     /// When its services' figures were last learned from.
     pub(crate) learned: Option<Duration>,
+    /// The last plan before it last changed.
+    pub(crate) changed: u64,
 }
 
 impl WorkerState {
@@ -81,6 +83,7 @@
             health: WorkerHealth::default(),
             watch: ServiceWatch::default(),
             learned: None,
+            changed: 0,
         }
     }
 
--- a/crates/dispatch/tests/fillers.rs
+++ b/crates/dispatch/tests/fillers.rs
@@ -298,3 +298,20 @@
     pool.run_for(ms(20_000));
     assert!(pool.count(worker, is_harmful) > 1);
 }
+
+/// Previews wait beside idle cores. A smaller filler of another image has no place, since it harms the services
+/// there; that says nothing of one that does them no harm.
+#[test]
+fn a_filler_that_finds_no_place_keeps_no_other_image_out() {
+    let mut pool = Pool::new(1, tail_of_a_queue);
+    pool.submit(1, service("desk", 2));
+    pool.run_for(ms(1000));
+    pool.submit(10, filler("rough", 2));
+    pool.run_for(ms(20_000));
+    pool.submit(11, filler("rough", 8));
+    pool.submit(100, filler("smooth", 3));
+    pool.run_for(ms(4000));
+    let smooth = pool.running.keys();
+    let smooth = smooth.filter(|(_, task, _)| number(*task) == 100);
+    assert_eq!(smooth.count(), 3);
+}
--- a/crates/dispatch/tests/placement.rs
+++ b/crates/dispatch/tests/placement.rs
@@ -297,3 +297,24 @@
     assert_eq!(fleet.begins(service), 4, "one of them has moved");
     assert_eq!(fleet.workers[busy].run_count(), 2);
 }
+
+/// A desk's service is not started again though half the pool is free. A wide gang that finds no room for its last
+/// member was taken for a sign that nobody has room for one of its tasks, nor for anything larger.
+#[test]
+fn a_gang_that_does_not_fit_keeps_nothing_else_out() {
+    let mut fleet = Fleet::new(2, 1).with_work(slow_work);
+    fleet.run_for(ms(100));
+    let gang = StepSpec {
+        gang: true,
+        ..step(9, &[])
+    };
+    fleet.submit(1, graph(vec![gang]));
+    let lasting = StepSpec {
+        lasting: true,
+        size: ResourceAmount::new(2000, 200),
+        ..step(2, &[])
+    };
+    let service = fleet.submit(2, graph(vec![lasting]));
+    fleet.run_for(ms(500));
+    assert_eq!(fleet.begins(service), 2);
+}
