Keep room for services that wait and for gangs that are about to be late

Cause: what lasts is placed after what comes and goes, and a large task finds no piece of its size while small jobs take every one; jobs with a schedule counted as in time for ever, so that they came first without end. Ruled out by its log: workers set aside or lost (all answered). Change: what lasts comes first within its priority after 2.5 s; up to a quarter of the workers keep their room for it, and for gangs from 1 s before their latest start; occurrences are late from their own due time on. Tests that failed first: a_task_that_lasts_finds_room_among_small_jobs_without_end, a_gang_finds_room_among_small_jobs_without_end.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -78,6 +78,10 @@
     pub(crate) ledger: CommitLedger,
     pub(crate) harm: HarmModel,
     pub(crate) hopeless: HopelessDemands,
+    /// Workers whose room is kept in this plan for what waited for too long.
+    pub(crate) kept: IndexSet<WorkerKey>,
+    /// The time of day at this process's origin, as of the last look at both clocks.
+    pub(crate) clock_origin: Duration,
     /// How many plans were made.
     pub(crate) plans: u64,
     /// Repeated jobs of which occurrences are still to come.
@@ -104,6 +108,8 @@
             ledger: CommitLedger::default(),
             harm: HarmModel::default(),
             hopeless: HopelessDemands::default(),
+            kept: IndexSet::new(),
+            clock_origin: Duration::ZERO,
             plans: 0,
             scheduled: IndexMap::new(),
         }
@@ -170,8 +176,9 @@
         self.end_job(key);
     }
 
-    /// Begins the occurrences that are due at `wall`, the time since 1970.
-    pub fn begin_due(&mut self, wall: Duration) {
+    /// Begins the occurrences that are due at `wall`, the time since 1970, which is `now` on the process's clock.
+    pub fn begin_due(&mut self, wall: Duration, now: Duration) {
+        self.clock_origin = wall.saturating_sub(now);
         let due: Vec<(JobKey, u32)> = self
             .scheduled
             .iter()
--- a/crates/dispatch/src/dispatcher_plan.rs
+++ b/crates/dispatch/src/dispatcher_plan.rs
@@ -40,6 +40,10 @@
 /// How many times its objective a job may take until nobody waits for it any more; from the users'
 /// pages.
 const HOPELESS: f64 = 3.0;
+/// After how long what lasts comes before what comes and goes: callers of a service notice within seconds.
+const LASTING_WAIT: Duration = Duration::from_millis(2500);
+/// How long before a step's latest start room begins to be kept for it: what runs there ends within about that time.
+const PRESSING: Duration = Duration::from_millis(1000);
 
 /// What a plan asks for.
 #[derive(Debug, Default)]
@@ -73,6 +77,13 @@
     Hopeless,
 }
 
+impl StepRank {
+    /// Tells whether a step should start soon, and is not given up.
+    fn is_pressing(&self, now: Duration) -> bool {
+        self.latest_start <= now + PRESSING && self.lateness != Lateness::Hopeless
+    }
+}
+
 impl Dispatcher {
     /// Decides what to do at `now`.
     pub fn plan(&mut self, now: Duration) -> PlanOutcome {
@@ -148,8 +159,12 @@
         ranked.sort_unstable();
         self.plans += 1;
         self.hopeless.forget(now);
-        for (_, step) in ranked {
-            self.plan_step(step, now, outcome);
+        self.kept.clear();
+        for (rank, step) in ranked {
+            let missing = self.plan_step(step, now, outcome);
+            if missing > 0 && rank.is_pressing(now) {
+                self.keep_room(step, missing, now);
+            }
         }
     }
 
@@ -157,19 +172,25 @@
         let rule = self.rules.get(&job.queue);
         let priority = rule.map_or(u32::MAX, |rule| rule.priority);
         if job.graph.lasts() {
+            let waiting = job.waits_since(step.occurrence, step.step);
+            let starves = now >= waiting + LASTING_WAIT;
             // What stays for good waits behind what comes and goes: it would fill the pool, and keep out all else.
+            // It does not wait for long: its own callers do without it.
             return StepRank {
                 priority,
                 lateness: Lateness::InTime,
-                fresh: true,
-                latest_start: Duration::MAX,
+                fresh: !starves,
+                latest_start: if starves { waiting } else { Duration::MAX },
             };
         }
         let longest = job.chains.iter().max().copied().unwrap_or_default();
         let objective = rule.map_or(longest, |rule| {
             longest.mul_f64(rule.stretch.max(1.0)) + rule.allowance
         });
-        let begun = job.graph.schedule.map_or(job.accepted, |_| now);
+        let begun = job.graph.schedule.map_or(job.accepted, |schedule| {
+            let due = schedule.due(step.occurrence);
+            due.saturating_sub(self.clock_origin)
+        });
         let left = job
             .chains
             .get(usize::from(step.step))
@@ -189,16 +210,17 @@
         }
     }
 
-    fn plan_step(&mut self, step: StepKey, now: Duration, outcome: &mut PlanOutcome) {
+    /// Places what it can of a step; returns how many of its tasks are left without a place.
+    fn plan_step(&mut self, step: StepKey, now: Duration, outcome: &mut PlanOutcome) -> usize {
         let Some(job) = self.jobs.get(&step.job) else {
-            return;
+            return 0;
         };
         let graph = Arc::clone(&job.graph);
         let Some(spec) = graph.steps.get(usize::from(step.step)) else {
-            return;
+            return 0;
         };
         let Some(state) = job.step(step.occurrence, step.step) else {
-            return;
+            return 0;
         };
         let pending: Vec<u32> = (0..)
             .zip(&state.tasks)
@@ -207,10 +229,10 @@
             .collect();
         if pending.is_empty() {
             self.open.swap_remove(&step);
-            return;
+            return 0;
         }
         let Some(rule) = self.rules.get(&job.queue) else {
-            return;
+            return 0;
         };
         let pool = Arc::clone(&rule.pool);
         let advice = rule.advice;
@@ -218,12 +240,12 @@
             self.wish_advice(step, spec, &pool, now, outcome);
         }
         if spec.gang && pending.len() < state_len(&self.jobs, step) {
-            return;
+            return 0;
         }
         let demand = TaskDemand::new(spec, &pool, advice.is_some());
         let tried = self.hopeless.last_plan(&demand, now);
         if tried == Some(self.plans) {
-            return;
+            return pending.len();
         }
         let gang_run = spec.gang.then(|| self.next_run());
         let mut placed: Vec<(u32, WorkerKey, RunNumber)> = Vec::with_capacity(pending.len());
@@ -244,12 +266,14 @@
             for (index, worker, run) in placed {
                 self.take_back(step.task(index), worker, run);
             }
-            return;
+            return pending.len();
         }
+        let missing = pending.len() - placed.len();
         for (index, worker, run) in placed {
             let order = self.start_order(step.task(index), worker, run, &graph.payload, spec.gang);
             outcome.orders.push(WorkerOrder::Start(order));
         }
+        missing
     }
 
     fn start_order(
@@ -410,6 +434,9 @@
                 continue;
             }
             let key = WorkerKey::new(place);
+            if !spec.filler && self.kept.contains(&key) {
+                continue;
+            }
             if !fits_labels(worker, spec) {
                 continue;
             }
@@ -466,7 +493,7 @@
     ticket.is_some_and(|(_, until)| now + TICKET_MARGIN < *until)
 }
 
-fn fits_labels(worker: &WorkerState, spec: &StepSpec) -> bool {
+pub(crate) fn fits_labels(worker: &WorkerState, spec: &StepSpec) -> bool {
     spec.label
         .as_ref()
         .is_none_or(|label| worker.record.labels.contains(label))
--- a/crates/dispatch/src/job_state.rs
+++ b/crates/dispatch/src/job_state.rs
@@ -88,6 +88,14 @@
             .get_mut(usize::from(step))
     }
 
+    /// Returns since when the longest-waiting task of a step has been without a run.
+    pub(crate) fn waits_since(&self, occurrence: u32, step: u16) -> Duration {
+        let tasks = self.step(occurrence, step).map(|state| &state.tasks);
+        let pending = tasks.into_iter().flatten().filter(|task| task.is_pending());
+        let since = pending.map(|task| task.away_since.unwrap_or(self.accepted));
+        since.min().unwrap_or(self.accepted)
+    }
+
     pub(crate) fn is_over(&self) -> bool {
         self.outcome.is_some() || self.cancelled
     }
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -11,6 +11,7 @@
 mod dispatcher;
 mod dispatcher_plan;
 mod dispatcher_records;
+mod dispatcher_room;
 mod dispatcher_upkeep;
 mod dispatcher_workers;
 mod fleet_configuration;
--- a/crates/dispatch/tests/common/mod.rs
+++ b/crates/dispatch/tests/common/mod.rs
@@ -341,7 +341,7 @@
         state.acted = now;
         state.dispatcher.note_lapses(now);
         // The fleet's time of day is its clock.
-        state.dispatcher.begin_due(now);
+        state.dispatcher.begin_due(now, now);
         let outcome = state.dispatcher.plan(now);
         for order in outcome.orders {
             self.send(owner, order);
--- a/crates/dispatch/tests/placement.rs
+++ b/crates/dispatch/tests/placement.rs
@@ -257,15 +257,15 @@
         ..graph(vec![step(1, &[])])
     };
     let job = fleet.submit(1, repeated);
-    fleet.owner().dispatcher.begin_due(ms(4999));
+    fleet.owner().dispatcher.begin_due(ms(4999), ms(4999));
     fleet.run_for(ms(500));
     assert_eq!(fleet.begins(job), 0);
     assert_eq!(fleet.owner().dispatcher.next_due(), Some(ms(5000)));
-    fleet.owner().dispatcher.begin_due(ms(5000));
+    fleet.owner().dispatcher.begin_due(ms(5000), ms(5000));
     fleet.run_for(ms(900));
     assert_eq!(fleet.begins(job), 1);
     assert_ne!(fleet.progress(job), COMPLETED);
-    fleet.owner().dispatcher.begin_due(ms(7000));
+    fleet.owner().dispatcher.begin_due(ms(7000), ms(7000));
     fleet.run_for(ms(900));
     assert_eq!(fleet.progress(job), COMPLETED);
 }
@@ -318,3 +318,47 @@
     fleet.run_for(ms(500));
     assert_eq!(fleet.begins(service), 2);
 }
+
+/// Small jobs of so many tasks come without end, ten a second.
+fn press(fleet: &mut Fleet, width: u32, time: Duration) {
+    let until = fleet.now + time;
+    let mut number = 1000 + fleet.jobs.len() as u64;
+    while fleet.now < until {
+        fleet.submit(number, graph(vec![step(width, &[])]));
+        number += 1;
+        fleet.run_for(ms(100));
+    }
+}
+
+/// A desk's service stands still for ten seconds: one of its tasks is larger than what small jobs leave free at a
+/// time, and these come without end.
+#[test]
+fn a_task_that_lasts_finds_room_among_small_jobs_without_end() {
+    let mut fleet = Fleet::new(2, 1);
+    press(&mut fleet, 6, ms(500));
+    let lasting = StepSpec {
+        lasting: true,
+        size: ResourceAmount::new(3000, 300),
+        ..step(1, &[])
+    };
+    let service = fleet.submit(1, graph(vec![lasting]));
+    press(&mut fleet, 6, ms(5000));
+    assert!(fleet.begins(service) > 0);
+    assert_eq!(fleet.check(), Vec::<String>::new());
+}
+
+/// A gang is late, and later every second: a quarter of the pool is free, in pieces that are too small for it.
+#[test]
+fn a_gang_finds_room_among_small_jobs_without_end() {
+    let mut fleet = Fleet::new(3, 1);
+    press(&mut fleet, 3, ms(500));
+    let gang = StepSpec {
+        gang: true,
+        size: ResourceAmount::new(3000, 300),
+        ..step(2, &[])
+    };
+    let gang = fleet.submit(1, graph(vec![gang]));
+    press(&mut fleet, 3, ms(6000));
+    assert!(fleet.begins(gang) > 0);
+    assert_eq!(fleet.check(), Vec::<String>::new());
+}
--- a/crates/fleet/src/plan_work.rs
+++ b/crates/fleet/src/plan_work.rs
@@ -82,7 +82,7 @@
         let outcome = {
             let mut dispatcher = seat.dispatcher.borrow_mut();
             dispatcher.note_lapses(now);
-            dispatcher.begin_due(shared.wall());
+            dispatcher.begin_due(shared.wall(), now);
             dispatcher.plan(now)
         };
         for order in outcome.orders {
