--- a/crates/dispatch/src/harm_model.rs
+++ b/crates/dispatch/src/harm_model.rs
@@ -19,6 +19,9 @@
 const LARGEST_ERROR: f64 = 0.6;
 /// The largest effect that is believed, for a filler on all processors.
 const LARGEST_EFFECT: f64 = 5.0;
+/// The effect of an image on all processors from which on it counts as harmful: a tenth of them costs a service
+/// a twentieth of its load.
+const HARMFUL: f64 = 0.5;
 /// The load that a service is taken to have before it was seen.
 const USUAL_LEVEL: f64 = 0.4;
 /// The share of the least tail seen that a service without any load is taken to have.
@@ -48,6 +51,8 @@
     features: IndexMap<Arc<str>, usize>,
     means: Vec<f64>,
     covariance: Vec<Vec<f64>>,
+    /// The share of the images that do it no harm.
+    harmless: f64,
 }
 
 impl HarmModel {
@@ -88,6 +93,13 @@
             .map_or(0.0, |model| model.effect(filler) * share)
     }
 
+    /// Returns the share of the fillers' images, as far as they were seen beside a service, that do it no harm.
+    pub(crate) fn harmless_share(&self, service: &Arc<str>) -> f64 {
+        self.services
+            .get(service)
+            .map_or(1.0, |model| model.harmless)
+    }
+
     fn model(&mut self, service: &Arc<str>) -> &mut ServiceModel {
         self.services
             .entry(Arc::clone(service))
@@ -102,6 +114,7 @@
             features: IndexMap::new(),
             means: vec![USUAL_LEVEL],
             covariance: vec![vec![UNKNOWN_LEVEL]],
+            harmless: 1.0,
         }
     }
 
@@ -146,6 +159,16 @@
             }
         }
         self.forget();
+        self.harmless = self.count_harmless();
+    }
+
+    fn count_harmless(&self) -> f64 {
+        let images = self.features.len().max(1) as f64;
+        let harmful = self
+            .features
+            .keys()
+            .filter(|image| self.effect(image) > HARMFUL);
+        1.0 - harmful.count() as f64 / images
     }
 
     /// Lets what was learned fade, up to not knowing it.
--- a/crates/dispatch/src/place_score.rs
+++ b/crates/dispatch/src/place_score.rs
@@ -27,6 +27,8 @@
 const UNSEEN: Duration = Duration::from_millis(1200);
 /// The smallest difference between two effects on a load that decides.
 const EFFECT_STEP: f64 = 0.02;
+/// The steps in which it is told for how many images a place is open.
+const TENTHS: i64 = 10;
 
 /// How good a place is for a task; the greater the better. The parts are compared in their order.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
@@ -39,6 +41,8 @@
     calm: i64,
     /// Whether it keeps services of one image together, so that fillers that harm them find room elsewhere.
     kin: i64,
+    /// Whether it leaves room to those that find less of it elsewhere.
+    thrift: i64,
     /// How well it uses what is left, in thousandths of a processor.
     fit: i64,
 }
@@ -65,6 +69,11 @@
             (false, true) => service_fit(worker, spec, harm),
             (false, false) => (0, -leftover(worker, spec)),
         };
+        let thrift = if spec.filler {
+            -openness(worker, spec, harm)
+        } else {
+            0
+        };
         let kin = match spec.target {
             Some(_) => -strangers(worker, spec),
             None => 0,
@@ -74,6 +83,7 @@
             near,
             calm,
             kin,
+            thrift,
             fit,
         })
     }
@@ -119,6 +129,18 @@
     Some((-steps(worst), idle - wanted))
 }
 
+/// Counts, in tenths, how many of the fillers' images find a place beside a worker's services. Where all do, those
+/// should go that are harmful elsewhere. A place that would slow the filler comes last.
+fn openness(worker: &WorkerState, spec: &StepSpec, harm: &HarmModel) -> i64 {
+    if worker.idle_cpu() < signed(spec.size.cpu_millis) {
+        return TENTHS + 1;
+    }
+    let services = worker.runs.values().filter(|run| run.target.is_some());
+    let shares = services.filter_map(|run| Some(harm.harmless_share(run.image.as_ref()?)));
+    // CAST: At most ten.
+    (shares.fold(1.0, f64::min) * TENTHS as f64) as i64
+}
+
 /// Returns the effect of all fillers of a worker on a service.
 fn company_effect(worker: &WorkerState, service: &Arc<str>, harm: &HarmModel) -> f64 {
     let fillers = worker.runs.values().filter(|run| run.is_filler());
--- a/crates/dispatch/src/service_watch.rs
+++ b/crates/dispatch/src/service_watch.rs
@@ -125,6 +125,7 @@
                 None => run.load = Some(LoadTrack::new(own, now)),
             }
         }
+        worker.weigh_services();
     }
 
     /// Slows the fillers that are known to raise a service's load above what it can bear, just as far as it
--- a/crates/dispatch/src/worker_state.rs
+++ b/crates/dispatch/src/worker_state.rs
@@ -18,8 +18,11 @@
     worker_health::WorkerHealth, //
 };
 
-/// The share of what services set aside that they are believed to use, in hundredths.
-const SERVICE_USE_HUNDREDTHS: i64 = 60;
+/// The share of what a service's task sets aside that it is believed to use before its load was seen.
+const USUAL_USE: f64 = 0.6;
+/// The shares between which it is believed to be: a tail is a rough figure.
+const LEAST_USE: f64 = 0.25;
+const MOST_USE: f64 = 0.75;
 
 /// A worker as its owner knows it.
 #[derive(Debug)]
@@ -44,6 +47,8 @@
     pub(crate) filler_cpu: u64,
     /// What services' tasks set aside of the processors, in thousandths.
     pub(crate) service_cpu: u64,
+    /// What they are believed to use of it.
+    pub(crate) service_use: u64,
     /// The last end that was looked at.
     pub(crate) processed: u64,
     /// The last end that is on record.
@@ -76,6 +81,7 @@
             reserved: ResourceAmount::default(),
             filler_cpu: 0,
             service_cpu: 0,
+            service_use: 0,
             processed: 0,
             acknowledged: 0,
             pending_acks: VecDeque::new(),
@@ -92,10 +98,23 @@
     }
 
     /// Returns the processors that nothing is believed to use, in thousandths; negative if fillers
-    /// want more than there is. Services set aside what their peak needs and use a part of it.
+    /// want more than there is. Services set aside what their peak needs and use as much as their load.
     pub(crate) fn idle_cpu(&self) -> i64 {
-        let kept = signed(self.service_cpu) * (100 - SERVICE_USE_HUNDREDTHS) / 100;
-        signed(self.free().cpu_millis) + kept - signed(self.filler_cpu)
+        let unused = signed(self.service_cpu) - signed(self.service_use);
+        signed(self.free().cpu_millis) + unused - signed(self.filler_cpu)
+    }
+
+    /// Works out anew what its services use.
+    pub(crate) fn weigh_services(&mut self) {
+        let services = self.runs.values().filter(|run| run.target.is_some());
+        let used = services.map(|run| {
+            let share = run
+                .load
+                .map_or(USUAL_USE, |load| load.expected(Duration::ZERO));
+            run.service_cpu() as f64 * share.clamp(LEAST_USE, MOST_USE)
+        });
+        // CAST: Less than its processors.
+        self.service_use = used.sum::<f64>() as u64;
     }
 
     pub(crate) fn add(&mut self, run: RunNumber, state: RunState) {
@@ -103,6 +122,7 @@
         self.filler_cpu += state.filler_cpu;
         self.service_cpu += state.service_cpu();
         self.runs.insert((state.task, run), state);
+        self.weigh_services();
     }
 
     pub(crate) fn drop_run(&mut self, task: TaskKey, run: RunNumber) {
@@ -112,6 +132,7 @@
         self.reserved = self.reserved.saturating_sub(state.reserved);
         self.filler_cpu = self.filler_cpu.saturating_sub(state.filler_cpu);
         self.service_cpu = self.service_cpu.saturating_sub(state.service_cpu());
+        self.weigh_services();
     }
 
     /// Tells whether it has left, and runs nothing any more: it said that it would, its entry is gone, and
--- a/crates/dispatch/tests/fillers.rs
+++ b/crates/dispatch/tests/fillers.rs
@@ -284,6 +284,37 @@
     }
 }
 
+/// Rough previews find no place: smooth ones, that harm no service, sit on the only worker that has none.
+#[test]
+fn what_harms_nobody_leaves_the_room_without_services_to_what_does() {
+    let mut pool = Pool::new(2, tail_of_a_queue);
+    pool.submit(1, service("desk", 4));
+    pool.run_for(ms(1000));
+    let desks = pool.workers.iter().copied();
+    let desk = desks
+        .max_by_key(|&worker| pool.count(worker, is_service))
+        .unwrap();
+    let free = pool
+        .workers
+        .iter()
+        .copied()
+        .find(|&worker| worker != desk)
+        .unwrap();
+    pool.submit(10, filler("rough", 3));
+    pool.submit(100, filler("smooth", 1));
+    pool.run_for(ms(20_000));
+    pool.submit(101, filler("smooth", 2));
+    pool.run_for(ms(6000));
+    let smooth = pool.running.keys();
+    let smooth = smooth.filter(|(at, task, _)| *at == desk && number(*task) == 101);
+    assert_eq!(smooth.count(), 2);
+    pool.submit(11, filler("rough", 4));
+    pool.run_for(ms(2000));
+    let rough = pool.running.keys();
+    let rough = rough.filter(|(at, task, _)| *at == free && number(*task) == 11);
+    assert_eq!(rough.count(), 4);
+}
+
 /// While nothing is known of a pair, several fillers beside one service would do their harm together before the
 /// first figure shows it.
 #[test]
