Send orders in portions that the owner's own VM can carry, and leave silent workers alone

Workers that were well lost their leases. Ruled out by the log: the store (regained), the workers (regained), the take-over (0.2 s). Change: a window of orders under way, cut when the process's own timers are 60 ms late, so that lost answers of workers do not shrink it; stops to a silent worker wait for its next answer, others for 0.4 to 3.2 s; right before it is sent, a start is looked at again (cancelled, draining, closed domain).

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -34,6 +34,7 @@
         JobState,
         OccurrenceState, //
     },
+    start_window::StartWindow,
     worker_state::WorkerState, //
 };
 
@@ -82,6 +83,9 @@
     pub(crate) kept: IndexSet<WorkerKey>,
     /// The time of day at this process's origin, as of the last look at both clocks.
     pub(crate) clock_origin: Duration,
+    pub(crate) window: StartWindow,
+    /// Whether the last plan held starts back.
+    pub(crate) held_back: bool,
     /// How many plans were made.
     pub(crate) plans: u64,
     /// Repeated jobs of which occurrences are still to come.
@@ -110,6 +114,8 @@
             hopeless: HopelessDemands::default(),
             kept: IndexSet::new(),
             clock_origin: Duration::ZERO,
+            window: StartWindow::default(),
+            held_back: false,
             plans: 0,
             scheduled: IndexMap::new(),
         }
--- a/crates/dispatch/src/dispatcher_plan.rs
+++ b/crates/dispatch/src/dispatcher_plan.rs
@@ -27,8 +27,10 @@
     worker_state::WorkerState, //
 };
 
-/// After how long a stop that got no answer is sent again.
+/// After how long a stop that got no answer is sent again; each further time after twice as long.
 const STOP_AGAIN: Duration = Duration::from_millis(400);
+/// How often that time is doubled at the most: a worker that is back is heard by its renewals.
+const MOST_DOUBLINGS: u32 = 3;
 /// How long after its longest time a stop that was answered is sent again.
 const STOP_SLACK: Duration = Duration::from_millis(400);
 /// After how long advice that did not come is asked for again.
@@ -88,8 +90,14 @@
 impl Dispatcher {
     /// Decides what to do at `now`.
     pub fn plan(&mut self, now: Duration) -> PlanOutcome {
+        let orders = std::mem::take(&mut self.decided);
+        for order in &orders {
+            if matches!(order, WorkerOrder::Stop { .. }) {
+                self.window.note_sent();
+            }
+        }
         let mut outcome = PlanOutcome {
-            orders: std::mem::take(&mut self.decided),
+            orders,
             advice: Vec::new(),
             notes: std::mem::take(&mut self.notes),
         };
@@ -98,6 +106,35 @@
         outcome
     }
 
+    /// Takes note of how late the process's own timers are: by them it knows that it has more to do than it can.
+    pub fn note_lag(&mut self, lag: Duration, now: Duration) {
+        self.window.note_lag(lag, now);
+    }
+
+    /// Tells whether starts were held back until orders that are under way are answered.
+    pub fn holds_back(&self) -> bool {
+        self.held_back && self.window.room() > 0
+    }
+
+    /// Tells whether the start of a run is still wanted: between its decision and its sending its job may have been
+    /// cancelled, or its worker may have begun to leave.
+    pub fn still_wants(&self, start: &StartOrder) -> bool {
+        let Some(job) = self.jobs.get(&start.task.job()) else {
+            return false;
+        };
+        let Some(rule) = self.rules.get(&job.queue) else {
+            return false;
+        };
+        let worker = self.worker(start.worker);
+        let run = worker.runs.get(&(start.task, start.run));
+        !job.is_over()
+            && run.is_some_and(|run| run.phase == RunPhase::Sent)
+            && !worker.record.draining
+            && worker.record.pool == rule.pool
+            && !self.closed.contains(&worker.record.domain)
+            && worker.fenced
+    }
+
     /// Takes in tickets for the tasks of a step; those that are not named may not run it.
     pub fn advice_answered(
         &mut self,
@@ -122,19 +159,30 @@
         let wanted: Vec<(WorkerKey, TaskKey, RunNumber)> = self.stops.iter().copied().collect();
         let stop = self.settings.stop;
         for (worker, task, run) in wanted {
-            let state = self.workers[worker.place()].runs.get_mut(&(task, run));
-            let Some(state) = state else {
+            let state = &mut self.workers[worker.place()];
+            let silent = state.unanswered > 0;
+            let Some(state) = state.runs.get_mut(&(task, run)) else {
                 self.stops.swap_remove(&(worker, task, run));
                 continue;
             };
             let again = match state.phase {
                 RunPhase::Stopping(Some(_)) => stop + STOP_SLACK,
-                _ => STOP_AGAIN,
+                _ => {
+                    STOP_AGAIN
+                        * 2u32.pow(state.stop_tries.min(MOST_DOUBLINGS + 1).saturating_sub(1))
+                }
             };
-            if state.stop_sent.is_some_and(|sent| now < sent + again) {
+            // Who does not answer its renewals is not asked again and again: that would keep a small VM too busy to
+            // hear the others.
+            let waits = state
+                .stop_sent
+                .is_some_and(|sent| silent || now < sent + again);
+            if waits || self.window.room() == 0 {
                 continue;
             }
+            self.window.note_sent();
             state.stop_sent = Some(now);
+            state.stop_tries += 1;
             if !state.is_stopping() {
                 state.phase = RunPhase::Stopping(None);
             }
@@ -159,9 +207,14 @@
         }
         ranked.sort_unstable();
         self.plans += 1;
+        self.held_back = false;
         self.hopeless.forget(now);
         self.kept.clear();
         for (rank, step) in ranked {
+            if self.window.room() == 0 {
+                self.held_back = true;
+                return;
+            }
             let missing = self.plan_step(step, now, outcome);
             if missing > 0 && rank.is_pressing(now) {
                 self.keep_room(step, missing, now);
@@ -250,7 +303,11 @@
         }
         let gang_run = spec.gang.then(|| self.next_run());
         let mut placed: Vec<(u32, WorkerKey, RunNumber)> = Vec::with_capacity(pending.len());
-        for &index in &pending {
+        let room = match spec.gang {
+            true => pending.len(),
+            false => self.window.room(),
+        };
+        for &index in pending.iter().take(room) {
             let found = self.find_place(step.task(index), spec, &demand, tried, now);
             let Some(worker) = found else {
                 // What members of a gang took is given back if it has no room for all of them.
@@ -271,6 +328,7 @@
         }
         let missing = pending.len() - placed.len();
         for (index, worker, run) in placed {
+            self.window.note_sent();
             let order = self.start_order(step.task(index), worker, run, &graph.payload, spec.gang);
             outcome.orders.push(WorkerOrder::Start(order));
         }
@@ -336,6 +394,7 @@
             load: None,
             pace: 100,
             stop_sent: None,
+            stop_tries: 0,
         };
         self.worker_mut(worker).add(run, state);
         let step = task.step;
--- a/crates/dispatch/src/dispatcher_workers.rs
+++ b/crates/dispatch/src/dispatcher_workers.rs
@@ -248,6 +248,7 @@
         end: OrderEnd,
         now: Duration,
     ) {
+        self.window.note_answered();
         match end {
             OrderEnd::Taken => {
                 if let Some(state) = self.worker_mut(key).runs.get_mut(&(task, run))
@@ -278,6 +279,7 @@
         end: OrderEnd,
         now: Duration,
     ) {
+        self.window.note_answered();
         let answered = match end {
             OrderEnd::Taken | OrderEnd::Refused(OrderRefusal::Old) => Some(now),
             OrderEnd::Refused(_) | OrderEnd::Unknown => return,
@@ -471,6 +473,7 @@
             load: None,
             pace: 100,
             stop_sent: None,
+            stop_tries: 0,
         };
         self.worker_mut(key).add(running.run, state);
         let mut surplus = over;
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -34,6 +34,7 @@
 mod run_number;
 mod run_state;
 mod service_watch;
+mod start_window;
 mod step_spec;
 mod task_key;
 mod worker_clock;
--- a/crates/dispatch/src/run_state.rs
+++ b/crates/dispatch/src/run_state.rs
@@ -49,6 +49,8 @@
     pub(crate) pace: u32,
     /// When its stop was last sent.
     pub(crate) stop_sent: Option<Duration>,
+    /// How often it was sent.
+    pub(crate) stop_tries: u32,
 }
 
 impl RunState {
--- a/crates/fleet/src/plan_work.rs
+++ b/crates/fleet/src/plan_work.rs
@@ -70,8 +70,10 @@
     loop {
         // A plan without an event is wanted, too.
         drop(time::timeout(EVERY, seat.plan.notified()).await);
+        let begun = shared.now();
         time::sleep(GATHER).await;
         let now = shared.now();
+        let lag = now.saturating_sub(begun + GATHER);
         if now > planned + PAUSE {
             seat.dispatcher.borrow_mut().note_pause();
         }
@@ -81,6 +83,7 @@
         }
         let outcome = {
             let mut dispatcher = seat.dispatcher.borrow_mut();
+            dispatcher.note_lag(lag, now);
             dispatcher.note_lapses(now);
             dispatcher.begin_due(shared.wall(), now);
             dispatcher.plan(now)
@@ -113,7 +116,7 @@
 
 async fn send(shared: Rc<FleetShared>, seat: Rc<OwnerSeat>, order: WorkerOrder) {
     // Between the decision and the act the process may have stood still.
-    if !shared.may_order(&seat) {
+    if !shared.may_order(&seat) || !is_wanted(&seat, &order) {
         give_back(&shared, &seat, &order);
         return;
     }
@@ -148,22 +151,35 @@
     if end == OrderEnd::Refused(OrderRefusal::Fenced) {
         seat.depose();
     }
-    if end != OrderEnd::Taken {
+    if end != OrderEnd::Taken || seat.dispatcher.borrow().holds_back() {
         seat.plan.notify_one();
     }
 }
 
+fn is_wanted(seat: &OwnerSeat, order: &WorkerOrder) -> bool {
+    match order {
+        WorkerOrder::Start(start) => seat.dispatcher.borrow().still_wants(start),
+        WorkerOrder::Stop { .. } | WorkerOrder::Pace { .. } => true,
+    }
+}
+
 /// Takes an order back that was not sent.
 fn give_back(shared: &FleetShared, seat: &OwnerSeat, order: &WorkerOrder) {
-    if let WorkerOrder::Start(start) = order {
-        let end = OrderEnd::Refused(OrderRefusal::Late);
-        seat.dispatcher.borrow_mut().start_ended(
-            start.worker,
-            start.task,
-            start.run,
-            end,
-            shared.now(),
-        );
+    let end = OrderEnd::Refused(OrderRefusal::Late);
+    let now = shared.now();
+    let mut dispatcher = seat.dispatcher.borrow_mut();
+    match order {
+        WorkerOrder::Start(start) => {
+            dispatcher.start_ended(start.worker, start.task, start.run, end, now);
+        }
+        WorkerOrder::Stop { worker, task, run } => {
+            dispatcher.stop_ended(*worker, *task, *run, end, now);
+        }
+        WorkerOrder::Pace {
+            worker, task, run, ..
+        } => {
+            dispatcher.pace_unsure(*worker, *task, *run);
+        }
     }
 }
 
