Keep no room where a spread forbids it, and log why a step waits

Cause: room was kept for a service that must be spread on workers that hold its share already, so that nobody used it. Change: kept room heeds the spread; a step that should have started is logged every 2 s with what speaks against how many workers. Test that failed first: no_room_is_kept_where_a_spread_forbids_it.

--- a/crates/dispatch/src/dispatcher_plan.rs
+++ b/crates/dispatch/src/dispatcher_plan.rs
@@ -15,6 +15,7 @@
     StepKey,
     StepSpec,
     TaskKey,
+    WaitNote,
     WorkerKey,
     WorkerOrder,
     hopeless_demand::TaskDemand,
@@ -39,6 +40,8 @@
 const ADVICE_WORKERS: usize = 30;
 /// How long a ticket must still hold when a start is sent with it: the start takes a moment.
 const TICKET_MARGIN: Duration = Duration::from_millis(300);
+/// For how many steps a plan notes why they wait: each is a look at all workers.
+const MOST_WAITS: usize = 4;
 /// How many times its objective a job may take until nobody waits for it any more; from the users'
 /// pages.
 const HOPELESS: f64 = 3.0;
@@ -57,6 +60,8 @@
     pub advice: Vec<AdviceWish>,
     /// What was decided beside them.
     pub notes: Vec<DecisionNote>,
+    /// Steps that wait although they should have started.
+    pub waits: Vec<WaitNote>,
 }
 
 /// The rank of a step: the least goes first.
@@ -100,6 +105,7 @@
             orders,
             advice: Vec::new(),
             notes: std::mem::take(&mut self.notes),
+            waits: Vec::new(),
         };
         self.plan_stops(now, &mut outcome);
         self.plan_starts(now, &mut outcome);
@@ -217,6 +223,9 @@
             }
             let missing = self.plan_step(step, now, outcome);
             if missing > 0 && rank.is_pressing(now) {
+                if outcome.waits.len() < MOST_WAITS {
+                    outcome.waits.extend(self.note_wait(step, missing, now));
+                }
                 self.keep_room(step, missing, now);
             }
         }
@@ -500,8 +509,7 @@
             if !fits_labels(worker, spec) {
                 continue;
             }
-            let held = state.placed.get(&key).copied().unwrap_or(0);
-            if spec.spread.is_some_and(|most| held >= most) {
+            if state.is_crowded(key, spec) {
                 continue;
             }
             if demand.ticketed && !holds_ticket(state.tickets.get(&key), now) {
--- a/crates/dispatch/src/dispatcher_room.rs
+++ b/crates/dispatch/src/dispatcher_room.rs
@@ -9,6 +9,8 @@
     Dispatcher,
     StepKey,
     StepSpec,
+    WaitNote,
+    WaitReasons,
     WorkerKey,
     dispatcher_plan::fits_labels,
     worker_state::WorkerState, //
@@ -17,6 +19,9 @@
 /// The largest share of the workers whose room is kept, as a divisor: the others go on taking what is small.
 const MOST_KEPT: usize = 4;
 
+/// How often it is noted why a step waits.
+const NOTE_EVERY: Duration = Duration::from_millis(2000);
+
 impl Dispatcher {
     /// Keeps the room of as many workers as tasks of a step are missing, those that will have it soonest, if the step
     /// lasts or is a gang. Small tasks would take every piece that becomes free, and a large one would never find its
@@ -38,6 +43,13 @@
             return;
         };
         let pool = Arc::clone(&rule.pool);
+        let Some(state) = self
+            .jobs
+            .get(&step.job)
+            .and_then(|job| job.step(step.occurrence, step.step))
+        else {
+            return;
+        };
         let mut able: Vec<(u64, WorkerKey)> = (0..self.workers.len())
             .map(WorkerKey::new)
             .filter(|key| {
@@ -45,6 +57,7 @@
                 !self.kept.contains(key)
                     && self.is_usable(worker, &pool, now)
                     && fits_labels(worker, spec)
+                    && !state.is_crowded(*key, spec)
                     && could_hold(worker, spec)
             })
             .map(|key| (self.worker(key).free().cpu_millis, key))
@@ -55,6 +68,65 @@
     }
 }
 
+impl Dispatcher {
+    /// Takes note of why a step waits that should have started, every now and then.
+    pub(crate) fn note_wait(
+        &mut self,
+        step: StepKey,
+        missing: usize,
+        now: Duration,
+    ) -> Option<WaitNote> {
+        let job = self.jobs.get(&step.job)?;
+        let spec = self.step_spec(step)?;
+        let rule = self.rules.get(&job.queue)?;
+        let state = job.step(step.occurrence, step.step)?;
+        if state
+            .wait_noted
+            .is_some_and(|noted| now < noted + NOTE_EVERY)
+        {
+            return None;
+        }
+        let mut reasons = WaitReasons::default();
+        for (place, worker) in self.workers.iter().enumerate() {
+            let key = WorkerKey::new(place);
+            let crowded = state.is_crowded(key, spec);
+            let free = worker.free();
+            let size = spec.reserved();
+            let reason = match () {
+                () if worker.record.pool != rule.pool || !fits_labels(worker, spec) || crowded => {
+                    &mut reasons.unfit
+                }
+                () if !worker.listed
+                    || worker.record.draining
+                    || worker.upkeep
+                    || self.closed.contains(&worker.record.domain) =>
+                {
+                    &mut reasons.leaving
+                }
+                () if !worker.fenced || worker.unanswered > 0 || !worker.clock.is_known() => {
+                    &mut reasons.silent
+                }
+                () if !self.is_usable(worker, &rule.pool, now) => &mut reasons.set_aside,
+                () if size.cpu_millis > free.cpu_millis => &mut reasons.processors,
+                () if !size.fits_in(free) => &mut reasons.memory,
+                () if self.kept.contains(&key) => &mut reasons.kept,
+                () => &mut reasons.harm,
+            };
+            *reason += 1;
+        }
+        if let Some(job) = self.jobs.get_mut(&step.job)
+            && let Some(state) = job.step_mut(step.occurrence, step.step)
+        {
+            state.wait_noted = Some(now);
+        }
+        Some(WaitNote {
+            step,
+            missing,
+            reasons,
+        })
+    }
+}
+
 /// Tells whether a worker has room for a task beside what stays there.
 fn could_hold(worker: &WorkerState, spec: &StepSpec) -> bool {
     let beside = worker.service_cpu + spec.reserved().cpu_millis;
--- a/crates/dispatch/src/job_state.rs
+++ b/crates/dispatch/src/job_state.rs
@@ -13,6 +13,7 @@
     JobOutcome,
     JobProgress,
     RunNumber,
+    StepSpec,
     WorkerKey, //
 };
 
@@ -57,6 +58,8 @@
     pub(crate) tickets: IndexMap<WorkerKey, (Arc<str>, Duration)>,
     /// When tickets were last asked for.
     pub(crate) advice_asked: Option<Duration>,
+    /// When it was last noted why its tasks wait.
+    pub(crate) wait_noted: Option<Duration>,
 }
 
 /// One task.
@@ -123,6 +126,7 @@
             placed: IndexMap::new(),
             tickets: IndexMap::new(),
             advice_asked: None,
+            wait_noted: None,
         });
         Self {
             steps: steps.collect(),
@@ -158,6 +162,12 @@
         self.open && self.tasks.iter().any(TaskState::is_pending)
     }
 
+    /// Tells whether as many of its tasks run on a worker as may.
+    pub(crate) fn is_crowded(&self, worker: WorkerKey, spec: &StepSpec) -> bool {
+        let held = self.placed.get(&worker).copied().unwrap_or(0);
+        spec.spread.is_some_and(|most| held >= most)
+    }
+
     pub(crate) fn note_placed(&mut self, worker: WorkerKey) {
         *self.placed.entry(worker).or_insert(0) += 1;
     }
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -37,6 +37,7 @@
 mod start_window;
 mod step_spec;
 mod task_key;
+mod wait_note;
 mod worker_clock;
 mod worker_health;
 mod worker_key;
@@ -87,6 +88,10 @@
         TaskKey,
         TaskKeyError, //
     },
+    wait_note::{
+        WaitNote,
+        WaitReasons, //
+    },
     worker_clock::WorkerClock,
     worker_key::WorkerKey,
     worker_order::{
--- a/crates/dispatch/tests/placement.rs
+++ b/crates/dispatch/tests/placement.rs
@@ -362,3 +362,21 @@
     assert!(fleet.begins(gang) > 0);
     assert_eq!(fleet.check(), Vec::<String>::new());
 }
+
+/// Half a pool stays empty while services wait. Of one service that must be spread each worker has its task already;
+/// it waits for one more worker, and kept the room of those that it may not use.
+#[test]
+fn no_room_is_kept_where_a_spread_forbids_it() {
+    let mut fleet = Fleet::new(2, 1).with_work(slow_work);
+    let spread = StepSpec {
+        lasting: true,
+        spread: Some(1),
+        ..step(3, &[])
+    };
+    let first = fleet.submit(1, graph(vec![spread]));
+    fleet.run_for(ms(6000));
+    assert_eq!(fleet.begins(first), 2);
+    let second = fleet.submit(2, graph(vec![step(4, &[])]));
+    fleet.run_for(ms(500));
+    assert_eq!(fleet.begins(second), 4);
+}
--- a/crates/fleet/src/fleet_log.rs
+++ b/crates/fleet/src/fleet_log.rs
@@ -42,6 +42,8 @@
     Request,
     /// A run was ordered to start, stop or change its pace.
     Order,
+    /// A step waits although it should have started.
+    Wait,
     /// A run ended.
     End,
     /// A job ended.
--- a/crates/fleet/src/plan_work.rs
+++ b/crates/fleet/src/plan_work.rs
@@ -11,6 +11,7 @@
     OrderEnd,
     OrderRefusal,
     StartOrder,
+    WaitNote,
     WorkerKey,
     WorkerOrder, //
 };
@@ -52,6 +53,23 @@
     job_age_ms: Option<u64>,
 }
 
+/// Why a step waits: how many workers speak against it, by what.
+#[derive(Serialize)]
+struct WaitLine {
+    step: String,
+    missing: usize,
+    job_age_ms: Option<u64>,
+    owner_token: u64,
+    processors: usize,
+    memory: usize,
+    leaving: usize,
+    silent: usize,
+    set_aside: usize,
+    unfit: usize,
+    kept: usize,
+    harm: usize,
+}
+
 #[derive(Serialize)]
 struct GiveWayLine<'a> {
     order: &'static str,
@@ -94,6 +112,9 @@
         for note in &outcome.notes {
             log_note(&shared, &seat, note);
         }
+        for wait in &outcome.waits {
+            log_wait(&shared, &seat, wait, now);
+        }
         for wish in outcome.advice {
             task::spawn_local(ask_advice(Rc::clone(&shared), Rc::clone(&seat), wish));
         }
@@ -264,6 +285,28 @@
     );
 }
 
+fn log_wait(shared: &FleetShared, seat: &OwnerSeat, wait: &WaitNote, now: Duration) {
+    let reasons = wait.reasons;
+    let age = seat.dispatcher.borrow().age(wait.step.job, now);
+    shared.log.line(
+        LogEvent::Wait,
+        WaitLine {
+            step: wait.step.to_string(),
+            missing: wait.missing,
+            job_age_ms: age.map(|age| age.as_millis() as u64),
+            owner_token: seat.token(),
+            processors: reasons.processors,
+            memory: reasons.memory,
+            leaving: reasons.leaving,
+            silent: reasons.silent,
+            set_aside: reasons.set_aside,
+            unfit: reasons.unfit,
+            kept: reasons.kept,
+            harm: reasons.harm,
+        },
+    );
+}
+
 fn end_name(end: OrderEnd) -> &'static str {
     match end {
         OrderEnd::Taken => "taken",
