Go on with steps that a former owner can't have started, and count silence from the probe

Cause: after a change of the owner all jobs that it inherits wait until every worker has answered or its lease has lapsed (7.1 s); one dark worker of 350 was enough. Silence was counted from the end of a probe's wait. Change: a step that follows a task which this owner itself saw at work is nobody else's (not after gangs or copies); silence counts from when the first probe was sent (0.4 s earlier).

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -51,6 +51,15 @@
     pub inherited: bool,
 }
 
+/// Who may have opened a step.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum StepOrigin {
+    /// A former owner may have, and may have started some of it.
+    Unknown,
+    /// This owner alone: it saw a task at work for which the step had to wait.
+    Own,
+}
+
 /// What an owner of jobs and workers knows and decides.
 ///
 /// It does no I/O and reads no clock: it is told what happened, with the time since an origin of
@@ -250,12 +259,13 @@
         if job.is_over() {
             return;
         }
-        let state = OccurrenceState::new(&job.graph);
+        let state = OccurrenceState::new(&job.graph, job.inherited);
         job.occurrences.entry(occurrence).or_insert(state);
-        self.open_steps(key, occurrence);
+        self.open_steps(key, occurrence, StepOrigin::Unknown);
     }
 
-    pub(crate) fn open_steps(&mut self, key: JobKey, occurrence: u32) {
+    /// Opens the steps that wait for nothing any more.
+    pub(crate) fn open_steps(&mut self, key: JobKey, occurrence: u32, origin: StepOrigin) {
         let Some(job) = self.jobs.get_mut(&key) else {
             return;
         };
@@ -263,7 +273,7 @@
         let Some(state) = job.occurrences.get_mut(&occurrence) else {
             return;
         };
-        state.open_steps(&graph);
+        state.open_steps(&graph, origin);
         for (number, step) in state.steps.iter().enumerate() {
             if step.has_pending() {
                 self.open.insert(StepKey {
--- a/crates/dispatch/src/dispatcher_plan.rs
+++ b/crates/dispatch/src/dispatcher_plan.rs
@@ -203,7 +203,7 @@
         for &step in &self.open {
             match self.jobs.get(&step.job) {
                 Some(job) if job.is_over() => closed.push(step),
-                Some(job) if !settled && job.inherited => {}
+                Some(job) if !settled && job.inherits(step.occurrence, step.step) => {}
                 Some(job) => ranked.push((self.rank(job, step, now), step)),
                 None => closed.push(step),
             }
--- a/crates/dispatch/src/dispatcher_records.rs
+++ b/crates/dispatch/src/dispatcher_records.rs
@@ -10,6 +10,7 @@
     JobOutcome,
     ProgressRecord,
     StepProgress,
+    dispatcher::StepOrigin,
     job_state::{
         JobState,
         StepState, //
@@ -80,7 +81,7 @@
             return;
         }
         for occurrence in occurrences {
-            self.open_steps(key, occurrence);
+            self.open_steps(key, occurrence, StepOrigin::Unknown);
         }
         self.open.retain(|step| {
             let state = self.jobs.get(&step.job);
--- a/crates/dispatch/src/dispatcher_workers.rs
+++ b/crates/dispatch/src/dispatcher_workers.rs
@@ -21,6 +21,7 @@
     WorkerClock,
     WorkerKey,
     WorkerOrder,
+    dispatcher::StepOrigin,
     run_state::{
         RunPhase,
         RunState, //
@@ -374,9 +375,12 @@
         if ended.number <= self.worker(key).processed {
             return;
         }
-        self.worker_mut(key).processed = ended.number;
+        let worker = self.worker_mut(key);
+        worker.processed = ended.number;
+        // It was listed by a worker that followed this owner already: a former one can't have heard of its end.
+        let seen = worker.runs.contains_key(&(ended.task, ended.run));
         self.release(key, ended.task, ended.run);
-        let change = self.settle_end(key, &ended, now);
+        let change = self.settle_end(key, &ended, seen, now);
         let worker = self.worker_mut(key);
         worker.pending_acks.push_back((ended.number, change));
     }
@@ -545,7 +549,7 @@
 
     /// Draws the consequences of an end, and returns the change that has to be on record before the
     /// end is acknowledged.
-    fn settle_end(&mut self, key: WorkerKey, ended: &EndedRun, now: Duration) -> u64 {
+    fn settle_end(&mut self, key: WorkerKey, ended: &EndedRun, seen: bool, now: Duration) -> u64 {
         let settled = self.ledger.on_record();
         let step = ended.task.step;
         let Some(job) = self.jobs.get(&step.job) else {
@@ -568,7 +572,16 @@
             self.note_checkpoint(ended.task, Arc::clone(checkpoint));
         }
         match ended.end {
-            RunEnd::Done => self.note_done(ended.task, spec.gang),
+            RunEnd::Done => {
+                // Of a gang or of copies, another worker may have told the same to the former owner.
+                let own = seen && !spec.gang && !spec.copies;
+                let origin = if own {
+                    StepOrigin::Own
+                } else {
+                    StepOrigin::Unknown
+                };
+                self.note_done(ended.task, spec.gang, origin)
+            }
             RunEnd::Failed => self.note_failed(key, ended, spec.gang),
             RunEnd::Stopped | RunEnd::Lapsed if ended.checkpoint.is_some() => {
                 self.ledger.note(step.job)
@@ -577,7 +590,7 @@
         }
     }
 
-    fn note_done(&mut self, task: TaskKey, gang: bool) -> u64 {
+    fn note_done(&mut self, task: TaskKey, gang: bool, origin: StepOrigin) -> u64 {
         let step = task.step;
         let mut surplus = Vec::new();
         let Some(job) = self.jobs.get_mut(&step.job) else {
@@ -610,7 +623,7 @@
         let change = self.ledger.note(step.job);
         if whole {
             self.open.swap_remove(&step);
-            self.open_steps(step.job, step.occurrence);
+            self.open_steps(step.job, step.occurrence, origin);
             self.finish_if_whole(task);
         }
         change
--- a/crates/dispatch/src/job_state.rs
+++ b/crates/dispatch/src/job_state.rs
@@ -14,7 +14,8 @@
     JobProgress,
     RunNumber,
     StepSpec,
-    WorkerKey, //
+    WorkerKey,
+    dispatcher::StepOrigin, //
 };
 
 /// A job as its owner knows it.
@@ -50,6 +51,8 @@
     pub(crate) done: u32,
     /// Whether all that it waits for is done.
     pub(crate) open: bool,
+    /// Whether a former owner may have started some of it.
+    pub(crate) inherited: bool,
     /// The rack on which its tasks were first placed.
     pub(crate) rack: Option<Arc<str>>,
     /// How many of its tasks run on each worker.
@@ -91,6 +94,12 @@
             .get_mut(usize::from(step))
     }
 
+    /// Tells whether a former owner may have started some of a step.
+    pub(crate) fn inherits(&self, occurrence: u32, step: u16) -> bool {
+        self.step(occurrence, step)
+            .is_none_or(|state| state.inherited)
+    }
+
     /// Returns since when the longest-waiting task of a step has been without a run.
     pub(crate) fn waits_since(&self, occurrence: u32, step: u16) -> Duration {
         let tasks = self.step(occurrence, step).map(|state| &state.tasks);
@@ -117,11 +126,12 @@
 }
 
 impl OccurrenceState {
-    pub(crate) fn new(graph: &JobGraph) -> Self {
+    pub(crate) fn new(graph: &JobGraph, inherited: bool) -> Self {
         let steps = graph.steps.iter().map(|spec| StepState {
             tasks: vec![TaskState::default(); spec.count as usize],
             done: 0,
             open: spec.after.is_empty(),
+            inherited,
             rack: None,
             placed: IndexMap::new(),
             tickets: IndexMap::new(),
@@ -138,17 +148,14 @@
     }
 
     /// Opens the steps that wait for nothing any more.
-    pub(crate) fn open_steps(&mut self, graph: &JobGraph) -> Vec<u16> {
-        let mut opened = Vec::new();
+    pub(crate) fn open_steps(&mut self, graph: &JobGraph, origin: StepOrigin) {
         for (number, spec) in graph.steps.iter().enumerate() {
             let ready = |&before: &u16| self.steps[usize::from(before)].is_whole();
             if !self.steps[number].open && spec.after.iter().all(ready) {
                 self.steps[number].open = true;
-                // CAST: A job has at most 256 steps.
-                opened.push(number as u16);
+                self.steps[number].inherited &= origin == StepOrigin::Unknown;
             }
         }
-        opened
     }
 }
 
--- a/crates/fleet/src/member_watch.rs
+++ b/crates/fleet/src/member_watch.rs
@@ -189,6 +189,7 @@
         return;
     };
     let token = shared.highest_token.get();
+    let sent = shared.now();
     let probe = shared.peers.probe(&address, token).await;
     if shared.owner_address().as_deref() != Some(address.as_str()) {
         return;
@@ -199,5 +200,5 @@
         shared.note_token(acting);
     }
     let now = shared.now();
-    shared.succession.borrow_mut().note_probe(probe, now);
+    shared.succession.borrow_mut().note_probe(probe, sent, now);
 }
--- a/crates/fleet/src/succession.rs
+++ b/crates/fleet/src/succession.rs
@@ -8,7 +8,8 @@
     PeerHealth, //
 };
 
-/// How long an owner may be silent until it is replaced. Three probes get no answer in this time.
+/// How long an owner may be silent until it is replaced, from the first probe that got no answer. Three get none in
+/// this time.
 const SILENCE: Duration = Duration::from_millis(1300);
 /// How long an owner may be without the store while another daemon has it.
 const WITHOUT_STORE: Duration = Duration::from_millis(1000);
@@ -89,8 +90,8 @@
         own || self.gone
     }
 
-    /// Takes note of what a probe of the owner showed.
-    pub fn note_probe(&mut self, probe: OwnerProbe, now: Duration) {
+    /// Takes note of what a probe of the owner showed that was sent at `sent`.
+    pub fn note_probe(&mut self, probe: OwnerProbe, sent: Duration, now: Duration) {
         let Some(owner) = &self.owner else {
             return;
         };
@@ -103,7 +104,7 @@
                 // An owner that has just won its row needs a moment until it acts.
                 match acts {
                     true => self.silent_since = None,
-                    false => drop(self.silent_since.get_or_insert(now)),
+                    false => drop(self.silent_since.get_or_insert(sent)),
                 }
                 let idle = self
                     .silent_since
@@ -115,7 +116,7 @@
                 self.doubt(true, now);
             }
             OwnerProbe::Silent => {
-                let since = *self.silent_since.get_or_insert(now);
+                let since = *self.silent_since.get_or_insert(sent);
                 self.doubt(now >= since + SILENCE, now);
             }
         }
--- a/crates/fleet/tests/succession.rs
+++ b/crates/fleet/tests/succession.rs
@@ -55,28 +55,39 @@
     let mut succession = succession();
     for second in 0..60 {
         let now = ms(second * 1000);
-        succession.note_probe(OwnerProbe::Answered(health()), now);
+        succession.note_probe(OwnerProbe::Answered(health()), now, now);
         assert!(!succession.should_claim(now));
     }
 }
 
+/// The time of a probe's own wait counts: what it waits for has been silent since it was sent.
+#[test]
+fn silence_counts_from_the_first_probe_that_was_sent_in_vain() {
+    let mut succession = succession();
+    succession.note_probe(OwnerProbe::Silent, ms(1000), ms(1400));
+    succession.note_probe(OwnerProbe::Silent, ms(1460), ms(1860));
+    assert!(!succession.should_claim(ms(1860)));
+    succession.note_probe(OwnerProbe::Silent, ms(1920), ms(2320));
+    assert!(succession.should_claim(ms(2320)));
+}
+
 /// One probe that got lost is no death; a second of silence is.
 #[test]
 fn a_silent_owner_is_replaced_after_its_time() {
     let mut succession = succession();
-    succession.note_probe(OwnerProbe::Silent, ms(1000));
+    succession.note_probe(OwnerProbe::Silent, ms(1000), ms(1000));
     assert!(!succession.should_claim(ms(1900)));
-    succession.note_probe(OwnerProbe::Silent, ms(2400));
+    succession.note_probe(OwnerProbe::Silent, ms(2400), ms(2400));
     assert!(succession.should_claim(ms(2400)));
     assert!(!succession.former_is_gone(), "silence is not being gone");
-    succession.note_probe(OwnerProbe::Answered(health()), ms(2500));
+    succession.note_probe(OwnerProbe::Answered(health()), ms(2500), ms(2500));
     assert!(!succession.should_claim(ms(2500)));
 }
 
 #[test]
 fn an_owner_whose_address_refuses_is_gone() {
     let mut succession = succession();
-    succession.note_probe(OwnerProbe::Gone, ms(1000));
+    succession.note_probe(OwnerProbe::Gone, ms(1000), ms(1000));
     assert!(succession.should_claim(ms(1000)));
     assert!(succession.former_is_gone());
 }
@@ -89,7 +100,7 @@
         acting: None,
         ..health()
     };
-    succession.note_probe(OwnerProbe::Answered(reborn), ms(1000));
+    succession.note_probe(OwnerProbe::Answered(reborn), ms(1000), ms(1000));
     assert!(succession.should_claim(ms(1000)));
     assert!(succession.former_is_gone());
 }
@@ -102,7 +113,7 @@
         without_store_ms: 1200,
         ..health()
     };
-    succession.note_probe(OwnerProbe::Answered(blind), ms(1000));
+    succession.note_probe(OwnerProbe::Answered(blind), ms(1000), ms(1000));
     assert!(succession.should_claim(ms(1000)));
     assert!(!succession.former_is_gone());
 }
@@ -112,7 +123,7 @@
 fn the_larger_daemons_go_first() {
     let mut succession = succession();
     succession.note_members(vec![member("a", 100), member("b", 100), member("d", 500)]);
-    succession.note_probe(OwnerProbe::Gone, ms(1000));
+    succession.note_probe(OwnerProbe::Gone, ms(1000), ms(1000));
     assert!(!succession.should_claim(ms(1000)));
     assert!(succession.should_claim(ms(1200)));
 }
