Keep what was learned for a successor, and the workers in rows of a bounded size

Cause: each change of the owner had the new one learn anew which fillers slow which services (180 give-ways in 2 s after one, 40 before). The list of workers was one row of some 90 bytes a worker: over 64 KiB, so never written, from some 700 workers on (worked out), and sent to all daemons, who watch that table. Change: every 3 s the owner keeps means and variances of the pairs of images; workers lie in rows of 200, both in the table that nobody watches. Test: a_successor_knows_what_was_learned.

--- a/crates/dispatch/src/dispatcher_records.rs
+++ b/crates/dispatch/src/dispatcher_records.rs
@@ -8,6 +8,7 @@
     Dispatcher,
     JobKey,
     JobOutcome,
+    LearnedRecord,
     ProgressRecord,
     StepProgress,
     dispatcher::StepOrigin,
@@ -90,6 +91,16 @@
         });
     }
 
+    /// Returns what was learned of services and fillers, for a successor.
+    pub fn learned(&self) -> LearnedRecord {
+        self.harm.record()
+    }
+
+    /// Takes in what a former owner learned of services and fillers.
+    pub fn restore_learned(&mut self, record: &LearnedRecord) {
+        self.harm.restore(record);
+    }
+
     pub(crate) fn acknowledge(&mut self) {
         let on_record = self.ledger.on_record();
         for worker in &mut self.workers {
--- a/crates/dispatch/src/harm_model.rs
+++ b/crates/dispatch/src/harm_model.rs
@@ -4,6 +4,12 @@
 
 use indexmap::IndexMap;
 
+use crate::{
+    LearnedEffect,
+    LearnedRecord,
+    LearnedService, //
+};
+
 /// How much an observation's weight falls with each later one of its service. At some 100 a second what
 /// was seen 20 s ago weighs a third. The pairs stay as they are for long; what changes within seconds is
 /// the services' load.
@@ -100,6 +106,24 @@
             .map_or(1.0, |model| model.harmless)
     }
 
+    /// Returns what a successor is to know.
+    pub(crate) fn record(&self) -> LearnedRecord {
+        let services = self.services.iter();
+        LearnedRecord {
+            services: services.map(|(image, model)| model.record(image)).collect(),
+        }
+    }
+
+    /// Begins with what a former owner has learned.
+    pub(crate) fn restore(&mut self, record: &LearnedRecord) {
+        for service in &record.services {
+            self.services.insert(
+                service.image.as_str().into(),
+                ServiceModel::restored(service),
+            );
+        }
+    }
+
     fn model(&mut self, service: &Arc<str>) -> &mut ServiceModel {
         self.services
             .entry(Arc::clone(service))
@@ -118,6 +142,45 @@
         }
     }
 
+    fn restored(record: &LearnedService) -> Self {
+        let mut model = Self::new();
+        model.least = f64::from(record.least);
+        model.set(0, record.level);
+        for (image, effect) in &record.fillers {
+            let index = model.feature(&image.as_str().into());
+            model.set(index, *effect);
+        }
+        model.harmless = model.count_harmless();
+        model
+    }
+
+    fn set(&mut self, index: usize, effect: LearnedEffect) {
+        self.means[index] = f64::from(effect.mean);
+        self.covariance[index][index] = f64::from(effect.variance);
+    }
+
+    fn record(&self, image: &Arc<str>) -> LearnedService {
+        let fillers = self.features.iter();
+        LearnedService {
+            image: image.to_string(),
+            // CAST: Figures around 1, rough already.
+            least: self.least as f32,
+            level: self.learned(0),
+            fillers: fillers
+                .map(|(filler, &index)| (filler.to_string(), self.learned(index)))
+                .collect(),
+        }
+    }
+
+    fn learned(&self, index: usize) -> LearnedEffect {
+        LearnedEffect {
+            // CAST: Figures around 1, rough already.
+            mean: self.means[index] as f32,
+            // CAST: As above.
+            variance: self.covariance[index][index] as f32,
+        }
+    }
+
     fn load(&self, ratio: f64) -> f64 {
         let idle = self.least * IDLE_SHARE;
         1.0 - idle / ratio.max(idle)
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -25,6 +25,7 @@
 mod job_outcome;
 mod job_schedule;
 mod job_state;
+mod learned_record;
 mod load_track;
 mod place_score;
 mod pool_rule;
@@ -71,6 +72,11 @@
         JobProgress, //
     },
     job_schedule::JobSchedule,
+    learned_record::{
+        LearnedEffect,
+        LearnedRecord,
+        LearnedService, //
+    },
     pool_rule::PoolRule,
     progress_record::{
         ProgressRecord,
--- a/crates/dispatch/tests/fillers.rs
+++ b/crates/dispatch/tests/fillers.rs
@@ -317,6 +317,30 @@
     assert_eq!(rough.count(), 4);
 }
 
+/// Services answer too slowly for ten seconds after each change of the owner: the new one tries again what the former
+/// one knew to be harmful.
+#[test]
+fn a_successor_knows_what_was_learned() {
+    let mut former = Pool::new(1, tail_of_a_queue);
+    former.submit(1, service("desk", 2));
+    former.run_for(ms(1000));
+    former.submit(10, filler("rough", 2));
+    former.submit(100, filler("smooth", 1));
+    former.run_for(ms(20_000));
+    let mut pool = Pool::new(1, tail_of_a_queue);
+    let learned = former.dispatcher.learned();
+    pool.dispatcher.restore_learned(&learned);
+    assert_eq!(pool.dispatcher.learned(), learned);
+    pool.submit(1, service("desk", 2));
+    pool.run_for(ms(2000));
+    pool.submit(10, filler("rough", 2));
+    pool.submit(100, filler("smooth", 3));
+    pool.plan();
+    let worker = pool.workers[0];
+    assert_eq!(pool.count(worker, is_harmful), 0);
+    assert_eq!(pool.count(worker, |task| number(task) == 100), 3);
+}
+
 /// While nothing is known of a pair, several fillers beside one service would do their harm together before the
 /// first figure shows it.
 #[test]
--- a/crates/fleet/src/fleet_shared.rs
+++ b/crates/fleet/src/fleet_shared.rs
@@ -43,8 +43,10 @@
 pub(crate) const MEMBERS_PART: &str = "members";
 /// The key of the owner's row.
 pub(crate) const OWNER_KEY: &str = "owner";
-/// The key of the row that lists the workers that an owner has given orders to.
-pub(crate) const WORKERS_KEY: &str = "workers";
+/// The key of what was learned of services and fillers.
+pub(crate) const LEARNED_KEY: &str = "learned";
+/// What the keys of the rows begin with that list the workers that an owner has given orders to.
+pub(crate) const WORKERS_KEY: &str = "workers-";
 /// What follows a job's key in the key of its cancellation.
 pub(crate) const CANCEL_SUFFIX: &str = ".c";
 /// How long a watch of the store waits. A connection that went silent shows only when the answer stays
--- /dev/null
+++ b/crates/fleet/src/kept_knowledge.rs
@@ -0,0 +1,114 @@
+//! What an owner keeps for its successor beside what has ended: the workers that got orders, and what was learned.
+//! It lies where no other daemon watches, since it is of the size of the fleet.
+
+use std::{
+    rc::Rc,
+    time::Duration, //
+};
+
+use jasminebend_dispatch::{
+    Dispatcher,
+    FleetWorker, //
+};
+use tokio::time;
+
+use crate::{
+    CommitAnswer,
+    FleetRow,
+    FleetTable,
+    RowCommit,
+    fleet_shared::{
+        FleetShared,
+        LEARNED_KEY,
+        SHARD_PART,
+        WORKERS_KEY, //
+    },
+    member_watch::note_owner,
+    owner_seat::OwnerSeat, //
+};
+
+/// How often the list of workers is kept at the most: many register at once.
+const KEEP_EVERY: Duration = Duration::from_millis(300);
+/// After how many such times what was learned is kept: every 3 s, some kilobytes.
+const LEARNED_EVERY: u32 = 10;
+/// How many workers a row holds: some 100 bytes each, of the 64 KiB that a row may have.
+const WORKERS_A_ROW: usize = 200;
+/// The largest record of what was learned; one that is larger is not kept.
+const LARGEST_LEARNED: usize = 48 << 10;
+
+/// Keeps the workers that get orders, so that a successor knows also those whose entry is gone from the registry
+/// while they run on; and, every now and then, what was learned.
+pub(crate) async fn keep_knowledge(shared: Rc<FleetShared>, seat: Rc<OwnerSeat>) {
+    let mut rows_used = seat.kept_rows.get();
+    let mut turn: u32 = 0;
+    loop {
+        time::sleep(KEEP_EVERY).await;
+        turn = turn.wrapping_add(1);
+        let mut writes = Vec::new();
+        let workers_changed = seat.workers_changed.replace(false);
+        if workers_changed {
+            writes = worker_rows(&seat.dispatcher.borrow().worker_records(), rows_used);
+            rows_used = writes.len();
+        }
+        if turn.is_multiple_of(LEARNED_EVERY) {
+            writes.extend(learned_row(&seat.dispatcher.borrow()));
+        }
+        if writes.is_empty() {
+            continue;
+        }
+        let commit = RowCommit {
+            guards: vec![seat.guard.clone()],
+            writes,
+        };
+        match shared.store.commit(commit).await {
+            Ok(CommitAnswer::Done(_)) => {}
+            Ok(CommitAnswer::Conflict(rows)) => {
+                note_owner(&shared, rows.first());
+                seat.depose();
+            }
+            Err(_) if workers_changed => seat.workers_changed.set(true),
+            Err(_) => {}
+        }
+    }
+}
+
+/// Returns the workers that a former owner kept, and in how many rows.
+pub(crate) fn kept_workers(rows: &[FleetRow]) -> (Vec<FleetWorker>, usize) {
+    let kept = rows.iter().filter(|row| row.key.starts_with(WORKERS_KEY));
+    let lists: Vec<Vec<FleetWorker>> = kept
+        .filter_map(|row| postcard::from_bytes(&row.value).ok())
+        .collect();
+    let count = lists.len();
+    (lists.into_iter().flatten().collect(), count)
+}
+
+/// Takes in what a former owner learned.
+pub(crate) fn restore_learned(dispatcher: &mut Dispatcher, rows: &[FleetRow]) {
+    let kept = rows.iter().find(|row| row.key == LEARNED_KEY);
+    if let Some(record) = kept.and_then(|row| postcard::from_bytes(&row.value).ok()) {
+        dispatcher.restore_learned(&record);
+    }
+}
+
+/// Writes the workers in rows of a bounded size; rows that were used before and are not needed any more are empty.
+fn worker_rows(workers: &[FleetWorker], rows_used: usize) -> Vec<FleetRow> {
+    let chunks: Vec<&[FleetWorker]> = workers.chunks(WORKERS_A_ROW).collect();
+    let count = chunks.len().max(rows_used).max(1);
+    let rows = (0..count).filter_map(|number| {
+        let chunk = chunks.get(number).copied().unwrap_or_default();
+        let value = postcard::to_stdvec(chunk).ok()?;
+        let key = format!("{WORKERS_KEY}{number:04}");
+        Some(FleetRow::new(FleetTable::Progress, SHARD_PART, key, value))
+    });
+    rows.collect()
+}
+
+fn learned_row(dispatcher: &Dispatcher) -> Option<FleetRow> {
+    let record = dispatcher.learned();
+    if record.services.is_empty() {
+        return None;
+    }
+    let value = postcard::to_stdvec(&record).ok()?;
+    let row = FleetRow::new(FleetTable::Progress, SHARD_PART, LEARNED_KEY, value);
+    (row.value.len() <= LARGEST_LEARNED).then_some(row)
+}
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -17,6 +17,7 @@
 mod fleet_workers;
 mod http_pool;
 mod http_server;
+mod kept_knowledge;
 mod member_watch;
 mod operator_watch;
 mod owner_record;
--- a/crates/fleet/src/owner_seat.rs
+++ b/crates/fleet/src/owner_seat.rs
@@ -43,6 +43,8 @@
     pub(crate) commit: Notify,
     /// Counts the commits.
     pub(crate) committed: watch::Sender<u64>,
+    /// In how many rows a former owner kept its workers.
+    pub(crate) kept_rows: Cell<usize>,
     /// Whether the set of workers has changed since it was last kept.
     pub(crate) workers_changed: Cell<bool>,
     /// Until when a former owner may not know that it was replaced.
@@ -70,6 +72,7 @@
             plan: Notify::new(),
             commit: Notify::new(),
             committed: watch::Sender::new(0),
+            kept_rows: Cell::new(0),
             workers_changed: Cell::new(true),
             shared_until: Duration::ZERO,
             loaded: Cell::new(false),
--- a/crates/fleet/src/owner_work.rs
+++ b/crates/fleet/src/owner_work.rs
@@ -9,7 +9,6 @@
 use jasminebend_dispatch::{
     AcceptedJob,
     Dispatcher,
-    FleetWorker,
     JobKey,
     ProgressRecord, //
 };
@@ -40,9 +39,13 @@
         OWNER_KEY,
         SHARD_PART,
         WATCH_WAIT,
-        WORKERS_KEY,
         job_parts, //
     },
+    kept_knowledge::{
+        keep_knowledge,
+        kept_workers,
+        restore_learned, //
+    },
     member_watch::note_owner,
     operator_watch::inform_seat,
     owner_seat::OwnerSeat,
@@ -53,8 +56,6 @@
 
 /// How long to wait after a call that failed.
 const AGAIN: Duration = Duration::from_millis(100);
-/// How often the list of workers is kept at the most: many register at once.
-const KEEP_EVERY: Duration = Duration::from_millis(300);
 /// The pause between two looks at the registry: heartbeats come all the time, each call has its price, and
 /// a worker that leaves must be known within two seconds.
 const REGISTRY_EVERY: Duration = Duration::from_millis(400);
@@ -166,10 +167,6 @@
     former_gone: bool,
 ) -> Result<(u64, u64), StoreError> {
     let first = seat.token() == 1;
-    let kept = shared
-        .store
-        .read_all(FleetTable::Fleet, SHARD_PART, WORKERS_KEY, None)
-        .await?;
     let result = shared.store.raw().read_registry().await;
     let registry = shared.store.note(result)?;
     let (progress, _) = shared
@@ -180,13 +177,10 @@
     let now = shared.now();
     let mut dispatcher = seat.dispatcher.borrow_mut();
     let until = now + dispatcher.inheritance(former_gone);
-    let known: Vec<FleetWorker> = kept
-        .0
-        .iter()
-        .find(|row| row.key == WORKERS_KEY)
-        .and_then(|row| postcard::from_bytes(&row.value).ok())
-        .unwrap_or_default();
-    for worker in known {
+    restore_learned(&mut dispatcher, &progress);
+    let (kept, rows) = kept_workers(&progress);
+    seat.kept_rows.set(rows);
+    for worker in kept {
         let id = Arc::clone(&worker.id);
         dispatcher.list_worker(worker, Some(until));
         dispatcher.unlist_worker(&id);
@@ -275,7 +269,7 @@
     ));
     tasks.spawn_local(plan_orders(Rc::clone(&shared), Rc::clone(&seat)));
     tasks.spawn_local(commit_ends(Rc::clone(&shared), Rc::clone(&seat)));
-    tasks.spawn_local(keep_workers(Rc::clone(&shared), Rc::clone(&seat)));
+    tasks.spawn_local(keep_knowledge(Rc::clone(&shared), Rc::clone(&seat)));
     tasks.spawn_local(confirm_seat(Rc::clone(&shared), Rc::clone(&seat)));
     tasks.spawn_local(carry_waves(Rc::clone(&shared), Rc::clone(&seat)));
     seat.ended().await;
@@ -422,31 +416,3 @@
         tasks.spawn_local(attend_worker(Rc::clone(shared), Rc::clone(seat), key));
     }
 }
-
-/// Keeps the list of the workers that get orders, so that a successor knows also those whose entry is
-/// gone from the registry while they run on.
-async fn keep_workers(shared: Rc<FleetShared>, seat: Rc<OwnerSeat>) {
-    loop {
-        time::sleep(KEEP_EVERY).await;
-        if !seat.workers_changed.replace(false) {
-            continue;
-        }
-        let workers = seat.dispatcher.borrow().worker_records();
-        let Ok(value) = postcard::to_stdvec(&workers) else {
-            continue;
-        };
-        let row = FleetRow::new(FleetTable::Fleet, SHARD_PART, WORKERS_KEY, value);
-        let commit = RowCommit {
-            guards: vec![seat.guard.clone()],
-            writes: vec![row],
-        };
-        match shared.store.commit(commit).await {
-            Ok(CommitAnswer::Done(_)) => {}
-            Ok(CommitAnswer::Conflict(rows)) => {
-                note_owner(&shared, rows.first());
-                seat.depose();
-            }
-            Err(_) => seat.workers_changed.set(true),
-        }
-    }
-}
