Tell a job's story from the daemons' logs: jbctl explain

Change: jbctl explain ID reads log lines on standard input, puts those of the job in their order and says what they tell: without the store, without a configuration, an unknown outcome and whether it was done, what a step waited for, failed runs and workers.

--- a/crates/dispatch/tests/exploration.rs
+++ b/crates/dispatch/tests/exploration.rs
@@ -13,10 +13,18 @@
 };
 use jasminebend_base::ResourceAmount;
 use jasminebend_dispatch::{
+    JobGraph,
+    JobKey,
+    JobOutcome,
     JobProgress,
+    JobSchedule,
+    RunEnd,
     TaskKey, //
 };
-use jasminebend_standins::TaskWork;
+use jasminebend_standins::{
+    TaskWork,
+    WorkerDeed, //
+};
 use rand::{
     RngExt,
     SeedableRng,
@@ -112,3 +120,74 @@
         broken.first()
     );
 }
+
+fn repeated(random: &mut StdRng, now: std::time::Duration) -> JobGraph {
+    let schedule = JobSchedule {
+        first: now + ms(random.random_range(0..3000)),
+        interval: ms(random.random_range(300..4000)),
+        count: random.random_range(1..5),
+    };
+    let steps = vec![step(random.random_range(1..5), &[]), step(1, &[0])];
+    JobGraph {
+        schedule: Some(schedule),
+        ..graph(steps)
+    }
+}
+
+/// Counts the tasks of a job, over all its occurrences, that some worker has brought to their end.
+fn done(fleet: &Fleet, job: JobKey) -> usize {
+    let deeds = fleet.workers.iter().flat_map(|worker| worker.deeds());
+    let ended = deeds.filter_map(|(_, deed)| match deed {
+        WorkerDeed::Ended(task, _, RunEnd::Done) if task.job() == job => Some(*task),
+        _ => None,
+    });
+    ended.collect::<std::collections::BTreeSet<TaskKey>>().len()
+}
+
+/// The same faults while repeated jobs run. None is told to be completed before all its occurrences are.
+fn play_repeated(seed: u64) -> Vec<String> {
+    let mut random = StdRng::seed_from_u64(seed);
+    let mut fleet = Fleet::new(4, seed).with_work(mixed_work);
+    fleet.faults = Faults {
+        lost: random.random_range(0..10),
+        late: random.random_range(0..15),
+        unanswered: random.random_range(0..15),
+        commits: random.random_range(0..30),
+    };
+    let mut jobs = Vec::new();
+    for number in 0..6 {
+        let graph = repeated(&mut random, fleet.now);
+        let tasks = graph.task_count() as usize * graph.occurrences() as usize;
+        jobs.push((fleet.submit(number + 1, graph), tasks));
+        disturb(&mut fleet, &mut random);
+        fleet.run_for(ms(random.random_range(50..2500)));
+    }
+    fleet.faults = Faults::default();
+    fleet.run_for(ms(45_000));
+    let mut broken = fleet.check();
+    for (job, tasks) in jobs {
+        let completed = Some(JobProgress::Ended(JobOutcome::Completed));
+        if fleet.progress(job) != completed || done(&fleet, job) < tasks {
+            broken.push(format!(
+                "job {job}: {:?}, {} of {tasks} done",
+                fleet.progress(job),
+                done(&fleet, job)
+            ));
+        }
+    }
+    broken
+}
+
+#[test]
+fn no_day_of_repeated_jobs_breaks_a_promise() {
+    let broken: Vec<(u64, Vec<String>)> = (0..DAYS)
+        .map(|seed| (seed, play_repeated(seed)))
+        .filter(|(_, broken)| !broken.is_empty())
+        .collect();
+    assert!(
+        broken.is_empty(),
+        "{} of {DAYS}: {:#?}",
+        broken.len(),
+        broken.first()
+    );
+}
--- a/crates/jbctl/src/admin_call.rs
+++ b/crates/jbctl/src/admin_call.rs
@@ -57,7 +57,9 @@
             }
             OperatorCommand::ConfigPut(file) => put(file)?,
             OperatorCommand::JobSubmit(file) => submit(file)?,
-            OperatorCommand::ConfigCheck(_) | OperatorCommand::TokenHash(_) => return Ok(None),
+            OperatorCommand::ConfigCheck(_)
+            | OperatorCommand::Explain(_)
+            | OperatorCommand::TokenHash(_) => return Ok(None),
         };
         Ok(Some(call))
     }
--- a/crates/jbctl/src/command_line.rs
+++ b/crates/jbctl/src/command_line.rs
@@ -34,6 +34,7 @@
   job cancel ID                  Cancel a job.
   job list [--limit N] [--after ID]  List a page of the jobs: N of them, after ID.
   class list                     List the classes and their targets.
+  explain ID                     Tell the story of job ID from daemons' log lines on standard input.
   token hash FILE                Print the digest of the token in FILE.
 
 Options:
@@ -116,6 +117,8 @@
         ["job", "status" | "cancel"] => return missing("job", "the job's identity"),
         ["job", "list"] => OperatorCommand::JobList(listing.clone()),
         ["class", "list"] => OperatorCommand::ClassList,
+        ["explain", job] => OperatorCommand::Explain(name(job)?),
+        ["explain"] => return missing("explain", "a job's identity"),
         ["token", "hash", file] => OperatorCommand::TokenHash(PathBuf::from(file)),
         other => {
             return Err(UsageError::UnknownCommand {
--- a/crates/jbctl/src/lib.rs
+++ b/crates/jbctl/src/lib.rs
@@ -7,6 +7,7 @@
 mod command_line;
 mod configuration_lines;
 mod job_listing;
+mod log_story;
 mod operator_command;
 mod output_format;
 mod program;
@@ -24,6 +25,10 @@
         HELP, //
     },
     job_listing::JobListing,
+    log_story::{
+        LogStory,
+        StoryCause, //
+    },
     operator_command::OperatorCommand,
     output_format::OutputFormat,
     program::run_program,
--- a/crates/jbctl/src/operator_command.rs
+++ b/crates/jbctl/src/operator_command.rs
@@ -36,6 +36,8 @@
     JobList(JobListing),
     /// List the classes.
     ClassList,
+    /// Tell the story of a job from daemons' log lines on the standard input.
+    Explain(String),
     /// Print the digest of a token, for the daemons' tokens file.
     TokenHash(PathBuf),
 }
--- a/crates/jbctl/src/program.rs
+++ b/crates/jbctl/src/program.rs
@@ -17,6 +17,7 @@
     CallError,
     CommandLine,
     HELP,
+    LogStory,
     OperatorCommand,
     OutputFormat,
     TargetOptions,
@@ -75,10 +76,32 @@
             let digest = blake3::hash(token.trim().as_bytes());
             Ok(say(&format!("{digest}\n")))
         }
+        OperatorCommand::Explain(job) => explain(job),
         _ => Ok(ExitCode::SUCCESS),
     }
 }
 
+fn explain(job: &str) -> Result<ExitCode, UsageError> {
+    let story = LogStory::read(job, std::io::stdin().lock());
+    let story = story.map_err(|error| UsageError::Unreadable {
+        path: "standard input".into(),
+        reason: error.to_string(),
+    })?;
+    if story.skipped > 0 {
+        eprintln!("jbctl: {} lines are no log lines", story.skipped);
+    }
+    if story.is_empty() {
+        return Ok(fail(REFUSED, &format!("no line names {job}")));
+    }
+    for text in story.texts() {
+        say(&format!("{text}\n"));
+    }
+    for cause in story.causes() {
+        say(&format!("cause: {cause}\n"));
+    }
+    Ok(ExitCode::SUCCESS)
+}
+
 fn ask(call: &AdminCall, options: &TargetOptions) -> Result<ExitCode, CallError> {
     let client = AdminClient::new(options)?;
     let runtime = Builder::new_current_thread().enable_all().build();
