--- /dev/null
+++ b/crates/dispatch/src/dispatcher_ends.rs
@@ -0,0 +1,152 @@
+//! What the dispatcher makes of the end of a run.
+
+use std::{
+    sync::Arc,
+    time::Duration, //
+};
+
+use crate::{
+    Dispatcher,
+    EndedRun,
+    JobOutcome,
+    RunEnd,
+    TaskKey,
+    WorkerKey,
+    dispatcher::StepOrigin, //
+};
+
+impl Dispatcher {
+    /// Draws the consequences of an end, and returns the change that has to be on record before the
+    /// end is acknowledged.
+    pub(crate) fn settle_end(
+        &mut self,
+        key: WorkerKey,
+        ended: &EndedRun,
+        seen: bool,
+        now: Duration,
+    ) -> u64 {
+        let settled = self.ledger.on_record();
+        let step = ended.task.step;
+        let Some(job) = self.jobs.get(&step.job) else {
+            return settled;
+        };
+        let Some(spec) = job.graph.steps.get(usize::from(step.step)).cloned() else {
+            return settled;
+        };
+        self.open_occurrence(step.job, step.occurrence);
+        match ended.end {
+            RunEnd::Done => self.worker_mut(key).health.note_done(),
+            RunEnd::Failed => self.worker_mut(key).health.note_failure(ended.task, now),
+            _ => {}
+        }
+        if spec.lasting {
+            self.note_away(ended.task, now);
+            return settled;
+        }
+        if let Some(checkpoint) = &ended.checkpoint {
+            self.note_checkpoint(ended.task, Arc::clone(checkpoint));
+        }
+        match ended.end {
+            RunEnd::Done => {
+                // Of a gang or of copies, another worker may have told the same to the former owner.
+                let own = seen && !spec.gang && !spec.copies;
+                let origin = if own {
+                    StepOrigin::Own
+                } else {
+                    StepOrigin::Unknown
+                };
+                self.note_done(ended.task, spec.gang, origin)
+            }
+            RunEnd::Failed => self.note_failed(key, ended, spec.gang),
+            RunEnd::Stopped | RunEnd::Lapsed if ended.checkpoint.is_some() => {
+                self.ledger.note(step.job)
+            }
+            _ => settled,
+        }
+    }
+
+    fn note_done(&mut self, task: TaskKey, gang: bool, origin: StepOrigin) -> u64 {
+        let step = task.step;
+        let mut surplus = Vec::new();
+        let Some(job) = self.jobs.get_mut(&step.job) else {
+            return 0;
+        };
+        if job.is_over() {
+            return self.ledger.on_record();
+        }
+        let Some(state) = job.step_mut(step.occurrence, step.step) else {
+            return 0;
+        };
+        for (index, held) in state.tasks.iter_mut().enumerate() {
+            // CAST: A step has at most 20,000 tasks.
+            let index = index as u32;
+            if held.done || (!gang && index != task.index) {
+                continue;
+            }
+            held.done = true;
+            held.checkpoint = None;
+            state.done += 1;
+            let key = step.task(index);
+            surplus.extend(held.runs.iter().map(|&(worker, run)| (worker, key, run)));
+        }
+        let whole = state.is_whole();
+        if !gang {
+            for (worker, key, run) in surplus {
+                self.stop_run(worker, key, run);
+            }
+        }
+        let change = self.ledger.note(step.job);
+        if whole {
+            self.open.swap_remove(&step);
+            self.open_steps(step.job, step.occurrence, origin);
+            self.finish_if_whole(task);
+        }
+        change
+    }
+
+    fn finish_if_whole(&mut self, task: TaskKey) {
+        let step = task.step;
+        let Some(job) = self.jobs.get(&step.job) else {
+            return;
+        };
+        // The same end is heard from each member of a gang, and again by a successor, so that nothing is
+        // counted up.
+        let whole = job.occurrences.values().filter(|state| state.is_whole());
+        if whole.count() >= job.graph.occurrences() as usize {
+            self.finish(step.job, JobOutcome::Completed);
+        }
+    }
+
+    fn note_failed(&mut self, key: WorkerKey, ended: &EndedRun, gang: bool) -> u64 {
+        let step = ended.task.step;
+        let Some(job) = self.jobs.get_mut(&step.job) else {
+            return 0;
+        };
+        if job.is_over() {
+            return self.ledger.on_record();
+        }
+        let queue = Arc::clone(&job.queue);
+        let Some(state) = job.step_mut(step.occurrence, step.step) else {
+            return 0;
+        };
+        // A gang fails as one: its count stands at its first task.
+        let counted = if gang { 0 } else { ended.task.index };
+        let mut failures = 0;
+        if let Some(task) = state.tasks.get_mut(counted as usize) {
+            if !task.failures.contains(&ended.run) {
+                task.failures.push(ended.run);
+            }
+            task.failed_on = Some(key);
+            failures = task.failures.len();
+        }
+        let attempts = self
+            .rules
+            .get(&queue)
+            .map_or(1, |rule| rule.attempts.max(1));
+        let change = self.ledger.note(step.job);
+        if failures >= attempts as usize {
+            self.finish(step.job, JobOutcome::Failed);
+        }
+        change
+    }
+}
--- a/crates/dispatch/src/dispatcher_plan.rs
+++ b/crates/dispatch/src/dispatcher_plan.rs
@@ -18,6 +18,7 @@
     WaitNote,
     WorkerKey,
     WorkerOrder,
+    dispatcher_advice::TICKET_MARGIN,
     hopeless_demand::TaskDemand,
     job_state::JobState,
     place_score::PlaceScore,
@@ -25,6 +26,7 @@
         RunPhase,
         RunState, //
     },
+    step_rank::StepRank,
     worker_state::WorkerState, //
 };
 
@@ -34,22 +36,8 @@
 const MOST_DOUBLINGS: u32 = 3;
 /// How long after its longest time a stop that was answered is sent again.
 const STOP_SLACK: Duration = Duration::from_millis(400);
-/// After how long advice that did not come is asked for again.
-const ADVICE_AGAIN: Duration = Duration::from_millis(1500);
-/// How many workers advice is asked about at a time.
-const ADVICE_WORKERS: usize = 30;
-/// How long a ticket must still hold when a start is sent with it: the start takes a moment.
-const TICKET_MARGIN: Duration = Duration::from_millis(300);
 /// For how many steps a plan notes why they wait: each is a look at all workers.
 const MOST_WAITS: usize = 4;
-/// How many times its objective a job may take until nobody waits for it any more; from the users'
-/// pages.
-const HOPELESS: f64 = 3.0;
-/// After how long what lasts comes before what comes and goes: the users allow 6 s without a run. Earlier, quotes lose
-/// by it (0.67 to 0.51 of their worth on full pools) and services win nothing.
-const LASTING_WAIT: Duration = Duration::from_millis(5000);
-/// How long before a step's latest start room begins to be kept for it: what runs there ends within about that time.
-const PRESSING: Duration = Duration::from_millis(1000);
 
 /// What a plan asks for.
 #[derive(Debug, Default)]
@@ -64,34 +52,6 @@
     pub waits: Vec<WaitNote>,
 }
 
-/// The rank of a step: the least goes first.
-#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
-struct StepRank {
-    priority: u32,
-    lateness: Lateness,
-    /// Whether nothing of the job has started: what is begun is finished first.
-    fresh: bool,
-    latest_start: Duration,
-}
-
-/// Whether a job can still be in time.
-#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
-enum Lateness {
-    /// It can be in time.
-    InTime,
-    /// It will be late.
-    Late,
-    /// Nobody waits for it any more.
-    Hopeless,
-}
-
-impl StepRank {
-    /// Tells whether a step should start soon, and is not given up.
-    fn is_pressing(&self, now: Duration) -> bool {
-        self.latest_start <= now + PRESSING && self.lateness != Lateness::Hopeless
-    }
-}
-
 impl Dispatcher {
     /// Decides what to do at `now`.
     pub fn plan(&mut self, now: Duration) -> PlanOutcome {
@@ -141,26 +101,6 @@
             && worker.fenced
     }
 
-    /// Takes in tickets for the tasks of a step; those that are not named may not run it.
-    pub fn advice_answered(
-        &mut self,
-        step: StepKey,
-        tickets: Vec<(Arc<str>, Arc<str>)>,
-        until: Duration,
-    ) {
-        let keyed: Vec<(WorkerKey, Arc<str>)> = tickets
-            .into_iter()
-            .filter_map(|(id, ticket)| Some((self.worker_key(&id)?, ticket)))
-            .collect();
-        if let Some(state) = self.jobs.get_mut(&step.job)
-            && let Some(state) = state.step_mut(step.occurrence, step.step)
-        {
-            for (key, ticket) in keyed {
-                state.tickets.insert(key, (ticket, until));
-            }
-        }
-    }
-
     fn plan_stops(&mut self, now: Duration, outcome: &mut PlanOutcome) {
         let wanted: Vec<(WorkerKey, TaskKey, RunNumber)> = self.stops.iter().copied().collect();
         let stop = self.settings.stop;
@@ -231,48 +171,6 @@
         }
     }
 
-    fn rank(&self, job: &JobState, step: StepKey, now: Duration) -> StepRank {
-        let rule = self.rules.get(&job.queue);
-        let priority = rule.map_or(u32::MAX, |rule| rule.priority);
-        if job.graph.lasts() {
-            let waiting = job.waits_since(step.occurrence, step.step);
-            let starves = now >= waiting + LASTING_WAIT;
-            // What stays for good waits behind what comes and goes: it would fill the pool, and keep out all else.
-            // It does not wait for long: its own callers do without it.
-            return StepRank {
-                priority,
-                lateness: Lateness::InTime,
-                fresh: !starves,
-                latest_start: if starves { waiting } else { Duration::MAX },
-            };
-        }
-        let longest = job.chains.iter().max().copied().unwrap_or_default();
-        let objective = rule.map_or(longest, |rule| {
-            longest.mul_f64(rule.stretch.max(1.0)) + rule.allowance
-        });
-        let begun = job.graph.schedule.map_or(job.accepted, |schedule| {
-            let due = schedule.due(step.occurrence);
-            due.saturating_sub(self.clock_origin)
-        });
-        let left = job
-            .chains
-            .get(usize::from(step.step))
-            .copied()
-            .unwrap_or_default();
-        let ready = now + left;
-        let lateness = match () {
-            () if ready > begun + objective.mul_f64(HOPELESS) => Lateness::Hopeless,
-            () if ready > begun + objective => Lateness::Late,
-            () => Lateness::InTime,
-        };
-        StepRank {
-            priority,
-            lateness,
-            fresh: !job.started,
-            latest_start: (begun + objective).saturating_sub(left),
-        }
-    }
-
     /// Places what it can of a step; returns how many of its tasks are left without a place.
     fn plan_step(&mut self, step: StepKey, now: Duration, outcome: &mut PlanOutcome) -> usize {
         let Some(job) = self.jobs.get(&step.job) else {
@@ -435,53 +333,6 @@
         }
     }
 
-    fn wish_advice(
-        &mut self,
-        step: StepKey,
-        spec: &StepSpec,
-        pool: &Arc<str>,
-        now: Duration,
-        outcome: &mut PlanOutcome,
-    ) {
-        let Some(state) = self
-            .jobs
-            .get(&step.job)
-            .and_then(|job| job.step(step.occurrence, step.step))
-        else {
-            return;
-        };
-        let asked = state.advice_asked;
-        let fresh = state.tickets.iter().filter(|(key, (_, until))| {
-            now + TICKET_MARGIN < *until && self.is_usable(self.worker(**key), pool, now)
-        });
-        let enough = fresh.count() * 2 >= state.tasks.iter().filter(|task| !task.done).count();
-        if enough || asked.is_some_and(|at| now < at + ADVICE_AGAIN) {
-            return;
-        }
-        let known = &state.tickets;
-        let mut candidates: Vec<(i64, WorkerKey)> = (0..self.workers.len())
-            .map(WorkerKey::new)
-            .filter(|key| {
-                let worker = self.worker(*key);
-                let held = known.get(key).is_some_and(|(_, until)| now < *until);
-                !held && self.is_usable(worker, pool, now) && fits_labels(worker, spec)
-            })
-            .map(|key| (self.worker(key).idle_cpu(), key))
-            .collect();
-        candidates.sort_unstable_by(|left, right| right.cmp(left));
-        let workers = candidates
-            .into_iter()
-            .take(ADVICE_WORKERS)
-            .map(|(_, key)| Arc::clone(&self.worker(key).record.id))
-            .collect();
-        outcome.advice.push(AdviceWish { step, workers });
-        if let Some(job) = self.jobs.get_mut(&step.job)
-            && let Some(state) = job.step_mut(step.occurrence, step.step)
-        {
-            state.advice_asked = Some(now);
-        }
-    }
-
     fn find_place(
         &self,
         task: TaskKey,
