--- a/crates/dispatch/tests/takeover.rs
+++ b/crates/dispatch/tests/takeover.rs
@@ -24,6 +24,25 @@
     }
 }
 
+fn long_work(_task: TaskKey) -> TaskWork {
+    TaskWork {
+        lasts: ms(1500),
+        fails: false,
+        size: ResourceAmount::new(1000, 100),
+    }
+}
+
+/// Has a new owner take over while the former one is frozen and a worker that runs nothing is cut off.
+fn replace_beside_a_silent_worker(fleet: &mut Fleet) {
+    let empty = (0..3)
+        .find(|&worker| fleet.workers[worker].run_count() == 0)
+        .expect("they fill one worker");
+    let long = fleet.now + ms(60_000);
+    fleet.owner().frozen_until = long;
+    fleet.cut_until[empty] = long;
+    fleet.replace_owner();
+}
+
 /// A caller's job is shown as failed though no task failed often enough. An owner puts a failure on record
 /// and dies before the worker hears that the end is acknowledged. The successor reads the record and the
 /// worker's list, and counts the same failure twice.
@@ -102,20 +121,10 @@
 /// comes after a task that the new owner itself saw at work can't have been started by the former one.
 #[test]
 fn a_step_whose_predecessor_was_seen_at_work_waits_for_no_silent_worker() {
-    let mut fleet = Fleet::new(3, 1).with_work(|_| TaskWork {
-        lasts: ms(1500),
-        fails: false,
-        size: ResourceAmount::new(1000, 100),
-    });
+    let mut fleet = Fleet::new(3, 1).with_work(long_work);
     let job = fleet.submit(1, graph(vec![step(3, &[]), step(2, &[0])]));
     fleet.run_for(ms(300));
-    let empty = (0..3)
-        .find(|&worker| fleet.workers[worker].run_count() == 0)
-        .expect("they fill one worker");
-    let frozen = fleet.now + ms(60_000);
-    fleet.owner().frozen_until = frozen;
-    fleet.cut_until[empty] = fleet.now + ms(60_000);
-    fleet.replace_owner();
+    replace_beside_a_silent_worker(&mut fleet);
     fleet.run_for(ms(2500));
     assert_eq!(fleet.begins(job), 5);
     fleet.run_for(ms(10_000));
@@ -129,24 +138,14 @@
 /// A gang's end is told by each of its members: the former owner may have heard it from another worker.
 #[test]
 fn a_step_after_a_gang_waits_until_all_workers_are_known() {
-    let mut fleet = Fleet::new(3, 1).with_work(|_| TaskWork {
-        lasts: ms(1500),
-        fails: false,
-        size: ResourceAmount::new(1000, 100),
-    });
+    let mut fleet = Fleet::new(3, 1).with_work(long_work);
     let gang = jasminebend_dispatch::StepSpec {
         gang: true,
         ..step(3, &[])
     };
     let job = fleet.submit(1, graph(vec![gang, step(2, &[0])]));
     fleet.run_for(ms(300));
-    let empty = (0..3)
-        .find(|&worker| fleet.workers[worker].run_count() == 0)
-        .expect("they fill one worker");
-    let frozen = fleet.now + ms(60_000);
-    fleet.owner().frozen_until = frozen;
-    fleet.cut_until[empty] = fleet.now + ms(60_000);
-    fleet.replace_owner();
+    replace_beside_a_silent_worker(&mut fleet);
     fleet.run_for(ms(2500));
     assert_eq!(fleet.begins(job), 3);
 }
