Look at a worker's services once after each change, not for every filler

Change: a view of a worker's services, taken after each change of it or after 0.5 s, holds by how much each is expected over its target; what an image does to each service is gathered once a step.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -34,6 +34,7 @@
         JobState,
         OccurrenceState, //
     },
+    service_view::ServiceView,
     start_window::StartWindow,
     worker_state::WorkerState, //
 };
@@ -336,6 +337,16 @@
     pub(crate) fn worker_mut(&mut self, key: WorkerKey) -> &mut WorkerState {
         let worker = &mut self.workers[key.place()];
         worker.changed = self.plans;
+        worker.version += 1;
         worker
     }
+
+    /// Looks anew at the services of the workers that have changed since they were last looked at.
+    pub(crate) fn renew_views(&mut self, now: Duration) {
+        for worker in &mut self.workers {
+            if !worker.view.is_fresh(worker, now) {
+                worker.view = ServiceView::new(worker, &self.harm, now);
+            }
+        }
+    }
 }
--- a/crates/dispatch/src/dispatcher_plan.rs
+++ b/crates/dispatch/src/dispatcher_plan.rs
@@ -26,6 +26,10 @@
         RunPhase,
         RunState, //
     },
+    service_view::{
+        FillerProfile,
+        ServiceView, //
+    },
     step_rank::StepRank,
     worker_state::WorkerState, //
 };
@@ -152,6 +156,7 @@
             self.open.swap_remove(&step);
         }
         ranked.sort_unstable();
+        self.renew_views(now);
         self.plans += 1;
         self.held_back = false;
         self.hopeless.forget(now);
@@ -209,13 +214,14 @@
             return pending.len();
         }
         let gang_run = spec.gang.then(|| self.next_run());
+        let profile = FillerProfile::new(&self.harm, spec.image.as_ref().filter(|_| spec.filler));
         let mut placed: Vec<(u32, WorkerKey, RunNumber)> = Vec::with_capacity(pending.len());
         let room = match spec.gang {
             true => pending.len(),
             false => self.window.room(),
         };
         for &index in pending.iter().take(room) {
-            let found = self.find_place(step.task(index), spec, &demand, tried, now);
+            let found = self.find_place(step.task(index), spec, &demand, &profile, tried, now);
             let Some(worker) = found else {
                 // What members of a gang took is given back if it has no room for all of them.
                 if !spec.gang || placed.is_empty() {
@@ -303,7 +309,9 @@
             stop_sent: None,
             stop_tries: 0,
         };
-        self.worker_mut(worker).add(run, state);
+        let held = self.worker_mut(worker);
+        held.add(run, state);
+        self.workers[worker.place()].view = ServiceView::new(self.worker(worker), &self.harm, now);
         let step = task.step;
         if let Some(job) = self.jobs.get_mut(&step.job)
             && let Some(step_state) = job.step_mut(step.occurrence, step.step)
@@ -338,6 +346,7 @@
         task: TaskKey,
         spec: &StepSpec,
         demand: &TaskDemand,
+        profile: &FillerProfile,
         tried: Option<u64>,
         now: Duration,
     ) -> Option<WorkerKey> {
@@ -367,8 +376,15 @@
                 continue;
             }
             let trusted = failed_on != Some(key) && !worker.health.is_doubtful(now);
-            let score =
-                PlaceScore::new(worker, spec, &self.harm, state.rack.as_ref(), trusted, now);
+            let score = PlaceScore::new(
+                worker,
+                spec,
+                &self.harm,
+                profile,
+                state.rack.as_ref(),
+                trusted,
+                now,
+            );
             let Ok(score) = score else {
                 continue;
             };
--- a/crates/dispatch/src/dispatcher_room.rs
+++ b/crates/dispatch/src/dispatcher_room.rs
@@ -17,6 +17,7 @@
         PlaceRefusal,
         PlaceScore, //
     },
+    service_view::FillerProfile,
     worker_state::WorkerState, //
 };
 
@@ -91,6 +92,7 @@
             return None;
         }
         let mut reasons = WaitReasons::default();
+        let profile = FillerProfile::new(&self.harm, spec.image.as_ref());
         for (place, worker) in self.workers.iter().enumerate() {
             let key = WorkerKey::new(place);
             let crowded = state.is_crowded(key, spec);
@@ -114,7 +116,7 @@
                 () if size.cpu_millis > free.cpu_millis => &mut reasons.processors,
                 () if !size.fits_in(free) => &mut reasons.memory,
                 () if self.kept.contains(&key) => &mut reasons.kept,
-                () => match PlaceScore::new(worker, spec, &self.harm, None, true, now) {
+                () => match PlaceScore::new(worker, spec, &self.harm, &profile, None, true, now) {
                     Err(PlaceRefusal::Busy) => &mut reasons.busy,
                     Err(PlaceRefusal::Shielded) => &mut reasons.shielded,
                     Err(PlaceRefusal::Learning) => &mut reasons.learning,
--- a/crates/dispatch/src/harm_model.rs
+++ b/crates/dispatch/src/harm_model.rs
@@ -8,7 +8,8 @@
     LearnedEffect,
     LearnedRecord,
     LearnedService,
-    load_track::LoadTrack, //
+    load_track::LoadTrack,
+    service_view::FillerProfile, //
 };
 
 /// By how much the variance of an effect grows with each observation of its service: pairs stay as they are for long.
@@ -110,12 +111,22 @@
         self.model(service).learn(company, track, load);
     }
 
-    /// Tells whether it is known what a filler does to a service.
-    pub(crate) fn knows(&self, service: &Arc<str>, filler: &Arc<str>) -> bool {
-        self.services.get(service).is_some_and(|model| {
+    /// Returns what an image that fills does to each image that serves.
+    pub(crate) fn profile(&self, filler: &Arc<str>) -> FillerProfile {
+        let pairs = self.services.values().map(|model| {
             let pair = model.fillers.get(filler);
-            pair.is_some_and(|pair| pair.variance < KNOWN)
-        })
+            pair.map_or((0.0, false), |pair| {
+                (pair.believed(), pair.variance < KNOWN)
+            })
+        });
+        FillerProfile {
+            effects: pairs.collect(),
+        }
+    }
+
+    /// Returns the place of an image that serves in a profile.
+    pub(crate) fn place_of(&self, service: &Arc<str>) -> Option<usize> {
+        self.services.get_index_of(service)
     }
 
     /// Returns by how much a filler raises a service's load; 0 while that is not known.
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -37,6 +37,7 @@
 mod run_end;
 mod run_number;
 mod run_state;
+mod service_view;
 mod service_watch;
 mod start_window;
 mod step_rank;
--- a/crates/dispatch/src/place_score.rs
+++ b/crates/dispatch/src/place_score.rs
@@ -8,6 +8,7 @@
 use crate::{
     StepSpec,
     harm_model::HarmModel,
+    service_view::FillerProfile,
     worker_state::{
         WorkerState,
         signed, //
@@ -17,21 +18,9 @@
 /// The share of its processors that a filler must find idle, in hundredths. Fillers share what is
 /// idle, so that one more beside a full worker only slows the others.
 const FILLER_ROOM_HUNDREDTHS: i64 = 60;
-/// A tail at its target, as a share of it.
-const TARGET: f64 = 1.0;
 /// By how many service tasks more, on average, a filler may bring over their targets. One of them over its target costs
 /// its users more than a filler's wait does.
 const MOST_RISK: f64 = 0.2;
-/// How far a service's load turns out off what is expected of it some seconds ahead, as a standard deviation.
-const SPREAD: f64 = 0.07;
-/// The slope of the logistic curve that comes closest to the normal distribution's.
-const LOGISTIC: f64 = 1.7;
-/// The load that a service is taken to reach while nothing was seen of it.
-const USUAL_LOAD: f64 = 0.6;
-/// How far ahead a service's load is looked at when a filler is placed: the users' run for about that long.
-const AHEAD: Duration = Duration::from_millis(2500);
-/// How long a filler's effect is not seen after its start.
-const UNSEEN: Duration = Duration::from_millis(1200);
 /// The smallest difference between two risks, or two effects on a load, that decides.
 const EFFECT_STEP: f64 = 0.02;
 /// The steps in which it is told for how many images a place is open.
@@ -77,6 +66,7 @@
         worker: &WorkerState,
         spec: &StepSpec,
         harm: &HarmModel,
+        profile: &FillerProfile,
         step_rack: Option<&Arc<str>>,
         trusted: bool,
         now: Duration,
@@ -89,12 +79,12 @@
         };
         let near = wanted.is_none_or(|wanted| rack == Some(wanted));
         let (calm, fit) = match (spec.filler, spec.target.is_some()) {
-            (true, _) => filler_fit(worker, spec, harm, now)?,
+            (true, _) => filler_fit(worker, spec, profile, now)?,
             (false, true) => service_fit(worker, spec, harm),
             (false, false) => (0, -leftover(worker, spec)),
         };
         let thrift = if spec.filler {
-            -openness(worker, spec, harm)
+            -openness(worker, spec)
         } else {
             0
         };
@@ -117,7 +107,7 @@
 fn filler_fit(
     worker: &WorkerState,
     spec: &StepSpec,
-    harm: &HarmModel,
+    profile: &FillerProfile,
     now: Duration,
 ) -> Result<(i64, i64), PlaceRefusal> {
     let wanted = signed(spec.size.cpu_millis);
@@ -128,68 +118,32 @@
     if worker.shields_services(now) {
         return Err(PlaceRefusal::Shielded);
     }
-    let share = spec.size.cpu_millis as f64 / capacity(worker);
-    let Some(image) = &spec.image else {
-        return Ok((0, idle - wanted));
-    };
-    let unseen = worker
-        .runs
-        .values()
-        .any(|run| run.is_filler() && now < run.placed + UNSEEN);
-    let mut risk = 0.0;
-    for run in worker.runs.values().filter(|run| run.target.is_some()) {
-        let Some(service) = &run.image else {
-            continue;
-        };
-        // One unknown at a time: its effect shows within a second.
-        if unseen && !harm.knows(service, image) {
-            return Err(PlaceRefusal::Learning);
-        }
-        let added = harm.effect(service, image, share);
-        let expected = run
-            .load
-            .map_or(USUAL_LOAD, |load| load.expected(now, AHEAD));
-        let before = expected + company_effect(worker, service, harm);
-        let limit = harm.limit(service, TARGET);
-        risk += chance_over(before + added - limit) - chance_over(before - limit);
+    let share = spec.size.cpu_millis as f64 / worker.processors();
+    // One unknown at a time: its effect shows within a second.
+    if spec.image.is_some() && worker.view.is_learning(profile, now) {
+        return Err(PlaceRefusal::Learning);
     }
+    let risk = worker.view.risk(profile, share);
     if risk > MOST_RISK {
         return Err(PlaceRefusal::Harm);
     }
     Ok((-steps(risk), idle - wanted))
 }
 
-/// Returns the chance that a load turns out above a limit by which it is expected to be.
-fn chance_over(excess: f64) -> f64 {
-    1.0 / (1.0 + (-excess * LOGISTIC / SPREAD).exp())
-}
-
 /// Counts, in tenths, how many of the fillers' images find a place beside a worker's services. Where all do, those
 /// should go that are harmful elsewhere. A place that would slow the filler comes last.
-fn openness(worker: &WorkerState, spec: &StepSpec, harm: &HarmModel) -> i64 {
+fn openness(worker: &WorkerState, spec: &StepSpec) -> i64 {
     if worker.idle_cpu() < signed(spec.size.cpu_millis) {
         return TENTHS + 1;
     }
-    let services = worker.runs.values().filter(|run| run.target.is_some());
-    let shares = services.filter_map(|run| Some(harm.harmless_share(run.image.as_ref()?)));
     // CAST: At most ten.
-    (shares.fold(1.0, f64::min) * TENTHS as f64) as i64
-}
-
-/// Returns the effect of all fillers of a worker on a service.
-fn company_effect(worker: &WorkerState, service: &Arc<str>, harm: &HarmModel) -> f64 {
-    let fillers = worker.runs.values().filter(|run| run.is_filler());
-    let effects = fillers.filter_map(|run| {
-        let share = run.filler_cpu as f64 / capacity(worker);
-        Some(harm.effect(service, run.image.as_ref()?, share))
-    });
-    effects.sum()
+    (worker.view.harmless * TENTHS as f64) as i64
 }
 
 /// A service's task goes where fillers slow it least, and fills what is left there.
 fn service_fit(worker: &WorkerState, spec: &StepSpec, harm: &HarmModel) -> (i64, i64) {
     let image = spec.image.as_ref();
-    let added = image.map_or(0.0, |service| company_effect(worker, service, harm));
+    let added = image.map_or(0.0, |service| worker.fillers_effect(service, harm));
     (-steps(added), -leftover(worker, spec))
 }
 
@@ -211,10 +165,6 @@
     signed(worker.free().cpu_millis) - signed(spec.size.cpu_millis)
 }
 
-fn capacity(worker: &WorkerState) -> f64 {
-    worker.record.capacity.cpu_millis.max(1) as f64
-}
-
 /// Counts an effect in steps, so that what is next to nothing does not decide.
 fn steps(effect: f64) -> i64 {
     // CAST: It saturates.
--- a/crates/dispatch/src/worker_state.rs
+++ b/crates/dispatch/src/worker_state.rs
@@ -14,8 +14,12 @@
     RunNumber,
     TaskKey,
     WorkerClock,
-    harm_model::FillerPresence,
+    harm_model::{
+        FillerPresence,
+        HarmModel, //
+    },
     run_state::RunState,
+    service_view::ServiceView,
     service_watch::ServiceWatch,
     worker_health::WorkerHealth, //
 };
@@ -67,6 +71,9 @@
     pub(crate) learned: Option<Duration>,
     /// The fillers that left it just now, and when: figures still show them.
     pub(crate) departed: Vec<(FillerPresence, Duration)>,
+    /// How often it has changed.
+    pub(crate) version: u64,
+    pub(crate) view: ServiceView,
     /// The last plan before it last changed.
     pub(crate) changed: u64,
 }
@@ -96,6 +103,8 @@
             watch: ServiceWatch::default(),
             learned: None,
             departed: Vec::new(),
+            version: 0,
+            view: ServiceView::default(),
             changed: 0,
         }
     }
@@ -133,10 +142,20 @@
         gone.chain(present).collect()
     }
 
-    fn processors(&self) -> f64 {
+    pub(crate) fn processors(&self) -> f64 {
         self.record.capacity.cpu_millis.max(1) as f64
     }
 
+    /// Returns by how much its fillers, at full pace, raise the load of an image that serves.
+    pub(crate) fn fillers_effect(&self, service: &Arc<str>, harm: &HarmModel) -> f64 {
+        let fillers = self.runs.values().filter(|run| run.is_filler());
+        let effects = fillers.filter_map(|run| {
+            let share = run.filler_cpu as f64 / self.processors();
+            Some(harm.effect(service, run.image.as_ref()?, share))
+        });
+        effects.sum()
+    }
+
     /// Works out anew what its services use.
     pub(crate) fn weigh_services(&mut self, now: Duration) {
         let services = self.runs.values().filter(|run| run.target.is_some());
