Let a trial do without a part of the policy

Cause: what each mechanism is worth could only be measured by editing it out, so that it was not. No part guards a promise; those are not among them. A wrong name is answered with those that exist, exit code 2.

What a task that looks for a place is weighed by is one value (`PlaceSeeker`) instead of eight arguments. No policy changes: with all parts in force the decisions are those of the commit before.

--- a/crates/dispatch/src/dispatch_settings.rs
+++ b/crates/dispatch/src/dispatch_settings.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use crate::PolicySwitches;
+
 /// The figures that the dispatcher goes by; most are bounds of the platform.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct DispatchSettings {
@@ -22,6 +24,8 @@
     pub notice: Duration,
     /// How much earlier than its time an occurrence may start.
     pub early: Duration,
+    /// What a trial does without.
+    pub switches: PolicySwitches,
 }
 
 impl Default for DispatchSettings {
@@ -35,6 +39,7 @@
             harm: Duration::from_secs(4),
             notice: Duration::from_millis(4500),
             early: Duration::ZERO,
+            switches: PolicySwitches::default(),
         }
     }
 }
--- a/crates/dispatch/src/dispatcher_plan.rs
+++ b/crates/dispatch/src/dispatcher_plan.rs
@@ -10,6 +10,7 @@
     AdviceWish,
     DecisionNote,
     Dispatcher,
+    PolicyPart,
     RunNumber,
     StartOrder,
     StepKey,
@@ -21,7 +22,10 @@
     dispatcher_advice::TICKET_MARGIN,
     hopeless_demand::TaskDemand,
     job_state::JobState,
-    place_score::PlaceScore,
+    place_score::{
+        PlaceScore,
+        PlaceSeeker, //
+    },
     run_state::{
         RunPhase,
         RunState, //
@@ -209,7 +213,8 @@
             return 0;
         }
         let demand = TaskDemand::new(spec, &pool, advice.is_some());
-        let tried = self.hopeless.last_plan(&demand, now);
+        let remembers = self.settings.switches.has(PolicyPart::HopelessDemands);
+        let tried = self.hopeless.last_plan(&demand, now).filter(|_| remembers);
         if tried == Some(self.plans) {
             return pending.len();
         }
@@ -353,6 +358,7 @@
         let step = task.step;
         let state = self.jobs.get(&step.job)?.step(step.occurrence, step.step)?;
         let failed_on = state.tasks.get(task.index as usize)?.failed_on;
+        let seeker = self.seeker(spec, profile, state.rack.as_ref(), now);
         let mut best: Option<(PlaceScore, WorkerKey)> = None;
         for (place, worker) in self.workers.iter().enumerate() {
             if tried.is_some_and(|plan| worker.changed < plan) {
@@ -376,15 +382,7 @@
                 continue;
             }
             let trusted = failed_on != Some(key) && !worker.health.is_doubtful(now);
-            let score = PlaceScore::new(
-                worker,
-                spec,
-                &self.harm,
-                profile,
-                state.rack.as_ref(),
-                trusted,
-                now,
-            );
+            let score = PlaceScore::new(worker, seeker, trusted);
             let Ok(score) = score else {
                 continue;
             };
@@ -398,6 +396,23 @@
         best.map(|(_, key)| key)
     }
 
+    pub(crate) fn seeker<'a>(
+        &'a self,
+        spec: &'a StepSpec,
+        profile: &'a FillerProfile,
+        step_rack: Option<&'a Arc<str>>,
+        now: Duration,
+    ) -> PlaceSeeker<'a> {
+        PlaceSeeker {
+            spec,
+            step_rack,
+            harm: &self.harm,
+            profile,
+            switches: self.settings.switches,
+            now,
+        }
+    }
+
     /// Tells whether anything may be started on a worker.
     pub(crate) fn is_usable(&self, worker: &WorkerState, pool: &Arc<str>, now: Duration) -> bool {
         // What runs on from before its rest is no probe: of services it would never end.
@@ -413,8 +428,8 @@
             && !worker.upkeep
             && worker.record.pool == *pool
             && !self.closed.contains(&worker.record.domain)
-            && !worker.health.rests(now)
-            && !probes
+            && !(self.settings.switches.has(PolicyPart::WorkerRests)
+                && (worker.health.rests(now) || probes))
     }
 }
 
--- a/crates/dispatch/src/dispatcher_records.rs
+++ b/crates/dispatch/src/dispatcher_records.rs
@@ -9,6 +9,7 @@
     JobKey,
     JobOutcome,
     LearnedRecord,
+    PolicyPart,
     ProgressRecord,
     StepProgress,
     dispatcher::StepOrigin,
@@ -98,6 +99,9 @@
 
     /// Takes in what a former owner learned of services and fillers.
     pub fn restore_learned(&mut self, record: &LearnedRecord) {
+        if !self.settings.switches.has(PolicyPart::KeptLearning) {
+            return;
+        }
         self.harm.restore(record);
     }
 
--- a/crates/dispatch/src/dispatcher_room.rs
+++ b/crates/dispatch/src/dispatcher_room.rs
@@ -7,6 +7,7 @@
 
 use crate::{
     Dispatcher,
+    PolicyPart,
     StepKey,
     StepSpec,
     WaitNote,
@@ -37,7 +38,8 @@
         let Some(spec) = self.step_spec(step) else {
             return;
         };
-        if left == 0 || spec.filler || !(spec.lasting || spec.gang) {
+        let keeps = self.settings.switches.has(PolicyPart::RoomKept);
+        if !keeps || left == 0 || spec.filler || !(spec.lasting || spec.gang) {
             return;
         }
         let Some(rule) = self
@@ -93,6 +95,7 @@
         }
         let mut reasons = WaitReasons::default();
         let profile = FillerProfile::new(&self.harm, spec.image.as_ref());
+        let seeker = self.seeker(spec, &profile, None, now);
         for (place, worker) in self.workers.iter().enumerate() {
             let key = WorkerKey::new(place);
             let crowded = state.is_crowded(key, spec);
@@ -116,7 +119,7 @@
                 () if size.cpu_millis > free.cpu_millis => &mut reasons.processors,
                 () if !size.fits_in(free) => &mut reasons.memory,
                 () if self.kept.contains(&key) => &mut reasons.kept,
-                () => match PlaceScore::new(worker, spec, &self.harm, &profile, None, true, now) {
+                () => match PlaceScore::new(worker, seeker, true) {
                     Err(PlaceRefusal::Busy) => &mut reasons.busy,
                     Err(PlaceRefusal::Shielded) => &mut reasons.shielded,
                     Err(PlaceRefusal::Learning) => &mut reasons.learning,
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -31,6 +31,7 @@
 mod learned_record;
 mod load_track;
 mod place_score;
+mod policy_part;
 mod pool_rule;
 mod progress_record;
 mod queue_rule;
@@ -82,6 +83,11 @@
         LearnedRecord,
         LearnedService, //
     },
+    policy_part::{
+        PolicyPart,
+        PolicySwitches,
+        UnknownPart, //
+    },
     pool_rule::PoolRule,
     progress_record::{
         ProgressRecord,
--- a/crates/dispatch/src/place_score.rs
+++ b/crates/dispatch/src/place_score.rs
@@ -6,6 +6,8 @@
 };
 
 use crate::{
+    PolicyPart,
+    PolicySwitches,
     StepSpec,
     harm_model::HarmModel,
     service_view::FillerProfile,
@@ -56,6 +58,19 @@
     fit: i64,
 }
 
+/// A step whose task looks for a place, and by what places are weighed for it.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct PlaceSeeker<'a> {
+    pub(crate) spec: &'a StepSpec,
+    /// Where the rest of its step is.
+    pub(crate) step_rack: Option<&'a Arc<str>>,
+    pub(crate) harm: &'a HarmModel,
+    /// What it does to services, if it fills.
+    pub(crate) profile: &'a FillerProfile,
+    pub(crate) switches: PolicySwitches,
+    pub(crate) now: Duration,
+}
+
 impl PlaceScore {
     /// Weighs a worker that has room.
     ///
@@ -64,33 +79,30 @@
     /// Why the task should rather wait than go there.
     pub(crate) fn new(
         worker: &WorkerState,
-        spec: &StepSpec,
-        harm: &HarmModel,
-        profile: &FillerProfile,
-        step_rack: Option<&Arc<str>>,
+        seeker: PlaceSeeker<'_>,
         trusted: bool,
-        now: Duration,
     ) -> Result<Self, PlaceRefusal> {
+        let spec = seeker.spec;
         let rack = worker.record.rack();
         let wanted = match (&spec.data_rack, spec.rack_sensitive) {
             (Some(data), _) => Some(data),
-            (None, true) => step_rack,
+            (None, true) => seeker.step_rack,
             (None, false) => None,
         };
         let near = wanted.is_none_or(|wanted| rack == Some(wanted));
         let (calm, fit) = match (spec.filler, spec.target.is_some()) {
-            (true, _) => filler_fit(worker, spec, profile, now)?,
-            (false, true) => service_fit(worker, spec, harm),
+            (true, _) => filler_fit(worker, seeker)?,
+            (false, true) => service_fit(worker, spec, seeker.harm),
             (false, false) => (0, -leftover(worker, spec)),
         };
-        let thrift = if spec.filler {
-            -openness(worker, spec)
-        } else {
-            0
+        let switches = seeker.switches;
+        let thrift = match spec.filler && switches.has(PolicyPart::OpenPlacesLast) {
+            true => -openness(worker, spec),
+            false => 0,
         };
         let kin = match spec.target {
-            Some(_) => -strangers(worker, spec),
-            None => 0,
+            Some(_) if switches.has(PolicyPart::ServicesTogether) => -strangers(worker, spec),
+            _ => 0,
         };
         Ok(Self {
             trusted,
@@ -104,30 +116,30 @@
 }
 
 /// A filler goes where it slows services least, then where most is idle.
-fn filler_fit(
-    worker: &WorkerState,
-    spec: &StepSpec,
-    profile: &FillerProfile,
-    now: Duration,
-) -> Result<(i64, i64), PlaceRefusal> {
-    let wanted = signed(spec.size.cpu_millis);
+fn filler_fit(worker: &WorkerState, seeker: PlaceSeeker<'_>) -> Result<(i64, i64), PlaceRefusal> {
+    let wanted = signed(seeker.spec.size.cpu_millis);
     let idle = worker.idle_cpu();
     if idle * 100 < wanted * FILLER_ROOM_HUNDREDTHS {
         return Err(PlaceRefusal::Busy);
     }
-    if worker.shields_services(now) {
+    if worker.shields_services(seeker.now) {
         return Err(PlaceRefusal::Shielded);
     }
-    let share = spec.size.cpu_millis as f64 / worker.processors();
     // One unknown at a time: its effect shows within a second.
-    if spec.image.is_some() && worker.view.is_learning(profile, now) {
+    let singly = seeker.switches.has(PolicyPart::UnknownSingly) && seeker.spec.image.is_some();
+    if singly && worker.view.is_learning(seeker.profile, seeker.now) {
         return Err(PlaceRefusal::Learning);
     }
-    let risk = worker.view.risk(profile, share);
+    let share = seeker.spec.size.cpu_millis as f64 / worker.processors();
+    let risk = worker.view.risk(seeker.profile, share);
     if risk > MOST_RISK {
         return Err(PlaceRefusal::Harm);
     }
-    Ok((-steps(risk), idle - wanted))
+    let calm = match seeker.switches.has(PolicyPart::RiskOrder) {
+        true => -steps(risk),
+        false => 0,
+    };
+    Ok((calm, idle - wanted))
 }
 
 /// Counts, in tenths, how many of the fillers' images find a place beside a worker's services. Where all do, those
--- a/crates/dispatch/src/service_watch.rs
+++ b/crates/dispatch/src/service_watch.rs
@@ -8,6 +8,7 @@
 use crate::{
     DecisionNote,
     Dispatcher,
+    PolicyPart,
     RunNumber,
     TaskKey,
     WorkerKey,
@@ -44,6 +45,16 @@
 /// A filler, what it runs, and its effect on a service's load.
 type FillerEffect = ((TaskKey, RunNumber), Option<Arc<str>>, f64);
 
+/// What a service's task says of itself, and what was known of its load.
+struct ServedTail {
+    task: TaskKey,
+    run: RunNumber,
+    image: Arc<str>,
+    /// Its tail, as a share of its target.
+    ratio: f64,
+    load: Option<LoadTrack>,
+}
+
 /// For how long the services of a worker have been too slow.
 #[derive(Debug, Default)]
 pub(crate) struct ServiceWatch {
@@ -99,17 +110,32 @@
     }
 
     fn learn_harm(&mut self, key: WorkerKey, now: Duration) {
-        let company = self.worker_mut(key).company(now);
+        let fading = self.settings.switches.has(PolicyPart::FadingFigures);
+        let company = self.worker_mut(key).company(now, fading);
         let worker = self.worker(key);
-        let seen: Vec<(TaskKey, RunNumber, Arc<str>, f64)> = worker
+        let switches = self.settings.switches;
+        let seen: Vec<ServedTail> = worker
             .runs
             .iter()
             .filter(|(_, run)| run.percent >= 100)
             .filter_map(|(&(task, run), state)| {
-                Some((task, run, state.image.clone()?, tail_ratio(state)?))
+                Some(ServedTail {
+                    task,
+                    run,
+                    image: state.image.clone()?,
+                    ratio: tail_ratio(state)?,
+                    load: state.load,
+                })
             })
             .collect();
-        for (task, run, image, ratio) in seen {
+        for tail in seen {
+            let ServedTail {
+                task,
+                run,
+                image,
+                ratio,
+                load: own,
+            } = tail;
             let load = self.harm.load(&image, ratio);
             let step = task.step;
             let Some(state) = self
@@ -119,10 +145,14 @@
             else {
                 continue;
             };
-            let track = state.load.get_or_insert_with(|| LoadTrack::new(now));
+            let shared = switches.has(PolicyPart::StepLoads);
+            let known = if shared { state.load } else { own };
+            let mut track = known.unwrap_or_else(|| LoadTrack::new(now));
             track.advance(now);
-            self.harm.learn(&image, &company, track, load);
-            let track = *track;
+            if switches.has(PolicyPart::LearnedPairs) {
+                self.harm.learn(&image, &company, &mut track, load);
+            }
+            state.load = Some(track);
             if let Some(held) = self.workers[key.place()].runs.get_mut(&(task, run)) {
                 held.load = Some(track);
             }
@@ -144,7 +174,7 @@
             .filter(|(_, _, effect)| *effect >= CAUSE)
             .map(|&(id, ..)| id)
             .collect();
-        if share >= LEAST_PACE {
+        if share >= LEAST_PACE && self.settings.switches.has(PolicyPart::Pacing) {
             // CAST: A share between 0 and 1.
             let pace = (share * WHOLE) as u32 / PACE_STEP * PACE_STEP;
             self.set_paces(key, &causes, pace.clamp(PACE_STEP, 100));
@@ -186,8 +216,9 @@
         if effects.iter().any(|(_, _, effect)| *effect >= CAUSE) {
             return;
         }
+        let spares = self.settings.switches.has(PolicyPart::HarmlessStay);
         let unknown = |run: &RunState| match (&image, &run.image) {
-            (Some(service), Some(filler)) => !self.harm.knows(service, filler),
+            (Some(service), Some(filler)) => !spares || !self.harm.knows(service, filler),
             _ => true,
         };
         let newcomers: Vec<(TaskKey, RunNumber)> = worker
--- a/crates/dispatch/src/step_rank.rs
+++ b/crates/dispatch/src/step_rank.rs
@@ -4,6 +4,7 @@
 
 use crate::{
     Dispatcher,
+    PolicyPart,
     StepKey,
     job_state::JobState, //
 };
@@ -50,9 +51,11 @@
     pub(crate) fn rank(&self, job: &JobState, step: StepKey, now: Duration) -> StepRank {
         let rule = self.rules.get(&job.queue);
         let priority = rule.map_or(u32::MAX, |rule| rule.priority);
+        let switches = self.settings.switches;
         if job.graph.lasts() {
+            let patient = switches.has(PolicyPart::LongRunningLast);
             let waiting = job.waits_since(step.occurrence, step.step);
-            let starves = now >= waiting + LASTING_WAIT;
+            let starves = !patient || now >= waiting + LASTING_WAIT;
             // What stays for good waits behind what comes and goes: it would fill the pool, and keep out all else.
             // It does not wait for long: its own callers do without it.
             return StepRank {
@@ -84,7 +87,7 @@
         StepRank {
             priority,
             lateness,
-            fresh: !job.started,
+            fresh: !job.started && switches.has(PolicyPart::BegunFirst),
             latest_start: (begun + objective).saturating_sub(left),
         }
     }
--- a/crates/dispatch/src/worker_state.rs
+++ b/crates/dispatch/src/worker_state.rs
@@ -120,9 +120,12 @@
         signed(self.free().cpu_millis) + unused - signed(self.filler_cpu)
     }
 
-    /// Returns the fillers that its services' figures show.
-    pub(crate) fn company(&mut self, now: Duration) -> Vec<FillerPresence> {
+    /// Returns the fillers that its services' figures show, those that came or left just now in part if `fading`.
+    pub(crate) fn company(&mut self, now: Duration, fading: bool) -> Vec<FillerPresence> {
         let shown = |since: Duration| {
+            if !fading {
+                return 1.0;
+            }
             let passed = now.saturating_sub(since).as_secs_f64();
             (passed / FIGURES_OF.as_secs_f64()).min(1.0)
         };
--- a/crates/jasminebend/src/command_line.rs
+++ b/crates/jasminebend/src/command_line.rs
@@ -5,6 +5,10 @@
     path::PathBuf, //
 };
 
+use jasminebend_dispatch::{
+    PolicyPart,
+    PolicySwitches, //
+};
 use lexopt::{
     Arg,
     Parser,
@@ -24,6 +28,8 @@
   jasminebend --settings FILE    Run the daemon until SIGTERM or SIGINT.
   jasminebend fleet              Run the daemon on the users' platform; the variable
                                  JASMINEBEND_CONFIG names its settings file.
+      --without PART             Do without a part of the policy, for a trial of what it is
+                                 worth; may be given again. A wrong name lists the parts.
   jasminebend check FILE         Check a settings file and the files it names.
   jasminebend demo               Run a whole system in this process, on loopback.
       --seconds N                How long to send work [20].
@@ -40,8 +46,8 @@
 pub enum CommandLine {
     /// Run the daemon by this settings file.
     Run(PathBuf),
-    /// Run the daemon on the users' platform.
-    Fleet,
+    /// Run the daemon on the users' platform, without these parts of the policy.
+    Fleet(PolicySwitches),
     /// Check this settings file.
     Check(PathBuf),
     /// Run the demonstration.
@@ -69,7 +75,7 @@
             Some(Arg::Long("help") | Arg::Short('h')) => return Ok(Self::Help),
             Some(Arg::Long("version") | Arg::Short('V')) => return Ok(Self::Version),
             Some(Arg::Long("settings")) => Self::Run(parser.value()?.into()),
-            Some(Arg::Value(name)) if name == "fleet" => Self::Fleet,
+            Some(Arg::Value(name)) if name == "fleet" => return fleet(&mut parser),
             Some(Arg::Value(name)) if name == "check" => Self::Check(file(&mut parser)?),
             Some(Arg::Value(name)) if name == "demo" => return demo(&mut parser),
             Some(Arg::Value(name)) => {
@@ -94,6 +100,20 @@
     }
 }
 
+fn fleet(parser: &mut Parser) -> Result<CommandLine, UsageError> {
+    let mut switches = PolicySwitches::default();
+    while let Some(argument) = parser.next()? {
+        match argument {
+            Arg::Long("without") => {
+                let name = parser.value()?.string()?;
+                switches = switches.without(name.parse::<PolicyPart>()?);
+            }
+            other => return Err(other.unexpected().into()),
+        }
+    }
+    Ok(CommandLine::Fleet(switches))
+}
+
 fn demo(parser: &mut Parser) -> Result<CommandLine, UsageError> {
     let mut options = DemoOptions::new();
     while let Some(argument) = parser.next()? {
--- a/crates/jasminebend/src/fleet_program.rs
+++ b/crates/jasminebend/src/fleet_program.rs
@@ -18,6 +18,7 @@
 };
 use http_body_util::Full;
 use hyper::body::Incoming;
+use jasminebend_dispatch::PolicySwitches;
 use jasminebend_fleet::{
     FleetAdvice,
     FleetDaemon,
@@ -62,12 +63,13 @@
     outcome: String,
 }
 
-/// Runs the daemon until a signal ends it.
-pub(crate) fn run_fleet() -> ExitCode {
-    let settings = match PlatformSettings::from_environment() {
+/// Runs the daemon until a signal ends it, without the parts of the policy that are switched off.
+pub(crate) fn run_fleet(switches: PolicySwitches) -> ExitCode {
+    let mut settings = match PlatformSettings::from_environment() {
         Ok(settings) => settings,
         Err(error) => return fail(MISUSED, &error.to_string()),
     };
+    settings.fleet.dispatch.switches = switches;
     // One thread: the machines have a fraction of a core, and nothing has to be locked.
     let runtime = match Builder::new_current_thread().enable_all().build() {
         Ok(runtime) => runtime,
--- a/crates/jasminebend/src/program.rs
+++ b/crates/jasminebend/src/program.rs
@@ -39,7 +39,7 @@
             outcome.map_or_else(|error| fail(FAILED, &error), |()| ExitCode::SUCCESS)
         }),
         Ok(CommandLine::Run(path)) => run(&path),
-        Ok(CommandLine::Fleet) => run_fleet(),
+        Ok(CommandLine::Fleet(switches)) => run_fleet(switches),
     }
 }
 
--- a/crates/jasminebend/src/usage_error.rs
+++ b/crates/jasminebend/src/usage_error.rs
@@ -4,6 +4,7 @@
     Display,
     Error, //
 };
+use jasminebend_dispatch::UnknownPart;
 
 /// Why a command line is refused.
 #[derive(Clone, Debug, Display, Eq, Error, PartialEq)]
@@ -20,6 +21,9 @@
     /// The file to check is missing.
     #[display("`check` takes the settings file as its argument")]
     MissingFile,
+    /// A part of the policy that does not exist is to be done without.
+    #[display("{_0}")]
+    Part(#[error(not(source))] UnknownPart),
     /// An option is unknown, lacks its value or has a bad one.
     #[display("{reason}; see `jasminebend --help`")]
     Option {
@@ -28,6 +32,12 @@
     },
 }
 
+impl From<UnknownPart> for UsageError {
+    fn from(error: UnknownPart) -> Self {
+        Self::Part(error)
+    }
+}
+
 impl From<lexopt::Error> for UsageError {
     fn from(error: lexopt::Error) -> Self {
         Self::Option {
