Sum up where the work's time goes: jbctl summary

`jbctl summary` counts from the daemons' lines what waited and why, what was started twice, gave way, was held, and how long the owner and the store were away. What it shares with `explain` (a line, its fields, the reasons of a waiting step) stands once, in log_line.rs. Tests on lines as the daemons write them.

--- a/crates/jbctl/src/command_line.rs
+++ b/crates/jbctl/src/command_line.rs
@@ -35,6 +35,7 @@
   job list [--limit N] [--after ID]  List a page of the jobs: N of them, after ID.
   class list                     List the classes and their targets.
   explain ID                     Tell the story of job ID from daemons' log lines on standard input.
+  summary                        Sum up where the work's time goes, from the same lines.
   token hash FILE                Print the digest of the token in FILE.
 
 Options:
@@ -119,6 +120,7 @@
         ["class", "list"] => OperatorCommand::ClassList,
         ["explain", job] => OperatorCommand::Explain(name(job)?),
         ["explain"] => return missing("explain", "a job's identity"),
+        ["summary"] => OperatorCommand::Summary,
         ["token", "hash", file] => OperatorCommand::TokenHash(PathBuf::from(file)),
         other => {
             return Err(UsageError::UnknownCommand {
--- a/crates/jbctl/src/lib.rs
+++ b/crates/jbctl/src/lib.rs
@@ -7,7 +7,9 @@
 mod command_line;
 mod configuration_lines;
 mod job_listing;
+mod log_line;
 mod log_story;
+mod log_summary;
 mod operator_command;
 mod output_format;
 mod program;
@@ -29,6 +31,7 @@
         LogStory,
         StoryCause, //
     },
+    log_summary::LogSummary,
     operator_command::OperatorCommand,
     output_format::OutputFormat,
     program::run_program,
--- a/crates/jbctl/src/log_story.rs
+++ b/crates/jbctl/src/log_story.rs
@@ -3,10 +3,9 @@
 use std::io::BufRead;
 
 use derive_more::Display;
-use serde_json::{
-    Map,
-    Value, //
-};
+use serde_json::Value;
+
+use crate::log_line::LogLine;
 
 /// From which time without the store on a daemon refuses for that; milliseconds, as the daemon counts it.
 const WITHOUT_STORE_MS: u64 = 300;
@@ -17,17 +16,11 @@
 #[derive(Debug)]
 pub struct LogStory {
     job: String,
-    lines: Vec<StoryLine>,
+    lines: Vec<LogLine>,
     /// Lines that are no log lines.
     pub skipped: usize,
 }
 
-#[derive(Debug)]
-struct StoryLine {
-    at: f64,
-    fields: Map<String, Value>,
-}
-
 /// What the lines say of a failure.
 #[derive(Clone, Debug, Display, Eq, PartialEq)]
 pub enum StoryCause {
@@ -112,7 +105,7 @@
 
     /// Returns the lines to print.
     pub fn texts(&self) -> Vec<String> {
-        self.lines.iter().map(StoryLine::text).collect()
+        self.lines.iter().map(text).collect()
     }
 
     /// Returns what the lines say of the cause of a failure, in their order.
@@ -131,21 +124,16 @@
     }
 
     fn take(&mut self, line: &str) {
-        let start = line.find('{').unwrap_or(line.len());
-        let Ok(Value::Object(fields)) = serde_json::from_str(&line[start..]) else {
+        let Some(line) = LogLine::read(line) else {
             self.skipped += usize::from(!line.trim().is_empty());
             return;
         };
-        let line = StoryLine {
-            at: fields.get("ts").and_then(Value::as_f64).unwrap_or(0.0),
-            fields,
-        };
-        if line.names(&self.job) {
+        if names(&line, &self.job) {
             self.lines.push(line);
         }
     }
 
-    fn request_cause(&self, line: &StoryLine) -> Option<StoryCause> {
+    fn request_cause(&self, line: &LogLine) -> Option<StoryCause> {
         let node = line.str("node").to_owned();
         let outcome = line.str("outcome");
         if outcome.starts_with("Unknown") {
@@ -185,59 +173,31 @@
     }
 }
 
-impl StoryLine {
-    fn str(&self, field: &str) -> &str {
-        self.fields
-            .get(field)
-            .and_then(Value::as_str)
-            .unwrap_or_default()
-    }
-
-    fn number(&self, field: &str) -> u64 {
-        self.fields.get(field).and_then(Value::as_u64).unwrap_or(0)
-    }
-
-    /// Tells whether it is about a job: its request, one of its tasks or steps, or its end.
-    fn names(&self, job: &str) -> bool {
-        let parts = ["task", "step"].map(|field| self.str(field).split('.').next());
-        self.str("job") == job
-            || self.str("path").rsplit('/').next() == Some(job)
-            || parts.contains(&Some(job))
-    }
+/// Tells whether a line is about a job: its request, one of its tasks or steps, or its end.
+fn names(line: &LogLine, job: &str) -> bool {
+    let parts = ["task", "step"].map(|field| line.str(field).split('.').next());
+    line.str("job") == job
+        || line.str("path").rsplit('/').next() == Some(job)
+        || parts.contains(&Some(job))
+}
 
-    fn text(&self) -> String {
-        let rest = self
-            .fields
-            .iter()
-            .filter(|(name, _)| !HEAD.contains(&name.as_str()));
-        let rest: Vec<String> = rest
-            .map(|(name, value)| match value {
-                Value::String(text) => format!("{name}={text}"),
-                other => format!("{name}={other}"),
-            })
-            .collect();
-        let (node, event) = (self.str("node"), self.str("event"));
-        format!("{:.3} {node} {event} {}", self.at, rest.join(" "))
-    }
+fn text(line: &LogLine) -> String {
+    let rest = line
+        .fields
+        .iter()
+        .filter(|(name, _)| !HEAD.contains(&name.as_str()));
+    let rest: Vec<String> = rest
+        .map(|(name, value)| match value {
+            Value::String(text) => format!("{name}={text}"),
+            other => format!("{name}={other}"),
+        })
+        .collect();
+    let (node, event) = (line.str("node"), line.str("event"));
+    format!("{:.3} {node} {event} {}", line.at, rest.join(" "))
 }
 
-fn wait_cause(line: &StoryLine) -> StoryCause {
-    const REASONS: [&str; 12] = [
-        "processors",
-        "memory",
-        "leaving",
-        "silent",
-        "set_aside",
-        "unfit",
-        "kept",
-        "busy",
-        "shielded",
-        "learning",
-        "harm",
-        "other",
-    ];
-    let counts = REASONS.map(|reason| (line.number(reason), reason));
-    let (workers, reason) = counts.into_iter().max().unwrap_or_default();
+fn wait_cause(line: &LogLine) -> StoryCause {
+    let (workers, reason) = line.wait_reasons().into_iter().max().unwrap_or_default();
     StoryCause::Waited {
         step: line.str("step").to_owned(),
         age_ms: line.number("job_age_ms"),
--- a/crates/jbctl/src/operator_command.rs
+++ b/crates/jbctl/src/operator_command.rs
@@ -38,6 +38,8 @@
     ClassList,
     /// Tell the story of a job from daemons' log lines on the standard input.
     Explain(String),
+    /// Sum up where the work's time goes, from daemons' log lines on the standard input.
+    Summary,
     /// Print the digest of a token, for the daemons' tokens file.
     TokenHash(PathBuf),
 }
--- a/crates/jbctl/src/program.rs
+++ b/crates/jbctl/src/program.rs
@@ -18,6 +18,7 @@
     CommandLine,
     HELP,
     LogStory,
+    LogSummary,
     OperatorCommand,
     OutputFormat,
     TargetOptions,
@@ -77,19 +78,14 @@
             Ok(say(&format!("{digest}\n")))
         }
         OperatorCommand::Explain(job) => explain(job),
+        OperatorCommand::Summary => summarize(),
         _ => Ok(ExitCode::SUCCESS),
     }
 }
 
 fn explain(job: &str) -> Result<ExitCode, UsageError> {
-    let story = LogStory::read(job, std::io::stdin().lock());
-    let story = story.map_err(|error| UsageError::Unreadable {
-        path: "standard input".into(),
-        reason: error.to_string(),
-    })?;
-    if story.skipped > 0 {
-        eprintln!("jbctl: {} lines are no log lines", story.skipped);
-    }
+    let story = LogStory::read(job, std::io::stdin().lock()).map_err(unreadable_input)?;
+    warn_of_skipped(story.skipped);
     if story.is_empty() {
         return Ok(fail(REFUSED, &format!("no line names {job}")));
     }
@@ -102,6 +98,31 @@
     Ok(ExitCode::SUCCESS)
 }
 
+fn summarize() -> Result<ExitCode, UsageError> {
+    let summary = LogSummary::read(std::io::stdin().lock()).map_err(unreadable_input)?;
+    warn_of_skipped(summary.skipped);
+    if summary.is_empty() {
+        return Ok(fail(REFUSED, "there is no log line"));
+    }
+    for text in summary.texts() {
+        say(&format!("{text}\n"));
+    }
+    Ok(ExitCode::SUCCESS)
+}
+
+fn unreadable_input(error: std::io::Error) -> UsageError {
+    UsageError::Unreadable {
+        path: "standard input".into(),
+        reason: error.to_string(),
+    }
+}
+
+fn warn_of_skipped(skipped: usize) {
+    if skipped > 0 {
+        eprintln!("jbctl: {skipped} lines are no log lines");
+    }
+}
+
 fn ask(call: &AdminCall, options: &TargetOptions) -> Result<ExitCode, CallError> {
     let client = AdminClient::new(options)?;
     let runtime = Builder::new_current_thread().enable_all().build();
--- /dev/null
+++ b/crates/jbctl/tests/log_summaries.rs
@@ -0,0 +1,67 @@
+//! An operator asks where the batch work's time went. The lines are as the daemons write them.
+
+#![expect(
+    clippy::unwrap_used,
+    reason = "a test's helpers panic as the test does"
+)]
+
+use jbctl::LogSummary;
+
+fn summary(lines: &[&str]) -> Vec<String> {
+    LogSummary::read(lines.join("\n").as_bytes())
+        .unwrap()
+        .texts()
+}
+
+#[test]
+fn the_time_of_waiting_tasks_is_shared_among_the_reasons() {
+    let texts = summary(&[
+        r#"{"ts":4.0,"node":"edge-a","event":"wait","step":"5c0e7a21d94b36f8.0.0","missing":3,"job_age_ms":3000,"owner_token":1,"processors":0,"memory":0,"leaving":0,"silent":0,"set_aside":0,"unfit":0,"kept":0,"busy":20,"shielded":0,"learning":0,"harm":40,"other":0}"#,
+        r#"{"ts":6.1,"node":"edge-a","event":"wait","step":"5c0e7a21d94b36f8.0.0","missing":1,"job_age_ms":5100,"owner_token":1,"harm":60}"#,
+    ]);
+    assert!(texts.contains(&"tasks waited by `harm`: 6 s".to_owned()));
+    assert!(texts.contains(&"tasks waited by `busy`: 2 s".to_owned()));
+    let first = texts.iter().position(|text| text.contains("`harm`"));
+    let second = texts.iter().position(|text| text.contains("`busy`"));
+    assert!(first < second, "the greatest comes first");
+}
+
+#[test]
+fn runs_requests_owners_and_jobs_are_counted() {
+    let texts = summary(&[
+        r#"{"ts":1.0,"node":"edge-b","event":"request","request":"submit","path":"/q/00000000000000aa","outcome":"Done","config_version":4,"took_ms":6.5}"#,
+        r#"{"ts":1.1,"node":"edge-b","event":"request","request":"submit","path":"/q/00000000000000ab","outcome":"Refused(1s)","config_version":4,"took_ms":612.0}"#,
+        r#"{"ts":1.2,"node":"edge-a","event":"order","order":"start","task":"00000000000000aa.0.0.1","run":1000000001,"worker":"i-1","outcome":"Taken"}"#,
+        r#"{"ts":2.0,"node":"edge-a","event":"order","order":"give_way","worker":"i-1","service":"00000000000000ac.0.0.1","tail_percent":96,"moved":2}"#,
+        r#"{"ts":2.1,"node":"edge-a","event":"end","task":"00000000000000aa.0.0.1","run":1000000001,"worker":"i-1","end":"stopped"}"#,
+        r#"  2.2 edge-a {"ts":2.2,"node":"edge-a","event":"order","order":"start","task":"00000000000000aa.0.0.1","run":1000000002,"worker":"i-2","outcome":"Taken"}"#,
+        r#"{"ts":2.3,"node":"edge-a","event":"order","order":"start","task":"00000000000000aa.0.0.2","run":1000000003,"worker":"i-2","outcome":"Unknown"}"#,
+        r#"{"ts":3.0,"node":"edge-b","event":"owner","change":"acting","token":2,"former":"edge-a","former_gone":true,"took_ms":41.2}"#,
+        r#"{"ts":3.1,"node":"edge-b","event":"dependency","dependency":"store","outcome":"back","without_ms":900}"#,
+        r#"{"ts":4.0,"node":"edge-b","event":"job","job":"00000000000000aa","outcome":"completed","age_ms":3000}"#,
+        "a line of something else",
+    ]);
+    for expected in [
+        "requests Done: 1",
+        "requests Refused: 1",
+        "requests held for over 500 ms: 1",
+        "tasks started: 1, of these more than once: 1",
+        "runs stopped: 1",
+        "fillers gave way to services: 1 times (1 of these below the service's target), 2 moved",
+        "changes of the owner: 1, 41 ms until the new ones acted",
+        "daemons without the store: 900 ms in all",
+        "jobs completed: 1, half within 3000 ms, 95 of 100 within 3000 ms",
+    ] {
+        assert!(
+            texts.contains(&expected.to_owned()),
+            "{expected}: {texts:?}"
+        );
+    }
+}
+
+#[test]
+fn lines_that_are_none_are_counted_and_nothing_is_made_of_them() {
+    let summary = LogSummary::read("{\"cut off\n\n[]\nplain\n".as_bytes()).unwrap();
+    assert!(summary.is_empty());
+    assert_eq!(summary.skipped, 3);
+}
