Have callers come back by how long the store has been away

Change: half of the time that the store has been away, 1 s at least and 4 s at most. A caller with four tries that meets an outage at any moment has one left after 5 s; with 1 s each, those of its first second had none.

--- a/crates/fleet/src/caller_desk.rs
+++ b/crates/fleet/src/caller_desk.rs
@@ -1,10 +1,6 @@
 //! Answers callers: takes jobs in, cancels them, tells how far they are.
 
-use std::{
-    rc::Rc,
-    sync::Arc,
-    time::Duration, //
-};
+use std::{rc::Rc, sync::Arc};
 
 use jasminebend_dispatch::{
     JobGraph,
@@ -32,11 +28,10 @@
         SHARD_PART,
         job_part, //
     },
-    peer_client::PeerFault, //
+    peer_client::PeerFault,
+    return_time::return_time, //
 };
 
-/// When a caller that was refused should come back, if the store is away: outages last seconds.
-const BACK_WITHOUT_STORE: Duration = Duration::from_secs(1);
 /// How many other daemons are asked in this one's place.
 const PEERS_ASKED: usize = 2;
 
@@ -125,7 +120,7 @@
 
     async fn route(&self, call: CallerCall, reach: Reach) -> CallerAnswer {
         let Some(configuration) = self.shared.configuration() else {
-            return CallerAnswer::Refused(BACK_WITHOUT_STORE);
+            return self.refused();
         };
         let Some((queue, rest)) = configuration.route(&call.host, &call.path) else {
             return CallerAnswer::NoQueue;
@@ -234,7 +229,7 @@
         match self.read_kept(key).await {
             Ok(Some(progress)) => CallerAnswer::Progress(progress),
             Ok(None) => CallerAnswer::NoJob,
-            Err(_) => CallerAnswer::Refused(BACK_WITHOUT_STORE),
+            Err(_) => self.refused(),
         }
     }
 
@@ -269,7 +264,7 @@
         match self.ask_others(&call, reach).await {
             // Another daemon may not know a queue that was just added here.
             Some(answer @ CallerAnswer::Waiting(_)) => answer,
-            _ => CallerAnswer::Refused(BACK_WITHOUT_STORE),
+            _ => self.refused(),
         }
     }
 
@@ -293,6 +288,10 @@
         None
     }
 
+    fn refused(&self) -> CallerAnswer {
+        CallerAnswer::Refused(return_time(self.shared.store.without()))
+    }
+
     /// Has another daemon do what this one can't. The first try here is not taken back by a refusal
     /// there: if it may have been done, it stays unknown unless it is done there.
     async fn elsewhere(&self, call: CallerCall, reach: Reach, error: StoreError) -> CallerAnswer {
@@ -309,7 +308,7 @@
         }
         match unknown {
             true => CallerAnswer::Unknown,
-            false => CallerAnswer::Refused(BACK_WITHOUT_STORE),
+            false => self.refused(),
         }
     }
 }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -27,6 +27,7 @@
 mod peer_desk;
 mod peer_message;
 mod plan_work;
+mod return_time;
 mod store_link;
 mod succession;
 mod upkeep_work;
@@ -93,6 +94,7 @@
         PeerCall,
         PeerHealth, //
     },
+    return_time::return_time,
     succession::{
         OwnerProbe,
         Succession, //
