--- a/crates/jasminebend/src/fleet_program.rs
+++ b/crates/jasminebend/src/fleet_program.rs
@@ -52,7 +52,10 @@
     }, //
 };
 
-use crate::MetricsHub;
+use crate::{
+    MetricsHub,
+    end_on_panic, //
+};
 
 const MISUSED: u8 = 2;
 const FAILED: u8 = 1;
@@ -65,6 +68,7 @@
 
 /// Runs the daemon until a signal ends it, without the parts of the policy that are switched off.
 pub(crate) fn run_fleet(switches: PolicySwitches) -> ExitCode {
+    end_on_panic();
     let mut settings = match PlatformSettings::from_environment() {
         Ok(settings) => settings,
         Err(error) => return fail(MISUSED, &error.to_string()),
--- a/crates/jasminebend/src/lib.rs
+++ b/crates/jasminebend/src/lib.rs
@@ -54,6 +54,7 @@
 mod log_setup;
 mod metrics_hub;
 mod operator_identity;
+mod panic_end;
 mod peer_key_source;
 mod peer_keys;
 mod platform_edges;
@@ -122,6 +123,7 @@
     },
     metrics_hub::MetricsHub,
     operator_identity::OperatorIdentity,
+    panic_end::end_on_panic,
     peer_key_source::PeerKeySource,
     platform_settings::PlatformSettings,
     process_usage::ProcessUsage,
