Ask daemons that did not answer after all others

While the store was away for all, every refusal took 0.7 s: each daemon asks two others in its place, and the second in the list had been replaced 13 s before; a connection to it is given up after 0.7 s. Ruled out: the store's own time-outs (refusals at a peer took under 0.1 ms), the owner (it was there).

Change: who left a call without an answer is asked after all others for 10 s; an answer ends that.

Tests: the order, its end, its fading; without it the first fails.

--- a/crates/fleet/src/caller_desk.rs
+++ b/crates/fleet/src/caller_desk.rs
@@ -279,7 +279,7 @@
             false => self.shared.owner_address().into_iter().collect(),
         };
         for address in peers.into_iter().take(PEERS_ASKED) {
-            let answer = self.shared.peers.serve(&address, call.clone()).await;
+            let answer = self.shared.ask_peer(&address, call.clone()).await;
             match answer {
                 Ok(CallerAnswer::Refused(_) | CallerAnswer::Unknown) | Err(_) => {}
                 Ok(answer) => return Some(answer),
@@ -299,7 +299,7 @@
         if reach == Reach::Fleet {
             let peers = self.shared.peer_addresses();
             for address in peers.into_iter().take(PEERS_ASKED) {
-                match self.shared.peers.serve(&address, call.clone()).await {
+                match self.shared.ask_peer(&address, call.clone()).await {
                     Ok(answer @ (CallerAnswer::Done | CallerAnswer::NoJob)) => return answer,
                     Ok(CallerAnswer::Unknown) | Err(PeerFault::Unanswered) => unknown = true,
                     Ok(_) | Err(PeerFault::Unsent) => {}
--- a/crates/fleet/src/fleet_daemon.rs
+++ b/crates/fleet/src/fleet_daemon.rs
@@ -122,6 +122,7 @@
             advice: edges.advice,
             vms: edges.vms,
             peers: PeerClient::new(edges.pool),
+            peer_order: RefCell::default(),
             log: edges.log,
             operator: RefCell::new(OperatorView::default()),
             succession: RefCell::new(succession),
--- a/crates/fleet/src/fleet_shared.rs
+++ b/crates/fleet/src/fleet_shared.rs
@@ -21,6 +21,8 @@
 use tokio::sync::watch;
 
 use crate::{
+    CallerAnswer,
+    CallerCall,
     FleetAdvice,
     FleetLog,
     FleetSettings,
@@ -28,9 +30,11 @@
     FleetWorkers,
     MemberRecord,
     PeerClient,
+    PeerOrder,
     Succession,
     WaveRequest,
     owner_seat::OwnerSeat,
+    peer_client::PeerFault,
     store_link::StoreLink, //
 };
 
@@ -85,6 +89,7 @@
     pub(crate) advice: Option<Rc<dyn FleetAdvice>>,
     pub(crate) vms: Option<Rc<dyn FleetVms>>,
     pub(crate) peers: PeerClient,
+    pub(crate) peer_order: RefCell<PeerOrder>,
     pub(crate) log: FleetLog,
     pub(crate) operator: RefCell<OperatorView>,
     pub(crate) succession: RefCell<Succession>,
@@ -140,7 +145,7 @@
         (owner.node != self.settings.node).then(|| owner.address.clone())
     }
 
-    /// Returns where other daemons are reached, the owner first.
+    /// Returns where other daemons are reached, the owner first, those that did not answer lately last.
     pub(crate) fn peer_addresses(&self) -> Vec<String> {
         let mut addresses: Vec<String> = self.owner_address().into_iter().collect();
         for member in self.members.borrow().values() {
@@ -148,9 +153,25 @@
                 addresses.push(member.address.clone());
             }
         }
+        self.peer_order.borrow().sort(&mut addresses, self.now());
         addresses
     }
 
+    /// Has another daemon answer a caller in this one's place.
+    pub(crate) async fn ask_peer(
+        &self,
+        address: &str,
+        call: CallerCall,
+    ) -> Result<CallerAnswer, PeerFault> {
+        let answer = self.peers.serve(address, call).await;
+        let mut order = self.peer_order.borrow_mut();
+        match answer {
+            Ok(_) => order.note_answer(address),
+            Err(_) => order.note_silence(address, self.now()),
+        }
+        answer
+    }
+
     pub(crate) fn note_token(&self, token: u64) {
         self.highest_token.set(self.highest_token.get().max(token));
         if let Some(seat) = self.seat()
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -26,6 +26,7 @@
 mod peer_client;
 mod peer_desk;
 mod peer_message;
+mod peer_order;
 mod plan_work;
 mod return_time;
 mod store_link;
@@ -94,6 +95,7 @@
         PeerCall,
         PeerHealth, //
     },
+    peer_order::PeerOrder,
     return_time::return_time,
     succession::{
         OwnerProbe,
--- /dev/null
+++ b/crates/fleet/tests/peer_orders.rs
@@ -0,0 +1,53 @@
+//! Whom a daemon asks that can't serve a caller itself.
+
+use std::time::Duration;
+
+use jasminebend_fleet::PeerOrder;
+
+const fn seconds(count: u64) -> Duration {
+    Duration::from_secs(count)
+}
+
+fn addresses(names: &[&str]) -> Vec<String> {
+    names.iter().map(|&name| name.to_owned()).collect()
+}
+
+/// While the store is away for all, each refusal takes 0.7 s: one of the two daemons that are asked first was replaced
+/// long ago, and every caller waits until the call to it times out.
+#[test]
+fn a_daemon_that_did_not_answer_is_asked_after_all_others() {
+    let mut order = PeerOrder::default();
+    order.note_silence("gone", seconds(100));
+    let mut peers = addresses(&["owner", "gone", "third", "fourth"]);
+    order.sort(&mut peers, seconds(101));
+    assert_eq!(peers, addresses(&["owner", "third", "fourth", "gone"]));
+}
+
+#[test]
+fn a_daemon_that_answers_again_is_asked_in_its_turn() {
+    let mut order = PeerOrder::default();
+    order.note_silence("slow", seconds(100));
+    order.note_answer("slow");
+    let mut peers = addresses(&["slow", "other"]);
+    order.sort(&mut peers, seconds(101));
+    assert_eq!(peers, addresses(&["slow", "other"]));
+}
+
+#[test]
+fn a_silence_is_forgotten_after_its_time() {
+    let mut order = PeerOrder::default();
+    order.note_silence("cut", seconds(100));
+    let mut peers = addresses(&["cut", "other"]);
+    order.sort(&mut peers, seconds(110));
+    assert_eq!(peers, addresses(&["cut", "other"]));
+}
+
+#[test]
+fn if_none_answered_all_stay_in_their_order() {
+    let mut order = PeerOrder::default();
+    order.note_silence("first", seconds(100));
+    order.note_silence("second", seconds(100));
+    let mut peers = addresses(&["first", "second"]);
+    order.sort(&mut peers, seconds(101));
+    assert_eq!(peers, addresses(&["first", "second"]));
+}
