Learn nothing from figures that can't be

Cause, found reading the diff: a service that has just started says that its tail is 0, which taught that it had no load at all; a filler that says it uses more than its worker has would have made its pair known at once, with an effect of nothing. Change: neither is learned from. The test fails without it. Comments that told whose figure a constant was, and by how much it was tuned, say what it protects instead.

--- a/crates/dispatch/src/service_watch.rs
+++ b/crates/dispatch/src/service_watch.rs
@@ -32,8 +32,8 @@
 const PACE_STEP: u32 = 25;
 /// The effect on a service's load from which on a filler is known to be a cause.
 const CAUSE: f64 = 0.02;
-/// How long a service may be too slow until all fillers beside it leave, whatever was tried: half of the
-/// time that the users allow, since the figures are late and a stop takes up to a second.
+/// How long a service may be too slow until all fillers beside it leave, whatever was tried: figures are half a second
+/// late, and a stop takes up to a second.
 const PATIENCE: Duration = Duration::from_millis(1800);
 /// How long after a service was too slow no more fillers come.
 const CALM: Duration = Duration::from_millis(700);
@@ -113,11 +113,15 @@
         let fading = self.settings.switches.has(PolicyPart::FadingFigures);
         let company = self.worker_mut(key).company(now, fading);
         let worker = self.worker(key);
+        // A figure that can't be is no figure: what it would teach stays for long.
+        if company.iter().any(|filler| filler.share > 1.0) {
+            return;
+        }
         let switches = self.settings.switches;
         let seen: Vec<ServedTail> = worker
             .runs
             .iter()
-            .filter(|(_, run)| run.percent >= 100)
+            .filter(|(_, run)| run.percent >= 100 && run.figure != Some(0))
             .filter_map(|(&(task, run), state)| {
                 Some(ServedTail {
                     task,
--- a/crates/dispatch/src/step_rank.rs
+++ b/crates/dispatch/src/step_rank.rs
@@ -9,11 +9,10 @@
     job_state::JobState, //
 };
 
-/// How many times its objective a job may take until nobody waits for it any more; from the users'
-/// pages.
+/// How many times its objective a job may take until nobody waits for it any more.
 const HOPELESS: f64 = 3.0;
-/// After how long what lasts comes before what comes and goes: the users allow 6 s without a run. Earlier, quotes lose
-/// by it (0.67 to 0.51 of their worth on full pools) and services win nothing.
+/// After how long without a run a long-running task comes before short ones: earlier, short ones lose on full pools, and
+/// services win nothing.
 const LASTING_WAIT: Duration = Duration::from_millis(5000);
 /// How long before a step's latest start room begins to be kept for it: what runs there ends within about that time.
 const PRESSING: Duration = Duration::from_millis(1000);
--- a/crates/dispatch/tests/fillers.rs
+++ b/crates/dispatch/tests/fillers.rs
@@ -53,6 +53,8 @@
     tail: fn(f64) -> u64,
     /// The same where it differs by time and task.
     tail_by_task: Option<fn(Duration, TaskKey, f64) -> u64>,
+    /// What a filler at full pace says that it uses, in thousandths of a processor.
+    filler_figure: u64,
 }
 
 impl Pool {
@@ -83,6 +85,7 @@
             stopped: 0,
             tail,
             tail_by_task: None,
+            filler_figure: 4000,
         };
         pool.look();
         pool
@@ -178,7 +181,7 @@
                 figure: Some(if is_service(task) {
                     self.tail(task, share)
                 } else {
-                    u64::from(pace) * 40
+                    self.filler_figure / 100 * u64::from(pace)
                 }),
             });
             let report = HoldReport {
@@ -515,3 +518,24 @@
     pool.run_for(ms(1500));
     assert_eq!(pool.stopped, stopped);
 }
+
+/// A service that has just started says that its tail is nothing, and another filler that it uses more than there is.
+/// Neither teaches anything: what is known of the rough filler stays.
+#[test]
+fn figures_that_cannot_be_teach_nothing() {
+    let mut pool = Pool::new(1, tail_of_a_queue);
+    pool.submit(1, service("desk", 2));
+    pool.run_for(ms(3000));
+    pool.submit(10, filler("rough", 1));
+    pool.run_for(ms(3000));
+    let learned = pool.dispatcher.learned();
+    pool.tail_by_task = Some(|_, _, _| 0);
+    pool.run_for(ms(3000));
+    assert_eq!(pool.dispatcher.learned(), learned);
+    pool.tail_by_task = None;
+    for figure in [40_000, u64::MAX] {
+        pool.filler_figure = figure;
+        pool.run_for(ms(3000));
+        assert_eq!(pool.dispatcher.learned(), learned);
+    }
+}
