Take back the later return of callers: they wait for some seconds in all

Reverted with its test, which asked for what harms callers; the constant second says why it is short.

--- a/crates/fleet/src/caller_desk.rs
+++ b/crates/fleet/src/caller_desk.rs
@@ -1,6 +1,10 @@
 //! Answers callers: takes jobs in, cancels them, tells how far they are.
 
-use std::{rc::Rc, sync::Arc};
+use std::{
+    rc::Rc,
+    sync::Arc,
+    time::Duration, //
+};
 
 use jasminebend_dispatch::{
     JobGraph,
@@ -28,10 +32,12 @@
         SHARD_PART,
         job_part, //
     },
-    peer_client::PeerFault,
-    return_time::return_time, //
+    peer_client::PeerFault, //
 };
 
+/// When a caller that was refused should come back, if the store is away. It waits for some seconds in all, and counts in
+/// whole ones: the shortest leaves it most tries.
+const BACK_WITHOUT_STORE: Duration = Duration::from_secs(1);
 /// How many other daemons are asked in this one's place.
 const PEERS_ASKED: usize = 2;
 
@@ -120,7 +126,7 @@
 
     async fn route(&self, call: CallerCall, reach: Reach) -> CallerAnswer {
         let Some(configuration) = self.shared.configuration() else {
-            return self.refused();
+            return CallerAnswer::Refused(BACK_WITHOUT_STORE);
         };
         let Some((queue, rest)) = configuration.route(&call.host, &call.path) else {
             return CallerAnswer::NoQueue;
@@ -229,7 +235,7 @@
         match self.read_kept(key).await {
             Ok(Some(progress)) => CallerAnswer::Progress(progress),
             Ok(None) => CallerAnswer::NoJob,
-            Err(_) => self.refused(),
+            Err(_) => CallerAnswer::Refused(BACK_WITHOUT_STORE),
         }
     }
 
@@ -264,7 +270,7 @@
         match self.ask_others(&call, reach).await {
             // Another daemon may not know a queue that was just added here.
             Some(answer @ CallerAnswer::Waiting(_)) => answer,
-            _ => self.refused(),
+            _ => CallerAnswer::Refused(BACK_WITHOUT_STORE),
         }
     }
 
@@ -288,10 +294,6 @@
         None
     }
 
-    fn refused(&self) -> CallerAnswer {
-        CallerAnswer::Refused(return_time(self.shared.store.without()))
-    }
-
     /// Has another daemon do what this one can't. The first try here is not taken back by a refusal
     /// there: if it may have been done, it stays unknown unless it is done there.
     async fn elsewhere(&self, call: CallerCall, reach: Reach, error: StoreError) -> CallerAnswer {
@@ -308,7 +310,7 @@
         }
         match unknown {
             true => CallerAnswer::Unknown,
-            false => self.refused(),
+            false => CallerAnswer::Refused(BACK_WITHOUT_STORE),
         }
     }
 }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -28,7 +28,6 @@
 mod peer_message;
 mod peer_order;
 mod plan_work;
-mod return_time;
 mod store_link;
 mod succession;
 mod upkeep_work;
@@ -96,7 +95,6 @@
         PeerHealth, //
     },
     peer_order::PeerOrder,
-    return_time::return_time,
     succession::{
         OwnerProbe,
         Succession, //
