Count overshoot, not its chance alone, and follow loads that swing fast

Two faults of the shared mechanism: a slope's drift that fits a period of 14 s alone, so that what the track lagged behind was taken for noise and for the fillers' doing; and a risk that was the difference of two chances, which is next to nothing where a service is expected above its target anyway, so that fillers gathered beside those that were slowed for their harm.

Change: the slope drifts 16 times as fast; a filler's risk is by how much more services are expected to exceed their targets, in spreads (at most 0.3).

Tests: one more filler beside slowed ones fails on the code before; the two of swings put fillers on workers without services, so that they could not fail: now each worker holds one task of the service, and both fail with the slower drift.

--- a/crates/dispatch/src/load_track.rs
+++ b/crates/dispatch/src/load_track.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
-/// How uncertain a slope becomes within a second, as a variance: loads swing within some ten seconds.
-const SLOPE_DRIFT: f64 = 0.003;
+/// How uncertain a slope becomes within a second, as a variance: loads swing within five to twenty seconds.
+const SLOPE_DRIFT: f64 = 0.05;
 /// The variances of a load and of its slope before either was seen.
 const FIRST_VARIANCE: f64 = 0.06;
 const FIRST_SLOPE_VARIANCE: f64 = 0.01;
--- a/crates/dispatch/src/place_score.rs
+++ b/crates/dispatch/src/place_score.rs
@@ -20,9 +20,9 @@
 /// The share of its processors that a filler must find idle, in hundredths. Fillers share what is
 /// idle, so that one more beside a full worker only slows the others.
 const FILLER_ROOM_HUNDREDTHS: i64 = 60;
-/// By how many service tasks more, on average, a filler may bring over their targets. One of them over its target costs
-/// its users more than a filler's wait does.
-const MOST_RISK: f64 = 0.2;
+/// By how much more, in spreads of their loads, services may be expected to exceed their targets beside a filler. One of
+/// them above its target costs its users more than a filler's wait does.
+const MOST_RISK: f64 = 0.3;
 /// The smallest difference between two risks, or two effects on a load, that decides.
 const EFFECT_STEP: f64 = 0.05;
 /// The steps in which it is told for how many images a place is open.
--- a/crates/dispatch/src/service_view.rs
+++ b/crates/dispatch/src/service_view.rs
@@ -12,10 +12,11 @@
 
 /// A tail at its target, as a share of it.
 const TARGET: f64 = 1.0;
-/// How far a service's load turns out off what is expected of it some seconds ahead, as a standard deviation.
-const SPREAD: f64 = 0.07;
-/// The slope of the logistic curve that comes closest to the normal distribution's.
-const LOGISTIC: f64 = 1.7;
+/// How far a service's load turns out off what is expected of it some seconds ahead, as the scale of a logistic
+/// distribution.
+const SPREAD: f64 = 0.04;
+/// The overshoot, in spreads, from which on the chance of none is next to nothing.
+const CERTAIN: f64 = 30.0;
 /// The load that a service is taken to reach while nothing was seen of it.
 const USUAL_LOAD: f64 = 0.6;
 /// How far ahead a service's load is looked at when a filler is placed: fillers run for about that long.
@@ -43,8 +44,8 @@
     image: Option<usize>,
     /// By how much its load is expected above the one at its target.
     excess: f64,
-    /// The chance that it is above its target.
-    chance: f64,
+    /// By how much it is expected to exceed its target, in spreads.
+    overshoot: f64,
 }
 
 /// What an image that fills does to each image that serves, by its place in what was learned.
@@ -79,7 +80,7 @@
             services.push(ServedRun {
                 image: harm.place_of(image),
                 excess,
-                chance: chance_over(excess),
+                overshoot: expected_overshoot(excess),
             });
         }
         let fillers = worker.runs.values().filter(|run| run.is_filler());
@@ -98,13 +99,14 @@
         now < self.unseen_until && self.services.iter().any(|service| !filler.knows(service))
     }
 
-    /// Returns by how many services more, on average, a filler on this share of the processors would bring above their
-    /// targets.
+    /// Returns by how much more, in spreads, services would exceed their targets beside a filler on this share of the
+    /// processors. Of a service that is expected above its target already all that is added counts: by the chance alone,
+    /// which is next to certain with and without the filler, it would be the best place of all.
     pub(crate) fn risk(&self, filler: &FillerProfile, share: f64) -> f64 {
         let risks = self.services.iter().map(|service| {
             let added = filler.effect(service) * share;
             if added > 0.0 {
-                chance_over(service.excess + added) - service.chance
+                expected_overshoot(service.excess + added) - service.overshoot
             } else {
                 0.0
             }
@@ -132,7 +134,12 @@
     }
 }
 
-/// Returns the chance that a load turns out above a limit by which it is expected to be.
-fn chance_over(excess: f64) -> f64 {
-    1.0 / (1.0 + (-excess * LOGISTIC / SPREAD).exp())
+/// Returns by how much, in spreads, a load turns out above a limit on average, if this excess over it is expected.
+fn expected_overshoot(excess: f64) -> f64 {
+    let spreads = excess / SPREAD;
+    if spreads > CERTAIN {
+        spreads
+    } else {
+        spreads.exp().ln_1p()
+    }
 }
--- a/crates/dispatch/tests/fillers.rs
+++ b/crates/dispatch/tests/fillers.rs
@@ -239,9 +239,10 @@
     }])
 }
 
-/// At most one of its tasks on a worker.
-fn spread(mut graph: JobGraph) -> JobGraph {
-    graph.steps[0].spread = Some(1);
+/// A service of which no worker holds two tasks.
+fn large_service(image: &str, count: u32) -> JobGraph {
+    let mut graph = service(image, count);
+    graph.steps[0].size = ResourceAmount::new(20_000, 12_000);
     graph
 }
 
@@ -424,8 +425,8 @@
         let swing = if number(task) == 1 { swing } else { -swing };
         (4.0 / (0.6 - swing)) as u64
     });
-    pool.submit(1, spread(service("desk", 4)));
-    pool.submit(2, spread(service("desk", 4)));
+    pool.submit(1, large_service("desk", 4));
+    pool.submit(2, large_service("desk", 4));
     // The first desk is at its lowest.
     pool.run_for(ms(9500));
     pool.submit(100, filler("smooth", 2));
@@ -539,3 +540,47 @@
         assert_eq!(pool.dispatcher.learned(), learned);
     }
 }
+
+/// Rough fillers that have been slowed for a desk at its busiest are joined by others: with what is there, it would be
+/// above its target at full pace anyway, so that one more seemed to cost nothing.
+#[test]
+fn no_filler_comes_beside_one_that_is_slowed_for_its_harm() {
+    let mut pool = Pool::new(1, |_| 6).with_tail_by_task(|now, _, share| {
+        let own = (0.3 + (now.as_secs_f64() - 6.0) * 0.04).clamp(0.3, 0.62);
+        (4.0 / (1.0 - (own + 0.8 * share).min(0.98))) as u64
+    });
+    pool.submit(1, service("desk", 1));
+    pool.run_for(ms(3000));
+    pool.submit(10, filler("rough", 3));
+    pool.run_for(ms(14_000));
+    assert_eq!(pool.count_all(is_harmful), 3);
+    pool.submit(11, filler("rough", 6));
+    for _ in 0..20 {
+        pool.run_for(ms(500));
+        assert!(pool.count_all(|task| number(task) == 11) == 0);
+    }
+}
+
+/// The same as a rise that all tasks of a service share, for a desk whose load swings within seven seconds: before it was
+/// followed so fast, what it lagged behind was taken for the fillers' doing.
+#[test]
+fn a_fast_swing_is_no_fillers_doing() {
+    let mut pool = Pool::new(8, |_| 6).with_tail_by_task(|now, task, _| {
+        let swing = 0.3 * (now.as_secs_f64() * std::f64::consts::TAU / 7.0).sin();
+        let swing = if number(task) == 1 { swing } else { -swing };
+        (4.0 / (0.6 - swing)) as u64
+    });
+    pool.submit(1, large_service("desk", 4));
+    pool.submit(2, large_service("desk", 4));
+    pool.run_for(ms(4500));
+    pool.submit(100, filler("smooth", 8));
+    for _ in 0..40 {
+        pool.run_for(ms(500));
+        assert!(
+            pool.learned_of("smooth") < 0.3,
+            "{}",
+            pool.learned_of("smooth")
+        );
+    }
+    assert_eq!(pool.stopped, 0);
+}
