Name the parts of the policy that a trial does without in the daemon's line

Cause: a log did not say which parts of the policy its daemon ran without, so that the lines of a trial could be taken for those of a plain run. The start line now lists them; it stays as it was where none is missing.

--- a/crates/dispatch/src/job_graph.rs
+++ b/crates/dispatch/src/job_graph.rs
@@ -20,7 +20,7 @@
 pub(crate) const MAX_TASKS: u64 = 20_000;
 /// The most steps of a job; a step's number has 16 bits.
 pub(crate) const MAX_STEPS: usize = 256;
-/// The longest payload, in bytes; from the platform's pages.
+/// The longest payload, in bytes.
 pub(crate) const MAX_PAYLOAD: usize = 4_000;
 
 /// A job as it is submitted: steps of tasks, and what must end before what.
--- a/crates/dispatch/src/policy_part.rs
+++ b/crates/dispatch/src/policy_part.rs
@@ -7,7 +7,8 @@
     Error, //
 };
 
-/// A part of the policy that a trial can do without, to see what it is worth. None of them guards a promise.
+/// A part of the policy that a trial can do without, to see what it is worth. What guards room, tokens, attempts, order and the
+/// limit of harm is none of them; without `room-kept` long-running tasks may wait on full pools for longer than they should.
 #[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
 pub enum PolicyPart {
     /// What fillers do to services is learned.
@@ -122,6 +123,12 @@
         self.off & Self::bit(part) == 0
     }
 
+    /// Returns the parts that are done without.
+    pub fn missing(self) -> impl Iterator<Item = PolicyPart> {
+        let parts = PolicyPart::ALL.into_iter();
+        parts.filter(move |part| !self.has(*part))
+    }
+
     fn bit(part: PolicyPart) -> u32 {
         // CAST: There are fewer than 32 parts.
         1 << part as u32
--- a/crates/fleet/src/fleet_daemon.rs
+++ b/crates/fleet/src/fleet_daemon.rs
@@ -105,6 +105,9 @@
     incarnation: u64,
     domain: &'a str,
     version: &'static str,
+    /// The parts of the policy that a trial does without.
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    without: Vec<String>,
 }
 
 impl FleetDaemon {
@@ -204,6 +207,7 @@
     }
 
     fn tell(&self, change: &'static str) {
+        let switches = self.shared.settings.dispatch.switches;
         self.shared.log.line(
             LogEvent::Daemon,
             DaemonLine {
@@ -211,6 +215,7 @@
                 incarnation: self.shared.incarnation,
                 domain: self.shared.settings.domain.as_str(),
                 version: env!("CARGO_PKG_VERSION"),
+                without: switches.missing().map(|part| part.to_string()).collect(),
             },
         );
     }
