Log watches of the store that got no answer, and how old the configuration is

Cause: in the incident's logs no line says when a watch was sent, how long it was waited for or how it ended, so that a watch lost in the store's silence (hypothesis 1) and a change that the store held back (hypothesis 2) look alike.

Change: a watch line for each watch that fails (rows, outcome, waited_ms); the operator line says how long ago the call was sent that brought the change; the request line says for how long the store has not told whether the configuration has changed. No decision changes.

--- a/crates/fleet/src/caller_desk.rs
+++ b/crates/fleet/src/caller_desk.rs
@@ -26,6 +26,7 @@
     LogEvent,
     RowCommit,
     StoreError,
+    fleet_log::whole_millis,
     fleet_shared::{
         CANCEL_SUFFIX,
         FleetShared,
@@ -61,6 +62,7 @@
     path: &'a str,
     outcome: String,
     config_version: u64,
+    config_age_ms: Option<u64>,
     owner_token: u64,
     without_store_ms: u64,
     took_ms: f64,
@@ -114,8 +116,9 @@
                         .shared
                         .configuration()
                         .map_or(0, |configuration| configuration.version),
+                    config_age_ms: self.shared.configuration_age().map(whole_millis),
                     owner_token: self.shared.highest_token.get(),
-                    without_store_ms: self.shared.store.without().as_millis() as u64,
+                    without_store_ms: whole_millis(self.shared.store.without()),
                     took_ms: took.as_secs_f64() * 1000.0,
                     at_peer: reach == Reach::Here,
                 },
@@ -167,7 +170,7 @@
     ) -> CallerAnswer {
         let record = JobRecord {
             queue: queue.to_owned(),
-            accepted_ms: self.shared.wall().as_millis() as u64,
+            accepted_ms: whole_millis(self.shared.wall()),
             graph,
         };
         let Ok(value) = postcard::to_stdvec(&record) else {
--- a/crates/fleet/src/commit_work.rs
+++ b/crates/fleet/src/commit_work.rs
@@ -18,6 +18,7 @@
     FleetTable,
     LogEvent,
     RowCommit,
+    fleet_log::whole_millis,
     fleet_shared::FleetShared,
     member_watch::note_owner,
     owner_seat::OwnerSeat,
@@ -114,7 +115,7 @@
                 outcome: outcome.to_string(),
                 owner_token: seat.token(),
                 store_version: version,
-                age_ms: age.map(|age| age.as_millis() as u64),
+                age_ms: age.map(whole_millis),
             },
         );
     }
--- a/crates/fleet/src/fleet_log.rs
+++ b/crates/fleet/src/fleet_log.rs
@@ -32,6 +32,11 @@
 /// How often the lines that gathered are handed to the writer.
 pub(crate) const FLUSH_EVERY: Duration = Duration::from_millis(250);
 
+/// Returns a duration as whole milliseconds.
+pub(crate) fn whole_millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
+
 /// What a line tells of.
 #[derive(Clone, Copy, Debug, Display, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "snake_case")]
@@ -56,6 +61,8 @@
     Worker,
     /// The store or a peer was lost or regained.
     Dependency,
+    /// A watch of the store got no answer.
+    Watch,
 }
 
 /// The structured log. Lines gather in memory, bounded; a thread writes them, so that a reader that
--- a/crates/fleet/src/fleet_shared.rs
+++ b/crates/fleet/src/fleet_shared.rs
@@ -77,6 +77,8 @@
     pub(crate) configuration: Option<Arc<FleetConfiguration>>,
     pub(crate) closed: BTreeSet<DomainName>,
     pub(crate) waves: IndexMap<u64, WaveRequest>,
+    /// When the store last told of changes, or that there are none.
+    pub(crate) known_at: Option<Duration>,
 }
 
 /// What the parts of a daemon share. One thread runs them all.
@@ -122,6 +124,12 @@
         self.operator.borrow().configuration.clone()
     }
 
+    /// Returns for how long the store has not told whether the configuration has changed.
+    pub(crate) fn configuration_age(&self) -> Option<Duration> {
+        let known_at = self.operator.borrow().known_at?;
+        Some(self.now().saturating_sub(known_at))
+    }
+
     /// Returns the seat, if this daemon owns the jobs and has not been replaced.
     pub(crate) fn seat(&self) -> Option<Rc<OwnerSeat>> {
         let seat = self.seat.borrow();
--- a/crates/fleet/src/member_watch.rs
+++ b/crates/fleet/src/member_watch.rs
@@ -24,7 +24,8 @@
         SHARD_PART,
         WATCH_WAIT, //
     },
-    owner_work::take_over, //
+    owner_work::take_over,
+    store_link::WatchedRows, //
 };
 
 /// How long to wait after a call that failed.
@@ -127,12 +128,9 @@
 }
 
 async fn watch(shared: &FleetShared, after: u64) -> Result<u64, StoreError> {
-    let result = shared
-        .store
-        .raw()
-        .watch(FleetTable::Fleet, after, WATCH_WAIT)
-        .await;
-    let page = shared.store.note(result)?;
+    let store = &shared.store;
+    let call = store.raw().watch(FleetTable::Fleet, after, WATCH_WAIT);
+    let page = store.watch(WatchedRows::Members, call).await?;
     for change in page.items {
         match (change.part.as_str(), &change.row) {
             (MEMBERS_PART, Some(row)) => note_member(shared, row),
--- a/crates/fleet/src/operator_watch.rs
+++ b/crates/fleet/src/operator_watch.rs
@@ -13,10 +13,12 @@
     OperatorChange,
     RowPage,
     StoreError,
+    fleet_log::whole_millis,
     fleet_shared::{
         FleetShared,
         WATCH_WAIT, //
-    }, //
+    },
+    store_link::WatchedRows, //
 };
 
 /// How long to wait after a call that failed: an outage is over for this part within that time.
@@ -27,21 +29,27 @@
     change: &'static str,
     what: String,
     store_version: u64,
+    asked_ms_ago: u64,
 }
 
 /// Follows what the operator asks for, for as long as the daemon runs.
 pub(crate) async fn follow_operator(shared: Rc<FleetShared>) {
     let mut after: Option<u64> = None;
     loop {
+        let sent = shared.now();
+        let store = shared.store.raw();
         let result = match after {
-            None => shared.store.raw().read_operator().await,
-            Some(after) => shared.store.raw().watch_operator(after, WATCH_WAIT).await,
+            None => shared.store.note(store.read_operator().await),
+            Some(after) => {
+                let call = store.watch_operator(after, WATCH_WAIT);
+                shared.store.watch(WatchedRows::Operator, call).await
+            }
         };
-        match shared.store.note(result) {
+        match result {
             Ok(page) => {
                 let whole = after.is_none();
                 after = Some(page.version);
-                apply(&shared, page, whole);
+                apply(&shared, page, whole, sent);
             }
             Err(StoreError::Forgotten) => after = None,
             Err(_) => time::sleep(AGAIN).await,
@@ -49,8 +57,8 @@
     }
 }
 
-/// Applies a page; a page of all that there is also takes back what it does not name.
-fn apply(shared: &FleetShared, page: RowPage<OperatorChange>, whole: bool) {
+/// Applies a page that was asked for at `sent`; a page of all that there is also takes back what it does not name.
+fn apply(shared: &FleetShared, page: RowPage<OperatorChange>, whole: bool, sent: Duration) {
     if whole {
         let mut operator = shared.operator.borrow_mut();
         operator.closed.clear();
@@ -59,14 +67,15 @@
     let version = page.version;
     let changed = !page.items.is_empty() || whole;
     for change in page.items {
-        apply_change(shared, change, version);
+        apply_change(shared, change, version, sent);
     }
+    shared.operator.borrow_mut().known_at = Some(shared.now());
     if changed {
         inform_seat(shared);
     }
 }
 
-fn apply_change(shared: &FleetShared, change: OperatorChange, version: u64) {
+fn apply_change(shared: &FleetShared, change: OperatorChange, version: u64, sent: Duration) {
     let (name, what) = match &change {
         OperatorChange::Configured(new) => ("configured", new.version.to_string()),
         OperatorChange::Closed(domain) => ("closed", domain.to_string()),
@@ -81,6 +90,7 @@
             change: name,
             what,
             store_version: version,
+            asked_ms_ago: whole_millis(shared.now().saturating_sub(sent)),
         },
     );
     let mut operator = shared.operator.borrow_mut();
--- a/crates/fleet/src/owner_work.rs
+++ b/crates/fleet/src/owner_work.rs
@@ -50,6 +50,7 @@
     operator_watch::inform_seat,
     owner_seat::OwnerSeat,
     plan_work::plan_orders,
+    store_link::WatchedRows,
     upkeep_work::carry_waves,
     worker_work::attend_worker, //
 };
@@ -291,12 +292,9 @@
 async fn follow_jobs(shared: Rc<FleetShared>, seat: Rc<OwnerSeat>, after: u64) {
     let mut after = after;
     loop {
-        let result = shared
-            .store
-            .raw()
-            .watch(FleetTable::Jobs, after, WATCH_WAIT)
-            .await;
-        match shared.store.note(result) {
+        let store = &shared.store;
+        let call = store.raw().watch(FleetTable::Jobs, after, WATCH_WAIT);
+        match store.watch(WatchedRows::Jobs, call).await {
             Ok(page) => {
                 after = page.version;
                 // A former owner that does not know yet that it was replaced may start what comes now.
@@ -330,11 +328,15 @@
     loop {
         attend_new(&shared, &seat, &mut tasks);
         while tasks.try_join_next().is_some() {}
+        let store = &shared.store;
         let result = match after {
-            Some(after) => shared.store.raw().watch_registry(after, WATCH_WAIT).await,
-            None => shared.store.raw().read_registry().await,
+            Some(after) => {
+                let call = store.raw().watch_registry(after, WATCH_WAIT);
+                store.watch(WatchedRows::Registry, call).await
+            }
+            None => store.note(store.raw().read_registry().await),
         };
-        match shared.store.note(result) {
+        match result {
             Ok(page) => {
                 let whole = after.is_none();
                 after = Some(page.version);
--- a/crates/fleet/src/peer_desk.rs
+++ b/crates/fleet/src/peer_desk.rs
@@ -22,6 +22,7 @@
     PeerAnswer,
     PeerCall,
     PeerHealth,
+    fleet_log::whole_millis,
     fleet_shared::FleetShared, //
 };
 
@@ -50,12 +51,11 @@
     }
 
     fn health(&self) -> PeerHealth {
-        let without = self.shared.store.without();
         PeerHealth {
             incarnation: self.shared.incarnation,
             acting: self.shared.seat().map(|seat| seat.token()),
             known_token: self.shared.highest_token.get(),
-            without_store_ms: u64::try_from(without.as_millis()).unwrap_or(u64::MAX),
+            without_store_ms: whole_millis(self.shared.store.without()),
         }
     }
 }
--- a/crates/fleet/src/plan_work.rs
+++ b/crates/fleet/src/plan_work.rs
@@ -26,6 +26,7 @@
     FleetTable,
     LogEvent,
     WorkerAddress,
+    fleet_log::whole_millis,
     fleet_shared::{
         FleetShared,
         SHARD_PART, //
@@ -261,10 +262,8 @@
             worker: &dispatcher.worker_record(worker).id,
             outcome: format!("{end:?}"),
             owner_token: seat.token(),
-            worker_heard_ms: heard.map(|heard| now.saturating_sub(heard).as_millis() as u64),
-            job_age_ms: dispatcher
-                .age(task.job(), now)
-                .map(|age| age.as_millis() as u64),
+            worker_heard_ms: heard.map(|heard| whole_millis(now.saturating_sub(heard))),
+            job_age_ms: dispatcher.age(task.job(), now).map(whole_millis),
         },
     );
 }
@@ -297,7 +296,7 @@
         WaitLine {
             step: wait.step.to_string(),
             missing: wait.missing,
-            job_age_ms: age.map(|age| age.as_millis() as u64),
+            job_age_ms: age.map(whole_millis),
             owner_token: seat.token(),
             processors: reasons.processors,
             memory: reasons.memory,
--- a/crates/fleet/src/store_link.rs
+++ b/crates/fleet/src/store_link.rs
@@ -2,11 +2,14 @@
 
 use std::{
     cell::Cell,
+    future::Future,
     rc::Rc,
     time::Duration, //
 };
 
+use derive_more::Display;
 use jasminebend_ports::ClockSource;
+use serde::Serialize;
 
 use crate::{
     CommitAnswer,
@@ -16,12 +19,27 @@
     FleetTable,
     LogEvent,
     RowCommit,
-    StoreError, //
+    StoreError,
+    fleet_log::whole_millis, //
 };
 
 /// How long calls must have failed until the store counts as lost: one lost answer is no outage.
 const LOST_AFTER: Duration = Duration::from_millis(300);
 
+/// The rows whose changes a daemon watches.
+#[derive(Clone, Copy, Debug, Display, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub(crate) enum WatchedRows {
+    /// What the operator asks for.
+    Operator,
+    /// The owner and the members.
+    Members,
+    /// Jobs and cancellations.
+    Jobs,
+    /// The workers that are listed.
+    Registry,
+}
+
 /// The store as the daemon's parts use it: with what is known of its health.
 pub(crate) struct StoreLink {
     store: Rc<dyn FleetStore>,
@@ -115,10 +133,34 @@
         }
     }
 
+    /// Watches rows, and logs a watch that got no answer.
+    pub(crate) async fn watch<Page, Call>(
+        &self,
+        rows: WatchedRows,
+        call: Call,
+    ) -> Result<Page, StoreError>
+    where
+        Call: Future<Output = Result<Page, StoreError>>,
+    {
+        let sent = self.clock.monotonic();
+        let result = self.note(call.await);
+        if let Err(error) = &result {
+            self.log.line(
+                LogEvent::Watch,
+                WatchLine {
+                    rows,
+                    outcome: error.to_string(),
+                    waited_ms: whole_millis(self.clock.monotonic().saturating_sub(sent)),
+                },
+            );
+        }
+        result
+    }
+
     fn tell(&self) {
         let lost = self.is_lost();
         if self.lost.replace(lost) != lost {
-            let without_ms = self.without().as_millis() as u64;
+            let without_ms = whole_millis(self.without());
             self.log.line(
                 LogEvent::Dependency,
                 DependencyLine {
@@ -131,7 +173,14 @@
     }
 }
 
-#[derive(serde::Serialize)]
+#[derive(Serialize)]
+struct WatchLine {
+    rows: WatchedRows,
+    outcome: String,
+    waited_ms: u64,
+}
+
+#[derive(Serialize)]
 struct DependencyLine {
     dependency: &'static str,
     outcome: &'static str,
--- a/crates/fleet/src/succession.rs
+++ b/crates/fleet/src/succession.rs
@@ -5,7 +5,8 @@
 use crate::{
     MemberRecord,
     OwnerRecord,
-    PeerHealth, //
+    PeerHealth,
+    fleet_log::whole_millis, //
 };
 
 /// How long an owner may be silent until it is replaced, from the first probe that got no answer. Three get none in
@@ -99,7 +100,7 @@
             OwnerProbe::Answered(health) => {
                 let other_life = health.incarnation != owner.incarnation;
                 let acts = health.acting == Some(owner.token);
-                let cut_off = health.without_store_ms >= millis(WITHOUT_STORE);
+                let cut_off = health.without_store_ms >= whole_millis(WITHOUT_STORE);
                 self.gone = other_life;
                 // An owner that has just won its row needs a moment until it acts.
                 match acts {
@@ -159,7 +160,3 @@
         u32::try_from(before.count()).unwrap_or(u32::MAX)
     }
 }
-
-fn millis(duration: Duration) -> u64 {
-    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
-}
