Add failing tests of watches that the store's silence swallows

Cause, as the tests show it: a watch of the store that is sent into a silence, or whose connection falls silent, is waited for until its own time-out, 3.2 s, and asked again 0.15 s later, whatever the daemon's other calls tell meanwhile. The daemons are played at fourteen phases of their watches, on the runtime's clock, against a store in memory that leaves calls unanswered. Four tests fail:

a_route_added_as_the_store_returns_is_in_force_in_time (silent for 100 ms after 250 ms) a_route_is_in_force_in_time_though_open_connections_went_silent (after 250 ms; the same without any outage) a_job_accepted_elsewhere_as_the_store_returns_is_started_in_time (after 250 ms: 0 starts, not 1) a_worker_that_leaves_as_the_store_returns_gets_nothing_new (after 2 s: 200 starts, not 172)

The last two are the same cause in the owner's watches of jobs and of the registry. The test fleet's store gets a file of its own, and the daemons' tests one folder.

--- a/crates/fleet/tests/daemons.rs
+++ b/crates/fleet/tests/daemons/jobs.rs
@@ -1,20 +1,10 @@
-//! Daemons that share a store: jobs from a caller's request to their last end, through deaths and outages.
-
-mod common;
+//! Jobs from a caller's request to their last end, through deaths and outages.
 
 use std::{
     future::Future,
     time::Duration, //
 };
 
-use common::{
-    TestFleet,
-    ask,
-    count,
-    job,
-    reach,
-    submit, //
-};
 use jasminebend_dispatch::{
     JobOutcome,
     JobProgress, //
@@ -30,6 +20,15 @@
     time, //
 };
 
+use crate::test_fleet::{
+    TestFleet,
+    ask,
+    count,
+    job,
+    reach,
+    submit, //
+};
+
 const COMPLETED: JobProgress = JobProgress::Ended(JobOutcome::Completed);
 const CANCELLED: JobProgress = JobProgress::Ended(JobOutcome::Cancelled);
 
--- /dev/null
+++ b/crates/fleet/tests/daemons/main.rs
@@ -0,0 +1,6 @@
+//! Daemons that share a store: jobs from a caller's request to their last end, through deaths and outages.
+
+mod jobs;
+mod memory_store;
+mod store_silence;
+mod test_fleet;
--- /dev/null
+++ b/crates/fleet/tests/daemons/memory_store.rs
@@ -0,0 +1,384 @@
+//! A store in memory that fails as the test says.
+
+use std::{
+    cell::{
+        Cell,
+        RefCell, //
+    },
+    future::Future,
+    rc::Rc,
+    sync::Arc,
+    time::Duration, //
+};
+
+use async_trait::async_trait;
+use indexmap::IndexMap;
+use jasminebend_dispatch::{
+    FleetConfiguration,
+    FleetWorker,
+    QueueRule, //
+};
+use jasminebend_fleet::{
+    CommitAnswer,
+    FleetRow,
+    FleetStore,
+    FleetTable,
+    OperatorChange,
+    RegistryChange,
+    RowChange,
+    RowCommit,
+    RowGuard,
+    RowPage,
+    StoreError, //
+};
+use tokio::{
+    sync::Notify,
+    time, //
+};
+
+type RowName = (FleetTable, String, String);
+
+/// How long a daemon waits for the answer of a call, and beyond a watch's own wait.
+const CALL_TIMEOUT: Duration = Duration::from_millis(1200);
+const WATCH_TIMEOUT: Duration = Duration::from_millis(700);
+
+/// A value and the store's version at its last change.
+struct Versioned<Value> {
+    value: Value,
+    version: u64,
+}
+
+/// A store in memory that all daemons of a test share.
+pub(crate) struct MemoryStore {
+    rows: RefCell<Vec<(RowName, FleetRow)>>,
+    version: Cell<u64>,
+    changed: Notify,
+    configuration: RefCell<Versioned<Arc<FleetConfiguration>>>,
+    workers: RefCell<Versioned<Vec<FleetWorker>>>,
+}
+
+/// One daemon's way to the store, with what goes wrong on it.
+pub(crate) struct StoreWay {
+    pub(crate) store: Rc<MemoryStore>,
+    /// Whether every call is turned away.
+    pub(crate) down: Cell<bool>,
+    /// How many of the next commits are made without an answer.
+    pub(crate) lost_answers: Cell<u32>,
+    /// Whether no call is heard.
+    silent: Cell<bool>,
+    /// How often the connections that were open went silent for good.
+    losses: Cell<u32>,
+}
+
+impl MemoryStore {
+    /// Creates a store that lists workers.
+    pub(crate) fn new(listed: Vec<FleetWorker>) -> Self {
+        Self {
+            rows: RefCell::new(Vec::new()),
+            version: Cell::new(1),
+            changed: Notify::new(),
+            configuration: RefCell::new(Versioned {
+                value: configuration(),
+                version: 1,
+            }),
+            workers: RefCell::new(Versioned {
+                value: listed,
+                version: 1,
+            }),
+        }
+    }
+
+    fn commit(&self, commit: RowCommit) -> CommitAnswer {
+        let mut rows = self.rows.borrow_mut();
+        let find = |rows: &Vec<(RowName, FleetRow)>, guard: &RowGuard| {
+            let name = (guard.table, guard.part.clone(), guard.key.clone());
+            rows.iter()
+                .find(|(known, _)| *known == name)
+                .map(|(_, row)| row.clone())
+        };
+        let holds = commit
+            .guards
+            .iter()
+            .all(|guard| find(&rows, guard).map_or(0, |row| row.version) == guard.version);
+        if !holds {
+            let current = commit.guards.iter().filter_map(|guard| find(&rows, guard));
+            return CommitAnswer::Conflict(current.collect());
+        }
+        let version = self.raise_version();
+        for row in commit.writes {
+            let name = (row.table, row.part.clone(), row.key.clone());
+            rows.retain(|(known, _)| *known != name);
+            rows.push((name, FleetRow { version, ..row }));
+        }
+        CommitAnswer::Done(version)
+    }
+
+    /// Puts a configuration in force that has one queue more.
+    pub(crate) fn add_queue(&self, name: &str) {
+        let mut known = self.configuration.borrow_mut();
+        let mut new = FleetConfiguration::clone(&known.value);
+        new.version += 1;
+        new.queues.insert(name.into(), queue(name));
+        *known = Versioned {
+            value: Arc::new(new),
+            version: self.raise_version(),
+        };
+    }
+
+    /// Lists all workers as about to leave.
+    pub(crate) fn drain_workers(&self) {
+        let mut known = self.workers.borrow_mut();
+        for worker in &mut known.value {
+            worker.draining = true;
+        }
+        known.version = self.raise_version();
+    }
+
+    /// Writes rows as another daemon would.
+    pub(crate) fn write(&self, writes: Vec<FleetRow>) {
+        let guards = Vec::new();
+        self.commit(RowCommit { guards, writes });
+    }
+
+    fn raise_version(&self) -> u64 {
+        self.version.set(self.version.get() + 1);
+        self.changed.notify_waiters();
+        self.version.get()
+    }
+
+    fn operator_rows(&self) -> Vec<OperatorChange> {
+        let configuration = Arc::clone(&self.configuration.borrow().value);
+        vec![OperatorChange::Configured(configuration)]
+    }
+
+    fn registry_rows(&self) -> Vec<RegistryChange> {
+        let workers = self.workers.borrow();
+        let workers = workers.value.iter().cloned();
+        workers.map(RegistryChange::Listed).collect()
+    }
+
+    pub(crate) fn count(&self, table: FleetTable) -> usize {
+        let rows = self.rows.borrow();
+        rows.iter()
+            .filter(|((known, ..), _)| *known == table)
+            .count()
+    }
+}
+
+impl StoreWay {
+    pub(crate) fn new(store: Rc<MemoryStore>) -> Self {
+        Self {
+            store,
+            down: Cell::new(false),
+            lost_answers: Cell::new(0),
+            silent: Cell::new(false),
+            losses: Cell::new(0),
+        }
+    }
+
+    /// Leaves calls unanswered from now on; their connections stay open.
+    pub(crate) fn fall_silent(&self) {
+        self.silent.set(true);
+        self.lose_connections();
+    }
+
+    /// Hears new calls again; connections that fell silent stay so.
+    pub(crate) fn answer_again(&self) {
+        self.silent.set(false);
+    }
+
+    /// Has all open connections fall silent for good; new ones work.
+    pub(crate) fn lose_connections(&self) {
+        self.losses.set(self.losses.get() + 1);
+    }
+
+    /// Carries a call to the store and its answer back, as far as they get through.
+    async fn carry<Answer, Call>(&self, timeout: Duration, call: Call) -> Result<Answer, StoreError>
+    where
+        Call: Future<Output = Result<Answer, StoreError>>,
+    {
+        let deadline = time::Instant::now() + timeout;
+        let losses = self.losses.get();
+        if !self.silent.get() {
+            let answer = call.await;
+            if self.losses.get() == losses {
+                return answer;
+            }
+        }
+        time::sleep_until(deadline).await;
+        Err(StoreError::Unknown)
+    }
+
+    /// Waits until `rows` finds changes, or the wait is over.
+    async fn follow<Item, Rows>(
+        &self,
+        wait: Duration,
+        rows: Rows,
+    ) -> Result<RowPage<Item>, StoreError>
+    where
+        Rows: Fn() -> Vec<Item>,
+    {
+        let until = time::Instant::now() + wait;
+        loop {
+            self.reach()?;
+            let changed = self.store.changed.notified();
+            let items = rows();
+            if !items.is_empty() || time::Instant::now() >= until {
+                return Ok(self.page(items));
+            }
+            // An outage is noticed, too.
+            drop(time::timeout(Duration::from_millis(100), changed).await);
+        }
+    }
+
+    fn page<Item>(&self, items: Vec<Item>) -> RowPage<Item> {
+        RowPage {
+            items,
+            more: false,
+            version: self.store.version.get(),
+        }
+    }
+
+    fn reach(&self) -> Result<(), StoreError> {
+        match self.down.get() {
+            true => Err(StoreError::Refused),
+            false => Ok(()),
+        }
+    }
+}
+
+#[async_trait(?Send)]
+impl FleetStore for StoreWay {
+    async fn commit(&self, commit: RowCommit) -> Result<CommitAnswer, StoreError> {
+        let call = async {
+            time::sleep(Duration::from_millis(2)).await;
+            self.reach()?;
+            let answer = self.store.commit(commit);
+            if self.lost_answers.get() > 0 {
+                self.lost_answers.set(self.lost_answers.get() - 1);
+                return Err(StoreError::Unknown);
+            }
+            Ok(answer)
+        };
+        self.carry(CALL_TIMEOUT, call).await
+    }
+
+    async fn read(
+        &self,
+        table: FleetTable,
+        part: &str,
+        from: &str,
+        to: Option<&str>,
+    ) -> Result<RowPage<FleetRow>, StoreError> {
+        let call = async {
+            time::sleep(Duration::from_millis(2)).await;
+            self.reach()?;
+            let rows = self.store.rows.borrow();
+            let mut items: Vec<FleetRow> = rows
+                .iter()
+                .map(|(_, row)| row.clone())
+                .filter(|row| row.table == table && row.part == part)
+                .filter(|row| row.key.as_str() >= from && to.is_none_or(|to| row.key.as_str() < to))
+                .collect();
+            items.sort_by(|left, right| left.key.cmp(&right.key));
+            Ok(self.page(items))
+        };
+        self.carry(CALL_TIMEOUT, call).await
+    }
+
+    async fn watch(
+        &self,
+        table: FleetTable,
+        after: u64,
+        wait: Duration,
+    ) -> Result<RowPage<RowChange>, StoreError> {
+        let call = self.follow(wait, || {
+            let rows = self.store.rows.borrow();
+            let rows = rows.iter().map(|(_, row)| row);
+            rows.filter(|row| row.table == table && row.version > after)
+                .map(|row| RowChange {
+                    part: row.part.clone(),
+                    key: row.key.clone(),
+                    row: Some(row.clone()),
+                })
+                .collect()
+        });
+        self.carry(wait + WATCH_TIMEOUT, call).await
+    }
+
+    async fn read_operator(&self) -> Result<RowPage<OperatorChange>, StoreError> {
+        let call = async {
+            self.reach()?;
+            Ok(self.page(self.store.operator_rows()))
+        };
+        self.carry(CALL_TIMEOUT, call).await
+    }
+
+    async fn watch_operator(
+        &self,
+        after: u64,
+        wait: Duration,
+    ) -> Result<RowPage<OperatorChange>, StoreError> {
+        let call = self.follow(wait, || {
+            match self.store.configuration.borrow().version > after {
+                true => self.store.operator_rows(),
+                false => Vec::new(),
+            }
+        });
+        self.carry(wait + WATCH_TIMEOUT, call).await
+    }
+
+    async fn read_registry(&self) -> Result<RowPage<RegistryChange>, StoreError> {
+        let call = async {
+            self.reach()?;
+            Ok(self.page(self.store.registry_rows()))
+        };
+        self.carry(CALL_TIMEOUT, call).await
+    }
+
+    async fn watch_registry(
+        &self,
+        after: u64,
+        wait: Duration,
+    ) -> Result<RowPage<RegistryChange>, StoreError> {
+        let call = self.follow(wait, || match self.store.workers.borrow().version > after {
+            true => self.store.registry_rows(),
+            false => Vec::new(),
+        });
+        self.carry(wait + WATCH_TIMEOUT, call).await
+    }
+
+    async fn tell_wave(
+        &self,
+        _wave: u64,
+        _completed: bool,
+        _guard: RowGuard,
+    ) -> Result<CommitAnswer, StoreError> {
+        Ok(CommitAnswer::Done(self.store.version.get()))
+    }
+}
+
+fn configuration() -> Arc<FleetConfiguration> {
+    let mut queues = IndexMap::new();
+    queues.insert("queue".into(), queue("queue"));
+    Arc::new(FleetConfiguration {
+        version: 1,
+        queues,
+        pools: IndexMap::new(),
+        body_limit: 1 << 20,
+    })
+}
+
+fn queue(name: &str) -> QueueRule {
+    QueueRule {
+        name: name.into(),
+        host: "host".to_owned(),
+        prefix: format!("/{name}/"),
+        pool: "pool".into(),
+        priority: 0,
+        attempts: 3,
+        stretch: 2.0,
+        allowance: Duration::from_secs(1),
+        advice: None,
+    }
+}
--- /dev/null
+++ b/crates/fleet/tests/daemons/store_silence.rs
@@ -0,0 +1,142 @@
+//! What a daemon knows after the store left its calls unanswered. Time is the runtime's and stands still while
+//! anything runs.
+
+use std::{
+    future::Future,
+    time::Duration, //
+};
+
+use jasminebend_fleet::{
+    CallerAnswer,
+    FleetRow,
+    FleetTable,
+    JobRecord, //
+};
+use tokio::{
+    runtime::Builder,
+    task::LocalSet,
+    time, //
+};
+
+use crate::test_fleet::{
+    TestDaemon,
+    TestFleet,
+    count,
+    job,
+    submit, //
+};
+
+/// How long after its acknowledgement a change must be in force.
+const IN_FORCE: Duration = Duration::from_secs(2);
+/// Longer than the longest round of a daemon's watches.
+const ROUND_MS: u64 = 3500;
+const SILENCES_MS: [u64; 5] = [100, 1000, 2300, 5000, 7600];
+
+/// Plays a story at each phase of a daemon's watches.
+fn play_each_phase<Story, Played>(story: Story)
+where
+    Story: Fn(Duration) -> Played,
+    Played: Future<Output = ()>,
+{
+    for phase in (0..ROUND_MS).step_by(250) {
+        let mut builder = Builder::new_current_thread();
+        let runtime = builder.enable_all().start_paused(true).build();
+        let runtime = runtime.expect("a runtime can be built");
+        LocalSet::new().block_on(&runtime, story(Duration::from_millis(phase)));
+    }
+}
+
+async fn settled(daemon: &TestDaemon) {
+    while !knows_queue(daemon, "queue").await {
+        time::sleep(Duration::from_millis(50)).await;
+    }
+}
+
+async fn knows_queue(daemon: &TestDaemon, queue: &str) -> bool {
+    let answer = count(&daemon.desk, &format!("/{queue}/")).await;
+    let configured = count(&daemon.desk, "/queue/").await != CallerAnswer::NoQueue;
+    configured && answer != CallerAnswer::NoQueue
+}
+
+/// Guards against a 404 for a route that was added as the store came back: the watch sent into the silence was waited
+/// for until its own time-out.
+#[test]
+fn a_route_added_as_the_store_returns_is_in_force_in_time() {
+    play_each_phase(|phase| async move {
+        for silence in SILENCES_MS {
+            let fleet = TestFleet::with_runtime_clock(0);
+            fleet.own_elsewhere();
+            let daemon = fleet.daemon();
+            settled(&daemon).await;
+            time::sleep(phase).await;
+            daemon.way.fall_silent();
+            time::sleep(Duration::from_millis(silence)).await;
+            daemon.way.answer_again();
+            fleet.store.add_queue("added");
+            time::sleep(IN_FORCE).await;
+            let known = knows_queue(&daemon, "added").await;
+            assert!(known, "silent for {silence} ms after {phase:?}");
+            daemon.kill();
+        }
+    });
+}
+
+/// Guards against a 404 for an added route while the store is well: the connection of the watch went silent for good.
+#[test]
+fn a_route_is_in_force_in_time_though_open_connections_went_silent() {
+    play_each_phase(|phase| async move {
+        let fleet = TestFleet::with_runtime_clock(0);
+        fleet.own_elsewhere();
+        let daemon = fleet.daemon();
+        settled(&daemon).await;
+        time::sleep(phase).await;
+        daemon.way.lose_connections();
+        fleet.store.add_queue("added");
+        time::sleep(IN_FORCE).await;
+        assert!(knows_queue(&daemon, "added").await, "lost after {phase:?}");
+    });
+}
+
+/// Guards against jobs that nobody starts after an outage: the owner's watch of the jobs was sent into the silence.
+#[test]
+fn a_job_accepted_elsewhere_as_the_store_returns_is_started_in_time() {
+    play_each_phase(|phase| async move {
+        let fleet = TestFleet::with_runtime_clock(1);
+        let owner = fleet.daemon();
+        settled(&owner).await;
+        time::sleep(phase).await;
+        owner.way.fall_silent();
+        time::sleep(Duration::from_secs(5)).await;
+        owner.way.answer_again();
+        let record = JobRecord {
+            queue: "queue".to_owned(),
+            accepted_ms: 0,
+            graph: job(&[(1, &[])]),
+        };
+        let value = postcard::to_stdvec(&record).expect("a record can be encoded");
+        let row = FleetRow::new(FleetTable::Jobs, "j0", "0000000000000007", value);
+        fleet.store.write(vec![row]);
+        time::sleep(IN_FORCE).await;
+        assert_eq!(fleet.workers.begins(), 1, "silent after {phase:?}");
+    });
+}
+
+/// Guards against tasks started on a worker that leaves: the owner's watch of the registry was sent into the silence.
+#[test]
+fn a_worker_that_leaves_as_the_store_returns_gets_nothing_new() {
+    play_each_phase(|phase| async move {
+        let fleet = TestFleet::with_runtime_clock(1);
+        let owner = fleet.daemon();
+        settled(&owner).await;
+        submit(&owner.desk, 1, &job(&[(2000, &[])])).await;
+        time::sleep(phase).await;
+        owner.way.fall_silent();
+        time::sleep(Duration::from_secs(5)).await;
+        owner.way.answer_again();
+        fleet.store.drain_workers();
+        time::sleep(IN_FORCE).await;
+        let begun = fleet.workers.begins();
+        time::sleep(Duration::from_secs(2)).await;
+        assert_eq!(fleet.workers.begins(), begun, "silent after {phase:?}");
+    });
+}
--- a/crates/fleet/tests/common/mod.rs
+++ b/crates/fleet/tests/daemons/test_fleet.rs
@@ -16,14 +16,14 @@
         TcpListener, //
     },
     rc::Rc,
-    sync::{
-        Arc,
-        atomic::{
-            AtomicU16,
-            Ordering, //
-        }, //
+    sync::atomic::{
+        AtomicU16,
+        Ordering, //
     },
-    time::Duration, //
+    time::{
+        Duration,
+        SystemTime, //
+    }, //
 };
 
 use async_trait::async_trait;
@@ -34,14 +34,12 @@
 };
 use http_body_util::Full;
 use hyper::body::Incoming;
-use indexmap::IndexMap;
 use jasminebend_base::{
     DomainName,
     ResourceAmount, //
 };
 use jasminebend_dispatch::{
     DispatchSettings,
-    FleetConfiguration,
     HoldOrder,
     HoldReport,
     JobGraph,
@@ -49,7 +47,6 @@
     JobProgress,
     OrderEnd,
     OrderRefusal,
-    QueueRule,
     RunNumber,
     StartOrder,
     StepSpec,
@@ -60,7 +57,6 @@
     CallerCall,
     CallerDesk,
     CallerVerb,
-    CommitAnswer,
     FleetDaemon,
     FleetEdges,
     FleetLog,
@@ -71,13 +67,8 @@
     FleetWorkers,
     HttpHandler,
     HttpPool,
-    OperatorChange,
-    RegistryChange,
-    RowChange,
-    RowCommit,
-    RowGuard,
-    RowPage,
-    StoreError,
+    MemberRecord,
+    OwnerRecord,
     WorkerAddress, //
 };
 use jasminebend_ports::{
@@ -88,215 +79,21 @@
     StepWorker,
     TaskWork, //
 };
+use serde::Serialize;
 use tokio::{
-    sync::{
-        Notify,
-        watch, //
-    },
+    sync::watch,
     task::JoinHandle,
     time, //
 };
 
-fn nothing_new<Item>() -> RowPage<Item> {
-    RowPage {
-        items: Vec::new(),
-        more: false,
-        version: 1,
-    }
-}
-
-type RowName = (FleetTable, String, String);
-
-/// A store in memory that all daemons of a test share.
-pub(crate) struct MemoryStore {
-    rows: RefCell<Vec<(RowName, FleetRow)>>,
-    version: Cell<u64>,
-    changed: Notify,
-    configuration: RefCell<Arc<FleetConfiguration>>,
-    workers: RefCell<Vec<jasminebend_dispatch::FleetWorker>>,
-}
-
-/// One daemon's way to the store, with what goes wrong on it.
-pub(crate) struct StoreWay {
-    pub(crate) store: Rc<MemoryStore>,
-    /// Whether every call is turned away.
-    pub(crate) down: Cell<bool>,
-    /// How many of the next commits are made without an answer.
-    pub(crate) lost_answers: Cell<u32>,
-}
-
-impl MemoryStore {
-    fn commit(&self, commit: RowCommit) -> CommitAnswer {
-        let mut rows = self.rows.borrow_mut();
-        let find = |rows: &Vec<(RowName, FleetRow)>, guard: &RowGuard| {
-            let name = (guard.table, guard.part.clone(), guard.key.clone());
-            rows.iter()
-                .find(|(known, _)| *known == name)
-                .map(|(_, row)| row.clone())
-        };
-        let holds = commit
-            .guards
-            .iter()
-            .all(|guard| find(&rows, guard).map_or(0, |row| row.version) == guard.version);
-        if !holds {
-            let current = commit.guards.iter().filter_map(|guard| find(&rows, guard));
-            return CommitAnswer::Conflict(current.collect());
-        }
-        let version = self.version.get() + 1;
-        self.version.set(version);
-        for row in commit.writes {
-            let name = (row.table, row.part.clone(), row.key.clone());
-            rows.retain(|(known, _)| *known != name);
-            rows.push((name, FleetRow { version, ..row }));
-        }
-        self.changed.notify_waiters();
-        CommitAnswer::Done(version)
-    }
-
-    pub(crate) fn count(&self, table: FleetTable) -> usize {
-        let rows = self.rows.borrow();
-        rows.iter()
-            .filter(|((known, ..), _)| *known == table)
-            .count()
-    }
-}
-
-impl StoreWay {
-    fn reach(&self) -> Result<(), StoreError> {
-        match self.down.get() {
-            true => Err(StoreError::Refused),
-            false => Ok(()),
-        }
-    }
-}
-
-#[async_trait(?Send)]
-impl FleetStore for StoreWay {
-    async fn commit(&self, commit: RowCommit) -> Result<CommitAnswer, StoreError> {
-        time::sleep(Duration::from_millis(2)).await;
-        self.reach()?;
-        let answer = self.store.commit(commit);
-        if self.lost_answers.get() > 0 {
-            self.lost_answers.set(self.lost_answers.get() - 1);
-            return Err(StoreError::Unknown);
-        }
-        Ok(answer)
-    }
-
-    async fn read(
-        &self,
-        table: FleetTable,
-        part: &str,
-        from: &str,
-        to: Option<&str>,
-    ) -> Result<RowPage<FleetRow>, StoreError> {
-        time::sleep(Duration::from_millis(2)).await;
-        self.reach()?;
-        let rows = self.store.rows.borrow();
-        let mut items: Vec<FleetRow> = rows
-            .iter()
-            .map(|(_, row)| row.clone())
-            .filter(|row| row.table == table && row.part == part)
-            .filter(|row| row.key.as_str() >= from && to.is_none_or(|to| row.key.as_str() < to))
-            .collect();
-        items.sort_by(|left, right| left.key.cmp(&right.key));
-        Ok(RowPage {
-            items,
-            more: false,
-            version: self.store.version.get(),
-        })
-    }
-
-    async fn watch(
-        &self,
-        table: FleetTable,
-        after: u64,
-        wait: Duration,
-    ) -> Result<RowPage<RowChange>, StoreError> {
-        let until = time::Instant::now() + wait;
-        loop {
-            self.reach()?;
-            let changed = self.store.changed.notified();
-            let mut items: Vec<RowChange> = Vec::new();
-            for (_, row) in self.store.rows.borrow().iter() {
-                if row.table == table && row.version > after {
-                    items.push(RowChange {
-                        part: row.part.clone(),
-                        key: row.key.clone(),
-                        row: Some(row.clone()),
-                    });
-                }
-            }
-            let over = time::Instant::now() >= until;
-            if !items.is_empty() || over {
-                return Ok(RowPage {
-                    items,
-                    more: false,
-                    version: self.store.version.get(),
-                });
-            }
-            // An outage is noticed, too.
-            drop(time::timeout(Duration::from_millis(100), changed).await);
-        }
-    }
-
-    async fn read_operator(&self) -> Result<RowPage<OperatorChange>, StoreError> {
-        self.reach()?;
-        let configuration = Arc::clone(&self.store.configuration.borrow());
-        Ok(RowPage {
-            items: vec![OperatorChange::Configured(configuration)],
-            more: false,
-            version: 1,
-        })
-    }
-
-    async fn watch_operator(
-        &self,
-        _after: u64,
-        wait: Duration,
-    ) -> Result<RowPage<OperatorChange>, StoreError> {
-        time::sleep(wait.min(Duration::from_millis(100))).await;
-        self.reach()?;
-        Ok(nothing_new())
-    }
-
-    async fn read_registry(&self) -> Result<RowPage<RegistryChange>, StoreError> {
-        self.reach()?;
-        let workers = self.store.workers.borrow();
-        Ok(RowPage {
-            items: workers
-                .iter()
-                .cloned()
-                .map(RegistryChange::Listed)
-                .collect(),
-            more: false,
-            version: 1,
-        })
-    }
-
-    async fn watch_registry(
-        &self,
-        _after: u64,
-        wait: Duration,
-    ) -> Result<RowPage<RegistryChange>, StoreError> {
-        time::sleep(wait.min(Duration::from_millis(100))).await;
-        self.reach()?;
-        Ok(nothing_new())
-    }
-
-    async fn tell_wave(
-        &self,
-        _wave: u64,
-        _completed: bool,
-        _guard: RowGuard,
-    ) -> Result<CommitAnswer, StoreError> {
-        Ok(CommitAnswer::Done(self.store.version.get()))
-    }
-}
+use crate::memory_store::{
+    MemoryStore,
+    StoreWay, //
+};
 
 /// Workers in memory.
 pub(crate) struct MemoryWorkers {
-    clock: SystemClock,
+    clock: Rc<dyn ClockSource>,
     workers: RefCell<BTreeMap<String, StepWorker>>,
     lasts: Duration,
 }
@@ -399,13 +196,22 @@
 pub(crate) struct TestFleet {
     pub(crate) store: Rc<MemoryStore>,
     pub(crate) workers: Rc<MemoryWorkers>,
+    clock: Rc<dyn ClockSource>,
     count: Cell<u32>,
 }
 
 impl TestFleet {
     pub(crate) fn new(workers: usize) -> Self {
+        Self::with_clock(workers, Rc::new(SystemClock::new()))
+    }
+
+    /// Creates a fleet whose clock is the runtime's, which a test may have stopped.
+    pub(crate) fn with_runtime_clock(workers: usize) -> Self {
+        Self::with_clock(workers, Rc::new(RuntimeClock(time::Instant::now())))
+    }
+
+    fn with_clock(workers: usize, clock: Rc<dyn ClockSource>) -> Self {
         let lasts = Duration::from_millis(150);
-        let clock = SystemClock::new();
         let mut all = BTreeMap::new();
         for number in 0..workers {
             let id = format!("worker-{number}");
@@ -416,24 +222,41 @@
             );
         }
         let listed = all.values().map(|worker| worker.record().clone()).collect();
-        let store = MemoryStore {
-            rows: RefCell::new(Vec::new()),
-            version: Cell::new(1),
-            changed: Notify::new(),
-            configuration: RefCell::new(configuration()),
-            workers: RefCell::new(listed),
-        };
         Self {
-            store: Rc::new(store),
+            store: Rc::new(MemoryStore::new(listed)),
             workers: Rc::new(MemoryWorkers {
-                clock,
+                clock: Rc::clone(&clock),
                 workers: RefCell::new(all),
                 lasts,
             }),
+            clock,
             count: Cell::new(0),
         }
     }
 
+    /// Has another daemon own the jobs, one that nobody reaches; no daemon of the test takes over before a long while.
+    pub(crate) fn own_elsewhere(&self) {
+        let address = free_address().to_string();
+        let owner = OwnerRecord {
+            node: "elsewhere".to_owned(),
+            incarnation: 1,
+            address: address.clone(),
+            token: 1,
+            vacant: false,
+        };
+        let mut rows = vec![row(FleetTable::Fleet, "s0", "owner", &owner)];
+        for number in 0..MEMBERS_BEFORE {
+            let member = MemberRecord {
+                node: format!("member-{number}"),
+                incarnation: 1,
+                address: address.clone(),
+                cpu_millis: 1000,
+            };
+            rows.push(row(FleetTable::Fleet, "members", &member.node, &member));
+        }
+        self.store.write(rows);
+    }
+
     /// Starts a daemon.
     pub(crate) fn daemon(&self) -> TestDaemon {
         self.count.set(self.count.get() + 1);
@@ -449,13 +272,9 @@
             duty_lease: Duration::from_secs(1),
             dispatch: DispatchSettings::default(),
         };
-        let way = Rc::new(StoreWay {
-            store: Rc::clone(&self.store),
-            down: Cell::new(false),
-            lost_answers: Cell::new(0),
-        });
+        let way = Rc::new(StoreWay::new(Rc::clone(&self.store)));
         let edges = FleetEdges {
-            clock: Rc::new(SystemClock::new()),
+            clock: Rc::clone(&self.clock),
             store: Rc::clone(&way) as Rc<dyn FleetStore>,
             workers: Rc::clone(&self.workers) as Rc<dyn FleetWorkers>,
             advice: None,
@@ -481,6 +300,29 @@
     }
 }
 
+/// How many daemons take over before a daemon of the test, where another owns the jobs.
+const MEMBERS_BEFORE: u32 = 500;
+
+/// The clock of the runtime, which stands still while anything runs if it was started so.
+struct RuntimeClock(time::Instant);
+
+impl ClockSource for RuntimeClock {
+    fn monotonic(&self) -> Duration {
+        self.0.elapsed()
+    }
+
+    fn wall(&self) -> SystemTime {
+        SystemTime::UNIX_EPOCH + Duration::from_secs(1_000_000_000) + self.0.elapsed()
+    }
+}
+
+fn row<Record>(table: FleetTable, part: &str, key: &str, record: &Record) -> FleetRow
+where
+    Record: Serialize,
+{
+    FleetRow::new(table, part, key, postcard::to_stdvec(record).unwrap())
+}
+
 /// Answers nothing; the tests ask the desk itself.
 struct Nothing;
 
@@ -549,28 +391,6 @@
     panic!("job {number} is at {last:?}, not at {wanted:?}");
 }
 
-fn configuration() -> Arc<FleetConfiguration> {
-    let rule = QueueRule {
-        name: "queue".into(),
-        host: "host".to_owned(),
-        prefix: "/queue/".to_owned(),
-        pool: "pool".into(),
-        priority: 0,
-        attempts: 3,
-        stretch: 2.0,
-        allowance: Duration::from_secs(1),
-        advice: None,
-    };
-    let mut queues = IndexMap::new();
-    queues.insert(Arc::clone(&rule.name), rule);
-    Arc::new(FleetConfiguration {
-        version: 1,
-        queues,
-        pools: IndexMap::new(),
-        body_limit: 1 << 20,
-    })
-}
-
 /// Returns an address that nothing listens on. The ports lie below those that the system gives to calls, and
 /// no two tests of a process get the same.
 fn free_address() -> SocketAddr {
