Give up watches that the store's silence swallowed, and probe for its return

Cause: what a daemon knows of the store hung on single long calls, each judged by its own time-out (3.2 s and a pause of 0.15 s). A watch sent into the silence, or on a connection that fell silent, kept the daemon blind for longer than the 2 s within which a configuration is in force; no other call asked for the store meanwhile, as submissions aren't sent to a store that is believed lost, and what other calls showed was not used.

The first answer to a call sent after the failure ends all watches and pauses from before. A watch waits 1 s, not 2.5, so that one lost by itself costs less than 2 s. Answers and failures count by when the call was sent: one from before the outage shows no return, and one whose connection was lost while later calls were answered is no outage. Jobs, registry and members go the same way.

--- a/crates/fleet/src/commit_work.rs
+++ b/crates/fleet/src/commit_work.rs
@@ -31,8 +31,6 @@
 const GATHER: Duration = Duration::from_millis(6);
 /// How often it is looked for something to commit without an event.
 const EVERY: Duration = Duration::from_millis(200);
-/// How long to wait after a commit that failed.
-const AGAIN: Duration = Duration::from_millis(150);
 
 #[derive(Serialize)]
 struct JobLine {
@@ -64,7 +62,7 @@
             Err(_) => {
                 // If it was done, the next try meets the versions that it wrote.
                 seat.dispatcher.borrow_mut().note_uncommitted();
-                time::sleep(AGAIN).await;
+                shared.store.pause().await;
                 seat.commit.notify_one();
             }
         }
--- a/crates/fleet/src/fleet_daemon.rs
+++ b/crates/fleet/src/fleet_daemon.rs
@@ -61,7 +61,8 @@
     },
     operator_watch::follow_operator,
     peer_desk::PeerDesk,
-    store_link::StoreLink, //
+    store_link::StoreLink,
+    store_probe::probe_store, //
 };
 
 /// How long the balancer may go on sending new connections after the daemon says that it is not ready:
@@ -182,6 +183,7 @@
         task::spawn_local(follow_operator(Rc::clone(shared)));
         task::spawn_local(follow_members(Rc::clone(shared)));
         task::spawn_local(guard_succession(Rc::clone(shared)));
+        task::spawn_local(probe_store(Rc::clone(shared)));
         let mut stop = self.stop.clone();
         crate::http_server::stopped(&mut stop).await;
         self.wind_down().await;
--- a/crates/fleet/src/fleet_shared.rs
+++ b/crates/fleet/src/fleet_shared.rs
@@ -54,8 +54,8 @@
 /// What follows a job's key in the key of its cancellation.
 pub(crate) const CANCEL_SUFFIX: &str = ".c";
 /// How long a watch of the store waits. A connection that went silent shows only when the answer stays
-/// away, and a configuration must be in force within two seconds on a daemon that is in touch.
-pub(crate) const WATCH_WAIT: Duration = Duration::from_millis(2500);
+/// away, and a configuration must be in force within two seconds.
+pub(crate) const WATCH_WAIT: Duration = Duration::from_millis(1000);
 
 /// Returns the part in which a job's rows lie.
 pub(crate) fn job_part(key: JobKey) -> String {
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -28,7 +28,9 @@
 mod peer_message;
 mod peer_order;
 mod plan_work;
+mod store_health;
 mod store_link;
+mod store_probe;
 mod succession;
 mod upkeep_work;
 mod wave_request;
@@ -95,6 +97,7 @@
         PeerHealth, //
     },
     peer_order::PeerOrder,
+    store_health::StoreHealth,
     succession::{
         OwnerProbe,
         Succession, //
--- a/crates/fleet/src/member_watch.rs
+++ b/crates/fleet/src/member_watch.rs
@@ -28,8 +28,6 @@
     store_link::WatchedRows, //
 };
 
-/// How long to wait after a call that failed.
-const AGAIN: Duration = Duration::from_millis(150);
 /// The pause between two probes of the owner.
 const PROBE_EVERY: Duration = Duration::from_millis(350);
 /// The pause while the owner is in doubt.
@@ -54,7 +52,7 @@
         match result {
             Ok(version) => after = Some(version),
             Err(StoreError::Forgotten) => after = None,
-            Err(_) => time::sleep(AGAIN).await,
+            Err(_) => shared.store.pause().await,
         }
     }
 }
@@ -105,7 +103,7 @@
         if shared.store.commit(commit).await.is_ok() {
             return;
         }
-        time::sleep(AGAIN).await;
+        shared.store.pause().await;
     }
 }
 
--- a/crates/fleet/src/operator_watch.rs
+++ b/crates/fleet/src/operator_watch.rs
@@ -6,7 +6,6 @@
 };
 
 use serde::Serialize;
-use tokio::time;
 
 use crate::{
     LogEvent,
@@ -21,9 +20,6 @@
     store_link::WatchedRows, //
 };
 
-/// How long to wait after a call that failed: an outage is over for this part within that time.
-const AGAIN: Duration = Duration::from_millis(150);
-
 #[derive(Serialize)]
 struct OperatorLine {
     change: &'static str,
@@ -39,7 +35,7 @@
         let sent = shared.now();
         let store = shared.store.raw();
         let result = match after {
-            None => shared.store.note(store.read_operator().await),
+            None => shared.store.call(store.read_operator()).await,
             Some(after) => {
                 let call = store.watch_operator(after, WATCH_WAIT);
                 shared.store.watch(WatchedRows::Operator, call).await
@@ -52,7 +48,7 @@
                 apply(&shared, page, whole, sent);
             }
             Err(StoreError::Forgotten) => after = None,
-            Err(_) => time::sleep(AGAIN).await,
+            Err(_) => shared.store.pause().await,
         }
     }
 }
--- a/crates/fleet/src/owner_work.rs
+++ b/crates/fleet/src/owner_work.rs
@@ -55,8 +55,6 @@
     worker_work::attend_worker, //
 };
 
-/// How long to wait after a call that failed.
-const AGAIN: Duration = Duration::from_millis(100);
 /// The pause between two looks at the registry: heartbeats come all the time, each call has its price, and
 /// a worker that leaves must be known within two seconds.
 const REGISTRY_EVERY: Duration = Duration::from_millis(400);
@@ -86,7 +84,7 @@
     while after.is_none() && !seat.is_over() {
         after = read_records(shared, &seat, former_gone).await.ok();
         if after.is_none() {
-            time::sleep(AGAIN).await;
+            shared.store.pause().await;
         }
     }
     let Some((jobs_after, registry_after)) = after else {
@@ -168,8 +166,8 @@
     former_gone: bool,
 ) -> Result<(u64, u64), StoreError> {
     let first = seat.token() == 1;
-    let result = shared.store.raw().read_registry().await;
-    let registry = shared.store.note(result)?;
+    let store = &shared.store;
+    let registry = store.call(store.raw().read_registry()).await?;
     let (progress, _) = shared
         .store
         .read_all(FleetTable::Progress, SHARD_PART, "", None)
@@ -309,7 +307,7 @@
                     after = version;
                 }
             }
-            Err(_) => time::sleep(AGAIN).await,
+            Err(_) => shared.store.pause().await,
         }
     }
 }
@@ -334,7 +332,7 @@
                 let call = store.raw().watch_registry(after, WATCH_WAIT);
                 store.watch(WatchedRows::Registry, call).await
             }
-            None => store.note(store.raw().read_registry().await),
+            None => store.call(store.raw().read_registry()).await,
         };
         match result {
             Ok(page) => {
@@ -347,7 +345,7 @@
                 time::sleep(REGISTRY_EVERY).await;
             }
             Err(StoreError::Forgotten) => after = None,
-            Err(_) => time::sleep(AGAIN).await,
+            Err(_) => shared.store.pause().await,
         }
     }
 }
--- a/crates/fleet/src/store_link.rs
+++ b/crates/fleet/src/store_link.rs
@@ -10,6 +10,10 @@
 use derive_more::Display;
 use jasminebend_ports::ClockSource;
 use serde::Serialize;
+use tokio::{
+    sync::Notify,
+    time, //
+};
 
 use crate::{
     CommitAnswer,
@@ -20,12 +24,18 @@
     LogEvent,
     RowCommit,
     StoreError,
+    StoreHealth,
     fleet_log::whole_millis, //
 };
 
 /// How long calls must have failed until the store counts as lost: one lost answer is no outage.
 const LOST_AFTER: Duration = Duration::from_millis(300);
 
+/// How long to wait after a call that failed while others are answered.
+const PAUSE: Duration = Duration::from_millis(150);
+/// How long to wait at most after a call that failed.
+const LONGEST_PAUSE: Duration = Duration::from_secs(1);
+
 /// The rows whose changes a daemon watches.
 #[derive(Clone, Copy, Debug, Display, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "snake_case")]
@@ -45,8 +55,10 @@
     store: Rc<dyn FleetStore>,
     clock: Rc<dyn ClockSource>,
     log: FleetLog,
-    failing_since: Cell<Option<Duration>>,
+    health: Cell<StoreHealth>,
     lost: Cell<bool>,
+    began_to_fail: Notify,
+    came_back: Notify,
 }
 
 impl StoreLink {
@@ -59,8 +71,10 @@
             store,
             clock,
             log,
-            failing_since: Cell::new(None),
+            health: Cell::new(StoreHealth::new()),
             lost: Cell::new(false),
+            began_to_fail: Notify::new(),
+            came_back: Notify::new(),
         }
     }
 
@@ -68,41 +82,71 @@
         &*self.store
     }
 
-    /// Returns for how long every call has failed.
+    /// Returns for how long calls have failed.
     pub(crate) fn without(&self) -> Duration {
-        let now = self.clock.monotonic();
-        self.failing_since
-            .get()
-            .map_or(Duration::ZERO, |since| now.saturating_sub(since))
+        self.health.get().without(self.clock.monotonic())
     }
 
     pub(crate) fn is_lost(&self) -> bool {
         self.without() >= LOST_AFTER
     }
 
-    /// Takes note of how a call went, and hands its result on.
-    pub(crate) fn note<Answer>(
-        &self,
-        result: Result<Answer, StoreError>,
-    ) -> Result<Answer, StoreError> {
-        match &result {
+    pub(crate) fn is_failing(&self) -> bool {
+        self.health.get().is_failing()
+    }
+
+    /// Waits until calls fail.
+    pub(crate) async fn failing(&self) {
+        let began = self.began_to_fail.notified();
+        if !self.is_failing() {
+            began.await;
+        }
+    }
+
+    /// Waits after a call that failed, until the store is back if it is away.
+    pub(crate) async fn pause(&self) {
+        let back = self.came_back.notified();
+        match self.is_failing() {
+            true => drop(time::timeout(LONGEST_PAUSE, back).await),
+            false => time::sleep(PAUSE).await,
+        }
+    }
+
+    /// Makes a call, and takes note of how it went.
+    pub(crate) async fn call<Answer, Call>(&self, call: Call) -> Result<Answer, StoreError>
+    where
+        Call: Future<Output = Result<Answer, StoreError>>,
+    {
+        let sent = self.clock.monotonic();
+        let result = call.await;
+        self.note(sent, &result);
+        result
+    }
+
+    fn note<Answer>(&self, sent: Duration, result: &Result<Answer, StoreError>) {
+        let mut health = self.health.get();
+        match result {
             Err(StoreError::Refused | StoreError::Unknown) => {
-                let now = self.clock.monotonic();
-                self.failing_since
-                    .set(Some(self.failing_since.get().unwrap_or(now)));
+                health.note_failure(sent, self.clock.monotonic());
+                self.health.set(health);
+                if health.is_failing() {
+                    self.began_to_fail.notify_one();
+                }
             }
             Ok(_) | Err(StoreError::Forgotten | StoreError::Malformed) => {
-                self.failing_since.set(None);
+                let is_back = health.note_answer(sent);
+                self.health.set(health);
+                if is_back {
+                    self.came_back.notify_waiters();
+                }
             }
         }
         self.tell();
-        result
     }
 
     pub(crate) async fn commit(&self, commit: RowCommit) -> Result<CommitAnswer, StoreError> {
         metrics::counter!("jasminebend_fleet_store_writes_total").increment(1);
-        let result = self.store.commit(commit).await;
-        self.note(result)
+        self.call(self.store.commit(commit)).await
     }
 
     /// Reads all rows of a part from `from` up to `to`, and the store's version at the first page.
@@ -118,8 +162,7 @@
         let mut next = from.to_owned();
         loop {
             metrics::counter!("jasminebend_fleet_store_reads_total").increment(1);
-            let result = self.store.read(table, part, &next, to).await;
-            let page = self.note(result)?;
+            let page = self.call(self.store.read(table, part, &next, to)).await?;
             version.get_or_insert(page.version);
             if let Some(last) = page.items.last() {
                 // The least key after the last.
@@ -133,7 +176,8 @@
         }
     }
 
-    /// Watches rows, and logs a watch that got no answer.
+    /// Watches rows, and logs a watch that got no answer. One that was sent before the store came back is given up: the
+    /// store may never have heard it, or its answer may be lost.
     pub(crate) async fn watch<Page, Call>(
         &self,
         rows: WatchedRows,
@@ -143,7 +187,12 @@
         Call: Future<Output = Result<Page, StoreError>>,
     {
         let sent = self.clock.monotonic();
-        let result = self.note(call.await);
+        let back = self.came_back.notified();
+        let result = tokio::select! {
+            biased;
+            result = self.call(call) => result,
+            () = back => Err(StoreError::Unknown),
+        };
         if let Err(error) = &result {
             self.log.line(
                 LogEvent::Watch,
--- a/crates/fleet/src/upkeep_work.rs
+++ b/crates/fleet/src/upkeep_work.rs
@@ -179,11 +179,10 @@
     if state.told == Some(completed) {
         return;
     }
-    let store = shared.store.raw();
-    let answer = store
-        .tell_wave(wave.wave, completed, seat.guard.clone())
-        .await;
-    if shared.store.note(answer).is_ok() {
+    let store = &shared.store;
+    let guard = seat.guard.clone();
+    let call = store.raw().tell_wave(wave.wave, completed, guard);
+    if store.call(call).await.is_ok() {
         state.told = Some(completed);
     }
 }
--- a/crates/fleet/tests/daemons/store_silence.rs
+++ b/crates/fleet/tests/daemons/store_silence.rs
@@ -8,6 +8,7 @@
 
 use jasminebend_fleet::{
     CallerAnswer,
+    CallerVerb,
     FleetRow,
     FleetTable,
     JobRecord, //
@@ -21,6 +22,7 @@
 use crate::test_fleet::{
     TestDaemon,
     TestFleet,
+    ask,
     count,
     job,
     submit, //
@@ -28,6 +30,8 @@
 
 /// How long after its acknowledgement a change must be in force.
 const IN_FORCE: Duration = Duration::from_secs(2);
+/// How long after its return the store may still be taken for lost.
+const NOTICED: Duration = Duration::from_millis(500);
 /// Longer than the longest round of a daemon's watches.
 const ROUND_MS: u64 = 3500;
 const SILENCES_MS: [u64; 5] = [100, 1000, 2300, 5000, 7600];
@@ -81,6 +85,27 @@
     });
 }
 
+/// Guards against callers refused, and told of old routes, while the store is back: nothing but waiting watches asked for it.
+#[test]
+fn a_daemon_without_traffic_notices_the_return_at_once() {
+    play_each_phase(|phase| async move {
+        let fleet = TestFleet::with_runtime_clock(0);
+        fleet.own_elsewhere();
+        let daemon = fleet.daemon();
+        settled(&daemon).await;
+        time::sleep(phase).await;
+        daemon.way.fall_silent();
+        time::sleep(Duration::from_millis(7600)).await;
+        daemon.way.answer_again();
+        fleet.store.add_queue("added");
+        time::sleep(NOTICED).await;
+        let known = knows_queue(&daemon, "added").await;
+        assert!(known, "silent after {phase:?}");
+        let answer = ask(&daemon.desk, 1, CallerVerb::Submit(job(&[(1, &[])]))).await;
+        assert_eq!(answer, CallerAnswer::Done, "silent after {phase:?}");
+    });
+}
+
 /// Guards against a 404 for an added route while the store is well: the connection of the watch went silent for good.
 #[test]
 fn a_route_is_in_force_in_time_though_open_connections_went_silent() {
--- /dev/null
+++ b/crates/fleet/tests/store_health.rs
@@ -0,0 +1,46 @@
+//! When the store counts as failing, and when as back.
+
+use std::time::Duration;
+
+use jasminebend_fleet::StoreHealth;
+
+const fn at(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+fn failing_at(millis: u64) -> StoreHealth {
+    let mut health = StoreHealth::new();
+    health.note_failure(at(0), at(millis));
+    health
+}
+
+/// Guards against a store that is believed back too early: the answer of a call from before the outage came late.
+#[test]
+fn an_answer_to_a_call_from_before_the_outage_shows_no_return() {
+    let mut health = failing_at(1200);
+    assert!(!health.note_answer(at(1100)));
+    assert!(health.is_failing());
+    assert!(health.note_answer(at(1200)));
+    assert!(!health.is_failing());
+}
+
+/// Guards against a store that is believed lost while it answers: a connection of its own went silent, and the call on
+/// it failed late.
+#[test]
+fn a_late_failure_beside_newer_answers_is_no_outage() {
+    let mut health = StoreHealth::new();
+    health.note_answer(at(500));
+    health.note_failure(at(100), at(1300));
+    assert!(!health.is_failing());
+    health.note_failure(at(600), at(1800));
+    assert!(health.is_failing());
+}
+
+#[test]
+fn an_outage_lasts_from_its_first_failure() {
+    let mut health = failing_at(400);
+    health.note_failure(at(300), at(900));
+    assert_eq!(health.without(at(1000)), at(600));
+    health.note_answer(at(950));
+    assert_eq!(health.without(at(1000)), at(0));
+}
