Answer callers within half a second of the store's falling silent

What callers saw: submissions held for 1.2 to 3.6 s while the store was silent: the write waited for its own time-out, then one peer after another did.

Change: a call that is unanswered for 50 ms has the store probed on a new connection. If that gets no answer within 350 ms, the store counts as lost, and calls under way are given up: callers are told that the outcome is unknown, later ones are refused without a write. Peers have 0.7 s in all for what this daemon can't do. A store that takes 60 times its usual 4 ms still answers probes.

Not done of the issue's item: a write on a connection that fell silent by itself is still waited for for 1.2 s; the time to come back is 1 s for all.

--- a/crates/fleet/src/caller_desk.rs
+++ b/crates/fleet/src/caller_desk.rs
@@ -14,6 +14,7 @@
     ProgressRecord, //
 };
 use serde::Serialize;
+use tokio::time;
 
 use crate::{
     CallerAnswer,
@@ -39,6 +40,8 @@
 /// When a caller that was refused should come back, if the store is away. It waits for some seconds in all, and counts in
 /// whole ones: the shortest leaves it most tries.
 const BACK_WITHOUT_STORE: Duration = Duration::from_secs(1);
+/// How long other daemons may take in all to do what this one can't.
+const PEERS_TIME: Duration = Duration::from_millis(700);
 /// How many other daemons are asked in this one's place.
 const PEERS_ASKED: usize = 2;
 
@@ -300,15 +303,29 @@
     /// Has another daemon do what this one can't. The first try here is not taken back by a refusal
     /// there: if it may have been done, it stays unknown unless it is done there.
     async fn elsewhere(&self, call: CallerCall, reach: Reach, error: StoreError) -> CallerAnswer {
-        let mut unknown = error != StoreError::Refused;
-        if reach == Reach::Fleet {
-            let peers = self.shared.peer_addresses();
-            for address in peers.into_iter().take(PEERS_ASKED) {
-                match self.shared.ask_peer(&address, call.clone()).await {
-                    Ok(answer @ (CallerAnswer::Done | CallerAnswer::NoJob)) => return answer,
-                    Ok(CallerAnswer::Unknown) | Err(PeerFault::Unanswered) => unknown = true,
-                    Ok(_) | Err(PeerFault::Unsent) => {}
-                }
+        let unknown = error != StoreError::Refused;
+        let answer = match reach {
+            Reach::Fleet => match time::timeout(PEERS_TIME, self.ask_for_it(call)).await {
+                Ok(answer) => answer,
+                Err(_) => CallerAnswer::Unknown,
+            },
+            Reach::Here => CallerAnswer::Refused(BACK_WITHOUT_STORE),
+        };
+        match answer {
+            CallerAnswer::Refused(_) if unknown => CallerAnswer::Unknown,
+            answer => answer,
+        }
+    }
+
+    /// Has another daemon do what a caller asks for; refuses it if surely none has done it.
+    async fn ask_for_it(&self, call: CallerCall) -> CallerAnswer {
+        let mut unknown = false;
+        let peers = self.shared.peer_addresses();
+        for address in peers.into_iter().take(PEERS_ASKED) {
+            match self.shared.ask_peer(&address, call.clone()).await {
+                Ok(answer @ (CallerAnswer::Done | CallerAnswer::NoJob)) => return answer,
+                Ok(CallerAnswer::Unknown) | Err(PeerFault::Unanswered) => unknown = true,
+                Ok(_) | Err(PeerFault::Unsent) => {}
             }
         }
         match unknown {
--- a/crates/fleet/src/fleet_store.rs
+++ b/crates/fleet/src/fleet_store.rs
@@ -166,6 +166,9 @@
         wait: Duration,
     ) -> Result<RowPage<RegistryChange>, StoreError>;
 
+    /// Gives up connections that no call uses: they may have gone silent. Calls under way keep theirs.
+    fn forget_connections(&self);
+
     /// Tells the operator how far a wave is, if the guard holds.
     ///
     /// # Errors
--- a/crates/fleet/src/store_health.rs
+++ b/crates/fleet/src/store_health.rs
@@ -9,6 +9,8 @@
     failing_since: Option<Duration>,
     /// When the latest call was sent that was answered.
     answered: Option<Duration>,
+    /// When the call was sent that showed the end of the last outage.
+    back_since: Option<Duration>,
 }
 
 impl StoreHealth {
@@ -23,6 +25,7 @@
         let is_back = self.failing_since.is_some_and(|since| sent >= since);
         if is_back {
             self.failing_since = None;
+            self.back_since = Some(sent);
         }
         is_back
     }
@@ -36,11 +39,25 @@
         self.failing_since.get_or_insert(now);
     }
 
+    /// Takes note that a call sent at `sent` was left unanswered for too long.
+    pub fn note_silence(&mut self, sent: Duration) {
+        self.note_failure(sent, sent);
+    }
+
     /// Tells whether calls fail.
     pub fn is_failing(&self) -> bool {
         self.failing_since.is_some()
     }
 
+    /// Returns for how long the store has been there at `now`, without bound if it was never away.
+    pub fn with(&self, now: Duration) -> Duration {
+        match (self.failing_since, self.back_since) {
+            (Some(_), _) => Duration::ZERO,
+            (None, Some(since)) => now.saturating_sub(since),
+            (None, None) => Duration::MAX,
+        }
+    }
+
     /// Returns for how long calls have failed at `now`.
     pub fn without(&self, now: Duration) -> Duration {
         let since = self.failing_since.unwrap_or(now);
--- a/crates/fleet/src/store_link.rs
+++ b/crates/fleet/src/store_link.rs
@@ -3,6 +3,7 @@
 use std::{
     cell::Cell,
     future::Future,
+    pin::pin,
     rc::Rc,
     time::Duration, //
 };
@@ -25,12 +26,22 @@
     RowCommit,
     StoreError,
     StoreHealth,
-    fleet_log::whole_millis, //
+    fleet_log::whole_millis,
+    fleet_shared::{
+        OWNER_KEY,
+        SHARD_PART, //
+    }, //
 };
 
 /// How long calls must have failed until the store counts as lost: one lost answer is no outage.
 const LOST_AFTER: Duration = Duration::from_millis(300);
 
+/// How long a call may be left unanswered until the store is probed.
+const QUIET: Duration = Duration::from_millis(50);
+/// How long a probe may be left unanswered until the store counts as silent. A slow one takes 60 times its usual 4 ms.
+const PATIENCE: Duration = Duration::from_millis(350);
+// A probe that was left unanswered shows a loss at once.
+const _: () = assert!(PATIENCE.as_millis() >= LOST_AFTER.as_millis());
 /// How long to wait after a call that failed while others are answered.
 const PAUSE: Duration = Duration::from_millis(150);
 /// How long to wait at most after a call that failed.
@@ -57,7 +68,8 @@
     log: FleetLog,
     health: Cell<StoreHealth>,
     lost: Cell<bool>,
-    began_to_fail: Notify,
+    suspected: Notify,
+    went_away: Notify,
     came_back: Notify,
 }
 
@@ -73,7 +85,8 @@
             log,
             health: Cell::new(StoreHealth::new()),
             lost: Cell::new(false),
-            began_to_fail: Notify::new(),
+            suspected: Notify::new(),
+            went_away: Notify::new(),
             came_back: Notify::new(),
         }
     }
@@ -95,12 +108,31 @@
         self.health.get().is_failing()
     }
 
-    /// Waits until calls fail.
-    pub(crate) async fn failing(&self) {
-        let began = self.began_to_fail.notified();
-        if !self.is_failing() {
-            began.await;
+    /// Waits until a call fails or is left unanswered.
+    pub(crate) async fn suspicion(&self) {
+        self.suspected.notified().await;
+    }
+
+    /// Reads a row on a new connection; one that is left unanswered shows that the store is silent.
+    pub(crate) async fn probe(&self) {
+        self.store.forget_connections();
+        metrics::counter!("jasminebend_fleet_store_reads_total").increment(1);
+        let sent = self.clock.monotonic();
+        let read = self
+            .store
+            .read(FleetTable::Fleet, SHARD_PART, OWNER_KEY, None);
+        let mut read = pin!(read);
+        if let Ok(result) = time::timeout(PATIENCE, &mut read).await {
+            self.note(sent, &result);
+            return;
         }
+        let mut health = self.health.get();
+        health.note_silence(sent);
+        self.health.set(health);
+        self.tell();
+        self.suspected.notify_one();
+        // A slow store answers late.
+        self.note(sent, &read.await);
     }
 
     /// Waits after a call that failed, until the store is back if it is away.
@@ -112,8 +144,26 @@
         }
     }
 
-    /// Makes a call, and takes note of how it went.
+    /// Makes a call that is answered soon, and takes note of how it went. It is given up if the store turns out to be
+    /// silent meanwhile.
     pub(crate) async fn call<Answer, Call>(&self, call: Call) -> Result<Answer, StoreError>
+    where
+        Call: Future<Output = Result<Answer, StoreError>>,
+    {
+        let away = self.went_away.notified();
+        let mut call = pin!(self.noted(call));
+        if let Ok(result) = time::timeout(QUIET, &mut call).await {
+            return result;
+        }
+        self.suspected.notify_one();
+        tokio::select! {
+            biased;
+            result = call => result,
+            () = away => Err(StoreError::Unknown),
+        }
+    }
+
+    async fn noted<Answer, Call>(&self, call: Call) -> Result<Answer, StoreError>
     where
         Call: Future<Output = Result<Answer, StoreError>>,
     {
@@ -130,7 +180,7 @@
                 health.note_failure(sent, self.clock.monotonic());
                 self.health.set(health);
                 if health.is_failing() {
-                    self.began_to_fail.notify_one();
+                    self.suspected.notify_one();
                 }
             }
             Ok(_) | Err(StoreError::Forgotten | StoreError::Malformed) => {
@@ -190,7 +240,7 @@
         let back = self.came_back.notified();
         let result = tokio::select! {
             biased;
-            result = self.call(call) => result,
+            result = self.noted(call) => result,
             () = back => Err(StoreError::Unknown),
         };
         if let Err(error) = &result {
@@ -209,6 +259,9 @@
     fn tell(&self) {
         let lost = self.is_lost();
         if self.lost.replace(lost) != lost {
+            if lost {
+                self.went_away.notify_waiters();
+            }
             let without_ms = whole_millis(self.without());
             self.log.line(
                 LogEvent::Dependency,
--- a/crates/fleet/tests/daemons/memory_store.rs
+++ b/crates/fleet/tests/daemons/memory_store.rs
@@ -66,6 +66,8 @@
     pub(crate) lost_answers: Cell<u32>,
     /// Whether no call is heard.
     silent: Cell<bool>,
+    /// How long the store takes for a call.
+    pub(crate) takes: Cell<Duration>,
     /// How often the connections that were open went silent for good.
     losses: Cell<u32>,
 }
@@ -172,6 +174,7 @@
             down: Cell::new(false),
             lost_answers: Cell::new(0),
             silent: Cell::new(false),
+            takes: Cell::new(Duration::from_millis(2)),
             losses: Cell::new(0),
         }
     }
@@ -251,7 +254,7 @@
 impl FleetStore for StoreWay {
     async fn commit(&self, commit: RowCommit) -> Result<CommitAnswer, StoreError> {
         let call = async {
-            time::sleep(Duration::from_millis(2)).await;
+            time::sleep(self.takes.get()).await;
             self.reach()?;
             let answer = self.store.commit(commit);
             if self.lost_answers.get() > 0 {
@@ -271,7 +274,7 @@
         to: Option<&str>,
     ) -> Result<RowPage<FleetRow>, StoreError> {
         let call = async {
-            time::sleep(Duration::from_millis(2)).await;
+            time::sleep(self.takes.get()).await;
             self.reach()?;
             let rows = self.store.rows.borrow();
             let mut items: Vec<FleetRow> = rows
@@ -348,6 +351,8 @@
         self.carry(wait + WATCH_TIMEOUT, call).await
     }
 
+    fn forget_connections(&self) {}
+
     async fn tell_wave(
         &self,
         _wave: u64,
--- a/crates/fleet/tests/daemons/store_silence.rs
+++ b/crates/fleet/tests/daemons/store_silence.rs
@@ -32,6 +32,8 @@
 const IN_FORCE: Duration = Duration::from_secs(2);
 /// How long after its return the store may still be taken for lost.
 const NOTICED: Duration = Duration::from_millis(500);
+/// How long a caller may be held in vain.
+const HELD: Duration = Duration::from_millis(500);
 /// Longer than the longest round of a daemon's watches.
 const ROUND_MS: u64 = 3500;
 const SILENCES_MS: [u64; 5] = [100, 1000, 2300, 5000, 7600];
@@ -58,7 +60,8 @@
 
 async fn knows_queue(daemon: &TestDaemon, queue: &str) -> bool {
     let answer = count(&daemon.desk, &format!("/{queue}/")).await;
-    let configured = count(&daemon.desk, "/queue/").await != CallerAnswer::NoQueue;
+    // Without a configuration every queue gets another answer.
+    let configured = count(&daemon.desk, "/nowhere/").await == CallerAnswer::NoQueue;
     configured && answer != CallerAnswer::NoQueue
 }
 
@@ -106,6 +109,47 @@
     });
 }
 
+/// Guards against callers that are held until the time-out of the store's calls, or until their own deadline.
+#[test]
+fn a_caller_is_answered_at_once_as_the_store_falls_silent() {
+    play_each_phase(|phase| async move {
+        let fleet = TestFleet::with_runtime_clock(0);
+        fleet.own_elsewhere();
+        let daemon = fleet.daemon();
+        settled(&daemon).await;
+        time::sleep(phase).await;
+        daemon.way.fall_silent();
+        for number in 1..=3 {
+            let verb = CallerVerb::Submit(job(&[(1, &[])]));
+            let answer = time::timeout(HELD, ask(&daemon.desk, number, verb)).await;
+            let answer = answer.expect("the caller is answered in time");
+            let expected = match number {
+                1 => matches!(answer, CallerAnswer::Unknown),
+                _ => matches!(answer, CallerAnswer::Refused(_)),
+            };
+            assert!(expected, "{answer:?} to {number} after {phase:?}");
+        }
+    });
+}
+
+/// Guards against callers refused though the store answers: it takes 60 times as long as it should.
+#[test]
+fn a_slow_store_is_not_taken_for_silent() {
+    play_each_phase(|phase| async move {
+        let fleet = TestFleet::with_runtime_clock(0);
+        fleet.own_elsewhere();
+        let daemon = fleet.daemon();
+        settled(&daemon).await;
+        time::sleep(phase).await;
+        daemon.way.takes.set(Duration::from_millis(240));
+        for number in 1..=5 {
+            let verb = CallerVerb::Submit(job(&[(1, &[])]));
+            let answer = ask(&daemon.desk, number, verb).await;
+            assert_eq!(answer, CallerAnswer::Done, "slow after {phase:?}");
+        }
+    });
+}
+
 /// Guards against a 404 for an added route while the store is well: the connection of the watch went silent for good.
 #[test]
 fn a_route_is_in_force_in_time_though_open_connections_went_silent() {
--- a/crates/fleet/tests/store_health.rs
+++ b/crates/fleet/tests/store_health.rs
@@ -44,3 +44,13 @@
     health.note_answer(at(950));
     assert_eq!(health.without(at(1000)), at(0));
 }
+
+#[test]
+fn the_store_is_there_from_the_call_that_showed_its_return() {
+    let mut health = StoreHealth::new();
+    assert_eq!(health.with(at(5000)), Duration::MAX);
+    health.note_failure(at(5000), at(5100));
+    assert_eq!(health.with(at(6000)), Duration::ZERO);
+    health.note_answer(at(7000));
+    assert_eq!(health.with(at(7300)), at(300));
+}
