Leave an owner alone as the store comes back to all

What callers saw: starts stood still for a moment at the end of an outage for all, although no daemon had failed.

Cause: since daemons notice the store's return by probes of their own, 0 to 0.25 s apart, a peer that has it back asks the owner, hears that it has been without for seconds, and takes over at once.

Change: a daemon replaces an owner for its want of the store only after it has had the store itself for as long, 1 s.

--- a/crates/fleet/src/member_watch.rs
+++ b/crates/fleet/src/member_watch.rs
@@ -196,5 +196,7 @@
         shared.note_token(acting);
     }
     let now = shared.now();
-    shared.succession.borrow_mut().note_probe(probe, sent, now);
+    let mut succession = shared.succession.borrow_mut();
+    succession.note_store(shared.store.with());
+    succession.note_probe(probe, sent, now);
 }
--- a/crates/fleet/src/store_link.rs
+++ b/crates/fleet/src/store_link.rs
@@ -100,6 +100,11 @@
         self.health.get().without(self.clock.monotonic())
     }
 
+    /// Returns for how long the store has been there.
+    pub(crate) fn with(&self) -> Duration {
+        self.health.get().with(self.clock.monotonic())
+    }
+
     pub(crate) fn is_lost(&self) -> bool {
         self.without() >= LOST_AFTER
     }
--- a/crates/fleet/src/succession.rs
+++ b/crates/fleet/src/succession.rs
@@ -12,7 +12,7 @@
 /// How long an owner may be silent until it is replaced, from the first probe that got no answer. Three get none in
 /// this time.
 const SILENCE: Duration = Duration::from_millis(1300);
-/// How long an owner may be without the store while another daemon has it.
+/// How long an owner may be without the store while another daemon has it. The store comes back to daemons one by one.
 const WITHOUT_STORE: Duration = Duration::from_millis(1000);
 /// By how much each daemon lets the ones before it in rank go first.
 const RANK_STEP: Duration = Duration::from_millis(120);
@@ -39,6 +39,7 @@
     silent_since: Option<Duration>,
     unfit_since: Option<Duration>,
     gone: bool,
+    with_store: Duration,
 }
 
 impl Succession {
@@ -52,9 +53,15 @@
             silent_since: None,
             unfit_since: None,
             gone: false,
+            with_store: Duration::MAX,
         }
     }
 
+    /// Takes note for how long this daemon has had the store.
+    pub fn note_store(&mut self, with_store: Duration) {
+        self.with_store = with_store;
+    }
+
     /// Takes note of the owner's row.
     pub fn note_owner(&mut self, owner: Option<OwnerRecord>, now: Duration) {
         if self.owner == owner && self.owner.is_some() {
@@ -100,7 +107,8 @@
             OwnerProbe::Answered(health) => {
                 let other_life = health.incarnation != owner.incarnation;
                 let acts = health.acting == Some(owner.token);
-                let cut_off = health.without_store_ms >= whole_millis(WITHOUT_STORE);
+                let cut_off = health.without_store_ms >= whole_millis(WITHOUT_STORE)
+                    && self.with_store >= WITHOUT_STORE;
                 self.gone = other_life;
                 // An owner that has just won its row needs a moment until it acts.
                 match acts {
--- a/crates/fleet/tests/succession.rs
+++ b/crates/fleet/tests/succession.rs
@@ -118,6 +118,23 @@
     assert!(!succession.former_is_gone());
 }
 
+/// Guards against a sound owner that is replaced as an outage for all ends: the store came back to its peers a moment
+/// before.
+#[test]
+fn an_owner_is_left_alone_as_the_store_comes_back_to_all() {
+    let mut succession = succession();
+    let blind = PeerHealth {
+        without_store_ms: 4200,
+        ..health()
+    };
+    succession.note_store(ms(100));
+    succession.note_probe(OwnerProbe::Answered(blind), ms(1000), ms(1000));
+    assert!(!succession.should_claim(ms(1000)));
+    succession.note_store(ms(1000));
+    succession.note_probe(OwnerProbe::Answered(blind), ms(1900), ms(1900));
+    assert!(succession.should_claim(ms(1900)));
+}
+
 /// Without an order among them all would claim at once, again and again.
 #[test]
 fn the_larger_daemons_go_first() {
