Have a daemon own whose claim was done and not answered

What callers saw: nothing was started until another daemon took over 1.3 s later; with one daemon, nothing ever.

Cause: the daemon takes a claim without an answer for not done, reads its own name in the owner's row then, and waits for that owner: only a row of its former life made it claim again, although the code said otherwise.

Change: a daemon that does not act claims whenever the row names it.

Evidence: a_daemon_whose_claim_was_not_answered_still_owns fails before (0 starts in 10 s, not 1). Found while reading what an earlier end of calls under way does to a claim.

--- a/crates/fleet/src/fleet_daemon.rs
+++ b/crates/fleet/src/fleet_daemon.rs
@@ -115,7 +115,7 @@
     /// Creates a daemon that runs until `stop` is true.
     pub fn new(settings: FleetSettings, edges: FleetEdges, stop: watch::Receiver<bool>) -> Self {
         let incarnation = incarnation(&*edges.clock);
-        let succession = Succession::new(&settings.node, incarnation);
+        let succession = Succession::new(&settings.node);
         let store = StoreLink::new(edges.store, Rc::clone(&edges.clock), edges.log.clone());
         let shared = Rc::new(FleetShared {
             settings,
--- a/crates/fleet/src/succession.rs
+++ b/crates/fleet/src/succession.rs
@@ -33,7 +33,6 @@
 #[derive(Debug)]
 pub struct Succession {
     node: String,
-    incarnation: u64,
     owner: Option<OwnerRecord>,
     members: Vec<MemberRecord>,
     silent_since: Option<Duration>,
@@ -43,11 +42,10 @@
 }
 
 impl Succession {
-    /// Creates the succession as the daemon with this name and life sees it.
-    pub fn new(node: &str, incarnation: u64) -> Self {
+    /// Creates the succession as the daemon with this name sees it.
+    pub fn new(node: &str) -> Self {
         Self {
             node: node.to_owned(),
-            incarnation,
             owner: None,
             members: Vec::new(),
             silent_since: None,
@@ -131,13 +129,11 @@
         }
     }
 
-    /// Tells whether to take over at `now`.
+    /// Tells whether to take over at `now`, where this daemon does not act as the owner: if the row names it, its former
+    /// life wrote it, or its own claim was done without an answer.
     pub fn should_claim(&self, now: Duration) -> bool {
-        let own_former_life = self
-            .owner
-            .as_ref()
-            .is_some_and(|owner| owner.node == self.node && owner.incarnation != self.incarnation);
-        if own_former_life {
+        let owner = self.owner.as_ref();
+        if owner.is_some_and(|owner| owner.node == self.node) {
             return true;
         }
         self.unfit_since
--- a/crates/fleet/tests/daemons/store_silence.rs
+++ b/crates/fleet/tests/daemons/store_silence.rs
@@ -209,3 +209,28 @@
         assert_eq!(fleet.workers.begins(), begun, "silent after {phase:?}");
     });
 }
+
+/// Guards against jobs that nobody runs: the write that made the only daemon the owner was done and not answered.
+#[test]
+fn a_daemon_whose_claim_was_not_answered_still_owns() {
+    play_each_phase(|_| async move {
+        let fleet = TestFleet::with_runtime_clock(1);
+        let daemon = fleet.daemon();
+        while fleet.store.count(FleetTable::Fleet) == 0 {
+            time::sleep(Duration::from_micros(100)).await;
+        }
+        time::sleep(Duration::from_millis(1)).await;
+        daemon.way.lost_answers.set(1);
+        while daemon.way.lost_answers.get() > 0 {
+            time::sleep(Duration::from_millis(1)).await;
+        }
+        assert_eq!(
+            fleet.store.count(FleetTable::Fleet),
+            2,
+            "the claim was done"
+        );
+        submit(&daemon.desk, 1, &job(&[(1, &[])])).await;
+        time::sleep(Duration::from_secs(10)).await;
+        assert_eq!(fleet.workers.begins(), 1);
+    });
+}
--- a/crates/fleet/tests/succession.rs
+++ b/crates/fleet/tests/succession.rs
@@ -44,7 +44,7 @@
 
 /// The daemon `b` looks at the owner `a`; `c` is smaller than `b`, `d` is larger.
 fn succession() -> Succession {
-    let mut succession = Succession::new("b", 7);
+    let mut succession = Succession::new("b");
     succession.note_members(vec![member("a", 100), member("b", 100), member("c", 60)]);
     succession.note_owner(Some(owner("a", 1)), ms(0));
     succession
