Pause before jobs are read again after a read that failed

Cause: where the store has forgotten its history and the read of all jobs fails, the watch was asked again without a pause. Read off the code; no run showed it.

--- a/crates/fleet/src/owner_work.rs
+++ b/crates/fleet/src/owner_work.rs
@@ -302,11 +302,10 @@
                 }
                 seat.plan.notify_one();
             }
-            Err(StoreError::Forgotten) => {
-                if let Ok(version) = read_jobs_again(&shared, &seat).await {
-                    after = version;
-                }
-            }
+            Err(StoreError::Forgotten) => match read_jobs_again(&shared, &seat).await {
+                Ok(version) => after = version,
+                Err(_) => shared.store.pause().await,
+            },
             Err(_) => shared.store.pause().await,
         }
     }
