--- a/crates/fleet/tests/daemons/store_silence.rs
+++ b/crates/fleet/tests/daemons/store_silence.rs
@@ -52,6 +52,16 @@
     }
 }
 
+/// Returns a daemon that follows an owner which nobody reaches, so that nothing but its watches asks for the store.
+async fn follower(phase: Duration) -> (TestFleet, TestDaemon) {
+    let fleet = TestFleet::with_runtime_clock(0);
+    fleet.own_elsewhere();
+    let daemon = fleet.daemon();
+    settled(&daemon).await;
+    time::sleep(phase).await;
+    (fleet, daemon)
+}
+
 async fn settled(daemon: &TestDaemon) {
     while !knows_queue(daemon, "queue").await {
         time::sleep(Duration::from_millis(50)).await;
@@ -71,11 +81,7 @@
 fn a_route_added_as_the_store_returns_is_in_force_in_time() {
     play_each_phase(|phase| async move {
         for silence in SILENCES_MS {
-            let fleet = TestFleet::with_runtime_clock(0);
-            fleet.own_elsewhere();
-            let daemon = fleet.daemon();
-            settled(&daemon).await;
-            time::sleep(phase).await;
+            let (fleet, daemon) = follower(phase).await;
             daemon.way.fall_silent();
             time::sleep(Duration::from_millis(silence)).await;
             daemon.way.answer_again();
@@ -92,11 +98,7 @@
 #[test]
 fn a_daemon_without_traffic_notices_the_return_at_once() {
     play_each_phase(|phase| async move {
-        let fleet = TestFleet::with_runtime_clock(0);
-        fleet.own_elsewhere();
-        let daemon = fleet.daemon();
-        settled(&daemon).await;
-        time::sleep(phase).await;
+        let (fleet, daemon) = follower(phase).await;
         daemon.way.fall_silent();
         time::sleep(Duration::from_millis(7600)).await;
         daemon.way.answer_again();
@@ -113,11 +115,7 @@
 #[test]
 fn a_caller_is_answered_at_once_as_the_store_falls_silent() {
     play_each_phase(|phase| async move {
-        let fleet = TestFleet::with_runtime_clock(0);
-        fleet.own_elsewhere();
-        let daemon = fleet.daemon();
-        settled(&daemon).await;
-        time::sleep(phase).await;
+        let (_fleet, daemon) = follower(phase).await;
         daemon.way.fall_silent();
         for number in 1..=3 {
             let verb = CallerVerb::Submit(job(&[(1, &[])]));
@@ -136,11 +134,7 @@
 #[test]
 fn a_slow_store_is_not_taken_for_silent() {
     play_each_phase(|phase| async move {
-        let fleet = TestFleet::with_runtime_clock(0);
-        fleet.own_elsewhere();
-        let daemon = fleet.daemon();
-        settled(&daemon).await;
-        time::sleep(phase).await;
+        let (_fleet, daemon) = follower(phase).await;
         daemon.way.takes.set(Duration::from_millis(240));
         for number in 1..=5 {
             let verb = CallerVerb::Submit(job(&[(1, &[])]));
@@ -154,11 +148,7 @@
 #[test]
 fn a_route_is_in_force_in_time_though_open_connections_went_silent() {
     play_each_phase(|phase| async move {
-        let fleet = TestFleet::with_runtime_clock(0);
-        fleet.own_elsewhere();
-        let daemon = fleet.daemon();
-        settled(&daemon).await;
-        time::sleep(phase).await;
+        let (fleet, daemon) = follower(phase).await;
         daemon.way.lose_connections();
         fleet.store.add_queue("added");
         time::sleep(IN_FORCE).await;
