Give up a call whose connection fell silent while later ones are answered

What callers saw: submissions held for 1.2 s where a connection to the store fell silent by itself, or the answer of a write was lost; then a peer was asked.

Cause: such a call ended by its own time-out alone, though the store answered others that were sent later.

Change: a call is given up after 0.3 s if one sent later was answered, or after eight times as long as the latest one took: where the store is slow and writes wait for one another, a write is waited for as before. It counts as unknown; a peer writes the row or finds it there.

Evidence: a_caller_is_answered_at_once_as_its_writes_connection_falls_silent fails before (no answer within 0.5 s); a_slow_store_is_not_taken_for_silent, now with reads of 0.24 s and writes of 0.72 s, fails if the latencies are ignored.

--- a/crates/fleet/src/store_health.rs
+++ b/crates/fleet/src/store_health.rs
@@ -33,7 +33,7 @@
     /// Takes note at `now` that a call sent at `sent` failed.
     pub fn note_failure(&mut self, sent: Duration, now: Duration) {
         // Its connection was lost, not the store: a later call was answered.
-        if self.answered.is_some_and(|answered| answered > sent) {
+        if self.is_answered_since(sent) {
             return;
         }
         self.failing_since.get_or_insert(now);
@@ -44,6 +44,11 @@
         self.note_failure(sent, sent);
     }
 
+    /// Tells whether a call was answered that was sent after `sent`.
+    pub fn is_answered_since(&self, sent: Duration) -> bool {
+        self.answered.is_some_and(|answered| answered > sent)
+    }
+
     /// Tells whether calls fail.
     pub fn is_failing(&self) -> bool {
         self.failing_since.is_some()
--- a/crates/fleet/src/store_link.rs
+++ b/crates/fleet/src/store_link.rs
@@ -45,6 +45,9 @@
 const STALL: Duration = Duration::from_millis(30);
 // A probe that was left unanswered shows a loss at once.
 const _: () = assert!(PATIENCE.as_millis() >= LOST_AFTER.as_millis());
+/// How long a call is waited for at least while later ones are answered, and how many times as long as they took.
+const LEAST_PATIENCE: Duration = Duration::from_millis(300);
+const LATENCIES: u32 = 8;
 /// How long to wait after a call that failed while others are answered.
 const PAUSE: Duration = Duration::from_millis(150);
 /// How long to wait at most after a call that failed.
@@ -71,6 +74,8 @@
     log: FleetLog,
     health: Cell<StoreHealth>,
     lost: Cell<bool>,
+    /// How long the latest call took that was answered, watches left out.
+    latency: Cell<Duration>,
     suspected: Notify,
     went_away: Notify,
     came_back: Notify,
@@ -88,6 +93,7 @@
             log,
             health: Cell::new(StoreHealth::new()),
             lost: Cell::new(false),
+            latency: Cell::new(Duration::ZERO),
             suspected: Notify::new(),
             went_away: Notify::new(),
             came_back: Notify::new(),
@@ -132,6 +138,7 @@
         let mut read = pin!(read);
         for patience in [PATIENCE, STALL] {
             if let Ok(result) = time::timeout(patience, &mut read).await {
+                self.note_latency(sent);
                 self.note(sent, &result);
                 return;
             }
@@ -154,25 +161,50 @@
         }
     }
 
-    /// Makes a call that is answered soon, and takes note of how it went. It is given up if the store turns out to be
-    /// silent meanwhile.
+    /// Makes a call that is answered soon, and takes note of how it went. It is given up if the store, or the call's
+    /// connection, turns out to be silent meanwhile.
     pub(crate) async fn call<Answer, Call>(&self, call: Call) -> Result<Answer, StoreError>
     where
         Call: Future<Output = Result<Answer, StoreError>>,
     {
+        let sent = self.clock.monotonic();
         let away = self.went_away.notified();
         let mut call = pin!(self.noted(call));
-        if let Ok(result) = time::timeout(QUIET, &mut call).await {
-            return result;
+        let result = match time::timeout(QUIET, &mut call).await {
+            Ok(result) => result,
+            Err(_) => {
+                self.suspected.notify_one();
+                tokio::select! {
+                    biased;
+                    result = call => result,
+                    () = away => Err(StoreError::Unknown),
+                    () = self.overtaken(sent) => Err(StoreError::Unknown),
+                }
+            }
+        };
+        if result.is_ok() {
+            self.note_latency(sent);
         }
-        self.suspected.notify_one();
-        tokio::select! {
-            biased;
-            result = call => result,
-            () = away => Err(StoreError::Unknown),
+        result
+    }
+
+    /// Waits until a call sent at `sent` has been waited for for many times as long as later ones took.
+    async fn overtaken(&self, sent: Duration) {
+        loop {
+            time::sleep(QUIET).await;
+            let waited = self.clock.monotonic().saturating_sub(sent);
+            let patience = LEAST_PATIENCE.max(self.latency.get() * LATENCIES);
+            if self.health.get().is_answered_since(sent) && waited >= patience {
+                return;
+            }
         }
     }
 
+    fn note_latency(&self, sent: Duration) {
+        self.latency
+            .set(self.clock.monotonic().saturating_sub(sent));
+    }
+
     async fn noted<Answer, Call>(&self, call: Call) -> Result<Answer, StoreError>
     where
         Call: Future<Output = Result<Answer, StoreError>>,
--- a/crates/fleet/tests/daemons/memory_store.rs
+++ b/crates/fleet/tests/daemons/memory_store.rs
@@ -66,8 +66,10 @@
     pub(crate) lost_answers: Cell<u32>,
     /// Whether no call is heard.
     silent: Cell<bool>,
-    /// How long the store takes for a call.
-    pub(crate) takes: Cell<Duration>,
+    /// How long the store takes for a read.
+    pub(crate) read_takes: Cell<Duration>,
+    /// How long it takes for a commit.
+    pub(crate) commit_takes: Cell<Duration>,
     /// How often the connections that were open went silent for good.
     losses: Cell<u32>,
 }
@@ -174,7 +176,8 @@
             down: Cell::new(false),
             lost_answers: Cell::new(0),
             silent: Cell::new(false),
-            takes: Cell::new(Duration::from_millis(2)),
+            read_takes: Cell::new(Duration::from_millis(2)),
+            commit_takes: Cell::new(Duration::from_millis(2)),
             losses: Cell::new(0),
         }
     }
@@ -254,7 +257,7 @@
 impl FleetStore for StoreWay {
     async fn commit(&self, commit: RowCommit) -> Result<CommitAnswer, StoreError> {
         let call = async {
-            time::sleep(self.takes.get()).await;
+            time::sleep(self.commit_takes.get()).await;
             self.reach()?;
             let answer = self.store.commit(commit);
             if self.lost_answers.get() > 0 {
@@ -274,7 +277,7 @@
         to: Option<&str>,
     ) -> Result<RowPage<FleetRow>, StoreError> {
         let call = async {
-            time::sleep(self.takes.get()).await;
+            time::sleep(self.read_takes.get()).await;
             self.reach()?;
             let rows = self.store.rows.borrow();
             let mut items: Vec<FleetRow> = rows
--- a/crates/fleet/tests/daemons/store_silence.rs
+++ b/crates/fleet/tests/daemons/store_silence.rs
@@ -130,12 +130,34 @@
     });
 }
 
-/// Guards against callers refused though the store answers: it takes 60 times as long as it should.
+/// Guards against callers that are held for the time-out of a write whose connection fell silent, or whose answer was lost.
+#[test]
+fn a_caller_is_answered_at_once_as_its_writes_connection_falls_silent() {
+    play_each_phase(|phase| async move {
+        let (fleet, daemon) = follower(phase).await;
+        let asked = async {
+            let verb = CallerVerb::Submit(job(&[(1, &[])]));
+            time::timeout(HELD, ask(&daemon.desk, 1, verb)).await
+        };
+        let lost = async {
+            time::sleep(Duration::from_millis(1)).await;
+            daemon.way.lose_connections();
+        };
+        let (answer, ()) = tokio::join!(asked, lost);
+        assert_eq!(answer, Ok(CallerAnswer::Unknown), "lost after {phase:?}");
+        assert_eq!(fleet.store.count(FleetTable::Jobs), 1);
+        submit(&daemon.desk, 1, &job(&[(1, &[])])).await;
+    });
+}
+
+/// Guards against callers refused though the store answers: it takes 60 times as long as it should, and writes wait for one
+/// another.
 #[test]
 fn a_slow_store_is_not_taken_for_silent() {
     play_each_phase(|phase| async move {
         let (_fleet, daemon) = follower(phase).await;
-        daemon.way.takes.set(Duration::from_millis(240));
+        daemon.way.read_takes.set(Duration::from_millis(240));
+        daemon.way.commit_takes.set(Duration::from_millis(720));
         for number in 1..=5 {
             let verb = CallerVerb::Submit(job(&[(1, &[])]));
             let answer = ask(&daemon.desk, number, verb).await;
