Give each peer its own time to do what a daemon can't

What callers saw: with a peer that is gone and still listed, every caller of a daemon without the store would wait 0.7 s, until the caller before it is forgotten.

Cause: since all peers had 0.7 s together, and the call to a peer, which has 1.2 s (0.7 s for its connection), was dropped before its silence was noted: the peer stayed the first that is asked, and no other was. Read off the code; no run showed it. A test with a silent owner could not tell, as reads of status note its silence, too.

Change: each of the two peers has 0.35 s; one that leaves a call unanswered is noted as before. Where a peer only tells what it knows, 1.2 s stay.

--- a/crates/fleet/src/caller_desk.rs
+++ b/crates/fleet/src/caller_desk.rs
@@ -14,7 +14,6 @@
     ProgressRecord, //
 };
 use serde::Serialize;
-use tokio::time;
 
 use crate::{
     CallerAnswer,
@@ -40,8 +39,10 @@
 /// When a caller that was refused should come back, if the store is away. It waits for some seconds in all, and counts in
 /// whole ones: the shortest leaves it most tries.
 const BACK_WITHOUT_STORE: Duration = Duration::from_secs(1);
-/// How long other daemons may take in all to do what this one can't.
-const PEERS_TIME: Duration = Duration::from_millis(700);
+/// How long another daemon may take to tell what this one does not know.
+const TOLD_WITHIN: Duration = Duration::from_millis(1200);
+/// How long another daemon may take to do what this one can't: the caller has waited here already.
+const DONE_WITHIN: Duration = Duration::from_millis(350);
 /// How many other daemons are asked in this one's place.
 const PEERS_ASKED: usize = 2;
 
@@ -291,8 +292,8 @@
             false => self.shared.owner_address().into_iter().collect(),
         };
         for address in peers.into_iter().take(PEERS_ASKED) {
-            let answer = self.shared.ask_peer(&address, call.clone()).await;
-            match answer {
+            let asked = self.shared.ask_peer(&address, call.clone(), TOLD_WITHIN);
+            match asked.await {
                 Ok(CallerAnswer::Refused(_) | CallerAnswer::Unknown) | Err(_) => {}
                 Ok(answer) => return Some(answer),
             }
@@ -305,10 +306,7 @@
     async fn elsewhere(&self, call: CallerCall, reach: Reach, error: StoreError) -> CallerAnswer {
         let unknown = error != StoreError::Refused;
         let answer = match reach {
-            Reach::Fleet => match time::timeout(PEERS_TIME, self.ask_for_it(call)).await {
-                Ok(answer) => answer,
-                Err(_) => CallerAnswer::Unknown,
-            },
+            Reach::Fleet => self.ask_for_it(call).await,
             Reach::Here => CallerAnswer::Refused(BACK_WITHOUT_STORE),
         };
         match answer {
@@ -322,7 +320,8 @@
         let mut unknown = false;
         let peers = self.shared.peer_addresses();
         for address in peers.into_iter().take(PEERS_ASKED) {
-            match self.shared.ask_peer(&address, call.clone()).await {
+            let asked = self.shared.ask_peer(&address, call.clone(), DONE_WITHIN);
+            match asked.await {
                 Ok(answer @ (CallerAnswer::Done | CallerAnswer::NoJob)) => return answer,
                 Ok(CallerAnswer::Unknown) | Err(PeerFault::Unanswered) => unknown = true,
                 Ok(_) | Err(PeerFault::Unsent) => {}
--- a/crates/fleet/src/fleet_shared.rs
+++ b/crates/fleet/src/fleet_shared.rs
@@ -165,13 +165,14 @@
         addresses
     }
 
-    /// Has another daemon answer a caller in this one's place.
+    /// Has another daemon answer a caller in this one's place, within `patience`.
     pub(crate) async fn ask_peer(
         &self,
         address: &str,
         call: CallerCall,
+        patience: Duration,
     ) -> Result<CallerAnswer, PeerFault> {
-        let answer = self.peers.serve(address, call).await;
+        let answer = self.peers.serve(address, call, patience).await;
         let mut order = self.peer_order.borrow_mut();
         match answer {
             Ok(_) => order.note_answer(address),
--- a/crates/fleet/src/peer_client.rs
+++ b/crates/fleet/src/peer_client.rs
@@ -21,8 +21,6 @@
 
 /// How long a probe waits. Three of them, with their pauses, make an owner silent.
 const PROBE: Duration = Duration::from_millis(400);
-/// How long another daemon may take to answer a caller in this one's place.
-const SERVE: Duration = Duration::from_millis(1200);
 
 /// Why another daemon did not answer.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -57,8 +55,9 @@
         &self,
         address: &str,
         call: CallerCall,
+        patience: Duration,
     ) -> Result<CallerAnswer, PeerFault> {
-        match self.call(address, &PeerCall::Serve(call), SERVE).await {
+        match self.call(address, &PeerCall::Serve(call), patience).await {
             Ok(PeerAnswer::Served(answer)) => Ok(answer),
             Ok(PeerAnswer::Health(_)) | Err(HttpFault::Unanswered) => Err(PeerFault::Unanswered),
             Err(HttpFault::Closed | HttpFault::Unsent) => Err(PeerFault::Unsent),
