Wait for long reads while shorter calls are answered

What callers would see: with many jobs on record, a successor that never acts.

Cause: since a call was given up after 0.3 s if a later one was answered quickly, also a read of a page of jobs, which may take longer for its size and for the daemon's share of a processor; it was read again and given up again.

Change: only writes are given up so; they are small. A read on a connection that fell silent is waited for for 1.2 s as before.

Evidence: a_long_read_of_jobs_is_waited_for_while_other_calls_are_short fails before (0 starts in 10 s with reads of jobs that take 0.9 s).

--- a/crates/fleet/src/store_link.rs
+++ b/crates/fleet/src/store_link.rs
@@ -161,8 +161,7 @@
         }
     }
 
-    /// Makes a call that is answered soon, and takes note of how it went. It is given up if the store, or the call's
-    /// connection, turns out to be silent meanwhile.
+    /// Makes a call, and takes note of how it went. It is given up if the store turns out to be silent meanwhile.
     pub(crate) async fn call<Answer, Call>(&self, call: Call) -> Result<Answer, StoreError>
     where
         Call: Future<Output = Result<Answer, StoreError>>,
@@ -178,7 +177,6 @@
                     biased;
                     result = call => result,
                     () = away => Err(StoreError::Unknown),
-                    () = self.overtaken(sent) => Err(StoreError::Unknown),
                 }
             }
         };
@@ -236,9 +234,15 @@
         self.tell();
     }
 
+    /// Commits rows. It is given up, too, if its connection turns out to be silent; a read may take long for its size.
     pub(crate) async fn commit(&self, commit: RowCommit) -> Result<CommitAnswer, StoreError> {
         metrics::counter!("jasminebend_fleet_store_writes_total").increment(1);
-        self.call(self.store.commit(commit)).await
+        let sent = self.clock.monotonic();
+        tokio::select! {
+            biased;
+            result = self.call(self.store.commit(commit)) => result,
+            () = self.overtaken(sent) => Err(StoreError::Unknown),
+        }
     }
 
     /// Reads all rows of a part from `from` up to `to`, and the store's version at the first page.
--- a/crates/fleet/tests/daemons/memory_store.rs
+++ b/crates/fleet/tests/daemons/memory_store.rs
@@ -68,6 +68,8 @@
     silent: Cell<bool>,
     /// How long the store takes for a read.
     pub(crate) read_takes: Cell<Duration>,
+    /// How long it takes for a read of jobs.
+    pub(crate) jobs_take: Cell<Duration>,
     /// How long it takes for a commit.
     pub(crate) commit_takes: Cell<Duration>,
     /// How often the connections that were open went silent for good.
@@ -177,6 +179,7 @@
             lost_answers: Cell::new(0),
             silent: Cell::new(false),
             read_takes: Cell::new(Duration::from_millis(2)),
+            jobs_take: Cell::new(Duration::from_millis(2)),
             commit_takes: Cell::new(Duration::from_millis(2)),
             losses: Cell::new(0),
         }
@@ -277,7 +280,11 @@
         to: Option<&str>,
     ) -> Result<RowPage<FleetRow>, StoreError> {
         let call = async {
-            time::sleep(self.read_takes.get()).await;
+            let takes = match table {
+                FleetTable::Jobs => &self.jobs_take,
+                _ => &self.read_takes,
+            };
+            time::sleep(takes.get()).await;
             self.reach()?;
             let rows = self.store.rows.borrow();
             let mut items: Vec<FleetRow> = rows
--- a/crates/fleet/tests/daemons/store_silence.rs
+++ b/crates/fleet/tests/daemons/store_silence.rs
@@ -246,3 +246,18 @@
         assert_eq!(fleet.workers.begins(), 1);
     });
 }
+
+/// Guards against a successor that never acts: its read of many jobs was given up, as shorter calls overtook it.
+#[test]
+fn a_long_read_of_jobs_is_waited_for_while_other_calls_are_short() {
+    play_each_phase(|phase| async move {
+        let fleet = TestFleet::with_runtime_clock(1);
+        let daemon = fleet.daemon();
+        daemon.way.jobs_take.set(Duration::from_millis(900));
+        settled(&daemon).await;
+        time::sleep(phase).await;
+        submit(&daemon.desk, 1, &job(&[(1, &[])])).await;
+        time::sleep(Duration::from_secs(10)).await;
+        assert_eq!(fleet.workers.begins(), 1, "after {phase:?}");
+    });
+}
