Hold the ports of daemons that tests start

Cause, each provoked on: the soak's ports and those of the daemons' tests lay in one range, and neither kept the other off; the soak's store and workers let a port go before they bound it; a test of jbctl expected that a port it had let go refuses.

Change: a block of ports is held by its first; listeners are bound once; the port that is to refuse stays bound and does not listen.

--- a/crates/fleet/src/http_server.rs
+++ b/crates/fleet/src/http_server.rs
@@ -76,10 +76,22 @@
     Handler: HttpHandler + 'static,
 {
     let listener = TcpListener::bind(address).await?;
-    task::spawn_local(accept(listener, handler, stop, count));
+    serve_on(listener, handler, stop, count);
     Ok(())
 }
 
+/// Serves requests on a listener as [`serve`] does.
+pub fn serve_on<Handler>(
+    listener: TcpListener,
+    handler: Rc<Handler>,
+    stop: watch::Receiver<bool>,
+    count: ConnectionCount,
+) where
+    Handler: HttpHandler + 'static,
+{
+    task::spawn_local(accept(listener, handler, stop, count));
+}
+
 async fn accept<Handler>(
     listener: TcpListener,
     handler: Rc<Handler>,
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -84,7 +84,8 @@
     http_server::{
         ConnectionCount,
         HttpHandler,
-        serve, //
+        serve,
+        serve_on, //
     },
     owner_record::{
         JobRecord,
--- a/crates/fleet/tests/daemons/test_fleet.rs
+++ b/crates/fleet/tests/daemons/test_fleet.rs
@@ -11,15 +11,9 @@
         RefCell, //
     },
     collections::BTreeMap,
-    net::{
-        SocketAddr,
-        TcpListener, //
-    },
+    net::SocketAddr,
     rc::Rc,
-    sync::atomic::{
-        AtomicU16,
-        Ordering, //
-    },
+    sync::LazyLock,
     time::{
         Duration,
         SystemTime, //
@@ -76,6 +70,7 @@
     SystemClock, //
 };
 use jasminebend_standins::{
+    PortBlock,
     StepWorker,
     TaskWork, //
 };
@@ -391,19 +386,8 @@
     panic!("job {number} is at {last:?}, not at {wanted:?}");
 }
 
-/// Returns an address that nothing listens on. The ports lie below those that the system gives to calls, and
-/// no two tests of a process get the same.
+/// Returns an address that nothing listens on; no two tests of a process get the same.
 fn free_address() -> SocketAddr {
-    static NEXT: AtomicU16 = AtomicU16::new(0);
-    let first = FIRST_PORT + (std::process::id() % 40) as u16 * PORTS_OF_A_PROCESS;
-    loop {
-        let port = first + NEXT.fetch_add(1, Ordering::Relaxed) % PORTS_OF_A_PROCESS;
-        let address = SocketAddr::from(([127, 0, 0, 1], port));
-        if TcpListener::bind(address).is_ok() {
-            return address;
-        }
-    }
+    static PORTS: LazyLock<PortBlock> = LazyLock::new(|| PortBlock::new().unwrap());
+    PORTS.address().unwrap()
 }
-
-const FIRST_PORT: u16 = 20_000;
-const PORTS_OF_A_PROCESS: u16 = 300;
--- a/crates/jbctl/tests/exit_codes.rs
+++ b/crates/jbctl/tests/exit_codes.rs
@@ -8,6 +8,7 @@
     },
     net::{
         Shutdown,
+        SocketAddr,
         TcpListener,
         TcpStream, //
     },
@@ -20,6 +21,7 @@
 };
 
 use jasminebend_base::Configuration;
+use tokio::net::TcpSocket;
 
 const CONFIGURATION: &str = "\
 version: 3
@@ -185,9 +187,11 @@
 
 #[test]
 fn no_answer_at_all_is_told_apart_from_a_refusal() {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    let address = listener.local_addr().expect("an address").to_string();
-    drop(listener);
+    // Bound and not listening, the port refuses connections and is no other process's.
+    let socket = TcpSocket::new_v4().expect("a socket");
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    socket.bind(any).expect("a free port");
+    let address = socket.local_addr().expect("an address").to_string();
     let output = jbctl(&["--address", &address, "domain", "in", "a"]);
     assert_ends(&output, 3, "does not answer");
 }
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -19,6 +19,7 @@
 mod ledger_summary;
 mod manual_clock;
 mod object_stand_in;
+mod port_block;
 mod run_ledger;
 mod run_record;
 mod run_set;
@@ -66,6 +67,7 @@
     ledger_summary::LedgerSummary,
     manual_clock::ManualClock,
     object_stand_in::ObjectStandIn,
+    port_block::PortBlock,
     run_ledger::{
         ReservedPeak,
         RunLedger, //
