Replace connections to peers that are heard and do not answer

What callers would see: a daemon that refuses for up to a quarter of an hour while the table is away, though its peers live.

Cause: each daemon sends on connections of its own. Where they fall silent and the peers' own do not, the peers are heard, so that the connections were never replaced; the peers' words, by which a daemon acts without the table, did not come.

Change: connections are replaced, too, to peers that did not answer lately.

--- a/crates/cluster/tests/cluster/memory_net.rs
+++ b/crates/cluster/tests/cluster/memory_net.rs
@@ -35,6 +35,8 @@
 struct NetState {
     queues: IndexMap<SocketAddr, mpsc::Sender<Bytes>>,
     cut: IndexSet<(SocketAddr, SocketAddr)>,
+    /// Connections, by sender and receiver, that carry nothing until they are replaced.
+    silent: IndexSet<(SocketAddr, SocketAddr)>,
     later: IndexSet<SocketAddr>,
     refusing: IndexSet<SocketAddr>,
     recorded: Option<(SocketAddr, Arc<Mutex<Vec<Bytes>>>)>,
@@ -66,6 +68,11 @@
         }
     }
 
+    /// Silences the connection on which one daemon sends to another, until the sender replaces it.
+    pub(crate) fn silence(&self, from: SocketAddr, to: SocketAddr) {
+        self.inner.lock().unwrap().silent.insert((from, to));
+    }
+
     pub(crate) fn mend(&self) {
         self.inner.lock().unwrap().cut.clear();
     }
@@ -124,7 +131,8 @@
             true => as_later_release(&frame),
             false => frame,
         };
-        if state.cut.contains(&(self.address, to)) {
+        let way = (self.address, to);
+        if state.cut.contains(&way) || state.silent.contains(&way) {
             return;
         }
         if let Some(queue) = state.queues.get(&to) {
@@ -132,7 +140,10 @@
         }
     }
 
-    fn reset(&self, _to: SocketAddr) {}
+    fn reset(&self, to: SocketAddr) {
+        let mut state = self.net.inner.lock().unwrap();
+        state.silent.swap_remove(&(self.address, to));
+    }
 
     async fn receive(&self, limit: usize) -> Vec<Bytes> {
         let mut frames = Vec::new();
--- a/crates/cluster/tests/cluster/outages.rs
+++ b/crates/cluster/tests/cluster/outages.rs
@@ -256,3 +256,20 @@
     cluster.net.mend();
     settle(&handles).await;
 }
+
+/// Guards against a daemon that stops although its peers live: the connections that it sends on went silent, and since
+/// it heard its peers on theirs, it never replaced its own.
+#[tokio::test(start_paused = true)]
+async fn connections_that_went_silent_one_way_are_replaced() {
+    let mut cluster = TestCluster::new(5);
+    let handles = cluster.start_all(4).await;
+    for other in 2..=4 {
+        let (from, to) = (TestCluster::address(1), TestCluster::address(other));
+        cluster.net.silence(from, to);
+    }
+    sleep_ms(10_000).await;
+    let outage = OutageState::Down(FaultKind::Unreachable);
+    cluster.table.faults().set_outage(outage);
+    assert_eq!(watch_holders(&handles, 60_000).await, RESOURCES);
+    assert!(handles.iter().all(ClusterHandle::ready));
+}
--- a/crates/ownership/src/member_machine.rs
+++ b/crates/ownership/src/member_machine.rs
@@ -13,6 +13,7 @@
 use jasminebend_base::{
     OwnerEpoch,
     ResourceId,
+    SeatNumber,
     VmName, //
 };
 
@@ -237,16 +238,29 @@
             .map(|holder| &holder.daemon)
     }
 
-    /// Returns the addresses of members that were not heard lately.
+    /// Returns the addresses of members that were not heard, or did not answer, lately. Who is heard need not hear this
+    /// daemon: each sends on a connection of its own.
     pub fn silent_peers(&self, now: Duration) -> Vec<SocketAddr> {
         let Some(members) = self.members() else {
             return Vec::new();
         };
         members
             .numbered()
-            .filter(|(seat, _)| !self.is_heard(*seat, now))
-            .filter_map(|(_, record)| record.holder.as_ref())
-            .map(|holder| holder.daemon.peer)
+            .filter(|(seat, _)| self.hold.is_none_or(|hold| hold.id.seat != *seat))
+            .filter_map(|(seat, record)| Some((seat, &record.holder.as_ref()?.daemon)))
+            .filter(|(seat, daemon)| {
+                !self.is_heard(*seat, now) || !self.is_answered_by(*seat, daemon.nonce, now)
+            })
+            .map(|(_, daemon)| daemon.peer)
             .collect()
     }
+
+    /// Tells whether a process answered this daemon lately. None can answer a daemon that asks nothing.
+    fn is_answered_by(&self, seat: SeatNumber, nonce: u64, now: Duration) -> bool {
+        let vouch = self.vouches.get(usize::from(seat.0));
+        let answered = vouch.is_some_and(|vouch| {
+            vouch.nonce == nonce && now < vouch.asked_at.saturating_add(self.probe_after())
+        });
+        answered || self.hold.is_none() || !self.speaking
+    }
 }
