Give up a frame that a peer does not read

What operators would see: a daemon that its peers take for silent long after a pause of theirs, where they are no members of it any more or not yet.

Cause: a write to a peer that reads nothing was waited for without end. Members that are silent have their connections replaced; others, as a daemon that is taking its seat or has lost it, did not.

Change: a frame is waited for for 2 s, then the connection is replaced.

Evidence: a_connection_whose_peer_reads_nothing_is_replaced fails before: no other connection in 10 s.

--- a/crates/cluster/src/frame_sender.rs
+++ b/crates/cluster/src/frame_sender.rs
@@ -26,6 +26,8 @@
 const RECONNECT_MAX: Duration = Duration::from_secs(1);
 /// How long a connection may take, with its greeting.
 const CONNECT: Duration = Duration::from_secs(1);
+/// How long a peer may leave a frame unread before its connection is replaced.
+const WRITE: Duration = Duration::from_secs(2);
 
 /// Sends frames to a peer, over a new connection after each that ended, until the channel is closed.
 pub(crate) async fn send_frames(to: SocketAddr, mut frames: mpsc::Receiver<Bytes>) {
@@ -57,7 +59,8 @@
         let Some(frame) = frame else {
             return true;
         };
-        if stream.send(frame).await.is_err() {
+        let sent = time::timeout(WRITE, stream.send(frame)).await;
+        if !matches!(sent, Ok(Ok(()))) {
             return false;
         }
     }
--- a/crates/cluster/tests/cluster/link.rs
+++ b/crates/cluster/tests/cluster/link.rs
@@ -14,16 +14,23 @@
     ProbeOutcome, //
     TcpLink,
 };
+use jasminebend_wire::MAX_FRAME_BYTES;
 use tokio::{
     io::{
         AsyncReadExt,
         AsyncWriteExt, //
     },
-    net::TcpStream,
+    net::{
+        TcpListener,
+        TcpStream, //
+    },
     time::timeout, //
 };
 
 const LONGEST: Duration = Duration::from_secs(10);
+const REPEAT_AFTER: Duration = Duration::from_millis(20);
+/// What a receiver of frames says first.
+const RECEIVER: [u8; 8] = [0, b'S', b'P', 0, 0, 0x51, 0, 0];
 
 /// Operators would see daemons that live called gone, and callers refused now and then: a daemon
 /// that listens on a free port told its peers that port with its bytes swapped, nobody heard it,
@@ -70,3 +77,23 @@
     let received = timeout(LONGEST, listening.receive(1)).await;
     assert_eq!(received.expect("the frame arrives"), [frame]);
 }
+
+/// Guards against a sender that waits for good: its peer was paused, and frames filled the connection.
+#[tokio::test]
+async fn a_connection_whose_peer_reads_nothing_is_replaced() {
+    let free = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+    let peer = TcpListener::bind(free).await.expect("a free port");
+    let address = peer.local_addr().expect("it is bound");
+    let sending = TcpLink::new(free).expect("a free port of loopback");
+    let frame = Bytes::from(vec![0; MAX_FRAME_BYTES]);
+    sending.send(address, frame.clone());
+    let (mut paused, _) = peer.accept().await.expect("it connects");
+    paused.write_all(&RECEIVER).await.expect("it is open");
+    let replaced = async {
+        while timeout(REPEAT_AFTER, peer.accept()).await.is_err() {
+            sending.send(address, frame.clone());
+        }
+    };
+    let replaced = timeout(LONGEST, replaced).await;
+    assert!(replaced.is_ok(), "it connects anew");
+}
