Forget peers that nothing is sent to

Cause: the task that sends to an address lived as long as the daemon. To one that is gone it called once a second for good; a connection that its peer never ended stayed open.

Evidence: a_connection_that_nothing_is_sent_on_is_closed (open after 600 s) and an_address_that_nothing_is_sent_to_is_not_called (100 calls) fail before.

--- a/crates/cluster/src/tcp_link.rs
+++ b/crates/cluster/src/tcp_link.rs
@@ -68,6 +68,11 @@
             task: tokio::spawn(send_frames(to, frames)).abort_handle(),
         }
     }
+
+    /// Tells whether nothing was sent to the peer for so long that its connection was closed.
+    fn has_ended(&self) -> bool {
+        self.frames.is_closed()
+    }
 }
 
 impl TcpLink {
@@ -108,7 +113,13 @@
 
     fn send(&self, to: SocketAddr, frame: Bytes) {
         let mut peers = self.peers.lock().unwrap_or_else(PoisonError::into_inner);
-        let peer = peers.entry(to).or_insert_with(|| PeerSender::new(to));
+        if peers.get(&to).is_none_or(PeerSender::has_ended) {
+            peers.retain(|_, peer| !peer.has_ended());
+            peers.insert(to, PeerSender::new(to));
+        }
+        let Some(peer) = peers.get(&to) else {
+            return;
+        };
         if frame.len() > MAX_FRAME_BYTES || peer.frames.try_send(frame).is_err() {
             metrics::counter!("jasminebend_peer_sends_dropped_total").increment(1);
         }
--- a/crates/cluster/tests/cluster/link.rs
+++ b/crates/cluster/tests/cluster/link.rs
@@ -29,6 +29,8 @@
 
 const LONGEST: Duration = Duration::from_secs(10);
 const REPEAT_AFTER: Duration = Duration::from_millis(20);
+/// Longer than anything is kept for a peer that nothing is sent to.
+const IDLE: Duration = Duration::from_secs(600);
 /// What a receiver of frames says first.
 const RECEIVER: [u8; 8] = [0, b'S', b'P', 0, 0, 0x51, 0, 0];
 
@@ -97,3 +99,37 @@
     let replaced = timeout(LONGEST, replaced).await;
     assert!(replaced.is_ok(), "it connects anew");
 }
+
+/// Guards against a daemon that keeps a connection to every peer that there ever was: peers are replaced each day.
+#[tokio::test(start_paused = true)]
+async fn a_connection_that_nothing_is_sent_on_is_closed() {
+    let free = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+    let peer = TcpListener::bind(free).await.expect("a free port");
+    let sending = TcpLink::new(free).expect("a free port of loopback");
+    sending.send(
+        peer.local_addr().expect("it is bound"),
+        Bytes::from_static(b"frame"),
+    );
+    let (mut replaced, _) = peer.accept().await.expect("it connects");
+    replaced.write_all(&RECEIVER).await.expect("it is open");
+    let closed = async { while !matches!(replaced.read(&mut [0; 64]).await, Ok(0) | Err(_)) {} };
+    let closed = timeout(IDLE, closed).await;
+    assert!(closed.is_ok(), "it is still open");
+}
+
+/// Guards against a daemon that goes on calling every peer that there ever was.
+#[tokio::test(start_paused = true)]
+async fn an_address_that_nothing_is_sent_to_is_not_called() {
+    let free = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+    let peer = TcpListener::bind(free).await.expect("a free port");
+    let sending = TcpLink::new(free).expect("a free port of loopback");
+    sending.send(
+        peer.local_addr().expect("it is bound"),
+        Bytes::from_static(b"frame"),
+    );
+    let mut calls = 0;
+    while timeout(IDLE, peer.accept()).await.is_ok() {
+        calls += 1;
+        assert!(calls < 100, "it is called again and again");
+    }
+}
