--- a/crates/fleet/src/http_pool.rs
+++ b/crates/fleet/src/http_pool.rs
@@ -1,7 +1,10 @@
 //! Kept connections to servers, and calls over them.
 
 use std::{
-    cell::RefCell,
+    cell::{
+        Cell,
+        RefCell, //
+    },
     collections::HashMap,
     time::Duration, //
 };
@@ -33,6 +36,10 @@
 const CONNECT: Duration = Duration::from_millis(700);
 /// How many idle connections to one address are kept.
 const IDLE: usize = 6;
+/// How long a connection may lie idle: one to a VM that lost power would stay open for good.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(60);
+/// How often connections that lay idle for too long are looked for.
+const SWEEP_EVERY: Duration = Duration::from_secs(10);
 /// The largest answer that is read, in bytes: a page of rows has 1 MB.
 const LARGEST_ANSWER: usize = 16 << 20;
 
@@ -63,7 +70,14 @@
 /// with it: they are as old, and where one went silent the others most likely did.
 #[derive(Debug, Default)]
 pub struct HttpPool {
-    idle: RefCell<HashMap<String, Vec<PooledConnection>>>,
+    idle: RefCell<HashMap<String, Vec<IdleConnection>>>,
+    sweep_due: Cell<Option<time::Instant>>,
+}
+
+#[derive(Debug)]
+struct IdleConnection {
+    connection: PooledConnection,
+    since: time::Instant,
 }
 
 #[derive(Debug)]
@@ -95,6 +109,7 @@
         request: Request<Full<Bytes>>,
         timeout: Duration,
     ) -> Result<HttpReply, HttpFault> {
+        self.sweep_if_due();
         let started = time::Instant::now();
         let mut request = request;
         while let Some(connection) = self.take(address) {
@@ -122,19 +137,34 @@
     fn take(&self, address: &str) -> Option<PooledConnection> {
         let mut idle = self.idle.borrow_mut();
         let connections = idle.get_mut(address)?;
-        while let Some(connection) = connections.pop() {
-            if !connection.sender.is_closed() {
-                return Some(connection);
+        while let Some(idle) = connections.pop() {
+            if !idle.connection.sender.is_closed() {
+                return Some(idle.connection);
             }
         }
         None
     }
 
+    fn sweep_if_due(&self) {
+        let now = time::Instant::now();
+        if self.sweep_due.get().is_some_and(|due| now < due) {
+            return;
+        }
+        self.sweep_due.set(Some(now + SWEEP_EVERY));
+        self.idle.borrow_mut().retain(|_, connections| {
+            connections.retain(|idle| {
+                now < idle.since + IDLE_TIMEOUT && !idle.connection.sender.is_closed()
+            });
+            !connections.is_empty()
+        });
+    }
+
     fn keep(&self, address: &str, connection: PooledConnection) {
         let mut idle = self.idle.borrow_mut();
         let connections = idle.entry(address.to_owned()).or_default();
         if connections.len() < IDLE {
-            connections.push(connection);
+            let since = time::Instant::now();
+            connections.push(IdleConnection { connection, since });
         }
     }
 
