End connections whose caller stops in the middle

What callers would see: a daemon without descriptors or memory, which ends or serves nobody.

Cause: a request's body that stops, and an answer that is not read, were waited for without end; only a request's head had a time limit.

Change: a connection on which nothing comes or goes for 10 s ends (tokio-io-timeout).

Evidence: a_body_that_stops_ends_its_connection and an_answer_that_nobody_reads_ends_its_connection fail before: kept after 600 s.

--- a/crates/fleet/src/http_server.rs
+++ b/crates/fleet/src/http_server.rs
@@ -34,11 +34,14 @@
     sync::watch,
     task, //
 };
+use tokio_io_timeout::TimeoutStream;
 
 /// How long to wait after an accept that failed, for want of descriptors most likely.
 const ACCEPT_AGAIN: Duration = Duration::from_millis(50);
 /// How long a request's head may take to arrive.
 const HEAD: Duration = Duration::from_secs(10);
+/// How long a caller may send nothing of a request's body, or take nothing of its answer.
+const STALL: Duration = Duration::from_secs(10);
 
 /// What answers requests.
 #[async_trait(?Send)]
@@ -121,6 +124,9 @@
 {
     // Without it a small answer could wait for the acknowledgement of the one before.
     drop(stream.set_nodelay(true));
+    let mut stream = TimeoutStream::new(stream);
+    stream.set_read_timeout(Some(STALL));
+    stream.set_write_timeout(Some(STALL));
     count.open.set(count.open.get() + 1);
     let service = service_fn(|request| {
         let handler = Rc::clone(&handler);
@@ -129,7 +135,7 @@
     let serving = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(HEAD)
-        .serve_connection(TokioIo::new(stream), service);
+        .serve_connection(TokioIo::new(Box::pin(stream)), service);
     let mut serving = pin!(serving);
     tokio::select! {
         _ = serving.as_mut() => {}
--- /dev/null
+++ b/crates/fleet/tests/http_server.rs
@@ -0,0 +1,87 @@
+//! Connections whose other side stops in the middle.
+
+use std::{
+    rc::Rc,
+    time::Duration, //
+};
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use http::{
+    Request,
+    Response, //
+};
+use http_body_util::{
+    BodyExt,
+    Full, //
+};
+use hyper::body::Incoming;
+use jasminebend_fleet::{
+    ConnectionCount,
+    HttpHandler,
+    serve_on, //
+};
+use tokio::{
+    io::AsyncWriteExt,
+    net::{
+        TcpListener,
+        TcpStream, //
+    },
+    sync::watch,
+    task::LocalSet,
+    time, //
+};
+
+const LONGEST: Duration = Duration::from_secs(600);
+const LOOK_EVERY: Duration = Duration::from_millis(100);
+/// More than any socket buffers.
+const ANSWER_BYTES: usize = 64 << 20;
+
+/// Reads each request whole, and answers at length.
+struct Verbose;
+
+#[async_trait(?Send)]
+impl HttpHandler for Verbose {
+    async fn handle(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
+        drop(request.into_body().collect().await);
+        Response::new(Full::new(Bytes::from(vec![0; ANSWER_BYTES])))
+    }
+}
+
+/// Sends bytes, then neither reads nor writes, and waits until the server has closed the connection.
+async fn stop_after(sent: &[u8]) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = listener.local_addr().expect("it is bound");
+    let count = ConnectionCount::default();
+    let (_stop, stopping) = watch::channel(false);
+    serve_on(listener, Rc::new(Verbose), stopping, count.clone());
+    let mut caller = TcpStream::connect(address).await.expect("it listens");
+    caller.write_all(sent).await.expect("it is open");
+    while count.open() == 0 {
+        time::sleep(LOOK_EVERY).await;
+    }
+    let closed = async {
+        while count.open() > 0 {
+            time::sleep(LOOK_EVERY).await;
+        }
+    };
+    let closed = time::timeout(LONGEST, closed).await;
+    assert!(closed.is_ok(), "the connection is kept");
+    drop(caller);
+}
+
+/// Guards against a daemon that runs out of memory and descriptors: callers that stopped in the middle of a request's body
+/// were waited for without end.
+#[tokio::test(start_paused = true)]
+async fn a_body_that_stops_ends_its_connection() {
+    let sent = b"POST / HTTP/1.1\r\nhost: h\r\ncontent-length: 100\r\n\r\nhalf";
+    LocalSet::new().run_until(stop_after(sent)).await;
+}
+
+/// Guards against a daemon that runs out of memory and descriptors: answers waited without end for callers that did not
+/// read them.
+#[tokio::test(start_paused = true)]
+async fn an_answer_that_nobody_reads_ends_its_connection() {
+    let sent = b"GET / HTTP/1.1\r\nhost: h\r\n\r\n";
+    LocalSet::new().run_until(stop_after(sent)).await;
+}
