Free the administration API from clients that do not read

What operators would see: jbctl and the balancer's look at the daemon without an answer, for good, and a daemon that does not end when told to.

Cause: writing an answer had no time limit, and connections have a limit (64): as many scrapers that are paused hold all of them.

Change: a write ends after limits.administration_timeout (tokio-io-timeout).

Evidence: a_scraper_that_reads_nothing_loses_its_connection fails before: no answer to another client in 30 s.

--- a/crates/jasminebend/src/admin_server.rs
+++ b/crates/jasminebend/src/admin_server.rs
@@ -40,6 +40,7 @@
         timeout, //
     }, //
 };
+use tokio_io_timeout::TimeoutStream;
 use tokio_rustls::TlsAcceptor;
 
 use crate::{
@@ -134,11 +135,13 @@
         let service = service_fn(|request: Request<Incoming>| async move {
             Ok::<_, Infallible>(self.service.answer(request, peer, health_only).await)
         });
+        let mut stream = TimeoutStream::new(stream);
+        stream.set_write_timeout(Some(self.limits.administration_timeout));
         let connection = http1::Builder::new()
             .timer(TokioTimer::new())
             .header_read_timeout(HEAD_TIMEOUT.min(self.limits.administration_timeout))
             .max_buf_size(self.limits.headers)
-            .serve_connection(TokioIo::new(stream), service);
+            .serve_connection(TokioIo::new(Box::pin(stream)), service);
         let mut connection = std::pin::pin!(connection);
         let outcome = tokio::select! {
             outcome = connection.as_mut() => outcome,
--- a/crates/jasminebend/tests/administration/main.rs
+++ b/crates/jasminebend/tests/administration/main.rs
@@ -9,3 +9,4 @@
 mod job_pages;
 mod temporary_directory;
 mod token_tries;
+mod unread_answers;
