Read again what a silent connection swallowed

What callers saw: a status refused after 1.2 s, and a cancellation late by as much, while the store is well.

Cause: a read on a connection that fell silent was waited for until its time-out, since a long read must be waited for. The rows of one job are few.

Change: they are read once more on a new connection if later calls are answered: after 0.3 s, or eight times as long as the latest call took. Reads change nothing.

Evidence: a_caller_is_answered_at_once_as_its_reads_connection_falls_silent fails before: no answer in 0.5 s.

--- a/crates/fleet/src/caller_desk.rs
+++ b/crates/fleet/src/caller_desk.rs
@@ -225,7 +225,7 @@
         let rows = self
             .shared
             .store
-            .read_all(FleetTable::Jobs, &job_part(key), &from, Some(&to))
+            .read_few(FleetTable::Jobs, &job_part(key), &from, Some(&to))
             .await?;
         Ok(rows.0)
     }
@@ -256,7 +256,7 @@
         let (kept, _) = self
             .shared
             .store
-            .read_all(FleetTable::Progress, SHARD_PART, &from, Some(&to))
+            .read_few(FleetTable::Progress, SHARD_PART, &from, Some(&to))
             .await?;
         let record = kept
             .first()
--- a/crates/fleet/src/store_link.rs
+++ b/crates/fleet/src/store_link.rs
@@ -245,6 +245,23 @@
         }
     }
 
+    /// Reads few rows as [`StoreLink::read_all`] does, once more if the connection turns out to be silent.
+    pub(crate) async fn read_few(
+        &self,
+        table: FleetTable,
+        part: &str,
+        from: &str,
+        to: Option<&str>,
+    ) -> Result<(Vec<FleetRow>, u64), StoreError> {
+        let sent = self.clock.monotonic();
+        tokio::select! {
+            biased;
+            result = self.read_all(table, part, from, to) => return result,
+            () = self.overtaken(sent) => {}
+        }
+        self.read_all(table, part, from, to).await
+    }
+
     /// Reads all rows of a part from `from` up to `to`, and the store's version at the first page.
     pub(crate) async fn read_all(
         &self,
--- a/crates/fleet/tests/daemons/store_silence.rs
+++ b/crates/fleet/tests/daemons/store_silence.rs
@@ -6,6 +6,7 @@
     time::Duration, //
 };
 
+use jasminebend_dispatch::JobProgress;
 use jasminebend_fleet::{
     CallerAnswer,
     CallerVerb,
@@ -150,6 +151,29 @@
     });
 }
 
+/// Guards against a status that is refused, and a cancellation that is late, while the store is well: the connection that a
+/// row was read on fell silent.
+#[test]
+fn a_caller_is_answered_at_once_as_its_reads_connection_falls_silent() {
+    play_each_phase(|phase| async move {
+        let (_fleet, daemon) = follower(phase).await;
+        submit(&daemon.desk, 1, &job(&[(1, &[])])).await;
+        let queued = CallerAnswer::Progress(JobProgress::Queued);
+        for (verb, expected) in [
+            (CallerVerb::Read, queued),
+            (CallerVerb::Cancel, CallerAnswer::Done),
+        ] {
+            let asked = time::timeout(HELD, ask(&daemon.desk, 1, verb));
+            let lost = async {
+                time::sleep(Duration::from_millis(1)).await;
+                daemon.way.lose_connections();
+            };
+            let (answer, ()) = tokio::join!(asked, lost);
+            assert_eq!(answer, Ok(expected), "lost after {phase:?}");
+        }
+    });
+}
+
 /// Guards against callers refused though the store answers: it takes 60 times as long as it should, and writes wait for one
 /// another.
 #[test]
