Test that tasks outlive silent connections to their workers

Provoked at each 20 ms of a round, unheard or with the answer lost, on workers that only serve, whose renewals wait longest: no lease lapses. Nothing of the daemon changes.

--- a/crates/fleet/tests/daemons/main.rs
+++ b/crates/fleet/tests/daemons/main.rs
@@ -4,3 +4,4 @@
 mod memory_store;
 mod store_silence;
 mod test_fleet;
+mod worker_silence;
--- a/crates/fleet/tests/daemons/test_fleet.rs
+++ b/crates/fleet/tests/daemons/test_fleet.rs
@@ -90,7 +90,12 @@
 pub(crate) struct MemoryWorkers {
     clock: Rc<dyn ClockSource>,
     workers: RefCell<BTreeMap<String, StepWorker>>,
-    lasts: Duration,
+    /// How long a task works.
+    pub(crate) lasts: Cell<Duration>,
+    /// Whether a renewal is answered only at an end, or after its wait.
+    pub(crate) waits: Cell<bool>,
+    /// How often the connections that were open went silent for good.
+    losses: Cell<u32>,
 }
 
 impl MemoryWorkers {
@@ -109,6 +114,31 @@
         Some(act(workers.get_mut(address.id.as_ref())?, now))
     }
 
+    /// Has all open connections fall silent for good; new ones work.
+    pub(crate) fn lose_connections(&self) {
+        self.losses.set(self.losses.get() + 1);
+    }
+
+    fn hear(&self, worker: &WorkerAddress, order: HoldOrder) -> Result<HoldReport, OrderEnd> {
+        let report = self.with(worker, |state, now| state.hold(now, worker.token, order));
+        report.unwrap_or(Err(GONE))
+    }
+
+    async fn wait_for_end(&self, worker: &WorkerAddress, order: &HoldOrder) {
+        let look = HoldOrder {
+            deadline: None,
+            ..*order
+        };
+        let until = time::Instant::now() + order.wait;
+        let works_on = || {
+            self.hear(worker, look)
+                .is_ok_and(|seen| seen.ended.is_empty())
+        };
+        while time::Instant::now() < until && works_on() {
+            time::sleep(LOOK_EVERY).await;
+        }
+    }
+
     pub(crate) fn begins(&self) -> usize {
         let workers = self.workers.borrow();
         let deeds = workers.values().flat_map(|worker| worker.deeds());
@@ -118,14 +148,34 @@
     }
 }
 
+/// How long a renewal is on its way.
+const WAY: Duration = Duration::from_millis(20);
+/// How often a worker that holds back its answer looks for an end.
+const LOOK_EVERY: Duration = Duration::from_millis(10);
+/// How long an answer is waited for beyond a renewal's own wait.
+const HOLD_TIMEOUT: Duration = Duration::from_millis(700);
+
 const GONE: OrderEnd = OrderEnd::Refused(OrderRefusal::Closed);
 
 #[async_trait(?Send)]
 impl FleetWorkers for MemoryWorkers {
     async fn hold(&self, worker: &WorkerAddress, order: HoldOrder) -> Result<HoldReport, OrderEnd> {
-        time::sleep(Duration::from_millis(20)).await;
-        let answer = self.with(worker, |state, now| state.hold(now, worker.token, order));
-        answer.unwrap_or(Err(GONE))
+        let losses = self.losses.get();
+        let timeout = time::Instant::now() + order.wait + HOLD_TIMEOUT;
+        time::sleep(WAY).await;
+        let mut answer = Err(OrderEnd::Unknown);
+        if self.losses.get() == losses {
+            answer = self.hear(worker, order);
+            if self.waits.get() {
+                self.wait_for_end(worker, &order).await;
+                answer = self.hear(worker, order);
+            }
+        }
+        if self.losses.get() != losses {
+            time::sleep_until(timeout).await;
+            return Err(OrderEnd::Unknown);
+        }
+        answer
     }
 
     async fn start(
@@ -136,7 +186,7 @@
     ) -> OrderEnd {
         time::sleep(Duration::from_millis(1)).await;
         let work = TaskWork {
-            lasts: self.lasts,
+            lasts: self.lasts.get(),
             fails: false,
             size: ResourceAmount::new(1000, 100),
         };
@@ -222,7 +272,9 @@
             workers: Rc::new(MemoryWorkers {
                 clock: Rc::clone(&clock),
                 workers: RefCell::new(all),
-                lasts,
+                lasts: Cell::new(lasts),
+                waits: Cell::new(false),
+                losses: Cell::new(0),
             }),
             clock,
             count: Cell::new(0),
--- /dev/null
+++ b/crates/fleet/tests/daemons/worker_silence.rs
@@ -0,0 +1,46 @@
+//! What runs on workers after connections to them fell silent. Time is the runtime's and stands still while anything runs.
+
+use std::time::Duration;
+
+use tokio::{
+    runtime::Builder,
+    task::LocalSet,
+    time, //
+};
+
+use crate::test_fleet::{
+    TestFleet,
+    job,
+    submit, //
+};
+
+/// Longer than the longest round of renewals, which are on their way for a part of it.
+const ROUND_MS: u64 = 2100;
+const PHASE_MS: usize = 20;
+const TASKS: usize = 4;
+
+/// Guards against tasks that are lost while daemons and workers are well: the renewal of the lease went unheard on a
+/// connection that had gone silent.
+#[test]
+fn tasks_outlive_the_silence_of_the_connections_to_their_workers() {
+    for phase in (0..ROUND_MS).step_by(PHASE_MS) {
+        let mut builder = Builder::new_current_thread();
+        let runtime = builder.enable_all().start_paused(true).build();
+        let runtime = runtime.expect("a runtime can be built");
+        LocalSet::new().block_on(&runtime, async {
+            let fleet = TestFleet::with_runtime_clock(2);
+            fleet.workers.waits.set(true);
+            fleet.workers.lasts.set(Duration::from_secs(30));
+            let owner = fleet.daemon();
+            let mut service = job(&[(4, &[])]);
+            service.steps[0].lasting = true;
+            service.steps[0].target = Some(Duration::from_millis(100));
+            submit(&owner.desk, 1, &service).await;
+            time::sleep(Duration::from_secs(5) + Duration::from_millis(phase)).await;
+            assert_eq!(fleet.workers.begins(), TASKS);
+            fleet.workers.lose_connections();
+            time::sleep(Duration::from_secs(20)).await;
+            assert_eq!(fleet.workers.begins(), TASKS, "lost after {phase} ms");
+        });
+    }
+}
