--- a/crates/cluster/tests/cluster/configuration.rs
+++ b/crates/cluster/tests/cluster/configuration.rs
@@ -26,6 +26,9 @@
     version_of, //
 };
 
+/// How long after its acceptance a change must be in force everywhere.
+const IN_FORCE_MS: u128 = 14_000;
+
 async fn with_domains(count: u16) -> (TestCluster, Vec<ClusterHandle>) {
     let mut cluster = TestCluster::new(7);
     let handles = cluster.start_all(count).await;
@@ -259,3 +262,23 @@
     let reason = RefusalReason::TooFewMembers;
     assert_eq!(refused, Err(ProposalError::NotAccepted(reason)));
 }
+
+/// Guards against a daemon that acts by an old configuration: its read of the table went unanswered as a change was made.
+#[tokio::test(start_paused = true)]
+async fn a_change_is_in_force_in_time_though_a_read_of_the_table_got_no_answer() {
+    for phase in (0..2_000).step_by(200) {
+        let mut cluster = TestCluster::new(5);
+        let (lone, way) = cluster.start_cuttable(9).await;
+        let handles = cluster.start_beside(3, vec![lone]).await;
+        sleep_ms(phase).await;
+        way.set_silent(true);
+        sleep_ms(1_500).await;
+        way.set_silent(false);
+        let proposed = Instant::now();
+        let change = replace(three_domains(), None);
+        let version = handles[0].propose(change).await.unwrap();
+        wait_for(&handles, version.0).await;
+        let waited = proposed.elapsed().as_millis();
+        assert!(waited < IN_FORCE_MS, "{waited} ms after {phase} ms");
+    }
+}
--- a/crates/cluster/tests/cluster/harness.rs
+++ b/crates/cluster/tests/cluster/harness.rs
@@ -68,6 +68,7 @@
 pub(crate) struct CutTable {
     table: TableStandIn,
     cut: AtomicBool,
+    silent: AtomicBool,
 }
 
 impl CutTable {
@@ -75,6 +76,7 @@
         Self {
             table,
             cut: AtomicBool::new(false),
+            silent: AtomicBool::new(false),
         }
     }
 
@@ -82,7 +84,15 @@
         self.cut.store(cut, Ordering::SeqCst);
     }
 
-    fn check(&self) -> Result<(), TableError> {
+    /// Leaves calls that begin from now on without an answer for good.
+    pub(crate) fn set_silent(&self, silent: bool) {
+        self.silent.store(silent, Ordering::SeqCst);
+    }
+
+    async fn check(&self) -> Result<(), TableError> {
+        if self.silent.load(Ordering::SeqCst) {
+            std::future::pending::<()>().await;
+        }
         match self.cut.load(Ordering::SeqCst) {
             true => Err(TableError::Unreachable),
             false => Ok(()),
@@ -93,7 +103,7 @@
 #[async_trait]
 impl TableService for CutTable {
     async fn read(&self, key: &RowKey) -> Result<Option<TableRow>, TableError> {
-        self.check()?;
+        self.check().await?;
         self.table.read(key).await
     }
 
@@ -103,7 +113,7 @@
         after: Option<&RowKey>,
         limit: usize,
     ) -> Result<Vec<TableRow>, TableError> {
-        self.check()?;
+        self.check().await?;
         self.table.scan(prefix, after, limit).await
     }
 
@@ -112,7 +122,7 @@
         write: WriteId,
         changes: Vec<RowChange>,
     ) -> Result<CommitOutcome, TableError> {
-        self.check()?;
+        self.check().await?;
         self.table.commit(write, changes).await
     }
 }
