--- a/crates/jasminebend/tests/daemon/main.rs
+++ b/crates/jasminebend/tests/daemon/main.rs
@@ -8,6 +8,7 @@
 mod graceful_stop;
 mod jobs;
 mod key_files;
+mod peer_faults;
 mod platform;
 mod program;
 mod rolling_replacement;
--- a/crates/jasminebend/tests/daemon/program.rs
+++ b/crates/jasminebend/tests/daemon/program.rs
@@ -75,6 +75,21 @@
         self.signal(libc::SIGHUP);
     }
 
+    /// Stands the process still.
+    pub(crate) fn pause(&self) {
+        self.signal(libc::SIGSTOP);
+    }
+
+    /// Lets a paused process go on; does nothing to another.
+    pub(crate) fn resume(&self) {
+        self.signal(libc::SIGCONT);
+    }
+
+    /// Tells whether the process has ended.
+    pub(crate) fn has_ended(&mut self) -> bool {
+        self.child.try_wait().expect("a child").is_some()
+    }
+
     /// Tells whether a line with these words is in the log so far.
     pub(crate) fn has_logged(&self, words: &str) -> bool {
         let log = self.log.lock().expect("a log");
