Start nothing that a replaced owner may have started, however late it is told

What callers would see: a booking that is done twice.

Cause: after a take-over from an owner that is silent and not known to be gone, a successor waits for workers that it has not heard before it starts what may run already. It went by when it was told of a job, not by when the job may have been accepted: a watch that was late by a silent connection, or a read of all jobs after the store had dropped its history, made them new.

Change: all that a call tells was accepted after the answered call before it was sent; it counts as inherited unless that one was sent after the former owner's last moment.

Evidence: a_job_that_is_told_late_after_a_take_over_may_run_already and a_job_that_is_read_again_after_a_take_over_may_run_already fail before, with two runs of one task.

--- a/crates/fleet/src/owner_work.rs
+++ b/crates/fleet/src/owner_work.rs
@@ -61,6 +61,21 @@
 /// The oldest that a job's acceptance is believed to be; times of day differ.
 const OLDEST: Duration = Duration::from_secs(120);
 
+/// Up to when the jobs are known.
+#[derive(Clone, Copy)]
+struct KnownJobs {
+    version: u64,
+    /// When the call was sent that told them: what was accepted before that is known.
+    asked_at: Duration,
+}
+
+impl KnownJobs {
+    /// Tells whether a former owner, which does not know yet that it was replaced, may have started what is not known.
+    fn may_run_already(self, seat: &OwnerSeat) -> bool {
+        self.asked_at < seat.shared_until
+    }
+}
+
 #[derive(Serialize)]
 struct TakeOverLine<'a> {
     change: &'static str,
@@ -87,7 +102,7 @@
             shared.store.pause().await;
         }
     }
-    let Some((jobs_after, registry_after)) = after else {
+    let Some((jobs, registry_after)) = after else {
         return;
     };
     seat.loaded.set(true);
@@ -107,7 +122,7 @@
             },
         );
     }
-    tokio::task::spawn_local(act(Rc::clone(shared), seat, jobs_after, registry_after));
+    tokio::task::spawn_local(act(Rc::clone(shared), seat, jobs, registry_after));
 }
 
 async fn claim(shared: &Rc<FleetShared>, former_gone: bool) -> Option<(Rc<OwnerSeat>, String)> {
@@ -159,12 +174,12 @@
     Some((seat, former))
 }
 
-/// Reads workers, jobs and what has ended of them; returns from which versions to follow.
+/// Reads workers, jobs and what has ended of them; returns from where to follow jobs and workers.
 async fn read_records(
     shared: &Rc<FleetShared>,
     seat: &Rc<OwnerSeat>,
     former_gone: bool,
-) -> Result<(u64, u64), StoreError> {
+) -> Result<(KnownJobs, u64), StoreError> {
     let first = seat.token() == 1;
     let store = &shared.store;
     let registry = store.call(store.raw().read_registry()).await?;
@@ -172,7 +187,7 @@
         .store
         .read_all(FleetTable::Progress, SHARD_PART, "", None)
         .await?;
-    let (jobs, jobs_after) = read_jobs(shared).await?;
+    let (jobs, known) = read_jobs(shared).await?;
     let now = shared.now();
     let mut dispatcher = seat.dispatcher.borrow_mut();
     let until = now + dispatcher.inheritance(former_gone);
@@ -202,11 +217,12 @@
             dispatcher.restore(key, &record);
         }
     }
-    Ok((jobs_after, registry.version))
+    Ok((known, registry.version))
 }
 
 /// Reads all jobs, and the version from which to follow them: the earliest of the parts'.
-async fn read_jobs(shared: &Rc<FleetShared>) -> Result<(Vec<FleetRow>, u64), StoreError> {
+async fn read_jobs(shared: &Rc<FleetShared>) -> Result<(Vec<FleetRow>, KnownJobs), StoreError> {
+    let asked_at = shared.now();
     let mut reads = JoinSet::new();
     for part in job_parts() {
         let shared = Rc::clone(shared);
@@ -216,13 +232,13 @@
         });
     }
     let mut rows = Vec::new();
-    let mut after = u64::MAX;
+    let mut version = u64::MAX;
     while let Some(read) = reads.join_next().await {
-        let (part, version) = read.map_err(|_| StoreError::Unknown)??;
+        let (part, read_version) = read.map_err(|_| StoreError::Unknown)??;
         rows.extend(part);
-        after = after.min(version);
+        version = version.min(read_version);
     }
-    Ok((rows, after))
+    Ok((rows, KnownJobs { version, asked_at }))
 }
 
 /// Takes a row of the table of jobs in: a job, or a cancellation.
@@ -254,13 +270,9 @@
 }
 
 /// Acts as the owner until the seat is over.
-async fn act(shared: Rc<FleetShared>, seat: Rc<OwnerSeat>, jobs_after: u64, registry_after: u64) {
+async fn act(shared: Rc<FleetShared>, seat: Rc<OwnerSeat>, jobs: KnownJobs, registry_after: u64) {
     let mut tasks = JoinSet::new();
-    tasks.spawn_local(follow_jobs(
-        Rc::clone(&shared),
-        Rc::clone(&seat),
-        jobs_after,
-    ));
+    tasks.spawn_local(follow_jobs(Rc::clone(&shared), Rc::clone(&seat), jobs));
     tasks.spawn_local(follow_registry(
         Rc::clone(&shared),
         Rc::clone(&seat),
@@ -287,23 +299,28 @@
     tasks.shutdown().await;
 }
 
-async fn follow_jobs(shared: Rc<FleetShared>, seat: Rc<OwnerSeat>, after: u64) {
-    let mut after = after;
+async fn follow_jobs(shared: Rc<FleetShared>, seat: Rc<OwnerSeat>, known: KnownJobs) {
+    let mut known = known;
     loop {
+        let asked_at = shared.now();
         let store = &shared.store;
-        let call = store.raw().watch(FleetTable::Jobs, after, WATCH_WAIT);
+        let call = store
+            .raw()
+            .watch(FleetTable::Jobs, known.version, WATCH_WAIT);
         match store.watch(WatchedRows::Jobs, call).await {
             Ok(page) => {
-                after = page.version;
-                // A former owner that does not know yet that it was replaced may start what comes now.
-                let inherited = shared.now() < seat.shared_until;
+                let inherited = known.may_run_already(&seat);
                 for row in page.items.iter().filter_map(|change| change.row.as_ref()) {
                     note_job_row(&shared, &seat, row, inherited);
                 }
+                known = KnownJobs {
+                    version: page.version,
+                    asked_at,
+                };
                 seat.plan.notify_one();
             }
-            Err(StoreError::Forgotten) => match read_jobs_again(&shared, &seat).await {
-                Ok(version) => after = version,
+            Err(StoreError::Forgotten) => match read_jobs_again(&shared, &seat, known).await {
+                Ok(read) => known = read,
                 Err(_) => shared.store.pause().await,
             },
             Err(_) => shared.store.pause().await,
@@ -311,12 +328,16 @@
     }
 }
 
-async fn read_jobs_again(shared: &Rc<FleetShared>, seat: &OwnerSeat) -> Result<u64, StoreError> {
-    let (rows, version) = read_jobs(shared).await?;
+async fn read_jobs_again(
+    shared: &Rc<FleetShared>,
+    seat: &OwnerSeat,
+    known: KnownJobs,
+) -> Result<KnownJobs, StoreError> {
+    let (rows, read) = read_jobs(shared).await?;
     for row in &rows {
-        note_job_row(shared, seat, row, false);
+        note_job_row(shared, seat, row, known.may_run_already(seat));
     }
-    Ok(version)
+    Ok(read)
 }
 
 async fn follow_registry(shared: Rc<FleetShared>, seat: Rc<OwnerSeat>, after: u64) {
--- a/crates/fleet/tests/daemons/main.rs
+++ b/crates/fleet/tests/daemons/main.rs
@@ -3,5 +3,6 @@
 mod jobs;
 mod memory_store;
 mod store_silence;
+mod take_over;
 mod test_fleet;
 mod worker_silence;
--- a/crates/fleet/tests/daemons/memory_store.rs
+++ b/crates/fleet/tests/daemons/memory_store.rs
@@ -24,6 +24,7 @@
     FleetStore,
     FleetTable,
     OperatorChange,
+    OwnerRecord,
     RegistryChange,
     RowChange,
     RowCommit,
@@ -74,6 +75,8 @@
     pub(crate) commit_takes: Cell<Duration>,
     /// How often the connections that were open went silent for good.
     losses: Cell<u32>,
+    /// The version up to which changes are no longer told.
+    forgotten: Cell<u64>,
 }
 
 impl MemoryStore {
@@ -163,6 +166,13 @@
         workers.map(RegistryChange::Listed).collect()
     }
 
+    /// Returns who owns the jobs.
+    pub(crate) fn owner(&self) -> Option<OwnerRecord> {
+        let rows = self.rows.borrow();
+        let (_, row) = rows.iter().find(|((_, _, key), _)| key == "owner")?;
+        postcard::from_bytes(&row.value).ok()
+    }
+
     pub(crate) fn count(&self, table: FleetTable) -> usize {
         let rows = self.rows.borrow();
         rows.iter()
@@ -182,9 +192,15 @@
             jobs_take: Cell::new(Duration::from_millis(2)),
             commit_takes: Cell::new(Duration::from_millis(2)),
             losses: Cell::new(0),
+            forgotten: Cell::new(0),
         }
     }
 
+    /// Drops the history: a watch from before has to read all again.
+    pub(crate) fn forget_history(&self) {
+        self.forgotten.set(self.store.raise_version());
+    }
+
     /// Leaves calls unanswered from now on; their connections stay open.
     pub(crate) fn fall_silent(&self) {
         self.silent.set(true);
@@ -221,6 +237,7 @@
     /// Waits until `rows` finds changes, or the wait is over.
     async fn follow<Item, Rows>(
         &self,
+        after: u64,
         wait: Duration,
         rows: Rows,
     ) -> Result<RowPage<Item>, StoreError>
@@ -230,6 +247,9 @@
         let until = time::Instant::now() + wait;
         loop {
             self.reach()?;
+            if after < self.forgotten.get() {
+                return Err(StoreError::Forgotten);
+            }
             let changed = self.store.changed.notified();
             let items = rows();
             if !items.is_empty() || time::Instant::now() >= until {
@@ -305,7 +325,7 @@
         after: u64,
         wait: Duration,
     ) -> Result<RowPage<RowChange>, StoreError> {
-        let call = self.follow(wait, || {
+        let call = self.follow(after, wait, || {
             let rows = self.store.rows.borrow();
             let rows = rows.iter().map(|(_, row)| row);
             rows.filter(|row| row.table == table && row.version > after)
@@ -332,7 +352,7 @@
         after: u64,
         wait: Duration,
     ) -> Result<RowPage<OperatorChange>, StoreError> {
-        let call = self.follow(wait, || {
+        let call = self.follow(after, wait, || {
             match self.store.configuration.borrow().version > after {
                 true => self.store.operator_rows(),
                 false => Vec::new(),
@@ -354,9 +374,11 @@
         after: u64,
         wait: Duration,
     ) -> Result<RowPage<RegistryChange>, StoreError> {
-        let call = self.follow(wait, || match self.store.workers.borrow().version > after {
-            true => self.store.registry_rows(),
-            false => Vec::new(),
+        let call = self.follow(after, wait, || {
+            match self.store.workers.borrow().version > after {
+                true => self.store.registry_rows(),
+                false => Vec::new(),
+            }
         });
         self.carry(wait + WATCH_TIMEOUT, call).await
     }
--- /dev/null
+++ b/crates/fleet/tests/daemons/take_over.rs
@@ -0,0 +1,117 @@
+//! What a successor does beside a former owner that does not know yet that it was replaced. Time is the runtime's and
+//! stands still while anything runs.
+
+use std::{
+    net::TcpListener,
+    time::Duration, //
+};
+
+use jasminebend_base::ResourceAmount;
+use jasminebend_dispatch::{
+    DispatchSettings,
+    Dispatcher,
+    OrderEnd,
+    RunNumber,
+    StartOrder, //
+};
+use jasminebend_fleet::{
+    FleetRow,
+    FleetTable,
+    JobRecord, //
+};
+use jasminebend_standins::TaskWork;
+use tokio::{
+    runtime::Builder,
+    task::LocalSet,
+    time, //
+};
+
+use crate::{
+    memory_store::StoreWay,
+    test_fleet::{
+        TestFleet,
+        job, //
+    }, //
+};
+
+const CUT_OFF: &str = "worker-0";
+const LOOK_EVERY: Duration = Duration::from_millis(10);
+/// How long the task works.
+const WORKS: Duration = Duration::from_secs(4);
+/// After it the successor was told of the job, and the lease of a worker that is cut off has not ended.
+const TOLD: Duration = Duration::from_secs(3);
+const ENDED: Duration = Duration::from_secs(10);
+
+/// Starts the only task of job 7 on a worker, as the first owner would.
+fn start_as_former(fleet: &TestFleet) {
+    let started = fleet.workers.act_on(CUT_OFF, |worker, now| {
+        let mut former = Dispatcher::new(1, DispatchSettings::default());
+        let order = StartOrder {
+            worker: former.list_worker(worker.record().clone(), None),
+            task: "0000000000000007.0.0.0".parse().expect("a task"),
+            run: RunNumber::new(1),
+            payload: "payload".into(),
+            checkpoint: None,
+            ticket: None,
+        };
+        let work = TaskWork {
+            lasts: WORKS,
+            fails: false,
+            size: ResourceAmount::new(1000, 100),
+        };
+        worker.start(now, 1, &order, now * 2, work)
+    });
+    assert_eq!(started, Some(OrderEnd::Taken));
+}
+
+/// Plays a take-over from a silent owner, which goes on for 2 s. It starts a task on a worker that the successor does not
+/// reach, some time after the successor began to act; then the task's job comes, while `disturb` keeps it from being told.
+fn play<Disturb>(after: Duration, disturb: Disturb)
+where
+    Disturb: Fn(&StoreWay),
+{
+    let mut builder = Builder::new_current_thread();
+    let runtime = builder.enable_all().start_paused(true).build();
+    let runtime = runtime.expect("a runtime can be built");
+    LocalSet::new().block_on(&runtime, async {
+        let fleet = TestFleet::with_runtime_clock(2);
+        // It takes connections and answers nothing.
+        let silent = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        fleet.own_at(silent.local_addr().expect("it is bound"), 1);
+        fleet.workers.cut_off(CUT_OFF);
+        let successor = fleet.daemon();
+        while fleet.store.owner().is_none_or(|owner| owner.token < 2) {
+            time::sleep(LOOK_EVERY).await;
+        }
+        time::sleep(after).await;
+        disturb(&successor.way);
+        start_as_former(&fleet);
+        let record = JobRecord {
+            queue: "queue".to_owned(),
+            accepted_ms: 0,
+            graph: job(&[(1, &[])]),
+        };
+        let value = postcard::to_stdvec(&record).expect("a record can be encoded");
+        let row = FleetRow::new(FleetTable::Jobs, "j0", "0000000000000007", value);
+        fleet.store.write(vec![row]);
+        time::sleep(TOLD).await;
+        assert_eq!(fleet.workers.begins(), 1, "it runs twice");
+        fleet.workers.mend();
+        time::sleep(ENDED).await;
+        assert_eq!(fleet.workers.begins(), 1, "it ran and runs again");
+    });
+}
+
+/// Guards against a task that runs twice: the former owner had started it, and the successor learned of its job by reading
+/// all jobs again, since the store had dropped its history.
+#[test]
+fn a_job_that_is_read_again_after_a_take_over_may_run_already() {
+    play(Duration::from_millis(200), StoreWay::forget_history);
+}
+
+/// Guards against a task that runs twice: the former owner had started it at its last moment, and the successor was told
+/// of its job after that, since the connection of its watch had gone silent.
+#[test]
+fn a_job_that_is_told_late_after_a_take_over_may_run_already() {
+    play(Duration::from_millis(1800), StoreWay::lose_connections);
+}
--- a/crates/fleet/tests/daemons/test_fleet.rs
+++ b/crates/fleet/tests/daemons/test_fleet.rs
@@ -10,7 +10,10 @@
         Cell,
         RefCell, //
     },
-    collections::BTreeMap,
+    collections::{
+        BTreeMap,
+        BTreeSet, //
+    },
     net::SocketAddr,
     rc::Rc,
     sync::LazyLock,
@@ -40,7 +43,6 @@
     JobKey,
     JobProgress,
     OrderEnd,
-    OrderRefusal,
     RunNumber,
     StartOrder,
     StepSpec,
@@ -96,6 +98,8 @@
     pub(crate) waits: Cell<bool>,
     /// How often the connections that were open went silent for good.
     losses: Cell<u32>,
+    /// The workers that no daemon reaches.
+    unreached: RefCell<BTreeSet<String>>,
 }
 
 impl MemoryWorkers {
@@ -108,10 +112,32 @@
         &self,
         address: &WorkerAddress,
         act: impl FnOnce(&mut StepWorker, Duration) -> Answer,
+    ) -> Option<Answer> {
+        match self.unreached.borrow().contains(address.id.as_ref()) {
+            true => None,
+            false => self.act_on(address.id.as_ref(), act),
+        }
+    }
+
+    /// Acts on a worker, also on one that no daemon reaches.
+    pub(crate) fn act_on<Answer>(
+        &self,
+        id: &str,
+        act: impl FnOnce(&mut StepWorker, Duration) -> Answer,
     ) -> Option<Answer> {
         let now = self.now();
         let mut workers = self.workers.borrow_mut();
-        Some(act(workers.get_mut(address.id.as_ref())?, now))
+        Some(act(workers.get_mut(id)?, now))
+    }
+
+    /// Cuts a worker off from all daemons.
+    pub(crate) fn cut_off(&self, id: &str) {
+        self.unreached.borrow_mut().insert(id.to_owned());
+    }
+
+    /// Lets daemons reach all workers again.
+    pub(crate) fn mend(&self) {
+        self.unreached.borrow_mut().clear();
     }
 
     /// Has all open connections fall silent for good; new ones work.
@@ -121,7 +147,7 @@
 
     fn hear(&self, worker: &WorkerAddress, order: HoldOrder) -> Result<HoldReport, OrderEnd> {
         let report = self.with(worker, |state, now| state.hold(now, worker.token, order));
-        report.unwrap_or(Err(GONE))
+        report.unwrap_or(Err(LOST))
     }
 
     async fn wait_for_end(&self, worker: &WorkerAddress, order: &HoldOrder) {
@@ -155,7 +181,8 @@
 /// How long an answer is waited for beyond a renewal's own wait.
 const HOLD_TIMEOUT: Duration = Duration::from_millis(700);
 
-const GONE: OrderEnd = OrderEnd::Refused(OrderRefusal::Closed);
+/// What becomes of a call to a worker that is cut off, or is none of the test's.
+const LOST: OrderEnd = OrderEnd::Unknown;
 
 #[async_trait(?Send)]
 impl FleetWorkers for MemoryWorkers {
@@ -193,14 +220,14 @@
         let answer = self.with(worker, |state, now| {
             state.start(now, worker.token, order, deadline, work)
         });
-        answer.unwrap_or(GONE)
+        answer.unwrap_or(LOST)
     }
 
     async fn stop(&self, worker: &WorkerAddress, task: TaskKey, run: RunNumber) -> OrderEnd {
         let answer = self.with(worker, |state, now| {
             state.stop(now, worker.token, task, run)
         });
-        answer.unwrap_or(GONE)
+        answer.unwrap_or(LOST)
     }
 
     async fn pace(
@@ -275,6 +302,7 @@
                 lasts: Cell::new(lasts),
                 waits: Cell::new(false),
                 losses: Cell::new(0),
+                unreached: RefCell::default(),
             }),
             clock,
             count: Cell::new(0),
@@ -283,7 +311,12 @@
 
     /// Has another daemon own the jobs, one that nobody reaches; no daemon of the test takes over before a long while.
     pub(crate) fn own_elsewhere(&self) {
-        let address = free_address().to_string();
+        self.own_at(free_address(), MEMBERS_BEFORE);
+    }
+
+    /// Has another daemon own the jobs, and so many members go before a daemon of the test where it is to be replaced.
+    pub(crate) fn own_at(&self, address: SocketAddr, members: u32) {
+        let address = address.to_string();
         let owner = OwnerRecord {
             node: "elsewhere".to_owned(),
             incarnation: 1,
@@ -292,7 +325,7 @@
             vacant: false,
         };
         let mut rows = vec![row(FleetTable::Fleet, "s0", "owner", &owner)];
-        for number in 0..MEMBERS_BEFORE {
+        for number in 0..members {
             let member = MemberRecord {
                 node: format!("member-{number}"),
                 incarnation: 1,
