Write the daemon's log from a thread of its own

What callers would see: all entry VMs whose log collector hangs stop serving.

Cause: threads that serve wrote lines to the standard error stream under a lock. A pipe holds 64 KB; after that the next line blocked its thread, and each further one the next thread.

Evidence: a_log_that_nobody_reads_holds_nothing_up, on the real program, fails before: it takes no connection any more (found by looking for writes to a silent reader that nothing ends, as in the link between daemons).

--- a/crates/jasminebend/src/demo.rs
+++ b/crates/jasminebend/src/demo.rs
@@ -34,7 +34,7 @@
 ///
 /// Any [`DemoError`]; [`DemoError::Violated`] if a count that must be zero is not.
 pub async fn run(options: DemoOptions) -> Result<(), DemoError> {
-    set_up_log(LogSettings {
+    let _log = set_up_log(LogSettings {
         level: LogLevel::Error,
         ..LogSettings::default()
     })?;
--- a/crates/jasminebend/src/lib.rs
+++ b/crates/jasminebend/src/lib.rs
@@ -49,9 +49,11 @@
 mod listen_settings;
 mod log_error;
 mod log_format;
+mod log_guard;
 mod log_level;
 mod log_settings;
 mod log_setup;
+mod log_writer;
 mod metrics_hub;
 mod operator_identity;
 mod panic_end;
@@ -115,6 +117,7 @@
     listen_settings::ListenSettings,
     log_error::LogError,
     log_format::LogFormat,
+    log_guard::LogGuard,
     log_level::LogLevel,
     log_settings::LogSettings,
     log_setup::{
--- a/crates/jasminebend/src/log_error.rs
+++ b/crates/jasminebend/src/log_error.rs
@@ -12,3 +12,14 @@
     /// What the log library says.
     pub reason: String,
 }
+
+impl LogError {
+    pub(crate) fn new<Cause>(cause: Cause) -> Self
+    where
+        Cause: ToString,
+    {
+        Self {
+            reason: cause.to_string(),
+        }
+    }
+}
--- a/crates/jasminebend/src/log_setup.rs
+++ b/crates/jasminebend/src/log_setup.rs
@@ -1,6 +1,9 @@
 //! Sets up the process's log.
 
-use std::sync::Arc;
+use std::{
+    io,
+    sync::Arc, //
+};
 
 use spdlog::{
     Level,
@@ -14,36 +17,33 @@
     },
     sink::{
         SinkPropAccess,
-        StdStreamSink, //
-    },
-    terminal_style::StyleMode, //
+        WriteSink, //
+    }, //
 };
 
 use crate::{
     LogError,
     LogFormat,
+    LogGuard,
     LogLevel,
-    LogSettings, //
+    LogSettings,
+    log_writer::LogWriter, //
 };
 
-/// Sends the process's log to the standard error stream.
+/// Sends the process's log to the standard error stream, until the guard is dropped.
 ///
 /// # Errors
 ///
-/// [`LogError`] if the stream cannot be written.
-pub fn set_up_log(settings: LogSettings) -> Result<(), LogError> {
-    let logger = build(settings).map_err(|error| LogError {
-        reason: error.to_string(),
-    })?;
+/// [`LogError`] if the log cannot be set up.
+pub fn set_up_log(settings: LogSettings) -> Result<LogGuard, LogError> {
+    let writer = LogWriter::new(io::stderr()).map_err(LogError::new)?;
+    let logger = build(settings, writer.clone()).map_err(LogError::new)?;
     spdlog::set_default_logger(Arc::new(logger));
-    Ok(())
+    Ok(LogGuard::new(writer))
 }
 
-fn build(settings: LogSettings) -> spdlog::Result<Logger> {
-    let sink = StdStreamSink::builder()
-        .stderr()
-        .style_mode(StyleMode::Never)
-        .build_arc()?;
+fn build(settings: LogSettings, writer: LogWriter) -> spdlog::Result<Logger> {
+    let sink = WriteSink::builder().target(writer).build_arc()?;
     sink.set_formatter(formatter(settings.format));
     Logger::builder()
         .sink(sink)
--- a/crates/jasminebend/src/service.rs
+++ b/crates/jasminebend/src/service.rs
@@ -28,7 +28,7 @@
 
 /// Runs one daemon until SIGTERM or SIGINT, and stops it gracefully.
 pub(crate) async fn run(settings: DaemonSettings) -> Result<(), DaemonError> {
-    set_up_log(settings.log)?;
+    let _log = set_up_log(settings.log)?;
     let mut signals = StopSignals::new()?;
     let platform = settings.platform.clone().ok_or(DaemonError::NoPlatform)?;
     let reached = PlatformEdges::new(&platform, rand::random())?;
--- a/crates/jasminebend/tests/daemon/main.rs
+++ b/crates/jasminebend/tests/daemon/main.rs
@@ -14,4 +14,5 @@
 mod rolling_replacement;
 mod three_daemons;
 mod traces;
+mod unread_log;
 mod whole_path;
--- a/crates/jasminebend/tests/daemon/program.rs
+++ b/crates/jasminebend/tests/daemon/program.rs
@@ -21,6 +21,9 @@
     thread, //
 };
 
+/// How many addresses the program tells as it starts.
+const ADDRESSES: usize = 2;
+
 /// The real program, started on a settings file, with what it logs.
 pub(crate) struct RunningProgram {
     child: Child,
@@ -32,6 +35,15 @@
 impl RunningProgram {
     /// Starts the program, and reads from its log where it listens.
     pub(crate) fn start(settings: &Path) -> Self {
+        Self::start_read_until(settings, |_| false)
+    }
+
+    /// Starts the program, and reads no more of its log than where it listens. The log's pipe stays open.
+    pub(crate) fn start_unread(settings: &Path) -> Self {
+        Self::start_read_until(settings, |told| told == ADDRESSES)
+    }
+
+    fn start_read_until(settings: &Path, is_enough: fn(usize) -> bool) -> Self {
         let mut child = Command::new(env!("CARGO_BIN_EXE_jasminebend"))
             .arg("--settings")
             .arg(settings)
@@ -43,12 +55,17 @@
         let (sender, addresses) = mpsc::channel();
         let written = Arc::clone(&log);
         thread::spawn(move || {
+            let mut told = 0;
             for line in BufReader::new(stderr).lines().map_while(Result::ok) {
                 if let Some((_, rest)) = line.split_once(" are served on ") {
                     let end = rest.find(['"', ' ']).unwrap_or(rest.len());
                     drop(sender.send(rest[..end].trim_end_matches('.').to_owned()));
+                    told += 1;
                 }
                 written.lock().expect("a log").push(line);
+                while is_enough(told) {
+                    thread::park();
+                }
             }
         });
         let next = || {
