Wait for a former owner's workers until half of the daemons know its successor

What callers would see: a booking that is done twice, as where two of three regions lose the third with the store.

Cause: an owner without the store goes on while more than half of the daemons know of no other. A successor that reaches few of them waited 7.2 s for workers that it did not reach, and started their tasks elsewhere, while the former owner went on renewing their leases.

Change: the successor tells the others until half know it or refuse connections; its wait for unheard workers, and for jobs that a former owner may have started, begins then. Half are enough: more than half can't stand by the former owner.

Evidence: a_worker_is_not_given_up_while_most_daemons_may_stand_by_the_former_owner fails before, with two runs of one task.

--- a/crates/dispatch/src/dispatcher_workers.rs
+++ b/crates/dispatch/src/dispatcher_workers.rs
@@ -40,6 +40,14 @@
         }
     }
 
+    /// Says anew until when workers that were not heard yet may go on with what a former owner told them.
+    pub fn extend_inheritance(&mut self, until: Duration) {
+        let inherited = self.workers.iter_mut();
+        for worker in inherited.filter(|worker| worker.inherited_until.is_some()) {
+            worker.inherited_until = Some(until);
+        }
+    }
+
     /// Takes in a worker that the registry lists. `inherited` says until when it may go on with what a
     /// former owner told it.
     pub fn list_worker(&mut self, record: FleetWorker, inherited: Option<Duration>) -> WorkerKey {
--- a/crates/fleet/src/confirm_work.rs
+++ b/crates/fleet/src/confirm_work.rs
@@ -6,10 +6,7 @@
 };
 
 use tokio::{
-    task::{
-        JoinSet,
-        spawn_local, //
-    },
+    task::JoinSet,
     time, //
 };
 
@@ -53,18 +50,6 @@
     }
 }
 
-/// Tells the other daemons of a new owner at once: a former owner without the store asks them.
-pub(crate) fn announce(shared: &Rc<FleetShared>, seat: &OwnerSeat) {
-    let token = seat.token();
-    for address in shared.peer_addresses() {
-        let shared = Rc::clone(shared);
-        spawn_local(async move {
-            // Who does not hear it learns it from the store.
-            shared.peers.probe(&address, token).await;
-        });
-    }
-}
-
 fn judge(shared: &FleetShared, seat: &OwnerSeat, rows: &[FleetRow], sent: Duration) {
     let owner = rows.iter().find(|row| row.key == OWNER_KEY);
     if owner.is_some_and(|row| row.version == seat.guard.version) {
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -4,6 +4,7 @@
 //! The decisions are `jasminebend-dispatch`'s and [`Succession`]'s. The platform is reached through
 //! the ports in this crate.
 
+mod announcement;
 mod caller_call;
 mod caller_desk;
 mod commit_work;
--- a/crates/fleet/src/owner_seat.rs
+++ b/crates/fleet/src/owner_seat.rs
@@ -48,7 +48,7 @@
     /// Whether the set of workers has changed since it was last kept.
     pub(crate) workers_changed: Cell<bool>,
     /// Until when a former owner may not know that it was replaced.
-    pub(crate) shared_until: Duration,
+    pub(crate) shared_until: Cell<Duration>,
     /// Whether what is on record was read.
     pub(crate) loaded: Cell<bool>,
     /// When the last question was sent whose answer confirmed the seat.
@@ -74,15 +74,15 @@
             committed: watch::Sender::new(0),
             kept_rows: Cell::new(0),
             workers_changed: Cell::new(true),
-            shared_until: Duration::ZERO,
+            shared_until: Cell::new(Duration::ZERO),
             loaded: Cell::new(false),
             confirmed: Cell::new(now),
             over: watch::Sender::new(false),
         }
     }
 
-    pub(crate) fn with_shared_until(mut self, until: Duration) -> Self {
-        self.shared_until = until;
+    pub(crate) fn with_shared_until(self, until: Duration) -> Self {
+        self.shared_until.set(until);
         self
     }
 
--- a/crates/fleet/src/owner_work.rs
+++ b/crates/fleet/src/owner_work.rs
@@ -28,11 +28,9 @@
     RegistryChange,
     RowCommit,
     StoreError,
+    announcement::announce,
     commit_work::commit_ends,
-    confirm_work::{
-        announce,
-        confirm_seat, //
-    },
+    confirm_work::confirm_seat,
     fleet_shared::{
         CANCEL_SUFFIX,
         FleetShared,
@@ -72,7 +70,7 @@
 impl KnownJobs {
     /// Tells whether a former owner, which does not know yet that it was replaced, may have started what is not known.
     fn may_run_already(self, seat: &OwnerSeat) -> bool {
-        self.asked_at < seat.shared_until
+        self.asked_at < seat.shared_until.get()
     }
 }
 
@@ -94,7 +92,7 @@
     let Some((seat, former)) = claim(shared, former_gone).await else {
         return;
     };
-    announce(shared, &seat);
+    tokio::task::spawn_local(announce(Rc::clone(shared), Rc::clone(&seat), former_gone));
     let mut after = None;
     while after.is_none() && !seat.is_over() {
         after = read_records(shared, &seat, former_gone).await.ok();
@@ -160,14 +158,11 @@
     let written = FleetRow { version, ..row };
     note_owner(shared, Some(&written));
     let dispatcher = Dispatcher::new(record.token, shared.settings.dispatch);
-    let unconfirmed = shared.settings.dispatch.unconfirmed;
-    let shared_for = if former_gone {
-        Duration::ZERO
-    } else {
-        unconfirmed
+    let shared_until = match former_gone {
+        true => Duration::ZERO,
+        false => Duration::MAX,
     };
-    let seat = OwnerSeat::new(record, guard, dispatcher, sent)
-        .with_shared_until(shared.now() + shared_for);
+    let seat = OwnerSeat::new(record, guard, dispatcher, sent).with_shared_until(shared_until);
     let seat = Rc::new(seat);
     *shared.seat.borrow_mut() = Some(Rc::clone(&seat));
     let former = former.map_or_else(String::new, |owner| owner.node);
--- a/crates/fleet/tests/daemons/take_over.rs
+++ b/crates/fleet/tests/daemons/take_over.rs
@@ -2,6 +2,7 @@
 //! stands still while anything runs.
 
 use std::{
+    future::Future,
     net::TcpListener,
     time::Duration, //
 };
@@ -29,6 +30,7 @@
 use crate::{
     memory_store::StoreWay,
     test_fleet::{
+        TestDaemon,
         TestFleet,
         job, //
     }, //
@@ -43,7 +45,7 @@
 const ENDED: Duration = Duration::from_secs(10);
 
 /// Starts the only task of job 7 on a worker, as the first owner would.
-fn start_as_former(fleet: &TestFleet) {
+fn start_as_former(fleet: &TestFleet, lasts: Duration) {
     let started = fleet.workers.act_on(CUT_OFF, |worker, now| {
         let mut former = Dispatcher::new(1, DispatchSettings::default());
         let order = StartOrder {
@@ -55,7 +57,7 @@
             ticket: None,
         };
         let work = TaskWork {
-            lasts: WORKS,
+            lasts,
             fails: false,
             size: ResourceAmount::new(1000, 100),
         };
@@ -64,36 +66,54 @@
     assert_eq!(started, Some(OrderEnd::Taken));
 }
 
+/// Has a successor take over from an owner that is silent, with some other members that are, too. A worker is cut off from it.
+async fn taken_over(silent_members: u32) -> (TestFleet, TestDaemon, TcpListener) {
+    let fleet = TestFleet::with_runtime_clock(2);
+    // It takes connections and answers nothing.
+    let silent = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    fleet.own_at(silent.local_addr().expect("it is bound"), silent_members);
+    fleet.workers.cut_off(CUT_OFF);
+    let successor = fleet.daemon();
+    while fleet.store.owner().is_none_or(|owner| owner.token < 2) {
+        time::sleep(LOOK_EVERY).await;
+    }
+    (fleet, successor, silent)
+}
+
+/// Accepts job 7, of one task, as another daemon would.
+fn accept(fleet: &TestFleet) {
+    let record = JobRecord {
+        queue: "queue".to_owned(),
+        accepted_ms: 0,
+        graph: job(&[(1, &[])]),
+    };
+    let value = postcard::to_stdvec(&record).expect("a record can be encoded");
+    let row = FleetRow::new(FleetTable::Jobs, "j0", "0000000000000007", value);
+    fleet.store.write(vec![row]);
+}
+
+fn play_paused<Story>(story: Story)
+where
+    Story: Future<Output = ()>,
+{
+    let mut builder = Builder::new_current_thread();
+    let runtime = builder.enable_all().start_paused(true).build();
+    let runtime = runtime.expect("a runtime can be built");
+    LocalSet::new().block_on(&runtime, story);
+}
+
 /// Plays a take-over from a silent owner, which goes on for 2 s. It starts a task on a worker that the successor does not
 /// reach, some time after the successor began to act; then the task's job comes, while `disturb` keeps it from being told.
 fn play<Disturb>(after: Duration, disturb: Disturb)
 where
     Disturb: Fn(&StoreWay),
 {
-    let mut builder = Builder::new_current_thread();
-    let runtime = builder.enable_all().start_paused(true).build();
-    let runtime = runtime.expect("a runtime can be built");
-    LocalSet::new().block_on(&runtime, async {
-        let fleet = TestFleet::with_runtime_clock(2);
-        // It takes connections and answers nothing.
-        let silent = TcpListener::bind("127.0.0.1:0").expect("a free port");
-        fleet.own_at(silent.local_addr().expect("it is bound"), 1);
-        fleet.workers.cut_off(CUT_OFF);
-        let successor = fleet.daemon();
-        while fleet.store.owner().is_none_or(|owner| owner.token < 2) {
-            time::sleep(LOOK_EVERY).await;
-        }
+    play_paused(async {
+        let (fleet, successor, _silent) = taken_over(1).await;
         time::sleep(after).await;
         disturb(&successor.way);
-        start_as_former(&fleet);
-        let record = JobRecord {
-            queue: "queue".to_owned(),
-            accepted_ms: 0,
-            graph: job(&[(1, &[])]),
-        };
-        let value = postcard::to_stdvec(&record).expect("a record can be encoded");
-        let row = FleetRow::new(FleetTable::Jobs, "j0", "0000000000000007", value);
-        fleet.store.write(vec![row]);
+        start_as_former(&fleet, WORKS);
+        accept(&fleet);
         time::sleep(TOLD).await;
         assert_eq!(fleet.workers.begins(), 1, "it runs twice");
         fleet.workers.mend();
@@ -115,3 +135,35 @@
 fn a_job_that_is_told_late_after_a_take_over_may_run_already() {
     play(Duration::from_millis(1800), StoreWay::lose_connections);
 }
+
+/// Guards against a task that runs twice: without the store the former owner went on by the word of most daemons, which the
+/// successor did not reach, and renewed the lease of a worker for longer than the successor waited.
+#[test]
+fn a_worker_is_not_given_up_while_most_daemons_may_stand_by_the_former_owner() {
+    play_paused(async {
+        let (fleet, _successor, _silent) = taken_over(4).await;
+        start_as_former(&fleet, Duration::from_secs(60));
+        accept(&fleet);
+        for _ in 0..20 {
+            time::sleep(Duration::from_secs(1)).await;
+            fleet.workers.renew(CUT_OFF, 1);
+        }
+        assert_eq!(fleet.workers.begins(), 1, "it runs twice");
+        fleet.workers.mend();
+        time::sleep(ENDED).await;
+        assert_eq!(fleet.workers.begins(), 1, "it ran and runs again");
+    });
+}
+
+/// Guards against tasks that wait without end: half of the daemons suffice to end the former owner.
+#[test]
+fn a_worker_is_given_up_once_half_of_the_daemons_know_the_successor() {
+    play_paused(async {
+        let (fleet, _successor, _silent) = taken_over(2).await;
+        let _other = fleet.daemon();
+        start_as_former(&fleet, Duration::from_secs(60));
+        accept(&fleet);
+        time::sleep(ENDED).await;
+        assert_eq!(fleet.workers.begins(), 2);
+    });
+}
--- a/crates/fleet/tests/daemons/test_fleet.rs
+++ b/crates/fleet/tests/daemons/test_fleet.rs
@@ -135,6 +135,18 @@
         self.unreached.borrow_mut().insert(id.to_owned());
     }
 
+    /// Renews a worker's lease as the owner of that token would.
+    pub(crate) fn renew(&self, id: &str, token: u64) {
+        self.act_on(id, |worker, now| {
+            let order = HoldOrder {
+                deadline: Some(now + Duration::from_secs(5)),
+                acknowledged: 0,
+                wait: Duration::ZERO,
+            };
+            worker.hold(now, token, order).unwrap();
+        });
+    }
+
     /// Lets daemons reach all workers again.
     pub(crate) fn mend(&self) {
         self.unreached.borrow_mut().clear();
