Stand by an owner only where the store was seen since the start

What callers would see: as before this, two owners at a time.

Cause: a daemon that is restarted without the store knows no token, and answered a former owner that it knows of no other, also if it had known its successor.

Evidence: a_daemon_that_never_had_the_store_stands_by_nobody fails before (1).

--- a/crates/fleet/src/confirm_work.rs
+++ b/crates/fleet/src/confirm_work.rs
@@ -74,7 +74,7 @@
             continue;
         };
         shared.note_token(health.known_token);
-        vouching += usize::from(health.known_token <= token);
+        vouching += usize::from(health.known_token == token);
     }
     let members = shared.members.borrow().len();
     if vouching * 2 > members && !seat.is_over() {
--- a/crates/fleet/src/peer_desk.rs
+++ b/crates/fleet/src/peer_desk.rs
@@ -43,18 +43,28 @@
     async fn answer(&self, call: PeerCall) -> PeerAnswer {
         match call {
             PeerCall::Probe { token } => {
+                let may_tell = self.may_tell(token);
                 self.shared.note_token(token);
-                PeerAnswer::Health(self.health())
+                PeerAnswer::Health(self.health(may_tell))
             }
             PeerCall::Serve(call) => PeerAnswer::Served(self.desk.answer_for_peer(call).await),
         }
     }
 
-    fn health(&self) -> PeerHealth {
+    /// Tells whether this daemon can say that there is no other owner than that of a token. One that has not had the store
+    /// since its start may have known one before.
+    fn may_tell(&self, token: u64) -> bool {
+        self.shared.owner_version.get() > 0 || self.shared.highest_token.get() > token
+    }
+
+    fn health(&self, may_tell: bool) -> PeerHealth {
         PeerHealth {
             incarnation: self.shared.incarnation,
             acting: self.shared.seat().map(|seat| seat.token()),
-            known_token: self.shared.highest_token.get(),
+            known_token: match may_tell {
+                true => self.shared.highest_token.get(),
+                false => 0,
+            },
             without_store_ms: whole_millis(self.shared.store.without()),
         }
     }
--- a/crates/fleet/src/peer_message.rs
+++ b/crates/fleet/src/peer_message.rs
@@ -38,7 +38,7 @@
     pub incarnation: u64,
     /// The token of the ownership that it acts by, if it does.
     pub acting: Option<u64>,
-    /// The highest token that it knows.
+    /// The highest token that it knows, the asker's among them; 0 if it can't tell.
     pub known_token: u64,
     /// For how long it has not reached the store, in milliseconds.
     pub without_store_ms: u64,
--- a/crates/fleet/tests/daemons/take_over.rs
+++ b/crates/fleet/tests/daemons/take_over.rs
@@ -167,3 +167,21 @@
         assert_eq!(fleet.workers.begins(), 2);
     });
 }
+
+/// Guards against two owners at a time: a daemon that had known of the successor was restarted without the store, and stood
+/// by the former owner.
+#[test]
+fn a_daemon_that_never_had_the_store_stands_by_nobody() {
+    play_paused(async {
+        let fleet = TestFleet::with_runtime_clock(0);
+        fleet.own_elsewhere();
+        let daemon = fleet.daemon();
+        daemon.way.down.set(true);
+        time::sleep(ENDED).await;
+        assert_eq!(daemon.known_token(1).await, 0);
+        assert_eq!(daemon.known_token(1).await, 0);
+        daemon.way.down.set(false);
+        time::sleep(ENDED).await;
+        assert_eq!(daemon.known_token(1).await, 1);
+    });
+}
--- a/crates/fleet/tests/daemons/test_fleet.rs
+++ b/crates/fleet/tests/daemons/test_fleet.rs
@@ -65,6 +65,8 @@
     HttpPool,
     MemberRecord,
     OwnerRecord,
+    PeerAnswer,
+    PeerCall,
     WorkerAddress, //
 };
 use jasminebend_ports::{
@@ -186,6 +188,7 @@
     }
 }
 
+const PROBE_TIMEOUT: Duration = Duration::from_secs(5);
 /// How long a renewal is on its way.
 const WAY: Duration = Duration::from_millis(20);
 /// How often a worker that holds back its answer looks for an end.
@@ -259,6 +262,7 @@
 pub(crate) struct TestDaemon {
     pub(crate) desk: Rc<CallerDesk>,
     pub(crate) way: Rc<StoreWay>,
+    peers: SocketAddr,
     stop: watch::Sender<bool>,
     running: JoinHandle<()>,
 }
@@ -270,6 +274,20 @@
         self.running.abort();
     }
 
+    /// Asks it as the owner of that token would, and returns the token that it knows.
+    pub(crate) async fn known_token(&self, token: u64) -> u64 {
+        let body = postcard::to_stdvec(&PeerCall::Probe { token }).unwrap();
+        let request = Request::post("/peer").header("host", "daemon");
+        let request = request.body(Full::new(Bytes::from(body))).unwrap();
+        let address = self.peers.to_string();
+        let pool = HttpPool::new();
+        let reply = pool.call(&address, request, PROBE_TIMEOUT).await.unwrap();
+        match postcard::from_bytes(&reply.body).unwrap() {
+            PeerAnswer::Health(health) => health.known_token,
+            PeerAnswer::Served(answer) => panic!("{answer:?}"),
+        }
+    }
+
     pub(crate) async fn stop(self) {
         self.stop.send_replace(true);
         self.running.await.unwrap();
@@ -364,6 +382,7 @@
             duty_lease: Duration::from_secs(1),
             dispatch: DispatchSettings::default(),
         };
+        let peers = settings.peers;
         let way = Rc::new(StoreWay::new(Rc::clone(&self.store)));
         let edges = FleetEdges {
             clock: Rc::clone(&self.clock),
@@ -386,6 +405,7 @@
         TestDaemon {
             desk,
             way,
+            peers,
             stop,
             running,
         }
