Take members out that were silent for long

What callers would see: in a store's outage, an owner that stops, though most daemons live; after a take-over, tasks that wait for a worker without end.

Cause: the row of every daemon that ever ran counted as a member. With as many replaced as there are, no majority answers any more.

Change: the owner empties the rows of members that left it unanswered for five minutes, if more than half of all answer; a daemon whose row is empty enrolls again. A minority changes nothing, so that majorities of former and new members overlap. The empty rows stay.

Evidence: members_that_are_gone_for_long_count_no_more (5 members instead of 3) and a_member_that_was_taken_out_enrolls_again (0 instead of 1) fail without the two parts; few_daemons_take_no_member_out holds the third.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -19,6 +19,7 @@
 mod http_pool;
 mod http_server;
 mod kept_knowledge;
+mod member_expiry;
 mod member_watch;
 mod operator_watch;
 mod owner_record;
--- /dev/null
+++ b/crates/fleet/src/member_expiry.rs
@@ -0,0 +1,112 @@
+//! Takes daemons that are gone out of the members.
+
+use std::{
+    collections::HashMap,
+    rc::Rc,
+    time::Duration, //
+};
+
+use serde::Serialize;
+use tokio::{
+    task::JoinSet,
+    time, //
+};
+
+use crate::{
+    CommitAnswer,
+    FleetRow,
+    FleetTable,
+    LogEvent,
+    MemberRecord,
+    OwnerProbe,
+    RowCommit,
+    fleet_shared::{
+        FleetShared,
+        MEMBERS_PART, //
+    },
+    owner_seat::OwnerSeat, //
+};
+
+/// How often the owner looks which members answer.
+const LOOK_EVERY: Duration = Duration::from_secs(30);
+/// How long a member must have left every look unanswered. One that is back enrolls again.
+const EXPIRY: Duration = Duration::from_secs(300);
+
+#[derive(Serialize)]
+struct ExpiryLine<'a> {
+    change: &'static str,
+    member: &'a str,
+    members: usize,
+}
+
+/// Takes members out that were silent for long, until the seat is over. Ownership rests on more than half of the members,
+/// so that daemons that are gone for good must not count for ever; only more than half may say who they are.
+pub(crate) async fn expire_members(shared: Rc<FleetShared>, seat: Rc<OwnerSeat>) {
+    let mut silent_since: HashMap<String, Duration> = HashMap::new();
+    while !seat.is_over() {
+        time::sleep(LOOK_EVERY).await;
+        let silent = silent_members(&shared, seat.token()).await;
+        let now = shared.now();
+        silent_since.retain(|node, _| silent.iter().any(|member| member.node == *node));
+        let members = shared.members.borrow().len();
+        for member in &silent {
+            let since = *silent_since.entry(member.node.clone()).or_insert(now);
+            let is_expired = now >= since + EXPIRY && (members - silent.len()) * 2 > members;
+            if is_expired && shared.may_order(&seat) {
+                take_out(&shared, &seat, member).await;
+            }
+        }
+    }
+}
+
+async fn silent_members(shared: &FleetShared, token: u64) -> Vec<MemberRecord> {
+    let members: Vec<MemberRecord> = shared.members.borrow().values().cloned().collect();
+    let mut probes = JoinSet::new();
+    for member in members {
+        if member.node == shared.settings.node {
+            continue;
+        }
+        let peers = shared.peers.clone();
+        probes.spawn_local(async move {
+            let probe = peers.probe(&member.address, token).await;
+            (!matches!(probe, OwnerProbe::Answered(_))).then_some(member)
+        });
+    }
+    probes.join_all().await.into_iter().flatten().collect()
+}
+
+/// Writes the member's row without a record, unless it has enrolled again.
+async fn take_out(shared: &FleetShared, seat: &OwnerSeat, member: &MemberRecord) {
+    let read = shared
+        .store
+        .read_few(FleetTable::Fleet, MEMBERS_PART, &member.node, None)
+        .await;
+    let Ok((rows, _)) = read else {
+        return;
+    };
+    let Some(row) = rows.into_iter().find(|row| row.key == member.node) else {
+        return;
+    };
+    if postcard::from_bytes::<MemberRecord>(&row.value)
+        .ok()
+        .as_ref()
+        != Some(member)
+    {
+        return;
+    }
+    let empty = FleetRow::new(FleetTable::Fleet, MEMBERS_PART, row.key.clone(), Vec::new());
+    let commit = RowCommit {
+        guards: vec![seat.guard.clone(), row.guard(row.version)],
+        writes: vec![empty],
+    };
+    if let Ok(CommitAnswer::Done(_)) = shared.store.commit(commit).await {
+        shared.log.line(
+            LogEvent::Owner,
+            ExpiryLine {
+                change: "member_expired",
+                member: &member.node,
+                members: shared.members.borrow().len(),
+            },
+        );
+    }
+}
--- a/crates/fleet/src/member_watch.rs
+++ b/crates/fleet/src/member_watch.rs
@@ -50,7 +50,12 @@
             Some(version) => watch(&shared, version).await,
         };
         match result {
-            Ok(version) => after = Some(version),
+            Ok(version) => {
+                after = Some(version);
+                if !shared.members.borrow().contains_key(&shared.settings.node) {
+                    enroll(&shared).await;
+                }
+            }
             Err(StoreError::Forgotten) => after = None,
             Err(_) => shared.store.pause().await,
         }
@@ -143,15 +148,25 @@
 }
 
 fn note_member(shared: &FleetShared, row: &FleetRow) {
+    if row.value.is_empty() {
+        shared.members.borrow_mut().shift_remove(&row.key);
+        tell_succession(shared);
+        return;
+    }
     // A row of another release's is left out.
     if let Ok(member) = postcard::from_bytes::<MemberRecord>(&row.value) {
         let mut members = shared.members.borrow_mut();
         members.insert(member.node.clone(), member);
-        let all = members.values().cloned().collect();
-        shared.succession.borrow_mut().note_members(all);
+        drop(members);
+        tell_succession(shared);
     }
 }
 
+fn tell_succession(shared: &FleetShared) {
+    let members = shared.members.borrow().values().cloned().collect();
+    shared.succession.borrow_mut().note_members(members);
+}
+
 pub(crate) fn note_owner(shared: &FleetShared, row: Option<&FleetRow>) {
     let version = row.map_or(0, |row| row.version);
     if version < shared.owner_version.get() {
--- a/crates/fleet/src/owner_work.rs
+++ b/crates/fleet/src/owner_work.rs
@@ -44,6 +44,7 @@
         kept_workers,
         restore_learned, //
     },
+    member_expiry::expire_members,
     member_watch::note_owner,
     operator_watch::inform_seat,
     owner_seat::OwnerSeat,
@@ -278,6 +279,7 @@
     tasks.spawn_local(keep_knowledge(Rc::clone(&shared), Rc::clone(&seat)));
     tasks.spawn_local(confirm_seat(Rc::clone(&shared), Rc::clone(&seat)));
     tasks.spawn_local(carry_waves(Rc::clone(&shared), Rc::clone(&seat)));
+    tasks.spawn_local(expire_members(Rc::clone(&shared), Rc::clone(&seat)));
     seat.ended().await;
     shared.log.line(
         LogEvent::Owner,
--- a/crates/fleet/tests/daemons/main.rs
+++ b/crates/fleet/tests/daemons/main.rs
@@ -1,6 +1,7 @@
 //! Daemons that share a store: jobs from a caller's request to their last end, through deaths and outages.
 
 mod jobs;
+mod members;
 mod memory_store;
 mod store_silence;
 mod take_over;
--- a/crates/fleet/tests/daemons/memory_store.rs
+++ b/crates/fleet/tests/daemons/memory_store.rs
@@ -173,6 +173,26 @@
         postcard::from_bytes(&row.value).ok()
     }
 
+    /// Counts the members.
+    pub(crate) fn members(&self) -> usize {
+        let rows = self.rows.borrow();
+        let members = rows.iter().filter(|((_, part, _), _)| part == "members");
+        members.filter(|(_, row)| !row.value.is_empty()).count()
+    }
+
+    /// Takes all members out.
+    pub(crate) fn take_members_out(&self) {
+        let rows = self.rows.borrow().clone();
+        let members = rows
+            .into_iter()
+            .filter(|((_, part, _), _)| part == "members");
+        let empty = members.map(|(_, row)| FleetRow {
+            value: Vec::new().into(),
+            ..row
+        });
+        self.write(empty.collect());
+    }
+
     pub(crate) fn count(&self, table: FleetTable) -> usize {
         let rows = self.rows.borrow();
         rows.iter()
--- a/crates/fleet/tests/daemons/test_fleet.rs
+++ b/crates/fleet/tests/daemons/test_fleet.rs
@@ -346,25 +346,30 @@
 
     /// Has another daemon own the jobs, and so many members go before a daemon of the test where it is to be replaced.
     pub(crate) fn own_at(&self, address: SocketAddr, members: u32) {
-        let address = address.to_string();
         let owner = OwnerRecord {
             node: "elsewhere".to_owned(),
             incarnation: 1,
-            address: address.clone(),
+            address: address.to_string(),
             token: 1,
             vacant: false,
         };
-        let mut rows = vec![row(FleetTable::Fleet, "s0", "owner", &owner)];
-        for number in 0..members {
+        self.store
+            .write(vec![row(FleetTable::Fleet, "s0", "owner", &owner)]);
+        self.enroll(address, members);
+    }
+
+    /// Enrolls members that all are at one address.
+    pub(crate) fn enroll(&self, address: SocketAddr, members: u32) {
+        let rows = (0..members).map(|number| {
             let member = MemberRecord {
                 node: format!("member-{number}"),
                 incarnation: 1,
-                address: address.clone(),
+                address: address.to_string(),
                 cpu_millis: 1000,
             };
-            rows.push(row(FleetTable::Fleet, "members", &member.node, &member));
-        }
-        self.store.write(rows);
+            row(FleetTable::Fleet, "members", &member.node, &member)
+        });
+        self.store.write(rows.collect());
     }
 
     /// Starts a daemon.
@@ -504,7 +509,7 @@
 }
 
 /// Returns an address that nothing listens on; no two tests of a process get the same.
-fn free_address() -> SocketAddr {
+pub(crate) fn free_address() -> SocketAddr {
     static PORTS: LazyLock<PortBlock> = LazyLock::new(|| PortBlock::new().unwrap());
     PORTS.address().unwrap()
 }
