--- a/crates/cluster/tests/cluster/link.rs
+++ b/crates/cluster/tests/cluster/link.rs
@@ -80,17 +80,29 @@
     assert_eq!(received.expect("the frame arrives"), [frame]);
 }
 
-/// Guards against a sender that waits for good: its peer was paused, and frames filled the connection.
-#[tokio::test]
-async fn a_connection_whose_peer_reads_nothing_is_replaced() {
+/// Has a link send a frame to a peer that the test plays.
+async fn send_to_peer(frame: Bytes) -> (TcpLink, TcpListener, SocketAddr) {
     let free = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
     let peer = TcpListener::bind(free).await.expect("a free port");
     let address = peer.local_addr().expect("it is bound");
     let sending = TcpLink::new(free).expect("a free port of loopback");
+    sending.send(address, frame);
+    (sending, peer, address)
+}
+
+/// Takes a connection as a receiver of frames does.
+async fn accept(peer: &TcpListener) -> TcpStream {
+    let (mut stream, _) = peer.accept().await.expect("it connects");
+    stream.write_all(&RECEIVER).await.expect("it is open");
+    stream
+}
+
+/// Guards against a sender that waits for good: its peer was paused, and frames filled the connection.
+#[tokio::test]
+async fn a_connection_whose_peer_reads_nothing_is_replaced() {
     let frame = Bytes::from(vec![0; MAX_FRAME_BYTES]);
-    sending.send(address, frame.clone());
-    let (mut paused, _) = peer.accept().await.expect("it connects");
-    paused.write_all(&RECEIVER).await.expect("it is open");
+    let (sending, peer, address) = send_to_peer(frame.clone()).await;
+    let _paused = accept(&peer).await;
     let replaced = async {
         while timeout(REPEAT_AFTER, peer.accept()).await.is_err() {
             sending.send(address, frame.clone());
@@ -103,15 +115,8 @@
 /// Guards against a daemon that keeps a connection to every peer that there ever was: peers are replaced each day.
 #[tokio::test(start_paused = true)]
 async fn a_connection_that_nothing_is_sent_on_is_closed() {
-    let free = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
-    let peer = TcpListener::bind(free).await.expect("a free port");
-    let sending = TcpLink::new(free).expect("a free port of loopback");
-    sending.send(
-        peer.local_addr().expect("it is bound"),
-        Bytes::from_static(b"frame"),
-    );
-    let (mut replaced, _) = peer.accept().await.expect("it connects");
-    replaced.write_all(&RECEIVER).await.expect("it is open");
+    let (_sending, peer, _) = send_to_peer(Bytes::from_static(b"frame")).await;
+    let mut replaced = accept(&peer).await;
     let closed = async { while !matches!(replaced.read(&mut [0; 64]).await, Ok(0) | Err(_)) {} };
     let closed = timeout(IDLE, closed).await;
     assert!(closed.is_ok(), "it is still open");
@@ -120,13 +125,7 @@
 /// Guards against a daemon that goes on calling every peer that there ever was.
 #[tokio::test(start_paused = true)]
 async fn an_address_that_nothing_is_sent_to_is_not_called() {
-    let free = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
-    let peer = TcpListener::bind(free).await.expect("a free port");
-    let sending = TcpLink::new(free).expect("a free port of loopback");
-    sending.send(
-        peer.local_addr().expect("it is bound"),
-        Bytes::from_static(b"frame"),
-    );
+    let (_sending, peer, _) = send_to_peer(Bytes::from_static(b"frame")).await;
     let mut calls = 0;
     while timeout(IDLE, peer.accept()).await.is_ok() {
         calls += 1;
--- a/crates/fleet/tests/daemons/members.rs
+++ b/crates/fleet/tests/daemons/members.rs
@@ -1,41 +1,27 @@
 //! Who counts as a member. Time is the runtime's and stands still while anything runs.
 
 use std::{
-    future::Future,
     net::TcpListener,
     time::Duration, //
 };
 
-use tokio::{
-    runtime::Builder,
-    task::LocalSet,
-    time, //
-};
+use tokio::time;
 
 use crate::test_fleet::{
     TestFleet,
-    free_address, //
+    free_address,
+    play_paused, //
 };
 
 /// Longer than a member may be silent.
 const LONG: Duration = Duration::from_secs(600);
 const A_MOMENT: Duration = Duration::from_secs(10);
 
-fn play<Story>(story: Story)
-where
-    Story: Future<Output = ()>,
-{
-    let mut builder = Builder::new_current_thread();
-    let runtime = builder.enable_all().start_paused(true).build();
-    let runtime = runtime.expect("a runtime can be built");
-    LocalSet::new().block_on(&runtime, story);
-}
-
 /// Guards against an owner that can't act without the store: daemons that were replaced long ago counted, so that no
 /// majority answered.
 #[test]
 fn members_that_are_gone_for_long_count_no_more() {
-    play(async {
+    play_paused(async {
         let fleet = TestFleet::with_runtime_clock(0);
         fleet.enroll(free_address(), 2);
         let _daemons = [fleet.daemon(), fleet.daemon(), fleet.daemon()];
@@ -49,7 +35,7 @@
 /// Guards against two owners at a time: those that few daemons reach decided who counts.
 #[test]
 fn few_daemons_take_no_member_out() {
-    play(async {
+    play_paused(async {
         let fleet = TestFleet::with_runtime_clock(0);
         let silent = TcpListener::bind("127.0.0.1:0").expect("a free port");
         fleet.enroll(silent.local_addr().expect("it is bound"), 3);
@@ -62,7 +48,7 @@
 /// Guards against a daemon that never counts again: it was taken out while nobody reached it.
 #[test]
 fn a_member_that_was_taken_out_enrolls_again() {
-    play(async {
+    play_paused(async {
         let fleet = TestFleet::with_runtime_clock(0);
         let _daemon = fleet.daemon();
         time::sleep(A_MOMENT).await;
--- a/crates/fleet/tests/daemons/store_silence.rs
+++ b/crates/fleet/tests/daemons/store_silence.rs
@@ -14,11 +14,7 @@
     FleetTable,
     JobRecord, //
 };
-use tokio::{
-    runtime::Builder,
-    task::LocalSet,
-    time, //
-};
+use tokio::time;
 
 use crate::test_fleet::{
     TestDaemon,
@@ -26,6 +22,7 @@
     ask,
     count,
     job,
+    play_paused,
     submit, //
 };
 
@@ -46,10 +43,7 @@
     Played: Future<Output = ()>,
 {
     for phase in (0..ROUND_MS).step_by(250) {
-        let mut builder = Builder::new_current_thread();
-        let runtime = builder.enable_all().start_paused(true).build();
-        let runtime = runtime.expect("a runtime can be built");
-        LocalSet::new().block_on(&runtime, story(Duration::from_millis(phase)));
+        play_paused(story(Duration::from_millis(phase)));
     }
 }
 
--- a/crates/fleet/tests/daemons/take_over.rs
+++ b/crates/fleet/tests/daemons/take_over.rs
@@ -2,7 +2,6 @@
 //! stands still while anything runs.
 
 use std::{
-    future::Future,
     net::TcpListener,
     time::Duration, //
 };
@@ -21,18 +20,15 @@
     JobRecord, //
 };
 use jasminebend_standins::TaskWork;
-use tokio::{
-    runtime::Builder,
-    task::LocalSet,
-    time, //
-};
+use tokio::time;
 
 use crate::{
     memory_store::StoreWay,
     test_fleet::{
         TestDaemon,
         TestFleet,
-        job, //
+        job,
+        play_paused, //
     }, //
 };
 
@@ -92,16 +88,6 @@
     fleet.store.write(vec![row]);
 }
 
-fn play_paused<Story>(story: Story)
-where
-    Story: Future<Output = ()>,
-{
-    let mut builder = Builder::new_current_thread();
-    let runtime = builder.enable_all().start_paused(true).build();
-    let runtime = runtime.expect("a runtime can be built");
-    LocalSet::new().block_on(&runtime, story);
-}
-
 /// Plays a take-over from a silent owner, which goes on for 2 s. It starts a task on a worker that the successor does not
 /// reach, some time after the successor began to act; then the task's job comes, while `disturb` keeps it from being told.
 fn play<Disturb>(after: Duration, disturb: Disturb)
--- a/crates/fleet/tests/daemons/test_fleet.rs
+++ b/crates/fleet/tests/daemons/test_fleet.rs
@@ -14,6 +14,7 @@
         BTreeMap,
         BTreeSet, //
     },
+    future::Future,
     net::SocketAddr,
     rc::Rc,
     sync::LazyLock,
@@ -80,8 +81,12 @@
 };
 use serde::Serialize;
 use tokio::{
+    runtime::Builder,
     sync::watch,
-    task::JoinHandle,
+    task::{
+        JoinHandle,
+        LocalSet, //
+    },
     time, //
 };
 
@@ -90,6 +95,18 @@
     StoreWay, //
 };
 
+/// Plays a story on a runtime whose time stands still while anything runs.
+pub(crate) fn play_paused<Story>(story: Story)
+where
+    Story: Future<Output = ()>,
+{
+    let runtime = Builder::new_current_thread()
+        .enable_all()
+        .start_paused(true)
+        .build();
+    LocalSet::new().block_on(&runtime.unwrap(), story);
+}
+
 /// Workers in memory.
 pub(crate) struct MemoryWorkers {
     clock: Rc<dyn ClockSource>,
--- a/crates/fleet/tests/daemons/worker_silence.rs
+++ b/crates/fleet/tests/daemons/worker_silence.rs
@@ -2,15 +2,12 @@
 
 use std::time::Duration;
 
-use tokio::{
-    runtime::Builder,
-    task::LocalSet,
-    time, //
-};
+use tokio::time;
 
 use crate::test_fleet::{
     TestFleet,
     job,
+    play_paused,
     submit, //
 };
 
@@ -24,10 +21,7 @@
 #[test]
 fn tasks_outlive_the_silence_of_the_connections_to_their_workers() {
     for phase in (0..ROUND_MS).step_by(PHASE_MS) {
-        let mut builder = Builder::new_current_thread();
-        let runtime = builder.enable_all().start_paused(true).build();
-        let runtime = runtime.expect("a runtime can be built");
-        LocalSet::new().block_on(&runtime, async {
+        play_paused(async {
             let fleet = TestFleet::with_runtime_clock(2);
             fleet.workers.waits.set(true);
             fleet.workers.lasts.set(Duration::from_secs(30));
