--- a/crates/fleet/tests/http_pool.rs
+++ b/crates/fleet/tests/http_pool.rs
@@ -29,7 +29,9 @@
 /// Answers one call, and returns its connection.
 async fn answer(listener: &TcpListener) -> io::Result<TcpStream> {
     let (mut stream, _) = listener.accept().await?;
-    stream.read(&mut [0; 1024]).await?;
+    // The call comes in one piece.
+    let read = stream.read(&mut [0; 1024]).await?;
+    assert!(read > 0, "it ended before its call");
     stream.write_all(ANSWER).await?;
     Ok(stream)
 }
--- a/crates/jasminebend/benches/administration_cost.rs
+++ b/crates/jasminebend/benches/administration_cost.rs
@@ -68,7 +68,7 @@
         format: LogFormat::Text,
         level: LogLevel::Error,
     };
-    set_up_log(log).expect("a log");
+    let _log = set_up_log(log).expect("a log");
     let daemon = start().await;
     while !daemon.ready() {
         sleep(Duration::from_millis(10)).await;
