--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -4,6 +4,7 @@
 //! The decisions are `jasminebend-dispatch`'s and [`Succession`]'s. The platform is reached through
 //! the ports in this crate.
 
+mod announcement;
 mod caller_call;
 mod caller_desk;
 mod commit_work;
@@ -18,6 +19,7 @@
 mod http_pool;
 mod http_server;
 mod kept_knowledge;
+mod member_expiry;
 mod member_watch;
 mod operator_watch;
 mod owner_record;
--- a/crates/fleet/tests/daemons/test_fleet.rs
+++ b/crates/fleet/tests/daemons/test_fleet.rs
@@ -14,6 +14,7 @@
         BTreeMap,
         BTreeSet, //
     },
+    future::Future,
     net::SocketAddr,
     rc::Rc,
     sync::LazyLock,
@@ -65,6 +66,8 @@
     HttpPool,
     MemberRecord,
     OwnerRecord,
+    PeerAnswer,
+    PeerCall,
     WorkerAddress, //
 };
 use jasminebend_ports::{
@@ -78,8 +81,12 @@
 };
 use serde::Serialize;
 use tokio::{
+    runtime::Builder,
     sync::watch,
-    task::JoinHandle,
+    task::{
+        JoinHandle,
+        LocalSet, //
+    },
     time, //
 };
 
@@ -88,6 +95,18 @@
     StoreWay, //
 };
 
+/// Plays a story on a runtime whose time stands still while anything runs.
+pub(crate) fn play_paused<Story>(story: Story)
+where
+    Story: Future<Output = ()>,
+{
+    let runtime = Builder::new_current_thread()
+        .enable_all()
+        .start_paused(true)
+        .build();
+    LocalSet::new().block_on(&runtime.unwrap(), story);
+}
+
 /// Workers in memory.
 pub(crate) struct MemoryWorkers {
     clock: Rc<dyn ClockSource>,
@@ -135,6 +154,18 @@
         self.unreached.borrow_mut().insert(id.to_owned());
     }
 
+    /// Renews a worker's lease as the owner of that token would.
+    pub(crate) fn renew(&self, id: &str, token: u64) {
+        self.act_on(id, |worker, now| {
+            let order = HoldOrder {
+                deadline: Some(now + Duration::from_secs(5)),
+                acknowledged: 0,
+                wait: Duration::ZERO,
+            };
+            worker.hold(now, token, order).unwrap();
+        });
+    }
+
     /// Lets daemons reach all workers again.
     pub(crate) fn mend(&self) {
         self.unreached.borrow_mut().clear();
@@ -174,6 +205,7 @@
     }
 }
 
+const PROBE_TIMEOUT: Duration = Duration::from_secs(5);
 /// How long a renewal is on its way.
 const WAY: Duration = Duration::from_millis(20);
 /// How often a worker that holds back its answer looks for an end.
@@ -247,6 +279,7 @@
 pub(crate) struct TestDaemon {
     pub(crate) desk: Rc<CallerDesk>,
     pub(crate) way: Rc<StoreWay>,
+    peers: SocketAddr,
     stop: watch::Sender<bool>,
     running: JoinHandle<()>,
 }
@@ -258,6 +291,20 @@
         self.running.abort();
     }
 
+    /// Asks it as the owner of that token would, and returns the token that it knows.
+    pub(crate) async fn known_token(&self, token: u64) -> u64 {
+        let body = postcard::to_stdvec(&PeerCall::Probe { token }).unwrap();
+        let request = Request::post("/peer").header("host", "daemon");
+        let request = request.body(Full::new(Bytes::from(body))).unwrap();
+        let address = self.peers.to_string();
+        let pool = HttpPool::new();
+        let reply = pool.call(&address, request, PROBE_TIMEOUT).await.unwrap();
+        match postcard::from_bytes(&reply.body).unwrap() {
+            PeerAnswer::Health(health) => health.known_token,
+            PeerAnswer::Served(answer) => panic!("{answer:?}"),
+        }
+    }
+
     pub(crate) async fn stop(self) {
         self.stop.send_replace(true);
         self.running.await.unwrap();
@@ -316,25 +363,30 @@
 
     /// Has another daemon own the jobs, and so many members go before a daemon of the test where it is to be replaced.
     pub(crate) fn own_at(&self, address: SocketAddr, members: u32) {
-        let address = address.to_string();
         let owner = OwnerRecord {
             node: "elsewhere".to_owned(),
             incarnation: 1,
-            address: address.clone(),
+            address: address.to_string(),
             token: 1,
             vacant: false,
         };
-        let mut rows = vec![row(FleetTable::Fleet, "s0", "owner", &owner)];
-        for number in 0..members {
+        self.store
+            .write(vec![row(FleetTable::Fleet, "s0", "owner", &owner)]);
+        self.enroll(address, members);
+    }
+
+    /// Enrolls members that all are at one address.
+    pub(crate) fn enroll(&self, address: SocketAddr, members: u32) {
+        let rows = (0..members).map(|number| {
             let member = MemberRecord {
                 node: format!("member-{number}"),
                 incarnation: 1,
-                address: address.clone(),
+                address: address.to_string(),
                 cpu_millis: 1000,
             };
-            rows.push(row(FleetTable::Fleet, "members", &member.node, &member));
-        }
-        self.store.write(rows);
+            row(FleetTable::Fleet, "members", &member.node, &member)
+        });
+        self.store.write(rows.collect());
     }
 
     /// Starts a daemon.
@@ -352,6 +404,7 @@
             duty_lease: Duration::from_secs(1),
             dispatch: DispatchSettings::default(),
         };
+        let peers = settings.peers;
         let way = Rc::new(StoreWay::new(Rc::clone(&self.store)));
         let edges = FleetEdges {
             clock: Rc::clone(&self.clock),
@@ -374,6 +427,7 @@
         TestDaemon {
             desk,
             way,
+            peers,
             stop,
             running,
         }
@@ -472,7 +526,7 @@
 }
 
 /// Returns an address that nothing listens on; no two tests of a process get the same.
-fn free_address() -> SocketAddr {
+pub(crate) fn free_address() -> SocketAddr {
     static PORTS: LazyLock<PortBlock> = LazyLock::new(|| PortBlock::new().unwrap());
     PORTS.address().unwrap()
 }
