Name the address that a fleet's daemon can't bind

The message said that an address is in use, and not which of four: the cause of the soak's failure had to be found by looking at the ports while it ran. an_address_that_is_taken_is_named fails without it.

--- a/crates/fleet/src/http_server.rs
+++ b/crates/fleet/src/http_server.rs
@@ -68,7 +68,7 @@
 ///
 /// # Errors
 ///
-/// Any error of binding the address.
+/// Any error of binding the address, which its text names.
 pub async fn serve<Handler>(
     address: SocketAddr,
     handler: Rc<Handler>,
@@ -78,7 +78,9 @@
 where
     Handler: HttpHandler + 'static,
 {
-    let listener = TcpListener::bind(address).await?;
+    let listener = TcpListener::bind(address)
+        .await
+        .map_err(|error| io::Error::new(error.kind(), format!("{address}: {error}")))?;
     serve_on(listener, handler, stop, count);
     Ok(())
 }
--- a/crates/fleet/tests/http_server.rs
+++ b/crates/fleet/tests/http_server.rs
@@ -19,6 +19,7 @@
 use jasminebend_fleet::{
     ConnectionCount,
     HttpHandler,
+    serve,
     serve_on, //
 };
 use tokio::{
@@ -85,3 +86,16 @@
     let sent = b"GET / HTTP/1.1\r\nhost: h\r\n\r\n";
     LocalSet::new().run_until(stop_after(sent)).await;
 }
+
+/// Guards against an operator who can't tell which of a daemon's ports is taken.
+#[tokio::test]
+async fn an_address_that_is_taken_is_named() {
+    let taken = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = taken.local_addr().expect("it is bound");
+    let (_stop, stopping) = watch::channel(false);
+    let count = ConnectionCount::default();
+    let error = serve(address, Rc::new(Verbose), stopping, count)
+        .await
+        .expect_err("it is taken");
+    assert!(error.to_string().contains(&address.to_string()), "{error}");
+}
