Bound the time that a request's body may take at a fleet's daemon

What callers would see: as with a body that stops, a daemon without descriptors: one that came a byte at a time was waited for up to its size.

Evidence: a_body_that_trickles_ends_its_connection fails without the time limit.

--- a/crates/fleet/src/http_server.rs
+++ b/crates/fleet/src/http_server.rs
@@ -12,11 +12,16 @@
 
 use async_trait::async_trait;
 use bytes::Bytes;
+use derive_more::Display;
 use http::{
     Request,
     Response, //
 };
-use http_body_util::Full;
+use http_body_util::{
+    BodyExt,
+    Full,
+    Limited, //
+};
 use hyper::{
     body::Incoming,
     server::conn::http1,
@@ -32,7 +37,8 @@
         TcpStream, //
     },
     sync::watch,
-    task, //
+    task,
+    time, //
 };
 use tokio_io_timeout::TimeoutStream;
 
@@ -40,9 +46,36 @@
 const ACCEPT_AGAIN: Duration = Duration::from_millis(50);
 /// How long a request's head may take to arrive.
 const HEAD: Duration = Duration::from_secs(10);
+/// How long a request's body may take to arrive.
+const BODY: Duration = Duration::from_secs(10);
 /// How long a caller may send nothing of a request's body, or take nothing of its answer.
 const STALL: Duration = Duration::from_secs(10);
 
+/// Why a request's body was not read.
+#[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
+pub enum BodyFault {
+    /// It is larger than allowed, or its connection ended.
+    #[display("the body is too large or ends early")]
+    Broken,
+    /// It did not come in time.
+    #[display("the body took too long")]
+    Late,
+}
+
+/// Reads a request's body of at most `limit` bytes.
+///
+/// # Errors
+///
+/// Any [`BodyFault`].
+pub async fn read_body(body: Incoming, limit: usize) -> Result<Bytes, BodyFault> {
+    let whole = time::timeout(BODY, Limited::new(body, limit).collect()).await;
+    match whole {
+        Ok(Ok(whole)) => Ok(whole.to_bytes()),
+        Ok(Err(_)) => Err(BodyFault::Broken),
+        Err(_) => Err(BodyFault::Late),
+    }
+}
+
 /// What answers requests.
 #[async_trait(?Send)]
 pub trait HttpHandler {
@@ -111,7 +144,7 @@
                 let serving = connection(stream, Rc::clone(&handler), stop.clone(), count.clone());
                 task::spawn_local(serving);
             }
-            Err(_) => tokio::time::sleep(ACCEPT_AGAIN).await,
+            Err(_) => time::sleep(ACCEPT_AGAIN).await,
         }
     }
 }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -84,8 +84,10 @@
         HttpReply, //
     },
     http_server::{
+        BodyFault,
         ConnectionCount,
         HttpHandler,
+        read_body,
         serve,
         serve_on, //
     },
--- a/crates/fleet/src/peer_desk.rs
+++ b/crates/fleet/src/peer_desk.rs
@@ -9,11 +9,7 @@
     Response,
     StatusCode, //
 };
-use http_body_util::{
-    BodyExt,
-    Full,
-    Limited, //
-};
+use http_body_util::Full;
 use hyper::body::Incoming;
 
 use crate::{
@@ -23,7 +19,8 @@
     PeerCall,
     PeerHealth,
     fleet_log::whole_millis,
-    fleet_shared::FleetShared, //
+    fleet_shared::FleetShared,
+    read_body, //
 };
 
 /// The largest call of another daemon that is read, in bytes: a caller's body and its envelope.
@@ -73,12 +70,8 @@
 #[async_trait(?Send)]
 impl HttpHandler for PeerDesk {
     async fn handle(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
-        let body = Limited::new(request.into_body(), LARGEST_CALL)
-            .collect()
-            .await;
-        let call = body
-            .ok()
-            .and_then(|body| postcard::from_bytes(&body.to_bytes()).ok());
+        let body = read_body(request.into_body(), LARGEST_CALL).await;
+        let call = body.ok().and_then(|body| postcard::from_bytes(&body).ok());
         let Some(call) = call else {
             return status(StatusCode::BAD_REQUEST);
         };
--- a/crates/fleet/tests/http_server.rs
+++ b/crates/fleet/tests/http_server.rs
@@ -11,14 +11,12 @@
     Request,
     Response, //
 };
-use http_body_util::{
-    BodyExt,
-    Full, //
-};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use jasminebend_fleet::{
     ConnectionCount,
     HttpHandler,
+    read_body,
     serve,
     serve_on, //
 };
@@ -34,6 +32,8 @@
 };
 
 const LONGEST: Duration = Duration::from_secs(600);
+/// Shorter than a connection may be without a byte.
+const TRICKLE: Duration = Duration::from_secs(5);
 const LOOK_EVERY: Duration = Duration::from_millis(100);
 /// More than any socket buffers.
 const ANSWER_BYTES: usize = 64 << 20;
@@ -44,13 +44,16 @@
 #[async_trait(?Send)]
 impl HttpHandler for Verbose {
     async fn handle(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
-        drop(request.into_body().collect().await);
+        drop(read_body(request.into_body(), 1000).await);
         Response::new(Full::new(Bytes::from(vec![0; ANSWER_BYTES])))
     }
 }
 
-/// Sends bytes, then neither reads nor writes, and waits until the server has closed the connection.
-async fn stop_after(sent: &[u8]) {
+/// Sends bytes, goes on as `then` says without reading, and waits until the server has closed the connection.
+async fn stop_after<Then>(sent: &[u8], then: Then)
+where
+    Then: AsyncFnOnce(&mut TcpStream),
+{
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
     let address = listener.local_addr().expect("it is bound");
     let count = ConnectionCount::default();
@@ -61,6 +64,7 @@
     while count.open() == 0 {
         time::sleep(LOOK_EVERY).await;
     }
+    then(&mut caller).await;
     let closed = async {
         while count.open() > 0 {
             time::sleep(LOOK_EVERY).await;
@@ -76,7 +80,25 @@
 #[tokio::test(start_paused = true)]
 async fn a_body_that_stops_ends_its_connection() {
     let sent = b"POST / HTTP/1.1\r\nhost: h\r\ncontent-length: 100\r\n\r\nhalf";
-    LocalSet::new().run_until(stop_after(sent)).await;
+    LocalSet::new()
+        .run_until(stop_after(sent, async |_| ()))
+        .await;
+}
+
+/// Guards against a daemon that runs out of memory and descriptors: bodies that trickle never stopped.
+#[tokio::test(start_paused = true)]
+async fn a_body_that_trickles_ends_its_connection() {
+    let sent = b"POST / HTTP/1.1\r\nhost: h\r\ncontent-length: 100\r\n\r\n";
+    let trickle = async |caller: &mut TcpStream| {
+        for _ in 0..99 {
+            time::sleep(TRICKLE).await;
+            if caller.write_all(b"x").await.is_err() {
+                return;
+            }
+        }
+        panic!("it waits for the whole body");
+    };
+    LocalSet::new().run_until(stop_after(sent, trickle)).await;
 }
 
 /// Guards against a daemon that runs out of memory and descriptors: answers waited without end for callers that did not
@@ -84,7 +106,9 @@
 #[tokio::test(start_paused = true)]
 async fn an_answer_that_nobody_reads_ends_its_connection() {
     let sent = b"GET / HTTP/1.1\r\nhost: h\r\n\r\n";
-    LocalSet::new().run_until(stop_after(sent)).await;
+    LocalSet::new()
+        .run_until(stop_after(sent, async |_| ()))
+        .await;
 }
 
 /// Guards against an operator who can't tell which of a daemon's ports is taken.
