Use the standard terms for votes, partitions and removal

Read as a newcomer: daemons vouch for an owner, workers are partitioned, members are removed, and the log says whether a quorum knows a new owner.

--- a/crates/fleet/src/announcement.rs
+++ b/crates/fleet/src/announcement.rs
@@ -47,7 +47,7 @@
             shared.log.line(
                 LogEvent::Owner,
                 AnnouncementLine {
-                    change: if is_known { "known" } else { "known_to_few" },
+                    change: if is_known { "quorum" } else { "no_quorum" },
                     token: seat.token(),
                     knowing: knowing.len(),
                     members: shared.members.borrow().len(),
@@ -63,7 +63,7 @@
 }
 
 /// Tells those that do not know it yet, and waits until half know it or none is left to answer. Where nothing listens,
-/// nobody stands by the former owner.
+/// nobody vouches for the former owner.
 async fn tell(shared: &FleetShared, seat: &OwnerSeat, knowing: &mut HashSet<String>) {
     let token = seat.token();
     let mut probes = JoinSet::new();
--- a/crates/fleet/src/member_expiry.rs
+++ b/crates/fleet/src/member_expiry.rs
@@ -1,4 +1,4 @@
-//! Takes daemons that are gone out of the members.
+//! Removes daemons that are gone from the members.
 
 use std::{
     collections::HashMap,
@@ -39,8 +39,8 @@
     members: usize,
 }
 
-/// Takes members out that were silent for long, until the seat is over. Ownership rests on more than half of the members,
-/// so that daemons that are gone for good must not count for ever; only more than half may say who they are.
+/// Removes members that were silent for long, until the seat is over. Ownership rests on a majority of the members, so that
+/// daemons that are gone for good must not count for ever; only a majority may change them.
 pub(crate) async fn expire_members(shared: Rc<FleetShared>, seat: Rc<OwnerSeat>) {
     let mut silent_since: HashMap<String, Duration> = HashMap::new();
     while !seat.is_over() {
@@ -53,7 +53,7 @@
             let since = *silent_since.entry(member.node.clone()).or_insert(now);
             let is_expired = now >= since + EXPIRY && (members - silent.len()) * 2 > members;
             if is_expired && shared.may_order(&seat) {
-                take_out(&shared, &seat, member).await;
+                remove_member(&shared, &seat, member).await;
             }
         }
     }
@@ -76,7 +76,7 @@
 }
 
 /// Writes the member's row without a record, unless it has enrolled again.
-async fn take_out(shared: &FleetShared, seat: &OwnerSeat, member: &MemberRecord) {
+async fn remove_member(shared: &FleetShared, seat: &OwnerSeat, member: &MemberRecord) {
     let read = shared
         .store
         .read_few(FleetTable::Fleet, MEMBERS_PART, &member.node, None)
--- a/crates/fleet/tests/daemons/members.rs
+++ b/crates/fleet/tests/daemons/members.rs
@@ -34,7 +34,7 @@
 
 /// Guards against two owners at a time: those that few daemons reach decided who counts.
 #[test]
-fn few_daemons_take_no_member_out() {
+fn a_minority_removes_no_member() {
     play_paused(async {
         let fleet = TestFleet::with_runtime_clock(0);
         let silent = TcpListener::bind("127.0.0.1:0").expect("a free port");
@@ -45,14 +45,14 @@
     });
 }
 
-/// Guards against a daemon that never counts again: it was taken out while nobody reached it.
+/// Guards against a daemon that never counts again: it was removed while nobody reached it.
 #[test]
-fn a_member_that_was_taken_out_enrolls_again() {
+fn a_removed_member_enrolls_again() {
     play_paused(async {
         let fleet = TestFleet::with_runtime_clock(0);
         let _daemon = fleet.daemon();
         time::sleep(A_MOMENT).await;
-        fleet.store.take_members_out();
+        fleet.store.remove_members();
         time::sleep(A_MOMENT).await;
         assert_eq!(fleet.store.members(), 1);
     });
--- a/crates/fleet/tests/daemons/memory_store.rs
+++ b/crates/fleet/tests/daemons/memory_store.rs
@@ -180,8 +180,8 @@
         members.filter(|(_, row)| !row.value.is_empty()).count()
     }
 
-    /// Takes all members out.
-    pub(crate) fn take_members_out(&self) {
+    /// Removes all members.
+    pub(crate) fn remove_members(&self) {
         let rows = self.rows.borrow().clone();
         let members = rows
             .into_iter()
--- a/crates/fleet/tests/daemons/take_over.rs
+++ b/crates/fleet/tests/daemons/take_over.rs
@@ -32,17 +32,17 @@
     }, //
 };
 
-const CUT_OFF: &str = "worker-0";
+const PARTITIONED: &str = "worker-0";
 const LOOK_EVERY: Duration = Duration::from_millis(10);
 /// How long the task works.
 const WORKS: Duration = Duration::from_secs(4);
-/// After it the successor was told of the job, and the lease of a worker that is cut off has not ended.
+/// After it the successor was told of the job, and the lease of a partitioned worker has not ended.
 const TOLD: Duration = Duration::from_secs(3);
 const ENDED: Duration = Duration::from_secs(10);
 
 /// Starts the only task of job 7 on a worker, as the first owner would.
 fn start_as_former(fleet: &TestFleet, lasts: Duration) {
-    let started = fleet.workers.act_on(CUT_OFF, |worker, now| {
+    let started = fleet.workers.act_on(PARTITIONED, |worker, now| {
         let mut former = Dispatcher::new(1, DispatchSettings::default());
         let order = StartOrder {
             worker: former.list_worker(worker.record().clone(), None),
@@ -62,13 +62,13 @@
     assert_eq!(started, Some(OrderEnd::Taken));
 }
 
-/// Has a successor take over from an owner that is silent, with some other members that are, too. A worker is cut off from it.
+/// Has a successor take over from an owner that is silent, with some other members that are, too. No daemon reaches one of the workers.
 async fn taken_over(silent_members: u32) -> (TestFleet, TestDaemon, TcpListener) {
     let fleet = TestFleet::with_runtime_clock(2);
     // It takes connections and answers nothing.
     let silent = TcpListener::bind("127.0.0.1:0").expect("a free port");
     fleet.own_at(silent.local_addr().expect("it is bound"), silent_members);
-    fleet.workers.cut_off(CUT_OFF);
+    fleet.workers.partition(PARTITIONED);
     let successor = fleet.daemon();
     while fleet.store.owner().is_none_or(|owner| owner.token < 2) {
         time::sleep(LOOK_EVERY).await;
@@ -102,7 +102,7 @@
         accept(&fleet);
         time::sleep(TOLD).await;
         assert_eq!(fleet.workers.begins(), 1, "it runs twice");
-        fleet.workers.mend();
+        fleet.workers.heal();
         time::sleep(ENDED).await;
         assert_eq!(fleet.workers.begins(), 1, "it ran and runs again");
     });
@@ -125,17 +125,17 @@
 /// Guards against a task that runs twice: without the store the former owner went on by the word of most daemons, which the
 /// successor did not reach, and renewed the lease of a worker for longer than the successor waited.
 #[test]
-fn a_worker_is_not_given_up_while_most_daemons_may_stand_by_the_former_owner() {
+fn a_worker_is_not_given_up_while_most_daemons_may_vouch_for_the_former_owner() {
     play_paused(async {
         let (fleet, _successor, _silent) = taken_over(4).await;
         start_as_former(&fleet, Duration::from_secs(60));
         accept(&fleet);
         for _ in 0..20 {
             time::sleep(Duration::from_secs(1)).await;
-            fleet.workers.renew(CUT_OFF, 1);
+            fleet.workers.renew(PARTITIONED, 1);
         }
         assert_eq!(fleet.workers.begins(), 1, "it runs twice");
-        fleet.workers.mend();
+        fleet.workers.heal();
         time::sleep(ENDED).await;
         assert_eq!(fleet.workers.begins(), 1, "it ran and runs again");
     });
@@ -154,10 +154,10 @@
     });
 }
 
-/// Guards against two owners at a time: a daemon that had known of the successor was restarted without the store, and stood
-/// by the former owner.
+/// Guards against two owners at a time: a daemon that had known of the successor was restarted without the store, and
+/// vouched for the former owner.
 #[test]
-fn a_daemon_that_never_had_the_store_stands_by_nobody() {
+fn a_daemon_that_never_had_the_store_vouches_for_nobody() {
     play_paused(async {
         let fleet = TestFleet::with_runtime_clock(0);
         fleet.own_elsewhere();
--- a/crates/fleet/tests/daemons/test_fleet.rs
+++ b/crates/fleet/tests/daemons/test_fleet.rs
@@ -149,8 +149,8 @@
         Some(act(workers.get_mut(id)?, now))
     }
 
-    /// Cuts a worker off from all daemons.
-    pub(crate) fn cut_off(&self, id: &str) {
+    /// Partitions a worker from all daemons.
+    pub(crate) fn partition(&self, id: &str) {
         self.unreached.borrow_mut().insert(id.to_owned());
     }
 
@@ -167,7 +167,7 @@
     }
 
     /// Lets daemons reach all workers again.
-    pub(crate) fn mend(&self) {
+    pub(crate) fn heal(&self) {
         self.unreached.borrow_mut().clear();
     }
 
@@ -213,7 +213,7 @@
 /// How long an answer is waited for beyond a renewal's own wait.
 const HOLD_TIMEOUT: Duration = Duration::from_millis(700);
 
-/// What becomes of a call to a worker that is cut off, or is none of the test's.
+/// What becomes of a call to a worker that is partitioned, or is none of the test's.
 const LOST: OrderEnd = OrderEnd::Unknown;
 
 #[async_trait(?Send)]
