--- /dev/null
+++ b/crates/fleet/src/owner_jobs.rs
@@ -0,0 +1,144 @@
+//! What the owner knows of the jobs.
+
+use std::{
+    rc::Rc,
+    sync::Arc,
+    time::Duration, //
+};
+
+use jasminebend_dispatch::{
+    AcceptedJob,
+    JobKey, //
+};
+use tokio::task::JoinSet;
+
+use crate::{
+    FleetRow,
+    FleetTable,
+    JobRecord,
+    StoreError,
+    fleet_shared::{
+        CANCEL_SUFFIX,
+        FleetShared,
+        WATCH_WAIT,
+        job_parts, //
+    },
+    owner_seat::OwnerSeat,
+    store_link::WatchedRows, //
+};
+
+/// The oldest that a job's acceptance is believed to be; times of day differ.
+const OLDEST: Duration = Duration::from_secs(120);
+
+/// Up to when the jobs are known.
+#[derive(Clone, Copy)]
+pub(crate) struct KnownJobs {
+    version: u64,
+    /// When the call was sent that told them: what was accepted before that is known.
+    asked_at: Duration,
+}
+
+impl KnownJobs {
+    /// Tells whether a former owner, which does not know yet that it was replaced, may have started what is not known.
+    fn may_run_already(self, seat: &OwnerSeat) -> bool {
+        self.asked_at < seat.shared_until.get()
+    }
+}
+
+/// Reads all jobs, and the version from which to follow them: the earliest of the parts'.
+pub(crate) async fn read_jobs(
+    shared: &Rc<FleetShared>,
+) -> Result<(Vec<FleetRow>, KnownJobs), StoreError> {
+    let asked_at = shared.now();
+    let mut reads = JoinSet::new();
+    for part in job_parts() {
+        let shared = Rc::clone(shared);
+        reads.spawn_local(async move {
+            let store = &shared.store;
+            store.read_all(FleetTable::Jobs, &part, "", None).await
+        });
+    }
+    let mut rows = Vec::new();
+    let mut version = u64::MAX;
+    while let Some(read) = reads.join_next().await {
+        let (part, read_version) = read.map_err(|_| StoreError::Unknown)??;
+        rows.extend(part);
+        version = version.min(read_version);
+    }
+    Ok((rows, KnownJobs { version, asked_at }))
+}
+
+/// Takes a row of the table of jobs in: a job, or a cancellation.
+pub(crate) fn note_job_row(
+    shared: &FleetShared,
+    seat: &OwnerSeat,
+    row: &FleetRow,
+    inherited: bool,
+) {
+    let mut dispatcher = seat.dispatcher.borrow_mut();
+    if let Some(name) = row.key.strip_suffix(CANCEL_SUFFIX) {
+        if let Ok(key) = name.parse() {
+            dispatcher.cancel_job(key);
+        }
+        return;
+    }
+    let Ok(key) = row.key.parse::<JobKey>() else {
+        return;
+    };
+    let Ok(record) = postcard::from_bytes::<JobRecord>(&row.value) else {
+        return;
+    };
+    let accepted = Duration::from_millis(record.accepted_ms);
+    let age = shared.wall().saturating_sub(accepted).min(OLDEST);
+    dispatcher.add_job(
+        key,
+        AcceptedJob {
+            queue: record.queue.into(),
+            graph: Arc::new(record.graph),
+            accepted: shared.now().saturating_sub(age),
+            inherited,
+        },
+    );
+}
+
+/// Follows the jobs until it is dropped.
+pub(crate) async fn follow_jobs(shared: Rc<FleetShared>, seat: Rc<OwnerSeat>, known: KnownJobs) {
+    let mut known = known;
+    loop {
+        let asked_at = shared.now();
+        let store = &shared.store;
+        let call = store
+            .raw()
+            .watch(FleetTable::Jobs, known.version, WATCH_WAIT);
+        match store.watch(WatchedRows::Jobs, call).await {
+            Ok(page) => {
+                let inherited = known.may_run_already(&seat);
+                for row in page.items.iter().filter_map(|change| change.row.as_ref()) {
+                    note_job_row(&shared, &seat, row, inherited);
+                }
+                known = KnownJobs {
+                    version: page.version,
+                    asked_at,
+                };
+                seat.plan.notify_one();
+            }
+            Err(StoreError::Forgotten) => match read_jobs_again(&shared, &seat, known).await {
+                Ok(read) => known = read,
+                Err(_) => shared.store.pause().await,
+            },
+            Err(_) => shared.store.pause().await,
+        }
+    }
+}
+
+async fn read_jobs_again(
+    shared: &Rc<FleetShared>,
+    seat: &OwnerSeat,
+    known: KnownJobs,
+) -> Result<KnownJobs, StoreError> {
+    let (rows, read) = read_jobs(shared).await?;
+    for row in &rows {
+        note_job_row(shared, seat, row, known.may_run_already(seat));
+    }
+    Ok(read)
+}
--- a/crates/fleet/src/owner_work.rs
+++ b/crates/fleet/src/owner_work.rs
@@ -7,22 +7,17 @@
 };
 
 use jasminebend_dispatch::{
-    AcceptedJob,
     Dispatcher,
     JobKey,
     ProgressRecord, //
 };
 use serde::Serialize;
-use tokio::{
-    task::JoinSet,
-    time, //
-};
+use tokio::task::JoinSet;
 
 use crate::{
     CommitAnswer,
     FleetRow,
     FleetTable,
-    JobRecord,
     LogEvent,
     OwnerRecord,
     RegistryChange,
@@ -32,12 +27,9 @@
     commit_work::commit_ends,
     confirm_work::confirm_seat,
     fleet_shared::{
-        CANCEL_SUFFIX,
         FleetShared,
         OWNER_KEY,
-        SHARD_PART,
-        WATCH_WAIT,
-        job_parts, //
+        SHARD_PART, //
     },
     kept_knowledge::{
         keep_knowledge,
@@ -47,34 +39,18 @@
     member_expiry::expire_members,
     member_watch::note_owner,
     operator_watch::inform_seat,
+    owner_jobs::{
+        KnownJobs,
+        follow_jobs,
+        note_job_row,
+        read_jobs, //
+    },
+    owner_registry::follow_registry,
     owner_seat::OwnerSeat,
     plan_work::plan_orders,
-    store_link::WatchedRows,
-    upkeep_work::carry_waves,
-    worker_work::attend_worker, //
+    upkeep_work::carry_waves, //
 };
 
-/// The pause between two looks at the registry: heartbeats come all the time, each call has its price, and
-/// a worker that leaves must be known within two seconds.
-const REGISTRY_EVERY: Duration = Duration::from_millis(400);
-/// The oldest that a job's acceptance is believed to be; times of day differ.
-const OLDEST: Duration = Duration::from_secs(120);
-
-/// Up to when the jobs are known.
-#[derive(Clone, Copy)]
-struct KnownJobs {
-    version: u64,
-    /// When the call was sent that told them: what was accepted before that is known.
-    asked_at: Duration,
-}
-
-impl KnownJobs {
-    /// Tells whether a former owner, which does not know yet that it was replaced, may have started what is not known.
-    fn may_run_already(self, seat: &OwnerSeat) -> bool {
-        self.asked_at < seat.shared_until.get()
-    }
-}
-
 #[derive(Serialize)]
 struct TakeOverLine<'a> {
     change: &'static str,
@@ -216,55 +192,6 @@
     Ok((known, registry.version))
 }
 
-/// Reads all jobs, and the version from which to follow them: the earliest of the parts'.
-async fn read_jobs(shared: &Rc<FleetShared>) -> Result<(Vec<FleetRow>, KnownJobs), StoreError> {
-    let asked_at = shared.now();
-    let mut reads = JoinSet::new();
-    for part in job_parts() {
-        let shared = Rc::clone(shared);
-        reads.spawn_local(async move {
-            let store = &shared.store;
-            store.read_all(FleetTable::Jobs, &part, "", None).await
-        });
-    }
-    let mut rows = Vec::new();
-    let mut version = u64::MAX;
-    while let Some(read) = reads.join_next().await {
-        let (part, read_version) = read.map_err(|_| StoreError::Unknown)??;
-        rows.extend(part);
-        version = version.min(read_version);
-    }
-    Ok((rows, KnownJobs { version, asked_at }))
-}
-
-/// Takes a row of the table of jobs in: a job, or a cancellation.
-fn note_job_row(shared: &FleetShared, seat: &OwnerSeat, row: &FleetRow, inherited: bool) {
-    let mut dispatcher = seat.dispatcher.borrow_mut();
-    if let Some(name) = row.key.strip_suffix(CANCEL_SUFFIX) {
-        if let Ok(key) = name.parse() {
-            dispatcher.cancel_job(key);
-        }
-        return;
-    }
-    let Ok(key) = row.key.parse::<JobKey>() else {
-        return;
-    };
-    let Ok(record) = postcard::from_bytes::<JobRecord>(&row.value) else {
-        return;
-    };
-    let accepted = Duration::from_millis(record.accepted_ms);
-    let age = shared.wall().saturating_sub(accepted).min(OLDEST);
-    dispatcher.add_job(
-        key,
-        AcceptedJob {
-            queue: record.queue.into(),
-            graph: Arc::new(record.graph),
-            accepted: shared.now().saturating_sub(age),
-            inherited,
-        },
-    );
-}
-
 /// Acts as the owner until the seat is over.
 async fn act(shared: Rc<FleetShared>, seat: Rc<OwnerSeat>, jobs: KnownJobs, registry_after: u64) {
     let mut tasks = JoinSet::new();
@@ -295,141 +222,3 @@
     );
     tasks.shutdown().await;
 }
-
-async fn follow_jobs(shared: Rc<FleetShared>, seat: Rc<OwnerSeat>, known: KnownJobs) {
-    let mut known = known;
-    loop {
-        let asked_at = shared.now();
-        let store = &shared.store;
-        let call = store
-            .raw()
-            .watch(FleetTable::Jobs, known.version, WATCH_WAIT);
-        match store.watch(WatchedRows::Jobs, call).await {
-            Ok(page) => {
-                let inherited = known.may_run_already(&seat);
-                for row in page.items.iter().filter_map(|change| change.row.as_ref()) {
-                    note_job_row(&shared, &seat, row, inherited);
-                }
-                known = KnownJobs {
-                    version: page.version,
-                    asked_at,
-                };
-                seat.plan.notify_one();
-            }
-            Err(StoreError::Forgotten) => match read_jobs_again(&shared, &seat, known).await {
-                Ok(read) => known = read,
-                Err(_) => shared.store.pause().await,
-            },
-            Err(_) => shared.store.pause().await,
-        }
-    }
-}
-
-async fn read_jobs_again(
-    shared: &Rc<FleetShared>,
-    seat: &OwnerSeat,
-    known: KnownJobs,
-) -> Result<KnownJobs, StoreError> {
-    let (rows, read) = read_jobs(shared).await?;
-    for row in &rows {
-        note_job_row(shared, seat, row, known.may_run_already(seat));
-    }
-    Ok(read)
-}
-
-async fn follow_registry(shared: Rc<FleetShared>, seat: Rc<OwnerSeat>, after: u64) {
-    let mut after = Some(after);
-    let mut tasks = JoinSet::new();
-    loop {
-        attend_new(&shared, &seat, &mut tasks);
-        while tasks.try_join_next().is_some() {}
-        let store = &shared.store;
-        let result = match after {
-            Some(after) => {
-                let call = store.raw().watch_registry(after, WATCH_WAIT);
-                store.watch(WatchedRows::Registry, call).await
-            }
-            None => store.call(store.raw().read_registry()).await,
-        };
-        match result {
-            Ok(page) => {
-                let whole = after.is_none();
-                after = Some(page.version);
-                if note_registry(&shared, &seat, page.items, whole) {
-                    seat.workers_changed.set(true);
-                    seat.plan.notify_one();
-                }
-                time::sleep(REGISTRY_EVERY).await;
-            }
-            Err(StoreError::Forgotten) => after = None,
-            Err(_) => shared.store.pause().await,
-        }
-    }
-}
-
-/// Takes changes of the registry in; tells whether any was more than a heartbeat.
-fn note_registry(
-    shared: &FleetShared,
-    seat: &OwnerSeat,
-    changes: Vec<RegistryChange>,
-    whole: bool,
-) -> bool {
-    let mut changed = whole;
-    let mut dispatcher = seat.dispatcher.borrow_mut();
-    if whole {
-        dispatcher.unlist_all();
-    }
-    for change in changes {
-        match change {
-            // Most entries are heartbeats.
-            RegistryChange::Listed(worker) if dispatcher.lists_so(&worker) => {}
-            RegistryChange::Listed(worker) => {
-                changed = true;
-                shared.log.line(
-                    LogEvent::Worker,
-                    WorkerLine {
-                        worker: &worker.id,
-                        change: if worker.draining {
-                            "draining"
-                        } else {
-                            "listed"
-                        },
-                        domain: worker.domain.as_str(),
-                    },
-                );
-                dispatcher.list_worker(worker, None);
-            }
-            RegistryChange::Unlisted(id) => {
-                changed = true;
-                shared.log.line(
-                    LogEvent::Worker,
-                    WorkerLine {
-                        worker: &id,
-                        change: "unlisted",
-                        domain: "",
-                    },
-                );
-                dispatcher.unlist_worker(&id);
-            }
-        }
-    }
-    changed
-}
-
-#[derive(Serialize)]
-struct WorkerLine<'a> {
-    worker: &'a str,
-    change: &'static str,
-    domain: &'a str,
-}
-
-/// Begins to attend the workers that are not attended yet.
-fn attend_new(shared: &Rc<FleetShared>, seat: &Rc<OwnerSeat>, tasks: &mut JoinSet<()>) {
-    let wanted = seat.dispatcher.borrow().attended_workers();
-    for key in wanted {
-        if !seat.attended.borrow_mut().insert(key) {
-            continue;
-        }
-        tasks.spawn_local(attend_worker(Rc::clone(shared), Rc::clone(seat), key));
-    }
-}
