Count the members that answer without an underflow

Read as a newcomer: a member that enrolls or is removed between the probes and the count could make more silent ones than there are members; the difference would have wrapped around and passed for a majority.

--- a/crates/fleet/src/member_expiry.rs
+++ b/crates/fleet/src/member_expiry.rs
@@ -49,10 +49,11 @@
         let now = shared.now();
         silent_since.retain(|node, _| silent.iter().any(|member| member.node == *node));
         let members = shared.members.borrow().len();
+        let has_majority = members.saturating_sub(silent.len()) * 2 > members;
         for member in &silent {
             let since = *silent_since.entry(member.node.clone()).or_insert(now);
-            let is_expired = now >= since + EXPIRY && (members - silent.len()) * 2 > members;
-            if is_expired && shared.may_order(&seat) {
+            let is_expired = now >= since + EXPIRY;
+            if is_expired && has_majority && shared.may_order(&seat) {
                 remove_member(&shared, &seat, member).await;
             }
         }
