Take in a long-running job only while short work finds room

Change: the owner grants or refuses a long-running job before it is on record. Short work's need is learned: what arrives a second times how long it holds its processors, corrected by how long runs took, and two standard deviations by how wide its jobs are. Room is what long-running tasks leave on each worker, in pieces of a usual short task. A job that does not fit beside the need is refused at once, with the time in which enough long-running jobs should have ended, by the rate at which they end. Any daemon asks the owner (350 ms); without its answer the job is taken in, as before. A grant counts for 10 s until the job is on record; who is on record or granted is never refused; a new owner refuses nothing for 2 s, since its predecessor's grants may be on their way. Why it works: accepted work keeps all its promises, and what would starve short work for good is told so before it is accepted.

--- /dev/null
+++ b/crates/dispatch/src/decaying_sum.rs
@@ -0,0 +1,54 @@
+//! A sum in which what is older counts less.
+
+use std::time::Duration;
+
+/// A sum in which what is older counts less, by half-lives. Amounts may be added in any order.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct DecayingSum {
+    half_life: Duration,
+    sum: f64,
+    /// The time for which the sum is told.
+    at: Duration,
+    /// When the first amount came.
+    since: Option<Duration>,
+}
+
+impl DecayingSum {
+    pub(crate) fn new(half_life: Duration) -> Self {
+        Self {
+            half_life,
+            sum: 0.0,
+            at: Duration::ZERO,
+            since: None,
+        }
+    }
+
+    pub(crate) fn add(&mut self, amount: f64, at: Duration) {
+        if at > self.at {
+            self.sum *= self.left_after(at - self.at);
+            self.at = at;
+        }
+        self.sum += amount * self.left_after(self.at - at);
+        self.since = Some(self.since.map_or(at, |since| since.min(at)));
+    }
+
+    /// Returns the sum at `now`.
+    pub(crate) fn total(&self, now: Duration) -> f64 {
+        self.sum * self.left_after(now.saturating_sub(self.at))
+    }
+
+    /// Returns how much comes in a second; 0 if nothing came so far. In the beginning it is taken to have been seen for
+    /// `least`.
+    pub(crate) fn rate(&self, now: Duration, least: Duration) -> f64 {
+        let Some(since) = self.since else {
+            return 0.0;
+        };
+        let seen = now.saturating_sub(since).max(least);
+        let mean_life = self.half_life.as_secs_f64() / std::f64::consts::LN_2;
+        self.total(now) / (mean_life * (1.0 - self.left_after(seen)))
+    }
+
+    fn left_after(&self, time: Duration) -> f64 {
+        0.5f64.powf(time.as_secs_f64() / self.half_life.as_secs_f64())
+    }
+}
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -27,7 +27,9 @@
     TaskKey,
     WorkerKey,
     WorkerOrder,
+    admission::GrantLedger,
     commit_ledger::CommitLedger,
+    decaying_sum::DecayingSum,
     harm_model::HarmModel,
     hopeless_demand::HopelessDemands,
     job_state::{
@@ -35,6 +37,7 @@
         OccurrenceState, //
     },
     service_view::ServiceView,
+    short_demand::ShortDemand,
     start_window::StartWindow,
     worker_state::WorkerState, //
 };
@@ -100,8 +103,19 @@
     pub(crate) plans: u64,
     /// Repeated jobs of which occurrences are still to come.
     pub(crate) scheduled: IndexMap<JobKey, u32>,
+    pub(crate) short_demand: ShortDemand,
+    pub(crate) grants: GrantLedger,
+    /// The processors of long-running jobs that ended.
+    pub(crate) released: DecayingSum,
+    /// When the first plan was made.
+    pub(crate) acting_since: Option<Duration>,
+    /// The time of the last plan.
+    pub(crate) planned: Duration,
 }
 
+/// After how long the end of a long-running job counts half.
+const RELEASE_HALF_LIFE: Duration = Duration::from_secs(60);
+
 impl Dispatcher {
     /// Creates the dispatcher of the owner with this fencing token.
     pub fn new(token: u64, settings: DispatchSettings) -> Self {
@@ -128,6 +142,11 @@
             held_back: false,
             plans: 0,
             scheduled: IndexMap::new(),
+            short_demand: ShortDemand::default(),
+            grants: GrantLedger::default(),
+            released: DecayingSum::new(RELEASE_HALF_LIFE),
+            acting_since: None,
+            planned: Duration::ZERO,
         }
     }
 
@@ -171,6 +190,7 @@
             graph: job.graph,
         };
         self.jobs.insert(key, state);
+        self.grants.settle(key);
         match repeated {
             true => drop(self.scheduled.insert(key, 0)),
             false => self.open_occurrence(key, 0),
@@ -260,8 +280,15 @@
         if job.is_over() {
             return;
         }
-        let state = OccurrenceState::new(&job.graph, job.inherited);
-        job.occurrences.entry(occurrence).or_insert(state);
+        if !job.occurrences.contains_key(&occurrence) {
+            let state = OccurrenceState::new(&job.graph, job.inherited);
+            job.occurrences.insert(occurrence, state);
+            // What came before this process began counts as of its origin; nothing is known of its rate.
+            let begun = job.begun(occurrence, self.clock_origin);
+            if !begun.is_zero() {
+                self.short_demand.note_arrival(&job.graph, begun);
+            }
+        }
         self.open_steps(key, occurrence, StepOrigin::Unknown);
     }
 
@@ -294,6 +321,7 @@
         let Some(job) = self.jobs.get(&key) else {
             return;
         };
+        let graph = Arc::clone(&job.graph);
         let mut runs = Vec::new();
         for (&occurrence, state) in &job.occurrences {
             for (number, step) in state.steps.iter().enumerate() {
@@ -310,6 +338,9 @@
                 }
             }
         }
+        if !runs.is_empty() {
+            self.note_released(&graph, self.planned);
+        }
         for (worker, task, run) in runs {
             self.stop_run(worker, task, run);
         }
--- a/crates/dispatch/src/dispatcher_ends.rs
+++ b/crates/dispatch/src/dispatcher_ends.rs
@@ -65,6 +65,21 @@
         }
     }
 
+    /// Learns from a run of this owner's that was placed at `placed` how long its step's tasks take.
+    pub(crate) fn note_run_time(&mut self, ended: &EndedRun, placed: Duration, now: Duration) {
+        let step = ended.task.step;
+        if ended.end != RunEnd::Done || !ended.run.is_of_owner(self.token) {
+            return;
+        }
+        let Some(job) = self.jobs.get(&step.job) else {
+            return;
+        };
+        if let Some(spec) = job.graph.steps.get(usize::from(step.step)) {
+            let took = now.saturating_sub(placed);
+            self.short_demand.note_done(spec, took, now);
+        }
+    }
+
     fn note_done(&mut self, task: TaskKey, gang: bool, origin: StepOrigin) -> u64 {
         let step = task.step;
         let mut surplus = Vec::new();
--- a/crates/dispatch/src/dispatcher_plan.rs
+++ b/crates/dispatch/src/dispatcher_plan.rs
@@ -63,6 +63,8 @@
 impl Dispatcher {
     /// Decides what to do at `now`.
     pub fn plan(&mut self, now: Duration) -> PlanOutcome {
+        self.planned = now;
+        self.acting_since.get_or_insert(now);
         let orders = std::mem::take(&mut self.decided);
         for order in &orders {
             if matches!(order, WorkerOrder::Stop { .. }) {
@@ -298,22 +300,7 @@
         now: Duration,
     ) {
         let rack = self.worker(worker).record.rack().cloned();
-        let state = RunState {
-            task,
-            phase: RunPhase::Sent,
-            reserved: spec.reserved(),
-            filler_cpu: if spec.filler { spec.size.cpu_millis } else { 0 },
-            image: spec.image.clone(),
-            target: spec.target,
-            placed: now,
-            percent: 0,
-            moved: now,
-            figure: None,
-            load: None,
-            pace: 100,
-            stop_sent: None,
-            stop_tries: 0,
-        };
+        let state = RunState::new(task, spec, RunPhase::Sent, now);
         let held = self.worker_mut(worker);
         held.add(run, state);
         self.workers[worker.place()].view = ServiceView::new(self.worker(worker), &self.harm, now);
--- /dev/null
+++ b/crates/dispatch/src/dispatcher_pools.rs
@@ -0,0 +1,55 @@
+//! How a dispatcher's pools are used.
+
+use std::{
+    sync::Arc,
+    time::Duration, //
+};
+
+use indexmap::IndexMap;
+
+use crate::{
+    Dispatcher,
+    PoolUse, //
+};
+
+impl Dispatcher {
+    /// Tells who holds each pool's processors, and who waits for them.
+    pub fn pool_use(&self, now: Duration) -> Vec<PoolUse> {
+        let mut pools: IndexMap<Arc<str>, PoolUse> = IndexMap::new();
+        for worker in &self.workers {
+            let pool = &worker.record.pool;
+            if !self.is_usable(worker, pool, now) {
+                continue;
+            }
+            let used = pool_entry(&mut pools, pool);
+            used.workers += 1;
+            used.capacity += worker.record.capacity.cpu_millis;
+            used.long_running.held += worker.long_running_cpu;
+            used.short.held += worker.short_cpu();
+            used.filler.held += worker.filler_cpu;
+        }
+        for step in &self.open {
+            let Some(job) = self.jobs.get(&step.job) else {
+                continue;
+            };
+            let spec = job.graph.steps.get(usize::from(step.step));
+            let state = job.step(step.occurrence, step.step);
+            let rule = self.rules.get(&job.queue);
+            if let (Some(spec), Some(state), Some(rule)) = (spec, state, rule) {
+                let pending = state.tasks.iter().filter(|task| task.is_pending());
+                // CAST: A step has at most 20,000 tasks.
+                let wanted = pending.count() as u64 * spec.size.cpu_millis;
+                pool_entry(&mut pools, &rule.pool)
+                    .share_mut(spec.kind())
+                    .wanted += wanted;
+            }
+        }
+        pools.into_values().collect()
+    }
+}
+
+fn pool_entry<'a>(pools: &'a mut IndexMap<Arc<str>, PoolUse>, pool: &Arc<str>) -> &'a mut PoolUse {
+    pools
+        .entry(Arc::clone(pool))
+        .or_insert_with(|| PoolUse::new(Arc::clone(pool)))
+}
--- a/crates/dispatch/src/dispatcher_runs.rs
+++ b/crates/dispatch/src/dispatcher_runs.rs
@@ -101,22 +101,9 @@
             return;
         };
         self.open_occurrence(step.job, step.occurrence);
-        let state = RunState {
-            task: running.task,
-            phase: RunPhase::Running(now),
-            reserved: spec.reserved(),
-            filler_cpu: if spec.filler { spec.size.cpu_millis } else { 0 },
-            image: spec.image.clone(),
-            target: spec.target,
-            placed: now,
-            percent: running.percent,
-            moved: now,
-            figure: running.figure,
-            load: None,
-            pace: 100,
-            stop_sent: None,
-            stop_tries: 0,
-        };
+        let mut state = RunState::new(running.task, &spec, RunPhase::Running(now), now);
+        state.percent = running.percent;
+        state.figure = running.figure;
         self.worker_mut(key).add(running.run, state);
         let mut surplus = over;
         if let Some(job) = self.jobs.get_mut(&step.job)
--- a/crates/dispatch/src/dispatcher_workers.rs
+++ b/crates/dispatch/src/dispatcher_workers.rs
@@ -375,9 +375,13 @@
         let worker = self.worker_mut(key);
         worker.processed = ended.number;
         // It was listed by a worker that followed this owner already: a former one can't have heard of its end.
-        let seen = worker.runs.contains_key(&(ended.task, ended.run));
+        let seen = worker.runs.get(&(ended.task, ended.run));
+        let placed = seen.map(|run| run.placed);
         self.release(key, ended.task, ended.run, now);
-        let change = self.settle_end(key, &ended, seen, now);
+        if let Some(placed) = placed {
+            self.note_run_time(&ended, placed, now);
+        }
+        let change = self.settle_end(key, &ended, placed.is_some(), now);
         let worker = self.worker_mut(key);
         worker.pending_acks.push_back((ended.number, change));
     }
--- a/crates/dispatch/src/job_state.rs
+++ b/crates/dispatch/src/job_state.rs
@@ -111,6 +111,13 @@
         since.min().unwrap_or(self.accepted)
     }
 
+    /// Returns when an occurrence began to wait, on the process's clock.
+    pub(crate) fn begun(&self, occurrence: u32, clock_origin: Duration) -> Duration {
+        self.graph.schedule.map_or(self.accepted, |schedule| {
+            schedule.due(occurrence).saturating_sub(clock_origin)
+        })
+    }
+
     pub(crate) fn is_over(&self) -> bool {
         self.outcome.is_some() || self.cancelled
     }
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -4,14 +4,18 @@
 //! Nothing here does I/O, reads a clock or draws a random number. The same calls give the same
 //! orders.
 
+mod admission;
 mod advice_wish;
 mod commit_ledger;
+mod decaying_sum;
 mod decision_note;
 mod dispatch_settings;
 mod dispatcher;
+mod dispatcher_admission;
 mod dispatcher_advice;
 mod dispatcher_ends;
 mod dispatcher_plan;
+mod dispatcher_pools;
 mod dispatcher_records;
 mod dispatcher_room;
 mod dispatcher_runs;
@@ -33,6 +37,7 @@
 mod place_score;
 mod policy_part;
 mod pool_rule;
+mod pool_use;
 mod progress_record;
 mod queue_rule;
 mod run_end;
@@ -40,6 +45,7 @@
 mod run_state;
 mod service_view;
 mod service_watch;
+mod short_demand;
 mod start_window;
 mod step_rank;
 mod step_spec;
@@ -52,6 +58,10 @@
 mod worker_state;
 
 pub use self::{
+    admission::{
+        Admission,
+        RoomShortage, //
+    },
     advice_wish::AdviceWish,
     decision_note::DecisionNote,
     dispatch_settings::DispatchSettings,
@@ -89,6 +99,10 @@
         UnknownPart, //
     },
     pool_rule::PoolRule,
+    pool_use::{
+        PoolUse,
+        WorkShare, //
+    },
     progress_record::{
         ProgressRecord,
         StepProgress, //
@@ -99,7 +113,10 @@
     },
     run_end::RunEnd,
     run_number::RunNumber,
-    step_spec::StepSpec,
+    step_spec::{
+        StepSpec,
+        WorkKind, //
+    },
     task_key::{
         StepKey,
         TaskKey,
--- a/crates/dispatch/src/policy_part.rs
+++ b/crates/dispatch/src/policy_part.rs
@@ -56,6 +56,9 @@
     /// Successors are told what was learned.
     #[display("kept-learning")]
     KeptLearning,
+    /// Long-running jobs are taken in only while short work finds room.
+    #[display("admission")]
+    Admission,
 }
 
 /// The name of no part of the policy.
@@ -74,7 +77,7 @@
 
 impl PolicyPart {
     /// All parts.
-    pub const ALL: [Self; 15] = [
+    pub const ALL: [Self; 16] = [
         Self::LearnedPairs,
         Self::StepLoads,
         Self::FadingFigures,
@@ -90,6 +93,7 @@
         Self::HopelessDemands,
         Self::WorkerRests,
         Self::KeptLearning,
+        Self::Admission,
     ];
 
     fn names() -> String {
--- a/crates/dispatch/src/run_number.rs
+++ b/crates/dispatch/src/run_number.rs
@@ -28,6 +28,11 @@
         Self(token * RUNS_OF_AN_OWNER + count)
     }
 
+    /// Tells whether it is a number of the owner with this fencing token.
+    pub(crate) fn is_of_owner(self, token: u64) -> bool {
+        self.0 / RUNS_OF_AN_OWNER == token
+    }
+
     /// Returns its value.
     pub fn value(self) -> u64 {
         self.0
--- a/crates/dispatch/src/run_state.rs
+++ b/crates/dispatch/src/run_state.rs
@@ -8,7 +8,9 @@
 use jasminebend_base::ResourceAmount;
 
 use crate::{
+    StepSpec,
     TaskKey,
+    WorkKind,
     load_track::LoadTrack, //
 };
 
@@ -30,6 +32,7 @@
 pub(crate) struct RunState {
     pub(crate) task: TaskKey,
     pub(crate) phase: RunPhase,
+    pub(crate) kind: WorkKind,
     /// What it sets aside.
     pub(crate) reserved: ResourceAmount,
     /// The processors that it uses beside what is set aside, in thousandths, if it is a filler.
@@ -54,11 +57,40 @@
 }
 
 impl RunState {
+    /// Creates the run of a task of this step.
+    pub(crate) fn new(task: TaskKey, spec: &StepSpec, phase: RunPhase, now: Duration) -> Self {
+        Self {
+            task,
+            phase,
+            kind: spec.kind(),
+            reserved: spec.reserved(),
+            filler_cpu: if spec.filler { spec.size.cpu_millis } else { 0 },
+            image: spec.image.clone(),
+            target: spec.target,
+            placed: now,
+            percent: 0,
+            moved: now,
+            figure: None,
+            load: None,
+            pace: 100,
+            stop_sent: None,
+            stop_tries: 0,
+        }
+    }
+
     /// Returns the processors that it sets aside, in thousandths, if it serves requests.
     pub(crate) fn service_cpu(&self) -> u64 {
         self.target.map_or(0, |_| self.reserved.cpu_millis)
     }
 
+    /// Returns the processors that it sets aside, in thousandths, if it lasts.
+    pub(crate) fn long_running_cpu(&self) -> u64 {
+        match self.kind {
+            WorkKind::LongRunning => self.reserved.cpu_millis,
+            WorkKind::Short | WorkKind::Filler => 0,
+        }
+    }
+
     pub(crate) fn is_stopping(&self) -> bool {
         matches!(self.phase, RunPhase::Stopping(_))
     }
--- a/crates/dispatch/src/step_rank.rs
+++ b/crates/dispatch/src/step_rank.rs
@@ -68,10 +68,7 @@
         let objective = rule.map_or(longest, |rule| {
             longest.mul_f64(rule.stretch.max(1.0)) + rule.allowance
         });
-        let begun = job.graph.schedule.map_or(job.accepted, |schedule| {
-            let due = schedule.due(step.occurrence);
-            due.saturating_sub(self.clock_origin)
-        });
+        let begun = job.begun(step.occurrence, self.clock_origin);
         let left = job
             .chains
             .get(usize::from(step.step))
--- a/crates/dispatch/src/step_spec.rs
+++ b/crates/dispatch/src/step_spec.rs
@@ -48,7 +48,27 @@
     pub may_miss: u32,
 }
 
+/// How a step's tasks use their worker's processors.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum WorkKind {
+    /// They set processors aside until their job is cancelled.
+    LongRunning,
+    /// They set processors aside until they are done.
+    Short,
+    /// They use what the others leave unused.
+    Filler,
+}
+
 impl StepSpec {
+    /// Returns how its tasks use their worker's processors.
+    pub fn kind(&self) -> WorkKind {
+        match (self.filler, self.lasting) {
+            (true, _) => WorkKind::Filler,
+            (false, true) => WorkKind::LongRunning,
+            (false, false) => WorkKind::Short,
+        }
+    }
+
     /// Returns what a task sets aside on its worker: a filler's processors are not counted.
     pub fn reserved(&self) -> ResourceAmount {
         let mut size = self.size;
--- a/crates/dispatch/src/worker_state.rs
+++ b/crates/dispatch/src/worker_state.rs
@@ -55,7 +55,9 @@
     pub(crate) filler_cpu: u64,
     /// What services' tasks set aside of the processors, in thousandths.
     pub(crate) service_cpu: u64,
-    /// What they are believed to use of it.
+    /// What long-running tasks set aside of the processors, in thousandths.
+    pub(crate) long_running_cpu: u64,
+    /// What services are believed to use of what they set aside.
     pub(crate) service_use: u64,
     /// The last end that was looked at.
     pub(crate) processed: u64,
@@ -94,6 +96,7 @@
             reserved: ResourceAmount::default(),
             filler_cpu: 0,
             service_cpu: 0,
+            long_running_cpu: 0,
             service_use: 0,
             processed: 0,
             acknowledged: 0,
@@ -145,6 +148,13 @@
         gone.chain(present).collect()
     }
 
+    /// Returns what short tasks set aside of the processors, in thousandths.
+    pub(crate) fn short_cpu(&self) -> u64 {
+        self.reserved
+            .cpu_millis
+            .saturating_sub(self.long_running_cpu)
+    }
+
     pub(crate) fn processors(&self) -> f64 {
         self.record.capacity.cpu_millis.max(1) as f64
     }
@@ -176,6 +186,7 @@
         self.reserved += state.reserved;
         self.filler_cpu += state.filler_cpu;
         self.service_cpu += state.service_cpu();
+        self.long_running_cpu += state.long_running_cpu();
         let now = state.placed;
         self.runs.insert((state.task, run), state);
         self.weigh_services(now);
@@ -198,6 +209,9 @@
         self.reserved = self.reserved.saturating_sub(state.reserved);
         self.filler_cpu = self.filler_cpu.saturating_sub(state.filler_cpu);
         self.service_cpu = self.service_cpu.saturating_sub(state.service_cpu());
+        self.long_running_cpu = self
+            .long_running_cpu
+            .saturating_sub(state.long_running_cpu());
         self.weigh_services(now);
     }
 
--- /dev/null
+++ b/crates/fleet/src/admission_desk.rs
@@ -0,0 +1,90 @@
+//! Asks the owner whether there is room for a long-running job, and answers as the owner.
+
+use std::time::Duration;
+
+use jasminebend_dispatch::{
+    Admission,
+    JobGraph,
+    JobKey, //
+};
+use serde::Serialize;
+
+use crate::{
+    LogEvent,
+    fleet_log::whole_millis,
+    fleet_shared::FleetShared, //
+};
+
+/// How long the owner may take to answer; without an answer a job is taken in.
+const DECIDED_WITHIN: Duration = Duration::from_millis(350);
+
+/// Whether a long-running job was taken in; processors in thousandths.
+#[derive(Serialize)]
+struct AdmissionLine<'a> {
+    job: String,
+    queue: &'a str,
+    granted: bool,
+    demand: u64,
+    room: u64,
+    short_need: u64,
+    back_ms: u64,
+    owner_token: u64,
+}
+
+/// Returns when a caller should come back, if there is no room for its job.
+pub(crate) async fn refusal(
+    shared: &FleetShared,
+    key: JobKey,
+    queue: &str,
+    graph: &JobGraph,
+) -> Option<Duration> {
+    if !graph.lasts() {
+        return None;
+    }
+    let admission = match shared.owner_address() {
+        None => decide_here(shared, key, queue, graph),
+        Some(owner) => {
+            shared
+                .peers
+                .admit(&owner, key, queue, graph, DECIDED_WITHIN)
+                .await
+        }
+    };
+    match admission? {
+        Admission::Granted => None,
+        Admission::Refused(shortage) => Some(shortage.back),
+    }
+}
+
+/// Decides as the owner; nothing if another daemon is, or may be.
+pub(crate) fn decide_here(
+    shared: &FleetShared,
+    key: JobKey,
+    queue: &str,
+    graph: &JobGraph,
+) -> Option<Admission> {
+    let seat = shared.knowing_seat()?;
+    if !shared.may_order(&seat) {
+        return None;
+    }
+    let now = shared.now();
+    let admission = seat.dispatcher.borrow_mut().admit(key, queue, graph, now);
+    let (granted, shortage) = match admission {
+        Admission::Granted => (true, None),
+        Admission::Refused(shortage) => (false, Some(shortage)),
+    };
+    shared.log.line(
+        LogEvent::Admission,
+        AdmissionLine {
+            job: key.to_string(),
+            queue,
+            granted,
+            demand: shortage.map_or(0, |shortage| shortage.demand),
+            room: shortage.map_or(0, |shortage| shortage.room),
+            short_need: shortage.map_or(0, |shortage| shortage.short_need),
+            back_ms: shortage.map_or(0, |shortage| whole_millis(shortage.back)),
+            owner_token: seat.token(),
+        },
+    );
+    Some(admission)
+}
--- a/crates/fleet/src/caller_desk.rs
+++ b/crates/fleet/src/caller_desk.rs
@@ -26,6 +26,7 @@
     LogEvent,
     RowCommit,
     StoreError,
+    admission_desk::refusal,
     fleet_log::whole_millis,
     fleet_shared::{
         CANCEL_SUFFIX,
@@ -180,6 +181,11 @@
         let Ok(value) = postcard::to_stdvec(&record) else {
             return CallerAnswer::Malformed("the job can't be kept".to_owned());
         };
+        if !self.shared.store.is_lost()
+            && let Some(back) = refusal(&self.shared, key, queue, &record.graph).await
+        {
+            return self.refuse(key, back, call, reach).await;
+        }
         let row = FleetRow::new(FleetTable::Jobs, &job_part(key), key.to_string(), value);
         let outcome = self.insert(row).await;
         match outcome {
@@ -189,6 +195,21 @@
         }
     }
 
+    /// Refuses a job for which there is no room, unless an earlier try of the same caller's is on record.
+    async fn refuse(
+        &self,
+        key: JobKey,
+        back: Duration,
+        call: CallerCall,
+        reach: Reach,
+    ) -> CallerAnswer {
+        match self.rows_of(key).await {
+            Ok(rows) if rows.is_empty() => CallerAnswer::Refused(back),
+            Ok(_) => CallerAnswer::Done,
+            Err(_) => self.elsewhere(call, reach, StoreError::Refused).await,
+        }
+    }
+
     async fn cancel(&self, key: JobKey, call: CallerCall, reach: Reach) -> CallerAnswer {
         let known = match self.rows_of(key).await {
             Ok(rows) => rows,
--- a/crates/fleet/src/fleet_log.rs
+++ b/crates/fleet/src/fleet_log.rs
@@ -49,6 +49,10 @@
     Order,
     /// A step waits although it should have started.
     Wait,
+    /// A long-running job was taken in, or refused for want of room.
+    Admission,
+    /// Who holds a pool's processors, and who waits for them.
+    Pool,
     /// A run ended.
     End,
     /// A job ended.
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -4,6 +4,7 @@
 //! The decisions are `jasminebend-dispatch`'s and [`Succession`]'s. The platform is reached through
 //! the ports in this crate.
 
+mod admission_desk;
 mod announcement;
 mod caller_call;
 mod caller_desk;
@@ -32,6 +33,7 @@
 mod peer_message;
 mod peer_order;
 mod plan_work;
+mod pool_watch;
 mod store_health;
 mod store_link;
 mod store_probe;
--- a/crates/fleet/src/owner_work.rs
+++ b/crates/fleet/src/owner_work.rs
@@ -48,6 +48,7 @@
     owner_registry::follow_registry,
     owner_seat::OwnerSeat,
     plan_work::plan_orders,
+    pool_watch::watch_pools,
     upkeep_work::carry_waves, //
 };
 
@@ -205,6 +206,7 @@
     tasks.spawn_local(commit_ends(Rc::clone(&shared), Rc::clone(&seat)));
     tasks.spawn_local(keep_knowledge(Rc::clone(&shared), Rc::clone(&seat)));
     tasks.spawn_local(confirm_seat(Rc::clone(&shared), Rc::clone(&seat)));
+    tasks.spawn_local(watch_pools(Rc::clone(&shared), Rc::clone(&seat)));
     tasks.spawn_local(carry_waves(Rc::clone(&shared), Rc::clone(&seat)));
     tasks.spawn_local(expire_members(Rc::clone(&shared), Rc::clone(&seat)));
     seat.ended().await;
--- a/crates/fleet/src/peer_client.rs
+++ b/crates/fleet/src/peer_client.rs
@@ -8,6 +8,11 @@
 use bytes::Bytes;
 use http::Request;
 use http_body_util::Full;
+use jasminebend_dispatch::{
+    Admission,
+    JobGraph,
+    JobKey, //
+};
 
 use crate::{
     CallerAnswer,
@@ -45,7 +50,7 @@
     pub(crate) async fn probe(&self, address: &str, token: u64) -> OwnerProbe {
         match self.call(address, &PeerCall::Probe { token }, PROBE).await {
             Ok(PeerAnswer::Health(health)) => OwnerProbe::Answered(health),
-            Ok(PeerAnswer::Served(_)) => OwnerProbe::Silent,
+            Ok(PeerAnswer::Served(_) | PeerAnswer::Admission(_)) => OwnerProbe::Silent,
             Err(HttpFault::Closed) => OwnerProbe::Gone,
             Err(HttpFault::Unsent | HttpFault::Unanswered) => OwnerProbe::Silent,
         }
@@ -59,11 +64,33 @@
     ) -> Result<CallerAnswer, PeerFault> {
         match self.call(address, &PeerCall::Serve(call), patience).await {
             Ok(PeerAnswer::Served(answer)) => Ok(answer),
-            Ok(PeerAnswer::Health(_)) | Err(HttpFault::Unanswered) => Err(PeerFault::Unanswered),
+            Ok(PeerAnswer::Health(_) | PeerAnswer::Admission(_)) | Err(HttpFault::Unanswered) => {
+                Err(PeerFault::Unanswered)
+            }
             Err(HttpFault::Closed | HttpFault::Unsent) => Err(PeerFault::Unsent),
         }
     }
 
+    /// Asks whether there is room for a job; nothing if no owner answered.
+    pub(crate) async fn admit(
+        &self,
+        address: &str,
+        key: JobKey,
+        queue: &str,
+        graph: &JobGraph,
+        patience: Duration,
+    ) -> Option<Admission> {
+        let call = PeerCall::Admit {
+            key,
+            queue: queue.to_owned(),
+            graph: graph.clone(),
+        };
+        match self.call(address, &call, patience).await {
+            Ok(PeerAnswer::Admission(admission)) => admission,
+            Ok(_) | Err(_) => None,
+        }
+    }
+
     async fn call(
         &self,
         address: &str,
--- a/crates/fleet/src/peer_desk.rs
+++ b/crates/fleet/src/peer_desk.rs
@@ -18,6 +18,7 @@
     PeerAnswer,
     PeerCall,
     PeerHealth,
+    admission_desk::decide_here,
     fleet_log::whole_millis,
     fleet_shared::FleetShared,
     read_body, //
@@ -45,6 +46,9 @@
                 PeerAnswer::Health(self.health(may_tell))
             }
             PeerCall::Serve(call) => PeerAnswer::Served(self.desk.answer_for_peer(call).await),
+            PeerCall::Admit { key, queue, graph } => {
+                PeerAnswer::Admission(decide_here(&self.shared, key, &queue, &graph))
+            }
         }
     }
 
--- a/crates/fleet/src/peer_message.rs
+++ b/crates/fleet/src/peer_message.rs
@@ -1,5 +1,10 @@
 //! What daemons say to one another.
 
+use jasminebend_dispatch::{
+    Admission,
+    JobGraph,
+    JobKey, //
+};
 use serde::{
     Deserialize,
     Serialize, //
@@ -20,6 +25,15 @@
     },
     /// Answer this caller in my place.
     Serve(CallerCall),
+    /// Is there room for this job? Daemons of an earlier version don't know the question.
+    Admit {
+        /// The job.
+        key: JobKey,
+        /// Its queue.
+        queue: String,
+        /// What it consists of.
+        graph: JobGraph,
+    },
 }
 
 /// What a daemon answers another.
@@ -29,6 +43,8 @@
     Health(PeerHealth),
     /// What the caller is to be answered.
     Served(CallerAnswer),
+    /// Whether there is room, if it is the owner that was asked.
+    Admission(Option<Admission>),
 }
 
 /// How a daemon does.
--- /dev/null
+++ b/crates/fleet/src/pool_watch.rs
@@ -0,0 +1,79 @@
+//! Tells in the log and the metrics how the pools of an owner are used.
+
+use std::{
+    rc::Rc,
+    time::Duration, //
+};
+
+use jasminebend_dispatch::{
+    PoolUse,
+    WorkShare, //
+};
+use serde::Serialize;
+use tokio::time;
+
+use crate::{
+    LogEvent,
+    fleet_shared::FleetShared,
+    owner_seat::OwnerSeat, //
+};
+
+/// How often it is told how the pools are used.
+const TELL_EVERY: Duration = Duration::from_millis(1000);
+
+/// Who holds a pool's processors, and who waits for them, in thousandths of a processor.
+#[derive(Serialize)]
+struct PoolLine<'a> {
+    pool: &'a str,
+    workers: usize,
+    capacity: u64,
+    long_running: u64,
+    long_running_wanted: u64,
+    short: u64,
+    short_wanted: u64,
+    filler: u64,
+    filler_wanted: u64,
+    owner_token: u64,
+}
+
+/// Tells how the pools are used, until the seat is over.
+pub(crate) async fn watch_pools(shared: Rc<FleetShared>, seat: Rc<OwnerSeat>) {
+    loop {
+        time::sleep(TELL_EVERY).await;
+        let pools = seat.dispatcher.borrow().pool_use(shared.now());
+        for pool in &pools {
+            tell(&shared, &seat, pool);
+        }
+    }
+}
+
+fn tell(shared: &FleetShared, seat: &OwnerSeat, pool: &PoolUse) {
+    gauge(pool, "long_running", pool.long_running);
+    gauge(pool, "short", pool.short);
+    gauge(pool, "filler", pool.filler);
+    shared.log.line(
+        LogEvent::Pool,
+        PoolLine {
+            pool: &pool.pool,
+            workers: pool.workers,
+            capacity: pool.capacity,
+            long_running: pool.long_running.held,
+            long_running_wanted: pool.long_running.wanted,
+            short: pool.short.held,
+            short_wanted: pool.short.wanted,
+            filler: pool.filler.held,
+            filler_wanted: pool.filler.wanted,
+            owner_token: seat.token(),
+        },
+    );
+}
+
+fn gauge(pool: &PoolUse, kind: &'static str, share: WorkShare) {
+    let name = pool.pool.to_string();
+    // CAST: Exact up to 2^53 thousandths of a processor.
+    metrics::gauge!("jasminebend_fleet_pool_held_millis", "pool" => name.clone(), "kind" => kind)
+        .set(share.held as f64);
+    // CAST: As above.
+    metrics::gauge!("jasminebend_fleet_pool_wanted_millis", "pool" => name, "kind" => kind)
+        .set(share.wanted as f64);
+}
--- /dev/null
+++ b/crates/fleet/tests/daemons/admission.rs
@@ -0,0 +1,108 @@
+//! Long-running jobs that would take the room of short work, at whichever daemon they are handed in.
+
+use std::time::Duration;
+
+use jasminebend_dispatch::{
+    JobGraph,
+    JobKey,
+    StepSpec, //
+};
+use jasminebend_fleet::{
+    CallerAnswer,
+    CallerVerb,
+    FleetRow,
+    FleetTable,
+    JobRecord, //
+};
+use tokio::time;
+
+use crate::test_fleet::{
+    TestFleet,
+    ask,
+    job,
+    play_paused, //
+};
+
+/// How long a caller may be held until it is refused.
+const HELD: Duration = Duration::from_millis(500);
+
+fn long_running(count: u32) -> JobGraph {
+    let graph = job(&[(count, &[])]);
+    let steps = graph.steps.into_iter().map(|step| StepSpec {
+        lasting: true,
+        ..step
+    });
+    JobGraph {
+        steps: steps.collect(),
+        ..graph
+    }
+}
+
+async fn hand_in(fleet: &TestFleet, number: u64, graph: &JobGraph) -> [CallerAnswer; 2] {
+    let (first, second) = (fleet.daemon(), fleet.daemon());
+    time::sleep(Duration::from_secs(3)).await;
+    [
+        ask(&first.desk, number, CallerVerb::Submit(graph.clone())).await,
+        ask(&second.desk, number, CallerVerb::Submit(graph.clone())).await,
+    ]
+}
+
+/// Guards against a refusal that leaves something on record, and against daemons that answer differently.
+#[test]
+fn a_job_without_room_is_refused_at_every_daemon_and_leaves_nothing() {
+    play_paused(async {
+        let fleet = TestFleet::with_runtime_clock(2);
+        let answers = hand_in(&fleet, 1, &long_running(20)).await;
+        for answer in answers {
+            assert!(matches!(answer, CallerAnswer::Refused(_)), "{answer:?}");
+        }
+        assert_eq!(fleet.store.count(FleetTable::Jobs), 0);
+    });
+}
+
+#[test]
+fn a_job_with_room_is_taken_in_at_every_daemon() {
+    play_paused(async {
+        let fleet = TestFleet::with_runtime_clock(2);
+        let answers = hand_in(&fleet, 1, &long_running(6)).await;
+        assert_eq!(answers, [CallerAnswer::Done, CallerAnswer::Done]);
+    });
+}
+
+/// Guards against "not run" for a job whose earlier try is on record, and that the owner has not read yet.
+#[test]
+fn a_job_on_record_is_not_refused() {
+    play_paused(async {
+        let fleet = TestFleet::with_runtime_clock(2);
+        let daemon = fleet.daemon();
+        time::sleep(Duration::from_secs(3)).await;
+        let graph = long_running(20);
+        let record = JobRecord {
+            queue: "queue".to_owned(),
+            accepted_ms: 0,
+            graph: graph.clone(),
+        };
+        let key = JobKey::new(1);
+        let value = postcard::to_stdvec(&record).unwrap();
+        let part = format!("j{}", key.spread(16));
+        let row = FleetRow::new(FleetTable::Jobs, &part, key.to_string(), value);
+        fleet.store.write(vec![row]);
+        let answer = ask(&daemon.desk, 1, CallerVerb::Submit(graph)).await;
+        assert_eq!(answer, CallerAnswer::Done);
+    });
+}
+
+/// Guards against callers that wait for an owner that is gone.
+#[test]
+fn without_an_answer_of_the_owner_a_job_is_taken_in() {
+    play_paused(async {
+        let fleet = TestFleet::with_runtime_clock(2);
+        fleet.own_elsewhere();
+        let daemon = fleet.daemon();
+        time::sleep(Duration::from_secs(3)).await;
+        let begun = time::Instant::now();
+        let answer = ask(&daemon.desk, 1, CallerVerb::Submit(long_running(20))).await;
+        assert_eq!(answer, CallerAnswer::Done);
+        assert!(begun.elapsed() < HELD, "{:?}", begun.elapsed());
+    });
+}
--- a/crates/fleet/tests/daemons/main.rs
+++ b/crates/fleet/tests/daemons/main.rs
@@ -1,5 +1,6 @@
 //! Daemons that share a store: jobs from a caller's request to their last end, through deaths and outages.
 
+mod admission;
 mod jobs;
 mod members;
 mod memory_store;
--- a/crates/fleet/tests/daemons/test_fleet.rs
+++ b/crates/fleet/tests/daemons/test_fleet.rs
@@ -301,7 +301,7 @@
         let reply = pool.call(&address, request, PROBE_TIMEOUT).await.unwrap();
         match postcard::from_bytes(&reply.body).unwrap() {
             PeerAnswer::Health(health) => health.known_token,
-            PeerAnswer::Served(answer) => panic!("{answer:?}"),
+            answer => panic!("{answer:?}"),
         }
     }
 
