Send orders to a worker over two connections

Cause: each order of a burst that found no idle connection made one, and six idle ones to each address were kept for a minute: one for the renewal, which waits for long, and as many for orders as had ever been under way at once. Ruled out: calls between daemons and to the store, 100 and some 20 connections.

Change: renewals and orders have pools of their own; that of orders has at most two calls to one address under way, the others wait for their turn within their own time. A call that did not get its turn was not sent, and is told so: nothing has to be settled. An order takes some milliseconds, so that five orders at once wait for some ten.

Tests: a_burst_of_calls_shares_the_connections_that_a_pool_may_have, calls_that_waited_in_vain_for_their_turn_were_not_sent; there was no bound before, so that neither could pass.

--- a/crates/fleet/src/http_pool.rs
+++ b/crates/fleet/src/http_pool.rs
@@ -6,6 +6,7 @@
         RefCell, //
     },
     collections::HashMap,
+    sync::Arc,
     time::Duration, //
 };
 
@@ -27,6 +28,10 @@
 use hyper_util::rt::TokioIo;
 use tokio::{
     net::TcpStream,
+    sync::{
+        OwnedSemaphorePermit,
+        Semaphore, //
+    },
     task::JoinHandle,
     time, //
 };
@@ -71,6 +76,9 @@
 #[derive(Debug, Default)]
 pub struct HttpPool {
     idle: RefCell<HashMap<String, Vec<IdleConnection>>>,
+    /// How many calls to one address are under way at the most; the others wait for their turn.
+    most: Option<usize>,
+    turns: RefCell<HashMap<String, Arc<Semaphore>>>,
     sweep_due: Cell<Option<time::Instant>>,
 }
 
@@ -98,7 +106,15 @@
         Self::default()
     }
 
-    /// Sends a call once and reads its answer whole, within `timeout`.
+    /// Creates a pool that has at most so many connections to one address.
+    pub fn with_most(most: usize) -> Self {
+        Self {
+            most: Some(most),
+            ..Self::default()
+        }
+    }
+
+    /// Sends a call once and reads its answer whole, within `timeout`. A call that did not get its turn is not sent.
     ///
     /// # Errors
     ///
@@ -111,6 +127,9 @@
     ) -> Result<HttpReply, HttpFault> {
         self.sweep_if_due();
         let started = time::Instant::now();
+        let turn = time::timeout(timeout, self.turn(address)).await;
+        let _turn = turn.map_err(|_| HttpFault::Unsent)?;
+        let timeout = timeout.saturating_sub(started.elapsed());
         let mut request = request;
         while let Some(connection) = self.take(address) {
             match self.exchange(address, connection, request, timeout).await {
@@ -119,9 +138,10 @@
                 Err(Failed::Lost) => return Err(HttpFault::Unanswered),
             }
         }
+        let connecting = time::Instant::now();
         let connection = time::timeout(timeout.min(CONNECT), connect(address)).await;
         let connection = connection.map_err(|_| HttpFault::Unsent)??;
-        let left = timeout.saturating_sub(started.elapsed());
+        let left = timeout.saturating_sub(connecting.elapsed());
         match self.exchange(address, connection, request, left).await {
             Ok(reply) => Ok(reply),
             Err(Failed::NotSent(_)) => Err(HttpFault::Unsent),
@@ -134,6 +154,18 @@
         self.idle.borrow_mut().remove(address);
     }
 
+    /// Waits until another call to an address may be under way.
+    async fn turn(&self, address: &str) -> Option<OwnedSemaphorePermit> {
+        let turns = {
+            let mut turns = self.turns.borrow_mut();
+            let most = self.most?;
+            let entry = turns.entry(address.to_owned());
+            Arc::clone(entry.or_insert_with(|| Arc::new(Semaphore::new(most))))
+        };
+        // It is never closed.
+        turns.acquire_owned().await.ok()
+    }
+
     fn take(&self, address: &str) -> Option<PooledConnection> {
         let mut idle = self.idle.borrow_mut();
         let connections = idle.get_mut(address)?;
@@ -157,6 +189,9 @@
             });
             !connections.is_empty()
         });
+        self.turns
+            .borrow_mut()
+            .retain(|_, turns| Arc::strong_count(turns) > 1);
     }
 
     fn keep(&self, address: &str, connection: PooledConnection) {
--- a/crates/fleet/tests/http_pool.rs
+++ b/crates/fleet/tests/http_pool.rs
@@ -1,14 +1,20 @@
 //! Kept connections to servers.
 
 use std::{
+    cell::Cell,
     io,
+    rc::Rc,
     time::Duration, //
 };
 
 use bytes::Bytes;
 use http::Request;
 use http_body_util::Full;
-use jasminebend_fleet::HttpPool;
+use jasminebend_fleet::{
+    HttpFault,
+    HttpPool,
+    HttpReply, //
+};
 use tokio::{
     io::{
         AsyncReadExt,
@@ -18,7 +24,11 @@
         TcpListener,
         TcpStream, //
     },
-    task::LocalSet,
+    task::{
+        self,
+        JoinSet,
+        LocalSet, //
+    },
     time, //
 };
 
@@ -60,3 +70,81 @@
     };
     LocalSet::new().run_until(calls).await;
 }
+
+/// Counts the connections that are made to a server that answers every call after a while, if it does at all.
+fn serve(listener: TcpListener, after: Option<Duration>) -> Rc<Cell<usize>> {
+    let made = Rc::new(Cell::new(0));
+    let count = Rc::clone(&made);
+    task::spawn_local(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            count.set(count.get() + 1);
+            task::spawn_local(answer_all(stream, after));
+        }
+    });
+    made
+}
+
+async fn answer_all(mut stream: TcpStream, after: Option<Duration>) {
+    while let Ok(1..) = stream.read(&mut [0; 1024]).await {
+        let Some(after) = after else {
+            continue;
+        };
+        time::sleep(after).await;
+        if stream.write_all(ANSWER).await.is_err() {
+            return;
+        }
+    }
+}
+
+/// Makes so many calls at once.
+async fn call_at_once(
+    pool: Rc<HttpPool>,
+    address: &str,
+    count: usize,
+) -> Vec<Result<HttpReply, HttpFault>> {
+    let mut calls = JoinSet::new();
+    for _ in 0..count {
+        let (pool, address) = (Rc::clone(&pool), address.to_owned());
+        calls.spawn_local(async move {
+            let request = Request::get("/").header("host", &address);
+            let request = request.body(Full::new(Bytes::new())).expect("a request");
+            pool.call(&address, request, TIMEOUT).await
+        });
+    }
+    calls.join_all().await
+}
+
+/// Guards against an owner that runs out of descriptors: each order of a burst made a connection of its own.
+#[tokio::test(start_paused = true)]
+async fn a_burst_of_calls_shares_the_connections_that_a_pool_may_have() {
+    let calls = async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        let address = listener.local_addr().expect("it is bound").to_string();
+        let made = serve(listener, Some(Duration::from_millis(5)));
+        let pool = Rc::new(HttpPool::with_most(2));
+        for _ in 0..3 {
+            let replies = call_at_once(Rc::clone(&pool), &address, 20).await;
+            assert!(replies.iter().all(Result::is_ok), "{replies:?}");
+        }
+        assert_eq!(made.get(), 2);
+    };
+    LocalSet::new().run_until(calls).await;
+}
+
+/// Guards against orders that are taken for sent while they waited for a silent worker: these would have to be settled.
+#[tokio::test(start_paused = true)]
+async fn calls_that_waited_in_vain_for_their_turn_were_not_sent() {
+    let calls = async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        let address = listener.local_addr().expect("it is bound").to_string();
+        let made = serve(listener, None);
+        let pool = Rc::new(HttpPool::with_most(2));
+        let replies = call_at_once(pool, &address, 20).await;
+        let faults = replies
+            .into_iter()
+            .map(|reply| reply.expect_err("it is silent"));
+        let sent = faults.filter(|fault| *fault == HttpFault::Unanswered);
+        assert_eq!((sent.count(), made.get()), (2, 2));
+    };
+    LocalSet::new().run_until(calls).await;
+}
--- a/crates/jasminebend/src/fleet_program.rs
+++ b/crates/jasminebend/src/fleet_program.rs
@@ -100,7 +100,7 @@
     let edges = FleetEdges {
         clock: Rc::new(SystemClock::new()),
         store: Rc::new(StoreCalls::new(Rc::clone(&pool), settings.store)),
-        workers: Rc::new(WorkerCalls::new(Rc::clone(&pool))),
+        workers: Rc::new(WorkerCalls::new()),
         advice,
         vms,
         pool,
