Have jbctl summary tell and draw who holds the processors

`jbctl summary` now tells for each pool what each kind of work held and waited for, and how many long-running jobs were refused; `--plot FILE` draws it by second as SVG (plotters, with its SVG backend alone). A plot of lines without pools, or to a file that can't be written, is an error with its reason.

--- a/crates/jbctl/src/admin_call.rs
+++ b/crates/jbctl/src/admin_call.rs
@@ -59,7 +59,7 @@
             OperatorCommand::JobSubmit(file) => submit(file)?,
             OperatorCommand::ConfigCheck(_)
             | OperatorCommand::Explain(_)
-            | OperatorCommand::Summary
+            | OperatorCommand::Summary { .. }
             | OperatorCommand::TokenHash(_) => return Ok(None),
         };
         Ok(Some(call))
--- a/crates/jbctl/src/command_line.rs
+++ b/crates/jbctl/src/command_line.rs
@@ -35,7 +35,8 @@
   job list [--limit N] [--after ID]  List a page of the jobs: N of them, after ID.
   class list                     List the classes and their targets.
   explain ID                     Tell the story of job ID from daemons' log lines on standard input.
-  summary                        Sum up where the work's time goes, from the same lines.
+  summary [--plot FILE]          Sum up where the work's time goes, from the same lines; FILE: an SVG
+                                 picture of who holds the processors, and who waits for them.
   token hash FILE                Print the digest of the token in FILE.
 
 Options:
@@ -76,6 +77,7 @@
         let mut words = Vec::new();
         let mut force = false;
         let mut listing = JobListing::default();
+        let mut plot = None;
         while let Some(argument) = parser.next()? {
             match argument {
                 Arg::Long("help") | Arg::Short('h') => return Ok(Self::Help),
@@ -87,11 +89,13 @@
                 Arg::Long("force") => force = true,
                 Arg::Long("limit") => listing.limit = Some(parser.value()?.parse()?),
                 Arg::Long("after") => listing.after = Some(name(&parser.value()?.string()?)?),
+                Arg::Long("plot") => plot = Some(PathBuf::from(parser.value()?)),
                 Arg::Value(word) => words.push(word.string()?),
                 other => return Err(other.unexpected().into()),
             }
         }
-        Ok(Self::Run(command(&words, force, listing)?, options))
+        let command = with_plot(command(&words, force, listing)?, plot)?;
+        Ok(Self::Run(command, options))
     }
 }
 
@@ -120,7 +124,7 @@
         ["class", "list"] => OperatorCommand::ClassList,
         ["explain", job] => OperatorCommand::Explain(name(job)?),
         ["explain"] => return missing("explain", "a job's identity"),
-        ["summary"] => OperatorCommand::Summary,
+        ["summary"] => OperatorCommand::Summary { plot: None },
         ["token", "hash", file] => OperatorCommand::TokenHash(PathBuf::from(file)),
         other => {
             return Err(UsageError::UnknownCommand {
@@ -136,6 +140,17 @@
     }
 }
 
+fn with_plot(
+    command: OperatorCommand,
+    plot: Option<PathBuf>,
+) -> Result<OperatorCommand, UsageError> {
+    match (command, plot) {
+        (OperatorCommand::Summary { .. }, plot) => Ok(OperatorCommand::Summary { plot }),
+        (command, None) => Ok(command),
+        (_, Some(_)) => stray("`--plot` goes with `summary` alone"),
+    }
+}
+
 fn stray(reason: &str) -> Result<OperatorCommand, UsageError> {
     Err(UsageError::Option {
         reason: reason.to_owned(),
--- a/crates/jbctl/src/lib.rs
+++ b/crates/jbctl/src/lib.rs
@@ -12,6 +12,8 @@
 mod log_summary;
 mod operator_command;
 mod output_format;
+mod pool_history;
+mod pool_plot;
 mod program;
 mod target_options;
 mod tls_client;
@@ -34,6 +36,7 @@
     log_summary::LogSummary,
     operator_command::OperatorCommand,
     output_format::OutputFormat,
+    pool_history::PoolHistory,
     program::run_program,
     target_options::TargetOptions,
     usage_error::UsageError, //
--- a/crates/jbctl/src/log_line.rs
+++ b/crates/jbctl/src/log_line.rs
@@ -60,6 +60,11 @@
         WAIT_REASONS.map(|reason| (self.number(reason), reason))
     }
 
+    /// Tells whether a field is there and true.
+    pub(crate) fn flag(&self, field: &str) -> bool {
+        self.fields.get(field).and_then(Value::as_bool) == Some(true)
+    }
+
     /// Returns a field's number with its fraction; 0 if it has none.
     pub(crate) fn decimal(&self, field: &str) -> f64 {
         self.fields
--- a/crates/jbctl/src/log_summary.rs
+++ b/crates/jbctl/src/log_summary.rs
@@ -8,7 +8,10 @@
     io::BufRead,
 };
 
-use crate::log_line::LogLine;
+use crate::{
+    PoolHistory,
+    log_line::LogLine, //
+};
 
 /// How often a waiting step is logged, in seconds: each of its lines stands for so long.
 const WAIT_EVERY_S: f64 = 2.0;
@@ -32,6 +35,8 @@
     change_ms: f64,
     storeless_ms: f64,
     jobs: BTreeMap<String, Vec<u64>>,
+    /// Who held the pools' processors.
+    pub pools: PoolHistory,
     /// Lines that are no log lines.
     pub skipped: usize,
     lines: usize,
@@ -102,6 +107,7 @@
         for (outcome, ages) in &self.jobs {
             texts.push(job_text(outcome, ages));
         }
+        texts.extend(self.pools.texts());
         texts
     }
 
@@ -121,7 +127,7 @@
                 let ages = self.jobs.entry(line.str("outcome").to_owned());
                 ages.or_default().push(line.number("age_ms"));
             }
-            _ => {}
+            _ => self.pools.take(line),
         }
     }
 
--- a/crates/jbctl/src/operator_command.rs
+++ b/crates/jbctl/src/operator_command.rs
@@ -39,7 +39,10 @@
     /// Tell the story of a job from daemons' log lines on the standard input.
     Explain(String),
     /// Sum up where the work's time goes, from daemons' log lines on the standard input.
-    Summary,
+    Summary {
+        /// Where to draw who held the pools' processors.
+        plot: Option<PathBuf>,
+    },
     /// Print the digest of a token, for the daemons' tokens file.
     TokenHash(PathBuf),
 }
--- a/crates/jbctl/src/program.rs
+++ b/crates/jbctl/src/program.rs
@@ -3,6 +3,7 @@
 use std::{
     ffi::OsString,
     fmt::Display,
+    path::Path,
     process::ExitCode, //
 };
 
@@ -78,7 +79,7 @@
             Ok(say(&format!("{digest}\n")))
         }
         OperatorCommand::Explain(job) => explain(job),
-        OperatorCommand::Summary => summarize(),
+        OperatorCommand::Summary { plot } => summarize(plot.as_deref()),
         _ => Ok(ExitCode::SUCCESS),
     }
 }
@@ -98,7 +99,7 @@
     Ok(ExitCode::SUCCESS)
 }
 
-fn summarize() -> Result<ExitCode, UsageError> {
+fn summarize(plot: Option<&Path>) -> Result<ExitCode, UsageError> {
     let summary = LogSummary::read(std::io::stdin().lock()).map_err(unreadable_input)?;
     warn_of_skipped(summary.skipped);
     if summary.is_empty() {
@@ -107,6 +108,13 @@
     for text in summary.texts() {
         say(&format!("{text}\n"));
     }
+    let Some(path) = plot else {
+        return Ok(ExitCode::SUCCESS);
+    };
+    if summary.pools.is_empty() {
+        return Ok(fail(REFUSED, "no line tells of a pool; nothing was drawn"));
+    }
+    summary.pools.plot(path)?;
     Ok(ExitCode::SUCCESS)
 }
 
--- a/crates/jbctl/src/usage_error.rs
+++ b/crates/jbctl/src/usage_error.rs
@@ -54,6 +54,14 @@
         /// The name as given.
         name: String,
     },
+    /// A file cannot be written.
+    #[display("the file {} cannot be written: {reason}", path.display())]
+    Unwritable {
+        /// The file.
+        path: PathBuf,
+        /// What the system says.
+        reason: String,
+    },
     /// A file cannot be read.
     #[display("the file {} cannot be read: {reason}", path.display())]
     Unreadable {
--- a/crates/jbctl/tests/log_summaries.rs
+++ b/crates/jbctl/tests/log_summaries.rs
@@ -65,3 +65,46 @@
     assert!(summary.is_empty());
     assert_eq!(summary.skipped, 3);
 }
+
+const POOL_LINES: [&str; 3] = [
+    r#"{"ts":10.0,"node":"edge-a","event":"pool","pool":"desk","workers":2,"capacity":64000,"long_running":40000,"long_running_wanted":0,"short":10000,"short_wanted":4000,"filler":9000,"filler_wanted":1000,"owner_token":1}"#,
+    r#"{"ts":11.0,"node":"edge-a","event":"pool","pool":"desk","workers":2,"capacity":64000,"long_running":60000,"long_running_wanted":6000,"short":4000,"short_wanted":30000,"filler":9000,"filler_wanted":0,"owner_token":1}"#,
+    r#"{"ts":11.2,"node":"edge-a","event":"admission","job":"00000000000000aa","queue":"q","granted":false,"demand":24000,"room":3000,"short_need":9000,"back_ms":4000,"owner_token":1}"#,
+];
+
+#[test]
+fn it_is_told_who_holds_a_pool_and_who_waits_for_it() {
+    let texts = summary(&POOL_LINES);
+    for expected in [
+        "pool desk: long-running tasks held 50 of 64 processors and waited for 3, 6 at most",
+        "pool desk: short tasks held 7 of 64 processors and waited for 17, 30 at most",
+        "pool desk: fillers held 9 of 64 processors and waited for 0, 1 at most",
+        "long-running jobs taken in: 0, refused for want of room: 1 times",
+    ] {
+        assert!(
+            texts.contains(&expected.to_owned()),
+            "{expected}: {texts:?}"
+        );
+    }
+}
+
+#[test]
+fn who_holds_a_pool_is_drawn() {
+    let lines = POOL_LINES.join("\n");
+    let history = LogSummary::read(lines.as_bytes()).unwrap().pools;
+    let file = std::env::temp_dir().join(format!("jbctl-plot-{}.svg", std::process::id()));
+    history.plot(&file).unwrap();
+    let drawn = std::fs::read_to_string(&file).unwrap();
+    std::fs::remove_file(&file).unwrap();
+    for expected in ["<svg", "pool desk", "long-running, held", "short, waiting"] {
+        assert!(drawn.contains(expected), "{expected}");
+    }
+}
+
+#[test]
+fn a_picture_that_cannot_be_written_is_an_error() {
+    let lines = POOL_LINES.join("\n");
+    let history = LogSummary::read(lines.as_bytes()).unwrap().pools;
+    let error = history.plot(std::path::Path::new("/nowhere/at/all.svg"));
+    assert!(error.unwrap_err().to_string().contains("cannot be written"));
+}
