--- a/crates/dispatch/tests/full_pool.rs
+++ b/crates/dispatch/tests/full_pool.rs
@@ -83,7 +83,7 @@
     let completed = JobProgress::Ended(JobOutcome::Completed);
     let done = jobs
         .iter()
-        .filter(|job| fleet.progress(**job) == Some(completed.clone()));
+        .filter(|job| fleet.progress(**job) == Some(completed));
     done.count()
 }
 
