Take a job in while its part of the store is away

Cause: a job's rows lie in one of 16 parts, by its identity. While that part is away no daemon can write there, and a broken call tells nothing of what was done; peers, which were asked next, tried the same part. Ruled out: daemons that the store turns away (the outage is of parts, for all daemons); waiting (callers wait for 3 s in all, the part is away for longer).

Change: each job has a second part. A row that the first did not surely take goes to the second; the caller is answered once either has it. Why it is safe: a row is an insert by the job's identity, and owners know a job by its identity alone, so that a row that lies in both parts is one job; cancellations are looked for in both, and a successor reads all jobs before all cancellations, since these may lie apart; who can't read both parts does not say that there is no such job.

Tests: partial_outage.rs, of which a_job_is_taken_in_while_its_part_of_the_store_is_away can't pass with one part.

--- a/crates/fleet/src/caller_desk.rs
+++ b/crates/fleet/src/caller_desk.rs
@@ -32,7 +32,7 @@
         CANCEL_SUFFIX,
         FleetShared,
         SHARD_PART,
-        job_part, //
+        parts_of_job, //
     },
     peer_client::PeerFault, //
 };
@@ -61,6 +61,36 @@
     Here,
 }
 
+/// What is on record of a job.
+struct JobRows {
+    rows: Vec<FleetRow>,
+    /// Whether both parts in which rows may lie were read.
+    whole: bool,
+}
+
+impl JobRows {
+    fn tells_of(&self, key: JobKey) -> bool {
+        self.has(&key.to_string())
+    }
+
+    fn tells_of_cancellation(&self, key: JobKey) -> bool {
+        self.has(&format!("{key}{CANCEL_SUFFIX}"))
+    }
+
+    fn has(&self, name: &str) -> bool {
+        self.rows.iter().any(|row| row.key == name)
+    }
+}
+
+/// A part of the store that did not take a row.
+#[derive(Serialize)]
+struct PartLine<'a> {
+    dependency: &'static str,
+    part: &'a str,
+    row: &'a str,
+    outcome: String,
+}
+
 #[derive(Serialize)]
 struct RequestLine<'a> {
     request: &'a str,
@@ -186,9 +216,7 @@
         {
             return self.refuse(key, back, call, reach).await;
         }
-        let row = FleetRow::new(FleetTable::Jobs, &job_part(key), key.to_string(), value);
-        let outcome = self.insert(row).await;
-        match outcome {
+        match self.insert(key, key.to_string(), value).await {
             // A row that was there is an earlier try of the same caller's.
             Ok(_) => CallerAnswer::Done,
             Err(error) => self.elsewhere(call, reach, error).await,
@@ -204,51 +232,90 @@
         reach: Reach,
     ) -> CallerAnswer {
         match self.rows_of(key).await {
-            Ok(rows) if rows.is_empty() => CallerAnswer::Refused(back),
-            Ok(_) => CallerAnswer::Done,
-            Err(_) => self.elsewhere(call, reach, StoreError::Refused).await,
+            Ok(rows) if rows.tells_of(key) => CallerAnswer::Done,
+            Ok(rows) if rows.whole => CallerAnswer::Refused(back),
+            _ => self.elsewhere(call, reach, StoreError::Refused).await,
         }
     }
 
     async fn cancel(&self, key: JobKey, call: CallerCall, reach: Reach) -> CallerAnswer {
-        let known = match self.rows_of(key).await {
-            Ok(rows) => rows,
-            Err(_) => return self.elsewhere(call, reach, StoreError::Refused).await,
-        };
-        if !known.iter().any(|row| row.key == key.to_string()) {
-            return CallerAnswer::NoJob;
+        match self.rows_of(key).await {
+            Ok(rows) if rows.tells_of(key) => {}
+            Ok(rows) if rows.whole => return CallerAnswer::NoJob,
+            _ => return self.elsewhere(call, reach, StoreError::Refused).await,
         }
         let name = format!("{key}{CANCEL_SUFFIX}");
-        let row = FleetRow::new(FleetTable::Jobs, &job_part(key), name, Vec::new());
-        match self.insert(row).await {
+        match self.insert(key, name, Vec::new()).await {
             Ok(_) => CallerAnswer::Done,
             Err(error) => self.elsewhere(call, reach, error).await,
         }
     }
 
-    /// Inserts a row unless it is there.
-    async fn insert(&self, row: FleetRow) -> Result<CommitAnswer, StoreError> {
-        if self.shared.store.is_lost() {
-            return Err(StoreError::Refused);
+    /// Inserts a row of a job unless it is there: where the job's rows lie or, while that part of the store can't be
+    /// written, in its second part. A row that lies in both is one row twice.
+    async fn insert(
+        &self,
+        key: JobKey,
+        name: String,
+        value: Vec<u8>,
+    ) -> Result<CommitAnswer, StoreError> {
+        let mut unknown = false;
+        for part in parts_of_job(key) {
+            if self.shared.store.is_lost() {
+                break;
+            }
+            let row = FleetRow::new(FleetTable::Jobs, &part, name.clone(), value.clone());
+            let commit = RowCommit {
+                guards: vec![row.guard(0)],
+                writes: vec![row],
+            };
+            match self.shared.store.commit(commit).await {
+                Ok(answer) => return Ok(answer),
+                Err(error) => {
+                    unknown |= error != StoreError::Refused;
+                    self.tell_part(&part, &name, error);
+                }
+            }
         }
-        let commit = RowCommit {
-            guards: vec![row.guard(0)],
-            writes: vec![row],
-        };
-        self.shared.store.commit(commit).await
+        Err(match unknown {
+            true => StoreError::Unknown,
+            false => StoreError::Refused,
+        })
     }
 
-    async fn rows_of(&self, key: JobKey) -> Result<Vec<FleetRow>, StoreError> {
+    fn tell_part(&self, part: &str, row: &str, error: StoreError) {
+        self.shared.log.line(
+            LogEvent::Dependency,
+            PartLine {
+                dependency: "store_part",
+                part,
+                row,
+                outcome: error.to_string(),
+            },
+        );
+    }
+
+    /// Reads a job's rows from both of its parts.
+    async fn rows_of(&self, key: JobKey) -> Result<JobRows, StoreError> {
         if self.shared.store.is_lost() {
             return Err(StoreError::Refused);
         }
         let (from, to) = (key.to_string(), format!("{key}~"));
-        let rows = self
-            .shared
-            .store
-            .read_few(FleetTable::Jobs, &job_part(key), &from, Some(&to))
-            .await?;
-        Ok(rows.0)
+        let [first, second] = parts_of_job(key);
+        let store = &self.shared.store;
+        let (first, second) = tokio::join!(
+            store.read_few(FleetTable::Jobs, &first, &from, Some(&to)),
+            store.read_few(FleetTable::Jobs, &second, &from, Some(&to)),
+        );
+        let whole = first.is_ok() && second.is_ok();
+        let read = match (first, second) {
+            (Err(error), Err(_)) => return Err(error),
+            (first, second) => [first, second].into_iter().flatten(),
+        };
+        Ok(JobRows {
+            rows: read.flat_map(|(rows, _)| rows).collect(),
+            whole,
+        })
     }
 
     async fn read(&self, key: JobKey, call: CallerCall, reach: Reach) -> CallerAnswer {
@@ -270,7 +337,10 @@
     /// Reads how far a job is from the rows alone.
     async fn read_kept(&self, key: JobKey) -> Result<Option<JobProgress>, StoreError> {
         let rows = self.rows_of(key).await?;
-        if !rows.iter().any(|row| row.key == key.to_string()) {
+        if !rows.whole {
+            return Err(StoreError::Refused);
+        }
+        if !rows.tells_of(key) {
             return Ok(None);
         }
         let (from, to) = (key.to_string(), format!("{key}~"));
@@ -285,7 +355,7 @@
         let outcome = record.as_ref().and_then(|record| record.outcome);
         Ok(Some(match outcome {
             Some(outcome) => JobProgress::Ended(outcome),
-            None if rows.len() > 1 => JobProgress::Ended(JobOutcome::Cancelled),
+            None if rows.tells_of_cancellation(key) => JobProgress::Ended(JobOutcome::Cancelled),
             None if record.is_some() => JobProgress::Running,
             None => JobProgress::Queued,
         }))
--- a/crates/fleet/src/fleet_shared.rs
+++ b/crates/fleet/src/fleet_shared.rs
@@ -57,9 +57,12 @@
 /// away, and a configuration must be in force within two seconds.
 pub(crate) const WATCH_WAIT: Duration = Duration::from_millis(1000);
 
-/// Returns the part in which a job's rows lie.
-pub(crate) fn job_part(key: JobKey) -> String {
-    part_name(key.spread(JOB_PARTS))
+/// Returns the parts in which a job's rows may lie: the one where they do, and the one that takes them while that can't
+/// be written.
+pub(crate) fn parts_of_job(key: JobKey) -> [String; 2] {
+    let first = key.spread(JOB_PARTS);
+    let second = (first + JOB_PARTS / 2) % JOB_PARTS;
+    [first, second].map(part_name)
 }
 
 /// Returns the parts in which jobs' rows lie.
--- a/crates/fleet/src/owner_jobs.rs
+++ b/crates/fleet/src/owner_jobs.rs
@@ -65,6 +65,8 @@
         rows.extend(part);
         version = version.min(read_version);
     }
+    // A job's cancellation may lie in another part than the job.
+    rows.sort_by_key(|row| row.key.ends_with(CANCEL_SUFFIX));
     Ok((rows, KnownJobs { version, asked_at }))
 }
 
--- a/crates/fleet/tests/daemons/jobs.rs
+++ b/crates/fleet/tests/daemons/jobs.rs
@@ -124,7 +124,7 @@
     });
 }
 
-/// A write whose answer was lost may have been done: it is not called refused.
+/// Writes whose answers were lost may have been done: that is not called refused.
 #[test]
 fn a_lost_answer_of_the_store_is_not_called_a_refusal() {
     play(async {
@@ -132,7 +132,7 @@
         let daemon = fleet.daemon();
         submit(&daemon.desk, 1, &job(&[(1, &[])])).await;
         reach(&daemon.desk, 1, COMPLETED).await;
-        daemon.way.lost_answers.set(1);
+        daemon.way.lost_answers.set(2);
         let answer = ask(&daemon.desk, 2, CallerVerb::Submit(job(&[(1, &[])]))).await;
         assert_eq!(answer, CallerAnswer::Unknown);
         reach(&daemon.desk, 2, COMPLETED).await;
--- a/crates/fleet/tests/daemons/main.rs
+++ b/crates/fleet/tests/daemons/main.rs
@@ -4,6 +4,7 @@
 mod jobs;
 mod members;
 mod memory_store;
+mod partial_outage;
 mod store_silence;
 mod take_over;
 mod test_fleet;
--- /dev/null
+++ b/crates/fleet/tests/daemons/partial_outage.rs
@@ -0,0 +1,141 @@
+//! A store of which some parts can't be reached, by any daemon.
+
+use std::time::Duration;
+
+use jasminebend_dispatch::{
+    JobKey,
+    JobOutcome,
+    JobProgress, //
+};
+use jasminebend_fleet::{
+    CallerAnswer,
+    CallerVerb,
+    FleetTable, //
+};
+use tokio::time;
+
+use crate::test_fleet::{
+    TestDaemon,
+    TestFleet,
+    ask,
+    job,
+    play_paused,
+    reach,
+    submit, //
+};
+
+const COMPLETED: JobProgress = JobProgress::Ended(JobOutcome::Completed);
+const CANCELLED: JobProgress = JobProgress::Ended(JobOutcome::Cancelled);
+/// Jobs run for longer than this.
+const SOON: Duration = Duration::from_millis(50);
+
+/// Has the part in which a job's rows lie break every call off.
+fn break_part(daemon: &TestDaemon, number: u64) {
+    let part = format!("j{}", JobKey::new(number).spread(16));
+    daemon.way.broken_parts.borrow_mut().push(part);
+}
+
+fn mend(daemon: &TestDaemon) {
+    daemon.way.broken_parts.borrow_mut().clear();
+}
+
+async fn serving_daemon(fleet: &TestFleet) -> TestDaemon {
+    let daemon = fleet.daemon();
+    submit(&daemon.desk, 99, &job(&[(1, &[])])).await;
+    reach(&daemon.desk, 99, COMPLETED).await;
+    daemon
+}
+
+/// Guards against callers that get no answer while a part of the store is away.
+#[test]
+fn a_job_is_taken_in_while_its_part_of_the_store_is_away() {
+    play_paused(async {
+        let fleet = TestFleet::with_runtime_clock(2);
+        let daemon = serving_daemon(&fleet).await;
+        break_part(&daemon, 1);
+        let graph = job(&[(3, &[])]);
+        let answer = ask(&daemon.desk, 1, CallerVerb::Submit(graph)).await;
+        assert_eq!(answer, CallerAnswer::Done);
+        reach(&daemon.desk, 1, COMPLETED).await;
+        assert_eq!(fleet.workers.begins(), 4);
+    });
+}
+
+/// Guards against a booking done twice: its row lies in both parts, since the first write was done without an answer.
+#[test]
+fn a_job_whose_row_lies_in_both_parts_runs_once() {
+    play_paused(async {
+        let fleet = TestFleet::with_runtime_clock(2);
+        let daemon = serving_daemon(&fleet).await;
+        daemon.way.lost_answers.set(1);
+        let answer = ask(&daemon.desk, 1, CallerVerb::Submit(job(&[(3, &[])]))).await;
+        assert_eq!(answer, CallerAnswer::Done);
+        assert_eq!(fleet.store.count(FleetTable::Jobs), 3);
+        reach(&daemon.desk, 1, COMPLETED).await;
+        daemon.kill();
+        let next = fleet.daemon();
+        reach(&next.desk, 1, COMPLETED).await;
+        time::sleep(Duration::from_secs(10)).await;
+        assert_eq!(fleet.workers.begins(), 4);
+    });
+}
+
+/// Guards against a cancelled job that a successor runs: its cancellation lies in another part than the job.
+#[test]
+fn a_cancellation_in_the_second_part_holds_after_a_take_over() {
+    for number in 1..9 {
+        play_paused(async move {
+            let fleet = TestFleet::with_runtime_clock(0);
+            let daemon = fleet.daemon();
+            submit(&daemon.desk, number, &job(&[(3, &[])])).await;
+            break_part(&daemon, number);
+            // The job is known from memory; its row can't be read.
+            let answer = ask(&daemon.desk, number, CallerVerb::Cancel).await;
+            assert_ne!(answer, CallerAnswer::NoJob, "it is on record");
+            mend(&daemon);
+            let answer = ask(&daemon.desk, number, CallerVerb::Cancel).await;
+            assert_eq!(answer, CallerAnswer::Done);
+            daemon.kill();
+            let next = fleet.daemon();
+            reach(&next.desk, number, CANCELLED).await;
+        });
+    }
+}
+
+/// Guards against a cancellation that is lost while the part of its job is away.
+#[test]
+fn a_job_in_the_second_part_is_cancelled_there() {
+    for number in 1..9 {
+        play_paused(async move {
+            let fleet = TestFleet::with_runtime_clock(2);
+            let daemon = serving_daemon(&fleet).await;
+            break_part(&daemon, number);
+            submit(&daemon.desk, number, &job(&[(1, &[]), (1, &[0])])).await;
+            time::sleep(SOON).await;
+            let answer = ask(&daemon.desk, number, CallerVerb::Cancel).await;
+            assert_eq!(answer, CallerAnswer::Done);
+            reach(&daemon.desk, number, CANCELLED).await;
+            mend(&daemon);
+            daemon.kill();
+            let next = fleet.daemon();
+            reach(&next.desk, number, CANCELLED).await;
+        });
+    }
+}
+
+/// Guards against "no such job" for a job that is on record in a part that can't be read.
+#[test]
+fn a_job_that_cannot_be_read_is_not_called_unknown() {
+    play_paused(async {
+        let fleet = TestFleet::with_runtime_clock(2);
+        let daemon = serving_daemon(&fleet).await;
+        submit(&daemon.desk, 1, &job(&[(1, &[])])).await;
+        daemon.kill();
+        fleet.own_elsewhere();
+        let other = fleet.daemon();
+        time::sleep(Duration::from_secs(3)).await;
+        break_part(&other, 1);
+        let answer = ask(&other.desk, 1, CallerVerb::Read).await;
+        assert!(matches!(answer, CallerAnswer::Refused(_)), "{answer:?}");
+    });
+}
