Learn the need of short work for each pool, from work that can run

Demand is now kept by pool, what no worker can hold counts nothing, a step counts for no more than its pool has, and sums saturate.

A successor reads the jobs before it has its configuration, and would have learned nothing of them by pool: it is configured first.

Tests: short_jobs_that_no_worker_can_hold_keep_no_room, jobs_of_senseless_size_cost_others_nothing, a_successor_knows_from_the_records_what_short_work_needs (seen failing without the configuration).

--- a/crates/dispatch/src/admission.rs
+++ b/crates/dispatch/src/admission.rs
@@ -58,6 +58,7 @@
     /// Returns the processors that are granted, in thousandths, and forgets what has lapsed.
     pub(crate) fn total(&mut self, now: Duration) -> u64 {
         self.grants.retain(|_, (_, until)| now < *until);
-        self.grants.values().map(|(demand, _)| demand).sum()
+        let granted = self.grants.values().map(|(demand, _)| *demand);
+        granted.fold(0, u64::saturating_add)
     }
 }
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -29,15 +29,14 @@
     WorkerOrder,
     admission::GrantLedger,
     commit_ledger::CommitLedger,
-    decaying_sum::DecayingSum,
     harm_model::HarmModel,
     hopeless_demand::HopelessDemands,
     job_state::{
         JobState,
         OccurrenceState, //
     },
+    pool_demand::PoolDemand,
     service_view::ServiceView,
-    short_demand::ShortDemand,
     start_window::StartWindow,
     worker_state::WorkerState, //
 };
@@ -103,19 +102,14 @@
     pub(crate) plans: u64,
     /// Repeated jobs of which occurrences are still to come.
     pub(crate) scheduled: IndexMap<JobKey, u32>,
-    pub(crate) short_demand: ShortDemand,
+    pub(crate) demands: IndexMap<Arc<str>, PoolDemand>,
     pub(crate) grants: GrantLedger,
-    /// The processors of long-running jobs that ended.
-    pub(crate) released: DecayingSum,
     /// When the first plan was made.
     pub(crate) acting_since: Option<Duration>,
     /// The time of the last plan.
     pub(crate) planned: Duration,
 }
 
-/// After how long the end of a long-running job counts half.
-const RELEASE_HALF_LIFE: Duration = Duration::from_secs(60);
-
 impl Dispatcher {
     /// Creates the dispatcher of the owner with this fencing token.
     pub fn new(token: u64, settings: DispatchSettings) -> Self {
@@ -142,9 +136,8 @@
             held_back: false,
             plans: 0,
             scheduled: IndexMap::new(),
-            short_demand: ShortDemand::default(),
+            demands: IndexMap::new(),
             grants: GrantLedger::default(),
-            released: DecayingSum::new(RELEASE_HALF_LIFE),
             acting_since: None,
             planned: Duration::ZERO,
         }
@@ -285,8 +278,9 @@
             job.occurrences.insert(occurrence, state);
             // What came before this process began counts as of its origin; nothing is known of its rate.
             let begun = job.begun(occurrence, self.clock_origin);
+            let (queue, graph) = (Arc::clone(&job.queue), Arc::clone(&job.graph));
             if !begun.is_zero() {
-                self.short_demand.note_arrival(&job.graph, begun);
+                self.note_arrival(&queue, &graph, begun);
             }
         }
         self.open_steps(key, occurrence, StepOrigin::Unknown);
@@ -321,7 +315,7 @@
         let Some(job) = self.jobs.get(&key) else {
             return;
         };
-        let graph = Arc::clone(&job.graph);
+        let (queue, graph) = (Arc::clone(&job.queue), Arc::clone(&job.graph));
         let mut runs = Vec::new();
         for (&occurrence, state) in &job.occurrences {
             for (number, step) in state.steps.iter().enumerate() {
@@ -339,7 +333,7 @@
             }
         }
         if !runs.is_empty() {
-            self.note_released(&graph, self.planned);
+            self.note_released(&queue, &graph, self.planned);
         }
         for (worker, task, run) in runs {
             self.stop_run(worker, task, run);
--- a/crates/dispatch/src/dispatcher_admission.rs
+++ b/crates/dispatch/src/dispatcher_admission.rs
@@ -12,7 +12,9 @@
     JobKey,
     PolicyPart,
     RoomShortage,
-    WorkKind, //
+    WorkKind,
+    pool_demand::PoolDemand,
+    short_demand::PoolSize, //
 };
 
 /// The times after which a caller that was refused is told to come back.
@@ -45,10 +47,16 @@
             return Admission::Granted;
         };
         let pool = Arc::clone(&rule.pool);
-        let short_need = self.short_demand.need(now);
-        let promised = self.waiting_long_running(&pool) + self.grants.total(now);
-        let room = self.unpromised_room(&pool, now).saturating_sub(promised);
-        if room >= short_need + demand {
+        let demands = self.demands.entry(Arc::clone(&pool)).or_default();
+        let short_need = demands.short.need(now);
+        let short_size = demands.short.usual_size(now);
+        let waiting = self.waiting_long_running(&pool);
+        let promised = waiting.saturating_add(self.grants.total(now));
+        let room = self
+            .unpromised_room(&pool, short_size)
+            .saturating_sub(promised);
+        let wanted = short_need.saturating_add(demand);
+        if room >= wanted {
             self.grants.grant(key, demand, now);
             return Admission::Granted;
         }
@@ -56,7 +64,7 @@
             demand,
             room,
             short_need,
-            back: self.back_in(short_need + demand - room, now),
+            back: self.back_in(&pool, wanted - room, now),
         })
     }
 
@@ -70,8 +78,7 @@
 
     /// Returns the processors of a pool beside what long-running tasks hold, in thousandths, as far as short tasks of the
     /// usual size fit there. A worker that is silent for a moment counts.
-    fn unpromised_room(&self, pool: &Arc<str>, now: Duration) -> u64 {
-        let size = self.short_demand.usual_size(now);
+    fn unpromised_room(&self, pool: &Arc<str>, size: u64) -> u64 {
         let expected = self.workers.iter().filter(|worker| {
             let record = &worker.record;
             let stays = worker.listed && !record.draining && !worker.upkeep;
@@ -94,15 +101,16 @@
             let counts = spec.kind() == WorkKind::LongRunning && rule.pool == *pool;
             let tasks = state.tasks.iter().filter(|task| task.is_pending());
             // CAST: A step has at most 20,000 tasks.
-            counts.then(|| tasks.count() as u64 * spec.size.cpu_millis)
+            counts.then(|| spec.size.cpu_millis.saturating_mul(tasks.count() as u64))
         });
-        pending.flatten().sum()
+        pending.flatten().fold(0, u64::saturating_add)
     }
 
     /// Returns when this many processors, in thousandths, should have become free, by the rate at which long-running jobs
     /// end.
-    fn back_in(&self, missing: u64, now: Duration) -> Duration {
-        let rate = self.released.rate(now, LEAST_SEEN);
+    fn back_in(&self, pool: &Arc<str>, missing: u64, now: Duration) -> Duration {
+        let demand = self.demands.get(pool);
+        let rate = demand.map_or(0.0, |demand| demand.released.rate(now, LEAST_SEEN));
         if rate <= 0.0 {
             return USUAL_BACK;
         }
@@ -112,13 +120,38 @@
     }
 
     /// Takes note that a job is over: what its long-running tasks held becomes free.
-    pub(crate) fn note_released(&mut self, graph: &JobGraph, now: Duration) {
+    pub(crate) fn note_released(&mut self, queue: &Arc<str>, graph: &JobGraph, now: Duration) {
         let released = long_running_cpu(graph);
-        if released > 0 {
+        if released > 0
+            && let Some(demand) = self.demand_mut(queue)
+        {
             // CAST: Exact up to 2^53 thousandths of a processor.
-            self.released.add(released as f64, now);
+            demand.released.add(released as f64, now);
         }
     }
+
+    /// Takes note of an occurrence of a job that arrived.
+    pub(crate) fn note_arrival(&mut self, queue: &Arc<str>, graph: &JobGraph, at: Duration) {
+        let Some(rule) = self.rules.get(queue) else {
+            return;
+        };
+        let mut size = PoolSize::default();
+        let workers = self.workers.iter().filter(|worker| worker.listed);
+        for worker in workers.filter(|worker| worker.record.pool == rule.pool) {
+            let capacity = worker.record.capacity.cpu_millis;
+            size.largest_worker = size.largest_worker.max(capacity);
+            size.all = size.all.saturating_add(capacity);
+        }
+        if let Some(demand) = self.demand_mut(queue) {
+            demand.short.note_arrival(graph, size, at);
+        }
+    }
+
+    /// Returns what is learned of the demand for a queue's pool.
+    pub(crate) fn demand_mut(&mut self, queue: &Arc<str>) -> Option<&mut PoolDemand> {
+        let pool = Arc::clone(&self.rules.get(queue)?.pool);
+        Some(self.demands.entry(pool).or_default())
+    }
 }
 
 /// Returns the processors that a job's long-running tasks set aside, in thousandths.
--- a/crates/dispatch/src/dispatcher_ends.rs
+++ b/crates/dispatch/src/dispatcher_ends.rs
@@ -74,9 +74,12 @@
         let Some(job) = self.jobs.get(&step.job) else {
             return;
         };
-        if let Some(spec) = job.graph.steps.get(usize::from(step.step)) {
+        let (queue, graph) = (Arc::clone(&job.queue), Arc::clone(&job.graph));
+        if let Some(spec) = graph.steps.get(usize::from(step.step))
+            && let Some(demand) = self.demand_mut(&queue)
+        {
             let took = now.saturating_sub(placed);
-            self.short_demand.note_done(spec, took, now);
+            demand.short.note_done(spec, took, now);
         }
     }
 
--- a/crates/dispatch/src/dispatcher_pools.rs
+++ b/crates/dispatch/src/dispatcher_pools.rs
@@ -38,10 +38,9 @@
             if let (Some(spec), Some(state), Some(rule)) = (spec, state, rule) {
                 let pending = state.tasks.iter().filter(|task| task.is_pending());
                 // CAST: A step has at most 20,000 tasks.
-                let wanted = pending.count() as u64 * spec.size.cpu_millis;
-                pool_entry(&mut pools, &rule.pool)
-                    .share_mut(spec.kind())
-                    .wanted += wanted;
+                let wanted = spec.size.cpu_millis.saturating_mul(pending.count() as u64);
+                let share = pool_entry(&mut pools, &rule.pool).share_mut(spec.kind());
+                share.wanted = share.wanted.saturating_add(wanted);
             }
         }
         pools.into_values().collect()
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -36,6 +36,7 @@
 mod load_track;
 mod place_score;
 mod policy_part;
+mod pool_demand;
 mod pool_rule;
 mod pool_use;
 mod progress_record;
--- a/crates/dispatch/src/short_demand.rs
+++ b/crates/dispatch/src/short_demand.rs
@@ -19,6 +19,13 @@
 const LEAST_CORRECTION: f64 = 0.25;
 const LARGEST_CORRECTION: f64 = 4.0;
 
+/// What a pool offers to short work at the most, in thousandths of a processor.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct PoolSize {
+    pub(crate) largest_worker: u64,
+    pub(crate) all: u64,
+}
+
 /// How many processors short work needs, learned from what arrives: work that comes at this rate and holds processors for
 /// this long holds this many on average, and as many more as its jobs are wide.
 #[derive(Debug)]
@@ -48,12 +55,17 @@
 }
 
 impl ShortDemand {
-    /// Takes note of an occurrence of a job that arrived.
-    pub(crate) fn note_arrival(&mut self, graph: &JobGraph, at: Duration) {
+    /// Takes note of an occurrence of a job that arrived. What no worker can hold needs nothing, and no step needs more
+    /// than the pool has.
+    pub(crate) fn note_arrival(&mut self, graph: &JobGraph, pool: PoolSize, at: Duration) {
         let short = graph.steps.iter();
-        for step in short.filter(|step| step.kind() == WorkKind::Short) {
+        let able = short.filter(|step| {
+            step.kind() == WorkKind::Short && step.size.cpu_millis <= pool.largest_worker
+        });
+        for step in able {
             let size = millis(step);
-            let all = size * f64::from(step.count);
+            // CAST: Exact up to 2^53 thousandths of a processor.
+            let all = (size * f64::from(step.count)).min(pool.all as f64);
             let seconds = step.estimate.as_secs_f64();
             self.work.add(all * seconds, at);
             self.squares.add(all * all * seconds, at);
--- a/crates/dispatch/tests/full_pool.rs
+++ b/crates/dispatch/tests/full_pool.rs
@@ -230,3 +230,50 @@
     let back = shortage.back.as_secs_f64();
     assert!((6.0..20.0).contains(&back), "{shortage:?}");
 }
+
+/// Guards against long-running jobs that are refused for a short job that can never run.
+#[test]
+fn short_jobs_that_no_worker_can_hold_keep_no_room() {
+    let (mut fleet, _) = busy_fleet();
+    let graph = long_running(20);
+    fleet.submit(
+        2000,
+        common::graph(vec![StepSpec {
+            size: ResourceAmount::new(u64::MAX, 100),
+            ..step(20_000, &[])
+        }]),
+    );
+    assert_eq!(
+        admit(&mut fleet, FIRST_LONG_RUNNING, &graph),
+        Admission::Granted
+    );
+}
+
+/// Guards against an owner that ends, or that takes everything in, by a job of senseless size.
+#[test]
+fn jobs_of_senseless_size_cost_others_nothing() {
+    let (mut fleet, _) = busy_fleet();
+    let huge = |lasting| {
+        graph(vec![StepSpec {
+            size: ResourceAmount::new(u64::MAX, 100),
+            lasting,
+            ..step(20_000, &[])
+        }])
+    };
+    assert_ne!(
+        admit(&mut fleet, FIRST_LONG_RUNNING, &huge(true)),
+        Admission::Granted
+    );
+    fleet.submit(FIRST_LONG_RUNNING + 1, huge(true));
+    fleet.submit(2000, huge(false));
+    let jobs = serve_short(&mut fleet, 1000, 10);
+    fleet.run_for(ms(1500));
+    let now = fleet.now;
+    assert_eq!(
+        fleet.owner().dispatcher.pool_use(now)[0]
+            .long_running
+            .wanted,
+        u64::MAX
+    );
+    assert_eq!(completed(&mut fleet, &jobs), jobs.len());
+}
--- a/crates/fleet/src/owner_work.rs
+++ b/crates/fleet/src/owner_work.rs
@@ -164,6 +164,10 @@
     let now = shared.now();
     let mut dispatcher = seat.dispatcher.borrow_mut();
     let until = now + dispatcher.inheritance(former_gone);
+    // What short work needs is learned from the jobs that are read, by their queues' pools.
+    if let Some(configuration) = shared.configuration() {
+        dispatcher.configure(configuration);
+    }
     restore_learned(&mut dispatcher, &progress);
     let (kept, rows) = kept_workers(&progress);
     seat.kept_rows.set(rows);
--- a/crates/fleet/tests/daemons/admission.rs
+++ b/crates/fleet/tests/daemons/admission.rs
@@ -20,7 +20,8 @@
     TestFleet,
     ask,
     job,
-    play_paused, //
+    play_paused,
+    submit, //
 };
 
 /// How long a caller may be held until it is refused.
@@ -106,3 +107,21 @@
         assert!(begun.elapsed() < HELD, "{:?}", begun.elapsed());
     });
 }
+
+/// Guards against a successor that gives away the room which short work needs, since it saw none of it arrive.
+#[test]
+fn a_successor_knows_from_the_records_what_short_work_needs() {
+    play_paused(async {
+        let fleet = TestFleet::with_runtime_clock(2);
+        let daemon = fleet.daemon();
+        for number in 10..40 {
+            submit(&daemon.desk, number, &job(&[(4, &[])])).await;
+            time::sleep(Duration::from_millis(150)).await;
+        }
+        daemon.kill();
+        let next = fleet.daemon();
+        time::sleep(Duration::from_secs(6)).await;
+        let answer = ask(&next.desk, 1, CallerVerb::Submit(long_running(8))).await;
+        assert!(matches!(answer, CallerAnswer::Refused(_)), "{answer:?}");
+    });
+}
