--- a/crates/dispatch/tests/full_pool.rs
+++ b/crates/dispatch/tests/full_pool.rs
@@ -62,10 +62,16 @@
     granted
 }
 
-/// A fleet of 40 cores that has served short jobs for ten seconds.
-fn busy_fleet() -> (Fleet, Vec<JobKey>) {
+/// A fleet of 40 cores without work.
+fn idle_fleet() -> Fleet {
     let mut fleet = Fleet::new(10, 1).with_work(work);
     fleet.run_for(ms(100));
+    fleet
+}
+
+/// A fleet of 40 cores that has served short jobs for ten seconds.
+fn busy_fleet() -> (Fleet, Vec<JobKey>) {
+    let mut fleet = idle_fleet();
     let jobs = serve_short(&mut fleet, 1, 20);
     (fleet, jobs)
 }
@@ -103,8 +109,7 @@
 /// Guards against room that is kept for nobody.
 #[test]
 fn without_short_work_long_running_jobs_get_the_whole_pool() {
-    let mut fleet = Fleet::new(10, 1).with_work(work);
-    fleet.run_for(ms(100));
+    let mut fleet = idle_fleet();
     let granted = (0..15).filter(|number| {
         let granted = offer(&mut fleet, FIRST_LONG_RUNNING + number, long_running(4));
         fleet.run_for(ms(100));
@@ -132,8 +137,7 @@
 /// Guards against two jobs that are granted the same room before either is on record.
 #[test]
 fn jobs_that_ask_at_once_are_not_granted_the_same_room() {
-    let mut fleet = Fleet::new(10, 1).with_work(work);
-    fleet.run_for(ms(100));
+    let mut fleet = idle_fleet();
     let graph = long_running(30);
     assert_eq!(
         admit(&mut fleet, FIRST_LONG_RUNNING, &graph),
@@ -153,8 +157,7 @@
 /// Guards against a grant without a job that keeps its room for good.
 #[test]
 fn a_grant_whose_job_never_came_lapses() {
-    let mut fleet = Fleet::new(10, 1).with_work(work);
-    fleet.run_for(ms(100));
+    let mut fleet = idle_fleet();
     let graph = long_running(30);
     assert_eq!(
         admit(&mut fleet, FIRST_LONG_RUNNING, &graph),
@@ -200,8 +203,7 @@
 /// Guards against a time to come back that no room will be there for.
 #[test]
 fn a_refused_caller_is_told_when_long_running_jobs_should_have_made_room() {
-    let mut fleet = Fleet::new(10, 1).with_work(work);
-    fleet.run_for(ms(100));
+    let mut fleet = idle_fleet();
     for number in 0..10 {
         assert!(offer(
             &mut fleet,
