--- a/crates/jbctl/src/command_line.rs
+++ b/crates/jbctl/src/command_line.rs
@@ -35,8 +35,7 @@
   job list [--limit N] [--after ID]  List a page of the jobs: N of them, after ID.
   class list                     List the classes and their targets.
   explain ID                     Tell the story of job ID from daemons' log lines on standard input.
-  summary [--plot FILE]          Sum up where the work's time goes, from the same lines; FILE: an SVG
-                                 picture of who holds the processors, and who waits for them.
+  summary [--plot FILE]          Sum up where the work's time goes, from the same lines, or draw it as SVG, too.
   token hash FILE                Print the digest of the token in FILE.
 
 Options:
