Run a starved job of fillers where half of the pool is free

A filler that harms services wherever it goes has no bound to its wait. In a pool in use that is wanted; where half of the pool is free the job is owed a run.

Change: a job that has had no run for 1 s while half of its pool's processors are set aside for nobody gets one task where it harms least, longest idle first, not beside a filler that came within 0.4 s, nor where services were just too slow. Why it is safe for services: they are guarded as from any filler, which is slowed, and leaves after 1.8 s above the target.

Tests: a_harmful_filler_gets_on_while_most_of_the_pool_is_free (60 s without a run before), a_harmful_filler_waits_in_a_pool_that_is_in_use. no_filler_comes_beside_one_that_is_slowed_for_its_harm had a pool that was 81% free; in it one task of the job is now started. It now has a service that sets 62% aside, and fails as before with its guard taken out.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -180,6 +180,9 @@
             outcome: None,
             recorded: None,
             occurrences: Default::default(),
+            running: 0,
+            idle_since: job.accepted,
+            forced: None,
             graph: job.graph,
         };
         self.jobs.insert(key, state);
--- a/crates/dispatch/src/dispatcher_plan.rs
+++ b/crates/dispatch/src/dispatcher_plan.rs
@@ -60,6 +60,16 @@
     pub waits: Vec<WaitNote>,
 }
 
+/// By what the tasks of a step look for places in one plan.
+pub(crate) struct StepSearch {
+    pub(crate) demand: TaskDemand,
+    pub(crate) profile: FillerProfile,
+    /// Whether the step's job has had no run for too long.
+    pub(crate) starves: bool,
+    /// The last plan in which no worker had room for the demand.
+    pub(crate) tried: Option<u64>,
+}
+
 impl Dispatcher {
     /// Decides what to do at `now`.
     pub fn plan(&mut self, now: Duration) -> PlanOutcome {
@@ -167,12 +177,16 @@
         self.held_back = false;
         self.hopeless.forget(now);
         self.kept.clear();
+        let mut starved: Vec<(Duration, StepKey)> = Vec::new();
         for (rank, step) in ranked {
             if self.window.room() == 0 {
                 self.held_back = true;
                 return;
             }
             let missing = self.plan_step(step, now, outcome);
+            if missing > 0 {
+                starved.extend(self.starved_since(step, now).map(|since| (since, step)));
+            }
             if missing > 0 && rank.is_pressing(now) {
                 if outcome.waits.len() < MOST_WAITS {
                     outcome.waits.extend(self.note_wait(step, missing, now));
@@ -180,6 +194,7 @@
                 self.keep_room(step, missing, now);
             }
         }
+        self.start_starved(starved, now, outcome);
     }
 
     /// Places what it can of a step; returns how many of its tasks are left without a place.
@@ -221,18 +236,23 @@
             return pending.len();
         }
         let gang_run = spec.gang.then(|| self.next_run());
-        let profile = FillerProfile::new(&self.harm, spec.image.as_ref().filter(|_| spec.filler));
+        let search = StepSearch {
+            profile: self.filler_profile(spec),
+            starves: false,
+            tried,
+            demand,
+        };
         let mut placed: Vec<(u32, WorkerKey, RunNumber)> = Vec::with_capacity(pending.len());
         let room = match spec.gang {
             true => pending.len(),
             false => self.window.room(),
         };
         for &index in pending.iter().take(room) {
-            let found = self.find_place(step.task(index), spec, &demand, &profile, tried, now);
+            let found = self.find_place(step.task(index), spec, &search, now);
             let Some(worker) = found else {
                 // What members of a gang took is given back if it has no room for all of them.
                 if !spec.gang || placed.is_empty() {
-                    self.hopeless.note(&demand, self.plans, now);
+                    self.hopeless.note(&search.demand, self.plans, now);
                 }
                 break;
             };
@@ -255,7 +275,11 @@
         missing
     }
 
-    fn start_order(
+    pub(crate) fn filler_profile(&self, spec: &StepSpec) -> FillerProfile {
+        FillerProfile::new(&self.harm, spec.image.as_ref().filter(|_| spec.filler))
+    }
+
+    pub(crate) fn start_order(
         &mut self,
         task: TaskKey,
         worker: WorkerKey,
@@ -291,7 +315,7 @@
         }
     }
 
-    fn place(
+    pub(crate) fn place(
         &mut self,
         task: TaskKey,
         worker: WorkerKey,
@@ -314,6 +338,7 @@
             }
             if let Some(state) = step_state.tasks.get_mut(task.index as usize) {
                 state.runs.push((worker, run));
+                job.note_run();
             }
         }
     }
@@ -329,26 +354,30 @@
             step_state.rack = None;
             if let Some(state) = step_state.tasks.get_mut(task.index as usize) {
                 state.runs.retain(|&held| held != (worker, run));
+                job.note_run_over(now);
             }
         }
     }
 
-    fn find_place(
+    pub(crate) fn find_place(
         &self,
         task: TaskKey,
         spec: &StepSpec,
-        demand: &TaskDemand,
-        profile: &FillerProfile,
-        tried: Option<u64>,
+        search: &StepSearch,
         now: Duration,
     ) -> Option<WorkerKey> {
         let step = task.step;
+        let demand = &search.demand;
         let state = self.jobs.get(&step.job)?.step(step.occurrence, step.step)?;
         let failed_on = state.tasks.get(task.index as usize)?.failed_on;
-        let seeker = self.seeker(spec, profile, state.rack.as_ref(), now);
+        let seeker = PlaceSeeker {
+            step_rack: state.rack.as_ref(),
+            starves: search.starves,
+            ..self.seeker(spec, &search.profile, now)
+        };
         let mut best: Option<(PlaceScore, WorkerKey)> = None;
         for (place, worker) in self.workers.iter().enumerate() {
-            if tried.is_some_and(|plan| worker.changed < plan) {
+            if search.tried.is_some_and(|plan| worker.changed < plan) {
                 continue;
             }
             let fits = demand.reserved.fits_in(worker.free());
@@ -387,14 +416,14 @@
         &'a self,
         spec: &'a StepSpec,
         profile: &'a FillerProfile,
-        step_rack: Option<&'a Arc<str>>,
         now: Duration,
     ) -> PlaceSeeker<'a> {
         PlaceSeeker {
             spec,
-            step_rack,
+            step_rack: None,
             harm: &self.harm,
             profile,
+            starves: false,
             switches: self.settings.switches,
             now,
         }
--- a/crates/dispatch/src/dispatcher_room.rs
+++ b/crates/dispatch/src/dispatcher_room.rs
@@ -95,7 +95,7 @@
         }
         let mut reasons = WaitReasons::default();
         let profile = FillerProfile::new(&self.harm, spec.image.as_ref());
-        let seeker = self.seeker(spec, &profile, None, now);
+        let seeker = self.seeker(spec, &profile, now);
         for (place, worker) in self.workers.iter().enumerate() {
             let key = WorkerKey::new(place);
             let crowded = state.is_crowded(key, spec);
--- a/crates/dispatch/src/dispatcher_runs.rs
+++ b/crates/dispatch/src/dispatcher_runs.rs
@@ -42,10 +42,12 @@
         task_state.runs.retain(|&held| held != (key, run));
         let left = task_state.runs.len() < before;
         let pending = task_state.is_pending();
+        let opens = pending && !over && step_state.open;
         if left {
             step_state.note_left(key);
+            job.note_run_over(now);
         }
-        if pending && !over && step_state.open {
+        if opens {
             self.open.insert(step);
         }
     }
@@ -113,6 +115,7 @@
             surplus |= task.done || (!task.runs.is_empty() && !spec.copies);
             task.runs.push((key, running.run));
             step_state.note_placed(key);
+            job.note_run();
         }
         if let Some(checkpoint) = running.checkpoint {
             self.note_checkpoint(running.task, checkpoint);
--- a/crates/dispatch/src/job_state.rs
+++ b/crates/dispatch/src/job_state.rs
@@ -37,6 +37,12 @@
     /// How it ended by the record.
     pub(crate) recorded: Option<JobOutcome>,
     pub(crate) occurrences: BTreeMap<u32, OccurrenceState>,
+    /// How many runs it has.
+    pub(crate) running: u32,
+    /// When its last run ended; when it was accepted, if it had none.
+    pub(crate) idle_since: Duration,
+    /// When a place was last sought for it that harms services.
+    pub(crate) forced: Option<Duration>,
 }
 
 /// One occurrence of a job.
@@ -111,6 +117,17 @@
         since.min().unwrap_or(self.accepted)
     }
 
+    pub(crate) fn note_run(&mut self) {
+        self.running += 1;
+    }
+
+    pub(crate) fn note_run_over(&mut self, now: Duration) {
+        self.running = self.running.saturating_sub(1);
+        if self.running == 0 {
+            self.idle_since = now;
+        }
+    }
+
     /// Returns when an occurrence began to wait, on the process's clock.
     pub(crate) fn begun(&self, occurrence: u32, clock_origin: Duration) -> Duration {
         self.graph.schedule.map_or(self.accepted, |schedule| {
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -19,6 +19,7 @@
 mod dispatcher_records;
 mod dispatcher_room;
 mod dispatcher_runs;
+mod dispatcher_starving;
 mod dispatcher_upkeep;
 mod dispatcher_workers;
 mod fleet_configuration;
--- a/crates/dispatch/src/place_score.rs
+++ b/crates/dispatch/src/place_score.rs
@@ -23,6 +23,8 @@
 /// By how much more, in spreads of their loads, services may be expected to exceed their targets beside a filler. One of
 /// them above its target costs its users more than a filler's wait does.
 const MOST_RISK: f64 = 0.3;
+/// How long after another filler one may come that goes where it harms least.
+const STARVED_GAP: Duration = Duration::from_millis(400);
 /// The smallest difference between two risks, or two effects on a load, that decides.
 const EFFECT_STEP: f64 = 0.05;
 /// The steps in which it is told for how many images a place is open.
@@ -67,6 +69,8 @@
     pub(crate) harm: &'a HarmModel,
     /// What it does to services, if it fills.
     pub(crate) profile: &'a FillerProfile,
+    /// Whether it fills and has waited for so long that it goes where it harms least.
+    pub(crate) starves: bool,
     pub(crate) switches: PolicySwitches,
     pub(crate) now: Duration,
 }
@@ -132,9 +136,12 @@
     }
     let share = seeker.spec.size.cpu_millis as f64 / worker.processors();
     let risk = worker.view.risk(seeker.profile, share);
-    if risk > MOST_RISK {
+    if risk > MOST_RISK && !seeker.starves {
         return Err(PlaceRefusal::Harm);
     }
+    if seeker.starves && worker.view.has_newcomer(STARVED_GAP, seeker.now) {
+        return Err(PlaceRefusal::Learning);
+    }
     let calm = match seeker.switches.has(PolicyPart::RiskOrder) {
         true => -steps(risk),
         false => 0,
--- a/crates/dispatch/src/service_view.rs
+++ b/crates/dispatch/src/service_view.rs
@@ -32,8 +32,8 @@
 pub(crate) struct ServiceView {
     taken: Option<(Duration, u64)>,
     services: Vec<ServedRun>,
-    /// Until when the effect of the filler that came last is not seen.
-    unseen_until: Duration,
+    /// When the filler came that came last.
+    last_came: Option<Duration>,
     /// The least share of the fillers' images that do one of the services no harm.
     pub(crate) harmless: f64,
 }
@@ -84,11 +84,10 @@
             });
         }
         let fillers = worker.runs.values().filter(|run| run.is_filler());
-        let last = fillers.map(|run| run.placed + UNSEEN).max();
         Self {
             taken: Some((now, worker.version)),
             services,
-            unseen_until: last.unwrap_or_default(),
+            last_came: fillers.map(|run| run.placed).max(),
             harmless,
         }
     }
@@ -96,7 +95,12 @@
     /// Tells whether another newcomer's effect is not seen yet, and it is not known what this filler does to one of the
     /// services: one unknown at a time.
     pub(crate) fn is_learning(&self, filler: &FillerProfile, now: Duration) -> bool {
-        now < self.unseen_until && self.services.iter().any(|service| !filler.knows(service))
+        self.has_newcomer(UNSEEN, now) && self.services.iter().any(|service| !filler.knows(service))
+    }
+
+    /// Tells whether a filler came within this time.
+    pub(crate) fn has_newcomer(&self, within: Duration, now: Duration) -> bool {
+        self.last_came.is_some_and(|at| now < at + within)
     }
 
     /// Returns by how much more, in spreads, services would exceed their targets beside a filler on this share of the
