Prove that a successor reads jobs before their cancellations

With the order of the rows turned round all tests of partial outages passed: a status told from the rows hid what the successor knew. The new test waits until the successor owns the jobs, and fails with the order turned round. The daemon is unchanged.

--- a/crates/fleet/tests/daemons/partial_outage.rs
+++ b/crates/fleet/tests/daemons/partial_outage.rs
@@ -10,6 +10,7 @@
 use jasminebend_fleet::{
     CallerAnswer,
     CallerVerb,
+    FleetRow,
     FleetTable, //
 };
 use tokio::time;
@@ -161,3 +162,22 @@
         assert!(matches!(answer, CallerAnswer::Refused(_)), "{answer:?}");
     });
 }
+
+/// Guards against a successor that reads a cancellation before its job, and runs the job.
+#[test]
+fn a_successor_reads_jobs_before_their_cancellations() {
+    play_paused(async {
+        let fleet = TestFleet::with_runtime_clock(0);
+        let daemon = fleet.daemon();
+        submit(&daemon.desk, 1, &job(&[(3, &[])])).await;
+        daemon.kill();
+        let key = JobKey::new(1);
+        let part = format!("j{}", (key.spread(16) + 5) % 16);
+        let row = FleetRow::new(FleetTable::Jobs, &part, format!("{key}.c"), Vec::new());
+        fleet.store.write(vec![row]);
+        let next = fleet.daemon();
+        // Until it owns the jobs it tells what the rows say.
+        time::sleep(Duration::from_secs(10)).await;
+        reach(&next.desk, 1, CANCELLED).await;
+    });
+}
