Log each run that is lost together with its worker

Operators could not see that a run had ended without a completion: no line and no metric told it, so that crashes that are not counted, counts that are forgotten and workers that fail by themselves looked alike.

Each loss is now a `loss` line with its cause (lapsed, restarted, left), how long the run was known to execute, since when the worker was unreachable, whether its address refused, whether the registry listed it, and how many others were on it; jasminebend_fleet_runs_lost_total counts them by cause. Nothing is decided otherwise.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -21,6 +21,7 @@
     JobOutcome,
     JobProgress,
     QueueRule,
+    RunLoss,
     RunNumber,
     StepKey,
     StepSpec,
@@ -95,6 +96,8 @@
     pub(crate) pending_orders: Vec<WorkerOrder>,
     /// Log entries to be returned by the next plan.
     pub(crate) pending_evictions: Vec<FillerEviction>,
+    /// Lost runs, to be returned by the next plan.
+    pub(crate) pending_losses: Vec<RunLoss>,
     pub(crate) commits: CommitTracker,
     pub(crate) interference: InterferenceModel,
     /// Demands for which no worker had capacity in a recent plan.
@@ -138,6 +141,7 @@
             pending_stops: IndexSet::new(),
             pending_orders: Vec::new(),
             pending_evictions: Vec::new(),
+            pending_losses: Vec::new(),
             commits: CommitTracker::default(),
             interference: InterferenceModel::default(),
             unplaceable: UnplaceableDemands::default(),
--- a/crates/dispatch/src/dispatcher_plan.rs
+++ b/crates/dispatch/src/dispatcher_plan.rs
@@ -11,6 +11,7 @@
     Dispatcher,
     FillerEviction,
     PolicyPart,
+    RunLoss,
     RunNumber,
     StartOrder,
     StepKey,
@@ -58,6 +59,8 @@
     pub advice_requests: Vec<AdviceRequest>,
     /// Decisions to evict fillers for a service's sake, to log.
     pub evictions: Vec<FillerEviction>,
+    /// Runs that were lost together with their workers, to log.
+    pub losses: Vec<RunLoss>,
     /// Steps that wait although they should have started, to log.
     pub waits: Vec<StepWait>,
 }
@@ -88,6 +91,7 @@
             orders,
             advice_requests: Vec::new(),
             evictions: std::mem::take(&mut self.pending_evictions),
+            losses: std::mem::take(&mut self.pending_losses),
             waits: Vec::new(),
         };
         self.plan_stops(now, &mut outcome);
--- a/crates/dispatch/src/dispatcher_runs.rs
+++ b/crates/dispatch/src/dispatcher_runs.rs
@@ -7,6 +7,8 @@
 
 use crate::{
     Dispatcher,
+    LossCause,
+    RunLoss,
     RunNumber,
     RunningTask,
     TaskKey,
@@ -66,6 +68,8 @@
             self.adopt_run(key, running, now);
             return;
         };
+        state.last_listed_at = Some(now);
+        state.is_orphaned = false;
         if matches!(state.phase, RunPhase::Sent) {
             state.phase = RunPhase::Running(now);
         }
@@ -118,6 +122,7 @@
         let mut state = RunState::new(running.task, &spec, RunPhase::Running(now), now);
         state.percent = running.progress_percent;
         state.metric = running.metric;
+        state.last_listed_at = Some(now);
         self.worker_mut(key).add_run(running.run, state);
         let mut is_surplus = over;
         if let Some(job) = self.jobs.get_mut(&step.job)
@@ -159,6 +164,11 @@
             })
             .map(|(&id, _)| id)
             .collect();
+        for &(task, run) in &missing {
+            if self.worker(key).runs[&(task, run)].is_orphaned {
+                self.record_loss(key, task, run, LossCause::Restarted, now);
+            }
+        }
         for (task, run) in missing {
             self.release_run(key, task, run, now);
         }
@@ -176,14 +186,45 @@
     }
 
     /// Counts all runs of a worker as over, so that their tasks can start elsewhere.
-    pub(crate) fn drop_all_runs(&mut self, key: WorkerKey, now: Duration) {
+    pub(crate) fn drop_all_runs(&mut self, key: WorkerKey, cause: LossCause, now: Duration) {
         let runs: Vec<(TaskKey, RunNumber)> = self.worker(key).runs.keys().copied().collect();
+        for &(task, run) in &runs {
+            self.record_loss(key, task, run, cause, now);
+        }
         for (task, run) in runs {
             self.release_run(key, task, run, now);
             self.mark_unavailable(task, now);
         }
     }
 
+    /// Records, for the log, that a run is lost together with its worker.
+    fn record_loss(
+        &mut self,
+        key: WorkerKey,
+        task: TaskKey,
+        run: RunNumber,
+        cause: LossCause,
+        now: Duration,
+    ) {
+        let worker = self.worker(key);
+        let Some(state) = worker.runs.get(&(task, run)) else {
+            return;
+        };
+        let loss = RunLoss {
+            task,
+            run,
+            worker: key,
+            cause,
+            placed_at: state.placed_at,
+            last_listed_at: state.last_listed_at,
+            contact_lost_at: worker.contact_lost_at.or(Some(now)),
+            connection_refused: worker.connection_refused,
+            listed: worker.listed,
+            other_runs: worker.runs.len() - 1,
+        };
+        self.pending_losses.push(loss);
+    }
+
     /// Records that a task has been without a run since `now`.
     pub(crate) fn mark_unavailable(&mut self, task: TaskKey, now: Duration) {
         let step = task.step;
--- a/crates/dispatch/src/dispatcher_workers.rs
+++ b/crates/dispatch/src/dispatcher_workers.rs
@@ -10,6 +10,7 @@
     EndedRun,
     FleetWorker,
     LeaseRenewal,
+    LossCause,
     OrderOutcome,
     OrderRefusal,
     RenewalReport,
@@ -225,6 +226,7 @@
         if !is_truncated {
             self.drop_missing_runs(key, sent, &listed, now);
         }
+        self.worker_mut(key).contact_lost_at = None;
         self.acknowledge();
         self.protect_services(key, now);
     }
@@ -238,9 +240,14 @@
     }
 
     /// Records that a renewal failed.
-    pub fn handle_renewal_failure(&mut self, key: WorkerKey, outcome: OrderOutcome) {
+    pub fn handle_renewal_failure(
+        &mut self,
+        key: WorkerKey,
+        outcome: OrderOutcome,
+        now: Duration,
+    ) {
         let worker = self.worker_mut(key);
-        worker.unanswered += 1;
+        worker.record_unanswered(now);
         worker.connection_refused = outcome == OrderOutcome::Refused(OrderRefusal::Closed);
     }
 
@@ -303,9 +310,13 @@
             if worker.inherited_until.is_some_and(|until| now > until) {
                 worker.inherited_until = None;
             }
-            let is_lost = worker.clock.has_lapsed(now) || worker.has_left();
-            if !worker.runs.is_empty() && is_lost {
-                self.drop_all_runs(key, now);
+            let cause = match () {
+                () if worker.has_left() => LossCause::Left,
+                () if worker.clock.has_lapsed(now) => LossCause::Lapsed,
+                () => continue,
+            };
+            if !worker.runs.is_empty() {
+                self.drop_all_runs(key, cause, now);
             }
         }
     }
@@ -366,7 +377,9 @@
         now: Duration,
     ) {
         match refusal {
-            OrderRefusal::Unsent | OrderRefusal::Closed => self.worker_mut(key).unanswered += 1,
+            OrderRefusal::Unsent | OrderRefusal::Closed => {
+                self.worker_mut(key).record_unanswered(now);
+            }
             OrderRefusal::Unwell | OrderRefusal::Room | OrderRefusal::Malformed => {
                 self.worker_mut(key).health.quarantine(now);
             }
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -43,6 +43,7 @@
 mod progress_record;
 mod queue_rule;
 mod renewal_report;
+mod run_loss;
 mod run_number;
 mod run_result;
 mod run_state;
@@ -113,6 +114,10 @@
         RenewalReport,
         RunningTask, //
     },
+    run_loss::{
+        LossCause,
+        RunLoss, //
+    },
     run_number::RunNumber,
     run_result::RunResult,
     step_spec::{
--- a/crates/dispatch/src/run_state.rs
+++ b/crates/dispatch/src/run_state.rs
@@ -45,6 +45,10 @@
     pub(crate) target: Option<Duration>,
     /// When the run was placed on its worker.
     pub(crate) placed_at: Duration,
+    /// When the worker last listed the run; `None` if it has not yet.
+    pub(crate) last_listed_at: Option<Duration>,
+    /// Whether the worker has restarted since it last listed the run.
+    pub(crate) is_orphaned: bool,
     /// The progress last reported, in percent.
     pub(crate) percent: u32,
     /// When `percent` last changed.
@@ -74,6 +78,8 @@
             image: spec.image.clone(),
             target: spec.tail_target,
             placed_at: now,
+            last_listed_at: None,
+            is_orphaned: false,
             percent: 0,
             last_progress_at: now,
             metric: None,
--- a/crates/dispatch/src/worker_state.rs
+++ b/crates/dispatch/src/worker_state.rs
@@ -51,6 +51,8 @@
     pub(crate) last_answer_at: Option<Duration>,
     /// The number of consecutive calls without an answer.
     pub(crate) unanswered: u32,
+    /// When the first of these calls failed.
+    pub(crate) contact_lost_at: Option<Duration>,
     /// Whether the last call found nothing listening at the worker's address.
     pub(crate) connection_refused: bool,
     /// When the worker's incarnation began, since 1970, if it has reported that.
@@ -98,6 +100,7 @@
             inherited_until: None,
             last_answer_at: None,
             unanswered: 0,
+            contact_lost_at: None,
             connection_refused: false,
             incarnation: None,
             runs: IndexMap::new(),
@@ -233,6 +236,12 @@
         self.update_service_use(now);
     }
 
+    /// Records a call without an answer.
+    pub(crate) fn record_unanswered(&mut self, now: Duration) {
+        self.unanswered += 1;
+        self.contact_lost_at.get_or_insert(now);
+    }
+
     /// Returns whether the worker has certainly left: it announced that it would, the registry no
     /// longer lists it, and nothing listens at its address. Each of these alone may also be a
     /// network partition.
@@ -250,6 +259,9 @@
         self.pending_acks.clear();
         self.health = WorkerHealth::default();
         self.violations = TargetViolationTracker::default();
+        for run in self.runs.values_mut() {
+            run.is_orphaned = true;
+        }
     }
 
     /// Advances the acknowledgement over the completions whose change is at most `committed`.
--- a/crates/dispatch/tests/common/fleet_messages.rs
+++ b/crates/dispatch/tests/common/fleet_messages.rs
@@ -280,7 +280,7 @@
             }
             Err(OrderOutcome::Refused(OrderRefusal::Fenced)) => state.deposed = true,
             Err(end) => {
-                state.dispatcher.handle_renewal_failure(key, end);
+                state.dispatcher.handle_renewal_failure(key, end, now);
                 self.push(ms(200), Event::RenewalDue(owner, key));
             }
         }
--- a/crates/fleet/src/fleet_log.rs
+++ b/crates/fleet/src/fleet_log.rs
@@ -55,6 +55,8 @@
     Pool,
     /// A run ended.
     End,
+    /// A run was lost together with its worker.
+    Loss,
     /// A job ended.
     Job,
     /// The owner, or the set of members, changed.
--- a/crates/fleet/src/order_planning.rs
+++ b/crates/fleet/src/order_planning.rs
@@ -10,6 +10,7 @@
     FillerEviction,
     OrderOutcome,
     OrderRefusal,
+    RunLoss,
     StartOrder,
     StepWait,
     WorkerKey,
@@ -89,6 +90,23 @@
     fillers: Vec<(String, Option<&'a str>, f64)>,
 }
 
+/// The loss of a run together with its worker. `ran_ms` is how long the run is known to have been executing; `listed`
+/// whether the registry still lists the worker; `others` the number of other runs that were on it.
+#[derive(Serialize)]
+struct LossLine<'a> {
+    task: String,
+    run: u64,
+    worker: &'a str,
+    cause: String,
+    placed_ms_ago: u64,
+    ran_ms: Option<u64>,
+    unreachable_ms: Option<u64>,
+    refused: bool,
+    listed: bool,
+    others: usize,
+    owner_token: u64,
+}
+
 /// Makes a plan after each event and at regular intervals, and sends its orders, until the term is over.
 pub(crate) async fn plan_orders(shared: Rc<SharedState>, term: Rc<OwnerTerm>) {
     let mut planned = shared.now();
@@ -119,6 +137,9 @@
         for eviction in &outcome.evictions {
             log_filler_eviction(&shared, &term, eviction);
         }
+        for loss in &outcome.losses {
+            log_loss(&shared, &term, loss, now);
+        }
         for wait in &outcome.waits {
             log_wait(&shared, &term, wait, now);
         }
@@ -301,6 +322,32 @@
     );
 }
 
+fn log_loss(shared: &SharedState, term: &OwnerTerm, loss: &RunLoss, now: Duration) {
+    metrics::counter!("jasminebend_fleet_runs_lost_total", "cause" => loss.cause.to_string())
+        .increment(1);
+    let dispatcher = term.dispatcher.borrow();
+    let since = |at: Duration| whole_millis(now.saturating_sub(at));
+    let ran = loss
+        .last_listed_at
+        .map(|at| whole_millis(at.saturating_sub(loss.placed_at)));
+    shared.log.line(
+        LogEvent::Loss,
+        LossLine {
+            task: loss.task.to_string(),
+            run: loss.run.value(),
+            worker: &dispatcher.worker_record(loss.worker).id,
+            cause: loss.cause.to_string(),
+            placed_ms_ago: since(loss.placed_at),
+            ran_ms: ran,
+            unreachable_ms: loss.contact_lost_at.map(since),
+            refused: loss.connection_refused,
+            listed: loss.listed,
+            others: loss.other_runs,
+            owner_token: term.token(),
+        },
+    );
+}
+
 fn log_wait(shared: &SharedState, term: &OwnerTerm, wait: &StepWait, now: Duration) {
     let rejections = wait.rejections;
     let age = term.dispatcher.borrow().job_age(wait.step.job, now);
