Reproduce: a task that crashes its workers is started without an end

Callers' tasks on many workers were lost, since a task that crashes its worker is started again each time its lease has lapsed. The stand-in worker gets the fault: by a rule a task crashes the worker that executes it, 10 ms after its start; the worker is gone from the registry after 3.3 s and back after 4 s, as another identity, as another incarnation of itself, or without an answer to anything.

--- a/crates/dispatch/src/dispatcher_workers.rs
+++ b/crates/dispatch/src/dispatcher_workers.rs
@@ -240,12 +240,7 @@
     }
 
     /// Records that a renewal failed.
-    pub fn handle_renewal_failure(
-        &mut self,
-        key: WorkerKey,
-        outcome: OrderOutcome,
-        now: Duration,
-    ) {
+    pub fn handle_renewal_failure(&mut self, key: WorkerKey, outcome: OrderOutcome, now: Duration) {
         let worker = self.worker_mut(key);
         worker.record_unanswered(now);
         worker.connection_refused = outcome == OrderOutcome::Refused(OrderRefusal::Closed);
--- a/crates/dispatch/tests/common/fleet.rs
+++ b/crates/dispatch/tests/common/fleet.rs
@@ -21,6 +21,7 @@
     WorkerKey, //
 };
 use jasminebend_standins::{
+    CrashRule,
     SimulatedWorker,
     TaskWork,
     WorkerEvent, //
@@ -39,6 +40,22 @@
 /// The resolution of the simulated time.
 pub(crate) const TICK: Duration = Duration::from_millis(10);
 
+/// The time after which the registry no longer lists a worker that has crashed.
+const REGISTRY_EXPIRY: Duration = Duration::from_millis(3300);
+/// The time after which a worker that has crashed is back.
+const CRASH_DOWNTIME: Duration = Duration::from_millis(4000);
+
+/// How a worker crashes and comes back.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum CrashMode {
+    /// Its address refuses connections, and it is back under another identity.
+    NewIdentity,
+    /// Its address refuses connections, and it is back as another incarnation of itself.
+    SameIdentity,
+    /// It leaves calls unanswered, and is back under another identity.
+    Silent,
+}
+
 /// Rates of message faults, each in percent.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct Faults {
@@ -75,6 +92,12 @@
     pub(crate) unreachable_until: Vec<Duration>,
     /// Whether each worker has left for good.
     pub(super) has_left: Vec<bool>,
+    /// Since when each worker is down after a crash.
+    down_since: Vec<Option<Duration>>,
+    /// Whether the registry lists each worker.
+    listed: Vec<bool>,
+    pub(crate) crash_mode: CrashMode,
+    crash_rule: CrashRule,
     pub(crate) owners: Vec<Owner>,
     pub(crate) faults: Faults,
     /// The stored progress records.
@@ -120,6 +143,10 @@
             now: start,
             unreachable_until: vec![Duration::ZERO; workers.len()],
             has_left: vec![false; workers.len()],
+            down_since: vec![None; workers.len()],
+            listed: vec![true; workers.len()],
+            crash_mode: CrashMode::NewIdentity,
+            crash_rule: |_| None,
             workers,
             owners: Vec::new(),
             faults: Faults::default(),
@@ -141,6 +168,15 @@
         self
     }
 
+    /// Lets some tasks crash the workers that execute them.
+    pub(crate) fn with_crashes(mut self, rule: CrashRule) -> Self {
+        self.crash_rule = rule;
+        for worker in &mut self.workers {
+            worker.set_crash_rule(rule);
+        }
+        self
+    }
+
     pub(crate) fn with_attempts(mut self, attempts: u32) -> Self {
         self.attempts = attempts;
         let configuration = configuration(attempts);
@@ -166,6 +202,14 @@
                 dispatcher.upsert_worker(worker.record().clone(), (token > 1).then_some(until))
             })
             .collect();
+        for (worker, _) in self
+            .workers
+            .iter()
+            .zip(&self.listed)
+            .filter(|(_, listed)| !**listed)
+        {
+            dispatcher.mark_unlisted(&worker.record().id);
+        }
         for (&key, (graph, cancelled)) in &self.jobs {
             dispatcher.add_job(key, accepted(graph, self.now, true));
             if *cancelled {
@@ -225,12 +269,105 @@
         while self.now < until {
             self.now += TICK;
             self.deliver_due_events();
+            self.follow_crashes();
             for owner in 0..self.owners.len() {
                 self.run_owner(owner);
             }
         }
     }
 
+    /// Crashes a worker from outside.
+    pub(crate) fn kill_worker(&mut self, worker: usize) {
+        let now = self.now;
+        self.workers[worker].advance_to(now);
+        self.workers[worker].crash(now);
+    }
+
+    /// Removes workers that have crashed from the registry, and lets them come back.
+    fn follow_crashes(&mut self) {
+        let now = self.now;
+        for worker in 0..self.workers.len() {
+            self.workers[worker].advance_to(now);
+            if !self.workers[worker].is_down() || self.has_left[worker] {
+                continue;
+            }
+            self.unreachable_until[worker] = Duration::MAX;
+            let down_for = now - *self.down_since[worker].get_or_insert(now);
+            if self.listed[worker] && down_for >= REGISTRY_EXPIRY {
+                self.listed[worker] = false;
+                let id = self.workers[worker].record().id.clone();
+                for owner in &mut self.owners {
+                    owner.dispatcher.mark_unlisted(&id);
+                }
+            }
+            if down_for >= CRASH_DOWNTIME {
+                self.recover_worker(worker);
+            }
+        }
+    }
+
+    fn recover_worker(&mut self, worker: usize) {
+        let now = self.now;
+        match self.crash_mode {
+            CrashMode::SameIdentity => {
+                self.workers[worker].restart(now);
+                self.unreachable_until[worker] = now;
+                self.down_since[worker] = None;
+                self.listed[worker] = true;
+                let record = self.workers[worker].record().clone();
+                for owner in &mut self.owners {
+                    owner.dispatcher.upsert_worker(record.clone(), None);
+                }
+            }
+            CrashMode::NewIdentity | CrashMode::Silent => {
+                self.has_left[worker] = true;
+                let rack = self.workers[worker].record().labels.clone();
+                self.add_worker(rack);
+            }
+        }
+    }
+
+    /// Adds an empty worker with these labels.
+    fn add_worker(&mut self, labels: Vec<Arc<str>>) {
+        let number = self.workers.len();
+        let capacity = ResourceAmount::new(4000, 4000);
+        let mut worker = SimulatedWorker::new(&format!("worker-{number}"), capacity, 100, self.now);
+        worker.set_crash_rule(self.crash_rule);
+        worker.record_mut().labels = labels;
+        let record = worker.record().clone();
+        self.workers.push(worker);
+        self.unreachable_until.push(Duration::ZERO);
+        self.has_left.push(false);
+        self.down_since.push(None);
+        self.listed.push(true);
+        for owner in 0..self.owners.len() {
+            let dispatcher = &mut self.owners[owner].dispatcher;
+            let key = dispatcher.upsert_worker(record.clone(), None);
+            self.push(Duration::ZERO, Event::RenewalDue(owner, key));
+        }
+    }
+
+    /// Returns how many workers crashed while they executed a task, before `until`.
+    pub(crate) fn crash_count(&self, task: TaskKey, until: Duration) -> usize {
+        let events = self.workers.iter().flat_map(|worker| worker.events());
+        events
+            .filter(|(at, event)| {
+                *at < until && matches!(event, WorkerEvent::Crashed(tasks) if tasks.contains(&task))
+            })
+            .count()
+    }
+
+    /// Returns when runs of a task began, in their order.
+    pub(crate) fn starts_of(&self, task: TaskKey) -> Vec<Duration> {
+        let events = self.workers.iter().flat_map(|worker| worker.events());
+        let mut starts: Vec<Duration> = events
+            .filter(|(_, event)| matches!(event, WorkerEvent::Started(of, _) if *of == task))
+            .map(|(at, _)| *at)
+            .collect();
+        starts.sort_unstable();
+        starts
+    }
+
     /// Returns how many runs of a job's tasks began.
     pub(crate) fn begin_count(&self, key: JobKey) -> usize {
         let events = self.workers.iter().flat_map(|worker| worker.events());
@@ -275,7 +412,7 @@
                 WorkerEvent::Acknowledged(task, RunResult::Done) => {
                     noted.entry(*task).or_insert(at);
                 }
-                WorkerEvent::Acknowledged(..) => {}
+                WorkerEvent::Acknowledged(..) | WorkerEvent::Crashed(_) => {}
             }
         }
         violations
--- a/crates/dispatch/tests/common/fleet_messages.rs
+++ b/crates/dispatch/tests/common/fleet_messages.rs
@@ -16,6 +16,7 @@
 use rand::RngExt;
 
 use super::{
+    CrashMode,
     Fleet,
     ms, //
 };
@@ -160,7 +161,7 @@
             Event::Renewal(owner, key, order, sent) => {
                 let is_unreachable = now < self.unreachable_until[key.index()];
                 let answer = match is_unreachable {
-                    true if self.has_left[key.index()] => {
+                    true if self.refuses_connections(key.index()) => {
                         Err(OrderOutcome::Refused(OrderRefusal::Closed))
                     }
                     true => Err(OrderOutcome::Unknown),
@@ -200,6 +201,16 @@
         if self.workers[place].record().incarnation > Some(sent) {
             return;
         }
+        self.workers[place].advance_to(now);
+        if self.workers[place].is_down() {
+            if owner != usize::MAX {
+                self.push(
+                    CALL_TIMEOUT,
+                    Event::OrderAnswer(owner, order, OrderOutcome::Unknown),
+                );
+            }
+            return;
+        }
         let work = self.work;
         let worker = &mut self.workers[place];
         let end = match &order {
@@ -286,6 +297,12 @@
         }
     }
 
+    /// Returns whether nothing listens at a worker's address.
+    fn refuses_connections(&self, worker: usize) -> bool {
+        let has_crashed = self.workers[worker].is_down() && self.crash_mode != CrashMode::Silent;
+        self.has_left[worker] && self.crash_mode != CrashMode::Silent || has_crashed
+    }
+
     /// Returns `true` with this probability in percent.
     fn chance(&mut self, hundredths: u32) -> bool {
         hundredths > 0 && self.random.random_range(0..100) < hundredths
--- a/crates/dispatch/tests/common/mod.rs
+++ b/crates/dispatch/tests/common/mod.rs
@@ -9,6 +9,7 @@
 
 pub(crate) use self::{
     fleet::{
+        CrashMode,
         Faults,
         Fleet,
         Owner,
--- a/crates/dispatch/tests/placement.rs
+++ b/crates/dispatch/tests/placement.rs
@@ -58,6 +58,7 @@
         let named = match event {
             WorkerEvent::Started(named, _) | WorkerEvent::Ended(named, ..) => *named,
             WorkerEvent::Acknowledged(named, _) => *named,
+            WorkerEvent::Crashed(_) => return None,
         };
         (named == task && wanted(event)).then_some(*at)
     });
--- a/crates/fleet/src/lease_renewal.rs
+++ b/crates/fleet/src/lease_renewal.rs
@@ -87,11 +87,9 @@
                 if failures == 2 {
                     log_contact_change(&shared, &address.id, "lost", failures);
                 }
-                term.dispatcher.borrow_mut().handle_renewal_failure(
-                    key,
-                    outcome,
-                    shared.now(),
-                );
+                term.dispatcher
+                    .borrow_mut()
+                    .handle_renewal_failure(key, outcome, shared.now());
                 if term.dispatcher.borrow().is_retired(key) {
                     term.renewed_workers.borrow_mut().remove(&key);
                     return;
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -79,6 +79,7 @@
     server_guard::ServerGuard,
     service_time::ServiceTime,
     simulated_worker::{
+        CrashRule,
         SimulatedWorker,
         TaskWork,
         WorkerEvent, //
--- a/crates/standins/src/simulated_worker.rs
+++ b/crates/standins/src/simulated_worker.rs
@@ -51,6 +51,8 @@
     Ended(TaskKey, RunNumber, RunResult),
     /// The completion of a run was acknowledged by the owner.
     Acknowledged(TaskKey, RunResult),
+    /// The worker crashed while it executed these tasks.
+    Crashed(Vec<TaskKey>),
 }
 
 #[derive(Clone, Debug)]
@@ -61,6 +63,9 @@
     stops_at: Option<Duration>,
 }
 
+/// How long after its start a task crashes the worker that executes it; `None` for a task that does not.
+pub type CrashRule = fn(TaskKey) -> Option<Duration>;
+
 /// A simulated worker of the fleet's step-and-task model. It measures its lease on its own clock, rejects orders whose
 /// fencing token is lower than the highest it has seen, reports each completion until it is acknowledged, and never
 /// starts a run that was stopped before its start order arrived.
@@ -82,6 +87,10 @@
     completions: Vec<EndedRun>,
     /// The number of the latest completion.
     completion_count: u64,
+    /// Returns how long after its start a task crashes the worker; `None` for most tasks.
+    crash_rule: CrashRule,
+    /// Whether the worker has crashed and was not restarted yet.
+    down: bool,
     /// All events with the true time of each.
     events: Vec<(Duration, WorkerEvent)>,
 }
@@ -110,6 +119,8 @@
             highest_runs: IndexMap::new(),
             completions: Vec::new(),
             completion_count: 0,
+            crash_rule: |_| None,
+            down: false,
             events: Vec::new(),
         }
     }
@@ -129,6 +140,24 @@
         &self.events
     }
 
+    /// Replaces the rule by which tasks crash the worker.
+    pub fn set_crash_rule(&mut self, rule: CrashRule) {
+        self.crash_rule = rule;
+    }
+
+    /// Returns whether the worker has crashed and was not restarted yet; a crashed worker must not be called.
+    pub fn is_down(&self) -> bool {
+        self.down
+    }
+
+    /// Crashes the worker at `now`: its runs end without a completion.
+    pub fn crash(&mut self, now: Duration) {
+        let tasks: Vec<TaskKey> = self.runs.keys().map(|&(task, _)| task).collect();
+        self.restart(now);
+        self.down = true;
+        self.events.push((now, WorkerEvent::Crashed(tasks)));
+    }
+
     /// Returns the number of runs in progress.
     pub fn run_count(&self) -> usize {
         self.runs.len()
@@ -142,7 +171,7 @@
     }
 
     /// Restarts the worker under the same identity at `now`: its runs end as lapsed and its state is lost. The recorded
-    /// events stay.
+    /// events and the rule by which tasks crash it stay.
     pub fn restart(&mut self, now: Duration) {
         for (task, run) in self.runs.keys().copied().collect::<Vec<_>>() {
             self.events
@@ -153,6 +182,7 @@
             incarnation: Some(now),
             ..self.record.clone()
         };
+        fresh.crash_rule = self.crash_rule;
         fresh.events = std::mem::take(&mut self.events);
         *self = fresh;
     }
@@ -255,8 +285,28 @@
         })
     }
 
-    /// Ends the runs that finish, are stopped or lose their lease up to `now`.
+    /// Ends the runs that finish, are stopped or lose their lease up to `now`, or crashes the worker if one of them
+    /// does so first.
     pub fn advance_to(&mut self, now: Duration) {
+        while let Some(at) = self.next_crash().filter(|&at| at <= now) {
+            self.end_runs(at);
+            if self.next_crash() == Some(at) {
+                self.crash(at);
+            }
+        }
+        self.end_runs(now);
+    }
+
+    /// Returns when the worker crashes unless the task that causes it ends before.
+    fn next_crash(&self) -> Option<Duration> {
+        let crashes = self.runs.iter().filter_map(|((task, _), run)| {
+            let after = (self.crash_rule)(*task)?;
+            Some(run.started + after)
+        });
+        crashes.min()
+    }
+
+    fn end_runs(&mut self, now: Duration) {
         let lapse = self.true_time(self.lease_end);
         let mut ended: Vec<(Duration, (TaskKey, RunNumber), RunResult)> = Vec::new();
         for (&key, run) in &self.runs {
