--- /dev/null
+++ b/crates/dispatch/src/crash_history.rs
@@ -0,0 +1,119 @@
+//! The crashes of workers under one task, and what follows from them.
+
+use std::time::Duration;
+
+use crate::WorkerCrash;
+
+/// How long a worker must have listed a run before a crash counts as none that the run's start
+/// caused. Reports arrive at most every 2 s; a task that crashes its worker on start does so within
+/// milliseconds.
+pub(crate) const EARLY_CRASH_WINDOW: Duration = Duration::from_secs(1);
+/// The number of early crashes from which a task is started only where nothing else starts, so that
+/// the next crash tells whether it is the cause.
+const SUSPICION_THRESHOLD: usize = 2;
+/// The number of early crashes at which a task is given up if it was alone in one of them. Two more
+/// starts after the third crash are tolerated.
+const ISOLATED_CRASH_LIMIT: usize = 3;
+/// The number of crashes at which a task is given up whatever else happened at the time.
+const CRASH_LIMIT: usize = 4;
+/// How long a suspected task waits for a worker on which nothing else starts.
+const ISOLATION_PATIENCE: Duration = Duration::from_secs(2);
+
+/// The confirmed crashes of workers under one task. Boxed, since few of very many tasks have any.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct CrashHistory(Option<Box<CrashDetails>>);
+
+#[derive(Clone, Debug, Default)]
+struct CrashDetails {
+    crashes: Vec<WorkerCrash>,
+    /// The change that records that the suspected task is about to be started, if there is one.
+    announcement: Option<u64>,
+    /// Since when the task has found no worker on which nothing else starts.
+    unisolated_since: Option<Duration>,
+}
+
+impl CrashHistory {
+    pub(crate) fn from_records(crashes: Vec<WorkerCrash>) -> Self {
+        Self(Some(Box::new(CrashDetails {
+            crashes,
+            ..CrashDetails::default()
+        })))
+    }
+
+    pub(crate) fn records(&self) -> &[WorkerCrash] {
+        self.0.as_ref().map_or(&[], |details| &details.crashes)
+    }
+
+    pub(crate) fn is_empty(&self) -> bool {
+        self.records().is_empty()
+    }
+
+    /// Adds a crash, unless it is known already.
+    pub(crate) fn add(&mut self, crash: WorkerCrash) {
+        let details = self.0.get_or_insert_default();
+        if details.crashes.iter().all(|known| known.run != crash.run) {
+            details.crashes.push(crash);
+        }
+    }
+
+    /// Removes the early crashes: a run of the task has outlived them.
+    pub(crate) fn clear_early(&mut self) {
+        if let Some(details) = &mut self.0 {
+            details.crashes.retain(|crash| !crash.early);
+        }
+    }
+
+    /// Returns whether the task may be the cause of its workers' crashes.
+    pub(crate) fn is_suspect(&self) -> bool {
+        self.early_count() >= SUSPICION_THRESHOLD
+    }
+
+    /// Returns whether the task may only start where nothing else starts.
+    pub(crate) fn needs_isolation(&self, now: Duration) -> bool {
+        let since = self.0.as_ref().and_then(|details| details.unisolated_since);
+        let has_waited = since.is_some_and(|since| now >= since + ISOLATION_PATIENCE);
+        self.is_suspect() && !has_waited
+    }
+
+    /// Records that the task found no worker on which nothing else starts.
+    pub(crate) fn wait_for_isolation(&mut self, now: Duration) {
+        if let Some(details) = &mut self.0 {
+            details.unisolated_since.get_or_insert(now);
+        }
+    }
+
+    /// Records that a run of the task is placed.
+    pub(crate) fn end_wait(&mut self) {
+        if let Some(details) = &mut self.0 {
+            details.unisolated_since = None;
+        }
+    }
+
+    /// Returns the change that announces the task's next start, if there is one.
+    pub(crate) fn announcement(&self) -> Option<u64> {
+        self.0.as_ref()?.announcement
+    }
+
+    /// Announces the task's next start by this change, or ends the announcement.
+    pub(crate) fn set_announcement(&mut self, change: Option<u64>) {
+        if let Some(details) = &mut self.0 {
+            details.announcement = change;
+        }
+    }
+
+    /// Returns whether the task must not be started any more.
+    pub(crate) fn requires_giving_up(&self) -> bool {
+        let early = self.early_count();
+        let is_isolated = |crash: &WorkerCrash| crash.early && crash.alone && !crash.widespread;
+        let counted = self
+            .records()
+            .iter()
+            .filter(|crash| crash.early || !crash.widespread);
+        early >= ISOLATED_CRASH_LIMIT && self.records().iter().any(is_isolated)
+            || counted.count() >= CRASH_LIMIT
+    }
+
+    fn early_count(&self) -> usize {
+        self.records().iter().filter(|crash| crash.early).count()
+    }
+}
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -13,9 +13,11 @@
 use jasminebend_base::DomainName;
 
 use crate::{
+    CrashFinding,
     DispatchSettings,
     FillerEviction,
     FleetConfiguration,
+    JobFailure,
     JobGraph,
     JobKey,
     JobOutcome,
@@ -98,6 +100,11 @@
     pub(crate) pending_evictions: Vec<FillerEviction>,
     /// Lost runs, to be returned by the next plan.
     pub(crate) pending_losses: Vec<RunLoss>,
+    /// Suspected tasks that a former owner was about to start, and of whose runs no worker has
+    /// told yet.
+    pub(crate) inherited_starts: IndexSet<TaskKey>,
+    /// Findings about crashes, to be returned by the next plan.
+    pub(crate) pending_crashes: Vec<CrashFinding>,
     pub(crate) commits: CommitTracker,
     pub(crate) interference: InterferenceModel,
     /// Demands for which no worker had capacity in a recent plan.
@@ -142,6 +149,8 @@
             pending_orders: Vec::new(),
             pending_evictions: Vec::new(),
             pending_losses: Vec::new(),
+            inherited_starts: IndexSet::new(),
+            pending_crashes: Vec::new(),
             commits: CommitTracker::default(),
             interference: InterferenceModel::default(),
             unplaceable: UnplaceableDemands::default(),
@@ -194,6 +203,7 @@
             started: false,
             cancelled: false,
             outcome: None,
+            failure: None,
             recorded_outcome: None,
             occurrences: Default::default(),
             run_count: 0,
@@ -260,6 +270,12 @@
         Some(self.jobs.get(&key)?.progress())
     }
 
+    /// Returns why a job has failed, once that is on record; `None` for any other job.
+    pub fn failure(&self, key: JobKey) -> Option<&JobFailure> {
+        let job = self.jobs.get(&key)?;
+        job.recorded_outcome.and(job.failure.as_ref())
+    }
+
     /// Returns the number of a queue's accepted jobs that have neither started nor ended.
     pub fn waiting_job_count(&self, queue: &str) -> usize {
         self.jobs
--- a/crates/dispatch/src/dispatcher_completions.rs
+++ b/crates/dispatch/src/dispatcher_completions.rs
@@ -8,6 +8,7 @@
 use crate::{
     Dispatcher,
     EndedRun,
+    JobFailure,
     JobOutcome,
     RunResult,
     TaskKey,
@@ -34,6 +35,7 @@
             return committed;
         };
         self.open_occurrence(step.job, step.occurrence);
+        self.inherited_starts.swap_remove(&ended.task);
         match ended.result {
             RunResult::Done => self.worker_mut(key).health.record_success(),
             RunResult::Failed => self.worker_mut(key).health.record_failure(ended.task, now),
@@ -169,7 +171,10 @@
             .map_or(1, |rule| rule.max_attempts.max(1));
         let change = self.commits.record_change(step.job);
         if failures >= attempts as usize {
-            self.finish_job(step.job, JobOutcome::Failed);
+            let task = step.task(counted_index).to_string();
+            // CAST: At most `max_attempts` runs.
+            let runs = failures as u32;
+            self.fail_job(step.job, JobFailure::Attempts { task, runs });
         }
         change
     }
--- /dev/null
+++ b/crates/dispatch/src/dispatcher_crashes.rs
@@ -0,0 +1,277 @@
+//! Attribution of workers' crashes to the tasks that they executed.
+
+use std::{
+    sync::Arc,
+    time::Duration, //
+};
+
+use crate::{
+    CrashFinding,
+    CrashVerdict,
+    Dispatcher,
+    JobFailure,
+    JobOutcome,
+    LossCause,
+    RunLoss,
+    RunNumber,
+    StepKey,
+    TaskKey,
+    WorkerCrash,
+    WorkerKey,
+    crash_history::CrashHistory,
+    worker_state::WorkerState, //
+};
+
+/// The time between the losses of two workers within which they count as lost together.
+const WIDESPREAD_WINDOW: Duration = Duration::from_secs(1);
+
+impl Dispatcher {
+    /// Records that runs are lost together with their worker, before they are released.
+    pub(crate) fn record_losses(
+        &mut self,
+        key: WorkerKey,
+        runs: &[(TaskKey, RunNumber)],
+        cause: LossCause,
+        now: Duration,
+    ) {
+        let lost_at = self.worker(key).contact_lost_at.unwrap_or(now);
+        let widespread = self.is_widespread_loss(key, lost_at);
+        let hosted_suspect = self.hosts_suspect(self.worker(key));
+        let announced = self.worker(key).record.draining || self.worker(key).in_maintenance;
+        let worker = self.worker_mut(key);
+        worker.crashed_at = Some(lost_at);
+        worker.crashed_with_suspect = hosted_suspect;
+        for &(task, run) in runs {
+            let Some(crash) = self.note_loss(key, task, run, cause, widespread, now) else {
+                continue;
+            };
+            if announced || cause == LossCause::Left {
+                continue;
+            }
+            match cause == LossCause::Restarted {
+                true => self.confirm_crash(task, crash),
+                false => self.worker_mut(key).unconfirmed_crashes.push((task, crash)),
+            }
+        }
+    }
+
+    /// Confirms the crashes of workers that the registry no longer lists: an unreachable worker
+    /// stays listed, since it reports to the registry itself.
+    pub(crate) fn confirm_unlisted_crashes(&mut self) {
+        for index in 0..self.workers.len() {
+            let worker = &mut self.workers[index];
+            if worker.listed || worker.unconfirmed_crashes.is_empty() {
+                continue;
+            }
+            for (task, crash) in std::mem::take(&mut worker.unconfirmed_crashes) {
+                self.confirm_crash(task, crash);
+            }
+        }
+    }
+
+    /// Settles the losses of a worker that answers again: it was merely unreachable unless it has
+    /// restarted.
+    pub(crate) fn settle_crashes(&mut self, key: WorkerKey, is_restarted: bool) {
+        let worker = self.worker_mut(key);
+        if !is_restarted {
+            worker.crashed_at = None;
+        }
+        for (task, crash) in std::mem::take(&mut worker.unconfirmed_crashes) {
+            match is_restarted {
+                true => self.confirm_crash(task, crash),
+                false => self.pending_crashes.push(CrashFinding {
+                    task,
+                    crash,
+                    verdict: CrashVerdict::Dismissed,
+                    recorded_crashes: self
+                        .crash_history(task)
+                        .map_or(0, |history| history.records().len()),
+                    gives_up: false,
+                }),
+            }
+        }
+    }
+
+    /// Returns the crashes under a task, or `None` if the task is unknown.
+    pub(crate) fn crash_history(&self, task: TaskKey) -> Option<&CrashHistory> {
+        let step = task.step;
+        let state = self.jobs.get(&step.job)?.step(step.occurrence, step.step)?;
+        Some(&state.tasks.get(task.index as usize)?.crashes)
+    }
+
+    /// Returns the crashes under a task for modification, or `None` if the task is unknown.
+    pub(crate) fn crash_history_mut(&mut self, task: TaskKey) -> Option<&mut CrashHistory> {
+        let step = task.step;
+        let job = self.jobs.get_mut(&step.job)?;
+        let state = job.step_mut(step.occurrence, step.step)?;
+        Some(&mut state.tasks.get_mut(task.index as usize)?.crashes)
+    }
+
+    /// Announces the suspected tasks among those that wait, so that a successor knows of starts
+    /// whose crash this owner may not live to see. Returns the tasks that may be started.
+    pub(crate) fn announce_suspects(&mut self, step: StepKey, waiting: Vec<u32>) -> Vec<u32> {
+        let mut startable = waiting;
+        startable.retain(|&index| {
+            let task = step.task(index);
+            let Some(crashes) = self
+                .crash_history(task)
+                .filter(|crashes| crashes.is_suspect())
+            else {
+                return true;
+            };
+            match crashes.announcement() {
+                Some(change) => self.commits.committed_through() >= change,
+                None => {
+                    let change = self.commits.record_change(step.job);
+                    if let Some(crashes) = self.crash_history_mut(task) {
+                        crashes.set_announcement(Some(change));
+                    }
+                    false
+                }
+            }
+        });
+        startable
+    }
+
+    /// Counts a crash for each start that a former owner has announced and that no worker tells
+    /// of, if workers were lost: otherwise the start was never sent.
+    pub(crate) fn settle_inherited_starts(&mut self, now: Duration) {
+        if self.inherited_starts.is_empty() {
+            return;
+        }
+        let lost = self.workers.iter().find(|worker| worker.was_lost_before);
+        let lost = lost.map(|worker| Arc::clone(&worker.record.id));
+        for task in std::mem::take(&mut self.inherited_starts) {
+            let Some(worker) = lost.clone() else {
+                self.commits.record_change(task.job());
+                continue;
+            };
+            let crash = WorkerCrash {
+                run: self.next_run(),
+                worker,
+                at: self.clock_origin + now,
+                early: true,
+                alone: false,
+                widespread: false,
+            };
+            self.confirm_crash(task, crash);
+        }
+    }
+
+    /// Forgets the early crashes of a task of which a run has outlived them.
+    pub(crate) fn clear_early_crashes(&mut self, task: TaskKey) {
+        if let Some(crashes) = self.crash_history_mut(task) {
+            crashes.clear_early();
+            self.commits.record_change(task.job());
+        }
+    }
+
+    /// Records a lost run for the log, and returns the crash under its task; `None` for a run that
+    /// can't have caused one.
+    fn note_loss(
+        &mut self,
+        key: WorkerKey,
+        task: TaskKey,
+        run: RunNumber,
+        cause: LossCause,
+        widespread: bool,
+        now: Duration,
+    ) -> Option<WorkerCrash> {
+        let worker = self.worker(key);
+        let state = worker.runs.get(&(task, run))?;
+        let lost_at = worker.contact_lost_at.unwrap_or(now);
+        let loss = RunLoss {
+            task,
+            run,
+            worker: key,
+            cause,
+            placed_at: state.placed_at,
+            last_listed_at: state.last_listed_at,
+            contact_lost_at: worker.contact_lost_at,
+            connection_refused: worker.connection_refused,
+            listed: worker.listed,
+            other_runs: worker.runs.len() - 1,
+        };
+        let crash = WorkerCrash {
+            run,
+            worker: Arc::clone(&worker.record.id),
+            at: self.clock_origin + lost_at,
+            early: state.is_early(),
+            alone: worker.began_alone(task, run),
+            widespread,
+        };
+        let spec = self.step_spec(task.step);
+        let is_long_running = spec.is_none_or(|spec| spec.long_running);
+        self.pending_losses.push(loss);
+        // A long-running task meets many crashes that are none of its doing.
+        (crash.early || !is_long_running).then_some(crash)
+    }
+
+    fn confirm_crash(&mut self, task: TaskKey, crash: WorkerCrash) {
+        let step = task.step;
+        let Some(job) = self.jobs.get_mut(&step.job) else {
+            return;
+        };
+        if job.is_over() {
+            return;
+        }
+        let state = job.step_mut(step.occurrence, step.step);
+        let Some(state) = state.and_then(|state| state.tasks.get_mut(task.index as usize)) else {
+            return;
+        };
+        if state.done {
+            return;
+        }
+        state.crashes.add(crash.clone());
+        let crashes = state.crashes.records().to_vec();
+        let gives_up = state.crashes.requires_giving_up();
+        self.commits.record_change(step.job);
+        self.pending_crashes.push(CrashFinding {
+            task,
+            crash,
+            verdict: CrashVerdict::Confirmed,
+            recorded_crashes: crashes.len(),
+            gives_up,
+        });
+        if gives_up {
+            let task = task.to_string();
+            self.fail_job(step.job, JobFailure::Crashes { task, crashes });
+        }
+    }
+
+    /// Fails a job for this reason.
+    pub(crate) fn fail_job(&mut self, key: crate::JobKey, failure: JobFailure) {
+        if let Some(job) = self.jobs.get_mut(&key)
+            && !job.is_over()
+        {
+            job.failure = Some(failure);
+            self.finish_job(key, JobOutcome::Failed);
+        }
+    }
+
+    /// Returns whether other workers were lost at about the same time as this one, without a
+    /// suspected task that explains it.
+    fn is_widespread_loss(&self, key: WorkerKey, lost_at: Duration) -> bool {
+        let others = self.workers.iter().enumerate();
+        let mut others = others.filter(|(index, _)| *index != key.index());
+        others.any(|(_, worker)| {
+            let (at, explained) = match worker.crashed_at {
+                Some(at) => (at, worker.crashed_with_suspect),
+                None => match worker.contact_lost_at {
+                    Some(at) => (at, self.hosts_suspect(worker)),
+                    None => return false,
+                },
+            };
+            at.abs_diff(lost_at) <= WIDESPREAD_WINDOW && !explained
+        })
+    }
+
+    /// Returns whether a suspected task runs on a worker.
+    fn hosts_suspect(&self, worker: &WorkerState) -> bool {
+        let mut tasks = worker.runs.keys();
+        tasks.any(|(task, _)| {
+            self.crash_history(*task)
+                .is_some_and(CrashHistory::is_suspect)
+        })
+    }
+}
--- a/crates/dispatch/src/dispatcher_plan.rs
+++ b/crates/dispatch/src/dispatcher_plan.rs
@@ -8,6 +8,7 @@
 
 use crate::{
     AdviceRequest,
+    CrashFinding,
     Dispatcher,
     FillerEviction,
     PolicyPart,
@@ -20,6 +21,7 @@
     TaskKey,
     WorkerKey,
     WorkerOrder,
+    crash_history::EARLY_CRASH_WINDOW,
     dispatcher_advice::MIN_TICKET_VALIDITY,
     job_state::JobState,
     placement_score::{
@@ -61,6 +63,8 @@
     pub evictions: Vec<FillerEviction>,
     /// Runs that were lost together with their workers, to log.
     pub losses: Vec<RunLoss>,
+    /// Findings about crashes of workers under tasks, to log.
+    pub crashes: Vec<CrashFinding>,
     /// Steps that wait although they should have started, to log.
     pub waits: Vec<StepWait>,
 }
@@ -92,6 +96,7 @@
             advice_requests: Vec::new(),
             evictions: std::mem::take(&mut self.pending_evictions),
             losses: std::mem::take(&mut self.pending_losses),
+            crashes: std::mem::take(&mut self.pending_crashes),
             waits: Vec::new(),
         };
         self.plan_stops(now, &mut outcome);
@@ -174,6 +179,9 @@
     /// Starts pending tasks by the rank of their steps, then starved fillers.
     fn plan_starts(&mut self, now: Duration, outcome: &mut PlanOutcome) {
         let settled = self.is_takeover_complete();
+        if settled {
+            self.settle_inherited_starts(now);
+        }
         let mut ranked: Vec<(StepRank, StepKey)> = Vec::with_capacity(self.pending_steps.len());
         let mut closed = Vec::new();
         for &step in &self.pending_steps {
@@ -231,6 +239,9 @@
             .filter(|(_, task)| task.is_pending())
             .map(|(index, _)| index)
             .collect();
+        let has_suspects = pending
+            .iter()
+            .any(|&index| state.tasks[index as usize].crashes.is_suspect());
         if pending.is_empty() {
             self.pending_steps.swap_remove(&step);
             return 0;
@@ -246,6 +257,14 @@
         if spec.gang && pending.len() < step_task_count(&self.jobs, step) {
             return 0;
         }
+        let waiting = pending.len();
+        let pending = match has_suspects {
+            true => self.announce_suspects(step, pending),
+            false => pending,
+        };
+        if spec.gang && pending.len() < waiting {
+            return waiting;
+        }
         let demand = TaskDemand::new(spec, &pool, advice.is_some());
         let uses_cache = self
             .settings
@@ -256,7 +275,7 @@
             .last_plan(&demand, now)
             .filter(|_| uses_cache);
         if last_failed_plan == Some(self.plan_count) {
-            return pending.len();
+            return waiting;
         }
         let gang_run = spec.gang.then(|| self.next_run());
         let search = PlacementSearch {
@@ -272,6 +291,15 @@
         };
         for &index in pending.iter().take(limit) {
             let found = self.find_worker(step.task(index), spec, &search, now);
+            if found.is_none()
+                && let Some(crashes) = self.crash_history_mut(step.task(index))
+                && crashes.needs_isolation(now)
+            {
+                crashes.wait_for_isolation(now);
+                if !spec.gang {
+                    continue;
+                }
+            }
             let Some(worker) = found else {
                 // If a gang's later member fits nowhere, that proves nothing: the members placed
                 // before it hold capacity that is given back below.
@@ -291,7 +319,7 @@
             }
             return pending.len();
         }
-        let missing = pending.len() - placed.len();
+        let missing = waiting - placed.len();
         for (index, worker, run) in placed {
             self.order_window.record_sent();
             let order = self.start_order(step.task(index), worker, run, &graph.payload, spec.gang);
@@ -355,9 +383,18 @@
         now: Duration,
     ) {
         let rack = self.worker(worker).record.rack().cloned();
-        let state = RunState::new(task, spec, RunPhase::Sent, now);
+        let mut state = RunState::new(task, spec, RunPhase::Sent, now);
+        let mut is_suspect = false;
+        if let Some(crashes) = self.crash_history_mut(task) {
+            crashes.end_wait();
+            state.may_clear_crashes = !crashes.is_empty();
+            is_suspect = crashes.is_suspect();
+        }
         let held = self.worker_mut(worker);
         held.add_run(run, state);
+        if is_suspect {
+            held.isolated_until = Some(now + EARLY_CRASH_WINDOW);
+        }
         self.workers[worker.index()].service_snapshot =
             ServiceSnapshot::new(self.worker(worker), &self.interference, now);
         let step = task.step;
@@ -402,10 +439,15 @@
         let step = task.step;
         let demand = &search.demand;
         let state = self.jobs.get(&step.job)?.step(step.occurrence, step.step)?;
-        let failed_on = state.tasks.get(task.index as usize)?.failed_on;
+        let task_state = state.tasks.get(task.index as usize)?;
+        let failed_on = task_state.failed_on;
+        let crashes = &task_state.crashes;
+        let needs_isolation = crashes.needs_isolation(now);
         let context = PlacementContext {
             step_rack: state.first_rack.as_ref(),
             is_starving: search.is_starving,
+            is_suspect: crashes.is_suspect(),
+            prefers_isolation: !crashes.is_empty(),
             ..self.placement_context(spec, &search.profile, now)
         };
         let mut best: Option<(PlacementScore, WorkerKey)> = None;
@@ -430,6 +472,9 @@
             if state.is_at_spread_limit(key, spec) {
                 continue;
             }
+            if worker.is_isolated(now) || (needs_isolation && worker.has_recent_start(now)) {
+                continue;
+            }
             if demand.needs_ticket && !has_valid_ticket(state.tickets.get(&key), now) {
                 continue;
             }
@@ -461,6 +506,8 @@
             interference: &self.interference,
             profile,
             is_starving: false,
+            is_suspect: false,
+            prefers_isolation: false,
             switches: self.settings.switches,
             now,
         }
--- a/crates/dispatch/src/dispatcher_records.rs
+++ b/crates/dispatch/src/dispatcher_records.rs
@@ -12,6 +12,8 @@
     PolicyPart,
     ProgressRecord,
     StepProgress,
+    TaskCrashes,
+    crash_history::CrashHistory,
     dispatcher::StepOrigin,
     job_state::{
         JobState,
@@ -19,6 +21,9 @@
     }, //
 };
 
+/// The most tasks whose crashes are recorded, at up to 200 bytes each: a row may have 64 KiB.
+const MAX_RECORDED_CRASHED_TASKS: usize = 100;
+
 impl Dispatcher {
     /// Takes up to `limit` jobs with uncommitted changes, with the records to write. Returns
     /// nothing while a commit is in flight: there is at most one at a time.
@@ -61,7 +66,9 @@
     /// Restores a job's state from its record. Must be called before any task of the job is
     /// started.
     pub fn restore_job(&mut self, key: JobKey, record: &ProgressRecord) {
-        let occurrences: IndexSet<u32> = record.steps.iter().map(|step| step.occurrence).collect();
+        let progressed = record.steps.iter().map(|step| step.occurrence);
+        let crashed = record.crashes.iter().map(|task| task.occurrence);
+        let occurrences: IndexSet<u32> = progressed.chain(crashed).collect();
         for occurrence in occurrences {
             self.open_occurrence(key, occurrence);
         }
@@ -73,10 +80,21 @@
                 restore_step(step, stored);
             }
         }
-        job.started = job.started || !record.steps.is_empty();
+        for stored in &record.crashes {
+            if let Some(step) = job.step_mut(stored.occurrence, stored.step)
+                && let Some(task) = step.tasks.get_mut(stored.index as usize)
+            {
+                task.crashes = CrashHistory::from_records(stored.crashes.clone());
+                if stored.start_announced && !task.done {
+                    self.inherited_starts.insert(stored.task(key));
+                }
+            }
+        }
+        job.started = job.started || !record.steps.is_empty() || !record.crashes.is_empty();
         if !job.cancelled {
             job.outcome = record.outcome;
             job.recorded_outcome = record.outcome;
+            job.failure = record.failure.clone();
         }
         let occurrences: Vec<u32> = job.occurrences.keys().copied().collect();
         if job.is_over() {
@@ -154,9 +172,36 @@
     ProgressRecord {
         outcome: job.outcome,
         steps,
+        crashes: crash_records(job),
+        failure: job.failure.clone(),
     }
 }
 
+/// Returns the crashes under a job's unfinished tasks, of those with the most crashes if there are
+/// too many to record.
+fn crash_records(job: &JobState) -> Vec<TaskCrashes> {
+    let mut records = Vec::new();
+    if job.outcome.is_some() {
+        return records;
+    }
+    for (&occurrence, state) in &job.occurrences {
+        for (step, step_state) in (0..).zip(&state.steps) {
+            let tasks = (0..).zip(&step_state.tasks);
+            let crashed = tasks.filter(|(_, task)| !task.done && !task.crashes.is_empty());
+            records.extend(crashed.map(|(index, task)| TaskCrashes {
+                occurrence,
+                step,
+                index,
+                crashes: task.crashes.records().to_vec(),
+                start_announced: task.crashes.announcement().is_some(),
+            }));
+        }
+    }
+    records.sort_by_key(|record| std::cmp::Reverse(record.crashes.len()));
+    records.truncate(MAX_RECORDED_CRASHED_TASKS);
+    records
+}
+
 /// Returns the record of a step, or `None` if nothing of it has ended.
 fn step_record(occurrence: u32, number: u16, step: &StepState) -> Option<StepProgress> {
     let mut stored = StepProgress {
--- a/crates/dispatch/src/dispatcher_runs.rs
+++ b/crates/dispatch/src/dispatcher_runs.rs
@@ -8,10 +8,10 @@
 use crate::{
     Dispatcher,
     LossCause,
-    RunLoss,
     RunNumber,
     RunningTask,
     TaskKey,
+    WorkKind,
     WorkerKey,
     WorkerOrder,
     run_state::{
@@ -50,6 +50,10 @@
         let before = task_state.runs.len();
         task_state.runs.retain(|&held| held != (key, run));
         let was_attached = task_state.runs.len() < before;
+        let was_announced = was_attached && task_state.crashes.announcement().is_some();
+        if was_announced {
+            task_state.crashes.set_announcement(None);
+        }
         let pending = task_state.is_pending();
         let becomes_pending = pending && !over && step_state.open;
         if was_attached {
@@ -59,6 +63,9 @@
         if becomes_pending {
             self.pending_steps.insert(step);
         }
+        if was_announced && !over {
+            self.commits.record_change(step.job);
+        }
     }
 
     /// Updates a run from a worker's report, and stops it if it is stuck.
@@ -85,6 +92,13 @@
             && state.throttle_percent >= 100
             && state.percent < 100
             && now > state.last_progress_at + STUCK_TASK_TIMEOUT;
+        let refutes_crashes = state.may_clear_crashes
+            && !state.is_early()
+            && (state.kind != WorkKind::LongRunning || state.percent >= 100);
+        if refutes_crashes {
+            state.may_clear_crashes = false;
+            self.clear_early_crashes(running.task);
+        }
         if is_ready {
             self.worker_mut(key).health.record_success();
         }
@@ -119,10 +133,12 @@
             return;
         };
         self.open_occurrence(step.job, step.occurrence);
+        self.inherited_starts.swap_remove(&running.task);
         let mut state = RunState::new(running.task, &spec, RunPhase::Running(now), now);
         state.percent = running.progress_percent;
         state.metric = running.metric;
         state.last_listed_at = Some(now);
+        state.is_adopted = true;
         self.worker_mut(key).add_run(running.run, state);
         let mut is_surplus = over;
         if let Some(job) = self.jobs.get_mut(&step.job)
@@ -164,10 +180,10 @@
             })
             .map(|(&id, _)| id)
             .collect();
-        for &(task, run) in &missing {
-            if self.worker(key).runs[&(task, run)].is_orphaned {
-                self.record_loss(key, task, run, LossCause::Restarted, now);
-            }
+        let is_orphaned = |id: &&(TaskKey, RunNumber)| self.worker(key).runs[*id].is_orphaned;
+        let lost: Vec<(TaskKey, RunNumber)> = missing.iter().filter(is_orphaned).copied().collect();
+        if !lost.is_empty() {
+            self.record_losses(key, &lost, LossCause::Restarted, now);
         }
         for (task, run) in missing {
             self.release_run(key, task, run, now);
@@ -188,43 +204,13 @@
     /// Counts all runs of a worker as over, so that their tasks can start elsewhere.
     pub(crate) fn drop_all_runs(&mut self, key: WorkerKey, cause: LossCause, now: Duration) {
         let runs: Vec<(TaskKey, RunNumber)> = self.worker(key).runs.keys().copied().collect();
-        for &(task, run) in &runs {
-            self.record_loss(key, task, run, cause, now);
-        }
+        self.record_losses(key, &runs, cause, now);
         for (task, run) in runs {
             self.release_run(key, task, run, now);
             self.mark_unavailable(task, now);
         }
     }
 
-    /// Records, for the log, that a run is lost together with its worker.
-    fn record_loss(
-        &mut self,
-        key: WorkerKey,
-        task: TaskKey,
-        run: RunNumber,
-        cause: LossCause,
-        now: Duration,
-    ) {
-        let worker = self.worker(key);
-        let Some(state) = worker.runs.get(&(task, run)) else {
-            return;
-        };
-        let loss = RunLoss {
-            task,
-            run,
-            worker: key,
-            cause,
-            placed_at: state.placed_at,
-            last_listed_at: state.last_listed_at,
-            contact_lost_at: worker.contact_lost_at.or(Some(now)),
-            connection_refused: worker.connection_refused,
-            listed: worker.listed,
-            other_runs: worker.runs.len() - 1,
-        };
-        self.pending_losses.push(loss);
-    }
-
     /// Records that a task has been without a run since `now`.
     pub(crate) fn mark_unavailable(&mut self, task: TaskKey, now: Duration) {
         let step = task.step;
--- a/crates/dispatch/src/dispatcher_starvation.rs
+++ b/crates/dispatch/src/dispatcher_starvation.rs
@@ -67,7 +67,11 @@
         let graph = Arc::clone(&job.graph);
         let spec = graph.steps.get(usize::from(step.step))?;
         let state = job.step(step.occurrence, step.step)?;
-        let index = state.tasks.iter().position(|task| task.is_pending())?;
+        // A suspected task must be announced first.
+        let index = state
+            .tasks
+            .iter()
+            .position(|task| task.is_pending() && !task.crashes.is_suspect())?;
         let rule = self.queue_rules.get(&job.queue)?;
         let pool = Arc::clone(&rule.pool);
         let search = PlacementSearch {
--- a/crates/dispatch/src/dispatcher_workers.rs
+++ b/crates/dispatch/src/dispatcher_workers.rs
@@ -226,6 +226,7 @@
         if !is_truncated {
             self.drop_missing_runs(key, sent, &listed, now);
         }
+        self.settle_crashes(key, is_restarted);
         self.worker_mut(key).contact_lost_at = None;
         self.acknowledge();
         self.protect_services(key, now);
@@ -304,6 +305,7 @@
             let worker = &mut self.workers[index];
             if worker.inherited_until.is_some_and(|until| now > until) {
                 worker.inherited_until = None;
+                worker.was_lost_before = true;
             }
             let cause = match () {
                 () if worker.has_left() => LossCause::Left,
@@ -314,12 +316,16 @@
                 self.drop_all_runs(key, cause, now);
             }
         }
+        self.confirm_unlisted_crashes();
     }
 
     /// Replaces a listed worker's record; moves its long-running tasks if it starts to drain.
     fn update_record(&mut self, key: WorkerKey, record: FleetWorker) {
         let worker = self.worker_mut(key);
         let starts_draining = record.draining && !worker.record.draining;
+        worker.was_lost_before |= worker.inherited_until.is_some()
+            && record.incarnation.is_some()
+            && record.incarnation != worker.record.incarnation;
         worker.record = record;
         worker.listed = true;
         if starts_draining {
--- a/crates/dispatch/src/job_state.rs
+++ b/crates/dispatch/src/job_state.rs
@@ -9,12 +9,14 @@
 use indexmap::IndexMap;
 
 use crate::{
+    JobFailure,
     JobGraph,
     JobOutcome,
     JobProgress,
     RunNumber,
     StepSpec,
     WorkerKey,
+    crash_history::CrashHistory,
     dispatcher::StepOrigin,
     load_estimate::LoadEstimate, //
 };
@@ -35,6 +37,8 @@
     pub(crate) cancelled: bool,
     /// How the job ended, whether or not that is on record.
     pub(crate) outcome: Option<JobOutcome>,
+    /// Why the job has failed, if it has.
+    pub(crate) failure: Option<JobFailure>,
     /// How the job ended, once that is on record.
     pub(crate) recorded_outcome: Option<JobOutcome>,
     /// The occurrences opened so far, by their numbers.
@@ -91,6 +95,8 @@
     pub(crate) runs: Vec<(WorkerKey, RunNumber)>,
     /// The worker on which the task last failed.
     pub(crate) failed_on: Option<WorkerKey>,
+    /// The crashes of workers under the task.
+    pub(crate) crashes: CrashHistory,
     /// When the task's last run was lost, or ended if the task is long-running.
     pub(crate) unavailable_since: Option<Duration>,
 }
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -7,12 +7,14 @@
 mod admission;
 mod advice_request;
 mod commit_tracker;
+mod crash_history;
 mod decaying_sum;
 mod dispatch_settings;
 mod dispatcher;
 mod dispatcher_admission;
 mod dispatcher_advice;
 mod dispatcher_completions;
+mod dispatcher_crashes;
 mod dispatcher_maintenance;
 mod dispatcher_plan;
 mod dispatcher_pools;
@@ -27,6 +29,7 @@
 mod fleet_worker;
 mod graph_error;
 mod interference_model;
+mod job_failure;
 mod job_graph;
 mod job_key;
 mod job_outcome;
@@ -55,6 +58,7 @@
 mod task_key;
 mod unplaceable_demands;
 mod worker_clock;
+mod worker_crash;
 mod worker_health;
 mod worker_key;
 mod worker_order;
@@ -76,6 +80,7 @@
     fleet_configuration::FleetConfiguration,
     fleet_worker::FleetWorker,
     graph_error::GraphError,
+    job_failure::JobFailure,
     job_graph::JobGraph,
     job_key::{
         JobKey,
@@ -103,7 +108,8 @@
     },
     progress_record::{
         ProgressRecord,
-        StepProgress, //
+        StepProgress,
+        TaskCrashes, //
     },
     queue_rule::{
         AdviceRule,
@@ -134,6 +140,11 @@
         TaskKeyError, //
     },
     worker_clock::WorkerClock,
+    worker_crash::{
+        CrashFinding,
+        CrashVerdict,
+        WorkerCrash, //
+    },
     worker_key::WorkerKey,
     worker_order::{
         LeaseRenewal,
--- a/crates/dispatch/src/placement_score.rs
+++ b/crates/dispatch/src/placement_score.rs
@@ -48,11 +48,15 @@
 /// order.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub(crate) struct PlacementScore {
+    /// The negated number of runs that a suspected task would endanger; 0 for any other task.
+    few_endangered_runs: i64,
     /// Whether no task failed on the worker recently and this task's last failure was elsewhere.
     is_trusted: bool,
     /// Whether the worker is on the rack of the task's data or, for rack-sensitive steps, of the
     /// step's other tasks.
     is_near: bool,
+    /// Whether nothing began on the worker recently, for tasks whose workers have crashed.
+    is_apart: bool,
     /// The negated interference between fillers and services that the placement causes.
     low_interference: i64,
     /// The negated number of other service images on the worker: services of one image are kept
@@ -75,6 +79,10 @@
     pub(crate) profile: &'a FillerProfile,
     /// Whether the filler has waited for so long that it accepts the least harmful worker.
     pub(crate) is_starving: bool,
+    /// Whether the task may crash its worker.
+    pub(crate) is_suspect: bool,
+    /// Whether a worker has crashed under the task, so that it should start apart from others.
+    pub(crate) prefers_isolation: bool,
     pub(crate) switches: PolicySwitches,
     pub(crate) now: Duration,
 }
@@ -115,8 +123,14 @@
             _ => 0,
         };
         Ok(Self {
+            few_endangered_runs: if context.is_suspect {
+                -endangered_runs(worker)
+            } else {
+                0
+            },
             is_trusted,
             is_near,
+            is_apart: !context.prefers_isolation || !worker.has_recent_start(context.now),
             low_interference,
             image_affinity,
             spared_openness,
@@ -179,6 +193,16 @@
     (worker.service_snapshot.harmless_share * OPENNESS_LEVELS as f64) as i64
 }
 
+/// Returns how many runs would be lost with a worker; services count most.
+fn endangered_runs(worker: &WorkerState) -> i64 {
+    const SERVICE_WEIGHT: i64 = 100;
+    let weights = worker.runs.values().map(|run| match run.target {
+        Some(_) => SERVICE_WEIGHT,
+        None => 1,
+    });
+    weights.sum()
+}
+
 /// Returns the interference and fit components for a service's task: it should be slowed least by
 /// fillers, then leave the least CPU free.
 fn service_fit(
--- a/crates/dispatch/src/progress_record.rs
+++ b/crates/dispatch/src/progress_record.rs
@@ -6,8 +6,13 @@
 };
 
 use crate::{
+    JobFailure,
+    JobKey,
     JobOutcome,
-    RunNumber, //
+    RunNumber,
+    StepKey,
+    TaskKey,
+    WorkerCrash, //
 };
 
 /// Stored record of a job's progress. A run's completion is acknowledged to its worker only after
@@ -18,6 +23,40 @@
     pub outcome: Option<JobOutcome>,
     /// The steps that have progress to record; empty once the job has ended.
     pub steps: Vec<StepProgress>,
+    /// The crashes of workers under the job's unfinished tasks. The store's codec appends them to
+    /// the record, which earlier versions read without them.
+    #[serde(skip)]
+    pub crashes: Vec<TaskCrashes>,
+    /// Why the job has failed, if it has; appended in the same way.
+    #[serde(skip)]
+    pub failure: Option<JobFailure>,
+}
+
+/// The crashes of workers under one task.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct TaskCrashes {
+    /// The occurrence's number, from 0.
+    pub occurrence: u32,
+    /// The step's number, from 0.
+    pub step: u16,
+    /// The task's number in its step, from 0.
+    pub index: u32,
+    /// The crashes, in their order.
+    pub crashes: Vec<WorkerCrash>,
+    /// Whether the task is about to be started, or was and has not ended on record.
+    pub start_announced: bool,
+}
+
+impl TaskCrashes {
+    /// Returns the key of the task in this job.
+    pub(crate) fn task(&self, job: JobKey) -> TaskKey {
+        let step = StepKey {
+            job,
+            occurrence: self.occurrence,
+            step: self.step,
+        };
+        step.task(self.index)
+    }
 }
 
 /// Progress of one step of one occurrence.
--- a/crates/dispatch/src/run_state.rs
+++ b/crates/dispatch/src/run_state.rs
@@ -11,6 +11,7 @@
     StepSpec,
     TaskKey,
     WorkKind,
+    crash_history::EARLY_CRASH_WINDOW,
     load_estimate::LoadEstimate, //
 };
 
@@ -47,6 +48,10 @@
     pub(crate) placed_at: Duration,
     /// When the worker last listed the run; `None` if it has not yet.
     pub(crate) last_listed_at: Option<Duration>,
+    /// Whether a former owner started the run, so that its age is unknown.
+    pub(crate) is_adopted: bool,
+    /// Whether crashes are on record for the task, which the run may refute.
+    pub(crate) may_clear_crashes: bool,
     /// Whether the worker has restarted since it last listed the run.
     pub(crate) is_orphaned: bool,
     /// The progress last reported, in percent.
@@ -79,6 +84,8 @@
             target: spec.tail_target,
             placed_at: now,
             last_listed_at: None,
+            is_adopted: false,
+            may_clear_crashes: false,
             is_orphaned: false,
             percent: 0,
             last_progress_at: now,
@@ -103,6 +110,15 @@
         }
     }
 
+    /// Returns whether the worker has not yet listed the run for so long that the run's start can't
+    /// have crashed it.
+    pub(crate) fn is_early(&self) -> bool {
+        let listed_for = self
+            .last_listed_at
+            .map_or(Duration::ZERO, |at| at.saturating_sub(self.placed_at));
+        !self.is_adopted && listed_for < EARLY_CRASH_WINDOW
+    }
+
     /// Returns whether the run was ordered to stop.
     pub(crate) fn is_stopping(&self) -> bool {
         matches!(self.phase, RunPhase::Stopping(_))
--- a/crates/dispatch/src/worker_state.rs
+++ b/crates/dispatch/src/worker_state.rs
@@ -14,6 +14,8 @@
     RunNumber,
     TaskKey,
     WorkerClock,
+    WorkerCrash,
+    crash_history::EARLY_CRASH_WINDOW,
     dispatcher_throttling::TargetViolationTracker,
     interference_model::{
         FillerPresence,
@@ -53,6 +55,19 @@
     pub(crate) unanswered: u32,
     /// When the first of these calls failed.
     pub(crate) contact_lost_at: Option<Duration>,
+    /// When contact was lost before the runs were given up; `None` if the worker was merely
+    /// unreachable.
+    pub(crate) crashed_at: Option<Duration>,
+    /// Whether a suspected task was among these runs.
+    pub(crate) crashed_with_suspect: bool,
+    /// Lost runs of which it is unknown whether the worker has crashed or is unreachable.
+    pub(crate) unconfirmed_crashes: Vec<(TaskKey, WorkerCrash)>,
+    /// Whether the incarnation that a former owner knew has restarted, or did not answer this owner.
+    pub(crate) was_lost_before: bool,
+    /// When a run last began.
+    pub(crate) last_start_at: Option<Duration>,
+    /// Until when nothing else may start beside a suspected task.
+    pub(crate) isolated_until: Option<Duration>,
     /// Whether the last call found nothing listening at the worker's address.
     pub(crate) connection_refused: bool,
     /// When the worker's incarnation began, since 1970, if it has reported that.
@@ -101,6 +116,12 @@
             last_answer_at: None,
             unanswered: 0,
             contact_lost_at: None,
+            crashed_at: None,
+            crashed_with_suspect: false,
+            unconfirmed_crashes: Vec::new(),
+            was_lost_before: false,
+            last_start_at: None,
+            isolated_until: None,
             connection_refused: false,
             incarnation: None,
             runs: IndexMap::new(),
@@ -208,6 +229,9 @@
         self.service_cpu += state.service_cpu();
         self.long_running_cpu += state.long_running_cpu();
         let now = state.placed_at;
+        if !state.is_adopted {
+            self.last_start_at = Some(now);
+        }
         self.runs.insert((state.task, run), state);
         self.update_service_use(now);
     }
@@ -236,6 +260,23 @@
         self.update_service_use(now);
     }
 
+    /// Returns whether nothing else may start beside a suspected task.
+    pub(crate) fn is_isolated(&self, now: Duration) -> bool {
+        self.isolated_until.is_some_and(|until| now < until)
+    }
+
+    /// Returns whether a run began so recently that its start may still crash the worker.
+    pub(crate) fn has_recent_start(&self, now: Duration) -> bool {
+        self.last_start_at
+            .is_some_and(|at| now < at + EARLY_CRASH_WINDOW)
+    }
+
+    /// Returns whether no other run began on the worker at about the same time as this one.
+    pub(crate) fn began_alone(&self, task: TaskKey, run: RunNumber) -> bool {
+        let mut others = self.runs.iter().filter(|(id, _)| **id != (task, run));
+        others.all(|(_, other)| !other.is_early())
+    }
+
     /// Records a call without an answer.
     pub(crate) fn record_unanswered(&mut self, now: Duration) {
         self.unanswered += 1;
--- a/crates/dispatch/tests/common/fleet.rs
+++ b/crates/dispatch/tests/common/fleet.rs
@@ -292,6 +292,9 @@
                 continue;
             }
             self.unreachable_until[worker] = Duration::MAX;
+            if self.down_since[worker].is_none() {
+                self.break_gangs_of(worker);
+            }
             let down_for = now - *self.down_since[worker].get_or_insert(now);
             if self.listed[worker] && down_for >= REGISTRY_EXPIRY {
                 self.listed[worker] = false;
@@ -306,6 +309,23 @@
         }
     }
 
+    /// Ends the gangs of which members ran on a worker that has just crashed.
+    fn break_gangs_of(&mut self, worker: usize) {
+        let now = self.now;
+        let Some((_, WorkerEvent::Crashed(tasks))) = self.workers[worker].events().last() else {
+            return;
+        };
+        let is_gang = |task: &&TaskKey| {
+            let job = self.jobs.get(&task.job());
+            job.is_some_and(|(graph, _)| graph.steps[usize::from(task.step.step)].gang)
+        };
+        for task in tasks.clone().iter().filter(is_gang) {
+            for other in &mut self.workers {
+                other.break_gang(now, task.step);
+            }
+        }
+    }
+
     fn recover_worker(&mut self, worker: usize) {
         let now = self.now;
         match self.crash_mode {
@@ -347,6 +367,34 @@
         }
     }
 
+    /// Returns whether a worker can be called.
+    pub(crate) fn is_reachable(&self, worker: usize) -> bool {
+        self.unreachable_until[worker] <= self.now && !self.workers[worker].is_down()
+    }
+
+    /// Distributes the workers over this many racks.
+    pub(crate) fn spread_over_racks(&mut self, racks: usize) {
+        for (number, worker) in self.workers.iter_mut().enumerate() {
+            let rack = format!("rack-{}", number % racks);
+            worker.record_mut().labels = vec!["a".into(), rack.into()];
+            let record = worker.record().clone();
+            for owner in &mut self.owners {
+                owner.dispatcher.upsert_worker(record.clone(), None);
+            }
+        }
+    }
+
+    /// Returns how many crashes are on record for a task.
+    pub(crate) fn recorded_crashes(&self, task: TaskKey) -> usize {
+        let record = self.records.get(&task.job());
+        let tasks = record.iter().flat_map(|record| &record.crashes);
+        let of_task = tasks.filter(|stored| {
+            (stored.occurrence, stored.step, stored.index)
+                == (task.step.occurrence, task.step.step, task.index)
+        });
+        of_task.map(|stored| stored.crashes.len()).sum()
+    }
+
     /// Returns how many workers crashed while they executed a task, before `until`.
     pub(crate) fn crash_count(&self, task: TaskKey, until: Duration) -> usize {
         let events = self.workers.iter().flat_map(|worker| worker.events());
--- a/crates/dispatch/tests/crashing_tasks.rs
+++ b/crates/dispatch/tests/crashing_tasks.rs
@@ -6,6 +6,7 @@
 
 use common::{
     CrashMode,
+    Faults,
     Fleet,
     graph,
     ms,
@@ -17,6 +18,7 @@
     JobOutcome,
     JobProgress,
     StepKey,
+    StepSpec,
     TaskKey, //
 };
 use jasminebend_standins::TaskWork;
@@ -34,15 +36,19 @@
     JobKey::new(1)
 }
 
-fn guilty_task() -> TaskKey {
+fn first_task(job: JobKey) -> TaskKey {
     let step = StepKey {
-        job: guilty_job(),
+        job,
         occurrence: 0,
         step: 0,
     };
     step.task(0)
 }
 
+fn guilty_task() -> TaskKey {
+    first_task(guilty_job())
+}
+
 fn crashes(task: TaskKey) -> Option<Duration> {
     (task == guilty_task()).then_some(CRASH_DELAY)
 }
@@ -104,3 +110,268 @@
     }
     assert_eq!(fleet.check_invariants(), Vec::<String>::new());
 }
+
+/// Returns work of one core for 20 s.
+fn long_work(_task: TaskKey) -> TaskWork {
+    TaskWork {
+        run_time: ms(20_000),
+        ..short_work(guilty_task())
+    }
+}
+
+fn long_running_work(_task: TaskKey) -> TaskWork {
+    TaskWork {
+        run_time: Duration::MAX,
+        ..short_work(guilty_task())
+    }
+}
+
+/// Returns the workers that execute a job's tasks.
+fn hosts(fleet: &Fleet, job: JobKey) -> Vec<usize> {
+    let hosts = (0..fleet.workers.len()).filter(|&worker| {
+        let tasks = fleet.workers[worker].running_tasks();
+        tasks.iter().any(|task| task.job() == job)
+    });
+    hosts.collect()
+}
+
+/// Kills the workers under a job as soon as it runs, `count` times in series; with their racks if
+/// `by_rack`.
+fn kill_hosts_in_series(fleet: &mut Fleet, job: JobKey, count: usize, by_rack: bool) {
+    for _ in 0..count {
+        while hosts(fleet, job).is_empty() {
+            fleet.run_for(ms(10));
+        }
+        fleet.run_for(ms(300));
+        let mut killed = hosts(fleet, job);
+        if by_rack {
+            let rack = fleet.workers[killed[0]].record().rack().cloned();
+            killed = (0..fleet.workers.len())
+                .filter(|&worker| fleet.workers[worker].record().rack().cloned() == rack)
+                .filter(|&worker| fleet.is_reachable(worker))
+                .collect();
+        }
+        for worker in killed {
+            fleet.kill_worker(worker);
+        }
+    }
+}
+
+/// Guards against a count of crashes that a successor does not know: each owner would start the
+/// task as often as the first one.
+#[test]
+fn crashes_are_counted_across_owners() {
+    for mode in [
+        CrashMode::NewIdentity,
+        CrashMode::SameIdentity,
+        CrashMode::Silent,
+    ] {
+        let mut fleet = Fleet::new(8, 3).with_work(short_work).with_crashes(crashes);
+        fleet.crash_mode = mode;
+        fleet.submit(1, graph(vec![step(1, &[])]));
+        while fleet.recorded_crashes(guilty_task()) < 2 {
+            fleet.run_for(ms(10));
+        }
+        fleet.replace_owner();
+        fleet.run_for(ms(60_000));
+        assert_eq!(check_starts(&fleet), Vec::<String>::new(), "{mode:?}");
+        assert_eq!(fleet.progress(guilty_job()), FAILED, "{mode:?}");
+    }
+}
+
+/// Guards against a task that crashes its workers without an end because an owner is replaced after
+/// each start, so that none sees the crash that it caused.
+#[test]
+fn crashes_that_fall_into_takeovers_are_counted() {
+    let mut fleet = Fleet::new(12, 4)
+        .with_work(short_work)
+        .with_crashes(crashes);
+    fleet.submit(1, graph(vec![step(1, &[])]));
+    let mut starts = 0;
+    for _ in 0..12_000 {
+        fleet.run_for(ms(10));
+        let begun = fleet.starts_of(guilty_task()).len();
+        // The first two crashes are seen; from then on each start is followed by a takeover.
+        if begun > starts && begun > 2 {
+            fleet.run_for(ms(50));
+            fleet.replace_owner();
+        }
+        starts = begun;
+    }
+    assert_eq!(check_starts(&fleet), Vec::<String>::new());
+    assert_eq!(fleet.progress(guilty_job()), FAILED);
+}
+
+/// Guards against starts beyond the limit that come from orders carried out late, without an
+/// answer, or lost, and from commits that fail.
+#[test]
+fn crashing_task_is_given_up_under_lost_and_late_orders() {
+    for seed in 0..40 {
+        let mut fleet = Fleet::new(8, seed)
+            .with_work(short_work)
+            .with_crashes(crashes);
+        fleet.faults = Faults {
+            lost: 5,
+            delayed: 5,
+            unanswered: 10,
+            failed_commits: 20,
+        };
+        fleet.submit(1, graph(vec![step(2, &[])]));
+        let innocent = fleet.submit(2, graph(vec![step(4, &[])]));
+        fleet.run_for(ms(90_000));
+        assert_eq!(check_starts(&fleet), Vec::<String>::new(), "seed {seed}");
+        assert_eq!(fleet.progress(guilty_job()), FAILED, "seed {seed}");
+        assert_eq!(fleet.progress(innocent), COMPLETED, "seed {seed}");
+        assert_eq!(
+            fleet.check_invariants(),
+            Vec::<String>::new(),
+            "seed {seed}"
+        );
+    }
+}
+
+/// Guards against a service whose start crashes its worker: it is restarted whatever happens, and
+/// would bring down worker after worker.
+#[test]
+fn long_running_task_that_crashes_its_workers_is_given_up() {
+    let mut fleet = Fleet::new(8, 5)
+        .with_work(long_running_work)
+        .with_crashes(crashes);
+    let service = StepSpec {
+        long_running: true,
+        ..step(2, &[])
+    };
+    fleet.submit(1, graph(vec![service]));
+    fleet.run_for(ms(60_000));
+    assert_eq!(check_starts(&fleet), Vec::<String>::new());
+    assert_eq!(fleet.progress(guilty_job()), FAILED);
+}
+
+/// Guards against a gang that brings down the workers of all its members again and again because
+/// one of them crashes its own.
+#[test]
+fn gang_with_a_crashing_member_is_given_up() {
+    let mut fleet = Fleet::new(8, 6).with_work(short_work).with_crashes(crashes);
+    let gang = StepSpec {
+        gang: true,
+        ..step(3, &[])
+    };
+    fleet.submit(1, graph(vec![gang]));
+    fleet.run_for(ms(60_000));
+    assert_eq!(check_starts(&fleet), Vec::<String>::new());
+    assert_eq!(fleet.progress(guilty_job()), FAILED);
+}
+
+/// Guards against several crashing tasks that exculpate one another by crashing at the same time.
+#[test]
+fn several_crashing_tasks_are_given_up() {
+    let mut fleet = Fleet::new(20, 7)
+        .with_work(short_work)
+        .with_crashes(|task| (task.index == 0).then_some(CRASH_DELAY));
+    let jobs: Vec<JobKey> = (1..6)
+        .map(|number| fleet.submit(number, graph(vec![step(3, &[])])))
+        .collect();
+    fleet.run_for(ms(60_000));
+    assert_eq!(check_starts(&fleet), Vec::<String>::new());
+    for job in jobs {
+        assert_eq!(fleet.progress(job), FAILED, "{job}");
+    }
+}
+
+/// Guards against giving up innocent work whose rack is lost three times right after its start.
+#[test]
+fn task_on_lost_racks_is_not_given_up() {
+    for work in [short_work, long_work] {
+        let mut fleet = Fleet::new(16, 8).with_work(work);
+        fleet.spread_over_racks(4);
+        // Something else runs on each worker, as a lost rack shows by more than one loss.
+        fleet.submit(9, graph(vec![step(12, &[])]));
+        let job = fleet.submit(2, graph(vec![step(1, &[])]));
+        kill_hosts_in_series(&mut fleet, job, 3, true);
+        fleet.run_for(ms(60_000));
+        assert_eq!(fleet.progress(job), COMPLETED);
+    }
+}
+
+/// Guards against giving up innocent work whose workers are killed in series while it runs.
+#[test]
+fn task_whose_workers_are_killed_in_series_is_not_given_up() {
+    let mut fleet = Fleet::new(8, 9).with_work(long_work);
+    let job = fleet.submit(2, graph(vec![step(1, &[])]));
+    for _ in 0..3 {
+        while hosts(&fleet, job).is_empty() {
+            fleet.run_for(ms(10));
+        }
+        fleet.run_for(ms(5000));
+        for worker in hosts(&fleet, job) {
+            fleet.kill_worker(worker);
+        }
+    }
+    fleet.run_for(ms(60_000));
+    assert_eq!(fleet.progress(job), COMPLETED);
+}
+
+/// Guards against giving up a service because many of its workers were lost over its long life.
+#[test]
+fn long_running_task_outlives_any_number_of_crashes() {
+    let mut fleet = Fleet::new(8, 10).with_work(long_running_work);
+    let service = StepSpec {
+        long_running: true,
+        ..step(1, &[])
+    };
+    let job = fleet.submit(2, graph(vec![service]));
+    for _ in 0..10 {
+        while hosts(&fleet, job).is_empty() {
+            fleet.run_for(ms(10));
+        }
+        fleet.run_for(ms(5000));
+        for worker in hosts(&fleet, job) {
+            fleet.kill_worker(worker);
+        }
+    }
+    fleet.run_for(ms(10_000));
+    assert_eq!(fleet.progress(job), Some(JobProgress::Running));
+}
+
+/// Guards against counting workers that are merely unreachable as crashed, and the task as the
+/// cause.
+#[test]
+fn task_on_unreachable_workers_is_not_given_up() {
+    let mut fleet = Fleet::new(8, 11).with_work(long_work);
+    let job = fleet.submit(2, graph(vec![step(1, &[])]));
+    for _ in 0..5 {
+        while hosts(&fleet, job).is_empty() {
+            fleet.run_for(ms(10));
+        }
+        fleet.run_for(ms(100));
+        for worker in hosts(&fleet, job) {
+            fleet.unreachable_until[worker] = fleet.now + ms(8000);
+        }
+        fleet.run_for(ms(8000));
+    }
+    assert_eq!(fleet.recorded_crashes(first_task(job)), 0);
+    fleet.run_for(ms(60_000));
+    assert_eq!(fleet.progress(job), COMPLETED);
+    assert_eq!(fleet.check_invariants(), Vec::<String>::new());
+}
+
+/// Guards against giving up work that runs on a worker when it leaves as announced.
+#[test]
+fn task_on_leaving_workers_is_not_given_up() {
+    let mut fleet = Fleet::new(8, 12).with_work(long_work);
+    let job = fleet.submit(2, graph(vec![step(1, &[])]));
+    for _ in 0..5 {
+        while hosts(&fleet, job).is_empty() {
+            fleet.run_for(ms(10));
+        }
+        fleet.run_for(ms(100));
+        for worker in hosts(&fleet, job) {
+            let mut leaving = fleet.workers[worker].record().clone();
+            leaving.draining = true;
+            fleet.owner().dispatcher.upsert_worker(leaving, None);
+            fleet.kill_worker(worker);
+        }
+    }
+    fleet.run_for(ms(60_000));
+    assert_eq!(fleet.progress(job), COMPLETED);
+}
--- a/crates/fleet/src/caller_request.rs
+++ b/crates/fleet/src/caller_request.rs
@@ -52,4 +52,6 @@
     Refused(Duration),
     /// It is unknown whether the request took effect.
     Unknown,
+    /// The job has ended as failed, for this reason. Daemons of earlier versions can't decode this answer.
+    Failed(String),
 }
--- a/crates/fleet/src/fleet_log.rs
+++ b/crates/fleet/src/fleet_log.rs
@@ -57,6 +57,8 @@
     End,
     /// A run was lost together with its worker.
     Loss,
+    /// It was found out whether a worker has crashed under a task.
+    Crash,
     /// A job ended.
     Job,
     /// The owner, or the set of members, changed.
--- a/crates/fleet/src/job_api.rs
+++ b/crates/fleet/src/job_api.rs
@@ -7,11 +7,11 @@
 };
 
 use jasminebend_dispatch::{
+    Dispatcher,
     JobGraph,
     JobKey,
     JobOutcome,
-    JobProgress,
-    ProgressRecord, //
+    JobProgress, //
 };
 use serde::Serialize;
 
@@ -29,6 +29,7 @@
     admission_check::check_admission,
     fleet_log::whole_millis,
     peer_client::PeerCallError,
+    progress_codec::decode_progress,
     shared_state::{
         CANCELLATION_SUFFIX,
         SHARD_PART,
@@ -142,7 +143,7 @@
         metrics::counter!("jasminebend_fleet_requests_total", "verb" => verb, "answer" => answer_label(&answer))
             .increment(1);
         // Reads are not logged: they are no decisions.
-        if !matches!(answer, CallerAnswer::Progress(_) | CallerAnswer::Waiting(_)) {
+        if !is_read(&answer) {
             self.shared.log.line(
                 LogEvent::Request,
                 RequestLine {
@@ -342,22 +343,22 @@
         forwarding: Forwarding,
     ) -> CallerAnswer {
         let term = self.shared.loaded_term();
-        let known = term.and_then(|term| term.dispatcher.borrow().progress(key));
-        if let Some(progress) = known {
-            return CallerAnswer::Progress(progress);
+        let known = term.and_then(|term| read_progress(&term.dispatcher.borrow(), key));
+        if let Some(answer) = known {
+            return answer;
         }
         if let Some(answer) = self.read_from_peers(&request, forwarding).await {
             return answer;
         }
         match self.read_from_store(key).await {
-            Ok(Some(progress)) => CallerAnswer::Progress(progress),
+            Ok(Some(answer)) => answer,
             Ok(None) => CallerAnswer::NoJob,
             Err(_) => CallerAnswer::Refused(RETRY_WITHOUT_STORE),
         }
     }
 
     /// Reads a job's progress from the store alone.
-    async fn read_from_store(&self, key: JobKey) -> Result<Option<JobProgress>, StoreError> {
+    async fn read_from_store(&self, key: JobKey) -> Result<Option<CallerAnswer>, StoreError> {
         let rows = self.read_job_rows(key).await?;
         if !rows.complete {
             return Err(StoreError::Refused);
@@ -373,14 +374,18 @@
             .await?;
         let record = progress_rows
             .first()
-            .and_then(|row| postcard::from_bytes::<ProgressRecord>(&row.value).ok());
+            .and_then(|row| decode_progress(&row.value).ok());
+        let failure = record.as_ref().and_then(|record| record.failure.as_ref());
+        if let Some(failure) = failure {
+            return Ok(Some(CallerAnswer::Failed(failure.to_string())));
+        }
         let outcome = record.as_ref().and_then(|record| record.outcome);
-        Ok(Some(match outcome {
+        Ok(Some(CallerAnswer::Progress(match outcome {
             Some(outcome) => JobProgress::Ended(outcome),
             None if rows.contains_cancellation(key) => JobProgress::Ended(JobOutcome::Cancelled),
             None if record.is_some() => JobProgress::Running,
             None => JobProgress::Queued,
-        }))
+        })))
     }
 
     async fn count_waiting(
@@ -473,10 +478,26 @@
     }
 }
 
+/// Returns the owner's answer to a read of a job; `None` if the job is unknown.
+fn read_progress(dispatcher: &Dispatcher, key: JobKey) -> Option<CallerAnswer> {
+    let progress = dispatcher.progress(key)?;
+    Some(match dispatcher.failure(key) {
+        Some(failure) => CallerAnswer::Failed(failure.to_string()),
+        None => CallerAnswer::Progress(progress),
+    })
+}
+
+fn is_read(answer: &CallerAnswer) -> bool {
+    matches!(
+        answer,
+        CallerAnswer::Progress(_) | CallerAnswer::Failed(_) | CallerAnswer::Waiting(_)
+    )
+}
+
 fn answer_label(answer: &CallerAnswer) -> &'static str {
     match answer {
         CallerAnswer::Done => "done",
-        CallerAnswer::Progress(_) | CallerAnswer::Waiting(_) => "told",
+        CallerAnswer::Progress(_) | CallerAnswer::Failed(_) | CallerAnswer::Waiting(_) => "told",
         CallerAnswer::NoJob | CallerAnswer::NoQueue => "not_there",
         CallerAnswer::Malformed(_) => "malformed",
         CallerAnswer::Refused(_) => "refused",
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -32,6 +32,7 @@
 mod peer_message;
 mod peer_order;
 mod pool_usage_log;
+mod progress_codec;
 mod progress_commits;
 mod registry_watch;
 mod shared_state;
@@ -101,6 +102,10 @@
         PeerRequest, //
     },
     peer_order::PeerOrder,
+    progress_codec::{
+        decode_progress,
+        encode_progress, //
+    },
     store_health::StoreHealth,
     store_row::{
         RowCommit,
--- a/crates/fleet/src/order_planning.rs
+++ b/crates/fleet/src/order_planning.rs
@@ -7,6 +7,8 @@
 
 use jasminebend_dispatch::{
     AdviceRequest,
+    CrashFinding,
+    CrashVerdict,
     FillerEviction,
     OrderOutcome,
     OrderRefusal,
@@ -107,6 +109,23 @@
     owner_token: u64,
 }
 
+/// What was found out about the crash of a worker under a task. `at` is when contact was lost, in seconds since 1970;
+/// `crashes` the number of crashes that are on record for the task.
+#[derive(Serialize)]
+struct CrashLine<'a> {
+    task: String,
+    run: u64,
+    worker: &'a str,
+    at: f64,
+    verdict: &'static str,
+    early: bool,
+    alone: bool,
+    widespread: bool,
+    crashes: usize,
+    gives_up: bool,
+    owner_token: u64,
+}
+
 /// Makes a plan after each event and at regular intervals, and sends its orders, until the term is over.
 pub(crate) async fn plan_orders(shared: Rc<SharedState>, term: Rc<OwnerTerm>) {
     let mut planned = shared.now();
@@ -140,6 +159,9 @@
         for loss in &outcome.losses {
             log_loss(&shared, &term, loss, now);
         }
+        for finding in &outcome.crashes {
+            log_crash(&shared, &term, finding);
+        }
         for wait in &outcome.waits {
             log_wait(&shared, &term, wait, now);
         }
@@ -348,6 +370,34 @@
     );
 }
 
+fn log_crash(shared: &SharedState, term: &OwnerTerm, finding: &CrashFinding) {
+    let verdict = match finding.verdict {
+        CrashVerdict::Confirmed => "confirmed",
+        CrashVerdict::Dismissed => "dismissed",
+    };
+    metrics::counter!("jasminebend_fleet_crashes_total", "verdict" => verdict).increment(1);
+    if finding.gives_up {
+        metrics::counter!("jasminebend_fleet_jobs_given_up_total").increment(1);
+    }
+    let crash = &finding.crash;
+    shared.log.line(
+        LogEvent::Crash,
+        CrashLine {
+            task: finding.task.to_string(),
+            run: crash.run.value(),
+            worker: &crash.worker,
+            at: crash.at.as_secs_f64(),
+            verdict,
+            early: crash.early,
+            alone: crash.alone,
+            widespread: crash.widespread,
+            crashes: finding.recorded_crashes,
+            gives_up: finding.gives_up,
+            owner_token: term.token(),
+        },
+    );
+}
+
 fn log_wait(shared: &SharedState, term: &OwnerTerm, wait: &StepWait, now: Duration) {
     let rejections = wait.rejections;
     let age = term.dispatcher.borrow().job_age(wait.step.job, now);
--- a/crates/fleet/src/ownership_takeover.rs
+++ b/crates/fleet/src/ownership_takeover.rs
@@ -6,11 +6,7 @@
     time::Duration, //
 };
 
-use jasminebend_dispatch::{
-    Dispatcher,
-    JobKey,
-    ProgressRecord, //
-};
+use jasminebend_dispatch::{Dispatcher, JobKey};
 use serde::Serialize;
 use tokio::task::JoinSet;
 
@@ -37,6 +33,7 @@
     owner_announcement::announce_owner,
     owner_term::OwnerTerm,
     pool_usage_log::report_pool_usage,
+    progress_codec::decode_progress,
     progress_commits::commit_progress,
     registry_watch::watch_registry,
     shared_state::{
@@ -199,7 +196,7 @@
     let mut dispatcher = term.dispatcher.borrow_mut();
     let mut versions = term.progress_versions.borrow_mut();
     for row in &progress {
-        let record = postcard::from_bytes::<ProgressRecord>(&row.value);
+        let record = decode_progress(&row.value);
         if let (Ok(key), Ok(record)) = (row.key.parse::<JobKey>(), record) {
             versions.insert(key, row.version);
             dispatcher.restore_job(key, &record);
--- a/crates/fleet/src/progress_commits.rs
+++ b/crates/fleet/src/progress_commits.rs
@@ -22,6 +22,7 @@
     member_watch::apply_owner_row,
     order_planning::progress_row,
     owner_term::OwnerTerm,
+    progress_codec::encode_progress,
     shared_state::SharedState, //
 };
 
@@ -37,6 +38,7 @@
 struct JobOutcomeLine {
     job: String,
     outcome: String,
+    reason: Option<String>,
     owner_token: u64,
     store_version: u64,
     age_ms: Option<u64>,
@@ -80,7 +82,7 @@
         writes: Vec::with_capacity(records.len()),
     };
     for (key, record) in records {
-        let Ok(value) = postcard::to_stdvec(record) else {
+        let Ok(value) = encode_progress(record) else {
             continue;
         };
         let row = progress_row(*key, value);
@@ -115,6 +117,7 @@
             JobOutcomeLine {
                 job: key.to_string(),
                 outcome: outcome.to_string(),
+                reason: record.failure.as_ref().map(ToString::to_string),
                 owner_token: term.token(),
                 store_version: version,
                 age_ms: age.map(whole_millis),
--- a/crates/standins/src/simulated_worker.rs
+++ b/crates/standins/src/simulated_worker.rs
@@ -21,6 +21,7 @@
     RunResult,
     RunningTask,
     StartOrder,
+    StepKey,
     TaskKey, //
 };
 
@@ -152,12 +153,27 @@
 
     /// Crashes the worker at `now`: its runs end without a completion.
     pub fn crash(&mut self, now: Duration) {
-        let tasks: Vec<TaskKey> = self.runs.keys().map(|&(task, _)| task).collect();
+        let tasks = self.running_tasks();
         self.restart(now);
         self.down = true;
         self.events.push((now, WorkerEvent::Crashed(tasks)));
     }
 
+    /// Ends the runs of a gang's members at `now` because another member has ended.
+    pub fn break_gang(&mut self, now: Duration, step: StepKey) {
+        let members: Vec<(TaskKey, RunNumber)> = self.runs.keys().copied().collect();
+        for (task, run) in members {
+            if task.step == step {
+                self.end(now, task, run, RunResult::Broken);
+            }
+        }
+    }
+
+    /// Returns the tasks of the runs in progress.
+    pub fn running_tasks(&self) -> Vec<TaskKey> {
+        self.runs.keys().map(|&(task, _)| task).collect()
+    }
+
     /// Returns the number of runs in progress.
     pub fn run_count(&self) -> usize {
         self.runs.len()
