Tell operators which workers crashed under a job, and test what callers are told

jbctl explain names each worker that crashed under a job's tasks, when, and how many are on record, and why the job was given up. Tests: the reason reaches a caller from the owner and, after the owner's death, from a successor; crashes and reasons survive the store; rows without them are the same bytes as in earlier versions, and earlier versions read the others.

--- a/crates/fleet/tests/daemons/main.rs
+++ b/crates/fleet/tests/daemons/main.rs
@@ -2,6 +2,7 @@
 //! completion of their last task.
 
 mod admission;
+mod crashing_tasks;
 mod jobs;
 mod members;
 mod memory_store;
--- a/crates/fleet/tests/daemons/test_fleet.rs
+++ b/crates/fleet/tests/daemons/test_fleet.rs
@@ -75,6 +75,7 @@
     SystemClock, //
 };
 use jasminebend_standins::{
+    CrashRule,
     PortBlock,
     SimulatedWorker,
     TaskWork, //
@@ -119,6 +120,8 @@
     connection_losses: Cell<u32>,
     /// The workers that no daemon can reach.
     partitioned: RefCell<BTreeSet<String>>,
+    /// When each worker that has crashed restarts.
+    restarts: RefCell<BTreeMap<String, Duration>>,
 }
 
 impl MemoryWorkers {
@@ -132,9 +135,31 @@
         address: &WorkerAddress,
         act: impl FnOnce(&mut SimulatedWorker, Duration) -> Answer,
     ) -> Option<Answer> {
-        match self.partitioned.borrow().contains(address.id.as_ref()) {
+        let id = address.id.as_ref();
+        match self.partitioned.borrow().contains(id) || self.is_down(id) {
             true => None,
-            false => self.with_worker(address.id.as_ref(), act),
+            false => self.with_worker(id, act),
+        }
+    }
+
+    /// Returns whether a worker is down after a crash; restarts it once it was down for long enough.
+    fn is_down(&self, id: &str) -> bool {
+        let is_down = self.with_worker(id, |worker, now| {
+            worker.advance_to(now);
+            let mut restarts = self.restarts.borrow_mut();
+            if worker.is_down() && now >= *restarts.entry(id.to_owned()).or_insert(now + DOWNTIME) {
+                restarts.remove(id);
+                worker.restart(now);
+            }
+            worker.is_down()
+        });
+        is_down == Some(true)
+    }
+
+    /// Lets some tasks crash the workers that execute them.
+    pub(crate) fn set_crash_rule(&self, rule: CrashRule) {
+        for worker in self.workers.borrow_mut().values_mut() {
+            worker.set_crash_rule(rule);
         }
     }
 
@@ -213,6 +238,8 @@
     }
 }
 
+/// How long a worker is down after a crash.
+const DOWNTIME: Duration = Duration::from_secs(2);
 const PROBE_TIMEOUT: Duration = Duration::from_secs(5);
 /// The network latency of a lease renewal.
 const RENEWAL_LATENCY: Duration = Duration::from_millis(20);
@@ -362,6 +389,7 @@
                 delays_answers: Cell::new(false),
                 connection_losses: Cell::new(0),
                 partitioned: RefCell::default(),
+                restarts: RefCell::default(),
             }),
             clock,
             count: Cell::new(0),
--- /dev/null
+++ b/crates/fleet/tests/progress_codec.rs
@@ -0,0 +1,88 @@
+//! Progress rows that daemons of this version and of earlier ones write and read.
+
+use std::time::Duration;
+
+use jasminebend_dispatch::{
+    JobFailure,
+    JobOutcome,
+    ProgressRecord,
+    RunNumber,
+    StepProgress,
+    TaskCrashes,
+    WorkerCrash, //
+};
+use jasminebend_fleet::{
+    decode_progress,
+    encode_progress, //
+};
+
+fn crash() -> WorkerCrash {
+    WorkerCrash {
+        run: RunNumber::new(1_000_000_001),
+        worker: "i-1".into(),
+        at: Duration::from_millis(1_700_000_000_250),
+        early: true,
+        alone: false,
+        widespread: false,
+    }
+}
+
+fn record_with_crashes() -> ProgressRecord {
+    ProgressRecord {
+        steps: vec![StepProgress {
+            done: vec![0, 2],
+            ..StepProgress::default()
+        }],
+        crashes: vec![TaskCrashes {
+            occurrence: 0,
+            step: 0,
+            index: 1,
+            crashes: vec![crash()],
+            start_announced: true,
+        }],
+        ..ProgressRecord::default()
+    }
+}
+
+/// Guards against crashes, or the reason of a failure, that are lost on their way to a successor.
+#[test]
+fn crashes_and_failures_survive_the_store() {
+    let failed = ProgressRecord {
+        outcome: Some(JobOutcome::Failed),
+        failure: Some(JobFailure::Crashes {
+            task: "5c0e7a21d94b36f8.0.0.1".to_owned(),
+            crashes: vec![crash()],
+        }),
+        ..ProgressRecord::default()
+    };
+    for record in [record_with_crashes(), failed, ProgressRecord::default()] {
+        let value = encode_progress(&record).expect("a record can be encoded");
+        assert_eq!(decode_progress(&value), Ok(record));
+    }
+}
+
+/// Guards against tasks that run again during an upgrade because a daemon of an earlier version can't read what is
+/// done in a row with crashes.
+#[test]
+fn earlier_versions_read_rows_with_crashes() {
+    let record = record_with_crashes();
+    let value = encode_progress(&record).expect("a record can be encoded");
+    let read = postcard::from_bytes::<ProgressRecord>(&value);
+    let expected = ProgressRecord {
+        crashes: Vec::new(),
+        ..record
+    };
+    assert_eq!(read, Ok(expected));
+}
+
+/// Guards against rows of earlier versions that can't be read, and against other bytes in rows without crashes.
+#[test]
+fn rows_without_crashes_are_as_in_earlier_versions() {
+    let record = ProgressRecord {
+        crashes: Vec::new(),
+        ..record_with_crashes()
+    };
+    let value = postcard::to_stdvec(&record).expect("a record can be encoded");
+    assert_eq!(encode_progress(&record).as_ref(), Ok(&value));
+    assert_eq!(decode_progress(&value), Ok(record));
+}
--- a/crates/jbctl/src/job_timeline.rs
+++ b/crates/jbctl/src/job_timeline.rs
@@ -23,7 +23,7 @@
 }
 
 /// A cause of a job's failure, refusal or delay, found in its log lines.
-#[derive(Clone, Debug, Display, Eq, PartialEq)]
+#[derive(Clone, Debug, Display, PartialEq)]
 pub enum DiagnosedCause {
     /// A request was refused because the daemon could not reach the store.
     #[display(
@@ -82,6 +82,26 @@
         /// The time after which the caller should retry, in milliseconds.
         retry_after_ms: u64,
     },
+    /// A worker crashed under a task of the job.
+    #[display(
+        "worker {worker} crashed at {at:.3} while it executed task {task}; crashes on record for the task: {crashes}"
+    )]
+    WorkerCrashed {
+        /// The worker's identity.
+        worker: String,
+        /// When contact with it was lost, in seconds since the Unix epoch.
+        at: f64,
+        /// The task's key.
+        task: String,
+        /// The number of crashes under the task so far.
+        crashes: u64,
+    },
+    /// The job was given up because workers crashed under one of its tasks.
+    #[display("given up: {reason}")]
+    GivenUp {
+        /// The reason as logged and as callers are told it.
+        reason: String,
+    },
     /// The job ended as failed.
     #[display("ended as failed: {runs} runs failed on {workers} workers")]
     Failed {
@@ -134,7 +154,8 @@
                 "request" => self.request_cause(line),
                 "wait" => Some(wait_cause(line)),
                 "admission" if !line.is_true("granted") => Some(admission_cause(line)),
-                "job" if line.str_field("outcome") == "failed" => Some(self.failure_cause()),
+                "crash" if line.str_field("verdict") == "confirmed" => Some(crash_cause(line)),
+                "job" if line.str_field("outcome") == "failed" => Some(self.failure_cause(line)),
                 _ => None,
             };
             causes.extend(cause);
@@ -180,8 +201,14 @@
             .then_some(DiagnosedCause::WithoutStore { node, without_ms })
     }
 
-    /// Counts the job's failed runs and their workers.
-    fn failure_cause(&self) -> DiagnosedCause {
+    /// Returns the reason for which the job was given up, or counts its failed runs and their workers.
+    fn failure_cause(&self, line: &LogLine) -> DiagnosedCause {
+        let is_given_up = |line: &LogLine| line.is_true("gives_up");
+        if self.lines.iter().any(is_given_up) {
+            return DiagnosedCause::GivenUp {
+                reason: line.str_field("reason").to_owned(),
+            };
+        }
         let failed_on_workers: Vec<&str> = self
             .lines
             .iter()
@@ -242,6 +269,16 @@
     }
 }
 
+/// Returns the cause in a `crash` line.
+fn crash_cause(line: &LogLine) -> DiagnosedCause {
+    DiagnosedCause::WorkerCrashed {
+        worker: line.str_field("worker").to_owned(),
+        at: line.f64_field("at"),
+        task: line.str_field("task").to_owned(),
+        crashes: line.u64_field("crashes"),
+    }
+}
+
 /// Returns the cause in an `admission` line that refused the job.
 fn admission_cause(line: &LogLine) -> DiagnosedCause {
     DiagnosedCause::WithoutFreeCapacity {
--- a/crates/jbctl/tests/job_timelines.rs
+++ b/crates/jbctl/tests/job_timelines.rs
@@ -94,3 +94,24 @@
         }]
     );
 }
+
+/// Guards against operators who can't tell which workers crashed under a job that was given up, and when.
+#[test]
+fn a_job_that_was_given_up_names_the_crashed_workers_and_times() {
+    let timeline = timeline(&[
+        r#"{"ts":5.2,"node":"edge-a","event":"loss","task":"5c0e7a21d94b36f8.0.0.0","run":1000000001,"worker":"i-1","cause":"lapsed","placed_ms_ago":5150,"ran_ms":null,"unreachable_ms":5100,"refused":true,"listed":false,"others":3,"owner_token":1}"#,
+        r#"{"ts":5.2,"node":"edge-a","event":"crash","task":"5c0e7a21d94b36f8.0.0.0","run":1000000001,"worker":"i-1","at":1.25,"verdict":"confirmed","early":true,"alone":false,"widespread":false,"crashes":1,"gives_up":false,"owner_token":1}"#,
+        r#"{"ts":10.5,"node":"edge-a","event":"crash","task":"5c0e7a21d94b36f8.0.0.1","run":1000000002,"worker":"i-2","at":6.5,"verdict":"dismissed","early":true,"alone":false,"widespread":false,"crashes":0,"gives_up":false,"owner_token":1}"#,
+        r#"{"ts":15.6,"node":"edge-a","event":"crash","task":"5c0e7a21d94b36f8.0.0.0","run":1000000003,"worker":"i-3","at":11.75,"verdict":"confirmed","early":true,"alone":true,"widespread":false,"crashes":3,"gives_up":true,"owner_token":1}"#,
+        r#"{"ts":15.7,"node":"edge-a","event":"job","job":"5c0e7a21d94b36f8","outcome":"failed","reason":"task 5c0e7a21d94b36f8.0.0.0 was given up: 3 workers crashed while they executed it","owner_token":1,"store_version":88,"age_ms":15000}"#,
+    ]);
+    let causes: Vec<String> = timeline.causes().iter().map(ToString::to_string).collect();
+    assert_eq!(
+        causes,
+        [
+            "worker i-1 crashed at 1.250 while it executed task 5c0e7a21d94b36f8.0.0.0; crashes on record for the task: 1",
+            "worker i-3 crashed at 11.750 while it executed task 5c0e7a21d94b36f8.0.0.0; crashes on record for the task: 3",
+            "given up: task 5c0e7a21d94b36f8.0.0.0 was given up: 3 workers crashed while they executed it",
+        ]
+    );
+}
