Convict no task of a crash by a start that may never have reached its worker

A start without an answer that no report has listed may never have begun. Such a loss still counts towards the limit, since a lost answer must not spare a guilty task, but no longer as one in which the task was alone.

--- a/crates/dispatch/src/dispatcher_crashes.rs
+++ b/crates/dispatch/src/dispatcher_crashes.rs
@@ -215,7 +215,7 @@
             worker: Arc::clone(&worker.record.id),
             at: self.clock_origin + lost_at,
             early: state.is_early(),
-            alone: worker.began_alone(task, run),
+            alone: state.has_begun && worker.began_alone(task, run),
             widespread,
         };
         let spec = self.step_spec(task.step);
--- a/crates/dispatch/src/dispatcher_runs.rs
+++ b/crates/dispatch/src/dispatcher_runs.rs
@@ -76,6 +76,7 @@
             return;
         };
         state.last_listed_at = Some(now);
+        state.has_begun = true;
         state.is_orphaned = false;
         if matches!(state.phase, RunPhase::Sent) {
             state.phase = RunPhase::Running(now);
--- a/crates/dispatch/src/dispatcher_workers.rs
+++ b/crates/dispatch/src/dispatcher_workers.rs
@@ -268,6 +268,7 @@
                     && state.phase == RunPhase::Sent
                 {
                     state.phase = RunPhase::Running(now);
+                    state.has_begun = true;
                 }
             }
             OrderOutcome::Unknown => {
--- a/crates/dispatch/src/run_state.rs
+++ b/crates/dispatch/src/run_state.rs
@@ -48,6 +48,8 @@
     pub(crate) placed_at: Duration,
     /// When the worker last listed the run; `None` if it has not yet.
     pub(crate) last_listed_at: Option<Duration>,
+    /// Whether the worker has certainly begun to execute the run.
+    pub(crate) has_begun: bool,
     /// Whether a former owner started the run, so that its age is unknown.
     pub(crate) is_adopted: bool,
     /// Whether crashes are on record for the task, which the run may refute.
@@ -84,6 +86,7 @@
             target: spec.tail_target,
             placed_at: now,
             last_listed_at: None,
+            has_begun: false,
             is_adopted: false,
             may_clear_crashes: false,
             is_orphaned: false,
--- a/crates/dispatch/src/worker_crash.rs
+++ b/crates/dispatch/src/worker_crash.rs
@@ -24,7 +24,7 @@
     /// Whether the run was lost before the worker had listed it for long enough to rule out that it
     /// crashes its worker when it starts.
     pub early: bool,
-    /// Whether no other run began on the worker at about the same time.
+    /// Whether the run had certainly begun, and no other run on the worker at about the same time.
     pub alone: bool,
     /// Whether other workers were lost at the same time, without a task that explains it.
     pub widespread: bool,
