--- a/crates/dispatch/src/dispatcher_crashes.rs
+++ b/crates/dispatch/src/dispatcher_crashes.rs
@@ -270,17 +270,16 @@
     /// Returns whether other workers were lost at about the same time as this one, without a
     /// suspected task that explains it.
     fn is_widespread_loss(&self, key: WorkerKey, lost_at: Duration) -> bool {
-        let others = self.workers.iter().enumerate();
-        let mut others = others.filter(|(index, _)| *index != key.index());
+        let is_near = |at: &Duration| at.abs_diff(lost_at) <= WIDESPREAD_WINDOW;
+        let mut others =
+            (self.workers.iter().enumerate()).filter(|(index, _)| *index != key.index());
         others.any(|(_, worker)| {
-            let (at, explained) = match worker.crashed_at {
-                Some(at) => (at, worker.crashed_with_suspect),
-                None => match worker.contact_lost_at {
-                    Some(at) => (at, self.hosts_suspect(worker)),
-                    None => return false,
-                },
-            };
-            at.abs_diff(lost_at) <= WIDESPREAD_WINDOW && !explained
+            let crashed_at = worker.crashed_at.filter(is_near);
+            let silent_since = worker.contact_lost_at.filter(is_near);
+            crashed_at.is_some() && !worker.crashed_with_suspect
+                || silent_since.is_some()
+                    && silent_since != worker.crashed_at
+                    && !self.hosts_suspect(worker)
         })
     }
 
--- a/crates/dispatch/src/dispatcher_plan.rs
+++ b/crates/dispatch/src/dispatcher_plan.rs
@@ -296,8 +296,9 @@
                 && crashes.needs_isolation(now)
             {
                 crashes.wait_for_isolation(now);
-                if !spec.gang {
-                    continue;
+                match spec.gang {
+                    true => break,
+                    false => continue,
                 }
             }
             let Some(worker) = found else {
