Test isolation and announcement of suspected tasks, and bound the tests' waits

Three checks are added: nothing is lost beside a suspected task that had begun within a second of the crash; a suspected task starts only after its announcement, while 95% of the commits fail; of several tasks that crash at the same time each is started three times, not four. A test that waits for something that never comes fails after 60 s of simulated time instead of running on.

--- a/crates/dispatch/tests/common/fleet.rs
+++ b/crates/dispatch/tests/common/fleet.rs
@@ -426,6 +426,33 @@
         of_task.map(|stored| stored.crashes.len()).sum()
     }
 
+    /// Returns whether the record of a task says that it is about to start or has started.
+    pub(crate) fn is_start_announced(&self, task: TaskKey) -> bool {
+        let record = self.records.get(&task.job());
+        let mut tasks = record.iter().flat_map(|record| &record.crashes);
+        tasks.any(|stored| stored.index == task.index && stored.start_announced)
+    }
+
+    /// Returns the tasks of which a run had begun less than a second before it was lost beside a
+    /// task that crashed its worker, leaving out the task's first crashes.
+    pub(crate) fn runs_lost_beside(&self, task: TaskKey, first_crashes: usize) -> Vec<TaskKey> {
+        let events = self.workers.iter().flat_map(|worker| worker.events());
+        let crashes = events.filter_map(|(at, event)| match event {
+            WorkerEvent::Crashed(tasks) if tasks.contains(&task) => Some((*at, tasks)),
+            _ => None,
+        });
+        let mut crashes: Vec<(Duration, &Vec<TaskKey>)> = crashes.collect();
+        crashes.sort_unstable();
+        let later = crashes.into_iter().skip(first_crashes);
+        let lost = later.flat_map(|(at, tasks)| tasks.iter().map(move |task| (at, *task)));
+        lost.filter(|(at, lost)| {
+            let started_at = self.starts_of(*lost).into_iter().rfind(|start| start <= at);
+            *lost != task && started_at.is_some_and(|start| *at < start + ms(1000))
+        })
+        .map(|(_, lost)| lost)
+        .collect()
+    }
+
     /// Returns how many workers crashed while they executed a task, before `until`.
     pub(crate) fn crash_count(&self, task: TaskKey, until: Duration) -> usize {
         let events = self.workers.iter().flat_map(|worker| worker.events());
--- a/crates/dispatch/tests/crashing_tasks.rs
+++ b/crates/dispatch/tests/crashing_tasks.rs
@@ -144,13 +144,25 @@
     hosts.collect()
 }
 
+/// Runs the fleet until a condition holds.
+fn run_until(fleet: &mut Fleet, condition: impl Fn(&Fleet) -> bool) {
+    let limit = fleet.now + Duration::from_secs(60);
+    while !condition(fleet) {
+        assert!(fleet.now < limit, "the condition never holds");
+        fleet.run_for(ms(10));
+    }
+}
+
+/// Runs the fleet until a worker executes a task of a job.
+fn run_until_hosted(fleet: &mut Fleet, job: JobKey) {
+    run_until(fleet, |fleet| !hosts(fleet, job).is_empty());
+}
+
 /// Kills the workers under a job as soon as it runs, `count` times in series; with their racks if
 /// `by_rack`.
 fn kill_hosts_in_series(fleet: &mut Fleet, job: JobKey, count: usize, by_rack: bool) {
     for _ in 0..count {
-        while hosts(fleet, job).is_empty() {
-            fleet.run_for(ms(10));
-        }
+        run_until_hosted(fleet, job);
         fleet.run_for(ms(300));
         let mut killed = hosts(fleet, job);
         if by_rack {
@@ -178,9 +190,9 @@
         let mut fleet = Fleet::new(8, 3).with_work(short_work).with_crashes(crashes);
         fleet.crash_mode = mode;
         fleet.submit(1, graph(vec![step(1, &[])]));
-        while fleet.recorded_crashes(guilty_task()) < 2 {
-            fleet.run_for(ms(10));
-        }
+        run_until(&mut fleet, |fleet| {
+            fleet.recorded_crashes(guilty_task()) >= 2
+        });
         fleet.replace_owner();
         fleet.run_for(ms(60_000));
         assert_eq!(
@@ -218,6 +230,44 @@
     }
 }
 
+/// Guards against a start of a suspected task that no successor learns of, because it was sent before
+/// it was on record.
+#[test]
+fn suspected_task_starts_only_after_its_announcement() {
+    for seed in 0..10 {
+        let mut fleet = Fleet::new(8, seed)
+            .with_work(short_work)
+            .with_crashes(crashes);
+        fleet.submit(1, graph(vec![step(1, &[])]));
+        run_until(&mut fleet, |fleet| {
+            fleet.recorded_crashes(guilty_task()) >= 2
+        });
+        fleet.faults.failed_commits = 95;
+        let before = fleet.starts_of(guilty_task()).len();
+        run_until(&mut fleet, |fleet| {
+            fleet.starts_of(guilty_task()).len() > before
+        });
+        assert!(fleet.is_start_announced(guilty_task()), "seed {seed}");
+    }
+}
+
+/// Guards against innocent runs that are lost, and suspected, beside a task that is known to crash
+/// its workers.
+#[test]
+fn nothing_starts_beside_a_suspected_task() {
+    let mut fleet = Fleet::new(6, 14)
+        .with_work(short_work)
+        .with_crashes(crashes);
+    fleet.submit(1, graph(vec![step(1, &[])]));
+    for number in 2..400 {
+        fleet.submit(number, graph(vec![step(1, &[])]));
+        fleet.run_for(ms(60));
+    }
+    assert_eq!(fleet.progress(guilty_job()), FAILED);
+    let lost_beside = fleet.runs_lost_beside(guilty_task(), 2);
+    assert_eq!(lost_beside, Vec::<TaskKey>::new());
+}
+
 /// Guards against starts beyond the limit that come from orders carried out late, without an
 /// answer, or lost, and from commits that fail.
 #[test]
@@ -295,6 +345,7 @@
     assert_eq!(check_starts(&fleet, guilty_task()), Vec::<String>::new());
     for job in jobs {
         assert_eq!(fleet.progress(job), FAILED, "{job}");
+        assert_eq!(fleet.starts_of(first_task(job)).len(), 3, "{job}");
     }
 }
 
@@ -319,9 +370,7 @@
     let mut fleet = Fleet::new(8, 9).with_work(long_work);
     let job = fleet.submit(2, graph(vec![step(1, &[])]));
     for _ in 0..6 {
-        while hosts(&fleet, job).is_empty() {
-            fleet.run_for(ms(10));
-        }
+        run_until_hosted(&mut fleet, job);
         fleet.run_for(ms(5000));
         for worker in hosts(&fleet, job) {
             fleet.kill_worker(worker);
@@ -341,9 +390,7 @@
     };
     let job = fleet.submit(2, graph(vec![service]));
     for _ in 0..10 {
-        while hosts(&fleet, job).is_empty() {
-            fleet.run_for(ms(10));
-        }
+        run_until_hosted(&mut fleet, job);
         fleet.run_for(ms(5000));
         for worker in hosts(&fleet, job) {
             fleet.kill_worker(worker);
@@ -360,9 +407,7 @@
     let mut fleet = Fleet::new(8, 11).with_work(long_work);
     let job = fleet.submit(2, graph(vec![step(1, &[])]));
     for _ in 0..5 {
-        while hosts(&fleet, job).is_empty() {
-            fleet.run_for(ms(10));
-        }
+        run_until_hosted(&mut fleet, job);
         fleet.run_for(ms(100));
         for worker in hosts(&fleet, job) {
             fleet.unreachable_until[worker] = fleet.now + ms(8000);
@@ -381,9 +426,7 @@
     let mut fleet = Fleet::new(8, 12).with_work(long_work);
     let job = fleet.submit(2, graph(vec![step(1, &[])]));
     for _ in 0..5 {
-        while hosts(&fleet, job).is_empty() {
-            fleet.run_for(ms(10));
-        }
+        run_until_hosted(&mut fleet, job);
         fleet.run_for(ms(100));
         for worker in hosts(&fleet, job) {
             let mut leaving = fleet.workers[worker].record().clone();
