Test what refutes a suspicion, and keep the seeds that showed faults

A run that outlives its start clears its task; without that line no test failed until now. The ten seeds of the random test that showed faults stay in it: 222 fails again if a start without an answer convicts.

--- a/crates/dispatch/tests/crashing_tasks.rs
+++ b/crates/dispatch/tests/crashing_tasks.rs
@@ -28,6 +28,9 @@
     rngs::StdRng, //
 };
 
+/// Seeds that once violated an invariant. 222: an innocent job was given up for a start that never reached its worker. The
+/// others: crashes were not counted that fell into takeovers.
+const REGRESSION_SEEDS: [u64; 10] = [68, 72, 90, 111, 113, 159, 167, 170, 180, 222];
 /// How long after its start the guilty task crashes its worker.
 const CRASH_DELAY: Duration = Duration::from_millis(10);
 /// The number of crashes after which a task may only be started twice more.
@@ -238,34 +241,55 @@
         let mut fleet = Fleet::new(8, seed)
             .with_work(short_work)
             .with_crashes(crashes);
-        fleet.submit(1, graph(vec![step(1, &[])]));
-        run_until(&mut fleet, |fleet| {
-            fleet.recorded_crashes(guilty_task()) >= 2
-        });
         fleet.faults.failed_commits = 95;
-        let before = fleet.starts_of(guilty_task()).len();
+        fleet.submit(1, graph(vec![step(1, &[])]));
         run_until(&mut fleet, |fleet| {
-            fleet.starts_of(guilty_task()).len() > before
+            fleet.starts_of(guilty_task()).len() >= 3
         });
         assert!(fleet.is_start_announced(guilty_task()), "seed {seed}");
     }
 }
 
-/// Guards against innocent runs that are lost, and suspected, beside a task that is known to crash
-/// its workers.
+/// Guards against giving up a task that was lost early three times, although it was at work in
+/// between and so does not crash its workers.
+#[test]
+fn run_that_outlives_its_start_refutes_the_suspicion() {
+    let mut fleet = Fleet::new(8, 15).with_work(long_work);
+    let job = fleet.submit(2, graph(vec![step(1, &[])]));
+    for lifetime in [100, 100, 4000, 100, 100, 4000] {
+        run_until_hosted(&mut fleet, job);
+        fleet.run_for(ms(lifetime));
+        for worker in hosts(&fleet, job) {
+            fleet.kill_worker(worker);
+        }
+    }
+    fleet.run_for(ms(60_000));
+    assert_eq!(fleet.progress(job), COMPLETED);
+}
+
+/// Guards against innocent runs that are lost, and jobs that are given up, beside a task that is known
+/// to crash its workers, in a pool where starts come all the time.
 #[test]
 fn nothing_starts_beside_a_suspected_task() {
-    let mut fleet = Fleet::new(6, 14)
-        .with_work(short_work)
-        .with_crashes(crashes);
-    fleet.submit(1, graph(vec![step(1, &[])]));
-    for number in 2..400 {
-        fleet.submit(number, graph(vec![step(1, &[])]));
-        fleet.run_for(ms(60));
+    for (gap, count) in [(40, 1), (300, 9), (600, 20)] {
+        for seed in 0..3 {
+            let mut fleet = Fleet::new(6, seed)
+                .with_work(short_work)
+                .with_crashes(crashes);
+            fleet.submit(1, graph(vec![step(6, &[])]));
+            let mut innocent = Vec::new();
+            for number in 2..(2 + 30_000 / gap) {
+                innocent.push(fleet.submit(number, graph(vec![step(count, &[])])));
+                fleet.run_for(ms(gap));
+            }
+            fleet.run_for(ms(60_000));
+            assert_eq!(fleet.progress(guilty_job()), FAILED);
+            let lost_beside = fleet.runs_lost_beside(guilty_task(), 2);
+            assert_eq!(lost_beside, Vec::<TaskKey>::new(), "{gap} {seed}");
+            innocent.retain(|job| fleet.progress(*job) != COMPLETED);
+            assert_eq!(innocent, Vec::<JobKey>::new(), "{gap} {seed}");
+        }
     }
-    assert_eq!(fleet.progress(guilty_job()), FAILED);
-    let lost_beside = fleet.runs_lost_beside(guilty_task(), 2);
-    assert_eq!(lost_beside, Vec::<TaskKey>::new());
 }
 
 /// Guards against starts beyond the limit that come from orders carried out late, without an
@@ -496,7 +520,9 @@
 /// up or never end, under faults that overlap.
 #[test]
 fn crashing_tasks_violate_no_invariant_under_faults() {
-    let violations: Vec<(u64, Vec<String>)> = (0..seed_count())
+    let violations: Vec<(u64, Vec<String>)> = REGRESSION_SEEDS
+        .into_iter()
+        .chain(0..seed_count())
         .map(|seed| (seed, run_seed(seed)))
         .filter(|(_, violations)| !violations.is_empty())
         .collect();
