Count an inherited start as a crash only if its own worker was lost

A caller's job could be given up although it merely waited: a task that had met one crash was announced while it had no worker yet, and each successor that found any worker of the former owner gone took it for started there. Four take-overs, as in a rolling restart, failed the job.

Change: an announcement names the worker. A task is announced when it is placed, a suspected one once its worker is chosen and before the start is sent; that worker is kept for it meanwhile. A successor counts a crash only if that worker was lost.

--- a/crates/dispatch/src/crash_history.rs
+++ b/crates/dispatch/src/crash_history.rs
@@ -1,6 +1,9 @@
 //! The crashes of workers under one task, and what follows from them.
 
-use std::time::Duration;
+use std::{
+    sync::Arc,
+    time::Duration, //
+};
 
 use crate::WorkerCrash;
 
@@ -29,12 +32,20 @@
 #[derive(Clone, Debug, Default)]
 struct CrashDetails {
     crashes: Vec<WorkerCrash>,
-    /// The change that records that the suspected task is about to be started, if there is one.
-    announcement: Option<u64>,
+    announcement: Option<StartAnnouncement>,
     /// Since when the task has found no worker on which nothing else starts.
     unisolated_since: Option<Duration>,
 }
 
+/// Announcement, in the job's record, that a task is about to start or has started on a worker.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(crate) struct StartAnnouncement {
+    /// The worker's identity.
+    pub(crate) worker: Arc<str>,
+    /// The number of the change that contains the announcement.
+    pub(crate) change: u64,
+}
+
 impl CrashHistory {
     pub(crate) fn from_records(crashes: Vec<WorkerCrash>) -> Self {
         Self(Some(Box::new(CrashDetails {
@@ -92,16 +103,20 @@
         }
     }
 
-    /// Returns the change that announces the task's next start, if there is one.
-    pub(crate) fn announcement(&self) -> Option<u64> {
-        self.0.as_ref()?.announcement
+    /// Returns the announcement of the task's start, if there is one.
+    pub(crate) fn announcement(&self) -> Option<&StartAnnouncement> {
+        self.0.as_ref()?.announcement.as_ref()
     }
 
-    /// Announces the task's start by this change, or ends the announcement.
-    pub(crate) fn set_announcement(&mut self, change: Option<u64>) {
-        if change.is_some() || self.0.is_some() {
-            self.0.get_or_insert_default().announcement = change;
-        }
+    /// Announces the task's start.
+    pub(crate) fn announce(&mut self, announcement: StartAnnouncement) {
+        self.0.get_or_insert_default().announcement = Some(announcement);
+    }
+
+    /// Ends the announcement of the task's start; returns whether there was one.
+    pub(crate) fn end_announcement(&mut self) -> bool {
+        let details = self.0.as_mut();
+        details.is_some_and(|details| details.announcement.take().is_some())
     }
 
     /// Returns whether the task must not be started any more.
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -100,9 +100,9 @@
     pub(crate) pending_evictions: Vec<FillerEviction>,
     /// Lost runs, to be returned by the next plan.
     pub(crate) pending_losses: Vec<RunLoss>,
-    /// Suspected tasks that a former owner was about to start, and of whose runs no worker has
-    /// told yet.
-    pub(crate) inherited_starts: IndexSet<TaskKey>,
+    /// Tasks whose start a former owner has announced and of whose runs no worker has told yet, each
+    /// with its worker's identity.
+    pub(crate) inherited_starts: IndexMap<TaskKey, Arc<str>>,
     /// Findings about crashes, to be returned by the next plan.
     pub(crate) pending_crashes: Vec<CrashFinding>,
     pub(crate) commits: CommitTracker,
@@ -149,7 +149,7 @@
             pending_orders: Vec::new(),
             pending_evictions: Vec::new(),
             pending_losses: Vec::new(),
-            inherited_starts: IndexSet::new(),
+            inherited_starts: IndexMap::new(),
             pending_crashes: Vec::new(),
             commits: CommitTracker::default(),
             interference: InterferenceModel::default(),
--- a/crates/dispatch/src/dispatcher_crashes.rs
+++ b/crates/dispatch/src/dispatcher_crashes.rs
@@ -14,11 +14,13 @@
     LossCause,
     RunLoss,
     RunNumber,
-    StepKey,
     TaskKey,
     WorkerCrash,
     WorkerKey,
-    crash_history::CrashHistory,
+    crash_history::{
+        CrashHistory,
+        StartAnnouncement, //
+    },
     worker_state::WorkerState, //
 };
 
@@ -107,28 +109,41 @@
         Some(&mut state.tasks.get_mut(task.index as usize)?.crashes)
     }
 
-    /// Announces the starts of waiting tasks whose workers have crashed, so that a successor knows
-    /// of a start whose crash this owner may not live to see. Returns the tasks that may be
-    /// started: suspected ones once their announcement is on record.
-    pub(crate) fn announce_starts(&mut self, step: StepKey, waiting: Vec<u32>) -> Vec<u32> {
-        let mut startable = waiting;
-        startable.retain(|&index| {
-            let task = step.task(index);
-            let Some(crashes) = self
-                .crash_history(task)
-                .filter(|crashes| !crashes.is_empty())
-            else {
-                return true;
-            };
-            let is_suspect = crashes.is_suspect();
-            let announcement = crashes.announcement();
-            let change = announcement.unwrap_or_else(|| self.commits.record_change(step.job));
-            if let Some(crashes) = self.crash_history_mut(task) {
-                crashes.set_announcement(Some(change));
+    /// Returns whether a task may start on a worker now. A suspected task must be announced first,
+    /// so that a successor knows of a start whose crash this owner may not live to see.
+    pub(crate) fn may_start_on(&mut self, task: TaskKey, key: WorkerKey, now: Duration) -> bool {
+        let Some(crashes) = self.crash_history(task) else {
+            return false;
+        };
+        if !crashes.is_suspect() {
+            return true;
+        }
+        let worker = &self.worker(key).record.id;
+        match crashes.announcement() {
+            Some(announcement) if announcement.worker == *worker => {
+                self.commits.committed_through() >= announcement.change
             }
-            !is_suspect || self.commits.committed_through() >= change
-        });
-        startable
+            _ => {
+                self.announce_start(task, key);
+                self.worker_mut(key).isolate(task, now);
+                false
+            }
+        }
+    }
+
+    /// Announces that a task starts, or has started, on a worker, unless that is announced already.
+    pub(crate) fn announce_start(&mut self, task: TaskKey, key: WorkerKey) {
+        let worker = Arc::clone(&self.worker(key).record.id);
+        let announced = self
+            .crash_history(task)
+            .and_then(CrashHistory::announcement);
+        if announced.is_some_and(|announcement| announcement.worker == worker) {
+            return;
+        }
+        let change = self.commits.record_change(task.job());
+        if let Some(crashes) = self.crash_history_mut(task) {
+            crashes.announce(StartAnnouncement { worker, change });
+        }
     }
 
     /// Announces, although they have begun, the runs that may have crashed a worker which does not
@@ -138,32 +153,20 @@
         let early = runs.filter(|(_, run)| run.is_early());
         let tasks: Vec<TaskKey> = early.map(|((task, _), _)| *task).collect();
         for task in tasks {
-            let crashes = self.crash_history(task);
-            if crashes.is_some_and(|crashes| crashes.announcement().is_none()) {
-                let change = self.commits.record_change(task.job());
-                if let Some(crashes) = self.crash_history_mut(task) {
-                    crashes.set_announcement(Some(change));
-                }
-            }
+            self.announce_start(task, key);
         }
     }
 
-    /// Counts a crash for each start that a former owner has announced and that no worker tells
-    /// of, if workers were lost: otherwise the start was never sent.
+    /// Counts a crash for each start that a former owner has announced, of which no worker tells,
+    /// and whose worker was lost; without that loss, the start was never sent.
     pub(crate) fn settle_inherited_starts(&mut self, now: Duration) {
-        if self.inherited_starts.is_empty() {
-            return;
-        }
-        let lost = self
-            .workers
-            .iter()
-            .find(|worker| worker.was_lost_in_takeover());
-        let lost = lost.map(|worker| Arc::clone(&worker.record.id));
-        for task in std::mem::take(&mut self.inherited_starts) {
-            let Some(worker) = lost.clone() else {
+        for (task, worker) in std::mem::take(&mut self.inherited_starts) {
+            let key = self.worker_key(&worker);
+            let is_lost = key.is_none_or(|key| self.worker(key).was_lost_in_takeover());
+            if !is_lost {
                 self.commits.record_change(task.job());
                 continue;
-            };
+            }
             let crash = WorkerCrash {
                 run: self.next_run(),
                 worker,
--- a/crates/dispatch/src/dispatcher_plan.rs
+++ b/crates/dispatch/src/dispatcher_plan.rs
@@ -21,7 +21,6 @@
     TaskKey,
     WorkerKey,
     WorkerOrder,
-    crash_history::EARLY_CRASH_WINDOW,
     dispatcher_advice::MIN_TICKET_VALIDITY,
     job_state::JobState,
     placement_score::{
@@ -239,9 +238,6 @@
             .filter(|(_, task)| task.is_pending())
             .map(|(index, _)| index)
             .collect();
-        let has_crashes = pending
-            .iter()
-            .any(|&index| !state.tasks[index as usize].crashes.is_empty());
         if pending.is_empty() {
             self.pending_steps.swap_remove(&step);
             return 0;
@@ -257,14 +253,6 @@
         if spec.gang && pending.len() < step_task_count(&self.jobs, step) {
             return 0;
         }
-        let waiting = pending.len();
-        let pending = match has_crashes {
-            true => self.announce_starts(step, pending),
-            false => pending,
-        };
-        if spec.gang && pending.len() < waiting {
-            return waiting;
-        }
         let demand = TaskDemand::new(spec, &pool, advice.is_some());
         let uses_cache = self
             .settings
@@ -275,7 +263,7 @@
             .last_plan(&demand, now)
             .filter(|_| uses_cache);
         if last_failed_plan == Some(self.plan_count) {
-            return waiting;
+            return pending.len();
         }
         let gang_run = spec.gang.then(|| self.next_run());
         let search = PlacementSearch {
@@ -310,6 +298,12 @@
                 }
                 break;
             };
+            if !self.may_start_on(step.task(index), worker, now) {
+                match spec.gang {
+                    true => break,
+                    false => continue,
+                }
+            }
             let run = gang_run.unwrap_or_else(|| self.next_run());
             self.place_run(step.task(index), worker, run, spec, now);
             placed.push((index, worker, run));
@@ -320,7 +314,7 @@
             }
             return pending.len();
         }
-        let missing = waiting - placed.len();
+        let missing = pending.len() - placed.len();
         for (index, worker, run) in placed {
             self.order_window.record_sent();
             let order = self.start_order(step.task(index), worker, run, &graph.payload, spec.gang);
@@ -391,10 +385,14 @@
             state.may_clear_crashes = !crashes.is_empty();
             is_suspect = crashes.is_suspect();
         }
+        let has_crashes = state.may_clear_crashes;
         let held = self.worker_mut(worker);
         held.add_run(run, state);
         if is_suspect {
-            held.isolated_until = Some(now + EARLY_CRASH_WINDOW);
+            held.isolate(task, now);
+        }
+        if has_crashes {
+            self.announce_start(task, worker);
         }
         self.workers[worker.index()].service_snapshot =
             ServiceSnapshot::new(self.worker(worker), &self.interference, now);
@@ -444,6 +442,9 @@
         let failed_on = task_state.failed_on;
         let crashes = &task_state.crashes;
         let needs_isolation = crashes.needs_isolation(now);
+        let announced = crashes
+            .announcement()
+            .map(|announcement| &announcement.worker);
         let context = PlacementContext {
             step_rack: state.first_rack.as_ref(),
             is_starving: search.is_starving,
@@ -473,7 +474,9 @@
             if state.is_at_spread_limit(key, spec) {
                 continue;
             }
-            if worker.is_isolated(now) || (needs_isolation && worker.has_recent_start(now)) {
+            if worker.is_isolated_from(task, now)
+                || (needs_isolation && worker.has_recent_start(now))
+            {
                 continue;
             }
             if demand.needs_ticket && !has_valid_ticket(state.tickets.get(&key), now) {
@@ -484,6 +487,9 @@
             let Ok(score) = score else {
                 continue;
             };
+            if announced == Some(&worker.record.id) {
+                return Some(key);
+            }
             if best
                 .as_ref()
                 .is_none_or(|(best_score, _)| score.cmp(best_score) == Ordering::Greater)
--- a/crates/dispatch/src/dispatcher_records.rs
+++ b/crates/dispatch/src/dispatcher_records.rs
@@ -1,6 +1,9 @@
 //! Conversion of the dispatcher's state to stored records and back.
 
-use std::time::Duration;
+use std::{
+    sync::Arc,
+    time::Duration, //
+};
 
 use indexmap::IndexSet;
 
@@ -17,7 +20,8 @@
     dispatcher::StepOrigin,
     job_state::{
         JobState,
-        StepState, //
+        StepState,
+        TaskState, //
     }, //
 };
 
@@ -85,8 +89,8 @@
                 && let Some(task) = step.tasks.get_mut(stored.index as usize)
             {
                 task.crashes = CrashHistory::from_records(stored.crashes.clone());
-                if stored.start_announced && !task.done {
-                    self.inherited_starts.insert(stored.task(key));
+                if let Some(worker) = stored.started_on.clone().filter(|_| !task.done) {
+                    self.inherited_starts.insert(stored.task(key), worker);
                 }
             }
         }
@@ -196,7 +200,7 @@
                 step,
                 index,
                 crashes: task.crashes.records().to_vec(),
-                start_announced: task.crashes.announcement().is_some(),
+                started_on: announced_worker(task),
             }));
         }
     }
@@ -205,6 +209,12 @@
     records
 }
 
+/// Returns the worker on which a task's start is announced, if it is.
+fn announced_worker(task: &TaskState) -> Option<Arc<str>> {
+    let announcement = task.crashes.announcement()?;
+    Some(Arc::clone(&announcement.worker))
+}
+
 /// Returns the record of a step, or `None` if nothing of it has ended.
 fn step_record(occurrence: u32, number: u16, step: &StepState) -> Option<StepProgress> {
     let mut stored = StepProgress {
--- a/crates/dispatch/src/dispatcher_runs.rs
+++ b/crates/dispatch/src/dispatcher_runs.rs
@@ -50,10 +50,7 @@
         let before = task_state.runs.len();
         task_state.runs.retain(|&held| held != (key, run));
         let was_attached = task_state.runs.len() < before;
-        let was_announced = was_attached && task_state.crashes.announcement().is_some();
-        if was_announced {
-            task_state.crashes.set_announcement(None);
-        }
+        let was_announced = was_attached && task_state.crashes.end_announcement();
         let pending = task_state.is_pending();
         let becomes_pending = pending && !over && step_state.open;
         if was_attached {
--- a/crates/dispatch/src/progress_record.rs
+++ b/crates/dispatch/src/progress_record.rs
@@ -1,5 +1,7 @@
 //! Stored record of a job's progress.
 
+use std::sync::Arc;
+
 use serde::{
     Deserialize,
     Serialize, //
@@ -43,8 +45,9 @@
     pub index: u32,
     /// The crashes, in their order.
     pub crashes: Vec<WorkerCrash>,
-    /// Whether the task is about to be started, or was and has not ended on record.
-    pub start_announced: bool,
+    /// The worker on which the task is about to start, or has started without an end on record; known
+    /// only if a crash is feared.
+    pub started_on: Option<Arc<str>>,
 }
 
 impl TaskCrashes {
--- a/crates/dispatch/src/worker_state.rs
+++ b/crates/dispatch/src/worker_state.rs
@@ -66,8 +66,8 @@
     pub(crate) restarted_in_takeover: bool,
     /// When a run last began.
     pub(crate) last_start_at: Option<Duration>,
-    /// Until when nothing else may start beside a suspected task.
-    pub(crate) isolated_until: Option<Duration>,
+    /// The suspected task beside which nothing else may start, and until when.
+    pub(crate) isolation: Option<(TaskKey, Duration)>,
     /// Whether the last call found nothing listening at the worker's address.
     pub(crate) connection_refused: bool,
     /// When the worker's incarnation began, since 1970, if it has reported that.
@@ -121,7 +121,7 @@
             unconfirmed_crashes: Vec::new(),
             restarted_in_takeover: false,
             last_start_at: None,
-            isolated_until: None,
+            isolation: None,
             connection_refused: false,
             incarnation: None,
             runs: IndexMap::new(),
@@ -266,9 +266,15 @@
         self.restarted_in_takeover || (self.last_answer_at.is_none() && !self.listed)
     }
 
-    /// Returns whether nothing else may start beside a suspected task.
-    pub(crate) fn is_isolated(&self, now: Duration) -> bool {
-        self.isolated_until.is_some_and(|until| now < until)
+    /// Keeps other tasks from starting while a suspected one is about to start or has just started.
+    pub(crate) fn isolate(&mut self, task: TaskKey, now: Duration) {
+        self.isolation = Some((task, now + EARLY_CRASH_WINDOW));
+    }
+
+    /// Returns whether a task may not start because of a suspected one.
+    pub(crate) fn is_isolated_from(&self, task: TaskKey, now: Duration) -> bool {
+        self.isolation
+            .is_some_and(|(suspect, until)| suspect != task && now < until)
     }
 
     /// Returns whether a run began so recently that its start may still crash the worker.
--- a/crates/dispatch/tests/common/fleet.rs
+++ b/crates/dispatch/tests/common/fleet.rs
@@ -430,7 +430,7 @@
     pub(crate) fn is_start_announced(&self, task: TaskKey) -> bool {
         let record = self.records.get(&task.job());
         let mut tasks = record.iter().flat_map(|record| &record.crashes);
-        tasks.any(|stored| stored.index == task.index && stored.start_announced)
+        tasks.any(|stored| stored.index == task.index && stored.started_on.is_some())
     }
 
     /// Returns the tasks of which a run had begun less than a second before it was lost beside a
--- a/crates/dispatch/tests/crashing_tasks.rs
+++ b/crates/dispatch/tests/crashing_tasks.rs
@@ -292,6 +292,35 @@
     }
 }
 
+/// Guards against giving up a task that has met one crash and waits for capacity, because each
+/// successor takes it for started on a worker that was lost.
+#[test]
+fn waiting_task_gains_no_crash_by_takeovers() {
+    let mut fleet = Fleet::new(2, 16).with_work(long_work);
+    let job = fleet.submit(2, graph(vec![step(1, &[])]));
+    run_until_hosted(&mut fleet, job);
+    fleet.run_for(ms(300));
+    for worker in hosts(&fleet, job) {
+        fleet.kill_worker(worker);
+    }
+    for worker in 0..fleet.workers.len() {
+        fleet.set_capacity(worker, ResourceAmount::default());
+    }
+    run_until(&mut fleet, |fleet| fleet.workers.len() == 3);
+    fleet.set_capacity(2, ResourceAmount::default());
+    run_until(&mut fleet, |fleet| {
+        fleet.recorded_crashes(first_task(job)) == 1
+    });
+    for _ in 0..6 {
+        fleet.replace_owner();
+        fleet.run_for(ms(9000));
+    }
+    assert_eq!(fleet.recorded_crashes(first_task(job)), 1);
+    fleet.set_capacity(2, ResourceAmount::new(4000, 4000));
+    fleet.run_for(ms(40_000));
+    assert_eq!(fleet.progress(job), COMPLETED);
+}
+
 /// Guards against starts beyond the limit that come from orders carried out late, without an
 /// answer, or lost, and from commits that fail.
 #[test]
--- a/crates/fleet/tests/progress_codec.rs
+++ b/crates/fleet/tests/progress_codec.rs
@@ -38,7 +38,7 @@
             step: 0,
             index: 1,
             crashes: vec![crash()],
-            start_announced: true,
+            started_on: Some("i-2".into()),
         }],
         ..ProgressRecord::default()
     }
