--- a/crates/dispatch/src/crash_history.rs
+++ b/crates/dispatch/src/crash_history.rs
@@ -1,11 +1,11 @@
 //! The crashes of workers under one task, and what follows from them.
 
-use std::{
-    sync::Arc,
-    time::Duration, //
-};
+use std::time::Duration;
 
-use crate::WorkerCrash;
+use crate::{
+    WorkerCrash,
+    start_announcement::StartAnnouncement, //
+};
 
 /// How long a worker must have listed a run before a crash counts as none that the run's start
 /// caused. Reports arrive at most every 2 s; a task that crashes its worker on start does so within
@@ -37,15 +37,6 @@
     unisolated_since: Option<Duration>,
 }
 
-/// Announcement, in the job's record, that a task is about to start or has started on a worker.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub(crate) struct StartAnnouncement {
-    /// The worker's identity.
-    pub(crate) worker: Arc<str>,
-    /// The number of the change that contains the announcement.
-    pub(crate) change: u64,
-}
-
 impl CrashHistory {
     pub(crate) fn from_records(crashes: Vec<WorkerCrash>) -> Self {
         Self(Some(Box::new(CrashDetails {
--- a/crates/dispatch/src/dispatcher_advice.rs
+++ b/crates/dispatch/src/dispatcher_advice.rs
@@ -11,10 +11,8 @@
     StepKey,
     StepSpec,
     WorkerKey,
-    dispatcher_plan::{
-        PlanOutcome,
-        fits_labels, //
-    }, //
+    dispatcher_placement::fits_labels,
+    dispatcher_plan::PlanOutcome, //
 };
 
 /// The time after which unanswered advice is requested again.
--- a/crates/dispatch/src/dispatcher_crashes.rs
+++ b/crates/dispatch/src/dispatcher_crashes.rs
@@ -10,6 +10,7 @@
     CrashVerdict,
     Dispatcher,
     JobFailure,
+    JobKey,
     JobOutcome,
     LossCause,
     RunLoss,
@@ -17,10 +18,7 @@
     TaskKey,
     WorkerCrash,
     WorkerKey,
-    crash_history::{
-        CrashHistory,
-        StartAnnouncement, //
-    },
+    crash_history::CrashHistory,
     worker_state::WorkerState, //
 };
 
@@ -109,76 +107,6 @@
         Some(&mut state.tasks.get_mut(task.index as usize)?.crashes)
     }
 
-    /// Returns whether a task may start on a worker now. A suspected task must be announced first,
-    /// so that a successor knows of a start whose crash this owner may not live to see.
-    pub(crate) fn may_start_on(&mut self, task: TaskKey, key: WorkerKey, now: Duration) -> bool {
-        let Some(crashes) = self.crash_history(task) else {
-            return false;
-        };
-        if !crashes.is_suspect() {
-            return true;
-        }
-        let worker = &self.worker(key).record.id;
-        match crashes.announcement() {
-            Some(announcement) if announcement.worker == *worker => {
-                self.commits.committed_through() >= announcement.change
-            }
-            _ => {
-                self.announce_start(task, key);
-                self.worker_mut(key).isolate(task, now);
-                false
-            }
-        }
-    }
-
-    /// Announces that a task starts, or has started, on a worker, unless that is announced already.
-    pub(crate) fn announce_start(&mut self, task: TaskKey, key: WorkerKey) {
-        let worker = Arc::clone(&self.worker(key).record.id);
-        let announced = self
-            .crash_history(task)
-            .and_then(CrashHistory::announcement);
-        if announced.is_some_and(|announcement| announcement.worker == worker) {
-            return;
-        }
-        let change = self.commits.record_change(task.job());
-        if let Some(crashes) = self.crash_history_mut(task) {
-            crashes.announce(StartAnnouncement { worker, change });
-        }
-    }
-
-    /// Announces, although they have begun, the runs that may have crashed a worker which does not
-    /// answer: if this owner is replaced before the loss is certain, its successor counts them.
-    pub(crate) fn announce_endangered_runs(&mut self, key: WorkerKey) {
-        let runs = self.worker(key).runs.iter();
-        let early = runs.filter(|(_, run)| run.is_early());
-        let tasks: Vec<TaskKey> = early.map(|((task, _), _)| *task).collect();
-        for task in tasks {
-            self.announce_start(task, key);
-        }
-    }
-
-    /// Counts a crash for each start that a former owner has announced, of which no worker tells,
-    /// and whose worker was lost; without that loss, the start was never sent.
-    pub(crate) fn settle_inherited_starts(&mut self, now: Duration) {
-        for (task, worker) in std::mem::take(&mut self.inherited_starts) {
-            let key = self.worker_key(&worker);
-            let is_lost = key.is_none_or(|key| self.worker(key).was_lost_in_takeover());
-            if !is_lost {
-                self.commits.record_change(task.job());
-                continue;
-            }
-            let crash = WorkerCrash {
-                run: self.next_run(),
-                worker,
-                at: self.clock_origin + now,
-                early: true,
-                alone: false,
-                widespread: false,
-            };
-            self.confirm_crash(task, crash);
-        }
-    }
-
     /// Forgets the early crashes of a task of which a run has outlived them.
     pub(crate) fn clear_early_crashes(&mut self, task: TaskKey) {
         if let Some(crashes) = self.crash_history_mut(task) {
@@ -228,7 +156,8 @@
         (crash.early || !is_long_running).then_some(crash)
     }
 
-    fn confirm_crash(&mut self, task: TaskKey, crash: WorkerCrash) {
+    /// Counts a crash under a task, and gives its job up if the task must not start any more.
+    pub(crate) fn confirm_crash(&mut self, task: TaskKey, crash: WorkerCrash) {
         let step = task.step;
         let Some(job) = self.jobs.get_mut(&step.job) else {
             return;
@@ -261,7 +190,7 @@
     }
 
     /// Fails a job for this reason.
-    pub(crate) fn fail_job(&mut self, key: crate::JobKey, failure: JobFailure) {
+    pub(crate) fn fail_job(&mut self, key: JobKey, failure: JobFailure) {
         if let Some(job) = self.jobs.get_mut(&key)
             && !job.is_over()
         {
--- /dev/null
+++ b/crates/dispatch/src/dispatcher_placement.rs
@@ -0,0 +1,234 @@
+//! Placement of tasks on workers.
+
+use std::{
+    cmp::Ordering,
+    sync::Arc,
+    time::Duration, //
+};
+
+use crate::{
+    Dispatcher,
+    PolicyPart,
+    RunNumber,
+    StepSpec,
+    TaskKey,
+    WorkerKey,
+    dispatcher_advice::MIN_TICKET_VALIDITY,
+    placement_score::{
+        PlacementContext,
+        PlacementScore, //
+    },
+    run_state::{
+        RunPhase,
+        RunState, //
+    },
+    service_snapshot::{
+        FillerProfile,
+        ServiceSnapshot, //
+    },
+    unplaceable_demands::TaskDemand,
+    worker_state::WorkerState, //
+};
+
+/// The parameters by which one plan searches workers for the tasks of a step.
+pub(crate) struct PlacementSearch {
+    pub(crate) demand: TaskDemand,
+    pub(crate) profile: FillerProfile,
+    /// Whether the step's job has had no run for too long and accepts the least harmful worker.
+    pub(crate) is_starving: bool,
+    /// The last plan in which no worker had capacity for the demand, if that result is still valid;
+    /// workers unchanged since are skipped.
+    pub(crate) last_failed_plan: Option<u64>,
+}
+
+impl Dispatcher {
+    /// Reserves a run's capacity on its worker and attaches the run to its task.
+    pub(crate) fn place_run(
+        &mut self,
+        task: TaskKey,
+        worker: WorkerKey,
+        run: RunNumber,
+        spec: &StepSpec,
+        now: Duration,
+    ) {
+        let rack = self.worker(worker).record.rack().cloned();
+        let mut state = RunState::new(task, spec, RunPhase::Sent, now);
+        let mut is_suspect = false;
+        if let Some(crashes) = self.crash_history_mut(task) {
+            crashes.end_wait();
+            state.may_clear_crashes = !crashes.is_empty();
+            is_suspect = crashes.is_suspect();
+        }
+        let has_crashes = state.may_clear_crashes;
+        let held = self.worker_mut(worker);
+        held.add_run(run, state);
+        if is_suspect {
+            held.isolate(task, now);
+        }
+        if has_crashes {
+            self.announce_start(task, worker);
+        }
+        self.workers[worker.index()].service_snapshot =
+            ServiceSnapshot::new(self.worker(worker), &self.interference, now);
+        let step = task.step;
+        if let Some(job) = self.jobs.get_mut(&step.job)
+            && let Some(step_state) = job.step_mut(step.occurrence, step.step)
+        {
+            step_state.add_placed_task(worker);
+            if step_state.first_rack.is_none() {
+                step_state.first_rack = rack;
+            }
+            if let Some(state) = step_state.tasks.get_mut(task.index as usize) {
+                state.runs.push((worker, run));
+                job.add_run();
+            }
+        }
+    }
+
+    /// Undoes the placement of a run whose start was not sent.
+    pub(crate) fn undo_placement(
+        &mut self,
+        task: TaskKey,
+        worker: WorkerKey,
+        run: RunNumber,
+        now: Duration,
+    ) {
+        self.worker_mut(worker).remove_run(task, run, now);
+        let step = task.step;
+        if let Some(job) = self.jobs.get_mut(&step.job)
+            && let Some(step_state) = job.step_mut(step.occurrence, step.step)
+        {
+            step_state.remove_placed_task(worker);
+            step_state.first_rack = None;
+            if let Some(state) = step_state.tasks.get_mut(task.index as usize) {
+                state.runs.retain(|&held| held != (worker, run));
+                job.remove_run(now);
+            }
+        }
+    }
+
+    /// Returns the worker with the best score for a task, or `None` if no worker qualifies.
+    pub(crate) fn find_worker(
+        &self,
+        task: TaskKey,
+        spec: &StepSpec,
+        search: &PlacementSearch,
+        now: Duration,
+    ) -> Option<WorkerKey> {
+        let step = task.step;
+        let demand = &search.demand;
+        let state = self.jobs.get(&step.job)?.step(step.occurrence, step.step)?;
+        let task_state = state.tasks.get(task.index as usize)?;
+        let failed_on = task_state.failed_on;
+        let crashes = &task_state.crashes;
+        let needs_isolation = crashes.needs_isolation(now);
+        let announced = crashes
+            .announcement()
+            .map(|announcement| &announcement.worker);
+        let context = PlacementContext {
+            step_rack: state.first_rack.as_ref(),
+            is_starving: search.is_starving,
+            is_suspect: crashes.is_suspect(),
+            prefers_isolation: !crashes.is_empty(),
+            ..self.placement_context(spec, &search.profile, now)
+        };
+        let mut best: Option<(PlacementScore, WorkerKey)> = None;
+        for (index, worker) in self.workers.iter().enumerate() {
+            if search
+                .last_failed_plan
+                .is_some_and(|plan| worker.changed_in_plan < plan)
+            {
+                continue;
+            }
+            let fits = demand.reserved.fits_in(worker.free_capacity());
+            if !fits || !self.is_usable(worker, &demand.pool, now) {
+                continue;
+            }
+            let key = WorkerKey::new(index);
+            if !spec.filler && self.reserved_workers.contains(&key) {
+                continue;
+            }
+            if !fits_labels(worker, spec) {
+                continue;
+            }
+            if state.is_at_spread_limit(key, spec) {
+                continue;
+            }
+            if worker.is_isolated_from(task, now)
+                || (needs_isolation && worker.has_recent_start(now))
+            {
+                continue;
+            }
+            if demand.needs_ticket && !has_valid_ticket(state.tickets.get(&key), now) {
+                continue;
+            }
+            let trusted = failed_on != Some(key) && !worker.health.failed_recently(now);
+            let score = PlacementScore::new(worker, context, trusted);
+            let Ok(score) = score else {
+                continue;
+            };
+            if announced == Some(&worker.record.id) {
+                return Some(key);
+            }
+            if best
+                .as_ref()
+                .is_none_or(|(best_score, _)| score.cmp(best_score) == Ordering::Greater)
+            {
+                best = Some((score, key));
+            }
+        }
+        best.map(|(_, key)| key)
+    }
+
+    /// Returns the request by which workers are scored for a step.
+    pub(crate) fn placement_context<'a>(
+        &'a self,
+        spec: &'a StepSpec,
+        profile: &'a FillerProfile,
+        now: Duration,
+    ) -> PlacementContext<'a> {
+        PlacementContext {
+            spec,
+            step_rack: None,
+            interference: &self.interference,
+            profile,
+            is_starving: false,
+            is_suspect: false,
+            prefers_isolation: false,
+            switches: self.settings.switches,
+            now,
+        }
+    }
+
+    /// Returns whether tasks of a pool may be started on a worker.
+    pub(crate) fn is_usable(&self, worker: &WorkerState, pool: &Arc<str>, now: Duration) -> bool {
+        // Runs placed before the quarantine do not count as its probe: a service's run would never
+        // end.
+        let is_probed = worker
+            .health
+            .probation_since()
+            .is_some_and(|since| worker.runs.values().any(|run| run.placed_at >= since));
+        worker.listed
+            && worker.has_owner_token
+            && worker.unanswered == 0
+            && worker.clock.is_known()
+            && !worker.record.draining
+            && !worker.in_maintenance
+            && worker.record.pool == *pool
+            && !self.closed_domains.contains(&worker.record.domain)
+            && !(self.settings.switches.has(PolicyPart::WorkerQuarantine)
+                && (worker.health.is_quarantined(now) || is_probed))
+    }
+}
+
+/// Returns whether a ticket is still valid for long enough to start a run with it.
+fn has_valid_ticket(ticket: Option<&(Arc<str>, Duration)>, now: Duration) -> bool {
+    ticket.is_some_and(|(_, until)| now + MIN_TICKET_VALIDITY < *until)
+}
+
+/// Returns whether a worker has the label that a step requires.
+pub(crate) fn fits_labels(worker: &WorkerState, spec: &StepSpec) -> bool {
+    spec.label
+        .as_ref()
+        .is_none_or(|label| worker.record.labels.contains(label))
+}
--- a/crates/dispatch/src/dispatcher_reservations.rs
+++ b/crates/dispatch/src/dispatcher_reservations.rs
@@ -14,7 +14,7 @@
     StepSpec,
     StepWait,
     WorkerKey,
-    dispatcher_plan::fits_labels,
+    dispatcher_placement::fits_labels,
     placement_score::{
         PlacementRejection,
         PlacementScore, //
--- a/crates/dispatch/src/dispatcher_starvation.rs
+++ b/crates/dispatch/src/dispatcher_starvation.rs
@@ -11,7 +11,7 @@
     StepKey,
     WorkKind,
     WorkerOrder,
-    dispatcher_plan::PlacementSearch,
+    dispatcher_placement::PlacementSearch,
     unplaceable_demands::TaskDemand, //
 };
 
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -7,15 +7,18 @@
 mod admission;
 mod advice_request;
 mod commit_tracker;
+mod crash_finding;
 mod crash_history;
 mod decaying_sum;
 mod dispatch_settings;
 mod dispatcher;
 mod dispatcher_admission;
 mod dispatcher_advice;
+mod dispatcher_announcements;
 mod dispatcher_completions;
 mod dispatcher_crashes;
 mod dispatcher_maintenance;
+mod dispatcher_placement;
 mod dispatcher_plan;
 mod dispatcher_pools;
 mod dispatcher_records;
@@ -52,6 +55,7 @@
 mod run_state;
 mod service_snapshot;
 mod short_demand;
+mod start_announcement;
 mod step_rank;
 mod step_spec;
 mod step_wait;
@@ -70,6 +74,10 @@
         CpuShortage, //
     },
     advice_request::AdviceRequest,
+    crash_finding::{
+        CrashFinding,
+        CrashVerdict, //
+    },
     dispatch_settings::DispatchSettings,
     dispatcher::{
         AcceptedJob,
@@ -140,11 +148,7 @@
         TaskKeyError, //
     },
     worker_clock::WorkerClock,
-    worker_crash::{
-        CrashFinding,
-        CrashVerdict,
-        WorkerCrash, //
-    },
+    worker_crash::WorkerCrash,
     worker_key::WorkerKey,
     worker_order::{
         LeaseRenewal,
--- a/crates/dispatch/src/worker_crash.rs
+++ b/crates/dispatch/src/worker_crash.rs
@@ -29,27 +29,3 @@
     /// Whether other workers were lost at the same time, without a task that explains it.
     pub widespread: bool,
 }
-
-/// What the owner found out about a lost run whose worker had stopped answering.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum CrashVerdict {
-    /// The registry dropped the worker, or the worker has restarted.
-    Confirmed,
-    /// The worker answered again as the same incarnation: it was unreachable.
-    Dismissed,
-}
-
-/// Log entry: a crash under a task was confirmed or dismissed.
-#[derive(Clone, Debug, PartialEq)]
-pub struct CrashFinding {
-    /// The task whose run was lost.
-    pub task: crate::TaskKey,
-    /// The crash.
-    pub crash: WorkerCrash,
-    /// The finding.
-    pub verdict: CrashVerdict,
-    /// The number of crashes that are on record for the task.
-    pub recorded_crashes: usize,
-    /// Whether the job is given up because of it.
-    pub gives_up: bool,
-}
--- a/crates/dispatch/tests/crashing_tasks.rs
+++ b/crates/dispatch/tests/crashing_tasks.rs
@@ -161,21 +161,24 @@
     run_until(fleet, |fleet| !hosts(fleet, job).is_empty());
 }
 
-/// Kills the workers under a job as soon as it runs, `count` times in series; with their racks if
-/// `by_rack`.
-fn kill_hosts_in_series(fleet: &mut Fleet, job: JobKey, count: usize, by_rack: bool) {
-    for _ in 0..count {
-        run_until_hosted(fleet, job);
-        fleet.run_for(ms(300));
-        let mut killed = hosts(fleet, job);
-        if by_rack {
-            let rack = fleet.workers[killed[0]].record().rack().cloned();
-            killed = (0..fleet.workers.len())
-                .filter(|&worker| fleet.workers[worker].record().rack().cloned() == rack)
-                .filter(|&worker| fleet.is_reachable(worker))
-                .collect();
-        }
-        for worker in killed {
+/// Kills the workers under a job after it has run for this time.
+fn kill_hosts(fleet: &mut Fleet, job: JobKey, lifetime: Duration) {
+    run_until_hosted(fleet, job);
+    fleet.run_for(lifetime);
+    for worker in hosts(fleet, job) {
+        fleet.kill_worker(worker);
+    }
+}
+
+/// Kills all workers of the rack on which a job runs, shortly after its start.
+fn kill_rack_of(fleet: &mut Fleet, job: JobKey) {
+    run_until_hosted(fleet, job);
+    fleet.run_for(ms(300));
+    let host = hosts(fleet, job)[0];
+    let rack = fleet.workers[host].record().rack().cloned();
+    for worker in 0..fleet.workers.len() {
+        let is_in_rack = fleet.workers[worker].record().rack().cloned() == rack;
+        if is_in_rack && fleet.is_reachable(worker) {
             fleet.kill_worker(worker);
         }
     }
@@ -257,11 +260,7 @@
     let mut fleet = Fleet::new(8, 15).with_work(long_work);
     let job = fleet.submit(2, graph(vec![step(1, &[])]));
     for lifetime in [100, 100, 4000, 100, 100, 4000] {
-        run_until_hosted(&mut fleet, job);
-        fleet.run_for(ms(lifetime));
-        for worker in hosts(&fleet, job) {
-            fleet.kill_worker(worker);
-        }
+        kill_hosts(&mut fleet, job, ms(lifetime));
     }
     fleet.run_for(ms(60_000));
     assert_eq!(fleet.progress(job), COMPLETED);
@@ -298,11 +297,7 @@
 fn waiting_task_gains_no_crash_by_takeovers() {
     let mut fleet = Fleet::new(2, 16).with_work(long_work);
     let job = fleet.submit(2, graph(vec![step(1, &[])]));
-    run_until_hosted(&mut fleet, job);
-    fleet.run_for(ms(300));
-    for worker in hosts(&fleet, job) {
-        fleet.kill_worker(worker);
-    }
+    kill_hosts(&mut fleet, job, ms(300));
     for worker in 0..fleet.workers.len() {
         fleet.set_capacity(worker, ResourceAmount::default());
     }
@@ -411,7 +406,9 @@
         // Something else runs on each worker, as a lost rack shows by more than one loss.
         fleet.submit(9, graph(vec![step(12, &[])]));
         let job = fleet.submit(2, graph(vec![step(1, &[])]));
-        kill_hosts_in_series(&mut fleet, job, 3, true);
+        for _ in 0..3 {
+            kill_rack_of(&mut fleet, job);
+        }
         fleet.run_for(ms(60_000));
         assert_eq!(fleet.progress(job), COMPLETED);
     }
@@ -423,11 +420,7 @@
     let mut fleet = Fleet::new(8, 9).with_work(long_work);
     let job = fleet.submit(2, graph(vec![step(1, &[])]));
     for _ in 0..6 {
-        run_until_hosted(&mut fleet, job);
-        fleet.run_for(ms(5000));
-        for worker in hosts(&fleet, job) {
-            fleet.kill_worker(worker);
-        }
+        kill_hosts(&mut fleet, job, ms(5000));
     }
     fleet.run_for(ms(60_000));
     assert_eq!(fleet.progress(job), COMPLETED);
@@ -443,11 +436,7 @@
     };
     let job = fleet.submit(2, graph(vec![service]));
     for _ in 0..10 {
-        run_until_hosted(&mut fleet, job);
-        fleet.run_for(ms(5000));
-        for worker in hosts(&fleet, job) {
-            fleet.kill_worker(worker);
-        }
+        kill_hosts(&mut fleet, job, ms(5000));
     }
     fleet.run_for(ms(10_000));
     assert_eq!(fleet.progress(job), Some(JobProgress::Running));
