Log why steps are held back, which stops are overdue, and cancellations as the owner learns of them

Of a job that is not started, and of a run that goes on, the logs could not tell which hypothesis holds: a step that a takeover or an unknown queue holds back wrote no line, jobs past three times their objective wrote none at all, a worker ruled out by a suspected task's isolation counted as 'other', and nothing was written of a stop without an end or of a cancellation that the owner learned.

wait lines get a cause, the count isolated, and go on for expired jobs (every 10 s); overdue lines name the run, the attempts and the reason; cancellation lines tell whether the job was known and how many runs are to be stopped; jbctl explain names both. The new tests fail without the lines they name.

--- a/crates/dispatch/src/dispatcher_plan.rs
+++ b/crates/dispatch/src/dispatcher_plan.rs
@@ -10,6 +10,7 @@
     CrashFinding,
     Dispatcher,
     FillerEviction,
+    OverdueStop,
     PolicyPart,
     RunLoss,
     RunNumber,
@@ -18,6 +19,7 @@
     StepSpec,
     StepWait,
     TaskKey,
+    WaitCause,
     WorkerKey,
     WorkerOrder,
     dispatcher_placement::PlacementSearch,
@@ -35,9 +37,6 @@
 const MAX_STOP_RETRY_DOUBLINGS: u32 = 3;
 /// The margin beyond the maximum duration of a stop after which an answered stop is sent again.
 const STOP_COMPLETION_MARGIN: Duration = Duration::from_millis(400);
-/// The maximum number of steps for which one plan explains the wait: each explanation scans all
-/// workers.
-const MAX_WAIT_EXPLANATIONS_PER_PLAN: usize = 4;
 
 /// The orders, requests and log entries that a plan results in.
 #[derive(Debug, Default)]
@@ -54,6 +53,8 @@
     pub crashes: Vec<CrashFinding>,
     /// Steps that wait although they should have started, to log.
     pub waits: Vec<StepWait>,
+    /// Runs that go on although they were to be stopped some time ago, to log.
+    pub overdue_stops: Vec<OverdueStop>,
 }
 
 impl Dispatcher {
@@ -74,8 +75,10 @@
             losses: std::mem::take(&mut self.pending_losses),
             crashes: std::mem::take(&mut self.pending_crashes),
             waits: Vec::new(),
+            overdue_stops: Vec::new(),
         };
         self.plan_stops(now, &mut outcome);
+        outcome.overdue_stops = self.overdue_stops(now);
         self.plan_starts(now, &mut outcome);
         outcome
     }
@@ -160,10 +163,13 @@
         }
         let mut ranked: Vec<(StepRank, StepKey)> = Vec::with_capacity(self.pending_steps.len());
         let mut closed = Vec::new();
+        let mut held_back = Vec::new();
         for &step in &self.pending_steps {
             match self.jobs.get(&step.job) {
                 Some(job) if job.is_over() => closed.push(step),
-                Some(job) if !settled && job.may_be_inherited(step.occurrence, step.step) => {}
+                Some(job) if !settled && job.may_be_inherited(step.occurrence, step.step) => {
+                    held_back.push((self.step_rank(job, step, now), step));
+                }
                 Some(job) => ranked.push((self.step_rank(job, step, now), step)),
                 None => closed.push(step),
             }
@@ -171,6 +177,9 @@
         for step in closed {
             self.pending_steps.swap_remove(&step);
         }
+        for (rank, step) in held_back {
+            self.explain_wait(step, &rank, WaitCause::Takeover, &mut outcome.waits, now);
+        }
         ranked.sort_unstable();
         self.refresh_snapshots(now);
         self.plan_count += 1;
@@ -187,10 +196,14 @@
             if missing > 0 {
                 starved.extend(self.starved_since(step, now).map(|since| (since, step)));
             }
+            if missing > 0 {
+                let cause = match self.has_queue_rule(step) {
+                    true => WaitCause::Worker,
+                    false => WaitCause::Queue,
+                };
+                self.explain_wait(step, &rank, cause, &mut outcome.waits, now);
+            }
             if missing > 0 && rank.is_urgent(now) {
-                if outcome.waits.len() < MAX_WAIT_EXPLANATIONS_PER_PLAN {
-                    outcome.waits.extend(self.explain_wait(step, missing, now));
-                }
                 self.reserve_workers(step, missing, now);
             }
         }
@@ -220,7 +233,7 @@
             return 0;
         }
         let Some(rule) = self.queue_rules.get(&job.queue) else {
-            return 0;
+            return pending.len();
         };
         let pool = Arc::clone(&rule.pool);
         let advice = rule.advice;
@@ -300,6 +313,12 @@
         missing
     }
 
+    /// Returns whether the rule of a step's queue is known.
+    fn has_queue_rule(&self, step: StepKey) -> bool {
+        let job = self.jobs.get(&step.job);
+        job.is_some_and(|job| self.queue_rules.contains_key(&job.queue))
+    }
+
     /// Returns the known effects of a step's image on services; empty unless the step is a filler.
     pub(crate) fn filler_profile(&self, spec: &StepSpec) -> FillerProfile {
         FillerProfile::new(
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -26,6 +26,7 @@
 mod dispatcher_runs;
 mod dispatcher_starvation;
 mod dispatcher_throttling;
+mod dispatcher_waits;
 mod dispatcher_workers;
 mod filler_eviction;
 mod fleet_configuration;
@@ -41,6 +42,7 @@
 mod learned_record;
 mod load_estimate;
 mod order_window;
+mod overdue_stop;
 mod placement_score;
 mod policy_part;
 mod pool_demand;
@@ -104,6 +106,10 @@
         LearnedRecord,
         LearnedService, //
     },
+    overdue_stop::{
+        OverdueStop,
+        StopDelay, //
+    },
     policy_part::{
         PolicyPart,
         PolicySwitches,
@@ -140,7 +146,8 @@
     },
     step_wait::{
         RejectionCounts,
-        StepWait, //
+        StepWait,
+        WaitCause, //
     },
     task_key::{
         StepKey,
--- a/crates/dispatch/src/order_window.rs
+++ b/crates/dispatch/src/order_window.rs
@@ -62,6 +62,11 @@
         self.limit.saturating_sub(self.in_flight)
     }
 
+    /// Returns the number of orders in flight and the limit.
+    pub(crate) fn usage(&self) -> (usize, usize) {
+        (self.in_flight, self.limit)
+    }
+
     /// Counts an order as in flight.
     pub(crate) fn record_sent(&mut self) {
         self.in_flight += 1;
--- a/crates/dispatch/src/run_state.rs
+++ b/crates/dispatch/src/run_state.rs
@@ -67,6 +67,10 @@
     pub(crate) load: Option<LoadEstimate>,
     /// The throttle factor last ordered, in percent; 100 is unthrottled, `u32::MAX` unknown.
     pub(crate) throttle_percent: u32,
+    /// When a stop was first planned.
+    pub(crate) stop_requested_at: Option<Duration>,
+    /// When the stop was last logged as overdue.
+    pub(crate) stop_reported_at: Option<Duration>,
     /// When a stop was last sent.
     pub(crate) stop_sent_at: Option<Duration>,
     /// The number of stops sent.
@@ -95,6 +99,8 @@
             metric: None,
             load: None,
             throttle_percent: 100,
+            stop_requested_at: None,
+            stop_reported_at: None,
             stop_sent_at: None,
             stop_attempts: 0,
         }
--- a/crates/dispatch/src/step_rank.rs
+++ b/crates/dispatch/src/step_rank.rs
@@ -45,7 +45,12 @@
 impl StepRank {
     /// Returns whether a step should start soon and its job has not expired.
     pub(crate) fn is_urgent(&self, now: Duration) -> bool {
-        self.latest_start <= now + RESERVATION_LEAD_TIME && self.lateness != Lateness::Expired
+        self.latest_start <= now + RESERVATION_LEAD_TIME && !self.is_expired()
+    }
+
+    /// Returns whether the step's job takes far longer than its objective.
+    pub(crate) fn is_expired(&self) -> bool {
+        self.lateness == Lateness::Expired
     }
 }
 
--- a/crates/dispatch/src/step_wait.rs
+++ b/crates/dispatch/src/step_wait.rs
@@ -1,5 +1,7 @@
 //! Explanation of why a step waits, for the log.
 
+use derive_more::Display;
+
 use crate::StepKey;
 
 /// Number of workers that were rejected for a step that should have started, by reason.
@@ -28,17 +30,37 @@
     pub learning: usize,
     /// Workers where the filler would slow a service down too much.
     pub interference: usize,
+    /// Workers kept free of other starts for a suspected task, or on which too much has just begun
+    /// for one.
+    pub isolated: usize,
     /// Workers with free capacity for which there is no ticket, or that were used for other tasks
     /// of the step.
     pub other: usize,
 }
 
+/// What a step waits for.
+#[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
+pub enum WaitCause {
+    /// A worker for its tasks.
+    #[display("worker")]
+    Worker,
+    /// The reports of all workers to an owner that has taken over: a former owner may have started
+    /// the tasks.
+    #[display("takeover")]
+    Takeover,
+    /// A configuration with its queue: this owner has never known the queue's rule.
+    #[display("queue")]
+    Queue,
+}
+
 /// A step that waits although it should have started.
 #[derive(Clone, Debug)]
 pub struct StepWait {
     /// The waiting step.
     pub step: StepKey,
-    /// The number of its tasks for which no worker was found.
+    /// What it waits for.
+    pub cause: WaitCause,
+    /// The number of its tasks without a run.
     pub missing_tasks: usize,
     /// The number of workers rejected for each reason.
     pub rejections: RejectionCounts,
--- a/crates/dispatch/tests/common/fleet.rs
+++ b/crates/dispatch/tests/common/fleet.rs
@@ -15,8 +15,10 @@
     JobGraph,
     JobKey,
     JobProgress,
+    OverdueStop,
     ProgressRecord,
     RunResult,
+    StepWait,
     TaskKey,
     WorkerKey, //
 };
@@ -114,6 +116,10 @@
     pub(crate) attempts: u32,
     /// Violations found while messages were delivered.
     pub(crate) violations: Vec<String>,
+    /// The log entries about waiting steps.
+    pub(crate) waits: Vec<StepWait>,
+    /// The log entries about overdue stops.
+    pub(crate) overdue_stops: Vec<OverdueStop>,
     /// Messages in flight by their time of delivery and a sequence number.
     pub(super) events: BTreeMap<(Duration, u64), Event>,
     pub(super) event_count: u64,
@@ -163,6 +169,8 @@
             work: default_work,
             attempts: 3,
             violations: Vec::new(),
+            waits: Vec::new(),
+            overdue_stops: Vec::new(),
             events: BTreeMap::new(),
             event_count: 0,
             random: StdRng::seed_from_u64(seed),
--- a/crates/dispatch/tests/common/fleet_messages.rs
+++ b/crates/dispatch/tests/common/fleet_messages.rs
@@ -63,6 +63,8 @@
         // The simulated clock is also the wall clock.
         state.dispatcher.open_due_occurrences(now, now);
         let outcome = state.dispatcher.plan(now);
+        self.waits.extend(outcome.waits);
+        self.overdue_stops.extend(outcome.overdue_stops);
         for order in outcome.orders {
             self.send(owner, order);
         }
--- a/crates/fleet/src/fleet_log.rs
+++ b/crates/fleet/src/fleet_log.rs
@@ -49,6 +49,10 @@
     Order,
     /// A step waits longer than it should.
     Wait,
+    /// A run goes on although it was to be stopped some time ago.
+    Overdue,
+    /// The owner learned that a job was cancelled.
+    Cancellation,
     /// A long-running job was admitted, or refused for lack of free capacity.
     Admission,
     /// The CPU amounts of a pool that each kind of work holds and waits for.
--- a/crates/fleet/src/job_watch.rs
+++ b/crates/fleet/src/job_watch.rs
@@ -8,12 +8,16 @@
 
 use jasminebend_dispatch::{
     AcceptedJob,
-    JobKey, //
+    Dispatcher,
+    JobKey,
+    JobProgress, //
 };
+use serde::Serialize;
 use tokio::task::JoinSet;
 
 use crate::{
     JobRecord,
+    LogEvent,
     StoreError,
     StoreRow,
     StoreTable,
@@ -30,6 +34,15 @@
 /// The upper limit for the age of a job's acceptance: daemons' wall clocks differ.
 const MAX_JOB_AGE: Duration = Duration::from_secs(120);
 
+/// The owner learned that a job was cancelled; `known` tells whether it knows the job, `runs` how many runs are to be stopped.
+#[derive(Serialize)]
+struct CancellationLine {
+    job: String,
+    known: bool,
+    runs: u32,
+    owner_token: u64,
+}
+
 /// The point up to which the owner knows the jobs.
 #[derive(Clone, Copy)]
 pub(crate) struct JobWatchPosition {
@@ -82,6 +95,7 @@
     let mut dispatcher = term.dispatcher.borrow_mut();
     if let Some(name) = row.key.strip_suffix(CANCELLATION_SUFFIX) {
         if let Ok(key) = name.parse() {
+            log_cancellation(shared, term, &dispatcher, key);
             dispatcher.cancel_job(key);
         }
         return;
@@ -105,6 +119,22 @@
     );
 }
 
+fn log_cancellation(shared: &SharedState, term: &OwnerTerm, dispatcher: &Dispatcher, key: JobKey) {
+    let progress = dispatcher.progress(key);
+    if matches!(progress, Some(JobProgress::Ended(_))) {
+        return;
+    }
+    shared.log.line(
+        LogEvent::Cancellation,
+        CancellationLine {
+            job: key.to_string(),
+            known: progress.is_some(),
+            runs: dispatcher.job_run_count(key),
+            owner_token: term.token(),
+        },
+    );
+}
+
 /// Watches the jobs until the future is dropped.
 pub(crate) async fn watch_jobs(
     shared: Rc<SharedState>,
--- a/crates/fleet/src/order_planning.rs
+++ b/crates/fleet/src/order_planning.rs
@@ -12,6 +12,7 @@
     FillerEviction,
     OrderOutcome,
     OrderRefusal,
+    OverdueStop,
     RunLoss,
     StartOrder,
     StepWait,
@@ -62,6 +63,7 @@
 #[derive(Serialize)]
 struct WaitLine {
     step: String,
+    cause: String,
     missing: usize,
     job_age_ms: Option<u64>,
     owner_token: u64,
@@ -76,9 +78,23 @@
     shielded: usize,
     learning: usize,
     harm: usize,
+    isolated: usize,
     other: usize,
 }
 
+/// A run goes on although it was to be stopped some time ago. `cause` is `silent` (the worker answers no renewals), `ending`
+/// (it accepted the order), `limit` (too many orders are in flight) or `unanswered`.
+#[derive(Serialize)]
+struct OverdueStopLine<'a> {
+    task: String,
+    run: u64,
+    worker: &'a str,
+    cause: String,
+    waited_ms: u64,
+    attempts: u32,
+    owner_token: u64,
+}
+
 /// The decision to evict fillers beside a service that answers too slowly or is forecast to, with its measurements.
 #[derive(Serialize)]
 struct FillerEvictionLine<'a> {
@@ -165,6 +181,9 @@
         for wait in &outcome.waits {
             log_wait(&shared, &term, wait, now);
         }
+        for stop in &outcome.overdue_stops {
+            log_overdue_stop(&shared, &term, stop, now);
+        }
         for request in outcome.advice_requests {
             task::spawn_local(request_advice(
                 Rc::clone(&shared),
@@ -405,6 +424,7 @@
         LogEvent::Wait,
         WaitLine {
             step: wait.step.to_string(),
+            cause: wait.cause.to_string(),
             missing: wait.missing_tasks,
             job_age_ms: age.map(whole_millis),
             owner_token: term.token(),
@@ -419,11 +439,27 @@
             shielded: rejections.shielded,
             learning: rejections.learning,
             harm: rejections.interference,
+            isolated: rejections.isolated,
             other: rejections.other,
         },
     );
 }
 
+fn log_overdue_stop(shared: &SharedState, term: &OwnerTerm, stop: &OverdueStop, now: Duration) {
+    shared.log.line(
+        LogEvent::Overdue,
+        OverdueStopLine {
+            task: stop.task.to_string(),
+            run: stop.run.value(),
+            worker: &term.dispatcher.borrow().worker_record(stop.worker).id,
+            cause: stop.delay.to_string(),
+            waited_ms: whole_millis(now.saturating_sub(stop.requested_at)),
+            attempts: stop.attempts,
+            owner_token: term.token(),
+        },
+    );
+}
+
 fn outcome_label(outcome: OrderOutcome) -> &'static str {
     match outcome {
         OrderOutcome::Taken => "taken",
--- a/crates/fleet/src/pool_usage_log.rs
+++ b/crates/fleet/src/pool_usage_log.rs
@@ -44,9 +44,21 @@
         for pool in &pools {
             report_pool(&shared, &term, pool);
         }
+        report_orders(&term);
     }
 }
 
+fn report_orders(term: &OwnerTerm) {
+    let dispatcher = term.dispatcher.borrow();
+    let (in_flight, limit) = dispatcher.order_usage();
+    // CAST: Exact up to 2^53.
+    metrics::gauge!("jasminebend_fleet_orders_in_flight").set(in_flight as f64);
+    // CAST: As above.
+    metrics::gauge!("jasminebend_fleet_order_limit").set(limit as f64);
+    // CAST: As above.
+    metrics::gauge!("jasminebend_fleet_stops_pending").set(dispatcher.pending_stop_count() as f64);
+}
+
 fn report_pool(shared: &SharedState, term: &OwnerTerm, pool: &PoolUsage) {
     set_gauges(pool, "long_running", pool.long_running);
     set_gauges(pool, "short", pool.short);
--- a/crates/jbctl/src/job_timeline.rs
+++ b/crates/jbctl/src/job_timeline.rs
@@ -65,6 +65,32 @@
         /// How many workers were rejected for that reason.
         workers: u64,
     },
+    /// The owner did not look for workers for a step.
+    #[display("step {step} waited at {job_age_ms} ms: the owner held it back, cause `{cause}`")]
+    HeldBack {
+        /// The step's key, as logged.
+        step: String,
+        /// The job's age when the line was written, in milliseconds.
+        job_age_ms: u64,
+        /// The cause in the `wait` line.
+        cause: String,
+    },
+    /// A run went on although it was to be stopped.
+    #[display(
+        "run {run} of task {task} on {worker} had not ended {waited_ms} ms after it was to be stopped, cause `{cause}`"
+    )]
+    OverdueStop {
+        /// The task's key, as logged.
+        task: String,
+        /// The run's number.
+        run: u64,
+        /// The worker's identity.
+        worker: String,
+        /// The time since the stop was planned, in milliseconds.
+        waited_ms: u64,
+        /// The cause in the `overdue` line.
+        cause: String,
+    },
     /// The owner refused a long-running job for lack of free capacity.
     #[display(
         "refused by {node} for want of room: it asks for {demand_millis} thousandths of a processor, {free_millis} are not promised to \
@@ -153,6 +179,7 @@
             let cause = match line.str_field("event") {
                 "request" => self.request_cause(line),
                 "wait" => Some(wait_cause(line)),
+                "overdue" => Some(overdue_cause(line)),
                 "admission" if !line.is_true("granted") => Some(admission_cause(line)),
                 "crash" if line.str_field("verdict") == "confirmed" => Some(crash_cause(line)),
                 "job" if line.str_field("outcome") == "failed" => Some(self.failure_cause(line)),
@@ -255,6 +282,14 @@
 
 /// Returns the cause in a `wait` line, with the reason for which most workers were rejected.
 fn wait_cause(line: &LogLine) -> DiagnosedCause {
+    let cause = line.str_field("cause");
+    if !matches!(cause, "" | "worker") {
+        return DiagnosedCause::HeldBack {
+            step: line.str_field("step").to_owned(),
+            job_age_ms: line.u64_field("job_age_ms"),
+            cause: cause.to_owned(),
+        };
+    }
     let (workers, reason) = line
         .rejection_counts()
         .into_iter()
@@ -269,6 +304,17 @@
     }
 }
 
+/// Returns the cause in an `overdue` line.
+fn overdue_cause(line: &LogLine) -> DiagnosedCause {
+    DiagnosedCause::OverdueStop {
+        task: line.str_field("task").to_owned(),
+        run: line.u64_field("run"),
+        worker: line.str_field("worker").to_owned(),
+        waited_ms: line.u64_field("waited_ms"),
+        cause: line.str_field("cause").to_owned(),
+    }
+}
+
 /// Returns the cause in a `crash` line.
 fn crash_cause(line: &LogLine) -> DiagnosedCause {
     DiagnosedCause::WorkerCrashed {
--- a/crates/jbctl/src/log_line.rs
+++ b/crates/jbctl/src/log_line.rs
@@ -6,7 +6,7 @@
 };
 
 /// The fields of a `wait` line: each counts the workers that were rejected for the waiting step for one reason.
-pub(crate) const WORKER_REJECTION_FIELDS: [&str; 12] = [
+pub(crate) const WORKER_REJECTION_FIELDS: [&str; 13] = [
     "processors",
     "memory",
     "leaving",
@@ -18,6 +18,7 @@
     "shielded",
     "learning",
     "harm",
+    "isolated",
     "other",
 ];
 
@@ -58,7 +59,7 @@
 
     /// Returns how many workers were rejected for the waiting step, with the reason; in the order of
     /// [`WORKER_REJECTION_FIELDS`].
-    pub(crate) fn rejection_counts(&self) -> [(u64, &'static str); 12] {
+    pub(crate) fn rejection_counts(&self) -> [(u64, &'static str); 13] {
         WORKER_REJECTION_FIELDS.map(|reason| (self.u64_field(reason), reason))
     }
 
--- a/crates/jbctl/tests/job_timelines.rs
+++ b/crates/jbctl/tests/job_timelines.rs
@@ -72,6 +72,22 @@
     assert!(timeline.formatted_lines()[0].starts_with("4.000 edge-a wait step="));
 }
 
+#[test]
+fn steps_held_back_and_overdue_stops_are_named_with_their_cause() {
+    let timeline = timeline(&[
+        r#"{"ts":4.0,"node":"edge-a","event":"wait","step":"5c0e7a21d94b36f8.0.0","cause":"takeover","missing":3,"job_age_ms":3000,"owner_token":2,"processors":0}"#,
+        r#"{"ts":9.0,"node":"edge-a","event":"overdue","task":"5c0e7a21d94b36f8.0.0.8","run":1000000009,"worker":"i-1","cause":"silent","waited_ms":2010,"attempts":3,"owner_token":2}"#,
+    ]);
+    let causes: Vec<String> = timeline.causes().iter().map(ToString::to_string).collect();
+    assert_eq!(
+        causes,
+        [
+            "step 5c0e7a21d94b36f8.0.0 waited at 3000 ms: the owner held it back, cause `takeover`",
+            "run 1000000009 of task 5c0e7a21d94b36f8.0.0.8 on i-1 had not ended 2010 ms after it was to be stopped, cause `silent`",
+        ]
+    );
+}
+
 #[test]
 fn a_job_without_log_lines_has_an_empty_timeline() {
     assert!(timeline(&["{}"]).is_empty());
