--- a/crates/dispatch/tests/crashing_tasks.rs
+++ b/crates/dispatch/tests/crashing_tasks.rs
@@ -17,9 +17,13 @@
     JobKey,
     JobOutcome,
     JobProgress,
+    ProgressRecord,
+    RunNumber,
     StepKey,
     StepSpec,
-    TaskKey, //
+    TaskCrashes,
+    TaskKey,
+    WorkerCrash, //
 };
 use jasminebend_standins::TaskWork;
 use rand::{
@@ -384,6 +388,97 @@
     assert_eq!(fleet.progress(guilty_job()), FAILED);
 }
 
+/// Guards against a gang that never starts again, and is never given up, because several of its
+/// members are suspected.
+#[test]
+fn gang_of_crashing_members_is_given_up() {
+    for (workers, members) in [(12, 8), (12, 2), (3, 8)] {
+        let mut fleet = Fleet::new(workers, 14)
+            .with_work(short_work)
+            .with_crashes(|task| (task.job() == guilty_job()).then_some(CRASH_DELAY));
+        let gang = StepSpec {
+            gang: true,
+            ..step(members, &[])
+        };
+        fleet.submit(1, graph(vec![gang]));
+        fleet.run_for(ms(60_000));
+        let size = format!("{members} members on {workers} workers");
+        assert_eq!(
+            check_starts(&fleet, guilty_task()),
+            Vec::<String>::new(),
+            "{size}"
+        );
+        assert_eq!(fleet.progress(guilty_job()), FAILED, "{size}");
+    }
+}
+
+/// Stores a record by which the first `suspects` tasks of a job have met two early crashes.
+fn record_early_crashes(fleet: &mut Fleet, job: JobKey, suspects: u32) {
+    let crash = |number: u64| WorkerCrash {
+        run: RunNumber::of_owner(1, number),
+        worker: format!("gone-{number}").into(),
+        at: ms(500),
+        early: true,
+        alone: false,
+        widespread: true,
+    };
+    let crashes = (0..suspects).map(|index| TaskCrashes {
+        occurrence: 0,
+        step: 0,
+        index,
+        crashes: vec![crash(1), crash(2)],
+        started_on: None,
+    });
+    let record = ProgressRecord {
+        crashes: crashes.collect(),
+        ..ProgressRecord::default()
+    };
+    fleet.records.insert(job, record);
+}
+
+/// Guards against an innocent gang that never starts because several of its members are suspected,
+/// or fewer workers are free than it has suspected members.
+#[test]
+fn gang_of_suspected_members_completes() {
+    for (workers, suspects) in [(8, 4), (8, 1), (2, 4), (2, 1), (1, 4), (1, 1)] {
+        let mut fleet = Fleet::new(workers, 15).with_work(short_work);
+        let gang = StepSpec {
+            gang: true,
+            ..step(4, &[])
+        };
+        let job = fleet.submit(2, graph(vec![gang]));
+        record_early_crashes(&mut fleet, job, suspects);
+        fleet.replace_owner();
+        fleet.run_for(ms(15_000));
+        let case = format!("{suspects} suspects on {workers} workers");
+        assert_eq!(fleet.progress(job), COMPLETED, "{case}");
+        assert_eq!(fleet.check_invariants(), Vec::<String>::new(), "{case}");
+    }
+}
+
+/// Guards against suspected gangs that never start because each attempt to place one keeps the
+/// workers from the others.
+#[test]
+fn suspected_gangs_complete_beside_one_another() {
+    let mut fleet = Fleet::new(6, 16).with_work(short_work);
+    let jobs: Vec<JobKey> = (2..8)
+        .map(|number| {
+            let gang = StepSpec {
+                gang: true,
+                ..step(5, &[])
+            };
+            let job = fleet.submit(number, graph(vec![gang]));
+            record_early_crashes(&mut fleet, job, 3);
+            job
+        })
+        .collect();
+    fleet.replace_owner();
+    fleet.run_for(ms(40_000));
+    for job in jobs {
+        assert_eq!(fleet.progress(job), COMPLETED, "{job}");
+    }
+}
+
 /// Guards against several crashing tasks that exculpate one another by crashing at the same time.
 #[test]
 fn several_crashing_tasks_are_given_up() {
--- a/crates/dispatch/tests/fillers.rs
+++ b/crates/dispatch/tests/fillers.rs
@@ -33,12 +33,15 @@
     JobGraph,
     JobKey,
     OrderOutcome,
+    ProgressRecord,
     RenewalReport,
     RunNumber,
     RunningTask,
     StartOrder,
     StepSpec,
+    TaskCrashes,
     TaskKey,
+    WorkerCrash,
     WorkerKey,
     WorkerOrder, //
 };
@@ -124,8 +127,11 @@
         }
     }
 
-    /// Plans, and carries out all orders at once.
+    /// Plans, carries out all orders at once and stores all records.
     fn plan(&mut self) {
+        if !self.dispatcher.take_records_to_commit(45).is_empty() {
+            self.dispatcher.confirm_commit();
+        }
         for order in self.dispatcher.plan(self.now).orders {
             match order {
                 WorkerOrder::Start(start) => self.start(&start),
@@ -645,6 +651,51 @@
     assert!(pause < ms(3000), "{pause:?}");
 }
 
+/// Guards against starving a filler that interferes with services on every worker because it is
+/// suspected of crashing its workers.
+#[test]
+fn suspected_harmful_filler_runs_while_most_of_the_pool_is_free() {
+    let mut services = service("service-a", 6);
+    services.steps[0].max_per_worker = Some(2);
+    let mut pool = Pool::new(3, |_| 6).with_tail_by_task(rising_service_tail_ms);
+    pool.submit(1, services);
+    pool.run_for(ms(3000));
+    pool.submit(10, filler("harmful", 3));
+    pool.run_for(ms(20_000));
+    pool.dispatcher.cancel_job(JobKey::new(10));
+    pool.submit(11, filler("harmful", 2));
+    pool.dispatcher
+        .restore_job(JobKey::new(11), &suspected_tasks(2));
+    let has_run = (0..10).any(|_| {
+        pool.run_for(ms(500));
+        pool.count_running(|task| job_number(task) == 11) > 0
+    });
+    assert!(has_run);
+}
+
+/// Returns the record of a job whose first tasks have met two early crashes.
+fn suspected_tasks(count: u32) -> ProgressRecord {
+    let crash = |number: u64| WorkerCrash {
+        run: RunNumber::of_owner(1, number),
+        worker: "gone".into(),
+        at: ms(500),
+        early: true,
+        alone: false,
+        widespread: false,
+    };
+    let crashes = (0..count).map(|index| TaskCrashes {
+        occurrence: 0,
+        step: 0,
+        index,
+        crashes: vec![crash(1_000_000), crash(1_000_001)],
+        started_on: None,
+    });
+    ProgressRecord {
+        crashes: crashes.collect(),
+        ..ProgressRecord::default()
+    }
+}
+
 /// Guards against slowing services down for a starved filler although the pool has little free
 /// capacity.
 #[test]
