Take back what an undone placement of a gang left on its workers

Callers saw an accepted job that never ran again although most of the capacity was free.

Cause: a gang is placed member by member, and undone if one member can't start. Undoing it released the capacity, but not the time of the last start, the isolation and the announcements that each placement had left, and it ended the wait for isolation. A suspected member may only start where nothing has just started, so that each attempt ruled out the workers of the next one, and its patience began anew: the wait kept itself alive. Announcements were moreover made one member a plan, and members of one gang could never share a worker, however few were free.

A gang of eight crashing members on twelve workers was started three times and then neither started nor given up for a minute; an innocent one with four suspected members never started on eight free workers.

Change: a placement returns what it overwrites, and undoing it restores that; a start is announced, and the wait for isolation ended, only when its order is made; a gang announces all its members in one plan once all have a worker; when its suspected members have waited in vain for workers of their own, its members may share. Placement of gangs is a module of its own.

An attempt now leaves nothing that a later attempt of the same gang could run into but the announcements, which are to the same workers.

--- a/crates/dispatch/src/crash_history.rs
+++ b/crates/dispatch/src/crash_history.rs
@@ -1,6 +1,9 @@
 //! The crashes of workers under one task, and what follows from them.
 
-use std::time::Duration;
+use std::{
+    sync::Arc,
+    time::Duration, //
+};
 
 use crate::{
     WorkerCrash,
@@ -80,20 +83,36 @@
         self.is_suspect() && !has_waited
     }
 
-    /// Records that the task found no worker on which nothing else starts.
+    /// Records that the task, if it is suspected, found no worker on which nothing else starts.
     pub(crate) fn wait_for_isolation(&mut self, now: Duration) {
-        if let Some(details) = &mut self.0 {
+        let is_suspect = self.is_suspect();
+        if let Some(details) = self.0.as_mut().filter(|_| is_suspect) {
             details.unisolated_since.get_or_insert(now);
         }
     }
 
-    /// Records that a run of the task is placed.
+    /// Records that a run of the task is started.
     pub(crate) fn end_wait(&mut self) {
         if let Some(details) = &mut self.0 {
             details.unisolated_since = None;
         }
     }
 
+    /// Returns whether the task's start on a worker needs no announcement, or has one that is on
+    /// record, as are all changes up to `committed`.
+    pub(crate) fn may_start_on(&self, worker: &Arc<str>, committed: u64) -> bool {
+        !self.is_suspect()
+            || self.announcement().is_some_and(|announcement| {
+                announcement.worker == *worker && announcement.change <= committed
+            })
+    }
+
+    /// Returns whether the task's start on a worker is announced.
+    pub(crate) fn is_announced_on(&self, worker: &Arc<str>) -> bool {
+        self.announcement()
+            .is_some_and(|announcement| announcement.worker == *worker)
+    }
+
     /// Returns the announcement of the task's start, if there is one.
     pub(crate) fn announcement(&self) -> Option<&StartAnnouncement> {
         self.0.as_ref()?.announcement.as_ref()
--- a/crates/dispatch/src/dispatcher_announcements.rs
+++ b/crates/dispatch/src/dispatcher_announcements.rs
@@ -18,22 +18,40 @@
     /// Returns whether a task may start on a worker now. A suspected task must be announced first,
     /// so that a successor knows of a start whose crash this owner may not live to see.
     pub(crate) fn may_start_on(&mut self, task: TaskKey, key: WorkerKey, now: Duration) -> bool {
+        let committed = self.commits.committed_through();
         let Some(crashes) = self.crash_history(task) else {
             return false;
         };
-        if !crashes.is_suspect() {
+        let worker = &self.worker(key).record.id;
+        if crashes.may_start_on(worker, committed) {
             return true;
         }
-        let worker = &self.worker(key).record.id;
-        match crashes.announcement() {
-            Some(announcement) if announcement.worker == *worker => {
-                self.commits.committed_through() >= announcement.change
-            }
-            _ => {
-                self.announce_start(task, key);
-                self.worker_mut(key).isolate(task, now);
-                false
-            }
+        if !crashes.is_announced_on(worker) {
+            self.announce_start(task, key);
+            self.worker_mut(key).isolate(task, now);
+        }
+        false
+    }
+
+    /// Returns whether a task for which no worker was found needs one on which nothing else starts;
+    /// limits how long it waits for that.
+    pub(crate) fn awaits_isolation(&mut self, task: TaskKey, now: Duration) -> bool {
+        let Some(crashes) = self.crash_history_mut(task) else {
+            return false;
+        };
+        let needs_isolation = crashes.needs_isolation(now);
+        crashes.wait_for_isolation(now);
+        needs_isolation
+    }
+
+    /// Records that a placed task starts, and announces it if workers have crashed under it.
+    pub(crate) fn begin_start(&mut self, task: TaskKey, key: WorkerKey) {
+        let Some(crashes) = self.crash_history_mut(task) else {
+            return;
+        };
+        crashes.end_wait();
+        if !crashes.is_empty() {
+            self.announce_start(task, key);
         }
     }
 
--- a/crates/dispatch/src/dispatcher_placement.rs
+++ b/crates/dispatch/src/dispatcher_placement.rs
@@ -13,6 +13,7 @@
     StepSpec,
     TaskKey,
     WorkerKey,
+    crash_history::CrashHistory,
     dispatcher_advice::MIN_TICKET_VALIDITY,
     placement_score::{
         PlacementContext,
@@ -27,7 +28,10 @@
         ServiceSnapshot, //
     },
     unplaceable_demands::TaskDemand,
-    worker_state::WorkerState, //
+    worker_state::{
+        StartMarks,
+        WorkerState, //
+    }, //
 };
 
 /// The parameters by which one plan searches workers for the tasks of a step.
@@ -36,11 +40,24 @@
     pub(crate) profile: FillerProfile,
     /// Whether the step's job has had no run for too long and accepts the least harmful worker.
     pub(crate) is_starving: bool,
+    /// Whether members of one gang may start beside a suspected one of them: too few workers were
+    /// found to keep these apart.
+    pub(crate) shares_isolation: bool,
     /// The last plan in which no worker had capacity for the demand, if that result is still valid;
     /// workers unchanged since are skipped.
     pub(crate) last_failed_plan: Option<u64>,
 }
 
+/// A run that is placed and not ordered yet.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Placement {
+    pub(crate) task: TaskKey,
+    pub(crate) worker: WorkerKey,
+    pub(crate) run: RunNumber,
+    /// What earlier starts have left on the worker.
+    former_marks: StartMarks,
+}
+
 impl Dispatcher {
     /// Reserves a run's capacity on its worker and attaches the run to its task.
     pub(crate) fn place_run(
@@ -50,24 +67,18 @@
         run: RunNumber,
         spec: &StepSpec,
         now: Duration,
-    ) {
+    ) -> Placement {
         let rack = self.worker(worker).record.rack().cloned();
         let mut state = RunState::new(task, spec, RunPhase::Sent, now);
-        let mut is_suspect = false;
-        if let Some(crashes) = self.crash_history_mut(task) {
-            crashes.end_wait();
-            state.may_clear_crashes = !crashes.is_empty();
-            is_suspect = crashes.is_suspect();
-        }
-        let has_crashes = state.may_clear_crashes;
+        let crashes = self.crash_history(task);
+        state.may_clear_crashes = crashes.is_some_and(|crashes| !crashes.is_empty());
+        let is_suspect = crashes.is_some_and(CrashHistory::is_suspect);
         let held = self.worker_mut(worker);
+        let former_marks = held.start_marks();
         held.add_run(run, state);
         if is_suspect {
             held.isolate(task, now);
         }
-        if has_crashes {
-            self.announce_start(task, worker);
-        }
         self.workers[worker.index()].service_snapshot =
             ServiceSnapshot::new(self.worker(worker), &self.interference, now);
         let step = task.step;
@@ -83,17 +94,22 @@
                 job.add_run();
             }
         }
+        Placement {
+            task,
+            worker,
+            run,
+            former_marks,
+        }
     }
 
-    /// Undoes the placement of a run whose start was not sent.
-    pub(crate) fn undo_placement(
-        &mut self,
-        task: TaskKey,
-        worker: WorkerKey,
-        run: RunNumber,
-        now: Duration,
-    ) {
-        self.worker_mut(worker).remove_run(task, run, now);
+    /// Undoes a placement. Several on one worker must be undone in reverse order.
+    pub(crate) fn undo_placement(&mut self, placement: &Placement, now: Duration) {
+        let Placement {
+            task, worker, run, ..
+        } = *placement;
+        let held = self.worker_mut(worker);
+        held.remove_run(task, run, now);
+        held.restore_start_marks(placement.former_marks);
         let step = task.step;
         if let Some(job) = self.jobs.get_mut(&step.job)
             && let Some(step_state) = job.step_mut(step.occurrence, step.step)
@@ -154,9 +170,10 @@
             if state.is_at_spread_limit(key, spec) {
                 continue;
             }
-            if worker.is_isolated_from(task, now)
-                || (needs_isolation && worker.has_recent_start(now))
-            {
+            let is_kept_free = worker
+                .isolated_suspect(task, now)
+                .is_some_and(|suspect| !search.shares_isolation || suspect.step != task.step);
+            if is_kept_free || (needs_isolation && worker.has_recent_start(now)) {
                 continue;
             }
             if demand.needs_ticket && !has_valid_ticket(state.tickets.get(&key), now) {
--- a/crates/dispatch/src/dispatcher_plan.rs
+++ b/crates/dispatch/src/dispatcher_plan.rs
@@ -22,7 +22,10 @@
     WaitCause,
     WorkerKey,
     WorkerOrder,
-    dispatcher_placement::PlacementSearch,
+    dispatcher_placement::{
+        Placement,
+        PlacementSearch, //
+    },
     job_state::JobState,
     run_state::RunPhase,
     service_snapshot::FillerProfile,
@@ -255,62 +258,53 @@
         if last_failed_plan == Some(self.plan_count) {
             return pending.len();
         }
-        let gang_run = spec.gang.then(|| self.next_run());
         let search = PlacementSearch {
             profile: self.filler_profile(spec),
             is_starving: false,
+            shares_isolation: false,
             last_failed_plan,
             demand,
         };
-        let mut placed: Vec<(u32, WorkerKey, RunNumber)> = Vec::with_capacity(pending.len());
-        let limit = match spec.gang {
-            true => pending.len(),
-            false => self.order_window.remaining(),
+        let placed = match spec.gang {
+            true => self.place_gang(step, spec, &pending, search, now),
+            false => self.place_tasks(step, spec, &pending, &search, now),
         };
+        for placement in &placed {
+            self.order_window.record_sent();
+            let order = self.start_order(placement, &graph.payload, spec.gang);
+            outcome.orders.push(WorkerOrder::Start(order));
+        }
+        pending.len() - placed.len()
+    }
+
+    /// Places pending tasks of a step that is no gang until no worker is found for one.
+    fn place_tasks(
+        &mut self,
+        step: StepKey,
+        spec: &StepSpec,
+        pending: &[u32],
+        search: &PlacementSearch,
+        now: Duration,
+    ) -> Vec<Placement> {
+        let limit = self.order_window.remaining();
+        let mut placed = Vec::with_capacity(pending.len());
         for &index in pending.iter().take(limit) {
-            let found = self.find_worker(step.task(index), spec, &search, now);
-            if found.is_none()
-                && let Some(crashes) = self.crash_history_mut(step.task(index))
-                && crashes.needs_isolation(now)
-            {
-                crashes.wait_for_isolation(now);
-                match spec.gang {
-                    true => break,
-                    false => continue,
-                }
-            }
-            let Some(worker) = found else {
-                // If a gang's later member fits nowhere, that proves nothing: the members placed
-                // before it hold capacity that is given back below.
-                if !spec.gang || placed.is_empty() {
-                    self.unplaceable
-                        .insert(&search.demand, self.plan_count, now);
+            let task = step.task(index);
+            let Some(worker) = self.find_worker(task, spec, search, now) else {
+                if self.awaits_isolation(task, now) {
+                    continue;
                 }
+                self.unplaceable
+                    .insert(&search.demand, self.plan_count, now);
                 break;
             };
-            if !self.may_start_on(step.task(index), worker, now) {
-                match spec.gang {
-                    true => break,
-                    false => continue,
-                }
-            }
-            let run = gang_run.unwrap_or_else(|| self.next_run());
-            self.place_run(step.task(index), worker, run, spec, now);
-            placed.push((index, worker, run));
-        }
-        if spec.gang && placed.len() < pending.len() {
-            for (index, worker, run) in placed {
-                self.undo_placement(step.task(index), worker, run, now);
+            if !self.may_start_on(task, worker, now) {
+                continue;
             }
-            return pending.len();
-        }
-        let missing = pending.len() - placed.len();
-        for (index, worker, run) in placed {
-            self.order_window.record_sent();
-            let order = self.start_order(step.task(index), worker, run, &graph.payload, spec.gang);
-            outcome.orders.push(WorkerOrder::Start(order));
+            let run = self.next_run();
+            placed.push(self.place_run(task, worker, run, spec, now));
         }
-        missing
+        placed
     }
 
     /// Returns whether the rule of a step's queue is known.
@@ -330,12 +324,14 @@
     /// Builds the start order of a placed run and marks its job as started.
     pub(crate) fn start_order(
         &mut self,
-        task: TaskKey,
-        worker: WorkerKey,
-        run: RunNumber,
+        placement: &Placement,
         payload: &Arc<str>,
         gang: bool,
     ) -> StartOrder {
+        let Placement {
+            task, worker, run, ..
+        } = *placement;
+        self.begin_start(task, worker);
         let step = task.step;
         let mut checkpoint = None;
         let mut ticket = None;
--- a/crates/dispatch/src/dispatcher_starvation.rs
+++ b/crates/dispatch/src/dispatcher_starvation.rs
@@ -78,6 +78,7 @@
             demand: TaskDemand::new(spec, &pool, rule.advice.is_some()),
             profile: self.filler_profile(spec),
             is_starving: true,
+            shares_isolation: false,
             last_failed_plan: None,
         };
         if !self.is_half_free(&pool, now) {
@@ -87,9 +88,9 @@
         let task = step.task(index as u32);
         let worker = self.find_worker(task, spec, &search, now)?;
         let run = self.next_run();
-        self.place_run(task, worker, run, spec, now);
+        let placement = self.place_run(task, worker, run, spec, now);
         self.order_window.record_sent();
-        let order = self.start_order(task, worker, run, &graph.payload, false);
+        let order = self.start_order(&placement, &graph.payload, false);
         Some(WorkerOrder::Start(order))
     }
 
--- a/crates/dispatch/src/dispatcher_waits.rs
+++ b/crates/dispatch/src/dispatcher_waits.rs
@@ -175,7 +175,7 @@
     tasks
         .find(|(_, task)| task.is_pending())
         .is_some_and(|(index, task)| {
-            worker.is_isolated_from(step.task(index), now)
+            worker.isolated_suspect(step.task(index), now).is_some()
                 || task.crashes.needs_isolation(now) && worker.has_recent_start(now)
         })
 }
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -17,6 +17,7 @@
 mod dispatcher_announcements;
 mod dispatcher_completions;
 mod dispatcher_crashes;
+mod dispatcher_gangs;
 mod dispatcher_maintenance;
 mod dispatcher_placement;
 mod dispatcher_plan;
--- a/crates/dispatch/src/worker_state.rs
+++ b/crates/dispatch/src/worker_state.rs
@@ -105,6 +105,13 @@
     pub(crate) changed_in_plan: u64,
 }
 
+/// What a start leaves on its worker beside the run.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct StartMarks {
+    last_start_at: Option<Duration>,
+    isolation: Option<(TaskKey, Duration)>,
+}
+
 impl WorkerState {
     pub(crate) fn new(record: FleetWorker) -> Self {
         Self {
@@ -271,10 +278,24 @@
         self.isolation = Some((task, now + EARLY_CRASH_WINDOW));
     }
 
-    /// Returns whether a task may not start because of a suspected one.
-    pub(crate) fn is_isolated_from(&self, task: TaskKey, now: Duration) -> bool {
-        self.isolation
-            .is_some_and(|(suspect, until)| suspect != task && now < until)
+    /// Returns the suspected task, other than this one, because of which a task may not start.
+    pub(crate) fn isolated_suspect(&self, task: TaskKey, now: Duration) -> Option<TaskKey> {
+        let (suspect, until) = self.isolation?;
+        (suspect != task && now < until).then_some(suspect)
+    }
+
+    /// Returns what the last starts have left.
+    pub(crate) fn start_marks(&self) -> StartMarks {
+        StartMarks {
+            last_start_at: self.last_start_at,
+            isolation: self.isolation,
+        }
+    }
+
+    /// Takes back what the starts since have left.
+    pub(crate) fn restore_start_marks(&mut self, marks: StartMarks) {
+        self.last_start_at = marks.last_start_at;
+        self.isolation = marks.isolation;
     }
 
     /// Returns whether a run began so recently that its start may still crash the worker.
