Start starved fillers although they are suspected

Callers saw an accepted job that never ran again although most of the capacity was free.

Cause: a filler that would slow services down on every worker is started nevertheless, where it does so least, once its job has waited for a second and half of the pool is free. That search passed over suspected tasks, since a suspected task has to be announced first. A filler under which two workers have crashed early, guilty or a bystander, and that has services on all workers, was therefore never started again, and nothing else ended its wait.

Change: the search takes a suspected task if the job has no other, announces it and starts it by the next search, 300 ms later; the wait for isolation is counted there too.

--- a/crates/dispatch/src/dispatcher_starvation.rs
+++ b/crates/dispatch/src/dispatcher_starvation.rs
@@ -67,11 +67,10 @@
         let graph = Arc::clone(&job.graph);
         let spec = graph.steps.get(usize::from(step.step))?;
         let state = job.step(step.occurrence, step.step)?;
-        // A suspected task must be announced first.
-        let index = state
-            .tasks
-            .iter()
-            .position(|task| task.is_pending() && !task.crashes.is_suspect())?;
+        let pending = (0..)
+            .zip(&state.tasks)
+            .filter(|(_, task)| task.is_pending());
+        let (index, _) = pending.min_by_key(|(_, task)| task.crashes.is_suspect())?;
         let rule = self.queue_rules.get(&job.queue)?;
         let pool = Arc::clone(&rule.pool);
         let search = PlacementSearch {
@@ -84,9 +83,14 @@
         if !self.is_half_free(&pool, now) {
             return None;
         }
-        // CAST: A step has at most 20,000 tasks.
-        let task = step.task(index as u32);
-        let worker = self.find_worker(task, spec, &search, now)?;
+        let task = step.task(index);
+        let Some(worker) = self.find_worker(task, spec, &search, now) else {
+            self.awaits_isolation(task, now);
+            return None;
+        };
+        if !self.may_start_on(task, worker, now) {
+            return None;
+        }
         let run = self.next_run();
         let placement = self.place_run(task, worker, run, spec, now);
         self.order_window.record_sent();
