Start starved gangs of fillers

A gang of fillers with services on all workers was never started though most of the pool was free; nor was one of unknown effect with more tasks than there are workers, since fillers of unknown effect are placed one at a time.

Evidence: harmful_gang_runs_while_most_of_the_pool_is_free fails without this change, for a gang whose interference is known; with the search alone it fails for the unknown one, until undone placements no longer count as runs.

Change: a starved gang is placed as a whole where it interferes least, at the same intervals as a single filler and only while half of the pool is free.

--- a/crates/dispatch/src/dispatcher_gangs.rs
+++ b/crates/dispatch/src/dispatcher_gangs.rs
@@ -55,7 +55,7 @@
         }
         // A later member for which no worker is found proves nothing: the members before it held
         // capacity.
-        if placed.is_empty() && !awaits_isolation {
+        if placed.is_empty() && !awaits_isolation && !search.is_starving {
             self.unplaceable
                 .insert(&search.demand, self.plan_count, now);
         }
--- a/crates/dispatch/src/dispatcher_placement.rs
+++ b/crates/dispatch/src/dispatcher_placement.rs
@@ -118,7 +118,7 @@
             step_state.first_rack = None;
             if let Some(state) = step_state.tasks.get_mut(task.index as usize) {
                 state.runs.retain(|&held| held != (worker, run));
-                job.remove_run(now);
+                job.undo_run();
             }
         }
     }
--- a/crates/dispatch/src/dispatcher_plan.rs
+++ b/crates/dispatch/src/dispatcher_plan.rs
@@ -196,7 +196,7 @@
                 return;
             }
             let missing = self.plan_step(step, now, outcome);
-            if missing > 0 {
+            if missing > 0 && !self.step_spec(step).is_some_and(|spec| spec.gang) {
                 starved.extend(self.starved_since(step, now).map(|since| (since, step)));
             }
             if missing > 0 {
@@ -247,10 +247,9 @@
             return 0;
         }
         let demand = TaskDemand::new(spec, &pool, advice.is_some());
-        let uses_cache = self
-            .settings
-            .switches
-            .has(PolicyPart::UnplaceableDemandCache);
+        let is_starving = self.is_starving_gang(step, &pool, now);
+        let switches = self.settings.switches;
+        let uses_cache = switches.has(PolicyPart::UnplaceableDemandCache) && !is_starving;
         let last_failed_plan = self
             .unplaceable
             .last_plan(&demand, now)
@@ -260,7 +259,7 @@
         }
         let search = PlacementSearch {
             profile: self.filler_profile(spec),
-            is_starving: false,
+            is_starving,
             shares_isolation: false,
             last_failed_plan,
             demand,
--- a/crates/dispatch/src/dispatcher_starvation.rs
+++ b/crates/dispatch/src/dispatcher_starvation.rs
@@ -21,13 +21,12 @@
 const FORCED_SEARCH_INTERVAL: Duration = Duration::from_millis(300);
 
 impl Dispatcher {
-    /// Returns since when a step's job has had no run, if the step is a filler, is no gang,
-    /// and that time exceeds the starvation timeout; `None` otherwise or right after a forced
-    /// search.
+    /// Returns since when a step's job has had no run, if the step is a filler and that time exceeds
+    /// the starvation timeout; `None` otherwise or right after a forced search.
     pub(crate) fn starved_since(&self, step: StepKey, now: Duration) -> Option<Duration> {
         let job = self.jobs.get(&step.job)?;
         let spec = job.graph.steps.get(usize::from(step.step))?;
-        let is_filler = spec.kind() == WorkKind::Filler && !spec.gang;
+        let is_filler = spec.kind() == WorkKind::Filler;
         let searched_recently = job
             .last_forced_search
             .is_some_and(|at| now < at + FORCED_SEARCH_INTERVAL);
@@ -38,6 +37,24 @@
         (is_filler && is_starving && !searched_recently).then_some(idle)
     }
 
+    /// Returns whether a gang is starved and half of its pool is free, so that it is placed where it
+    /// interferes least.
+    pub(crate) fn is_starving_gang(
+        &mut self,
+        step: StepKey,
+        pool: &Arc<str>,
+        now: Duration,
+    ) -> bool {
+        let is_gang = self.step_spec(step).is_some_and(|spec| spec.gang);
+        if !is_gang || self.starved_since(step, now).is_none() {
+            return false;
+        }
+        if let Some(job) = self.jobs.get_mut(&step.job) {
+            job.last_forced_search = Some(now);
+        }
+        self.is_half_free(pool, now)
+    }
+
     /// Starts one task of each starved job while half of its pool is free, on the worker where it
     /// interferes least; the job that has waited longest comes first. Services stay protected as
     /// from any filler: it is throttled, and evicted within seconds.
--- a/crates/dispatch/src/job_state.rs
+++ b/crates/dispatch/src/job_state.rs
@@ -143,6 +143,11 @@
         }
     }
 
+    /// Takes back a run that was counted but not started.
+    pub(crate) fn undo_run(&mut self) {
+        self.run_count = self.run_count.saturating_sub(1);
+    }
+
     /// Returns when an occurrence was accepted or due, on the process's clock.
     pub(crate) fn occurrence_start(&self, occurrence: u32, clock_origin: Duration) -> Duration {
         self.graph.schedule.map_or(self.accepted, |schedule| {
--- a/crates/dispatch/src/placement_score.rs
+++ b/crates/dispatch/src/placement_score.rs
@@ -153,9 +153,12 @@
     if worker.has_recent_violation(context.now) {
         return Err(PlacementRejection::Shielded);
     }
-    // Fillers of unknown effect are placed one at a time; the effect is visible within a second.
-    let singly =
-        context.switches.has(PolicyPart::UnknownFillersSingly) && context.spec.image.is_some();
+    // Fillers of unknown effect are placed one at a time; the effect is visible within a second. The
+    // members of a gang can't be.
+    let is_starving_gang = context.is_starving && context.spec.gang;
+    let singly = context.switches.has(PolicyPart::UnknownFillersSingly)
+        && context.spec.image.is_some()
+        && !is_starving_gang;
     if singly
         && worker
             .service_snapshot
@@ -169,6 +172,7 @@
         return Err(PlacementRejection::Harm);
     }
     if context.is_starving
+        && !is_starving_gang
         && worker
             .service_snapshot
             .has_recent_filler(MIN_STARVED_FILLER_GAP, context.now)
--- a/crates/dispatch/tests/fillers.rs
+++ b/crates/dispatch/tests/fillers.rs
@@ -673,6 +673,30 @@
     assert!(has_run);
 }
 
+/// Guards against starving a gang of fillers, of known or unknown interference, with more tasks than
+/// there are workers, while most of the pool is free.
+#[test]
+fn harmful_gang_runs_while_most_of_the_pool_is_free() {
+    for image in ["harmful", "unknown"] {
+        let mut services = service("service-a", 6);
+        services.steps[0].max_per_worker = Some(2);
+        let mut pool = Pool::new(3, |_| 6).with_tail_by_task(rising_service_tail_ms);
+        pool.submit(1, services);
+        pool.run_for(ms(3000));
+        pool.submit(10, filler("harmful", 3));
+        pool.run_for(ms(20_000));
+        pool.dispatcher.cancel_job(JobKey::new(10));
+        let mut gang = filler(image, 4);
+        gang.steps[0].gang = true;
+        pool.submit(11, gang);
+        let has_run = (0..10).any(|_| {
+            pool.run_for(ms(500));
+            pool.count_running(|task| job_number(task) == 11) == 4
+        });
+        assert!(has_run, "{image}");
+    }
+}
+
 /// Returns the record of a job whose first tasks have met two early crashes.
 fn suspected_tasks(count: u32) -> ProgressRecord {
     let crash = |number: u64| WorkerCrash {
