Test that no run outlives its job

Callers saw once that a run went on after the cancellation of its job was acknowledged (UNASKED). Two random tests look for it: the dispatcher alone with lost, late, unanswered and refused orders, takeovers, crashes and changing capacities, and whole daemons over the in-memory store with outages, lost answers, a dropped history, failing parts, unlisted workers and late orders. Both end their faults, wait, and then allow no run of a job that is over for more than 2.6 s.

--- a/crates/dispatch/tests/common/fleet.rs
+++ b/crates/dispatch/tests/common/fleet.rs
@@ -106,6 +106,8 @@
     crash_rule: CrashRule,
     pub(crate) owners: Vec<Owner>,
     pub(crate) faults: Faults,
+    /// Orders that an unwell worker refuses, in percent.
+    pub(crate) refused_orders: u32,
     /// Whether the store is away: no commit is stored.
     pub(crate) store_is_away: bool,
     /// The stored progress records.
@@ -163,6 +165,7 @@
             workers,
             owners: Vec::new(),
             faults: Faults::default(),
+            refused_orders: 0,
             store_is_away: false,
             records: IndexMap::new(),
             jobs: IndexMap::new(),
--- a/crates/dispatch/tests/common/fleet_messages.rs
+++ b/crates/dispatch/tests/common/fleet_messages.rs
@@ -213,6 +213,11 @@
             }
             return;
         }
+        if owner != usize::MAX && self.chance(self.refused_orders) {
+            let refused = OrderOutcome::Refused(OrderRefusal::Unwell);
+            self.push(MESSAGE_DELAY, Event::OrderAnswer(owner, order, refused));
+            return;
+        }
         let work = self.work;
         let worker = &mut self.workers[place];
         let before = worker.run_count();
--- a/crates/fleet/tests/daemons/main.rs
+++ b/crates/fleet/tests/daemons/main.rs
@@ -3,6 +3,7 @@
 
 mod admission;
 mod crashing_tasks;
+mod ended_jobs;
 mod jobs;
 mod members;
 mod memory_store;
--- a/crates/fleet/tests/daemons/memory_store.rs
+++ b/crates/fleet/tests/daemons/memory_store.rs
@@ -13,6 +13,7 @@
 
 use async_trait::async_trait;
 use indexmap::IndexMap;
+use jasminebend_base::ResourceAmount;
 use jasminebend_dispatch::{
     FleetConfiguration,
     FleetWorker,
@@ -57,6 +58,8 @@
     changed: Notify,
     configuration: RefCell<Versioned<Arc<FleetConfiguration>>>,
     workers: RefCell<Versioned<Vec<FleetWorker>>>,
+    /// The identities of workers that the registry does not list.
+    unlisted_workers: RefCell<Vec<Arc<str>>>,
 }
 
 /// One daemon's client of the store, with the faults injected for this daemon.
@@ -97,6 +100,7 @@
                 value: listed,
                 version: 1,
             }),
+            unlisted_workers: RefCell::default(),
         }
     }
 
@@ -146,6 +150,24 @@
         known.version = self.next_version();
     }
 
+    /// Changes the capacity of the worker with this number.
+    pub(crate) fn set_capacity(&self, worker: usize, capacity: ResourceAmount) {
+        let mut known = self.workers.borrow_mut();
+        known.value[worker].capacity = capacity;
+        known.version = self.next_version();
+    }
+
+    /// Lets the registry list this worker, or no longer list it.
+    pub(crate) fn set_listed(&self, worker: usize, is_listed: bool) {
+        let id = self.workers.borrow().value[worker].id.clone();
+        let mut unlisted = self.unlisted_workers.borrow_mut();
+        match is_listed {
+            true => unlisted.retain(|known| *known != id),
+            false => unlisted.push(id),
+        }
+        self.workers.borrow_mut().version = self.next_version();
+    }
+
     /// Writes rows without guards, as another daemon would.
     pub(crate) fn write(&self, writes: Vec<StoreRow>) {
         let guards = Vec::new();
@@ -166,8 +188,14 @@
 
     fn registry_changes(&self) -> Vec<RegistryChange> {
         let workers = self.workers.borrow();
-        let workers = workers.value.iter().cloned();
-        workers.map(RegistryChange::Listed).collect()
+        let unlisted = self.unlisted_workers.borrow();
+        let changes = workers.value.iter().map(|worker| {
+            if unlisted.contains(&worker.id) {
+                return RegistryChange::Unlisted(Arc::clone(&worker.id));
+            }
+            RegistryChange::Listed(worker.clone())
+        });
+        changes.collect()
     }
 
     /// Returns the owner's row.
--- a/crates/fleet/tests/daemons/partial_outage.rs
+++ b/crates/fleet/tests/daemons/partial_outage.rs
@@ -183,3 +183,48 @@
         wait_for_progress(&next.job_api, 1, CANCELLED).await;
     });
 }
+
+/// How long an owner that makes no progress may keep the ownership while a healthy daemon could take over.
+const REPLACED_AFTER: Duration = Duration::from_secs(10);
+
+/// Guards against jobs that stand still although a healthy daemon could take over: the successor of a lost owner can't
+/// read one part of the jobs, and never begins to act.
+#[test]
+fn an_owner_that_cannot_read_all_jobs_is_replaced() {
+    run_simulated(async {
+        let fleet = TestFleet::with_runtime_clock(2);
+        let owner = serving_daemon(&fleet).await;
+        let successor = fleet.daemon();
+        let other = fleet.daemon();
+        time::sleep(Duration::from_secs(2)).await;
+        break_part(&successor, 1);
+        owner.kill();
+        submit(&other.job_api, 2, &job(&[(1, &[])])).await;
+        time::sleep(REPLACED_AFTER).await;
+        wait_for_progress(&other.job_api, 2, COMPLETED).await;
+    });
+}
+
+/// Guards against runs that outlive their cancelled job: the store has dropped its history, and the owner can't read
+/// one part of the jobs again, so that it learns of nothing any more but renews all leases.
+#[test]
+fn a_cancellation_takes_effect_while_a_part_of_the_jobs_cannot_be_read_again() {
+    run_simulated(async {
+        let fleet = TestFleet::with_runtime_clock(2);
+        fleet.workers.run_time.set(Duration::MAX);
+        let owner = fleet.daemon();
+        let other = fleet.daemon();
+        let mut service = job(&[(2, &[])]);
+        service.steps[0].long_running = true;
+        submit(&owner.job_api, 2, &service).await;
+        time::sleep(Duration::from_secs(2)).await;
+        assert_eq!(fleet.workers.running_tasks().len(), 2);
+        break_part(&owner, 1);
+        owner.store_client.forget_history();
+        time::sleep(Duration::from_millis(100)).await;
+        let answer = send_request(&other.job_api, 2, CallerVerb::Cancel).await;
+        assert_eq!(answer, CallerAnswer::Done);
+        time::sleep(Duration::from_secs(3)).await;
+        assert_eq!(fleet.workers.running_tasks(), Vec::new());
+    });
+}
--- a/crates/fleet/tests/daemons/test_fleet.rs
+++ b/crates/fleet/tests/daemons/test_fleet.rs
@@ -80,6 +80,11 @@
     SimulatedWorker,
     TaskWork, //
 };
+use rand::{
+    RngExt,
+    SeedableRng,
+    rngs::StdRng, //
+};
 use serde::Serialize;
 use tokio::{
     runtime::Builder,
@@ -108,6 +113,15 @@
     LocalSet::new().block_on(&runtime.unwrap(), test);
 }
 
+/// An order that a worker executes long after it was sent.
+struct LateOrder {
+    due: Duration,
+    worker: String,
+    act: Box<OrderAction>,
+}
+
+type OrderAction = dyn FnOnce(&mut SimulatedWorker, Duration) -> OrderOutcome;
+
 /// In-memory workers, and the calls to them.
 pub(crate) struct MemoryWorkers {
     clock: Rc<dyn ClockSource>,
@@ -122,9 +136,62 @@
     partitioned: RefCell<BTreeSet<String>>,
     /// When each worker that has crashed restarts.
     restarts: RefCell<BTreeMap<String, Duration>>,
+    /// The share of orders that are lost, late, or without an answer, in percent each.
+    pub(crate) order_fault_percent: Cell<u32>,
+    late_orders: RefCell<Vec<LateOrder>>,
+    /// Decides which orders are affected.
+    random: RefCell<StdRng>,
 }
 
 impl MemoryWorkers {
+    /// Executes an order on a worker; the order or its answer may be lost, or the order may be late.
+    async fn deliver_order(
+        &self,
+        worker: &WorkerAddress,
+        act: impl FnOnce(&mut SimulatedWorker, Duration) -> OrderOutcome + 'static,
+    ) -> OrderOutcome {
+        let is_lost = self.is_affected();
+        let is_late = self.is_affected();
+        let is_unanswered = self.is_affected();
+        let mut answer = None;
+        if is_late {
+            let delay = self.random.borrow_mut().random_range(LATE_ORDER_DELAY_MS);
+            self.late_orders.borrow_mut().push(LateOrder {
+                due: self.now() + Duration::from_millis(delay),
+                worker: worker.id.to_string(),
+                act: Box::new(act),
+            });
+        } else if !is_lost {
+            answer = self.with_reachable_worker(worker, act);
+        }
+        if is_lost || is_late || is_unanswered {
+            time::sleep(ORDER_TIMEOUT).await;
+            return UNANSWERED;
+        }
+        answer.unwrap_or(UNANSWERED)
+    }
+
+    /// Executes the late orders that are due, also on an incarnation for which they were not meant.
+    fn deliver_late_orders(&self) {
+        let now = self.now();
+        let is_due = |order: &mut LateOrder| order.due <= now;
+        let due: Vec<LateOrder> = self
+            .late_orders
+            .borrow_mut()
+            .extract_if(.., is_due)
+            .collect();
+        for order in due {
+            if !self.is_down(&order.worker) {
+                self.with_worker(&order.worker, order.act);
+            }
+        }
+    }
+
+    fn is_affected(&self) -> bool {
+        let percent = self.order_fault_percent.get();
+        percent > 0 && self.random.borrow_mut().random_range(0..100) < percent
+    }
+
     fn now(&self) -> Duration {
         // The workers booted 10 s before the daemons.
         self.clock.monotonic() + Duration::from_secs(10)
@@ -228,6 +295,19 @@
         }
     }
 
+    /// Returns the tasks that are executed, each with its worker.
+    pub(crate) fn running_tasks(&self) -> Vec<(String, TaskKey)> {
+        self.deliver_late_orders();
+        let now = self.now();
+        let mut workers = self.workers.borrow_mut();
+        let running = workers.iter_mut().flat_map(|(id, worker)| {
+            worker.advance_to(now);
+            let tasks = worker.running_tasks().into_iter();
+            tasks.map(|task| (id.clone(), task))
+        });
+        running.collect()
+    }
+
     /// Returns how many runs all workers have started.
     pub(crate) fn started_runs(&self) -> usize {
         let workers = self.workers.borrow();
@@ -247,6 +327,10 @@
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
 /// How long a daemon waits for the answer to a renewal, beyond the renewal's own wait.
 const RENEWAL_TIMEOUT: Duration = Duration::from_millis(700);
+/// By how much an order may be late, in milliseconds.
+const LATE_ORDER_DELAY_MS: std::ops::Range<u64> = 500..9000;
+/// How long a daemon waits for the answer to an order.
+const ORDER_TIMEOUT: Duration = Duration::from_millis(350);
 
 /// The outcome of a call to a worker that is partitioned or does not exist.
 const UNANSWERED: OrderOutcome = OrderOutcome::Unknown;
@@ -288,17 +372,17 @@
             fails: false,
             size: ResourceAmount::new(1000, 100),
         };
-        let answer = self.with_reachable_worker(worker, |state, now| {
-            state.start(now, worker.token, order, deadline, work)
-        });
-        answer.unwrap_or(UNANSWERED)
+        let (token, order) = (worker.token, order.clone());
+        self.deliver_order(worker, move |state, now| {
+            state.start(now, token, &order, deadline, work)
+        })
+        .await
     }
 
     async fn stop(&self, worker: &WorkerAddress, task: TaskKey, run: RunNumber) -> OrderOutcome {
-        let answer = self.with_reachable_worker(worker, |state, now| {
-            state.stop(now, worker.token, task, run)
-        });
-        answer.unwrap_or(UNANSWERED)
+        let token = worker.token;
+        self.deliver_order(worker, move |state, now| state.stop(now, token, task, run))
+            .await
     }
 
     async fn throttle(
@@ -390,6 +474,9 @@
                 connection_losses: Cell::new(0),
                 partitioned: RefCell::default(),
                 restarts: RefCell::default(),
+                order_fault_percent: Cell::new(0),
+                late_orders: RefCell::default(),
+                random: RefCell::new(StdRng::seed_from_u64(0)),
             }),
             clock,
             count: Cell::new(0),
