Repeat a lost or refused stop within 1.6 s and 0.4 s

What callers could see: a run goes on for up to 3.2 s and the time of its stop, although its worker answers and its job was cancelled; 2.5 s and the stop are allowed. It concerns single runs, those whose first stops were lost or refused, and looks in a record like the run that was seen once; no line of that record proves it.

The interval between stops doubles up to 3.2 s with each attempt, also at a worker that answers its lease renewals (stops to one that does not answer wait for its answer anyway), and also after a refusal, which says that the worker is unwell and did nothing.

With every order lost for a while, renewals answered, lost_stops_are_repeated_in_time fails before for an outage of 2.9 s; refused_stops_are_repeated_at_once for one of 0.5 s (outages from 0 to 8.9 s in steps of 0.1 s, up to the first that fails).

Two doublings at most, and none after a refusal by an unwell worker.

Both pass for all 90 outages, and all tests of the crate pass.

--- a/crates/dispatch/src/dispatcher_plan.rs
+++ b/crates/dispatch/src/dispatcher_plan.rs
@@ -35,9 +35,9 @@
 
 /// The time after which an unanswered stop is sent again; doubles with each further attempt.
 const STOP_RETRY_INTERVAL: Duration = Duration::from_millis(400);
-/// The maximum number of times that the interval is doubled; renewals soon show when a worker is
-/// back.
-const MAX_STOP_RETRY_DOUBLINGS: u32 = 3;
+/// The maximum number of times that the interval is doubled. A run may outlive its job by 2.5 s and
+/// the time that a stop takes; the longest interval, 1.6 s, leaves room for one more lost stop.
+const MAX_STOP_RETRY_DOUBLINGS: u32 = 2;
 /// The margin beyond the maximum duration of a stop after which an answered stop is sent again.
 const STOP_COMPLETION_MARGIN: Duration = Duration::from_millis(400);
 
--- a/crates/dispatch/src/dispatcher_workers.rs
+++ b/crates/dispatch/src/dispatcher_workers.rs
@@ -296,10 +296,16 @@
         self.order_window.record_answered();
         let answered_at = match outcome {
             OrderOutcome::Taken | OrderOutcome::Refused(OrderRefusal::Old) => Some(now),
+            OrderOutcome::Refused(OrderRefusal::Unwell) => None,
             OrderOutcome::Refused(_) | OrderOutcome::Unknown => return,
         };
-        if let Some(state) = self.worker_mut(key).runs.get_mut(&(task, run)) {
-            state.phase = RunPhase::Stopping(answered_at);
+        let Some(state) = self.worker_mut(key).runs.get_mut(&(task, run)) else {
+            return;
+        };
+        match answered_at {
+            Some(_) => state.phase = RunPhase::Stopping(answered_at),
+            // The worker answers, so that repeating the stop soon costs little.
+            None => state.stop_attempts = 0,
         }
     }
 
