Learn of cancellations while a part of the jobs can't be read again

What callers could see: the runs of a cancelled job go on, with their leases renewed, and new jobs are not started, for as long as one of the 16 parts of the jobs' rows can't be read by the owner, if the store has dropped its history meanwhile.

An owner whose watch is told that the history is gone reads all parts again, and watches nothing until every one of them is read. It plans and renews leases all the while, so that its peers see an owner that acts.

The owner watches from the lowest version of the parts that it could read, and applies the cancellations that it read there. Jobs are added only once all parts are read, since a job's cancellation may lie in another part than the job.

--- a/crates/fleet/src/job_watch.rs
+++ b/crates/fleet/src/job_watch.rs
@@ -60,10 +60,43 @@
     }
 }
 
-/// Reads all jobs, and the version from which to watch them: the lowest of the parts' versions.
+/// The jobs and cancellations of the parts of the store that could be read.
+struct JobRead {
+    /// The rows, all jobs before all cancellations: a job's cancellation may be in another part than the job.
+    rows: Vec<StoreRow>,
+    /// The lowest of the read parts' versions, or [`NO_PART_READ`].
+    version: u64,
+    /// When the calls were sent.
+    sent_at: Duration,
+    /// The error from reading a part, if one could not be read.
+    error: Option<StoreError>,
+}
+
+const NO_PART_READ: u64 = u64::MAX;
+
+impl JobRead {
+    /// Returns the point from which to watch for changes.
+    fn position(&self) -> JobWatchPosition {
+        JobWatchPosition {
+            version: self.version,
+            sent_at: self.sent_at,
+        }
+    }
+}
+
+/// Reads all jobs, and the point from which to watch them.
 pub(crate) async fn read_jobs(
     shared: &Rc<SharedState>,
 ) -> Result<(Vec<StoreRow>, JobWatchPosition), StoreError> {
+    let read = read_job_parts(shared).await;
+    let position = read.position();
+    match read.error {
+        Some(error) => Err(error),
+        None => Ok((read.rows, position)),
+    }
+}
+
+async fn read_job_parts(shared: &Rc<SharedState>) -> JobRead {
     let sent_at = shared.now();
     let mut reads = JoinSet::new();
     for part in all_job_parts() {
@@ -74,15 +107,28 @@
         });
     }
     let mut rows = Vec::new();
-    let mut version = u64::MAX;
+    let mut version = NO_PART_READ;
+    let mut error = None;
     while let Some(read) = reads.join_next().await {
-        let (part, read_version) = read.map_err(|_| StoreError::Unknown)??;
-        rows.extend(part);
-        version = version.min(read_version);
+        match read.unwrap_or(Err(StoreError::Unknown)) {
+            Ok((part, read_version)) => {
+                rows.extend(part);
+                version = version.min(read_version);
+            }
+            Err(failure) => error = Some(failure),
+        }
+    }
+    rows.sort_by_key(is_cancellation);
+    JobRead {
+        rows,
+        version,
+        sent_at,
+        error,
     }
-    // Jobs first: a job's cancellation may be in another part than the job.
-    rows.sort_by_key(|row| row.key.ends_with(CANCELLATION_SUFFIX));
-    Ok((rows, JobWatchPosition { version, sent_at }))
+}
+
+fn is_cancellation(row: &StoreRow) -> bool {
+    row.key.ends_with(CANCELLATION_SUFFIX)
 }
 
 /// Passes a row of the table of jobs, a job or a cancellation, to the dispatcher.
@@ -142,6 +188,7 @@
     position: JobWatchPosition,
 ) {
     let mut position = position;
+    let mut unread = JoinSet::new();
     loop {
         let sent_at = shared.now();
         let store = &shared.store;
@@ -161,9 +208,9 @@
                 term.plan_wakeup.notify_one();
             }
             Err(StoreError::HistoryDropped) => {
-                match read_jobs_again(&shared, &term, position).await {
-                    Ok(read) => position = read,
-                    Err(_) => shared.store.wait_to_retry().await,
+                match read_jobs_again(&shared, &term, position, &mut unread).await {
+                    Some(read) => position = read,
+                    None => shared.store.wait_to_retry().await,
                 }
             }
             Err(_) => shared.store.wait_to_retry().await,
@@ -171,14 +218,44 @@
     }
 }
 
+/// Reads the jobs after the store has dropped its history; returns the point from which to watch them, or `None` if
+/// nothing could be read. While a part can't be read, the owner must still learn of cancellations in the others; the
+/// jobs of all parts are then read by a task in `unread`.
 async fn read_jobs_again(
     shared: &Rc<SharedState>,
-    term: &OwnerTerm,
+    term: &Rc<OwnerTerm>,
     position: JobWatchPosition,
-) -> Result<JobWatchPosition, StoreError> {
-    let (rows, read) = read_jobs(shared).await?;
-    for row in &rows {
-        apply_job_row(shared, term, row, position.may_already_run(term));
+    unread: &mut JoinSet<()>,
+) -> Option<JobWatchPosition> {
+    let read = read_job_parts(shared).await;
+    if read.version == NO_PART_READ {
+        return None;
+    }
+    let is_complete = read.error.is_none();
+    let inherited = !unread.is_empty() || position.may_already_run(term);
+    unread.abort_all();
+    if !is_complete {
+        unread.spawn_local(read_unread_jobs(Rc::clone(shared), Rc::clone(term)));
+    }
+    // A job may only be added together with its cancellation, which may be in a part that was not read.
+    let rows = read.rows.iter();
+    for row in rows.filter(|row| is_complete || is_cancellation(row)) {
+        apply_job_row(shared, term, row, inherited);
+    }
+    term.plan_wakeup.notify_one();
+    Some(read.position())
+}
+
+/// Reads all jobs until that succeeds. A former owner may have started those that are not known yet.
+async fn read_unread_jobs(shared: Rc<SharedState>, term: Rc<OwnerTerm>) {
+    loop {
+        if let Ok((rows, _)) = read_jobs(&shared).await {
+            for row in &rows {
+                apply_job_row(&shared, &term, row, true);
+            }
+            term.plan_wakeup.notify_one();
+            return;
+        }
+        shared.store.wait_to_retry().await;
     }
-    Ok(read)
 }
--- a/crates/fleet/tests/daemons/partial_outage.rs
+++ b/crates/fleet/tests/daemons/partial_outage.rs
@@ -10,6 +10,7 @@
 use jasminebend_fleet::{
     CallerAnswer,
     CallerVerb,
+    JobRecord,
     StoreRow,
     StoreTable, //
 };
@@ -228,3 +229,29 @@
         assert_eq!(fleet.workers.running_tasks(), Vec::new());
     });
 }
+
+/// Guards against an accepted job that is never started: the store dropped its history before the owner learned of the
+/// job, while one part could not be read.
+#[test]
+fn a_job_missed_while_a_part_cannot_be_read_again_is_started_later() {
+    run_simulated(async {
+        let fleet = TestFleet::with_runtime_clock(2);
+        let owner = serving_daemon(&fleet).await;
+        break_part(&owner, 1);
+        let record = JobRecord {
+            queue: "queue".to_owned(),
+            accepted_ms: 0,
+            graph: job(&[(3, &[])]),
+        };
+        let value = postcard::to_stdvec(&record).expect("it can be encoded");
+        let key = JobKey::new(2);
+        let part = format!("j{}", key.partition(16));
+        let row = StoreRow::new(StoreTable::Jobs, &part, key.to_string(), value);
+        fleet.store.write(vec![row]);
+        owner.store_client.forget_history();
+        time::sleep(Duration::from_secs(5)).await;
+        assert_eq!(fleet.workers.started_runs(), 1);
+        mend_parts(&owner);
+        wait_for_progress(&owner.job_api, 2, COMPLETED).await;
+    });
+}
