Keep a takeover going while the daemon has no store at all

Without the store at all, its peers see by its health that it lacks what they have, and replace it. Only a daemon that has the store and still can't read a record gives up. The tests of the fleet crate pass; no run shows the delay, the case was found by reading.

--- a/crates/fleet/src/ownership_takeover.rs
+++ b/crates/fleet/src/ownership_takeover.rs
@@ -116,11 +116,12 @@
 }
 
 /// Ends the term if its records could not be read for too long, so that another daemon takes over: the owner's row stays
-/// as it is, and the others see an owner that does not act.
+/// as it is, and the others see an owner that does not act. While this daemon has no store at all, they see that too.
 fn give_up_overdue_takeover(shared: &SharedState, term: &OwnerTerm, started_at: Duration) {
     let now = shared.now();
     let has_peers = shared.members.borrow().len() > 1;
-    if has_peers && now >= started_at + MAX_LOAD_DURATION {
+    let is_overdue = now >= started_at + MAX_LOAD_DURATION;
+    if is_overdue && has_peers && !shared.store.is_lost() {
         shared.next_claim_at.set(now + CLAIM_PAUSE);
         term.end();
         log_over(shared, term);
