--- a/crates/dispatch/tests/common/fleet.rs
+++ b/crates/dispatch/tests/common/fleet.rs
@@ -12,6 +12,7 @@
     AcceptedJob,
     DispatchSettings,
     Dispatcher,
+    FleetConfiguration,
     JobGraph,
     JobKey,
     JobProgress,
@@ -116,6 +117,8 @@
     pub(crate) jobs: IndexMap<JobKey, (JobGraph, bool)>,
     pub(crate) work: fn(TaskKey) -> TaskWork,
     pub(crate) attempts: u32,
+    /// Whether the configuration no longer contains the queue.
+    queue_is_removed: bool,
     /// Violations found while messages were delivered.
     pub(crate) violations: Vec<String>,
     /// The log entries about waiting steps.
@@ -171,6 +174,7 @@
             jobs: IndexMap::new(),
             work: default_work,
             attempts: 3,
+            queue_is_removed: false,
             violations: Vec::new(),
             waits: Vec::new(),
             overdue_stops: Vec::new(),
@@ -212,7 +216,7 @@
     pub(crate) fn replace_owner(&mut self) {
         let token = self.owners.len() as u64 + 1;
         let mut dispatcher = Dispatcher::new(token, DispatchSettings::default());
-        dispatcher.set_configuration(configuration(self.attempts));
+        dispatcher.set_configuration(self.configuration());
         let until = self.now + dispatcher.inherited_orders_lifetime(false);
         let inherited = (token > 1).then_some(until);
         let mut keys: Vec<WorkerKey> = Vec::with_capacity(self.workers.len());
@@ -280,6 +284,50 @@
         self.unreachable_until[worker] = Duration::MAX;
     }
 
+    /// Removes the queue from the configuration; its jobs continue.
+    pub(crate) fn remove_queue(&mut self) {
+        self.queue_is_removed = true;
+        let configuration = self.configuration();
+        for owner in &mut self.owners {
+            owner
+                .dispatcher
+                .set_configuration(Arc::clone(&configuration));
+        }
+    }
+
+    fn configuration(&self) -> Arc<FleetConfiguration> {
+        match self.queue_is_removed {
+            true => Arc::new(FleetConfiguration::default()),
+            false => configuration(self.attempts),
+        }
+    }
+
+    /// Lets a worker announce that it will leave; it accepts no more tasks.
+    pub(crate) fn drain_worker(&mut self, worker: usize) {
+        self.workers[worker].record_mut().draining = true;
+        let record = self.workers[worker].record().clone();
+        for owner in &mut self.owners {
+            owner.dispatcher.upsert_worker(record.clone(), None);
+        }
+    }
+
+    /// Lets a worker leave for good; another one with its labels joins.
+    pub(crate) fn leave_pool(&mut self, worker: usize) {
+        self.remove_worker(worker);
+        self.listed[worker] = false;
+        let id = self.workers[worker].record().id.clone();
+        for owner in &mut self.owners {
+            owner.dispatcher.mark_unlisted(&id);
+        }
+        let labels = self.workers[worker].record().labels.clone();
+        self.add_worker(labels);
+    }
+
+    /// Returns whether a worker has left for good.
+    pub(crate) fn has_left(&self, worker: usize) -> bool {
+        self.has_left[worker]
+    }
+
     /// Advances the time tick by tick, delivering messages and running all owners.
     pub(crate) fn run_for(&mut self, time: Duration) {
         let until = self.now + time;
