Count a lease on every worker whose first answer an owner has

Callers saw an accepted job that never ran again although most of the capacity was free.

Cause: a run on a worker that stopped answering is given up once each lease that this owner granted has lapsed. An owner that adopts a run from a worker's first answer has granted none; it does with its next call, unless it is suspended or not confirmed at that moment. If the worker is lost just then, nothing ever lapses: the run counts as running for as long as the owner does, and its task is never started again.

Change: the first answer of a worker, or of its new incarnation, counts as the grant of a full lease, which covers what a former owner granted before the worker followed this one.

--- a/crates/dispatch/src/dispatcher_workers.rs
+++ b/crates/dispatch/src/dispatcher_workers.rs
@@ -206,8 +206,9 @@
             && report.incarnation != worker.record.incarnation;
         worker.incarnation = report.incarnation.or(worker.incarnation);
         worker.clock.hear(report.clock, now);
-        if is_restarted {
-            // Covers the lease that such a start has granted to the new incarnation.
+        if is_restarted || !worker.clock.has_deadline() {
+            // Covers the lease that such a start has granted to the new incarnation, or a former owner
+            // to the runs that are adopted below.
             worker.clock.grant(lease, now);
         }
         worker.last_answer_at = Some(now);
--- a/crates/dispatch/src/worker_clock.rs
+++ b/crates/dispatch/src/worker_clock.rs
@@ -40,6 +40,11 @@
         self.reading.is_some()
     }
 
+    /// Returns whether a lease was granted, as far as this owner knows.
+    pub fn has_deadline(&self) -> bool {
+        self.deadline.is_some()
+    }
+
     /// Grants a lease that begins at `now` and returns its deadline on the worker's clock; `None`
     /// while that clock is unknown.
     pub fn grant(&mut self, lease: Duration, now: Duration) -> Option<Duration> {
