Acknowledge completions of a job that is over once its end is on record

Callers could see a gang that is executed twice, which for an order is a doubled booking.

Cause: the first member's completion ends the gang and with it its job, and waits for the record. Those of the other members find the job over and were acknowledged at once. If the owner ends before the record is written, its successor hears of no completion, and starts the gang again. Likewise a completion that is reported after its job has failed.

Change: such a completion waits for the job's change that is not on record yet. No write is added.

--- a/crates/dispatch/src/commit_tracker.rs
+++ b/crates/dispatch/src/commit_tracker.rs
@@ -29,6 +29,16 @@
         self.last_change
     }
 
+    /// Returns the number of the change up to which all changes must be on record for the job's present
+    /// state to be.
+    pub(crate) fn pending_change(&self, job: JobKey) -> u64 {
+        let uncommitted = self.uncommitted.get(&job).copied();
+        let in_flight = || self.in_flight.get(&job).map(|&(change, _)| change);
+        uncommitted
+            .or_else(in_flight)
+            .unwrap_or_else(|| self.committed_through())
+    }
+
     /// Moves up to `limit` jobs into the commit in flight and returns them.
     pub(crate) fn take_jobs(&mut self, limit: usize) -> Vec<JobKey> {
         let count = limit.min(self.uncommitted.len());
--- a/crates/dispatch/src/dispatcher_completions.rs
+++ b/crates/dispatch/src/dispatcher_completions.rs
@@ -95,7 +95,7 @@
             return 0;
         };
         if job.is_over() {
-            return self.commits.committed_through();
+            return self.commits.pending_change(step.job);
         }
         let Some(state) = job.step_mut(step.occurrence, step.step) else {
             return 0;
@@ -149,7 +149,7 @@
             return 0;
         };
         if job.is_over() {
-            return self.commits.committed_through();
+            return self.commits.pending_change(step.job);
         }
         let queue = Arc::clone(&job.queue);
         let Some(state) = job.step_mut(step.occurrence, step.step) else {
