End a worker's probation with a long-running task, and with a gang

Callers could see an accepted job that never runs although the workers are empty.

Cause: after a quarantine a worker takes one task at a time until one succeeds. A long-running task succeeds when it is at work; that was noticed only of those with a target for their tail, so that another that probed its worker kept it from everything else for as long as it ran. A gang that needs two places on one worker could never probe it, and if there was nothing else to start, waited for good.

Change: any long-running task that is at work ends the probation; the members of a gang count as one probe.

--- a/crates/dispatch/src/dispatcher_placement.rs
+++ b/crates/dispatch/src/dispatcher_placement.rs
@@ -10,6 +10,7 @@
     Dispatcher,
     PolicyPart,
     RunNumber,
+    StepKey,
     StepSpec,
     TaskKey,
     WorkerKey,
@@ -157,7 +158,10 @@
                 continue;
             }
             let fits = demand.reserved.fits_in(worker.free_capacity());
-            if !fits || !self.is_usable(worker, &demand.pool, now) {
+            if !fits || !self.is_available(worker, &demand.pool) {
+                continue;
+            }
+            if self.is_resting(worker, spec.gang.then_some(step), now) {
                 continue;
             }
             let key = WorkerKey::new(index);
@@ -219,12 +223,24 @@
 
     /// Returns whether tasks of a pool may be started on a worker.
     pub(crate) fn is_usable(&self, worker: &WorkerState, pool: &Arc<str>, now: Duration) -> bool {
+        self.is_available(worker, pool) && !self.is_resting(worker, None, now)
+    }
+
+    /// Returns whether a worker that was quarantined may take no task now: the quarantine lasts, or
+    /// another task probes the worker. The members of one gang probe it together.
+    fn is_resting(&self, worker: &WorkerState, gang: Option<StepKey>, now: Duration) -> bool {
         // Runs placed before the quarantine do not count as its probe: a service's run would never
         // end.
-        let is_probed = worker
-            .health
-            .probation_since()
-            .is_some_and(|since| worker.runs.values().any(|run| run.placed_at >= since));
+        let is_probed = worker.health.probation_since().is_some_and(|since| {
+            let mut runs = worker.runs.values();
+            runs.any(|run| run.placed_at >= since && gang != Some(run.task.step))
+        });
+        self.settings.switches.has(PolicyPart::WorkerQuarantine)
+            && (worker.health.is_quarantined(now) || is_probed)
+    }
+
+    /// Returns whether a worker of a pool is listed, answers this owner and is to stay.
+    fn is_available(&self, worker: &WorkerState, pool: &Arc<str>) -> bool {
         worker.listed
             && worker.has_owner_token
             && worker.unanswered == 0
@@ -233,8 +249,6 @@
             && !worker.in_maintenance
             && worker.record.pool == *pool
             && !self.closed_domains.contains(&worker.record.domain)
-            && !(self.settings.switches.has(PolicyPart::WorkerQuarantine)
-                && (worker.health.is_quarantined(now) || is_probed))
     }
 }
 
--- a/crates/dispatch/src/dispatcher_runs.rs
+++ b/crates/dispatch/src/dispatcher_runs.rs
@@ -78,8 +78,9 @@
         if matches!(state.phase, RunPhase::Sent) {
             state.phase = RunPhase::Running(now);
         }
-        let is_ready =
-            state.target.is_some() && running.progress_percent >= 100 && state.percent < 100;
+        let is_ready = state.kind == WorkKind::LongRunning
+            && running.progress_percent >= 100
+            && state.percent < 100;
         if running.progress_percent != state.percent {
             state.percent = running.progress_percent;
             state.last_progress_at = now;
