Reserve a quarter of the pool's usable workers, not of all that ever were

Callers could see an accepted job that never runs although most of the workers are empty.

Cause: a long-running step or a gang that has waited too long keeps the workers with the most free capacity from other tasks, a quarter of the workers at the most. The quarter was taken of all workers that the owner had ever known.

Evidence: workers_that_have_left_do_not_raise_the_limit_on_reserved_ones: all four workers of the pool are reserved, after twelve have left.

Change: the limit counts the workers of the step's pool that may be given tasks now. Where a worker's long-running tasks leave no place for the step it is not reserved, whether or not they have a target.

--- a/crates/dispatch/src/dispatcher_reservations.rs
+++ b/crates/dispatch/src/dispatcher_reservations.rs
@@ -25,13 +25,11 @@
     /// free, and a large task would never fit. The workers with the most free CPU are preferred:
     /// they should be the first to have enough.
     pub(crate) fn reserve_workers(&mut self, step: StepKey, missing_tasks: usize, now: Duration) {
-        let limit = (self.workers.len() / MAX_RESERVED_WORKERS_DIVISOR).max(1);
-        let left = limit.saturating_sub(self.reserved_workers.len());
         let Some(spec) = self.step_spec(step) else {
             return;
         };
         let is_enabled = self.settings.switches.has(PolicyPart::CapacityReservation);
-        if !is_enabled || left == 0 || spec.filler || !(spec.long_running || spec.gang) {
+        if !is_enabled || spec.filler || !(spec.long_running || spec.gang) {
             return;
         }
         let Some(rule) = self
@@ -49,26 +47,41 @@
         else {
             return;
         };
-        let mut candidates: Vec<(u64, WorkerKey)> = (0..self.workers.len())
+        let usable: Vec<WorkerKey> = (0..self.workers.len())
             .map(WorkerKey::new)
-            .filter(|key| {
-                let worker = self.worker(*key);
-                !self.reserved_workers.contains(key)
-                    && self.is_usable(worker, &pool, now)
-                    && fits_labels(worker, spec)
-                    && !state.is_at_spread_limit(*key, spec)
-                    && fits_beside_services(worker, spec)
-            })
-            .map(|key| (self.worker(key).free_capacity().cpu_millis, key))
+            .filter(|key| self.is_usable(self.worker(*key), &pool, now))
             .collect();
+        let limit = (usable.len() / MAX_RESERVED_WORKERS_DIVISOR).max(1);
+        let reserved = usable
+            .iter()
+            .filter(|key| self.reserved_workers.contains(*key));
+        let left = limit.saturating_sub(reserved.count());
+        let mut candidates: Vec<(u64, WorkerKey)> = Vec::new();
+        for key in usable {
+            let worker = self.worker(key);
+            let is_suitable = fits_labels(worker, spec) && !state.is_at_spread_limit(key, spec);
+            let worker_places = if is_suitable {
+                places_on(worker, spec)
+            } else {
+                0
+            };
+            if worker_places > 0 && !self.reserved_workers.contains(&key) {
+                candidates.push((worker.free_capacity().cpu_millis, key));
+            }
+        }
         candidates.sort_unstable_by(|left, right| right.cmp(left));
         let chosen = candidates.into_iter().take(missing_tasks.min(left));
         self.reserved_workers.extend(chosen.map(|(_, key)| key));
     }
 }
 
-/// Returns whether a task fits on a worker beside the services there.
-fn fits_beside_services(worker: &WorkerState, spec: &StepSpec) -> bool {
-    let used = worker.service_cpu + spec.reserved().cpu_millis;
-    used <= worker.record.capacity.cpu_millis
+/// Returns how many tasks of a step a worker can hold once its short tasks have ended.
+fn places_on(worker: &WorkerState, spec: &StepSpec) -> u64 {
+    let size = spec.reserved();
+    let long_running = worker.long_running_cpu.max(worker.service_cpu);
+    let capacity = worker.record.capacity;
+    let by_cpu = capacity.cpu_millis.saturating_sub(long_running) / size.cpu_millis.max(1);
+    let by_memory = capacity.memory_mib / size.memory_mib.max(1);
+    let by_spread = spec.max_per_worker.map_or(u64::MAX, u64::from);
+    by_cpu.min(by_memory).min(by_spread)
 }
