Reserve no workers for a gang that short work does not make room for

Callers could see an accepted job that never runs although the workers on which it fits are empty.

Cause: a gang that has waited too long reserves workers in every plan until it starts. One that is larger than the pool, or than what long-running tasks leave of it, never starts, and a long-running one never expires either: steps that fit only on the reserved workers waited for good.

Change: workers are reserved for a gang only if it could start once the short tasks on them have ended; that is what a reservation waits for.

--- a/crates/dispatch/src/dispatcher_reservations.rs
+++ b/crates/dispatch/src/dispatcher_reservations.rs
@@ -56,6 +56,7 @@
             .iter()
             .filter(|key| self.reserved_workers.contains(*key));
         let left = limit.saturating_sub(reserved.count());
+        let mut places = 0;
         let mut candidates: Vec<(u64, WorkerKey)> = Vec::new();
         for key in usable {
             let worker = self.worker(key);
@@ -65,10 +66,15 @@
             } else {
                 0
             };
+            places += worker_places;
             if worker_places > 0 && !self.reserved_workers.contains(&key) {
                 candidates.push((worker.free_capacity().cpu_millis, key));
             }
         }
+        // A gang for which short tasks leave too few places starts no sooner for a reservation.
+        if spec.gang && places < missing_tasks as u64 {
+            return;
+        }
         candidates.sort_unstable_by(|left, right| right.cmp(left));
         let chosen = candidates.into_iter().take(missing_tasks.min(left));
         self.reserved_workers.extend(chosen.map(|(_, key)| key));
