Keep the rule of a job's queue in the job's row

Callers could see an accepted job that is never started: its queue was removed from the configuration while it ran, as is allowed, and then its owner was replaced.

A successor reads the present configuration, does not find the queue, and passed over the job's steps in each plan without a line in the log.

Evidence: successor_finishes_jobs_of_a_removed_queue (the second step of a job is not started in 25 s).

Change: the row of a job carries the rule that its queue had when it was accepted, for an owner that knows no other; some 60 bytes, and no further call. Weighed: a row of removed queues written by the owner, which a death between the change and the write would lose. Earlier versions ignore the addition, and rows without it are read as before.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -49,6 +49,9 @@
 pub struct AcceptedJob {
     /// The name of the queue to which the job was submitted.
     pub queue: Arc<str>,
+    /// The queue's rule when the job was accepted, if it is on record; in force for an owner that
+    /// knows no configuration with the queue.
+    pub rule: Option<QueueRule>,
     /// The job's steps, payload and schedule.
     pub graph: Arc<JobGraph>,
     /// When the job was accepted, on the owner's process clock.
@@ -193,6 +196,11 @@
         if self.jobs.contains_key(&key) {
             return;
         }
+        if let Some(rule) = job.rule {
+            self.queue_rules
+                .entry(Arc::clone(&job.queue))
+                .or_insert(rule);
+        }
         let remaining_chains = job.graph.remaining_chains();
         let repeated = job.graph.schedule.is_some();
         let state = JobState {
--- a/crates/dispatch/src/queue_rule.rs
+++ b/crates/dispatch/src/queue_rule.rs
@@ -5,8 +5,13 @@
     time::Duration, //
 };
 
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+
 /// Configuration of a queue.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct QueueRule {
     /// The queue's name.
     pub name: Arc<str>,
@@ -30,7 +35,7 @@
 }
 
 /// Timing of the advice service and validity of its tickets.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
 pub struct AdviceRule {
     /// The base duration of a request.
     pub base_duration: Duration,
--- a/crates/dispatch/tests/common/fleet.rs
+++ b/crates/dispatch/tests/common/fleet.rs
@@ -590,6 +590,7 @@
 fn accepted(graph: &JobGraph, now: Duration, inherited: bool) -> AcceptedJob {
     AcceptedJob {
         queue: "queue".into(),
+        rule: configuration(3).queues.get("queue").cloned(),
         graph: Arc::new(graph.clone()),
         accepted: now,
         inherited,
--- a/crates/dispatch/tests/explanations.rs
+++ b/crates/dispatch/tests/explanations.rs
@@ -62,6 +62,7 @@
     let mut fleet = Fleet::new(2, 2);
     let job = AcceptedJob {
         queue: "removed".into(),
+        rule: None,
         graph: Arc::new(graph(vec![step(1, &[])])),
         accepted: fleet.now,
         inherited: false,
--- a/crates/dispatch/tests/fillers.rs
+++ b/crates/dispatch/tests/fillers.rs
@@ -110,6 +110,7 @@
     fn submit(&mut self, number: u64, graph: JobGraph) {
         let job = AcceptedJob {
             queue: "queue".into(),
+            rule: None,
             graph: Arc::new(graph),
             accepted: self.now,
             inherited: false,
--- a/crates/fleet/src/job_api.rs
+++ b/crates/fleet/src/job_api.rs
@@ -2,7 +2,6 @@
 
 use std::{
     rc::Rc,
-    sync::Arc,
     time::Duration, //
 };
 
@@ -11,7 +10,8 @@
     JobGraph,
     JobKey,
     JobOutcome,
-    JobProgress, //
+    JobProgress,
+    QueueRule, //
 };
 use serde::Serialize;
 
@@ -28,6 +28,7 @@
     StoreTable,
     admission_check::check_admission,
     fleet_log::whole_millis,
+    job_codec::encode_job,
     peer_client::PeerCallError,
     progress_codec::decode_progress,
     shared_state::{
@@ -172,10 +173,9 @@
         let Some((queue, rest)) = configuration.route(&request.host, &request.path) else {
             return CallerAnswer::NoQueue;
         };
-        let queue = Arc::clone(&queue.name);
         if rest.is_empty() {
             return match request.verb {
-                CallerVerb::Read => self.count_waiting(&queue, request, forwarding).await,
+                CallerVerb::Read => self.count_waiting(&queue.name, request, forwarding).await,
                 _ => CallerAnswer::Malformed("a job's identity is missing".to_owned()),
             };
         }
@@ -191,7 +191,7 @@
         match &request.verb {
             CallerVerb::Submit(graph) => match graph.validate() {
                 Ok(()) => {
-                    self.submit(key, &queue, graph.clone(), request, forwarding)
+                    self.submit(key, queue, graph.clone(), request, forwarding)
                         .await
                 }
                 Err(error) => CallerAnswer::Malformed(error.to_string()),
@@ -204,22 +204,22 @@
     async fn submit(
         &self,
         key: JobKey,
-        queue: &str,
+        queue: &QueueRule,
         graph: JobGraph,
         request: CallerRequest,
         forwarding: Forwarding,
     ) -> CallerAnswer {
         let record = JobRecord {
-            queue: queue.to_owned(),
+            queue: queue.name.to_string(),
             accepted_ms: whole_millis(self.shared.wall()),
             graph,
         };
-        let Ok(value) = postcard::to_stdvec(&record) else {
+        let Ok(value) = encode_job(&record, queue) else {
             return CallerAnswer::Malformed("the job can't be kept".to_owned());
         };
         if !self.shared.store.is_lost()
             && let Some(retry_after) =
-                check_admission(&self.shared, key, queue, &record.graph).await
+                check_admission(&self.shared, key, &queue.name, &record.graph).await
         {
             return self.refuse(key, retry_after, request, forwarding).await;
         }
--- a/crates/fleet/src/job_watch.rs
+++ b/crates/fleet/src/job_watch.rs
@@ -16,11 +16,11 @@
 use tokio::task::JoinSet;
 
 use crate::{
-    JobRecord,
     LogEvent,
     StoreError,
     StoreRow,
     StoreTable,
+    job_codec::decode_job,
     monitored_store::WatchedRows,
     owner_term::OwnerTerm,
     shared_state::{
@@ -149,7 +149,7 @@
     let Ok(key) = row.key.parse::<JobKey>() else {
         return;
     };
-    let Ok(record) = postcard::from_bytes::<JobRecord>(&row.value) else {
+    let Ok((record, rule)) = decode_job(&row.value) else {
         return;
     };
     let accepted = Duration::from_millis(record.accepted_ms);
@@ -158,6 +158,7 @@
         key,
         AcceptedJob {
             queue: record.queue.into(),
+            rule,
             graph: Arc::new(record.graph),
             accepted: shared.now().saturating_sub(age),
             inherited,
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -14,6 +14,7 @@
 mod http_pool;
 mod http_server;
 mod job_api;
+mod job_codec;
 mod job_watch;
 mod lease_renewal;
 mod maintenance_wave;
@@ -90,6 +91,10 @@
         serve_on, //
     },
     job_api::JobApi,
+    job_codec::{
+        decode_job,
+        encode_job, //
+    },
     maintenance_wave::MaintenanceWave,
     owner_record::{
         JobRecord,
