--- a/crates/dispatch/tests/common/fleet.rs
+++ b/crates/dispatch/tests/common/fleet.rs
@@ -117,6 +117,8 @@
     pub(crate) jobs: IndexMap<JobKey, (JobGraph, bool)>,
     pub(crate) work: fn(TaskKey) -> TaskWork,
     pub(crate) attempts: u32,
+    /// Whether workers report metrics: services are slower the more fillers run beside them.
+    pub(crate) has_metrics: bool,
     /// Whether the configuration no longer contains the queue.
     queue_is_removed: bool,
     /// Violations found while messages were delivered.
@@ -174,6 +176,7 @@
             jobs: IndexMap::new(),
             work: default_work,
             attempts: 3,
+            has_metrics: false,
             queue_is_removed: false,
             violations: Vec::new(),
             waits: Vec::new(),
--- a/crates/dispatch/tests/common/fleet_messages.rs
+++ b/crates/dispatch/tests/common/fleet_messages.rs
@@ -10,6 +10,7 @@
     OrderRefusal,
     ProgressRecord,
     RenewalReport,
+    TaskKey,
     WorkerKey,
     WorkerOrder, //
 };
@@ -169,6 +170,7 @@
                     true => Err(OrderOutcome::Unknown),
                     false => self.workers[key.index()].renew_lease(now, owner as u64 + 1, order),
                 };
+                let answer = answer.map(|report| self.add_metrics(report));
                 let wait = if is_unreachable {
                     CALL_TIMEOUT
                 } else {
@@ -190,6 +192,27 @@
         }
     }
 
+    /// Adds the metrics of the running tasks: a service's tail latency grows with the fillers beside it.
+    fn add_metrics(&self, mut report: RenewalReport) -> RenewalReport {
+        if !self.has_metrics {
+            return report;
+        }
+        let spec = |task: TaskKey| {
+            let (graph, _) = &self.jobs[&task.job()];
+            &graph.steps[usize::from(task.step.step)]
+        };
+        let fillers = report.running.iter().filter(|run| spec(run.task).filler);
+        let slowdown = 1.0 + 0.4 * fillers.count() as f64;
+        for running in &mut report.running {
+            let spec = spec(running.task);
+            running.metric = match spec.tail_target {
+                Some(target) => Some(target.mul_f64(0.6 * slowdown).as_millis() as u64),
+                None => Some(spec.size.cpu_millis),
+            };
+        }
+        report
+    }
+
     /// Executes an order on its worker. A delayed order, marked by `usize::MAX`, carries its
     /// owner's token in its payload and is not answered.
     fn deliver_order(&mut self, owner: usize, order: WorkerOrder, deadline: Duration) {
