--- /dev/null
+++ b/crates/dispatch/tests/jobs_learned_late.rs
@@ -0,0 +1,168 @@
+//! Jobs of which an owner learns only after their cancellation, or after a worker has reported their end.
+
+mod common;
+
+use std::time::Duration;
+
+use common::{
+    Fleet,
+    configuration,
+    graph,
+    ms,
+    step, //
+};
+use jasminebend_base::ResourceAmount;
+use jasminebend_dispatch::{
+    AcceptedJob,
+    DispatchSettings,
+    Dispatcher,
+    EndedRun,
+    JobKey,
+    JobOutcome,
+    JobProgress,
+    RenewalReport,
+    RunNumber,
+    RunResult,
+    StepKey,
+    StepSpec,
+    TaskKey,
+    WorkerOrder, //
+};
+use jasminebend_standins::TaskWork;
+
+fn late_key() -> JobKey {
+    JobKey::new(7)
+}
+
+fn late_job(queue: &str) -> AcceptedJob {
+    AcceptedJob {
+        queue: queue.into(),
+        rule: None,
+        graph: graph(vec![step(1, &[])]).into(),
+        accepted: Duration::ZERO,
+        inherited: true,
+    }
+}
+
+fn only_queue() -> String {
+    let configuration = configuration(3);
+    let name = configuration.queues.keys().next();
+    name.expect("it has a queue").to_string()
+}
+
+/// Guards against a cancelled job that runs: its owner learns of the cancellation before the job.
+#[test]
+fn job_that_is_learned_after_its_cancellation_is_cancelled() {
+    let mut dispatcher = Dispatcher::new(2, DispatchSettings::default());
+    dispatcher.set_configuration(configuration(3));
+    dispatcher.cancel_job(late_key());
+    dispatcher.add_job(late_key(), late_job(&only_queue()));
+    assert_eq!(
+        dispatcher.progress(late_key()),
+        Some(JobProgress::Ended(JobOutcome::Cancelled))
+    );
+}
+
+/// Guards against a doubled execution: a former owner started the task of a job of which this owner learns only after
+/// the worker has reported the task's end.
+#[test]
+fn task_that_ended_before_its_job_was_known_is_not_executed_again() {
+    let record = Fleet::new(1, 1).workers[0].record().clone();
+    let mut dispatcher = Dispatcher::new(2, DispatchSettings::default());
+    dispatcher.set_configuration(configuration(3));
+    let worker = dispatcher.upsert_worker(record, Some(ms(9000)));
+    let task = StepKey {
+        job: late_key(),
+        occurrence: 0,
+        step: 0,
+    }
+    .task(0);
+    let ended = || EndedRun {
+        number: 1,
+        task,
+        run: RunNumber::of_owner(1, 1),
+        result: RunResult::Done,
+        checkpoint: None,
+    };
+    // The worker lists the completion until it is acknowledged.
+    let mut starts = 0;
+    for turn in 0..200 {
+        let now = ms(1000 + turn * 100);
+        if turn == 5 {
+            dispatcher.add_job(late_key(), late_job(&only_queue()));
+        }
+        let renewal = dispatcher.next_renewal(worker, true, now);
+        let completions = match renewal.acknowledged {
+            0 => vec![ended()],
+            _ => Vec::new(),
+        };
+        let report = RenewalReport {
+            clock: now,
+            incarnation: None,
+            running: Vec::new(),
+            completions,
+        };
+        dispatcher.handle_renewal_report(worker, now, report, now);
+        let orders = dispatcher.plan(now).orders;
+        let is_start = |order: &&WorkerOrder| matches!(order, WorkerOrder::Start(_));
+        starts += orders.iter().filter(is_start).count();
+        if !dispatcher.take_records_to_commit(10).is_empty() {
+            dispatcher.confirm_commit();
+        }
+    }
+    assert_eq!(starts, 0);
+}
+
+/// Returns endless work for the first two jobs, which holds most of a worker's memory for the first, and short work for
+/// the others.
+fn large_memory_work(task: TaskKey) -> TaskWork {
+    let number = task.job();
+    let size = match () {
+        () if number == JobKey::new(1) => ResourceAmount::new(500, 3000),
+        () if number == JobKey::new(2) => ResourceAmount::new(1000, 2000),
+        () => ResourceAmount::new(3500, 100),
+    };
+    let run_time = match number == JobKey::new(1) || number == JobKey::new(2) {
+        true => Duration::MAX,
+        false => ms(300),
+    };
+    TaskWork {
+        run_time,
+        fails: false,
+        size,
+    }
+}
+
+fn sized(task_count: u32, long_running: bool, size: ResourceAmount) -> StepSpec {
+    StepSpec {
+        long_running,
+        size,
+        ..step(task_count, &[])
+    }
+}
+
+/// Guards against a step that waits for good beside a worker with room, which stays reserved for a long-running step
+/// that other long-running tasks leave no memory.
+#[test]
+fn worker_without_memory_for_a_long_running_step_is_not_reserved_for_it() {
+    let mut fleet = Fleet::new(2, 1).with_work(large_memory_work);
+    let mut holder = sized(2, true, ResourceAmount::new(500, 3000));
+    holder.max_per_worker = Some(1);
+    fleet.submit(1, graph(vec![holder]));
+    fleet.run_for(ms(1000));
+    fleet.submit(2, graph(vec![sized(1, true, ResourceAmount::new(1000, 2000))]));
+    // One worker is reserved; this keeps the other one too full for the last job.
+    let mut blocker = sized(1, true, ResourceAmount::new(500, 100));
+    blocker.max_per_worker = Some(1);
+    fleet.submit(3, graph(vec![blocker]));
+    fleet.run_for(ms(8000));
+    let job = fleet.submit(
+        4,
+        graph(vec![sized(1, false, ResourceAmount::new(3500, 100))]),
+    );
+    fleet.run_for(ms(25_000));
+    assert_eq!(
+        fleet.progress(job),
+        Some(JobProgress::Ended(JobOutcome::Completed))
+    );
+}
--- /dev/null
+++ b/crates/fleet/tests/daemons/jobs_read_again.rs
@@ -0,0 +1,137 @@
+//! Owners that read jobs again, or for the first time, while parts of the store fail.
+
+use std::time::Duration;
+
+use jasminebend_dispatch::{
+    JobKey,
+    JobOutcome,
+    JobProgress, //
+};
+use jasminebend_fleet::{
+    CallerAnswer,
+    CallerVerb,
+    JobRecord,
+    StoreRow,
+    StoreTable, //
+};
+use tokio::time;
+
+use crate::test_fleet::{
+    TestFleet,
+    job,
+    run_simulated,
+    send_request,
+    submit,
+    wait_for_progress, //
+};
+
+const COMPLETED: JobProgress = JobProgress::Ended(JobOutcome::Completed);
+
+fn first_part(number: u64) -> String {
+    format!("j{}", JobKey::new(number).partition(16))
+}
+
+/// Guards against a cancelled job that runs: the owner watched its cancellation before it could read the job's row, and
+/// had read the cancellation's part before that.
+#[test]
+fn a_job_cancelled_while_its_owner_reads_jobs_again_never_starts() {
+    run_simulated(async {
+        let fleet = TestFleet::with_runtime_clock(2);
+        fleet.workers.run_time.set(Duration::MAX);
+        let owner = fleet.daemon();
+        let other = fleet.daemon();
+        submit(&owner.job_api, 99, &job(&[(1, &[])])).await;
+        time::sleep(Duration::from_secs(2)).await;
+        assert_eq!(fleet.workers.started_runs(), 1);
+        assert_ne!(first_part(1), first_part(2));
+        let failing = &owner.store_client.failing_parts;
+        failing.borrow_mut().push(first_part(1));
+        let record = JobRecord {
+            queue: "queue".to_owned(),
+            accepted_ms: 0,
+            graph: job(&[(3, &[])]),
+        };
+        let value = postcard::to_stdvec(&record).expect("it can be encoded");
+        let key = JobKey::new(2).to_string();
+        let row = StoreRow::new(StoreTable::Jobs, &first_part(2), key, value);
+        fleet.store.write(vec![row]);
+        owner.store_client.forget_history();
+        time::sleep(Duration::from_secs(3)).await;
+        assert_eq!(fleet.workers.started_runs(), 1, "the job is not known");
+        let slow = (first_part(1), Duration::from_millis(1000));
+        owner.store_client.slow_parts.borrow_mut().push(slow);
+        failing.borrow_mut().clear();
+        time::sleep(Duration::from_millis(700)).await;
+        assert_eq!(fleet.workers.started_runs(), 1, "the job is not known");
+        let answer = send_request(&other.job_api, 2, CallerVerb::Cancel).await;
+        assert_eq!(answer, CallerAnswer::Done);
+        time::sleep(Duration::from_secs(5)).await;
+        assert_eq!(fleet.workers.started_runs(), 1);
+    });
+}
+
+/// Guards against jobs that stand still for longer than a part of the store is away: the only daemon left gives its
+/// takeover up in favour of a peer that is gone.
+#[test]
+fn the_only_daemon_left_takes_over_once_it_can_read_all_jobs() {
+    run_simulated(async {
+        let fleet = TestFleet::with_runtime_clock(2);
+        let owner = fleet.daemon();
+        submit(&owner.job_api, 99, &job(&[(1, &[])])).await;
+        wait_for_progress(&owner.job_api, 99, COMPLETED).await;
+        let successor = fleet.daemon();
+        time::sleep(Duration::from_secs(2)).await;
+        let failing = &successor.store_client.failing_parts;
+        failing.borrow_mut().push(first_part(1));
+        owner.kill();
+        submit(&successor.job_api, 2, &job(&[(1, &[])])).await;
+        let claimed = time::Instant::now();
+        while fleet.store.owner().is_none_or(|owner| owner.token < 2) {
+            time::sleep(Duration::from_millis(50)).await;
+        }
+        eprintln!("claimed after {:?}", claimed.elapsed());
+        time::sleep(Duration::from_millis(5500)).await;
+        failing.borrow_mut().clear();
+        let mended = time::Instant::now();
+        wait_for_progress(&successor.job_api, 2, COMPLETED).await;
+        let took = mended.elapsed();
+        eprintln!("completed {took:?} after the part was back");
+        assert!(took < Duration::from_secs(2), "{took:?}");
+    });
+}
+
+/// Guards against a cancelled job that runs: a late copy of its row is in a part that the owner can read, while its
+/// cancellation is in one that can't be read again.
+#[test]
+fn a_late_copy_of_a_cancelled_job_never_starts() {
+    run_simulated(async {
+        let fleet = TestFleet::with_runtime_clock(2);
+        fleet.workers.run_time.set(Duration::MAX);
+        let owner = fleet.daemon();
+        submit(&owner.job_api, 99, &job(&[(1, &[])])).await;
+        time::sleep(Duration::from_secs(2)).await;
+        assert_eq!(fleet.workers.started_runs(), 1);
+        let key = JobKey::new(2);
+        let first = key.partition(16);
+        let second = format!("j{}", (first + 5) % 16);
+        let failing = &owner.store_client.failing_parts;
+        failing.borrow_mut().push(second.clone());
+        let record = JobRecord {
+            queue: "queue".to_owned(),
+            accepted_ms: 0,
+            graph: job(&[(3, &[])]),
+        };
+        let value = postcard::to_stdvec(&record).expect("it can be encoded");
+        let table = StoreTable::Jobs;
+        let job_row = StoreRow::new(table, &second, key.to_string(), value.clone());
+        let cancellation = StoreRow::new(table, &second, format!("{key}.c"), Vec::new());
+        fleet.store.write(vec![job_row]);
+        fleet.store.write(vec![cancellation]);
+        owner.store_client.forget_history();
+        time::sleep(Duration::from_secs(3)).await;
+        let copy = StoreRow::new(table, &first_part(2), key.to_string(), value);
+        fleet.store.write(vec![copy]);
+        time::sleep(Duration::from_secs(5)).await;
+        assert_eq!(fleet.workers.started_runs(), 1);
+    });
+}
--- a/crates/fleet/tests/daemons/memory_store.rs
+++ b/crates/fleet/tests/daemons/memory_store.rs
@@ -22,6 +22,7 @@
 use jasminebend_fleet::{
     CommitOutcome,
     FleetStore,
+    MaintenanceWave,
     OperatorChange,
     OwnerRecord,
     RegistryChange,
@@ -58,6 +59,8 @@
     changed: Notify,
     configuration: RefCell<Versioned<Arc<FleetConfiguration>>>,
     workers: RefCell<Versioned<Vec<FleetWorker>>>,
+    /// The maintenance waves that the operator requests.
+    pub(crate) waves: RefCell<Vec<MaintenanceWave>>,
     /// The identities of workers that the registry does not list.
     unlisted_workers: RefCell<Vec<Arc<str>>>,
 }
@@ -69,6 +72,8 @@
     pub(crate) refuses_calls: Cell<bool>,
     /// The parts whose calls all fail with an unknown outcome.
     pub(crate) failing_parts: RefCell<Vec<String>>,
+    /// The parts of which a read takes longer, each with that latency.
+    pub(crate) slow_parts: RefCell<Vec<(String, Duration)>>,
     /// How many of the next commits are applied but not answered.
     pub(crate) lost_answers: Cell<u32>,
     /// Whether calls are lost on their way to the store.
@@ -100,6 +105,7 @@
                 value: listed,
                 version: 1,
             }),
+            waves: RefCell::default(),
             unlisted_workers: RefCell::default(),
         }
     }
@@ -183,7 +189,11 @@
 
     fn operator_changes(&self) -> Vec<OperatorChange> {
         let configuration = Arc::clone(&self.configuration.borrow().value);
-        vec![OperatorChange::Configured(configuration)]
+        let waves = self.waves.borrow();
+        let waves = waves.iter().cloned().map(OperatorChange::WaveRequested);
+        std::iter::once(OperatorChange::Configured(configuration))
+            .chain(waves)
+            .collect()
     }
 
     fn registry_changes(&self) -> Vec<RegistryChange> {
@@ -240,6 +250,7 @@
             store,
             refuses_calls: Cell::new(false),
             failing_parts: RefCell::new(Vec::new()),
+            slow_parts: RefCell::new(Vec::new()),
             lost_answers: Cell::new(0),
             silent: Cell::new(false),
             read_latency: Cell::new(Duration::from_millis(2)),
@@ -377,6 +388,10 @@
                 _ => &self.read_latency,
             };
             time::sleep(takes.get()).await;
+            let slow = self.slow_parts.borrow().iter().find(|(name, _)| name == part).cloned();
+            if let Some((_, latency)) = slow {
+                time::sleep(latency).await;
+            }
             self.check_part_reachable(part)?;
             let rows = self.store.rows.borrow();
             let mut items: Vec<StoreRow> = rows
--- a/crates/fleet/tests/daemons/test_fleet.rs
+++ b/crates/fleet/tests/daemons/test_fleet.rs
@@ -58,6 +58,7 @@
     FleetPorts,
     FleetSettings,
     FleetStore,
+    FleetVms,
     FleetWorkers,
     HttpHandler,
     HttpPool,
@@ -438,6 +439,8 @@
 pub(crate) struct TestFleet {
     pub(crate) store: Rc<MemoryStore>,
     pub(crate) workers: Rc<MemoryWorkers>,
+    /// The platform's VMs for the daemons started from now on.
+    pub(crate) vms: RefCell<Option<Rc<dyn FleetVms>>>,
     clock: Rc<dyn ClockSource>,
     count: Cell<u32>,
 }
@@ -478,6 +481,7 @@
                 late_orders: RefCell::default(),
                 random: RefCell::new(StdRng::seed_from_u64(0)),
             }),
+            vms: RefCell::default(),
             clock,
             count: Cell::new(0),
         }
@@ -539,7 +543,7 @@
             store: Rc::clone(&store_client) as Rc<dyn FleetStore>,
             workers: Rc::clone(&self.workers) as Rc<dyn FleetWorkers>,
             advice: None,
-            vms: None,
+            vms: self.vms.borrow().clone(),
             pool: Rc::new(HttpPool::new()),
             log: FleetLog::discarding("test"),
         };
