Test starved fillers of jobs with several steps, and reservations without memory

Callers could see an accepted job, or one of its long-running fillers, that never runs while half of the pool is free.

--- a/crates/dispatch/tests/fillers.rs
+++ b/crates/dispatch/tests/fillers.rs
@@ -728,3 +728,63 @@
     let pause = longest_pause_of_harmful_fillers(large_service("service-a", 3));
     assert!(pause > ms(30_000), "{pause:?}");
 }
+
+/// Returns a pool of which every worker holds services that the image "harmful" is known to slow down.
+fn pool_that_harmful_fillers_slow_down() -> Pool {
+    let mut services = service("service-a", 6);
+    services.steps[0].max_per_worker = Some(2);
+    let mut pool = Pool::new(3, |_| 6).with_tail_by_task(rising_service_tail_ms);
+    pool.submit(1, services);
+    pool.run_for(ms(3000));
+    pool.submit(10, filler("harmful", 3));
+    pool.run_for(ms(20_000));
+    pool.dispatcher.cancel_job(JobKey::new(10));
+    pool
+}
+
+fn runs_soon(pool: &mut Pool, wanted: fn(TaskKey) -> bool) -> bool {
+    (0..40).any(|_| {
+        pool.run_for(ms(500));
+        pool.count_running(wanted) > 0
+    })
+}
+
+/// Submits a job of fillers that slow services down, with another step, before it, that fits on no worker.
+fn submit_beside_unplaceable_step(pool: &mut Pool, gang: bool) {
+    let mut both = filler("harmful", 1);
+    let mut first = both.steps[0].clone();
+    first.gang = gang;
+    first.label = Some("missing".into());
+    both.steps.insert(0, first);
+    pool.submit(11, both);
+}
+
+/// Guards against starving a step of fillers beside another of its job that fits on no worker: both share the time of
+/// the last search.
+#[test]
+fn starved_step_runs_beside_one_of_its_job_that_fits_nowhere() {
+    let mut pool = pool_that_harmful_fillers_slow_down();
+    submit_beside_unplaceable_step(&mut pool, false);
+    assert!(runs_soon(&mut pool, |task| job_number(task) == 11));
+}
+
+/// Guards against starving a step of fillers beside a gang of its job that fits on no worker: each plan searches for
+/// the gang first.
+#[test]
+fn starved_step_runs_beside_a_gang_of_its_job_that_fits_nowhere() {
+    let mut pool = pool_that_harmful_fillers_slow_down();
+    submit_beside_unplaceable_step(&mut pool, true);
+    assert!(runs_soon(&mut pool, |task| job_number(task) == 11));
+}
+
+/// Guards against starving one of several long-running fillers because another one of its job runs from time to time.
+#[test]
+fn each_starved_long_running_filler_of_a_job_runs() {
+    let mut pool = pool_that_harmful_fillers_slow_down();
+    let mut lasting = filler("harmful", 2);
+    lasting.steps[0].long_running = true;
+    lasting.steps[0].max_per_worker = Some(1);
+    pool.submit(11, lasting);
+    assert!(runs_soon(&mut pool, |task| job_number(task) == 11
+        && task.index == 1));
+}
--- a/crates/dispatch/tests/jobs_learned_late.rs
+++ b/crates/dispatch/tests/jobs_learned_late.rs
@@ -11,7 +11,6 @@
     ms,
     step, //
 };
-use jasminebend_base::ResourceAmount;
 use jasminebend_dispatch::{
     AcceptedJob,
     DispatchSettings,
@@ -24,11 +23,8 @@
     RunNumber,
     RunResult,
     StepKey,
-    StepSpec,
-    TaskKey,
     WorkerOrder, //
 };
-use jasminebend_standins::TaskWork;
 
 fn late_key() -> JobKey {
     JobKey::new(7)
@@ -112,57 +108,3 @@
     }
     assert_eq!(starts, 0);
 }
-
-/// Returns endless work for the first two jobs, which holds most of a worker's memory for the first, and short work for
-/// the others.
-fn large_memory_work(task: TaskKey) -> TaskWork {
-    let number = task.job();
-    let size = match () {
-        () if number == JobKey::new(1) => ResourceAmount::new(500, 3000),
-        () if number == JobKey::new(2) => ResourceAmount::new(1000, 2000),
-        () => ResourceAmount::new(3500, 100),
-    };
-    let run_time = match number == JobKey::new(1) || number == JobKey::new(2) {
-        true => Duration::MAX,
-        false => ms(300),
-    };
-    TaskWork {
-        run_time,
-        fails: false,
-        size,
-    }
-}
-
-fn sized(task_count: u32, long_running: bool, size: ResourceAmount) -> StepSpec {
-    StepSpec {
-        long_running,
-        size,
-        ..step(task_count, &[])
-    }
-}
-
-/// Guards against a step that waits for good beside a worker with room, which stays reserved for a long-running step
-/// that other long-running tasks leave no memory.
-#[test]
-fn worker_without_memory_for_a_long_running_step_is_not_reserved_for_it() {
-    let mut fleet = Fleet::new(2, 1).with_work(large_memory_work);
-    let mut holder = sized(2, true, ResourceAmount::new(500, 3000));
-    holder.max_per_worker = Some(1);
-    fleet.submit(1, graph(vec![holder]));
-    fleet.run_for(ms(1000));
-    fleet.submit(2, graph(vec![sized(1, true, ResourceAmount::new(1000, 2000))]));
-    // One worker is reserved; this keeps the other one too full for the last job.
-    let mut blocker = sized(1, true, ResourceAmount::new(500, 100));
-    blocker.max_per_worker = Some(1);
-    fleet.submit(3, graph(vec![blocker]));
-    fleet.run_for(ms(8000));
-    let job = fleet.submit(
-        4,
-        graph(vec![sized(1, false, ResourceAmount::new(3500, 100))]),
-    );
-    fleet.run_for(ms(25_000));
-    assert_eq!(
-        fleet.progress(job),
-        Some(JobProgress::Ended(JobOutcome::Completed))
-    );
-}
--- a/crates/dispatch/tests/liveness.rs
+++ b/crates/dispatch/tests/liveness.rs
@@ -1101,3 +1101,28 @@
     let acknowledged = events.filter(|(_, event)| matches!(event, WorkerEvent::Acknowledged(..)));
     assert_eq!(acknowledged.count(), 0);
 }
+
+/// Guards against a step that waits for good beside a worker with room, which stays reserved for a long-running step to
+/// which other long-running tasks leave no memory.
+#[test]
+fn worker_without_memory_for_a_long_running_step_is_not_reserved_for_it() {
+    BEHAVIOUR.set(Behaviour::default());
+    let mut fleet = Fleet::new(4, 1).with_work(work);
+    let mut holders = lasting_step(4, 500);
+    holders.size = ResourceAmount::new(500, 3000);
+    holders.max_per_worker = Some(1);
+    submit_step(&mut fleet, 1, Duration::MAX, holders);
+    fleet.run_for(ms(4000));
+    // Leaves one worker with 3.5 cores.
+    let mut blockers = lasting_step(3, 1000);
+    blockers.max_per_worker = Some(1);
+    submit_step(&mut fleet, 2, Duration::MAX, blockers);
+    fleet.run_for(ms(4000));
+    let mut never = lasting_step(1, 1000);
+    never.size = ResourceAmount::new(1000, 2000);
+    submit_step(&mut fleet, 3, Duration::MAX, never);
+    fleet.run_for(ms(7000));
+    let job = submit_step(&mut fleet, 4, ms(300), sized_step(1, 3500));
+    fleet.run_for(ms(25_000));
+    assert_eq!(fleet.progress(job), COMPLETED);
+}
