--- a/crates/dispatch/tests/fillers.rs
+++ b/crates/dispatch/tests/fillers.rs
@@ -788,3 +788,15 @@
     assert!(runs_soon(&mut pool, |task| job_number(task) == 11
         && task.index == 1));
 }
+
+/// Guards against starving fillers in an idle pool whose services are too slow by themselves, without any filler.
+#[test]
+fn filler_runs_beside_services_that_are_too_slow_by_themselves() {
+    let mut services = service("service-a", 6);
+    services.steps[0].max_per_worker = Some(2);
+    let mut pool = Pool::new(3, |_| 25);
+    pool.submit(1, services);
+    pool.run_for(ms(10_000));
+    pool.submit(11, filler("harmful", 1));
+    assert!(runs_soon(&mut pool, |task| job_number(task) == 11));
+}
