--- a/crates/dispatch/tests/fillers.rs
+++ b/crates/dispatch/tests/fillers.rs
@@ -785,8 +785,7 @@
     lasting.steps[0].long_running = true;
     lasting.steps[0].max_per_worker = Some(1);
     pool.submit(11, lasting);
-    assert!(runs_soon(&mut pool, |task| job_number(task) == 11
-        && task.index == 1));
+    assert!(runs_soon(&mut pool, |task| job_number(task) == 11 && task.index == 1));
 }
 
 /// Guards against starving fillers in an idle pool whose services are too slow by themselves, without any filler.
--- a/crates/fleet/tests/daemons/memory_store.rs
+++ b/crates/fleet/tests/daemons/memory_store.rs
@@ -388,7 +388,12 @@
                 _ => &self.read_latency,
             };
             time::sleep(takes.get()).await;
-            let slow = self.slow_parts.borrow().iter().find(|(name, _)| name == part).cloned();
+            let slow = self
+                .slow_parts
+                .borrow()
+                .iter()
+                .find(|(name, _)| name == part)
+                .cloned();
             if let Some((_, latency)) = slow {
                 time::sleep(latency).await;
             }
