--- a/crates/fleet/src/fleet_daemon.rs
+++ b/crates/fleet/src/fleet_daemon.rs
@@ -138,7 +138,6 @@
             owner_version: Cell::new(0),
             highest_token: Cell::new(0),
             term: RefCell::new(None),
-            next_claim_at: Cell::new(Duration::ZERO),
             stop: stop.clone(),
         });
         Self {
--- a/crates/fleet/src/member_watch.rs
+++ b/crates/fleet/src/member_watch.rs
@@ -71,7 +71,6 @@
         let claims = shared.succession.borrow().should_claim(now)
             && shared.configuration().is_some()
             && shared.term().is_none()
-            && now >= shared.next_claim_at.get()
             && !shared.is_stopping()
             && !shared.store.is_lost();
         if claims {
--- a/crates/fleet/src/ownership_takeover.rs
+++ b/crates/fleet/src/ownership_takeover.rs
@@ -49,12 +49,6 @@
     term_confirmation::confirm_term, //
 };
 
-/// How long an owner may take to read its records. By then the leases of all workers have lapsed.
-const MAX_LOAD_DURATION: Duration = Duration::from_secs(5);
-/// How long a daemon that could not read the records claims the ownership no more. The others notice within 2 s that it
-/// does not act.
-const CLAIM_PAUSE: Duration = Duration::from_secs(5);
-
 /// This daemon began to act as the owner, or its term is over.
 #[derive(Serialize)]
 struct TakeoverLine<'a> {
@@ -83,7 +77,6 @@
     while positions.is_none() && !term.is_over() {
         positions = read_records(shared, &term, former_gone).await.ok();
         if positions.is_none() {
-            give_up_overdue_takeover(shared, &term, started_at);
             shared.store.wait_to_retry().await;
         }
     }
@@ -115,19 +108,6 @@
     ));
 }
 
-/// Ends the term if its records could not be read for too long, so that another daemon takes over: the owner's row stays
-/// as it is, and the others see an owner that does not act. While this daemon has no store at all, they see that too.
-fn give_up_overdue_takeover(shared: &SharedState, term: &OwnerTerm, started_at: Duration) {
-    let now = shared.now();
-    let has_peers = shared.members.borrow().len() > 1;
-    let is_overdue = now >= started_at + MAX_LOAD_DURATION;
-    if is_overdue && has_peers && !shared.store.is_lost() {
-        shared.next_claim_at.set(now + CLAIM_PAUSE);
-        term.end();
-        log_over(shared, term);
-    }
-}
-
 async fn claim_ownership(
     shared: &Rc<SharedState>,
     former_gone: bool,
@@ -251,11 +231,6 @@
     tasks.spawn_local(carry_out_waves(Rc::clone(&shared), Rc::clone(&term)));
     tasks.spawn_local(expire_members(Rc::clone(&shared), Rc::clone(&term)));
     term.until_over().await;
-    log_over(&shared, &term);
-    tasks.shutdown().await;
-}
-
-fn log_over(shared: &SharedState, term: &OwnerTerm) {
     shared.log.line(
         LogEvent::Owner,
         TakeoverLine {
@@ -268,4 +243,5 @@
             workers: term.dispatcher.borrow().worker_count(),
         },
     );
+    tasks.shutdown().await;
 }
--- a/crates/fleet/src/shared_state.rs
+++ b/crates/fleet/src/shared_state.rs
@@ -106,8 +106,6 @@
     /// The highest fencing token seen in the store or reported by a peer.
     pub(crate) highest_token: Cell<u64>,
     pub(crate) term: RefCell<Option<Rc<OwnerTerm>>>,
-    /// Before this time this daemon does not claim the ownership.
-    pub(crate) next_claim_at: Cell<Duration>,
     /// Becomes true when the daemon is to stop.
     pub(crate) stop: watch::Receiver<bool>,
 }
