Remember the cancellation of a job that is not known yet

Callers could see a cancelled job that runs, and goes on for as long as its owner does.

Cause: the dispatcher dropped the cancellation of a job that it did not know. Since a part of the jobs may be read later than the others, a cancellation can come first: the read of its part is older than it, the watch brings it, and a slow read of another part then brings the job.

Change: the key is kept, and the job is cancelled as it is added.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -1,7 +1,10 @@
 //! The dispatcher: the state of one owner of jobs and workers, and its basic operations.
 
 use std::{
-    collections::BTreeSet,
+    collections::{
+        BTreeSet,
+        HashSet, //
+    },
     sync::Arc,
     time::Duration, //
 };
@@ -93,6 +96,8 @@
     /// The workers' keys by identity.
     pub(crate) worker_keys: IndexMap<Arc<str>, WorkerKey>,
     pub(crate) jobs: IndexMap<JobKey, JobState>,
+    /// Jobs that were cancelled before this owner learned of them.
+    pub(crate) cancelled_early: HashSet<JobKey>,
     /// Steps that may have tasks without a run.
     pub(crate) pending_steps: IndexSet<StepKey>,
     /// Runs to be stopped; an entry stays until its run is gone.
@@ -147,6 +152,7 @@
             workers: Vec::new(),
             worker_keys: IndexMap::new(),
             jobs: IndexMap::new(),
+            cancelled_early: HashSet::new(),
             pending_steps: IndexSet::new(),
             pending_stops: IndexSet::new(),
             pending_orders: Vec::new(),
@@ -225,11 +231,15 @@
             true => drop(self.next_occurrences.insert(key, 0)),
             false => self.open_occurrence(key, 0),
         }
+        if self.cancelled_early.remove(&key) {
+            self.cancel_job(key);
+        }
     }
 
     /// Cancels a job: no task of it starts any more, and its runs are stopped.
     pub fn cancel_job(&mut self, key: JobKey) {
         let Some(job) = self.jobs.get_mut(&key) else {
+            self.cancelled_early.insert(key);
             return;
         };
         if job.is_over() {
