Add no job while a part of the jobs can't be read again

Callers could see a cancelled job that runs until a part of the store can be read again: a copy of its row, from a submission that was repeated after its answer, lay in another part than the job and its cancellation, and came by the watch while the cancellation's part was unread.

Change: jobs that the watch brings while a part is unread are held until all parts are read, and are added after what was read; cancellations take effect at once, as before.

--- a/crates/fleet/src/job_watch.rs
+++ b/crates/fleet/src/job_watch.rs
@@ -1,6 +1,7 @@
 //! Reads and watches the jobs and cancellations in the store.
 
 use std::{
+    cell::RefCell,
     rc::Rc,
     sync::Arc,
     time::Duration, //
@@ -189,7 +190,7 @@
     position: JobWatchPosition,
 ) {
     let mut position = position;
-    let mut unread = JoinSet::new();
+    let mut unread = UnreadJobs::default();
     loop {
         let sent_at = shared.now();
         let store = &shared.store;
@@ -199,8 +200,12 @@
         match store.watch(WatchedRows::Jobs, call).await {
             Ok(page) => {
                 let inherited = position.may_already_run(&term);
-                for row in page.items.iter().filter_map(|change| change.row.as_ref()) {
-                    apply_job_row(&shared, &term, row, inherited);
+                let is_reading = unread.is_reading();
+                for row in page.items.into_iter().filter_map(|change| change.row) {
+                    match is_reading && !is_cancellation(&row) {
+                        true => unread.held_jobs.borrow_mut().push(row),
+                        false => apply_job_row(&shared, &term, &row, inherited),
+                    }
                 }
                 position = JobWatchPosition {
                     version: page.version,
@@ -220,25 +225,23 @@
 }
 
 /// Reads the jobs after the store has dropped its history; returns the point from which to watch them, or `None` if
-/// nothing could be read. While a part can't be read, the owner must still learn of cancellations in the others; the
-/// jobs of all parts are then read by a task in `unread`.
+/// nothing could be read. While a part can't be read, the owner must still learn of cancellations in the others.
 async fn read_jobs_again(
     shared: &Rc<SharedState>,
     term: &Rc<OwnerTerm>,
     position: JobWatchPosition,
-    unread: &mut JoinSet<()>,
+    unread: &mut UnreadJobs,
 ) -> Option<JobWatchPosition> {
     let read = read_job_parts(shared).await;
     if read.version == NO_PART_READ {
         return None;
     }
     let is_complete = read.error.is_none();
-    let inherited = !unread.is_empty() || position.may_already_run(term);
-    unread.abort_all();
-    if !is_complete {
-        unread.spawn_local(read_unread_jobs(Rc::clone(shared), Rc::clone(term)));
+    let inherited = unread.is_reading() || position.may_already_run(term);
+    match is_complete {
+        true => unread.stop(),
+        false => unread.start(shared, term),
     }
-    // A job may only be added together with its cancellation, which may be in a part that was not read.
     let rows = read.rows.iter();
     for row in rows.filter(|row| is_complete || is_cancellation(row)) {
         apply_job_row(shared, term, row, inherited);
@@ -247,11 +250,46 @@
     Some(read.position())
 }
 
-/// Reads all jobs until that succeeds. A former owner may have started those that are not known yet.
-async fn read_unread_jobs(shared: Rc<SharedState>, term: Rc<OwnerTerm>) {
+/// The reading of all jobs while a part of them can't be read. Until it ends no job is added: a job's cancellation may be
+/// in the part that was not read, also that of a copy of the job's row in another part.
+#[derive(Default)]
+struct UnreadJobs {
+    task: JoinSet<()>,
+    /// The jobs that the watch has returned meanwhile.
+    held_jobs: Rc<RefCell<Vec<StoreRow>>>,
+}
+
+impl UnreadJobs {
+    fn is_reading(&mut self) -> bool {
+        while self.task.try_join_next().is_some() {}
+        !self.task.is_empty()
+    }
+
+    fn stop(&mut self) {
+        self.task = JoinSet::new();
+        self.held_jobs.borrow_mut().clear();
+    }
+
+    fn start(&mut self, shared: &Rc<SharedState>, term: &Rc<OwnerTerm>) {
+        self.task = JoinSet::new();
+        self.task.spawn_local(read_unread_jobs(
+            Rc::clone(shared),
+            Rc::clone(term),
+            Rc::clone(&self.held_jobs),
+        ));
+    }
+}
+
+/// Reads all jobs until that succeeds, and adds them and the held ones. A former owner may have started those that are not
+/// known yet.
+async fn read_unread_jobs(
+    shared: Rc<SharedState>,
+    term: Rc<OwnerTerm>,
+    held_jobs: Rc<RefCell<Vec<StoreRow>>>,
+) {
     loop {
         if let Ok((rows, _)) = read_jobs(&shared).await {
-            for row in &rows {
+            for row in rows.iter().chain(&held_jobs.take()) {
                 apply_job_row(&shared, &term, row, true);
             }
             term.plan_wakeup.notify_one();
