Search a worker for each starved step by itself

Callers saw an accepted job that never ran again although most of the capacity was free.

Cause: the search that starts a starved filler where it interferes least is made for a job at most each 300 ms, and the time of the last one was kept with the job. A step of it that fits nowhere, or a gang, took the turn in each plan, so that its sibling step, which would have fitted, was never searched for.

Change: the time is kept with the step.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -222,7 +222,6 @@
             occurrences: Default::default(),
             run_count: 0,
             idle_since: job.accepted,
-            last_forced_search: None,
             graph: job.graph,
         };
         self.jobs.insert(key, state);
--- a/crates/dispatch/src/dispatcher_starvation.rs
+++ b/crates/dispatch/src/dispatcher_starvation.rs
@@ -28,6 +28,7 @@
         let spec = job.graph.steps.get(usize::from(step.step))?;
         let is_filler = spec.kind() == WorkKind::Filler;
         let searched_recently = job
+            .step(step.occurrence, step.step)?
             .last_forced_search
             .is_some_and(|at| now < at + FORCED_SEARCH_INTERVAL);
         let idle = job
@@ -49,12 +50,18 @@
         if !is_gang || self.starved_since(step, now).is_none() {
             return false;
         }
-        if let Some(job) = self.jobs.get_mut(&step.job) {
-            job.last_forced_search = Some(now);
-        }
+        self.note_forced_search(step, now);
         self.is_half_free(pool, now)
     }
 
+    fn note_forced_search(&mut self, step: StepKey, now: Duration) {
+        if let Some(job) = self.jobs.get_mut(&step.job)
+            && let Some(state) = job.step_mut(step.occurrence, step.step)
+        {
+            state.last_forced_search = Some(now);
+        }
+    }
+
     /// Starts one task of each starved job while half of its pool is free, on the worker where it
     /// interferes least; the job that has waited longest comes first. Services stay protected as
     /// from any filler: it is throttled, and evicted within seconds.
@@ -79,8 +86,8 @@
     /// Starts one pending task of a starved step, if half of the pool is free and a worker
     /// qualifies.
     fn start_starved_filler(&mut self, step: StepKey, now: Duration) -> Option<WorkerOrder> {
-        let job = self.jobs.get_mut(&step.job)?;
-        job.last_forced_search = Some(now);
+        self.note_forced_search(step, now);
+        let job = self.jobs.get(&step.job)?;
         let graph = Arc::clone(&job.graph);
         let spec = graph.steps.get(usize::from(step.step))?;
         let state = job.step(step.occurrence, step.step)?;
--- a/crates/dispatch/src/job_state.rs
+++ b/crates/dispatch/src/job_state.rs
@@ -47,8 +47,6 @@
     pub(crate) run_count: u32,
     /// When the job's last run ended, or when the job was accepted if it had none.
     pub(crate) idle_since: Duration,
-    /// When a worker was last searched for the job regardless of the interference with services.
-    pub(crate) last_forced_search: Option<Duration>,
 }
 
 /// The state of one occurrence of a job.
@@ -75,6 +73,8 @@
     pub(crate) tickets: IndexMap<WorkerKey, (Arc<str>, Duration)>,
     /// When tickets were last requested.
     pub(crate) advice_requested_at: Option<Duration>,
+    /// When a worker was last searched for the step regardless of the interference with services.
+    pub(crate) last_forced_search: Option<Duration>,
     /// When it was last explained, for the log, why the step waits.
     pub(crate) wait_explained_at: Option<Duration>,
     /// The estimated load of the step's tasks without fillers, if they serve requests.
@@ -184,6 +184,7 @@
             tasks_per_worker: IndexMap::new(),
             tickets: IndexMap::new(),
             advice_requested_at: None,
+            last_forced_search: None,
             wait_explained_at: None,
             load: None,
         });
--- a/crates/dispatch/tests/advice.rs
+++ b/crates/dispatch/tests/advice.rs
@@ -80,7 +80,7 @@
         for turn in 0..300 {
             let now = ms(1000 + turn * 100);
             for &key in &keys {
-                drop(dispatcher.next_renewal(key, true, now));
+                dispatcher.next_renewal(key, true, now);
                 let report = RenewalReport {
                     clock: now,
                     incarnation: None,
