Reserve no worker whose long-running tasks leave no memory for the step

Callers could see an accepted job that waits for good beside a worker with room: counted the places that short tasks will leave by the memory of the whole worker, so that one whose services hold the memory stayed reserved for a step that can never fit there.

Change: the memory of long-running tasks is subtracted, as their processors are.

--- a/crates/dispatch/src/dispatcher_reservations.rs
+++ b/crates/dispatch/src/dispatcher_reservations.rs
@@ -10,6 +10,7 @@
     PolicyPart,
     StepKey,
     StepSpec,
+    WorkKind,
     WorkerKey,
     dispatcher_placement::fits_labels,
     worker_state::WorkerState, //
@@ -87,7 +88,13 @@
     let long_running = worker.long_running_cpu.max(worker.service_cpu);
     let capacity = worker.record.capacity;
     let by_cpu = capacity.cpu_millis.saturating_sub(long_running) / size.cpu_millis.max(1);
-    let by_memory = capacity.memory_mib / size.memory_mib.max(1);
+    let runs = worker.runs.values();
+    let long_running_memory: u64 = runs
+        .filter(|run| run.kind == WorkKind::LongRunning)
+        .map(|run| run.reserved.memory_mib)
+        .sum();
+    let by_memory =
+        capacity.memory_mib.saturating_sub(long_running_memory) / size.memory_mib.max(1);
     let by_spread = spec.max_per_worker.map_or(u64::MAX, u64::from);
     by_cpu.min(by_memory).min(by_spread)
 }
