Leave the completion of a job that may yet be learned with its worker

Callers could see a task that is executed twice, which for an order is a doubled booking.

Cause: a former owner that does not know yet that it was replaced may start a job that was accepted after its successor had read the jobs. If the worker reports the end of such a task before the successor's watch brings the job, the end was acknowledged as one of an unknown job, and the task started again.

Change: for 3 s after a takeover such a completion, and those after it, are neither processed nor acknowledged, so that the worker reports them again; its next renewal waits as it does for a commit.

--- a/crates/dispatch/src/dispatcher_workers.rs
+++ b/crates/dispatch/src/dispatcher_workers.rs
@@ -9,6 +9,7 @@
     Dispatcher,
     EndedRun,
     FleetWorker,
+    JobKey,
     LeaseRenewal,
     LossCause,
     OrderOutcome,
@@ -24,6 +25,8 @@
 
 /// The maximum number of run completions in one report; a list of this length may be truncated.
 const MAX_COMPLETIONS_PER_REPORT: usize = 500;
+/// How long after a takeover the completion of an unknown job's task is left with its worker.
+const LATE_JOB_GRACE: Duration = Duration::from_secs(3);
 /// The longest wait of a renewal while fillers run beside a service: the metrics cover the last
 /// half second, so a shorter wait would return the same values twice.
 const INTERFERENCE_RENEWAL_WAIT: Duration = Duration::from_millis(500);
@@ -171,7 +174,8 @@
     /// Returns whether a worker has reported completions that are not on record yet; a renewal now
     /// would return the same completions at once.
     pub fn has_pending_acknowledgements(&self, key: WorkerKey) -> bool {
-        !self.worker(key).pending_acks.is_empty()
+        let worker = self.worker(key);
+        worker.holds_completions || !worker.pending_acks.is_empty()
     }
 
     /// Returns the lease deadline, on the worker's clock, of an order sent at `now`; `None` while
@@ -216,10 +220,18 @@
         worker.connection_refused = false;
         worker.has_owner_token = true;
         worker.inherited_until = None;
-        let is_truncated = report.completions.len() >= MAX_COMPLETIONS_PER_REPORT;
+        let mut is_truncated = report.completions.len() >= MAX_COMPLETIONS_PER_REPORT;
+        let mut holds_completions = false;
         for ended in report.completions {
+            // The worker reports what is not acknowledged again.
+            if self.may_learn_job(ended.task.job(), now) {
+                is_truncated = true;
+                holds_completions = true;
+                break;
+            }
             self.process_completion(key, ended, now);
         }
+        self.worker_mut(key).holds_completions = holds_completions;
         let listed: Vec<(TaskKey, RunNumber)> = report
             .running
             .iter()
@@ -408,6 +420,15 @@
         }
     }
 
+    /// Returns whether a job is unknown and may yet be learned: a former owner may have started tasks of
+    /// a job that was accepted after this owner had read the jobs.
+    fn may_learn_job(&self, job: JobKey, now: Duration) -> bool {
+        let is_new_owner = self
+            .first_plan_at
+            .is_none_or(|since| now < since + LATE_JOB_GRACE);
+        is_new_owner && self.fencing_token > 1 && !self.jobs.contains_key(&job)
+    }
+
     /// Processes a completion that a worker reports, unless it was processed before.
     fn process_completion(&mut self, key: WorkerKey, ended: EndedRun, now: Duration) {
         if ended.number <= self.worker(key).last_processed {
--- a/crates/dispatch/src/worker_state.rs
+++ b/crates/dispatch/src/worker_state.rs
@@ -89,6 +89,8 @@
     pub(crate) last_acknowledged: u64,
     /// Completions processed but not yet on record: their number and the change that records each.
     pub(crate) pending_acks: VecDeque<(u64, u64)>,
+    /// Whether completions of unknown jobs were left with the worker.
+    pub(crate) holds_completions: bool,
     /// Whether the worker is being drained for maintenance of its VM.
     pub(crate) in_maintenance: bool,
     pub(crate) health: WorkerHealth,
@@ -140,6 +142,7 @@
             last_processed: 0,
             last_acknowledged: 0,
             pending_acks: VecDeque::new(),
+            holds_completions: false,
             in_maintenance: false,
             health: WorkerHealth::default(),
             violations: TargetViolationTracker::default(),
