Test the lines that no test missed when they were taken out

Cause: several fixes hide one another; the limit on reserved workers, for one, was tested with a gang for which nothing is reserved any more.

The pool of the tests of fillers can be without a store; no existing test or check changed.

--- a/crates/dispatch/tests/crashing_tasks.rs
+++ b/crates/dispatch/tests/crashing_tasks.rs
@@ -663,3 +663,91 @@
     let count = std::env::var("JASMINEBEND_DAYS").ok();
     count.and_then(|text| text.parse().ok()).unwrap_or(40)
 }
+
+fn gang(count: u32) -> StepSpec {
+    StepSpec {
+        gang: true,
+        ..step(count, &[])
+    }
+}
+
+/// Guards against tasks that wait beside free workers because each failed attempt to place a suspected gang leaves these
+/// isolated.
+#[test]
+fn suspected_gang_that_never_fits_leaves_its_workers_to_others() {
+    let mut fleet = Fleet::new(2, 18).with_work(short_work);
+    let job = fleet.submit(2, graph(vec![gang(12)]));
+    record_early_crashes(&mut fleet, job, 2);
+    fleet.replace_owner();
+    fleet.run_for(ms(15_000));
+    for number in 3..9 {
+        let other = fleet.submit(number, graph(vec![step(1, &[])]));
+        fleet.run_for(ms(500));
+        assert_eq!(fleet.begin_count(other), 1, "{other}");
+    }
+}
+
+/// Guards against a start of a suspected gang that no successor learns of, and against one that waits for one commit for
+/// each suspected member.
+#[test]
+fn suspected_gang_starts_once_all_its_members_are_announced() {
+    let mut fleet = Fleet::new(8, 19).with_work(long_work);
+    let job = fleet.submit(2, graph(vec![gang(6)]));
+    record_early_crashes(&mut fleet, job, 6);
+    fleet.store_is_away = true;
+    fleet.replace_owner();
+    fleet.run_for(ms(10_000));
+    assert_eq!(fleet.begin_count(job), 0);
+    fleet.store_is_away = false;
+    run_until(&mut fleet, |fleet| {
+        fleet.is_start_announced(first_task(job))
+    });
+    let step = first_task(job).step;
+    let is_announced = |index: &u32| fleet.is_start_announced(step.task(*index));
+    assert_eq!((0..6).filter(is_announced).count(), 6);
+    fleet.run_for(ms(500));
+    assert_eq!(fleet.begin_count(job), 6);
+}
+
+/// Guards against a member of a gang that is started beside a suspected one although there is room elsewhere.
+#[test]
+fn suspected_member_of_a_gang_starts_alone_if_there_is_room() {
+    let mut fleet = Fleet::new(2, 20).with_work(long_work);
+    let job = fleet.submit(2, graph(vec![gang(5)]));
+    record_early_crashes(&mut fleet, job, 1);
+    fleet.replace_owner();
+    run_until(&mut fleet, |fleet| fleet.begin_count(job) == 5);
+    let beside = fleet.workers.iter().find_map(|worker| {
+        let tasks = worker.running_tasks();
+        tasks.contains(&first_task(job)).then_some(tasks.len())
+    });
+    assert_eq!(beside, Some(1));
+}
+
+/// Guards against a gang that starts beside a suspected task of another job: only members of one gang may share a worker
+/// with a suspected one.
+#[test]
+fn suspected_gang_does_not_start_beside_suspected_tasks_of_others() {
+    let mut fleet = Fleet::new(1, 21).with_work(short_work);
+    let singles: Vec<JobKey> = (2..10)
+        .map(|number| {
+            let job = fleet.submit(number, graph(vec![step(1, &[])]));
+            record_early_crashes(&mut fleet, job, 1);
+            job
+        })
+        .collect();
+    let job = fleet.submit(20, graph(vec![gang(2)]));
+    record_early_crashes(&mut fleet, job, 1);
+    fleet.replace_owner();
+    fleet.run_for(ms(40_000));
+    assert_eq!(fleet.progress(job), COMPLETED);
+    let begun = fleet.starts_of(first_task(job))[0];
+    for single in singles {
+        let starts = fleet.starts_of(first_task(single));
+        let is_apart = |start: &Duration| begun.abs_diff(*start) >= ms(900);
+        assert!(
+            starts.iter().all(is_apart),
+            "{single}: {starts:?}, {begun:?}"
+        );
+    }
+}
--- a/crates/dispatch/tests/explanations.rs
+++ b/crates/dispatch/tests/explanations.rs
@@ -18,9 +18,15 @@
 use jasminebend_dispatch::{
     AcceptedJob,
     JobKey,
+    OrderOutcome,
+    ProgressRecord,
+    RunNumber,
     StepSpec,
     StopDelay,
-    WaitCause, //
+    TaskCrashes,
+    WaitCause,
+    WorkerCrash,
+    WorkerOrder, //
 };
 use jasminebend_standins::TaskWork;
 
@@ -109,3 +115,82 @@
     );
     assert!(overdue.iter().all(|stop| stop.attempts >= 2));
 }
+
+fn delay_of_overdue_stop(disturb: fn(&mut Fleet)) -> Vec<StopDelay> {
+    let mut fleet = Fleet::new(1, 5).with_work(endless_work);
+    let job = fleet.submit(1, graph(vec![service(1)]));
+    fleet.run_for(ms(500));
+    disturb(&mut fleet);
+    fleet.cancel(job);
+    fleet.run_for(ms(2500));
+    fleet.overdue_stops.iter().map(|stop| stop.delay).collect()
+}
+
+/// Guards against an overdue stop that is logged as unanswered although its worker answers nothing at all.
+#[test]
+fn overdue_stop_on_a_silent_worker_is_logged_as_such() {
+    let delays = delay_of_overdue_stop(|fleet| {
+        fleet.unreachable_until[0] = fleet.now + ms(60_000);
+        fleet.run_for(ms(2500));
+    });
+    assert_eq!(delays, [StopDelay::SilentWorker]);
+}
+
+/// Guards against an overdue stop that is logged as unanswered although its worker has accepted it.
+#[test]
+fn overdue_stop_that_was_accepted_is_logged_as_ending() {
+    let mut fleet = Fleet::new(1, 6).with_work(endless_work);
+    let job = fleet.submit(1, graph(vec![service(1)]));
+    fleet.run_for(ms(500));
+    fleet.cancel(job);
+    let now = fleet.now;
+    let dispatcher = &mut fleet.owner().dispatcher;
+    for order in dispatcher.plan(now).orders {
+        if let WorkerOrder::Stop { worker, task, run } = order {
+            dispatcher.handle_stop_outcome(worker, task, run, OrderOutcome::Taken, now);
+        }
+    }
+    let overdue = dispatcher.plan(now + ms(2100)).overdue_stops;
+    let delays: Vec<StopDelay> = overdue.iter().map(|stop| stop.delay).collect();
+    assert_eq!(delays, [StopDelay::Ending]);
+}
+
+/// Guards against a worker that is kept free for a suspected task and counted among those with unknown reasons.
+#[test]
+fn worker_kept_free_for_a_suspected_task_is_logged_as_isolated() {
+    let mut fleet = Fleet::new(1, 7).with_work(endless_work);
+    let job = fleet.submit(1, graph(vec![step(1, &[])]));
+    let crash = |number: u64| WorkerCrash {
+        run: RunNumber::of_owner(1, number),
+        worker: format!("gone-{number}").into(),
+        at: ms(500),
+        early: true,
+        alone: false,
+        widespread: true,
+    };
+    let suspected = TaskCrashes {
+        occurrence: 0,
+        step: 0,
+        index: 0,
+        crashes: vec![crash(1), crash(2)],
+        started_on: None,
+    };
+    let record = ProgressRecord {
+        crashes: vec![suspected],
+        ..ProgressRecord::default()
+    };
+    fleet.records.insert(job, record);
+    fleet.replace_owner();
+    while fleet.begin_count(job) == 0 {
+        fleet.run_for(ms(10));
+    }
+    fleet.waits.clear();
+    let urgent = StepSpec {
+        estimate: ms(10),
+        ..step(1, &[])
+    };
+    fleet.submit(2, graph(vec![urgent]));
+    fleet.run_for(ms(500));
+    let isolated = fleet.waits.iter().map(|wait| wait.rejections.isolated);
+    assert_eq!(isolated.max(), Some(1));
+}
--- a/crates/dispatch/tests/fillers.rs
+++ b/crates/dispatch/tests/fillers.rs
@@ -54,6 +54,8 @@
     /// The throttle factor, in percent, of each run.
     running: IndexMap<(WorkerKey, TaskKey, RunNumber), u32>,
     stop_count: usize,
+    /// Whether no record is stored.
+    store_is_away: bool,
     /// Returns the tail latency in milliseconds of a service's task beside harmful fillers on this
     /// share of the CPU.
     tail: fn(f64) -> u64,
@@ -89,6 +91,7 @@
             workers,
             running: IndexMap::new(),
             stop_count: 0,
+            store_is_away: false,
             tail,
             tail_by_task: None,
             filler_cpu_millis: 4000,
@@ -128,9 +131,9 @@
         }
     }
 
-    /// Plans, carries out all orders at once and stores all records.
+    /// Plans, carries out all orders at once and, unless the store is away, stores all records.
     fn plan(&mut self) {
-        if !self.dispatcher.take_records_to_commit(45).is_empty() {
+        if !self.store_is_away && !self.dispatcher.take_records_to_commit(45).is_empty() {
             self.dispatcher.confirm_commit();
         }
         for order in self.dispatcher.plan(self.now).orders {
@@ -729,10 +732,10 @@
     assert!(pause > ms(30_000), "{pause:?}");
 }
 
-/// Returns a pool of which every worker holds services that the image "harmful" is known to slow down.
-fn pool_that_harmful_fillers_slow_down() -> Pool {
-    let mut services = service("service-a", 6);
-    services.steps[0].max_per_worker = Some(2);
+/// Returns a pool in which harmful fillers are known to interfere with the services, of which each worker executes so many.
+fn pool_with_known_harm(services_per_worker: u32) -> Pool {
+    let mut services = service("service-a", 3 * services_per_worker);
+    services.steps[0].max_per_worker = Some(services_per_worker);
     let mut pool = Pool::new(3, |_| 6).with_tail_by_task(rising_service_tail_ms);
     pool.submit(1, services);
     pool.run_for(ms(3000));
@@ -763,7 +766,7 @@
 /// the last search.
 #[test]
 fn starved_step_runs_beside_one_of_its_job_that_fits_nowhere() {
-    let mut pool = pool_that_harmful_fillers_slow_down();
+    let mut pool = pool_with_known_harm(2);
     submit_beside_unplaceable_step(&mut pool, false);
     assert!(runs_soon(&mut pool, |task| job_number(task) == 11));
 }
@@ -772,7 +775,7 @@
 /// the gang first.
 #[test]
 fn starved_step_runs_beside_a_gang_of_its_job_that_fits_nowhere() {
-    let mut pool = pool_that_harmful_fillers_slow_down();
+    let mut pool = pool_with_known_harm(2);
     submit_beside_unplaceable_step(&mut pool, true);
     assert!(runs_soon(&mut pool, |task| job_number(task) == 11));
 }
@@ -780,7 +783,7 @@
 /// Guards against starving one of several long-running fillers because another one of its job runs from time to time.
 #[test]
 fn each_starved_long_running_filler_of_a_job_runs() {
-    let mut pool = pool_that_harmful_fillers_slow_down();
+    let mut pool = pool_with_known_harm(2);
     let mut lasting = filler("harmful", 2);
     lasting.steps[0].long_running = true;
     lasting.steps[0].max_per_worker = Some(1);
@@ -799,3 +802,57 @@
     pool.submit(11, filler("harmful", 1));
     assert!(runs_soon(&mut pool, |task| job_number(task) == 11));
 }
+
+/// Guards against a start of a suspected filler that no successor learns of.
+#[test]
+fn suspected_harmful_filler_starts_only_after_its_announcement() {
+    let mut pool = pool_with_known_harm(2);
+    pool.run_for(ms(1000));
+    pool.store_is_away = true;
+    pool.submit(11, filler("harmful", 1));
+    pool.dispatcher
+        .restore_job(JobKey::new(11), &suspected_tasks(1));
+    for _ in 0..20 {
+        pool.run_for(ms(500));
+        assert_eq!(pool.count_running(|task| job_number(task) == 11), 0);
+    }
+    pool.store_is_away = false;
+    let has_run = (0..10).any(|_| {
+        pool.run_for(ms(500));
+        pool.count_running(|task| job_number(task) == 11) > 0
+    });
+    assert!(has_run);
+}
+
+/// Guards against fillers that wait although they may start anywhere, because a suspected one of their job is preferred.
+#[test]
+fn unsuspected_harmful_fillers_start_before_suspected_ones() {
+    let mut pool = pool_with_known_harm(2);
+    pool.submit(11, filler("harmful", 2));
+    pool.dispatcher
+        .restore_job(JobKey::new(11), &suspected_tasks(1));
+    let started = (0..20).find_map(|_| {
+        pool.run_for(ms(500));
+        let mut running = pool.running.keys();
+        running
+            .find(|(_, task, _)| job_number(*task) == 11)
+            .map(|(_, task, _)| task.index)
+    });
+    assert_eq!(started, Some(1));
+}
+
+/// Guards against a gang of harmful fillers that is started while its pool is needed.
+#[test]
+fn harmful_gang_waits_while_most_of_the_pool_is_used() {
+    for (services_per_worker, may_run) in [(2, true), (3, false)] {
+        let mut pool = pool_with_known_harm(services_per_worker);
+        let mut gang = filler("harmful", 3);
+        gang.steps[0].gang = true;
+        pool.submit(11, gang);
+        let has_run = (0..10).any(|_| {
+            pool.run_for(ms(500));
+            pool.count_running(|task| job_number(task) == 11) == 3
+        });
+        assert_eq!(has_run, may_run, "{services_per_worker}");
+    }
+}
--- a/crates/dispatch/tests/liveness.rs
+++ b/crates/dispatch/tests/liveness.rs
@@ -1126,3 +1126,110 @@
     fleet.run_for(ms(25_000));
     assert_eq!(fleet.progress(job), COMPLETED);
 }
+/// Guards against the same with long-running tasks that could start: the limit counted workers that had left.
+#[test]
+fn workers_that_have_left_do_not_raise_the_limit_on_those_reserved_for_long_running_tasks() {
+    BEHAVIOUR.set(Behaviour::default());
+    let mut fleet = Fleet::new(4, 1).with_work(work);
+    for _ in 0..3 {
+        let first = fleet.workers.len() - 4;
+        for worker in first..first + 4 {
+            fleet.leave_pool(worker);
+        }
+        fleet.run_for(ms(1000));
+    }
+    let mut short = sized_step(4, 1000);
+    short.max_per_worker = Some(1);
+    submit_step(&mut fleet, 1, Duration::MAX, short);
+    fleet.run_for(ms(1000));
+    submit_step(&mut fleet, 2, Duration::MAX, lasting_step(4, 4000));
+    fleet.run_for(ms(7000));
+    let job = submit_step(&mut fleet, 3, ms(300), sized_step(1, 1000));
+    fleet.run_for(ms(25_000));
+    assert_eq!(fleet.progress(job), COMPLETED);
+}
+
+/// Guards against a worker that stays reserved for a gang which its memory, the spread or long-running tasks exclude.
+#[test]
+fn gang_that_never_fits_reserves_no_worker_whatever_it_lacks() {
+    let by_memory = StepSpec {
+        size: ResourceAmount::new(1000, 2500),
+        ..lasting_step(2, 1000)
+    };
+    let by_spread = StepSpec {
+        max_per_worker: Some(1),
+        ..lasting_step(2, 1000)
+    };
+    let by_long_running = lasting_step(2, 1000);
+    let cases = [
+        (by_memory, 0),
+        (by_spread, 0),
+        (by_long_running, 3000), //
+    ];
+    for (mut gang, occupied) in cases {
+        BEHAVIOUR.set(Behaviour::default());
+        let mut fleet = Fleet::new(1, 1).with_work(work);
+        if occupied > 0 {
+            submit_step(&mut fleet, 1, Duration::MAX, lasting_step(1, occupied));
+            fleet.run_for(ms(1000));
+        }
+        gang.gang = true;
+        submit_step(&mut fleet, 2, Duration::MAX, gang.clone());
+        fleet.run_for(ms(7000));
+        let job = submit_step(&mut fleet, 3, ms(300), sized_step(1, 1000));
+        fleet.run_for(ms(25_000));
+        assert_eq!(fleet.progress(job), COMPLETED, "{gang:?}");
+    }
+}
+
+/// Guards against a failed job whose tasks are executed again: further failures were acknowledged before the job's end
+/// was on record.
+#[test]
+fn failures_of_a_job_that_has_failed_are_acknowledged_once_its_end_is_on_record() {
+    BEHAVIOUR.set(Behaviour::default());
+    let mut fleet = Fleet::new(2, 1).with_work(work).with_attempts(1);
+    let job = submit_step(&mut fleet, 1, ms(1000), sized_step(2, 4000));
+    BEHAVIOUR.with_borrow_mut(|behaviour| {
+        let step = StepKey {
+            job,
+            occurrence: 0,
+            step: 0,
+        };
+        behaviour.failures = (0..2).map(|index| (step.task(index), 3)).collect();
+    });
+    fleet.store_is_away = true;
+    fleet.run_for(ms(2000));
+    assert!(!fleet.records.contains_key(&job), "the store is away");
+    let events = fleet.workers.iter().flat_map(|worker| worker.events());
+    let ended = events.clone();
+    let ended = ended.filter(|(_, event)| matches!(event, WorkerEvent::Ended(..)));
+    assert!(ended.count() >= 2, "both tasks have failed");
+    let acknowledged = events.filter(|(_, event)| matches!(event, WorkerEvent::Acknowledged(..)));
+    assert_eq!(acknowledged.count(), 0);
+}
+
+/// Returns work of which each further task takes 15 ms more.
+fn staggered_work(task: TaskKey) -> TaskWork {
+    TaskWork {
+        run_time: ms(1000 + 15 * u64::from(task.index)),
+        fails: false,
+        size: ResourceAmount::new(4000, 100),
+    }
+}
+
+/// Guards against the same while the commit that contains the end is in flight, and then fails.
+#[test]
+fn completions_of_a_gang_are_not_acknowledged_while_its_end_is_being_stored() {
+    let mut fleet = Fleet::new(8, 1).with_work(staggered_work);
+    let mut gang = sized_step(8, 4000);
+    gang.gang = true;
+    fleet.submit(1, graph(vec![gang]));
+    fleet.run_for(ms(500));
+    fleet.store_is_away = true;
+    fleet.run_for(ms(2000));
+    let events = fleet.workers.iter().flat_map(|worker| worker.events());
+    // A run that was stopped has no result to lose.
+    let acknowledged =
+        events.filter(|(_, event)| matches!(event, WorkerEvent::Acknowledged(_, RunResult::Done)));
+    assert_eq!(acknowledged.count(), 0);
+}
--- a/crates/dispatch/tests/placement.rs
+++ b/crates/dispatch/tests/placement.rs
@@ -9,11 +9,13 @@
 
 use std::{
     collections::BTreeSet,
+    sync::Arc,
     time::Duration, //
 };
 
 use common::{
     Fleet,
+    configuration,
     graph,
     ms,
     step, //
@@ -23,6 +25,9 @@
     ResourceAmount, //
 };
 use jasminebend_dispatch::{
+    AcceptedJob,
+    FleetConfiguration,
+    JobKey,
     JobOutcome,
     JobProgress,
     JobSchedule,
@@ -412,3 +417,51 @@
     fleet.run_for(ms(500));
     assert_eq!(fleet.begin_count(second), 4);
 }
+
+/// Guards against a pool whose large tasks never start because the workers reserved in another pool count against its
+/// own limit.
+#[test]
+fn workers_are_reserved_in_each_pool() {
+    let mut fleet = Fleet::new(2, 1).with_work(one_minute_work);
+    fleet.run_for(ms(100));
+    let mut moved = fleet.workers[1].record().clone();
+    moved.pool = "other-pool".into();
+    let mut rules = FleetConfiguration::clone(&configuration(3));
+    let mut rule = rules.queues["queue"].clone();
+    rule.name = "other-queue".into();
+    rule.pool = "other-pool".into();
+    rules.queues.insert("other-queue".into(), rule);
+    let dispatcher = &mut fleet.owner().dispatcher;
+    dispatcher.upsert_worker(moved, None);
+    dispatcher.set_configuration(Arc::new(rules));
+    let large = StepSpec {
+        long_running: true,
+        size: ResourceAmount::new(4000, 100),
+        ..step(1, &[])
+    };
+    for (number, spec) in (1..).zip([step(1, &[]), large]) {
+        for queue in ["queue", "other-queue"] {
+            let job = AcceptedJob {
+                queue: queue.into(),
+                rule: None,
+                graph: Arc::new(graph(vec![spec.clone()])),
+                accepted: fleet.now,
+                inherited: false,
+            };
+            let key = JobKey::new(number * 10 + queue.len() as u64);
+            fleet.owner().dispatcher.add_job(key, job);
+        }
+        fleet.run_for(ms(1000));
+    }
+    fleet.run_for(ms(7000));
+    let small = AcceptedJob {
+        queue: "other-queue".into(),
+        rule: None,
+        graph: Arc::new(graph(vec![step(1, &[])])),
+        accepted: fleet.now,
+        inherited: false,
+    };
+    fleet.owner().dispatcher.add_job(JobKey::new(9), small);
+    fleet.run_for(ms(2500));
+    assert_eq!(fleet.begin_count(JobKey::new(9)), 0);
+}
--- a/crates/fleet/tests/daemons/partial_outage.rs
+++ b/crates/fleet/tests/daemons/partial_outage.rs
@@ -255,3 +255,33 @@
         wait_for_progress(&owner.job_api, 2, COMPLETED).await;
     });
 }
+
+/// Writes the row of a job of one task as if a daemon had accepted it.
+fn write_job(fleet: &TestFleet, number: u64) {
+    let record = JobRecord {
+        queue: "queue".to_owned(),
+        accepted_ms: 0,
+        graph: job(&[(1, &[])]),
+    };
+    let value = postcard::to_stdvec(&record).expect("it can be encoded");
+    let key = JobKey::new(number);
+    let part = format!("j{}", key.partition(16));
+    let row = StoreRow::new(StoreTable::Jobs, &part, key.to_string(), value);
+    fleet.store.write(vec![row]);
+}
+
+/// Guards against jobs that wait for a claim although the store is well again: a daemon without peers gave up its
+/// takeover, and nobody else could take over.
+#[test]
+fn a_daemon_without_peers_keeps_its_takeover_going() {
+    run_simulated(async {
+        let fleet = TestFleet::with_runtime_clock(2);
+        write_job(&fleet, 2);
+        let daemon = fleet.daemon();
+        break_part(&daemon, 1);
+        time::sleep(Duration::from_secs(8)).await;
+        mend_parts(&daemon);
+        time::sleep(Duration::from_secs(2)).await;
+        assert_eq!(fleet.workers.started_runs(), 1);
+    });
+}
