Test that explain names workers kept free for suspected tasks

An operator would have read another reason for a step that waits for isolated workers: no test failed when the field was taken out of the list.

--- a/crates/jbctl/tests/job_timelines.rs
+++ b/crates/jbctl/tests/job_timelines.rs
@@ -131,3 +131,18 @@
         ]
     );
 }
+
+/// Guards against a step that waits for workers kept free for suspected tasks, and for which another reason is named.
+#[test]
+fn workers_kept_free_for_suspected_tasks_are_named_as_isolated() {
+    let timeline = timeline(&[
+        r#"{"ts":4.0,"node":"edge-a","event":"wait","step":"5c0e7a21d94b36f8.0.0","cause":"worker","missing":3,"job_age_ms":3000,"owner_token":2,"busy":1,"isolated":4,"other":2}"#,
+    ]);
+    let causes: Vec<String> = timeline.causes().iter().map(ToString::to_string).collect();
+    assert_eq!(
+        causes,
+        [
+            "step 5c0e7a21d94b36f8.0.0 waited at 3000 ms: 3 tasks without a place, most workers by `isolated` (4)"
+        ]
+    );
+}
