--- a/crates/dispatch/src/dispatcher_reservations.rs
+++ b/crates/dispatch/src/dispatcher_reservations.rs
@@ -73,6 +73,7 @@
             }
         }
         // A gang for which short tasks leave too few places starts no sooner for a reservation.
+        // CAST: A step has at most 20,000 tasks.
         if spec.gang && places < missing_tasks as u64 {
             return;
         }
@@ -85,9 +86,9 @@
 /// Returns how many tasks of a step a worker can hold once its short tasks have ended.
 fn places_on(worker: &WorkerState, spec: &StepSpec) -> u64 {
     let size = spec.reserved();
-    let long_running = worker.long_running_cpu.max(worker.service_cpu);
     let capacity = worker.record.capacity;
-    let by_cpu = capacity.cpu_millis.saturating_sub(long_running) / size.cpu_millis.max(1);
+    let short_cpu = capacity.cpu_millis.saturating_sub(worker.long_running_cpu);
+    let by_cpu = short_cpu / size.cpu_millis.max(1);
     let runs = worker.runs.values();
     let long_running_memory: u64 = runs
         .filter(|run| run.kind == WorkKind::LongRunning)
