--- a/crates/dispatch/tests/fillers.rs
+++ b/crates/dispatch/tests/fillers.rs
@@ -659,14 +659,7 @@
 /// suspected of crashing its workers.
 #[test]
 fn suspected_harmful_filler_runs_while_most_of_the_pool_is_free() {
-    let mut services = service("service-a", 6);
-    services.steps[0].max_per_worker = Some(2);
-    let mut pool = Pool::new(3, |_| 6).with_tail_by_task(rising_service_tail_ms);
-    pool.submit(1, services);
-    pool.run_for(ms(3000));
-    pool.submit(10, filler("harmful", 3));
-    pool.run_for(ms(20_000));
-    pool.dispatcher.cancel_job(JobKey::new(10));
+    let mut pool = pool_with_known_harm(2);
     pool.submit(11, filler("harmful", 2));
     pool.dispatcher
         .restore_job(JobKey::new(11), &suspected_tasks(2));
@@ -682,14 +675,7 @@
 #[test]
 fn harmful_gang_runs_while_most_of_the_pool_is_free() {
     for image in ["harmful", "unknown"] {
-        let mut services = service("service-a", 6);
-        services.steps[0].max_per_worker = Some(2);
-        let mut pool = Pool::new(3, |_| 6).with_tail_by_task(rising_service_tail_ms);
-        pool.submit(1, services);
-        pool.run_for(ms(3000));
-        pool.submit(10, filler("harmful", 3));
-        pool.run_for(ms(20_000));
-        pool.dispatcher.cancel_job(JobKey::new(10));
+        let mut pool = pool_with_known_harm(2);
         let mut gang = filler(image, 4);
         gang.steps[0].gang = true;
         pool.submit(11, gang);
