Tell in the line of an overdue stop whether the worker lists the run

The line said 'ending' both for a run that the worker goes on executing and for one that it no longer lists and that the owner does not give up. The users' record (a stop answered "Taken" each 0.6 s) can be either. The cause is now 'ending' for the first and 'unlisted' for the second.

--- a/crates/dispatch/src/dispatcher_waits.rs
+++ b/crates/dispatch/src/dispatcher_waits.rs
@@ -85,6 +85,7 @@
         for &(worker, task, run) in &self.pending_stops {
             let state = &mut self.workers[worker.index()];
             let is_silent = state.unanswered > 0;
+            let last_answer_at = state.last_answer_at;
             let Some(run_state) = state.runs.get_mut(&(task, run)) else {
                 continue;
             };
@@ -102,7 +103,10 @@
                 run,
                 requested_at,
                 attempts: run_state.stop_attempts,
-                delay: stop_delay(run_state, is_silent, has_free_orders),
+                delay: match is_silent {
+                    true => StopDelay::SilentWorker,
+                    false => stop_delay(run_state, last_answer_at, has_free_orders),
+                },
             });
         }
         overdue
@@ -194,11 +198,16 @@
     }
 }
 
-/// Returns why a run that was to be stopped has not ended.
-fn stop_delay(run: &RunState, is_silent: bool, has_free_orders: bool) -> StopDelay {
+/// Returns why a run on a worker that last answered at `last_answer_at` has not ended although it was to be stopped.
+fn stop_delay(
+    run: &RunState,
+    last_answer_at: Option<Duration>,
+    has_free_orders: bool,
+) -> StopDelay {
+    let is_listed = run.last_listed_at.is_some() && run.last_listed_at == last_answer_at;
     match run.phase {
-        _ if is_silent => StopDelay::SilentWorker,
-        RunPhase::Stopping(Some(_)) => StopDelay::Ending,
+        RunPhase::Stopping(Some(_)) if is_listed => StopDelay::Ending,
+        RunPhase::Stopping(Some(_)) => StopDelay::Unlisted,
         _ if run.stop_attempts == 0 && !has_free_orders => StopDelay::OrderLimit,
         _ => StopDelay::Unanswered,
     }
--- a/crates/dispatch/src/overdue_stop.rs
+++ b/crates/dispatch/src/overdue_stop.rs
@@ -16,9 +16,12 @@
     /// The worker does not answer lease renewals.
     #[display("silent")]
     SilentWorker,
-    /// The worker has accepted the order and still lists the run.
+    /// The worker has accepted the order, and its latest report lists the run.
     #[display("ending")]
     Ending,
+    /// The worker has accepted the order, and its latest report does not list the run.
+    #[display("unlisted")]
+    Unlisted,
     /// Too many orders are in flight to send one more.
     #[display("limit")]
     OrderLimit,
--- a/crates/fleet/src/order_planning.rs
+++ b/crates/fleet/src/order_planning.rs
@@ -83,7 +83,7 @@
 }
 
 /// A run goes on although it was to be stopped some time ago. `cause` is `silent` (the worker answers no renewals), `ending`
-/// (it accepted the order), `limit` (too many orders are in flight) or `unanswered`.
+/// (it accepted the order and lists the run), `unlisted` (it accepted the order and does not list the run), `limit` (too many orders are in flight) or `unanswered`.
 #[derive(Serialize)]
 struct OverdueStopLine<'a> {
     task: String,
