Failing test of a run that the repetition of its stop holds

Callers saw jobs with nothing running beside free workers. The test lets the first start of a task be lost beside a long-running task on the only worker, which answers renewals as late as it may; so far simulated workers answered at once, so that no test could show this.

--- a/crates/dispatch/tests/common/fleet.rs
+++ b/crates/dispatch/tests/common/fleet.rs
@@ -119,6 +119,10 @@
     pub(crate) attempts: u32,
     /// Whether workers report metrics: services are slower the more fillers run beside them.
     pub(crate) has_metrics: bool,
+    /// Whether workers answer a renewal only when a run ends or the renewal's wait is over.
+    pub(crate) delays_renewals: bool,
+    /// The settings of the owners.
+    pub(crate) settings: DispatchSettings,
     /// Whether the configuration no longer contains the queue.
     queue_is_removed: bool,
     /// Violations found while messages were delivered.
@@ -177,6 +181,8 @@
             work: default_work,
             attempts: 3,
             has_metrics: false,
+            delays_renewals: false,
+            settings: DispatchSettings::default(),
             queue_is_removed: false,
             violations: Vec::new(),
             waits: Vec::new(),
@@ -203,6 +209,21 @@
         self
     }
 
+    /// Lets workers answer renewals as late as they may.
+    pub(crate) fn with_delayed_renewals(mut self) -> Self {
+        self.delays_renewals = true;
+        self
+    }
+
+    /// Replaces the first owner by one with these settings, which all later owners have too.
+    pub(crate) fn with_settings(mut self, settings: DispatchSettings) -> Self {
+        self.settings = settings;
+        self.owners.clear();
+        self.events.clear();
+        self.replace_owner();
+        self
+    }
+
     pub(crate) fn with_attempts(mut self, attempts: u32) -> Self {
         self.attempts = attempts;
         let configuration = configuration(attempts);
@@ -218,7 +239,7 @@
     /// of it only from the workers.
     pub(crate) fn replace_owner(&mut self) {
         let token = self.owners.len() as u64 + 1;
-        let mut dispatcher = Dispatcher::new(token, DispatchSettings::default());
+        let mut dispatcher = Dispatcher::new(token, self.settings);
         dispatcher.set_configuration(self.configuration());
         let until = self.now + dispatcher.inherited_orders_lifetime(false);
         let inherited = (token > 1).then_some(until);
--- a/crates/dispatch/tests/common/fleet_messages.rs
+++ b/crates/dispatch/tests/common/fleet_messages.rs
@@ -3,7 +3,6 @@
 use std::time::Duration;
 
 use jasminebend_dispatch::{
-    DispatchSettings,
     JobKey,
     LeaseRenewal,
     OrderOutcome,
@@ -19,6 +18,7 @@
 use super::{
     CrashMode,
     Fleet,
+    TICK,
     ms, //
 };
 
@@ -88,7 +88,7 @@
         if current {
             state.last_confirmed_at = now;
         }
-        now < state.last_confirmed_at + DispatchSettings::default().unconfirmed_grace
+        now < state.last_confirmed_at + self.settings.unconfirmed_grace
     }
 
     /// Stores records, subject to faults; only the current owner's commits succeed.
@@ -163,6 +163,10 @@
             Event::RenewalDue(owner, key) => self.send_renewal(owner, key),
             Event::Renewal(owner, key, order, sent) => {
                 let is_unreachable = now < self.unreachable_until[key.index()];
+                if !is_unreachable && self.delays_renewal(owner, key, &order, sent) {
+                    self.push(TICK, Event::Renewal(owner, key, order, sent));
+                    return;
+                }
                 let answer = match is_unreachable {
                     true if self.refuses_connections(key.index()) => {
                         Err(OrderOutcome::Refused(OrderRefusal::Closed))
@@ -192,6 +196,23 @@
         }
     }
 
+    /// Returns whether a worker that received a renewal goes on waiting for a run to end. The lease is renewed at once.
+    fn delays_renewal(
+        &mut self,
+        owner: usize,
+        key: WorkerKey,
+        order: &LeaseRenewal,
+        sent: Duration,
+    ) -> bool {
+        let now = self.now;
+        if !self.delays_renewals || now >= sent + MESSAGE_DELAY + order.max_wait {
+            return false;
+        }
+        let worker = &mut self.workers[key.index()];
+        let report = worker.renew_lease(now, owner as u64 + 1, *order);
+        report.is_ok_and(|report| report.completions.is_empty())
+    }
+
     /// Adds the metrics of the running tasks: a service's tail latency grows with the fillers beside it.
     fn add_metrics(&self, mut report: RenewalReport) -> RenewalReport {
         if !self.has_metrics {
