Keep the time at which a stop was first confirmed

Cause: a stopped run whose end is never listed (its start was lost) is released by a renewal that was sent after the confirmed stop and does not list it. Each confirmed repetition moved that time to the present. A renewal waits up to 700 ms, 2 s on a worker with services alone; the stop comes again after max_stop_duration + 400 ms. With 200 ms there is a repetition within each renewal, so that none was sent late enough. Class: a repetition that moves the time on which something waits.

Evidence: lost_start_is_repeated_although_its_stop_is_sent_again_and_again fails on the former code (with stops of 200 ms no second start in 15 s), and in the users' record the stop is repeated at just that interval.

Change: the first confirmation counts. It suffices: from then on the worker rejects the run's start, so that a later report without the run shows that it is gone.

--- a/crates/dispatch/src/dispatcher_workers.rs
+++ b/crates/dispatch/src/dispatcher_workers.rs
@@ -307,18 +307,16 @@
         now: Duration,
     ) {
         self.order_window.record_answered();
-        let answered_at = match outcome {
-            OrderOutcome::Taken | OrderOutcome::Refused(OrderRefusal::Old) => Some(now),
-            OrderOutcome::Refused(OrderRefusal::Unwell) => None,
-            OrderOutcome::Refused(_) | OrderOutcome::Unknown => return,
-        };
         let Some(state) = self.worker_mut(key).runs.get_mut(&(task, run)) else {
             return;
         };
-        match answered_at {
-            Some(_) => state.phase = RunPhase::Stopping(answered_at),
+        match outcome {
+            OrderOutcome::Taken | OrderOutcome::Refused(OrderRefusal::Old) => {
+                state.confirm_stop(now);
+            }
             // The worker answers, so that repeating the stop soon costs little.
-            None => state.stop_attempts = 0,
+            OrderOutcome::Refused(OrderRefusal::Unwell) => state.stop_attempts = 0,
+            OrderOutcome::Refused(_) | OrderOutcome::Unknown => {}
         }
     }
 
--- a/crates/dispatch/src/run_state.rs
+++ b/crates/dispatch/src/run_state.rs
@@ -24,7 +24,7 @@
     Unsure,
     /// The worker confirmed at this time that the run is executing.
     Running(Duration),
-    /// The run was ordered to stop. The worker confirmed the order at this time, if it has.
+    /// The run was ordered to stop. The worker first confirmed the order at this time, if it has.
     Stopping(Option<Duration>),
 }
 
@@ -133,6 +133,15 @@
         matches!(self.phase, RunPhase::Stopping(_))
     }
 
+    /// Records that the worker confirmed at `now` that the run was ordered to stop. Only the first confirmation counts:
+    /// with the time of a repeated one, a report that takes longer than the repetition could never show that the run is
+    /// gone.
+    pub(crate) fn confirm_stop(&mut self, now: Duration) {
+        if !matches!(self.phase, RunPhase::Stopping(Some(_))) {
+            self.phase = RunPhase::Stopping(Some(now));
+        }
+    }
+
     /// Returns whether the worker has confirmed that the run is executing.
     pub(crate) fn is_confirmed(&self) -> bool {
         matches!(self.phase, RunPhase::Running(_))
