Have a worker's new incarnation confirm a stop again

An unanswered start is settled by a stop: the worker rejects the start from then on. If the worker restarts after it has confirmed the stop, its new incarnation knows of no stop and would execute the start when it arrives; the first report of that incarnation, which does not list the run, released it nevertheless, and the task started a second time elsewhere, as it did before the change (the repetition of the stop did not matter: the report was sent after the confirmation).

Evidence: stop_that_a_former_incarnation_accepted_does_not_end_an_unanswered_start failed: the task is started again at once. Change: a restart takes back the confirmation of stops whose run has not certainly begun, so that the stop is sent to the new incarnation. The test passes.

--- a/crates/dispatch/src/run_state.rs
+++ b/crates/dispatch/src/run_state.rs
@@ -142,6 +142,14 @@
         }
     }
 
+    /// Records that the worker has restarted. Its new incarnation does not know of a stop, and would still execute a start
+    /// that is under way.
+    pub(crate) fn forget_stop(&mut self) {
+        if self.is_stopping() && !self.has_begun {
+            self.phase = RunPhase::Stopping(None);
+        }
+    }
+
     /// Returns whether the worker has confirmed that the run is executing.
     pub(crate) fn is_confirmed(&self) -> bool {
         matches!(self.phase, RunPhase::Running(_))
--- a/crates/dispatch/src/worker_state.rs
+++ b/crates/dispatch/src/worker_state.rs
@@ -338,6 +338,7 @@
         self.violations = TargetViolationTracker::default();
         for run in self.runs.values_mut() {
             run.is_orphaned = true;
+            run.forget_stop();
         }
     }
 
