Judge an owner's silence only since the store is back

Callers' jobs stood still for seconds after a partition, though the owner had been well all the time.

Cause: a daemon that is cut off hears neither the owner nor the store, and counts the owner as silent. It may not claim the ownership while it lacks the store. As soon as it has the store again it claims at once, long before its next probe of the owner is answered, and whatever its rank: its delay had passed during the partition. The daemons that come back from a partition are mostly small ones, which need seconds to read the records.

Change: when the store is back after it was lost, the judgement of the owner begins anew; only silence since then counts. An owner that refuses connections or has restarted is still replaced at once. Tests: an_owner_is_not_replaced_for_its_silence_during_a_partition_of_this_daemon (fails without the reset), an_owner_that_stays_silent_after_the_store_is_back_is_replaced.

--- a/crates/fleet/src/member_watch.rs
+++ b/crates/fleet/src/member_watch.rs
@@ -216,5 +216,6 @@
     let now = shared.now();
     let mut succession = shared.succession.borrow_mut();
     succession.set_store_available_for(shared.store.available_for());
+    succession.set_store_regained_at(shared.store.regained_at());
     succession.record_probe(probe, sent, now);
 }
--- a/crates/fleet/src/monitored_store.rs
+++ b/crates/fleet/src/monitored_store.rs
@@ -77,6 +77,8 @@
     health: Cell<StoreHealth>,
     /// Whether the store was lost at the last update; a change is logged.
     lost: Cell<bool>,
+    /// When the store was last regained; zero if it was never lost.
+    regained_at: Cell<Duration>,
     /// How long the latest answered call took, watches excluded.
     latency: Cell<Duration>,
     /// Signals that a call failed or was left unanswered, so that the store should be probed.
@@ -99,6 +101,7 @@
             log,
             health: Cell::new(StoreHealth::new()),
             lost: Cell::new(false),
+            regained_at: Cell::new(Duration::ZERO),
             latency: Cell::new(Duration::ZERO),
             suspected_notify: Notify::new(),
             lost_notify: Notify::new(),
@@ -122,6 +125,11 @@
         self.health.get().available_for(self.clock.monotonic())
     }
 
+    /// Returns when the store was last regained after it had been lost; zero if it was never lost.
+    pub(crate) fn regained_at(&self) -> Duration {
+        self.regained_at.get()
+    }
+
     /// Returns whether calls have failed for at least [`STORE_LOST_AFTER`].
     pub(crate) fn is_lost(&self) -> bool {
         self.failing_for() >= STORE_LOST_AFTER
@@ -335,8 +343,9 @@
     fn update_lost(&self) {
         let lost = self.is_lost();
         if self.lost.replace(lost) != lost {
-            if lost {
-                self.lost_notify.notify_waiters();
+            match lost {
+                true => self.lost_notify.notify_waiters(),
+                false => self.regained_at.set(self.clock.monotonic()),
             }
             let without_ms = whole_millis(self.failing_for());
             self.log.line(
--- a/crates/fleet/src/succession.rs
+++ b/crates/fleet/src/succession.rs
@@ -46,6 +46,9 @@
     former_owner_gone: bool,
     /// How long the store has been available to this daemon.
     store_available_for: Duration,
+    /// When this daemon last regained the store after it had lost it; zero if it never lost it. Until then it may have
+    /// been partitioned, so that the owner's earlier silence proves nothing.
+    store_regained_at: Duration,
 }
 
 impl Succession {
@@ -59,6 +62,19 @@
             unhealthy_since: None,
             former_owner_gone: false,
             store_available_for: Duration::MAX,
+            store_regained_at: Duration::ZERO,
+        }
+    }
+
+    /// Records when this daemon last regained the store after it had lost it.
+    pub fn set_store_regained_at(&mut self, regained_at: Duration) {
+        if self.store_regained_at == regained_at {
+            return;
+        }
+        self.store_regained_at = regained_at;
+        if self.owner().is_some() {
+            self.silent_since = None;
+            self.unhealthy_since = None;
         }
     }
 
@@ -117,13 +133,13 @@
                     && self.store_available_for >= OWNER_WITHOUT_STORE_LIMIT;
                 self.former_owner_gone = restarted;
                 // An owner that has just written its row needs a moment before it acts.
-                match acts {
-                    true => self.silent_since = None,
-                    false => drop(self.silent_since.get_or_insert(sent)),
-                }
-                let silent_too_long = self
-                    .silent_since
-                    .is_some_and(|since| now >= since + OWNER_SILENCE_LIMIT);
+                let silent_too_long = match acts {
+                    true => {
+                        self.silent_since = None;
+                        false
+                    }
+                    false => self.record_silence(sent, now),
+                };
                 self.set_unhealthy(restarted || silent_too_long || lacks_store, now);
             }
             ProbeResult::ConnectionRefused => {
@@ -131,8 +147,8 @@
                 self.set_unhealthy(true, now);
             }
             ProbeResult::Unanswered => {
-                let since = *self.silent_since.get_or_insert(sent);
-                self.set_unhealthy(now >= since + OWNER_SILENCE_LIMIT, now);
+                let silent_too_long = self.record_silence(sent, now);
+                self.set_unhealthy(silent_too_long, now);
             }
         }
     }
@@ -153,6 +169,15 @@
         self.silent_since.is_some() || self.unhealthy_since.is_some()
     }
 
+    /// Records at `now` that the owner did not act when a probe was sent at `sent`; returns whether it has not acted for
+    /// too long.
+    fn record_silence(&mut self, sent: Duration, now: Duration) -> bool {
+        let since = *self
+            .silent_since
+            .get_or_insert(sent.max(self.store_regained_at));
+        now >= since + OWNER_SILENCE_LIMIT
+    }
+
     fn set_unhealthy(&mut self, unhealthy: bool, now: Duration) {
         match unhealthy {
             true => drop(self.unhealthy_since.get_or_insert(now)),
--- a/crates/fleet/tests/succession.rs
+++ b/crates/fleet/tests/succession.rs
@@ -169,3 +169,34 @@
     assert!(succession.should_claim(ms(500)));
     assert!(succession.is_former_owner_gone());
 }
+
+/// Guards against a daemon that replaces a healthy owner as soon as its own partition ends: it had not heard the owner
+/// meanwhile.
+#[test]
+fn an_owner_is_not_replaced_for_its_silence_during_a_partition_of_this_daemon() {
+    let mut succession = succession();
+    for turn in 0..10 {
+        let sent = ms(1000 + turn * 460);
+        succession.record_probe(ProbeResult::Unanswered, sent, sent + ms(400));
+    }
+    succession.set_store_regained_at(ms(5500));
+    assert!(!succession.should_claim(ms(5500)));
+    // This probe was sent before the partition ended.
+    succession.record_probe(ProbeResult::Unanswered, ms(5400), ms(5800));
+    assert!(!succession.should_claim(ms(5800)));
+    succession.record_probe(ProbeResult::Answered(health()), ms(5860), ms(5900));
+    assert!(!succession.should_claim(ms(8000)));
+}
+
+/// Guards against an owner that is never replaced because the daemons that could replace it had lost the store.
+#[test]
+fn an_owner_that_stays_silent_after_the_store_is_back_is_replaced() {
+    let mut succession = succession();
+    succession.record_probe(ProbeResult::Unanswered, ms(1000), ms(1400));
+    succession.set_store_regained_at(ms(5500));
+    for turn in 0..3 {
+        let sent = ms(5600 + turn * 460);
+        succession.record_probe(ProbeResult::Unanswered, sent, sent + ms(400));
+    }
+    assert!(succession.should_claim(ms(6920)));
+}
