Failing test of a successor that reads its records again and again

The in-memory store can answer over a narrow link now: windows of 64 KiB of all answers take turns at 10 Mbit/s. With 2.4 MB of records the only daemon left is not acting 60 s after the owner was lost, though its link carries the records in 2 s.

--- a/crates/fleet/tests/daemons/main.rs
+++ b/crates/fleet/tests/daemons/main.rs
@@ -8,6 +8,7 @@
 mod jobs_read_again;
 mod members;
 mod memory_store;
+mod narrow_link;
 mod partial_outage;
 mod store_silence;
 mod takeover;
--- a/crates/fleet/tests/daemons/memory_store.rs
+++ b/crates/fleet/tests/daemons/memory_store.rs
@@ -35,7 +35,10 @@
     StoreTable, //
 };
 use tokio::{
-    sync::Notify,
+    sync::{
+        Mutex,
+        Notify, //
+    },
     time, //
 };
 
@@ -46,6 +49,9 @@
 /// How long a daemon waits for the answer to a watch, beyond the watch's own wait.
 const WATCH_TIMEOUT: Duration = Duration::from_millis(700);
 
+/// The most bytes of an answer that are under way on a narrow link at a time.
+const LINK_WINDOW: usize = 64 << 10;
+
 /// A value, with the store's version at its last change.
 struct Versioned<Value> {
     value: Value,
@@ -88,6 +94,10 @@
     connection_losses: Cell<u32>,
     /// The version up to which the store no longer keeps changes.
     forgotten_version: Cell<u64>,
+    /// The bytes per second that the daemon's link carries; `None` without a limit.
+    pub(crate) link_rate: Cell<Option<u32>>,
+    /// Held by the answer of which a window is under way; others queue behind it.
+    link: Mutex<()>,
 }
 
 impl MemoryStore {
@@ -208,6 +218,25 @@
         changes.collect()
     }
 
+    /// Returns the rows of a part with keys from `from`, inclusive, to `to`, exclusive, by their keys.
+    fn rows_of(
+        &self,
+        table: StoreTable,
+        part: &str,
+        from: &str,
+        to: Option<&str>,
+    ) -> Vec<StoreRow> {
+        let rows = self.rows.borrow();
+        let mut items: Vec<StoreRow> = rows
+            .iter()
+            .map(|(_, row)| row.clone())
+            .filter(|row| row.table == table && row.part == part)
+            .filter(|row| row.key.as_str() >= from && to.is_none_or(|to| row.key.as_str() < to))
+            .collect();
+        items.sort_by(|left, right| left.key.cmp(&right.key));
+        items
+    }
+
     /// Returns the owner's row.
     pub(crate) fn owner(&self) -> Option<OwnerRecord> {
         let rows = self.rows.borrow();
@@ -258,6 +287,8 @@
             commit_latency: Cell::new(Duration::from_millis(2)),
             connection_losses: Cell::new(0),
             forgotten_version: Cell::new(0),
+            link_rate: Cell::new(None),
+            link: Mutex::new(()),
         }
     }
 
@@ -329,6 +360,20 @@
         }
     }
 
+    /// Waits until the daemon's link has carried the values of these rows, window by window, in turn with other answers.
+    async fn transfer(&self, rows: &[StoreRow]) {
+        let Some(rate) = self.link_rate.get() else {
+            return;
+        };
+        let mut remaining: usize = rows.iter().map(|row| row.value.len()).sum();
+        while remaining > 0 {
+            let window = remaining.min(LINK_WINDOW);
+            remaining -= window;
+            let _turn = self.link.lock().await;
+            time::sleep(Duration::from_secs_f64(window as f64 / f64::from(rate))).await;
+        }
+    }
+
     fn page<Item>(&self, items: Vec<Item>) -> RowPage<Item> {
         RowPage {
             items,
@@ -398,15 +443,9 @@
                 time::sleep(latency).await;
             }
             self.check_part_reachable(part)?;
-            let rows = self.store.rows.borrow();
-            let mut items: Vec<StoreRow> = rows
-                .iter()
-                .map(|(_, row)| row.clone())
-                .filter(|row| row.table == table && row.part == part)
-                .filter(|row| row.key.as_str() >= from && to.is_none_or(|to| row.key.as_str() < to))
-                .collect();
-            items.sort_by(|left, right| left.key.cmp(&right.key));
-            Ok(self.page(items))
+            let page = self.page(self.store.rows_of(table, part, from, to));
+            self.transfer(&page.items).await;
+            Ok(page)
         };
         self.deliver(CALL_TIMEOUT, call).await
     }
