Replace an owner that reads its records and gets no further

Callers' jobs stood still for as long as a successor could not read its records, though other daemons could: it said from its claim on that it acts, so that nobody replaced it.

Cause: a wait that nobody bounds. The owner told its peers 'acting' before it had read the records.

Change: an owner says that it acts only once its records are read; until then it tells how many pages it has read. While that number grows it is left alone, however narrow its link. Once it has not grown for 1.3 s another daemon reads the records itself and claims the ownership only when it has them: the daemon that can't be helped is not replaced, nor is one that acts meanwhile. A line 'reading' of the owner shows each failed attempt with the pages so far.

--- a/crates/fleet/src/job_reader.rs
+++ b/crates/fleet/src/job_reader.rs
@@ -1,6 +1,7 @@
 //! Reads all jobs and cancellations in the store.
 
 use std::{
+    cell::Cell,
     rc::Rc,
     time::Duration, //
 };
@@ -41,6 +42,15 @@
         }
     }
 
+    /// Counts the pages that are read in `page_count` too.
+    pub(crate) fn with_page_count(self, page_count: &Rc<Cell<u64>>) -> Self {
+        let parts = self.parts.into_iter();
+        Self {
+            parts: parts.map(|part| part.with_page_count(page_count)).collect(),
+            ..self
+        }
+    }
+
     /// Reads what was not read yet.
     ///
     /// # Errors
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -29,6 +29,7 @@
 mod owner_announcement;
 mod owner_record;
 mod owner_term;
+mod ownership_challenge;
 mod ownership_takeover;
 mod part_reader;
 mod peer_api;
--- a/crates/fleet/src/member_watch.rs
+++ b/crates/fleet/src/member_watch.rs
@@ -18,6 +18,7 @@
     StoreRow,
     StoreTable,
     monitored_store::WatchedRows,
+    ownership_challenge::OwnershipChallenge,
     ownership_takeover::take_over,
     shared_state::{
         MEMBERS_PART,
@@ -65,16 +66,13 @@
 
 /// Probes the owner, and takes over the ownership when this daemon should, for as long as the daemon runs.
 pub(crate) async fn run_succession(shared: Rc<SharedState>) {
+    let mut challenge = OwnershipChallenge::default();
     loop {
         probe_owner(&shared).await;
-        let now = shared.now();
-        let claims = shared.succession.borrow().should_claim(now)
-            && shared.configuration().is_some()
-            && shared.term().is_none()
-            && !shared.is_stopping()
-            && !shared.store.is_lost();
-        if claims {
-            take_over(&shared).await;
+        if !should_claim(&shared) {
+            challenge = OwnershipChallenge::default();
+        } else if let Some(reader) = challenge.reader_for_claim(&shared).await {
+            take_over(&shared, reader).await;
         }
         let pause = match shared.succession.borrow().may_need_replacement() {
             true => SUSPECT_PROBE_INTERVAL,
@@ -84,6 +82,14 @@
     }
 }
 
+fn should_claim(shared: &SharedState) -> bool {
+    shared.succession.borrow().should_claim(shared.now())
+        && shared.configuration().is_some()
+        && shared.term().is_none()
+        && !shared.is_stopping()
+        && !shared.store.is_lost()
+}
+
 /// Writes this daemon's member row, with retries until the store accepts it.
 async fn enroll(shared: &SharedState) {
     let member = MemberRecord {
--- a/crates/fleet/src/owner_term.rs
+++ b/crates/fleet/src/owner_term.rs
@@ -9,6 +9,7 @@
         HashMap,
         HashSet, //
     },
+    rc::Rc,
     time::Duration, //
 };
 
@@ -53,6 +54,8 @@
     pub(crate) former_owner_until: Cell<Duration>,
     /// Whether all records have been read from the store.
     pub(crate) loaded: Cell<bool>,
+    /// The number of pages of records that have been read.
+    pub(crate) page_count: Rc<Cell<u64>>,
     /// When the last call was sent whose answer confirmed the term.
     confirmed: Cell<Duration>,
     over: watch::Sender<bool>,
@@ -78,11 +81,16 @@
             workers_changed: Cell::new(true),
             former_owner_until: Cell::new(Duration::ZERO),
             loaded: Cell::new(false),
+            page_count: Rc::default(),
             confirmed: Cell::new(now),
             over: watch::Sender::new(false),
         }
     }
 
+    pub(crate) fn with_page_count(self, page_count: Rc<Cell<u64>>) -> Self {
+        Self { page_count, ..self }
+    }
+
     pub(crate) fn with_former_owner_until(self, until: Duration) -> Self {
         self.former_owner_until.set(until);
         self
--- a/crates/fleet/src/ownership_takeover.rs
+++ b/crates/fleet/src/ownership_takeover.rs
@@ -1,6 +1,7 @@
 //! Takes over the ownership: claims it, reads the records of the former owner, and runs the owner's tasks.
 
 use std::{
+    cell::Cell,
     rc::Rc,
     sync::Arc,
     time::Duration, //
@@ -63,19 +64,30 @@
     workers: usize,
 }
 
-/// Takes over the ownership: writes the owner's row, reads all records, then starts the owner's tasks.
-pub(crate) async fn take_over(shared: &Rc<SharedState>) {
+/// The records could not be read; they are read on from the page after the last one.
+#[derive(Serialize)]
+struct ReadingLine {
+    change: &'static str,
+    token: u64,
+    pages: u64,
+    error: String,
+}
+
+/// Takes over the ownership: writes the owner's row, reads what the reader has not read yet, then starts the owner's tasks.
+pub(crate) async fn take_over(shared: &Rc<SharedState>, mut reader: TakeoverReader) {
     let started_at = shared.now();
     let former_gone = shared.succession.borrow().is_former_owner_gone();
-    let Some((term, former)) = claim_ownership(shared, former_gone).await else {
+    let page_count = reader.page_count();
+    let Some((term, former)) = claim_ownership(shared, former_gone, page_count).await else {
         return;
     };
+    reader.discard_progress();
     tokio::task::spawn_local(announce_owner(
         Rc::clone(shared),
         Rc::clone(&term),
         former_gone,
     ));
-    let Some(records) = read_records(shared, &term).await else {
+    let Some(records) = read_records(shared, &term, reader).await else {
         return;
     };
     let job_position = records.job_position;
@@ -109,6 +121,7 @@
 async fn claim_ownership(
     shared: &Rc<SharedState>,
     former_gone: bool,
+    page_count: Rc<Cell<u64>>,
 ) -> Option<(Rc<OwnerTerm>, String)> {
     let (former, version) = {
         let succession = shared.succession.borrow();
@@ -145,8 +158,9 @@
         true => Duration::ZERO,
         false => Duration::MAX,
     };
-    let term =
-        OwnerTerm::new(record, guard, dispatcher, sent).with_former_owner_until(former_owner_until);
+    let term = OwnerTerm::new(record, guard, dispatcher, sent)
+        .with_former_owner_until(former_owner_until)
+        .with_page_count(page_count);
     let term = Rc::new(term);
     *shared.term.borrow_mut() = Some(Rc::clone(&term));
     let former = former.map_or_else(String::new, |owner| owner.node);
@@ -154,12 +168,24 @@
 }
 
 /// Reads the records until that succeeds; returns `None` if the term is over before.
-async fn read_records(shared: &Rc<SharedState>, term: &OwnerTerm) -> Option<TakeoverRecords> {
-    let mut reader = TakeoverReader::new(shared);
+async fn read_records(
+    shared: &Rc<SharedState>,
+    term: &OwnerTerm,
+    mut reader: TakeoverReader,
+) -> Option<TakeoverRecords> {
     while !term.is_over() {
-        if reader.read(shared).await.is_ok() {
+        let Err(error) = reader.read(shared).await else {
             return reader.into_records();
-        }
+        };
+        shared.log.line(
+            LogEvent::Owner,
+            ReadingLine {
+                change: "reading",
+                token: term.token(),
+                pages: term.page_count.get(),
+                error: error.to_string(),
+            },
+        );
         shared.store.wait_to_retry().await;
     }
     None
--- a/crates/fleet/src/part_reader.rs
+++ b/crates/fleet/src/part_reader.rs
@@ -1,7 +1,10 @@
 //! Reads parts of the store page by page.
 
 use std::{
-    cell::RefCell,
+    cell::{
+        Cell,
+        RefCell, //
+    },
     mem,
     rc::Rc, //
 };
@@ -32,6 +35,8 @@
     /// The store's version at the first page; later changes may be missing.
     version: Option<u64>,
     is_complete: bool,
+    /// The number of pages that this reader and others with the same count have read.
+    page_count: Rc<Cell<u64>>,
 }
 
 impl PartReader {
@@ -45,6 +50,15 @@
             rows: Vec::new(),
             version: None,
             is_complete: false,
+            page_count: Rc::default(),
+        }
+    }
+
+    /// Counts the pages that are read in `page_count` too.
+    pub(crate) fn with_page_count(self, page_count: &Rc<Cell<u64>>) -> Self {
+        Self {
+            page_count: Rc::clone(page_count),
+            ..self
         }
     }
 
@@ -80,6 +94,7 @@
             let page = store
                 .read_page(self.table, &self.part, &self.from, self.to.as_deref())
                 .await?;
+            self.page_count.set(self.page_count.get() + 1);
             self.version.get_or_insert(page.version);
             if let Some(last) = page.items.last() {
                 // The smallest key greater than the last one.
--- a/crates/fleet/src/peer_api.rs
+++ b/crates/fleet/src/peer_api.rs
@@ -64,12 +64,13 @@
     fn health(&self, may_report_token: bool) -> PeerHealth {
         PeerHealth {
             incarnation: self.shared.incarnation,
-            acting: self.shared.term().map(|term| term.token()),
+            acting: self.shared.loaded_term().map(|term| term.token()),
             known_token: match may_report_token {
                 true => self.shared.highest_token.get(),
                 false => 0,
             },
             without_store_ms: whole_millis(self.shared.store.failing_for()),
+            loading: self.shared.loading_page_count(),
         }
     }
 }
--- a/crates/fleet/src/peer_message.rs
+++ b/crates/fleet/src/peer_message.rs
@@ -7,6 +7,7 @@
 };
 use serde::{
     Deserialize,
+    Deserializer,
     Serialize, //
 };
 
@@ -52,10 +53,21 @@
 pub struct PeerHealth {
     /// The daemon's incarnation.
     pub incarnation: u64,
-    /// The fencing token by which the daemon acts as the owner; `None` if it does not.
+    /// The fencing token by which the daemon acts as the owner; `None` if it does not, or has not read its records yet.
     pub acting: Option<u64>,
     /// The highest token that the daemon knows, including the sender's; 0 if it must not confirm any token.
     pub known_token: u64,
     /// How long the daemon's calls to the store have failed, in milliseconds.
     pub without_store_ms: u64,
+    /// The number of pages that the daemon has read while, as the owner, it reads its records; `None` otherwise. Daemons of
+    /// earlier versions do not send it.
+    #[serde(deserialize_with = "none_if_missing")]
+    pub loading: Option<u64>,
+}
+
+fn none_if_missing<'de, Source>(source: Source) -> Result<Option<u64>, Source::Error>
+where
+    Source: Deserializer<'de>,
+{
+    Ok(Option::deserialize(source).unwrap_or_default())
 }
--- a/crates/fleet/src/shared_state.rs
+++ b/crates/fleet/src/shared_state.rs
@@ -148,6 +148,12 @@
         self.term().filter(|term| term.loaded.get())
     }
 
+    /// Returns the number of pages that this daemon has read while it reads its records as the owner.
+    pub(crate) fn loading_page_count(&self) -> Option<u64> {
+        let term = self.term().filter(|term| !term.loaded.get());
+        term.map(|term| term.page_count.get())
+    }
+
     /// Returns whether the owner may send orders: its term was confirmed recently enough.
     pub(crate) fn may_send_orders(&self, term: &OwnerTerm) -> bool {
         !term.is_over()
--- a/crates/fleet/src/succession.rs
+++ b/crates/fleet/src/succession.rs
@@ -38,10 +38,15 @@
     /// The owner's row, also if it is vacant; `None` if there is no row or it was not read yet.
     owner: Option<OwnerRecord>,
     members: Vec<MemberRecord>,
-    /// When the first probe was sent that the owner left unanswered or answered without acting as the owner.
+    /// When the first probe was sent that the owner left unanswered, or answered without acting as the owner or having
+    /// read on since the one before.
     silent_since: Option<Duration>,
     /// Since when the owner should be replaced; `None` while it is healthy.
     unhealthy_since: Option<Duration>,
+    /// The number of pages that the owner had read when it last answered while it was reading its records.
+    loading_pages: Option<u64>,
+    /// Whether the owner was reading its records when it was last probed.
+    is_loading: bool,
     /// Whether the process that held the ownership is known to have ended.
     former_owner_gone: bool,
     /// How long the store has been available to this daemon.
@@ -60,6 +65,8 @@
             members: Vec::new(),
             silent_since: None,
             unhealthy_since: None,
+            loading_pages: None,
+            is_loading: false,
             former_owner_gone: false,
             store_available_for: Duration::MAX,
             store_regained_at: Duration::ZERO,
@@ -91,6 +98,8 @@
         let vacant = owner.as_ref().is_none_or(|owner| owner.vacant);
         self.owner = owner;
         self.former_owner_gone = false;
+        self.loading_pages = None;
+        self.is_loading = false;
         self.silent_since = None;
         self.unhealthy_since = vacant.then_some(now);
     }
@@ -124,6 +133,7 @@
         let Some(owner) = &self.owner else {
             return;
         };
+        self.is_loading = false;
         match probe {
             ProbeResult::Answered(health) => {
                 let restarted = health.incarnation != owner.incarnation;
@@ -132,14 +142,16 @@
                     >= whole_millis(OWNER_WITHOUT_STORE_LIMIT)
                     && self.store_available_for >= OWNER_WITHOUT_STORE_LIMIT;
                 self.former_owner_gone = restarted;
-                // An owner that has just written its row needs a moment before it acts.
-                let silent_too_long = match acts {
-                    true => {
-                        self.silent_since = None;
-                        false
-                    }
-                    false => self.record_silence(sent, now),
-                };
+                let reads_on = health.loading.is_some() && health.loading != self.loading_pages;
+                self.is_loading = health.loading.is_some();
+                self.loading_pages = health.loading.or(self.loading_pages);
+                // An owner needs time to read its records, but has to get on with it.
+                match (acts, reads_on) {
+                    (true, _) => self.silent_since = None,
+                    (false, true) => self.silent_since = Some(sent),
+                    (false, false) => {}
+                }
+                let silent_too_long = !acts && self.record_silence(sent, now);
                 self.set_unhealthy(restarted || silent_too_long || lacks_store, now);
             }
             ProbeResult::ConnectionRefused => {
@@ -164,9 +176,16 @@
             .is_some_and(|since| now >= since + CLAIM_DELAY_PER_RANK * self.rank())
     }
 
+    /// Returns whether a daemon must have read all records before it claims the ownership: the owner reads them too, and
+    /// while they can't be read, another owner would get no further.
+    pub fn must_read_before_claim(&self) -> bool {
+        self.is_loading
+    }
+
     /// Returns whether the owner may have to be replaced soon.
     pub fn may_need_replacement(&self) -> bool {
-        self.silent_since.is_some() || self.unhealthy_since.is_some()
+        let is_silent = self.silent_since.is_some() && !self.is_loading;
+        is_silent || self.unhealthy_since.is_some()
     }
 
     /// Records at `now` that the owner did not act when a probe was sent at `sent`; returns whether it has not acted for
--- a/crates/fleet/src/takeover_reader.rs
+++ b/crates/fleet/src/takeover_reader.rs
@@ -1,6 +1,9 @@
 //! Reads the records that a new owner needs.
 
-use std::rc::Rc;
+use std::{
+    cell::Cell,
+    rc::Rc, //
+};
 
 use crate::{
     RegistryChange,
@@ -23,6 +26,8 @@
     registry: Option<RowPage<RegistryChange>>,
     progress: PartReader,
     jobs: JobReader,
+    /// The number of pages that were read.
+    page_count: Rc<Cell<u64>>,
 }
 
 /// All records that a new owner needs.
@@ -36,13 +41,25 @@
 
 impl TakeoverReader {
     pub(crate) fn new(shared: &SharedState) -> Self {
+        let page_count = Rc::default();
         Self {
             registry: None,
-            progress: PartReader::of_part(StoreTable::Progress, SHARD_PART),
-            jobs: JobReader::new(shared.now()),
+            progress: progress_reader(&page_count),
+            jobs: JobReader::new(shared.now()).with_page_count(&page_count),
+            page_count,
         }
     }
 
+    /// Returns the number of pages that were read, which goes on counting.
+    pub(crate) fn page_count(&self) -> Rc<Cell<u64>> {
+        Rc::clone(&self.page_count)
+    }
+
+    /// Discards the progress of the jobs: until its row is replaced another owner can change it.
+    pub(crate) fn discard_progress(&mut self) {
+        self.progress = progress_reader(&self.page_count);
+    }
+
     /// Reads what was not read yet.
     ///
     /// # Errors
@@ -69,6 +86,10 @@
     }
 }
 
+fn progress_reader(page_count: &Rc<Cell<u64>>) -> PartReader {
+    PartReader::of_part(StoreTable::Progress, SHARD_PART).with_page_count(page_count)
+}
+
 async fn read_registry(
     shared: &SharedState,
     registry: &mut Option<RowPage<RegistryChange>>,
--- a/crates/fleet/tests/daemons/narrow_link.rs
+++ b/crates/fleet/tests/daemons/narrow_link.rs
@@ -105,3 +105,18 @@
         assert_eq!(fleet.workers.started_runs(), 2);
     });
 }
+
+/// Guards against successors that replace one another before any of them has read the records: all links are narrow.
+#[test]
+fn a_successor_that_reads_on_is_not_replaced() {
+    run_simulated(async {
+        let (fleet, _successor) = successor_behind(NARROWEST_RATE).await;
+        let others = [fleet.daemon(), fleet.daemon()];
+        for other in &others {
+            other.store_client.link_rate.set(Some(NARROWEST_RATE));
+        }
+        time::sleep(SUCCESSION_TIME + transfer_time(NARROWEST_RATE)).await;
+        assert_eq!(fleet.workers.started_runs(), 2);
+        assert_eq!(fleet.store.owner().map(|owner| owner.token), Some(2));
+    });
+}
--- a/crates/fleet/tests/daemons/partial_outage.rs
+++ b/crates/fleet/tests/daemons/partial_outage.rs
@@ -188,6 +188,9 @@
 /// How long an owner that makes no progress may keep the ownership while a healthy daemon could take over.
 const REPLACED_AFTER: Duration = Duration::from_secs(10);
 
+/// Within this time an owner reads on after a failed read.
+const RETRIED_AFTER: Duration = Duration::from_millis(500);
+
 /// Guards against jobs that stand still although a healthy daemon could take over: the successor of a lost owner can't
 /// read one part of the jobs, and never begins to act.
 #[test]
@@ -206,6 +209,30 @@
     });
 }
 
+/// Guards against daemons that replace one another in turn while none of them can read a part of the jobs: each begins anew,
+/// and jobs wait for a claim although the store is well again.
+#[test]
+fn an_owner_keeps_its_takeover_going_while_no_daemon_can_read_all_jobs() {
+    run_simulated(async {
+        let fleet = TestFleet::with_runtime_clock(2);
+        let owner = serving_daemon(&fleet).await;
+        let successors: Vec<TestDaemon> = (0..3).map(|_| fleet.daemon()).collect();
+        time::sleep(Duration::from_secs(2)).await;
+        for successor in &successors {
+            break_part(successor, 1);
+        }
+        owner.kill();
+        submit(&successors[0].job_api, 2, &job(&[(1, &[])])).await;
+        time::sleep(Duration::from_secs(20)).await;
+        assert_eq!(fleet.store.owner().map(|owner| owner.token), Some(2));
+        for successor in &successors {
+            mend_parts(successor);
+        }
+        time::sleep(RETRIED_AFTER).await;
+        assert_eq!(fleet.workers.started_runs(), 2);
+    });
+}
+
 /// Guards against runs that outlive their cancelled job: the store has dropped its history, and the owner can't read
 /// one part of the jobs again, so that it learns of nothing any more but renews all leases.
 #[test]
--- a/crates/fleet/tests/succession.rs
+++ b/crates/fleet/tests/succession.rs
@@ -39,6 +39,7 @@
         acting: Some(4),
         known_token: 4,
         without_store_ms: 0,
+        loading: None,
     }
 }
 
@@ -200,3 +201,38 @@
     }
     assert!(succession.should_claim(ms(6920)));
 }
+
+/// Returns the answer of an owner that has read this many pages of its records.
+fn loading(pages: u64) -> ProbeResult {
+    ProbeResult::Answered(PeerHealth {
+        acting: None,
+        loading: Some(pages),
+        ..health()
+    })
+}
+
+/// Guards against replacing an owner that reads its records over a narrow link, and against never replacing one that gets
+/// no further.
+#[test]
+fn an_owner_that_reads_its_records_is_replaced_once_it_gets_no_further() {
+    let mut succession = succession();
+    for turn in 0..10 {
+        let now = ms(1000 + turn * 350);
+        succession.record_probe(loading(turn), now, now);
+        assert!(!succession.should_claim(now));
+        assert!(
+            !succession.may_need_replacement(),
+            "it is probed at leisure"
+        );
+    }
+    succession.record_probe(loading(9), ms(5000), ms(5000));
+    assert!(!succession.should_claim(ms(5000)));
+    succession.record_probe(loading(9), ms(5500), ms(5500));
+    assert!(succession.should_claim(ms(5500)));
+    assert!(succession.must_read_before_claim());
+    succession.record_probe(ProbeResult::ConnectionRefused, ms(5600), ms(5600));
+    assert!(
+        !succession.must_read_before_claim(),
+        "nobody reads any more"
+    );
+}
