Replace an owner that can't read the jobs again after a dropped history

Callers' new jobs were never started while all daemons were well but for one part of the store that the owner could not read.

After the store has dropped its history the owner reads all jobs again, and holds new ones back until it has: a cancellation may be in the part that it can't read. Nothing bounds this, and it told its peers that it acts.

Change: an owner that holds jobs back says so as one that reads its records does, and is replaced by a daemon that can read them. What it has read of them is kept for the next attempt. an_owner_that_cannot_read_all_jobs_again_is_replaced failed (still queued 30 s after) and passes. a_job_cancelled_while_its_owner_reads_jobs_again_never_starts relied on an owner that stays; its other daemon can't read the part either now, so that the owner stays and the same order of events is tested.

--- a/crates/fleet/src/job_watch.rs
+++ b/crates/fleet/src/job_watch.rs
@@ -169,18 +169,18 @@
     position: JobWatchPosition,
     unread: &mut UnreadJobs,
 ) -> Option<JobWatchPosition> {
-    let mut reader = JobReader::new(shared.now());
+    let mut reader = JobReader::new(shared.now()).with_page_count(&term.page_count);
     let is_complete = reader.read(shared).await.is_ok();
     let read_position = reader.position()?;
     let inherited = unread.is_reading() || position.may_already_run(term);
-    match is_complete {
-        true => unread.stop(),
-        false => unread.start(shared, term),
-    }
     let rows = reader.rows().into_iter();
     for row in rows.filter(|row| is_complete || is_cancellation(row)) {
         apply_job_row(shared, term, row, inherited);
     }
+    match is_complete {
+        true => unread.stop(term),
+        false => unread.start(shared, term, reader),
+    }
     term.plan_wakeup.notify_one();
     Some(read_position)
 }
@@ -200,34 +200,38 @@
         !self.task.is_empty()
     }
 
-    fn stop(&mut self) {
+    fn stop(&mut self, term: &OwnerTerm) {
         self.task = JoinSet::new();
         self.held_jobs.borrow_mut().clear();
+        term.holds_jobs.set(false);
     }
 
-    fn start(&mut self, shared: &Rc<SharedState>, term: &Rc<OwnerTerm>) {
+    fn start(&mut self, shared: &Rc<SharedState>, term: &Rc<OwnerTerm>, reader: JobReader) {
+        term.holds_jobs.set(true);
         self.task = JoinSet::new();
         self.task.spawn_local(read_unread_jobs(
             Rc::clone(shared),
             Rc::clone(term),
+            reader,
             Rc::clone(&self.held_jobs),
         ));
     }
 }
 
-/// Reads all jobs until that succeeds, and adds them and the held ones. A former owner may have started those that are not
+/// Reads on until all jobs are read, and adds them and the held ones. A former owner may have started those that are not
 /// known yet.
 async fn read_unread_jobs(
     shared: Rc<SharedState>,
     term: Rc<OwnerTerm>,
+    mut reader: JobReader,
     held_jobs: Rc<RefCell<Vec<StoreRow>>>,
 ) {
-    let mut reader = JobReader::new(shared.now());
     while reader.read(&shared).await.is_err() {
         shared.store.wait_to_retry().await;
     }
     for row in reader.rows().into_iter().chain(&held_jobs.take()) {
         apply_job_row(&shared, &term, row, true);
     }
+    term.holds_jobs.set(false);
     term.plan_wakeup.notify_one();
 }
--- a/crates/fleet/src/owner_term.rs
+++ b/crates/fleet/src/owner_term.rs
@@ -54,6 +54,8 @@
     pub(crate) former_owner_until: Cell<Duration>,
     /// Whether all records have been read from the store.
     pub(crate) loaded: Cell<bool>,
+    /// Whether jobs are held back since they could not all be read again after the store has dropped its history.
+    pub(crate) holds_jobs: Cell<bool>,
     /// The number of pages of records that have been read.
     pub(crate) page_count: Rc<Cell<u64>>,
     /// When the last call was sent whose answer confirmed the term.
@@ -81,6 +83,7 @@
             workers_changed: Cell::new(true),
             former_owner_until: Cell::new(Duration::ZERO),
             loaded: Cell::new(false),
+            holds_jobs: Cell::new(false),
             page_count: Rc::default(),
             confirmed: Cell::new(now),
             over: watch::Sender::new(false),
--- a/crates/fleet/src/peer_api.rs
+++ b/crates/fleet/src/peer_api.rs
@@ -64,7 +64,7 @@
     fn health(&self, may_report_token: bool) -> PeerHealth {
         PeerHealth {
             incarnation: self.shared.incarnation,
-            acting: self.shared.loaded_term().map(|term| term.token()),
+            acting: self.shared.acting_token(),
             known_token: match may_report_token {
                 true => self.shared.highest_token.get(),
                 false => 0,
--- a/crates/fleet/src/peer_message.rs
+++ b/crates/fleet/src/peer_message.rs
@@ -53,7 +53,7 @@
 pub struct PeerHealth {
     /// The daemon's incarnation.
     pub incarnation: u64,
-    /// The fencing token by which the daemon acts as the owner; `None` if it does not, or has not read its records yet.
+    /// The fencing token by which the daemon acts as the owner; `None` if it does not, or has not read all records.
     pub acting: Option<u64>,
     /// The highest token that the daemon knows, including the sender's; 0 if it must not confirm any token.
     pub known_token: u64,
--- a/crates/fleet/src/shared_state.rs
+++ b/crates/fleet/src/shared_state.rs
@@ -148,9 +148,16 @@
         self.term().filter(|term| term.loaded.get())
     }
 
+    /// Returns the fencing token by which this daemon acts as the owner on all records.
+    pub(crate) fn acting_token(&self) -> Option<u64> {
+        let term = self.loaded_term().filter(|term| !term.holds_jobs.get());
+        term.map(|term| term.token())
+    }
+
     /// Returns the number of pages that this daemon has read while it reads its records as the owner.
     pub(crate) fn loading_page_count(&self) -> Option<u64> {
-        let term = self.term().filter(|term| !term.loaded.get());
+        let is_loading = |term: &Rc<OwnerTerm>| !term.loaded.get() || term.holds_jobs.get();
+        let term = self.term().filter(is_loading);
         term.map(|term| term.page_count.get())
     }
 
--- a/crates/fleet/tests/daemons/jobs_read_again.rs
+++ b/crates/fleet/tests/daemons/jobs_read_again.rs
@@ -46,6 +46,9 @@
         assert_ne!(first_part(1), first_part(2));
         let failing = &owner.store_client.failing_parts;
         failing.borrow_mut().push(first_part(1));
+        // A daemon that can read the part would replace the owner.
+        let failing_at_other = &other.store_client.failing_parts;
+        failing_at_other.borrow_mut().push(first_part(1));
         let record = JobRecord {
             queue: "queue".to_owned(),
             accepted_ms: 0,
--- a/crates/fleet/tests/daemons/partial_outage.rs
+++ b/crates/fleet/tests/daemons/partial_outage.rs
@@ -283,6 +283,24 @@
     });
 }
 
+/// Guards against jobs that are never started although a healthy daemon could own them: the store has dropped its history, and
+/// the owner can't read one part of the jobs again.
+#[test]
+fn an_owner_that_cannot_read_all_jobs_again_is_replaced() {
+    run_simulated(async {
+        let fleet = TestFleet::with_runtime_clock(2);
+        let owner = serving_daemon(&fleet).await;
+        let other = fleet.daemon();
+        time::sleep(Duration::from_secs(2)).await;
+        break_part(&owner, 1);
+        owner.store_client.forget_history();
+        time::sleep(Duration::from_millis(100)).await;
+        submit(&other.job_api, 2, &job(&[(1, &[])])).await;
+        time::sleep(REPLACED_AFTER).await;
+        wait_for_progress(&other.job_api, 2, COMPLETED).await;
+    });
+}
+
 /// Writes the row of a job of one task as if a daemon had accepted it.
 fn write_job(fleet: &TestFleet, number: u64) {
     let record = JobRecord {
