Discard the records that were read beside an owner that has ended

Found by reading. A daemon that challenges an owner reads the jobs before its claim. If the owner begins to act after that, starts a job that was accepted meanwhile, and ends, the challenger's claim counts it as gone, and would take that job, which its watch tells it, for one that nobody can have started: a task that runs twice. The records are kept now only for a claim against an owner that still answers, whose jobs count as possibly started.

--- a/crates/fleet/src/ownership_challenge.rs
+++ b/crates/fleet/src/ownership_challenge.rs
@@ -30,14 +30,17 @@
         &mut self,
         shared: &Rc<SharedState>,
     ) -> Option<TakeoverReader> {
-        let must_read = shared.succession.borrow().must_read_before_claim();
-        if must_read && !self.has_read {
+        if !shared.succession.borrow().must_read_before_claim() {
+            // The owner may have begun to act, and started jobs that were not read, before it ended.
+            *self = Self::default();
+            return Some(TakeoverReader::new(shared));
+        }
+        if !self.has_read {
             self.read(shared).await;
             return None;
         }
         self.has_read = false;
-        let reader = self.reader.take();
-        Some(reader.unwrap_or_else(|| TakeoverReader::new(shared)))
+        self.reader.take()
     }
 
     async fn read(&mut self, shared: &Rc<SharedState>) {
