Let each long-running filler of a job be starved by itself

Callers saw a long-running filler that never ran beside workers with free cores, while others of its job did. Cause, a wait that nothing ends: starvation was a state of the job (no run of it for a second), so that any run of one task ended the wait of all; and the forced search took the first pending task, which after its eviction was again the first. Besides, the end of a long-running run that its worker merely no longer lists was not noted as the beginning of its task's wait. Change: a long-running filler that has been without a run for 2 s is starved whether others of its job run or not; the forced search takes the task that has waited longest; drop_missing_runs notes since when such a task waits. One start a step and search, as before; the longer timeout limits how often fillers return beside services.

--- a/crates/dispatch/src/dispatcher_runs.rs
+++ b/crates/dispatch/src/dispatcher_runs.rs
@@ -14,6 +14,7 @@
     WorkKind,
     WorkerKey,
     WorkerOrder,
+    job_state::TaskState,
     run_state::{
         RunPhase,
         RunState, //
@@ -186,9 +187,21 @@
         }
         for (task, run) in missing {
             self.release_run(key, task, run, now);
+            if self.is_long_running_and_pending(task) {
+                self.mark_unavailable(task, now);
+            }
         }
     }
 
+    fn is_long_running_and_pending(&self, task: TaskKey) -> bool {
+        let step = task.step;
+        let is_long_running = self.step_spec(step).is_some_and(|spec| spec.long_running);
+        let job = self.jobs.get(&step.job);
+        let state = job.and_then(|job| job.step(step.occurrence, step.step));
+        let state = state.and_then(|state| state.tasks.get(task.index as usize));
+        is_long_running && state.is_some_and(TaskState::is_pending)
+    }
+
     /// Records a task's latest checkpoint.
     pub(crate) fn record_checkpoint(&mut self, task: TaskKey, checkpoint: Arc<str>) {
         let step = task.step;
--- a/crates/dispatch/src/dispatcher_starvation.rs
+++ b/crates/dispatch/src/dispatcher_starvation.rs
@@ -9,20 +9,28 @@
     Dispatcher,
     PlanOutcome,
     StepKey,
+    StepSpec,
     WorkKind,
     WorkerOrder,
     dispatcher_placement::PlacementSearch,
+    job_state::{
+        JobState,
+        TaskState, //
+    },
     unplaceable_demands::TaskDemand, //
 };
 
 /// The time that a filler job may be without a run while half of its pool's CPU is free.
 const STARVATION_TIMEOUT: Duration = Duration::from_millis(1000);
+/// The time that a long-running filler may be without a run while others of its job run.
+const TASK_STARVATION_TIMEOUT: Duration = Duration::from_millis(2000);
 /// The minimum interval between two forced searches for such a job: each scans all workers.
 const FORCED_SEARCH_INTERVAL: Duration = Duration::from_millis(300);
 
 impl Dispatcher {
-    /// Returns since when a step's job has had no run, if the step is a filler and that time exceeds
-    /// the starvation timeout; `None` otherwise or right after a forced search.
+    /// Returns since when a step's job, or a long-running task of the step, has had no run, if the
+    /// step is a filler and that time exceeds the starvation timeout; `None` otherwise or right
+    /// after a forced search.
     pub(crate) fn starved_since(&self, step: StepKey, now: Duration) -> Option<Duration> {
         let job = self.jobs.get(&step.job)?;
         let spec = job.graph.steps.get(usize::from(step.step))?;
@@ -31,10 +39,16 @@
             .step(step.occurrence, step.step)?
             .last_forced_search
             .is_some_and(|at| now < at + FORCED_SEARCH_INTERVAL);
-        let idle = job
-            .idle_since
-            .max(job.occurrence_start(step.occurrence, self.clock_origin));
-        let is_starving = job.run_count == 0 && now >= idle + STARVATION_TIMEOUT;
+        let (idle, timeout) = match (job.run_count, spec.long_running) {
+            (0, _) => (job.idle_since, STARVATION_TIMEOUT),
+            (_, true) => (
+                job.waiting_since(step.occurrence, step.step),
+                TASK_STARVATION_TIMEOUT,
+            ),
+            (_, false) => return None,
+        };
+        let idle = idle.max(job.occurrence_start(step.occurrence, self.clock_origin));
+        let is_starving = now >= idle + timeout;
         (is_filler && is_starving && !searched_recently).then_some(idle)
     }
 
@@ -90,11 +104,7 @@
         let job = self.jobs.get(&step.job)?;
         let graph = Arc::clone(&job.graph);
         let spec = graph.steps.get(usize::from(step.step))?;
-        let state = job.step(step.occurrence, step.step)?;
-        let pending = (0..)
-            .zip(&state.tasks)
-            .filter(|(_, task)| task.is_pending());
-        let (index, _) = pending.min_by_key(|(_, task)| task.crashes.is_suspect())?;
+        let candidates = starved_tasks(job, spec, step);
         let rule = self.queue_rules.get(&job.queue)?;
         let pool = Arc::clone(&rule.pool);
         let search = PlacementSearch {
@@ -107,19 +117,24 @@
         if !self.is_half_free(&pool, now) {
             return None;
         }
-        let task = step.task(index);
-        let Some(worker) = self.find_worker(task, spec, &search, now) else {
-            self.awaits_isolation(task, now);
-            return None;
-        };
-        if !self.may_start_on(task, worker, now) {
-            return None;
+        for index in candidates {
+            let task = step.task(index);
+            let Some(worker) = self.find_worker(task, spec, &search, now) else {
+                if self.awaits_isolation(task, now) {
+                    continue;
+                }
+                return None;
+            };
+            if !self.may_start_on(task, worker, now) {
+                continue;
+            }
+            let run = self.next_run();
+            let placement = self.place_run(task, worker, run, spec, now);
+            self.order_window.record_sent();
+            let order = self.start_order(&placement, &graph.payload, false);
+            return Some(WorkerOrder::Start(order));
         }
-        let run = self.next_run();
-        let placement = self.place_run(task, worker, run, spec, now);
-        self.order_window.record_sent();
-        let order = self.start_order(&placement, &graph.payload, false);
-        Some(WorkerOrder::Start(order))
+        None
     }
 
     /// Returns whether more than half of a pool's CPU is unreserved.
@@ -133,3 +148,22 @@
         free * 2 > all
     }
 }
+
+/// Returns the tasks of a starved step for which a worker is searched, in that order: each
+/// long-running one waits by itself, of others any may run first.
+fn starved_tasks(job: &JobState, spec: &StepSpec, step: StepKey) -> Vec<u32> {
+    let tasks = job
+        .step(step.occurrence, step.step)
+        .map(|state| &state.tasks);
+    let pending = (0..).zip(tasks.into_iter().flatten());
+    let mut pending: Vec<(u32, &TaskState)> =
+        pending.filter(|(_, task)| task.is_pending()).collect();
+    if spec.long_running {
+        pending.sort_by_key(|(_, task)| job.task_waiting_since(task));
+        return pending.into_iter().map(|(index, _)| index).collect();
+    }
+    let first = pending
+        .into_iter()
+        .min_by_key(|(_, task)| task.crashes.is_suspect());
+    first.map(|(index, _)| index).into_iter().collect()
+}
--- a/crates/dispatch/src/job_state.rs
+++ b/crates/dispatch/src/job_state.rs
@@ -126,10 +126,15 @@
     pub(crate) fn waiting_since(&self, occurrence: u32, step: u16) -> Duration {
         let tasks = self.step(occurrence, step).map(|state| &state.tasks);
         let pending = tasks.into_iter().flatten().filter(|task| task.is_pending());
-        let since = pending.map(|task| task.unavailable_since.unwrap_or(self.accepted));
+        let since = pending.map(|task| self.task_waiting_since(task));
         since.min().unwrap_or(self.accepted)
     }
 
+    /// Returns since when one of the job's pending tasks has been without a run.
+    pub(crate) fn task_waiting_since(&self, task: &TaskState) -> Duration {
+        task.unavailable_since.unwrap_or(self.accepted)
+    }
+
     /// Counts a new run of the job.
     pub(crate) fn add_run(&mut self) {
         self.run_count += 1;
--- a/crates/dispatch/tests/fillers.rs
+++ b/crates/dispatch/tests/fillers.rs
@@ -69,26 +69,10 @@
     fn new(workers: usize, tail: fn(f64) -> u64) -> Self {
         let mut dispatcher = Dispatcher::new(1, DispatchSettings::default());
         dispatcher.set_configuration(configuration(3));
-        let workers = (0..workers)
-            .map(|number| {
-                let record = FleetWorker {
-                    id: format!("worker-{number}").into(),
-                    vm: None,
-                    pool: "pool".into(),
-                    address: String::new(),
-                    domain: DomainName::from("domain-a"),
-                    labels: Vec::new(),
-                    capacity: ResourceAmount::new(32_000, 128_000),
-                    draining: false,
-                    incarnation: None,
-                };
-                dispatcher.upsert_worker(record, None)
-            })
-            .collect();
         let mut pool = Self {
             dispatcher,
             now: ms(1000),
-            workers,
+            workers: Vec::new(),
             running: IndexMap::new(),
             stop_count: 0,
             store_is_away: false,
@@ -96,10 +80,30 @@
             tail_by_task: None,
             filler_cpu_millis: 4000,
         };
+        for _ in 0..workers {
+            pool.add_worker();
+        }
         pool.report_metrics();
         pool
     }
 
+    /// Adds an empty worker.
+    fn add_worker(&mut self) {
+        let record = FleetWorker {
+            id: format!("worker-{}", self.workers.len()).into(),
+            vm: None,
+            pool: "pool".into(),
+            address: String::new(),
+            domain: DomainName::from("domain-a"),
+            labels: Vec::new(),
+            capacity: ResourceAmount::new(32_000, 128_000),
+            draining: false,
+            incarnation: None,
+        };
+        let worker = self.dispatcher.upsert_worker(record, None);
+        self.workers.push(worker);
+    }
+
     fn with_tail_by_task(mut self, tail: fn(Duration, TaskKey, f64) -> u64) -> Self {
         self.tail_by_task = Some(tail);
         self
@@ -777,6 +781,37 @@
     assert!(runs_soon(&mut pool, |task| job_number(task) == 11 && task.index == 1));
 }
 
+/// Guards against starving the last ones of many long-running fillers because the first ones, once evicted, are started
+/// again before them.
+#[test]
+fn starved_long_running_fillers_of_a_job_take_turns() {
+    let mut pool = pool_with_known_harm(2);
+    let mut lasting = filler("harmful", 6);
+    lasting.steps[0].long_running = true;
+    pool.submit(11, lasting);
+    let mut has_run = [false; 6];
+    for _ in 0..40 {
+        pool.run_for(ms(500));
+        let tasks = pool.running.keys().map(|(_, task, _)| *task);
+        for task in tasks.filter(|task| job_number(*task) == 11) {
+            has_run[task.index as usize] = true;
+        }
+    }
+    assert_eq!(has_run, [true; 6]);
+}
+
+/// Guards against starving a long-running filler for as long as another one of its job runs beside no service.
+#[test]
+fn starved_long_running_filler_runs_beside_one_that_is_never_evicted() {
+    let mut pool = pool_with_known_harm(2);
+    pool.add_worker();
+    let mut lasting = filler("harmful", 2);
+    lasting.steps[0].long_running = true;
+    lasting.steps[0].max_per_worker = Some(1);
+    pool.submit(11, lasting);
+    assert!(runs_soon(&mut pool, |task| job_number(task) == 11 && task.index == 1));
+}
+
 /// Guards against starving fillers in an idle pool whose services are too slow by themselves, without any filler.
 #[test]
 fn filler_runs_beside_services_that_are_too_slow_by_themselves() {
