Let a starved filler run beside services that are too slow by themselves

Callers saw fillers that never started in a pool with free cores while each worker had a service over its target, without any filler beside it. Cause, a wait that nothing ends: a worker whose service was too slow in the last 0.7 s takes no filler, also no starved one, whatever made the service slow. Once there, a filler would have been evicted at the next metrics: the time for which the service was too slow also ran while no filler was beside it. Change: the violation tracker notes whether a service has been too slow since before the present fillers came, by metrics that reflect no filler (0.7 s after the last one left). Beside such a service a starved filler may start, one at a time for each worker (a gang as a whole), on the worker with the least risk as before. The 1.8 s after which all fillers are evicted now begin at the first metrics with a filler beside the slow service; they are the bound of the harm if the service ceases to be slow by itself meanwhile, as for any filler. Throttling and eviction of known causes act as before. Fillers of unknown effect that have just come are not blamed for what was so before them; after each eviction the service is seen without fillers again before the next one starts. Open: fillers of many jobs wait for their turn; a filler without checkpoints that takes longer than about 2 s does not end there.

--- a/crates/dispatch/src/dispatcher_throttling.rs
+++ b/crates/dispatch/src/dispatcher_throttling.rs
@@ -15,7 +15,10 @@
     WorkerOrder,
     load_estimate::LoadEstimate,
     run_state::RunState,
-    worker_state::WorkerState, //
+    worker_state::{
+        METRICS_WINDOW,
+        WorkerState, //
+    }, //
 };
 
 /// The minimum interval between two evaluations of a worker's metrics: they cover the last half
@@ -35,7 +38,7 @@
 const THROTTLE_STEP_PERCENT: u32 = 25;
 /// The effect on a service's load from which a filler counts as a cause of its slowness.
 const MIN_CAUSE_EFFECT: f64 = 0.02;
-/// The time for which a service may be too slow before all fillers beside it are evicted, whatever
+/// The time for which a service may be too slow beside fillers before these are all evicted, whatever
 /// else was done: metrics are half a second late, and a stop takes up to a second.
 const MAX_VIOLATION_DURATION: Duration = Duration::from_millis(1800);
 /// The time after a service was too slow during which no more fillers are placed beside it.
@@ -59,14 +62,20 @@
     load: Option<LoadEstimate>,
 }
 
-/// Tracks for how long the services of a worker have been too slow.
+/// Tracks for how long the services of a worker have been too slow, and whether its fillers can be
+/// the cause.
 #[derive(Debug, Default)]
 pub(crate) struct TargetViolationTracker {
-    /// Since when a service has been too slow without interruption; `None` while all meet their
-    /// targets.
+    /// Since when a service has been too slow beside fillers without interruption; `None` while all
+    /// meet their targets or no filler runs.
     violated_since: Option<Duration>,
     /// When a service was last seen to be too slow.
     last_violation: Option<Duration>,
+    /// Since when no filler has been on the worker; `None` while one is.
+    unfilled_since: Option<Duration>,
+    /// Whether a service has been too slow, without interruption, since before the present fillers
+    /// came.
+    is_inherent: bool,
 }
 
 impl TargetViolationTracker {
@@ -77,13 +86,41 @@
             .is_some_and(|at| now < at + FILLER_BACKOFF)
     }
 
-    /// Records whether a service is too slow; returns whether it has been for too long.
+    /// Returns whether a service was too slow without any filler when last seen.
+    pub(crate) fn is_slow_without_fillers(&self) -> bool {
+        self.is_inherent && self.unfilled_since.is_some()
+    }
+
+    /// Returns whether the fillers that came last can have made a service too slow.
+    fn may_blame_newcomers(&self) -> bool {
+        !self.is_inherent && self.unfilled_since.is_none()
+    }
+
+    /// Records whether fillers are on the worker.
+    fn record_fillers(&mut self, has_fillers: bool, now: Duration) {
+        match has_fillers {
+            true => self.unfilled_since = None,
+            false => {
+                self.unfilled_since.get_or_insert(now);
+            }
+        }
+    }
+
+    /// Records whether a service is too slow; returns whether it has been beside fillers for too
+    /// long.
     fn record(&mut self, over: bool, now: Duration) -> bool {
-        if !over {
+        let was_inherent = self.is_inherent;
+        self.is_inherent = over
+            && self
+                .unfilled_since
+                .map_or(was_inherent, |since| now >= since + METRICS_WINDOW);
+        if over {
+            self.last_violation = Some(now);
+        }
+        if !over || self.unfilled_since.is_some() {
             self.violated_since = None;
             return false;
         }
-        self.last_violation = Some(now);
         let since = *self.violated_since.get_or_insert(now);
         now >= since + MAX_VIOLATION_DURATION
     }
@@ -99,6 +136,10 @@
             return;
         }
         self.worker_mut(key).last_learned_at = Some(now);
+        let has_fillers = self.worker(key).has_fillers();
+        self.worker_mut(key)
+            .violations
+            .record_fillers(has_fillers, now);
         if !self.worker(key).has_services() {
             self.set_throttle_factors(key, &[], 100);
             return;
@@ -114,7 +155,7 @@
             return;
         }
         self.throttle_causes(key, now);
-        if over {
+        if over && self.worker(key).violations.may_blame_newcomers() {
             self.evict_newcomers(key, now);
         }
     }
--- a/crates/dispatch/src/placement_score.rs
+++ b/crates/dispatch/src/placement_score.rs
@@ -150,7 +150,7 @@
     if idle * 100 < declared_cpu * MIN_FILLER_IDLE_PERCENT {
         return Err(PlacementRejection::Busy);
     }
-    if worker.has_recent_violation(context.now) {
+    if is_shielded(worker, context) {
         return Err(PlacementRejection::Shielded);
     }
     // Fillers of unknown effect are placed one at a time; the effect is visible within a second. The
@@ -186,6 +186,14 @@
     Ok((low_interference, idle - declared_cpu))
 }
 
+/// Returns whether a service that was too slow a moment ago keeps a filler away. One starved filler,
+/// or gang, at a time may run beside services that are too slow by themselves.
+fn is_shielded(worker: &WorkerState, context: PlacementContext<'_>) -> bool {
+    let is_occupied = worker.has_fillers() && !context.spec.gang;
+    let is_open = context.is_starving && worker.is_slow_without_fillers() && !is_occupied;
+    worker.has_recent_violation(context.now) && !is_open
+}
+
 /// Returns, in tenths, the share of filler images that can run beside the worker's services. Images
 /// that are harmful elsewhere should get the places that are open to all. A place that would slow
 /// the filler comes last.
--- a/crates/dispatch/src/worker_state.rs
+++ b/crates/dispatch/src/worker_state.rs
@@ -28,7 +28,7 @@
 
 /// The time span that a worker's metrics reflect: they cover half a second and arrive some time
 /// later.
-const METRICS_WINDOW: Duration = Duration::from_millis(700);
+pub(crate) const METRICS_WINDOW: Duration = Duration::from_millis(700);
 /// The share of its reserved CPU that a service's task is assumed to use before its load has been
 /// observed.
 const DEFAULT_SERVICE_CPU_SHARE: f64 = 0.6;
@@ -358,6 +358,17 @@
         self.violations.has_recent_violation(now) && self.has_services()
     }
 
+    /// Returns whether one of its services is too slow by itself: it was so without any filler on the
+    /// worker.
+    pub(crate) fn is_slow_without_fillers(&self) -> bool {
+        self.violations.is_slow_without_fillers()
+    }
+
+    /// Returns whether a filler runs on the worker.
+    pub(crate) fn has_fillers(&self) -> bool {
+        self.filler_cpu > 0
+    }
+
     /// Returns whether a service's task runs on the worker.
     pub(crate) fn has_services(&self) -> bool {
         self.runs.values().any(|run| run.target.is_some())
--- a/crates/dispatch/tests/fillers.rs
+++ b/crates/dispatch/tests/fillers.rs
@@ -824,6 +824,146 @@
     assert!(runs_soon(&mut pool, |task| job_number(task) == 11));
 }
 
+/// Guards against evicting a starved filler as soon as it runs beside services that are too slow by themselves, and against
+/// long waits for its next run: it would never end.
+#[test]
+fn filler_makes_progress_beside_services_that_are_too_slow_by_themselves() {
+    let mut pool = pool_of_slow_services(1);
+    pool.submit(11, filler("harmless", 1));
+    assert!(runs_soon(&mut pool, is_harmful));
+    pool.run_for(ms(1000));
+    assert!(pool.count_running(is_harmful) > 0);
+    let (mut pause, mut longest, mut rounds_at_work) = (0, 0, 0);
+    for _ in 0..120 {
+        pool.run_for(ms(500));
+        let is_at_work = pool.count_running(is_harmful) > 0;
+        pause = if is_at_work { 0 } else { pause + 1 };
+        longest = longest.max(pause);
+        rounds_at_work += u32::from(is_at_work);
+    }
+    assert!(longest < 6, "{longest} rounds of 500 ms");
+    assert!(rounds_at_work >= 40, "{rounds_at_work} of 120 rounds");
+}
+
+/// Guards against starving a gang of fillers, with more tasks than there are workers, whose services are too slow by
+/// themselves.
+#[test]
+fn gang_of_fillers_runs_beside_services_that_are_too_slow_by_themselves() {
+    let mut pool = pool_of_slow_services(1);
+    let mut gang = filler("harmful", 3);
+    gang.steps[0].gang = true;
+    pool.submit(11, gang);
+    assert!(runs_soon(&mut pool, is_harmful));
+    assert_eq!(pool.count_running(is_harmful), 3);
+}
+
+/// Guards against gathering fillers beside services that are too slow by themselves.
+#[test]
+fn starved_fillers_run_one_at_a_time_beside_services_that_are_too_slow_by_themselves() {
+    let mut pool = pool_of_slow_services(1);
+    for number in 11..16 {
+        pool.submit(number, filler("harmful", 2));
+    }
+    let mut has_run = [false; 5];
+    for _ in 0..240 {
+        for _ in 0..5 {
+            pool.plan();
+            pool.now += ms(100);
+        }
+        pool.report_metrics();
+        assert!(pool.count_running(is_harmful) <= 1);
+        let tasks = pool.running.keys().map(|(_, task, _)| *task);
+        for task in tasks.filter(|task| is_harmful(*task)) {
+            has_run[job_number(task) as usize - 11] = true;
+        }
+    }
+    assert_eq!(has_run, [true; 5]);
+}
+
+/// Guards against starting fillers beside a service that only other fillers make too slow.
+#[test]
+fn starved_filler_does_not_start_while_other_fillers_slow_the_service() {
+    let mut pool = Pool::new(1, |_| 6);
+    pool.submit(1, service("service-a", 2));
+    pool.submit(100, filler("harmless", 4));
+    pool.run_for(ms(10_000));
+    pool.tail_by_task = Some(|_, _, _| 25);
+    pool.run_for(ms(500));
+    pool.submit(11, filler("harmful", 1));
+    for _ in 0..10 {
+        let has_others = pool.count_running(|task| job_number(task) == 100) > 0;
+        pool.run_for(ms(500));
+        assert!(!has_others || pool.count_running(is_harmful) == 0);
+    }
+}
+
+/// Guards against taking a service to be too slow by itself while its metrics still reflect a filler that has just ended.
+#[test]
+fn starved_filler_waits_until_the_metrics_reflect_no_filler() {
+    let mut pool = Pool::new(1, |_| 6);
+    pool.submit(1, service("service-a", 2));
+    pool.submit(100, filler("harmless", 1));
+    pool.run_for(ms(8000));
+    pool.tail_by_task = Some(|_, _, _| 25);
+    pool.run_for(ms(500));
+    pool.submit(11, filler("harmful", 1));
+    pool.run_for(ms(1000));
+    assert_eq!(pool.count_running(|task| job_number(task) == 100), 1);
+    pool.dispatcher.cancel_job(JobKey::new(100));
+    pool.run_for(ms(500));
+    pool.plan();
+    assert_eq!(pool.count_running(is_harmful), 0);
+    assert!(runs_soon(&mut pool, is_harmful));
+}
+
+/// Guards against sparing a filler of unknown effect that has just come when a service that was barely fast enough becomes
+/// too slow.
+#[test]
+fn newcomer_is_evicted_at_once_when_a_service_becomes_too_slow() {
+    let mut pool = Pool::new(1, |_| 17);
+    pool.submit(1, service("service-a", 2));
+    pool.run_for(ms(8000));
+    pool.submit(100, filler("unknown", 1));
+    pool.plan();
+    assert_eq!(pool.count_running(|task| job_number(task) == 100), 1);
+    pool.tail_by_task = Some(|_, _, _| 19);
+    pool.run_for(ms(1000));
+    assert_eq!(pool.stop_count, 1);
+}
+
+/// Guards against a filler that keeps a service too slow after the service has ceased to be so by itself.
+#[test]
+fn filler_is_evicted_once_it_keeps_a_service_too_slow() {
+    let mut pool = Pool::new(1, |_| 6).with_tail_by_task(|now, _, share| match share > 0.0 {
+        _ if now.as_millis() / 7000 % 2 == 0 => 25,
+        true => 22,
+        false => 12,
+    });
+    pool.submit(1, service("service-a", 2));
+    pool.run_for(ms(10_000));
+    pool.submit(11, filler("unknown", 1));
+    let (mut harm, mut longest, mut starts) = (0, 0, 0);
+    for _ in 0..240 {
+        let was_at_work = pool.count_running(is_harmful) > 0;
+        pool.run_for(ms(500));
+        let is_at_work = pool.count_running(is_harmful) > 0;
+        starts += u32::from(is_at_work && !was_at_work);
+        let is_harm = is_at_work && pool.now.as_millis() / 7000 % 2 == 1;
+        harm = if is_harm { harm + 1 } else { 0 };
+        longest = longest.max(harm);
+    }
+    assert!(starts > 0);
+    assert!(longest <= 5, "{longest} rounds of 500 ms");
+}
+
+/// Returns a pool whose services are too slow by themselves.
+fn pool_of_slow_services(workers: usize) -> Pool {
+    let mut pool = Pool::new(workers, |_| 25);
+    pool.submit(1, service("service-a", 2));
+    pool.run_for(ms(10_000));
+    pool
+}
+
 /// Guards against a start of a suspected filler that no successor learns of.
 #[test]
 fn suspected_harmful_filler_starts_only_after_its_announcement() {
