Name each worker of a pool in turn in the requests for advice

Callers saw a step of a queue with advice that never started beside free workers that may run it, in a pool of more than 30. Cause, a wait that nothing ends: each request named the 30 workers with the most idle CPU that held no ticket; those that may not run the step never get one, so that all requests named the same 30. Besides, one ticket of an occupied worker counted as enough for a step of one task. Change: AdviceHistory, one for each step, notes which workers were named in answered requests. The next request names those with an expired ticket first (half of it at most), then those that were never or least recently named. While workers are left that were never named, it follows the last answer at once, otherwise after 1.5 s as before; one request a step is on its way, of 30 workers at most, as before. A request is also made if no ticket is for a worker with room while workers without a ticket have room; it names only these. Empty requests are no longer sent. New tests: in a pool of 400 the only permitted worker is found within 2.5 s (answers at once), its ticket is renewed first, a lost answer is asked for again after 1.5 s, a new worker is named beside 150 permitted and occupied ones, requests are at least 1.5 s apart while no worker is permitted, and few while all are occupied. Open: the number of steps that ask at the same time is not limited, as before; over 32 waiting calls are refused (429) and asked again after 1.5 s.

--- a/crates/dispatch/src/dispatcher_placement.rs
+++ b/crates/dispatch/src/dispatcher_placement.rs
@@ -253,7 +253,7 @@
 }
 
 /// Returns whether a ticket is still valid for long enough to start a run with it.
-fn has_valid_ticket(ticket: Option<&(Arc<str>, Duration)>, now: Duration) -> bool {
+pub(crate) fn has_valid_ticket(ticket: Option<&(Arc<str>, Duration)>, now: Duration) -> bool {
     ticket.is_some_and(|(_, until)| now + MIN_TICKET_VALIDITY < *until)
 }
 
--- a/crates/dispatch/src/job_state.rs
+++ b/crates/dispatch/src/job_state.rs
@@ -16,6 +16,7 @@
     RunNumber,
     StepSpec,
     WorkerKey,
+    advice_history::AdviceHistory,
     crash_history::CrashHistory,
     dispatcher::StepOrigin,
     load_estimate::LoadEstimate, //
@@ -71,8 +72,8 @@
     pub(crate) tasks_per_worker: IndexMap<WorkerKey, u32>,
     /// The tickets for the step's tasks by worker, each with the time until which it is valid.
     pub(crate) tickets: IndexMap<WorkerKey, (Arc<str>, Duration)>,
-    /// When tickets were last requested.
-    pub(crate) advice_requested_at: Option<Duration>,
+    /// The requests for tickets.
+    pub(crate) advice: AdviceHistory,
     /// When a worker was last searched for the step regardless of the interference with services.
     pub(crate) last_forced_search: Option<Duration>,
     /// When it was last explained, for the log, why the step waits.
@@ -188,7 +189,7 @@
             first_rack: None,
             tasks_per_worker: IndexMap::new(),
             tickets: IndexMap::new(),
-            advice_requested_at: None,
+            advice: AdviceHistory::default(),
             last_forced_search: None,
             wait_explained_at: None,
             load: None,
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -5,6 +5,7 @@
 //! the same orders.
 
 mod admission;
+mod advice_history;
 mod advice_request;
 mod commit_tracker;
 mod crash_finding;
--- a/crates/dispatch/tests/advice.rs
+++ b/crates/dispatch/tests/advice.rs
@@ -19,27 +19,37 @@
 };
 use jasminebend_dispatch::{
     AcceptedJob,
+    AdviceRequest,
     AdviceRule,
     DispatchSettings,
     Dispatcher,
     FleetConfiguration,
     FleetWorker,
     JobKey,
+    OrderOutcome,
     RenewalReport,
+    RunNumber,
+    RunningTask,
+    StepSpec,
+    TaskKey,
     WorkerKey,
     WorkerOrder, //
 };
 
 const VALIDITY: Duration = Duration::from_secs(5);
 
+fn worker_id(number: usize) -> Arc<str> {
+    format!("worker-{number:02}").into()
+}
+
 fn worker(number: usize) -> FleetWorker {
     FleetWorker {
-        id: format!("worker-{number:02}").into(),
+        id: worker_id(number),
         vm: None,
         pool: "pool".into(),
         address: format!("worker-{number}:1"),
         domain: DomainName::from("domain-a"),
-        labels: vec!["rack".into()],
+        labels: vec!["rack".into(), format!("only-{number}").into()],
         capacity: ResourceAmount::new(4000, 4000),
         draining: false,
         incarnation: None,
@@ -103,3 +113,254 @@
         assert!(starts > 0, "{allowed} is never used");
     }
 }
+
+/// A pool of equal workers, whose advice service answers at once.
+struct Site {
+    dispatcher: Dispatcher,
+    now: Duration,
+    keys: Vec<WorkerKey>,
+    running: Vec<(WorkerKey, TaskKey, RunNumber)>,
+    /// The time of each request for advice and the number of workers that it names.
+    requests: Vec<(Duration, usize)>,
+    /// The number of requests that get no answer from now on.
+    lost_answers: usize,
+    /// The numbers of the workers that may run any step.
+    permitted: Vec<usize>,
+}
+
+impl Site {
+    fn new(workers: usize, permitted: Vec<usize>) -> Self {
+        let mut dispatcher = Dispatcher::new(1, DispatchSettings::default());
+        dispatcher.set_configuration(configuration_with_advice());
+        let mut site = Self {
+            dispatcher,
+            now: ms(1000),
+            keys: Vec::new(),
+            running: Vec::new(),
+            requests: Vec::new(),
+            lost_answers: 0,
+            permitted,
+        };
+        for _ in 0..workers {
+            site.add_worker();
+        }
+        site
+    }
+
+    fn add_worker(&mut self) {
+        let record = worker(self.keys.len());
+        let key = self.dispatcher.upsert_worker(record, None);
+        self.keys.push(key);
+    }
+
+    /// Submits a job of tasks that each take a whole worker.
+    fn submit(&mut self, number: u64, count: u32, label: Option<&str>) {
+        let spec = StepSpec {
+            size: ResourceAmount::new(4000, 4000),
+            label: label.map(Arc::from),
+            long_running: true,
+            ..step(count, &[])
+        };
+        let job = AcceptedJob {
+            queue: "queue".into(),
+            rule: None,
+            graph: Arc::new(graph(vec![spec])),
+            accepted: self.now,
+            inherited: false,
+        };
+        self.dispatcher.add_job(JobKey::new(number), job);
+    }
+
+    /// Advances the time until a job runs, and returns how long that took; `None` after `limit`.
+    fn time_until_start(&mut self, number: u64, limit: Duration) -> Option<Duration> {
+        let began = self.now;
+        while self.now < began + limit {
+            self.advance();
+            let mut running = self.running.iter();
+            if running.any(|(_, task, _)| task.job() == JobKey::new(number)) {
+                return Some(self.now - began);
+            }
+        }
+        None
+    }
+
+    fn run_for(&mut self, time: Duration) {
+        let until = self.now + time;
+        while self.now < until {
+            self.advance();
+        }
+    }
+
+    fn advance(&mut self) {
+        self.now += ms(100);
+        for &key in &self.keys {
+            self.dispatcher.next_renewal(key, true, self.now);
+            let here = self.running.iter().filter(|(at, ..)| *at == key);
+            let running = here.map(|&(_, task, run)| RunningTask {
+                task,
+                run,
+                checkpoint: None,
+                progress_percent: 100,
+                metric: None,
+            });
+            let report = RenewalReport {
+                clock: self.now,
+                incarnation: None,
+                running: running.collect(),
+                completions: Vec::new(),
+            };
+            self.dispatcher
+                .handle_renewal_report(key, self.now, report, self.now);
+        }
+        let outcome = self.dispatcher.plan(self.now);
+        for order in outcome.orders {
+            self.carry_out(&order);
+        }
+        for request in outcome.advice_requests {
+            self.answer(&request);
+        }
+    }
+
+    fn carry_out(&mut self, order: &WorkerOrder) {
+        let taken = OrderOutcome::Taken;
+        match order {
+            WorkerOrder::Start(start) => {
+                self.running.push((start.worker, start.task, start.run));
+                self.dispatcher.handle_start_outcome(
+                    start.worker,
+                    start.task,
+                    start.run,
+                    taken,
+                    self.now,
+                );
+            }
+            WorkerOrder::Stop { worker, task, run } => {
+                self.running
+                    .retain(|running| *running != (*worker, *task, *run));
+                self.dispatcher
+                    .handle_stop_outcome(*worker, *task, *run, taken, self.now);
+            }
+            WorkerOrder::Throttle { .. } => {}
+        }
+    }
+
+    fn answer(&mut self, request: &AdviceRequest) {
+        self.requests.push((self.now, request.workers.len()));
+        if self.lost_answers > 0 {
+            self.lost_answers -= 1;
+            return;
+        }
+        let permitted = self.permitted.iter().map(|number| worker_id(*number));
+        let good = permitted.filter(|id| request.workers.contains(id));
+        let tickets = good.map(|id| (id, Arc::from("ticket"))).collect();
+        self.dispatcher
+            .store_tickets(request.step, tickets, self.now + VALIDITY);
+    }
+}
+
+/// Guards against a step that stands beside free workers for a long time in a very large pool: each request names only a part
+/// of the workers and the next one waited for the retry interval.
+#[test]
+fn permitted_worker_of_a_very_large_pool_is_soon_found() {
+    for permitted in [0, 199, 399] {
+        let mut site = Site::new(400, vec![permitted]);
+        site.submit(1, 1, None);
+        let wait = site.time_until_start(1, ms(30_000));
+        assert!(
+            wait.is_some_and(|wait| wait < ms(2500)),
+            "{permitted}: {wait:?}"
+        );
+    }
+}
+
+/// Guards against a step that waits for the ticket of an occupied worker to expire although a free worker may run it.
+#[test]
+fn advice_is_requested_although_an_occupied_worker_is_permitted() {
+    let mut site = Site::new(40, vec![0, 39]);
+    site.submit(1, 1, Some("only-39"));
+    site.submit(2, 1, None);
+    let wait = site.time_until_start(2, ms(30_000));
+    assert!(wait.is_some_and(|wait| wait < ms(1000)), "{wait:?}");
+}
+
+/// Guards against naming all other workers again before the ticket of the only permitted one is renewed.
+#[test]
+fn ticket_of_a_permitted_worker_is_renewed_first() {
+    let mut site = Site::new(400, vec![0]);
+    for round in 0..10 {
+        let (holder, waiter) = (2 * round + 1, 2 * round + 2);
+        site.submit(holder, 1, Some("only-0"));
+        assert!(site.time_until_start(holder, ms(3000)).is_some());
+        site.submit(waiter, 1, None);
+        site.run_for(ms(10_000 + 700 * round));
+        site.dispatcher.cancel_job(JobKey::new(holder));
+        let wait = site.time_until_start(waiter, ms(30_000));
+        assert!(wait.is_some_and(|wait| wait < ms(2500)), "{wait:?}");
+        site.dispatcher.cancel_job(JobKey::new(waiter));
+    }
+}
+
+/// Guards against a new worker that no request names because each one renews the tickets of occupied workers.
+#[test]
+fn advice_is_requested_for_a_new_worker_beside_many_permitted_ones() {
+    let mut site = Site::new(150, (0..=150).collect());
+    site.submit(1, 150, None);
+    site.run_for(ms(5000));
+    assert_eq!(site.running.len(), 150);
+    site.submit(2, 400, None);
+    site.run_for(ms(20_000));
+    site.add_worker();
+    let wait = site.time_until_start(2, ms(30_000));
+    assert!(wait.is_some_and(|wait| wait < ms(3500)), "{wait:?}");
+}
+
+/// Guards against frequent calls that can't help: the step has tickets, and each worker is occupied.
+#[test]
+fn little_advice_is_requested_while_all_workers_are_occupied() {
+    let mut site = Site::new(40, (0..40).collect());
+    site.submit(1, 40, None);
+    site.run_for(ms(5000));
+    assert_eq!(site.running.len(), 40);
+    site.requests.clear();
+    site.submit(2, 1, None);
+    site.run_for(ms(10_000));
+    assert!(site.requests.len() <= 3, "{:?}", site.requests);
+}
+
+/// Guards against a step whose advice is never requested again after an answer was lost, or only after that for all other
+/// workers, and against calls that pile up because each is repeated at once.
+#[test]
+fn lost_advice_is_requested_again() {
+    let mut site = Site::new(400, vec![399]);
+    site.lost_answers = 1;
+    site.submit(1, 1, None);
+    let wait = site.time_until_start(1, ms(30_000));
+    assert!(wait.is_some_and(|wait| wait < ms(2000)), "{wait:?}");
+    assert!(site.requests[1].0 >= site.requests[0].0 + ms(1500));
+}
+
+/// Guards against calls without a pause, and against too large ones, while no worker is permitted.
+#[test]
+fn advice_is_requested_at_intervals_while_no_worker_is_permitted() {
+    let mut site = Site::new(400, Vec::new());
+    site.submit(1, 1, None);
+    site.run_for(ms(3000));
+    assert!(
+        site.requests
+            .iter()
+            .all(|(_, named)| (1..=100).contains(named))
+    );
+    assert_eq!(
+        site.requests
+            .iter()
+            .map(|(_, named)| named)
+            .take(13)
+            .sum::<usize>(),
+        390
+    );
+    site.requests.clear();
+    site.run_for(ms(30_000));
+    let is_apart = |pair: &[(Duration, usize)]| pair[1].0 >= pair[0].0 + ms(1500);
+    assert!(site.requests.windows(2).all(is_apart));
+    assert!(site.requests.len() >= 15);
+}
