--- a/crates/dispatch/src/job_state.rs
+++ b/crates/dispatch/src/job_state.rs
@@ -16,6 +16,7 @@
     RunNumber,
     StepSpec,
     WorkerKey,
+    advice_history::AdviceHistory,
     crash_history::CrashHistory,
     dispatcher::StepOrigin,
     load_estimate::LoadEstimate, //
@@ -71,8 +72,8 @@
     pub(crate) tasks_per_worker: IndexMap<WorkerKey, u32>,
     /// The tickets for the step's tasks by worker, each with the time until which it is valid.
     pub(crate) tickets: IndexMap<WorkerKey, (Arc<str>, Duration)>,
-    /// When tickets were last requested.
-    pub(crate) advice_requested_at: Option<Duration>,
+    /// The requests for tickets.
+    pub(crate) advice: AdviceHistory,
     /// When a worker was last searched for the step regardless of the interference with services.
     pub(crate) last_forced_search: Option<Duration>,
     /// When it was last explained, for the log, why the step waits.
@@ -126,10 +127,15 @@
     pub(crate) fn waiting_since(&self, occurrence: u32, step: u16) -> Duration {
         let tasks = self.step(occurrence, step).map(|state| &state.tasks);
         let pending = tasks.into_iter().flatten().filter(|task| task.is_pending());
-        let since = pending.map(|task| task.unavailable_since.unwrap_or(self.accepted));
+        let since = pending.map(|task| self.task_waiting_since(task));
         since.min().unwrap_or(self.accepted)
     }
 
+    /// Returns since when one of the job's pending tasks has been without a run.
+    pub(crate) fn task_waiting_since(&self, task: &TaskState) -> Duration {
+        task.unavailable_since.unwrap_or(self.accepted)
+    }
+
     /// Counts a new run of the job.
     pub(crate) fn add_run(&mut self) {
         self.run_count += 1;
@@ -183,7 +189,7 @@
             first_rack: None,
             tasks_per_worker: IndexMap::new(),
             tickets: IndexMap::new(),
-            advice_requested_at: None,
+            advice: AdviceHistory::default(),
             last_forced_search: None,
             wait_explained_at: None,
             load: None,
