End the drain of workers whose maintenance had already taken place

Callers saw jobs queued beside empty workers after a takeover during a maintenance wave. Class: a wait that nothing ends. A worker is drained before its VM's maintenance, and the drain ended only with the worker: a maintained VM comes back with a new one. The platform also answers 200 to a call for a VM that was maintained before. A successor calls again for each VM of an open wave, the same worker stays, and nothing let tasks start on it any more. A call without an answer that had been carried out ended the same way, without a takeover.

Change: WorkerDrains keeps the workers whose VM's maintenance was confirmed, and lets tasks start on one again once it has answered a lease renewal that was sent after the confirmation. Confirmed maintenance ends everything on the VM at once, so that only a worker that was not touched, or is back, can answer; no clock or list has to be trusted. How many VMs count as down for the cap is unchanged.

--- a/crates/dispatch/src/dispatcher_maintenance.rs
+++ b/crates/dispatch/src/dispatcher_maintenance.rs
@@ -29,7 +29,15 @@
         runs.is_empty()
     }
 
-    /// Lets tasks start again on a worker whose maintenance was cancelled.
+    /// Returns whether a worker has answered a call that was sent after `since`.
+    pub fn has_answered_since(&self, id: &str, since: Duration) -> bool {
+        self.worker_key(id).is_some_and(|key| {
+            let answered = self.worker(key).last_answered_call_at;
+            answered.is_some_and(|sent| sent > since)
+        })
+    }
+
+    /// Lets tasks start again on a worker that needs no maintenance any more.
     pub fn cancel_maintenance(&mut self, id: &str) {
         if let Some(key) = self.worker_key(id) {
             self.worker_mut(key).in_maintenance = false;
--- a/crates/dispatch/src/dispatcher_workers.rs
+++ b/crates/dispatch/src/dispatcher_workers.rs
@@ -216,6 +216,7 @@
             worker.clock.grant(lease, now);
         }
         worker.last_answer_at = Some(now);
+        worker.last_answered_call_at = worker.last_answered_call_at.max(Some(sent));
         worker.unanswered = 0;
         worker.connection_refused = false;
         worker.has_owner_token = true;
--- a/crates/dispatch/src/worker_state.rs
+++ b/crates/dispatch/src/worker_state.rs
@@ -51,6 +51,8 @@
     pub(crate) inherited_until: Option<Duration>,
     /// When the worker last answered.
     pub(crate) last_answer_at: Option<Duration>,
+    /// When the last call was sent that the worker answered.
+    pub(crate) last_answered_call_at: Option<Duration>,
     /// The number of consecutive calls without an answer.
     pub(crate) unanswered: u32,
     /// When the first of these calls failed.
@@ -123,6 +125,7 @@
             has_owner_token: false,
             inherited_until: None,
             last_answer_at: None,
+            last_answered_call_at: None,
             unanswered: 0,
             contact_lost_at: None,
             crashed_at: None,
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -43,6 +43,7 @@
 mod succession;
 mod takeover_records;
 mod term_confirmation;
+mod worker_drains;
 
 pub use self::{
     caller_request::{
--- a/crates/fleet/src/maintenance_waves.rs
+++ b/crates/fleet/src/maintenance_waves.rs
@@ -20,7 +20,8 @@
     MaintenanceOutcome,
     MaintenanceWave,
     owner_term::OwnerTerm,
-    shared_state::SharedState, //
+    shared_state::SharedState,
+    worker_drains::WorkerDrains, //
 };
 
 /// The interval between two steps of an active wave; each step reads the list of VMs, which is an expensive call.
@@ -63,7 +64,9 @@
         time::sleep(shared.settings.maintenance_lease).await;
     }
     let mut states: IndexMap<u64, WaveState> = IndexMap::new();
+    let mut drains = WorkerDrains::default();
     loop {
+        drains.release_survivors(&term);
         let waves: Vec<MaintenanceWave> =
             shared.operator.borrow().waves.values().cloned().collect();
         states.retain(|number, _| waves.iter().any(|wave| wave.number == *number));
@@ -78,7 +81,7 @@
         if let Some(listed) = vms.list().await {
             for wave in &waves {
                 let state = states.entry(wave.number).or_default();
-                advance_wave(&shared, &term, &*vms, wave, state, &listed).await;
+                advance_wave(&shared, &term, &*vms, wave, state, &mut drains, &listed).await;
             }
         }
         time::sleep(WAVE_STEP_INTERVAL).await;
@@ -91,6 +94,7 @@
     vms: &dyn FleetVms,
     wave: &MaintenanceWave,
     state: &mut WaveState,
+    drains: &mut WorkerDrains,
     listed: &[ListedVm],
 ) {
     if state.written_status == Some(true) {
@@ -120,7 +124,10 @@
         });
         term.plan_wakeup.notify_one();
         if ready && shared.may_send_orders(term) {
-            start_maintenance(shared, term, vms, wave, state, vm, down).await;
+            let outcome = start_maintenance(shared, term, vms, wave, state, vm, down).await;
+            if let (MaintenanceOutcome::Begun, Some(worker)) = (outcome, &listed_vm.worker) {
+                drains.confirm(worker, shared.now());
+            }
         }
         // Workers are drained one VM at a time, so that the others keep running tasks.
         break;
@@ -148,7 +155,7 @@
     state: &mut WaveState,
     vm: &Arc<str>,
     down: usize,
-) {
+) -> MaintenanceOutcome {
     let sent = shared.now();
     let outcome = vms
         .start_maintenance(vm, wave.number, &shared.settings.node, term.token())
@@ -175,6 +182,7 @@
         MaintenanceOutcome::Fenced => term.end(),
         MaintenanceOutcome::Busy | MaintenanceOutcome::Refused => {}
     }
+    outcome
 }
 
 async fn write_status(
