Release a drained worker once no maintenance wave needs its drain

Callers saw jobs queued beside workers on which nothing may start. Class: a wait that nothing ends. A drain ended only with its worker, also if its wave was withdrawn, the platform answered that the VM is never to be maintained, or the list of VMs, without which no call follows, could not be read.

Evidence: the tests on a VM that needs no maintenance, a withdrawn wave and a list of VMs that fails; in each the job was still queued after 20 s (simulated time). Change: a wave asks for its drain in each step, and WorkerDrains releases what no wave asked for in the last step, or in the last 2 s while the list can't be read. A worker stays drained after a call without an answer for as long as the platform may carry it out, also if the wave is withdrawn meanwhile; the test on an unanswered call guards that. Result: the tests pass; without the release while no wave is open, without the one while the list fails, and without the wait for an unanswered call, the tests for them fail.

--- a/crates/fleet/src/maintenance_waves.rs
+++ b/crates/fleet/src/maintenance_waves.rs
@@ -31,6 +31,9 @@
 /// How long an unanswered call counts as carried out: the platform may carry it out late.
 const ASSUMED_DOWN_TIME: Duration = Duration::from_secs(13);
 
+/// How long workers stay drained while the list of VMs can't be read.
+const UNREADABLE_LIST_LIMIT: Duration = Duration::from_secs(2);
+
 /// The progress of a wave.
 #[derive(Debug, Default)]
 struct WaveState {
@@ -66,7 +69,7 @@
     let mut states: IndexMap<u64, WaveState> = IndexMap::new();
     let mut drains = WorkerDrains::default();
     loop {
-        drains.release_survivors(&term);
+        let began = shared.now();
         let waves: Vec<MaintenanceWave> =
             shared.operator.borrow().waves.values().cloned().collect();
         states.retain(|number, _| waves.iter().any(|wave| wave.number == *number));
@@ -74,16 +77,25 @@
             let state = states.get(&wave.number);
             state.is_none_or(|state| state.written_status != Some(true))
         });
+        if !open {
+            drains.release_unneeded(&term, began, began);
+        }
         if !open || !shared.may_send_orders(&term) {
             time::sleep(IDLE_CHECK_INTERVAL).await;
             continue;
         }
-        if let Some(listed) = vms.list().await {
-            for wave in &waves {
-                let state = states.entry(wave.number).or_default();
-                advance_wave(&shared, &term, &*vms, wave, state, &mut drains, &listed).await;
+        let listed = vms.list().await;
+        let requested_since = match listed {
+            Some(listed) => {
+                for wave in &waves {
+                    let state = states.entry(wave.number).or_default();
+                    advance_wave(&shared, &term, &*vms, wave, state, &mut drains, &listed).await;
+                }
+                began
             }
-        }
+            None => began.saturating_sub(UNREADABLE_LIST_LIMIT),
+        };
+        drains.release_unneeded(&term, requested_since, shared.now());
         time::sleep(WAVE_STEP_INTERVAL).await;
     }
 }
@@ -118,6 +130,9 @@
         if down >= wave.max_down || state.maybe_down.contains_key(vm) {
             continue;
         }
+        if let Some(worker) = &listed_vm.worker {
+            drains.request(worker, now);
+        }
         let ready = listed_vm.worker.as_ref().is_none_or(|worker| {
             let mut dispatcher = term.dispatcher.borrow_mut();
             dispatcher.prepare_maintenance(worker, now)
@@ -125,8 +140,8 @@
         term.plan_wakeup.notify_one();
         if ready && shared.may_send_orders(term) {
             let outcome = start_maintenance(shared, term, vms, wave, state, vm, down).await;
-            if let (MaintenanceOutcome::Begun, Some(worker)) = (outcome, &listed_vm.worker) {
-                drains.confirm(worker, shared.now());
+            if let Some(worker) = &listed_vm.worker {
+                record_outcome(drains, worker, outcome, now, shared.now());
             }
         }
         // Workers are drained one VM at a time, so that the others keep running tasks.
@@ -185,6 +200,24 @@
     outcome
 }
 
+/// Records in the drains the outcome of a call that was sent at `sent`.
+fn record_outcome(
+    drains: &mut WorkerDrains,
+    worker: &Arc<str>,
+    outcome: MaintenanceOutcome,
+    sent: Duration,
+    now: Duration,
+) {
+    match outcome {
+        MaintenanceOutcome::Begun => drains.confirm(worker, now),
+        MaintenanceOutcome::Unknown => drains.keep_until(worker, sent + ASSUMED_DOWN_TIME),
+        MaintenanceOutcome::Busy
+        | MaintenanceOutcome::Fenced
+        | MaintenanceOutcome::Never
+        | MaintenanceOutcome::Refused => {}
+    }
+}
+
 async fn write_status(
     shared: &SharedState,
     term: &OwnerTerm,
--- a/crates/fleet/tests/daemons/waves.rs
+++ b/crates/fleet/tests/daemons/waves.rs
@@ -1,6 +1,7 @@
-//! Maintenance waves that a successor finds.
+//! Maintenance waves. Time is simulated: it advances only while all tasks wait.
 
 use std::{
+    cell::Cell,
     rc::Rc,
     sync::Arc,
     time::Duration, //
@@ -20,6 +21,7 @@
 use tokio::time;
 
 use crate::test_fleet::{
+    TestDaemon,
     TestFleet,
     job,
     run_simulated,
@@ -58,6 +60,94 @@
     }
 }
 
+/// VMs that stay up, with one answer to all calls.
+struct FixedVms {
+    count: usize,
+    outcome: Cell<MaintenanceOutcome>,
+    is_listed: Cell<bool>,
+}
+
+impl FixedVms {
+    fn new(count: usize, outcome: MaintenanceOutcome) -> Rc<Self> {
+        Rc::new(Self {
+            count,
+            outcome: Cell::new(outcome),
+            is_listed: Cell::new(true),
+        })
+    }
+}
+
+#[async_trait(?Send)]
+impl FleetVms for FixedVms {
+    async fn list(&self) -> Option<Vec<ListedVm>> {
+        let vms = (0..self.count).map(|number| ListedVm {
+            vm: vm_name(number),
+            up: true,
+            worker: Some(format!("worker-{number}").into()),
+        });
+        self.is_listed.get().then(|| vms.collect())
+    }
+
+    async fn start_maintenance(
+        &self,
+        _vm: &str,
+        _wave: u64,
+        _holder: &str,
+        _token: u64,
+    ) -> MaintenanceOutcome {
+        self.outcome.get()
+    }
+}
+
+fn wave_of(vms: &FixedVms) -> MaintenanceWave {
+    MaintenanceWave {
+        number: 1,
+        vms: (0..vms.count).map(vm_name).collect(),
+        duration: Duration::from_secs(60),
+        max_down: 1,
+    }
+}
+
+/// Starts a daemon on a fleet with these VMs and a wave that asks for all of them.
+fn daemon_with_wave(fleet: &TestFleet, vms: &Rc<FixedVms>) -> TestDaemon {
+    fleet.store.waves.borrow_mut().push(wave_of(vms));
+    *fleet.vms.borrow_mut() = Some(Rc::clone(vms) as Rc<dyn FleetVms>);
+    fleet.daemon()
+}
+
+/// Starts a daemon, lets a task that can't move run on the only worker for longer than the test, and then requests a
+/// wave.
+async fn daemon_with_lengthy_drain(fleet: &TestFleet, vms: &Rc<FixedVms>) -> TestDaemon {
+    *fleet.vms.borrow_mut() = Some(Rc::clone(vms) as Rc<dyn FleetVms>);
+    let owner = fleet.daemon();
+    fleet.workers.run_time.set(Duration::from_secs(60));
+    let mut lengthy = job(&[(1, &[])]);
+    lengthy.steps[0].estimate = Duration::from_secs(60);
+    submit(&owner.job_api, 1, &lengthy).await;
+    time::sleep(Duration::from_secs(5)).await;
+    assert_eq!(fleet.workers.running_tasks().len(), 1);
+    fleet.workers.run_time.set(Duration::from_millis(150));
+    request_waves(fleet, &owner, vec![wave_of(vms)]);
+    time::sleep(Duration::from_secs(5)).await;
+    submit(&owner.job_api, 2, &job(&[(1, &[])])).await;
+    time::sleep(Duration::from_secs(5)).await;
+    let running = fleet.workers.running_tasks();
+    assert_eq!(
+        running.len(),
+        1,
+        "{running:?}, {}",
+        fleet.workers.started_runs()
+    );
+    wait_for_progress(&owner.job_api, 2, JobProgress::Queued).await;
+    owner
+}
+
+/// Replaces the requested waves.
+fn request_waves(fleet: &TestFleet, daemon: &TestDaemon, waves: Vec<MaintenanceWave>) {
+    *fleet.store.waves.borrow_mut() = waves;
+    daemon.store_client.forget_history();
+}
+
 /// Guards against workers that a successor drains again after their maintenance, and never uses any more.
 #[test]
 fn workers_maintained_under_a_former_owner_take_tasks() {
@@ -81,3 +171,71 @@
         wait_for_progress(&successor.job_api, 2, COMPLETED).await;
     });
 }
+
+/// Guards against a worker that stays drained although the platform answered that its VM is never to be maintained.
+#[test]
+fn worker_of_a_vm_that_needs_no_maintenance_takes_tasks() {
+    run_simulated(async {
+        let fleet = TestFleet::with_runtime_clock(1);
+        let owner = daemon_with_wave(&fleet, &FixedVms::new(1, MaintenanceOutcome::Never));
+        time::sleep(Duration::from_secs(5)).await;
+        submit(&owner.job_api, 2, &job(&[(1, &[])])).await;
+        wait_for_progress(&owner.job_api, 2, COMPLETED).await;
+    });
+}
+
+/// Guards against a worker that stays drained after a call whose answer was lost, and a second one that did nothing.
+#[test]
+fn worker_of_a_vm_that_was_maintained_without_an_answer_takes_tasks() {
+    run_simulated(async {
+        let fleet = TestFleet::with_runtime_clock(1);
+        let vms = FixedVms::new(1, MaintenanceOutcome::Unknown);
+        let owner = daemon_with_wave(&fleet, &vms);
+        time::sleep(Duration::from_secs(5)).await;
+        vms.outcome.set(MaintenanceOutcome::Begun);
+        time::sleep(Duration::from_secs(15)).await;
+        submit(&owner.job_api, 2, &job(&[(1, &[])])).await;
+        wait_for_progress(&owner.job_api, 2, COMPLETED).await;
+    });
+}
+
+/// Guards against a worker that stays drained after the wave of its VM was withdrawn.
+#[test]
+fn worker_that_was_drained_for_a_withdrawn_wave_takes_tasks() {
+    run_simulated(async {
+        let fleet = TestFleet::with_runtime_clock(1);
+        let vms = FixedVms::new(1, MaintenanceOutcome::Begun);
+        let owner = daemon_with_lengthy_drain(&fleet, &vms).await;
+        request_waves(&fleet, &owner, Vec::new());
+        wait_for_progress(&owner.job_api, 2, COMPLETED).await;
+    });
+}
+
+/// Guards against a worker that stays drained while the list of VMs can't be read, so that no call can follow.
+#[test]
+fn worker_that_was_drained_before_the_list_of_vms_failed_takes_tasks() {
+    run_simulated(async {
+        let fleet = TestFleet::with_runtime_clock(1);
+        let vms = FixedVms::new(1, MaintenanceOutcome::Begun);
+        let owner = daemon_with_lengthy_drain(&fleet, &vms).await;
+        vms.is_listed.set(false);
+        wait_for_progress(&owner.job_api, 2, COMPLETED).await;
+    });
+}
+
+/// Guards against a task that starts on a VM that may still go down: its wave was withdrawn after a call without an
+/// answer.
+#[test]
+fn worker_takes_no_task_while_an_unanswered_call_may_be_carried_out() {
+    run_simulated(async {
+        let fleet = TestFleet::with_runtime_clock(1);
+        let vms = FixedVms::new(1, MaintenanceOutcome::Unknown);
+        let owner = daemon_with_wave(&fleet, &vms);
+        time::sleep(Duration::from_secs(4)).await;
+        request_waves(&fleet, &owner, Vec::new());
+        submit(&owner.job_api, 2, &job(&[(1, &[])])).await;
+        time::sleep(Duration::from_secs(5)).await;
+        assert_eq!(fleet.workers.started_runs(), 0);
+        wait_for_progress(&owner.job_api, 2, COMPLETED).await;
+    });
+}
