--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -48,6 +48,7 @@
 mod takeover_reader;
 mod takeover_records;
 mod term_confirmation;
+mod worker_drains;
 
 pub use self::{
     caller_request::{
--- a/crates/fleet/src/maintenance_waves.rs
+++ b/crates/fleet/src/maintenance_waves.rs
@@ -20,7 +20,8 @@
     MaintenanceOutcome,
     MaintenanceWave,
     owner_term::OwnerTerm,
-    shared_state::SharedState, //
+    shared_state::SharedState,
+    worker_drains::WorkerDrains, //
 };
 
 /// The interval between two steps of an active wave; each step reads the list of VMs, which is an expensive call.
@@ -30,6 +31,9 @@
 /// How long an unanswered call counts as carried out: the platform may carry it out late.
 const ASSUMED_DOWN_TIME: Duration = Duration::from_secs(13);
 
+/// How long workers stay drained while the list of VMs can't be read.
+const UNREADABLE_LIST_LIMIT: Duration = Duration::from_secs(2);
+
 /// The progress of a wave.
 #[derive(Debug, Default)]
 struct WaveState {
@@ -63,7 +67,9 @@
         time::sleep(shared.settings.maintenance_lease).await;
     }
     let mut states: IndexMap<u64, WaveState> = IndexMap::new();
+    let mut drains = WorkerDrains::default();
     loop {
+        let began = shared.now();
         let waves: Vec<MaintenanceWave> =
             shared.operator.borrow().waves.values().cloned().collect();
         states.retain(|number, _| waves.iter().any(|wave| wave.number == *number));
@@ -71,16 +77,25 @@
             let state = states.get(&wave.number);
             state.is_none_or(|state| state.written_status != Some(true))
         });
+        if !open {
+            drains.release_unneeded(&term, began, began);
+        }
         if !open || !shared.may_send_orders(&term) {
             time::sleep(IDLE_CHECK_INTERVAL).await;
             continue;
         }
-        if let Some(listed) = vms.list().await {
-            for wave in &waves {
-                let state = states.entry(wave.number).or_default();
-                advance_wave(&shared, &term, &*vms, wave, state, &listed).await;
+        let listed = vms.list().await;
+        let requested_since = match listed {
+            Some(listed) => {
+                for wave in &waves {
+                    let state = states.entry(wave.number).or_default();
+                    advance_wave(&shared, &term, &*vms, wave, state, &mut drains, &listed).await;
+                }
+                began
             }
-        }
+            None => began.saturating_sub(UNREADABLE_LIST_LIMIT),
+        };
+        drains.release_unneeded(&term, requested_since, shared.now());
         time::sleep(WAVE_STEP_INTERVAL).await;
     }
 }
@@ -91,6 +106,7 @@
     vms: &dyn FleetVms,
     wave: &MaintenanceWave,
     state: &mut WaveState,
+    drains: &mut WorkerDrains,
     listed: &[ListedVm],
 ) {
     if state.written_status == Some(true) {
@@ -114,13 +130,19 @@
         if down >= wave.max_down || state.maybe_down.contains_key(vm) {
             continue;
         }
+        if let Some(worker) = &listed_vm.worker {
+            drains.request(worker, now);
+        }
         let ready = listed_vm.worker.as_ref().is_none_or(|worker| {
             let mut dispatcher = term.dispatcher.borrow_mut();
             dispatcher.prepare_maintenance(worker, now)
         });
         term.plan_wakeup.notify_one();
         if ready && shared.may_send_orders(term) {
-            start_maintenance(shared, term, vms, wave, state, vm, down).await;
+            let outcome = start_maintenance(shared, term, vms, wave, state, vm, down).await;
+            if let Some(worker) = &listed_vm.worker {
+                record_outcome(drains, worker, outcome, now, shared.now());
+            }
         }
         // Workers are drained one VM at a time, so that the others keep running tasks.
         break;
@@ -148,7 +170,7 @@
     state: &mut WaveState,
     vm: &Arc<str>,
     down: usize,
-) {
+) -> MaintenanceOutcome {
     let sent = shared.now();
     let outcome = vms
         .start_maintenance(vm, wave.number, &shared.settings.node, term.token())
@@ -175,6 +197,25 @@
         MaintenanceOutcome::Fenced => term.end(),
         MaintenanceOutcome::Busy | MaintenanceOutcome::Refused => {}
     }
+    outcome
+}
+
+/// Records in the drains the outcome of a call that was sent at `sent`.
+fn record_outcome(
+    drains: &mut WorkerDrains,
+    worker: &Arc<str>,
+    outcome: MaintenanceOutcome,
+    sent: Duration,
+    now: Duration,
+) {
+    match outcome {
+        MaintenanceOutcome::Begun => drains.confirm(worker, now),
+        MaintenanceOutcome::Unknown => drains.keep_until(worker, sent + ASSUMED_DOWN_TIME),
+        MaintenanceOutcome::Busy
+        | MaintenanceOutcome::Fenced
+        | MaintenanceOutcome::Never
+        | MaintenanceOutcome::Refused => {}
+    }
 }
 
 async fn write_status(
