Grant leases in the simulated fleet by starts alone

The simulated fleet granted a lease with each order; the daemon does so with starts alone (send_start). The simulation is now stricter: leases lapse earlier, so that a run which is given up too early shows.

--- a/crates/dispatch/tests/common/fleet_messages.rs
+++ b/crates/dispatch/tests/common/fleet_messages.rs
@@ -112,9 +112,11 @@
         let now = self.now;
         let worker = worker_of(&order);
         let dispatcher = &mut self.owners[owner].dispatcher;
-        let deadline = dispatcher
-            .grant_order_deadline(worker, now)
-            .unwrap_or_default();
+        let deadline = match order {
+            WorkerOrder::Start(_) => dispatcher.grant_order_deadline(worker, now),
+            WorkerOrder::Stop { .. } | WorkerOrder::Throttle { .. } => None,
+        };
+        let deadline = deadline.unwrap_or_default();
         if now < self.unreachable_until[worker.index()] || self.chance(self.faults.lost) {
             self.push(
                 CALL_TIMEOUT,
