--- a/crates/dispatch/tests/common/fleet.rs
+++ b/crates/dispatch/tests/common/fleet.rs
@@ -47,6 +47,12 @@
 const REGISTRY_EXPIRY: Duration = Duration::from_millis(3300);
 /// For how long starts may still rely on a capacity that has shrunk.
 const SHRINK_GRACE: Duration = Duration::from_millis(4500);
+/// The longest time that stopping a run takes, by deployment.
+const STOP_BOUNDS: [Duration; 3] = [
+    Duration::from_millis(200),
+    Duration::from_millis(400),
+    Duration::from_millis(900),
+];
 /// The time after which a worker that has crashed is back.
 const CRASH_DOWNTIME: Duration = Duration::from_millis(4000);
 
@@ -215,6 +221,18 @@
         self
     }
 
+    /// Lets workers answer renewals as late as they may, and bounds stops as deployments do: each seed has one of the bounds.
+    pub(crate) fn with_late_answers(self, seed: u64) -> Self {
+        let bounds = STOP_BOUNDS.len() as u64;
+        // CAST: Less than the number of bounds.
+        let max_stop_duration = STOP_BOUNDS[(seed % bounds) as usize];
+        self.with_delayed_renewals()
+            .with_settings(DispatchSettings {
+                max_stop_duration,
+                ..DispatchSettings::default()
+            })
+    }
+
     /// Replaces the first owner by one with these settings, which all later owners have too.
     pub(crate) fn with_settings(mut self, settings: DispatchSettings) -> Self {
         self.settings = settings;
--- a/crates/dispatch/tests/crashing_tasks.rs
+++ b/crates/dispatch/tests/crashing_tasks.rs
@@ -35,6 +35,8 @@
 /// Seeds that once violated an invariant. 222: an innocent job was given up for a start that never reached its worker. The
 /// others: crashes were not counted that fell into takeovers.
 const REGRESSION_SEEDS: [u64; 10] = [68, 72, 90, 111, 113, 159, 167, 170, 180, 222];
+/// The number of seeds whose workers answer renewals late in a usual test run.
+const LATE_SEED_COUNT: u64 = 12;
 /// How long after its start the guilty task crashes its worker.
 const CRASH_DELAY: Duration = Duration::from_millis(10);
 /// The number of crashes after which a task may only be started twice more.
@@ -584,13 +586,16 @@
     [JobKey::new(1), JobKey::new(2)].contains(&job)
 }
 
+fn prompt_fleet(seed: u64) -> Fleet {
+    Fleet::new(12, seed)
+        .with_work(short_work)
+        .with_crashes(|task| (is_guilty(task.job()) && task.index == 0).then_some(CRASH_DELAY))
+}
+
 /// Runs one seed: two crashing tasks beside innocent jobs, with takeovers, kills, cuts, and lost
 /// and late orders; returns the violations found.
-fn run_seed(seed: u64) -> Vec<String> {
+fn run_seed(seed: u64, mut fleet: Fleet) -> Vec<String> {
     let mut random = StdRng::seed_from_u64(seed);
-    let mut fleet = Fleet::new(12, seed)
-        .with_work(short_work)
-        .with_crashes(|task| (is_guilty(task.job()) && task.index == 0).then_some(CRASH_DELAY));
     fleet.spread_over_racks(3);
     fleet.crash_mode = match random.random_range(0..3) {
         0 => CrashMode::NewIdentity,
@@ -640,12 +645,31 @@
     let violations: Vec<(u64, Vec<String>)> = REGRESSION_SEEDS
         .into_iter()
         .chain(0..seed_count())
-        .map(|seed| (seed, run_seed(seed)))
+        .map(|seed| (seed, run_seed(seed, prompt_fleet(seed))))
         .filter(|(_, violations)| !violations.is_empty())
         .collect();
     assert!(violations.is_empty(), "{violations:#?}");
 }
 
+/// Guards against the same while workers answer renewals as late as they may.
+#[test]
+fn crashing_tasks_violate_no_invariant_with_late_answers() {
+    let count = env_number("JASMINEBEND_DAYS").unwrap_or(LATE_SEED_COUNT);
+    let first = env_number("JASMINEBEND_FIRST_DAY").unwrap_or(0);
+    let violations: Vec<(u64, Vec<String>)> = (first..first + count)
+        .map(|seed| {
+            let fleet = prompt_fleet(seed).with_late_answers(seed);
+            (seed, run_seed(seed, fleet))
+        })
+        .filter(|(_, violations)| !violations.is_empty())
+        .collect();
+    assert!(
+        violations.is_empty(),
+        "{} of {count}: {violations:#?}",
+        violations.len()
+    );
+}
+
 /// Guards against a task that crashes its workers only some time after its start, and so without an
 /// end.
 #[test]
@@ -660,8 +684,11 @@
 
 /// Returns the number of seeds, 40 unless `JASMINEBEND_DAYS` sets another.
 fn seed_count() -> u64 {
-    let count = std::env::var("JASMINEBEND_DAYS").ok();
-    count.and_then(|text| text.parse().ok()).unwrap_or(40)
+    env_number("JASMINEBEND_DAYS").unwrap_or(40)
+}
+
+fn env_number(name: &str) -> Option<u64> {
+    std::env::var(name).ok()?.parse().ok()
 }
 
 fn gang(count: u32) -> StepSpec {
--- a/crates/dispatch/tests/ended_jobs.rs
+++ b/crates/dispatch/tests/ended_jobs.rs
@@ -34,6 +34,8 @@
 /// The number of seeds in a usual test run; `JASMINEBEND_DAYS` overrides it, and
 /// `JASMINEBEND_FIRST_DAY` sets the first one.
 const SEED_COUNT: u64 = 24;
+/// The number of seeds whose workers answer renewals late in a usual test run.
+const LATE_SEED_COUNT: u64 = 12;
 const WORKER_COUNT: usize = 5;
 const ROUND_COUNT: u64 = 4;
 const JOBS_PER_ROUND: u64 = 5;
@@ -160,9 +162,23 @@
     fleet.jobs[&job].1 || matches!(fleet.progress(job), Some(JobProgress::Ended(_)))
 }
 
+/// Returns the jobs, of these, of whose runs the owner still holds some.
+fn held_jobs(fleet: &mut Fleet, jobs: &[JobKey]) -> Vec<String> {
+    let dispatcher = &fleet.owner().dispatcher;
+    let held = jobs
+        .iter()
+        .filter(|job| dispatcher.job_run_count(**job) > 0);
+    held.map(|job| format!("runs of {job} are held")).collect()
+}
+
 /// Runs the fleet, cancelling a job at random at times; returns the first violation found.
 fn run_calm(fleet: &mut Fleet, random: &mut StdRng, jobs: &[JobKey]) -> Vec<String> {
     let mut runs = EndedJobRuns::default();
+    let over: Vec<JobKey> = jobs
+        .iter()
+        .copied()
+        .filter(|job| is_over(fleet, *job))
+        .collect();
     let until = fleet.now + CALM_TIME;
     while fleet.now < until {
         fleet.run_for(TICK);
@@ -174,15 +190,22 @@
             fleet.cancel(jobs[random.random_range(0..jobs.len())]);
         }
     }
-    Vec::new()
+    held_jobs(fleet, &over)
+}
+
+fn prompt_fleet(seed: u64) -> Fleet {
+    Fleet::new(WORKER_COUNT, seed)
+        .with_work(endless_first_step)
+        .with_crashes(crash_delay)
+}
+
+fn late_fleet(seed: u64) -> Fleet {
+    prompt_fleet(seed).with_late_answers(seed)
 }
 
 /// Runs one seed; returns the violations found.
-fn run_seed(seed: u64) -> Vec<String> {
+fn run_seed(seed: u64, mut fleet: Fleet) -> Vec<String> {
     let mut random = StdRng::seed_from_u64(seed);
-    let mut fleet = Fleet::new(WORKER_COUNT, seed)
-        .with_work(endless_first_step)
-        .with_crashes(crash_delay);
     fleet.crash_mode = [
         CrashMode::NewIdentity,
         CrashMode::SameIdentity,
@@ -218,14 +241,13 @@
     Vec::new()
 }
 
-/// Guards against runs that go on although their job was cancelled or has failed.
-#[test]
-fn no_run_outlives_its_job_while_all_is_calm() {
+/// Checks that no seed violates the invariant; the number of seeds is that of a usual test run.
+fn check_seeds(seed_count: u64, fleet_of: fn(u64) -> Fleet) {
     let setting = |name: &str| std::env::var(name).ok().and_then(|text| text.parse().ok());
-    let seed_count: u64 = setting("JASMINEBEND_DAYS").unwrap_or(SEED_COUNT);
+    let seed_count: u64 = setting("JASMINEBEND_DAYS").unwrap_or(seed_count);
     let first_seed: u64 = setting("JASMINEBEND_FIRST_DAY").unwrap_or(0);
     let violations: Vec<(u64, Vec<String>)> = (first_seed..first_seed + seed_count)
-        .map(|seed| (seed, run_seed(seed)))
+        .map(|seed| (seed, run_seed(seed, fleet_of(seed))))
         .filter(|(_, violations)| !violations.is_empty())
         .collect();
     assert!(
@@ -235,6 +257,19 @@
     );
 }
 
+/// Guards against runs that go on although their job was cancelled or has failed.
+#[test]
+fn no_run_outlives_its_job_while_all_is_calm() {
+    check_seeds(SEED_COUNT, prompt_fleet);
+}
+
+/// Guards against the same, and against runs that are held although they are over, while workers answer renewals as late
+/// as they may.
+#[test]
+fn no_run_outlives_its_job_while_answers_are_late() {
+    check_seeds(LATE_SEED_COUNT, late_fleet);
+}
+
 /// Runs a job for a moment, then cancels it while `disturb` keeps its worker, which answers lease renewals, from taking
 /// orders for `phase`. Returns whether its runs are over once the worker has taken orders for `time`.
 fn is_stopped(disturb: fn(&mut Fleet), phase: Duration, time: Duration) -> bool {
--- a/crates/dispatch/tests/liveness.rs
+++ b/crates/dispatch/tests/liveness.rs
@@ -51,6 +51,8 @@
 const SEED_COUNT: u64 = 12;
 /// The first seed of the harder days in a usual test run.
 const FIRST_HARDER_SEED: u64 = 9;
+/// The number of seeds whose workers answer renewals late in a usual test run.
+const LATE_SEED_COUNT: u64 = 9;
 /// Seeds that violate a check. 23: a gang with suspected members waits for itself. 31: a gang is executed again after its
 /// end was acknowledged. 116: workers stay reserved for a gang that fits nowhere. 738: an adopted run is never given up.
 const REGRESSION_SEEDS: [u64; 4] = [23, 31, 116, 738];
@@ -351,6 +353,16 @@
     plan
 }
 
+fn prompt_fleet(seed: u64) -> Fleet {
+    Fleet::new(WORKERS, seed)
+        .with_work(work)
+        .with_crashes(crash)
+}
+
+fn late_fleet(seed: u64) -> Fleet {
+    prompt_fleet(seed).with_late_answers(seed)
+}
+
 /// A day in progress.
 struct Day {
     fleet: Fleet,
@@ -368,11 +380,8 @@
 }
 
 impl Day {
-    fn new(seed: u64) -> Self {
+    fn new(mut fleet: Fleet) -> Self {
         BEHAVIOUR.set(Behaviour::default());
-        let mut fleet = Fleet::new(WORKERS, seed)
-            .with_work(work)
-            .with_crashes(crash);
         for (number, worker) in fleet.workers.iter_mut().enumerate() {
             let mut labels = vec!["a".into(), format!("rack-{}", number % 3).into()];
             if number < 4 {
@@ -798,8 +807,8 @@
     }
 }
 
-fn run_plan(seed: u64, plan: &Plan) -> Vec<String> {
-    let mut day = Day::new(seed);
+fn run_plan(fleet: Fleet, plan: &Plan) -> Vec<String> {
+    let mut day = Day::new(fleet);
     for (at, action) in plan {
         while day.fleet.now < *at {
             day.tick();
@@ -831,14 +840,14 @@
 }
 
 /// Removes the actions without which a plan still violates a check.
-fn minimise(seed: u64, plan: &Plan) -> Plan {
+fn minimise(seed: u64, plan: &Plan, fleet_of: fn(u64) -> Fleet) -> Plan {
     let mut plan = plan.clone();
     let mut index = plan.len();
     while index > 0 {
         index -= 1;
         let mut shorter = plan.clone();
         shorter.remove(index);
-        if run_plan(seed, &shorter)
+        if run_plan(fleet_of(seed), &shorter)
             .iter()
             .any(|violation| !is_of_suspected_gang(violation))
         {
@@ -854,7 +863,11 @@
 }
 
 /// Returns the seeds whose days violate a check.
-fn failed_seeds<Seeds>(seeds: Seeds, plan_of: fn(u64) -> Plan) -> Vec<u64>
+fn failed_seeds<Seeds>(
+    seeds: Seeds,
+    plan_of: fn(u64) -> Plan,
+    fleet_of: fn(u64) -> Fleet,
+) -> Vec<u64>
 where
     Seeds: Iterator<Item = u64>,
 {
@@ -864,7 +877,7 @@
     let mut apart = 0;
     for seed in seeds {
         let plan = plan_of(seed);
-        let violations = run_plan(seed, &plan);
+        let violations = run_plan(fleet_of(seed), &plan);
         if violations.is_empty() {
             continue;
         }
@@ -879,8 +892,8 @@
         println!("seed {seed}: {violations:#?}");
         failed.push(seed);
         if env_number("JASMINEBEND_MINIMISE").is_some() {
-            let plan = minimise(seed, &plan);
-            println!("minimised {seed}: {:#?}", run_plan(seed, &plan));
+            let plan = minimise(seed, &plan, fleet_of);
+            println!("minimised {seed}: {:#?}", run_plan(fleet_of(seed), &plan));
             for (at, action) in &plan {
                 println!("    {at:?} {action:?}");
             }
@@ -899,7 +912,7 @@
 fn random_days_leave_nothing_waiting() {
     let count = env_number("JASMINEBEND_DAYS").unwrap_or(SEED_COUNT);
     let first = env_number("JASMINEBEND_FIRST_DAY").unwrap_or(0);
-    let failed = failed_seeds(first..first + count, random_plan);
+    let failed = failed_seeds(first..first + count, random_plan, prompt_fleet);
     assert!(failed.is_empty(), "{} of {count}: {failed:?}", failed.len());
 }
 
@@ -908,15 +921,38 @@
 fn harder_random_days_leave_nothing_waiting() {
     let count = env_number("JASMINEBEND_DAYS").unwrap_or(SEED_COUNT);
     let first = env_number("JASMINEBEND_FIRST_DAY").unwrap_or(FIRST_HARDER_SEED);
-    let failed = failed_seeds(first..first + count, harder_plan);
+    let failed = failed_seeds(first..first + count, harder_plan, prompt_fleet);
+    assert!(failed.is_empty(), "{} of {count}: {failed:?}", failed.len());
+}
+
+fn check_late_days(plan_of: fn(u64) -> Plan) {
+    let count = env_number("JASMINEBEND_DAYS").unwrap_or(LATE_SEED_COUNT);
+    let first = env_number("JASMINEBEND_FIRST_DAY").unwrap_or(0);
+    let failed = failed_seeds(first..first + count, plan_of, late_fleet);
     assert!(failed.is_empty(), "{} of {count}: {failed:?}", failed.len());
 }
 
+/// Guards against the same while workers answer renewals as late as they may.
+#[test]
+fn random_days_with_late_answers_leave_nothing_waiting() {
+    check_late_days(random_plan);
+}
+
+/// Guards against the same under more faults.
+#[test]
+fn harder_random_days_with_late_answers_leave_nothing_waiting() {
+    check_late_days(harder_plan);
+}
+
 /// Guards against the faults that random days have shown.
 #[test]
 fn regression_days_leave_nothing_waiting() {
-    let failed = failed_seeds(REGRESSION_SEEDS.into_iter(), random_plan);
-    let failed_harder = failed_seeds(HARDER_REGRESSION_SEEDS.into_iter(), harder_plan);
+    let failed = failed_seeds(REGRESSION_SEEDS.into_iter(), random_plan, prompt_fleet);
+    let failed_harder = failed_seeds(
+        HARDER_REGRESSION_SEEDS.into_iter(),
+        harder_plan,
+        prompt_fleet,
+    );
     assert_eq!((failed, failed_harder), (Vec::new(), Vec::new()));
 }
 
--- a/crates/dispatch/tests/simulation.rs
+++ b/crates/dispatch/tests/simulation.rs
@@ -36,6 +36,9 @@
 /// `JASMINEBEND_FIRST_DAY` sets the first one.
 const SEED_COUNT: u64 = 40;
 
+/// The number of seeds whose workers answer renewals late in a usual test run.
+const LATE_SEED_COUNT: u64 = 12;
+
 /// Seeds that once violated an invariant. 10: a start that reached a worker's new incarnation was
 /// given up together with the old incarnation. 175: a new incarnation was acknowledged completions
 /// by the numbers of the old one. 194: the same, when the restart fell into a suspension of the
@@ -54,10 +57,17 @@
     }
 }
 
+fn prompt_fleet(seed: u64) -> Fleet {
+    Fleet::new(4, seed).with_work(mixed_work)
+}
+
+fn late_fleet(seed: u64) -> Fleet {
+    prompt_fleet(seed).with_late_answers(seed)
+}
+
 /// Runs one seed; returns the violations found.
-fn run_seed(seed: u64) -> Vec<String> {
+fn run_seed(seed: u64, mut fleet: Fleet) -> Vec<String> {
     let mut random = StdRng::seed_from_u64(seed);
-    let mut fleet = Fleet::new(4, seed).with_work(mixed_work);
     fleet.faults = Faults {
         lost: random.random_range(0..10),
         delayed: random.random_range(0..15),
@@ -108,19 +118,36 @@
     }
 }
 
+fn env_number(name: &str) -> Option<u64> {
+    std::env::var(name).ok()?.parse().ok()
+}
+
+/// Checks that no seed whose workers answer renewals late violates an invariant.
+fn check_late_seeds(run_seed: fn(u64, Fleet) -> Vec<String>) {
+    let count = env_number("JASMINEBEND_DAYS").unwrap_or(LATE_SEED_COUNT);
+    let first = env_number("JASMINEBEND_FIRST_DAY").unwrap_or(0);
+    let violations: Vec<(u64, Vec<String>)> = (first..first + count)
+        .map(|seed| (seed, run_seed(seed, late_fleet(seed))))
+        .filter(|(_, violations)| !violations.is_empty())
+        .collect();
+    let seeds: Vec<u64> = violations.iter().map(|(seed, _)| *seed).collect();
+    assert!(
+        violations.is_empty(),
+        "{} of {count}: {seeds:?}: {:#?}",
+        violations.len(),
+        violations.first()
+    );
+}
+
 #[test]
 fn randomized_simulation_violates_no_invariant() {
-    let seed_count = std::env::var("JASMINEBEND_DAYS").ok();
-    let seed_count = seed_count
-        .and_then(|text| text.parse().ok())
-        .unwrap_or(SEED_COUNT);
-    let first_seed = std::env::var("JASMINEBEND_FIRST_DAY").ok();
-    let first_seed: u64 = first_seed.and_then(|text| text.parse().ok()).unwrap_or(0);
+    let seed_count = env_number("JASMINEBEND_DAYS").unwrap_or(SEED_COUNT);
+    let first_seed = env_number("JASMINEBEND_FIRST_DAY").unwrap_or(0);
     let seeds = REGRESSION_SEEDS
         .into_iter()
         .chain(first_seed..first_seed + seed_count);
     let violations: Vec<(u64, Vec<String>)> = seeds
-        .map(|seed| (seed, run_seed(seed)))
+        .map(|seed| (seed, run_seed(seed, prompt_fleet(seed))))
         .filter(|(_, violations)| !violations.is_empty())
         .collect();
     assert!(
@@ -131,6 +158,12 @@
     );
 }
 
+/// Guards against the same while workers answer renewals as late as they may.
+#[test]
+fn randomized_simulation_with_late_answers_violates_no_invariant() {
+    check_late_seeds(run_seed);
+}
+
 fn repeated_job(random: &mut StdRng, now: std::time::Duration) -> JobGraph {
     let schedule = JobSchedule {
         first: now + ms(random.random_range(0..3000)),
@@ -156,9 +189,8 @@
 
 /// Runs repeated jobs under the same faults. No job may be reported as completed before all its
 /// occurrences are.
-fn run_repeated_jobs_seed(seed: u64) -> Vec<String> {
+fn run_repeated_jobs_seed(seed: u64, mut fleet: Fleet) -> Vec<String> {
     let mut random = StdRng::seed_from_u64(seed);
-    let mut fleet = Fleet::new(4, seed).with_work(mixed_work);
     fleet.faults = Faults {
         lost: random.random_range(0..10),
         delayed: random.random_range(0..15),
@@ -192,7 +224,7 @@
 #[test]
 fn randomized_simulation_of_repeated_jobs_violates_no_invariant() {
     let violations: Vec<(u64, Vec<String>)> = (0..SEED_COUNT)
-        .map(|seed| (seed, run_repeated_jobs_seed(seed)))
+        .map(|seed| (seed, run_repeated_jobs_seed(seed, prompt_fleet(seed))))
         .filter(|(_, violations)| !violations.is_empty())
         .collect();
     assert!(
@@ -202,3 +234,9 @@
         violations.first()
     );
 }
+
+/// Guards against the same while workers answer renewals as late as they may.
+#[test]
+fn randomized_simulation_of_repeated_jobs_with_late_answers_violates_no_invariant() {
+    check_late_seeds(run_repeated_jobs_seed);
+}
