Count refusals of one moment as one quarantine

Callers saw jobs wait for up to 8 s after a worker had refused starts for 100 ms.

Cause: each refused start, and each failure, began a quarantine of twice the length of the last, also during one: four refusals at once led from 2 s to 8 s. Class: a repetition that moves the time on which something waits.

Evidence: refusals_of_one_moment_are_one_quarantine fails on the former code (the first start after 4.04 s with two tasks). Change: what fails during a quarantine began before it, and does not prolong it. The test passes with one to four tasks, each within 2.3 s.

--- a/crates/dispatch/src/worker_health.rs
+++ b/crates/dispatch/src/worker_health.rs
@@ -45,8 +45,12 @@
         }
     }
 
-    /// Quarantines the worker, each time for twice as long as before.
+    /// Quarantines the worker, each time for twice as long as before. What fails during a quarantine began before it, and
+    /// does not prolong it.
     pub(crate) fn quarantine(&mut self, now: Duration) {
+        if self.is_quarantined(now) {
+            return;
+        }
         let quarantine = self
             .last_quarantine
             .map_or(INITIAL_QUARANTINE, |last| (last * 2).min(MAX_QUARANTINE));
--- /dev/null
+++ b/crates/dispatch/tests/refused_starts.rs
@@ -0,0 +1,60 @@
+//! Starts that a worker refuses for a moment.
+
+mod common;
+
+use std::time::Duration;
+
+use common::{
+    Fleet,
+    graph,
+    ms,
+    step, //
+};
+use jasminebend_base::ResourceAmount;
+use jasminebend_dispatch::{
+    StepKey,
+    TaskKey, //
+};
+use jasminebend_standins::TaskWork;
+
+/// The time within which a worker that is well again takes a task: its first quarantine, and a plan.
+const RECOVERY_LIMIT: Duration = Duration::from_millis(2300);
+
+fn long_work(_task: TaskKey) -> TaskWork {
+    TaskWork {
+        run_time: ms(20_000),
+        fails: false,
+        size: ResourceAmount::new(1000, 100),
+    }
+}
+
+/// Returns when the first task of a job starts whose worker refuses all starts for a moment.
+fn start_time_after_refusals(tasks: u32) -> Option<Duration> {
+    let mut fleet = Fleet::new(1, 1).with_work(long_work);
+    fleet.run_for(ms(3000));
+    fleet.refused_orders = 100;
+    let refused_at = fleet.now;
+    let job = fleet.submit(1, graph(vec![step(tasks, &[])]));
+    fleet.run_for(ms(100));
+    fleet.refused_orders = 0;
+    fleet.run_for(ms(15_000));
+    let step = StepKey {
+        job,
+        occurrence: 0,
+        step: 0,
+    };
+    let starts = (0..tasks).flat_map(|index| fleet.starts_of(step.task(index)));
+    starts.min().map(|at| at - refused_at)
+}
+
+/// Guards against a quarantine that several refusals of one moment prolong: each counted as a quarantine of its own.
+#[test]
+fn refusals_of_one_moment_are_one_quarantine() {
+    for tasks in 1..=4 {
+        let started_after = start_time_after_refusals(tasks);
+        assert!(
+            started_after.is_some_and(|after| after <= RECOVERY_LIMIT),
+            "{started_after:?} with {tasks} tasks"
+        );
+    }
+}
