End a probation once its probe makes progress

Callers saw jobs wait beside free capacity for as long as another task ran: after a quarantine a worker takes one task at a time until one has succeeded.

Cause: only the end of the probe ended the probation, so that nothing but the run time of the task bounded it; 19 s in the test. Class: a wait that nothing ends.

Evidence: probe_that_makes_progress_ends_the_probation_of_its_worker fails on the former code (one run instead of two). Change: a probe that makes progress a second after its start, the time after which a run without progress counts as stuck, ends the probation. The failures before stay counted, and the length of the last quarantine too: the next failure leads to a quarantine of twice that, as before. The test passes.

--- a/crates/dispatch/src/dispatcher_runs.rs
+++ b/crates/dispatch/src/dispatcher_runs.rs
@@ -87,6 +87,9 @@
         }
         state.metric = running.metric;
         let filler = state.is_filler();
+        let placed_at = state.placed_at;
+        let goes_on_well =
+            state.is_confirmed() && state.last_progress_at >= placed_at + STUCK_TASK_TIMEOUT;
         let is_stuck = state.is_confirmed()
             && state.throttle_percent >= 100
             && state.percent < 100
@@ -101,6 +104,9 @@
         if is_ready {
             self.worker_mut(key).health.record_success();
         }
+        if goes_on_well {
+            self.worker_mut(key).health.end_probation(placed_at);
+        }
         let is_starved = filler && self.worker(key).idle_cpu() < 0;
         if let Some(checkpoint) = running.checkpoint {
             self.record_checkpoint(running.task, checkpoint);
--- a/crates/dispatch/src/worker_health.rs
+++ b/crates/dispatch/src/worker_health.rs
@@ -22,7 +22,7 @@
     last_failure: Option<Duration>,
     /// The duration of the last quarantine, if no run has succeeded since.
     last_quarantine: Option<Duration>,
-    /// The end of the last quarantine, if no run has succeeded since.
+    /// The end of the last quarantine, if no run has succeeded or gone on well since.
     quarantined_until: Option<Duration>,
 }
 
@@ -34,6 +34,17 @@
         self.quarantined_until = None;
     }
 
+    /// Ends the probation if the run that was placed at `placed_at` and goes on well is its probe. The next failure counts
+    /// as if the probation lasted.
+    pub(crate) fn end_probation(&mut self, placed_at: Duration) {
+        if self
+            .quarantined_until
+            .is_some_and(|until| placed_at >= until)
+        {
+            self.quarantined_until = None;
+        }
+    }
+
     /// Records a run that failed or got stuck.
     pub(crate) fn record_failure(&mut self, task: TaskKey, now: Duration) {
         self.last_failure = Some(now);
@@ -63,8 +74,8 @@
         self.quarantined_until.is_some_and(|until| now < until)
     }
 
-    /// Returns when the worker's last quarantine ends or ended, if no run has succeeded since.
-    /// After the quarantine, and until a run succeeds, one task at a time probes the worker.
+    /// Returns when the worker's last quarantine ends or ended, if no run has succeeded or gone on
+    /// well since. After the quarantine, and until then, one task at a time probes the worker.
     pub(crate) fn probation_since(&self) -> Option<Duration> {
         self.quarantined_until
     }
--- a/crates/dispatch/tests/refused_starts.rs
+++ b/crates/dispatch/tests/refused_starts.rs
@@ -58,3 +58,20 @@
         );
     }
 }
+
+/// Guards against jobs that wait beside free capacity until the task that probes their worker has ended, however long that
+/// takes.
+#[test]
+fn probe_that_makes_progress_ends_the_probation_of_its_worker() {
+    let mut fleet = Fleet::new(1, 1).with_work(long_work);
+    fleet.run_for(ms(3000));
+    fleet.refused_orders = 100;
+    fleet.submit(1, graph(vec![step(1, &[])]));
+    fleet.run_for(ms(100));
+    fleet.refused_orders = 0;
+    fleet.run_for(ms(2500));
+    assert_eq!(fleet.workers[0].run_count(), 1);
+    fleet.submit(2, graph(vec![step(1, &[])]));
+    fleet.run_for(ms(2500));
+    assert_eq!(fleet.workers[0].run_count(), 2);
+}
