Ask at once for a report on a stopped run that has not begun

Callers saw a task start 2.77 s after its first start had been lost on an idle worker, close to the limit of 3 s of LOST.

Cause: a start that got no answer is stopped, and its run is given up by the next report. Nothing on the worker ends the wait of the renewal that brings it: 2 s of the one under way, and 700 ms of the next. Class: a wait that nothing ends but its own length.

Change: while a stop is confirmed whose run is not known to have begun, renewals do not wait; the first one that was sent after it either lists the run or gives it up, so that there are one or two of them.

--- a/crates/dispatch/src/dispatcher_workers.rs
+++ b/crates/dispatch/src/dispatcher_workers.rs
@@ -19,7 +19,10 @@
     TaskKey,
     WorkerClock,
     WorkerKey,
-    run_state::RunPhase,
+    run_state::{
+        RunPhase,
+        RunState, //
+    },
     worker_state::WorkerState, //
 };
 
@@ -404,6 +407,10 @@
         if !worker.has_owner_token || worker.unanswered > 0 || !worker.pending_acks.is_empty() {
             return Duration::ZERO;
         }
+        // The end of a run that never began ends no wait of the worker.
+        if worker.runs.values().any(RunState::was_stopped_unbegun) {
+            return Duration::ZERO;
+        }
         let has_fillers = worker.filler_cpu > 0;
         if has_fillers && worker.has_services() {
             return INTERFERENCE_RENEWAL_WAIT.min(longest);
--- a/crates/dispatch/src/run_state.rs
+++ b/crates/dispatch/src/run_state.rs
@@ -133,6 +133,11 @@
         matches!(self.phase, RunPhase::Stopping(_))
     }
 
+    /// Returns whether the worker confirmed the order to stop the run, which as far as is known has not begun.
+    pub(crate) fn was_stopped_unbegun(&self) -> bool {
+        matches!(self.phase, RunPhase::Stopping(Some(_))) && !self.has_begun
+    }
+
     /// Records that the worker confirmed at `now` that the run was ordered to stop. Only the first confirmation counts:
     /// with the time of a repeated one, a report that takes longer than the repetition could never show that the run is
     /// gone.
--- a/crates/dispatch/tests/refused_starts.rs
+++ b/crates/dispatch/tests/failed_starts.rs
@@ -1,10 +1,11 @@
-//! Starts that a worker refuses for a moment.
+//! Starts that a worker refuses for a moment, or that are lost.
 
 mod common;
 
 use std::time::Duration;
 
 use common::{
+    Faults,
     Fleet,
     graph,
     ms,
@@ -20,6 +21,10 @@
 /// The time within which a worker that is well again takes a task: its first quarantine, and a plan.
 const RECOVERY_LIMIT: Duration = Duration::from_millis(2300);
 
+/// The time within which a lost start is repeated: the renewal that was under way waits for 2 s, and the next one tells that
+/// the run has not begun.
+const REPETITION_LIMIT: Duration = Duration::from_millis(2200);
+
 fn long_work(_task: TaskKey) -> TaskWork {
     TaskWork {
         run_time: ms(20_000),
@@ -75,3 +80,42 @@
     fleet.run_for(ms(2500));
     assert_eq!(fleet.workers[0].run_count(), 2);
 }
+
+/// Returns when a job's task begins whose first start is lost, on a worker that has been idle for a while.
+fn start_time_after_lost_start(idle_time: Duration, seed: u64) -> Option<Duration> {
+    let mut fleet = Fleet::new(1, seed)
+        .with_work(long_work)
+        .with_late_answers(seed);
+    fleet.run_for(idle_time);
+    fleet.faults = Faults {
+        lost: 100,
+        ..Faults::default()
+    };
+    let submitted_at = fleet.now;
+    let job = fleet.submit(1, graph(vec![step(1, &[])]));
+    fleet.run_for(ms(100));
+    fleet.faults = Faults::default();
+    fleet.run_for(ms(10_000));
+    let step = StepKey {
+        job,
+        occurrence: 0,
+        step: 0,
+    };
+    let started_at = fleet.starts_of(step.task(0)).first().copied();
+    started_at.map(|at| at - submitted_at)
+}
+
+/// Guards against a task that waits although its run is known to be stopped before it began: nothing on the worker ends the
+/// wait of the renewal that would tell so.
+#[test]
+fn lost_start_is_repeated_with_the_next_report() {
+    for idle_time in (3000..5100).step_by(50) {
+        for seed in 0..3 {
+            let started_after = start_time_after_lost_start(ms(idle_time), seed);
+            assert!(
+                started_after.is_some_and(|after| after <= REPETITION_LIMIT),
+                "{started_after:?} after {idle_time} ms, seed {seed}"
+            );
+        }
+    }
+}
