Leave a quarter of the orders in flight to starts

Callers would have seen jobs wait beside free workers for seconds after a large job on unreachable workers was cancelled.

Cause: stops are planned before starts and may take all places among the orders in flight. A stop to a silent worker holds its place until it counts as lost, 600 ms, and each run's first stop is sent whether its worker is silent or not. Only the lapse of the leases ended that. Class: a wait that nothing ends.

Change: stops take at most three quarters of the places; they still come first.

--- a/crates/dispatch/src/dispatcher_plan.rs
+++ b/crates/dispatch/src/dispatcher_plan.rs
@@ -68,7 +68,7 @@
         let orders = std::mem::take(&mut self.pending_orders);
         for order in &orders {
             if matches!(order, WorkerOrder::Stop { .. }) {
-                self.order_window.record_sent();
+                self.order_window.record_stop_sent();
             }
         }
         let mut outcome = PlanOutcome {
@@ -145,10 +145,10 @@
             let is_deferred = state
                 .stop_sent_at
                 .is_some_and(|sent| silent || now < sent + retry_after);
-            if is_deferred || self.order_window.remaining() == 0 {
+            if is_deferred || self.order_window.remaining_stops() == 0 {
                 continue;
             }
-            self.order_window.record_sent();
+            self.order_window.record_stop_sent();
             state.stop_sent_at = Some(now);
             state.stop_attempts += 1;
             if !state.is_stopping() {
@@ -269,7 +269,7 @@
             false => self.place_tasks(step, spec, &pending, &search, now),
         };
         for placement in &placed {
-            self.order_window.record_sent();
+            self.order_window.record_start_sent();
             let order = self.start_order(placement, &graph.payload, spec.gang);
             outcome.orders.push(WorkerOrder::Start(order));
         }
--- a/crates/dispatch/src/dispatcher_starvation.rs
+++ b/crates/dispatch/src/dispatcher_starvation.rs
@@ -117,7 +117,7 @@
         }
         let run = self.next_run();
         let placement = self.place_run(task, worker, run, spec, now);
-        self.order_window.record_sent();
+        self.order_window.record_start_sent();
         let order = self.start_order(&placement, &graph.payload, false);
         Some(WorkerOrder::Start(order))
     }
--- a/crates/dispatch/src/dispatcher_waits.rs
+++ b/crates/dispatch/src/dispatcher_waits.rs
@@ -80,7 +80,7 @@
     /// Returns the stops whose runs should have ended by now, unless they were returned a short time
     /// ago.
     pub(crate) fn overdue_stops(&mut self, now: Duration) -> Vec<OverdueStop> {
-        let has_free_orders = self.order_window.remaining() > 0;
+        let has_free_orders = self.order_window.remaining_stops() > 0;
         let mut overdue = Vec::new();
         for &(worker, task, run) in &self.pending_stops {
             let state = &mut self.workers[worker.index()];
--- a/crates/dispatch/src/dispatcher_workers.rs
+++ b/crates/dispatch/src/dispatcher_workers.rs
@@ -301,7 +301,7 @@
         outcome: OrderOutcome,
         now: Duration,
     ) {
-        self.order_window.record_answered();
+        self.order_window.record_start_answered();
         match outcome {
             OrderOutcome::Taken => {
                 if let Some(state) = self.worker_mut(key).runs.get_mut(&(task, run))
@@ -333,7 +333,7 @@
         outcome: OrderOutcome,
         now: Duration,
     ) {
-        self.order_window.record_answered();
+        self.order_window.record_stop_answered();
         let Some(state) = self.worker_mut(key).runs.get_mut(&(task, run)) else {
             return;
         };
--- a/crates/dispatch/src/order_window.rs
+++ b/crates/dispatch/src/order_window.rs
@@ -8,6 +8,8 @@
 const MIN_ORDER_LIMIT: usize = 8;
 /// The highest limit: 770 starts a second, each in flight for up to 0.6 s.
 const MAX_ORDER_LIMIT: usize = 512;
+/// The part of the limit that stops leave to starts: a stop to a silent worker is in flight until it counts as lost.
+const START_SHARE_DIVISOR: usize = 4;
 /// The timer lag from which the process counts as overloaded. A wake-up on an idle VM is some
 /// milliseconds late; an order counts as lost after 600 ms.
 const OVERLOAD_TIMER_LAG: Duration = Duration::from_millis(60);
@@ -25,6 +27,8 @@
 pub(crate) struct OrderWindow {
     limit: usize,
     in_flight: usize,
+    /// The number of stops among the orders in flight.
+    stops_in_flight: usize,
     /// When the limit was last reduced.
     last_reduction: Option<Duration>,
 }
@@ -34,6 +38,7 @@
         Self {
             limit: INITIAL_ORDER_LIMIT,
             in_flight: 0,
+            stops_in_flight: 0,
             last_reduction: None,
         }
     }
@@ -62,18 +67,37 @@
         self.limit.saturating_sub(self.in_flight)
     }
 
+    /// Returns how many more stops may be sent now.
+    pub(crate) fn remaining_stops(&self) -> usize {
+        let stop_limit = self.limit - self.limit / START_SHARE_DIVISOR;
+        self.remaining()
+            .min(stop_limit.saturating_sub(self.stops_in_flight))
+    }
+
     /// Returns the number of orders in flight and the limit.
     pub(crate) fn usage(&self) -> (usize, usize) {
         (self.in_flight, self.limit)
     }
 
-    /// Counts an order as in flight.
-    pub(crate) fn record_sent(&mut self) {
+    /// Counts a start as in flight.
+    pub(crate) fn record_start_sent(&mut self) {
+        self.in_flight += 1;
+    }
+
+    /// Counts a start as answered or lost.
+    pub(crate) fn record_start_answered(&mut self) {
+        self.in_flight = self.in_flight.saturating_sub(1);
+    }
+
+    /// Counts a stop as in flight.
+    pub(crate) fn record_stop_sent(&mut self) {
         self.in_flight += 1;
+        self.stops_in_flight += 1;
     }
 
-    /// Counts an order as answered or lost.
-    pub(crate) fn record_answered(&mut self) {
+    /// Counts a stop as answered or lost.
+    pub(crate) fn record_stop_answered(&mut self) {
         self.in_flight = self.in_flight.saturating_sub(1);
+        self.stops_in_flight = self.stops_in_flight.saturating_sub(1);
     }
 }
