Let workers of the daemons' tests answer renewals as late as they may

The in-memory workers of crates/fleet/tests/daemons answered a renewal at once, unless a test asked for the behaviour of a real worker, which answers when a run ends or the renewal's wait is over.

--- a/crates/fleet/tests/daemons/ended_jobs.rs
+++ b/crates/fleet/tests/daemons/ended_jobs.rs
@@ -70,7 +70,6 @@
 impl Trial {
     fn new(seed: u64) -> Self {
         let fleet = TestFleet::with_runtime_clock(WORKER_COUNT);
-        fleet.workers.delays_answers.set(true);
         fleet.workers.run_time.set(Duration::MAX);
         fleet.workers.set_crash_rule(crash_delay);
         let daemons = (0..DAEMON_COUNT).map(|_| fleet.daemon()).collect();
--- a/crates/fleet/tests/daemons/test_fleet.rs
+++ b/crates/fleet/tests/daemons/test_fleet.rs
@@ -129,8 +129,6 @@
     workers: RefCell<BTreeMap<String, SimulatedWorker>>,
     /// How long a run takes.
     pub(crate) run_time: Cell<Duration>,
-    /// Whether a lease renewal is answered only when a run ends or its wait is over.
-    pub(crate) delays_answers: Cell<bool>,
     /// How many times all open connections went silent for good.
     connection_losses: Cell<u32>,
     /// The workers that no daemon can reach.
@@ -324,7 +322,7 @@
 const PROBE_TIMEOUT: Duration = Duration::from_secs(5);
 /// The network latency of a lease renewal.
 const RENEWAL_LATENCY: Duration = Duration::from_millis(20);
-/// The interval at which a worker that delays its answer checks for a run that has ended.
+/// The interval at which a worker that is to answer a renewal checks for a run that has ended.
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
 /// How long a daemon waits for the answer to a renewal, beyond the renewal's own wait.
 const RENEWAL_TIMEOUT: Duration = Duration::from_millis(700);
@@ -348,11 +346,10 @@
         time::sleep(RENEWAL_LATENCY).await;
         let mut answer = Err(OrderOutcome::Unknown);
         if self.connection_losses.get() == connection_losses {
+            // The lease is renewed before the wait.
+            drop(self.renew_now(worker, order));
+            self.wait_for_end(worker, &order).await;
             answer = self.renew_now(worker, order);
-            if self.delays_answers.get() {
-                self.wait_for_end(worker, &order).await;
-                answer = self.renew_now(worker, order);
-            }
         }
         if self.connection_losses.get() != connection_losses {
             time::sleep_until(timeout).await;
@@ -473,7 +470,6 @@
                 clock: Rc::clone(&clock),
                 workers: RefCell::new(all),
                 run_time: Cell::new(run_time),
-                delays_answers: Cell::new(false),
                 connection_losses: Cell::new(0),
                 partitioned: RefCell::default(),
                 restarts: RefCell::default(),
--- a/crates/fleet/tests/daemons/worker_silence.rs
+++ b/crates/fleet/tests/daemons/worker_silence.rs
@@ -24,7 +24,6 @@
     for phase in (0..RENEWAL_ROUND_MS).step_by(PHASE_STEP_MS) {
         run_simulated(async {
             let fleet = TestFleet::with_runtime_clock(2);
-            fleet.workers.delays_answers.set(true);
             fleet.workers.run_time.set(Duration::from_secs(30));
             let owner = fleet.daemon();
             let mut service = job(&[(4, &[])]);
