--- a/crates/dispatch/src/dispatcher_starvation.rs
+++ b/crates/dispatch/src/dispatcher_starvation.rs
@@ -130,7 +130,7 @@
             }
             let run = self.next_run();
             let placement = self.place_run(task, worker, run, spec, now);
-            self.order_window.record_sent();
+            self.order_window.record_start_sent();
             let order = self.start_order(&placement, &graph.payload, false);
             return Some(WorkerOrder::Start(order));
         }
