Let a worker take tasks while the platform refuses its VM's maintenance

Callers saw jobs queued beside an empty worker: drained for maintenance, it waited for a call that the platform refused (429, 503) or for a VM that stays busy. Class: a wait that nothing ends.

Evidence: worker_of_a_vm_whose_maintenance_is_refused_takes_tasks; the job was still queued 20 s after its submission (simulated time). Change: after 1.5 s of refusals the wave makes no call for 5 s; a VM that is busy is put off for 5 s. The wave asks for no drain meanwhile, so that the worker is released and takes tasks. The 1.5 s count from the first refusal, so that repeated ones don't extend them. Result: the test passes for both answers, and fails if either the pause or the putting off is taken out.

--- a/crates/fleet/src/maintenance_waves.rs
+++ b/crates/fleet/src/maintenance_waves.rs
@@ -33,6 +33,10 @@
 
 /// How long workers stay drained while the list of VMs can't be read.
 const UNREADABLE_LIST_LIMIT: Duration = Duration::from_secs(2);
+/// How long a worker stays drained while the platform refuses calls.
+const REFUSAL_LIMIT: Duration = Duration::from_millis(1500);
+/// The pause before a refused call is repeated, in which the worker takes tasks.
+const REFUSAL_PAUSE: Duration = Duration::from_secs(5);
 
 /// The progress of a wave.
 #[derive(Debug, Default)]
@@ -42,10 +46,40 @@
     /// The VMs that may be down though the list shows them as up, with the time when the call was sent: the call got no
     /// answer, or the list is not up to date yet.
     maybe_down: IndexMap<Arc<str>, Duration>,
+    /// The VMs that were busy, with the time until which no call for them is made.
+    busy: IndexMap<Arc<str>, Duration>,
+    /// When the platform refused the first of the latest calls; `None` if it did not refuse the last one.
+    refused_since: Option<Duration>,
+    /// The time until which no call is made.
+    paused_until: Duration,
     /// The completion status last written to the store; `None` before the first write.
     written_status: Option<bool>,
 }
 
+impl WaveState {
+    /// Puts off the next calls if a VM was busy, or the platform has refused calls for long.
+    fn put_off_refused_calls(&mut self, vm: &Arc<str>, outcome: MaintenanceOutcome, now: Duration) {
+        if outcome == MaintenanceOutcome::Busy {
+            self.busy.insert(Arc::clone(vm), now + REFUSAL_PAUSE);
+        }
+        if outcome != MaintenanceOutcome::Refused {
+            self.refused_since = None;
+            return;
+        }
+        let since = *self.refused_since.get_or_insert(now);
+        if now >= since + REFUSAL_LIMIT {
+            self.paused_until = now + REFUSAL_PAUSE;
+            self.refused_since = None;
+        }
+    }
+
+    /// Returns whether no call for a VM may be made at `now`.
+    fn is_put_off(&self, vm: &Arc<str>, now: Duration) -> bool {
+        let is_busy = self.busy.get(vm).is_some_and(|until| now < *until);
+        is_busy || now < self.paused_until || self.maybe_down.contains_key(vm)
+    }
+}
+
 /// The outcome of a call that sends a VM into maintenance.
 #[derive(Serialize)]
 struct WaveLine<'a> {
@@ -127,7 +161,7 @@
             continue;
         }
         let down = count_vms_down(wave, state, listed);
-        if down >= wave.max_down || state.maybe_down.contains_key(vm) {
+        if down >= wave.max_down || state.is_put_off(vm, now) {
             continue;
         }
         if let Some(worker) = &listed_vm.worker {
@@ -140,6 +174,7 @@
         term.plan_wakeup.notify_one();
         if ready && shared.may_send_orders(term) {
             let outcome = start_maintenance(shared, term, vms, wave, state, vm, down).await;
+            state.put_off_refused_calls(vm, outcome, shared.now());
             if let Some(worker) = &listed_vm.worker {
                 record_outcome(drains, worker, outcome, now, shared.now());
             }
--- a/crates/fleet/tests/daemons/waves.rs
+++ b/crates/fleet/tests/daemons/waves.rs
@@ -223,6 +223,20 @@
     });
 }
 
+/// Guards against a worker that is empty and stays drained while the platform refuses all calls.
+#[test]
+fn worker_of_a_vm_whose_maintenance_is_refused_takes_tasks() {
+    for outcome in [MaintenanceOutcome::Refused, MaintenanceOutcome::Busy] {
+        run_simulated(async {
+            let fleet = TestFleet::with_runtime_clock(1);
+            let owner = daemon_with_wave(&fleet, &FixedVms::new(1, outcome));
+            time::sleep(Duration::from_secs(5)).await;
+            submit(&owner.job_api, 2, &job(&[(1, &[])])).await;
+            wait_for_progress(&owner.job_api, 2, COMPLETED).await;
+        });
+    }
+}
+
 /// Guards against a task that starts on a VM that may still go down: its wave was withdrawn after a call without an
 /// answer.
 #[test]
