Drain no worker that a long-running task can't leave

Callers saw a job queued beside a worker with free capacity. Its VM was to be maintained, and the worker ran a long-running task whose step tolerates no missing tasks: such a task is neither stopped nor does it end. Class: a wait that nothing ends.

Change: a wave passes over such a VM in each step, until the task is gone, and goes on with its other VMs. The wave stays open while the task runs, as before: maintenance would end it against its step's tolerance.

--- a/crates/dispatch/src/dispatcher_maintenance.rs
+++ b/crates/dispatch/src/dispatcher_maintenance.rs
@@ -29,6 +29,19 @@
         runs.is_empty()
     }
 
+    /// Returns whether all runs on a worker may be stopped or end by themselves. A long-running task
+    /// of a step that tolerates no missing tasks does neither.
+    pub fn can_drain(&self, id: &str) -> bool {
+        let Some(key) = self.worker_key(id) else {
+            return true;
+        };
+        let mut runs = self.worker(key).runs.keys();
+        runs.all(|(task, _)| {
+            self.step_spec(task.step)
+                .is_none_or(|spec| !spec.long_running || spec.max_unavailable > 0)
+        })
+    }
+
     /// Returns whether a worker has answered a call that was sent after `since`.
     pub fn has_answered_since(&self, id: &str, since: Duration) -> bool {
         self.worker_key(id).is_some_and(|key| {
--- a/crates/fleet/src/maintenance_waves.rs
+++ b/crates/fleet/src/maintenance_waves.rs
@@ -165,6 +165,9 @@
             continue;
         }
         if let Some(worker) = &listed_vm.worker {
+            if !term.dispatcher.borrow().can_drain(worker) {
+                continue;
+            }
             drains.request(worker, now);
         }
         let ready = listed_vm.worker.as_ref().is_none_or(|worker| {
--- a/crates/fleet/tests/daemons/waves.rs
+++ b/crates/fleet/tests/daemons/waves.rs
@@ -9,6 +9,7 @@
 
 use async_trait::async_trait;
 use jasminebend_dispatch::{
+    JobGraph,
     JobOutcome,
     JobProgress, //
 };
@@ -148,6 +149,16 @@
     daemon.store_client.forget_history();
 }
 
+/// Returns a job of one step of long-running tasks.
+fn long_running_job(count: u32, max_unavailable: u32) -> JobGraph {
+    let mut graph = job(&[(count, &[])]);
+    for step in &mut graph.steps {
+        step.long_running = true;
+        step.max_unavailable = max_unavailable;
+    }
+    graph
+}
+
 /// Guards against workers that a successor drains again after their maintenance, and never uses any more.
 #[test]
 fn workers_maintained_under_a_former_owner_take_tasks() {
@@ -253,3 +264,19 @@
         wait_for_progress(&owner.job_api, 2, COMPLETED).await;
     });
 }
+
+/// Guards against a worker that stays drained beside a long-running task that may never be unavailable.
+#[test]
+fn worker_that_can_never_be_drained_takes_tasks() {
+    run_simulated(async {
+        let fleet = TestFleet::with_runtime_clock(1);
+        let owner = daemon_with_wave(&fleet, &FixedVms::new(1, MaintenanceOutcome::Refused));
+        fleet.workers.run_time.set(Duration::MAX);
+        submit(&owner.job_api, 1, &long_running_job(1, 0)).await;
+        time::sleep(Duration::from_secs(60)).await;
+        assert_eq!(fleet.workers.running_tasks().len(), 1);
+        fleet.workers.run_time.set(Duration::from_millis(150));
+        submit(&owner.job_api, 2, &job(&[(1, &[])])).await;
+        wait_for_progress(&owner.job_api, 2, COMPLETED).await;
+    });
+}
