--- a/crates/fleet/tests/daemons/waves.rs
+++ b/crates/fleet/tests/daemons/waves.rs
@@ -132,13 +132,7 @@
     time::sleep(Duration::from_secs(5)).await;
     submit(&owner.job_api, 2, &job(&[(1, &[])])).await;
     time::sleep(Duration::from_secs(5)).await;
-    let running = fleet.workers.running_tasks();
-    assert_eq!(
-        running.len(),
-        1,
-        "{running:?}, {}",
-        fleet.workers.started_runs()
-    );
+    assert_eq!(fleet.workers.running_tasks().len(), 1);
     wait_for_progress(&owner.job_api, 2, JobProgress::Queued).await;
     owner
 }
