Start suspected tasks only on workers that answered a short time ago

Cause: a suspected task goes where nothing else begins and least would be lost. An idle worker that is down and not noticed yet is just that place: its renewal waits up to 2 s, and fails 0.7 s later. No worker can tell later whether such a start began, so they can't be left out of the count without breaking the limit on starts of a task that does crash its workers. Class: a conclusion from a start that never began.

Change: while a task needs a worker of its own, the worker must have answered within 1 s. The requirement ends with the patience of 2 s that bounds the isolation, so that it adds no wait without an end. The counts and limits of crashes are as before.

Evidence: suspected_task_starts_on_a_worker_that_answered_recently fails on the former code (the start goes to the dead worker) and passes now; suspected_gang_waits_briefly_for_answers guards the bound (4 idle workers that answer at different times, start within 2.5 s). A worker that dies within 1 s after its answer still takes such a start.

--- a/crates/dispatch/src/dispatcher_placement.rs
+++ b/crates/dispatch/src/dispatcher_placement.rs
@@ -177,7 +177,7 @@
             let is_kept_free = worker
                 .isolated_suspect(task, now)
                 .is_some_and(|suspect| !search.shares_isolation || suspect.step != task.step);
-            if is_kept_free || (needs_isolation && worker.has_recent_start(now)) {
+            if is_kept_free || (needs_isolation && !worker.can_isolate(now)) {
                 continue;
             }
             if demand.needs_ticket && !has_valid_ticket(state.tickets.get(&key), now) {
--- a/crates/dispatch/src/dispatcher_waits.rs
+++ b/crates/dispatch/src/dispatcher_waits.rs
@@ -180,7 +180,7 @@
         .find(|(_, task)| task.is_pending())
         .is_some_and(|(index, task)| {
             worker.isolated_suspect(step.task(index), now).is_some()
-                || task.crashes.needs_isolation(now) && worker.has_recent_start(now)
+                || task.crashes.needs_isolation(now) && !worker.can_isolate(now)
         })
 }
 
--- a/crates/dispatch/src/worker_state.rs
+++ b/crates/dispatch/src/worker_state.rs
@@ -29,6 +29,8 @@
 /// The time span that a worker's metrics reflect: they cover half a second and arrive some time
 /// later.
 const METRICS_WINDOW: Duration = Duration::from_millis(700);
+/// The age of a worker's last answer up to which a suspected task may start there.
+const RECENT_ANSWER_WINDOW: Duration = Duration::from_secs(1);
 /// The share of its reserved CPU that a service's task is assumed to use before its load has been
 /// observed.
 const DEFAULT_SERVICE_CPU_SHARE: f64 = 0.6;
@@ -307,6 +309,15 @@
             .is_some_and(|at| now < at + EARLY_CRASH_WINDOW)
     }
 
+    /// Returns whether a suspected task that starts now is the only one that could crash the worker: nothing else began a short
+    /// time ago, and the worker was up a short time ago.
+    pub(crate) fn can_isolate(&self, now: Duration) -> bool {
+        let has_answered = self
+            .last_answer_at
+            .is_some_and(|at| now < at + RECENT_ANSWER_WINDOW);
+        has_answered && !self.has_recent_start(now)
+    }
+
     /// Returns whether no other run began on the worker at about the same time as this one.
     pub(crate) fn began_alone(&self, task: TaskKey, run: RunNumber) -> bool {
         let mut others = self.runs.iter().filter(|(id, _)| **id != (task, run));
--- a/crates/dispatch/tests/crashing_tasks.rs
+++ b/crates/dispatch/tests/crashing_tasks.rs
@@ -23,7 +23,8 @@
     StepSpec,
     TaskCrashes,
     TaskKey,
-    WorkerCrash, //
+    WorkerCrash,
+    WorkerKey, //
 };
 use jasminebend_standins::TaskWork;
 use rand::{
@@ -751,3 +752,52 @@
         );
     }
 }
+
+/// Returns how long ago a worker last answered the owner.
+fn silence_of(fleet: &mut Fleet, worker: usize) -> Duration {
+    let now = fleet.now;
+    let key = WorkerKey::new(worker);
+    let answered_at = fleet.owner().dispatcher.last_answer_at(key);
+    now.saturating_sub(answered_at.unwrap_or_default())
+}
+
+/// Guards against counting crashes under a suspected task for starts that never began: an idle worker that went down unnoticed
+/// looks like the best place for a task that must start where nothing else does.
+#[test]
+fn suspected_task_starts_on_a_worker_that_answered_recently() {
+    let mut fleet = Fleet::new(3, 22)
+        .with_work(short_work)
+        .with_delayed_renewals();
+    fleet.crash_mode = CrashMode::SameIdentity;
+    fleet.run_for(ms(5000));
+    while silence_of(&mut fleet, 0) < ms(1500) {
+        fleet.run_for(ms(10));
+    }
+    fleet.kill_worker(0);
+    let job = fleet.submit(2, graph(vec![step(1, &[])]));
+    record_early_crashes(&mut fleet, job, 1);
+    let record = fleet.records[&job].clone();
+    fleet.owner().dispatcher.restore_job(job, &record);
+    fleet.run_for(ms(2500));
+    assert_eq!(fleet.starts_of(first_task(job)).len(), 1);
+    fleet.run_for(ms(15_000));
+    assert_eq!(fleet.progress(job), COMPLETED);
+}
+
+/// Guards against suspected gangs that wait without an end for the answers of idle workers, which come at different times.
+#[test]
+fn suspected_gang_waits_briefly_for_answers() {
+    let mut fleet = Fleet::new(4, 23)
+        .with_work(short_work)
+        .with_delayed_renewals();
+    for worker in 0..4 {
+        fleet.unreachable_until[worker] = fleet.now + ms(500 * worker as u64);
+    }
+    fleet.run_for(ms(10_000));
+    let job = fleet.submit(2, graph(vec![gang(4)]));
+    record_early_crashes(&mut fleet, job, 4);
+    let record = fleet.records[&job].clone();
+    fleet.owner().dispatcher.restore_job(job, &record);
+    fleet.run_for(ms(2500));
+    assert_eq!(fleet.begin_count(job), 4);
+}
