Have workers report in time to see that a suspected task outlives its start

Cause: a crash counts as early unless a report has listed the run 1 s after its start. An idle worker delays its report by up to 2 s, and that renewal is under way when the run starts; with 0.7 s between reports the first one after the window comes up to 1.7 s after the start. So runs that had gone on for long were lost as if they had just begun. Class: a conclusion from something that was not looked at.

Change: while a suspected task waits for a worker of its own, and 10 s after, workers delay their reports by 0.7 s at most; such a task starts only on a worker whose report is that near (within the patience of 2 s that bounds the isolation); and the report after a start under suspicion is asked for when the run is 1 s old. The limits on crashes are as before. Cost: more frequent renewals of idle workers while tasks are suspected.

Evidence: run_that_outlives_its_start_on_an_idle_worker_refutes_the_suspicion (killed 1.3 s after the start) failed with the job given up, and passes now. It fails again without each of the four parts (limit on idle workers, limit on the worker of a start, report at 1 s, the watch itself).

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -137,6 +137,8 @@
     pub(crate) first_plan_at: Option<Duration>,
     /// When the last plan was made.
     pub(crate) last_plan_at: Duration,
+    /// Until when all workers report often, because a suspected task waits for one of its own.
+    pub(crate) crash_watch_until: Duration,
 }
 
 impl Dispatcher {
@@ -173,6 +175,7 @@
             grants: AdmissionGrants::default(),
             first_plan_at: None,
             last_plan_at: Duration::ZERO,
+            crash_watch_until: Duration::ZERO,
         }
     }
 
--- a/crates/dispatch/src/dispatcher_announcements.rs
+++ b/crates/dispatch/src/dispatcher_announcements.rs
@@ -41,6 +41,9 @@
         };
         let needs_isolation = crashes.needs_isolation(now);
         crashes.wait_for_isolation(now);
+        if needs_isolation {
+            self.watch_crashes(now);
+        }
         needs_isolation
     }
 
--- a/crates/dispatch/src/dispatcher_workers.rs
+++ b/crates/dispatch/src/dispatcher_workers.rs
@@ -32,7 +32,7 @@
 const INTERFERENCE_RENEWAL_WAIT: Duration = Duration::from_millis(500);
 /// The longest wait of a renewal while tasks run that make progress; bounds how late a lost answer
 /// or a stuck task is noticed.
-const ACTIVE_RENEWAL_WAIT: Duration = Duration::from_millis(700);
+pub(crate) const ACTIVE_RENEWAL_WAIT: Duration = Duration::from_millis(700);
 
 impl Dispatcher {
     /// Returns how long after a takeover workers may continue to execute a former owner's orders.
@@ -153,8 +153,9 @@
     /// is not `confirmed` only reads the worker's state and grants no lease.
     pub fn next_renewal(&mut self, key: WorkerKey, confirmed: bool, now: Duration) -> LeaseRenewal {
         let lease = self.settings.lease_duration;
-        let max_wait = self.renewal_wait(key);
+        let max_wait = self.renewal_wait(key, now);
         let worker = self.worker_mut(key);
+        worker.renewal_wait = max_wait;
         // A call that may not arrive grants no lease: otherwise an owner that keeps calling a dead
         // worker would extend the lease forever.
         let may_grant = confirmed && worker.unanswered == 0;
@@ -374,9 +375,12 @@
     }
 
     /// Returns how long the worker may delay its answer to the next renewal.
-    fn renewal_wait(&self, key: WorkerKey) -> Duration {
+    fn renewal_wait(&self, key: WorkerKey, now: Duration) -> Duration {
         let worker = self.worker(key);
-        let longest = self.settings.max_renewal_wait;
+        let until_refuted = worker.runs.values().filter_map(|run| run.refutes_in(now));
+        let longest = (until_refuted.min())
+            .unwrap_or(self.settings.max_renewal_wait)
+            .min(self.settings.max_renewal_wait);
         if !worker.has_owner_token || worker.unanswered > 0 || !worker.pending_acks.is_empty() {
             return Duration::ZERO;
         }
@@ -385,7 +389,7 @@
             return INTERFERENCE_RENEWAL_WAIT.min(longest);
         }
         let only_services = worker.runs.values().all(|run| run.target.is_some());
-        match only_services {
+        match only_services && now >= self.crash_watch_until {
             true => longest,
             false => ACTIVE_RENEWAL_WAIT.min(longest),
         }
--- a/crates/dispatch/src/worker_state.rs
+++ b/crates/dispatch/src/worker_state.rs
@@ -17,6 +17,7 @@
     WorkerCrash,
     crash_history::EARLY_CRASH_WINDOW,
     dispatcher_throttling::TargetViolationTracker,
+    dispatcher_workers::ACTIVE_RENEWAL_WAIT,
     interference_model::{
         FillerPresence,
         InterferenceModel, //
@@ -53,6 +54,8 @@
     pub(crate) inherited_until: Option<Duration>,
     /// When the worker last answered.
     pub(crate) last_answer_at: Option<Duration>,
+    /// How long the worker may delay its answer to the last renewal.
+    pub(crate) renewal_wait: Duration,
     /// The number of consecutive calls without an answer.
     pub(crate) unanswered: u32,
     /// When the first of these calls failed.
@@ -125,6 +128,7 @@
             has_owner_token: false,
             inherited_until: None,
             last_answer_at: None,
+            renewal_wait: Duration::ZERO,
             unanswered: 0,
             contact_lost_at: None,
             crashed_at: None,
@@ -309,13 +313,13 @@
             .is_some_and(|at| now < at + EARLY_CRASH_WINDOW)
     }
 
-    /// Returns whether a suspected task that starts now is the only one that could crash the worker: nothing else began a short
-    /// time ago, and the worker was up a short time ago.
+    /// Returns whether a suspected task may start now: nothing else that could crash the worker began a short time ago, the
+    /// worker was up a short time ago, and it will soon tell whether it still is.
     pub(crate) fn can_isolate(&self, now: Duration) -> bool {
         let has_answered = self
             .last_answer_at
             .is_some_and(|at| now < at + RECENT_ANSWER_WINDOW);
-        has_answered && !self.has_recent_start(now)
+        has_answered && self.renewal_wait <= ACTIVE_RENEWAL_WAIT && !self.has_recent_start(now)
     }
 
     /// Returns whether no other run began on the worker at about the same time as this one.
--- a/crates/dispatch/tests/crashing_tasks.rs
+++ b/crates/dispatch/tests/crashing_tasks.rs
@@ -769,7 +769,8 @@
         .with_work(short_work)
         .with_delayed_renewals();
     fleet.crash_mode = CrashMode::SameIdentity;
-    fleet.run_for(ms(5000));
+    fleet.replace_owner();
+    fleet.run_for(ms(10_000));
     while silence_of(&mut fleet, 0) < ms(1500) {
         fleet.run_for(ms(10));
     }
@@ -801,3 +802,24 @@
     fleet.run_for(ms(2500));
     assert_eq!(fleet.begin_count(job), 4);
 }
+
+/// Guards against giving up a task whose run goes on long after its start, but ends with its worker before a report has listed
+/// it for long enough: idle workers report rarely.
+#[test]
+fn run_that_outlives_its_start_on_an_idle_worker_refutes_the_suspicion() {
+    let mut fleet = Fleet::new(8, 24)
+        .with_work(long_work)
+        .with_delayed_renewals();
+    fleet.replace_owner();
+    fleet.run_for(ms(10_000));
+    while silence_of(&mut fleet, 0) != ms(100) {
+        fleet.run_for(ms(10));
+    }
+    let job = fleet.submit(2, graph(vec![step(1, &[])]));
+    record_early_crashes(&mut fleet, job, 1);
+    let record = fleet.records[&job].clone();
+    fleet.owner().dispatcher.restore_job(job, &record);
+    kill_hosts(&mut fleet, job, ms(1300));
+    fleet.run_for(ms(60_000));
+    assert_eq!(fleet.progress(job), COMPLETED);
+}
