Let suspected tasks of one long-running step share a worker once they have waited

Cause: a suspected task keeps its worker free of other starts for 1 s, and the patience of 2 s ended only its own need of such a worker, not the wait for workers that others keep free. With n suspected tasks on w workers the last one waits n/w s; nothing bounds it. Class: a wait that nothing ends.

Change: once a task of a long-running step has waited for 2 s, it may start beside suspected tasks of the same step, as members of a gang do. If one of them is guilty, the job is given up whole, so that the others lose nothing by standing beside it; tasks of other jobs are kept apart as before. Short tasks are left as they were: their job goes on with the first of them, and nothing_starts_beside_a_suspected_task demands that their siblings are kept apart.

Evidence: many_suspected_tasks_start_in_time (three services of 8 suspected tasks and a gang on 4 workers) failed with starts complete after 2.07, 4.15, 6.25 and 6.7 s (bound 5 s), and passes now.

Left: single suspected tasks of many different jobs still start one by one.

--- a/crates/dispatch/src/dispatcher_placement.rs
+++ b/crates/dispatch/src/dispatcher_placement.rs
@@ -139,6 +139,10 @@
         let failed_on = task_state.failed_on;
         let crashes = &task_state.crashes;
         let needs_isolation = crashes.needs_isolation(now);
+        let shares_isolation = match spec.gang {
+            true => search.shares_isolation,
+            false => spec.long_running && crashes.is_suspect() && !needs_isolation,
+        };
         let announced = crashes
             .announcement()
             .map(|announcement| &announcement.worker);
@@ -176,7 +180,7 @@
             }
             let is_kept_free = worker
                 .isolated_suspect(task, now)
-                .is_some_and(|suspect| !search.shares_isolation || suspect.step != task.step);
+                .is_some_and(|suspect| !shares_isolation || suspect.step != task.step);
             if is_kept_free || (needs_isolation && !worker.can_isolate(now)) {
                 continue;
             }
--- a/crates/dispatch/tests/crashing_tasks.rs
+++ b/crates/dispatch/tests/crashing_tasks.rs
@@ -823,3 +823,65 @@
     fleet.run_for(ms(60_000));
     assert_eq!(fleet.progress(job), COMPLETED);
 }
+
+/// Returns endless work of a fifth of a core for jobs below 10, and short work for the others.
+fn services_and_gangs(task: TaskKey) -> TaskWork {
+    if task.job() >= JobKey::new(10) {
+        return short_work(task);
+    }
+    TaskWork {
+        size: ResourceAmount::new(200, 100),
+        ..long_running_work(task)
+    }
+}
+
+/// Lets suspected tasks take 4 idle workers one after the other, then three services of 8 suspected tasks and a suspected gang
+/// wait for these; returns how long after that all tasks of each of the four jobs had begun.
+fn start_times_of_many_suspects() -> [Option<Duration>; 4] {
+    let mut fleet = Fleet::new(4, 25).with_work(services_and_gangs);
+    fleet.replace_owner();
+    fleet.run_for(ms(10_000));
+    let service = |count| StepSpec {
+        long_running: true,
+        size: ResourceAmount::new(200, 100),
+        ..step(count, &[])
+    };
+    for number in 2..6 {
+        submit_suspects(&mut fleet, number, service(1));
+        fleet.run_for(ms(250));
+    }
+    let began_at = fleet.now;
+    let steps = [service(8), service(8), service(8), gang(4)];
+    let counts = steps.clone().map(|step| step.count as usize);
+    let numbers = [6, 7, 8, 10];
+    for (number, step) in numbers.into_iter().zip(steps) {
+        submit_suspects(&mut fleet, number, step);
+    }
+    let mut times = [None; 4];
+    while fleet.now < began_at + ms(20_000) {
+        fleet.run_for(ms(10));
+        for ((time, number), count) in times.iter_mut().zip(numbers).zip(counts) {
+            if time.is_none() && fleet.begin_count(JobKey::new(number)) == count {
+                *time = Some(fleet.now - began_at);
+            }
+        }
+    }
+    times
+}
+
+/// Submits a job all of whose tasks are suspected.
+fn submit_suspects(fleet: &mut Fleet, number: u64, step: StepSpec) {
+    let count = step.count;
+    let job = fleet.submit(number, graph(vec![step]));
+    record_early_crashes(fleet, job, count);
+    let record = fleet.records[&job].clone();
+    fleet.owner().dispatcher.restore_job(job, &record);
+}
+
+/// Guards against tasks that wait for long beside free workers because many suspected ones start one by one.
+#[test]
+fn many_suspected_tasks_start_in_time() {
+    let times = start_times_of_many_suspects();
+    let is_late = |time: &Option<Duration>| time.is_none_or(|time| time > ms(5000));
+    assert!(!times.iter().any(is_late), "{times:?}");
+}
