Give a suspected gang its turn among other suspected tasks

Cause, first part: a gang of suspected tasks needs several workers that nobody else keeps free at one moment; single suspected tasks need one, and take each at once. The gang's own patience of 2 s does not help against workers that others keep free. Second part: a suspected task that found no worker, although it had waited, was taken for proof that there is no capacity; the result was cached, and the gang, whose tasks are larger, was skipped in that plan and in the next ones without an attempt. Class: a wait that nothing ends.

Change: when a suspected gang has waited for 1 s, and the workers have room for it whole, other suspected tasks wait for it; by the end of its patience nobody keeps a worker free any more. That no worker was found for a suspected task no longer counts as a lack of capacity. Isolation is as before.

--- a/crates/dispatch/src/crash_history.rs
+++ b/crates/dispatch/src/crash_history.rs
@@ -91,6 +91,12 @@
         }
     }
 
+    /// Returns whether a start that begins now would delay the task beyond its patience.
+    pub(crate) fn is_losing_patience(&self, now: Duration) -> bool {
+        let since = self.0.as_ref().and_then(|details| details.unisolated_since);
+        since.is_some_and(|since| now + EARLY_CRASH_WINDOW >= since + ISOLATION_PATIENCE)
+    }
+
     /// Records that a run of the task is started.
     pub(crate) fn end_wait(&mut self) {
         if let Some(details) = &mut self.0 {
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -137,6 +137,8 @@
     pub(crate) first_plan_at: Option<Duration>,
     /// When the last plan was made.
     pub(crate) last_plan_at: Duration,
+    /// The suspected gang whose turn it is to start, and until when other suspected tasks wait for it.
+    pub(crate) isolation_turn: Option<(StepKey, Duration)>,
     /// Until when all workers report often, because a suspected task waits for one of its own.
     pub(crate) crash_watch_until: Duration,
 }
@@ -175,6 +177,7 @@
             grants: AdmissionGrants::default(),
             first_plan_at: None,
             last_plan_at: Duration::ZERO,
+            isolation_turn: None,
             crash_watch_until: Duration::ZERO,
         }
     }
--- a/crates/dispatch/src/dispatcher_announcements.rs
+++ b/crates/dispatch/src/dispatcher_announcements.rs
@@ -33,18 +33,18 @@
         false
     }
 
-    /// Returns whether a task for which no worker was found needs one on which nothing else starts;
-    /// limits how long it waits for that.
+    /// Returns whether a task for which no worker was found is suspected, so that other suspected tasks may keep it waiting beside
+    /// free capacity; limits how long it waits for a worker on which nothing else starts.
     pub(crate) fn awaits_isolation(&mut self, task: TaskKey, now: Duration) -> bool {
         let Some(crashes) = self.crash_history_mut(task) else {
             return false;
         };
-        let needs_isolation = crashes.needs_isolation(now);
+        let is_suspect = crashes.is_suspect();
         crashes.wait_for_isolation(now);
-        if needs_isolation {
+        if is_suspect {
             self.watch_crashes(now);
         }
-        needs_isolation
+        is_suspect
     }
 
     /// Records that a placed task starts, and announces it if workers have crashed under it.
--- a/crates/dispatch/src/dispatcher_placement.rs
+++ b/crates/dispatch/src/dispatcher_placement.rs
@@ -139,6 +139,9 @@
         let failed_on = task_state.failed_on;
         let crashes = &task_state.crashes;
         let needs_isolation = crashes.needs_isolation(now);
+        if crashes.is_suspect() && self.is_turn_of_other(step, now) {
+            return None;
+        }
         let shares_isolation = match spec.gang {
             true => search.shares_isolation,
             false => spec.long_running && crashes.is_suspect() && !needs_isolation,
--- a/crates/dispatch/tests/crashing_tasks.rs
+++ b/crates/dispatch/tests/crashing_tasks.rs
@@ -835,9 +835,9 @@
     }
 }
 
-/// Lets suspected tasks take 4 idle workers one after the other, then three services of 8 suspected tasks and a suspected gang
-/// wait for these; returns how long after that all tasks of each of the four jobs had begun.
-fn start_times_of_many_suspects() -> [Option<Duration>; 4] {
+/// Lets suspected tasks take 4 idle workers one after the other, then three services of 8 suspected tasks and, `gang_delay` later,
+/// a suspected gang wait for these; returns how long after its submission all tasks of each of the four jobs had begun.
+fn start_times_of_many_suspects(gang_delay: Duration) -> [Option<Duration>; 4] {
     let mut fleet = Fleet::new(4, 25).with_work(services_and_gangs);
     fleet.replace_owner();
     fleet.run_for(ms(10_000));
@@ -850,19 +850,24 @@
         submit_suspects(&mut fleet, number, service(1));
         fleet.run_for(ms(250));
     }
-    let began_at = fleet.now;
+    let services_at = fleet.now;
+    let gang_at = services_at + gang_delay;
     let steps = [service(8), service(8), service(8), gang(4)];
     let counts = steps.clone().map(|step| step.count as usize);
     let numbers = [6, 7, 8, 10];
     for (number, step) in numbers.into_iter().zip(steps) {
+        if step.gang {
+            fleet.run_for(gang_delay);
+        }
         submit_suspects(&mut fleet, number, step);
     }
+    let submitted_at = [services_at, services_at, services_at, gang_at];
     let mut times = [None; 4];
-    while fleet.now < began_at + ms(20_000) {
+    while fleet.now < gang_at + ms(20_000) {
         fleet.run_for(ms(10));
-        for ((time, number), count) in times.iter_mut().zip(numbers).zip(counts) {
-            if time.is_none() && fleet.begin_count(JobKey::new(number)) == count {
-                *time = Some(fleet.now - began_at);
+        for (index, time) in times.iter_mut().enumerate() {
+            if time.is_none() && fleet.begin_count(JobKey::new(numbers[index])) == counts[index] {
+                *time = Some(fleet.now - submitted_at[index]);
             }
         }
     }
@@ -881,7 +886,37 @@
 /// Guards against tasks that wait for long beside free workers because many suspected ones start one by one.
 #[test]
 fn many_suspected_tasks_start_in_time() {
-    let times = start_times_of_many_suspects();
+    let times = start_times_of_many_suspects(ms(0));
     let is_late = |time: &Option<Duration>| time.is_none_or(|time| time > ms(5000));
     assert!(!times.iter().any(is_late), "{times:?}");
 }
+
+/// Guards against a gang that waits for long because other suspected tasks take each worker as it becomes free.
+#[test]
+fn suspected_gang_gets_its_turn_among_suspected_tasks() {
+    for delay in [0, 300, 700, 1200, 2200] {
+        let [.., gang] = start_times_of_many_suspects(ms(delay));
+        assert!(
+            gang.is_some_and(|time| time <= ms(2500)),
+            "{gang:?} with a delay of {delay} ms"
+        );
+    }
+}
+
+/// Guards against suspected tasks that wait for a suspected gang for which there is no room.
+#[test]
+fn suspected_tasks_wait_for_no_gang_that_cannot_start() {
+    for members in [12, 8] {
+        let mut fleet = Fleet::new(2, 26).with_work(long_work);
+        fleet.replace_owner();
+        fleet.run_for(ms(10_000));
+        submit_suspects(&mut fleet, 2, step(2, &[]));
+        fleet.run_for(ms(100));
+        submit_suspects(&mut fleet, 10, gang(members));
+        fleet.run_for(ms(1500));
+        assert_eq!(fleet.begin_count(JobKey::new(10)), 0);
+        submit_suspects(&mut fleet, 3, step(2, &[]));
+        fleet.run_for(ms(200));
+        assert_eq!(fleet.begin_count(JobKey::new(3)), 2, "{members}");
+    }
+}
