--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -141,6 +141,10 @@
     pub(crate) last_active_at: Option<Duration>,
     /// When the process resumed after it had last been suspended.
     pub(crate) resumed_at: Duration,
+    /// The suspected gang whose turn it is to start, and until when other suspected tasks wait for it.
+    pub(crate) isolation_turn: Option<(StepKey, Duration)>,
+    /// Until when all workers report often, because a suspected task waits for one of its own.
+    pub(crate) crash_watch_until: Duration,
 }
 
 impl Dispatcher {
@@ -179,6 +183,8 @@
             last_plan_at: Duration::ZERO,
             last_active_at: None,
             resumed_at: Duration::ZERO,
+            isolation_turn: None,
+            crash_watch_until: Duration::ZERO,
         }
     }
 
--- a/crates/dispatch/src/dispatcher_placement.rs
+++ b/crates/dispatch/src/dispatcher_placement.rs
@@ -139,6 +139,13 @@
         let failed_on = task_state.failed_on;
         let crashes = &task_state.crashes;
         let needs_isolation = crashes.needs_isolation(now);
+        if crashes.is_suspect() && self.is_turn_of_other(step, now) {
+            return None;
+        }
+        let shares_isolation = match spec.gang {
+            true => search.shares_isolation,
+            false => spec.long_running && crashes.is_suspect() && !needs_isolation,
+        };
         let announced = crashes
             .announcement()
             .map(|announcement| &announcement.worker);
@@ -176,8 +183,8 @@
             }
             let is_kept_free = worker
                 .isolated_suspect(task, now)
-                .is_some_and(|suspect| !search.shares_isolation || suspect.step != task.step);
-            if is_kept_free || (needs_isolation && worker.has_recent_start(now)) {
+                .is_some_and(|suspect| !shares_isolation || suspect.step != task.step);
+            if is_kept_free || (needs_isolation && !worker.can_isolate(now)) {
                 continue;
             }
             if demand.needs_ticket && !has_valid_ticket(state.tickets.get(&key), now) {
--- a/crates/dispatch/src/worker_state.rs
+++ b/crates/dispatch/src/worker_state.rs
@@ -17,6 +17,7 @@
     WorkerCrash,
     crash_history::EARLY_CRASH_WINDOW,
     dispatcher_throttling::TargetViolationTracker,
+    dispatcher_workers::ACTIVE_RENEWAL_WAIT,
     interference_model::{
         FillerPresence,
         InterferenceModel, //
@@ -29,6 +30,8 @@
 /// The time span that a worker's metrics reflect: they cover half a second and arrive some time
 /// later.
 pub(crate) const METRICS_WINDOW: Duration = Duration::from_millis(700);
+/// The age of a worker's last answer up to which a suspected task may start there.
+const RECENT_ANSWER_WINDOW: Duration = Duration::from_secs(1);
 /// The share of its reserved CPU that a service's task is assumed to use before its load has been
 /// observed.
 const DEFAULT_SERVICE_CPU_SHARE: f64 = 0.6;
@@ -53,6 +56,8 @@
     pub(crate) last_answer_at: Option<Duration>,
     /// When the last call was sent that the worker answered.
     pub(crate) last_answered_call_at: Option<Duration>,
+    /// How long the worker may delay its answer to the last renewal.
+    pub(crate) renewal_wait: Duration,
     /// The number of consecutive calls without an answer.
     pub(crate) unanswered: u32,
     /// When the first of these calls failed.
@@ -126,6 +131,7 @@
             inherited_until: None,
             last_answer_at: None,
             last_answered_call_at: None,
+            renewal_wait: Duration::ZERO,
             unanswered: 0,
             contact_lost_at: None,
             crashed_at: None,
@@ -310,6 +316,15 @@
             .is_some_and(|at| now < at + EARLY_CRASH_WINDOW)
     }
 
+    /// Returns whether a suspected task may start now: nothing else that could crash the worker began a short time ago, the
+    /// worker was up a short time ago, and it will soon tell whether it still is.
+    pub(crate) fn can_isolate(&self, now: Duration) -> bool {
+        let has_answered = self
+            .last_answer_at
+            .is_some_and(|at| now < at + RECENT_ANSWER_WINDOW);
+        has_answered && self.renewal_wait <= ACTIVE_RENEWAL_WAIT && !self.has_recent_start(now)
+    }
+
     /// Returns whether no other run began on the worker at about the same time as this one.
     pub(crate) fn began_alone(&self, task: TaskKey, run: RunNumber) -> bool {
         let mut others = self.runs.iter().filter(|(id, _)| **id != (task, run));
--- a/crates/dispatch/tests/crashing_tasks.rs
+++ b/crates/dispatch/tests/crashing_tasks.rs
@@ -23,7 +23,8 @@
     StepSpec,
     TaskCrashes,
     TaskKey,
-    WorkerCrash, //
+    WorkerCrash,
+    WorkerKey, //
 };
 use jasminebend_standins::TaskWork;
 use rand::{
@@ -778,3 +779,171 @@
         );
     }
 }
+
+/// Returns how long ago a worker last answered the owner.
+fn silence_of(fleet: &mut Fleet, worker: usize) -> Duration {
+    let now = fleet.now;
+    let key = WorkerKey::new(worker);
+    let answered_at = fleet.owner().dispatcher.last_answer_at(key);
+    now.saturating_sub(answered_at.unwrap_or_default())
+}
+
+/// Guards against counting crashes under a suspected task for starts that never began: an idle worker that went down unnoticed
+/// looks like the best place for a task that must start where nothing else does.
+#[test]
+fn suspected_task_starts_on_a_worker_that_answered_recently() {
+    let mut fleet = Fleet::new(3, 22)
+        .with_work(short_work)
+        .with_delayed_renewals();
+    fleet.crash_mode = CrashMode::SameIdentity;
+    fleet.replace_owner();
+    fleet.run_for(ms(10_000));
+    while silence_of(&mut fleet, 0) < ms(1500) {
+        fleet.run_for(ms(10));
+    }
+    fleet.kill_worker(0);
+    let job = fleet.submit(2, graph(vec![step(1, &[])]));
+    record_early_crashes(&mut fleet, job, 1);
+    let record = fleet.records[&job].clone();
+    fleet.owner().dispatcher.restore_job(job, &record);
+    fleet.run_for(ms(2500));
+    assert_eq!(fleet.starts_of(first_task(job)).len(), 1);
+    fleet.run_for(ms(15_000));
+    assert_eq!(fleet.progress(job), COMPLETED);
+}
+
+/// Guards against suspected gangs that wait without an end for the answers of idle workers, which come at different times.
+#[test]
+fn suspected_gang_waits_briefly_for_answers() {
+    let mut fleet = Fleet::new(4, 23)
+        .with_work(short_work)
+        .with_delayed_renewals();
+    for worker in 0..4 {
+        fleet.unreachable_until[worker] = fleet.now + ms(500 * worker as u64);
+    }
+    fleet.run_for(ms(10_000));
+    let job = fleet.submit(2, graph(vec![gang(4)]));
+    record_early_crashes(&mut fleet, job, 4);
+    let record = fleet.records[&job].clone();
+    fleet.owner().dispatcher.restore_job(job, &record);
+    fleet.run_for(ms(2500));
+    assert_eq!(fleet.begin_count(job), 4);
+}
+
+/// Guards against giving up a task whose run goes on long after its start, but ends with its worker before a report has listed
+/// it for long enough: idle workers report rarely.
+#[test]
+fn run_that_outlives_its_start_on_an_idle_worker_refutes_the_suspicion() {
+    let mut fleet = Fleet::new(8, 24)
+        .with_work(long_work)
+        .with_delayed_renewals();
+    fleet.replace_owner();
+    fleet.run_for(ms(10_000));
+    while silence_of(&mut fleet, 0) != ms(100) {
+        fleet.run_for(ms(10));
+    }
+    let job = fleet.submit(2, graph(vec![step(1, &[])]));
+    record_early_crashes(&mut fleet, job, 1);
+    let record = fleet.records[&job].clone();
+    fleet.owner().dispatcher.restore_job(job, &record);
+    kill_hosts(&mut fleet, job, ms(1300));
+    fleet.run_for(ms(60_000));
+    assert_eq!(fleet.progress(job), COMPLETED);
+}
+
+/// Returns endless work of a fifth of a core for jobs below 10, and short work for the others.
+fn services_and_gangs(task: TaskKey) -> TaskWork {
+    if task.job() >= JobKey::new(10) {
+        return short_work(task);
+    }
+    TaskWork {
+        size: ResourceAmount::new(200, 100),
+        ..long_running_work(task)
+    }
+}
+
+/// Lets suspected tasks take 4 idle workers one after the other, then three services of 8 suspected tasks and, `gang_delay` later,
+/// a suspected gang wait for these; returns how long after its submission all tasks of each of the four jobs had begun.
+fn start_times_of_many_suspects(gang_delay: Duration) -> [Option<Duration>; 4] {
+    let mut fleet = Fleet::new(4, 25).with_work(services_and_gangs);
+    fleet.replace_owner();
+    fleet.run_for(ms(10_000));
+    let service = |count| StepSpec {
+        long_running: true,
+        size: ResourceAmount::new(200, 100),
+        ..step(count, &[])
+    };
+    for number in 2..6 {
+        submit_suspects(&mut fleet, number, service(1));
+        fleet.run_for(ms(250));
+    }
+    let services_at = fleet.now;
+    let gang_at = services_at + gang_delay;
+    let steps = [service(8), service(8), service(8), gang(4)];
+    let counts = steps.clone().map(|step| step.count as usize);
+    let numbers = [6, 7, 8, 10];
+    for (number, step) in numbers.into_iter().zip(steps) {
+        if step.gang {
+            fleet.run_for(gang_delay);
+        }
+        submit_suspects(&mut fleet, number, step);
+    }
+    let submitted_at = [services_at, services_at, services_at, gang_at];
+    let mut times = [None; 4];
+    while fleet.now < gang_at + ms(20_000) {
+        fleet.run_for(ms(10));
+        for (index, time) in times.iter_mut().enumerate() {
+            if time.is_none() && fleet.begin_count(JobKey::new(numbers[index])) == counts[index] {
+                *time = Some(fleet.now - submitted_at[index]);
+            }
+        }
+    }
+    times
+}
+
+/// Submits a job all of whose tasks are suspected.
+fn submit_suspects(fleet: &mut Fleet, number: u64, step: StepSpec) {
+    let count = step.count;
+    let job = fleet.submit(number, graph(vec![step]));
+    record_early_crashes(fleet, job, count);
+    let record = fleet.records[&job].clone();
+    fleet.owner().dispatcher.restore_job(job, &record);
+}
+
+/// Guards against tasks that wait for long beside free workers because many suspected ones start one by one.
+#[test]
+fn many_suspected_tasks_start_in_time() {
+    let times = start_times_of_many_suspects(ms(0));
+    let is_late = |time: &Option<Duration>| time.is_none_or(|time| time > ms(5000));
+    assert!(!times.iter().any(is_late), "{times:?}");
+}
+
+/// Guards against a gang that waits for long because other suspected tasks take each worker as it becomes free.
+#[test]
+fn suspected_gang_gets_its_turn_among_suspected_tasks() {
+    for delay in [0, 300, 700, 1200, 2200] {
+        let [.., gang] = start_times_of_many_suspects(ms(delay));
+        assert!(
+            gang.is_some_and(|time| time <= ms(2500)),
+            "{gang:?} with a delay of {delay} ms"
+        );
+    }
+}
+
+/// Guards against suspected tasks that wait for a suspected gang for which there is no room.
+#[test]
+fn suspected_tasks_wait_for_no_gang_that_cannot_start() {
+    for members in [12, 8] {
+        let mut fleet = Fleet::new(2, 26).with_work(long_work);
+        fleet.replace_owner();
+        fleet.run_for(ms(10_000));
+        submit_suspects(&mut fleet, 2, step(2, &[]));
+        fleet.run_for(ms(100));
+        submit_suspects(&mut fleet, 10, gang(members));
+        fleet.run_for(ms(1500));
+        assert_eq!(fleet.begin_count(JobKey::new(10)), 0);
+        submit_suspects(&mut fleet, 3, step(2, &[]));
+        fleet.run_for(ms(200));
+        assert_eq!(fleet.begin_count(JobKey::new(3)), 2, "{members}");
+    }
+}
