End the judgement of a silent owner while the store comes and goes

Callers' jobs would stand still for as long as the store is lost and regained again and again while the owner is silent: no daemon replaced it.

Cause: the judgement of the owner begins anew whenever the store is back, and needs 1.3 s of silence since then. Class: a repetition that moves the time on which something waits.

Change: the judgement begins anew once in three times the limit of silence, 3.9 s, unless the owner acts meanwhile or is another. A daemon whose partition ends still does not count the silence of that time, also after a second one shortly after if the owner answered between them (an_owner_is_not_replaced_for_its_silence_during_two_partitions_of_this_daemon).

--- a/crates/fleet/src/succession.rs
+++ b/crates/fleet/src/succession.rs
@@ -12,6 +12,9 @@
 /// How long an owner may be silent before it is replaced, from the sending of the first unanswered probe. Three probes
 /// fit into this time.
 const OWNER_SILENCE_LIMIT: Duration = Duration::from_millis(1300);
+/// The time in which the judgement of the owner begins anew once at most: it must end also while the store is lost and
+/// regained again and again.
+const JUDGEMENT_TIME: Duration = OWNER_SILENCE_LIMIT.saturating_mul(3);
 /// How long an owner may be without the store while this daemon has it. After an outage the store becomes available to
 /// the daemons one by one.
 const OWNER_WITHOUT_STORE_LIMIT: Duration = Duration::from_millis(1000);
@@ -54,6 +57,8 @@
     /// When this daemon last regained the store after it had lost it; zero if it never lost it. Until then it may have
     /// been partitioned, so that the owner's earlier silence proves nothing.
     store_regained_at: Duration,
+    /// When the judgement of the owner began anew, if it has since the owner acted.
+    judged_anew_at: Option<Duration>,
 }
 
 impl Succession {
@@ -70,6 +75,7 @@
             former_owner_gone: false,
             store_available_for: Duration::MAX,
             store_regained_at: Duration::ZERO,
+            judged_anew_at: None,
         }
     }
 
@@ -79,9 +85,14 @@
             return;
         }
         self.store_regained_at = regained_at;
-        if self.owner().is_some() {
+        let is_judged = self.silent_since.is_some() || self.unhealthy_since.is_some();
+        let began_lately = self
+            .judged_anew_at
+            .is_some_and(|began| regained_at < began + JUDGEMENT_TIME);
+        if self.owner().is_some() && is_judged && !began_lately {
             self.silent_since = None;
             self.unhealthy_since = None;
+            self.judged_anew_at = Some(regained_at);
         }
     }
 
@@ -101,6 +112,7 @@
         self.loading_pages = None;
         self.is_loading = false;
         self.silent_since = None;
+        self.judged_anew_at = None;
         self.unhealthy_since = vacant.then_some(now);
     }
 
@@ -147,7 +159,10 @@
                 self.loading_pages = health.loading.or(self.loading_pages);
                 // An owner needs time to read its records, but has to get on with it.
                 match (acts, reads_on) {
-                    (true, _) => self.silent_since = None,
+                    (true, _) => {
+                        self.silent_since = None;
+                        self.judged_anew_at = None;
+                    }
                     (false, true) => self.silent_since = Some(sent),
                     (false, false) => {}
                 }
--- a/crates/fleet/tests/daemons/store_silence.rs
+++ b/crates/fleet/tests/daemons/store_silence.rs
@@ -2,6 +2,7 @@
 
 use std::{
     future::Future,
+    net::TcpListener,
     time::Duration, //
 };
 
@@ -279,6 +280,32 @@
     });
 }
 
+/// Guards against jobs that no daemon runs: each return of a store that goes silent again and again begins the judgement of
+/// a silent owner anew.
+#[test]
+fn a_silent_owner_is_replaced_while_the_store_goes_silent_again_and_again() {
+    for (silence_ms, service_ms) in [(700, 500), (1500, 1000), (2000, 1000)] {
+        run_at_each_phase(|phase| async move {
+            let fleet = TestFleet::with_runtime_clock(1);
+            // This listener accepts connections and answers nothing.
+            let silent = TcpListener::bind("127.0.0.1:0").expect("a free port");
+            fleet.set_owner(silent.local_addr().expect("it is bound"), 1);
+            let daemon = fleet.daemon();
+            wait_until_configured(&daemon).await;
+            // The owner is not silent for long enough yet.
+            time::sleep(phase / 4).await;
+            for _ in 0..20 {
+                daemon.store_client.go_silent();
+                time::sleep(Duration::from_millis(silence_ms)).await;
+                daemon.store_client.answer_again();
+                time::sleep(Duration::from_millis(service_ms)).await;
+            }
+            let token = fleet.store.owner().map(|owner| owner.token);
+            assert!(token > Some(1), "silent for {silence_ms} ms");
+        });
+    }
+}
+
 /// Guards against a successor that never acts: its long read of the jobs was given up because later, shorter calls were
 /// answered first.
 #[test]
--- a/crates/fleet/tests/succession.rs
+++ b/crates/fleet/tests/succession.rs
@@ -202,6 +202,55 @@
     assert!(succession.should_claim(ms(6920)));
 }
 
+/// Guards against a silent owner that is never replaced because the store is lost and regained again and again, and the
+/// judgement begins anew each time.
+#[test]
+fn a_silent_owner_is_replaced_although_the_store_is_lost_again_and_again() {
+    for period in [500, 700, 1000, 1300] {
+        let mut succession = succession();
+        let is_replaced = (0..20).any(|probe| {
+            let (sent, now) = (ms(460 * probe), ms(460 * probe + 400));
+            let regained_at = now.as_millis() / period * period;
+            succession.set_store_regained_at(Duration::from_millis(regained_at as u64));
+            succession.record_probe(ProbeResult::Unanswered, sent, now);
+            succession.should_claim(now)
+        });
+        assert!(is_replaced, "regained each {period} ms");
+    }
+}
+
+/// Guards against a daemon that replaces a healthy owner when the second of two partitions ends: its judgement had begun
+/// anew shortly before.
+#[test]
+fn an_owner_is_not_replaced_for_its_silence_during_two_partitions_of_this_daemon() {
+    let mut succession = succession();
+    for start in [0, 2000] {
+        for sent in [start, start + 460, start + 920] {
+            succession.record_probe(ProbeResult::Unanswered, ms(sent), ms(sent + 400));
+        }
+        succession.set_store_regained_at(ms(start + 1500));
+        assert!(!succession.should_claim(ms(start + 1500)));
+        let answered_at = ms(start + 1600);
+        succession.record_probe(ProbeResult::Answered(health()), answered_at, answered_at);
+        assert!(!succession.should_claim(answered_at));
+    }
+}
+
+/// Guards against a daemon that replaces a healthy successor for its silence during a partition because the judgement of the
+/// owner before had begun anew shortly before.
+#[test]
+fn a_new_owner_is_not_replaced_for_its_silence_during_a_partition_of_this_daemon() {
+    let mut succession = succession();
+    succession.record_probe(ProbeResult::Unanswered, ms(0), ms(400));
+    succession.set_store_regained_at(ms(1000));
+    succession.set_owner(Some(owner("c", 1)), ms(1100));
+    for sent in [1200, 1660, 2120] {
+        succession.record_probe(ProbeResult::Unanswered, ms(sent), ms(sent + 400));
+    }
+    succession.set_store_regained_at(ms(3000));
+    assert!(!succession.should_claim(ms(3000)));
+}
+
 /// Returns the answer of an owner that has read this many pages of its records.
 fn loading(pages: u64) -> ProbeResult {
     ProbeResult::Answered(PeerHealth {
