Start suspected tasks on no worker whose answer is overdue

Cause: a worker counts as silent only once a renewal fails, 0.7 s after its answer was due. Until then it takes starts; after its patience of 2 s a suspected task asked for no recent answer any more. Class: a conclusion from a start that never began.

Change: a suspected task starts on no worker that owes an answer for over 50 ms. That ends by itself: the answer comes, or the renewal fails.

--- a/crates/dispatch/src/dispatcher_placement.rs
+++ b/crates/dispatch/src/dispatcher_placement.rs
@@ -184,6 +184,9 @@
             let is_kept_free = worker
                 .isolated_suspect(task, now)
                 .is_some_and(|suspect| !shares_isolation || suspect.step != task.step);
+            if crashes.is_suspect() && worker.owes_answer(now) {
+                continue;
+            }
             if is_kept_free || (needs_isolation && !worker.can_isolate(now)) {
                 continue;
             }
--- a/crates/dispatch/src/dispatcher_workers.rs
+++ b/crates/dispatch/src/dispatcher_workers.rs
@@ -33,6 +33,8 @@
 /// The longest wait of a renewal while tasks run that make progress; bounds how late a lost answer
 /// or a stuck task is noticed.
 pub(crate) const ACTIVE_RENEWAL_WAIT: Duration = Duration::from_millis(700);
+/// The time in which a worker that is up answers a renewal, beside the time for which it may delay the answer.
+const ANSWER_TIME: Duration = Duration::from_millis(50);
 
 impl Dispatcher {
     /// Returns how long after a takeover workers may continue to execute a former owner's orders.
@@ -156,6 +158,7 @@
         let max_wait = self.renewal_wait(key, now);
         let worker = self.worker_mut(key);
         worker.renewal_wait = max_wait;
+        worker.answer_due_at = Some(now + max_wait + ANSWER_TIME);
         // A call that may not arrive grants no lease: otherwise an owner that keeps calling a dead
         // worker would extend the lease forever.
         let may_grant = confirmed && worker.unanswered == 0;
@@ -217,6 +220,7 @@
             worker.clock.grant(lease, now);
         }
         worker.last_answer_at = Some(now);
+        worker.answer_due_at = None;
         worker.unanswered = 0;
         worker.connection_refused = false;
         worker.has_owner_token = true;
--- a/crates/dispatch/src/worker_state.rs
+++ b/crates/dispatch/src/worker_state.rs
@@ -56,6 +56,8 @@
     pub(crate) last_answer_at: Option<Duration>,
     /// How long the worker may delay its answer to the last renewal.
     pub(crate) renewal_wait: Duration,
+    /// When the answer to the renewal that is under way is due; `None` if none is under way.
+    pub(crate) answer_due_at: Option<Duration>,
     /// The number of consecutive calls without an answer.
     pub(crate) unanswered: u32,
     /// When the first of these calls failed.
@@ -129,6 +131,7 @@
             inherited_until: None,
             last_answer_at: None,
             renewal_wait: Duration::ZERO,
+            answer_due_at: None,
             unanswered: 0,
             contact_lost_at: None,
             crashed_at: None,
@@ -322,6 +325,11 @@
         has_answered && self.renewal_wait <= ACTIVE_RENEWAL_WAIT && !self.has_recent_start(now)
     }
 
+    /// Returns whether the worker should have answered a renewal by now, so that it may be down.
+    pub(crate) fn owes_answer(&self, now: Duration) -> bool {
+        self.answer_due_at.is_some_and(|due| now > due)
+    }
+
     /// Returns whether no other run began on the worker at about the same time as this one.
     pub(crate) fn began_alone(&self, task: TaskKey, run: RunNumber) -> bool {
         let mut others = self.runs.iter().filter(|(id, _)| **id != (task, run));
--- a/crates/dispatch/tests/crashing_tasks.rs
+++ b/crates/dispatch/tests/crashing_tasks.rs
@@ -920,3 +920,30 @@
         assert_eq!(fleet.begin_count(JobKey::new(3)), 2, "{members}");
     }
 }
+
+/// Guards against starting a suspected task, however long it has waited, on a worker whose answer is overdue: the start is lost,
+/// and counts as a crash.
+#[test]
+fn suspected_task_starts_on_no_worker_that_owes_an_answer() {
+    let mut fleet = Fleet::new(2, 27)
+        .with_work(short_work)
+        .with_delayed_renewals();
+    fleet.replace_owner();
+    fleet.run_for(ms(10_000));
+    for worker in 0..2 {
+        fleet.set_capacity(worker, ResourceAmount::default());
+    }
+    submit_suspects(&mut fleet, 2, step(1, &[]));
+    fleet.run_for(ms(5000));
+    while silence_of(&mut fleet, 0) != ms(650) {
+        fleet.run_for(ms(10));
+    }
+    fleet.kill_worker(0);
+    fleet.run_for(ms(250));
+    for worker in 0..2 {
+        fleet.set_capacity(worker, ResourceAmount::new(4000, 4000));
+        fleet.run_for(ms(50));
+    }
+    fleet.run_for(ms(900));
+    assert_eq!(fleet.begin_count(JobKey::new(2)), 1);
+}
