--- a/crates/dispatch/src/dispatcher_workers.rs
+++ b/crates/dispatch/src/dispatcher_workers.rs
@@ -36,6 +36,8 @@
 /// The longest wait of a renewal while tasks run that make progress; bounds how late a lost answer
 /// or a stuck task is noticed.
 pub(crate) const ACTIVE_RENEWAL_WAIT: Duration = Duration::from_millis(700);
+/// The time in which a worker that is up answers a renewal, beside the time for which it may delay the answer.
+const ANSWER_TIME: Duration = Duration::from_millis(50);
 
 /// The time without any activity of the process from which it counts as suspended. It plans several times within that.
 const SUSPENSION_THRESHOLD: Duration = Duration::from_millis(700);
@@ -163,6 +165,7 @@
         let max_wait = self.renewal_wait(key, now);
         let worker = self.worker_mut(key);
         worker.renewal_wait = max_wait;
+        worker.answer_due_at = Some(now + max_wait + ANSWER_TIME);
         // A call that may not arrive grants no lease: otherwise an owner that keeps calling a dead
         // worker would extend the lease forever.
         let may_grant = confirmed && worker.unanswered == 0;
@@ -226,6 +229,7 @@
             worker.clock.grant(lease, now);
         }
         worker.last_answer_at = Some(now);
+        worker.answer_due_at = None;
         worker.last_answered_call_at = worker.last_answered_call_at.max(Some(sent));
         // An answer to a call from before a suspension does not show that the worker has not restarted since.
         if is_fresh {
