Count no owner as gone because an unanswered claim replaced it

A task could run twice after a takeover: a daemon claims the ownership from a silent owner, and the answer to the claim is lost. The row names the daemon itself now, so that it claims again at once, and it counted that former owner, its own claim, as gone. The owner before the claim may still act for 2 s, or longer with the word of most members.

Evidence: an_owner_before_a_claim_without_an_answer_may_still_have_started_a_job failed ("the task runs twice": the former owner had started a task on a worker that the successor could not reach, and the successor started it on another); an_owner_may_still_act_after_a_claim_without_an_answer failed.

Change: when this daemon's own row takes the place of another owner's, whether that owner is gone is kept. Both tests pass.

a_daemon_takes_over_from_its_own_former_incarnation_at_once was wrong: it read the row of another owner first and then that of its former incarnation. A process that has seen another owner's row can see a row of its own only after a claim, the case above. It begins with the own row now, as a process that has restarted does, and checks the same.

--- a/crates/fleet/src/succession.rs
+++ b/crates/fleet/src/succession.rs
@@ -50,7 +50,7 @@
     loading_pages: Option<u64>,
     /// Whether the owner was reading its records when it was last probed.
     is_loading: bool,
-    /// Whether the process that held the ownership is known to have ended.
+    /// Whether the processes that held the ownership, other than this one, are known to have ended.
     former_owner_gone: bool,
     /// How long the store has been available to this daemon.
     store_available_for: Duration,
@@ -107,8 +107,10 @@
             return;
         }
         let vacant = owner.as_ref().is_none_or(|owner| owner.vacant);
+        // A claim of this daemon that is applied without an answer does not end the owner before it.
+        let is_own = owner.as_ref().is_some_and(|owner| owner.node == self.node);
+        self.former_owner_gone = is_own && self.is_former_owner_gone();
         self.owner = owner;
-        self.former_owner_gone = false;
         self.loading_pages = None;
         self.is_loading = false;
         self.silent_since = None;
@@ -133,11 +135,8 @@
 
     /// Returns whether the former owner certainly no longer acts.
     pub fn is_former_owner_gone(&self) -> bool {
-        let own = self
-            .owner
-            .as_ref()
-            .is_none_or(|owner| owner.vacant || owner.node == self.node);
-        own || self.former_owner_gone
+        let is_vacant = self.owner.as_ref().is_none_or(|owner| owner.vacant);
+        is_vacant || self.former_owner_gone
     }
 
     /// Records the result of a probe of the owner that was sent at `sent`.
--- a/crates/fleet/tests/daemons/takeover.rs
+++ b/crates/fleet/tests/daemons/takeover.rs
@@ -80,6 +80,23 @@
     (fleet, successor, silent)
 }
 
+/// Lets a successor take over as [`fleet_after_takeover`] does, but its first claim is applied without an answer.
+async fn fleet_after_repeated_claim() -> (TestFleet, TestDaemon, TcpListener) {
+    let fleet = TestFleet::with_runtime_clock(2);
+    let silent = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    fleet.set_owner(silent.local_addr().expect("it is bound"), 1);
+    fleet.workers.partition(PARTITIONED_WORKER);
+    let successor = fleet.daemon();
+    // The daemon has enrolled by then, so that its next write is the claim.
+    time::sleep(Duration::from_secs(1)).await;
+    successor.store_client.lost_answers.set(1);
+    while fleet.store.owner().is_none_or(|owner| owner.token < 3) {
+        time::sleep(POLL_INTERVAL).await;
+    }
+    assert_eq!(successor.store_client.lost_answers.get(), 0);
+    (fleet, successor, silent)
+}
+
 /// Records job 7, which has one task, as another daemon would.
 fn record_job(fleet: &TestFleet) {
     let record = JobRecord {
@@ -131,6 +148,27 @@
     run_takeover(Duration::from_millis(1800), StoreClient::lose_connections);
 }
 
+/// Guards against a task that runs twice: the successor's first claim was applied without an answer, and with the second it
+/// counted the owner before the first as gone.
+#[test]
+fn an_owner_before_a_claim_without_an_answer_may_still_have_started_a_job() {
+    run_simulated(async {
+        let (fleet, _successor, _silent) = fleet_after_repeated_claim().await;
+        time::sleep(Duration::from_millis(200)).await;
+        start_as_former_owner(&fleet, RUN_TIME);
+        record_job(&fleet);
+        time::sleep(JOB_KNOWN_AFTER).await;
+        assert_eq!(fleet.workers.started_runs(), 1, "the task runs twice");
+        fleet.workers.heal();
+        time::sleep(RUN_ENDED_AFTER).await;
+        assert_eq!(
+            fleet.workers.started_runs(),
+            1,
+            "the task ran and was started again"
+        );
+    });
+}
+
 /// Guards against a task that runs twice: without the store the former owner was confirmed by most daemons, which the
 /// successor could not reach, and renewed the lease of a worker for longer than the successor waited.
 #[test]
--- a/crates/fleet/tests/succession.rs
+++ b/crates/fleet/tests/succession.rs
@@ -153,7 +153,7 @@
 
 #[test]
 fn a_daemon_takes_over_from_its_own_former_incarnation_at_once() {
-    let mut succession = succession();
+    let mut succession = Succession::new("b");
     succession.set_owner(Some(owner("b", 6)), ms(0));
     assert!(succession.should_claim(ms(0)));
     assert!(succession.is_former_owner_gone());
@@ -251,6 +251,22 @@
     assert!(!succession.should_claim(ms(3000)));
 }
 
+/// Guards against tasks that run twice: a claim that is applied without an answer is followed by another, which counted
+/// the owner before the first as gone though it may still act.
+#[test]
+fn an_owner_may_still_act_after_a_claim_without_an_answer() {
+    let mut succession = succession();
+    succession.record_probe(ProbeResult::Unanswered, ms(1000), ms(2400));
+    assert!(succession.should_claim(ms(2400)));
+    let claim = OwnerRecord {
+        token: 5,
+        ..owner("b", 1)
+    };
+    succession.set_owner(Some(claim), ms(2500));
+    assert!(succession.should_claim(ms(2500)));
+    assert!(!succession.is_former_owner_gone());
+}
+
 /// Returns the answer of an owner that has read this many pages of its records.
 fn loading(pages: u64) -> ProbeResult {
     ProbeResult::Answered(PeerHealth {
