Watch also for changes of the parts that are still being read

A job could be accepted and never started, and a cancellation have no effect, until the owner changes: after the store has dropped its history, one part of the jobs fails between two pages, and the row is recorded behind the first page before the other parts are read.

Cause: the reading of that part goes on from its last page since the reader is kept, and the watch began at the least version of the complete parts, which can be later than that of the first page.

Evidence: a_job_recorded_between_the_pages_of_its_part_is_started failed (the job was not started within 14 s, 5 s after the part was well).

Change: the watch begins at the least version of all parts that were read in part or whole. The test passes.

--- a/crates/fleet/src/job_reader.rs
+++ b/crates/fleet/src/job_reader.rs
@@ -60,9 +60,11 @@
         read_parts(shared, &mut self.parts).await
     }
 
-    /// Returns the point from which to watch for changes of what was read, or `None` if no part was read.
+    /// Returns the point from which to watch for changes of what was read, or `None` if no part was read. Changes of the
+    /// pages of a part that is still being read count too: it is read on from its last page.
     pub(crate) fn position(&self) -> Option<JobWatchPosition> {
-        let versions = self.complete_parts().map(PartReader::version);
+        self.complete_parts().next()?;
+        let versions = self.parts.iter().filter_map(PartReader::first_version);
         Some(JobWatchPosition::new(versions.min()?, self.sent_at))
     }
 
--- a/crates/fleet/src/monitored_store.rs
+++ b/crates/fleet/src/monitored_store.rs
@@ -308,7 +308,7 @@
     ) -> Result<(Vec<StoreRow>, u64), StoreError> {
         let mut reader = PartReader::new(table, part, from, to);
         reader.read(self).await?;
-        let version = reader.version();
+        let version = reader.first_version().unwrap_or_default();
         Ok((reader.into_rows(), version))
     }
 
--- a/crates/fleet/src/part_reader.rs
+++ b/crates/fleet/src/part_reader.rs
@@ -79,9 +79,9 @@
         self.rows
     }
 
-    /// Returns the store's version at the first page, or 0 before it was read.
-    pub(crate) fn version(&self) -> u64 {
-        self.version.unwrap_or_default()
+    /// Returns the store's version at the first page, or `None` before it was read.
+    pub(crate) fn first_version(&self) -> Option<u64> {
+        self.version
     }
 
     /// Reads the remaining pages.
--- a/crates/fleet/tests/daemons/jobs_read_again.rs
+++ b/crates/fleet/tests/daemons/jobs_read_again.rs
@@ -1,6 +1,9 @@
 //! Owners that read jobs again, or for the first time, while parts of the store fail.
 
-use std::time::Duration;
+use std::{
+    ops::Range,
+    time::Duration, //
+};
 
 use jasminebend_dispatch::{
     JobKey,
@@ -26,6 +29,8 @@
 };
 
 const COMPLETED: JobProgress = JobProgress::Ended(JobOutcome::Completed);
+/// The part that is read first.
+const LAST_PART: &str = "j15";
 
 fn first_part(number: u64) -> String {
     format!("j{}", JobKey::new(number).partition(16))
@@ -138,3 +143,45 @@
         assert_eq!(fleet.workers.started_runs(), 1);
     });
 }
+
+/// Writes jobs of one task into the last part.
+fn write_jobs(fleet: &TestFleet, queue: &str, numbers: Range<u64>) {
+    let record = JobRecord {
+        queue: queue.to_owned(),
+        accepted_ms: 0,
+        graph: job(&[(1, &[])]),
+    };
+    let value = postcard::to_stdvec(&record).expect("it can be encoded");
+    let rows = numbers.map(|number| {
+        let key = JobKey::new(number).to_string();
+        StoreRow::new(StoreTable::Jobs, LAST_PART, key, value.clone())
+    });
+    fleet.store.write(rows.collect());
+}
+
+/// Guards against an accepted job that is never started: it was recorded behind the first page of its part, whose second page
+/// could not be read, and before the other parts were read.
+#[test]
+fn a_job_recorded_between_the_pages_of_its_part_is_started() {
+    run_simulated(async {
+        let fleet = TestFleet::with_runtime_clock(2);
+        // Nobody knows this queue.
+        write_jobs(&fleet, "unknown", 1000..1100);
+        let owner = fleet.daemon();
+        submit(&owner.job_api, 99, &job(&[(1, &[])])).await;
+        wait_for_progress(&owner.job_api, 99, COMPLETED).await;
+        let client = &owner.store_client;
+        client.job_read_latency.set(Duration::from_millis(200));
+        let others = (0..15).map(|part| (format!("j{part}"), Duration::from_secs(1)));
+        client.slow_parts.borrow_mut().extend(others);
+        client.forget_history();
+        // The owner has read the first page, and not the second.
+        time::sleep(Duration::from_millis(350)).await;
+        client.failing_parts.borrow_mut().push(LAST_PART.to_owned());
+        write_jobs(&fleet, "queue", 5..6);
+        time::sleep(Duration::from_secs(9)).await;
+        client.failing_parts.borrow_mut().clear();
+        time::sleep(Duration::from_secs(5)).await;
+        assert_eq!(fleet.workers.started_runs(), 2);
+    });
+}
