Replace also an owner that can read none of the jobs again

Callers' new jobs were never started while the owner, after the store had dropped its history, could complete the reading of no part of the jobs: it told its peers that it acts, and began to read anew after each failed attempt.

Change: such an owner says that it reads, and keeps what it has read of each part for the next attempt.

--- a/crates/fleet/src/job_watch.rs
+++ b/crates/fleet/src/job_watch.rs
@@ -169,9 +169,13 @@
     position: JobWatchPosition,
     unread: &mut UnreadJobs,
 ) -> Option<JobWatchPosition> {
-    let mut reader = JobReader::new(shared.now()).with_page_count(&term.page_count);
+    let mut reader = unread.take_reader(shared, term);
     let is_complete = reader.read(shared).await.is_ok();
-    let read_position = reader.position()?;
+    let Some(read_position) = reader.position() else {
+        term.holds_jobs.set(true);
+        unread.reader = Some(reader);
+        return None;
+    };
     let inherited = unread.is_reading() || position.may_already_run(term);
     let rows = reader.rows().into_iter();
     for row in rows.filter(|row| is_complete || is_cancellation(row)) {
@@ -190,6 +194,8 @@
 #[derive(Default)]
 struct UnreadJobs {
     task: JoinSet<()>,
+    /// What was read before the first part was complete.
+    reader: Option<JobReader>,
     /// The jobs that the watch has returned meanwhile.
     held_jobs: Rc<RefCell<Vec<StoreRow>>>,
 }
@@ -200,6 +206,11 @@
         !self.task.is_empty()
     }
 
+    fn take_reader(&mut self, shared: &SharedState, term: &OwnerTerm) -> JobReader {
+        let reader = self.reader.take();
+        reader.unwrap_or_else(|| JobReader::new(shared.now()).with_page_count(&term.page_count))
+    }
+
     fn stop(&mut self, term: &OwnerTerm) {
         self.task = JoinSet::new();
         self.held_jobs.borrow_mut().clear();
--- a/crates/fleet/tests/daemons/jobs_read_again.rs
+++ b/crates/fleet/tests/daemons/jobs_read_again.rs
@@ -144,8 +144,8 @@
     });
 }
 
-/// Writes jobs of one task into the last part.
-fn write_jobs(fleet: &TestFleet, queue: &str, numbers: Range<u64>) {
+/// Writes jobs of one task into a part.
+fn write_jobs(fleet: &TestFleet, part: &str, queue: &str, numbers: Range<u64>) {
     let record = JobRecord {
         queue: queue.to_owned(),
         accepted_ms: 0,
@@ -154,7 +154,7 @@
     let value = postcard::to_stdvec(&record).expect("it can be encoded");
     let rows = numbers.map(|number| {
         let key = JobKey::new(number).to_string();
-        StoreRow::new(StoreTable::Jobs, LAST_PART, key, value.clone())
+        StoreRow::new(StoreTable::Jobs, part, key, value.clone())
     });
     fleet.store.write(rows.collect());
 }
@@ -166,7 +166,7 @@
     run_simulated(async {
         let fleet = TestFleet::with_runtime_clock(2);
         // Nobody knows this queue.
-        write_jobs(&fleet, "unknown", 1000..1100);
+        write_jobs(&fleet, LAST_PART, "unknown", 1000..1100);
         let owner = fleet.daemon();
         submit(&owner.job_api, 99, &job(&[(1, &[])])).await;
         wait_for_progress(&owner.job_api, 99, COMPLETED).await;
@@ -178,10 +178,36 @@
         // The owner has read the first page, and not the second.
         time::sleep(Duration::from_millis(350)).await;
         client.failing_parts.borrow_mut().push(LAST_PART.to_owned());
-        write_jobs(&fleet, "queue", 5..6);
+        write_jobs(&fleet, LAST_PART, "queue", 5..6);
         time::sleep(Duration::from_secs(9)).await;
         client.failing_parts.borrow_mut().clear();
         time::sleep(Duration::from_secs(5)).await;
         assert_eq!(fleet.workers.started_runs(), 2);
     });
 }
+
+/// Guards against an owner that begins to read the jobs again after each call that fails, and never gets to the end: no two
+/// calls in a row are answered.
+#[test]
+fn an_owner_keeps_what_it_has_read_again_of_each_part() {
+    run_simulated(async {
+        let fleet = TestFleet::with_runtime_clock(2);
+        for part in 0..16 {
+            let first = 1000 + part * 100;
+            // Nobody knows this queue.
+            write_jobs(&fleet, &format!("j{part}"), "unknown", first..first + 100);
+        }
+        let owner = fleet.daemon();
+        submit(&owner.job_api, 99, &job(&[(1, &[])])).await;
+        wait_for_progress(&owner.job_api, 99, COMPLETED).await;
+        let client = &owner.store_client;
+        client.job_read_latency.set(Duration::from_millis(200));
+        write_jobs(&fleet, LAST_PART, "queue", 5..6);
+        client.forget_history();
+        for _ in 0..400 {
+            client.lose_connections();
+            time::sleep(Duration::from_millis(310)).await;
+        }
+        assert_eq!(fleet.workers.started_runs(), 2);
+    });
+}
--- a/crates/fleet/tests/daemons/partial_outage.rs
+++ b/crates/fleet/tests/daemons/partial_outage.rs
@@ -301,6 +301,24 @@
     });
 }
 
+/// Guards against jobs that are never started although a healthy daemon could own them: the store has dropped its history, and
+/// the owner can read none of the jobs again.
+#[test]
+fn an_owner_that_cannot_read_any_jobs_again_is_replaced() {
+    run_simulated(async {
+        let fleet = TestFleet::with_runtime_clock(2);
+        let owner = serving_daemon(&fleet).await;
+        let other = fleet.daemon();
+        time::sleep(Duration::from_secs(2)).await;
+        break_parts(&owner, 1, 16);
+        owner.store_client.forget_history();
+        time::sleep(Duration::from_millis(100)).await;
+        submit(&other.job_api, 2, &job(&[(1, &[])])).await;
+        time::sleep(REPLACED_AFTER).await;
+        wait_for_progress(&other.job_api, 2, COMPLETED).await;
+    });
+}
+
 /// Writes the row of a job of one task as if a daemon had accepted it.
 fn write_job(fleet: &TestFleet, number: u64) {
     let record = JobRecord {
