Count no answer of a former incarnation as the confirmation of a stop

A task could run twice: its first start got no answer and is under way, the worker accepts the stop and restarts, and its answer to the stop arrives after the first report of the new incarnation. The owner took it for a confirmation of the new one, which knows of no stop, and gave the run up with the next report.

An outcome doesn't tell which incarnation answered; a worker may start again under its id.

Evidence: late_answer_of_a_former_incarnation_to_a_stop_does_not_end_an_unanswered_start failed (the task is started again at once).

Change: the outcomes of the stops that were in flight when the restart became known confirm nothing; the stop is sent again after its time. The test passes.

--- a/crates/dispatch/src/dispatcher_plan.rs
+++ b/crates/dispatch/src/dispatcher_plan.rs
@@ -151,6 +151,7 @@
             self.order_window.record_stop_sent();
             state.stop_sent_at = Some(now);
             state.stop_attempts += 1;
+            state.stops_in_flight += 1;
             if !state.is_stopping() {
                 state.phase = RunPhase::Stopping(None);
             }
--- a/crates/dispatch/src/dispatcher_workers.rs
+++ b/crates/dispatch/src/dispatcher_workers.rs
@@ -338,6 +338,9 @@
         let Some(state) = self.worker_mut(key).runs.get_mut(&(task, run)) else {
             return;
         };
+        if state.record_stop_outcome() {
+            return;
+        }
         match outcome {
             OrderOutcome::Taken | OrderOutcome::Refused(OrderRefusal::Old) => {
                 state.confirm_stop(now);
--- a/crates/dispatch/src/run_state.rs
+++ b/crates/dispatch/src/run_state.rs
@@ -75,6 +75,10 @@
     pub(crate) stop_sent_at: Option<Duration>,
     /// The number of stops sent.
     pub(crate) stop_attempts: u32,
+    /// The number of stops whose outcome is not known.
+    pub(crate) stops_in_flight: u32,
+    /// The number of these that were sent before a restart of the worker was known.
+    pub(crate) former_stops: u32,
 }
 
 impl RunState {
@@ -103,6 +107,8 @@
             stop_reported_at: None,
             stop_sent_at: None,
             stop_attempts: 0,
+            stops_in_flight: 0,
+            former_stops: 0,
         }
     }
 
@@ -138,6 +144,15 @@
         matches!(self.phase, RunPhase::Stopping(Some(_))) && !self.has_begun
     }
 
+    /// Records the outcome of a stop; returns whether the stop was sent before a restart of the worker was known, so that
+    /// a former incarnation may have answered.
+    pub(crate) fn record_stop_outcome(&mut self) -> bool {
+        self.stops_in_flight = self.stops_in_flight.saturating_sub(1);
+        let is_former = self.former_stops > 0;
+        self.former_stops = self.former_stops.saturating_sub(1);
+        is_former
+    }
+
     /// Records that the worker confirmed at `now` that the run was ordered to stop. Only the first confirmation counts:
     /// with the time of a repeated one, a report that takes longer than the repetition could never show that the run is
     /// gone.
@@ -152,6 +167,7 @@
     pub(crate) fn forget_stop(&mut self) {
         if self.is_stopping() && !self.has_begun {
             self.phase = RunPhase::Stopping(None);
+            self.former_stops = self.stops_in_flight;
         }
     }
 
--- a/crates/dispatch/tests/repeated_stops.rs
+++ b/crates/dispatch/tests/repeated_stops.rs
@@ -147,3 +147,52 @@
     let orders = dispatcher.plan(now()).orders;
     assert!(orders.iter().any(is_start), "{orders:?}");
 }
+
+/// Guards against a task that runs twice: its start is still under way, and the incarnation of the worker that accepted
+/// the stop has been replaced. Its answer arrives after the first report of the new one.
+#[test]
+fn late_answer_of_a_former_incarnation_to_a_stop_does_not_end_an_unanswered_start() {
+    let record = Fleet::new(1, 1).workers[0].record().clone();
+    let mut dispatcher = Dispatcher::new(1, DispatchSettings::default());
+    dispatcher.set_configuration(configuration(3));
+    let worker = dispatcher.upsert_worker(record, None);
+    let mut next_time = (1..).map(|tick| ms(1000 + tick * 100));
+    let mut now = || next_time.next().expect("time goes on");
+    let report_to = |dispatcher: &mut Dispatcher, now, incarnation| {
+        dispatcher.next_renewal(worker, true, now);
+        dispatcher.handle_renewal_report(worker, now, empty_report(now, incarnation), now);
+    };
+    report_to(&mut dispatcher, now(), 1000);
+    let job = AcceptedJob {
+        queue: "queue".into(),
+        rule: None,
+        graph: graph(vec![step(1, &[])]).into(),
+        accepted: Duration::ZERO,
+        inherited: false,
+    };
+    dispatcher.add_job(JobKey::new(1), job);
+    let [WorkerOrder::Start(start)] = &dispatcher.plan(now()).orders[..] else {
+        panic!("the task starts");
+    };
+    let (task, run) = (start.task, start.run);
+    dispatcher.handle_start_outcome(worker, task, run, OrderOutcome::Unknown, now());
+    dispatcher.plan(now());
+    report_to(&mut dispatcher, now(), 1500);
+    dispatcher.handle_stop_outcome(worker, task, run, OrderOutcome::Taken, now());
+    report_to(&mut dispatcher, now(), 1500);
+    let is_start = |order: &WorkerOrder| matches!(order, WorkerOrder::Start(_));
+    let orders = dispatcher.plan(now()).orders;
+    assert!(!orders.iter().any(is_start), "{orders:?}");
+    // The new incarnation accepts the repeated stop.
+    let orders: Vec<WorkerOrder> = (0..20)
+        .flat_map(|_| dispatcher.plan(now()).orders)
+        .collect();
+    assert!(
+        orders.contains(&WorkerOrder::Stop { worker, task, run }),
+        "{orders:?}"
+    );
+    dispatcher.handle_stop_outcome(worker, task, run, OrderOutcome::Taken, now());
+    report_to(&mut dispatcher, now(), 1500);
+    let orders = dispatcher.plan(now()).orders;
+    assert!(orders.iter().any(is_start), "{orders:?}");
+}
