Read the registry again after a claim

Found by a review, by reading. A challenger reads the registry before its claim. The former owner may start a task on a worker that was listed since; the challenger's watch tells it of that worker, which then counts as one that no former owner has used. The registry is read again after the claim, as the progress is.

--- a/crates/fleet/src/ownership_takeover.rs
+++ b/crates/fleet/src/ownership_takeover.rs
@@ -81,7 +81,7 @@
     let Some((term, former)) = claim_ownership(shared, former_gone, page_count).await else {
         return;
     };
-    reader.discard_progress();
+    reader.keep_jobs_only();
     tokio::task::spawn_local(announce_owner(
         Rc::clone(shared),
         Rc::clone(&term),
--- a/crates/fleet/src/takeover_reader.rs
+++ b/crates/fleet/src/takeover_reader.rs
@@ -55,8 +55,10 @@
         Rc::clone(&self.page_count)
     }
 
-    /// Discards the progress of the jobs: until its row is replaced another owner can change it.
-    pub(crate) fn discard_progress(&mut self) {
+    /// Discards all but the jobs, which are watched from where they were read: until its row is replaced another owner can
+    /// change their progress, and start tasks on workers that were listed since.
+    pub(crate) fn keep_jobs_only(&mut self) {
+        self.registry = None;
         self.progress = progress_reader(&self.page_count);
     }
 
