Set up the unanswered start of two tests in one place

The two tests of stops across a restart of their worker repeated 27 lines. Same events and checks; each still fails without its part of the change (taking back the confirmation; the answer under way).

--- a/crates/dispatch/tests/repeated_stops.rs
+++ b/crates/dispatch/tests/repeated_stops.rs
@@ -20,9 +20,11 @@
     JobKey,
     OrderOutcome,
     RenewalReport,
+    RunNumber,
     StepKey,
     StepSpec,
     TaskKey,
+    WorkerKey,
     WorkerOrder, //
 };
 use jasminebend_standins::TaskWork;
@@ -90,13 +92,116 @@
     }
 }
 
-/// Returns what a worker that runs nothing reports in this incarnation.
-fn empty_report(clock: Duration, incarnation: u64) -> RenewalReport {
-    RenewalReport {
-        clock,
-        incarnation: Some(ms(incarnation)),
-        running: Vec::new(),
-        completions: Vec::new(),
+/// When the worker of [`UnansweredStart`] booted, and when it restarted.
+const FIRST_INCARNATION: u64 = 1000;
+const NEXT_INCARNATION: u64 = 1500;
+
+/// An owner whose only start, sent to its only worker, got no answer, so that it was ordered to stop.
+struct UnansweredStart {
+    dispatcher: Dispatcher,
+    worker: WorkerKey,
+    task: TaskKey,
+    run: RunNumber,
+    now: Duration,
+}
+
+impl UnansweredStart {
+    fn new() -> Self {
+        let record = Fleet::new(1, 1).workers[0].record().clone();
+        let mut dispatcher = Dispatcher::new(1, DispatchSettings::default());
+        dispatcher.set_configuration(configuration(3));
+        let worker = dispatcher.upsert_worker(record, None);
+        let job = AcceptedJob {
+            queue: "queue".into(),
+            rule: None,
+            graph: graph(vec![step(1, &[])]).into(),
+            accepted: Duration::ZERO,
+            inherited: false,
+        };
+        dispatcher.add_job(JobKey::new(1), job);
+        let step = StepKey {
+            job: JobKey::new(1),
+            occurrence: 0,
+            step: 0,
+        };
+        let mut owner = Self {
+            dispatcher,
+            worker,
+            task: step.task(0),
+            run: RunNumber::new(0),
+            now: ms(1000),
+        };
+        owner.receive_report(FIRST_INCARNATION);
+        let orders = owner.plan();
+        let [WorkerOrder::Start(start)] = &orders[..] else {
+            panic!("the task starts: {orders:?}");
+        };
+        owner.run = start.run;
+        owner.dispatcher.handle_start_outcome(
+            worker,
+            owner.task,
+            owner.run,
+            OrderOutcome::Unknown,
+            owner.now,
+        );
+        owner.plan();
+        owner
+    }
+
+    fn tick(&mut self) -> Duration {
+        self.now += ms(100);
+        self.now
+    }
+
+    fn plan(&mut self) -> Vec<WorkerOrder> {
+        let now = self.tick();
+        self.dispatcher.plan(now).orders
+    }
+
+    /// Lets an incarnation of the worker report that it runs nothing.
+    fn receive_report(&mut self, incarnation: u64) {
+        let now = self.tick();
+        let report = RenewalReport {
+            clock: now,
+            incarnation: Some(ms(incarnation)),
+            running: Vec::new(),
+            completions: Vec::new(),
+        };
+        self.dispatcher.next_renewal(self.worker, true, now);
+        self.dispatcher
+            .handle_renewal_report(self.worker, now, report, now);
+    }
+
+    fn receive_answer_to_stop(&mut self) {
+        let now = self.tick();
+        self.dispatcher.handle_stop_outcome(
+            self.worker,
+            self.task,
+            self.run,
+            OrderOutcome::Taken,
+            now,
+        );
+    }
+
+    fn starts_task(&mut self) -> bool {
+        let orders = self.plan();
+        orders
+            .iter()
+            .any(|order| matches!(order, WorkerOrder::Start(_)))
+    }
+
+    /// Checks that the task starts again once the next incarnation of the worker has accepted a stop, and not before.
+    fn check_next_incarnation_is_asked(&mut self) {
+        assert!(!self.starts_task(), "the start may still arrive");
+        let stop = WorkerOrder::Stop {
+            worker: self.worker,
+            task: self.task,
+            run: self.run,
+        };
+        assert!((0..20).any(|_| self.plan().contains(&stop)), "it is asked");
+        self.receive_answer_to_stop();
+        self.receive_report(NEXT_INCARNATION);
+        assert!(self.starts_task());
     }
 }
 
@@ -104,95 +209,19 @@
 /// the stop has been replaced by one that would execute the start.
 #[test]
 fn stop_that_a_former_incarnation_accepted_does_not_end_an_unanswered_start() {
-    let record = Fleet::new(1, 1).workers[0].record().clone();
-    let mut dispatcher = Dispatcher::new(1, DispatchSettings::default());
-    dispatcher.set_configuration(configuration(3));
-    let worker = dispatcher.upsert_worker(record, None);
-    let mut next_time = (1..).map(|tick| ms(1000 + tick * 100));
-    let mut now = || next_time.next().expect("time goes on");
-    let report_to = |dispatcher: &mut Dispatcher, now, incarnation| {
-        dispatcher.next_renewal(worker, true, now);
-        dispatcher.handle_renewal_report(worker, now, empty_report(now, incarnation), now);
-    };
-    report_to(&mut dispatcher, now(), 1000);
-    let job = AcceptedJob {
-        queue: "queue".into(),
-        rule: None,
-        graph: graph(vec![step(1, &[])]).into(),
-        accepted: Duration::ZERO,
-        inherited: false,
-    };
-    dispatcher.add_job(JobKey::new(1), job);
-    let [WorkerOrder::Start(start)] = &dispatcher.plan(now()).orders[..] else {
-        panic!("the task starts");
-    };
-    let (task, run) = (start.task, start.run);
-    dispatcher.handle_start_outcome(worker, task, run, OrderOutcome::Unknown, now());
-    dispatcher.plan(now());
-    dispatcher.handle_stop_outcome(worker, task, run, OrderOutcome::Taken, now());
-    report_to(&mut dispatcher, now(), 1500);
-    let is_start = |order: &WorkerOrder| matches!(order, WorkerOrder::Start(_));
-    let orders = dispatcher.plan(now()).orders;
-    assert!(!orders.iter().any(is_start), "{orders:?}");
-    // The new incarnation accepts the repeated stop.
-    let orders: Vec<WorkerOrder> = (0..20)
-        .flat_map(|_| dispatcher.plan(now()).orders)
-        .collect();
-    assert!(
-        orders.contains(&WorkerOrder::Stop { worker, task, run }),
-        "{orders:?}"
-    );
-    dispatcher.handle_stop_outcome(worker, task, run, OrderOutcome::Taken, now());
-    report_to(&mut dispatcher, now(), 1500);
-    let orders = dispatcher.plan(now()).orders;
-    assert!(orders.iter().any(is_start), "{orders:?}");
+    let mut owner = UnansweredStart::new();
+    owner.receive_answer_to_stop();
+    owner.receive_report(NEXT_INCARNATION);
+    owner.check_next_incarnation_is_asked();
 }
 
 /// Guards against a task that runs twice: its start is still under way, and the incarnation of the worker that accepted
 /// the stop has been replaced. Its answer arrives after the first report of the new one.
 #[test]
 fn late_answer_of_a_former_incarnation_to_a_stop_does_not_end_an_unanswered_start() {
-    let record = Fleet::new(1, 1).workers[0].record().clone();
-    let mut dispatcher = Dispatcher::new(1, DispatchSettings::default());
-    dispatcher.set_configuration(configuration(3));
-    let worker = dispatcher.upsert_worker(record, None);
-    let mut next_time = (1..).map(|tick| ms(1000 + tick * 100));
-    let mut now = || next_time.next().expect("time goes on");
-    let report_to = |dispatcher: &mut Dispatcher, now, incarnation| {
-        dispatcher.next_renewal(worker, true, now);
-        dispatcher.handle_renewal_report(worker, now, empty_report(now, incarnation), now);
-    };
-    report_to(&mut dispatcher, now(), 1000);
-    let job = AcceptedJob {
-        queue: "queue".into(),
-        rule: None,
-        graph: graph(vec![step(1, &[])]).into(),
-        accepted: Duration::ZERO,
-        inherited: false,
-    };
-    dispatcher.add_job(JobKey::new(1), job);
-    let [WorkerOrder::Start(start)] = &dispatcher.plan(now()).orders[..] else {
-        panic!("the task starts");
-    };
-    let (task, run) = (start.task, start.run);
-    dispatcher.handle_start_outcome(worker, task, run, OrderOutcome::Unknown, now());
-    dispatcher.plan(now());
-    report_to(&mut dispatcher, now(), 1500);
-    dispatcher.handle_stop_outcome(worker, task, run, OrderOutcome::Taken, now());
-    report_to(&mut dispatcher, now(), 1500);
-    let is_start = |order: &WorkerOrder| matches!(order, WorkerOrder::Start(_));
-    let orders = dispatcher.plan(now()).orders;
-    assert!(!orders.iter().any(is_start), "{orders:?}");
-    // The new incarnation accepts the repeated stop.
-    let orders: Vec<WorkerOrder> = (0..20)
-        .flat_map(|_| dispatcher.plan(now()).orders)
-        .collect();
-    assert!(
-        orders.contains(&WorkerOrder::Stop { worker, task, run }),
-        "{orders:?}"
-    );
-    dispatcher.handle_stop_outcome(worker, task, run, OrderOutcome::Taken, now());
-    report_to(&mut dispatcher, now(), 1500);
-    let orders = dispatcher.plan(now()).orders;
-    assert!(orders.iter().any(is_start), "{orders:?}");
+    let mut owner = UnansweredStart::new();
+    owner.receive_report(NEXT_INCARNATION);
+    owner.receive_answer_to_stop();
+    owner.receive_report(NEXT_INCARNATION);
+    owner.check_next_incarnation_is_asked();
 }
