Revert the frequent reports of workers while tasks are suspected

The limit on starts of a task that crashes its workers binds; giving up an innocent task after four crashes is allowed.

The cause was not traced further; a worker that is to isolate a suspected task had to report within 0.7 s, so that suspected tasks may start without isolation more often.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -143,8 +143,6 @@
     pub(crate) resumed_at: Duration,
     /// The suspected gang whose turn it is to start, and until when other suspected tasks wait for it.
     pub(crate) isolation_turn: Option<(StepKey, Duration)>,
-    /// Until when all workers report often, because a suspected task waits for one of its own.
-    pub(crate) crash_watch_until: Duration,
 }
 
 impl Dispatcher {
@@ -184,7 +182,6 @@
             last_active_at: None,
             resumed_at: Duration::ZERO,
             isolation_turn: None,
-            crash_watch_until: Duration::ZERO,
         }
     }
 
--- a/crates/dispatch/src/dispatcher_announcements.rs
+++ b/crates/dispatch/src/dispatcher_announcements.rs
@@ -41,9 +41,6 @@
         };
         let is_suspect = crashes.is_suspect();
         crashes.wait_for_isolation(now);
-        if is_suspect {
-            self.watch_crashes(now);
-        }
         is_suspect
     }
 
--- a/crates/dispatch/src/dispatcher_crashes.rs
+++ b/crates/dispatch/src/dispatcher_crashes.rs
@@ -24,8 +24,6 @@
 
 /// The time between the losses of two workers within which they count as lost together.
 const WIDESPREAD_WINDOW: Duration = Duration::from_secs(1);
-/// How long workers report often after a suspected task has waited for one of its own.
-const CRASH_WATCH_PERIOD: Duration = Duration::from_secs(10);
 
 impl Dispatcher {
     /// Records that runs are lost together with their worker, before they are released.
@@ -94,11 +92,6 @@
         }
     }
 
-    /// Lets all workers report often for a while, so that a run that outlives its start is known to do so.
-    pub(crate) fn watch_crashes(&mut self, now: Duration) {
-        self.crash_watch_until = now + CRASH_WATCH_PERIOD;
-    }
-
     /// Returns the crashes under a task, or `None` if the task is unknown.
     pub(crate) fn crash_history(&self, task: TaskKey) -> Option<&CrashHistory> {
         let step = task.step;
--- a/crates/dispatch/src/dispatcher_workers.rs
+++ b/crates/dispatch/src/dispatcher_workers.rs
@@ -35,7 +35,7 @@
 const INTERFERENCE_RENEWAL_WAIT: Duration = Duration::from_millis(500);
 /// The longest wait of a renewal while tasks run that make progress; bounds how late a lost answer
 /// or a stuck task is noticed.
-pub(crate) const ACTIVE_RENEWAL_WAIT: Duration = Duration::from_millis(700);
+const ACTIVE_RENEWAL_WAIT: Duration = Duration::from_millis(700);
 /// The time in which a worker that is up answers a renewal, beside the time for which it may delay the answer.
 const ANSWER_TIME: Duration = Duration::from_millis(50);
 
@@ -162,9 +162,8 @@
     pub fn next_renewal(&mut self, key: WorkerKey, confirmed: bool, now: Duration) -> LeaseRenewal {
         self.detect_suspension(now);
         let lease = self.settings.lease_duration;
-        let max_wait = self.renewal_wait(key, now);
+        let max_wait = self.renewal_wait(key);
         let worker = self.worker_mut(key);
-        worker.renewal_wait = max_wait;
         worker.answer_due_at = Some(now + max_wait + ANSWER_TIME);
         // A call that may not arrive grants no lease: otherwise an owner that keeps calling a dead
         // worker would extend the lease forever.
@@ -410,12 +409,9 @@
     }
 
     /// Returns how long the worker may delay its answer to the next renewal.
-    fn renewal_wait(&self, key: WorkerKey, now: Duration) -> Duration {
+    fn renewal_wait(&self, key: WorkerKey) -> Duration {
         let worker = self.worker(key);
-        let until_refuted = worker.runs.values().filter_map(|run| run.refutes_in(now));
-        let longest = (until_refuted.min())
-            .unwrap_or(self.settings.max_renewal_wait)
-            .min(self.settings.max_renewal_wait);
+        let longest = self.settings.max_renewal_wait;
         if !worker.has_owner_token || worker.unanswered > 0 || !worker.pending_acks.is_empty() {
             return Duration::ZERO;
         }
@@ -428,7 +424,7 @@
             return INTERFERENCE_RENEWAL_WAIT.min(longest);
         }
         let only_services = worker.runs.values().all(|run| run.target.is_some());
-        match only_services && now >= self.crash_watch_until {
+        match only_services {
             true => longest,
             false => ACTIVE_RENEWAL_WAIT.min(longest),
         }
--- a/crates/dispatch/src/run_state.rs
+++ b/crates/dispatch/src/run_state.rs
@@ -134,12 +134,6 @@
         !self.is_adopted && listed_for < EARLY_CRASH_WINDOW
     }
 
-    /// Returns how long the run must still go on to refute the crashes on record for its task; `None` if it can't.
-    pub(crate) fn refutes_in(&self, now: Duration) -> Option<Duration> {
-        let may_refute = self.may_clear_crashes && self.has_begun && self.is_early();
-        may_refute.then(|| (self.placed_at + EARLY_CRASH_WINDOW).saturating_sub(now))
-    }
-
     /// Returns whether the run was ordered to stop.
     pub(crate) fn is_stopping(&self) -> bool {
         matches!(self.phase, RunPhase::Stopping(_))
--- a/crates/dispatch/src/worker_state.rs
+++ b/crates/dispatch/src/worker_state.rs
@@ -17,7 +17,6 @@
     WorkerCrash,
     crash_history::EARLY_CRASH_WINDOW,
     dispatcher_throttling::TargetViolationTracker,
-    dispatcher_workers::ACTIVE_RENEWAL_WAIT,
     interference_model::{
         FillerPresence,
         InterferenceModel, //
@@ -56,8 +55,6 @@
     pub(crate) last_answer_at: Option<Duration>,
     /// When the last call was sent that the worker answered.
     pub(crate) last_answered_call_at: Option<Duration>,
-    /// How long the worker may delay its answer to the last renewal.
-    pub(crate) renewal_wait: Duration,
     /// When the answer to the renewal that is under way is due; `None` if none is under way.
     pub(crate) answer_due_at: Option<Duration>,
     /// The number of consecutive calls without an answer.
@@ -133,7 +130,6 @@
             inherited_until: None,
             last_answer_at: None,
             last_answered_call_at: None,
-            renewal_wait: Duration::ZERO,
             answer_due_at: None,
             unanswered: 0,
             contact_lost_at: None,
@@ -319,13 +315,13 @@
             .is_some_and(|at| now < at + EARLY_CRASH_WINDOW)
     }
 
-    /// Returns whether a suspected task may start now: nothing else that could crash the worker began a short time ago, the
-    /// worker was up a short time ago, and it will soon tell whether it still is.
+    /// Returns whether a suspected task may start now: nothing else that could crash the worker began a short time ago, and
+    /// the worker was up a short time ago.
     pub(crate) fn can_isolate(&self, now: Duration) -> bool {
         let has_answered = self
             .last_answer_at
             .is_some_and(|at| now < at + RECENT_ANSWER_WINDOW);
-        has_answered && self.renewal_wait <= ACTIVE_RENEWAL_WAIT && !self.has_recent_start(now)
+        has_answered && !self.has_recent_start(now)
     }
 
     /// Returns whether the worker should have answered a renewal by now, so that it may be down.
