Count no CPU as idle that a shrunk worker no longer has

A filler was started on a worker that ran more than it can hold.

Cause: the capacity that nothing reserves was taken as zero where services reserve more than there is, after a worker had shrunk. The CPU that these services do not use then counted as idle. Change: the difference may be negative.

--- a/crates/dispatch/src/worker_state.rs
+++ b/crates/dispatch/src/worker_state.rs
@@ -168,11 +168,12 @@
     }
 
     /// Returns the CPU that is estimated to be idle, in millicores; negative if fillers declare
-    /// more than there is. Services reserve CPU for their peak and use it in proportion to their
+    /// more than there is, or the capacity has shrunk. Services reserve CPU for their peak and use it in proportion to their
     /// load.
     pub(crate) fn idle_cpu(&self) -> i64 {
         let unused = signed(self.service_cpu) - signed(self.service_use);
-        signed(self.free_capacity().cpu_millis) + unused - signed(self.filler_cpu)
+        let unreserved = signed(self.record.capacity.cpu_millis) - signed(self.reserved.cpu_millis);
+        unreserved + unused - signed(self.filler_cpu)
     }
 
     /// Returns the fillers that the services' metrics reflect. If `fading`, fillers that started or
--- a/crates/dispatch/tests/capacity_changes.rs
+++ b/crates/dispatch/tests/capacity_changes.rs
@@ -16,6 +16,7 @@
     JobKey,
     JobOutcome,
     JobProgress,
+    StepSpec,
     TaskKey, //
 };
 use jasminebend_standins::TaskWork;
@@ -144,3 +145,32 @@
         .collect();
     assert!(violations.is_empty(), "{violations:#?}");
 }
+
+/// Guards against a filler that starts on a worker whose capacity has shrunk below what its services reserve: the CPU that
+/// these do not use was counted as idle.
+#[test]
+fn filler_does_not_start_on_a_worker_that_shrank_below_its_services() {
+    let mut fleet = Fleet::new(1, 1).with_work(|_| TaskWork {
+        run_time: Duration::MAX,
+        fails: false,
+        size: cores(FULL_CORES),
+    });
+    let service = StepSpec {
+        long_running: true,
+        size: ResourceAmount::new(4000, 100),
+        image: Some("service".into()),
+        tail_target: Some(ms(200)),
+        ..step(1, &[])
+    };
+    fleet.submit(1, graph(vec![service]));
+    fleet.run_for(ms(2000));
+    fleet.set_capacity(0, ResourceAmount::new(1300, 4000));
+    let filler = StepSpec {
+        filler: true,
+        image: Some("filler".into()),
+        ..step(1, &[])
+    };
+    let filler = fleet.submit(2, graph(vec![filler]));
+    fleet.run_for(ms(5000));
+    assert_eq!(fleet.begin_count(filler), 0);
+}
