--- a/review/standins.py
+++ b/review/standins.py
@@ -23,15 +23,16 @@
 PROGRAM = os.path.join(ROOT, "target", "release", "jasminebend")
 HOST = "127.0.0.1"
 
-# The bounds of the small deployments, as in SYSTEM.md (Hai Phong).
+# The bounds of the site swancoast-sched, as in SYSTEM.md.
 BOUNDS = {
     "seed_lag_s": 3, "addr_reuse_s": 2, "contact_ms": 3000, "ack_ms": 4000, "catch_up_s": 4, "drain_ms": 2000,
     "grace_s": 6, "loss_slack_ms": 200, "config_ms": 2000, "rollback_slack_ms": 250, "max_skew_ms": 5000,
-    "cold_overage": 1.5, "cold_slack": 5, "evacuate_ms": 5000, "recovery_s": 12, "max_hold_ms": 10000,
-    "stop_ms": 400, "gang_ms": 3000, "cancel_ms": 3000, "visible_ms": 3000, "early_ms": 250, "finish_s": 14,
-    "status_s": 120, "remote_factor": 2, "checkpoint_s": 0.5, "restore_ms": 100, "notice_ms": 4500, "move_s": 1.5,
+    "cold_overage": 1.5, "cold_slack": 5, "evacuate_ms": 5000, "recovery_s": 12, "max_hold_ms": 6000,
+    "stop_ms": 900, "gang_ms": 3000, "cancel_ms": 3000, "visible_ms": 3000, "early_ms": 250, "finish_s": 14,
+    "status_s": 120, "remote_factor": 2, "checkpoint_s": 2, "restore_ms": 600, "notice_ms": 4500, "move_s": 1.5,
     "maintenance_s": 2, "require_fencing": True, "lease_ms": 3000, "thaw_ms": 300, "pace_ms": 100, "harm_ms": 4000,
 }
+HEARTBEAT_S = 1.5
 ROW_BYTES = 65536
 CALL_BYTES = 1 << 20
 CALL_ENTRIES = 100
@@ -322,9 +323,9 @@
 
 
 class Run:
-    def __init__(self, task, run, sender, work_s, checkpoints, fails):
+    def __init__(self, task, run, sender, work_s, checkpoints, fails, cpu):
         self.task, self.run, self.sender = task, run, sender
-        self.work_s, self.checkpoints, self.fails = work_s, checkpoints, fails
+        self.work_s, self.checkpoints, self.fails, self.cpu = work_s, checkpoints, fails, cpu
         self.began = now()
         self.stop_at = None
         self.ended = None
@@ -335,7 +336,7 @@
         return min(100.0, 100.0 * (now() - self.began) / self.work_s)
 
     def saved(self):
-        return "%016x" % int((now() - self.began) * 2 + 1) if self.checkpoints else ""
+        return "%016x" % int((now() - self.began) / BOUNDS["checkpoint_s"] + 1) if self.checkpoints else ""
 
 
 class Worker(Server):
@@ -347,7 +348,7 @@
         self.id, self.record, self.store, self.all_runs = ident, record, store, runs
         self.zone, self.rack, self.cpu, self.mem = zone, rack, cpu, mem
         self.state = "ready"
-        self.remaining_ms = 0
+        self.leaves_at = None
         self.sequence = 0
         self.cut = False
         self.next_beat = 0.0
@@ -367,7 +368,7 @@
         self.wakeup = asyncio.Event()
 
     def clock_ms(self):
-        return (now() - self.clock_origin) * 1000
+        return int((now() - self.clock_origin) * 1000)
 
     async def beat(self, heartbeat_s):
         """Registers in the store about every heartbeat; not while it is cut off or the store is down."""
@@ -379,14 +380,14 @@
                 self.register()
 
     def register(self):
-        if self.cut or self.store.down or self.server is None:
+        if self.cut or self.store.down:
             return
         self.sequence += 1
         entry = {"backend": "pool", "address": self.address, "zone": self.zone, "version": "v1", "slots": 8,
                  "state": self.state, "cold_remaining_ms": 0, "sequence": self.sequence, "born": self.born,
                  "machine": "m-" + self.id, "capacity": {"cpu": self.cpu, "mem_mb": self.mem, "gpus": 0}, "labels": ["a", self.rack]}
         if self.state == "draining":
-            entry["remaining_ms"] = self.remaining_ms
+            entry["remaining_ms"] = max(0, int((self.leaves_at - now()) * 1000))
         self.store.heard[self.id] = now()
         self.store.put_json("servers", self.id, entry)
 
@@ -418,8 +419,14 @@
         self.wakeup.set()
         self.wakeup = asyncio.Event()
 
+    def drain(self, seconds):
+        """Reports that it drains and leaves after that time at the earliest."""
+        self.state, self.leaves_at = "draining", now() + seconds
+        self.register()
+
     def crash(self):
-        """Everything on it is gone without an end."""
+        """Everything on it is gone without an end, and it stays down."""
+        self.cut = True
         self.record.line("%s: crashes with %d runs" % (self.id, len(self.running)))
         for run in self.running.values():
             run.ended, run.how = now(), "crashed"
@@ -459,7 +466,8 @@
         spec = json.loads(call_["spec"])
         least, most = spec["work_ms"]
         work_s = random.Random(task).uniform(least, most) / 1000
-        begun = Run(task, run, call_["fencing_token"], work_s, spec.get("checkpoints", False), spec.get("fails", False))
+        begun = Run(task, run, call_["fencing_token"], work_s, spec.get("checkpoints", False), spec.get("fails", False),
+                    spec.get("cpu", 0))
         begun.worker = self.id
         self.running[(task, run)] = begun
         self.all_runs.append(begun)
@@ -488,7 +496,7 @@
                 pass
         if call_.get("fencing_token", 0) < self.token:
             return 409, {"clock_ms": self.clock_ms(), "reason": "fence"}
-        running = [[r.task, r.run, r.saved(), round(r.percent(), 1), 0] for r in self.running.values()]
+        running = [[r.task, r.run, r.saved(), round(r.percent(), 1), r.cpu] for r in self.running.values()]
         return 200, {"clock_ms": self.clock_ms(), "born": self.born, "running": running,
                      "ended": [end[:5] for end in self.ended[:500]]}
 
@@ -506,8 +514,8 @@
             "zone": zone, "region": "reg", "zones": {"north": "reg", "south": "reg", "west": "reg"},
             "listen_addrs": {"frontend": self.frontend, "ready": "%s:%d" % (HOST, ready)},
             "internal_ports": [internal, internal + 3], "seed_nodes": [], "bootstrap": True, "in_tolerance": False,
-            "limits": {"cpu_share": 0.25, "cores": 1, "memory_mb": 260, "max_fds": 4100, "link_mbps": 1000.0, "disk_mb": 0},
-            "data_dir": None, "discovery": "platform", "entrypoint": "vip", "heartbeat_ms": 1100,
+            "limits": {"cpu_share": 0.1, "cores": 1, "memory_mb": 260, "max_fds": 4100, "link_mbps": 1000.0, "disk_mb": 0},
+            "data_dir": None, "discovery": "platform", "entrypoint": "vip", "heartbeat_ms": int(HEARTBEAT_S * 1000),
             "fault_tolerance": {"machines": 1, "zones": 1, "regions": 0}, "bounds": BOUNDS, "orders": "rpc",
             "platform": {"address": store_address, "form": "table", "writes_per_s": 600, "reads_per_s": 2000, "txn_ms": 3.0,
                          "partition_writes_s": 300, "row_bytes": ROW_BYTES, "cross_region": True, "history_s": 20},
@@ -616,13 +624,13 @@
 
 
 def job(steps, work_ms, checkpoints=False, fails=False):
-    return {"spec": json.dumps({"work_ms": work_ms, "checkpoints": checkpoints, "fails": fails}), "steps": steps}
+    return {"spec": json.dumps({"work_ms": work_ms, "checkpoints": checkpoints, "fails": fails, "cpu": steps[0]["cpu"]}), "steps": steps}
 
 
 class Deployment:
     """The store, the executors and the daemons of a small deployment, and the clean end of all of them."""
 
-    def __init__(self, record, workers, daemons=3, heartbeat_s=1.1, cpu=64000, max_attempts=4, seed=1):
+    def __init__(self, record, workers, daemons=3, heartbeat_s=HEARTBEAT_S, cpu=64000, max_attempts=4, seed=1):
         self.record, self.heartbeat_s, self.seed = record, heartbeat_s, seed
         self.folder = tempfile.mkdtemp(prefix="review-")
         self.store = Store(record)
