Give up workers lost with the owner, whoever of the daemons is left

Cause: a successor gives up a worker that it can't reach only once half of all enrolled daemons know it, because a former owner without the store goes on by the word of more than half. Rows of daemons that were gone stayed enrolled until they had been silent for 300 s to one owner while more than half answered. Once more were gone than left, the wait had no end. The set by which both sides count also changed under the wait: daemons enrolled and rows were removed without the former owner's knowledge.

Change: the daemons that vote are one row, the member set, which only a settled owner writes, guarded by its own row and the set's version. A successor reads it after its claim, so that it holds the set by which the former owner counts; while the outcome of a change is unknown the owner counts by both sets. Daemons that are gone leave the set after 2 s, also if fewer than half answer. Up to nine workers in the set are witnesses: 3.5 s after the store last confirmed its term, an owner also needs answers of more than half of them. Former owners count as stopped 2 s after half of the members know the successor, or half of the witnesses follow it, the 3.5 s over. A successor of an owner that was never settled takes none before it for gone. An owner adds jobs only within 2 s of a confirmation by the store. `quorum` and `no_quorum` lines say how long the wait may still last and for how many workers.

Why it works: workers refuse lower tokens and outnumber daemons. A former owner needs more than half of the same nine that the successor has half of, so that the wait ends though all other daemons are gone.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -143,6 +143,8 @@
     pub(crate) resumed_at: Duration,
     /// The suspected gang whose turn it is to start, and until when other suspected tasks wait for it.
     pub(crate) isolation_turn: Option<(StepKey, Duration)>,
+    /// Whether the owner may soon depend on the workers' word that they follow it.
+    pub(crate) storeless: bool,
 }
 
 impl Dispatcher {
@@ -182,6 +184,7 @@
             last_active_at: None,
             resumed_at: Duration::ZERO,
             isolation_turn: None,
+            storeless: false,
         }
     }
 
@@ -323,9 +326,16 @@
     /// Returns whether every worker that a former owner may have sent orders to has answered this
     /// owner, or certainly no longer runs anything for the former owner.
     pub fn is_takeover_complete(&self) -> bool {
-        self.workers
-            .iter()
-            .all(|worker| worker.inherited_until.is_none())
+        self.inherited_worker_count() == 0
+    }
+
+    /// Returns the number of workers that a former owner may have sent orders to, and that have neither answered this owner
+    /// nor certainly stopped.
+    pub fn inherited_worker_count(&self) -> usize {
+        let workers = self.workers.iter();
+        workers
+            .filter(|worker| worker.inherited_until.is_some())
+            .count()
     }
 
     /// Creates the state of a job's occurrence, if there is none, and opens its steps that have no
--- a/crates/dispatch/src/dispatcher_workers.rs
+++ b/crates/dispatch/src/dispatcher_workers.rs
@@ -5,6 +5,9 @@
     time::Duration, //
 };
 
+use indexmap::IndexMap;
+use jasminebend_base::DomainName;
+
 use crate::{
     Dispatcher,
     EndedRun,
@@ -36,6 +39,10 @@
 /// The longest wait of a renewal while tasks run that make progress; bounds how late a lost answer
 /// or a stuck task is noticed.
 const ACTIVE_RENEWAL_WAIT: Duration = Duration::from_millis(700);
+/// The longest wait of a renewal while the owner is without the store, and its workers confirm that they follow it.
+const STORELESS_RENEWAL_WAIT: Duration = Duration::from_millis(500);
+/// The time since its last answer from which a worker counts as unreachable.
+const ANSWER_EXPIRY_TIME: Duration = Duration::from_secs(4);
 /// The time in which a worker that is up answers a renewal, beside the time for which it may delay the answer.
 const ANSWER_TIME: Duration = Duration::from_millis(50);
 
@@ -136,6 +143,39 @@
             .is_some_and(|key| number <= self.worker(key).last_processed)
     }
 
+    /// Sets whether the owner may soon depend on the workers' word that they follow it.
+    pub fn set_storeless(&mut self, storeless: bool) {
+        self.storeless = storeless;
+    }
+
+    /// Returns when the last call was sent that this incarnation of a worker has answered; `None` if there is none.
+    pub fn answered_call_at(&self, id: &str, incarnation: Duration) -> Option<Duration> {
+        let worker = self.worker(self.worker_key(id)?);
+        let is_same = worker.incarnation == Some(incarnation);
+        worker.last_answered_call_at.filter(|_| is_same)
+    }
+
+    /// Returns the identity and incarnation of the workers that stay and have answered lately, of each failure domain in turn.
+    pub fn answering_workers(&self, now: Duration) -> impl Iterator<Item = (&Arc<str>, Duration)> {
+        let mut domain_counts: IndexMap<&DomainName, usize> = IndexMap::new();
+        let mut workers: Vec<(usize, &Arc<str>, Duration)> = Vec::new();
+        for worker in &self.workers {
+            let answers = worker
+                .last_answer_at
+                .is_some_and(|at| now < at + ANSWER_EXPIRY_TIME);
+            let stays = worker.listed && !worker.record.draining;
+            if let Some(incarnation) = worker.incarnation.filter(|_| answers && stays) {
+                let rank = domain_counts.entry(&worker.record.domain).or_default();
+                workers.push((*rank, &worker.record.id, incarnation));
+                *rank += 1;
+            }
+        }
+        workers.sort_by_key(|(rank, ..)| *rank);
+        workers
+            .into_iter()
+            .map(|(_, id, incarnation)| (id, incarnation))
+    }
+
     /// Returns the key of the worker with this identity.
     pub fn worker_key(&self, id: &str) -> Option<WorkerKey> {
         self.worker_keys.get(id).copied()
@@ -411,7 +451,10 @@
     /// Returns how long the worker may delay its answer to the next renewal.
     fn renewal_wait(&self, key: WorkerKey) -> Duration {
         let worker = self.worker(key);
-        let longest = self.settings.max_renewal_wait;
+        let longest = match self.storeless {
+            true => STORELESS_RENEWAL_WAIT.min(self.settings.max_renewal_wait),
+            false => self.settings.max_renewal_wait,
+        };
         if !worker.has_owner_token || worker.unanswered > 0 || !worker.pending_acks.is_empty() {
             return Duration::ZERO;
         }
--- a/crates/fleet/src/fleet_daemon.rs
+++ b/crates/fleet/src/fleet_daemon.rs
@@ -135,6 +135,7 @@
             operator: RefCell::new(OperatorState::default()),
             succession: RefCell::new(succession),
             members: RefCell::new(IndexMap::new()),
+            member_set: RefCell::default(),
             owner_version: Cell::new(0),
             highest_token: Cell::new(0),
             term: RefCell::new(None),
--- a/crates/fleet/src/job_watch.rs
+++ b/crates/fleet/src/job_watch.rs
@@ -32,7 +32,8 @@
         CANCELLATION_SUFFIX,
         SharedState,
         WATCH_WAIT, //
-    }, //
+    },
+    term_confirmation::confirm_before_adding, //
 };
 
 /// The upper limit for the age of a job's acceptance: daemons' wall clocks differ.
@@ -65,7 +66,7 @@
     /// Returns whether a job that is not known yet may already run: a former owner that had not learned yet that it was
     /// replaced may have started it.
     fn may_already_run(self, term: &OwnerTerm) -> bool {
-        self.sent_at < term.former_owner_until.get()
+        self.sent_at < term.former_adds_until.get()
     }
 }
 
@@ -138,6 +139,10 @@
             Ok(page) => {
                 let inherited = position.may_already_run(&term);
                 let is_reading = unread.is_reading();
+                if confirm_before_adding(&shared, &term).await.is_err() {
+                    shared.store.wait_to_retry().await;
+                    continue;
+                }
                 for row in page.items.into_iter().filter_map(|change| change.row) {
                     match is_reading && !is_cancellation(&row) {
                         true => unread.held_jobs.borrow_mut().push(row),
@@ -171,7 +176,9 @@
 ) -> Option<JobWatchPosition> {
     let mut reader = unread.take_reader(shared, term);
     let is_complete = reader.read(shared).await.is_ok();
-    let Some(read_position) = reader.position() else {
+    let is_confirmed = confirm_before_adding(shared, term).await.is_ok();
+    let read_position = reader.position().filter(|_| is_confirmed);
+    let Some(read_position) = read_position else {
         term.holds_jobs.set(true);
         unread.reader = Some(reader);
         return None;
@@ -237,7 +244,9 @@
     mut reader: JobReader,
     held_jobs: Rc<RefCell<Vec<StoreRow>>>,
 ) {
-    while reader.read(&shared).await.is_err() {
+    while reader.read(&shared).await.is_err()
+        || confirm_before_adding(&shared, &term).await.is_err()
+    {
         shared.store.wait_to_retry().await;
     }
     for row in reader.rows().into_iter().chain(&held_jobs.take()) {
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -12,6 +12,7 @@
 mod fleet_settings;
 mod fleet_store;
 mod fleet_workers;
+mod former_owner_bound;
 mod http_pool;
 mod http_server;
 mod job_api;
@@ -21,12 +22,15 @@
 mod lease_renewal;
 mod maintenance_wave;
 mod maintenance_waves;
-mod member_expiry;
+mod member_set;
+mod member_set_changes;
+mod member_silence;
 mod member_watch;
 mod monitored_store;
 mod operator_watch;
 mod order_planning;
 mod owner_announcement;
+mod owner_quorum;
 mod owner_record;
 mod owner_term;
 mod ownership_challenge;
@@ -83,6 +87,7 @@
         MaintenanceOutcome,
         WorkerAddress, //
     },
+    former_owner_bound::FormerOwnerBound,
     http_pool::{
         HttpError,
         HttpPool,
@@ -102,6 +107,12 @@
         encode_job, //
     },
     maintenance_wave::MaintenanceWave,
+    member_set::{
+        MemberSet,
+        SetMember,
+        WitnessWorker, //
+    },
+    owner_quorum::OwnerQuorum,
     owner_record::{
         JobRecord,
         MemberRecord,
--- a/crates/fleet/src/member_watch.rs
+++ b/crates/fleet/src/member_watch.rs
@@ -21,6 +21,7 @@
     ownership_challenge::OwnershipChallenge,
     ownership_takeover::take_over,
     shared_state::{
+        MEMBER_SET_KEY,
         MEMBERS_PART,
         OWNER_KEY,
         SHARD_PART,
@@ -127,8 +128,9 @@
         .await?;
     let (rows, _) = shared
         .store
-        .read_all(StoreTable::Fleet, SHARD_PART, OWNER_KEY, None)
+        .read_all(StoreTable::Fleet, SHARD_PART, MEMBER_SET_KEY, None)
         .await?;
+    apply_member_set_row(shared, rows.iter().find(|row| row.key == MEMBER_SET_KEY));
     shared.members.borrow_mut().clear();
     for row in &members {
         apply_member_row(shared, row);
@@ -149,6 +151,9 @@
                 shared.members.borrow_mut().shift_remove(&change.key);
             }
             (SHARD_PART, row) if change.key == OWNER_KEY => apply_owner_row(shared, row.as_ref()),
+            (SHARD_PART, row) if change.key == MEMBER_SET_KEY => {
+                apply_member_set_row(shared, row.as_ref());
+            }
             _ => {}
         }
     }
@@ -170,9 +175,25 @@
     }
 }
 
+fn apply_member_set_row(shared: &SharedState, row: Option<&StoreRow>) {
+    // A row that a different release encoded is ignored.
+    if let Some(Ok(set)) = row.map(|row| postcard::from_bytes(&row.value)) {
+        *shared.member_set.borrow_mut() = set;
+        update_succession(shared);
+    }
+}
+
+/// Passes the daemons that rank for the succession: those in the set of members, as members that are gone leave it soon, and
+/// all that have enrolled where there is none.
 fn update_succession(shared: &SharedState) {
-    let members = shared.members.borrow().values().cloned().collect();
-    shared.succession.borrow_mut().set_members(members);
+    let set = shared.member_set.borrow();
+    let enrolled = shared.members.borrow();
+    let ranks = |member: &&MemberRecord| {
+        let is_self = member.node == shared.settings.node;
+        is_self || set.members.is_empty() || set.contains(&member.node)
+    };
+    let ranked = enrolled.values().filter(ranks).cloned().collect();
+    shared.succession.borrow_mut().set_members(ranked);
 }
 
 /// Applies the owner's row if it is not older than the known one; `None` if there is no row.
--- a/crates/fleet/src/owner_announcement.rs
+++ b/crates/fleet/src/owner_announcement.rs
@@ -1,7 +1,6 @@
-//! Announces a new owner to the other daemons.
+//! Announces a new owner to the other daemons, and finds out when all former owners have stopped.
 
 use std::{
-    collections::HashSet,
     rc::Rc,
     time::Duration, //
 };
@@ -13,9 +12,16 @@
 };
 
 use crate::{
+    FormerOwnerBound,
     LogEvent,
+    OwnerQuorum,
+    OwnerRecord,
     ProbeResult,
     fleet_log::whole_millis,
+    member_set_changes::{
+        enrolled_members,
+        read_member_set, //
+    },
     owner_term::OwnerTerm,
     shared_state::SharedState, //
 };
@@ -23,7 +29,8 @@
 /// The pause before the announcement is repeated to daemons that did not answer.
 const RETRY_PAUSE: Duration = Duration::from_millis(300);
 
-/// How far the announcement of a new owner has got.
+/// How far the announcement of a new owner has got. `former_stopped_in_ms` is the time until all former owners have stopped,
+/// as far as is known yet; `unanswered_workers` the number of workers that may still run a former owner's orders.
 #[derive(Serialize)]
 struct AnnouncementLine {
     change: &'static str,
@@ -31,74 +38,111 @@
     knowing: usize,
     members: usize,
     took_ms: u64,
+    former_stopped_in_ms: u64,
+    unanswered_workers: usize,
 }
 
-/// Announces the new owner's token to the other daemons until half of the members know it.
+/// The owner that a new one replaces.
+pub(crate) struct FormerOwner {
+    /// Its row; `None` if there was none.
+    pub(crate) record: Option<OwnerRecord>,
+    /// Whether it certainly no longer acts.
+    pub(crate) is_gone: bool,
+}
+
+/// Announces the new owner's token to the other daemons until half of the members know it, or all former owners have stopped.
 ///
-/// A former owner that has lost the store goes on acting while more than half of the members confirm that they know no
-/// newer token. Until half know the new token, workers that have not reported yet may still run its orders.
+/// A former owner that has lost the store goes on acting while the members confirm that they know no newer token. Until it has
+/// stopped, workers that have not reported yet may run its orders.
 pub(crate) async fn announce_owner(
     shared: Rc<SharedState>,
     term: Rc<OwnerTerm>,
-    former_gone: bool,
+    former: FormerOwner,
 ) {
-    let started_at = shared.now();
-    let mut informed = HashSet::new();
+    let Some(mut bound) = read_bound(&shared, &term, &former).await else {
+        return;
+    };
     let mut is_logged = false;
     while !term.is_over() {
-        probe_members(&shared, &term, &mut informed).await;
-        let is_known = is_known_to_half(&shared, &informed);
-        extend_former_owner_time(&shared, &term, former_gone, is_known);
+        if term.member_set_version.get() == 0 {
+            bound.set_members(enrolled_members(&shared));
+        }
+        tell_members(&shared, &term, &mut bound).await;
+        record_followers(&shared, &term, &mut bound);
+        tighten_bound(&shared, &term, &bound);
+        let is_known = bound.is_known_to_half();
         if is_known || !is_logged {
             is_logged = true;
-            shared.log.line(
-                LogEvent::Owner,
-                AnnouncementLine {
-                    change: if is_known { "quorum" } else { "no_quorum" },
-                    token: term.token(),
-                    knowing: informed.len(),
-                    members: shared.members.borrow().len(),
-                    took_ms: whole_millis(shared.now().saturating_sub(started_at)),
-                },
-            );
+            log_announcement(&shared, &term, &bound);
         }
-        if is_known {
+        if is_known || term.is_settled(shared.now()) {
             return;
         }
         time::sleep(RETRY_PAUSE).await;
     }
 }
 
-/// Sends the token to the members that do not know it yet, and waits until half know it or all probes have ended. A
-/// member that refuses connections counts as knowing it: no daemon there can confirm the former owner.
-async fn probe_members(shared: &SharedState, term: &OwnerTerm, informed: &mut HashSet<String>) {
-    let token = term.token();
-    let mut probes = JoinSet::new();
-    for address in shared.peer_addresses() {
-        if informed.contains(&address) {
+/// Reads by which members former owners count; returns `None` if the term is over before.
+async fn read_bound(
+    shared: &Rc<SharedState>,
+    term: &OwnerTerm,
+    former: &FormerOwner,
+) -> Option<FormerOwnerBound> {
+    while !term.is_over() {
+        let Ok(set) = read_member_set(shared, term).await else {
+            shared.store.wait_to_retry().await;
             continue;
+        };
+        let node = &shared.settings.node;
+        *term.quorum.borrow_mut() = Some(OwnerQuorum::new(node, set.clone()));
+        let former_token = former.record.as_ref().map_or(0, |record| record.token);
+        term.former_adds_until
+            .set(term.claimed_at() + shared.settings.dispatch.unconfirmed_grace);
+        if former.is_gone && set.settled_token == former_token {
+            term.former_adds_until.set(Duration::ZERO);
+            set_former_owners_until(term, term.claimed_at());
+        }
+        let mut bound = FormerOwnerBound::new(term.claimed_at(), set);
+        if term.member_set_version.get() == 0 {
+            bound = bound.without_time_limits();
         }
+        bound.record_told(node, term.claimed_at());
+        tighten_bound(shared, term, &bound);
+        return Some(bound);
+    }
+    None
+}
+
+/// Sends the token to the daemons that do not know it yet, and waits until half of the members know it or all probes have
+/// ended. A member that refuses connections counts as knowing it: no daemon there can confirm the former owner.
+async fn tell_members(shared: &SharedState, term: &OwnerTerm, bound: &mut FormerOwnerBound) {
+    let token = term.token();
+    let mut probes = JoinSet::new();
+    let members = bound
+        .untold_members()
+        .filter(|member| member.node != shared.settings.node);
+    for member in members.cloned() {
         let peers = shared.peers.clone();
         probes.spawn_local(async move {
-            let probe = peers.probe(&address, token).await;
-            (address, probe)
+            let probe = peers.probe(&member.address, token).await;
+            (member.node, probe)
         });
     }
     while let Some(probe) = probes.join_next().await {
-        let Ok((address, probe)) = probe else {
+        let Ok((node, probe)) = probe else {
             continue;
         };
         match probe {
             ProbeResult::Answered(health) => {
                 shared.observe_token(health.known_token);
                 if health.known_token >= token {
-                    informed.insert(address);
+                    bound.record_told(&node, shared.now());
                 }
             }
-            ProbeResult::ConnectionRefused => drop(informed.insert(address)),
+            ProbeResult::ConnectionRefused => bound.record_told(&node, shared.now()),
             ProbeResult::Unanswered => {}
         }
-        if is_known_to_half(shared, informed) {
+        if bound.is_known_to_half() {
             // The remaining probes still deliver the token.
             probes.detach_all();
             return;
@@ -106,27 +150,50 @@
     }
 }
 
-/// Returns whether at least half of the members, this daemon included, know the new owner.
-fn is_known_to_half(shared: &SharedState, informed: &HashSet<String>) -> bool {
-    let members = shared.members.borrow();
-    let known = members
-        .values()
-        .filter(|member| member.node == shared.settings.node || informed.contains(&member.address));
-    known.count() * 2 >= members.len()
+/// Records the witnesses that have answered this owner.
+fn record_followers(shared: &SharedState, term: &OwnerTerm, bound: &mut FormerOwnerBound) {
+    let dispatcher = term.dispatcher.borrow();
+    let answers = |id: &String| {
+        let key = dispatcher.worker_key(id);
+        key.is_some_and(|key| dispatcher.last_answer_at(key).is_some())
+    };
+    let witnesses = bound.set().witnesses.iter().map(|witness| &witness.id);
+    let followers: Vec<String> = witnesses.filter(|id| answers(id)).cloned().collect();
+    for id in followers {
+        bound.record_follower(&id, shared.now());
+    }
 }
 
-fn extend_former_owner_time(
-    shared: &SharedState,
-    term: &OwnerTerm,
-    former_gone: bool,
-    is_known: bool,
-) {
-    let now = shared.now();
-    if is_known && !former_gone {
-        term.former_owner_until
-            .set(now + shared.settings.dispatch.unconfirmed_grace);
+/// Applies what is known by now of when the former owners stop.
+fn tighten_bound(shared: &SharedState, term: &OwnerTerm, bound: &FormerOwnerBound) {
+    let until = bound.stopped_at(shared.settings.dispatch.unconfirmed_grace);
+    if until < term.former_owners_until.get() {
+        set_former_owners_until(term, until);
     }
+}
+
+fn set_former_owners_until(term: &OwnerTerm, until: Duration) {
+    term.former_owners_until.set(until);
     let mut dispatcher = term.dispatcher.borrow_mut();
-    let until = now + dispatcher.inherited_orders_lifetime(former_gone);
+    let until = until.saturating_add(dispatcher.inherited_orders_lifetime(true));
     dispatcher.set_inherited_until(until);
+    drop(dispatcher);
+    term.plan_wakeup.notify_one();
+}
+
+fn log_announcement(shared: &SharedState, term: &OwnerTerm, bound: &FormerOwnerBound) {
+    let now = shared.now();
+    let is_known = bound.is_known_to_half();
+    shared.log.line(
+        LogEvent::Owner,
+        AnnouncementLine {
+            change: if is_known { "quorum" } else { "no_quorum" },
+            token: term.token(),
+            knowing: bound.told_count(),
+            members: bound.set().members.len(),
+            took_ms: whole_millis(now.saturating_sub(term.claimed_at())),
+            former_stopped_in_ms: whole_millis(term.former_owners_until.get().saturating_sub(now)),
+            unanswered_workers: term.dispatcher.borrow().inherited_worker_count(),
+        },
+    );
 }
--- a/crates/fleet/src/owner_term.rs
+++ b/crates/fleet/src/owner_term.rs
@@ -24,8 +24,10 @@
 };
 
 use crate::{
+    OwnerQuorum,
     OwnerRecord,
-    RowGuard, //
+    RowGuard,
+    WitnessWorker, //
 };
 
 /// State of this daemon's term as the owner of the jobs and workers. A term begins when the daemon writes the owner's
@@ -50,8 +52,15 @@
     pub(crate) worker_row_count: Cell<usize>,
     /// Whether the set of workers has changed since it was last recorded.
     pub(crate) workers_changed: Cell<bool>,
-    /// Until when a former owner may act without knowing that it was replaced, by the monotonic clock.
-    pub(crate) former_owner_until: Cell<Duration>,
+    /// When all former owners have certainly stopped acting, by the monotonic clock; [`Duration::MAX`] before the set of
+    /// members was read.
+    pub(crate) former_owners_until: Cell<Duration>,
+    /// Until when a former owner may add jobs that it learns of, by the monotonic clock.
+    pub(crate) former_adds_until: Cell<Duration>,
+    /// The members by whose word this daemon may act without the store; `None` before they were read.
+    pub(crate) quorum: RefCell<Option<OwnerQuorum>>,
+    /// The store's version of the row with the set of members; 0 if there is none.
+    pub(crate) member_set_version: Cell<u64>,
     /// Whether all records have been read from the store.
     pub(crate) loaded: Cell<bool>,
     /// Whether jobs are held back since they could not all be read again after the store has dropped its history.
@@ -60,6 +69,10 @@
     pub(crate) page_count: Rc<Cell<u64>>,
     /// When the last call was sent whose answer confirmed the term.
     confirmed: Cell<Duration>,
+    /// When the last call to the store was sent whose answer confirmed the term.
+    store_confirmed: Cell<Duration>,
+    /// When the store had answered the claim that began the term.
+    claimed_at: Duration,
     over: watch::Sender<bool>,
 }
 
@@ -68,7 +81,8 @@
         record: OwnerRecord,
         guard: RowGuard,
         dispatcher: Dispatcher,
-        now: Duration,
+        sent: Duration,
+        claimed_at: Duration,
     ) -> Self {
         Self {
             record,
@@ -81,11 +95,16 @@
             committed: watch::Sender::new(0),
             worker_row_count: Cell::new(0),
             workers_changed: Cell::new(true),
-            former_owner_until: Cell::new(Duration::ZERO),
+            former_owners_until: Cell::new(Duration::MAX),
+            former_adds_until: Cell::new(Duration::MAX),
+            quorum: RefCell::new(None),
+            member_set_version: Cell::new(0),
             loaded: Cell::new(false),
             holds_jobs: Cell::new(false),
             page_count: Rc::default(),
-            confirmed: Cell::new(now),
+            confirmed: Cell::new(sent),
+            store_confirmed: Cell::new(sent),
+            claimed_at,
             over: watch::Sender::new(false),
         }
     }
@@ -94,20 +113,52 @@
         Self { page_count, ..self }
     }
 
-    pub(crate) fn with_former_owner_until(self, until: Duration) -> Self {
-        self.former_owner_until.set(until);
-        self
-    }
-
     pub(crate) fn token(&self) -> u64 {
         self.record.token
     }
 
-    /// Records that a call sent at `sent` confirmed the term as of that time.
+    /// Returns when the store had answered the claim that began the term.
+    pub(crate) fn claimed_at(&self) -> Duration {
+        self.claimed_at
+    }
+
+    /// Records that a call to the store sent at `sent` confirmed the term as of that time.
     pub(crate) fn confirm(&self, sent: Duration) {
+        self.store_confirmed
+            .set(self.store_confirmed.get().max(sent));
         self.confirmed.set(self.confirmed.get().max(sent));
     }
 
+    /// Records that the daemons `confirming` have answered probes sent at `sent` that they know no newer owner.
+    pub(crate) fn confirm_by_members(
+        &self,
+        confirming: &HashSet<String>,
+        sent: Duration,
+        grace: Duration,
+    ) {
+        let quorum = self.quorum.borrow();
+        let dispatcher = self.dispatcher.borrow();
+        let answered_call_at =
+            |worker: &WitnessWorker| dispatcher.answered_call_at(&worker.id, worker.incarnation);
+        let store_confirmed = self.store_confirmed.get();
+        let as_of = quorum.as_ref().and_then(|quorum| {
+            quorum.confirmed_as_of(confirming, sent, store_confirmed, grace, answered_call_at)
+        });
+        if let Some(as_of) = as_of {
+            self.confirmed.set(self.confirmed.get().max(as_of));
+        }
+    }
+
+    /// Returns the time since the store last confirmed the term.
+    pub(crate) fn time_since_store_confirmation(&self, now: Duration) -> Duration {
+        now.saturating_sub(self.store_confirmed.get())
+    }
+
+    /// Returns whether all former owners have certainly stopped acting.
+    pub(crate) fn is_settled(&self, now: Duration) -> bool {
+        now >= self.former_owners_until.get()
+    }
+
     /// Returns the time since the term was last confirmed.
     pub(crate) fn time_since_confirmation(&self, now: Duration) -> Duration {
         now.saturating_sub(self.confirmed.get())
--- a/crates/fleet/src/ownership_takeover.rs
+++ b/crates/fleet/src/ownership_takeover.rs
@@ -3,8 +3,7 @@
 use std::{
     cell::Cell,
     rc::Rc,
-    sync::Arc,
-    time::Duration, //
+    sync::Arc, //
 };
 
 use jasminebend_dispatch::{Dispatcher, JobKey};
@@ -25,11 +24,14 @@
         watch_jobs, //
     },
     maintenance_waves::carry_out_waves,
-    member_expiry::expire_members,
+    member_set_changes::maintain_member_set,
     member_watch::apply_owner_row,
     operator_watch::configure_dispatcher,
     order_planning::plan_orders,
-    owner_announcement::announce_owner,
+    owner_announcement::{
+        FormerOwner,
+        announce_owner, //
+    },
     owner_term::OwnerTerm,
     pool_usage_log::report_pool_usage,
     progress_codec::decode_progress,
@@ -49,7 +51,10 @@
         restore_learned,
         write_takeover_records, //
     },
-    term_confirmation::confirm_term, //
+    term_confirmation::{
+        confirm_before_adding,
+        confirm_term, //
+    }, //
 };
 
 /// This daemon began to act as the owner, or its term is over.
@@ -78,21 +83,22 @@
     let started_at = shared.now();
     let former_gone = shared.succession.borrow().is_former_owner_gone();
     let page_count = reader.page_count();
-    let Some((term, former)) = claim_ownership(shared, former_gone, page_count).await else {
+    let Some((term, former)) = claim_ownership(shared, page_count).await else {
         return;
     };
     reader.keep_jobs_only();
-    tokio::task::spawn_local(announce_owner(
-        Rc::clone(shared),
-        Rc::clone(&term),
-        former_gone,
-    ));
+    let former_node = former.as_ref().map_or("", |owner| &owner.node).to_owned();
+    let former = FormerOwner {
+        record: former,
+        is_gone: former_gone,
+    };
+    tokio::task::spawn_local(announce_owner(Rc::clone(shared), Rc::clone(&term), former));
     let Some(records) = read_records(shared, &term, reader).await else {
         return;
     };
     let job_position = records.job_position;
     let registry_version = records.registry.version;
-    apply_records(shared, &term, records, former_gone);
+    apply_records(shared, &term, records);
     term.loaded.set(true);
     configure_dispatcher(shared);
     {
@@ -102,7 +108,7 @@
             TakeoverLine {
                 change: "acting",
                 token: term.token(),
-                former: &former,
+                former: &former_node,
                 former_gone,
                 took_ms: shared.now().saturating_sub(started_at).as_secs_f64() * 1000.0,
                 jobs: dispatcher.unfinished_job_count(),
@@ -118,11 +124,11 @@
     ));
 }
 
+/// Writes the owner's row; returns the term and the row's former record, or `None` if the row was not written.
 async fn claim_ownership(
     shared: &Rc<SharedState>,
-    former_gone: bool,
     page_count: Rc<Cell<u64>>,
-) -> Option<(Rc<OwnerTerm>, String)> {
+) -> Option<(Rc<OwnerTerm>, Option<OwnerRecord>)> {
     let (former, version) = {
         let succession = shared.succession.borrow();
         (succession.owner_row().cloned(), shared.owner_version.get())
@@ -154,16 +160,10 @@
     let written = StoreRow { version, ..row };
     apply_owner_row(shared, Some(&written));
     let dispatcher = Dispatcher::new(record.token, shared.settings.dispatch);
-    let former_owner_until = match former_gone {
-        true => Duration::ZERO,
-        false => Duration::MAX,
-    };
-    let term = OwnerTerm::new(record, guard, dispatcher, sent)
-        .with_former_owner_until(former_owner_until)
-        .with_page_count(page_count);
+    let term =
+        OwnerTerm::new(record, guard, dispatcher, sent, shared.now()).with_page_count(page_count);
     let term = Rc::new(term);
     *shared.term.borrow_mut() = Some(Rc::clone(&term));
-    let former = former.map_or_else(String::new, |owner| owner.node);
     Some((term, former))
 }
 
@@ -174,8 +174,13 @@
     mut reader: TakeoverReader,
 ) -> Option<TakeoverRecords> {
     while !term.is_over() {
-        let Err(error) = reader.read(shared).await else {
-            return reader.into_records();
+        let error = match reader.read(shared).await {
+            Ok(()) => match confirm_before_adding(shared, term).await {
+                Ok(()) if term.is_over() => return None,
+                Ok(()) => return reader.into_records(),
+                Err(error) => error,
+            },
+            Err(error) => error,
         };
         shared.log.line(
             LogEvent::Owner,
@@ -192,17 +197,14 @@
 }
 
 /// Passes the records of the former owner to the dispatcher.
-fn apply_records(
-    shared: &SharedState,
-    term: &OwnerTerm,
-    records: TakeoverRecords,
-    former_gone: bool,
-) {
+fn apply_records(shared: &SharedState, term: &OwnerTerm, records: TakeoverRecords) {
     let is_first_owner = term.token() == 1;
     let progress = records.progress;
-    let now = shared.now();
     let mut dispatcher = term.dispatcher.borrow_mut();
-    let until = now + dispatcher.inherited_orders_lifetime(former_gone);
+    let until = term
+        .former_owners_until
+        .get()
+        .saturating_add(dispatcher.inherited_orders_lifetime(true));
     // The dispatcher learns the demand of short work, per pool, from the jobs read below; it needs the queues first.
     if let Some(configuration) = shared.configuration() {
         dispatcher.set_configuration(configuration);
@@ -259,7 +261,7 @@
     tasks.spawn_local(confirm_term(Rc::clone(&shared), Rc::clone(&term)));
     tasks.spawn_local(report_pool_usage(Rc::clone(&shared), Rc::clone(&term)));
     tasks.spawn_local(carry_out_waves(Rc::clone(&shared), Rc::clone(&term)));
-    tasks.spawn_local(expire_members(Rc::clone(&shared), Rc::clone(&term)));
+    tasks.spawn_local(maintain_member_set(Rc::clone(&shared), Rc::clone(&term)));
     term.until_over().await;
     shared.log.line(
         LogEvent::Owner,
--- a/crates/fleet/src/shared_state.rs
+++ b/crates/fleet/src/shared_state.rs
@@ -30,6 +30,7 @@
     FleetWorkers,
     MaintenanceWave,
     MemberRecord,
+    MemberSet,
     PeerClient,
     PeerOrder,
     Succession,
@@ -45,6 +46,9 @@
 pub(crate) const JOB_PART_COUNT: u8 = 16;
 /// The part that holds the members' rows.
 pub(crate) const MEMBERS_PART: &str = "members";
+/// The key of the row with the set of members that count for majorities. It sorts before the owner's, so that a read from
+/// the owner's row on does not include it.
+pub(crate) const MEMBER_SET_KEY: &str = "member-set";
 /// The key of the owner's row.
 pub(crate) const OWNER_KEY: &str = "owner";
 /// The key of the row with the learned interference between services and fillers.
@@ -101,6 +105,8 @@
     pub(crate) operator: RefCell<OperatorState>,
     pub(crate) succession: RefCell<Succession>,
     pub(crate) members: RefCell<IndexMap<String, MemberRecord>>,
+    /// The set of members that count for majorities as last read; empty before.
+    pub(crate) member_set: RefCell<MemberSet>,
     /// The store's version of the owner's row as last read; 0 before the first read.
     pub(crate) owner_version: Cell<u64>,
     /// The highest fencing token seen in the store or reported by a peer.
--- a/crates/fleet/tests/daemons/memory_store.rs
+++ b/crates/fleet/tests/daemons/memory_store.rs
@@ -23,6 +23,7 @@
     CommitOutcome,
     FleetStore,
     MaintenanceWave,
+    MemberSet,
     OperatorChange,
     OwnerRecord,
     RegistryChange,
@@ -246,6 +247,14 @@
         postcard::from_bytes(&row.value).ok()
     }
 
+    /// Returns the set of members that count for majorities; empty if there is none.
+    pub(crate) fn member_set(&self) -> MemberSet {
+        let rows = self.rows.borrow();
+        let row = rows.iter().find(|((_, _, key), _)| key == "member-set");
+        let set = row.and_then(|(_, row)| postcard::from_bytes(&row.value).ok());
+        set.unwrap_or_default()
+    }
+
     /// Returns the number of members.
     pub(crate) fn members(&self) -> usize {
         let rows = self.rows.borrow();
