Start runs only on workers that are on record for a successor

Cause: a start has no row of its own; a successor asks the workers that it finds in the registry or in the owner's rows. The owner sent orders to a worker up to 0.3 s before it stood in those rows, and for as long as the store was away. The rows were guarded by the owner's row alone, so that a late write could also replace a newer list.

Change: a run starts only on a worker of which the row's write was confirmed, or that stood in the rows which the owner read when it took over. The rows are written at once when the list changes, each guarded by its version; a retired worker counts as unrecorded before the write without it is sent.

Why it works: whatever an owner started, its successor reads the worker's name after its own claim, and asks it or waits for its lease.

Also: a daemon ranked the members anew for each row that it read.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -145,6 +145,8 @@
     pub(crate) isolation_turn: Option<(StepKey, Duration)>,
     /// Whether the owner may soon depend on the workers' word that they follow it.
     pub(crate) storeless: bool,
+    /// Whether runs start only on workers that are on record for a successor.
+    pub(crate) requires_recorded_workers: bool,
 }
 
 impl Dispatcher {
@@ -185,6 +187,7 @@
             resumed_at: Duration::ZERO,
             isolation_turn: None,
             storeless: false,
+            requires_recorded_workers: false,
         }
     }
 
--- a/crates/dispatch/src/dispatcher_placement.rs
+++ b/crates/dispatch/src/dispatcher_placement.rs
@@ -252,6 +252,7 @@
     /// Returns whether a worker of a pool is listed, answers this owner and is to stay.
     fn is_available(&self, worker: &WorkerState, pool: &Arc<str>) -> bool {
         worker.listed
+            && self.is_recorded(worker)
             && worker.has_owner_token
             && worker.unanswered == 0
             && worker.clock.is_known()
--- a/crates/dispatch/src/dispatcher_workers.rs
+++ b/crates/dispatch/src/dispatcher_workers.rs
@@ -123,13 +123,39 @@
         self.workers.len()
     }
 
-    /// Returns the registry records of the workers that may run something.
-    pub fn worker_records(&self) -> Vec<FleetWorker> {
-        let known = self.workers.iter().enumerate();
-        known
-            .filter(|(index, _)| !self.is_retired(WorkerKey::new(*index)))
-            .map(|(_, worker)| worker.record.clone())
-            .collect()
+    /// Lets runs start only on workers that are on record for a successor.
+    pub fn require_recorded_workers(&mut self) {
+        self.requires_recorded_workers = true;
+    }
+
+    /// Returns the registry records of the workers that may run something, to be put on record. The others no longer count
+    /// as recorded.
+    pub fn begin_recording(&mut self) -> Vec<FleetWorker> {
+        let mut records = Vec::new();
+        for key in (0..self.workers.len()).map(WorkerKey::new) {
+            match self.is_retired(key) {
+                // Checking a worker must not mark it as changed.
+                true => self.workers[key.index()].recorded = false,
+                false => records.push(self.worker_record(key).clone()),
+            }
+        }
+        records
+    }
+
+    /// Records that these workers are on record for a successor.
+    pub fn finish_recording(&mut self, records: &[FleetWorker]) {
+        for record in records {
+            if let Some(key) = self.worker_key(&record.id)
+                && !self.worker(key).recorded
+            {
+                self.worker_mut(key).recorded = true;
+            }
+        }
+    }
+
+    /// Returns whether runs may start on a worker as far as its record for a successor is concerned.
+    pub(crate) fn is_recorded(&self, worker: &WorkerState) -> bool {
+        worker.recorded || !self.requires_recorded_workers
     }
 
     /// Returns when a worker last answered, or `None` if it never did.
--- a/crates/dispatch/src/worker_state.rs
+++ b/crates/dispatch/src/worker_state.rs
@@ -44,6 +44,8 @@
     pub(crate) record: FleetWorker,
     /// Whether the registry lists the worker.
     pub(crate) listed: bool,
+    /// Whether the worker is on record for a successor, which would otherwise not know what runs on it.
+    pub(crate) recorded: bool,
     pub(crate) clock: WorkerClock,
     /// Whether the worker's current incarnation has answered a call with this owner's fencing
     /// token.
@@ -125,6 +127,7 @@
         Self {
             record,
             listed: true,
+            recorded: false,
             clock: WorkerClock::default(),
             has_owner_token: false,
             inherited_until: None,
--- a/crates/fleet/src/member_watch.rs
+++ b/crates/fleet/src/member_watch.rs
@@ -1,6 +1,7 @@
 //! Watches the owner and the members, and takes over the ownership when this daemon should.
 
 use std::{
+    collections::HashSet,
     rc::Rc,
     time::Duration, //
 };
@@ -135,6 +136,7 @@
     for row in &members {
         apply_member_row(shared, row);
     }
+    update_succession(shared);
     let owner = rows.iter().find(|row| row.key == OWNER_KEY);
     apply_owner_row(shared, owner);
     Ok(version)
@@ -144,6 +146,7 @@
     let store = &shared.store;
     let call = store.port().watch(StoreTable::Fleet, after, WATCH_WAIT);
     let page = store.watch(WatchedRows::Members, call).await?;
+    let has_changes = !page.items.is_empty();
     for change in page.items {
         match (change.part.as_str(), &change.row) {
             (MEMBERS_PART, Some(row)) => apply_member_row(shared, row),
@@ -157,21 +160,21 @@
             _ => {}
         }
     }
+    if has_changes {
+        update_succession(shared);
+    }
     Ok(page.version)
 }
 
 fn apply_member_row(shared: &SharedState, row: &StoreRow) {
     if row.value.is_empty() {
         shared.members.borrow_mut().shift_remove(&row.key);
-        update_succession(shared);
         return;
     }
     // A row that a different release encoded is ignored.
     if let Ok(member) = postcard::from_bytes::<MemberRecord>(&row.value) {
         let mut members = shared.members.borrow_mut();
         members.insert(member.node.clone(), member);
-        drop(members);
-        update_succession(shared);
     }
 }
 
@@ -179,7 +182,6 @@
     // A row that a different release encoded is ignored.
     if let Some(Ok(set)) = row.map(|row| postcard::from_bytes(&row.value)) {
         *shared.member_set.borrow_mut() = set;
-        update_succession(shared);
     }
 }
 
@@ -187,10 +189,11 @@
 /// all that have enrolled where there is none.
 fn update_succession(shared: &SharedState) {
     let set = shared.member_set.borrow();
+    let counted: HashSet<&str> = set.members.iter().map(|member| &*member.node).collect();
     let enrolled = shared.members.borrow();
     let ranks = |member: &&MemberRecord| {
         let is_self = member.node == shared.settings.node;
-        is_self || set.members.is_empty() || set.contains(&member.node)
+        is_self || counted.is_empty() || counted.contains(&*member.node)
     };
     let ranked = enrolled.values().filter(ranks).cloned().collect();
     shared.succession.borrow_mut().set_members(ranked);
--- a/crates/fleet/src/owner_term.rs
+++ b/crates/fleet/src/owner_term.rs
@@ -48,10 +48,12 @@
     pub(crate) commit_wakeup: Notify,
     /// The number of progress commits so far.
     pub(crate) committed: watch::Sender<u64>,
-    /// The number of rows in which the former owner recorded its workers.
-    pub(crate) worker_row_count: Cell<usize>,
+    /// The store's versions of the rows that list the workers; 0 for a row that does not exist.
+    pub(crate) worker_row_versions: RefCell<Vec<u64>>,
     /// Whether the set of workers has changed since it was last recorded.
     pub(crate) workers_changed: Cell<bool>,
+    /// Wakes the task that records the workers.
+    pub(crate) workers_wakeup: Notify,
     /// When all former owners have certainly stopped acting, by the monotonic clock; [`Duration::MAX`] before the set of
     /// members was read.
     pub(crate) former_owners_until: Cell<Duration>,
@@ -93,8 +95,9 @@
             plan_wakeup: Notify::new(),
             commit_wakeup: Notify::new(),
             committed: watch::Sender::new(0),
-            worker_row_count: Cell::new(0),
+            worker_row_versions: RefCell::new(Vec::new()),
             workers_changed: Cell::new(true),
+            workers_wakeup: Notify::new(),
             former_owners_until: Cell::new(Duration::MAX),
             former_adds_until: Cell::new(Duration::MAX),
             quorum: RefCell::new(None),
--- a/crates/fleet/src/ownership_takeover.rs
+++ b/crates/fleet/src/ownership_takeover.rs
@@ -49,6 +49,7 @@
     takeover_records::{
         decode_workers,
         restore_learned,
+        worker_row_versions,
         write_takeover_records, //
     },
     term_confirmation::{
@@ -210,13 +211,16 @@
         dispatcher.set_configuration(configuration);
     }
     restore_learned(&mut dispatcher, &progress);
-    let (recorded_workers, rows) = decode_workers(&progress);
-    term.worker_row_count.set(rows);
-    for worker in recorded_workers {
+    term.worker_row_versions
+        .replace(worker_row_versions(&progress));
+    let recorded_workers = decode_workers(&progress);
+    dispatcher.require_recorded_workers();
+    for worker in &recorded_workers {
         let id = Arc::clone(&worker.id);
-        dispatcher.upsert_worker(worker, Some(until));
+        dispatcher.upsert_worker(worker.clone(), Some(until));
         dispatcher.mark_unlisted(&id);
     }
+    dispatcher.finish_recording(&recorded_workers);
     for change in records.registry.items {
         if let RegistryChange::Listed(worker) = change {
             dispatcher.upsert_worker(worker, (!is_first_owner).then_some(until));
--- a/crates/fleet/src/registry_watch.rs
+++ b/crates/fleet/src/registry_watch.rs
@@ -49,6 +49,7 @@
                 after = Some(page.version);
                 if apply_registry_changes(&shared, &term, page.items, is_full_read) {
                     term.workers_changed.set(true);
+                    term.workers_wakeup.notify_one();
                     term.plan_wakeup.notify_one();
                 }
                 time::sleep(REGISTRY_WATCH_PAUSE).await;
--- a/crates/fleet/src/takeover_records.rs
+++ b/crates/fleet/src/takeover_records.rs
@@ -28,10 +28,12 @@
     }, //
 };
 
-/// The least interval between two writes of the list of workers: many workers register at the same time.
+/// The interval at which a failed write is repeated.
 const WRITE_INTERVAL: Duration = Duration::from_millis(300);
-/// The number of these intervals between two writes of the learned interference: some kilobytes every 3 s.
-const LEARNED_WRITE_INTERVALS: u32 = 10;
+/// The least pause between two writes: many workers register at the same time.
+const LEAST_WRITE_PAUSE: Duration = Duration::from_millis(100);
+/// The interval between two writes of the learned interference: some kilobytes.
+const LEARNED_WRITE_INTERVAL: Duration = Duration::from_secs(3);
 /// The number of workers in a row: about 100 bytes each, and a row may have 64 KiB.
 const WORKERS_PER_ROW: usize = 200;
 /// The largest record of learned interference, in bytes; a larger one is not written.
@@ -39,50 +41,97 @@
 
 /// Writes the list of workers when it changes, so that a successor also knows workers that still run tasks but are no
 /// longer registered; writes the learned interference at longer intervals.
+///
+/// Runs start only on workers that are in these rows.
 pub(crate) async fn write_takeover_records(shared: Rc<SharedState>, term: Rc<OwnerTerm>) {
-    let mut rows_used = term.worker_row_count.get();
-    let mut interval_count: u32 = 0;
+    let mut learned_at = shared.now();
     loop {
-        time::sleep(WRITE_INTERVAL).await;
-        interval_count = interval_count.wrapping_add(1);
-        let mut writes = Vec::new();
-        let workers_changed = term.workers_changed.replace(false);
-        if workers_changed {
-            writes = worker_rows(&term.dispatcher.borrow().worker_records(), rows_used);
-            rows_used = writes.len();
+        if term.workers_changed.replace(false) {
+            record_workers(&shared, &term).await;
         }
-        if interval_count.is_multiple_of(LEARNED_WRITE_INTERVALS) {
-            writes.extend(learned_row(&term.dispatcher.borrow()));
+        if shared.now() >= learned_at + LEARNED_WRITE_INTERVAL {
+            learned_at = shared.now();
+            record_learned(&shared, &term).await;
         }
-        if writes.is_empty() {
-            continue;
+        time::sleep(LEAST_WRITE_PAUSE).await;
+        // After the timeout the learned interference may be due, or a failed write has to be repeated.
+        drop(time::timeout(WRITE_INTERVAL, term.workers_wakeup.notified()).await);
+    }
+}
+
+/// Writes the rows that list the workers. Each row's version is required, so that a write that was not answered can't
+/// replace a later one.
+async fn record_workers(shared: &SharedState, term: &OwnerTerm) {
+    let records = term.dispatcher.borrow_mut().begin_recording();
+    let mut versions = term.worker_row_versions.borrow().clone();
+    let writes = worker_rows(&records, versions.len());
+    versions.resize(writes.len(), 0);
+    let rows = writes.iter().zip(&versions);
+    let mut guards = vec![term.guard.clone()];
+    guards.extend(rows.map(|(row, version)| row.guard(*version)));
+    match shared.store.commit(RowCommit { guards, writes }).await {
+        Ok(CommitOutcome::Applied(version)) => {
+            versions.fill(version);
+            term.worker_row_versions.replace(versions);
+            term.dispatcher.borrow_mut().finish_recording(&records);
+            term.plan_wakeup.notify_one();
         }
-        let commit = RowCommit {
-            guards: vec![term.guard.clone()],
-            writes,
-        };
-        match shared.store.commit(commit).await {
-            Ok(CommitOutcome::Applied(_)) => {}
-            Ok(CommitOutcome::Conflict(rows)) => {
-                apply_owner_row(&shared, rows.first());
-                term.end();
-            }
-            Err(_) if workers_changed => term.workers_changed.set(true),
-            Err(_) => {}
+        Ok(CommitOutcome::Conflict(rows)) => handle_conflict(shared, term, &rows),
+        Err(_) => term.workers_changed.set(true),
+    }
+}
+
+/// Handles a guard that did not hold: another daemon has become the owner, or an earlier write without an answer was
+/// applied.
+fn handle_conflict(shared: &SharedState, term: &OwnerTerm, rows: &[StoreRow]) {
+    let owner = rows.iter().find(|row| row.key == term.guard.key);
+    if owner.is_none_or(|row| row.version != term.guard.version) {
+        apply_owner_row(shared, owner);
+        term.end();
+        return;
+    }
+    term.worker_row_versions.replace(worker_row_versions(rows));
+    term.workers_changed.set(true);
+}
+
+async fn record_learned(shared: &SharedState, term: &OwnerTerm) {
+    let Some(row) = learned_row(&term.dispatcher.borrow()) else {
+        return;
+    };
+    let commit = RowCommit {
+        guards: vec![term.guard.clone()],
+        writes: vec![row],
+    };
+    if let Ok(CommitOutcome::Conflict(rows)) = shared.store.commit(commit).await {
+        apply_owner_row(shared, rows.first());
+        term.end();
+    }
+}
+
+/// Returns the workers that a former owner recorded.
+pub(crate) fn decode_workers(rows: &[StoreRow]) -> Vec<FleetWorker> {
+    let lists = numbered_worker_rows(rows)
+        .filter_map(|(_, row)| postcard::from_bytes::<Vec<FleetWorker>>(&row.value).ok());
+    lists.flatten().collect()
+}
+
+/// Returns the versions of the rows that list the workers, by the rows' numbers; 0 for a row that does not exist.
+pub(crate) fn worker_row_versions(rows: &[StoreRow]) -> Vec<u64> {
+    let mut versions = Vec::new();
+    for (number, row) in numbered_worker_rows(rows) {
+        if versions.len() <= number {
+            versions.resize(number + 1, 0);
         }
+        versions[number] = row.version;
     }
+    versions
 }
 
-/// Returns the workers that a former owner recorded, and the number of their rows.
-pub(crate) fn decode_workers(rows: &[StoreRow]) -> (Vec<FleetWorker>, usize) {
-    let recorded = rows
-        .iter()
-        .filter(|row| row.key.starts_with(WORKERS_KEY_PREFIX));
-    let lists: Vec<Vec<FleetWorker>> = recorded
-        .filter_map(|row| postcard::from_bytes(&row.value).ok())
-        .collect();
-    let count = lists.len();
-    (lists.into_iter().flatten().collect(), count)
+fn numbered_worker_rows(rows: &[StoreRow]) -> impl Iterator<Item = (usize, &StoreRow)> {
+    rows.iter().filter_map(|row| {
+        let number = row.key.strip_prefix(WORKERS_KEY_PREFIX)?;
+        Some((number.parse().ok()?, row))
+    })
 }
 
 /// Passes the interference that a former owner learned to the dispatcher.
--- a/crates/fleet/tests/daemons/main.rs
+++ b/crates/fleet/tests/daemons/main.rs
@@ -15,4 +15,5 @@
 mod takeover;
 mod test_fleet;
 mod waves;
+mod worker_records;
 mod worker_silence;
--- /dev/null
+++ b/crates/fleet/tests/daemons/worker_records.rs
@@ -0,0 +1,106 @@
+//! Workers that join while the owner can't record them. Time is simulated: it advances only while all tasks wait.
+
+use std::time::Duration;
+
+use jasminebend_dispatch::TaskKey;
+use tokio::time;
+
+use crate::test_fleet::{
+    TestFleet,
+    job,
+    run_simulated,
+    submit, //
+};
+
+/// The number of the worker that joins late.
+const LATE_WORKER: usize = 1;
+/// The number of the worker that joins with the successor.
+const SPARE_WORKER: usize = 2;
+/// The part that holds the owner's row and the rows that list the workers.
+const OWNER_PART: &str = "s0";
+/// Two workers run at most this many tasks at a time.
+const TASK_COUNT: u32 = 8;
+const SETTLING_TIME: Duration = Duration::from_secs(2);
+/// After this time a worker that has joined would run tasks.
+const JOINED_AFTER: Duration = Duration::from_secs(2);
+const CHECK_INTERVAL: Duration = Duration::from_millis(50);
+const CHECK_COUNT: u32 = 200;
+
+fn late_worker_runs(fleet: &TestFleet) -> bool {
+    let id = format!("worker-{LATE_WORKER}");
+    let running = fleet.workers.running_tasks();
+    running.iter().any(|(worker, _)| *worker == id)
+}
+
+/// Guards against tasks that run twice: the owner started them on a worker that joined just before an outage, and the
+/// successor knew it neither from the owner's rows nor from the registry.
+#[test]
+fn no_task_starts_on_a_worker_that_a_successor_would_not_know() {
+    run_simulated(async {
+        let fleet = TestFleet::with_runtime_clock(3);
+        fleet.workers.run_time.set(Duration::from_secs(60));
+        fleet.store.set_listed(LATE_WORKER, false);
+        fleet.store.set_listed(SPARE_WORKER, false);
+        let owner = fleet.daemon_on_vm();
+        time::sleep(SETTLING_TIME).await;
+        let failing = &owner.store_client.failing_parts;
+        failing.borrow_mut().push(OWNER_PART.to_owned());
+        fleet.store.set_listed(LATE_WORKER, true);
+        submit(&owner.job_api, 1, &job(&[(TASK_COUNT, &[])])).await;
+        time::sleep(JOINED_AFTER).await;
+        fleet.store.set_listed(LATE_WORKER, false);
+        fleet.store.set_listed(SPARE_WORKER, true);
+        let _hanging = owner.lose_vm().await;
+        let _successor = fleet.daemon();
+        for _ in 0..CHECK_COUNT {
+            let mut tasks: Vec<TaskKey> = Vec::new();
+            for (worker, task) in fleet.workers.running_tasks() {
+                assert!(
+                    !tasks.contains(&task),
+                    "{task} runs twice, also on {worker}"
+                );
+                tasks.push(task);
+            }
+            time::sleep(CHECK_INTERVAL).await;
+        }
+    });
+}
+
+/// Guards against a worker that stays idle: the owner could not record it when it joined.
+#[test]
+fn tasks_start_on_a_worker_once_it_is_recorded() {
+    run_simulated(async {
+        let fleet = TestFleet::with_runtime_clock(2);
+        fleet.workers.run_time.set(Duration::from_secs(60));
+        fleet.store.set_listed(LATE_WORKER, false);
+        let owner = fleet.daemon();
+        time::sleep(SETTLING_TIME).await;
+        let failing = &owner.store_client.failing_parts;
+        failing.borrow_mut().push(OWNER_PART.to_owned());
+        fleet.store.set_listed(LATE_WORKER, true);
+        submit(&owner.job_api, 1, &job(&[(TASK_COUNT, &[])])).await;
+        time::sleep(JOINED_AFTER).await;
+        assert!(!late_worker_runs(&fleet));
+        failing.borrow_mut().clear();
+        time::sleep(JOINED_AFTER).await;
+        assert!(late_worker_runs(&fleet));
+    });
+}
+
+/// Guards against a list of workers that a late write replaces by an earlier one: the answers to several writes were lost.
+#[test]
+fn workers_are_recorded_after_answers_were_lost() {
+    run_simulated(async {
+        let fleet = TestFleet::with_runtime_clock(2);
+        fleet.workers.run_time.set(Duration::from_secs(60));
+        fleet.store.set_listed(LATE_WORKER, false);
+        let owner = fleet.daemon();
+        time::sleep(SETTLING_TIME).await;
+        owner.store_client.lost_answers.set(3);
+        fleet.store.set_listed(LATE_WORKER, true);
+        time::sleep(JOINED_AFTER).await;
+        submit(&owner.job_api, 1, &job(&[(TASK_COUNT, &[])])).await;
+        time::sleep(JOINED_AFTER).await;
+        assert!(late_worker_runs(&fleet));
+    });
+}
