Take in cancellations while the owner can't read its row

What callers saw: nothing yet; found on reading the change of the member set. While the part of the store with the owner's row was away for over 2 s, and the parts of the jobs were not, the owner took in no cancellation, so that runs outlived their jobs.

Cause: an owner adds jobs only within 2 s of a confirmation by the store; the check held back whole pages of changes. Change: only jobs wait for the confirmation. Evidence: a_job_is_cancelled_while_the_owner_cannot_read_its_row failed on (3 runs left, not 0) and passes.

--- a/crates/fleet/src/job_watch.rs
+++ b/crates/fleet/src/job_watch.rs
@@ -139,16 +139,20 @@
             Ok(page) => {
                 let inherited = position.may_already_run(&term);
                 let is_reading = unread.is_reading();
-                if confirm_before_adding(&shared, &term).await.is_err() {
-                    shared.store.wait_to_retry().await;
-                    continue;
-                }
+                let may_add = confirm_before_adding(&shared, &term).await.is_ok();
+                let mut is_complete = true;
                 for row in page.items.into_iter().filter_map(|change| change.row) {
-                    match is_reading && !is_cancellation(&row) {
-                        true => unread.held_jobs.borrow_mut().push(row),
-                        false => apply_job_row(&shared, &term, &row, inherited),
+                    match (is_cancellation(&row), is_reading, may_add) {
+                        (false, true, _) => unread.held_jobs.borrow_mut().push(row),
+                        (false, false, false) => is_complete = false,
+                        _ => apply_job_row(&shared, &term, &row, inherited),
                     }
                 }
+                if !is_complete {
+                    // The same changes are read again.
+                    shared.store.wait_to_retry().await;
+                    continue;
+                }
                 position = JobWatchPosition {
                     version: page.version,
                     sent_at,
@@ -176,9 +180,13 @@
 ) -> Option<JobWatchPosition> {
     let mut reader = unread.take_reader(shared, term);
     let is_complete = reader.read(shared).await.is_ok();
-    let is_confirmed = confirm_before_adding(shared, term).await.is_ok();
-    let read_position = reader.position().filter(|_| is_confirmed);
+    let may_add = confirm_before_adding(shared, term).await.is_ok();
+    let read_position = reader.position().filter(|_| may_add);
     let Some(read_position) = read_position else {
+        let rows = reader.rows().into_iter();
+        for row in rows.filter(|row| is_cancellation(row)) {
+            apply_job_row(shared, term, row, true);
+        }
         term.holds_jobs.set(true);
         unread.reader = Some(reader);
         return None;
--- a/crates/fleet/tests/daemons/partial_outage.rs
+++ b/crates/fleet/tests/daemons/partial_outage.rs
@@ -166,6 +166,30 @@
     });
 }
 
+/// Guards against a run that outlives its job: the owner could not read its own row for long, and took in no changes of
+/// jobs until it could.
+#[test]
+fn a_job_is_cancelled_while_the_owner_cannot_read_its_row() {
+    run_simulated(async {
+        let fleet = TestFleet::with_runtime_clock(2);
+        let daemon = serving_daemon(&fleet).await;
+        fleet.workers.run_time.set(Duration::from_secs(60));
+        submit(&daemon.job_api, 1, &job(&[(3, &[])])).await;
+        time::sleep(Duration::from_secs(2)).await;
+        assert_eq!(fleet.workers.running_tasks().len(), 3);
+        let failing = &daemon.store_client.failing_parts;
+        failing.borrow_mut().push("s0".to_owned());
+        time::sleep(Duration::from_secs(5)).await;
+        assert_eq!(fleet.workers.running_tasks().len(), 3);
+        // Calls to that part fail again and again, so that the store counts as lost at times.
+        while send_request(&daemon.job_api, 1, CallerVerb::Cancel).await != CallerAnswer::Done {
+            time::sleep(DURING_RUN).await;
+        }
+        time::sleep(Duration::from_secs(2)).await;
+        assert_eq!(fleet.workers.running_tasks().len(), 0);
+    });
+}
+
 /// Guards against a successor that runs a cancelled job because it reads the cancellation before the job.
 #[test]
 fn a_successor_reads_jobs_before_their_cancellations() {
