--- a/crates/fleet/tests/daemons/replacements.rs
+++ b/crates/fleet/tests/daemons/replacements.rs
@@ -7,8 +7,7 @@
 
 use jasminebend_dispatch::{
     JobOutcome,
-    JobProgress,
-    TaskKey, //
+    JobProgress, //
 };
 use rand::{
     RngExt,
@@ -85,14 +84,7 @@
     async fn pass(&self, duration: Duration) {
         let end = time::Instant::now() + duration;
         while time::Instant::now() < end {
-            let mut tasks: Vec<TaskKey> = Vec::new();
-            for (worker, task) in self.fleet.workers.running_tasks() {
-                assert!(
-                    !tasks.contains(&task),
-                    "{task} runs twice, also on {worker}"
-                );
-                tasks.push(task);
-            }
+            self.fleet.workers.check_single_runs();
             time::sleep(CHECK_INTERVAL).await;
         }
     }
--- a/crates/fleet/tests/daemons/test_fleet.rs
+++ b/crates/fleet/tests/daemons/test_fleet.rs
@@ -312,6 +312,18 @@
         running.collect()
     }
 
+    /// Checks that no task is executed on two workers.
+    pub(crate) fn check_single_runs(&self) {
+        let mut tasks: Vec<TaskKey> = Vec::new();
+        for (worker, task) in self.running_tasks() {
+            assert!(
+                !tasks.contains(&task),
+                "{task} runs twice, also on {worker}"
+            );
+            tasks.push(task);
+        }
+    }
+
     /// Returns how many runs all workers have started.
     pub(crate) fn started_runs(&self) -> usize {
         let workers = self.workers.borrow();
--- a/crates/fleet/tests/daemons/worker_records.rs
+++ b/crates/fleet/tests/daemons/worker_records.rs
@@ -2,10 +2,10 @@
 
 use std::time::Duration;
 
-use jasminebend_dispatch::TaskKey;
 use tokio::time;
 
 use crate::test_fleet::{
+    TestDaemon,
     TestFleet,
     job,
     run_simulated,
@@ -32,6 +32,16 @@
     running.iter().any(|(worker, _)| *worker == id)
 }
 
+/// Starts a fleet of two workers, of which one is not listed yet, and its owner.
+async fn fleet_without_late_worker() -> (TestFleet, TestDaemon) {
+    let fleet = TestFleet::with_runtime_clock(2);
+    fleet.workers.run_time.set(Duration::from_secs(60));
+    fleet.store.set_listed(LATE_WORKER, false);
+    let owner = fleet.daemon();
+    time::sleep(SETTLING_TIME).await;
+    (fleet, owner)
+}
+
 /// Guards against tasks that run twice: the owner started them on a worker that joined just before an outage, and the
 /// successor knew it neither from the owner's rows nor from the registry.
 #[test]
@@ -53,14 +63,7 @@
         let _hanging = owner.lose_vm().await;
         let _successor = fleet.daemon();
         for _ in 0..CHECK_COUNT {
-            let mut tasks: Vec<TaskKey> = Vec::new();
-            for (worker, task) in fleet.workers.running_tasks() {
-                assert!(
-                    !tasks.contains(&task),
-                    "{task} runs twice, also on {worker}"
-                );
-                tasks.push(task);
-            }
+            fleet.workers.check_single_runs();
             time::sleep(CHECK_INTERVAL).await;
         }
     });
@@ -70,11 +73,7 @@
 #[test]
 fn tasks_start_on_a_worker_once_it_is_recorded() {
     run_simulated(async {
-        let fleet = TestFleet::with_runtime_clock(2);
-        fleet.workers.run_time.set(Duration::from_secs(60));
-        fleet.store.set_listed(LATE_WORKER, false);
-        let owner = fleet.daemon();
-        time::sleep(SETTLING_TIME).await;
+        let (fleet, owner) = fleet_without_late_worker().await;
         let failing = &owner.store_client.failing_parts;
         failing.borrow_mut().push(OWNER_PART.to_owned());
         fleet.store.set_listed(LATE_WORKER, true);
@@ -91,11 +90,7 @@
 #[test]
 fn workers_are_recorded_after_answers_were_lost() {
     run_simulated(async {
-        let fleet = TestFleet::with_runtime_clock(2);
-        fleet.workers.run_time.set(Duration::from_secs(60));
-        fleet.store.set_listed(LATE_WORKER, false);
-        let owner = fleet.daemon();
-        time::sleep(SETTLING_TIME).await;
+        let (fleet, owner) = fleet_without_late_worker().await;
         owner.store_client.lost_answers.set(3);
         fleet.store.set_listed(LATE_WORKER, true);
         time::sleep(JOINED_AFTER).await;
