Count a draining worker's runs as over only once their lease has lapsed

Cause: a worker that drained, was unlisted and refused connections counted as gone, and its runs were dropped at once. Each of the three signs, and all together, are also those of a worker that is cut off: its entry runs out, its cut refuses connections, and its runs go on under their lease. The class: a weak sign is taken for a proof.

Change: only a lapsed lease ends what runs on a worker. So that the last tasks of a worker that leaves don't wait for 5.2 s, a draining worker is granted leases of 2 s, renewed each 0.5 s at most. The log's cause 'left' goes on to tell such a loss from others.

Why it works: the worker ends its runs by its own clock at the latest deadline that this owner has granted, which WorkerClock bounds from above.

--- a/crates/dispatch/src/dispatch_settings.rs
+++ b/crates/dispatch/src/dispatch_settings.rs
@@ -10,6 +10,9 @@
     /// The duration of a worker's lease without a renewal. Tasks of a worker that fell silent wait
     /// for its expiry. A renewal is sent every 2 s, and an owner that died is replaced within 2 s.
     pub lease_duration: Duration,
+    /// The duration of a draining worker's lease. Only its lapse shows that the worker has left, so that its tasks wait
+    /// for that; in return a takeover may outlast it.
+    pub draining_lease_duration: Duration,
     /// The longest time that a worker waits for a run to end before it answers a renewal.
     pub max_renewal_wait: Duration,
     /// The time for which an owner continues to send orders after its ownership was last confirmed.
@@ -32,6 +35,7 @@
     fn default() -> Self {
         Self {
             lease_duration: Duration::from_secs(5),
+            draining_lease_duration: Duration::from_secs(2),
             max_renewal_wait: Duration::from_secs(2),
             unconfirmed_grace: Duration::from_millis(2000),
             max_stop_duration: Duration::from_millis(900),
--- a/crates/dispatch/src/dispatcher_workers.rs
+++ b/crates/dispatch/src/dispatcher_workers.rs
@@ -39,8 +39,9 @@
 /// The longest wait of a renewal while tasks run that make progress; bounds how late a lost answer
 /// or a stuck task is noticed.
 const ACTIVE_RENEWAL_WAIT: Duration = Duration::from_millis(700);
-/// The longest wait of a renewal while the owner is without the store, and its workers confirm that they follow it.
-const STORELESS_RENEWAL_WAIT: Duration = Duration::from_millis(500);
+/// The longest wait of a renewal while the owner is without the store, and its workers confirm that they follow it, and of
+/// a draining worker, whose lease is short.
+const SHORT_RENEWAL_WAIT: Duration = Duration::from_millis(500);
 /// The time since its last answer from which a worker counts as unreachable.
 const ANSWER_EXPIRY_TIME: Duration = Duration::from_secs(4);
 /// The time in which a worker that is up answers a renewal, beside the time for which it may delay the answer.
@@ -227,7 +228,10 @@
     /// is not `confirmed` only reads the worker's state and grants no lease.
     pub fn next_renewal(&mut self, key: WorkerKey, confirmed: bool, now: Duration) -> LeaseRenewal {
         self.detect_suspension(now);
-        let lease = self.settings.lease_duration;
+        let lease = match self.worker(key).record.draining {
+            true => self.settings.draining_lease_duration,
+            false => self.settings.lease_duration,
+        };
         let max_wait = self.renewal_wait(key);
         let worker = self.worker_mut(key);
         worker.answer_due_at = Some(now + max_wait + ANSWER_TIME);
@@ -421,7 +425,7 @@
         }
     }
 
-    /// Gives up the runs of workers whose lease has certainly lapsed or that have left.
+    /// Gives up the runs of workers whose lease has certainly lapsed.
     pub fn expire_leases(&mut self, now: Duration) {
         for index in 0..self.workers.len() {
             let key = WorkerKey::new(index);
@@ -430,14 +434,14 @@
             if worker.inherited_until.is_some_and(|until| now > until) {
                 worker.inherited_until = None;
             }
-            let cause = match () {
-                () if worker.has_left() => LossCause::Left,
-                () if worker.clock.has_lapsed(now) => LossCause::Lapsed,
-                () => continue,
-            };
-            if !worker.runs.is_empty() {
-                self.drop_all_runs(key, cause, now);
+            if worker.runs.is_empty() || !worker.clock.has_lapsed(now) {
+                continue;
             }
+            let cause = match worker.seems_to_have_left() {
+                true => LossCause::Left,
+                false => LossCause::Lapsed,
+            };
+            self.drop_all_runs(key, cause, now);
         }
         self.confirm_unlisted_crashes();
     }
@@ -477,8 +481,9 @@
     /// Returns how long the worker may delay its answer to the next renewal.
     fn renewal_wait(&self, key: WorkerKey) -> Duration {
         let worker = self.worker(key);
-        let longest = match self.storeless {
-            true => STORELESS_RENEWAL_WAIT.min(self.settings.max_renewal_wait),
+        let needs_short_wait = self.storeless || worker.record.draining;
+        let longest = match needs_short_wait {
+            true => SHORT_RENEWAL_WAIT.min(self.settings.max_renewal_wait),
             false => self.settings.max_renewal_wait,
         };
         if !worker.has_owner_token || worker.unanswered > 0 || !worker.pending_acks.is_empty() {
--- a/crates/dispatch/src/run_loss.rs
+++ b/crates/dispatch/src/run_loss.rs
@@ -19,7 +19,7 @@
     /// The worker answered as another incarnation, which does not have the run.
     #[display("restarted")]
     Restarted,
-    /// The worker had announced its leave and has left.
+    /// The lease has lapsed of a worker that had announced its leave and seems to have left.
     #[display("left")]
     Left,
 }
--- a/crates/dispatch/src/worker_state.rs
+++ b/crates/dispatch/src/worker_state.rs
@@ -345,10 +345,10 @@
         self.contact_lost_at.get_or_insert(now);
     }
 
-    /// Returns whether the worker has certainly left: it announced that it would, the registry no
-    /// longer lists it, and nothing listens at its address. Each of these alone may also be a
-    /// network partition.
-    pub(crate) fn has_left(&self) -> bool {
+    /// Returns whether the worker seems to have left: it announced that it would, the registry no longer lists it, and
+    /// its address refuses connections. It may also be cut off, so that its runs count as over only once their lease
+    /// has lapsed.
+    pub(crate) fn seems_to_have_left(&self) -> bool {
         self.record.draining && !self.listed && self.connection_refused
     }
 
--- a/crates/dispatch/tests/common/fleet.rs
+++ b/crates/dispatch/tests/common/fleet.rs
@@ -107,6 +107,8 @@
     listed: Vec<bool>,
     /// What may run on each worker: its capacity, or for a while after it has shrunk the former one.
     tolerated: Vec<(Duration, ResourceAmount)>,
+    /// Whether workers that are unreachable refuse connections while they run.
+    pub(crate) refuses_while_unreachable: bool,
     pub(crate) crash_mode: CrashMode,
     crash_rule: CrashRule,
     pub(crate) owners: Vec<Owner>,
@@ -173,6 +175,7 @@
             down_since: vec![None; workers.len()],
             listed: vec![true; workers.len()],
             tolerated: vec![(Duration::ZERO, ResourceAmount::default()); workers.len()],
+            refuses_while_unreachable: false,
             crash_mode: CrashMode::NewIdentity,
             crash_rule: |_| None,
             workers,
