Takeover: without a recorded member set only the first owner counts as settled

This is one way to two owners; that the record shows it is not known.

Cause: while the store holds no set of members, a successor took the owner right before it for settled, whatever that one knew of its own predecessors. With three owners in a row before the first set is written, and the second of them ended, the third counted the first as stopped while it still acted.

Change: without a recorded set only the first owner, which has no predecessors, counts as settled. Later ones are waited for by the members' answers, as without a set before.

--- a/crates/fleet/src/member_set.rs
+++ b/crates/fleet/src/member_set.rs
@@ -10,6 +10,9 @@
     Serialize, //
 };
 
+/// The fencing token of the first owner, which has no predecessors.
+const FIRST_TOKEN: u64 = 1;
+
 /// A member as the set counts it.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct SetMember {
@@ -42,6 +45,19 @@
 }
 
 impl MemberSet {
+    /// Returns the set by which the owner with this token counts while the store holds none: all daemons that have enrolled. Only
+    /// the first owner is known to have been settled.
+    pub fn of_enrolled(members: Vec<SetMember>, token: u64) -> Self {
+        if token == FIRST_TOKEN {
+            return Self::default();
+        }
+        Self {
+            members,
+            witnesses: Vec::new(),
+            settled_token: FIRST_TOKEN,
+        }
+    }
+
     /// Returns whether a daemon is in the set.
     pub fn contains(&self, node: &str) -> bool {
         self.members.iter().any(|member| member.node == node)
--- a/crates/fleet/src/member_set_changes.rs
+++ b/crates/fleet/src/member_set_changes.rs
@@ -78,14 +78,10 @@
         term.member_set_version.set(row.version);
         return Ok(set);
     }
-    if term.token() == 1 {
-        return Ok(MemberSet::default());
-    }
-    Ok(MemberSet {
-        members: enrolled_members(shared),
-        witnesses: Vec::new(),
-        settled_token: term.token() - 1,
-    })
+    Ok(MemberSet::of_enrolled(
+        enrolled_members(shared),
+        term.token(),
+    ))
 }
 
 /// Returns all enrolled daemons, as this daemon's watch has shown them.
--- a/crates/fleet/tests/daemons/takeover.rs
+++ b/crates/fleet/tests/daemons/takeover.rs
@@ -91,6 +91,19 @@
     (fleet, successor)
 }
 
+/// Starts a successor of an owner with token 2 that gave up the ownership before it wrote a set of members; two daemons are silent.
+async fn fleet_after_vacancy(silent: &TcpListener) -> (TestFleet, TestDaemon) {
+    let fleet = TestFleet::with_runtime_clock(2);
+    fleet.set_vacant_owner(2);
+    fleet.enroll(silent.local_addr().expect("it is bound"), 2);
+    fleet.workers.partition(PARTITIONED_WORKER);
+    let successor = fleet.daemon();
+    while fleet.store.owner().is_none_or(|owner| owner.token < 3) {
+        time::sleep(POLL_INTERVAL).await;
+    }
+    (fleet, successor)
+}
+
 /// Lets a successor take over as [`fleet_after_takeover`] does, but its first claim is applied without an answer.
 async fn fleet_after_repeated_claim() -> (TestFleet, TestDaemon, TcpListener) {
     let fleet = TestFleet::with_runtime_clock(2);
@@ -203,6 +216,21 @@
     });
 }
 
+/// Guards against a task that runs twice: no set of members was recorded yet, and the successor of an owner that had ended took
+/// the owner before that one for stopped too.
+#[test]
+fn an_owner_before_one_that_recorded_no_member_set_may_still_start_a_job() {
+    run_simulated(async {
+        let silent = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let (fleet, _successor) = fleet_after_vacancy(&silent).await;
+        time::sleep(Duration::from_millis(1800)).await;
+        start_as_former_owner(&fleet, RUN_TIME);
+        record_job(&fleet);
+        time::sleep(JOB_KNOWN_AFTER).await;
+        assert_eq!(fleet.workers.started_runs(), 1, "the task runs twice");
+    });
+}
+
 /// Guards against a task that runs twice: a partition refused the successor's connections to the former owner, which acted on.
 #[test]
 fn a_former_owner_that_refuses_connections_may_still_start_a_job() {
--- a/crates/fleet/tests/daemons/test_fleet.rs
+++ b/crates/fleet/tests/daemons/test_fleet.rs
@@ -549,6 +549,19 @@
         self.enroll(address, members);
     }
 
+    /// Lets an owner with this token have given up the ownership before it wrote a set of members.
+    pub(crate) fn set_vacant_owner(&self, token: u64) {
+        let owner = OwnerRecord {
+            node: "elsewhere".to_owned(),
+            incarnation: 1,
+            address: free_address().to_string(),
+            token,
+            vacant: true,
+        };
+        self.store
+            .write(vec![row(StoreTable::Fleet, "s0", "owner", &owner)]);
+    }
+
     /// Enrolls members that all have the same address.
     pub(crate) fn enroll(&self, address: SocketAddr, members: u32) {
         let rows = (0..members).map(|number| {
