Takeover: a refused connection proves nothing of an owner or a member

Cause: a successor whose connection to the owner was refused took the owner's process for ended, and a member that refused for told. A partition between daemons may refuse or reset connections. The former owner then acts on for up to 2 s after its last confirmation, or 3.5 s by members that the successor does not reach, while the successor waits for leases from its claim only.

Change: a refusal still begins a takeover at once, but ends no wait. What ends it early is the former owner's own answer, for which the successor now asks until then: another incarnation has ended it, and an owner that knows its successor has ended its term; both only if it knew its predecessors to have stopped.

Logs: 'claimed' tells why an owner was replaced and whether it was known to have ended, 'former_stopped' what showed that all former owners had stopped, and how long after the claim.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -87,7 +87,10 @@
         MaintenanceOutcome,
         WorkerAddress, //
     },
-    former_owner_bound::FormerOwnerBound,
+    former_owner_bound::{
+        FormerOwnerBound,
+        StopEvidence, //
+    },
     http_pool::{
         HttpError,
         HttpPool,
@@ -136,6 +139,7 @@
         StoreTable, //
     },
     succession::{
+        ClaimCause,
         ProbeResult,
         Succession, //
     },
--- a/crates/fleet/src/owner_announcement.rs
+++ b/crates/fleet/src/owner_announcement.rs
@@ -17,6 +17,7 @@
     OwnerQuorum,
     OwnerRecord,
     ProbeResult,
+    StopEvidence,
     fleet_log::whole_millis,
     member_set_changes::{
         enrolled_members,
@@ -42,6 +43,19 @@
     unanswered_workers: usize,
 }
 
+/// All former owners have stopped, `took_ms` after the claim. `evidence` is what shows it.
+#[derive(Serialize)]
+struct StopLine<'a> {
+    change: &'static str,
+    token: u64,
+    former: &'a str,
+    evidence: StopEvidence,
+    knowing: usize,
+    members: usize,
+    took_ms: u64,
+    unanswered_workers: usize,
+}
+
 /// The owner that a new one replaces.
 pub(crate) struct FormerOwner {
     /// Its row; `None` if there was none.
@@ -50,7 +64,18 @@
     pub(crate) is_gone: bool,
 }
 
-/// Announces the new owner's token to the other daemons until half of the members know it, or all former owners have stopped.
+impl FormerOwner {
+    fn token(&self) -> u64 {
+        self.record.as_ref().map_or(0, |record| record.token)
+    }
+
+    fn node(&self) -> &str {
+        self.record.as_ref().map_or("", |record| &record.node)
+    }
+}
+
+/// Announces the new owner's token to the other daemons until half of the members know it, and finds out when all former owners
+/// have stopped.
 ///
 /// A former owner that has lost the store goes on acting while the members confirm that they know no newer token. Until it has
 /// stopped, workers that have not reported yet may run its orders.
@@ -67,15 +92,23 @@
         if term.member_set_version.get() == 0 {
             bound.set_members(enrolled_members(&shared));
         }
-        tell_members(&shared, &term, &mut bound).await;
+        let was_known = bound.is_known_to_half();
+        if !was_known || !is_logged {
+            tell_members(&shared, &term, &mut bound).await;
+        }
         record_followers(&shared, &term, &mut bound);
         tighten_bound(&shared, &term, &bound);
         let is_known = bound.is_known_to_half();
-        if is_known || !is_logged {
+        if is_known != was_known || !is_logged {
             is_logged = true;
             log_announcement(&shared, &term, &bound);
         }
-        if is_known || term.is_settled(shared.now()) {
+        if is_known && !term.is_settled(shared.now()) {
+            probe_former_owner(&shared, &term, &former, &mut bound).await;
+            tighten_bound(&shared, &term, &bound);
+        }
+        if term.is_settled(shared.now()) {
+            log_stop(&shared, &term, &former, &bound);
             return;
         }
         time::sleep(RETRY_PAUSE).await;
@@ -95,17 +128,19 @@
         };
         let node = &shared.settings.node;
         *term.quorum.borrow_mut() = Some(OwnerQuorum::new(node, set.clone()));
-        let former_token = former.record.as_ref().map_or(0, |record| record.token);
         term.former_adds_until
             .set(term.claimed_at() + shared.settings.dispatch.unconfirmed_grace);
-        if former.is_gone && set.settled_token == former_token {
-            term.former_adds_until.set(Duration::ZERO);
-            set_former_owners_until(term, term.claimed_at());
-        }
         let mut bound = FormerOwnerBound::new(term.claimed_at(), set);
         if term.member_set_version.get() == 0 {
             bound = bound.without_time_limits();
         }
+        if former.is_gone {
+            bound.record_owner_stopped(former.token(), term.claimed_at());
+        }
+        // It had ended before the claim, and so before any job that is not known yet was accepted.
+        if bound.owner_stopped_at().is_some() {
+            term.former_adds_until.set(Duration::ZERO);
+        }
         bound.record_told(node, term.claimed_at());
         tighten_bound(shared, term, &bound);
         return Some(bound);
@@ -114,7 +149,7 @@
 }
 
 /// Sends the token to the daemons that do not know it yet, and waits until half of the members know it or all probes have
-/// ended. A member that refuses connections counts as knowing it: no daemon there can confirm the former owner.
+/// ended.
 async fn tell_members(shared: &SharedState, term: &OwnerTerm, bound: &mut FormerOwnerBound) {
     let token = term.token();
     let mut probes = JoinSet::new();
@@ -132,16 +167,10 @@
         let Ok((node, probe)) = probe else {
             continue;
         };
-        match probe {
-            ProbeResult::Answered(health) => {
-                shared.observe_token(health.known_token);
-                if health.known_token >= token {
-                    bound.record_told(&node, shared.now());
-                }
-            }
-            ProbeResult::ConnectionRefused => bound.record_told(&node, shared.now()),
-            ProbeResult::Unanswered => {}
+        if let ProbeResult::Answered(health) = probe {
+            shared.observe_token(health.known_token);
         }
+        bound.record_member_probe(&node, probe, token, shared.now());
         if bound.is_known_to_half() {
             // The remaining probes still deliver the token.
             probes.detach_all();
@@ -150,6 +179,28 @@
     }
 }
 
+/// Asks the former owner whether it knows of its successor, so that it has stopped, or has restarted.
+async fn probe_former_owner(
+    shared: &SharedState,
+    term: &OwnerTerm,
+    former: &FormerOwner,
+    bound: &mut FormerOwnerBound,
+) {
+    let Some(owner) = &former.record else {
+        return;
+    };
+    let probe = shared.peers.probe(&owner.address, term.token()).await;
+    if let ProbeResult::Answered(health) = probe {
+        shared.observe_token(health.known_token);
+    }
+    let now = shared.now();
+    bound.record_owner_probe(owner, probe, term.token(), now);
+    if bound.owner_stopped_at().is_some() {
+        let adds_until = term.former_adds_until.get().min(now);
+        term.former_adds_until.set(adds_until);
+    }
+}
+
 /// Records the witnesses that have answered this owner.
 fn record_followers(shared: &SharedState, term: &OwnerTerm, bound: &mut FormerOwnerBound) {
     let dispatcher = term.dispatcher.borrow();
@@ -197,3 +248,28 @@
         },
     );
 }
+
+fn log_stop(
+    shared: &SharedState,
+    term: &OwnerTerm,
+    former: &FormerOwner,
+    bound: &FormerOwnerBound,
+) {
+    let grace = shared.settings.dispatch.unconfirmed_grace;
+    let Some((stopped_at, evidence)) = bound.evidence(grace) else {
+        return;
+    };
+    shared.log.line(
+        LogEvent::Owner,
+        StopLine {
+            change: "former_stopped",
+            token: term.token(),
+            former: former.node(),
+            evidence,
+            knowing: bound.told_count(),
+            members: bound.set().members.len(),
+            took_ms: whole_millis(stopped_at.saturating_sub(term.claimed_at())),
+            unanswered_workers: term.dispatcher.borrow().inherited_worker_count(),
+        },
+    );
+}
--- a/crates/fleet/src/ownership_takeover.rs
+++ b/crates/fleet/src/ownership_takeover.rs
@@ -11,6 +11,7 @@
 use tokio::task::JoinSet;
 
 use crate::{
+    ClaimCause,
     CommitOutcome,
     LogEvent,
     OwnerRecord,
@@ -58,6 +59,17 @@
     }, //
 };
 
+/// This daemon has claimed the ownership for `cause`. `former_gone` tells whether the owner before it was known to have ended.
+#[derive(Serialize)]
+struct ClaimLine<'a> {
+    change: &'static str,
+    token: u64,
+    former: &'a str,
+    former_token: u64,
+    former_gone: bool,
+    cause: Option<ClaimCause>,
+}
+
 /// This daemon began to act as the owner, or its term is over.
 #[derive(Serialize)]
 struct TakeoverLine<'a> {
@@ -82,13 +94,30 @@
 /// Takes over the ownership: writes the owner's row, reads what the reader has not read yet, then starts the owner's tasks.
 pub(crate) async fn take_over(shared: &Rc<SharedState>, mut reader: TakeoverReader) {
     let started_at = shared.now();
-    let former_gone = shared.succession.borrow().is_former_owner_gone();
+    let (former_gone, cause) = {
+        let succession = shared.succession.borrow();
+        (
+            succession.is_former_owner_gone(),
+            succession.claim_cause(started_at),
+        )
+    };
     let page_count = reader.page_count();
     let Some((term, former)) = claim_ownership(shared, page_count).await else {
         return;
     };
     reader.keep_jobs_only();
     let former_node = former.as_ref().map_or("", |owner| &owner.node).to_owned();
+    shared.log.line(
+        LogEvent::Owner,
+        ClaimLine {
+            change: "claimed",
+            token: term.token(),
+            former: &former_node,
+            former_token: former.as_ref().map_or(0, |owner| owner.token),
+            former_gone,
+            cause,
+        },
+    );
     let former = FormerOwner {
         record: former,
         is_gone: former_gone,
--- a/crates/fleet/src/succession.rs
+++ b/crates/fleet/src/succession.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use serde::Serialize;
+
 use crate::{
     MemberRecord,
     OwnerRecord,
@@ -26,12 +28,30 @@
 pub enum ProbeResult {
     /// The daemon answered.
     Answered(PeerHealth),
-    /// The VM refused the connection: nothing listens at the address.
+    /// The connection was refused: nothing listens at the address, or a partition refuses connections.
     ConnectionRefused,
     /// No answer came.
     Unanswered,
 }
 
+/// Why a daemon takes over the ownership.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum ClaimCause {
+    /// There is no owner, or it has given up the ownership.
+    Vacant,
+    /// The owner's row names this daemon, which does not act as the owner.
+    Own,
+    /// Another incarnation answers at the owner's address.
+    Restarted,
+    /// Connections to the owner are refused.
+    Refused,
+    /// The owner is silent, or does not act and gets no further.
+    Silent,
+    /// The owner is without the store.
+    WithoutStore,
+}
+
 /// Decides when a daemon takes over the ownership, by what this daemon observes alone. If several claim it, the store
 /// decides between them, and workers reject the orders of an owner that was replaced.
 #[derive(Debug)]
@@ -44,8 +64,8 @@
     /// When the first probe was sent that the owner left unanswered, or answered without acting as the owner or having
     /// read on since the one before.
     silent_since: Option<Duration>,
-    /// Since when the owner should be replaced; `None` while it is healthy.
-    unhealthy_since: Option<Duration>,
+    /// Since when the owner should be replaced, and why; `None` while it is healthy.
+    unhealthy_since: Option<(Duration, ClaimCause)>,
     /// The number of pages that the owner had read when it last answered while it was reading its records.
     loading_pages: Option<u64>,
     /// Whether the owner was reading its records when it was last probed.
@@ -115,7 +135,7 @@
         self.is_loading = false;
         self.silent_since = None;
         self.judged_anew_at = None;
-        self.unhealthy_since = vacant.then_some(now);
+        self.unhealthy_since = vacant.then_some((now, ClaimCause::Vacant));
     }
 
     /// Records the daemons that may become the owner.
@@ -166,15 +186,19 @@
                     (false, false) => {}
                 }
                 let silent_too_long = !acts && self.record_silence(sent, now);
-                self.set_unhealthy(restarted || silent_too_long || lacks_store, now);
-            }
-            ProbeResult::ConnectionRefused => {
-                self.former_owner_gone = true;
-                self.set_unhealthy(true, now);
+                let cause = match () {
+                    () if restarted => Some(ClaimCause::Restarted),
+                    () if silent_too_long => Some(ClaimCause::Silent),
+                    () if lacks_store => Some(ClaimCause::WithoutStore),
+                    () => None,
+                };
+                self.set_unhealthy(cause, now);
             }
+            // A partition may refuse connections too: the owner is replaced at once, but may still act.
+            ProbeResult::ConnectionRefused => self.set_unhealthy(Some(ClaimCause::Refused), now),
             ProbeResult::Unanswered => {
                 let silent_too_long = self.record_silence(sent, now);
-                self.set_unhealthy(silent_too_long, now);
+                self.set_unhealthy(silent_too_long.then_some(ClaimCause::Silent), now);
             }
         }
     }
@@ -182,12 +206,17 @@
     /// Returns whether this daemon, which does not act as the owner, should take over at `now`. If the owner's row
     /// names it, either a former incarnation wrote the row, or its own claim was applied without an answer.
     pub fn should_claim(&self, now: Duration) -> bool {
+        self.claim_cause(now).is_some()
+    }
+
+    /// Returns why this daemon should take over at `now`, or `None` if it should not.
+    pub fn claim_cause(&self, now: Duration) -> Option<ClaimCause> {
         let owner = self.owner.as_ref();
         if owner.is_some_and(|owner| owner.node == self.node) {
-            return true;
+            return Some(ClaimCause::Own);
         }
-        self.unhealthy_since
-            .is_some_and(|since| now >= since + CLAIM_DELAY_PER_RANK * self.rank())
+        let (since, cause) = self.unhealthy_since?;
+        (now >= since + CLAIM_DELAY_PER_RANK * self.rank()).then_some(cause)
     }
 
     /// Returns whether a daemon must have read all records before it claims the ownership: the owner reads them too, and
@@ -211,11 +240,9 @@
         now >= since + OWNER_SILENCE_LIMIT
     }
 
-    fn set_unhealthy(&mut self, unhealthy: bool, now: Duration) {
-        match unhealthy {
-            true => drop(self.unhealthy_since.get_or_insert(now)),
-            false => self.unhealthy_since = None,
-        }
+    fn set_unhealthy(&mut self, cause: Option<ClaimCause>, now: Duration) {
+        let since = self.unhealthy_since.map_or(now, |(since, _)| since);
+        self.unhealthy_since = cause.map(|cause| (since, cause));
     }
 
     /// Returns the number of daemons that should claim before this one: those with a larger CPU share, and those with
--- a/crates/fleet/tests/daemons/replacements.rs
+++ b/crates/fleet/tests/daemons/replacements.rs
@@ -34,6 +34,9 @@
 /// Within this time a lost owner is replaced.
 const TAKEN_OVER_AFTER: Duration = Duration::from_secs(4);
 
+/// How long after its end a killed daemon is restarted.
+const SOON_RESTARTED_AFTER: Duration = Duration::from_millis(200);
+
 const CHECK_INTERVAL: Duration = Duration::from_millis(50);
 const RANDOM_SEEDS: u64 = 60;
 const RANDOM_ROUNDS: u64 = 5;
@@ -80,6 +83,27 @@
         self.daemons.push(self.fleet.daemon_on_vm());
     }
 
+    /// Kills the owner's process, and restarts it after `restarted_after`, if at all. A worker is lost at the same time, on which a
+    /// task runs; returns how long it takes until that task runs elsewhere.
+    async fn resumption_after_kill(&mut self, restarted_after: Option<Duration>) -> Duration {
+        self.fleet.workers.run_time.set(Duration::MAX);
+        self.submit(1).await;
+        time::sleep(TAKEN_OVER_AFTER).await;
+        let runs = self.fleet.workers.started_runs();
+        self.fleet.workers.partition(LOST_WORKER);
+        let killed_at = time::Instant::now();
+        let owner = self.daemons.swap_remove(self.owner());
+        let mut killed = Some(owner.kill_process().await);
+        while self.fleet.workers.started_runs() == runs {
+            time::sleep(CHECK_INTERVAL).await;
+            let is_due = restarted_after.is_some_and(|after| killed_at.elapsed() >= after);
+            if let Some(killed) = killed.take_if(|_| is_due) {
+                self.daemons.push(self.fleet.restart(killed));
+            }
+        }
+        killed_at.elapsed()
+    }
+
     /// Lets time pass, and checks that no task runs twice.
     async fn pass(&self, duration: Duration) {
         let end = time::Instant::now() + duration;
@@ -205,3 +229,18 @@
         fleet.wait_until_completed(2).await;
     });
 }
+
+/// Guards against a wait that is longer than it has to be: a killed owner that answers as another incarnation has ended, although
+/// the refusal of connections before that did not show it.
+#[test]
+fn a_restarted_owner_ends_the_wait_for_its_orders() {
+    run_simulated(async {
+        let mut resumed_after = Vec::new();
+        for restarted_after in [Some(SOON_RESTARTED_AFTER), None] {
+            let mut fleet = LossyFleet::start(3).await;
+            resumed_after.push(fleet.resumption_after_kill(restarted_after).await);
+        }
+        let saved = resumed_after[1].saturating_sub(resumed_after[0]);
+        assert!(saved > Duration::from_secs(1), "{resumed_after:?}");
+    });
+}
--- a/crates/fleet/tests/daemons/test_fleet.rs
+++ b/crates/fleet/tests/daemons/test_fleet.rs
@@ -441,6 +441,17 @@
         TcpListener::bind(self.peers).unwrap()
     }
 
+    /// Ends the daemon as the end of its process would: connections to it are refused.
+    pub(crate) async fn kill_process(self) -> KilledDaemon {
+        let process = self.process.expect("it can be lost");
+        process.abort();
+        drop(process.await);
+        KilledDaemon {
+            node: self.node,
+            peers: self.peers,
+        }
+    }
+
     /// Returns the daemon's name.
     pub(crate) fn node(&self) -> &str {
         &self.node
@@ -466,6 +477,12 @@
     }
 }
 
+/// A daemon whose process was killed.
+pub(crate) struct KilledDaemon {
+    node: String,
+    peers: SocketAddr,
+}
+
 /// Daemons that share a store and workers.
 pub(crate) struct TestFleet {
     pub(crate) store: Rc<MemoryStore>,
@@ -578,22 +595,31 @@
 
     /// Starts a daemon.
     pub(crate) fn daemon(&self) -> TestDaemon {
-        self.start_daemon(None)
+        self.start_daemon(None, None)
     }
 
     /// Starts a daemon that can be lost with its VM.
     pub(crate) fn daemon_on_vm(&self) -> TestDaemon {
-        self.start_daemon(Some(LocalSet::new()))
+        self.start_daemon(Some(LocalSet::new()), None)
+    }
+
+    /// Starts a killed daemon again.
+    pub(crate) fn restart(&self, killed: KilledDaemon) -> TestDaemon {
+        self.start_daemon(Some(LocalSet::new()), Some(killed))
     }
 
-    fn start_daemon(&self, tasks: Option<LocalSet>) -> TestDaemon {
+    fn start_daemon(&self, tasks: Option<LocalSet>, killed: Option<KilledDaemon>) -> TestDaemon {
         self.count.set(self.count.get() + 1);
-        let settings = FleetSettings {
+        let killed = killed.unwrap_or_else(|| KilledDaemon {
             node: format!("daemon-{}", self.count.get()),
+            peers: free_address(),
+        });
+        let settings = FleetSettings {
+            node: killed.node,
             domain: DomainName::from("domain-a"),
             caller_address: free_address(),
             readiness_address: free_address(),
-            peer_address: free_address(),
+            peer_address: killed.peers,
             metrics_address: free_address(),
             cpu_millis: 100,
             stop_timeout: Duration::from_secs(4),
--- a/crates/fleet/tests/member_set.rs
+++ b/crates/fleet/tests/member_set.rs
@@ -1,6 +1,6 @@
 //! Random exploration of the rules by which an owner acts without the store and a successor waits for it to stop. Nodes are lost
-//! and added, workers restart, the links between them and to the store change, and commits of the set of members are applied late or without an
-//! answer.
+//! and added, workers restart, the links between them and to the store change, some are cut in one direction only or refuse
+//! connections, and commits are applied late or without an answer.
 //!
 //! `JASMINEBEND_SET_SEEDS` selects the number of seeds.
 
@@ -13,7 +13,11 @@
     FormerOwnerBound,
     MemberSet,
     OwnerQuorum,
+    OwnerRecord,
+    PeerHealth,
+    ProbeResult,
     SetMember,
+    Succession,
     WitnessWorker, //
 };
 use rand::{
@@ -32,7 +36,7 @@
 const GROUPS: u8 = 3;
 const WORKERS: usize = 5;
 /// The number of kinds of changes.
-const CHANGES: usize = 13;
+const CHANGES: usize = 16;
 
 /// How a commit of the set of members ends.
 #[derive(Clone, Copy)]
@@ -54,7 +58,7 @@
 
 #[derive(Default)]
 struct Store {
-    owner: Option<(usize, u64)>,
+    owner: Option<OwnerRecord>,
     set: MemberSet,
     set_version: u64,
     late: Vec<SetCommit>,
@@ -62,7 +66,7 @@
 
 impl Store {
     fn token(&self) -> u64 {
-        self.owner.map_or(0, |(_, token)| token)
+        self.owner.as_ref().map_or(0, |owner| owner.token)
     }
 
     /// Applies a commit if its preconditions hold.
@@ -80,8 +84,7 @@
     token: u64,
     quorum: OwnerQuorum,
     bound: FormerOwnerBound,
-    former_stopped: bool,
-    claimed_at: Duration,
+    former: Option<OwnerRecord>,
     set_version: u64,
     store_confirmed: Duration,
     confirmed: Duration,
@@ -96,10 +99,7 @@
 
     /// Returns when all former owners have stopped, as far as this one knows.
     fn former_owners_until(&self) -> Duration {
-        match self.former_stopped {
-            true => self.claimed_at,
-            false => self.bound.stopped_at(GRACE),
-        }
+        self.bound.stopped_at(GRACE)
     }
 }
 
@@ -107,7 +107,10 @@
 struct Node {
     alive: bool,
     frozen: bool,
+    /// Whether its calls arrive but no answer reaches it.
+    deaf: bool,
     has_store: bool,
+    incarnation: u64,
     group: u8,
     known_token: u64,
     has_read: bool,
@@ -188,10 +191,16 @@
         self.nodes[node].alive && !self.nodes[node].frozen
     }
 
-    fn reaches_store(&self, node: usize) -> bool {
+    /// Returns whether the node's calls arrive at the store.
+    fn calls_store(&self, node: usize) -> bool {
         self.runs(node) && self.nodes[node].has_store
     }
 
+    /// Returns whether the store's answers reach the node.
+    fn reaches_store(&self, node: usize) -> bool {
+        self.calls_store(node) && !self.nodes[node].deaf
+    }
+
     /// Returns the node with this name if `from` reaches it.
     fn reach(&self, from: usize, member: &SetMember) -> Option<usize> {
         let to = (0..self.nodes.len()).find(|node| name(*node) == member.node)?;
@@ -213,6 +222,29 @@
         }
     }
 
+    /// Probes the node with this name as `from` would, with the highest token that `from` knows.
+    fn probe_from(&mut self, from: usize, member: &SetMember, token: u64) -> ProbeResult {
+        let Some(to) = self.reach(from, member) else {
+            // A partition and a lost process may refuse connections, or leave them unanswered.
+            return match self.chance(50) {
+                true => ProbeResult::ConnectionRefused,
+                false => ProbeResult::Unanswered,
+            };
+        };
+        let known_token = self.probe(to, token);
+        let health = PeerHealth {
+            incarnation: self.nodes[to].incarnation,
+            acting: None,
+            known_token,
+            without_store_ms: 0,
+            loading: None,
+        };
+        match self.nodes[from].deaf {
+            true => ProbeResult::Unanswered,
+            false => ProbeResult::Answered(health),
+        }
+    }
+
     /// Draws one of the changes, each as often as this run's weights say.
     fn change_world(&mut self) {
         let mut draw = self.random.random_range(0..self.weights.iter().sum());
@@ -249,6 +281,9 @@
                 self.workers[worker].token = 0;
                 self.workers[worker].incarnation = self.now;
             }
+            13 => self.nodes[node].deaf = !self.nodes[node].deaf,
+            14 => self.nodes.iter_mut().for_each(|node| node.deaf = false),
+            15 => self.release(node),
             _ => {}
         }
     }
@@ -263,31 +298,77 @@
             self.nodes[node].owner = None;
             self.nodes[node].known_token = 0;
             self.nodes[node].has_read = false;
+            self.nodes[node].incarnation += 1;
+        }
+    }
+
+    /// Lets a node that is the owner give up the ownership; its commit may be lost.
+    fn release(&mut self, node: usize) {
+        let Some(term) = self.nodes[node].owner.take() else {
+            return;
+        };
+        let is_applied = self.calls_store(node) && self.chance(80);
+        if let Some(owner) = self.store.owner.as_mut().filter(|_| is_applied) {
+            owner.vacant |= owner.token == term.token;
+        }
+    }
+
+    /// Returns whether a node that is about to claim the ownership takes the owner for gone.
+    fn takes_for_gone(&mut self, node: usize, owner: &OwnerRecord) -> bool {
+        if owner.node == name(node) {
+            // Its own claim without an answer, or one of its former incarnation.
+            return owner.incarnation != self.nodes[node].incarnation;
         }
+        let mut succession = Succession::new(&name(node));
+        succession.set_owner(Some(owner.clone()), self.now);
+        let member = SetMember {
+            node: owner.node.clone(),
+            address: owner.address.clone(),
+        };
+        let known_token = self.nodes[node].known_token;
+        let probe = self.probe_from(node, &member, known_token);
+        succession.record_probe(probe, self.now, self.now);
+        succession.is_former_owner_gone()
     }
 
     fn claim(&mut self, node: usize) {
-        let former = self.store.owner;
+        let former = self.store.owner.clone();
+        let is_gone = match &former {
+            Some(owner) => self.takes_for_gone(node, owner),
+            None => true,
+        };
         let token = self.store.token() + 1;
-        // The former owner's process has ended, and the successor knows that.
-        let is_gone = former.is_none_or(|(former, former_token)| {
-            let owner = self.nodes[former].owner.as_ref();
-            owner.is_none_or(|owner| owner.token != former_token) && former != node
+        self.store.owner = Some(OwnerRecord {
+            node: name(node),
+            incarnation: self.nodes[node].incarnation,
+            address: name(node),
+            token,
+            vacant: false,
         });
-        let is_gone = former.is_none() || (is_gone && self.chance(50));
-        self.store.owner = Some((node, token));
-        let set = self.store.set.clone();
+        if self.nodes[node].deaf {
+            return;
+        }
+        let is_recorded = self.store.set_version > 0;
+        let set = match is_recorded {
+            true => self.store.set.clone(),
+            false => MemberSet::of_enrolled((0..self.nodes.len()).map(set_member).collect(), token),
+        };
         let mut bound = FormerOwnerBound::new(self.now, set.clone());
+        if !is_recorded {
+            bound = bound.without_time_limits();
+        }
+        if is_gone {
+            bound.record_owner_stopped(token - 1, self.now);
+        }
         bound.record_told(&name(node), self.now);
         let state = &mut self.nodes[node];
         state.known_token = token;
         state.has_read = true;
         state.owner = Some(Owner {
             token,
-            quorum: OwnerQuorum::new(&name(node), set.clone()),
+            quorum: OwnerQuorum::new(&name(node), set),
             bound,
-            former_stopped: is_gone && set.settled_token == token - 1,
-            claimed_at: self.now,
+            former,
             set_version: self.store.set_version,
             store_confirmed: self.now,
             confirmed: self.now,
@@ -315,8 +396,8 @@
         let peers = owner.quorum.peers();
         let mut confirming = HashSet::new();
         for member in peers {
-            if let Some(to) = self.reach(node, &member)
-                && self.probe(to, token) == token
+            if let ProbeResult::Answered(health) = self.probe_from(node, &member, token)
+                && health.known_token == token
             {
                 confirming.insert(member.node);
             }
@@ -343,20 +424,34 @@
         };
         let token = owner.token;
         let untold: Vec<SetMember> = owner.bound.untold_members().cloned().collect();
+        let former = owner.former.clone();
         for member in untold {
-            if let Some(to) = self.reach(node, &member)
-                && self.probe(to, token) >= token
-            {
-                let now = self.now;
-                let owner = self.nodes[node].owner.as_mut().expect("it is the owner");
-                owner.bound.record_told(&member.node, now);
-            }
+            let probe = self.probe_from(node, &member, token);
+            self.record(node, |bound, now| {
+                bound.record_member_probe(&member.node, probe, token, now);
+            });
+        }
+        if let Some(former) = former {
+            let member = SetMember {
+                node: former.node.clone(),
+                address: former.address.clone(),
+            };
+            let probe = self.probe_from(node, &member, token);
+            self.record(node, |bound, now| {
+                bound.record_owner_probe(&former, probe, token, now);
+            });
+        }
+    }
+
+    fn record(&mut self, node: usize, record: impl FnOnce(&mut FormerOwnerBound, Duration)) {
+        if let Some(owner) = &mut self.nodes[node].owner {
+            record(&mut owner.bound, self.now);
         }
     }
 
     /// Calls the workers that the owner reaches; one that follows a later owner ends its term.
     fn renew(&mut self, node: usize) {
-        let group = self.nodes[node].group;
+        let Node { group, deaf, .. } = self.nodes[node];
         for number in 0..WORKERS {
             let Some(owner) = &mut self.nodes[node].owner else {
                 return;
@@ -365,11 +460,17 @@
             if worker.down || worker.group != group {
                 continue;
             }
+            if worker.token > owner.token && deaf {
+                continue;
+            }
             if worker.token > owner.token {
                 self.nodes[node].owner = None;
                 return;
             }
             worker.token = owner.token;
+            if deaf {
+                continue;
+            }
             owner.answered[number] = Some((worker.incarnation, self.now));
             owner.bound.record_follower(&name(number), self.now);
         }
@@ -473,7 +574,7 @@
         }
         let node = self.pick();
         let is_owner = self.nodes[node].owner.is_some();
-        if self.reaches_store(node) && !is_owner && self.chance(self.claim_percent) {
+        if self.calls_store(node) && !is_owner && self.chance(self.claim_percent) {
             self.claim(node);
         }
     }
