Succession: an answer from before the owner changed proves nothing

Cause: a probe is sent to an address. If the owner there restarts and takes over again while an answer of its former incarnation is still under way, that answer has another incarnation than the new owner's row, and the new owner counted as ended: it was replaced at once, and not waited for.

Change: the result of a probe that was sent before the owner's row was known is ignored; the next probe tells.

--- a/crates/fleet/src/succession.rs
+++ b/crates/fleet/src/succession.rs
@@ -60,6 +60,8 @@
     node: String,
     /// The owner's row, also if it is vacant; `None` if there is no row or it was not read yet.
     owner: Option<OwnerRecord>,
+    /// When this row became known.
+    owner_known_at: Duration,
     members: Vec<MemberRecord>,
     /// When the first probe was sent that the owner left unanswered, or answered without acting as the owner or having
     /// read on since the one before.
@@ -87,6 +89,7 @@
         Self {
             node: node.to_owned(),
             owner: None,
+            owner_known_at: Duration::ZERO,
             members: Vec::new(),
             silent_since: None,
             unhealthy_since: None,
@@ -131,6 +134,7 @@
         let is_own = owner.as_ref().is_some_and(|owner| owner.node == self.node);
         self.former_owner_gone = is_own && self.is_former_owner_gone();
         self.owner = owner;
+        self.owner_known_at = now;
         self.loading_pages = None;
         self.is_loading = false;
         self.silent_since = None;
@@ -164,6 +168,10 @@
         let Some(owner) = &self.owner else {
             return;
         };
+        // A former incarnation may have answered, which held the ownership at the same address.
+        if sent < self.owner_known_at {
+            return;
+        }
         self.is_loading = false;
         match probe {
             ProbeResult::Answered(health) => {
--- a/crates/fleet/tests/succession.rs
+++ b/crates/fleet/tests/succession.rs
@@ -268,6 +268,21 @@
     assert!(!succession.is_former_owner_gone());
 }
 
+/// Guards against two owners at a time: the owner had restarted and taken over again at its address, and an answer of its former
+/// incarnation arrived late and counted as one of a later incarnation.
+#[test]
+fn an_answer_to_a_probe_from_before_the_owner_changed_proves_nothing() {
+    let mut succession = succession();
+    let restarted = OwnerRecord {
+        token: 6,
+        ..owner("a", 2)
+    };
+    succession.set_owner(Some(restarted), ms(1100));
+    succession.record_probe(ProbeResult::Answered(health()), ms(1000), ms(1200));
+    assert!(!succession.should_claim(ms(1200)));
+    assert!(!succession.is_former_owner_gone());
+}
+
 /// Returns the answer of an owner that has read this many pages of its records.
 fn loading(pages: u64) -> ProbeResult {
     ProbeResult::Answered(PeerHealth {
