Clock: the time for which the machine was suspended counts

Cause: the daemon's time was that of the steady clock. An owner that resumes takes its last confirmation for recent, and starts tasks for up to 2 s more, while its successor has counted its leases as lapsed and started them elsewhere.

Change: SystemClock adds the time by which the clock since boot has come to be ahead of the steady one. The readings are taken in an order by which a pause between them can't count as a suspension, and the sum never decreases. Timers still follow the runtime's clock, which a test may pause.

The arithmetic has tests of its own. A suspension of a real machine was not tried.

--- a/crates/fleet/tests/daemons/main.rs
+++ b/crates/fleet/tests/daemons/main.rs
@@ -12,6 +12,7 @@
 mod partial_outage;
 mod replacements;
 mod store_silence;
+mod suspended_owner;
 mod takeover;
 mod test_fleet;
 mod waves;
--- a/crates/fleet/tests/daemons/test_fleet.rs
+++ b/crates/fleet/tests/daemons/test_fleet.rs
@@ -14,13 +14,24 @@
         BTreeMap,
         BTreeSet, //
     },
-    future::Future,
+    future::{
+        self,
+        Future, //
+    },
     net::{
         SocketAddr,
         TcpListener, //
     },
     rc::Rc,
-    sync::LazyLock,
+    sync::{
+        LazyLock,
+        Mutex, //
+    },
+    task::{
+        Context,
+        Poll,
+        Waker, //
+    },
     time::{
         Duration,
         SystemTime, //
@@ -78,6 +89,7 @@
 };
 use jasminebend_ports::{
     ClockSource,
+    SuspensionMeter,
     SystemClock, //
 };
 use jasminebend_standins::{
@@ -138,6 +150,8 @@
     connection_losses: Cell<u32>,
     /// The workers that no daemon can reach.
     partitioned: RefCell<BTreeSet<String>>,
+    /// The workers that an owner can't reach, each with that owner's token.
+    cut_off: RefCell<BTreeSet<(String, u64)>>,
     /// When each worker that has crashed restarts.
     restarts: RefCell<BTreeMap<String, Duration>>,
     /// The share of orders that are lost, late, or without an answer, in percent each.
@@ -207,7 +221,8 @@
         act: impl FnOnce(&mut SimulatedWorker, Duration) -> Answer,
     ) -> Option<Answer> {
         let id = address.id.as_ref();
-        match self.partitioned.borrow().contains(id) || self.is_down(id) {
+        let is_cut_off = (self.cut_off.borrow()).contains(&(id.to_owned(), address.token));
+        match is_cut_off || self.partitioned.borrow().contains(id) || self.is_down(id) {
             true => None,
             false => self.with_worker(id, act),
         }
@@ -250,6 +265,11 @@
         self.partitioned.borrow_mut().insert(id.to_owned());
     }
 
+    /// Cuts a worker off from the owner with this token only.
+    pub(crate) fn cut_off(&self, id: &str, token: u64) {
+        self.cut_off.borrow_mut().insert((id.to_owned(), token));
+    }
+
     /// Renews a worker's lease as the owner with this token would.
     pub(crate) fn renew(&self, id: &str, token: u64) {
         self.with_worker(id, |worker, now| {
@@ -312,6 +332,11 @@
         running.collect()
     }
 
+    /// Returns whether a worker executes nothing.
+    pub(crate) fn is_idle(&self, id: &str) -> bool {
+        self.running_tasks().iter().all(|(worker, _)| worker != id)
+    }
+
     /// Checks that no task is executed on two workers.
     pub(crate) fn check_single_runs(&self) {
         let mut tasks: Vec<TaskKey> = Vec::new();
@@ -523,6 +548,7 @@
                 run_time: Cell::new(run_time),
                 connection_losses: Cell::new(0),
                 partitioned: RefCell::default(),
+                cut_off: RefCell::default(),
                 restarts: RefCell::default(),
                 order_fault_percent: Cell::new(0),
                 late_orders: RefCell::default(),
@@ -595,20 +621,33 @@
 
     /// Starts a daemon.
     pub(crate) fn daemon(&self) -> TestDaemon {
-        self.start_daemon(None, None)
+        self.start_daemon(None, None, None)
     }
 
     /// Starts a daemon that can be lost with its VM.
     pub(crate) fn daemon_on_vm(&self) -> TestDaemon {
-        self.start_daemon(Some(LocalSet::new()), None)
+        self.start_daemon(Some(LocalSet::new()), None, None)
     }
 
     /// Starts a killed daemon again.
     pub(crate) fn restart(&self, killed: KilledDaemon) -> TestDaemon {
-        self.start_daemon(Some(LocalSet::new()), Some(killed))
+        self.start_daemon(Some(LocalSet::new()), Some(killed), None)
+    }
+
+    /// Starts a daemon whose machine can be suspended.
+    pub(crate) fn suspendable_daemon(&self) -> (TestDaemon, Rc<SuspendableMachine>) {
+        let machine = Rc::new(SuspendableMachine::new());
+        let tasks = Some(LocalSet::new());
+        let daemon = self.start_daemon(tasks, None, Some(Rc::clone(&machine)));
+        (daemon, machine)
     }
 
-    fn start_daemon(&self, tasks: Option<LocalSet>, killed: Option<KilledDaemon>) -> TestDaemon {
+    fn start_daemon(
+        &self,
+        tasks: Option<LocalSet>,
+        killed: Option<KilledDaemon>,
+        machine: Option<Rc<SuspendableMachine>>,
+    ) -> TestDaemon {
         self.count.set(self.count.get() + 1);
         let killed = killed.unwrap_or_else(|| KilledDaemon {
             node: format!("daemon-{}", self.count.get()),
@@ -630,7 +669,10 @@
         let peers = settings.peer_address;
         let store_client = Rc::new(StoreClient::new(Rc::clone(&self.store)));
         let ports = FleetPorts {
-            clock: Rc::clone(&self.clock),
+            clock: match &machine {
+                Some(machine) => Rc::clone(machine) as Rc<dyn ClockSource>,
+                None => Rc::clone(&self.clock),
+            },
             store: Rc::clone(&store_client) as Rc<dyn FleetStore>,
             workers: Rc::clone(&self.workers) as Rc<dyn FleetWorkers>,
             advice: None,
@@ -658,7 +700,10 @@
             peers,
             stop,
             running,
-            process: tasks.map(tokio::task::spawn_local),
+            process: tasks.map(|tasks| match machine {
+                Some(machine) => tokio::task::spawn_local(run_on(machine, tasks)),
+                None => tokio::task::spawn_local(tasks),
+            }),
         }
     }
 }
@@ -679,6 +724,71 @@
     }
 }
 
+/// A machine that can be suspended. Its steady clock stops meanwhile.
+pub(crate) struct SuspendableMachine {
+    booted_at: time::Instant,
+    suspensions: SuspensionMeter,
+    state: Mutex<SuspensionState>,
+}
+
+#[derive(Default)]
+struct SuspensionState {
+    suspended_at: Option<time::Instant>,
+    suspended_for: Duration,
+    waker: Option<Waker>,
+}
+
+impl SuspendableMachine {
+    fn new() -> Self {
+        Self {
+            booted_at: time::Instant::now(),
+            suspensions: SuspensionMeter::new(Duration::ZERO, Duration::ZERO),
+            state: Mutex::default(),
+        }
+    }
+
+    /// Suspends the machine for this long.
+    pub(crate) async fn suspend_for(&self, duration: Duration) {
+        self.state.lock().unwrap().suspended_at = Some(time::Instant::now());
+        time::sleep(duration).await;
+        let mut state = self.state.lock().unwrap();
+        state.suspended_at = None;
+        state.suspended_for += duration;
+        if let Some(waker) = state.waker.take() {
+            waker.wake();
+        }
+    }
+
+    /// Returns whether the machine is suspended; wakes the caller when it resumes.
+    fn is_suspended(&self, context: &Context<'_>) -> bool {
+        let mut state = self.state.lock().unwrap();
+        state.waker = Some(context.waker().clone());
+        state.suspended_at.is_some()
+    }
+}
+
+impl ClockSource for SuspendableMachine {
+    fn monotonic(&self) -> Duration {
+        let since_boot = self.booted_at.elapsed();
+        let steady = since_boot.saturating_sub(self.state.lock().unwrap().suspended_for);
+        steady + self.suspensions.suspended_time(since_boot, steady)
+    }
+
+    fn wall(&self) -> SystemTime {
+        SystemTime::UNIX_EPOCH + Duration::from_secs(1_000_000_000) + self.booted_at.elapsed()
+    }
+}
+
+/// Runs a daemon's tasks while its machine is not suspended.
+async fn run_on(machine: Rc<SuspendableMachine>, tasks: LocalSet) {
+    let mut tasks = Box::pin(tasks);
+    future::poll_fn(|context| match machine.is_suspended(context) {
+        true => Poll::Pending,
+        false => tasks.as_mut().poll(context),
+    })
+    .await;
+}
+
 fn row<Record>(table: StoreTable, part: &str, key: &str, record: &Record) -> StoreRow
 where
     Record: Serialize,
--- a/crates/ports/src/lib.rs
+++ b/crates/ports/src/lib.rs
@@ -28,6 +28,7 @@
 mod row_value;
 mod row_version;
 mod run_completion;
+mod suspension_meter;
 mod system_clock;
 mod table_error;
 mod table_request;
@@ -70,6 +71,7 @@
     row_key::RowKey,
     row_version::RowVersion,
     run_completion::RunCompletion,
+    suspension_meter::SuspensionMeter,
     system_clock::SystemClock,
     table_error::TableError,
     table_request::TableRequest,
