Takeover: a run that is listed before its job is known is adopted

Cause: for 2 s after its last confirmation a former owner may start tasks of a job that its successor learns of later. The successor left such a task's end with the worker until the job was known, but stopped a run that was still executing without remembering it: once the job was known the task was started again, also on that worker, while the first run was being stopped or the stop was still under way.

Change: such runs are remembered with their worker, which takes no starts as long as it lists one, since what they reserve is not known. A job that becomes known adopts them; a run whose job stays unknown for 3 s is stopped as before (a second test).

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -111,6 +111,8 @@
     /// Tasks whose start a former owner has announced and of whose runs no worker has told yet, each
     /// with its worker's identity.
     pub(crate) inherited_starts: IndexMap<TaskKey, Arc<str>>,
+    /// Whether a worker has ever listed a run of an unknown job.
+    pub(crate) has_unknown_runs: bool,
     /// Findings about crashes, to be returned by the next plan.
     pub(crate) pending_crashes: Vec<CrashFinding>,
     pub(crate) commits: CommitTracker,
@@ -169,6 +171,7 @@
             pending_evictions: Vec::new(),
             pending_losses: Vec::new(),
             inherited_starts: IndexMap::new(),
+            has_unknown_runs: false,
             pending_crashes: Vec::new(),
             commits: CommitTracker::default(),
             interference: InterferenceModel::default(),
@@ -245,6 +248,7 @@
             true => drop(self.next_occurrences.insert(key, 0)),
             false => self.open_occurrence(key, 0),
         }
+        self.adopt_unknown_runs(key);
         if self.cancelled_early.remove(&key) {
             self.cancel_job(key);
         }
--- a/crates/dispatch/src/dispatcher_placement.rs
+++ b/crates/dispatch/src/dispatcher_placement.rs
@@ -255,6 +255,7 @@
             && self.is_recorded(worker)
             && worker.has_owner_token
             && worker.unanswered == 0
+            && worker.unknown_runs.is_empty()
             && worker.clock.is_known()
             && !worker.record.draining
             && !worker.in_maintenance
--- a/crates/dispatch/src/dispatcher_runs.rs
+++ b/crates/dispatch/src/dispatcher_runs.rs
@@ -7,6 +7,7 @@
 
 use crate::{
     Dispatcher,
+    JobKey,
     LossCause,
     RunNumber,
     RunningTask,
@@ -120,7 +121,36 @@
         }
     }
 
-    /// Adopts a run that a former owner started, or stops it if its job is unknown or over, its
+    /// Adopts the runs of a job that workers listed before it was known.
+    pub(crate) fn adopt_unknown_runs(&mut self, job: JobKey) {
+        if !self.has_unknown_runs {
+            return;
+        }
+        for index in 0..self.workers.len() {
+            let worker = &mut self.workers[index];
+            let listed_at = worker.last_answer_at.unwrap_or_default();
+            let of_job = |running: &mut RunningTask| running.task.job() == job;
+            let runs: Vec<RunningTask> = worker.unknown_runs.extract_if(.., of_job).collect();
+            for running in runs {
+                self.adopt_run(WorkerKey::new(index), running, listed_at);
+            }
+        }
+    }
+
+    /// Keeps in mind a run whose job is unknown, and stops it unless its job may yet be learned.
+    fn handle_unknown_run(&mut self, key: WorkerKey, running: RunningTask, now: Duration) {
+        if !self.may_learn_job(running.task.job(), now) {
+            self.pending_orders.push(WorkerOrder::Stop {
+                worker: key,
+                task: running.task,
+                run: running.run,
+            });
+        }
+        self.has_unknown_runs = true;
+        self.worker_mut(key).unknown_runs.push(running);
+    }
+
+    /// Adopts a run that a former owner started, or stops it if its job is over, its
     /// task is done, or the task has another run and allows no copies.
     fn adopt_run(&mut self, key: WorkerKey, running: RunningTask, now: Duration) {
         let step = running.task.step;
@@ -131,11 +161,7 @@
             Some((over, spec))
         });
         let Some((over, spec)) = requested else {
-            self.pending_orders.push(WorkerOrder::Stop {
-                worker: key,
-                task: running.task,
-                run: running.run,
-            });
+            self.handle_unknown_run(key, running, now);
             return;
         };
         self.open_occurrence(step.job, step.occurrence);
--- a/crates/dispatch/src/dispatcher_workers.rs
+++ b/crates/dispatch/src/dispatcher_workers.rs
@@ -315,6 +315,7 @@
             self.process_completion(key, ended, now);
         }
         self.worker_mut(key).holds_completions = holds_completions;
+        self.worker_mut(key).unknown_runs.clear();
         let listed: Vec<(TaskKey, RunNumber)> = report
             .running
             .iter()
@@ -435,6 +436,7 @@
                 () if worker.clock.has_lapsed(now) => LossCause::Lapsed,
                 () => continue,
             };
+            worker.unknown_runs.clear();
             if !worker.runs.is_empty() {
                 self.drop_all_runs(key, cause, now);
             }
@@ -528,7 +530,7 @@
 
     /// Returns whether a job is unknown and may yet be learned: a former owner may have started tasks of
     /// a job that was accepted after this owner had read the jobs.
-    fn may_learn_job(&self, job: JobKey, now: Duration) -> bool {
+    pub(crate) fn may_learn_job(&self, job: JobKey, now: Duration) -> bool {
         let is_new_owner = self
             .first_plan_at
             .is_none_or(|since| now < since + LATE_JOB_GRACE);
--- a/crates/dispatch/src/worker_state.rs
+++ b/crates/dispatch/src/worker_state.rs
@@ -12,6 +12,7 @@
 use crate::{
     FleetWorker,
     RunNumber,
+    RunningTask,
     TaskKey,
     WorkerClock,
     WorkerCrash,
@@ -81,6 +82,8 @@
     /// When the worker's incarnation began, since 1970, if it has reported that.
     pub(crate) incarnation: Option<Duration>,
     pub(crate) runs: IndexMap<(TaskKey, RunNumber), RunState>,
+    /// The runs of unknown jobs that the worker listed last.
+    pub(crate) unknown_runs: Vec<RunningTask>,
     /// The capacity that the runs reserve.
     pub(crate) reserved: ResourceAmount,
     /// The CPU that the fillers declare, in millicores.
@@ -145,6 +148,7 @@
             connection_refused: false,
             incarnation: None,
             runs: IndexMap::new(),
+            unknown_runs: Vec::new(),
             reserved: ResourceAmount::default(),
             filler_cpu: 0,
             service_cpu: 0,
@@ -357,6 +361,7 @@
         self.clock = WorkerClock::default();
         self.has_owner_token = false;
         self.inherited_until = None;
+        self.unknown_runs.clear();
         self.last_processed = 0;
         self.last_acknowledged = 0;
         self.pending_acks.clear();
--- a/crates/dispatch/tests/jobs_learned_late.rs
+++ b/crates/dispatch/tests/jobs_learned_late.rs
@@ -22,6 +22,7 @@
     RenewalReport,
     RunNumber,
     RunResult,
+    RunningTask,
     StepKey,
     WorkerOrder, //
 };
@@ -108,3 +109,81 @@
     }
     assert_eq!(starts, 0);
 }
+
+/// Guards against two runs of a task at once: a former owner started the task of a job of which this owner learns only after the
+/// worker has listed the run, and this owner started the task again while it stopped that run.
+#[test]
+fn run_that_is_listed_before_its_job_is_known_is_adopted() {
+    let record = Fleet::new(1, 1).workers[0].record().clone();
+    let mut dispatcher = Dispatcher::new(2, DispatchSettings::default());
+    dispatcher.set_configuration(configuration(3));
+    let worker = dispatcher.upsert_worker(record, Some(ms(9000)));
+    let task = StepKey {
+        job: late_key(),
+        occurrence: 0,
+        step: 0,
+    }
+    .task(0);
+    let mut orders = Vec::new();
+    for turn in 0..20 {
+        let now = ms(1000 + turn * 100);
+        if turn == 2 {
+            dispatcher.add_job(late_key(), late_job(&only_queue()));
+            orders.extend(dispatcher.plan(now).orders);
+        }
+        dispatcher.next_renewal(worker, true, now);
+        let report = RenewalReport {
+            clock: now,
+            incarnation: None,
+            running: vec![RunningTask {
+                task,
+                run: RunNumber::of_owner(1, 1),
+                checkpoint: None,
+                progress_percent: (turn + 1) as u32,
+                metric: None,
+            }],
+            completions: Vec::new(),
+        };
+        dispatcher.handle_renewal_report(worker, now, report, now);
+        orders.extend(dispatcher.plan(now).orders);
+    }
+    assert_eq!(orders, Vec::new());
+}
+
+/// Guards against a run that goes on for good: its job never becomes known.
+#[test]
+fn run_of_a_job_that_stays_unknown_is_stopped() {
+    let record = Fleet::new(1, 1).workers[0].record().clone();
+    let mut dispatcher = Dispatcher::new(2, DispatchSettings::default());
+    let worker = dispatcher.upsert_worker(record, Some(ms(9000)));
+    let task = StepKey {
+        job: late_key(),
+        occurrence: 0,
+        step: 0,
+    }
+    .task(0);
+    let mut orders = Vec::new();
+    for turn in 0..50 {
+        let now = ms(1000 + turn * 100);
+        dispatcher.next_renewal(worker, true, now);
+        let report = RenewalReport {
+            clock: now,
+            incarnation: None,
+            running: vec![RunningTask {
+                task,
+                run: RunNumber::of_owner(1, 1),
+                checkpoint: None,
+                progress_percent: 1,
+                metric: None,
+            }],
+            completions: Vec::new(),
+        };
+        dispatcher.handle_renewal_report(worker, now, report, now);
+        orders.extend(dispatcher.plan(now).orders);
+    }
+    let is_stop = |order: &WorkerOrder| matches!(order, WorkerOrder::Stop { .. });
+    assert!(
+        !orders.is_empty() && orders.iter().all(is_stop),
+        "{orders:?}"
+    );
+}
