--- a/crates/dispatch/src/dispatcher_workers.rs
+++ b/crates/dispatch/src/dispatcher_workers.rs
@@ -319,6 +319,7 @@
             self.process_completion(key, ended, now);
         }
         self.worker_mut(key).holds_completions = holds_completions;
+        self.worker_mut(key).unknown_runs.clear();
         let listed: Vec<(TaskKey, RunNumber)> = report
             .running
             .iter()
@@ -434,7 +435,11 @@
             if worker.inherited_until.is_some_and(|until| now > until) {
                 worker.inherited_until = None;
             }
-            if worker.runs.is_empty() || !worker.clock.has_lapsed(now) {
+            if !worker.clock.has_lapsed(now) {
+                continue;
+            }
+            worker.unknown_runs.clear();
+            if worker.runs.is_empty() {
                 continue;
             }
             let cause = match worker.seems_to_have_left() {
@@ -533,7 +538,7 @@
 
     /// Returns whether a job is unknown and may yet be learned: a former owner may have started tasks of
     /// a job that was accepted after this owner had read the jobs.
-    fn may_learn_job(&self, job: JobKey, now: Duration) -> bool {
+    pub(crate) fn may_learn_job(&self, job: JobKey, now: Duration) -> bool {
         let is_new_owner = self
             .first_plan_at
             .is_none_or(|since| now < since + LATE_JOB_GRACE);
