Test that only crashes of a task's workers give its job up (failing)

Callers saw jobs shown as `failed` although no task had failed as often as its queue allows. Two ways to that without a crash of a worker under the task, both seen to fail on this code:

- lost_starts_on_crashed_workers_give_no_job_up: each start is lost, and the worker to which it was sent crashes before the lease lapses.
No run has ever begun; the fourth loss gives the job up (progress Failed, 0 crashes under the task).
- cut_off_workers_that_return_are_no_crashes: workers are cut off from the owner and from the store for 9 s, the registry drops them after 3.3 s, and each returns as the same incarnation.
All five losses are counted and stay on record (5 instead of 0).

--- a/crates/dispatch/tests/common/fleet.rs
+++ b/crates/dispatch/tests/common/fleet.rs
@@ -101,6 +101,8 @@
     pub(crate) unreachable_until: Vec<Duration>,
     /// Whether each worker has left for good.
     pub(super) has_left: Vec<bool>,
+    /// The workers that are cut off from the store, with the time at which their entries expire, and until when.
+    cut_off: Vec<(usize, Duration, Duration)>,
     /// Since when each worker is down after a crash.
     down_since: Vec<Option<Duration>>,
     /// Whether the registry lists each worker.
@@ -170,6 +172,7 @@
             now: start,
             unreachable_until: vec![Duration::ZERO; workers.len()],
             has_left: vec![false; workers.len()],
+            cut_off: Vec::new(),
             down_since: vec![None; workers.len()],
             listed: vec![true; workers.len()],
             tolerated: vec![(Duration::ZERO, ResourceAmount::default()); workers.len()],
@@ -362,6 +365,43 @@
         self.add_worker(labels);
     }
 
+    /// Cuts a worker off from the owners and the store until `until`; the registry drops its entry meanwhile.
+    pub(crate) fn cut_worker_off(&mut self, worker: usize, until: Duration) {
+        self.unreachable_until[worker] = until;
+        self.cut_off
+            .push((worker, self.now + REGISTRY_EXPIRY, until));
+    }
+
+    /// Updates the registry's entries of the workers that are cut off from the store.
+    fn follow_cuts(&mut self) {
+        let now = self.now;
+        for (worker, expires_at, until) in std::mem::take(&mut self.cut_off) {
+            if self.workers[worker].is_down() || self.has_left[worker] {
+                continue;
+            }
+            if now < until {
+                if self.listed[worker] && now >= expires_at {
+                    self.unlist_worker(worker);
+                }
+                self.cut_off.push((worker, expires_at, until));
+                continue;
+            }
+            self.listed[worker] = true;
+            let record = self.workers[worker].record().clone();
+            for owner in &mut self.owners {
+                owner.dispatcher.upsert_worker(record.clone(), None);
+            }
+        }
+    }
+
+    fn unlist_worker(&mut self, worker: usize) {
+        self.listed[worker] = false;
+        let id = self.workers[worker].record().id.clone();
+        for owner in &mut self.owners {
+            owner.dispatcher.mark_unlisted(&id);
+        }
+    }
+
     /// Returns whether a worker has left for good.
     pub(crate) fn has_left(&self, worker: usize) -> bool {
         self.has_left[worker]
@@ -374,6 +414,7 @@
             self.now += TICK;
             self.deliver_due_events();
             self.follow_crashes();
+            self.follow_cuts();
             for owner in 0..self.owners.len() {
                 self.run_owner(owner);
             }
@@ -427,11 +468,7 @@
             }
             let down_for = now - *self.down_since[worker].get_or_insert(now);
             if self.listed[worker] && down_for >= REGISTRY_EXPIRY {
-                self.listed[worker] = false;
-                let id = self.workers[worker].record().id.clone();
-                for owner in &mut self.owners {
-                    owner.dispatcher.mark_unlisted(&id);
-                }
+                self.unlist_worker(worker);
             }
             if down_for >= CRASH_DOWNTIME {
                 self.recover_worker(worker);
--- a/crates/dispatch/tests/crashing_tasks.rs
+++ b/crates/dispatch/tests/crashing_tasks.rs
@@ -14,6 +14,7 @@
 };
 use jasminebend_base::ResourceAmount;
 use jasminebend_dispatch::{
+    JobFailure,
     JobKey,
     JobOutcome,
     JobProgress,
@@ -583,6 +584,63 @@
     assert_eq!(fleet.progress(job), COMPLETED);
 }
 
+/// Kills each worker that a job's starts were sent to, in series; no start arrives.
+fn kill_workers_of_lost_starts(fleet: &mut Fleet, takes_over: bool) {
+    fleet.faults.lost = 100;
+    for _ in 0..5 {
+        let worker = fleet.workers.len() - 1;
+        run_until(fleet, |fleet| fleet.is_reachable(worker));
+        fleet.run_for(ms(7000));
+        fleet.kill_worker(worker);
+        if takes_over {
+            fleet.run_for(ms(1000));
+            fleet.replace_owner();
+        }
+        run_until(fleet, |fleet| fleet.workers.len() == worker + 2);
+    }
+    fleet.faults.lost = 0;
+}
+
+/// Guards against giving up a task of which no run ever began, because the workers to which its
+/// starts were sent have crashed.
+#[test]
+fn lost_starts_on_crashed_workers_give_no_job_up() {
+    for takes_over in [false, true] {
+        let mut fleet = Fleet::new(1, 30).with_work(short_work);
+        let job = fleet.submit(2, graph(vec![step(1, &[])]));
+        kill_workers_of_lost_starts(&mut fleet, takes_over);
+        fleet.run_for(ms(20_000));
+        assert_eq!(fleet.crash_count(first_task(job), fleet.now), 0);
+        assert_eq!(fleet.progress(job), COMPLETED, "takeovers: {takes_over}");
+    }
+}
+
+/// Guards against giving up a task whose workers were cut off from the owner and the store, and dropped by the registry, but
+/// went on.
+#[test]
+fn cut_off_workers_that_return_are_no_crashes() {
+    for takes_over in [false, true] {
+        let mut fleet = Fleet::new(8, 31).with_work(long_work);
+        let job = fleet.submit(2, graph(vec![step(1, &[])]));
+        for _ in 0..6 {
+            run_until_hosted(&mut fleet, job);
+            fleet.run_for(ms(100));
+            for worker in hosts(&fleet, job) {
+                fleet.cut_worker_off(worker, fleet.now + ms(9000));
+            }
+            fleet.run_for(ms(6000));
+            if takes_over {
+                fleet.replace_owner();
+            }
+            fleet.run_for(ms(4000));
+        }
+        assert_eq!(fleet.recorded_crashes(first_task(job)), 0);
+        fleet.run_for(ms(60_000));
+        assert_eq!(fleet.progress(job), COMPLETED, "takeovers: {takes_over}");
+        assert_eq!(fleet.check_invariants(), Vec::<String>::new());
+    }
+}
+
 fn is_guilty(job: JobKey) -> bool {
     [JobKey::new(1), JobKey::new(2)].contains(&job)
 }
@@ -639,6 +697,91 @@
     violations
 }
 
+/// Runs one seed of harsher days: workers are also cut off from the store, orders are lost in bursts, and takeovers come in
+/// series. An innocent job may be given up if two workers have crashed while they executed its task.
+fn run_harsh_seed(seed: u64, mut fleet: Fleet) -> Vec<String> {
+    let mut random = StdRng::seed_from_u64(seed);
+    fleet.spread_over_racks(3);
+    fleet.crash_mode = match random.random_range(0..3) {
+        0 => CrashMode::NewIdentity,
+        1 => CrashMode::SameIdentity,
+        _ => CrashMode::Silent,
+    };
+    let jobs: Vec<JobKey> = (1..30)
+        .map(|number| {
+            fleet.faults = Faults {
+                lost: [2, 2, 60][random.random_range(0..3)],
+                delayed: random.random_range(0..10),
+                unanswered: random.random_range(0..8),
+                failed_commits: random.random_range(0..20),
+            };
+            let job = fleet.submit(number, graph(vec![step(random.random_range(1..6), &[])]));
+            for _ in 0..random.random_range(0..3) {
+                let worker = random.random_range(0..fleet.workers.len());
+                let is_reachable = fleet.is_reachable(worker);
+                match random.random_range(0..6) {
+                    0 => fleet.replace_owner(),
+                    1 | 2 if is_reachable => fleet.kill_worker(worker),
+                    3 | 4 if is_reachable => {
+                        let until = fleet.now + ms(random.random_range(200..12_000));
+                        fleet.cut_worker_off(worker, until);
+                    }
+                    _ => {}
+                }
+                fleet.run_for(ms(random.random_range(10..600)));
+            }
+            fleet.run_for(ms(random.random_range(50..600)));
+            job
+        })
+        .collect();
+    fleet.faults = Faults::default();
+    fleet.run_for(Duration::from_secs(60));
+    let mut violations = fleet.check_invariants();
+    for job in jobs {
+        violations.extend(check_given_up(&mut fleet, job));
+        violations.extend(check_starts(&fleet, first_task(job)));
+    }
+    violations
+}
+
+/// Returns the violation of the rule that a job is given up only if two workers have crashed while they executed its task.
+fn check_given_up(fleet: &mut Fleet, job: JobKey) -> Option<String> {
+    if fleet.progress(job) == COMPLETED {
+        return None;
+    }
+    let failure = fleet.owner().dispatcher.failure(job).cloned();
+    let Some(JobFailure::Crashes { task, .. }) = failure else {
+        return Some(format!("job {job}: {:?}", fleet.progress(job)));
+    };
+    let tasks = (0..6).map(|index| first_task(job).step.task(index));
+    let named: Vec<TaskKey> = tasks.filter(|key| key.to_string() == task).collect();
+    let crashes = fleet.crash_count(named[0], fleet.now);
+    (crashes < 2).then(|| format!("{task} was given up after {crashes} crashes"))
+}
+
+/// Guards against jobs that are given up although fewer than two workers have crashed while they executed the task, and
+/// against crashing tasks that are started beyond the limit.
+#[test]
+fn jobs_are_given_up_for_crashes_alone() {
+    let count = env_number("JASMINEBEND_DAYS").unwrap_or(LATE_SEED_COUNT);
+    let first = env_number("JASMINEBEND_FIRST_DAY").unwrap_or(0);
+    let violations: Vec<(u64, Vec<String>)> = (first..first + count)
+        .map(|seed| {
+            let fleet = match seed % 2 {
+                0 => prompt_fleet(seed),
+                _ => prompt_fleet(seed).with_late_answers(seed),
+            };
+            (seed, run_harsh_seed(seed, fleet))
+        })
+        .filter(|(_, violations)| !violations.is_empty())
+        .collect();
+    assert!(
+        violations.is_empty(),
+        "{} of {count}: {violations:#?}",
+        violations.len()
+    );
+}
+
 /// Guards against crashing tasks that are started beyond the limit, and innocent jobs that are given
 /// up or never end, under faults that overlap.
 #[test]
