Wait for a queue's rule before a failed run ends its job

Callers could see a job as `failed` after one failed run although its queue allows more: an owner that did not know the queue's rule took one attempt for all (`map_or(1, ..)`). An owner is in that state if it has read the jobs, but no configuration with the queue yet, and the job's row carries no rule. Found by reading; the users' record does not show that it happened to them. Class: a missing value that is turned into a number.

Change: the failure is counted and put on record; whether it ends the job is judged as soon as the queue's rule becomes known, by a configuration or by the row of another job.

Evidence: failed_run_ends_no_job_before_its_queue_is_known fails on the former code ("before the queue is known": the job has ended as failed) and passes now, with three attempts (the job goes on) and with one (it ends once the rule is known).

Why it works: no task starts while the queue's rule is unknown, so that no start beyond the limit can come from the wait.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -208,7 +208,10 @@
     /// their remaining jobs.
     pub fn set_configuration(&mut self, configuration: Arc<FleetConfiguration>) {
         for (name, rule) in &configuration.queues {
-            self.queue_rules.insert(Arc::clone(name), rule.clone());
+            let former = self.queue_rules.insert(Arc::clone(name), rule.clone());
+            if former.is_none() {
+                self.fail_exhausted_jobs(name);
+            }
         }
         self.configuration = configuration;
         self.unplaceable.clear();
@@ -225,10 +228,11 @@
         if self.jobs.contains_key(&key) {
             return;
         }
-        if let Some(rule) = job.rule {
-            self.queue_rules
-                .entry(Arc::clone(&job.queue))
-                .or_insert(rule);
+        if let Some(rule) = job.rule
+            && !self.queue_rules.contains_key(&job.queue)
+        {
+            self.queue_rules.insert(Arc::clone(&job.queue), rule);
+            self.fail_exhausted_jobs(&job.queue);
         }
         let remaining_chains = job.graph.remaining_chains();
         let repeated = job.graph.schedule.is_some();
--- a/crates/dispatch/src/dispatcher_completions.rs
+++ b/crates/dispatch/src/dispatcher_completions.rs
@@ -11,6 +11,7 @@
     JobFailure,
     JobOutcome,
     RunResult,
+    StepKey,
     TaskKey,
     WorkerKey,
     dispatcher::StepOrigin, //
@@ -165,17 +166,47 @@
             task.failed_on = Some(key);
             failures = task.failures.len();
         }
-        let attempts = self
-            .queue_rules
-            .get(&queue)
-            .map_or(1, |rule| rule.max_attempts.max(1));
         let change = self.commits.record_change(step.job);
-        if failures >= attempts as usize {
-            let task = step.task(counted_index).to_string();
+        self.fail_if_exhausted(step.task(counted_index), failures, &queue);
+        change
+    }
+
+    /// Fails a job if one of its tasks has used up its attempts. While the queue's rule is unknown, the number of attempts is
+    /// too.
+    fn fail_if_exhausted(&mut self, task: TaskKey, failures: usize, queue: &str) {
+        let Some(rule) = self.queue_rules.get(queue) else {
+            return;
+        };
+        if failures >= rule.max_attempts.max(1) as usize {
+            let key = task.job();
+            let task = task.to_string();
             // CAST: At most `max_attempts` runs.
             let runs = failures as u32;
-            self.fail_job(step.job, JobFailure::Attempts { task, runs });
+            self.fail_job(key, JobFailure::Attempts { task, runs });
+        }
+    }
+
+    /// Fails the jobs of a queue, whose rule has just become known, of which a task has used up its attempts.
+    pub(crate) fn fail_exhausted_jobs(&mut self, queue: &str) {
+        let mut failed = Vec::new();
+        let jobs = self.jobs.iter();
+        for (&job, state) in jobs.filter(|(_, state)| *state.queue == *queue && !state.is_over()) {
+            for (&occurrence, opened) in &state.occurrences {
+                for (step, opened) in (0..).zip(&opened.steps) {
+                    let key = StepKey {
+                        job,
+                        occurrence,
+                        step,
+                    };
+                    let tasks = (0..).zip(&opened.tasks);
+                    let tasks = tasks.filter(|(_, task)| !task.done && !task.failures.is_empty());
+                    failed
+                        .extend(tasks.map(|(index, task)| (key.task(index), task.failures.len())));
+                }
+            }
+        }
+        for (task, failures) in failed {
+            self.fail_if_exhausted(task, failures, queue);
         }
-        change
     }
 }
--- a/crates/dispatch/tests/jobs_learned_late.rs
+++ b/crates/dispatch/tests/jobs_learned_late.rs
@@ -108,3 +108,42 @@
     }
     assert_eq!(starts, 0);
 }
+
+/// Guards against a job that is shown as failed after one failed run, because its owner does not know yet how many its queue
+/// allows.
+#[test]
+fn failed_run_ends_no_job_before_its_queue_is_known() {
+    for (attempts, expected) in [(3, false), (1, true)] {
+        let record = Fleet::new(1, 1).workers[0].record().clone();
+        let mut dispatcher = Dispatcher::new(2, DispatchSettings::default());
+        let worker = dispatcher.upsert_worker(record, Some(ms(9000)));
+        dispatcher.add_job(late_key(), late_job(&only_queue()));
+        let task = StepKey {
+            job: late_key(),
+            occurrence: 0,
+            step: 0,
+        }
+        .task(0);
+        let report = RenewalReport {
+            clock: ms(1000),
+            incarnation: None,
+            running: Vec::new(),
+            completions: vec![EndedRun {
+                number: 1,
+                task,
+                run: RunNumber::of_owner(1, 1),
+                result: RunResult::Failed,
+                checkpoint: None,
+            }],
+        };
+        dispatcher.handle_renewal_report(worker, ms(1000), report, ms(1000));
+        let has_failed = |dispatcher: &mut Dispatcher| {
+            drop(dispatcher.take_records_to_commit(10));
+            dispatcher.confirm_commit();
+            dispatcher.progress(late_key()) == Some(JobProgress::Ended(JobOutcome::Failed))
+        };
+        assert!(!has_failed(&mut dispatcher), "before the queue is known");
+        dispatcher.set_configuration(configuration(attempts));
+        assert_eq!(has_failed(&mut dispatcher), expected, "{attempts} attempts");
+    }
+}
