Logs: runs that a new owner finds to be too many, and runs that vanish

'surplus' lines name such a run, why it is not needed and the task's other run; 'loss' lines have a further cause, 'missing'.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -30,6 +30,7 @@
     RunNumber,
     StepKey,
     StepSpec,
+    SurplusRun,
     TaskKey,
     WorkerKey,
     WorkerOrder,
@@ -108,6 +109,8 @@
     pub(crate) pending_evictions: Vec<FillerEviction>,
     /// Lost runs, to be returned by the next plan.
     pub(crate) pending_losses: Vec<RunLoss>,
+    /// Surplus runs to log with the next plan.
+    pub(crate) pending_surplus_runs: Vec<SurplusRun>,
     /// Tasks whose start a former owner has announced and of whose runs no worker has told yet, each
     /// with its worker's identity.
     pub(crate) inherited_starts: IndexMap<TaskKey, Arc<str>>,
@@ -170,6 +173,7 @@
             pending_orders: Vec::new(),
             pending_evictions: Vec::new(),
             pending_losses: Vec::new(),
+            pending_surplus_runs: Vec::new(),
             inherited_starts: IndexMap::new(),
             has_unknown_runs: false,
             pending_crashes: Vec::new(),
--- a/crates/dispatch/src/dispatcher_plan.rs
+++ b/crates/dispatch/src/dispatcher_plan.rs
@@ -18,6 +18,7 @@
     StepKey,
     StepSpec,
     StepWait,
+    SurplusRun,
     TaskKey,
     WaitCause,
     WorkerKey,
@@ -52,6 +53,8 @@
     pub evictions: Vec<FillerEviction>,
     /// Runs that were lost together with their workers, to log.
     pub losses: Vec<RunLoss>,
+    /// Runs that workers list and that are not needed, to log.
+    pub surplus_runs: Vec<SurplusRun>,
     /// Findings about crashes of workers under tasks, to log.
     pub crashes: Vec<CrashFinding>,
     /// Steps that wait although they should have started, to log.
@@ -76,6 +79,7 @@
             advice_requests: Vec::new(),
             evictions: std::mem::take(&mut self.pending_evictions),
             losses: std::mem::take(&mut self.pending_losses),
+            surplus_runs: std::mem::take(&mut self.pending_surplus_runs),
             crashes: std::mem::take(&mut self.pending_crashes),
             waits: Vec::new(),
             overdue_stops: Vec::new(),
--- a/crates/dispatch/src/dispatcher_runs.rs
+++ b/crates/dispatch/src/dispatcher_runs.rs
@@ -9,8 +9,11 @@
     Dispatcher,
     JobKey,
     LossCause,
+    RunLoss,
     RunNumber,
     RunningTask,
+    SurplusCause,
+    SurplusRun,
     TaskKey,
     WorkKind,
     WorkerKey,
@@ -172,12 +175,17 @@
         state.last_listed_at = Some(now);
         state.is_adopted = true;
         self.worker_mut(key).add_run(running.run, state);
-        let mut is_surplus = over;
+        let mut surplus = over.then_some(SurplusCause::JobOver);
+        let mut other = None;
         if let Some(job) = self.jobs.get_mut(&step.job)
             && let Some(step_state) = job.step_mut(step.occurrence, step.step)
             && let Some(task) = step_state.tasks.get_mut(running.task.index as usize)
         {
-            is_surplus |= task.done || (!task.runs.is_empty() && !spec.allows_copies);
+            other = task.runs.first().copied();
+            let has_other = other.is_some() && !spec.allows_copies;
+            surplus = surplus
+                .or(task.done.then_some(SurplusCause::Done))
+                .or(has_other.then_some(SurplusCause::OtherRun));
             task.runs.push((key, running.run));
             step_state.add_placed_task(key);
             job.add_run();
@@ -185,7 +193,14 @@
         if let Some(checkpoint) = running.checkpoint {
             self.record_checkpoint(running.task, checkpoint);
         }
-        if is_surplus {
+        if let Some(cause) = surplus {
+            self.pending_surplus_runs.push(SurplusRun {
+                worker: key,
+                task: running.task,
+                run: running.run,
+                cause,
+                other,
+            });
             self.stop_run(key, running.task, running.run);
         }
     }
@@ -218,6 +233,7 @@
             self.record_losses(key, &lost, LossCause::Restarted, now);
         }
         for (task, run) in missing {
+            self.note_missing_run(key, task, run);
             self.release_run(key, task, run, now);
             if self.is_long_running_and_pending(task) {
                 self.mark_unavailable(task, now);
@@ -225,6 +241,31 @@
         }
     }
 
+    /// Records for the log a run that has begun and that this incarnation of its worker neither lists nor has ended.
+    fn note_missing_run(&mut self, key: WorkerKey, task: TaskKey, run: RunNumber) {
+        let worker = self.worker(key);
+        let Some(state) = worker.runs.get(&(task, run)) else {
+            return;
+        };
+        let has_begun = state.has_begun || state.is_adopted;
+        if !has_begun || state.is_orphaned {
+            return;
+        }
+        let loss = RunLoss {
+            task,
+            run,
+            worker: key,
+            cause: LossCause::Missing,
+            placed_at: state.placed_at,
+            last_listed_at: state.last_listed_at,
+            contact_lost_at: worker.contact_lost_at,
+            connection_refused: worker.connection_refused,
+            listed: worker.listed,
+            other_runs: worker.runs.len() - 1,
+        };
+        self.pending_losses.push(loss);
+    }
+
     fn is_long_running_and_pending(&self, task: TaskKey) -> bool {
         let step = task.step;
         let is_long_running = self.step_spec(step).is_some_and(|spec| spec.long_running);
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -63,6 +63,7 @@
 mod step_rank;
 mod step_spec;
 mod step_wait;
+mod surplus_run;
 mod task_key;
 mod unplaceable_demands;
 mod worker_clock;
@@ -151,6 +152,10 @@
         StepWait,
         WaitCause, //
     },
+    surplus_run::{
+        SurplusCause,
+        SurplusRun, //
+    },
     task_key::{
         StepKey,
         TaskKey,
--- a/crates/dispatch/src/run_loss.rs
+++ b/crates/dispatch/src/run_loss.rs
@@ -19,6 +19,9 @@
     /// The worker answered as another incarnation, which does not have the run.
     #[display("restarted")]
     Restarted,
+    /// The worker answered as the same incarnation, with neither the run nor its end.
+    #[display("missing")]
+    Missing,
     /// The worker had announced its leave and has left.
     #[display("left")]
     Left,
--- a/crates/fleet/src/fleet_log.rs
+++ b/crates/fleet/src/fleet_log.rs
@@ -61,6 +61,8 @@
     End,
     /// A run was lost together with its worker.
     Loss,
+    /// A worker lists a run that its task does not need.
+    Surplus,
     /// It was found out whether a worker has crashed under a task.
     Crash,
     /// A job ended.
--- a/crates/fleet/src/order_planning.rs
+++ b/crates/fleet/src/order_planning.rs
@@ -16,6 +16,7 @@
     RunLoss,
     StartOrder,
     StepWait,
+    SurplusRun,
     WorkerKey,
     WorkerOrder, //
 };
@@ -122,6 +123,19 @@
     owner_token: u64,
 }
 
+/// A run that a worker lists, that this owner has not started, and that is to be stopped: `cause` is `job_over`, `done` (the task)
+/// or `other_run` (the task has another run, which `other_run` and `other_worker` name).
+#[derive(Serialize)]
+struct SurplusLine<'a> {
+    task: String,
+    run: u64,
+    worker: &'a str,
+    cause: String,
+    other_run: Option<u64>,
+    other_worker: Option<&'a str>,
+    owner_token: u64,
+}
+
 /// What was found out about the crash of a worker under a task. `at` is when contact was lost, in seconds since 1970;
 /// `crashes` the number of crashes that are on record for the task.
 #[derive(Serialize)]
@@ -168,6 +182,9 @@
         for loss in &outcome.losses {
             log_loss(&shared, &term, loss, now);
         }
+        for surplus in &outcome.surplus_runs {
+            log_surplus_run(&shared, &term, surplus);
+        }
         for finding in &outcome.crashes {
             log_crash(&shared, &term, finding);
         }
@@ -382,6 +399,26 @@
     );
 }
 
+fn log_surplus_run(shared: &SharedState, term: &OwnerTerm, surplus: &SurplusRun) {
+    let cause = surplus.cause.to_string();
+    metrics::counter!("jasminebend_fleet_surplus_runs_total", "cause" => cause.clone())
+        .increment(1);
+    let dispatcher = term.dispatcher.borrow();
+    let worker_id = |worker| &*dispatcher.worker_record(worker).id;
+    shared.log.line(
+        LogEvent::Surplus,
+        SurplusLine {
+            task: surplus.task.to_string(),
+            run: surplus.run.value(),
+            worker: worker_id(surplus.worker),
+            cause,
+            other_run: surplus.other.map(|(_, run)| run.value()),
+            other_worker: surplus.other.map(|(worker, _)| worker_id(worker)),
+            owner_token: term.token(),
+        },
+    );
+}
+
 fn log_crash(shared: &SharedState, term: &OwnerTerm, finding: &CrashFinding) {
     let verdict = match finding.verdict {
         CrashVerdict::Confirmed => "confirmed",
