--- a/crates/fleet/tests/daemons/main.rs
+++ b/crates/fleet/tests/daemons/main.rs
@@ -10,6 +10,7 @@
 mod memory_store;
 mod narrow_link;
 mod partial_outage;
+mod random_troubles;
 mod replacements;
 mod store_silence;
 mod suspended_owner;
--- a/crates/fleet/tests/daemons/test_fleet.rs
+++ b/crates/fleet/tests/daemons/test_fleet.rs
@@ -285,6 +285,7 @@
     /// Lets daemons reach all workers again.
     pub(crate) fn heal(&self) {
         self.partitioned.borrow_mut().clear();
+        self.cut_off.borrow_mut().clear();
     }
 
     /// Lets all open connections go silent for good; new ones work.
@@ -516,6 +517,7 @@
     pub(crate) vms: RefCell<Option<Rc<dyn FleetVms>>>,
     clock: Rc<dyn ClockSource>,
     count: Cell<u32>,
+    started_at: time::Instant,
 }
 
 impl TestFleet {
@@ -557,6 +559,7 @@
             vms: RefCell::default(),
             clock,
             count: Cell::new(0),
+            started_at: time::Instant::now(),
         }
     }
 
@@ -636,9 +639,24 @@
 
     /// Starts a daemon whose machine can be suspended.
     pub(crate) fn suspendable_daemon(&self) -> (TestDaemon, Rc<SuspendableMachine>) {
-        let machine = Rc::new(SuspendableMachine::new());
+        self.start_on_suspendable_machine(None)
+    }
+
+    /// Starts a killed daemon again, on a machine that can be suspended.
+    pub(crate) fn restart_suspendable(
+        &self,
+        killed: KilledDaemon,
+    ) -> (TestDaemon, Rc<SuspendableMachine>) {
+        self.start_on_suspendable_machine(Some(killed))
+    }
+
+    fn start_on_suspendable_machine(
+        &self,
+        killed: Option<KilledDaemon>,
+    ) -> (TestDaemon, Rc<SuspendableMachine>) {
+        let machine = Rc::new(SuspendableMachine::new(self.started_at));
         let tasks = Some(LocalSet::new());
-        let daemon = self.start_daemon(tasks, None, Some(Rc::clone(&machine)));
+        let daemon = self.start_daemon(tasks, killed, Some(Rc::clone(&machine)));
         (daemon, machine)
     }
 
@@ -739,9 +757,9 @@
 }
 
 impl SuspendableMachine {
-    fn new() -> Self {
+    fn new(booted_at: time::Instant) -> Self {
         Self {
-            booted_at: time::Instant::now(),
+            booted_at,
             suspensions: SuspensionMeter::new(Duration::ZERO, Duration::ZERO),
             state: Mutex::default(),
         }
@@ -759,6 +777,11 @@
         }
     }
 
+    /// Returns whether the machine is not suspended.
+    pub(crate) fn is_running(&self) -> bool {
+        self.state.lock().unwrap().suspended_at.is_none()
+    }
+
     /// Returns whether the machine is suspended; wakes the caller when it resumes.
     fn is_suspended(&self, context: &Context<'_>) -> bool {
         let mut state = self.state.lock().unwrap();
