Takeover: the former owner is asked beside the members, not after half of them

Where fewer answer, its own answer is what ends the wait; it is asked at the same time now, and no member is told later for it.

--- a/crates/fleet/src/owner_announcement.rs
+++ b/crates/fleet/src/owner_announcement.rs
@@ -93,9 +93,14 @@
             bound.set_members(enrolled_members(&shared));
         }
         let was_known = bound.is_known_to_half();
-        if !was_known || !is_logged {
-            tell_members(&shared, &term, &mut bound).await;
-        }
+        let is_telling = !was_known || !is_logged;
+        let tell = async {
+            if is_telling {
+                tell_members(&shared, &term, &mut bound).await;
+            }
+        };
+        let (probe, ()) = tokio::join!(probe_former_owner(&shared, &term, &former), tell);
+        record_former_owner(&shared, &term, &former, probe, &mut bound);
         record_followers(&shared, &term, &mut bound);
         tighten_bound(&shared, &term, &bound);
         let is_known = bound.is_known_to_half();
@@ -103,10 +108,6 @@
             is_logged = true;
             log_announcement(&shared, &term, &bound);
         }
-        if is_known && !term.is_settled(shared.now()) {
-            probe_former_owner(&shared, &term, &former, &mut bound).await;
-            tighten_bound(&shared, &term, &bound);
-        }
         if term.is_settled(shared.now()) {
             log_stop(&shared, &term, &former, &bound);
             return;
@@ -179,20 +180,32 @@
     }
 }
 
-/// Asks the former owner whether it knows of its successor, so that it has stopped, or has restarted.
+/// Asks the former owner whether it knows its successor, unless all former owners have stopped already.
 async fn probe_former_owner(
     shared: &SharedState,
     term: &OwnerTerm,
     former: &FormerOwner,
+) -> ProbeResult {
+    match &former.record {
+        Some(owner) if !term.is_settled(shared.now()) => {
+            shared.peers.probe(&owner.address, term.token()).await
+        }
+        _ => ProbeResult::Unanswered,
+    }
+}
+
+/// Records the former owner's answer: one that knows its successor or has restarted has stopped.
+fn record_former_owner(
+    shared: &SharedState,
+    term: &OwnerTerm,
+    former: &FormerOwner,
+    probe: ProbeResult,
     bound: &mut FormerOwnerBound,
 ) {
-    let Some(owner) = &former.record else {
+    let (Some(owner), ProbeResult::Answered(health)) = (&former.record, probe) else {
         return;
     };
-    let probe = shared.peers.probe(&owner.address, term.token()).await;
-    if let ProbeResult::Answered(health) = probe {
-        shared.observe_token(health.known_token);
-    }
+    shared.observe_token(health.known_token);
     let now = shared.now();
     bound.record_owner_probe(owner, probe, term.token(), now);
     if bound.owner_stopped_at().is_some() {
