--- a/crates/dispatch/tests/jobs_learned_late.rs
+++ b/crates/dispatch/tests/jobs_learned_late.rs
@@ -186,6 +186,7 @@
         !orders.is_empty() && orders.iter().all(is_stop),
         "{orders:?}"
     );
+}
 
 /// Guards against a job that is shown as failed after one failed run, because its owner does not know yet how many its queue
 /// allows.
