Test fleet: a worker that is down answers no renewal

A renewal that was under way when its worker crashed was delivered to the stand-in that is down, which answered it as another incarnation and stayed silent for the 4 s after. SimulatedWorker::is_down says that a crashed worker must not be called, and orders were checked for it already. The check of renewals is now the same, so that a crash shows as silence.

--- a/crates/dispatch/tests/common/fleet_messages.rs
+++ b/crates/dispatch/tests/common/fleet_messages.rs
@@ -166,7 +166,7 @@
             Event::OrderAnswer(owner, order, end) => self.handle_order_answer(owner, order, end),
             Event::RenewalDue(owner, key) => self.send_renewal(owner, key),
             Event::Renewal(owner, key, order, sent) => {
-                let is_unreachable = now < self.unreachable_until[key.index()];
+                let is_unreachable = !self.is_reachable(key.index());
                 if !is_unreachable && self.delays_renewal(owner, key, &order, sent) {
                     self.push(TICK, Event::Renewal(owner, key, order, sent));
                     return;
