Send workers deadlines that leave them time to end their runs

What callers saw: two runs of one task at once (TWICE), by one owner or by two, on busy machines.

Cause: the owner starts a lost task's next run 50 ms after the worker's deadline by the slowest clock. The worker ends its runs when it gets to that: a process that is busy, or whose timers fire late, ends them tens to hundreds of milliseconds later. The class: the end of a lease is taken for the end of the runs.

The users' record fits: in its second case a task resumes from a checkpoint on another worker some 6 s after its owner's daemons had last heard of the store, and it breaks off before it says how the older run ended.

The owner's own times stay as they were, so that the tasks of a lost worker start elsewhere as soon as before. The cost: a takeover has 4.1 to 4.6 s instead of 5 s before runs lapse.

Why it works: a run ends at the latest max_stop_duration after the worker's deadline, and only then its task starts elsewhere.

--- a/crates/dispatch/src/dispatch_settings.rs
+++ b/crates/dispatch/src/dispatch_settings.rs
@@ -8,16 +8,17 @@
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct DispatchSettings {
     /// The duration of a worker's lease without a renewal. Tasks of a worker that fell silent wait
-    /// for its expiry. A renewal is sent every 2 s, and an owner that died is replaced within 2 s.
+    /// for its expiry. A renewal is sent every 2 s, and an owner that died is replaced within 2 s. The worker is told a
+    /// deadline that is earlier by `max_stop_duration`, so that its runs have ended when the lease expires.
     pub lease_duration: Duration,
-    /// The duration of a draining worker's lease. Only its lapse shows that the worker has left, so that its tasks wait
+    /// The time after its last renewal at which a draining worker ends its runs. Only the lapse of its lease shows that the worker has left, so that its tasks wait
     /// for that; in return a takeover may outlast it.
     pub draining_lease_duration: Duration,
     /// The longest time that a worker waits for a run to end before it answers a renewal.
     pub max_renewal_wait: Duration,
     /// The time for which an owner continues to send orders after its ownership was last confirmed.
     pub unconfirmed_grace: Duration,
-    /// The longest time that stopping a run takes.
+    /// The longest time that a worker takes to end a run after a stop, or after its deadline.
     pub max_stop_duration: Duration,
     /// The factor by which a task takes longer on another rack than its data's.
     pub remote_factor: f64,
--- a/crates/dispatch/src/dispatcher_workers.rs
+++ b/crates/dispatch/src/dispatcher_workers.rs
@@ -248,25 +248,21 @@
     /// is not `confirmed` only reads the worker's state and grants no lease.
     pub fn next_renewal(&mut self, key: WorkerKey, confirmed: bool, now: Duration) -> LeaseRenewal {
         self.detect_suspension(now);
-        let lease = match self.worker(key).record.draining {
-            true => self.settings.draining_lease_duration,
-            false => self.settings.lease_duration,
-        };
         let max_wait = self.renewal_wait(key);
         let worker = self.worker_mut(key);
         worker.answer_due_at = Some(now + max_wait + ANSWER_TIME);
         // A call that may not arrive grants no lease: otherwise an owner that keeps calling a dead
         // worker would extend the lease forever.
         let may_grant = confirmed && worker.unanswered == 0;
-        LeaseRenewal {
-            deadline: may_grant.then(|| worker.clock.grant(lease, now)).flatten(),
+        let acknowledged = match worker.unanswered == 0 {
+            true => worker.last_acknowledged,
             // After missed answers another incarnation may answer, whose completions use the same
             // numbers.
-            acknowledged: if worker.unanswered == 0 {
-                worker.last_acknowledged
-            } else {
-                0
-            },
+            false => 0,
+        };
+        LeaseRenewal {
+            deadline: may_grant.then(|| self.grant_lease(key, now)).flatten(),
+            acknowledged,
             max_wait,
         }
     }
@@ -281,8 +277,23 @@
     /// Returns the lease deadline, on the worker's clock, of an order sent at `now`; `None` while
     /// the worker's clock is unknown.
     pub fn grant_order_deadline(&mut self, key: WorkerKey, now: Duration) -> Option<Duration> {
-        let lease = self.settings.lease_duration;
-        self.worker_mut(key).clock.grant(lease, now)
+        self.grant_lease(key, now)
+    }
+
+    /// Grants a worker a lease and returns the deadline to send. It precedes the end of the lease by the time that the
+    /// worker may take to end its runs.
+    fn grant_lease(&mut self, key: WorkerKey, now: Duration) -> Option<Duration> {
+        let settings = self.settings;
+        let ending_time = settings.max_stop_duration.min(settings.lease_duration / 4);
+        let worker = self.worker_mut(key);
+        let lease = match worker.record.draining {
+            true => settings.draining_lease_duration + ending_time,
+            false => settings.lease_duration,
+        };
+        let deadline = worker
+            .clock
+            .grant(lease.min(settings.lease_duration), now)?;
+        Some(deadline.saturating_sub(ending_time))
     }
 
     /// Processes a worker's answer to a lease renewal that was sent at `sent`.
--- a/crates/standins/src/simulated_worker.rs
+++ b/crates/standins/src/simulated_worker.rs
@@ -81,6 +81,8 @@
     token: u64,
     /// When the lease lapses, on the worker's clock.
     lease_end: Duration,
+    /// How long after the lapse of its lease the worker ends its runs.
+    lapse_delay: Duration,
     runs: IndexMap<(TaskKey, RunNumber), StepRun>,
     /// For each task, the highest run that ended or was stopped here.
     highest_runs: IndexMap<TaskKey, RunNumber>,
@@ -116,6 +118,7 @@
             booted_at: now,
             token: 0,
             lease_end: Duration::ZERO,
+            lapse_delay: Duration::ZERO,
             runs: IndexMap::new(),
             highest_runs: IndexMap::new(),
             completions: Vec::new(),
@@ -146,6 +149,11 @@
         self.crash_rule = rule;
     }
 
+    /// Lets the worker end its runs this long after the lapse of its lease.
+    pub fn set_lapse_delay(&mut self, lapse_delay: Duration) {
+        self.lapse_delay = lapse_delay;
+    }
+
     /// Returns whether the worker has crashed and was not restarted yet; a crashed worker must not be called.
     pub fn is_down(&self) -> bool {
         self.down
@@ -199,6 +207,7 @@
             ..self.record.clone()
         };
         fresh.crash_rule = self.crash_rule;
+        fresh.lapse_delay = self.lapse_delay;
         fresh.events = std::mem::take(&mut self.events);
         *self = fresh;
     }
@@ -323,7 +332,7 @@
     }
 
     fn end_runs(&mut self, now: Duration) {
-        let lapse = self.true_time(self.lease_end);
+        let lapse = self.true_time(self.lease_end) + self.lapse_delay;
         let mut ended: Vec<(Duration, (TaskKey, RunNumber), RunResult)> = Vec::new();
         for (&key, run) in &self.runs {
             let finishes_at = run.started.saturating_add(run.work.run_time);
