--- a/crates/standins/src/simulated_worker.rs
+++ b/crates/standins/src/simulated_worker.rs
@@ -27,7 +27,7 @@
 
 /// The time that a run takes to end after a stop order.
 const STOP_DURATION: Duration = Duration::from_millis(40);
-/// The longest lease that the worker accepts, on its own clock.
+/// The longest lease that the worker accepts unless a test sets another.
 const MAX_LEASE: Duration = Duration::from_secs(6);
 /// The maximum number of completions in one renewal report.
 const MAX_COMPLETIONS_PER_REPORT: usize = 500;
@@ -81,6 +81,8 @@
     token: u64,
     /// When the lease lapses, on the worker's clock.
     lease_end: Duration,
+    /// The longest lease that the worker accepts, on its own clock.
+    max_lease: Duration,
     runs: IndexMap<(TaskKey, RunNumber), StepRun>,
     /// For each task, the highest run that ended or was stopped here.
     highest_runs: IndexMap<TaskKey, RunNumber>,
@@ -116,6 +118,7 @@
             booted_at: now,
             token: 0,
             lease_end: Duration::ZERO,
+            max_lease: MAX_LEASE,
             runs: IndexMap::new(),
             highest_runs: IndexMap::new(),
             completions: Vec::new(),
@@ -146,6 +149,28 @@
         self.crash_rule = rule;
     }
 
+    /// Replaces the longest lease that the worker accepts, on its own clock.
+    pub fn set_max_lease(&mut self, max_lease: Duration) {
+        self.max_lease = max_lease;
+    }
+
+    /// Returns the true time at which the lease lapses or has lapsed.
+    pub fn lease_lapses_at(&self) -> Duration {
+        self.true_time(self.lease_end)
+    }
+
+    /// Returns the reading of the worker's clock at this true time.
+    pub fn clock_at(&self, now: Duration) -> Duration {
+        self.local_time(now)
+    }
+
+    /// Replaces the run time, measured from its start, of a run in progress.
+    pub fn set_run_time(&mut self, task: TaskKey, run: RunNumber, run_time: Duration) {
+        if let Some(run) = self.runs.get_mut(&(task, run)) {
+            run.work.run_time = run_time;
+        }
+    }
+
     /// Returns whether the worker has crashed and was not restarted yet; a crashed worker must not be called.
     pub fn is_down(&self) -> bool {
         self.down
@@ -199,6 +224,7 @@
             ..self.record.clone()
         };
         fresh.crash_rule = self.crash_rule;
+        fresh.max_lease = self.max_lease;
         fresh.events = std::mem::take(&mut self.events);
         *self = fresh;
     }
@@ -379,7 +405,7 @@
     }
 
     fn extend_lease(&mut self, now: Duration, deadline: Duration) {
-        let longest = self.local_time(now) + MAX_LEASE;
+        let longest = self.local_time(now) + self.max_lease;
         self.lease_end = self.lease_end.max(deadline.min(longest));
     }
 
