--- a/crates/dispatch/src/dispatcher_completions.rs
+++ b/crates/dispatch/src/dispatcher_completions.rs
@@ -9,6 +9,7 @@
     Dispatcher,
     EndedRun,
     JobFailure,
+    JobKey,
     JobOutcome,
     RunResult,
     StepKey,
@@ -188,25 +189,35 @@
 
     /// Fails the jobs of a queue, whose rule has just become known, of which a task has used up its attempts.
     pub(crate) fn fail_exhausted_jobs(&mut self, queue: &str) {
-        let mut failed = Vec::new();
         let jobs = self.jobs.iter();
-        for (&job, state) in jobs.filter(|(_, state)| *state.queue == *queue && !state.is_over()) {
-            for (&occurrence, opened) in &state.occurrences {
-                for (step, opened) in (0..).zip(&opened.steps) {
-                    let key = StepKey {
-                        job,
-                        occurrence,
-                        step,
-                    };
-                    let tasks = (0..).zip(&opened.tasks);
-                    let tasks = tasks.filter(|(_, task)| !task.done && !task.failures.is_empty());
-                    failed
-                        .extend(tasks.map(|(index, task)| (key.task(index), task.failures.len())));
-                }
+        let of_queue = jobs.filter(|(_, state)| *state.queue == *queue);
+        let keys: Vec<JobKey> = of_queue.map(|(&job, _)| job).collect();
+        for key in keys {
+            self.fail_if_any_exhausted(key);
+        }
+    }
+
+    /// Fails a job of which a task has used up its attempts.
+    pub(crate) fn fail_if_any_exhausted(&mut self, job: JobKey) {
+        let Some(state) = self.jobs.get(&job).filter(|state| !state.is_over()) else {
+            return;
+        };
+        let queue = Arc::clone(&state.queue);
+        let mut failed = Vec::new();
+        for (&occurrence, opened) in &state.occurrences {
+            for (step, opened) in (0..).zip(&opened.steps) {
+                let key = StepKey {
+                    job,
+                    occurrence,
+                    step,
+                };
+                let tasks = (0..).zip(&opened.tasks);
+                let tasks = tasks.filter(|(_, task)| !task.done && !task.failures.is_empty());
+                failed.extend(tasks.map(|(index, task)| (key.task(index), task.failures.len())));
             }
         }
         for (task, failures) in failed {
-            self.fail_if_exhausted(task, failures, queue);
+            self.fail_if_exhausted(task, failures, &queue);
         }
     }
 }
--- a/crates/dispatch/src/dispatcher_records.rs
+++ b/crates/dispatch/src/dispatcher_records.rs
@@ -5,7 +5,10 @@
     time::Duration, //
 };
 
-use indexmap::IndexSet;
+use indexmap::{
+    IndexMap,
+    IndexSet, //
+};
 
 use crate::{
     Dispatcher,
@@ -14,8 +17,10 @@
     LearnedRecord,
     PolicyPart,
     ProgressRecord,
+    StepKey,
     StepProgress,
     TaskCrashes,
+    TaskKey,
     crash_history::CrashHistory,
     dispatcher::StepOrigin,
     inherited_start::InheritedStart,
@@ -117,6 +122,7 @@
         for occurrence in occurrences {
             self.open_steps(key, occurrence, StepOrigin::Unknown);
         }
+        self.fail_if_any_exhausted(key);
         self.pending_steps.retain(|step| {
             let state = self.jobs.get(&step.job);
             let state = state.and_then(|job| job.step(step.occurrence, step.step));
@@ -175,7 +181,7 @@
 fn job_record(
     key: JobKey,
     job: &JobState,
-    inherited: &indexmap::IndexMap<crate::TaskKey, InheritedStart>,
+    inherited: &IndexMap<TaskKey, InheritedStart>,
 ) -> ProgressRecord {
     let mut steps = Vec::new();
     if job.outcome.is_none() {
@@ -199,7 +205,7 @@
 fn crash_records(
     key: JobKey,
     job: &JobState,
-    inherited: &indexmap::IndexMap<crate::TaskKey, InheritedStart>,
+    inherited: &IndexMap<TaskKey, InheritedStart>,
 ) -> Vec<TaskCrashes> {
     let mut records = Vec::new();
     if job.outcome.is_some() {
@@ -208,24 +214,30 @@
     for (&occurrence, state) in &job.occurrences {
         for (step, step_state) in (0..).zip(&state.steps) {
             let tasks = (0..).zip(&step_state.tasks);
-            let step_key = crate::StepKey { job: key, occurrence, step };
+            let step_key = StepKey {
+                job: key,
+                occurrence,
+                step,
+            };
             let start = |index: u32| inherited.get(&step_key.task(index));
             let crashed = tasks.filter(|(index, task)| {
                 let crashes = &task.crashes;
                 let is_announced = crashes.announcement().is_some() || start(*index).is_some();
                 !task.done && (!crashes.is_empty() || is_announced)
             });
-            records.extend(crashed.map(|(index, task)| TaskCrashes {
-                occurrence,
-                step,
-                index,
-                crashes: task.crashes.records().to_vec(),
-                started_on: announced_worker(task)
-                    .or_else(|| start(index).map(|start| Arc::clone(&start.worker))),
-                begun_in: match task.crashes.announcement() {
-                    Some(announced) => announced.begun_in,
-                    None => start(index).and_then(|start| start.begun_in),
-                },
+            records.extend(crashed.map(|(index, task)| {
+                TaskCrashes {
+                    occurrence,
+                    step,
+                    index,
+                    crashes: task.crashes.records().to_vec(),
+                    started_on: announced_worker(task)
+                        .or_else(|| start(index).map(|start| Arc::clone(&start.worker))),
+                    begun_in: match task.crashes.announcement() {
+                        Some(announced) => announced.begun_in,
+                        None => start(index).and_then(|start| start.begun_in),
+                    },
+                }
             }));
         }
     }
