Give up tasks that crash their workers before the start is answered

Found by a review.

Change: the evidence tells whether the worker answered a call that was sent a second after the start or later. If not, and the worker is found to have crashed, the loss is 'unbegun'; five early ones give a task up, which leaves two starts after the third crash. A lost start whose worker goes on answering and crashes later stays 'uncertain' (lost_starts_on_crashed_workers_give_no_job_up). Silent crashes that a former owner recorded of workers that nobody knows any more become proven as others do.

--- a/crates/dispatch/src/crash_evidence.rs
+++ b/crates/dispatch/src/crash_evidence.rs
@@ -15,9 +15,15 @@
     #[default]
     #[display("uncertain")]
     Uncertain,
+    /// The worker has not answered since it was sent the start, or before that; the run may never have begun.
+    #[display("unanswered")]
+    Unanswered,
     /// The run had begun, and the worker has not answered since: it may be unreachable.
     #[display("silent")]
     Silent,
+    /// The worker crashed, but the run may never have begun, or have ended before.
+    #[display("unbegun")]
+    Unbegun,
     /// The run had begun, and the registry went on without the silent worker.
     #[display("unlisted")]
     Unlisted,
--- a/crates/dispatch/src/crash_history.rs
+++ b/crates/dispatch/src/crash_history.rs
@@ -6,6 +6,7 @@
 };
 
 use crate::{
+    CrashEvidence,
     RunNumber,
     WorkerCrash,
     start_announcement::StartAnnouncement, //
@@ -26,6 +27,9 @@
 /// The number of crashes long after the start at which a task is given up, unless other workers
 /// were lost at the same time. Kills in series rarely meet one task as often.
 const LATE_CRASH_LIMIT: usize = 8;
+/// The number of early crashes of workers at which a task is given up although each of its runs may never have begun: it
+/// may crash its worker before the start is answered. Two more starts after the third crash are tolerated.
+const UNBEGUN_CRASH_LIMIT: usize = 5;
 /// The number of crashes that must be proven before a task is given up; the others may be none.
 const PROVEN_CRASH_MINIMUM: usize = 2;
 /// How long a suspected task waits for a worker on which nothing else starts.
@@ -170,6 +174,11 @@
 
     /// Returns whether the task must not be started any more.
     pub(crate) fn requires_giving_up(&self) -> bool {
+        let crashed_early =
+            |crash: &&WorkerCrash| crash.early && crash.evidence >= CrashEvidence::Unbegun;
+        if self.records().iter().filter(crashed_early).count() >= UNBEGUN_CRASH_LIMIT {
+            return true;
+        }
         let is_proven = |crash: &&WorkerCrash| crash.evidence.is_proof();
         if self.records().iter().filter(is_proven).count() < PROVEN_CRASH_MINIMUM {
             return false;
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -120,6 +120,8 @@
     pub(crate) inherited_crashes: IndexMap<Arc<str>, Vec<UnsettledCrash>>,
     /// When the registry was last read without a failure since.
     pub(crate) registry_read_at: Option<Duration>,
+    /// Since when it was read without a failure.
+    pub(crate) registry_read_since: Option<Duration>,
     /// Whether a worker has ever listed a run of an unknown job.
     pub(crate) has_unknown_runs: bool,
     /// Findings about crashes, to be returned by the next plan.
@@ -183,6 +185,7 @@
             inherited_starts: IndexMap::new(),
             inherited_crashes: IndexMap::new(),
             registry_read_at: None,
+            registry_read_since: None,
             has_unknown_runs: false,
             pending_crashes: Vec::new(),
             commits: CommitTracker::default(),
--- a/crates/dispatch/src/dispatcher_crashes.rs
+++ b/crates/dispatch/src/dispatcher_crashes.rs
@@ -19,7 +19,10 @@
     TaskKey,
     WorkerCrash,
     WorkerKey,
-    crash_history::CrashHistory,
+    crash_history::{
+        CrashHistory,
+        EARLY_CRASH_WINDOW, //
+    },
     unsettled_crash::UnsettledCrash,
     worker_state::WorkerState, //
 };
@@ -70,16 +73,24 @@
     /// stays listed, since it reports to the registry itself. They are proven once the registry had time to list again
     /// what had merely expired.
     pub(crate) fn count_unlisted_crashes(&mut self) {
+        let read_at = self.registry_read_at;
+        let is_gone_since = |since: Option<Duration>| {
+            let times = since.zip(read_at);
+            times.is_some_and(|(since, read_at)| read_at >= since + RELISTING_TIME)
+        };
+        if is_gone_since(self.registry_read_since) {
+            let mut inherited = std::mem::take(&mut self.inherited_crashes);
+            for crashes in inherited.values_mut() {
+                crashes.retain_mut(|unsettled| self.count_unlisted_crash(unsettled, true));
+            }
+            self.inherited_crashes = inherited;
+        }
         for index in 0..self.workers.len() {
             let worker = &self.workers[index];
             if worker.listed || worker.unsettled_crashes.is_empty() {
                 continue;
             }
-            let read_at = self.registry_read_at;
-            let since = worker.unlisted_since;
-            let is_gone = since
-                .zip(read_at)
-                .is_some_and(|(since, read_at)| read_at >= since + RELISTING_TIME);
+            let is_gone = is_gone_since(worker.unlisted_since);
             let mut crashes = std::mem::take(&mut self.workers[index].unsettled_crashes);
             crashes.retain_mut(|unsettled| self.count_unlisted_crash(unsettled, is_gone));
             self.workers[index].unsettled_crashes = crashes;
@@ -96,11 +107,14 @@
         if is_over {
             return false;
         }
-        let becomes_proof = is_gone && crash.evidence == CrashEvidence::Silent;
-        if becomes_proof {
-            crash.evidence = CrashEvidence::Unlisted;
-        }
-        if becomes_proof || !unsettled.is_counted {
+        let evidence = match crash.evidence {
+            CrashEvidence::Unanswered if is_gone => CrashEvidence::Unbegun,
+            CrashEvidence::Silent if is_gone => CrashEvidence::Unlisted,
+            evidence => evidence,
+        };
+        let is_stronger = evidence > crash.evidence;
+        crash.evidence = evidence;
+        if is_stronger || !unsettled.is_counted {
             self.confirm_crash(unsettled.task, crash.clone());
         }
         unsettled.is_counted = true;
@@ -134,9 +148,11 @@
         if is_counted && !history.is_some_and(|history| history.contains(crash.run)) {
             return;
         }
-        if crash.evidence != CrashEvidence::Uncertain {
-            crash.evidence = CrashEvidence::Restarted;
-        }
+        crash.evidence = match crash.evidence {
+            CrashEvidence::Uncertain => CrashEvidence::Uncertain,
+            CrashEvidence::Unanswered | CrashEvidence::Unbegun => CrashEvidence::Unbegun,
+            _ => CrashEvidence::Restarted,
+        };
         self.confirm_crash(task, crash);
     }
 
@@ -235,6 +251,11 @@
             other_runs: worker.runs.len() - 1,
         };
         let is_restarted = cause == LossCause::Restarted || state.is_orphaned;
+        // An answer to a later call shows that the start, if it arrived by then, did not crash the worker.
+        let silent_by = state.placed_at + EARLY_CRASH_WINDOW;
+        let was_silent = worker
+            .last_answered_call_at
+            .is_none_or(|sent| sent < silent_by);
         let crash = WorkerCrash {
             run,
             worker: Arc::clone(&worker.record.id),
@@ -242,10 +263,12 @@
             early: state.is_early(),
             alone: state.has_begun && worker.began_alone(task, run),
             widespread,
-            evidence: match is_restarted {
-                _ if !state.has_certainly_begun() => CrashEvidence::Uncertain,
-                true => CrashEvidence::Restarted,
-                false => CrashEvidence::Silent,
+            evidence: match (is_restarted, state.has_certainly_begun()) {
+                (true, true) => CrashEvidence::Restarted,
+                (true, false) => CrashEvidence::Unbegun,
+                (false, true) => CrashEvidence::Silent,
+                (false, false) if was_silent => CrashEvidence::Unanswered,
+                (false, false) => CrashEvidence::Uncertain,
             },
             // The incarnation that followed the crash does not refute it.
             incarnation: worker.incarnation.filter(|_| !is_restarted),
