--- a/crates/dispatch/src/dispatch_settings.rs
+++ b/crates/dispatch/src/dispatch_settings.rs
@@ -13,8 +13,8 @@
     pub lease_duration: Duration,
     /// The longest lease that a worker accepts.
     pub max_lease_duration: Duration,
-    /// The time after its last renewal at which a draining worker ends its runs. Only the lapse of its lease shows that the worker has left, so that its tasks wait
-    /// for that; in return a takeover may outlast it.
+    /// The time after its last renewal at which a draining worker is told to end its runs. Only the lapse of its lease shows
+    /// that it has left; the shorter the lease, the sooner its tasks start elsewhere, and the sooner a takeover outlasts it.
     pub draining_lease_duration: Duration,
     /// The longest time that a worker waits for a run to end before it answers a renewal.
     pub max_renewal_wait: Duration,
--- a/crates/dispatch/src/dispatcher_crashes.rs
+++ b/crates/dispatch/src/dispatcher_crashes.rs
@@ -69,9 +69,9 @@
         }
     }
 
-    /// Counts the possible crashes of workers that the registry no longer lists: an unreachable worker
-    /// stays listed, since it reports to the registry itself. They are proven once the registry had time to list again
-    /// what had merely expired.
+    /// Counts the possible crashes of workers that the registry no longer lists. A worker that is cut off from the store is
+    /// not listed either, so that they are proven only once the registry had time to list again what had merely expired,
+    /// and are taken back if the worker returns.
     pub(crate) fn count_unlisted_crashes(&mut self) {
         let read_at = self.registry_read_at;
         let is_gone_since = |since: Option<Duration>| {
