--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -30,11 +30,13 @@
     RunNumber,
     StepKey,
     StepSpec,
+    SurplusRun,
     TaskKey,
     WorkerKey,
     WorkerOrder,
     admission::AdmissionGrants,
     commit_tracker::CommitTracker,
+    inherited_start::InheritedStart,
     interference_model::InterferenceModel,
     job_state::{
         JobState,
@@ -44,6 +46,7 @@
     pool_demand::PoolDemand,
     service_snapshot::ServiceSnapshot,
     unplaceable_demands::UnplaceableDemands,
+    unsettled_crash::UnsettledCrash,
     worker_state::WorkerState, //
 };
 
@@ -108,9 +111,17 @@
     pub(crate) pending_evictions: Vec<FillerEviction>,
     /// Lost runs, to be returned by the next plan.
     pub(crate) pending_losses: Vec<RunLoss>,
+    /// Surplus runs to log with the next plan.
+    pub(crate) pending_surplus_runs: Vec<SurplusRun>,
     /// Tasks whose start a former owner has announced and of whose runs no worker has told yet, each
     /// with its worker's identity.
-    pub(crate) inherited_starts: IndexMap<TaskKey, Arc<str>>,
+    pub(crate) inherited_starts: IndexMap<TaskKey, InheritedStart>,
+    /// Crashes that a former owner counted, of workers that are not known yet.
+    pub(crate) inherited_crashes: IndexMap<Arc<str>, Vec<UnsettledCrash>>,
+    /// When the registry was last read without a failure since.
+    pub(crate) registry_read_at: Option<Duration>,
+    /// Whether a worker has ever listed a run of an unknown job.
+    pub(crate) has_unknown_runs: bool,
     /// Findings about crashes, to be returned by the next plan.
     pub(crate) pending_crashes: Vec<CrashFinding>,
     pub(crate) commits: CommitTracker,
@@ -168,7 +179,11 @@
             pending_orders: Vec::new(),
             pending_evictions: Vec::new(),
             pending_losses: Vec::new(),
+            pending_surplus_runs: Vec::new(),
             inherited_starts: IndexMap::new(),
+            inherited_crashes: IndexMap::new(),
+            registry_read_at: None,
+            has_unknown_runs: false,
             pending_crashes: Vec::new(),
             commits: CommitTracker::default(),
             interference: InterferenceModel::default(),
@@ -200,7 +215,10 @@
     /// their remaining jobs.
     pub fn set_configuration(&mut self, configuration: Arc<FleetConfiguration>) {
         for (name, rule) in &configuration.queues {
-            self.queue_rules.insert(Arc::clone(name), rule.clone());
+            let former = self.queue_rules.insert(Arc::clone(name), rule.clone());
+            if former.is_none() {
+                self.fail_exhausted_jobs(name);
+            }
         }
         self.configuration = configuration;
         self.unplaceable.clear();
@@ -217,10 +235,11 @@
         if self.jobs.contains_key(&key) {
             return;
         }
-        if let Some(rule) = job.rule {
-            self.queue_rules
-                .entry(Arc::clone(&job.queue))
-                .or_insert(rule);
+        if let Some(rule) = job.rule
+            && !self.queue_rules.contains_key(&job.queue)
+        {
+            self.queue_rules.insert(Arc::clone(&job.queue), rule);
+            self.fail_exhausted_jobs(&job.queue);
         }
         let remaining_chains = job.graph.remaining_chains();
         let repeated = job.graph.schedule.is_some();
@@ -245,6 +264,7 @@
             true => drop(self.next_occurrences.insert(key, 0)),
             false => self.open_occurrence(key, 0),
         }
+        self.adopt_unknown_runs(key);
         if self.cancelled_early.remove(&key) {
             self.cancel_job(key);
         }
--- a/crates/dispatch/src/dispatcher_runs.rs
+++ b/crates/dispatch/src/dispatcher_runs.rs
@@ -7,9 +7,13 @@
 
 use crate::{
     Dispatcher,
+    JobKey,
     LossCause,
+    RunLoss,
     RunNumber,
     RunningTask,
+    SurplusCause,
+    SurplusRun,
     TaskKey,
     WorkKind,
     WorkerKey,
@@ -74,6 +78,7 @@
             return;
         };
         state.last_listed_at = Some(now);
+        let begins = !state.has_begun || state.is_orphaned;
         state.has_begun = true;
         state.is_orphaned = false;
         if matches!(state.phase, RunPhase::Sent) {
@@ -102,6 +107,9 @@
             state.may_clear_crashes = false;
             self.clear_early_crashes(running.task);
         }
+        if begins {
+            self.record_begin(key, running.task);
+        }
         if is_ready {
             self.worker_mut(key).health.record_success();
         }
@@ -120,7 +128,36 @@
         }
     }
 
-    /// Adopts a run that a former owner started, or stops it if its job is unknown or over, its
+    /// Adopts the runs of a job that workers listed before it was known.
+    pub(crate) fn adopt_unknown_runs(&mut self, job: JobKey) {
+        if !self.has_unknown_runs {
+            return;
+        }
+        for index in 0..self.workers.len() {
+            let worker = &mut self.workers[index];
+            let listed_at = worker.last_answer_at.unwrap_or_default();
+            let of_job = |running: &mut RunningTask| running.task.job() == job;
+            let runs: Vec<RunningTask> = worker.unknown_runs.extract_if(.., of_job).collect();
+            for running in runs {
+                self.adopt_run(WorkerKey::new(index), running, listed_at);
+            }
+        }
+    }
+
+    /// Keeps in mind a run whose job is unknown, and stops it unless its job may yet be learned.
+    fn handle_unknown_run(&mut self, key: WorkerKey, running: RunningTask, now: Duration) {
+        if !self.may_learn_job(running.task.job(), now) {
+            self.pending_orders.push(WorkerOrder::Stop {
+                worker: key,
+                task: running.task,
+                run: running.run,
+            });
+        }
+        self.has_unknown_runs = true;
+        self.worker_mut(key).unknown_runs.push(running);
+    }
+
+    /// Adopts a run that a former owner started, or stops it if its job is over, its
     /// task is done, or the task has another run and allows no copies.
     fn adopt_run(&mut self, key: WorkerKey, running: RunningTask, now: Duration) {
         let step = running.task.step;
@@ -131,11 +168,7 @@
             Some((over, spec))
         });
         let Some((over, spec)) = requested else {
-            self.pending_orders.push(WorkerOrder::Stop {
-                worker: key,
-                task: running.task,
-                run: running.run,
-            });
+            self.handle_unknown_run(key, running, now);
             return;
         };
         self.open_occurrence(step.job, step.occurrence);
@@ -145,13 +178,19 @@
         state.metric = running.metric;
         state.last_listed_at = Some(now);
         state.is_adopted = true;
+        state.has_begun = true;
         self.worker_mut(key).add_run(running.run, state);
-        let mut is_surplus = over;
+        let mut surplus = over.then_some(SurplusCause::JobOver);
+        let mut other = None;
         if let Some(job) = self.jobs.get_mut(&step.job)
             && let Some(step_state) = job.step_mut(step.occurrence, step.step)
             && let Some(task) = step_state.tasks.get_mut(running.task.index as usize)
         {
-            is_surplus |= task.done || (!task.runs.is_empty() && !spec.allows_copies);
+            other = task.runs.first().copied();
+            let has_other = other.is_some() && !spec.allows_copies;
+            surplus = surplus
+                .or(task.done.then_some(SurplusCause::Done))
+                .or(has_other.then_some(SurplusCause::OtherRun));
             task.runs.push((key, running.run));
             step_state.add_placed_task(key);
             job.add_run();
@@ -159,7 +198,14 @@
         if let Some(checkpoint) = running.checkpoint {
             self.record_checkpoint(running.task, checkpoint);
         }
-        if is_surplus {
+        if let Some(cause) = surplus {
+            self.pending_surplus_runs.push(SurplusRun {
+                worker: key,
+                task: running.task,
+                run: running.run,
+                cause,
+                other,
+            });
             self.stop_run(key, running.task, running.run);
         }
     }
@@ -192,6 +238,7 @@
             self.record_losses(key, &lost, LossCause::Restarted, now);
         }
         for (task, run) in missing {
+            self.note_missing_run(key, task, run);
             self.release_run(key, task, run, now);
             if self.is_long_running_and_pending(task) {
                 self.mark_unavailable(task, now);
@@ -199,6 +246,31 @@
         }
     }
 
+    /// Records for the log a run that has begun and that this incarnation of its worker neither lists nor has ended.
+    fn note_missing_run(&mut self, key: WorkerKey, task: TaskKey, run: RunNumber) {
+        let worker = self.worker(key);
+        let Some(state) = worker.runs.get(&(task, run)) else {
+            return;
+        };
+        let has_begun = state.has_begun || state.is_adopted;
+        if !has_begun || state.is_orphaned {
+            return;
+        }
+        let loss = RunLoss {
+            task,
+            run,
+            worker: key,
+            cause: LossCause::Missing,
+            placed_at: state.placed_at,
+            last_listed_at: state.last_listed_at,
+            contact_lost_at: worker.contact_lost_at,
+            connection_refused: worker.connection_refused,
+            listed: worker.listed,
+            other_runs: worker.runs.len() - 1,
+        };
+        self.pending_losses.push(loss);
+    }
+
     fn is_long_running_and_pending(&self, task: TaskKey) -> bool {
         let step = task.step;
         let is_long_running = self.step_spec(step).is_some_and(|spec| spec.long_running);
--- a/crates/dispatch/src/dispatcher_workers.rs
+++ b/crates/dispatch/src/dispatcher_workers.rs
@@ -39,8 +39,9 @@
 /// The longest wait of a renewal while tasks run that make progress; bounds how late a lost answer
 /// or a stuck task is noticed.
 const ACTIVE_RENEWAL_WAIT: Duration = Duration::from_millis(700);
-/// The longest wait of a renewal while the owner is without the store, and its workers confirm that they follow it.
-const STORELESS_RENEWAL_WAIT: Duration = Duration::from_millis(500);
+/// The longest wait of a renewal while the owner is without the store, and its workers confirm that they follow it, and of
+/// a draining worker, whose lease is short.
+const SHORT_RENEWAL_WAIT: Duration = Duration::from_millis(500);
 /// The time since its last answer from which a worker counts as unreachable.
 const ANSWER_EXPIRY_TIME: Duration = Duration::from_secs(4);
 /// The time in which a worker that is up answers a renewal, beside the time for which it may delay the answer.
@@ -81,7 +82,9 @@
             None => WorkerKey::new(self.workers.len()),
         };
         self.worker_keys.insert(Arc::clone(&record.id), key);
+        let inherited_crashes = self.inherited_crashes.swap_remove(&record.id);
         let mut state = WorkerState::new(record);
+        state.unsettled_crashes = inherited_crashes.unwrap_or_default();
         state.inherited_until = inherited;
         state.changed_in_plan = self.plan_count;
         self.workers.push(state);
@@ -110,6 +113,24 @@
         }
     }
 
+    /// Records that the registry was read at `now`.
+    pub fn note_registry_read(&mut self, now: Duration) {
+        self.registry_read_at = Some(now);
+        let unlisted = self.workers.iter_mut().filter(|worker| !worker.listed);
+        for worker in unlisted {
+            worker.unlisted_since.get_or_insert(now);
+        }
+    }
+
+    /// Records that the registry can't be read, or may have changed since it was: entries that are missing then may
+    /// have expired with it.
+    pub fn note_registry_failure(&mut self) {
+        self.registry_read_at = None;
+        for worker in &mut self.workers {
+            worker.unlisted_since = None;
+        }
+    }
+
     /// Returns the workers whose leases are to be renewed.
     pub fn workers_to_renew(&self) -> Vec<WorkerKey> {
         (0..self.workers.len())
@@ -227,22 +248,21 @@
     /// is not `confirmed` only reads the worker's state and grants no lease.
     pub fn next_renewal(&mut self, key: WorkerKey, confirmed: bool, now: Duration) -> LeaseRenewal {
         self.detect_suspension(now);
-        let lease = self.settings.lease_duration;
         let max_wait = self.renewal_wait(key);
         let worker = self.worker_mut(key);
         worker.answer_due_at = Some(now + max_wait + ANSWER_TIME);
         // A call that may not arrive grants no lease: otherwise an owner that keeps calling a dead
         // worker would extend the lease forever.
         let may_grant = confirmed && worker.unanswered == 0;
-        LeaseRenewal {
-            deadline: may_grant.then(|| worker.clock.grant(lease, now)).flatten(),
+        let acknowledged = match worker.unanswered == 0 {
+            true => worker.last_acknowledged,
             // After missed answers another incarnation may answer, whose completions use the same
             // numbers.
-            acknowledged: if worker.unanswered == 0 {
-                worker.last_acknowledged
-            } else {
-                0
-            },
+            false => 0,
+        };
+        LeaseRenewal {
+            deadline: may_grant.then(|| self.grant_lease(key, now)).flatten(),
+            acknowledged,
             max_wait,
         }
     }
@@ -257,8 +277,23 @@
     /// Returns the lease deadline, on the worker's clock, of an order sent at `now`; `None` while
     /// the worker's clock is unknown.
     pub fn grant_order_deadline(&mut self, key: WorkerKey, now: Duration) -> Option<Duration> {
-        let lease = self.settings.lease_duration;
-        self.worker_mut(key).clock.grant(lease, now)
+        self.grant_lease(key, now)
+    }
+
+    /// Grants a worker a lease and returns the deadline to send. It precedes the end of the lease by the time that the
+    /// worker may take to end its runs.
+    fn grant_lease(&mut self, key: WorkerKey, now: Duration) -> Option<Duration> {
+        let settings = self.settings;
+        let ending_time = settings.max_stop_duration.min(settings.lease_duration / 4);
+        let worker = self.worker_mut(key);
+        let lease = match worker.record.draining {
+            true => settings.draining_lease_duration + ending_time,
+            false => settings.lease_duration,
+        };
+        let deadline = worker
+            .clock
+            .grant(lease.min(settings.lease_duration), now)?;
+        Some(deadline.saturating_sub(ending_time))
     }
 
     /// Processes a worker's answer to a lease renewal that was sent at `sent`.
@@ -315,6 +350,7 @@
             self.process_completion(key, ended, now);
         }
         self.worker_mut(key).holds_completions = holds_completions;
+        self.worker_mut(key).unknown_runs.clear();
         let listed: Vec<(TaskKey, RunNumber)> = report
             .running
             .iter()
@@ -353,6 +389,7 @@
         for worker in &mut self.workers {
             worker.unanswered = worker.unanswered.max(1);
         }
+        self.note_registry_failure();
     }
 
     /// Records that a renewal failed.
@@ -380,6 +417,7 @@
                 {
                     state.phase = RunPhase::Running(now);
                     state.has_begun = true;
+                    self.record_begin(key, task);
                 }
             }
             OrderOutcome::Unknown => {
@@ -421,7 +459,7 @@
         }
     }
 
-    /// Gives up the runs of workers whose lease has certainly lapsed or that have left.
+    /// Gives up the runs of workers whose lease has certainly lapsed.
     pub fn expire_leases(&mut self, now: Duration) {
         for index in 0..self.workers.len() {
             let key = WorkerKey::new(index);
@@ -430,16 +468,20 @@
             if worker.inherited_until.is_some_and(|until| now > until) {
                 worker.inherited_until = None;
             }
-            let cause = match () {
-                () if worker.has_left() => LossCause::Left,
-                () if worker.clock.has_lapsed(now) => LossCause::Lapsed,
-                () => continue,
-            };
-            if !worker.runs.is_empty() {
-                self.drop_all_runs(key, cause, now);
+            if !worker.clock.has_lapsed(now) {
+                continue;
             }
+            worker.unknown_runs.clear();
+            if worker.runs.is_empty() {
+                continue;
+            }
+            let cause = match worker.seems_to_have_left() {
+                true => LossCause::Left,
+                false => LossCause::Lapsed,
+            };
+            self.drop_all_runs(key, cause, now);
         }
-        self.confirm_unlisted_crashes();
+        self.count_unlisted_crashes();
     }
 
     /// Replaces a listed worker's record; moves its long-running tasks if it starts to drain.
@@ -451,6 +493,7 @@
             && record.incarnation != worker.record.incarnation;
         worker.record = record;
         worker.listed = true;
+        worker.unlisted_since = None;
         if starts_draining {
             self.stop_long_running_tasks(key);
         }
@@ -477,8 +520,9 @@
     /// Returns how long the worker may delay its answer to the next renewal.
     fn renewal_wait(&self, key: WorkerKey) -> Duration {
         let worker = self.worker(key);
-        let longest = match self.storeless {
-            true => STORELESS_RENEWAL_WAIT.min(self.settings.max_renewal_wait),
+        let needs_short_wait = self.storeless || worker.record.draining;
+        let longest = match needs_short_wait {
+            true => SHORT_RENEWAL_WAIT.min(self.settings.max_renewal_wait),
             false => self.settings.max_renewal_wait,
         };
         if !worker.has_owner_token || worker.unanswered > 0 || !worker.pending_acks.is_empty() {
@@ -528,7 +572,7 @@
 
     /// Returns whether a job is unknown and may yet be learned: a former owner may have started tasks of
     /// a job that was accepted after this owner had read the jobs.
-    fn may_learn_job(&self, job: JobKey, now: Duration) -> bool {
+    pub(crate) fn may_learn_job(&self, job: JobKey, now: Duration) -> bool {
         let is_new_owner = self
             .first_plan_at
             .is_none_or(|since| now < since + LATE_JOB_GRACE);
--- a/crates/dispatch/src/worker_state.rs
+++ b/crates/dispatch/src/worker_state.rs
@@ -12,9 +12,9 @@
 use crate::{
     FleetWorker,
     RunNumber,
+    RunningTask,
     TaskKey,
     WorkerClock,
-    WorkerCrash,
     crash_history::EARLY_CRASH_WINDOW,
     dispatcher_throttling::TargetViolationTracker,
     interference_model::{
@@ -23,6 +23,7 @@
     },
     run_state::RunState,
     service_snapshot::ServiceSnapshot,
+    unsettled_crash::UnsettledCrash,
     worker_health::WorkerHealth, //
 };
 
@@ -69,7 +70,9 @@
     /// Whether a suspected task was among these runs.
     pub(crate) crashed_with_suspect: bool,
     /// Lost runs of which it is unknown whether the worker has crashed or is unreachable.
-    pub(crate) unconfirmed_crashes: Vec<(TaskKey, WorkerCrash)>,
+    pub(crate) unsettled_crashes: Vec<UnsettledCrash>,
+    /// Since when the registry is known not to list the worker.
+    pub(crate) unlisted_since: Option<Duration>,
     /// Whether the incarnation that a former owner knew has restarted.
     pub(crate) restarted_in_takeover: bool,
     /// When a run last began.
@@ -81,6 +84,8 @@
     /// When the worker's incarnation began, since 1970, if it has reported that.
     pub(crate) incarnation: Option<Duration>,
     pub(crate) runs: IndexMap<(TaskKey, RunNumber), RunState>,
+    /// The runs of unknown jobs that the worker listed last.
+    pub(crate) unknown_runs: Vec<RunningTask>,
     /// The capacity that the runs reserve.
     pub(crate) reserved: ResourceAmount,
     /// The CPU that the fillers declare, in millicores.
@@ -138,13 +143,15 @@
             contact_lost_at: None,
             crashed_at: None,
             crashed_with_suspect: false,
-            unconfirmed_crashes: Vec::new(),
+            unsettled_crashes: Vec::new(),
+            unlisted_since: None,
             restarted_in_takeover: false,
             last_start_at: None,
             isolation: None,
             connection_refused: false,
             incarnation: None,
             runs: IndexMap::new(),
+            unknown_runs: Vec::new(),
             reserved: ResourceAmount::default(),
             filler_cpu: 0,
             service_cpu: 0,
@@ -288,6 +295,13 @@
         self.restarted_in_takeover || (self.last_answer_at.is_none() && !self.listed)
     }
 
+    /// Returns the incarnation that certainly executes a run of a task, or `None` if that is unknown.
+    pub(crate) fn incarnation_executing(&self, task: TaskKey) -> Option<Duration> {
+        let mut runs = self.runs.iter().filter(|((of, _), _)| *of == task);
+        let has_begun = runs.any(|(_, run)| run.has_certainly_begun() && !run.is_orphaned);
+        self.incarnation.filter(|_| has_begun)
+    }
+
     /// Keeps other tasks from starting while a suspected one is about to start or has just started.
     pub(crate) fn isolate(&mut self, task: TaskKey, now: Duration) {
         self.isolation = Some((task, now + EARLY_CRASH_WINDOW));
@@ -345,10 +359,10 @@
         self.contact_lost_at.get_or_insert(now);
     }
 
-    /// Returns whether the worker has certainly left: it announced that it would, the registry no
-    /// longer lists it, and nothing listens at its address. Each of these alone may also be a
-    /// network partition.
-    pub(crate) fn has_left(&self) -> bool {
+    /// Returns whether the worker seems to have left: it announced that it would, the registry no longer lists it, and
+    /// its address refuses connections. It may also be cut off, so that its runs count as over only once their lease
+    /// has lapsed.
+    pub(crate) fn seems_to_have_left(&self) -> bool {
         self.record.draining && !self.listed && self.connection_refused
     }
 
@@ -357,6 +371,7 @@
         self.clock = WorkerClock::default();
         self.has_owner_token = false;
         self.inherited_until = None;
+        self.unknown_runs.clear();
         self.last_processed = 0;
         self.last_acknowledged = 0;
         self.pending_acks.clear();
--- a/crates/dispatch/tests/common/fleet_messages.rs
+++ b/crates/dispatch/tests/common/fleet_messages.rs
@@ -58,6 +58,10 @@
             return;
         }
         let state = &mut self.owners[owner];
+        match self.store_is_away {
+            true => state.dispatcher.note_registry_failure(),
+            false => state.dispatcher.note_registry_read(now),
+        }
         state.dispatcher.expire_leases(now);
         // The simulated clock is also the wall clock.
         state.dispatcher.open_due_occurrences(now, now);
@@ -162,7 +166,7 @@
             Event::OrderAnswer(owner, order, end) => self.handle_order_answer(owner, order, end),
             Event::RenewalDue(owner, key) => self.send_renewal(owner, key),
             Event::Renewal(owner, key, order, sent) => {
-                let is_unreachable = now < self.unreachable_until[key.index()];
+                let is_unreachable = !self.is_reachable(key.index());
                 if !is_unreachable && self.delays_renewal(owner, key, &order, sent) {
                     self.push(TICK, Event::Renewal(owner, key, order, sent));
                     return;
@@ -352,7 +356,8 @@
     /// Returns whether nothing listens at a worker's address.
     fn refuses_connections(&self, worker: usize) -> bool {
         let has_crashed = self.workers[worker].is_down() && self.crash_mode != CrashMode::Silent;
-        self.has_left[worker] && self.crash_mode != CrashMode::Silent || has_crashed
+        let has_left = self.has_left[worker] && self.crash_mode != CrashMode::Silent;
+        has_left || has_crashed || self.refuses_while_unreachable
     }
 
     /// Returns `true` with this probability in percent.
