Log which workers a successor would know

Change: wait lines count 'unrecorded' workers by themselves; owner lines 'workers_unrecorded' and 'workers_recorded' begin and end a failure to write the list, with the error; 'records' tells what a successor has read; the gauge jasminebend_fleet_unrecorded_workers. No line goes away.

Test: workers_that_are_not_on_record_are_counted (before, both workers counted as unanswered).

--- a/crates/dispatch/src/dispatcher_waits.rs
+++ b/crates/dispatch/src/dispatcher_waits.rs
@@ -146,9 +146,8 @@
             let reason = match () {
                 () if is_unsuitable => &mut rejections.unsuitable,
                 () if self.is_leaving(worker) => &mut rejections.leaving,
-                () if is_unanswered(worker) || !self.is_recorded(worker) => {
-                    &mut rejections.unanswered
-                }
+                () if is_unanswered(worker) => &mut rejections.unanswered,
+                () if !self.is_recorded(worker) => &mut rejections.unrecorded,
                 () if !self.is_usable(worker, pool, now) => &mut rejections.quarantined,
                 () if size.cpu_millis > free.cpu_millis => &mut rejections.processors,
                 () if !size.fits_in(free) => &mut rejections.memory,
--- a/crates/dispatch/src/dispatcher_workers.rs
+++ b/crates/dispatch/src/dispatcher_workers.rs
@@ -178,6 +178,12 @@
         }
     }
 
+    /// Returns the number of listed workers that are not on record for a successor.
+    pub fn unrecorded_worker_count(&self) -> usize {
+        let listed = self.workers.iter().filter(|worker| worker.listed);
+        listed.filter(|worker| !self.is_recorded(worker)).count()
+    }
+
     /// Returns whether runs may start on a worker as far as its record for a successor is concerned.
     pub(crate) fn is_recorded(&self, worker: &WorkerState) -> bool {
         worker.recorded || !self.requires_recorded_workers
--- a/crates/dispatch/src/step_wait.rs
+++ b/crates/dispatch/src/step_wait.rs
@@ -15,6 +15,8 @@
     pub leaving: usize,
     /// Workers that did not answer the last call, or have not answered since the owner changed.
     pub unanswered: usize,
+    /// Workers that are not on record for a successor yet.
+    pub unrecorded: usize,
     /// Workers quarantined because runs failed or got stuck there.
     pub quarantined: usize,
     /// Workers of another pool, without the required label, or that already run as many of the
--- a/crates/dispatch/tests/explanations.rs
+++ b/crates/dispatch/tests/explanations.rs
@@ -95,6 +95,17 @@
     assert_eq!(fleet.waits[0].rejections.processors, 1);
 }
 
+/// Guards against a wait of which the log tells only that workers do not answer, while they are not on record for a successor.
+#[test]
+fn workers_that_are_not_on_record_are_counted() {
+    let mut fleet = Fleet::new(2, 5);
+    fleet.owner().dispatcher.require_recorded_workers();
+    fleet.submit(1, graph(vec![step(1, &[])]));
+    fleet.run_for(ms(30_000));
+    let rejections = fleet.waits[0].rejections;
+    assert_eq!((rejections.unrecorded, rejections.unanswered), (2, 0));
+}
+
 /// Guards against runs that go on after their job's cancellation without a line in the log.
 #[test]
 fn overdue_stop_is_logged() {
--- a/crates/fleet/src/ownership_takeover.rs
+++ b/crates/fleet/src/ownership_takeover.rs
@@ -82,6 +82,16 @@
     workers: usize,
 }
 
+/// What a new owner has read. A worker may be both recorded by a former owner and listed by the registry.
+#[derive(Serialize)]
+struct RecordsLine {
+    change: &'static str,
+    token: u64,
+    recorded_workers: usize,
+    listed_workers: usize,
+    progress_rows: usize,
+}
+
 /// The records could not be read; they are read on from the page after the last one.
 #[derive(Serialize)]
 struct ReadingLine {
@@ -250,6 +260,16 @@
         dispatcher.mark_unlisted(&id);
     }
     dispatcher.finish_recording(&recorded_workers);
+    shared.log.line(
+        LogEvent::Owner,
+        RecordsLine {
+            change: "records",
+            token: term.token(),
+            recorded_workers: recorded_workers.len(),
+            listed_workers: records.registry.items.len(),
+            progress_rows: progress.len(),
+        },
+    );
     for change in records.registry.items {
         if let RegistryChange::Listed(worker) = change {
             dispatcher.upsert_worker(worker, (!is_first_owner).then_some(until));
--- a/crates/fleet/src/takeover_records.rs
+++ b/crates/fleet/src/takeover_records.rs
@@ -11,13 +11,17 @@
     Dispatcher,
     FleetWorker, //
 };
+use serde::Serialize;
 use tokio::time;
 
 use crate::{
     CommitOutcome,
+    LogEvent,
     RowCommit,
+    StoreError,
     StoreRow,
     StoreTable,
+    fleet_log::whole_millis,
     member_watch::apply_owner_row,
     owner_term::OwnerTerm,
     shared_state::{
@@ -39,15 +43,28 @@
 /// The largest record of learned interference, in bytes; a larger one is not written.
 const MAX_LEARNED_BYTES: usize = 48 << 10;
 
+/// The workers could not be written, or were `late_ms` after the first attempt. No run starts on the `unrecorded` ones.
+#[derive(Serialize)]
+struct WorkerRecordLine {
+    change: &'static str,
+    token: u64,
+    workers: usize,
+    unrecorded: usize,
+    rows: usize,
+    late_ms: u64,
+    error: Option<String>,
+}
+
 /// Writes the list of workers when it changes, so that a successor also knows workers that still run tasks but are no
 /// longer registered; writes the learned interference at longer intervals.
 ///
 /// Runs start only on workers that are in these rows.
 pub(crate) async fn write_takeover_records(shared: Rc<SharedState>, term: Rc<OwnerTerm>) {
     let mut learned_at = shared.now();
+    let mut failing_since = None;
     loop {
         if term.workers_changed.replace(false) {
-            record_workers(&shared, &term).await;
+            record_workers(&shared, &term, &mut failing_since).await;
         }
         if shared.now() >= learned_at + LEARNED_WRITE_INTERVAL {
             learned_at = shared.now();
@@ -61,11 +78,17 @@
 
 /// Writes the rows that list the workers. Each row's version is required, so that a write that was not answered can't
 /// replace a later one.
-async fn record_workers(shared: &SharedState, term: &OwnerTerm) {
+async fn record_workers(
+    shared: &SharedState,
+    term: &OwnerTerm,
+    failing_since: &mut Option<Duration>,
+) {
+    let started_at = shared.now();
     let records = term.dispatcher.borrow_mut().begin_recording();
     let mut versions = term.worker_row_versions.borrow().clone();
     let writes = worker_rows(&records, versions.len());
     versions.resize(writes.len(), 0);
+    let row_count = writes.len();
     let rows = writes.iter().zip(&versions);
     let mut guards = vec![term.guard.clone()];
     guards.extend(rows.map(|(row, version)| row.guard(*version)));
@@ -75,10 +98,48 @@
             term.worker_row_versions.replace(versions);
             term.dispatcher.borrow_mut().finish_recording(&records);
             term.plan_wakeup.notify_one();
+            if let Some(since) = failing_since.take() {
+                log_recording(shared, term, (records.len(), row_count), since, None);
+            }
         }
         Ok(CommitOutcome::Conflict(rows)) => handle_conflict(shared, term, &rows),
-        Err(_) => term.workers_changed.set(true),
+        Err(error) => {
+            term.workers_changed.set(true);
+            if failing_since.is_none() {
+                *failing_since = Some(started_at);
+                let counts = (records.len(), row_count);
+                log_recording(shared, term, counts, started_at, Some(error));
+            }
+        }
     }
+    let unrecorded = term.dispatcher.borrow().unrecorded_worker_count();
+    metrics::gauge!("jasminebend_fleet_unrecorded_workers").set(unrecorded as f64);
+}
+
+/// Logs the first failed write of the workers, or the write that ends the failure.
+fn log_recording(
+    shared: &SharedState,
+    term: &OwnerTerm,
+    (workers, rows): (usize, usize),
+    since: Duration,
+    error: Option<StoreError>,
+) {
+    let change = match error {
+        Some(_) => "workers_unrecorded",
+        None => "workers_recorded",
+    };
+    shared.log.line(
+        LogEvent::Owner,
+        WorkerRecordLine {
+            change,
+            token: term.token(),
+            workers,
+            unrecorded: term.dispatcher.borrow().unrecorded_worker_count(),
+            rows,
+            late_ms: whole_millis(shared.now().saturating_sub(since)),
+            error: error.map(|error| error.to_string()),
+        },
+    );
 }
 
 /// Handles a guard that did not hold: another daemon has become the owner, or an earlier write without an answer was
