Wait for every lease if a former owner's list of workers can't be read

What callers would see: two runs of one task at once (TWICE). Not seen on users' machines; found by asking what may run that a successor doesn't know.

Cause: a row of the list of workers that could not be decoded, damaged or of another version, was passed over without a line in the log.

Change: such a row is named in an 'unreadable' line, and the takeover is complete only when the lease of any worker that a former owner may have used has lapsed, by the bound that holds for workers that do not answer.

It works since the wait does not depend on which workers there are. Taking out expect_unknown_workers is the code before, on which the test fails.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -158,6 +158,8 @@
     pub(crate) isolation_turn: Option<(StepKey, Duration)>,
     /// Whether the owner may soon depend on the workers' word that they follow it.
     pub(crate) storeless: bool,
+    /// Until when workers that this owner does not know may continue to execute a former owner's orders.
+    pub(crate) unknown_workers_until: Option<Duration>,
     /// Whether runs start only on workers that are on record for a successor.
     pub(crate) requires_recorded_workers: bool,
 }
@@ -205,6 +207,7 @@
             resumed_at: Duration::ZERO,
             isolation_turn: None,
             storeless: false,
+            unknown_workers_until: None,
             requires_recorded_workers: false,
         }
     }
@@ -352,7 +355,7 @@
     /// Returns whether every worker that a former owner may have sent orders to has answered this
     /// owner, or certainly no longer runs anything for the former owner.
     pub fn is_takeover_complete(&self) -> bool {
-        self.inherited_worker_count() == 0
+        self.inherited_worker_count() == 0 && self.unknown_workers_until.is_none()
     }
 
     /// Returns the number of workers that a former owner may have sent orders to, and that have neither answered this owner
--- a/crates/dispatch/src/dispatcher_workers.rs
+++ b/crates/dispatch/src/dispatcher_workers.rs
@@ -71,6 +71,14 @@
         for worker in inherited.filter(|worker| worker.inherited_until.is_some()) {
             worker.inherited_until = Some(until);
         }
+        if let Some(unknown_until) = &mut self.unknown_workers_until {
+            *unknown_until = until;
+        }
+    }
+
+    /// Records that workers which this owner does not know may continue to execute a former owner's orders until then.
+    pub fn expect_unknown_workers(&mut self, until: Duration) {
+        self.unknown_workers_until = Some(until);
     }
 
     /// Adds or updates a worker that the registry lists. `inherited` is the time until which the
@@ -481,6 +489,7 @@
 
     /// Gives up the runs of workers whose lease has certainly lapsed.
     pub fn expire_leases(&mut self, now: Duration) {
+        self.unknown_workers_until = self.unknown_workers_until.filter(|until| now <= *until);
         for index in 0..self.workers.len() {
             let key = WorkerKey::new(index);
             // Checking a worker must not mark it as changed.
--- a/crates/fleet/src/ownership_takeover.rs
+++ b/crates/fleet/src/ownership_takeover.rs
@@ -48,7 +48,7 @@
         TakeoverRecords, //
     },
     takeover_records::{
-        decode_workers,
+        RecordedWorkers,
         restore_learned,
         worker_row_versions,
         write_takeover_records, //
@@ -92,6 +92,14 @@
     progress_rows: usize,
 }
 
+/// A record of a former owner can't be decoded.
+#[derive(Serialize)]
+struct UnreadableLine<'a> {
+    change: &'static str,
+    token: u64,
+    row: &'a str,
+}
+
 /// The records could not be read; they are read on from the page after the last one.
 #[derive(Serialize)]
 struct ReadingLine {
@@ -252,20 +260,24 @@
     restore_learned(&mut dispatcher, &progress);
     term.worker_row_versions
         .replace(worker_row_versions(&progress));
-    let recorded_workers = decode_workers(&progress);
+    let recorded = RecordedWorkers::decode(&progress);
+    for key in &recorded.unreadable_rows {
+        log_unreadable(shared, term, key);
+        dispatcher.expect_unknown_workers(until);
+    }
     dispatcher.require_recorded_workers();
-    for worker in &recorded_workers {
+    for worker in &recorded.workers {
         let id = Arc::clone(&worker.id);
         dispatcher.upsert_worker(worker.clone(), Some(until));
         dispatcher.mark_unlisted(&id);
     }
-    dispatcher.finish_recording(&recorded_workers);
+    dispatcher.finish_recording(&recorded.workers);
     shared.log.line(
         LogEvent::Owner,
         RecordsLine {
             change: "records",
             token: term.token(),
-            recorded_workers: recorded_workers.len(),
+            recorded_workers: recorded.workers.len(),
             listed_workers: records.registry.items.len(),
             progress_rows: progress.len(),
         },
@@ -290,6 +302,17 @@
     }
 }
 
+fn log_unreadable(shared: &SharedState, term: &OwnerTerm, row: &str) {
+    shared.log.line(
+        LogEvent::Owner,
+        UnreadableLine {
+            change: "unreadable",
+            token: term.token(),
+            row,
+        },
+    );
+}
+
 /// Runs the owner's tasks until the term is over.
 async fn run_owner_tasks(
     shared: Rc<SharedState>,
--- a/crates/fleet/src/takeover_records.rs
+++ b/crates/fleet/src/takeover_records.rs
@@ -169,11 +169,25 @@
     }
 }
 
-/// Returns the workers that a former owner recorded.
-pub(crate) fn decode_workers(rows: &[StoreRow]) -> Vec<FleetWorker> {
-    let lists = numbered_worker_rows(rows)
-        .filter_map(|(_, row)| postcard::from_bytes::<Vec<FleetWorker>>(&row.value).ok());
-    lists.flatten().collect()
+/// The workers that a former owner recorded.
+#[derive(Default)]
+pub(crate) struct RecordedWorkers {
+    pub(crate) workers: Vec<FleetWorker>,
+    /// The keys of the rows that can't be read, each of which may list any workers.
+    pub(crate) unreadable_rows: Vec<String>,
+}
+
+impl RecordedWorkers {
+    pub(crate) fn decode(rows: &[StoreRow]) -> Self {
+        let mut recorded = Self::default();
+        for (_, row) in numbered_worker_rows(rows) {
+            match postcard::from_bytes::<Vec<FleetWorker>>(&row.value) {
+                Ok(workers) => recorded.workers.extend(workers),
+                Err(_) => recorded.unreadable_rows.push(row.key.clone()),
+            }
+        }
+        recorded
+    }
 }
 
 /// Returns the versions of the rows that list the workers, by the rows' numbers; 0 for a row that does not exist.
--- a/crates/fleet/tests/daemons/main.rs
+++ b/crates/fleet/tests/daemons/main.rs
@@ -16,6 +16,7 @@
 mod suspended_owner;
 mod takeover;
 mod test_fleet;
+mod unreadable_records;
 mod waves;
 mod worker_records;
 mod worker_silence;
--- /dev/null
+++ b/crates/fleet/tests/daemons/unreadable_records.rs
@@ -0,0 +1,55 @@
+//! Successors that can't read what a former owner recorded: it is damaged, or of another version. Time is simulated: it advances
+//! only while all tasks wait.
+
+use std::time::Duration;
+
+use jasminebend_fleet::{
+    StoreRow,
+    StoreTable, //
+};
+use tokio::time;
+
+use crate::test_fleet::{
+    TestFleet,
+    job,
+    run_simulated,
+    submit, //
+};
+
+const OWNER_PART: &str = "s0";
+const SETTLING_TIME: Duration = Duration::from_secs(2);
+const CHECK_INTERVAL: Duration = Duration::from_millis(50);
+const CHECK_COUNT: u32 = 400;
+/// A length that no bytes follow.
+const UNREADABLE: [u8; 2] = [0xff, 0x7f];
+
+fn damage(fleet: &TestFleet, key: &str) {
+    let value = UNREADABLE.to_vec();
+    let row = StoreRow::new(StoreTable::Progress, OWNER_PART, key, value);
+    fleet.store.write(vec![row]);
+}
+
+/// Guards against tasks that run twice: the row that lists their workers can't be read, and the registry has lost them.
+#[test]
+fn no_task_of_workers_in_an_unreadable_row_runs_twice() {
+    run_simulated(async {
+        let fleet = TestFleet::with_runtime_clock(3);
+        fleet.workers.run_time.set(Duration::from_secs(60));
+        fleet.store.set_listed(2, false);
+        let owner = fleet.daemon_on_vm();
+        time::sleep(SETTLING_TIME).await;
+        submit(&owner.job_api, 1, &job(&[(8, &[])])).await;
+        time::sleep(SETTLING_TIME).await;
+        let _hanging = owner.lose_vm().await;
+        damage(&fleet, "workers-0000");
+        fleet.store.set_listed(0, false);
+        fleet.store.set_listed(2, true);
+        let _successor = fleet.daemon();
+        for _ in 0..CHECK_COUNT {
+            fleet.workers.check_single_runs();
+            time::sleep(CHECK_INTERVAL).await;
+        }
+        let running = fleet.workers.running_tasks();
+        assert!(running.iter().any(|(worker, _)| worker == "worker-2"));
+    });
+}
