Keep workers on record that run tasks of jobs not known yet

What callers would see: two runs of one task at once after two takeovers in a row (TWICE). Not seen on users' machines; found by reading.

Cause: a worker that the registry no longer lists was taken off the list for a successor when it had no runs of known jobs. For 3 s after a takeover runs of unknown jobs are left alone, as their job may be learned late; they did not count.

Evidence: worker_that_runs_a_task_of_an_unknown_job_stays_on_record fails before (0 workers to record instead of 1).

Change: such runs keep a worker from being retired until its lease has lapsed or it no longer lists them. Taking the condition out is the code before.

--- a/crates/dispatch/src/dispatcher_workers.rs
+++ b/crates/dispatch/src/dispatcher_workers.rs
@@ -254,7 +254,8 @@
     /// Returns whether a worker needs no renewals any more: it is not listed and runs nothing.
     pub fn is_retired(&self, key: WorkerKey) -> bool {
         let worker = self.worker(key);
-        !worker.listed && worker.runs.is_empty() && worker.inherited_until.is_none()
+        let runs_nothing = worker.runs.is_empty() && worker.unknown_runs.is_empty();
+        !worker.listed && runs_nothing && worker.inherited_until.is_none()
     }
 
     /// Returns the start time of a worker's current incarnation, since 1970, if it is known.
--- a/crates/dispatch/tests/jobs_learned_late.rs
+++ b/crates/dispatch/tests/jobs_learned_late.rs
@@ -150,6 +150,40 @@
     assert_eq!(orders, Vec::new());
 }
 
+/// Guards against a second run by the next owner: a worker that is no longer listed, and runs only a task of a job that is not
+/// known yet, was taken off the record.
+#[test]
+fn worker_that_runs_a_task_of_an_unknown_job_stays_on_record() {
+    let record = Fleet::new(1, 1).workers[0].record().clone();
+    let id = record.id.clone();
+    let mut dispatcher = Dispatcher::new(2, DispatchSettings::default());
+    let worker = dispatcher.upsert_worker(record, Some(ms(9000)));
+    let task = StepKey {
+        job: late_key(),
+        occurrence: 0,
+        step: 0,
+    }
+    .task(0);
+    dispatcher.next_renewal(worker, true, ms(1000));
+    let report = RenewalReport {
+        clock: ms(1000),
+        incarnation: None,
+        running: vec![RunningTask {
+            task,
+            run: RunNumber::of_owner(1, 1),
+            checkpoint: None,
+            progress_percent: 1,
+            metric: None,
+        }],
+        completions: Vec::new(),
+    };
+    dispatcher.handle_renewal_report(worker, ms(1000), report, ms(1000));
+    dispatcher.mark_unlisted(&id);
+    assert_eq!(dispatcher.begin_recording().len(), 1);
+    dispatcher.expire_leases(ms(20_000));
+    assert_eq!(dispatcher.begin_recording().len(), 0);
+}
+
 /// Guards against a run that goes on for good: its job never becomes known.
 #[test]
 fn run_of_a_job_that_stays_unknown_is_stopped() {
