Hold jobs back whose progress a successor can't read

What callers would see: tasks of a job run again after they were done (TWICE).

Cause: a progress row that could not be decoded, damaged or of another version, was passed over without a line in the log, so that its job started from the beginning; the first commit then replaced the row.

Change: the row is named in an 'unreadable' line, nothing of its job starts, and the row stays as it is, so that an owner that can read it goes on. Other jobs are not affected; ends of the job's runs count as on record, since a worker's acknowledgements are in order and would wait for this one for good.

Such a job stands still: a job that is late is preferred to one that is done twice.

--- a/crates/dispatch/src/commit_tracker.rs
+++ b/crates/dispatch/src/commit_tracker.rs
@@ -1,5 +1,7 @@
 //! Tracking of which changes are on record.
 
+use std::collections::HashSet;
+
 use indexmap::IndexMap;
 
 use crate::{
@@ -19,11 +21,25 @@
     /// Jobs in the commit in flight, each with its first uncommitted change and the outcome that
     /// its record contains.
     in_flight: IndexMap<JobKey, (u64, Option<JobOutcome>)>,
+    /// Jobs whose records must stay as they are.
+    frozen: HashSet<JobKey>,
 }
 
 impl CommitTracker {
-    /// Records a change of a job and returns its number.
+    /// Leaves a job's record as it is from now on.
+    pub(crate) fn freeze(&mut self, job: JobKey) {
+        self.frozen.insert(job);
+    }
+
+    pub(crate) fn is_frozen(&self, job: JobKey) -> bool {
+        self.frozen.contains(&job)
+    }
+
+    /// Records a change of a job and returns its number. A change of a frozen job counts as on record.
     pub(crate) fn record_change(&mut self, job: JobKey) -> u64 {
+        if self.is_frozen(job) {
+            return self.committed_through();
+        }
         self.last_change += 1;
         self.uncommitted.entry(job).or_insert(self.last_change);
         self.last_change
--- a/crates/dispatch/src/dispatcher_plan.rs
+++ b/crates/dispatch/src/dispatcher_plan.rs
@@ -175,6 +175,7 @@
         for &step in &self.pending_steps {
             match self.jobs.get(&step.job) {
                 Some(job) if job.is_over() => closed.push(step),
+                Some(_) if self.commits.is_frozen(step.job) => closed.push(step),
                 Some(job) if !settled && job.may_be_inherited(step.occurrence, step.step) => {
                     held_back.push((self.step_rank(job, step, now), step));
                 }
--- a/crates/dispatch/src/dispatcher_records.rs
+++ b/crates/dispatch/src/dispatcher_records.rs
@@ -130,6 +130,11 @@
         });
     }
 
+    /// Holds a job back whose record can't be read: none of its tasks starts, and its record stays as it is.
+    pub fn freeze_job(&mut self, key: JobKey) {
+        self.commits.freeze(key);
+    }
+
     /// Returns the learned interference between fillers and services, to be stored for a successor.
     pub fn learned_record(&self) -> LearnedRecord {
         self.interference.record()
--- a/crates/fleet/src/ownership_takeover.rs
+++ b/crates/fleet/src/ownership_takeover.rs
@@ -294,10 +294,16 @@
     let mut dispatcher = term.dispatcher.borrow_mut();
     let mut versions = term.progress_versions.borrow_mut();
     for row in &progress {
-        let record = decode_progress(&row.value);
-        if let (Ok(key), Ok(record)) = (row.key.parse::<JobKey>(), record) {
-            versions.insert(key, row.version);
-            dispatcher.restore_job(key, &record);
+        let Ok(key) = row.key.parse::<JobKey>() else {
+            continue;
+        };
+        versions.insert(key, row.version);
+        match decode_progress(&row.value) {
+            Ok(record) => dispatcher.restore_job(key, &record),
+            Err(_) => {
+                log_unreadable(shared, term, &row.key);
+                dispatcher.freeze_job(key);
+            }
         }
     }
 }
--- a/crates/fleet/tests/daemons/unreadable_records.rs
+++ b/crates/fleet/tests/daemons/unreadable_records.rs
@@ -3,6 +3,10 @@
 
 use std::time::Duration;
 
+use jasminebend_dispatch::{
+    JobOutcome,
+    JobProgress, //
+};
 use jasminebend_fleet::{
     StoreRow,
     StoreTable, //
@@ -13,7 +17,8 @@
     TestFleet,
     job,
     run_simulated,
-    submit, //
+    submit,
+    wait_for_progress, //
 };
 
 const OWNER_PART: &str = "s0";
@@ -53,3 +58,28 @@
         assert!(running.iter().any(|(worker, _)| worker == "worker-2"));
     });
 }
+
+/// Guards against tasks that run again after they were done: their job's progress can't be read. Other jobs go on.
+#[test]
+fn no_task_of_a_job_with_unreadable_progress_runs_again() {
+    run_simulated(async {
+        let fleet = TestFleet::with_runtime_clock(1);
+        let owner = fleet.daemon_on_vm();
+        time::sleep(SETTLING_TIME).await;
+        submit(&owner.job_api, 1, &job(&[(1, &[]), (1, &[0])])).await;
+        wait_for_progress(&owner.job_api, 1, JobProgress::Ended(JobOutcome::Completed)).await;
+        let started = fleet.workers.started_runs();
+        let _hanging = owner.lose_vm().await;
+        damage(&fleet, "0000000000000001");
+        let successor = fleet.daemon();
+        time::sleep(Duration::from_secs(20)).await;
+        assert_eq!(fleet.workers.started_runs(), started);
+        submit(&successor.job_api, 2, &job(&[(1, &[])])).await;
+        wait_for_progress(
+            &successor.job_api,
+            2,
+            JobProgress::Ended(JobOutcome::Completed),
+        )
+        .await;
+    });
+}
