Bound the rows that list the workers in bytes

What callers would see: nothing starts (LOST). Not seen on users' machines; found by asking what holds if the list of workers is large.

Cause: a row held 200 workers whatever their size. Where their records are longer than 328 bytes, as by labels of some hundred characters, the store refuses the row, and since runs start only on recorded workers none starts, for good and without a line in the log.

The tests' store now refuses rows of more than 64 KiB and calls of more than 100 entries or 1 MB, as the platform's does.

Change: a row is closed at 60 KiB or 200 workers.

--- a/crates/fleet/src/takeover_records.rs
+++ b/crates/fleet/src/takeover_records.rs
@@ -38,8 +38,9 @@
 const LEAST_WRITE_PAUSE: Duration = Duration::from_millis(100);
 /// The interval between two writes of the learned interference: some kilobytes.
 const LEARNED_WRITE_INTERVAL: Duration = Duration::from_secs(3);
-/// The number of workers in a row: about 100 bytes each, and a row may have 64 KiB.
-const WORKERS_PER_ROW: usize = 200;
+/// The most workers in a row, usually about 100 bytes each, and the most bytes of their encoding: the store accepts 64 KiB.
+const MAX_WORKERS_PER_ROW: usize = 200;
+const MAX_WORKER_BYTES_PER_ROW: usize = 60 << 10;
 /// The largest record of learned interference, in bytes; a larger one is not written.
 const MAX_LEARNED_BYTES: usize = 48 << 10;
 
@@ -219,10 +220,10 @@
 
 /// Returns rows of a bounded size that list the workers; formerly used rows that are no longer needed become empty.
 fn worker_rows(workers: &[FleetWorker], rows_used: usize) -> Vec<StoreRow> {
-    let chunks: Vec<&[FleetWorker]> = workers.chunks(WORKERS_PER_ROW).collect();
+    let chunks = split_into_rows(workers);
     let count = chunks.len().max(rows_used).max(1);
     let rows = (0..count).filter_map(|number| {
-        let chunk = chunks.get(number).copied().unwrap_or_default();
+        let chunk = chunks.get(number).map_or(&[][..], Vec::as_slice);
         let value = postcard::to_stdvec(chunk).ok()?;
         let key = format!("{WORKERS_KEY_PREFIX}{number:04}");
         Some(StoreRow::new(StoreTable::Progress, SHARD_PART, key, value))
@@ -230,6 +231,29 @@
     rows.collect()
 }
 
+/// Splits the workers into rows that the store accepts.
+fn split_into_rows(workers: &[FleetWorker]) -> Vec<Vec<&FleetWorker>> {
+    let mut rows: Vec<Vec<&FleetWorker>> = Vec::new();
+    let mut row_bytes = 0;
+    for worker in workers {
+        let bytes =
+            postcard::experimental::serialized_size(worker).unwrap_or(MAX_WORKER_BYTES_PER_ROW);
+        row_bytes += bytes;
+        match rows.last_mut() {
+            Some(row)
+                if row.len() < MAX_WORKERS_PER_ROW && row_bytes <= MAX_WORKER_BYTES_PER_ROW =>
+            {
+                row.push(worker);
+            }
+            _ => {
+                rows.push(vec![worker]);
+                row_bytes = bytes;
+            }
+        }
+    }
+    rows
+}
+
 fn learned_row(dispatcher: &Dispatcher) -> Option<StoreRow> {
     let record = dispatcher.learned_record();
     if record.services.is_empty() {
--- a/crates/fleet/tests/daemons/memory_store.rs
+++ b/crates/fleet/tests/daemons/memory_store.rs
@@ -50,6 +50,11 @@
 /// How long a daemon waits for the answer to a watch, beyond the watch's own wait.
 const WATCH_TIMEOUT: Duration = Duration::from_millis(700);
 
+/// The most bytes of a row's value, the most guards and writes in a call, and the most bytes of a call.
+const MAX_ROW_BYTES: usize = 64 << 10;
+const MAX_CALL_ENTRIES: usize = 100;
+const MAX_CALL_BYTES: usize = 1_000_000;
+
 /// The most bytes of an answer that are under way on a narrow link at a time.
 const LINK_WINDOW: usize = 64 << 10;
 
@@ -176,6 +181,24 @@
         known.version = self.next_version();
     }
 
+    /// Gives all workers one more label.
+    pub(crate) fn add_label(&self, label: &str) {
+        let mut known = self.workers.borrow_mut();
+        for worker in &mut known.value {
+            worker.labels.push(label.into());
+        }
+        known.version = self.next_version();
+    }
+
+    /// Returns the workers in the rows that the owner keeps for a successor, row by row.
+    pub(crate) fn recorded_workers(&self) -> Vec<Vec<FleetWorker>> {
+        let rows = self.rows_of(StoreTable::Progress, "s0", "workers-", Some("workers."));
+        let lists = rows
+            .iter()
+            .map(|row| postcard::from_bytes(&row.value).unwrap_or_default());
+        lists.collect()
+    }
+
     /// Lets the registry list this worker, or no longer list it.
     pub(crate) fn set_listed(&self, worker: usize, is_listed: bool) {
         let id = self.workers.borrow().value[worker].id.clone();
@@ -423,6 +446,7 @@
             for row in &commit.writes {
                 self.check_part_reachable(&row.part)?;
             }
+            check_size(&commit)?;
             let answer = self.store.commit(commit);
             if self.lost_answers.get() > 0 {
                 self.lost_answers.set(self.lost_answers.get() - 1);
@@ -570,3 +594,14 @@
         advice: None,
     }
 }
+
+/// Refuses a commit that is larger than the store accepts.
+fn check_size(commit: &RowCommit) -> Result<(), StoreError> {
+    let sizes = commit.writes.iter().map(|row| row.value.len());
+    // Values are sent in Base64.
+    let call_bytes = sizes.clone().sum::<usize>() / 3 * 4;
+    let is_accepted = sizes.max().unwrap_or(0) <= MAX_ROW_BYTES
+        && commit.guards.len() + commit.writes.len() <= MAX_CALL_ENTRIES
+        && call_bytes <= MAX_CALL_BYTES;
+    is_accepted.then_some(()).ok_or(StoreError::Refused)
+}
--- a/crates/fleet/tests/daemons/worker_records.rs
+++ b/crates/fleet/tests/daemons/worker_records.rs
@@ -2,6 +2,14 @@
 
 use std::time::Duration;
 
+use jasminebend_dispatch::{
+    JobOutcome,
+    JobProgress, //
+};
+use jasminebend_fleet::{
+    StoreRow,
+    StoreTable, //
+};
 use tokio::time;
 
 use crate::test_fleet::{
@@ -9,7 +17,8 @@
     TestFleet,
     job,
     run_simulated,
-    submit, //
+    submit,
+    wait_for_progress, //
 };
 
 /// The number of the worker that joins late.
@@ -20,6 +29,8 @@
 const OWNER_PART: &str = "s0";
 /// Two workers run at most this many tasks at a time.
 const TASK_COUNT: u32 = 8;
+/// The workers of the target size.
+const LARGE_FLEET: usize = 2600;
 const SETTLING_TIME: Duration = Duration::from_secs(2);
 /// After this time a worker that has joined would run tasks.
 const JOINED_AFTER: Duration = Duration::from_secs(2);
@@ -99,3 +110,37 @@
         assert!(late_worker_runs(&fleet));
     });
 }
+
+/// Guards against workers of a large fleet of which a successor does not know: they are in several rows, written in one call, and
+/// one of these rows was changed by a late write.
+#[test]
+fn workers_of_a_large_fleet_are_recorded() {
+    run_simulated(async {
+        let fleet = TestFleet::with_runtime_clock(LARGE_FLEET);
+        let _owner = fleet.daemon();
+        time::sleep(SETTLING_TIME).await;
+        let recorded = fleet.store.recorded_workers();
+        assert_eq!(recorded.iter().flatten().count(), LARGE_FLEET);
+        let row = StoreRow::new(StoreTable::Progress, OWNER_PART, "workers-0001", vec![0]);
+        fleet.store.write(vec![row]);
+        fleet.store.set_listed(0, false);
+        time::sleep(SETTLING_TIME).await;
+        let recorded = fleet.store.recorded_workers();
+        assert_eq!(recorded.iter().flatten().count(), LARGE_FLEET - 1);
+    });
+}
+
+/// Guards against a fleet in which nothing starts: a row of workers with long labels is larger than the store accepts.
+#[test]
+fn workers_with_long_labels_are_recorded() {
+    run_simulated(async {
+        let fleet = TestFleet::with_runtime_clock(300);
+        fleet.store.add_label(&"x".repeat(400));
+        let owner = fleet.daemon();
+        time::sleep(SETTLING_TIME).await;
+        let recorded = fleet.store.recorded_workers();
+        assert_eq!(recorded.iter().flatten().count(), 300);
+        submit(&owner.job_api, 1, &job(&[(TASK_COUNT, &[])])).await;
+        wait_for_progress(&owner.job_api, 1, JobProgress::Ended(JobOutcome::Completed)).await;
+    });
+}
