--- a/crates/dispatch/tests/unreachable_workers.rs
+++ b/crates/dispatch/tests/unreachable_workers.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use common::{
+    CrashMode,
     Fleet,
     graph,
     ms,
@@ -111,6 +112,63 @@
     }
 }
 
+/// Guards against second runs of tasks on draining workers that are cut off, by any sign but the end of the lease: a cut that
+/// refuses connections or is silent, an owner that is replaced meanwhile, a worker that ends lapsed runs late, one that has left
+/// within the cut or is back under its identity.
+#[test]
+fn draining_workers_run_no_task_twice_whatever_the_cut_looks_like() {
+    for seed in 0..160 {
+        let is_set = |bit: u32| seed >> bit & 1 == 1;
+        let mut fleet = Fleet::new(4, seed).with_work(|task| TaskWork {
+            run_time: ms(9000),
+            ..long_work(task)
+        });
+        fleet.refuses_while_unreachable = is_set(0);
+        let lapse_delay = if is_set(1) {
+            fleet.settings.max_stop_duration
+        } else {
+            ms(0)
+        };
+        for worker in &mut fleet.workers {
+            worker.set_lapse_delay(lapse_delay);
+        }
+        if is_set(4) {
+            fleet.crash_mode = CrashMode::SameIdentity;
+        }
+        let job = fleet.submit(1, graph(vec![step(12, &[])]));
+        fleet.run_for(ms(300 + 23 * seed));
+        for worker in [0, 1] {
+            fleet.drain_worker(worker);
+            fleet.run_for(ms(100 + 7 * seed));
+            fleet.cut_worker_off(worker, fleet.now + ms(5500 + 10 * seed));
+        }
+        fleet.run_for(ms(37 * seed % 2500));
+        if is_set(2) {
+            fleet.replace_owner();
+            fleet.run_for(ms(29 * seed % 1700));
+        }
+        match seed % 3 {
+            0 => fleet.leave_pool(0),
+            1 => fleet.kill_worker(0),
+            _ => {}
+        }
+        if is_set(3) {
+            fleet.replace_owner();
+        }
+        fleet.run_for(ms(60_000));
+        assert_eq!(
+            fleet.check_invariants(),
+            Vec::<String>::new(),
+            "seed {seed}"
+        );
+        assert_eq!(
+            fleet.progress(job),
+            Some(JobProgress::Ended(JobOutcome::Completed)),
+            "seed {seed}"
+        );
+    }
+}
+
 /// Guards against waiting for a full lease of a worker that announced its leave and has left.
 #[test]
 fn tasks_of_a_drained_worker_restart_once_its_shorter_lease_lapses() {
