Let a successor wait for all that the former owner granted, also where leases are short

What callers would see: two runs of one task at once, by two owners (TWICE), where a lease is shorter than four stops. No site has such leases; found by reading.

Cause: told workers at least three quarters of the lease and counts the time to end runs on top of it, which below four stops is more than the lease. The successor's wait for a worker that it can't reach stayed one lease.

Evidence: successor_waits_as_long_as_runs_of_the_former_owner_may_last fails before (lease 1 s, stop 0.4 s: waits 1.070 s for a run that may last 1.165 s); of the twelve combinations four fail.

Change: the wait covers what is granted, the time to end runs included. With leases of 5 s and stops up to 1 s, as on all sites, nothing changes.

--- a/crates/dispatch/src/dispatcher_workers.rs
+++ b/crates/dispatch/src/dispatcher_workers.rs
@@ -57,7 +57,8 @@
     /// Unless the former owner is known to have terminated, it may itself have acted for a while
     /// after it was replaced.
     pub fn inherited_orders_lifetime(&self, former_is_gone: bool) -> Duration {
-        let lease = WorkerClock::longest(self.settings.lease_duration);
+        let granted = self.told_lease() + self.settings.max_stop_duration;
+        let lease = WorkerClock::longest(self.settings.lease_duration.max(granted));
         match former_is_gone {
             true => lease,
             false => lease + self.settings.unconfirmed_grace,
--- a/crates/dispatch/tests/weak_signs.rs
+++ b/crates/dispatch/tests/weak_signs.rs
@@ -528,6 +528,44 @@
     assert_eq!(overlap(ms(5000), Some(ms(5000))), None);
 }
 
+/// Guards against two runs of a task by two owners where a lease is shorter than a few stops: the successor waits for a lease, and
+/// a busy worker with a slow clock ends its runs after that.
+#[test]
+fn successor_waits_as_long_as_runs_of_the_former_owner_may_last() {
+    for (lease, stop) in [1000, 1500, 3000, 5000]
+        .into_iter()
+        .flat_map(|lease| [200, 400, 900].map(|stop| (ms(lease), ms(stop))))
+    {
+        let settings = DispatchSettings {
+            lease_duration: lease,
+            max_stop_duration: stop,
+            ..DispatchSettings::default()
+        };
+        let record = Fleet::new(1, 1).workers[0].record().clone();
+        let mut owner = Dispatcher::new(1, settings);
+        let worker = owner.upsert_worker(record, None);
+        let granted_at = ms(1000);
+        let report = RenewalReport {
+            clock: granted_at,
+            incarnation: None,
+            running: Vec::new(),
+            completions: Vec::new(),
+        };
+        owner.next_renewal(worker, true, granted_at);
+        owner.handle_renewal_report(worker, granted_at, report, granted_at);
+        let deadline = owner
+            .next_renewal(worker, true, granted_at)
+            .deadline
+            .unwrap();
+        let longest_run = (deadline - granted_at) * 100 / 98 + stop;
+        let wait = owner.inherited_orders_lifetime(true);
+        assert!(
+            wait >= longest_run,
+            "{lease:?}, {stop:?}: {wait:?} and {longest_run:?}"
+        );
+    }
+}
+
 /// Guards against an innocent job that is given up because a worker restarted long after its runs had lapsed.
 #[test]
 fn restart_after_the_lapse_proves_no_crash() {
