Reject huge estimates, and survive those that were accepted before

Cause: JobGraph::remaining_chains added declared run times without a bound, and nothing refused them at the door.

Evidence: huge_estimates_are_rejected_and_end_no_owner fails before (without its first assertion, which does not compile there: 'overflow when adding durations').

Change: an estimate of more than 365 days is refused with the step's number; in a job that an earlier version accepted it counts as 365 days, so that a fleet whose store holds such a job starts again.

--- a/crates/dispatch/src/graph_error.rs
+++ b/crates/dispatch/src/graph_error.rs
@@ -3,6 +3,7 @@
 use derive_more::Display;
 
 use crate::job_graph::{
+    MAX_ESTIMATE,
     MAX_PAYLOAD_BYTES,
     MAX_STEPS,
     MAX_TASKS, //
@@ -29,6 +30,12 @@
         /// The step's number, from 0.
         step: usize,
     },
+    /// The declared run time of a step's tasks is too long.
+    #[display("step {step} has an estimate of more than {} days", MAX_ESTIMATE.as_secs() / 86_400)]
+    Estimate {
+        /// The step's number, from 0.
+        step: usize,
+    },
     /// The job has too many tasks.
     #[display("a job has at most {MAX_TASKS} tasks, not {count}")]
     Tasks {
--- a/crates/dispatch/src/job_graph.rs
+++ b/crates/dispatch/src/job_graph.rs
@@ -20,6 +20,8 @@
 pub(crate) const MAX_TASKS: u64 = 20_000;
 /// The maximum number of steps in a job; a step's number has 16 bits.
 pub(crate) const MAX_STEPS: usize = 256;
+/// The maximum declared run time of a task.
+pub(crate) const MAX_ESTIMATE: Duration = Duration::from_secs(365 * 24 * 3600);
 /// The maximum length of a payload.
 pub(crate) const MAX_PAYLOAD_BYTES: usize = 4_000;
 
@@ -72,13 +74,18 @@
     }
 
     /// Returns, for each step, the declared run time of the longest dependency chain that begins
-    /// with it.
+    /// with it. Longer run times than are accepted count as the longest one: an earlier version may have accepted them.
     pub fn remaining_chains(&self) -> Vec<Duration> {
-        let mut chains: Vec<Duration> = self.steps.iter().map(|step| step.estimate).collect();
+        let estimates = self
+            .steps
+            .iter()
+            .map(|step| step.estimate.min(MAX_ESTIMATE));
+        let estimates: Vec<Duration> = estimates.collect();
+        let mut chains = estimates.clone();
         for number in self.ordered().into_iter().rev() {
             for &before in &self.steps[number].dependencies {
                 let before = usize::from(before);
-                let chain = self.steps[before].estimate + chains[number];
+                let chain = estimates[before] + chains[number];
                 chains[before] = chains[before].max(chain);
             }
         }
@@ -90,6 +97,9 @@
             if step.count == 0 {
                 return Err(GraphError::NoTasks { step: number });
             }
+            if step.estimate > MAX_ESTIMATE {
+                return Err(GraphError::Estimate { step: number });
+            }
         }
         match self.task_count() {
             count if count > MAX_TASKS => Err(GraphError::Tasks { count }),
--- a/crates/dispatch/tests/job_graphs.rs
+++ b/crates/dispatch/tests/job_graphs.rs
@@ -2,7 +2,10 @@
 
 mod common;
 
+use std::time::Duration;
+
 use common::{
+    Fleet,
     graph,
     ms,
     step, //
@@ -11,6 +14,9 @@
     GraphError,
     JobGraph,
     JobKey,
+    JobOutcome,
+    JobProgress,
+    StepSpec,
     TaskKey, //
 };
 
@@ -89,3 +95,21 @@
         assert!(wrong.parse::<TaskKey>().is_err(), "{wrong:?}");
     }
 }
+
+/// Guards against a job that ends each owner that reads it: the sum of its estimates is longer than a time can be.
+#[test]
+fn huge_estimates_are_rejected_and_end_no_owner() {
+    let huge = |dependencies: &[u16]| StepSpec {
+        estimate: Duration::from_secs(12_000_000_000_000_000_000),
+        ..step(1, dependencies)
+    };
+    let job = graph(vec![huge(&[]), huge(&[0])]);
+    assert_eq!(job.validate(), Err(GraphError::Estimate { step: 0 }));
+    let mut fleet = Fleet::new(1, 1);
+    let key = fleet.submit(1, job);
+    fleet.run_for(ms(3000));
+    assert_eq!(
+        fleet.progress(key),
+        Some(JobProgress::Ended(JobOutcome::Completed))
+    );
+}
