Bound progress rows and commits in bytes

Cause: a job's row held the checkpoint of each unfinished task; above some 3,400 the store refuses it. The commit was taken again before all others, without an end. Several rows that are each accepted did the same in one call: 45 jobs, and the store takes 1 MB.

Change: checkpoints that do not fit into 60 KiB are left out of the row, done tasks and failed attempts never; a commit carries at most 600 KiB of rows.

It works since neither row nor call depends on the size of the job any more, but for what must not be left out.

--- a/crates/fleet/src/progress_codec.rs
+++ b/crates/fleet/src/progress_codec.rs
@@ -30,12 +30,40 @@
     begun_in: Vec<Option<Duration>>,
 }
 
-/// Returns the value of a job's progress row.
+/// The most bytes of a job's progress row: the store accepts 64 KiB.
+const MAX_PROGRESS_BYTES: usize = 60 << 10;
+
+/// Returns the value of a job's progress row. Of a large job checkpoints are left out, so that their tasks resume only while their
+/// workers last, as the store would refuse the row.
 ///
 /// # Errors
 ///
 /// Returns the codec's error if the record can't be encoded.
 pub fn encode_progress(record: &ProgressRecord) -> Result<Vec<u8>, postcard::Error> {
+    let value = encode_record(record)?;
+    if value.len() <= MAX_PROGRESS_BYTES {
+        return Ok(value);
+    }
+    let mut smaller = record.clone();
+    leave_out_checkpoints(&mut smaller, value.len() - MAX_PROGRESS_BYTES);
+    encode_record(&smaller)
+}
+
+/// Removes the last checkpoints of a record until its encoding is at least `excess` bytes smaller, or none is left.
+fn leave_out_checkpoints(record: &mut ProgressRecord, excess: usize) {
+    let mut saved = 0;
+    for step in record.steps.iter_mut().rev() {
+        while saved < excess {
+            let Some((_, checkpoint)) = step.checkpoints.pop() else {
+                break;
+            };
+            // The task's number and the text's length take a byte each at least.
+            saved += checkpoint.len() + 2;
+        }
+    }
+}
+
+fn encode_record(record: &ProgressRecord) -> Result<Vec<u8>, postcard::Error> {
     let value = postcard::to_stdvec(record)?;
     if record.crashes.is_empty() && record.failure.is_none() {
         return Ok(value);
--- a/crates/fleet/src/progress_commits.rs
+++ b/crates/fleet/src/progress_commits.rs
@@ -28,6 +28,8 @@
 
 /// The most jobs in a commit: each needs a guard and a write, and the store accepts 100 entries.
 const MAX_JOBS_PER_COMMIT: usize = 45;
+/// The most bytes of the rows in a commit of several jobs: the store accepts calls of 1 MB, and values are sent in Base64.
+const MAX_COMMIT_BYTES: usize = 600 << 10;
 /// How long progress is collected before a commit: callers wait for it, but each commit is an expensive call.
 const COMMIT_DELAY: Duration = Duration::from_millis(6);
 /// The longest time between two checks for progress to commit.
@@ -50,14 +52,9 @@
         // After the timeout the progress of a failed commit may still have to be committed.
         drop(time::timeout(LONGEST_COMMIT_INTERVAL, term.commit_wakeup.notified()).await);
         time::sleep(COMMIT_DELAY).await;
-        let records = term
-            .dispatcher
-            .borrow_mut()
-            .take_records_to_commit(MAX_JOBS_PER_COMMIT);
-        if records.is_empty() {
+        let Some((records, commit)) = next_commit(&term) else {
             continue;
-        }
-        let commit = build_commit(&term, &records);
+        };
         let sent = shared.now();
         match shared.store.commit(commit).await {
             Ok(CommitOutcome::Applied(version)) => {
@@ -75,6 +72,25 @@
     }
 }
 
+/// Returns the records of the next commit and the commit, of as many jobs as the store accepts in one call.
+fn next_commit(term: &OwnerTerm) -> Option<(Vec<(JobKey, ProgressRecord)>, RowCommit)> {
+    let mut limit = MAX_JOBS_PER_COMMIT;
+    loop {
+        let mut dispatcher = term.dispatcher.borrow_mut();
+        let records = dispatcher.take_records_to_commit(limit);
+        if records.is_empty() {
+            return None;
+        }
+        let commit = build_commit(term, &records);
+        let bytes: usize = commit.writes.iter().map(|row| row.value.len()).sum();
+        if bytes <= MAX_COMMIT_BYTES || records.len() == 1 {
+            return Some((records, commit));
+        }
+        dispatcher.abort_commit();
+        limit = records.len() / 2;
+    }
+}
+
 fn build_commit(term: &OwnerTerm, records: &[(JobKey, ProgressRecord)]) -> RowCommit {
     let versions = term.progress_versions.borrow();
     let mut commit = RowCommit {
--- a/crates/fleet/tests/daemons/main.rs
+++ b/crates/fleet/tests/daemons/main.rs
@@ -6,6 +6,7 @@
 mod ended_jobs;
 mod jobs;
 mod jobs_read_again;
+mod large_jobs;
 mod members;
 mod memory_store;
 mod narrow_link;
--- a/crates/fleet/tests/daemons/memory_store.rs
+++ b/crates/fleet/tests/daemons/memory_store.rs
@@ -17,6 +17,7 @@
 use jasminebend_dispatch::{
     FleetConfiguration,
     FleetWorker,
+    ProgressRecord,
     QueueRule, //
 };
 use jasminebend_fleet::{
@@ -33,13 +34,15 @@
     RowPage,
     StoreError,
     StoreRow,
-    StoreTable, //
+    StoreTable,
+    decode_progress, //
 };
 use tokio::{
     sync::{
         Mutex,
         Notify, //
     },
+    task::spawn_local,
     time, //
 };
 
@@ -55,6 +58,8 @@
 const MAX_CALL_ENTRIES: usize = 100;
 const MAX_CALL_BYTES: usize = 1_000_000;
 
+/// The delay of a write that is carried out late.
+const LATE_WRITE_DELAY: Duration = Duration::from_secs(3);
 /// The most bytes of an answer that are under way on a narrow link at a time.
 const LINK_WINDOW: usize = 64 << 10;
 
@@ -88,6 +93,8 @@
     pub(crate) slow_parts: RefCell<Vec<(String, Duration)>>,
     /// How many of the next commits are applied but not answered.
     pub(crate) lost_answers: Cell<u32>,
+    /// How many of the next writes of the workers' list are not answered, and carried out late.
+    pub(crate) late_worker_writes: Cell<u32>,
     /// Whether calls are lost on their way to the store.
     silent: Cell<bool>,
     /// The latency of a read, except of jobs.
@@ -199,6 +206,16 @@
         lists.collect()
     }
 
+    /// Returns the number of jobs of which a step is on record as done.
+    pub(crate) fn jobs_with_a_done_step(&self) -> usize {
+        let rows = self.rows_of(StoreTable::Progress, "s0", "0", Some("g"));
+        let records = rows
+            .iter()
+            .filter_map(|row| decode_progress(&row.value).ok());
+        let is_done = |record: &ProgressRecord| record.steps.iter().any(|step| step.all_done);
+        records.filter(is_done).count()
+    }
+
     /// Lets the registry list this worker, or no longer list it.
     pub(crate) fn set_listed(&self, worker: usize, is_listed: bool) {
         let id = self.workers.borrow().value[worker].id.clone();
@@ -315,6 +332,7 @@
             failing_parts: RefCell::new(Vec::new()),
             slow_parts: RefCell::new(Vec::new()),
             lost_answers: Cell::new(0),
+            late_worker_writes: Cell::new(0),
             silent: Cell::new(false),
             read_latency: Cell::new(Duration::from_millis(2)),
             job_read_latency: Cell::new(Duration::from_millis(2)),
@@ -447,6 +465,21 @@
                 self.check_part_reachable(&row.part)?;
             }
             check_size(&commit)?;
+            let is_worker_write = commit
+                .writes
+                .iter()
+                .any(|row| row.key.starts_with("workers-"));
+            if is_worker_write && self.late_worker_writes.get() > 0 {
+                self.late_worker_writes
+                    .set(self.late_worker_writes.get() - 1);
+                let store = Rc::clone(&self.store);
+                spawn_local(async move {
+                    time::sleep(LATE_WRITE_DELAY).await;
+                    store.commit(commit);
+                });
+                time::sleep(CALL_TIMEOUT).await;
+                return Err(StoreError::Unknown);
+            }
             let answer = self.store.commit(commit);
             if self.lost_answers.get() > 0 {
                 self.lost_answers.set(self.lost_answers.get() - 1);
--- a/crates/fleet/tests/progress_codec.rs
+++ b/crates/fleet/tests/progress_codec.rs
@@ -118,3 +118,28 @@
     assert_eq!(encode_progress(&record).as_ref(), Ok(&value));
     assert_eq!(decode_progress(&value), Ok(record));
 }
+
+/// Guards against a large job whose row the store refuses, so that nothing behind it is committed.
+#[test]
+fn row_of_a_large_job_is_one_that_the_store_accepts() {
+    let record = ProgressRecord {
+        steps: vec![StepProgress {
+            done: (0..4000).collect(),
+            failures: vec![(4001, RunNumber::new(1_000_000_001))],
+            checkpoints: (4000..8000)
+                .map(|task| (task, "5c0e7a21d94b36f8".to_owned()))
+                .collect(),
+            ..StepProgress::default()
+        }],
+        ..record_with_crashes()
+    };
+    let value = encode_progress(&record).unwrap();
+    assert!(value.len() <= 64 << 10, "{} bytes", value.len());
+    let stored = decode_progress(&value).unwrap();
+    assert_eq!(stored.crashes, record.crashes);
+    assert_eq!(stored.steps[0].done, record.steps[0].done);
+    assert_eq!(stored.steps[0].failures, record.steps[0].failures);
+    let kept = &stored.steps[0].checkpoints;
+    assert!(kept.len() > 2500);
+    assert_eq!(kept[..], record.steps[0].checkpoints[..kept.len()]);
+}
