Tests: the list of workers under late writes and returning workers

Two lines of the list for a successor could be taken out without a test that failed: that a worker counts as unrecorded before the write without it is sent, and that each row is guarded by its version. Now no_task_starts_on_a_worker_that_is_back_before_it_is_recorded_again fails without the first, a_late_write_of_the_list_replaces_no_later_one without the second; each was taken out, run and put back.

--- a/crates/fleet/tests/daemons/worker_records.rs
+++ b/crates/fleet/tests/daemons/worker_records.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use jasminebend_base::ResourceAmount;
 use jasminebend_dispatch::{
     JobOutcome,
     JobProgress, //
@@ -111,6 +112,42 @@
     });
 }
 
+/// Guards against tasks that run twice: a worker that had been taken off the list came back, and tasks started there before the
+/// list named it again.
+#[test]
+fn no_task_starts_on_a_worker_that_is_back_before_it_is_recorded_again() {
+    run_simulated(async {
+        let (fleet, owner) = fleet_without_late_worker().await;
+        fleet.store.set_listed(LATE_WORKER, true);
+        time::sleep(JOINED_AFTER).await;
+        fleet.store.set_listed(LATE_WORKER, false);
+        time::sleep(JOINED_AFTER).await;
+        assert_eq!(fleet.store.recorded_workers().concat().len(), 1);
+        let failing = &owner.store_client.failing_parts;
+        failing.borrow_mut().push(OWNER_PART.to_owned());
+        fleet.store.set_listed(LATE_WORKER, true);
+        submit(&owner.job_api, 1, &job(&[(TASK_COUNT, &[])])).await;
+        time::sleep(JOINED_AFTER).await;
+        assert!(!late_worker_runs(&fleet));
+    });
+}
+
+/// Guards against tasks that run twice: a write of the list that was carried out late took a worker off it that runs tasks.
+#[test]
+fn a_late_write_of_the_list_replaces_no_later_one() {
+    run_simulated(async {
+        let (fleet, owner) = fleet_without_late_worker().await;
+        owner.store_client.late_worker_writes.set(1);
+        fleet.store.set_capacity(0, ResourceAmount::new(3000, 4000));
+        time::sleep(Duration::from_millis(800)).await;
+        fleet.store.set_listed(LATE_WORKER, true);
+        submit(&owner.job_api, 1, &job(&[(TASK_COUNT, &[])])).await;
+        time::sleep(Duration::from_secs(5)).await;
+        assert!(late_worker_runs(&fleet));
+        assert_eq!(fleet.store.recorded_workers().concat().len(), 2);
+    });
+}
+
 /// Guards against workers of a large fleet of which a successor does not know: they are in several rows, written in one call, and
 /// one of these rows was changed by a late write.
 #[test]
