--- a/crates/fleet/src/ownership_takeover.rs
+++ b/crates/fleet/src/ownership_takeover.rs
@@ -272,13 +272,15 @@
         dispatcher.mark_unlisted(&id);
     }
     dispatcher.finish_recording(&recorded.workers);
+    let is_listed = |change: &&RegistryChange| matches!(change, RegistryChange::Listed(_));
+    let listed_workers = records.registry.items.iter().filter(is_listed).count();
     shared.log.line(
         LogEvent::Owner,
         RecordsLine {
             change: "records",
             token: term.token(),
             recorded_workers: recorded.workers.len(),
-            listed_workers: records.registry.items.len(),
+            listed_workers,
             progress_rows: progress.len(),
         },
     );
