--- a/crates/fleet/tests/daemons/large_jobs.rs
+++ b/crates/fleet/tests/daemons/large_jobs.rs
@@ -40,7 +40,7 @@
         }],
         ..ProgressRecord::default()
     };
-    let value = encode_progress(&record).unwrap();
+    let value = encode_progress(&record).expect("the record should be encodable");
     StoreRow::new(StoreTable::Progress, "s0", format!("{number:016x}"), value)
 }
 
