Tests: a list of workers that a successor overwrites before it could read it

What callers would see: two runs of one task at once (TWICE), after two takeovers in a row. Not seen on users' machines.

Cause: a successor that can't read a list of workers waits for their leases, but writes its own list over the row meanwhile. If it is replaced within that wait, the next owner finds a list that it can read, and does not wait.

Change: none of the product. What would mend it: not to write the list while the wait for unknown workers lasts.

--- a/crates/fleet/tests/daemons/unreadable_records.rs
+++ b/crates/fleet/tests/daemons/unreadable_records.rs
@@ -23,6 +23,8 @@
 
 const OWNER_PART: &str = "s0";
 const SETTLING_TIME: Duration = Duration::from_secs(2);
+/// Enough for a successor to take over and write its list, and less than a lease.
+const OVERWRITING_TIME: Duration = Duration::from_millis(1000);
 const CHECK_INTERVAL: Duration = Duration::from_millis(50);
 const CHECK_COUNT: u32 = 400;
 /// A length that no bytes follow.
@@ -59,6 +61,33 @@
     });
 }
 
+/// Guards against tasks that run twice: a successor wrote its own list over the row that it could not read, and was replaced before
+/// the leases of the workers in that row had lapsed.
+#[test]
+fn no_task_of_workers_in_an_overwritten_row_runs_twice() {
+    run_simulated(async {
+        let fleet = TestFleet::with_runtime_clock(3);
+        fleet.workers.run_time.set(Duration::from_secs(60));
+        fleet.store.set_listed(2, false);
+        let owner = fleet.daemon_on_vm();
+        time::sleep(SETTLING_TIME).await;
+        submit(&owner.job_api, 1, &job(&[(8, &[])])).await;
+        time::sleep(SETTLING_TIME).await;
+        let killed = owner.kill_process().await;
+        damage(&fleet, "workers-0000");
+        fleet.store.set_listed(0, false);
+        fleet.store.set_listed(2, true);
+        let successor = fleet.restart(killed);
+        time::sleep(OVERWRITING_TIME).await;
+        let killed = successor.kill_process().await;
+        let _last = fleet.restart(killed);
+        for _ in 0..CHECK_COUNT {
+            fleet.workers.check_single_runs();
+            time::sleep(CHECK_INTERVAL).await;
+        }
+    });
+}
+
 /// Guards against tasks that run again after they were done: their job's progress can't be read. Other jobs go on.
 #[test]
 fn no_task_of_a_job_with_unreadable_progress_runs_again() {
