Fleet: write no list of workers while an unreadable one is waited out

What callers would see: two runs of one task at once (TWICE), where a list of workers can't be read and the owner that found it so is itself replaced within about 5 s.

Cause: a successor that can't read a row waits until any lease of a former owner has lapsed, but wrote its own list over the row at once. The next owner found a list that it could read and did not wait.

Change: while unknown workers may still run something, the owner writes no list of workers. It learns nothing by waiting, so the list goes out once that time is over; workers that join meanwhile get no runs, as they are not on record.

Why it works: what tells a successor to wait is the row itself. It stays until nothing that it may have listed can still run.

--- a/crates/dispatch/src/dispatcher_workers.rs
+++ b/crates/dispatch/src/dispatcher_workers.rs
@@ -82,6 +82,11 @@
         self.unknown_workers_until = Some(until);
     }
 
+    /// Returns whether workers which this owner does not know may still execute a former owner's orders.
+    pub fn expects_unknown_workers(&self) -> bool {
+        self.unknown_workers_until.is_some()
+    }
+
     /// Adds or updates a worker that the registry lists. `inherited` is the time until which the
     /// worker may continue to execute a former owner's orders, if there was one.
     pub fn upsert_worker(&mut self, record: FleetWorker, inherited: Option<Duration>) -> WorkerKey {
--- a/crates/fleet/src/takeover_records.rs
+++ b/crates/fleet/src/takeover_records.rs
@@ -64,7 +64,9 @@
     let mut learned_at = shared.now();
     let mut failing_since = None;
     loop {
-        if term.workers_changed.replace(false) {
+        // A successor must find the rows that this owner could not read.
+        let may_write = !term.dispatcher.borrow().expects_unknown_workers();
+        if may_write && term.workers_changed.replace(false) {
             record_workers(&shared, &term, &mut failing_since).await;
         }
         if shared.now() >= learned_at + LEARNED_WRITE_INTERVAL {
