Bound progress rows that are too large without checkpoints

Cause: only checkpoints were left out of a row. The store refuses what is larger, the commit is taken again before all others, and ends are acknowledged in one sequence for all jobs.

Change: where that is needed, done steps of consecutive occurrences are written as ranges in a section of their own, and then the last failed attempts are left out, never done tasks. Counters tell what is left out.

It works since 20,000 done tasks take at most 46 KB and a range stands for any number of occurrences. Price: a daemon of an earlier version doesn't read ranges; a successor grants attempts that were left out again.

--- a/crates/fleet/src/progress_codec.rs
+++ b/crates/fleet/src/progress_codec.rs
@@ -2,10 +2,12 @@
 
 use std::time::Duration;
 
+use indexmap::IndexMap;
 use jasminebend_dispatch::{
     CrashEvidence,
     JobFailure,
     ProgressRecord,
+    StepProgress,
     TaskCrashes,
     WorkerCrash, //
 };
@@ -30,28 +32,54 @@
     begun_in: Vec<Option<Duration>>,
 }
 
+/// The part of a record that follows the evidence, in large rows only: steps that are done and left out of those which every
+/// version reads.
+#[derive(Default, Deserialize, Serialize)]
+struct DoneSection {
+    ranges: Vec<DoneRange>,
+}
+
+/// A step that is done in consecutive occurrences.
+#[derive(Deserialize, Serialize)]
+struct DoneRange {
+    step: u16,
+    first: u32,
+    count: u32,
+}
+
 /// The most bytes of a job's progress row: the store accepts 64 KiB.
 const MAX_PROGRESS_BYTES: usize = 60 << 10;
 
-/// Returns the value of a job's progress row. Of a large job checkpoints are left out, so that their tasks resume only while their
-/// workers last, as the store would refuse the row.
+/// Returns the value of a job's progress row. What a large job can do without is left out in turn until the store accepts the row:
+/// checkpoints, so that tasks resume only while their workers last; the separate records of done steps, which earlier versions
+/// need; failed attempts, which a successor then grants again.
 ///
 /// # Errors
 ///
 /// Returns the codec's error if the record can't be encoded.
 pub fn encode_progress(record: &ProgressRecord) -> Result<Vec<u8>, postcard::Error> {
-    let value = encode_record(record)?;
+    let value = encode_record(record, Vec::new())?;
     if value.len() <= MAX_PROGRESS_BYTES {
         return Ok(value);
     }
     let mut smaller = record.clone();
     leave_out_checkpoints(&mut smaller, value.len() - MAX_PROGRESS_BYTES);
-    encode_record(&smaller)
+    let value = encode_record(&smaller, Vec::new())?;
+    if value.len() <= MAX_PROGRESS_BYTES {
+        return Ok(value);
+    }
+    let value = encode_compacted(&smaller)?;
+    if value.len() <= MAX_PROGRESS_BYTES {
+        return Ok(value);
+    }
+    leave_out_failures(&mut smaller, value.len() - MAX_PROGRESS_BYTES);
+    encode_compacted(&smaller)
 }
 
 /// Removes the last checkpoints of a record until its encoding is at least `excess` bytes smaller, or none is left.
 fn leave_out_checkpoints(record: &mut ProgressRecord, excess: usize) {
     let mut saved = 0;
+    let mut count = 0;
     for step in record.steps.iter_mut().rev() {
         while saved < excess {
             let Some((_, checkpoint)) = step.checkpoints.pop() else {
@@ -59,13 +87,68 @@
             };
             // The task's number and the text's length take a byte each at least.
             saved += checkpoint.len() + 2;
+            count += 1;
         }
     }
+    metrics::counter!("jasminebend_fleet_unrecorded_checkpoints_total").increment(count);
 }
 
-fn encode_record(record: &ProgressRecord) -> Result<Vec<u8>, postcard::Error> {
+/// Removes the last failed attempts of a record until its encoding is at least `excess` bytes smaller, or none is left.
+fn leave_out_failures(record: &mut ProgressRecord, excess: usize) {
+    let mut saved = 0;
+    let mut count = 0;
+    for step in record.steps.iter_mut().rev() {
+        while saved < excess {
+            let Some(failure) = step.failures.pop() else {
+                break;
+            };
+            saved += postcard::experimental::serialized_size(&failure).unwrap_or(2);
+            count += 1;
+        }
+    }
+    metrics::counter!("jasminebend_fleet_unrecorded_failures_total").increment(count);
+}
+
+/// Encodes a record with the done steps of consecutive occurrences as ranges.
+fn encode_compacted(record: &ProgressRecord) -> Result<Vec<u8>, postcard::Error> {
+    let mut ranges: Vec<DoneRange> = Vec::new();
+    let mut last_ranges: IndexMap<u16, usize> = IndexMap::new();
+    for step in record.steps.iter().filter(|step| step.all_done) {
+        let last = last_ranges.get(&step.step).map(|&index| &mut ranges[index]);
+        match last {
+            Some(range) if range.first + range.count == step.occurrence => range.count += 1,
+            _ => {
+                last_ranges.insert(step.step, ranges.len());
+                ranges.push(DoneRange {
+                    step: step.step,
+                    first: step.occurrence,
+                    count: 1,
+                });
+            }
+        }
+    }
+    let mut open = record.clone();
+    open.steps.retain(|step| !step.all_done);
+    encode_record(&open, ranges)
+}
+
+fn expand(ranges: Vec<DoneRange>) -> impl Iterator<Item = StepProgress> {
+    ranges.into_iter().flat_map(|range| {
+        (0..range.count).map(move |number| StepProgress {
+            occurrence: range.first.saturating_add(number),
+            step: range.step,
+            all_done: true,
+            ..StepProgress::default()
+        })
+    })
+}
+
+fn encode_record(
+    record: &ProgressRecord,
+    ranges: Vec<DoneRange>,
+) -> Result<Vec<u8>, postcard::Error> {
     let value = postcard::to_stdvec(record)?;
-    if record.crashes.is_empty() && record.failure.is_none() {
+    if record.crashes.is_empty() && record.failure.is_none() && ranges.is_empty() {
         return Ok(value);
     }
     let mut section = CrashSection {
@@ -79,7 +162,11 @@
             .collect(),
     };
     let value = postcard::to_extend(&section, value)?;
-    postcard::to_extend(&evidence, value)
+    let value = postcard::to_extend(&evidence, value)?;
+    match ranges.is_empty() {
+        true => Ok(value),
+        false => postcard::to_extend(&DoneSection { ranges }, value),
+    }
 }
 
 /// Returns the record in the value of a job's progress row.
@@ -88,11 +175,19 @@
 ///
 /// Returns the codec's error if the value is no record.
 pub fn decode_progress(value: &[u8]) -> Result<ProgressRecord, postcard::Error> {
-    let (record, rest) = postcard::take_from_bytes::<ProgressRecord>(value)?;
+    let (mut record, rest) = postcard::take_from_bytes::<ProgressRecord>(value)?;
     // Records of earlier versions have no sections, and those of later ones may have others.
     let section = postcard::take_from_bytes::<CrashSection>(rest);
     let (mut section, rest) = section.unwrap_or_default();
-    let evidence = postcard::from_bytes::<EvidenceSection>(rest).unwrap_or_default();
+    let evidence = postcard::take_from_bytes::<EvidenceSection>(rest);
+    let (evidence, rest) = evidence.unwrap_or_default();
+    if !rest.is_empty() {
+        let done = postcard::take_from_bytes::<DoneSection>(rest)?.0;
+        record.steps.extend(expand(done.ranges));
+        record
+            .steps
+            .sort_by_key(|step| (step.occurrence, step.step));
+    }
     for (task, begun_in) in section.crashes.iter_mut().zip(evidence.begun_in) {
         task.begun_in = begun_in;
     }
--- a/crates/fleet/tests/progress_codec.rs
+++ b/crates/fleet/tests/progress_codec.rs
@@ -143,3 +143,58 @@
     assert!(kept.len() > 2500);
     assert_eq!(kept[..], record.steps[0].checkpoints[..kept.len()]);
 }
+
+/// Guards against a job with thousands of occurrences whose row the store refuses, so that nothing behind it is committed.
+#[test]
+fn row_of_a_job_that_was_often_repeated_is_one_that_the_store_accepts() {
+    let done = |(occurrence, step)| StepProgress {
+        occurrence,
+        step,
+        all_done: true,
+        ..StepProgress::default()
+    };
+    let occurrences = (0..20_000).filter(|occurrence| occurrence % 1000 != 7);
+    let mut steps: Vec<StepProgress> = occurrences
+        .flat_map(|occurrence| [(occurrence, 0), (occurrence, 1)])
+        .map(done)
+        .collect();
+    steps.insert(
+        14,
+        StepProgress {
+            occurrence: 7,
+            step: 1,
+            failures: vec![(3, RunNumber::new(1_000_000_004))],
+            ..StepProgress::default()
+        },
+    );
+    let record = ProgressRecord {
+        steps,
+        ..record_with_crashes()
+    };
+    let value = encode_progress(&record).unwrap();
+    assert!(value.len() <= 64 << 10, "{} bytes", value.len());
+    assert_eq!(decode_progress(&value), Ok(record));
+}
+
+/// Guards against a job of which many runs fail and whose row the store refuses, so that nothing behind it is committed.
+#[test]
+fn row_of_a_job_that_often_fails_is_one_that_the_store_accepts() {
+    let record = ProgressRecord {
+        steps: vec![StepProgress {
+            done: (0..10_000).collect(),
+            failures: (10_000..20_000)
+                .map(|task| (task, RunNumber::new(1_000_000_000 + u64::from(task))))
+                .collect(),
+            ..StepProgress::default()
+        }],
+        ..record_with_crashes()
+    };
+    let value = encode_progress(&record).unwrap();
+    assert!(value.len() <= 64 << 10, "{} bytes", value.len());
+    let stored = decode_progress(&value).unwrap();
+    assert_eq!(stored.crashes, record.crashes);
+    assert_eq!(stored.steps[0].done, record.steps[0].done);
+    let kept = &stored.steps[0].failures;
+    assert!(kept.len() > 3000, "{} failures", kept.len());
+    assert_eq!(kept[..], record.steps[0].failures[..kept.len()]);
+}
