Tests: addresses of a test process do not repeat

What was seen: of 64 runs of the fleet's tests of daemons, four at once beside builds and soaks, two failed: a_caller_is_answered_at_once_when_the_ connection_of_its_read_goes_silent ("lost after 1.25s", no answer within 500 ms), and jobs_run_after_daemons_were_replaced_at_random ("127.0.0.1: 20181: Address already in use"). A third, before, failed with a name that was not kept.

Cause: a process has 299 ports and gives them out in turn; its tests use thousands. Once all were given out, the address of a daemon that is down, or of one that a test takes for unreachable, is another test's, which runs beside it: the daemon can't bind it, and a caller's read is forwarded to a daemon that does not answer.

Change: addresses are given out on 250 loopback hosts in turn, 74,750 before one repeats. The port of a block still reserves it against other processes.

--- a/crates/standins/src/port_block.rs
+++ b/crates/standins/src/port_block.rs
@@ -7,7 +7,10 @@
         SocketAddr,
         TcpListener, //
     },
-    ops::Range,
+    ops::{
+        Range,
+        RangeInclusive, //
+    },
     sync::{
         Mutex,
         PoisonError, //
@@ -21,6 +24,8 @@
 const BLOCK_COUNT: u16 = 40;
 /// The number of ports in a block, including the first, which is the lock of the block.
 const PORTS_PER_BLOCK: u16 = 300;
+/// The loopback hosts on which the ports of a block are used for addresses.
+const HOSTS: RangeInclusive<u8> = 1..=250;
 
 /// A block of loopback ports that is reserved until it is dropped, against this process and others.
 #[derive(Debug)]
@@ -29,6 +34,28 @@
     _guard: TcpListener,
     first: u16,
     next: Mutex<u16>,
+    next_address: Mutex<NextAddress>,
+}
+
+/// The host and the port in a block of the address that is returned next.
+#[derive(Debug)]
+struct NextAddress {
+    host: u8,
+    port: u16,
+}
+
+impl NextAddress {
+    fn advance(&mut self) {
+        self.port += 1;
+        if self.port < PORTS_PER_BLOCK {
+            return;
+        }
+        self.port = 1;
+        self.host = match self.host == *HOSTS.end() {
+            true => *HOSTS.start(),
+            false => self.host + 1,
+        };
+    }
 }
 
 impl PortBlock {
@@ -46,6 +73,10 @@
                         _guard: guard,
                         first,
                         next: Mutex::new(1),
+                        next_address: Mutex::new(NextAddress {
+                            host: *HOSTS.start(),
+                            port: 1,
+                        }),
                     });
                 }
                 Err(error) if error.kind() == io::ErrorKind::AddrInUse => {}
@@ -55,14 +86,24 @@
         Err(io::ErrorKind::AddrInUse.into())
     }
 
-    /// Returns a loopback address that nothing listens on. Addresses repeat once all ports of the block were returned.
+    /// Returns a loopback address that nothing listens on. Addresses repeat once those of all hosts were returned, so that one that
+    /// a test takes for refusing connections is not soon another's.
     ///
     /// # Errors
     ///
-    /// Returns the same errors as [`PortBlock::range`].
+    /// Returns [`io::ErrorKind::AddrInUse`] if something listens on all addresses of the block.
     pub fn address(&self) -> io::Result<SocketAddr> {
-        let ports = self.range(1)?;
-        Ok(SocketAddr::from((Ipv4Addr::LOCALHOST, ports.start)))
+        let next = &self.next_address;
+        let mut next = next.lock().unwrap_or_else(PoisonError::into_inner);
+        for _ in 0..PORTS_PER_BLOCK {
+            let host = Ipv4Addr::new(127, 0, 0, next.host);
+            let address = SocketAddr::from((host, self.first + next.port));
+            next.advance();
+            if TcpListener::bind(address).is_ok() {
+                return Ok(address);
+            }
+        }
+        Err(io::ErrorKind::AddrInUse.into())
     }
 
     /// Returns consecutive ports that nothing listens on.
