Tests: single addresses and port ranges of a block are apart

What was seen: nothing failed yet. Since addresses have a count of their own, a block's first address was 127.0.0.1 with the port at which its first range begins too; while nothing listens on them both were given out, and a daemon of the soak could not have listened on one of its ports.

Cause: two counts over the same ports of one host, found on reading the soak's use of both.

Change: addresses are those of 250 other loopback hosts; ranges keep 127.0.0.1.

--- a/crates/standins/src/port_block.rs
+++ b/crates/standins/src/port_block.rs
@@ -24,8 +24,8 @@
 const BLOCK_COUNT: u16 = 40;
 /// The number of ports in a block, including the first, which is the lock of the block.
 const PORTS_PER_BLOCK: u16 = 300;
-/// The loopback hosts on which the ports of a block are used for addresses.
-const HOSTS: RangeInclusive<u8> = 1..=250;
+/// The loopback hosts of single addresses; ranges of ports are those of 127.0.0.1.
+const HOSTS: RangeInclusive<u8> = 2..=251;
 
 /// A block of loopback ports that is reserved until it is dropped, against this process and others.
 #[derive(Debug)]
--- a/crates/standins/tests/port_block.rs
+++ b/crates/standins/tests/port_block.rs
@@ -1,6 +1,9 @@
 //! Addresses for the processes and daemons of tests.
 
-use std::collections::HashSet;
+use std::{
+    collections::HashSet,
+    net::SocketAddr, //
+};
 
 use jasminebend_standins::PortBlock;
 
@@ -15,3 +18,14 @@
     let addresses: HashSet<_> = addresses.collect();
     assert_eq!(addresses.len(), ADDRESS_COUNT);
 }
+
+/// Guards against a daemon that can't listen since another one has the same port: its ports were given out, and nothing listened
+/// on them yet.
+#[test]
+fn addresses_and_ranges_of_a_block_are_apart() {
+    let block = PortBlock::new().expect("a block is free");
+    let address = block.address().expect("an address is free");
+    let range = block.range(4).expect("a range is free");
+    let mut in_range = range.map(|port| SocketAddr::from(([127, 0, 0, 1], port)));
+    assert!(!in_range.any(|other| other == address));
+}
