Tests: ports that a spawned process could hold a copy of

Cause: a PortBlock listened on a port to find out whether it is free. The soak's tests are threads of one process; a daemon that another of them spawns at that moment holds a copy of the socket until it executes its program, and the daemon that the port was for can't listen on it. The scheduler has no part in it.

Change: a port counts as free if it refuses a connection; nothing listens there meanwhile.

--- a/crates/standins/src/port_block.rs
+++ b/crates/standins/src/port_block.rs
@@ -5,7 +5,8 @@
     net::{
         Ipv4Addr,
         SocketAddr,
-        TcpListener, //
+        TcpListener,
+        TcpStream, //
     },
     ops::{
         Range,
@@ -99,7 +100,7 @@
             let host = Ipv4Addr::new(127, 0, 0, next.host);
             let address = SocketAddr::from((host, self.first + next.port));
             next.advance();
-            if TcpListener::bind(address).is_ok() {
+            if is_free(address) {
                 return Ok(address);
             }
         }
@@ -120,11 +121,17 @@
             let first = self.first + *next;
             let ports = first..first + count;
             *next += count;
-            let is_free = |port| TcpListener::bind((Ipv4Addr::LOCALHOST, port)).is_ok();
-            if count < PORTS_PER_BLOCK && ports.clone().all(is_free) {
+            let mut addresses = ports.clone().map(|port| (Ipv4Addr::LOCALHOST, port).into());
+            if count < PORTS_PER_BLOCK && addresses.all(is_free) {
                 return Ok(ports);
             }
         }
         Err(io::ErrorKind::AddrInUse.into())
     }
 }
+
+/// Returns whether nothing listens on an address. Listening there to find out could take it: a child process that another thread
+/// spawns holds a copy of each socket until it executes its program.
+fn is_free(address: SocketAddr) -> bool {
+    TcpStream::connect(address).is_err_and(|error| error.kind() == io::ErrorKind::ConnectionRefused)
+}
