Wait in a takeover for all ends that a worker has to list

What callers would see: tasks that run again after they were done (TWICE). Found by asking what proves that a worker has told its successor all; no user's run has shown it.

Cause: any answer of a worker ended the wait for it in a takeover.

Change: an answer with a list that is cut off does not end the wait; one with all ends does, as do another incarnation and the lapse of the worker's lease.

Why it works: a task that a former owner may have started waits until each worker has listed all that it has, or can run nothing any more.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -358,12 +358,12 @@
         self.inherited_worker_count() == 0 && self.unknown_workers_until.is_none()
     }
 
-    /// Returns the number of workers that a former owner may have sent orders to, and that have neither answered this owner
-    /// nor certainly stopped.
+    /// Returns the number of workers that a former owner may have sent orders to, and that have neither listed all runs and ends to
+    /// this owner nor certainly stopped.
     pub fn inherited_worker_count(&self) -> usize {
         let workers = self.workers.iter();
         workers
-            .filter(|worker| worker.inherited_until.is_some())
+            .filter(|worker| worker.may_have_unknown_runs())
             .count()
     }
 
--- a/crates/dispatch/src/dispatcher_workers.rs
+++ b/crates/dispatch/src/dispatcher_workers.rs
@@ -261,7 +261,7 @@
     pub fn is_retired(&self, key: WorkerKey) -> bool {
         let worker = self.worker(key);
         let runs_nothing = worker.runs.is_empty() && worker.unknown_runs.is_empty();
-        !worker.listed && runs_nothing && worker.inherited_until.is_none()
+        !worker.listed && runs_nothing && !worker.may_have_unknown_runs()
     }
 
     /// Returns the start time of a worker's current incarnation, since 1970, if it is known.
@@ -372,6 +372,7 @@
         }
         worker.connection_refused = false;
         worker.has_owner_token = true;
+        let had_unknown_runs = worker.may_have_unknown_runs();
         worker.inherited_until = None;
         let mut is_truncated = report.completions.len() >= MAX_COMPLETIONS_PER_REPORT;
         let mut holds_completions = false;
@@ -384,8 +385,10 @@
             }
             self.process_completion(key, ended, now);
         }
-        self.worker_mut(key).holds_completions = holds_completions;
-        self.worker_mut(key).unknown_runs.clear();
+        let worker = self.worker_mut(key);
+        worker.holds_completions = holds_completions;
+        worker.has_unread_ends = had_unknown_runs && is_truncated;
+        worker.unknown_runs.clear();
         let listed: Vec<(TaskKey, RunNumber)> = report
             .running
             .iter()
@@ -508,6 +511,7 @@
                 continue;
             }
             worker.unknown_runs.clear();
+            worker.has_unread_ends = false;
             if worker.runs.is_empty() {
                 continue;
             }
--- a/crates/dispatch/src/worker_state.rs
+++ b/crates/dispatch/src/worker_state.rs
@@ -104,6 +104,8 @@
     pub(crate) pending_acks: VecDeque<(u64, u64)>,
     /// Whether completions of unknown jobs were left with the worker.
     pub(crate) holds_completions: bool,
+    /// Whether the worker has answered this owner, but did not list all ends of a former owner's runs yet.
+    pub(crate) has_unread_ends: bool,
     /// Whether the worker is being drained for maintenance of its VM.
     pub(crate) in_maintenance: bool,
     pub(crate) health: WorkerHealth,
@@ -161,6 +163,7 @@
             last_acknowledged: 0,
             pending_acks: VecDeque::new(),
             holds_completions: false,
+            has_unread_ends: false,
             in_maintenance: false,
             health: WorkerHealth::default(),
             violations: TargetViolationTracker::default(),
@@ -289,6 +292,11 @@
         self.update_service_use(now);
     }
 
+    /// Returns whether a former owner may have started runs on the worker that this owner does not know.
+    pub(crate) fn may_have_unknown_runs(&self) -> bool {
+        self.inherited_until.is_some() || self.has_unread_ends
+    }
+
     /// Returns whether what a former owner started on the worker was lost with it: the worker has
     /// restarted, or it has never answered this owner and the registry does not list it.
     pub(crate) fn was_lost_in_takeover(&self) -> bool {
@@ -371,6 +379,7 @@
         self.clock = WorkerClock::default();
         self.has_owner_token = false;
         self.inherited_until = None;
+        self.has_unread_ends = false;
         self.unknown_runs.clear();
         self.last_processed = 0;
         self.last_acknowledged = 0;
