Keep workers on record until the ends of their runs are

What callers would see: tasks that run again after they were done (TWICE), where the owner is killed as an outage of the store ends. Found by reading; no run has shown it.

Cause: registrations run out in an outage, so that all workers are unlisted when the store is back. The owner then writes the list of workers for its successor, without those that run nothing, beside the ends of their runs. Killed between the two writes, it leaves a successor that knows neither the ends nor the workers that have them.

Evidence: worker_stays_on_record_until_the_ends_of_its_runs_are fails before (0 workers in place of 1), and again with that condition taken out. Without the line that forgets ends of unknown jobs at the lapse of the lease takeover_does_not_wait_for_ends_of_a_worker_whose_lease_has_lapsed fails.

Change: a worker with ends that are not on record is not retired: it stays in the list and is called.

Why it works: the list names each worker whose answer a successor needs, also for what has ended there.

--- a/crates/dispatch/src/dispatcher_workers.rs
+++ b/crates/dispatch/src/dispatcher_workers.rs
@@ -257,11 +257,14 @@
         &self.worker(key).record
     }
 
-    /// Returns whether a worker needs no renewals any more: it is not listed and runs nothing.
+    /// Returns whether a worker needs no renewals any more: it is not listed, runs nothing, and the ends of its runs are on record.
     pub fn is_retired(&self, key: WorkerKey) -> bool {
         let worker = self.worker(key);
         let runs_nothing = worker.runs.is_empty() && worker.unknown_runs.is_empty();
-        !worker.listed && runs_nothing && !worker.may_have_unknown_runs()
+        !worker.listed
+            && runs_nothing
+            && !worker.may_have_unknown_runs()
+            && !self.has_pending_acknowledgements(key)
     }
 
     /// Returns the start time of a worker's current incarnation, since 1970, if it is known.
@@ -512,6 +515,7 @@
             }
             worker.unknown_runs.clear();
             worker.has_unread_ends = false;
+            worker.holds_completions = false;
             if worker.runs.is_empty() {
                 continue;
             }
--- a/crates/dispatch/tests/unread_ends.rs
+++ b/crates/dispatch/tests/unread_ends.rs
@@ -1,4 +1,4 @@
-//! Ends of a former owner's runs that a worker lists after others.
+//! Ends of a former owner's runs that a worker lists after others, or that are not on record yet.
 
 mod common;
 
@@ -138,7 +138,7 @@
     );
 }
 
-/// Guards against tasks that never run again: their worker fell silent before it had listed all ends.
+/// Guards against tasks that never run again, and a worker that is called for good: it fell silent before it had listed all ends.
 #[test]
 fn takeover_does_not_wait_for_ends_of_a_worker_whose_lease_has_lapsed() {
     let job = JobKey::new(1);
@@ -153,6 +153,33 @@
     };
     dispatcher.handle_renewal_report(worker, ms(1000), report, ms(1000));
     assert!(!dispatcher.is_takeover_complete());
+    let id = dispatcher.worker_record(worker).id.clone();
+    dispatcher.mark_unlisted(&id);
+    assert!(!dispatcher.is_retired(worker));
     dispatcher.expire_leases(ms(20_000));
     assert!(dispatcher.is_takeover_complete());
+    assert!(dispatcher.is_retired(worker));
+}
+
+/// Guards against a second run by the next owner: registrations lapse in an outage, and a worker was taken off the list before
+/// the end of its last run was on record.
+#[test]
+fn worker_stays_on_record_until_the_ends_of_its_runs_are() {
+    let job = JobKey::new(1);
+    let (mut dispatcher, worker) = successor(job, 1);
+    dispatcher.next_renewal(worker, true, ms(1000));
+    let report = RenewalReport {
+        clock: ms(1000),
+        incarnation: None,
+        running: Vec::new(),
+        completions: vec![ended(1, task(job, 0))],
+    };
+    dispatcher.handle_renewal_report(worker, ms(1000), report, ms(1000));
+    let id = dispatcher.worker_record(worker).id.clone();
+    dispatcher.mark_unlisted(&id);
+    assert_eq!(dispatcher.begin_recording().len(), 1);
+    assert_eq!(dispatcher.take_records_to_commit(10).len(), 1);
+    assert_eq!(dispatcher.begin_recording().len(), 1);
+    dispatcher.confirm_commit();
+    assert_eq!(dispatcher.begin_recording().len(), 0);
 }
