Treat a progress row as unreadable if any part of it is

What callers would see: tasks that run again after they were done (TWICE).

Cause: a section of a job's progress row that can't be decoded, since it is damaged or a later version has written it, counted as empty, and so did all behind it. Large rows have done steps there.

Evidence: row_with_a_section_that_cannot_be_read_is_not_taken_for_a_shorter_one fails before, and again with the former default put back.

Change: what a row has must be readable; only what it lacks is empty, as in rows of earlier versions.

--- a/crates/fleet/src/progress_codec.rs
+++ b/crates/fleet/src/progress_codec.rs
@@ -13,7 +13,8 @@
 };
 use serde::{
     Deserialize,
-    Serialize, //
+    Serialize,
+    de::DeserializeOwned, //
 };
 
 /// The part of a record that follows the fields which every version reads. A daemon of an earlier version ignores it.
@@ -176,13 +177,10 @@
 /// Returns the codec's error if the value is no record.
 pub fn decode_progress(value: &[u8]) -> Result<ProgressRecord, postcard::Error> {
     let (mut record, rest) = postcard::take_from_bytes::<ProgressRecord>(value)?;
-    // Records of earlier versions have no sections, and those of later ones may have others.
-    let section = postcard::take_from_bytes::<CrashSection>(rest);
-    let (mut section, rest) = section.unwrap_or_default();
-    let evidence = postcard::take_from_bytes::<EvidenceSection>(rest);
-    let (evidence, rest) = evidence.unwrap_or_default();
-    if !rest.is_empty() {
-        let done = postcard::take_from_bytes::<DoneSection>(rest)?.0;
+    let (mut section, rest) = take_section::<CrashSection>(rest)?;
+    let (evidence, rest) = take_section::<EvidenceSection>(rest)?;
+    let (done, _) = take_section::<DoneSection>(rest)?;
+    if !done.ranges.is_empty() {
         record.steps.extend(expand(done.ranges));
         record
             .steps
@@ -202,6 +200,18 @@
     })
 }
 
+/// Returns a section and the bytes that follow it. Records of earlier versions lack the last ones. One that can't be read is no
+/// empty one: done steps may follow.
+fn take_section<Section>(bytes: &[u8]) -> Result<(Section, &[u8]), postcard::Error>
+where
+    Section: Default + DeserializeOwned,
+{
+    match bytes {
+        [] => Ok((Section::default(), bytes)),
+        _ => postcard::take_from_bytes(bytes),
+    }
+}
+
 /// Returns all crashes in a section: those of the tasks in their order, then those of the failure.
 fn crashes_of(section: &mut CrashSection) -> impl Iterator<Item = &mut WorkerCrash> {
     let of_tasks = section
--- a/crates/fleet/tests/progress_codec.rs
+++ b/crates/fleet/tests/progress_codec.rs
@@ -176,6 +176,39 @@
     assert_eq!(decode_progress(&value), Ok(record));
 }
 
+/// Returns the value of a row whose done steps are ranges, and where its sections begin.
+fn row_with_ranges() -> (Vec<u8>, usize) {
+    let steps = (0..30_000).map(|occurrence| StepProgress {
+        occurrence,
+        all_done: true,
+        ..StepProgress::default()
+    });
+    let record = ProgressRecord {
+        steps: steps.collect(),
+        ..record_with_crashes()
+    };
+    let value = encode_progress(&record).unwrap();
+    let (_, sections) = postcard::take_from_bytes::<ProgressRecord>(&value).unwrap();
+    let begin = value.len() - sections.len();
+    (value, begin)
+}
+
+/// Guards against done steps that run again: a section before them is damaged or of a later version, and all that follows it was
+/// passed over.
+#[test]
+fn row_with_a_section_that_cannot_be_read_is_not_taken_for_a_shorter_one() {
+    let (mut value, begin) = row_with_ranges();
+    assert!(decode_progress(&value).is_ok());
+    // The number of tasks with crashes.
+    value[begin] = 0xff;
+    assert!(decode_progress(&value).is_err());
+    let (value, begin) = row_with_ranges();
+    // Rows of earlier versions end with the record, its crashes or their evidence.
+    let ends = begin + 1..value.len();
+    let readable = ends.filter(|&end| decode_progress(&value[..end]).is_ok());
+    assert_eq!(readable.count(), 2);
+}
+
 /// Guards against a job of which many runs fail and whose row the store refuses, so that nothing behind it is committed.
 #[test]
 fn row_of_a_job_that_often_fails_is_one_that_the_store_accepts() {
