Bound the done steps that a range in a progress row may claim

What callers would see: no daemon serves any more.

Cause: a row with a damaged range may claim four billion done steps, which each owner that reads it expands until its memory is used up.

Change: a row that claims more than 1,048,576 done steps, some 90 MB once expanded, counts as unreadable: its job stands still, all others go on.

--- a/crates/fleet/src/progress_codec.rs
+++ b/crates/fleet/src/progress_codec.rs
@@ -50,6 +50,8 @@
 
 /// The most bytes of a job's progress row: the store accepts 64 KiB.
 const MAX_PROGRESS_BYTES: usize = 60 << 10;
+/// The most done steps in the ranges of a row, some 90 MB in memory: a damaged range may claim billions.
+const MAX_DONE_STEPS: u64 = 1 << 20;
 
 /// Returns the value of a job's progress row. What a large job can do without is left out in turn until the store accepts the row:
 /// checkpoints, so that tasks resume only while their workers last; the separate records of done steps, which earlier versions
@@ -133,15 +135,25 @@
     encode_record(&open, ranges)
 }
 
-fn expand(ranges: Vec<DoneRange>) -> impl Iterator<Item = StepProgress> {
-    ranges.into_iter().flat_map(|range| {
+/// Returns the done steps of ranges.
+///
+/// # Errors
+///
+/// Returns [`postcard::Error::DeserializeBadEncoding`] if they are more than [`MAX_DONE_STEPS`].
+fn expand(ranges: Vec<DoneRange>) -> Result<Vec<StepProgress>, postcard::Error> {
+    let count: u64 = ranges.iter().map(|range| u64::from(range.count)).sum();
+    if count > MAX_DONE_STEPS {
+        return Err(postcard::Error::DeserializeBadEncoding);
+    }
+    let steps = ranges.into_iter().flat_map(|range| {
         (0..range.count).map(move |number| StepProgress {
             occurrence: range.first.saturating_add(number),
             step: range.step,
             all_done: true,
             ..StepProgress::default()
         })
-    })
+    });
+    Ok(steps.collect())
 }
 
 fn encode_record(
@@ -181,7 +193,7 @@
     let (evidence, rest) = take_section::<EvidenceSection>(rest)?;
     let (done, _) = take_section::<DoneSection>(rest)?;
     if !done.ranges.is_empty() {
-        record.steps.extend(expand(done.ranges));
+        record.steps.extend(expand(done.ranges)?);
         record
             .steps
             .sort_by_key(|step| (step.occurrence, step.step));
--- a/crates/fleet/tests/progress_codec.rs
+++ b/crates/fleet/tests/progress_codec.rs
@@ -209,6 +209,18 @@
     assert_eq!(readable.count(), 2);
 }
 
+/// Guards against a daemon that runs out of memory because of a damaged row: one range claims billions of done steps.
+#[test]
+fn row_that_claims_billions_of_done_steps_is_unreadable() {
+    let (mut value, _) = row_with_ranges();
+    // The count of the only range is at the end.
+    let count = postcard::to_stdvec(&30_000u32).unwrap();
+    assert!(value.ends_with(&count));
+    value.truncate(value.len() - count.len());
+    value.extend(postcard::to_stdvec(&u32::MAX).unwrap());
+    assert!(decode_progress(&value).is_err());
+}
+
 /// Guards against a job of which many runs fail and whose row the store refuses, so that nothing behind it is committed.
 #[test]
 fn row_of_a_job_that_often_fails_is_one_that_the_store_accepts() {
