Take a run for stuck by its task's estimate

Cause: a run without progress for 1 s counted as stuck. Workers report progress in hundredths, and a hundredth of these tasks takes up to 1.5 s. They were stopped and started again, some 600 a second; a worker with two of them was set aside, all eight in turn, so that small jobs waited. The calls without an answer that were traced before, and blamed, came from that traffic.

--- a/crates/dispatch/src/dispatcher_runs.rs
+++ b/crates/dispatch/src/dispatcher_runs.rs
@@ -25,10 +25,6 @@
     }, //
 };
 
-/// The time without progress after which a running task counts as stuck. A hundredth of the longest
-/// usual task takes a tenth of this.
-const STUCK_TASK_TIMEOUT: Duration = Duration::from_millis(1000);
-
 impl Dispatcher {
     /// Removes a run from its worker and its task. The task becomes pending again unless it has
     /// another run.
@@ -95,11 +91,11 @@
         let filler = state.is_filler();
         let placed_at = state.placed_at;
         let goes_on_well =
-            state.is_confirmed() && state.last_progress_at >= placed_at + STUCK_TASK_TIMEOUT;
+            state.is_confirmed() && state.last_progress_at >= placed_at + state.stuck_after;
         let is_stuck = state.is_confirmed()
             && state.throttle_percent >= 100
             && state.percent < 100
-            && now > state.last_progress_at + STUCK_TASK_TIMEOUT;
+            && now > state.last_progress_at + state.stuck_after;
         let refutes_crashes = state.may_clear_crashes
             && !state.is_early()
             && (state.kind != WorkKind::LongRunning || state.percent >= 100);
--- a/crates/dispatch/src/run_state.rs
+++ b/crates/dispatch/src/run_state.rs
@@ -15,6 +15,12 @@
     load_estimate::LoadEstimate, //
 };
 
+/// The time without progress after which a run counts as stuck, at the least, and the part of its task's estimate that it is
+/// otherwise. A worker reports progress in hundredths, which take a tenth of that part, or all of it if the task takes ten times
+/// as long as estimated.
+const STUCK_TASK_TIMEOUT: Duration = Duration::from_millis(1000);
+const STUCK_ESTIMATE_DIVISOR: u32 = 10;
+
 /// Phase of a run as far as the owner knows.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum RunPhase {
@@ -60,6 +66,8 @@
     pub(crate) percent: u32,
     /// When `percent` last changed.
     pub(crate) last_progress_at: Duration,
+    /// The time without progress after which the run counts as stuck.
+    pub(crate) stuck_after: Duration,
     /// The metric last reported: for services the tail latency in milliseconds, for others the CPU
     /// used in millicores.
     pub(crate) metric: Option<u64>,
@@ -100,6 +108,7 @@
             is_orphaned: false,
             percent: 0,
             last_progress_at: now,
+            stuck_after: STUCK_TASK_TIMEOUT.max(spec.estimate / STUCK_ESTIMATE_DIVISOR),
             metric: None,
             load: None,
             throttle_percent: 100,
--- a/crates/fleet/tests/progress_codec.rs
+++ b/crates/fleet/tests/progress_codec.rs
@@ -187,8 +187,8 @@
         steps: steps.collect(),
         ..record_with_crashes()
     };
-    let value = encode_progress(&record).unwrap();
-    let (_, sections) = postcard::take_from_bytes::<ProgressRecord>(&value).unwrap();
+    let value = encode_progress(&record).expect("a record can be encoded");
+    let (_, sections) = postcard::take_from_bytes::<ProgressRecord>(&value).expect("a record");
     let begin = value.len() - sections.len();
     (value, begin)
 }
