--- a/crates/dispatch/src/run_state.rs
+++ b/crates/dispatch/src/run_state.rs
@@ -15,10 +15,10 @@
     load_estimate::LoadEstimate, //
 };
 
-/// The time without progress after which a run counts as stuck, at the least, and the part of its task's estimate that it is
-/// otherwise. A worker reports progress in hundredths, which take a tenth of that part, or all of it if the task takes ten times
-/// as long as estimated.
+/// The least time without progress after which a run counts as stuck.
 const STUCK_TASK_TIMEOUT: Duration = Duration::from_millis(1000);
+/// The divisor of the task's estimate for this time where that is longer. Progress is reported in hundredths, so that a task may
+/// take ten times its estimate.
 const STUCK_ESTIMATE_DIVISOR: u32 = 10;
 
 /// Phase of a run as far as the owner knows.
