Log what an owner believes of earlier runs as it starts one, and ends of unknown jobs

A task that is started again after its end was acknowledged left no trace of why: an order line didn't say what was believed of the run before, an end line not whether its job was known, and an end that was acknowledged without a record was not logged.

Starts are logged with `inherited` and `earlier`; `unknown_end` lines and a counter tell of ends whose jobs are not known, `learned` lines when a job became known, and an `owner` line `complete` which workers a takeover gave up without an answer. No logic changes.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -18,6 +18,7 @@
 use crate::{
     CrashFinding,
     DispatchSettings,
+    EarlierRun,
     FillerEviction,
     FleetConfiguration,
     JobFailure,
@@ -32,6 +33,7 @@
     StepSpec,
     SurplusRun,
     TaskKey,
+    UnknownEnd,
     WorkerKey,
     WorkerOrder,
     admission::AdmissionGrants,
@@ -111,6 +113,10 @@
     pub(crate) pending_evictions: Vec<FillerEviction>,
     /// Lost runs, to be returned by the next plan.
     pub(crate) pending_losses: Vec<RunLoss>,
+    /// Ends of unknown jobs' runs, to be returned by the next plan.
+    pub(crate) pending_unknown_ends: Vec<UnknownEnd>,
+    /// Workers that left this owner unanswered until every lease of a former owner had lapsed.
+    pub(crate) lapsed_in_takeover: Vec<WorkerKey>,
     /// Surplus runs to log with the next plan.
     pub(crate) pending_surplus_runs: Vec<SurplusRun>,
     /// Tasks whose start a former owner has announced and of whose runs no worker has told yet, each
@@ -183,6 +189,8 @@
             pending_orders: Vec::new(),
             pending_evictions: Vec::new(),
             pending_losses: Vec::new(),
+            pending_unknown_ends: Vec::new(),
+            lapsed_in_takeover: Vec::new(),
             pending_surplus_runs: Vec::new(),
             inherited_starts: IndexMap::new(),
             inherited_crashes: IndexMap::new(),
@@ -455,6 +463,21 @@
         RunNumber::of_owner(self.fencing_token, self.run_count)
     }
 
+    /// Returns what is known of a task's last run that is over.
+    pub fn earlier_run(&self, task: TaskKey) -> EarlierRun {
+        let step = task.step;
+        let job = self.jobs.get(&step.job);
+        let state = job.and_then(|job| job.step(step.occurrence, step.step));
+        let state = state.and_then(|state| state.tasks.get(task.index as usize));
+        state.map_or(EarlierRun::None, |state| state.earlier)
+    }
+
+    /// Returns whether a former owner may have started some of a step's tasks.
+    pub fn may_be_inherited(&self, step: StepKey) -> bool {
+        let job = self.jobs.get(&step.job);
+        job.is_some_and(|job| job.may_be_inherited(step.occurrence, step.step))
+    }
+
     /// Returns the definition of a step, or `None` if its job is unknown.
     pub(crate) fn step_spec(&self, step: StepKey) -> Option<&StepSpec> {
         let job = self.jobs.get(&step.job)?;
--- a/crates/dispatch/src/dispatcher_plan.rs
+++ b/crates/dispatch/src/dispatcher_plan.rs
@@ -20,6 +20,7 @@
     StepWait,
     SurplusRun,
     TaskKey,
+    UnknownEnd,
     WaitCause,
     WorkerKey,
     WorkerOrder,
@@ -55,6 +56,8 @@
     pub losses: Vec<RunLoss>,
     /// Runs that workers list and that are not needed, to log.
     pub surplus_runs: Vec<SurplusRun>,
+    /// Ends of runs whose jobs are unknown, to log.
+    pub unknown_ends: Vec<UnknownEnd>,
     /// Findings about crashes of workers under tasks, to log.
     pub crashes: Vec<CrashFinding>,
     /// Steps that wait although they should have started, to log.
@@ -80,6 +83,7 @@
             evictions: std::mem::take(&mut self.pending_evictions),
             losses: std::mem::take(&mut self.pending_losses),
             surplus_runs: std::mem::take(&mut self.pending_surplus_runs),
+            unknown_ends: std::mem::take(&mut self.pending_unknown_ends),
             crashes: std::mem::take(&mut self.pending_crashes),
             waits: Vec::new(),
             overdue_stops: Vec::new(),
--- a/crates/dispatch/src/dispatcher_runs.rs
+++ b/crates/dispatch/src/dispatcher_runs.rs
@@ -7,6 +7,7 @@
 
 use crate::{
     Dispatcher,
+    EarlierRun,
     JobKey,
     LossCause,
     RunLoss,
@@ -26,13 +27,14 @@
 };
 
 impl Dispatcher {
-    /// Removes a run from its worker and its task. The task becomes pending again unless it has
-    /// another run.
+    /// Removes a run from its worker and its task; `how` tells how it is known to be over. The task becomes pending again
+    /// unless it has another run.
     pub(crate) fn release_run(
         &mut self,
         key: WorkerKey,
         task: TaskKey,
         run: RunNumber,
+        how: EarlierRun,
         now: Duration,
     ) {
         self.worker_mut(key).remove_run(task, run, now);
@@ -52,6 +54,7 @@
         task_state.runs.retain(|&held| held != (key, run));
         let was_attached = task_state.runs.len() < before;
         let was_announced = was_attached && task_state.crashes.end_announcement();
+        task_state.earlier = how;
         let pending = task_state.is_pending();
         let becomes_pending = pending && !over && step_state.open;
         if was_attached {
@@ -235,13 +238,23 @@
         }
         for (task, run) in missing {
             self.note_missing_run(key, task, run);
-            self.release_run(key, task, run, now);
+            let how = self.missing_run(key, task, run);
+            self.release_run(key, task, run, how, now);
             if self.is_long_running_and_pending(task) {
                 self.mark_unavailable(task, now);
             }
         }
     }
 
+    /// Returns how a run is known to be over that its worker neither lists nor has ended.
+    fn missing_run(&self, key: WorkerKey, task: TaskKey, run: RunNumber) -> EarlierRun {
+        match self.worker(key).runs.get(&(task, run)) {
+            Some(state) if state.is_orphaned => EarlierRun::Lost(LossCause::Restarted),
+            Some(state) if state.has_begun => EarlierRun::Lost(LossCause::Missing),
+            _ => EarlierRun::NotBegun,
+        }
+    }
+
     /// Records for the log a run that has begun and that this incarnation of its worker neither lists nor has ended.
     fn note_missing_run(&mut self, key: WorkerKey, task: TaskKey, run: RunNumber) {
         let worker = self.worker(key);
@@ -292,7 +305,7 @@
         let runs: Vec<(TaskKey, RunNumber)> = self.worker(key).runs.keys().copied().collect();
         self.record_losses(key, &runs, cause, now);
         for (task, run) in runs {
-            self.release_run(key, task, run, now);
+            self.release_run(key, task, run, EarlierRun::Lost(cause), now);
             self.mark_unavailable(task, now);
         }
     }
--- a/crates/dispatch/src/dispatcher_workers.rs
+++ b/crates/dispatch/src/dispatcher_workers.rs
@@ -10,6 +10,7 @@
 
 use crate::{
     Dispatcher,
+    EarlierRun,
     EndedRun,
     FleetWorker,
     JobKey,
@@ -20,6 +21,8 @@
     RenewalReport,
     RunNumber,
     TaskKey,
+    UnknownEnd,
+    UnknownEndOutcome,
     WorkerClock,
     WorkerKey,
     run_state::{
@@ -107,6 +110,11 @@
         key
     }
 
+    /// Returns the workers that left this owner unanswered until every lease of a former owner had lapsed.
+    pub fn workers_lapsed_in_takeover(&self) -> &[WorkerKey] {
+        &self.lapsed_in_takeover
+    }
+
     /// Returns whether a worker is already listed with an identical record.
     pub fn is_listed_as(&self, record: &FleetWorker) -> bool {
         self.worker_key(&record.id).is_some_and(|key| {
@@ -379,11 +387,15 @@
         worker.inherited_until = None;
         let mut is_truncated = report.completions.len() >= MAX_COMPLETIONS_PER_REPORT;
         let mut holds_completions = false;
+        let was_holding = worker.holds_completions;
         for ended in report.completions {
             // The worker reports what is not acknowledged again.
             if self.may_learn_job(ended.task.job(), now) {
                 is_truncated = true;
                 holds_completions = true;
+                if !was_holding {
+                    self.note_unknown_end(key, &ended, UnknownEndOutcome::Held, now);
+                }
                 break;
             }
             self.process_completion(key, ended, now);
@@ -469,7 +481,7 @@
             }
             OrderOutcome::Refused(refusal) => {
                 self.handle_start_refusal(key, task, refusal, now);
-                self.release_run(key, task, run, now);
+                self.release_run(key, task, run, EarlierRun::NotBegun, now);
             }
         }
     }
@@ -509,6 +521,7 @@
             let worker = &mut self.workers[index];
             if worker.inherited_until.is_some_and(|until| now > until) {
                 worker.inherited_until = None;
+                self.lapsed_in_takeover.push(key);
             }
             if !worker.clock.has_lapsed(now) {
                 continue;
@@ -648,12 +661,32 @@
         // former owner cannot have received the completion.
         let seen = worker.runs.get(&(ended.task, ended.run));
         let placed = seen.map(|run| run.placed_at);
-        self.release_run(key, ended.task, ended.run, now);
+        let how = EarlierRun::Ended(ended.result);
+        self.release_run(key, ended.task, ended.run, how, now);
         if let Some(placed) = placed {
             self.record_run_time(&ended, placed, now);
         }
+        if !self.jobs.contains_key(&ended.task.job()) {
+            self.note_unknown_end(key, &ended, UnknownEndOutcome::Dropped, now);
+        }
         let change = self.apply_completion(key, &ended, placed.is_some(), now);
         let worker = self.worker_mut(key);
         worker.pending_acks.push_back((ended.number, change));
     }
+
+    /// Records for the log the end of a run whose job is unknown.
+    fn note_unknown_end(
+        &mut self,
+        worker: WorkerKey,
+        ended: &EndedRun,
+        outcome: UnknownEndOutcome,
+        at: Duration,
+    ) {
+        self.pending_unknown_ends.push(UnknownEnd {
+            worker,
+            ended: ended.clone(),
+            outcome,
+            at,
+        });
+    }
 }
--- a/crates/dispatch/src/job_state.rs
+++ b/crates/dispatch/src/job_state.rs
@@ -9,6 +9,7 @@
 use indexmap::IndexMap;
 
 use crate::{
+    EarlierRun,
     JobFailure,
     JobGraph,
     JobOutcome,
@@ -94,6 +95,8 @@
     /// The task's current runs: at most one unless the step allows copies, apart from surplus runs
     /// that are being stopped.
     pub(crate) runs: Vec<(WorkerKey, RunNumber)>,
+    /// What is known of the task's last run that is over.
+    pub(crate) earlier: EarlierRun,
     /// The worker on which the task last failed.
     pub(crate) failed_on: Option<WorkerKey>,
     /// The crashes of workers under the task.
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -31,6 +31,7 @@
 mod dispatcher_throttling;
 mod dispatcher_waits;
 mod dispatcher_workers;
+mod earlier_run;
 mod filler_eviction;
 mod fleet_configuration;
 mod fleet_worker;
@@ -67,6 +68,7 @@
 mod step_wait;
 mod surplus_run;
 mod task_key;
+mod unknown_end;
 mod unplaceable_demands;
 mod unsettled_crash;
 mod worker_clock;
@@ -93,6 +95,7 @@
         Dispatcher, //
     },
     dispatcher_plan::PlanOutcome,
+    earlier_run::EarlierRun,
     filler_eviction::FillerEviction,
     fleet_configuration::FleetConfiguration,
     fleet_worker::FleetWorker,
@@ -165,6 +168,10 @@
         TaskKey,
         TaskKeyError, //
     },
+    unknown_end::{
+        UnknownEnd,
+        UnknownEndOutcome, //
+    },
     worker_clock::WorkerClock,
     worker_crash::WorkerCrash,
     worker_key::WorkerKey,
--- a/crates/fleet/src/fleet_log.rs
+++ b/crates/fleet/src/fleet_log.rs
@@ -59,6 +59,10 @@
     Pool,
     /// A run ended.
     End,
+    /// A worker lists the end of a run whose job the owner does not know.
+    UnknownEnd,
+    /// The owner learned of a job after it had begun to act.
+    Learned,
     /// A run was lost together with its worker.
     Loss,
     /// A worker lists a run that its task does not need.
--- a/crates/fleet/src/job_watch.rs
+++ b/crates/fleet/src/job_watch.rs
@@ -21,6 +21,7 @@
     StoreError,
     StoreRow,
     StoreTable,
+    fleet_log::whole_millis,
     job_codec::decode_job,
     job_reader::{
         JobReader,
@@ -48,6 +49,15 @@
     owner_token: u64,
 }
 
+/// The owner learned of a job after it had begun to act; `inherited` tells whether a former owner may have started its tasks.
+#[derive(Serialize)]
+struct LearnedLine {
+    job: String,
+    age_ms: u64,
+    inherited: bool,
+    owner_token: u64,
+}
+
 /// The point up to which the owner knows the jobs.
 #[derive(Clone, Copy)]
 pub(crate) struct JobWatchPosition {
@@ -93,6 +103,9 @@
     };
     let accepted = Duration::from_millis(record.accepted_ms);
     let age = shared.wall().saturating_sub(accepted).min(MAX_JOB_AGE);
+    if term.loaded.get() && dispatcher.progress(key).is_none() {
+        log_learned_job(shared, term, key, age, inherited);
+    }
     dispatcher.add_job(
         key,
         AcceptedJob {
@@ -105,6 +118,24 @@
     );
 }
 
+fn log_learned_job(
+    shared: &SharedState,
+    term: &OwnerTerm,
+    key: JobKey,
+    age: Duration,
+    inherited: bool,
+) {
+    shared.log.line(
+        LogEvent::Learned,
+        LearnedLine {
+            job: key.to_string(),
+            age_ms: whole_millis(age),
+            inherited,
+            owner_token: term.token(),
+        },
+    );
+}
+
 fn log_cancellation(shared: &SharedState, term: &OwnerTerm, dispatcher: &Dispatcher, key: JobKey) {
     let progress = dispatcher.progress(key);
     if matches!(progress, Some(JobProgress::Ended(_))) {
--- a/crates/fleet/src/order_planning.rs
+++ b/crates/fleet/src/order_planning.rs
@@ -17,6 +17,7 @@
     StartOrder,
     StepWait,
     SurplusRun,
+    UnknownEnd,
     WorkerKey,
     WorkerOrder, //
 };
@@ -41,6 +42,8 @@
 
 /// How long events are collected before a plan is made: one answer causes several events.
 const PLAN_DELAY: Duration = Duration::from_millis(1);
+/// The most workers that a line names.
+const MAX_NAMED_WORKERS: usize = 20;
 /// The longest time between two plans: leases lapse and stops are repeated without an event.
 const LONGEST_PLAN_INTERVAL: Duration = Duration::from_millis(150);
 
@@ -55,6 +58,39 @@
     owner_token: u64,
     worker_heard_ms: Option<u64>,
     job_age_ms: Option<u64>,
+    #[serde(flatten)]
+    basis: Option<StartBasis>,
+}
+
+/// What the owner believes as it starts a run: whether a former owner may have started the step's tasks, and what it knows of
+/// the task's run before.
+#[derive(Serialize)]
+struct StartBasis {
+    inherited: bool,
+    earlier: String,
+}
+
+/// The end of a run whose job the owner does not know.
+#[derive(Serialize)]
+struct UnknownEndLine<'a> {
+    task: String,
+    run: u64,
+    worker: &'a str,
+    number: u64,
+    end: String,
+    outcome: String,
+    ago_ms: u64,
+    owner_token: u64,
+}
+
+/// All workers have listed what they run to this owner, but those whose lease has lapsed before they answered.
+#[derive(Serialize)]
+struct CompleteTakeoverLine<'a> {
+    change: &'static str,
+    token: u64,
+    took_ms: u64,
+    lapsed: usize,
+    lapsed_workers: Vec<&'a str>,
 }
 
 /// Why a step waits: the number of workers that were ruled out, by reason.
@@ -157,6 +193,7 @@
 
 /// Makes a plan after each event and at regular intervals, and sends its orders, until the term is over.
 pub(crate) async fn plan_orders(shared: Rc<SharedState>, term: Rc<OwnerTerm>) {
+    let mut is_complete = term.token() == 1;
     loop {
         // After the timeout a plan is made without an event.
         drop(time::timeout(LONGEST_PLAN_INTERVAL, term.plan_wakeup.notified()).await);
@@ -178,6 +215,13 @@
         for order in outcome.orders {
             task::spawn_local(send_order(Rc::clone(&shared), Rc::clone(&term), order));
         }
+        if !is_complete && term.dispatcher.borrow().is_takeover_complete() {
+            is_complete = true;
+            log_complete_takeover(&shared, &term, now);
+        }
+        for end in &outcome.unknown_ends {
+            log_unknown_end(&shared, &term, end, now);
+        }
         for eviction in &outcome.evictions {
             log_filler_eviction(&shared, &term, eviction);
         }
@@ -226,6 +270,7 @@
         report_unsent(&shared, &term, &order);
         return;
     }
+    let basis = start_basis(&term, &order);
     let outcome = match &order {
         WorkerOrder::Start(start) => send_start(&shared, &term, start).await,
         WorkerOrder::Stop { worker, task, run } => {
@@ -256,7 +301,7 @@
             outcome
         }
     };
-    log_order(&shared, &term, &order, outcome);
+    log_order(&shared, &term, &order, basis, outcome);
     if outcome == OrderOutcome::Refused(OrderRefusal::Fenced) {
         term.end();
     }
@@ -327,7 +372,24 @@
     term.plan_wakeup.notify_one();
 }
 
-fn log_order(shared: &SharedState, term: &OwnerTerm, order: &WorkerOrder, outcome: OrderOutcome) {
+fn start_basis(term: &OwnerTerm, order: &WorkerOrder) -> Option<StartBasis> {
+    let WorkerOrder::Start(start) = order else {
+        return None;
+    };
+    let dispatcher = term.dispatcher.borrow();
+    Some(StartBasis {
+        inherited: dispatcher.may_be_inherited(start.task.step),
+        earlier: dispatcher.earlier_run(start.task).to_string(),
+    })
+}
+
+fn log_order(
+    shared: &SharedState,
+    term: &OwnerTerm,
+    order: &WorkerOrder,
+    basis: Option<StartBasis>,
+    outcome: OrderOutcome,
+) {
     let (name, worker, task, run) = match order {
         WorkerOrder::Start(start) => ("start", start.worker, start.task, start.run),
         WorkerOrder::Stop { worker, task, run } => ("stop", *worker, *task, *run),
@@ -351,6 +413,45 @@
             owner_token: term.token(),
             worker_heard_ms: last_answer_at.map(|at| whole_millis(now.saturating_sub(at))),
             job_age_ms: dispatcher.job_age(task.job(), now).map(whole_millis),
+            basis,
+        },
+    );
+}
+
+fn log_unknown_end(shared: &SharedState, term: &OwnerTerm, end: &UnknownEnd, now: Duration) {
+    let outcome = end.outcome.to_string();
+    metrics::counter!("jasminebend_fleet_unknown_ends_total", "outcome" => outcome.clone())
+        .increment(1);
+    let dispatcher = term.dispatcher.borrow();
+    shared.log.line(
+        LogEvent::UnknownEnd,
+        UnknownEndLine {
+            task: end.ended.task.to_string(),
+            run: end.ended.run.value(),
+            worker: &dispatcher.worker_record(end.worker).id,
+            number: end.ended.number,
+            end: end.ended.result.to_string(),
+            outcome,
+            ago_ms: whole_millis(now.saturating_sub(end.at)),
+            owner_token: term.token(),
+        },
+    );
+}
+
+fn log_complete_takeover(shared: &SharedState, term: &OwnerTerm, now: Duration) {
+    let dispatcher = term.dispatcher.borrow();
+    let lapsed = dispatcher.workers_lapsed_in_takeover();
+    let named = lapsed.iter().take(MAX_NAMED_WORKERS);
+    shared.log.line(
+        LogEvent::Owner,
+        CompleteTakeoverLine {
+            change: "complete",
+            token: term.token(),
+            took_ms: whole_millis(now.saturating_sub(term.claimed_at())),
+            lapsed: lapsed.len(),
+            lapsed_workers: named
+                .map(|&worker| &*dispatcher.worker_record(worker).id)
+                .collect(),
         },
     );
 }
