--- a/crates/dispatch/tests/jobs_learned_late.rs
+++ b/crates/dispatch/tests/jobs_learned_late.rs
@@ -110,6 +110,70 @@
     assert_eq!(starts, 0);
 }
 
+/// Returns the progress of a job and the number of starts that its owner orders, which learns of it in `learned_in`, a turn of 100 ms. A worker lists a run of the
+/// job's task in the first turns, and then its end until that is acknowledged.
+fn starts_of_job_learned_in(learned_in: u64) -> (Option<JobProgress>, usize) {
+    let record = Fleet::new(1, 1).workers[0].record().clone();
+    let mut dispatcher = Dispatcher::new(2, DispatchSettings::default());
+    dispatcher.set_configuration(configuration(3));
+    let worker = dispatcher.upsert_worker(record, Some(ms(9000)));
+    let task = StepKey {
+        job: late_key(),
+        occurrence: 0,
+        step: 0,
+    }
+    .task(0);
+    let run = RunNumber::of_owner(1, 1);
+    let running = RunningTask {
+        task,
+        run,
+        checkpoint: None,
+        progress_percent: 50,
+        metric: None,
+    };
+    let ended = EndedRun {
+        number: 1,
+        task,
+        run,
+        result: RunResult::Done,
+        checkpoint: None,
+    };
+    let mut starts = 0;
+    for turn in 0..200 {
+        let now = ms(1000 + turn * 100);
+        let renewal = dispatcher.next_renewal(worker, true, now);
+        let is_running = turn < 3;
+        let is_listed = !is_running && renewal.acknowledged == 0;
+        let report = RenewalReport {
+            clock: now,
+            incarnation: None,
+            running: Vec::from_iter(is_running.then(|| running.clone())),
+            completions: Vec::from_iter(is_listed.then(|| ended.clone())),
+        };
+        dispatcher.handle_renewal_report(worker, now, report, now);
+        if turn == learned_in {
+            dispatcher.add_job(late_key(), late_job(&only_queue()));
+        }
+        let orders = dispatcher.plan(now).orders;
+        let is_start = |order: &&WorkerOrder| matches!(order, WorkerOrder::Start(_));
+        starts += orders.iter().filter(is_start).count();
+        if !dispatcher.take_records_to_commit(10).is_empty() {
+            dispatcher.confirm_commit();
+        }
+    }
+    (dispatcher.progress(late_key()), starts)
+}
+
+/// Guards against a task that starts again after its end was acknowledged: the owner learns of the job between two reports of the
+/// worker, the first of which has listed the end, or when the end was acknowledged already.
+#[test]
+fn end_that_was_listed_before_its_job_was_known_counts_as_soon_as_it_is() {
+    let turns = [4, 10, 25, 35, 60, 150];
+    let expected = (Some(JobProgress::Ended(JobOutcome::Completed)), 0);
+    let found = turns.map(starts_of_job_learned_in);
+    assert_eq!(found, [expected; 6], "jobs learned in turns {turns:?}");
+}
+
 /// Guards against two runs of a task at once: a former owner started the task of a job of which this owner learns only after the
 /// worker has listed the run, and this owner started the task again while it stopped that run.
 #[test]
--- a/crates/fleet/tests/daemons/takeover.rs
+++ b/crates/fleet/tests/daemons/takeover.rs
@@ -40,6 +40,8 @@
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
 /// How long the task's run takes.
 const RUN_TIME: Duration = Duration::from_secs(4);
+/// How long a run takes that ends before the successor knows its job.
+const SHORT_RUN_TIME: Duration = Duration::from_millis(500);
 /// After this time the successor knows the job, and the lease of a partitioned worker has not lapsed yet.
 const JOB_KNOWN_AFTER: Duration = Duration::from_secs(3);
 /// After this time the run has ended, or the lease of a partitioned worker has lapsed.
@@ -298,3 +300,50 @@
         assert_eq!(daemon.known_token(1).await, 1);
     });
 }
+
+/// Lets a former owner start and finish a task of a job beside its successor, `after` the claim, while `disturb` keeps the job from
+/// the successor; returns how often the task was started.
+async fn starts_of_late_job<Disturb>(after: Duration, outage: Duration, disturb: Disturb) -> usize
+where
+    Disturb: Fn(&StoreClient),
+{
+    let (fleet, successor, _silent) = fleet_after_takeover(1).await;
+    time::sleep(after).await;
+    disturb(&successor.store_client);
+    start_as_former_owner(&fleet, SHORT_RUN_TIME);
+    record_job(&fleet);
+    fleet.workers.heal();
+    time::sleep(outage).await;
+    successor.store_client.refuses_calls.set(false);
+    time::sleep(RUN_ENDED_AFTER).await;
+    fleet.workers.started_runs()
+}
+
+/// Guards against a task that starts again after its end was acknowledged: the successor learned of the job only after a worker had
+/// listed the end, as the store was away or a connection to it was silent.
+#[test]
+fn task_that_ended_before_its_successor_knew_the_job_is_not_started_again() {
+    let mut starts = Vec::new();
+    for (after_ms, outage_ms) in [
+        (200, 0),
+        (200, 1500),
+        (200, 2500),
+        (200, 5000),
+        (1500, 0),
+        (1500, 1500),
+        (1500, 5000),
+    ] {
+        run_simulated(async {
+            let [after, outage] = [after_ms, outage_ms].map(Duration::from_millis);
+            let count = starts_of_late_job(after, outage, |store| match outage.is_zero() {
+                true => store.lose_connections(),
+                false => store.refuses_calls.set(true),
+            });
+            starts.push((after_ms, outage_ms, count.await));
+        });
+    }
+    assert!(
+        starts.iter().all(|(_, _, count)| *count == 1),
+        "{starts:?}: milliseconds after the claim, of the outage (0: a silent connection), and starts"
+    );
+}
