Count ends that workers list before their jobs are known

What callers saw: a task is started again after it ended as done and that end was acknowledged. A booking would be doubled.

Cause: a successor left the end of an unknown job with its worker, with all ends behind it, for 3 s after its first plan, and acknowledged it without a record after that. If it learned of the job within the 3 s, the plan started the task before the worker listed the end again; if later, nothing told of the end at all. Time stood for a fact: that no former owner has started a job that is not known.

Change: an end of an unknown job is held by the owner and applied as the job becomes known, before any plan, also if its worker has restarted since. It is not acknowledged before its job's progress is on record. Ends behind it are processed at once. What ends the wait is that all jobs are known that were accepted before the former owners stopped adding jobs; only then are ends acknowledged, and runs stopped, of jobs that are still unknown.

Why it works: every job of which a former owner may have started a task was accepted before it stopped adding jobs, so that a watch that was sent after that and applied has told of it.

Tests that were changed: run_of_a_job_that_stays_unknown_is_stopped demanded a stop within 5 s without knowing all jobs; it now demands none before all jobs are known, and one after. takeover_does_not_wait_for_ends_of_a_worker_whose_lease_has_lapsed took an end of an unknown job for one that cuts off the list; its list is now cut off by its length, and the worker is retired only once that end may be acknowledged.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -38,6 +38,7 @@
     WorkerOrder,
     admission::AdmissionGrants,
     commit_tracker::CommitTracker,
+    held_end::HeldEnd,
     inherited_start::InheritedStart,
     interference_model::InterferenceModel,
     job_state::{
@@ -113,7 +114,11 @@
     pub(crate) pending_evictions: Vec<FillerEviction>,
     /// Lost runs, to be returned by the next plan.
     pub(crate) pending_losses: Vec<RunLoss>,
-    /// Ends of unknown jobs' runs, to be returned by the next plan.
+    /// Whether all jobs are known of which a former owner may have started tasks.
+    pub(crate) knows_former_jobs: bool,
+    /// Ends of runs whose jobs are not known yet.
+    pub(crate) held_ends: IndexMap<JobKey, Vec<HeldEnd>>,
+    /// What happened to ends of unknown jobs' runs, to be returned by the next plan.
     pub(crate) pending_unknown_ends: Vec<UnknownEnd>,
     /// Workers that left this owner unanswered until every lease of a former owner had lapsed.
     pub(crate) lapsed_in_takeover: Vec<WorkerKey>,
@@ -189,6 +194,8 @@
             pending_orders: Vec::new(),
             pending_evictions: Vec::new(),
             pending_losses: Vec::new(),
+            knows_former_jobs: fencing_token <= 1,
+            held_ends: IndexMap::new(),
             pending_unknown_ends: Vec::new(),
             lapsed_in_takeover: Vec::new(),
             pending_surplus_runs: Vec::new(),
@@ -278,10 +285,11 @@
             true => drop(self.next_occurrences.insert(key, 0)),
             false => self.open_occurrence(key, 0),
         }
-        self.adopt_unknown_runs(key);
         if self.cancelled_early.remove(&key) {
             self.cancel_job(key);
         }
+        self.apply_held_ends(key);
+        self.adopt_unknown_runs(key);
     }
 
     /// Cancels a job: no task of it starts any more, and its runs are stopped.
--- a/crates/dispatch/src/dispatcher_runs.rs
+++ b/crates/dispatch/src/dispatcher_runs.rs
@@ -144,8 +144,8 @@
     }
 
     /// Keeps in mind a run whose job is unknown, and stops it unless its job may yet be learned.
-    fn handle_unknown_run(&mut self, key: WorkerKey, running: RunningTask, now: Duration) {
-        if !self.may_learn_job(running.task.job(), now) {
+    fn handle_unknown_run(&mut self, key: WorkerKey, running: RunningTask) {
+        if !self.may_learn_job(running.task.job()) {
             self.pending_orders.push(WorkerOrder::Stop {
                 worker: key,
                 task: running.task,
@@ -167,7 +167,7 @@
             Some((over, spec))
         });
         let Some((over, spec)) = requested else {
-            self.handle_unknown_run(key, running, now);
+            self.handle_unknown_run(key, running);
             return;
         };
         self.open_occurrence(step.job, step.occurrence);
--- a/crates/dispatch/src/dispatcher_workers.rs
+++ b/crates/dispatch/src/dispatcher_workers.rs
@@ -13,7 +13,6 @@
     EarlierRun,
     EndedRun,
     FleetWorker,
-    JobKey,
     LeaseRenewal,
     LossCause,
     OrderOutcome,
@@ -21,21 +20,20 @@
     RenewalReport,
     RunNumber,
     TaskKey,
-    UnknownEnd,
-    UnknownEndOutcome,
     WorkerClock,
     WorkerKey,
     run_state::{
         RunPhase,
         RunState, //
     },
-    worker_state::WorkerState, //
+    worker_state::{
+        PendingAck,
+        WorkerState, //
+    }, //
 };
 
 /// The maximum number of run completions in one report; a list of this length may be truncated.
 const MAX_COMPLETIONS_PER_REPORT: usize = 500;
-/// How long after a takeover the completion of an unknown job's task is left with its worker.
-const LATE_JOB_GRACE: Duration = Duration::from_secs(3);
 /// The longest wait of a renewal while fillers run beside a service: the metrics cover the last
 /// half second, so a shorter wait would return the same values twice.
 const INTERFERENCE_RENEWAL_WAIT: Duration = Duration::from_millis(500);
@@ -306,8 +304,7 @@
     /// Returns whether a worker has reported completions that are not on record yet; a renewal now
     /// would return the same completions at once.
     pub fn has_pending_acknowledgements(&self, key: WorkerKey) -> bool {
-        let worker = self.worker(key);
-        worker.holds_completions || !worker.pending_acks.is_empty()
+        !self.worker(key).pending_acks.is_empty()
     }
 
     /// Returns the lease deadline, on the worker's clock, of an order sent at `now`; `None` while
@@ -352,7 +349,9 @@
             // up here: `drop_missing_runs` below drops those that the new incarnation does not
             // have.
             worker.reset_incarnation();
+            self.detach_held_ends(key);
         }
+        let worker = self.worker_mut(key);
         worker.restarted_in_takeover |= worker.inherited_until.is_some()
             && report.incarnation.is_some()
             && worker.record.incarnation.is_some()
@@ -385,23 +384,11 @@
         worker.has_owner_token = true;
         let had_unknown_runs = worker.may_have_unknown_runs();
         worker.inherited_until = None;
-        let mut is_truncated = report.completions.len() >= MAX_COMPLETIONS_PER_REPORT;
-        let mut holds_completions = false;
-        let was_holding = worker.holds_completions;
+        let is_truncated = report.completions.len() >= MAX_COMPLETIONS_PER_REPORT;
         for ended in report.completions {
-            // The worker reports what is not acknowledged again.
-            if self.may_learn_job(ended.task.job(), now) {
-                is_truncated = true;
-                holds_completions = true;
-                if !was_holding {
-                    self.note_unknown_end(key, &ended, UnknownEndOutcome::Held, now);
-                }
-                break;
-            }
             self.process_completion(key, ended, now);
         }
         let worker = self.worker_mut(key);
-        worker.holds_completions = holds_completions;
         worker.has_unread_ends = had_unknown_runs && is_truncated;
         worker.unknown_runs.clear();
         let listed: Vec<(TaskKey, RunNumber)> = report
@@ -528,7 +515,6 @@
             }
             worker.unknown_runs.clear();
             worker.has_unread_ends = false;
-            worker.holds_completions = false;
             if worker.runs.is_empty() {
                 continue;
             }
@@ -641,15 +627,6 @@
         }
     }
 
-    /// Returns whether a job is unknown and may yet be learned: a former owner may have started tasks of
-    /// a job that was accepted after this owner had read the jobs.
-    pub(crate) fn may_learn_job(&self, job: JobKey, now: Duration) -> bool {
-        let is_new_owner = self
-            .first_plan_at
-            .is_none_or(|since| now < since + LATE_JOB_GRACE);
-        is_new_owner && self.fencing_token > 1 && !self.jobs.contains_key(&job)
-    }
-
     /// Processes a completion that a worker reports, unless it was processed before.
     fn process_completion(&mut self, key: WorkerKey, ended: EndedRun, now: Duration) {
         if ended.number <= self.worker(key).last_processed {
@@ -657,6 +634,11 @@
         }
         let worker = self.worker_mut(key);
         worker.last_processed = ended.number;
+        if !self.jobs.contains_key(&ended.task.job()) {
+            self.handle_unknown_end(key, ended, now);
+            return;
+        }
+        let worker = self.worker_mut(key);
         // This owner has seen the run on the worker, which followed this owner's token by then: a
         // former owner cannot have received the completion.
         let seen = worker.runs.get(&(ended.task, ended.run));
@@ -666,27 +648,11 @@
         if let Some(placed) = placed {
             self.record_run_time(&ended, placed, now);
         }
-        if !self.jobs.contains_key(&ended.task.job()) {
-            self.note_unknown_end(key, &ended, UnknownEndOutcome::Dropped, now);
-        }
         let change = self.apply_completion(key, &ended, placed.is_some(), now);
         let worker = self.worker_mut(key);
-        worker.pending_acks.push_back((ended.number, change));
-    }
-
-    /// Records for the log the end of a run whose job is unknown.
-    fn note_unknown_end(
-        &mut self,
-        worker: WorkerKey,
-        ended: &EndedRun,
-        outcome: UnknownEndOutcome,
-        at: Duration,
-    ) {
-        self.pending_unknown_ends.push(UnknownEnd {
-            worker,
-            ended: ended.clone(),
-            outcome,
-            at,
+        worker.pending_acks.push_back(PendingAck {
+            number: ended.number,
+            change: Some(change),
         });
     }
 }
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -36,6 +36,7 @@
 mod fleet_configuration;
 mod fleet_worker;
 mod graph_error;
+mod held_end;
 mod inherited_start;
 mod interference_model;
 mod job_failure;
--- a/crates/dispatch/src/unknown_end.rs
+++ b/crates/dispatch/src/unknown_end.rs
@@ -15,7 +15,10 @@
     /// It is not acknowledged for now: the job may yet be learned.
     #[display("held")]
     Held,
-    /// It is acknowledged without a record.
+    /// The job has become known, and the end counts.
+    #[display("applied")]
+    Applied,
+    /// It is acknowledged without a record: no job that may become known has such a task.
     #[display("dropped")]
     Dropped,
 }
@@ -29,6 +32,6 @@
     pub ended: EndedRun,
     /// What happened to it.
     pub outcome: UnknownEndOutcome,
-    /// When that was decided, on the owner's process clock.
-    pub at: Duration,
+    /// The time since the worker listed it.
+    pub held_for: Duration,
 }
--- a/crates/dispatch/src/worker_state.rs
+++ b/crates/dispatch/src/worker_state.rs
@@ -100,10 +100,8 @@
     pub(crate) last_processed: u64,
     /// The number of the last completion that is on record and may be acknowledged.
     pub(crate) last_acknowledged: u64,
-    /// Completions processed but not yet on record: their number and the change that records each.
-    pub(crate) pending_acks: VecDeque<(u64, u64)>,
-    /// Whether completions of unknown jobs were left with the worker.
-    pub(crate) holds_completions: bool,
+    /// Completions processed but not yet on record, in the order of their numbers.
+    pub(crate) pending_acks: VecDeque<PendingAck>,
     /// Whether the worker has answered this owner, but did not list all ends of a former owner's runs yet.
     pub(crate) has_unread_ends: bool,
     /// Whether the worker is being drained for maintenance of its VM.
@@ -122,6 +120,14 @@
     pub(crate) changed_in_plan: u64,
 }
 
+/// A completion that is not acknowledged yet.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct PendingAck {
+    pub(crate) number: u64,
+    /// The change that must be on record before; `None` while the run's job is not known.
+    pub(crate) change: Option<u64>,
+}
+
 /// What a start leaves on its worker beside the run.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct StartMarks {
@@ -162,7 +168,6 @@
             last_processed: 0,
             last_acknowledged: 0,
             pending_acks: VecDeque::new(),
-            holds_completions: false,
             has_unread_ends: false,
             in_maintenance: false,
             health: WorkerHealth::default(),
@@ -394,8 +399,8 @@
 
     /// Advances the acknowledgement over the completions whose change is at most `committed`.
     pub(crate) fn acknowledge(&mut self, committed: u64) {
-        while let Some(&(number, commit)) = self.pending_acks.front() {
-            if commit > committed {
+        while let Some(&PendingAck { number, change }) = self.pending_acks.front() {
+            if change.is_none_or(|change| change > committed) {
                 return;
             }
             self.last_acknowledged = number;
@@ -403,6 +408,14 @@
         }
     }
 
+    /// Sets the change that must be on record before a completion is acknowledged.
+    pub(crate) fn set_pending_change(&mut self, number: u64, change: u64) {
+        let mut pending = self.pending_acks.iter_mut();
+        if let Some(pending) = pending.find(|pending| pending.number == number) {
+            pending.change = Some(change);
+        }
+    }
+
     /// Returns whether one of its services was too slow recently, so that no more fillers should be
     /// placed.
     pub(crate) fn has_recent_violation(&self, now: Duration) -> bool {
--- a/crates/dispatch/tests/jobs_learned_late.rs
+++ b/crates/dispatch/tests/jobs_learned_late.rs
@@ -174,6 +174,49 @@
     assert_eq!(found, [expected; 6], "jobs learned in turns {turns:?}");
 }
 
+/// Guards against a task that starts again after its end was listed, and an end of the worker's next incarnation that is
+/// acknowledged without a record: the worker restarts before the job of the first end is known.
+#[test]
+fn end_listed_before_a_restart_counts_and_acknowledges_no_later_one() {
+    let record = Fleet::new(1, 1).workers[0].record().clone();
+    let mut dispatcher = Dispatcher::new(2, DispatchSettings::default());
+    dispatcher.set_configuration(configuration(3));
+    let worker = dispatcher.upsert_worker(record, Some(ms(9000)));
+    let end_of = |job: JobKey| EndedRun {
+        number: 1,
+        task: StepKey {
+            job,
+            occurrence: 0,
+            step: 0,
+        }
+        .task(0),
+        run: RunNumber::of_owner(1, 1),
+        result: RunResult::Done,
+        checkpoint: None,
+    };
+    for (seconds, job) in [(1, late_key()), (2, JobKey::new(8))] {
+        let now = ms(1000 * seconds);
+        dispatcher.next_renewal(worker, true, now);
+        let report = RenewalReport {
+            clock: now,
+            incarnation: Some(now),
+            running: Vec::new(),
+            completions: vec![end_of(job)],
+        };
+        dispatcher.handle_renewal_report(worker, now, report, now);
+    }
+    dispatcher.add_job(late_key(), late_job(&only_queue()));
+    assert_eq!(dispatcher.plan(ms(3000)).orders, Vec::new());
+    assert_eq!(dispatcher.take_records_to_commit(10).len(), 1);
+    dispatcher.confirm_commit();
+    assert_eq!(
+        dispatcher.progress(late_key()),
+        Some(JobProgress::Ended(JobOutcome::Completed))
+    );
+    let renewal = dispatcher.next_renewal(worker, true, ms(3000));
+    assert_eq!(renewal.acknowledged, 0, "the second end is on no record");
+}
+
 /// Guards against two runs of a task at once: a former owner started the task of a job of which this owner learns only after the
 /// worker has listed the run, and this owner started the task again while it stopped that run.
 #[test]
@@ -263,6 +306,10 @@
     let mut orders = Vec::new();
     for turn in 0..50 {
         let now = ms(1000 + turn * 100);
+        if turn == 40 {
+            assert_eq!(orders, Vec::new(), "the job may yet be learned");
+            dispatcher.confirm_former_jobs(now);
+        }
         dispatcher.next_renewal(worker, true, now);
         let report = RenewalReport {
             clock: now,
--- a/crates/dispatch/tests/unread_ends.rs
+++ b/crates/dispatch/tests/unread_ends.rs
@@ -143,13 +143,17 @@
 fn takeover_does_not_wait_for_ends_of_a_worker_whose_lease_has_lapsed() {
     let job = JobKey::new(1);
     let (mut dispatcher, worker) = successor(job, TASK_COUNT);
-    let unknown = ended(1, task(JobKey::new(2), 0));
+    let numbers = (1..).zip(1..LISTED_ENDS as u32);
+    let mut ends: Vec<EndedRun> = numbers
+        .map(|(number, index)| ended(number, task(job, index)))
+        .collect();
+    ends.push(ended(LISTED_ENDS as u64, task(JobKey::new(2), 0)));
     dispatcher.next_renewal(worker, true, ms(1000));
     let report = RenewalReport {
         clock: ms(1000),
         incarnation: None,
         running: Vec::new(),
-        completions: vec![unknown],
+        completions: ends,
     };
     dispatcher.handle_renewal_report(worker, ms(1000), report, ms(1000));
     assert!(!dispatcher.is_takeover_complete());
@@ -158,9 +162,43 @@
     assert!(!dispatcher.is_retired(worker));
     dispatcher.expire_leases(ms(20_000));
     assert!(dispatcher.is_takeover_complete());
+    drop(dispatcher.take_records_to_commit(10));
+    dispatcher.confirm_commit();
+    assert!(!dispatcher.is_retired(worker), "an end is on no record");
+    dispatcher.confirm_former_jobs(ms(20_000));
     assert!(dispatcher.is_retired(worker));
 }
 
+/// Guards against ends that stay with their worker for good, and with them those behind: their job never becomes known.
+#[test]
+fn ends_of_jobs_that_stay_unknown_are_acknowledged_once_all_jobs_are_known() {
+    let job = JobKey::new(1);
+    let (mut dispatcher, worker) = successor(job, 1);
+    let mut acknowledged = Vec::new();
+    for turn in 0..20 {
+        let now = ms(1000) + TURN * turn;
+        acknowledged.push(dispatcher.next_renewal(worker, true, now).acknowledged);
+        let report = RenewalReport {
+            clock: now,
+            incarnation: None,
+            running: Vec::new(),
+            completions: vec![ended(1, task(JobKey::new(2), 0)), ended(2, task(job, 0))],
+        };
+        dispatcher.handle_renewal_report(worker, now, report, now);
+        drop(dispatcher.take_records_to_commit(10));
+        dispatcher.confirm_commit();
+        if turn == 9 {
+            dispatcher.confirm_former_jobs(now);
+        }
+    }
+    let (before, after) = acknowledged.split_at(10);
+    assert_eq!((before, after), (&[0; 10][..], &[2; 10][..]));
+    assert_eq!(
+        dispatcher.progress(job),
+        Some(JobProgress::Ended(JobOutcome::Completed))
+    );
+}
+
 /// Guards against a second run by the next owner: registrations lapse in an outage, and a worker was taken off the list before
 /// the end of its last run was on record.
 #[test]
--- a/crates/fleet/src/job_watch.rs
+++ b/crates/fleet/src/job_watch.rs
@@ -188,6 +188,10 @@
                     version: page.version,
                     sent_at,
                 };
+                if !is_reading && !position.may_already_run(&term) {
+                    let now = shared.now();
+                    term.dispatcher.borrow_mut().confirm_former_jobs(now);
+                }
                 term.plan_wakeup.notify_one();
             }
             Err(StoreError::HistoryDropped) => {
--- a/crates/fleet/src/order_planning.rs
+++ b/crates/fleet/src/order_planning.rs
@@ -79,7 +79,7 @@
     number: u64,
     end: String,
     outcome: String,
-    ago_ms: u64,
+    held_ms: u64,
     owner_token: u64,
 }
 
@@ -220,7 +220,7 @@
             log_complete_takeover(&shared, &term, now);
         }
         for end in &outcome.unknown_ends {
-            log_unknown_end(&shared, &term, end, now);
+            log_unknown_end(&shared, &term, end);
         }
         for eviction in &outcome.evictions {
             log_filler_eviction(&shared, &term, eviction);
@@ -418,7 +418,7 @@
     );
 }
 
-fn log_unknown_end(shared: &SharedState, term: &OwnerTerm, end: &UnknownEnd, now: Duration) {
+fn log_unknown_end(shared: &SharedState, term: &OwnerTerm, end: &UnknownEnd) {
     let outcome = end.outcome.to_string();
     metrics::counter!("jasminebend_fleet_unknown_ends_total", "outcome" => outcome.clone())
         .increment(1);
@@ -432,7 +432,7 @@
             number: end.ended.number,
             end: end.ended.result.to_string(),
             outcome,
-            ago_ms: whole_millis(now.saturating_sub(end.at)),
+            held_ms: whole_millis(end.held_for),
             owner_token: term.token(),
         },
     );
