--- a/crates/jbctl/src/job_timeline.rs
+++ b/crates/jbctl/src/job_timeline.rs
@@ -91,6 +91,38 @@
         /// The cause in the `overdue` line.
         cause: String,
     },
+    /// A task was started again by an owner that did not know that a run of it had ended as done.
+    #[display(
+        "task {task} was started again by {node} as run {run} after run {done_run} had ended as done; it knew of the run before: `{earlier}`"
+    )]
+    StartedAgain {
+        /// The task's key.
+        task: String,
+        /// The name of the daemon that was the owner.
+        node: String,
+        /// The number of the second run.
+        run: u64,
+        /// The number of the run that had ended as done.
+        done_run: u64,
+        /// What the owner knew of the task's run before, as logged.
+        earlier: String,
+    },
+    /// The end of a run was acknowledged without a record, since its owner did not know the job.
+    #[display(
+        "the end of run {run} of task {task} on {worker}, `{end}`, is on no record: {node} did not know the job"
+    )]
+    DroppedEnd {
+        /// The name of the daemon that was the owner.
+        node: String,
+        /// The task's key.
+        task: String,
+        /// The run's number.
+        run: u64,
+        /// The worker's identity.
+        worker: String,
+        /// How the run ended.
+        end: String,
+    },
     /// The owner refused a long-running job for lack of free capacity.
     #[display(
         "refused by {node} for want of room: it asks for {demand_millis} thousandths of a processor, {free_millis} are not promised to \
@@ -180,6 +212,10 @@
                 "request" => self.request_cause(line),
                 "wait" => Some(wait_cause(line)),
                 "overdue" => Some(overdue_cause(line)),
+                "order" => self.repeated_start_cause(line),
+                "unknown_end" if line.str_field("outcome") == "dropped" => {
+                    Some(dropped_end_cause(line))
+                }
                 "admission" if !line.is_true("granted") => Some(admission_cause(line)),
                 "crash" if line.str_field("verdict") == "confirmed" => Some(crash_cause(line)),
                 "job" if line.str_field("outcome") == "failed" => Some(self.failure_cause(line)),
@@ -228,6 +264,29 @@
             .then_some(DiagnosedCause::WithoutStore { node, without_ms })
     }
 
+    /// Returns the cause that a start shows whose task had ended as done, unless its owner knew that: a long-running task starts
+    /// again however it ends.
+    fn repeated_start_cause(&self, line: &LogLine) -> Option<DiagnosedCause> {
+        let earlier = line.str_field("earlier");
+        if line.str_field("order") != "start" || matches!(earlier, "" | "ended_done") {
+            return None;
+        }
+        let is_done = |end: &&LogLine| {
+            matches!(end.str_field("event"), "end" | "unknown_end")
+                && end.str_field("end") == "done"
+                && end.str_field("task") == line.str_field("task")
+                && end.timestamp_s <= line.timestamp_s
+        };
+        let done = self.lines.iter().find(is_done)?;
+        Some(DiagnosedCause::StartedAgain {
+            task: line.str_field("task").to_owned(),
+            node: line.str_field("node").to_owned(),
+            run: line.u64_field("run"),
+            done_run: done.u64_field("run"),
+            earlier: earlier.to_owned(),
+        })
+    }
+
     /// Returns the reason for which the job was given up, or counts its failed runs and their workers.
     fn failure_cause(&self, line: &LogLine) -> DiagnosedCause {
         let is_given_up = |line: &LogLine| line.is_true("gives_up");
@@ -315,6 +374,17 @@
     }
 }
 
+/// Returns the cause in an `unknown_end` line.
+fn dropped_end_cause(line: &LogLine) -> DiagnosedCause {
+    DiagnosedCause::DroppedEnd {
+        node: line.str_field("node").to_owned(),
+        task: line.str_field("task").to_owned(),
+        run: line.u64_field("run"),
+        worker: line.str_field("worker").to_owned(),
+        end: line.str_field("end").to_owned(),
+    }
+}
+
 /// Returns the cause in a `crash` line.
 fn crash_cause(line: &LogLine) -> DiagnosedCause {
     DiagnosedCause::WorkerCrashed {
--- a/crates/jbctl/tests/job_timelines.rs
+++ b/crates/jbctl/tests/job_timelines.rs
@@ -146,3 +146,24 @@
         ]
     );
 }
+
+/// Guards against a task that was started again without a trace of why: its owner did not know of the run before.
+#[test]
+fn a_start_after_an_end_as_done_reports_what_its_owner_knew() {
+    let end = r#"{"ts":4.0,"node":"edge-a","event":"unknown_end","task":"5c0e7a21d94b36f8.0.0.1","run":1000000001,"worker":"i-1","number":4,"end":"done","outcome":"dropped","held_ms":0,"owner_token":2}"#;
+    let start = r#"{"ts":5.0,"node":"edge-a","event":"order","order":"start","task":"5c0e7a21d94b36f8.0.0.1","run":2000000001,"worker":"i-2","outcome":"Taken","owner_token":2,"worker_heard_ms":12,"job_age_ms":600,"inherited":true,"earlier":"none"}"#;
+    let causes: Vec<String> = timeline(&[start, end])
+        .causes()
+        .iter()
+        .map(ToString::to_string)
+        .collect();
+    assert_eq!(
+        causes,
+        [
+            "the end of run 1000000001 of task 5c0e7a21d94b36f8.0.0.1 on i-1, `done`, is on no record: edge-a did not know the job",
+            "task 5c0e7a21d94b36f8.0.0.1 was started again by edge-a as run 2000000001 after run 1000000001 had ended as done; it knew of the run before: `none`",
+        ]
+    );
+    let known = start.replace("\"none\"", "\"ended_done\"");
+    assert_eq!(timeline(&[&known]).causes(), []);
+}
