Keep jobs that the watch brings as the reading of all jobs ends

What callers saw: an accepted job that is queued for as long as the owner lasts.

Cause: after the store has dropped its history, and while not all parts can be read again, jobs that the watch brings are held for the end of that reading. Whether it goes on was asked before the owner's term was confirmed, which may take a call to the store; the reading could end meanwhile, and nobody took what was held afterwards. The position of the watch moved on, so that all jobs counted as known.

Change: it is asked after the confirmation, with no wait before the rows are applied.

--- a/crates/fleet/src/job_watch.rs
+++ b/crates/fleet/src/job_watch.rs
@@ -169,8 +169,9 @@
         match store.watch(WatchedRows::Jobs, call).await {
             Ok(page) => {
                 let inherited = position.may_already_run(&term);
-                let is_reading = unread.is_reading();
                 let may_add = confirm_before_adding(&shared, &term).await.is_ok();
+                // The reading may end while the term is confirmed, after which nobody takes held jobs.
+                let is_reading = unread.is_reading();
                 let mut is_complete = true;
                 for row in page.items.into_iter().filter_map(|change| change.row) {
                     match (is_cancellation(&row), is_reading, may_add) {
--- a/crates/fleet/tests/daemons/jobs_read_again.rs
+++ b/crates/fleet/tests/daemons/jobs_read_again.rs
@@ -36,6 +36,51 @@
     format!("j{}", JobKey::new(number).partition(16))
 }
 
+/// Returns the number of starts of two jobs, of which the first has completed before. The owner reads all jobs again while the
+/// store is partly away and slow to confirm it; the second job is accepted `offset` before that reading may end.
+async fn starts_of_job_watched_while_reading(phase: Duration, offset: Duration) -> usize {
+    let fleet = TestFleet::with_runtime_clock(2);
+    let owner = fleet.daemon();
+    submit(&owner.job_api, 99, &job(&[(1, &[])])).await;
+    wait_for_progress(&owner.job_api, 99, COMPLETED).await;
+    let client = &owner.store_client;
+    client.failing_parts.borrow_mut().push("j0".to_owned());
+    client.forget_history();
+    time::sleep(Duration::from_secs(1)).await;
+    client.failing_parts.borrow_mut().push("s0".to_owned());
+    time::sleep(Duration::from_secs(3)).await;
+    let only_owner_row = |part: &String| part == "s0";
+    client.failing_parts.borrow_mut().retain(only_owner_row);
+    time::sleep(Duration::from_secs(1) + phase).await;
+    let slow = ("s0".to_owned(), Duration::from_millis(300));
+    client.slow_parts.borrow_mut().push(slow);
+    client.failing_parts.borrow_mut().clear();
+    time::sleep(offset).await;
+    write_jobs(&fleet, "j1", "queue", 5..6);
+    time::sleep(Duration::from_secs(1)).await;
+    client.slow_parts.borrow_mut().clear();
+    time::sleep(Duration::from_secs(30)).await;
+    fleet.workers.started_runs()
+}
+
+/// Guards against an accepted job that never starts: the watch brings it while the owner confirms its term, and the reading of
+/// all jobs ends meanwhile.
+#[test]
+fn job_that_is_watched_as_the_reading_of_all_jobs_ends_is_started() {
+    let mut lost = Vec::new();
+    for phase_ms in [110, 220] {
+        for offset_ms in (0..600).step_by(20) {
+            let [phase, offset] = [phase_ms, offset_ms].map(Duration::from_millis);
+            run_simulated(async {
+                if starts_of_job_watched_while_reading(phase, offset).await != 2 {
+                    lost.push((phase_ms, offset_ms));
+                }
+            });
+        }
+    }
+    assert_eq!(lost, [], "milliseconds of the phase and the offset");
+}
+
 /// Guards against a cancelled job that runs: the owner watched its cancellation before it could read the job's row, and
 /// had read the cancellation's part before that.
 #[test]
