Log the run before a start also where its end was held; test that unknown ends do not stay

What operators saw: after a held end as failed the next start was logged as if no run had been before.

Change: a held end sets what is known of the task's last run as any other end does. Nothing tested that a daemon ever finds out that it knows all jobs: runs_and_ends_of_a_job_that_never_becomes_known_do_not_stay fails where it doesn't (tried with that call taken out). task_that_ended_before_its_successor_knew_the_job_is_not_started_again also demands that the job completes, since one start alone doesn't tell a job that counts from one that never became known.

--- a/crates/dispatch/src/held_end.rs
+++ b/crates/dispatch/src/held_end.rs
@@ -4,6 +4,7 @@
 
 use crate::{
     Dispatcher,
+    EarlierRun,
     EndedRun,
     JobKey,
     UnknownEnd,
@@ -19,13 +20,13 @@
     ended: EndedRun,
     /// When the worker listed the end.
     listed_at: Duration,
-    /// Whether the worker's present incarnation listed it, which waits for its acknowledgement.
-    is_current: bool,
+    /// Whether the incarnation that listed it is the worker's present one, which waits for its acknowledgement.
+    is_of_present_incarnation: bool,
 }
 
 impl Dispatcher {
-    /// Records that all jobs are known of which a former owner may have started tasks. Ends and runs of other jobs are those of
-    /// no job: they are acknowledged and stopped.
+    /// Records that all jobs are known of which a former owner may have started tasks. Ends of jobs that are still unknown are
+    /// acknowledged, and their runs are stopped.
     pub fn confirm_former_jobs(&mut self, now: Duration) {
         if self.knows_former_jobs {
             return;
@@ -51,7 +52,7 @@
             worker,
             ended,
             listed_at: now,
-            is_current: true,
+            is_of_present_incarnation: true,
         };
         self.worker_mut(worker).pending_acks.push_back(PendingAck {
             number: held.ended.number,
@@ -69,6 +70,11 @@
     /// Applies the ends of a job that workers listed before it was known.
     pub(crate) fn apply_held_ends(&mut self, job: JobKey) {
         for held in self.held_ends.swap_remove(&job).unwrap_or_default() {
+            let EndedRun {
+                task, run, result, ..
+            } = held.ended;
+            let how = EarlierRun::Ended(result);
+            self.release_run(held.worker, task, run, how, held.listed_at);
             let change = self.apply_completion(held.worker, &held.ended, false, held.listed_at);
             let now = self.last_plan_at.max(held.listed_at);
             self.settle_held_end(&held, UnknownEndOutcome::Applied, change, now);
@@ -79,7 +85,7 @@
     pub(crate) fn detach_held_ends(&mut self, worker: WorkerKey) {
         let ends = self.held_ends.values_mut().flatten();
         for held in ends.filter(|held| held.worker == worker) {
-            held.is_current = false;
+            held.is_of_present_incarnation = false;
         }
     }
 
@@ -92,7 +98,7 @@
         now: Duration,
     ) {
         self.note_unknown_end(held, outcome, now);
-        if held.is_current {
+        if held.is_of_present_incarnation {
             self.worker_mut(held.worker)
                 .set_pending_change(held.ended.number, change);
         }
--- a/crates/dispatch/tests/jobs_learned_late.rs
+++ b/crates/dispatch/tests/jobs_learned_late.rs
@@ -15,6 +15,7 @@
     AcceptedJob,
     DispatchSettings,
     Dispatcher,
+    EarlierRun,
     EndedRun,
     JobKey,
     JobOutcome,
@@ -110,8 +111,8 @@
     assert_eq!(starts, 0);
 }
 
-/// Returns the progress of a job and the number of starts that its owner orders, which learns of it in `learned_in`, a turn of 100 ms. A worker lists a run of the
-/// job's task in the first turns, and then its end until that is acknowledged.
+/// Returns the progress of a job that its owner learns of in the turn `learned_in`, and the number of starts that the owner orders.
+/// A worker lists a run of the job's task in the first turns, of 100 ms each, and then its end until that is acknowledged.
 fn starts_of_job_learned_in(learned_in: u64) -> (Option<JobProgress>, usize) {
     let record = Fleet::new(1, 1).workers[0].record().clone();
     let mut dispatcher = Dispatcher::new(2, DispatchSettings::default());
@@ -174,6 +175,45 @@
     assert_eq!(found, [expected; 6], "jobs learned in turns {turns:?}");
 }
 
+/// Guards against a log that denies an earlier run: the worker listed its failure before the job was known.
+#[test]
+fn start_after_a_failure_listed_before_its_job_was_known_tells_of_it() {
+    let record = Fleet::new(1, 1).workers[0].record().clone();
+    let mut dispatcher = Dispatcher::new(2, DispatchSettings::default());
+    dispatcher.set_configuration(configuration(3));
+    let worker = dispatcher.upsert_worker(record, Some(ms(9000)));
+    let task = StepKey {
+        job: late_key(),
+        occurrence: 0,
+        step: 0,
+    }
+    .task(0);
+    dispatcher.next_renewal(worker, true, ms(1000));
+    let report = RenewalReport {
+        clock: ms(1000),
+        incarnation: None,
+        running: Vec::new(),
+        completions: vec![EndedRun {
+            number: 1,
+            task,
+            run: RunNumber::of_owner(1, 1),
+            result: RunResult::Failed,
+            checkpoint: None,
+        }],
+    };
+    dispatcher.handle_renewal_report(worker, ms(1000), report, ms(1000));
+    dispatcher.add_job(late_key(), late_job(&only_queue()));
+    let orders = dispatcher.plan(ms(1000)).orders;
+    assert!(
+        matches!(orders[..], [WorkerOrder::Start(_)]),
+        "the queue allows more attempts: {orders:?}"
+    );
+    assert_eq!(
+        dispatcher.earlier_run(task),
+        EarlierRun::Ended(RunResult::Failed)
+    );
+}
+
 /// Guards against a task that starts again after its end was listed, and an end of the worker's next incarnation that is
 /// acknowledged without a record: the worker restarts before the job of the first end is known.
 #[test]
--- a/crates/fleet/tests/daemons/takeover.rs
+++ b/crates/fleet/tests/daemons/takeover.rs
@@ -13,6 +13,8 @@
 use jasminebend_dispatch::{
     DispatchSettings,
     Dispatcher,
+    JobOutcome,
+    JobProgress,
     OrderOutcome,
     RunNumber,
     StartOrder, //
@@ -22,7 +24,10 @@
     StoreRow,
     StoreTable, //
 };
-use jasminebend_standins::TaskWork;
+use jasminebend_standins::{
+    TaskWork,
+    WorkerEvent, //
+};
 use tokio::time;
 
 use crate::{
@@ -32,7 +37,8 @@
         TestFleet,
         free_address,
         job,
-        run_simulated, //
+        run_simulated,
+        wait_for_progress, //
     }, //
 };
 
@@ -40,6 +46,9 @@
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
 /// How long the task's run takes.
 const RUN_TIME: Duration = Duration::from_secs(4);
+/// Within this time after a claim the successor knows all jobs that former owners may have started: they add none for longer than
+/// 2 s, and a watch answers within 1 s.
+const UNKNOWN_JOB_BOUND: Duration = Duration::from_secs(5);
 /// How long a run takes that ends before the successor knows its job.
 const SHORT_RUN_TIME: Duration = Duration::from_millis(500);
 /// After this time the successor knows the job, and the lease of a partitioned worker has not lapsed yet.
@@ -302,7 +311,7 @@
 }
 
 /// Lets a former owner start and finish a task of a job beside its successor, `after` the claim, while `disturb` keeps the job from
-/// the successor; returns how often the task was started.
+/// the successor; returns how often the task was started, once the job has completed.
 async fn starts_of_late_job<Disturb>(after: Duration, outage: Duration, disturb: Disturb) -> usize
 where
     Disturb: Fn(&StoreClient),
@@ -316,9 +325,33 @@
     time::sleep(outage).await;
     successor.store_client.refuses_calls.set(false);
     time::sleep(RUN_ENDED_AFTER).await;
+    wait_for_progress(
+        &successor.job_api,
+        7,
+        JobProgress::Ended(JobOutcome::Completed),
+    )
+    .await;
     fleet.workers.started_runs()
 }
 
+/// Guards against a run that goes on for good, and an end that stays with its worker: no job that the successor may learn has such a
+/// task.
+#[test]
+fn runs_and_ends_of_a_job_that_never_becomes_known_do_not_stay() {
+    run_simulated(async {
+        let (fleet, _successor, _silent) = fleet_after_takeover(1).await;
+        start_as_former_owner(&fleet, Duration::from_secs(60));
+        fleet.workers.heal();
+        time::sleep(UNKNOWN_JOB_BOUND).await;
+        assert!(fleet.workers.is_idle(PARTITIONED_WORKER));
+        let acknowledged = fleet.workers.with_worker(PARTITIONED_WORKER, |worker, _| {
+            let mut events = worker.events().iter();
+            events.any(|(_, event)| matches!(event, WorkerEvent::Acknowledged(..)))
+        });
+        assert_eq!(acknowledged, Some(true));
+    });
+}
+
 /// Guards against a task that starts again after its end was acknowledged: the successor learned of the job only after a worker had
 /// listed the end, as the store was away or a connection to it was silent.
 #[test]
