Keep the record of a job that is learned after its record

A caller would see done tasks of a job executed again, and their outcome recorded a second time, although their ends had been acknowledged.

Cause: a daemon that has to read all records before it claims the ownership keeps the jobs of that reading and reads the progress again after the claim. An owner that began to act in between may have accepted a job, executed its tasks and committed their ends. The successor reads that progress row before it learns of the job, and `restore_job` dropped the record of an unknown job. The watch then brought the job, whose done tasks started again, and the next commit replaced the row.

Change: `restore_job` keeps the record of an unknown job, and `add_job` restores it, after a cancellation and before the ends that workers have listed, so that no plan falls between. The store of the tests counts the commits that are under way, so that the test can tell when the claim has been sent.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -26,6 +26,7 @@
     JobKey,
     JobOutcome,
     JobProgress,
+    ProgressRecord,
     QueueRule,
     RunLoss,
     RunNumber,
@@ -116,6 +117,8 @@
     pub(crate) pending_losses: Vec<RunLoss>,
     /// Whether all jobs are known of which a former owner may have started tasks.
     pub(crate) knows_former_jobs: bool,
+    /// Records of jobs that are not known yet.
+    pub(crate) early_records: IndexMap<JobKey, ProgressRecord>,
     /// Ends of runs whose jobs are not known yet.
     pub(crate) held_ends: IndexMap<JobKey, Vec<HeldEnd>>,
     /// What happened to ends of unknown jobs' runs, to be returned by the next plan.
@@ -195,6 +198,7 @@
             pending_evictions: Vec::new(),
             pending_losses: Vec::new(),
             knows_former_jobs: fencing_token <= 1,
+            early_records: IndexMap::new(),
             held_ends: IndexMap::new(),
             pending_unknown_ends: Vec::new(),
             lapsed_in_takeover: Vec::new(),
@@ -288,6 +292,9 @@
         if self.cancelled_early.remove(&key) {
             self.cancel_job(key);
         }
+        if let Some(record) = self.early_records.swap_remove(&key) {
+            self.restore_job(key, &record);
+        }
         self.apply_held_ends(key);
         self.adopt_unknown_runs(key);
     }
--- a/crates/dispatch/src/dispatcher_records.rs
+++ b/crates/dispatch/src/dispatcher_records.rs
@@ -73,9 +73,13 @@
         self.commits.abort();
     }
 
-    /// Restores a job's state from its record. Must be called before any task of the job is
-    /// started.
+    /// Restores a job's state from its record, as soon as the job is known. Must be called before any
+    /// task of the job is started.
     pub fn restore_job(&mut self, key: JobKey, record: &ProgressRecord) {
+        if !self.jobs.contains_key(&key) {
+            self.early_records.insert(key, record.clone());
+            return;
+        }
         let progressed = record.steps.iter().map(|step| step.occurrence);
         let crashed = record.crashes.iter().map(|task| task.occurrence);
         let occurrences: IndexSet<u32> = progressed.chain(crashed).collect();
--- a/crates/dispatch/tests/jobs_learned_late.rs
+++ b/crates/dispatch/tests/jobs_learned_late.rs
@@ -20,11 +20,13 @@
     JobKey,
     JobOutcome,
     JobProgress,
+    ProgressRecord,
     RenewalReport,
     RunNumber,
     RunResult,
     RunningTask,
     StepKey,
+    StepProgress,
     WorkerOrder, //
 };
 
@@ -373,6 +375,45 @@
     );
 }
 
+/// Guards against tasks that start again after their ends were acknowledged: their job's row was read before a former owner began to
+/// act, and its record after that, so that the job becomes known after its record.
+#[test]
+fn record_that_was_read_before_its_job_counts_as_soon_as_the_job_is_known() {
+    let record = Fleet::new(1, 1).workers[0].record().clone();
+    let mut dispatcher = Dispatcher::new(2, DispatchSettings::default());
+    dispatcher.set_configuration(configuration(3));
+    let worker = dispatcher.upsert_worker(record, Some(ms(9000)));
+    let done = StepProgress {
+        all_done: true,
+        ..StepProgress::default()
+    };
+    let progress = ProgressRecord {
+        steps: vec![done],
+        ..ProgressRecord::default()
+    };
+    dispatcher.restore_job(late_key(), &progress);
+    let report = RenewalReport {
+        clock: ms(1000),
+        incarnation: None,
+        running: Vec::new(),
+        completions: Vec::new(),
+    };
+    dispatcher.next_renewal(worker, true, ms(1000));
+    dispatcher.handle_renewal_report(worker, ms(1000), report, ms(1000));
+    dispatcher.plan(ms(1000));
+    let job = AcceptedJob {
+        graph: graph(vec![step(1, &[]), step(1, &[0])]).into(),
+        ..late_job(&only_queue())
+    };
+    dispatcher.add_job(late_key(), job);
+    let orders = dispatcher.plan(ms(1100)).orders;
+    let steps = orders.iter().map(|order| match order {
+        WorkerOrder::Start(start) => start.task.step.step,
+        _ => panic!("nothing runs"),
+    });
+    assert_eq!(steps.collect::<Vec<u16>>(), [1], "step 0 is done");
+}
+
 /// Guards against a job that is shown as failed after one failed run, because its owner does not know yet how many its queue
 /// allows.
 #[test]
--- a/crates/fleet/tests/daemons/jobs_read_again.rs
+++ b/crates/fleet/tests/daemons/jobs_read_again.rs
@@ -31,6 +31,10 @@
 const COMPLETED: JobProgress = JobProgress::Ended(JobOutcome::Completed);
 /// The part that is read first.
 const LAST_PART: &str = "j15";
+/// Enough for the owner to read the jobs meanwhile, and to run a task; a call that takes 0.3 s is given up.
+const SLOW_CLAIM_TIME: Duration = Duration::from_millis(290);
+const SHORT_RUN_TIME: Duration = Duration::from_millis(10);
+const SHORT_LATENCY: Duration = Duration::from_millis(2);
 
 fn first_part(number: u64) -> String {
     format!("j{}", JobKey::new(number).partition(16))
@@ -256,3 +260,59 @@
         assert_eq!(fleet.workers.started_runs(), 2);
     });
 }
+
+/// Guards against a task that starts again after its end was acknowledged: the owner had read the jobs before its claim, and the
+/// owner before it ran a task of a job that was accepted after that.
+#[test]
+fn progress_of_a_job_accepted_after_the_jobs_were_read_counts() {
+    run_simulated(async {
+        let fleet = TestFleet::with_runtime_clock(1);
+        let first = fleet.daemon();
+        submit(&first.job_api, 99, &job(&[(1, &[])])).await;
+        wait_for_progress(&first.job_api, 99, COMPLETED).await;
+        let owner = fleet.daemon();
+        time::sleep(Duration::from_secs(1)).await;
+        let successor = fleet.daemon();
+        time::sleep(Duration::from_secs(2)).await;
+        let failing = &owner.store_client.failing_parts;
+        failing.borrow_mut().push(first_part(1));
+        successor.store_client.commit_latency.set(SLOW_CLAIM_TIME);
+        first.kill();
+        wait_for_owner(&fleet, 2).await;
+        fleet.workers.run_time.set(SHORT_RUN_TIME);
+        wait_until(|| successor.store_client.commits_under_way.get() == 1).await;
+        failing.borrow_mut().clear();
+        submit(&owner.job_api, 2, &job(&[(1, &[]), (1, &[0])])).await;
+        wait_until(|| fleet.store.jobs_with_a_done_step() == 1).await;
+        fleet.workers.run_time.set(Duration::MAX);
+        let token = fleet.store.owner().map(|owner| owner.token);
+        assert_eq!(token, Some(2), "the successor's claim is under way");
+        wait_for_owner(&fleet, 3).await;
+        successor.store_client.commit_latency.set(SHORT_LATENCY);
+        time::sleep(Duration::from_secs(15)).await;
+        assert_eq!(fleet.workers.started_runs(), 3);
+    });
+}
+
+async fn wait_for_owner(fleet: &TestFleet, token: u64) {
+    wait_until(|| {
+        fleet
+            .store
+            .owner()
+            .is_some_and(|owner| owner.token >= token)
+    })
+    .await;
+}
+
+async fn wait_until<Condition>(holds: Condition)
+where
+    Condition: Fn() -> bool,
+{
+    for _ in 0..4000 {
+        if holds() {
+            return;
+        }
+        time::sleep(Duration::from_millis(5)).await;
+    }
+    panic!("it took too long");
+}
--- a/crates/fleet/tests/daemons/memory_store.rs
+++ b/crates/fleet/tests/daemons/memory_store.rs
@@ -101,6 +101,8 @@
     pub(crate) read_latency: Cell<Duration>,
     /// The latency of a read of jobs.
     pub(crate) job_read_latency: Cell<Duration>,
+    /// The number of commits that were sent and not answered yet.
+    pub(crate) commits_under_way: Cell<u32>,
     /// The latency of a commit.
     pub(crate) commit_latency: Cell<Duration>,
     /// How many times all open connections went silent for good.
@@ -336,6 +338,7 @@
             silent: Cell::new(false),
             read_latency: Cell::new(Duration::from_millis(2)),
             job_read_latency: Cell::new(Duration::from_millis(2)),
+            commits_under_way: Cell::new(0),
             commit_latency: Cell::new(Duration::from_millis(2)),
             connection_losses: Cell::new(0),
             forgotten_version: Cell::new(0),
@@ -460,7 +463,9 @@
 impl FleetStore for StoreClient {
     async fn commit(&self, commit: RowCommit) -> Result<CommitOutcome, StoreError> {
         let call = async {
+            self.commits_under_way.set(self.commits_under_way.get() + 1);
             time::sleep(self.commit_latency.get()).await;
+            self.commits_under_way.set(self.commits_under_way.get() - 1);
             for row in &commit.writes {
                 self.check_part_reachable(&row.part)?;
             }
