Log progress rows of jobs that a successor doesn't know yet

What operators saw: a task that an earlier owner had recorded as done started again, and nothing told whether its record had been read.

--- a/crates/dispatch/src/dispatcher_records.rs
+++ b/crates/dispatch/src/dispatcher_records.rs
@@ -134,6 +134,11 @@
         });
     }
 
+    /// Returns the number of records that were read of jobs that are not known yet.
+    pub fn early_record_count(&self) -> usize {
+        self.early_records.len()
+    }
+
     /// Holds a job back whose record can't be read: none of its tasks starts, and its record stays as it is.
     pub fn freeze_job(&mut self, key: JobKey) {
         self.commits.freeze(key);
--- a/crates/fleet/src/ownership_takeover.rs
+++ b/crates/fleet/src/ownership_takeover.rs
@@ -90,6 +90,8 @@
     recorded_workers: usize,
     listed_workers: usize,
     progress_rows: usize,
+    /// The progress rows of jobs that are not known yet.
+    early_rows: usize,
 }
 
 /// A record of a former owner can't be decoded.
@@ -274,16 +276,6 @@
     dispatcher.finish_recording(&recorded.workers);
     let is_listed = |change: &&RegistryChange| matches!(change, RegistryChange::Listed(_));
     let listed_workers = records.registry.items.iter().filter(is_listed).count();
-    shared.log.line(
-        LogEvent::Owner,
-        RecordsLine {
-            change: "records",
-            token: term.token(),
-            recorded_workers: recorded.workers.len(),
-            listed_workers,
-            progress_rows: progress.len(),
-        },
-    );
     for change in records.registry.items {
         if let RegistryChange::Listed(worker) = change {
             dispatcher.upsert_worker(worker, (!is_first_owner).then_some(until));
@@ -308,6 +300,17 @@
             }
         }
     }
+    shared.log.line(
+        LogEvent::Owner,
+        RecordsLine {
+            change: "records",
+            token: term.token(),
+            recorded_workers: recorded.workers.len(),
+            listed_workers,
+            progress_rows: progress.len(),
+            early_rows: dispatcher.early_record_count(),
+        },
+    );
 }
 
 fn log_unreadable(shared: &SharedState, term: &OwnerTerm, row: &str) {
