Record ends of jobs that the owner can't read before acknowledging them

A caller would see a task executed again after its end had been acknowledged, once an owner could read a job that the one before could not.

Cause: a job's row that can't be decoded was passed over without a log line; after the takeover its job counted as one that doesn't exist, and ends of its runs were acknowledged without a record. Ends of a job whose progress row can't be decoded counted as on record, and were on none.

Change: such ends, done tasks and failed runs, go into a row JOB.ends beside the job's progress row, encoded as progress, in the same commits, under the owner's guard and the row's version. They are acknowledged once it is written. A successor that can read the job applies them after its record and marks its tasks; one that can't adds to them. Versions of progress rows are kept by the rows' keys. The log line `unreadable` names the job's row, the line of an unknown end has the outcome `recorded`.

Open: beyond 60 KiB of ends of one job, or where the row of ends can't be decoded, an end stays with its worker, and with it all later ends there, until the worker restarts. Runs of a job whose row can't be read are stopped, as before, once all former jobs are known.

--- a/crates/dispatch/src/commit_tracker.rs
+++ b/crates/dispatch/src/commit_tracker.rs
@@ -37,9 +37,14 @@
 
     /// Records a change of a job and returns its number. A change of a frozen job counts as on record.
     pub(crate) fn record_change(&mut self, job: JobKey) -> u64 {
-        if self.is_frozen(job) {
-            return self.committed_through();
+        match self.is_frozen(job) {
+            true => self.committed_through(),
+            false => self.record_end(job),
         }
+    }
+
+    /// Records the end of a run of a job, which may be frozen, and returns the number of the change.
+    pub(crate) fn record_end(&mut self, job: JobKey) -> u64 {
         self.last_change += 1;
         self.uncommitted.entry(job).or_insert(self.last_change);
         self.last_change
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -119,6 +119,12 @@
     pub(crate) knows_former_jobs: bool,
     /// Records of jobs that are not known yet.
     pub(crate) early_records: IndexMap<JobKey, ProgressRecord>,
+    /// Jobs whose rows can't be read, unless another copy was.
+    pub(crate) unreadable_jobs: HashSet<JobKey>,
+    /// Ends of runs that an owner recorded which could not read their jobs.
+    pub(crate) recorded_ends: IndexMap<JobKey, ProgressRecord>,
+    /// Jobs of which such a record can't be read.
+    pub(crate) closed_ends: HashSet<JobKey>,
     /// Ends of runs whose jobs are not known yet.
     pub(crate) held_ends: IndexMap<JobKey, Vec<HeldEnd>>,
     /// What happened to ends of unknown jobs' runs, to be returned by the next plan.
@@ -199,6 +205,9 @@
             pending_losses: Vec::new(),
             knows_former_jobs: fencing_token <= 1,
             early_records: IndexMap::new(),
+            unreadable_jobs: HashSet::new(),
+            recorded_ends: IndexMap::new(),
+            closed_ends: HashSet::new(),
             held_ends: IndexMap::new(),
             pending_unknown_ends: Vec::new(),
             lapsed_in_takeover: Vec::new(),
@@ -295,6 +304,7 @@
         if let Some(record) = self.early_records.swap_remove(&key) {
             self.restore_job(key, &record);
         }
+        self.apply_recorded_ends(key);
         self.apply_held_ends(key);
         self.adopt_unknown_runs(key);
     }
--- a/crates/dispatch/src/dispatcher_completions.rs
+++ b/crates/dispatch/src/dispatcher_completions.rs
@@ -11,6 +11,7 @@
     JobFailure,
     JobKey,
     JobOutcome,
+    RunNumber,
     RunResult,
     StepKey,
     TaskKey,
@@ -20,13 +21,27 @@
 
 impl Dispatcher {
     /// Applies the completion of a run to its task, step and job. Returns the number of the change
-    /// that must be on record before the completion may be acknowledged.
+    /// that must be on record before the completion may be acknowledged, or `None` if it can't be recorded.
     pub(crate) fn apply_completion(
         &mut self,
         key: WorkerKey,
         ended: &EndedRun,
         seen: bool,
         now: Duration,
+    ) -> Option<u64> {
+        let change = self.count_completion(key, ended, seen, now);
+        match self.is_unreadable(ended.task.job()) {
+            true => self.record_end(ended),
+            false => Some(change),
+        }
+    }
+
+    fn count_completion(
+        &mut self,
+        key: WorkerKey,
+        ended: &EndedRun,
+        seen: bool,
+        now: Duration,
     ) -> u64 {
         let committed = self.commits.committed_through();
         let step = ended.task.step;
@@ -62,7 +77,7 @@
                 };
                 self.mark_done(ended.task, spec.gang, origin)
             }
-            RunResult::Failed => self.count_failure(key, ended, spec.gang),
+            RunResult::Failed => self.count_failure(ended.task, ended.run, Some(key), spec.gang),
             RunResult::Stopped | RunResult::Lapsed if ended.checkpoint.is_some() => {
                 self.commits.record_change(step.job)
             }
@@ -90,7 +105,7 @@
 
     /// Marks a task, or all tasks of a gang, as done and stops surplus copies. Returns the number
     /// of the change.
-    fn mark_done(&mut self, task: TaskKey, gang: bool, origin: StepOrigin) -> u64 {
+    pub(crate) fn mark_done(&mut self, task: TaskKey, gang: bool, origin: StepOrigin) -> u64 {
         let step = task.step;
         let mut surplus = Vec::new();
         let Some(job) = self.jobs.get_mut(&step.job) else {
@@ -145,8 +160,14 @@
 
     /// Counts a failed run and fails the job if the task has used up its attempts. Returns the
     /// number of the change.
-    fn count_failure(&mut self, key: WorkerKey, ended: &EndedRun, gang: bool) -> u64 {
-        let step = ended.task.step;
+    pub(crate) fn count_failure(
+        &mut self,
+        task: TaskKey,
+        run: RunNumber,
+        worker: Option<WorkerKey>,
+        gang: bool,
+    ) -> u64 {
+        let step = task.step;
         let Some(job) = self.jobs.get_mut(&step.job) else {
             return 0;
         };
@@ -158,13 +179,13 @@
             return 0;
         };
         // A gang fails as a whole: its failures are counted at its first task.
-        let counted_index = if gang { 0 } else { ended.task.index };
+        let counted_index = if gang { 0 } else { task.index };
         let mut failures = 0;
         if let Some(task) = state.tasks.get_mut(counted_index as usize) {
-            if !task.failures.contains(&ended.run) {
-                task.failures.push(ended.run);
+            if !task.failures.contains(&run) {
+                task.failures.push(run);
             }
-            task.failed_on = Some(key);
+            task.failed_on = worker.or(task.failed_on);
             failures = task.failures.len();
         }
         let change = self.commits.record_change(step.job);
--- a/crates/dispatch/src/dispatcher_records.rs
+++ b/crates/dispatch/src/dispatcher_records.rs
@@ -35,8 +35,9 @@
 const MAX_RECORDED_CRASHED_TASKS: usize = 100;
 
 impl Dispatcher {
-    /// Takes up to `limit` jobs with uncommitted changes, with the records to write. Returns
-    /// nothing while a commit is in flight: there is at most one at a time.
+    /// Takes up to `limit` jobs with uncommitted changes, with the records to write; of a job that [can't be
+    /// read](Dispatcher::is_unreadable) the ends, to be written beside its record. Returns nothing while a commit is in
+    /// flight: there is at most one at a time.
     pub fn take_records_to_commit(&mut self, limit: usize) -> Vec<(JobKey, ProgressRecord)> {
         if self.commits.is_in_flight() {
             return Vec::new();
@@ -44,6 +45,11 @@
         let keys = self.commits.take_jobs(limit);
         let mut records = Vec::with_capacity(keys.len());
         for key in keys {
+            if self.is_unreadable(key) {
+                let ends = self.recorded_ends.get(&key).cloned();
+                records.push((key, ends.unwrap_or_default()));
+                continue;
+            }
             let Some(job) = self.jobs.get(&key) else {
                 continue;
             };
@@ -139,11 +145,6 @@
         self.early_records.len()
     }
 
-    /// Holds a job back whose record can't be read: none of its tasks starts, and its record stays as it is.
-    pub fn freeze_job(&mut self, key: JobKey) {
-        self.commits.freeze(key);
-    }
-
     /// Returns the learned interference between fillers and services, to be stored for a successor.
     pub fn learned_record(&self) -> LearnedRecord {
         self.interference.record()
--- a/crates/dispatch/src/dispatcher_workers.rs
+++ b/crates/dispatch/src/dispatcher_workers.rs
@@ -652,7 +652,7 @@
         let worker = self.worker_mut(key);
         worker.pending_acks.push_back(PendingAck {
             number: ended.number,
-            change: Some(change),
+            change,
         });
     }
 }
--- a/crates/dispatch/src/held_end.rs
+++ b/crates/dispatch/src/held_end.rs
@@ -34,7 +34,7 @@
         self.knows_former_jobs = true;
         let committed = self.commits.committed_through();
         for held in std::mem::take(&mut self.held_ends).into_values().flatten() {
-            self.settle_held_end(&held, UnknownEndOutcome::Dropped, committed, now);
+            self.settle_held_end(&held, UnknownEndOutcome::Dropped, Some(committed), now);
         }
         self.acknowledge();
     }
@@ -58,13 +58,18 @@
             number: held.ended.number,
             change: None,
         });
+        if self.is_unreadable(job) {
+            let change = self.record_end(&held.ended);
+            self.settle_held_end(&held, UnknownEndOutcome::Recorded, change, now);
+            return;
+        }
         if self.may_learn_job(job) {
             self.note_unknown_end(&held, UnknownEndOutcome::Held, now);
             self.held_ends.entry(job).or_default().push(held);
             return;
         }
         let committed = self.commits.committed_through();
-        self.settle_held_end(&held, UnknownEndOutcome::Dropped, committed, now);
+        self.settle_held_end(&held, UnknownEndOutcome::Dropped, Some(committed), now);
     }
 
     /// Applies the ends of a job that workers listed before it was known.
@@ -81,6 +86,15 @@
         }
     }
 
+    /// Records the ends of a job that workers listed before it was found to be unreadable.
+    pub(crate) fn record_held_ends(&mut self, job: JobKey) {
+        for held in self.held_ends.swap_remove(&job).unwrap_or_default() {
+            let change = self.record_end(&held.ended);
+            let now = self.last_plan_at.max(held.listed_at);
+            self.settle_held_end(&held, UnknownEndOutcome::Recorded, change, now);
+        }
+    }
+
     /// Keeps a restarted worker's ends: they still count, but its new incarnation does not wait for their acknowledgement.
     pub(crate) fn detach_held_ends(&mut self, worker: WorkerKey) {
         let ends = self.held_ends.values_mut().flatten();
@@ -89,16 +103,18 @@
         }
     }
 
-    /// Lets a held end be acknowledged once `change` is on record.
+    /// Lets a held end be acknowledged once `change` is on record; it stays with its worker without one.
     fn settle_held_end(
         &mut self,
         held: &HeldEnd,
         outcome: UnknownEndOutcome,
-        change: u64,
+        change: Option<u64>,
         now: Duration,
     ) {
         self.note_unknown_end(held, outcome, now);
-        if held.is_of_present_incarnation {
+        if held.is_of_present_incarnation
+            && let Some(change) = change
+        {
             self.worker_mut(held.worker)
                 .set_pending_change(held.ended.number, change);
         }
--- a/crates/dispatch/src/job_key.rs
+++ b/crates/dispatch/src/job_key.rs
@@ -26,7 +26,7 @@
 
 impl JobKey {
     /// Creates the identifier with this value.
-    pub fn new(number: u64) -> Self {
+    pub const fn new(number: u64) -> Self {
         Self(number)
     }
 
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -71,6 +71,7 @@
 mod task_key;
 mod unknown_end;
 mod unplaceable_demands;
+mod unreadable_job;
 mod unsettled_crash;
 mod worker_clock;
 mod worker_crash;
--- a/crates/dispatch/src/progress_record.rs
+++ b/crates/dispatch/src/progress_record.rs
@@ -69,6 +69,17 @@
     }
 }
 
+impl StepProgress {
+    /// Returns the key of the step in this job.
+    pub(crate) fn key(&self, job: JobKey) -> StepKey {
+        StepKey {
+            job,
+            occurrence: self.occurrence,
+            step: self.step,
+        }
+    }
+}
+
 /// Progress of one step of one occurrence.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct StepProgress {
--- a/crates/dispatch/src/unknown_end.rs
+++ b/crates/dispatch/src/unknown_end.rs
@@ -18,6 +18,9 @@
     /// The job has become known, and the end counts.
     #[display("applied")]
     Applied,
+    /// The job can't be read, and the end is recorded beside the job's record.
+    #[display("recorded")]
+    Recorded,
     /// It is acknowledged without a record: no job that may become known has such a task.
     #[display("dropped")]
     Dropped,
--- a/crates/dispatch/src/worker_state.rs
+++ b/crates/dispatch/src/worker_state.rs
@@ -124,7 +124,7 @@
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct PendingAck {
     pub(crate) number: u64,
-    /// The change that must be on record before; `None` while the run's job is not known.
+    /// The change that must be on record before; `None` while the run's job is not known, and if the end can't be recorded.
     pub(crate) change: Option<u64>,
 }
 
--- a/crates/fleet/src/job_watch.rs
+++ b/crates/fleet/src/job_watch.rs
@@ -29,6 +29,7 @@
     },
     monitored_store::WatchedRows,
     owner_term::OwnerTerm,
+    ownership_takeover::log_unreadable,
     shared_state::{
         CANCELLATION_SUFFIX,
         SharedState,
@@ -99,6 +100,9 @@
         return;
     };
     let Ok((record, rule)) = decode_job(&row.value) else {
+        if dispatcher.mark_unreadable(key) {
+            log_unreadable(shared, term, &row.key);
+        }
         return;
     };
     let accepted = Duration::from_millis(record.accepted_ms);
--- a/crates/fleet/src/order_planning.rs
+++ b/crates/fleet/src/order_planning.rs
@@ -35,6 +35,7 @@
     fleet_log::whole_millis,
     owner_term::OwnerTerm,
     shared_state::{
+        ENDS_SUFFIX,
         SHARD_PART,
         SharedState, //
     }, //
@@ -608,3 +609,9 @@
 pub(crate) fn progress_row(key: jasminebend_dispatch::JobKey, value: Vec<u8>) -> StoreRow {
     StoreRow::new(StoreTable::Progress, SHARD_PART, key.to_string(), value)
 }
+
+/// Returns the row with ends of runs of a job that this owner can't read. Daemons of earlier versions ignore it.
+pub(crate) fn ends_row(key: jasminebend_dispatch::JobKey, value: Vec<u8>) -> StoreRow {
+    let key = format!("{key}{ENDS_SUFFIX}");
+    StoreRow::new(StoreTable::Progress, SHARD_PART, key, value)
+}
--- a/crates/fleet/src/owner_term.rs
+++ b/crates/fleet/src/owner_term.rs
@@ -15,7 +15,6 @@
 
 use jasminebend_dispatch::{
     Dispatcher,
-    JobKey,
     WorkerKey, //
 };
 use tokio::sync::{
@@ -38,8 +37,8 @@
     /// The guard that requires the owner's row to be the one that began this term.
     pub(crate) guard: RowGuard,
     pub(crate) dispatcher: RefCell<Dispatcher>,
-    /// The store's versions of the jobs' progress rows.
-    pub(crate) progress_versions: RefCell<HashMap<JobKey, u64>>,
+    /// The store's versions of the rows with jobs' progress, and with ends of jobs that can't be read, by the rows' keys.
+    pub(crate) progress_versions: RefCell<HashMap<String, u64>>,
     /// The workers whose leases are being renewed.
     pub(crate) renewed_workers: RefCell<HashSet<WorkerKey>>,
     /// Wakes the task that plans orders.
--- a/crates/fleet/src/ownership_takeover.rs
+++ b/crates/fleet/src/ownership_takeover.rs
@@ -39,6 +39,7 @@
     progress_commits::commit_progress,
     registry_watch::watch_registry,
     shared_state::{
+        ENDS_SUFFIX,
         OWNER_KEY,
         SHARD_PART,
         SharedState, //
@@ -94,7 +95,7 @@
     early_rows: usize,
 }
 
-/// A record of a former owner can't be decoded.
+/// A job or a record of a former owner can't be decoded.
 #[derive(Serialize)]
 struct UnreadableLine<'a> {
     change: &'static str,
@@ -285,20 +286,11 @@
     for row in records.jobs.rows() {
         apply_job_row(shared, term, row, true);
     }
-    let mut dispatcher = term.dispatcher.borrow_mut();
-    let mut versions = term.progress_versions.borrow_mut();
     for row in &progress {
-        let Ok(key) = row.key.parse::<JobKey>() else {
-            continue;
-        };
-        versions.insert(key, row.version);
-        match decode_progress(&row.value) {
-            Ok(record) => dispatcher.restore_job(key, &record),
-            Err(_) => {
-                log_unreadable(shared, term, &row.key);
-                dispatcher.freeze_job(key);
-            }
-        }
+        restore_progress(shared, term, row);
+    }
+    for row in &progress {
+        restore_ends(shared, term, row);
     }
     shared.log.line(
         LogEvent::Owner,
@@ -308,12 +300,46 @@
             recorded_workers: recorded.workers.len(),
             listed_workers,
             progress_rows: progress.len(),
-            early_rows: dispatcher.early_record_count(),
+            early_rows: term.dispatcher.borrow().early_record_count(),
         },
     );
 }
 
-fn log_unreadable(shared: &SharedState, term: &OwnerTerm, row: &str) {
+/// Passes a job's progress to the dispatcher.
+fn restore_progress(shared: &SharedState, term: &OwnerTerm, row: &StoreRow) {
+    let Ok(key) = row.key.parse::<JobKey>() else {
+        return;
+    };
+    let mut versions = term.progress_versions.borrow_mut();
+    versions.insert(row.key.clone(), row.version);
+    let mut dispatcher = term.dispatcher.borrow_mut();
+    match decode_progress(&row.value) {
+        Ok(record) => dispatcher.restore_job(key, &record),
+        Err(_) => {
+            log_unreadable(shared, term, &row.key);
+            dispatcher.freeze_job(key);
+        }
+    }
+}
+
+/// Passes ends to the dispatcher that an owner recorded which could not read their job.
+fn restore_ends(shared: &SharedState, term: &OwnerTerm, row: &StoreRow) {
+    let Some(Ok(key)) = row.key.strip_suffix(ENDS_SUFFIX).map(str::parse::<JobKey>) else {
+        return;
+    };
+    let mut versions = term.progress_versions.borrow_mut();
+    versions.insert(row.key.clone(), row.version);
+    let mut dispatcher = term.dispatcher.borrow_mut();
+    match decode_progress(&row.value) {
+        Ok(ends) => dispatcher.restore_ends(key, ends),
+        Err(_) => {
+            log_unreadable(shared, term, &row.key);
+            dispatcher.close_ends(key);
+        }
+    }
+}
+
+pub(crate) fn log_unreadable(shared: &SharedState, term: &OwnerTerm, row: &str) {
     shared.log.line(
         LogEvent::Owner,
         UnreadableLine {
--- a/crates/fleet/src/progress_commits.rs
+++ b/crates/fleet/src/progress_commits.rs
@@ -6,6 +6,7 @@
 };
 
 use jasminebend_dispatch::{
+    Dispatcher,
     JobKey,
     ProgressRecord, //
 };
@@ -20,7 +21,10 @@
     StoreTable,
     fleet_log::whole_millis,
     member_watch::apply_owner_row,
-    order_planning::progress_row,
+    order_planning::{
+        ends_row,
+        progress_row, //
+    },
     owner_term::OwnerTerm,
     progress_codec::encode_progress,
     shared_state::SharedState, //
@@ -55,10 +59,14 @@
         let Some((records, commit)) = next_commit(&term) else {
             continue;
         };
+        let keys: Vec<String> = commit.writes.iter().map(|row| row.key.clone()).collect();
         let sent = shared.now();
         match shared.store.commit(commit).await {
             Ok(CommitOutcome::Applied(version)) => {
                 term.confirm(sent);
+                let mut versions = term.progress_versions.borrow_mut();
+                versions.extend(keys.into_iter().map(|key| (key, version)));
+                drop(versions);
                 handle_applied(&shared, &term, &records, version);
             }
             Ok(CommitOutcome::Conflict(rows)) => handle_conflict(&shared, &term, &rows),
@@ -81,7 +89,7 @@
         if records.is_empty() {
             return None;
         }
-        let commit = build_commit(term, &records);
+        let commit = build_commit(term, &dispatcher, &records);
         let bytes: usize = commit.writes.iter().map(|row| row.value.len()).sum();
         if bytes <= MAX_COMMIT_BYTES || records.len() == 1 {
             return Some((records, commit));
@@ -91,7 +99,11 @@
     }
 }
 
-fn build_commit(term: &OwnerTerm, records: &[(JobKey, ProgressRecord)]) -> RowCommit {
+fn build_commit(
+    term: &OwnerTerm,
+    dispatcher: &Dispatcher,
+    records: &[(JobKey, ProgressRecord)],
+) -> RowCommit {
     let versions = term.progress_versions.borrow();
     let mut commit = RowCommit {
         guards: vec![term.guard.clone()],
@@ -101,8 +113,11 @@
         let Ok(value) = encode_progress(record) else {
             continue;
         };
-        let row = progress_row(*key, value);
-        let version = versions.get(key).copied().unwrap_or(0);
+        let row = match dispatcher.is_unreadable(*key) {
+            true => ends_row(*key, value),
+            false => progress_row(*key, value),
+        };
+        let version = versions.get(&row.key).copied().unwrap_or(0);
         commit.guards.push(row.guard(version));
         commit.writes.push(row);
     }
@@ -115,12 +130,10 @@
     records: &[(JobKey, ProgressRecord)],
     version: u64,
 ) {
-    let mut versions = term.progress_versions.borrow_mut();
     let now = shared.now();
     let mut dispatcher = term.dispatcher.borrow_mut();
     dispatcher.confirm_commit();
     for (key, record) in records {
-        versions.insert(*key, version);
         let Some(outcome) = record.outcome else {
             continue;
         };
@@ -160,9 +173,7 @@
     }
     let mut versions = term.progress_versions.borrow_mut();
     for row in rows.iter().filter(|row| row.table == StoreTable::Progress) {
-        if let Ok(key) = row.key.parse() {
-            versions.insert(key, row.version);
-        }
+        versions.insert(row.key.clone(), row.version);
     }
     term.commit_wakeup.notify_one();
 }
--- a/crates/fleet/src/shared_state.rs
+++ b/crates/fleet/src/shared_state.rs
@@ -57,6 +57,9 @@
 pub(crate) const WORKERS_KEY_PREFIX: &str = "workers-";
 /// The suffix that turns a job's key into the key of its cancellation.
 pub(crate) const CANCELLATION_SUFFIX: &str = ".c";
+/// The suffix that turns the key of a job's progress into that of the row with ends of its runs that an owner recorded which
+/// could not read the job.
+pub(crate) const ENDS_SUFFIX: &str = ".ends";
 /// How long a watch of the store waits for a change. A silent connection is noticed only when the answer is
 /// overdue, and a configuration must be in force within two seconds.
 pub(crate) const WATCH_WAIT: Duration = Duration::from_millis(1000);
--- a/crates/fleet/tests/daemons/jobs_read_again.rs
+++ b/crates/fleet/tests/daemons/jobs_read_again.rs
@@ -284,7 +284,6 @@
         failing.borrow_mut().clear();
         submit(&owner.job_api, 2, &job(&[(1, &[]), (1, &[0])])).await;
         wait_until(|| fleet.store.jobs_with_a_done_step() == 1).await;
-        fleet.workers.run_time.set(Duration::MAX);
         let token = fleet.store.owner().map(|owner| owner.token);
         assert_eq!(token, Some(2), "the successor's claim is under way");
         wait_for_owner(&fleet, 3).await;
--- a/crates/fleet/tests/daemons/unreadable_records.rs
+++ b/crates/fleet/tests/daemons/unreadable_records.rs
@@ -4,12 +4,16 @@
 use std::time::Duration;
 
 use jasminebend_dispatch::{
+    JobKey,
     JobOutcome,
-    JobProgress, //
+    JobProgress,
+    ProgressRecord, //
 };
 use jasminebend_fleet::{
+    JobRecord,
     StoreRow,
-    StoreTable, //
+    StoreTable,
+    encode_progress, //
 };
 use tokio::time;
 
@@ -23,6 +27,8 @@
 
 const OWNER_PART: &str = "s0";
 const SETTLING_TIME: Duration = Duration::from_secs(2);
+/// Enough for a successor to take over and to know all jobs that were accepted before.
+const TAKEOVER_TIME: Duration = Duration::from_secs(10);
 /// Enough for a successor to take over and write its list, and less than a lease.
 const OVERWRITING_TIME: Duration = Duration::from_millis(1000);
 const CHECK_INTERVAL: Duration = Duration::from_millis(50);
@@ -112,3 +118,77 @@
         .await;
     });
 }
+
+/// Guards against a task that starts again after its end was acknowledged: the owner that learned of the end could not read the
+/// progress of the job, and the next one can.
+#[test]
+fn end_of_a_job_with_unreadable_progress_holds_for_an_owner_that_can_read_it() {
+    run_simulated(async {
+        let fleet = TestFleet::with_runtime_clock(1);
+        fleet
+            .workers
+            .run_time
+            .set(SETTLING_TIME + TAKEOVER_TIME / 2);
+        let owner = fleet.daemon_on_vm();
+        time::sleep(SETTLING_TIME).await;
+        submit(&owner.job_api, 1, &job(&[(1, &[]), (1, &[0])])).await;
+        time::sleep(SETTLING_TIME).await;
+        let _hanging = owner.lose_vm().await;
+        damage(&fleet, "0000000000000001");
+        let unable = fleet.daemon_on_vm();
+        time::sleep(TAKEOVER_TIME).await;
+        let _hanging = unable.lose_vm().await;
+        let value = encode_progress(&ProgressRecord::default()).unwrap();
+        let key = "0000000000000001";
+        let row = StoreRow::new(StoreTable::Progress, OWNER_PART, key, value);
+        fleet.store.write(vec![row]);
+        check_next_owner_completes(&fleet).await;
+    });
+}
+
+/// Guards against a task that starts again after its end was acknowledged: the owner that learned of the end could not read the
+/// job's row, and the next one can.
+#[test]
+fn end_of_a_job_with_an_unreadable_row_holds_for_an_owner_that_can_read_it() {
+    run_simulated(async {
+        let fleet = TestFleet::with_runtime_clock(1);
+        fleet
+            .workers
+            .run_time
+            .set(SETTLING_TIME + Duration::from_millis(200));
+        let owner = fleet.daemon_on_vm();
+        time::sleep(SETTLING_TIME).await;
+        let graph = job(&[(1, &[]), (1, &[0])]);
+        submit(&owner.job_api, 1, &graph).await;
+        time::sleep(SETTLING_TIME).await;
+        let _hanging = owner.lose_vm().await;
+        write_job_row(&fleet, UNREADABLE.to_vec());
+        let unable = fleet.daemon_on_vm();
+        time::sleep(TAKEOVER_TIME).await;
+        let _hanging = unable.lose_vm().await;
+        let record = JobRecord {
+            queue: "queue".to_owned(),
+            accepted_ms: 0,
+            graph,
+        };
+        write_job_row(&fleet, postcard::to_stdvec(&record).unwrap());
+        check_next_owner_completes(&fleet).await;
+    });
+}
+
+fn write_job_row(fleet: &TestFleet, value: Vec<u8>) {
+    let key = JobKey::new(1);
+    let part = format!("j{}", key.partition(16));
+    let row = StoreRow::new(StoreTable::Jobs, &part, key.to_string(), value);
+    fleet.store.write(vec![row]);
+}
+
+/// Checks that the next owner completes the job of two tasks, the first of which has ended, with one more run.
+async fn check_next_owner_completes(fleet: &TestFleet) {
+    assert!(fleet.workers.is_idle("worker-0"));
+    assert_eq!(fleet.workers.started_runs(), 1);
+    let next = fleet.daemon();
+    time::sleep(TAKEOVER_TIME).await;
+    wait_for_progress(&next.job_api, 1, JobProgress::Ended(JobOutcome::Completed)).await;
+    assert_eq!(fleet.workers.started_runs(), 2);
+}
