Let a step wait after a takeover while a former owner may hear of the end before it

What callers would see: two runs of a task at once, of a step that depends on a task which ended just after a takeover.

Cause: a renewal waits at the worker for an end, up to 2 s. A former owner's renewal that waits as its worker begins to follow the successor may still be answered, with an end that the successor has seen too. Both then open the next step; the successor did so without waiting for workers that it doesn't reach, as it had seen the run on a worker that follows it.

Evidence: step_after_an_end_that_a_waiting_call_told_of_starts_once failed before: both start the step.

Change: an end counts as heard by this owner alone only if the worker listed the run to a call that was sent, or the owner started it, when renewals from before the worker's first answer were over. Else the step is held until the takeover is complete.

Measured: the test passes.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -75,8 +75,8 @@
 pub(crate) enum StepOrigin {
     /// A former owner may have opened the step and started some of its tasks.
     Unknown,
-    /// Only this owner: it saw a task running on which the step depends, so no former owner can
-    /// have opened the step.
+    /// Only this owner: no former owner can have heard of the end of a task on which the step
+    /// depends, and have opened the step.
     ThisOwner,
 }
 
--- a/crates/dispatch/src/dispatcher_completions.rs
+++ b/crates/dispatch/src/dispatcher_completions.rs
@@ -21,15 +21,16 @@
 
 impl Dispatcher {
     /// Applies the completion of a run to its task, step and job. Returns the number of the change
-    /// that must be on record before the completion may be acknowledged, or `None` if it can't be recorded.
+    /// that must be on record before the completion may be acknowledged, or `None` if it can't be recorded. `heard_alone` tells
+    /// whether only this owner can have heard of the completion from this worker.
     pub(crate) fn apply_completion(
         &mut self,
         key: WorkerKey,
         ended: &EndedRun,
-        seen: bool,
+        heard_alone: bool,
         now: Duration,
     ) -> Option<u64> {
-        let change = self.count_completion(key, ended, seen, now);
+        let change = self.count_completion(key, ended, heard_alone, now);
         match self.is_unreadable(ended.task.job()) {
             true => self.record_end(ended),
             false => Some(change),
@@ -40,7 +41,7 @@
         &mut self,
         key: WorkerKey,
         ended: &EndedRun,
-        seen: bool,
+        heard_alone: bool,
         now: Duration,
     ) -> u64 {
         let committed = self.commits.committed_through();
@@ -69,8 +70,8 @@
             RunResult::Done => {
                 // For gangs and copies, another worker may have reported the same result to the
                 // former owner.
-                let seen_by_owner = seen && !spec.gang && !spec.allows_copies;
-                let origin = if seen_by_owner {
+                let heard_alone = heard_alone && !spec.gang && !spec.allows_copies;
+                let origin = if heard_alone {
                     StepOrigin::ThisOwner
                 } else {
                     StepOrigin::Unknown
--- a/crates/dispatch/src/dispatcher_workers.rs
+++ b/crates/dispatch/src/dispatcher_workers.rs
@@ -341,6 +341,7 @@
         let max_lease = self.settings.max_lease_duration.max(lease);
         let ending_time = self.settings.max_stop_duration;
         let has_former_owner = self.fencing_token > 1;
+        let longest_wait = WorkerClock::longest(self.settings.max_renewal_wait);
         let is_restarted =
             previous.is_some() && report.incarnation.is_some() && previous != report.incarnation;
         let worker = self.worker_mut(key);
@@ -381,7 +382,11 @@
             worker.unanswered = 0;
         }
         worker.connection_refused = false;
-        worker.has_owner_token = true;
+        if !worker.has_owner_token {
+            worker.has_owner_token = true;
+            worker.following_since = now;
+        }
+        let hears_alone = sent >= worker.following_since + longest_wait;
         let had_unknown_runs = worker.may_have_unknown_runs();
         worker.inherited_until = None;
         let is_truncated = report.completions.len() >= MAX_COMPLETIONS_PER_REPORT;
@@ -397,7 +402,11 @@
             .map(|running| (running.task, running.run))
             .collect();
         for running in report.running {
+            let id = (running.task, running.run);
             self.update_run(key, running, now);
+            if hears_alone && let Some(run) = self.worker_mut(key).runs.get_mut(&id) {
+                run.is_heard_alone = true;
+            }
         }
         if !is_truncated {
             self.drop_missing_runs(key, sent, &listed, now);
@@ -632,6 +641,7 @@
         if ended.number <= self.worker(key).last_processed {
             return;
         }
+        let longest_wait = WorkerClock::longest(self.settings.max_renewal_wait);
         let worker = self.worker_mut(key);
         worker.last_processed = ended.number;
         if !self.jobs.contains_key(&ended.task.job()) {
@@ -639,16 +649,18 @@
             return;
         }
         let worker = self.worker_mut(key);
-        // This owner has seen the run on the worker, which followed this owner's token by then: a
-        // former owner cannot have received the completion.
+        let heard_alone_from = worker.following_since + longest_wait;
         let seen = worker.runs.get(&(ended.task, ended.run));
         let placed = seen.map(|run| run.placed_at);
+        let is_heard_alone = seen.is_some_and(|run| {
+            run.is_heard_alone || !run.is_adopted && run.placed_at >= heard_alone_from
+        });
         let how = EarlierRun::Ended(ended.result);
         self.release_run(key, ended.task, ended.run, how, now);
         if let Some(placed) = placed {
             self.record_run_time(&ended, placed, now);
         }
-        let change = self.apply_completion(key, &ended, placed.is_some(), now);
+        let change = self.apply_completion(key, &ended, is_heard_alone, now);
         let worker = self.worker_mut(key);
         worker.pending_acks.push_back(PendingAck {
             number: ended.number,
--- a/crates/dispatch/src/run_state.rs
+++ b/crates/dispatch/src/run_state.rs
@@ -56,6 +56,9 @@
     pub(crate) last_listed_at: Option<Duration>,
     /// Whether the worker has certainly begun to execute the run.
     pub(crate) has_begun: bool,
+    /// Whether the worker listed the run when no renewal of a former owner could wait there any more, so that only this owner
+    /// hears of its end.
+    pub(crate) is_heard_alone: bool,
     /// Whether a former owner started the run, so that its age is unknown.
     pub(crate) is_adopted: bool,
     /// Whether crashes are on record for the task, which the run may refute.
@@ -103,6 +106,7 @@
             placed_at: now,
             last_listed_at: None,
             has_begun: false,
+            is_heard_alone: false,
             is_adopted: false,
             may_clear_crashes: false,
             is_orphaned: false,
--- a/crates/dispatch/src/worker_state.rs
+++ b/crates/dispatch/src/worker_state.rs
@@ -96,6 +96,9 @@
     pub(crate) long_running_cpu: u64,
     /// The CPU that services are estimated to use of what they reserve, in millicores.
     pub(crate) service_use: u64,
+    /// When the worker's present incarnation first answered this owner, and so follows its token. A former owner's renewal that
+    /// waits there may still be answered.
+    pub(crate) following_since: Duration,
     /// The number of the last completion processed.
     pub(crate) last_processed: u64,
     /// The number of the last completion that is on record and may be acknowledged.
@@ -165,6 +168,7 @@
             service_cpu: 0,
             long_running_cpu: 0,
             service_use: 0,
+            following_since: Duration::ZERO,
             last_processed: 0,
             last_acknowledged: 0,
             pending_acks: VecDeque::new(),
