Don't count a record that was left out of its commit as written

A caller would be shown an outcome, and a worker told that an end is on record, although a record that could not be encoded was left out of the commit. No such record is known: postcard encodes all values of today's types.

Cause: `build_commit` skipped the record, `confirm_commit` confirmed all jobs of the commit.

Change: such a record is withdrawn from the commit, named in an `unwritable` line of the log, and taken again once its job changes. Its change stays off the record, so that the ends from it on are not acknowledged, also those of other jobs.

--- a/crates/dispatch/src/commit_tracker.rs
+++ b/crates/dispatch/src/commit_tracker.rs
@@ -21,6 +21,9 @@
     /// Jobs in the commit in flight, each with its first uncommitted change and the outcome that
     /// its record contains.
     in_flight: IndexMap<JobKey, (u64, Option<JobOutcome>)>,
+    /// Jobs whose records could not be written, each with its first uncommitted change. They are not taken again before they
+    /// change again.
+    withdrawn: IndexMap<JobKey, u64>,
     /// Jobs whose records must stay as they are.
     frozen: HashSet<JobKey>,
 }
@@ -46,7 +49,9 @@
     /// Records the end of a run of a job, which may be frozen, and returns the number of the change.
     pub(crate) fn record_end(&mut self, job: JobKey) -> u64 {
         self.last_change += 1;
-        self.uncommitted.entry(job).or_insert(self.last_change);
+        let withdrawn = self.withdrawn.swap_remove(&job);
+        let first = withdrawn.unwrap_or(self.last_change);
+        self.uncommitted.entry(job).or_insert(first);
         self.last_change
     }
 
@@ -55,8 +60,10 @@
     pub(crate) fn pending_change(&self, job: JobKey) -> u64 {
         let uncommitted = self.uncommitted.get(&job).copied();
         let in_flight = || self.in_flight.get(&job).map(|&(change, _)| change);
+        let withdrawn = || self.withdrawn.get(&job).copied();
         uncommitted
             .or_else(in_flight)
+            .or_else(withdrawn)
             .unwrap_or_else(|| self.committed_through())
     }
 
@@ -71,6 +78,17 @@
         keys
     }
 
+    /// Takes a job whose record can't be written out of the commit in flight. Its changes stay off the record.
+    pub(crate) fn withdraw(&mut self, job: JobKey) {
+        let Some((change, _)) = self.in_flight.swap_remove(&job) else {
+            return;
+        };
+        match self.uncommitted.get_mut(&job) {
+            Some(first) => *first = change,
+            None => drop(self.withdrawn.insert(job, change)),
+        }
+    }
+
     /// Stores the outcome that a job's record in flight contains.
     pub(crate) fn set_outcome(&mut self, job: JobKey, outcome: Option<JobOutcome>) {
         if let Some((_, carried)) = self.in_flight.get_mut(&job) {
@@ -103,6 +121,7 @@
         let in_flight = self.in_flight.values().map(|&(change, _)| change);
         uncommitted
             .chain(in_flight)
+            .chain(self.withdrawn.values().copied())
             .min()
             .map_or(self.last_change, |first| first - 1)
     }
--- a/crates/dispatch/src/dispatcher_records.rs
+++ b/crates/dispatch/src/dispatcher_records.rs
@@ -74,6 +74,12 @@
         self.acknowledge();
     }
 
+    /// Reports that the commit in flight does not contain a job's record, which could not be encoded. The record is taken again
+    /// once the job has changed.
+    pub fn withdraw_record(&mut self, key: JobKey) {
+        self.commits.withdraw(key);
+    }
+
     /// Reports that the commit in flight is not known to be on record; its jobs are taken again.
     pub fn abort_commit(&mut self) {
         self.commits.abort();
--- a/crates/fleet/src/progress_commits.rs
+++ b/crates/fleet/src/progress_commits.rs
@@ -1,6 +1,7 @@
 //! Commits jobs' progress to the store.
 
 use std::{
+    iter,
     rc::Rc,
     time::Duration, //
 };
@@ -50,13 +51,21 @@
     age_ms: Option<u64>,
 }
 
+/// A job's record can't be encoded, so that ends of its runs are not acknowledged.
+#[derive(Serialize)]
+struct UnwritableLine {
+    change: &'static str,
+    token: u64,
+    job: String,
+}
+
 /// Commits the progress of jobs until the term is over.
 pub(crate) async fn commit_progress(shared: Rc<SharedState>, term: Rc<OwnerTerm>) {
     loop {
         // After the timeout the progress of a failed commit may still have to be committed.
         drop(time::timeout(LONGEST_COMMIT_INTERVAL, term.commit_wakeup.notified()).await);
         time::sleep(COMMIT_DELAY).await;
-        let Some((records, commit)) = next_commit(&term) else {
+        let Some((records, commit)) = next_commit(&shared, &term) else {
             continue;
         };
         let keys: Vec<String> = commit.writes.iter().map(|row| row.key.clone()).collect();
@@ -81,47 +90,71 @@
 }
 
 /// Returns the records of the next commit and the commit, of as many jobs as the store accepts in one call.
-fn next_commit(term: &OwnerTerm) -> Option<(Vec<(JobKey, ProgressRecord)>, RowCommit)> {
+fn next_commit(
+    shared: &SharedState,
+    term: &OwnerTerm,
+) -> Option<(Vec<(JobKey, ProgressRecord)>, RowCommit)> {
     let mut limit = MAX_JOBS_PER_COMMIT;
     loop {
         let mut dispatcher = term.dispatcher.borrow_mut();
-        let records = dispatcher.take_records_to_commit(limit);
-        if records.is_empty() {
+        let mut records = dispatcher.take_records_to_commit(limit);
+        let rows = encode_rows(shared, term, &mut dispatcher, &mut records);
+        if rows.is_empty() {
             return None;
         }
-        let commit = build_commit(term, &dispatcher, &records);
-        let bytes: usize = commit.writes.iter().map(|row| row.value.len()).sum();
-        if bytes <= MAX_COMMIT_BYTES || records.len() == 1 {
-            return Some((records, commit));
+        let bytes: usize = rows.iter().map(|row| row.value.len()).sum();
+        if bytes <= MAX_COMMIT_BYTES || rows.len() == 1 {
+            return Some((records, build_commit(term, rows)));
         }
         dispatcher.abort_commit();
-        limit = records.len() / 2;
+        limit = rows.len() / 2;
     }
 }
 
-fn build_commit(
+/// Returns the rows of the records, without those that can't be encoded.
+fn encode_rows(
+    shared: &SharedState,
     term: &OwnerTerm,
-    dispatcher: &Dispatcher,
-    records: &[(JobKey, ProgressRecord)],
-) -> RowCommit {
-    let versions = term.progress_versions.borrow();
-    let mut commit = RowCommit {
-        guards: vec![term.guard.clone()],
-        writes: Vec::with_capacity(records.len()),
-    };
-    for (key, record) in records {
+    dispatcher: &mut Dispatcher,
+    records: &mut Vec<(JobKey, ProgressRecord)>,
+) -> Vec<StoreRow> {
+    let mut rows = Vec::with_capacity(records.len());
+    records.retain(|(key, record)| {
         let Ok(value) = encode_progress(record) else {
-            continue;
+            log_unwritable(shared, term, *key);
+            dispatcher.withdraw_record(*key);
+            return false;
         };
-        let row = match dispatcher.is_unreadable(*key) {
+        rows.push(match dispatcher.is_unreadable(*key) {
             true => ends_row(*key, value),
             false => progress_row(*key, value),
-        };
-        let version = versions.get(&row.key).copied().unwrap_or(0);
-        commit.guards.push(row.guard(version));
-        commit.writes.push(row);
+        });
+        true
+    });
+    rows
+}
+
+fn build_commit(term: &OwnerTerm, writes: Vec<StoreRow>) -> RowCommit {
+    let versions = term.progress_versions.borrow();
+    let guards = writes.iter().map(|row| {
+        let version = versions.get(&row.key).copied();
+        row.guard(version.unwrap_or(0))
+    });
+    RowCommit {
+        guards: iter::once(term.guard.clone()).chain(guards).collect(),
+        writes,
     }
-    commit
+}
+
+fn log_unwritable(shared: &SharedState, term: &OwnerTerm, job: JobKey) {
+    shared.log.line(
+        LogEvent::Owner,
+        UnwritableLine {
+            change: "unwritable",
+            token: term.token(),
+            job: job.to_string(),
+        },
+    );
 }
 
 fn handle_applied(
