Count the lease of a restarted worker as the longest it may hold

What callers would see: two runs of a task at once, from 5.9 s after a worker is cut off until its lease of up to 10 s is over.

Cause: a worker that restarts under its identity between two calls takes the deadline of the next renewal, which is one on its former clock, for the longest lease that it accepts, and no later deadline shortens it. Its owner counted the longest lease only where a start was under way, otherwise 5.9 s at most. The header that names the worker names no incarnation.

Evidence: renewal_in_a_new_incarnation_with_a_deadline_on_the_former_clock_may_last_longest fails on: the task starts again 5.9 s after its worker was cut off, while its run goes on. No run with processes has shown a worker that restarts without a failed call.

Change: the lease of a worker that has restarted counts from its first answer as the longest one, for a successor also where the registry or its records tell of the restart. A worker that is lost within 10.9 s after its restart, and does not come back, keeps its tasks for up to that long.

Why it works: no lease that is granted to an incarnation by its first answer lasts longer than the longest from that answer on.

A call that is carried out late, after the new incarnation's first answer, may still extend its lease beyond what the owner counts; that is open as before.

--- a/crates/dispatch/src/dispatcher_workers.rs
+++ b/crates/dispatch/src/dispatcher_workers.rs
@@ -360,14 +360,9 @@
         worker.incarnation = report.incarnation.or(worker.incarnation);
         worker.clock.hear(report.clock, now);
         if is_restarted || !worker.clock.has_deadline() {
-            // A start in flight may grant the new incarnation the longest lease, as its deadline is one on the former clock;
-            // a former owner may have granted what is adopted below a whole lease.
-            let answered_call_at = worker.last_answered_call_at;
-            let may_have_started = worker
-                .runs
-                .values()
-                .any(|run| run.may_still_begin() || Some(run.placed_at) >= answered_call_at);
-            let lease = match is_restarted && may_have_started {
+            // A call that was sent before its restart was known may have granted the new incarnation the longest lease, as its
+            // deadline is one on the former clock; a former owner may have granted what is adopted below a whole lease.
+            let lease = match is_restarted || worker.restarted_in_takeover {
                 true => max_lease + ending_time,
                 false if has_former_owner => lease + ending_time,
                 false => lease,
--- a/crates/dispatch/src/run_state.rs
+++ b/crates/dispatch/src/run_state.rs
@@ -152,15 +152,6 @@
         self.has_begun && !self.is_stopping()
     }
 
-    /// Returns whether a start of the run may be under way.
-    pub(crate) fn may_still_begin(&self) -> bool {
-        let is_unanswered = matches!(
-            self.phase,
-            RunPhase::Sent | RunPhase::Unsure | RunPhase::Stopping(None)
-        );
-        is_unanswered && !self.has_begun
-    }
-
     /// Returns whether the run was ordered to stop.
     pub(crate) fn is_stopping(&self) -> bool {
         matches!(self.phase, RunPhase::Stopping(_))
--- a/crates/dispatch/tests/weak_signs.rs
+++ b/crates/dispatch/tests/weak_signs.rs
@@ -239,6 +239,69 @@
     panic!("never");
 }
 
+/// Guards against two runs of a task: its worker had restarted unnoticed before a renewal, and took the deadline on its former
+/// clock for the longest lease.
+#[test]
+fn renewal_in_a_new_incarnation_with_a_deadline_on_the_former_clock_may_last_longest() {
+    let settings = DispatchSettings::default();
+    let boot = ms(100_000);
+    let capacity = ResourceAmount::new(4000, 4000);
+    let mut worker = SimulatedWorker::new("w0", capacity, 100, ms(1000));
+    worker.set_max_lease(settings.max_lease_duration);
+    let mut spare = SimulatedWorker::new("w1", capacity, 100, ms(1000));
+    let mut owner = Dispatcher::new(1, settings);
+    owner.set_configuration(configuration(3));
+    let queue = configuration(3).queues.keys().next().unwrap().to_string();
+    let key = owner.upsert_worker(worker.record().clone(), None);
+    let renew = |owner: &mut Dispatcher, key, worker: &mut SimulatedWorker, at| {
+        let order = owner.next_renewal(key, true, at);
+        let report = worker.renew_lease(at, 1, order).unwrap();
+        owner.handle_renewal_report(key, at, report, at);
+    };
+    renew(&mut owner, key, &mut worker, boot);
+    renew(&mut owner, key, &mut worker, boot + ms(100));
+    worker.restart(boot + ms(150));
+    renew(&mut owner, key, &mut worker, boot + ms(200));
+    let job_key = JobKey::new(7);
+    owner.add_job(
+        job_key,
+        AcceptedJob {
+            inherited: false,
+            ..job(&queue)
+        },
+    );
+    let now = boot + ms(210);
+    let orders = owner.plan(now).orders;
+    let [WorkerOrder::Start(start)] = &orders[..] else {
+        panic!("{orders:?}");
+    };
+    let deadline = owner.grant_order_deadline(key, now).unwrap();
+    let outcome = worker.start(now, 1, start, deadline, work(start.task));
+    assert_eq!(outcome, OrderOutcome::Taken);
+    owner.handle_start_outcome(key, start.task, start.run, outcome, now);
+    // The worker is cut off from here on; another one is there.
+    let other = owner.upsert_worker(spare.record().clone(), None);
+    for turn in 1..200 {
+        let at = now + ms(100 * turn);
+        worker.advance_to(at);
+        renew(&mut owner, other, &mut spare, at);
+        if turn % 7 == 0 {
+            owner.next_renewal(key, true, at);
+            owner.handle_renewal_failure(key, OrderOutcome::Unknown, at);
+        }
+        owner.expire_leases(at);
+        let orders = owner.plan(at).orders;
+        if orders
+            .iter()
+            .any(|order| matches!(order, WorkerOrder::Start(_)))
+        {
+            assert_eq!(worker.running_tasks(), Vec::new(), "after {:?}", at - now);
+            return;
+        }
+    }
+    panic!("the task has not started again");
+}
+
 /// Guards against two runs of a task where leases are short and workers end lapsed runs late.
 #[test]
 fn short_leases_leave_time_to_end_runs() {
