--- a/crates/dispatch/tests/common/fleet.rs
+++ b/crates/dispatch/tests/common/fleet.rs
@@ -37,6 +37,8 @@
 use super::{
     configuration,
     fleet_messages::Event,
+    late_learning::LateLearning,
+    lease_lapses::LeaseLapses,
     ms, //
 };
 
@@ -87,6 +89,8 @@
     pub(crate) deposed: bool,
     /// Until when the owner's process does not run.
     pub(crate) suspended_until: Duration,
+    /// When the owner took over.
+    pub(super) claimed_at: Duration,
     /// When the owner's ownership was last confirmed.
     pub(super) last_confirmed_at: Duration,
     /// Whether a commit of the owner is in flight.
@@ -139,6 +143,9 @@
     pub(crate) waits: Vec<StepWait>,
     /// The log entries about overdue stops.
     pub(crate) overdue_stops: Vec<OverdueStop>,
+    /// The jobs that owners have yet to learn of; `None` while each owner learns of a job as it is submitted.
+    pub(super) late_learning: Option<LateLearning>,
+    pub(super) lease_lapses: LeaseLapses,
     /// Messages in flight by their time of delivery and a sequence number.
     pub(super) events: BTreeMap<(Duration, u64), Event>,
     pub(super) event_count: u64,
@@ -197,6 +204,8 @@
             violations: Vec::new(),
             waits: Vec::new(),
             overdue_stops: Vec::new(),
+            late_learning: None,
+            lease_lapses: LeaseLapses::default(),
             events: BTreeMap::new(),
             event_count: 0,
             random: StdRng::seed_from_u64(seed),
@@ -277,8 +286,11 @@
                 false => dispatcher.mark_unlisted(&worker.record().id),
             }
         }
+        let unread = self.unread_jobs(self.owners.len());
         for (&key, (graph, cancelled)) in &self.jobs {
-            dispatcher.add_job(key, accepted(graph, self.now, true));
+            if !unread.contains(&key) {
+                dispatcher.add_job(key, accepted(graph, self.now, true));
+            }
             if *cancelled {
                 dispatcher.cancel_job(key);
             }
@@ -290,10 +302,12 @@
             dispatcher,
             deposed: false,
             suspended_until: Duration::ZERO,
+            claimed_at: self.now,
             last_confirmed_at: self.now,
             committing: false,
         });
         let owner = self.owners.len() - 1;
+        self.delay_first_contacts(owner);
         for key in keys {
             self.push(Duration::ZERO, Event::RenewalDue(owner, key));
         }
@@ -302,6 +316,10 @@
     pub(crate) fn submit(&mut self, number: u64, graph: JobGraph) -> JobKey {
         let key = JobKey::new(number);
         self.jobs.insert(key, (graph.clone(), false));
+        if self.late_learning.is_some() {
+            self.announce_late(key);
+            return key;
+        }
         let now = self.now;
         for owner in &mut self.owners {
             owner.dispatcher.add_job(key, accepted(&graph, now, false));
@@ -421,7 +439,9 @@
         let until = self.now + time;
         while self.now < until {
             self.now += TICK;
+            self.lease_lapses.follow(&self.workers, self.now);
             self.deliver_due_events();
+            self.learn_due_jobs();
             self.follow_crashes();
             self.follow_cuts();
             for owner in 0..self.owners.len() {
@@ -668,7 +688,7 @@
     }
 }
 
-fn accepted(graph: &JobGraph, now: Duration, inherited: bool) -> AcceptedJob {
+pub(super) fn accepted(graph: &JobGraph, now: Duration, inherited: bool) -> AcceptedJob {
     AcceptedJob {
         queue: "queue".into(),
         rule: configuration(3).queues.get("queue").cloned(),
--- a/crates/dispatch/tests/common/fleet_messages.rs
+++ b/crates/dispatch/tests/common/fleet_messages.rs
@@ -119,7 +119,9 @@
             WorkerOrder::Stop { .. } | WorkerOrder::Throttle { .. } => None,
         };
         let deadline = deadline.unwrap_or_default();
-        if now < self.unreachable_until[worker.index()] || self.chance(self.faults.lost) {
+        let is_unreachable = now < self.unreachable_until[worker.index()]
+            || self.is_out_of_reach(owner, worker.index());
+        if is_unreachable || self.chance(self.faults.lost) {
             self.push(
                 CALL_TIMEOUT,
                 Event::OrderAnswer(owner, order, OrderOutcome::Unknown),
@@ -166,7 +168,8 @@
             Event::OrderAnswer(owner, order, end) => self.handle_order_answer(owner, order, end),
             Event::RenewalDue(owner, key) => self.send_renewal(owner, key),
             Event::Renewal(owner, key, order, sent) => {
-                let is_unreachable = !self.is_reachable(key.index());
+                let is_unreachable =
+                    !self.is_reachable(key.index()) || self.is_out_of_reach(owner, key.index());
                 if !is_unreachable && self.delays_renewal(owner, key, &order, sent) {
                     self.push(TICK, Event::Renewal(owner, key, order, sent));
                     return;
--- a/crates/dispatch/tests/common/mod.rs
+++ b/crates/dispatch/tests/common/mod.rs
@@ -6,6 +6,8 @@
 mod fleet;
 mod fleet_messages;
 mod job_builders;
+mod late_learning;
+mod lease_lapses;
 
 pub(crate) use self::{
     fleet::{
@@ -21,4 +23,5 @@
         ms,
         step, //
     },
+    late_learning::learning_delay,
 };
