Tests: how long a former owner's call may wait, and how soon a step need not

The former now has ends 0.5, 1.2 and 1.9 s after the worker began to follow the successor, the latter a task that ends 2.2 s after the takeover, in place of 3.7 s.

--- a/crates/dispatch/tests/takeover.rs
+++ b/crates/dispatch/tests/takeover.rs
@@ -37,7 +37,7 @@
 /// Returns work of one core that goes on when renewals that waited at a takeover are over.
 fn longer_work(_task: TaskKey) -> TaskWork {
     TaskWork {
-        run_time: ms(4000),
+        run_time: ms(2500),
         fails: false,
         size: ResourceAmount::new(1000, 100),
     }
@@ -137,7 +137,7 @@
     let job = fleet.submit(1, graph(vec![step(3, &[]), step(2, &[0])]));
     fleet.run_for(ms(300));
     replace_owner_with_unreachable_worker(&mut fleet);
-    fleet.run_for(ms(4700));
+    fleet.run_for(ms(3200));
     assert_eq!(fleet.begin_count(job), 5);
     fleet.run_for(ms(10_000));
     assert_eq!(
--- a/crates/dispatch/tests/waiting_calls.rs
+++ b/crates/dispatch/tests/waiting_calls.rs
@@ -50,15 +50,20 @@
     owner.handle_renewal_report(key, ms(at), report.expect("it follows this owner"), ms(at));
 }
 
-/// Carries out the starts of a plan; returns the last one.
-fn start(owner: &mut Dispatcher, workers: &mut [SimulatedWorker], at: u64) -> Option<StartOrder> {
+/// Carries out the starts of a plan, with runs that take `run_ms`; returns the last one.
+fn start(
+    owner: &mut Dispatcher,
+    workers: &mut [SimulatedWorker],
+    at: u64,
+    run_ms: u64,
+) -> Option<StartOrder> {
     let mut last = None;
     for order in owner.plan(ms(at)).orders {
         let WorkerOrder::Start(start) = order else {
             continue;
         };
         let work = TaskWork {
-            run_time: ms(1000),
+            run_time: ms(run_ms),
             fails: false,
             size: ResourceAmount::new(1000, 100),
         };
@@ -74,17 +79,16 @@
     last
 }
 
-/// Guards against two runs of a task: a worker answers a former owner's call, which waited for an end, although it follows the
-/// successor by then; each of the two starts the step that depends on the task that ended.
-#[test]
-fn step_after_an_end_that_a_waiting_call_told_of_starts_once() {
+/// Lets a task of `run_ms` end on a worker that began to follow the successor at 1.5 s, and tells both owners.
+fn end_task_after(run_ms: u64) {
+    let ended_at = 1040 + run_ms;
     let capacity = ResourceAmount::new(4000, 4000);
     let names = ["w0", "w1", "w2"];
     let mut workers = names.map(|name| SimulatedWorker::new(name, capacity, 100, ms(1000)));
     let mut former = owner(1, &workers[..1], false);
     renew(&mut former, &mut workers, 0, 1010);
     renew(&mut former, &mut workers, 0, 1020);
-    let first = start(&mut former, &mut workers, 1030).expect("it starts");
+    let first = start(&mut former, &mut workers, 1030, run_ms).expect("it starts");
     assert_eq!(first.worker.index(), 0);
     former.upsert_worker(workers[1].record().clone(), None);
     renew(&mut former, &mut workers, 1, 1040);
@@ -92,21 +96,36 @@
     let mut successor = owner(2, &workers, true);
     renew(&mut successor, &mut workers, 0, 1500);
     renew(&mut successor, &mut workers, 2, 1500);
-    workers[0].advance_to(ms(2040));
+    for at in (1600..ended_at).step_by(100) {
+        renew(&mut successor, &mut workers, 0, at);
+    }
+    workers[0].advance_to(ms(ended_at));
     let list = LeaseRenewal {
         deadline: None,
         acknowledged: 0,
         max_wait: ms(0),
     };
-    let told = workers[0].renew_lease(ms(2040), 2, list).unwrap();
+    let told = workers[0]
+        .renew_lease(ms(ended_at), 2, list)
+        .expect("it follows the successor");
     assert_eq!(told.completions.len(), 1);
-    former.handle_renewal_report(first.worker, ms(1050), told, ms(2040));
+    former.handle_renewal_report(first.worker, ms(1050), told, ms(ended_at));
     // The first worker refuses the former owner's orders, the second one does not.
     workers[0].record_mut().draining = true;
     former.upsert_worker(workers[0].record().clone(), None);
-    let by_former = start(&mut former, &mut workers, 2050);
+    let by_former = start(&mut former, &mut workers, ended_at + 10, run_ms);
     assert_eq!(by_former.map(|start| start.worker.index()), Some(1));
-    renew(&mut successor, &mut workers, 0, 2060);
-    let by_successor = start(&mut successor, &mut workers, 2070);
-    assert_eq!(by_successor, None, "the task runs on another worker");
+    renew(&mut successor, &mut workers, 0, ended_at + 20);
+    let by_successor = start(&mut successor, &mut workers, ended_at + 30, run_ms);
+    assert_eq!(by_successor, None, "after a run of {run_ms} ms");
+}
+
+/// Guards against two runs of a task: a worker answers a former owner's call, which waited for an end, although it follows the
+/// successor by then; each of the two starts the step that depends on the task that ended.
+#[test]
+fn step_after_an_end_that_a_waiting_call_told_of_starts_once() {
+    // The call waits until 3.5 s at the longest.
+    for run_ms in [1000, 1700, 2400] {
+        end_task_after(run_ms);
+    }
 }
