--- a/crates/dispatch/tests/weak_signs.rs
+++ b/crates/dispatch/tests/weak_signs.rs
@@ -302,6 +302,67 @@
     panic!("the task has not started again");
 }
 
+/// Guards against two runs of a task: a former owner's renewal granted the new incarnation of a restarted worker the longest lease, and the
+/// successor does not reach that worker.
+#[test]
+fn run_on_a_restarted_worker_ends_before_a_successor_that_does_not_reach_it_starts_the_task() {
+    let settings = DispatchSettings::default();
+    let boot = ms(100_000);
+    let capacity = ResourceAmount::new(4000, 4000);
+    let mut worker = SimulatedWorker::new("w0", capacity, 100, ms(1000));
+    worker.set_max_lease(settings.max_lease_duration);
+    let mut spare = SimulatedWorker::new("w1", capacity, 100, ms(1000));
+    let queue = configuration(3).queues.keys().next().unwrap().to_string();
+    let renew = |owner: &mut Dispatcher, key, worker: &mut SimulatedWorker, at| {
+        let order = owner.next_renewal(key, true, at);
+        let report = worker.renew_lease(at, owner.token(), order).unwrap();
+        owner.handle_renewal_report(key, at, report, at);
+    };
+    let mut former = Dispatcher::new(1, settings);
+    former.set_configuration(configuration(3));
+    let key = former.upsert_worker(worker.record().clone(), None);
+    renew(&mut former, key, &mut worker, boot);
+    renew(&mut former, key, &mut worker, boot + ms(100));
+    worker.restart(boot + ms(150));
+    renew(&mut former, key, &mut worker, boot + ms(200));
+    former.add_job(
+        JobKey::new(7),
+        AcceptedJob {
+            inherited: false,
+            ..job(&queue)
+        },
+    );
+    let now = boot + ms(210);
+    let orders = former.plan(now).orders;
+    let [WorkerOrder::Start(start)] = &orders[..] else {
+        panic!("{orders:?}");
+    };
+    let deadline = former.grant_order_deadline(key, now).unwrap();
+    let outcome = worker.start(now, 1, start, deadline, work(start.task));
+    assert_eq!(outcome, OrderOutcome::Taken);
+    let mut successor = Dispatcher::new(2, settings);
+    successor.set_configuration(configuration(3));
+    let until = now + successor.inherited_orders_lifetime(true);
+    successor.upsert_worker(worker.record().clone(), Some(until));
+    let other = successor.upsert_worker(spare.record().clone(), Some(until));
+    successor.add_job(JobKey::new(7), job(&queue));
+    for turn in 1..200 {
+        let at = now + ms(100 * turn);
+        worker.advance_to(at);
+        renew(&mut successor, other, &mut spare, at);
+        successor.expire_leases(at);
+        let orders = successor.plan(at).orders;
+        if orders
+            .iter()
+            .any(|order| matches!(order, WorkerOrder::Start(_)))
+        {
+            assert_eq!(worker.running_tasks(), Vec::new(), "after {:?}", at - now);
+            return;
+        }
+    }
+    panic!("the task has not started again");
+}
+
 /// Guards against two runs of a task where leases are short and workers end lapsed runs late.
 #[test]
 fn short_leases_leave_time_to_end_runs() {
