Leave recorded ends as they are where they can't be read, and failures of done tasks uncounted

What callers would see: tasks that run again after their ends were acknowledged, where a row of recorded ends is damaged and the job was found to have failed: the row was overwritten with an empty one. A job shown as failed although the tasks that had failed were done.

Cause: a change of the job from before it was held back was still committed, as ends, of which there were none. Recorded failures were counted without a look at whether their task is done.

Found by a review.

Change: holding a job back drops its change that no commit contains yet; failures of done tasks are passed over.

--- a/crates/dispatch/src/commit_tracker.rs
+++ b/crates/dispatch/src/commit_tracker.rs
@@ -29,8 +29,9 @@
 }
 
 impl CommitTracker {
-    /// Leaves a job's record as it is from now on.
+    /// Leaves a job's record as it is from now on. Changes of the job that no commit contains yet are not written.
     pub(crate) fn freeze(&mut self, job: JobKey) {
+        self.uncommitted.swap_remove(&job);
         self.frozen.insert(job);
     }
 
--- a/crates/dispatch/src/unreadable_job.rs
+++ b/crates/dispatch/src/unreadable_job.rs
@@ -81,7 +81,9 @@
             }
         }
         for &(index, run) in &ended.failures {
-            self.count_failure(step.task(index), run, None, is_gang);
+            if !self.is_task_done(step.task(index)) {
+                self.count_failure(step.task(index), run, None, is_gang);
+            }
         }
     }
 
--- a/crates/dispatch/tests/unreadable_jobs.rs
+++ b/crates/dispatch/tests/unreadable_jobs.rs
@@ -20,6 +20,7 @@
     RunNumber,
     RunResult,
     StepKey,
+    StepProgress,
     TaskKey,
     WorkerKey,
     WorkerOrder, //
@@ -225,3 +226,49 @@
     assert!(dispatcher.take_records_to_commit(10).is_empty());
     assert_eq!(report(&mut dispatcher, worker, 1100, Vec::new()), 0);
 }
+
+fn failures(count: u64) -> ProgressRecord {
+    let runs = (1..=count).map(|number| (0, RunNumber::of_owner(1, number)));
+    let step = StepProgress {
+        failures: runs.collect(),
+        ..StepProgress::default()
+    };
+    ProgressRecord {
+        steps: vec![step],
+        ..ProgressRecord::default()
+    }
+}
+
+/// Guards against ends that are lost: the row that holds them can't be read, and an owner that found the job to have failed wrote
+/// an empty one over it.
+#[test]
+fn recorded_ends_that_cannot_be_read_are_not_overwritten() {
+    let (mut dispatcher, _) = owner(2);
+    add_job(&mut dispatcher, UNREADABLE, vec![2]);
+    dispatcher.restore_job(UNREADABLE, &failures(2));
+    dispatcher.close_ends(UNREADABLE);
+    assert_eq!(dispatcher.take_records_to_commit(45), []);
+}
+
+/// Guards against a job that is shown as failed although its tasks are done: the failures that an owner recorded which could not
+/// read the job were counted after the task had ended.
+#[test]
+fn recorded_failures_of_a_done_task_fail_no_job() {
+    let (mut dispatcher, _) = owner(2);
+    add_job(&mut dispatcher, READABLE, vec![2]);
+    let done = StepProgress {
+        done: vec![0],
+        ..StepProgress::default()
+    };
+    let progress = ProgressRecord {
+        steps: vec![done],
+        ..ProgressRecord::default()
+    };
+    dispatcher.restore_job(READABLE, &progress);
+    dispatcher.restore_ends(READABLE, failures(2));
+    let records = dispatcher.take_records_to_commit(45);
+    assert!(
+        records.iter().all(|(_, record)| record.outcome.is_none()),
+        "{records:?}"
+    );
+}
