--- a/crates/dispatch/tests/jobs_learned_late.rs
+++ b/crates/dispatch/tests/jobs_learned_late.rs
@@ -27,6 +27,8 @@
     RunningTask,
     StepKey,
     StepProgress,
+    TaskKey,
+    WorkerKey,
     WorkerOrder, //
 };
 
@@ -50,6 +52,35 @@
     name.expect("it has a queue").to_string()
 }
 
+fn first_task(job: JobKey) -> TaskKey {
+    let step = StepKey {
+        job,
+        occurrence: 0,
+        step: 0,
+    };
+    step.task(0)
+}
+
+/// Returns the end of the first run that a former owner started of a job's first task.
+fn ended(job: JobKey, result: RunResult) -> EndedRun {
+    EndedRun {
+        number: 1,
+        task: first_task(job),
+        run: RunNumber::of_owner(1, 1),
+        result,
+        checkpoint: None,
+    }
+}
+
+/// Returns an owner that has replaced another one, and its only worker.
+fn successor() -> (Dispatcher, WorkerKey) {
+    let record = Fleet::new(1, 1).workers[0].record().clone();
+    let mut dispatcher = Dispatcher::new(2, DispatchSettings::default());
+    dispatcher.set_configuration(configuration(3));
+    let worker = dispatcher.upsert_worker(record, Some(ms(9000)));
+    (dispatcher, worker)
+}
+
 /// Guards against a cancelled job that runs: its owner learns of the cancellation before the job.
 #[test]
 fn job_that_is_learned_after_its_cancellation_is_cancelled() {
@@ -67,23 +98,8 @@
 /// the worker has reported the task's end.
 #[test]
 fn task_that_ended_before_its_job_was_known_is_not_executed_again() {
-    let record = Fleet::new(1, 1).workers[0].record().clone();
-    let mut dispatcher = Dispatcher::new(2, DispatchSettings::default());
-    dispatcher.set_configuration(configuration(3));
-    let worker = dispatcher.upsert_worker(record, Some(ms(9000)));
-    let task = StepKey {
-        job: late_key(),
-        occurrence: 0,
-        step: 0,
-    }
-    .task(0);
-    let ended = || EndedRun {
-        number: 1,
-        task,
-        run: RunNumber::of_owner(1, 1),
-        result: RunResult::Done,
-        checkpoint: None,
-    };
+    let (mut dispatcher, worker) = successor();
+    let ended = ended(late_key(), RunResult::Done);
     // The worker lists the completion until it is acknowledged.
     let mut starts = 0;
     for turn in 0..200 {
@@ -93,7 +109,7 @@
         }
         let renewal = dispatcher.next_renewal(worker, true, now);
         let completions = match renewal.acknowledged {
-            0 => vec![ended()],
+            0 => vec![ended.clone()],
             _ => Vec::new(),
         };
         let report = RenewalReport {
@@ -116,31 +132,15 @@
 /// Returns the progress of a job that its owner learns of in the turn `learned_in`, and the number of starts that the owner orders.
 /// A worker lists a run of the job's task in the first turns, of 100 ms each, and then its end until that is acknowledged.
 fn starts_of_job_learned_in(learned_in: u64) -> (Option<JobProgress>, usize) {
-    let record = Fleet::new(1, 1).workers[0].record().clone();
-    let mut dispatcher = Dispatcher::new(2, DispatchSettings::default());
-    dispatcher.set_configuration(configuration(3));
-    let worker = dispatcher.upsert_worker(record, Some(ms(9000)));
-    let task = StepKey {
-        job: late_key(),
-        occurrence: 0,
-        step: 0,
-    }
-    .task(0);
-    let run = RunNumber::of_owner(1, 1);
+    let (mut dispatcher, worker) = successor();
+    let ended = ended(late_key(), RunResult::Done);
     let running = RunningTask {
-        task,
-        run,
+        task: ended.task,
+        run: ended.run,
         checkpoint: None,
         progress_percent: 50,
         metric: None,
     };
-    let ended = EndedRun {
-        number: 1,
-        task,
-        run,
-        result: RunResult::Done,
-        checkpoint: None,
-    };
     let mut starts = 0;
     for turn in 0..200 {
         let now = ms(1000 + turn * 100);
@@ -180,28 +180,13 @@
 /// Guards against a log that denies an earlier run: the worker listed its failure before the job was known.
 #[test]
 fn start_after_a_failure_listed_before_its_job_was_known_tells_of_it() {
-    let record = Fleet::new(1, 1).workers[0].record().clone();
-    let mut dispatcher = Dispatcher::new(2, DispatchSettings::default());
-    dispatcher.set_configuration(configuration(3));
-    let worker = dispatcher.upsert_worker(record, Some(ms(9000)));
-    let task = StepKey {
-        job: late_key(),
-        occurrence: 0,
-        step: 0,
-    }
-    .task(0);
+    let (mut dispatcher, worker) = successor();
     dispatcher.next_renewal(worker, true, ms(1000));
     let report = RenewalReport {
         clock: ms(1000),
         incarnation: None,
         running: Vec::new(),
-        completions: vec![EndedRun {
-            number: 1,
-            task,
-            run: RunNumber::of_owner(1, 1),
-            result: RunResult::Failed,
-            checkpoint: None,
-        }],
+        completions: vec![ended(late_key(), RunResult::Failed)],
     };
     dispatcher.handle_renewal_report(worker, ms(1000), report, ms(1000));
     dispatcher.add_job(late_key(), late_job(&only_queue()));
@@ -211,7 +196,7 @@
         "the queue allows more attempts: {orders:?}"
     );
     assert_eq!(
-        dispatcher.earlier_run(task),
+        dispatcher.earlier_run(first_task(late_key())),
         EarlierRun::Ended(RunResult::Failed)
     );
 }
@@ -220,22 +205,7 @@
 /// acknowledged without a record: the worker restarts before the job of the first end is known.
 #[test]
 fn end_listed_before_a_restart_counts_and_acknowledges_no_later_one() {
-    let record = Fleet::new(1, 1).workers[0].record().clone();
-    let mut dispatcher = Dispatcher::new(2, DispatchSettings::default());
-    dispatcher.set_configuration(configuration(3));
-    let worker = dispatcher.upsert_worker(record, Some(ms(9000)));
-    let end_of = |job: JobKey| EndedRun {
-        number: 1,
-        task: StepKey {
-            job,
-            occurrence: 0,
-            step: 0,
-        }
-        .task(0),
-        run: RunNumber::of_owner(1, 1),
-        result: RunResult::Done,
-        checkpoint: None,
-    };
+    let (mut dispatcher, worker) = successor();
     for (seconds, job) in [(1, late_key()), (2, JobKey::new(8))] {
         let now = ms(1000 * seconds);
         dispatcher.next_renewal(worker, true, now);
@@ -243,7 +213,7 @@
             clock: now,
             incarnation: Some(now),
             running: Vec::new(),
-            completions: vec![end_of(job)],
+            completions: vec![ended(job, RunResult::Done)],
         };
         dispatcher.handle_renewal_report(worker, now, report, now);
     }
@@ -263,16 +233,8 @@
 /// worker has listed the run, and this owner started the task again while it stopped that run.
 #[test]
 fn run_that_is_listed_before_its_job_is_known_is_adopted() {
-    let record = Fleet::new(1, 1).workers[0].record().clone();
-    let mut dispatcher = Dispatcher::new(2, DispatchSettings::default());
-    dispatcher.set_configuration(configuration(3));
-    let worker = dispatcher.upsert_worker(record, Some(ms(9000)));
-    let task = StepKey {
-        job: late_key(),
-        occurrence: 0,
-        step: 0,
-    }
-    .task(0);
+    let (mut dispatcher, worker) = successor();
+    let task = first_task(late_key());
     let mut orders = Vec::new();
     for turn in 0..20 {
         let now = ms(1000 + turn * 100);
@@ -307,12 +269,7 @@
     let id = record.id.clone();
     let mut dispatcher = Dispatcher::new(2, DispatchSettings::default());
     let worker = dispatcher.upsert_worker(record, Some(ms(9000)));
-    let task = StepKey {
-        job: late_key(),
-        occurrence: 0,
-        step: 0,
-    }
-    .task(0);
+    let task = first_task(late_key());
     dispatcher.next_renewal(worker, true, ms(1000));
     let report = RenewalReport {
         clock: ms(1000),
@@ -339,12 +296,7 @@
     let record = Fleet::new(1, 1).workers[0].record().clone();
     let mut dispatcher = Dispatcher::new(2, DispatchSettings::default());
     let worker = dispatcher.upsert_worker(record, Some(ms(9000)));
-    let task = StepKey {
-        job: late_key(),
-        occurrence: 0,
-        step: 0,
-    }
-    .task(0);
+    let task = first_task(late_key());
     let mut orders = Vec::new();
     for turn in 0..50 {
         let now = ms(1000 + turn * 100);
@@ -379,10 +331,7 @@
 /// act, and its record after that, so that the job becomes known after its record.
 #[test]
 fn record_that_was_read_before_its_job_counts_as_soon_as_the_job_is_known() {
-    let record = Fleet::new(1, 1).workers[0].record().clone();
-    let mut dispatcher = Dispatcher::new(2, DispatchSettings::default());
-    dispatcher.set_configuration(configuration(3));
-    let worker = dispatcher.upsert_worker(record, Some(ms(9000)));
+    let (mut dispatcher, worker) = successor();
     let done = StepProgress {
         all_done: true,
         ..StepProgress::default()
@@ -423,12 +372,7 @@
         let mut dispatcher = Dispatcher::new(2, DispatchSettings::default());
         let worker = dispatcher.upsert_worker(record, Some(ms(9000)));
         dispatcher.add_job(late_key(), late_job(&only_queue()));
-        let task = StepKey {
-            job: late_key(),
-            occurrence: 0,
-            step: 0,
-        }
-        .task(0);
+        let task = first_task(late_key());
         let report = RenewalReport {
             clock: ms(1000),
             incarnation: None,
