Bound what the clients of a daemon's addresses hold

What callers saw: a daemon was killed for its memory while many clients sent bodies that stopped just short of their end. At the address for peers the same; idle connections took all descriptors, so that ordinary callers got no answer.

Cause: the limit of a body counted its bytes. Each frame that was collected is a slice that keeps the whole buffer it was read into, so that a byte in a segment of its own held kilobytes; nothing bounded the bodies that were read at once, the head of a request could take 400 KB, and every connection was accepted.

Change: a crate `ingress`. Each listener has a table of its connections and of the bytes that their requests hold. Bodies are copied as they arrive, so that memory is counted and not the bytes of the body; a job counts until its request is answered. At a limit the connection closes that has waited the longest for a request or the rest of one, those without an answered request first; one whose request is complete is never closed. The limits are shares of the settings' memory and descriptors, each a setting, with metrics and one log line a second. Over half of both is left to the daemon's own state and calls. hyper's buffer is limited to the head's limit, the kernel's to 64 KiB.

Refusals: where every request that holds memory is complete, a further one is answered 504, not 503: it may be the retry of one that was accepted, and the rows are not read. A request alone is served whatever its size. A path that no queue has and a daemon without a configuration answer from the head; the body is dropped as it arrives, so that the answer is seen. A call of a peer may have the body limit of the configuration and 64 KiB, in place of 4 MiB.

Why it works: what a client can make the process hold is in one count, and whoever completes requests is never the one that is closed for those who do not. The server's test handlers read bodies through the same code; what they check is unchanged.

--- a/crates/dispatch/src/graph_error.rs
+++ b/crates/dispatch/src/graph_error.rs
@@ -3,9 +3,9 @@
 use derive_more::Display;
 
 use crate::job_graph::{
+    JobGraph,
     MAX_ESTIMATE,
     MAX_PAYLOAD_BYTES,
-    MAX_STEPS,
     MAX_TASKS, //
 };
 
@@ -19,7 +19,7 @@
         bytes: usize,
     },
     /// The job has no steps, or too many.
-    #[display("a job has 1 to {MAX_STEPS} steps, not {count}")]
+    #[display("a job has 1 to {} steps, not {count}", JobGraph::MAX_STEPS)]
     Steps {
         /// The number of steps.
         count: usize,
--- a/crates/dispatch/src/job_graph.rs
+++ b/crates/dispatch/src/job_graph.rs
@@ -18,8 +18,6 @@
 
 /// The maximum number of tasks in one occurrence of a job; an owner's memory is planned for it.
 pub(crate) const MAX_TASKS: u64 = 20_000;
-/// The maximum number of steps in a job; a step's number has 16 bits.
-pub(crate) const MAX_STEPS: usize = 256;
 /// The maximum declared run time of a task.
 pub(crate) const MAX_ESTIMATE: Duration = Duration::from_secs(365 * 24 * 3600);
 /// The maximum length of a payload.
@@ -37,6 +35,9 @@
 }
 
 impl JobGraph {
+    /// The maximum number of steps; a step's number has 16 bits.
+    pub const MAX_STEPS: usize = 256;
+
     /// Checks that the job is within the limits and that its steps can be ordered by their
     /// dependencies.
     ///
@@ -49,7 +50,7 @@
                 bytes: self.payload.len(),
             });
         }
-        if self.steps.is_empty() || self.steps.len() > MAX_STEPS {
+        if self.steps.is_empty() || self.steps.len() > Self::MAX_STEPS {
             return Err(GraphError::Steps {
                 count: self.steps.len(),
             });
@@ -58,6 +59,12 @@
         self.check_order()
     }
 
+    /// Returns the memory that the job takes beside `JobGraph` itself, in bytes.
+    pub fn heap_bytes(&self) -> usize {
+        let steps = self.steps.iter().map(StepSpec::heap_bytes);
+        self.payload.len() + size_of_val(self.steps.as_slice()) + steps.sum::<usize>()
+    }
+
     /// Returns the number of tasks in one occurrence.
     pub fn task_count(&self) -> u64 {
         self.steps.iter().map(|step| u64::from(step.count)).sum()
--- a/crates/dispatch/src/step_spec.rs
+++ b/crates/dispatch/src/step_spec.rs
@@ -77,6 +77,13 @@
         }
     }
 
+    /// Returns the memory that the step takes beside `StepSpec` itself, in bytes.
+    pub(crate) fn heap_bytes(&self) -> usize {
+        let texts = [&self.label, &self.data_rack, &self.image];
+        let texts = texts.into_iter().flatten().map(|text| text.len());
+        size_of_val(self.dependencies.as_slice()) + texts.sum::<usize>()
+    }
+
     /// Returns the capacity that a task reserves on its worker; a filler reserves memory only.
     pub fn reserved(&self) -> ResourceAmount {
         let mut size = self.size;
--- a/crates/fleet/src/fleet_daemon.rs
+++ b/crates/fleet/src/fleet_daemon.rs
@@ -18,8 +18,8 @@
     StatusCode, //
 };
 use http_body_util::Full;
-use hyper::body::Incoming;
 use indexmap::IndexMap;
+use jasminebend_ingress::ConnectionTable;
 use jasminebend_ports::ClockSource;
 use serde::Serialize;
 use tokio::{
@@ -30,7 +30,6 @@
 
 use crate::{
     CommitOutcome,
-    ConnectionCount,
     FleetAdvice,
     FleetLog,
     FleetSettings,
@@ -43,12 +42,14 @@
     LogEvent,
     OwnerRecord,
     PeerClient,
+    RequestBody,
     RowCommit,
     StoreRow,
     StoreTable,
     Succession,
     fleet_log::FLUSH_INTERVAL,
     http_server::serve,
+    ingress_report::report_ingress,
     member_watch::{
         run_succession,
         watch_members, //
@@ -96,7 +97,7 @@
     shared: Rc<SharedState>,
     job_api: Rc<JobApi>,
     /// The open connections of callers.
-    connections: ConnectionCount,
+    connections: ConnectionTable,
     /// Becomes true when the daemon is to stop.
     stop: watch::Receiver<bool>,
     /// Becomes true when the daemon's servers are to close their connections.
@@ -121,6 +122,7 @@
         let incarnation = new_incarnation(&*ports.clock);
         let succession = Succession::new(&settings.node);
         let store = MonitoredStore::new(ports.store, Rc::clone(&ports.clock), ports.log.clone());
+        let connections = ConnectionTable::new(settings.ingress.callers);
         let shared = Rc::new(SharedState {
             settings,
             incarnation,
@@ -144,7 +146,7 @@
         Self {
             job_api: Rc::new(JobApi::new(Rc::clone(&shared))),
             shared,
-            connections: ConnectionCount::default(),
+            connections,
             stop,
             finish: watch::Sender::new(false),
         }
@@ -169,13 +171,15 @@
         let settings = &shared.settings;
         self.log_change("started");
         let finish = self.finish.subscribe();
-        let uncounted = ConnectionCount::default();
+        let ingress = settings.ingress;
+        let [peer_table, readiness_table, metrics_table] =
+            [ingress.peers, ingress.monitoring, ingress.monitoring].map(ConnectionTable::new);
         let peers = Rc::new(PeerApi::new(Rc::clone(shared), self.job_api()));
         serve(
             settings.peer_address,
             peers,
             finish.clone(),
-            uncounted.clone(),
+            peer_table.clone(),
         )
         .await?;
         let ready = Rc::new(ReadinessCheck {
@@ -185,10 +189,16 @@
             settings.readiness_address,
             ready,
             finish.clone(),
-            uncounted.clone(),
+            readiness_table.clone(),
+        )
+        .await?;
+        serve(
+            settings.metrics_address,
+            metrics,
+            finish.clone(),
+            metrics_table.clone(),
         )
         .await?;
-        serve(settings.metrics_address, metrics, finish.clone(), uncounted).await?;
         serve(
             settings.caller_address,
             front,
@@ -203,6 +213,13 @@
                 log.flush();
             }
         });
+        let tables = [
+            ("callers", self.connections.clone()),
+            ("peers", peer_table),
+            ("readiness", readiness_table),
+            ("metrics", metrics_table),
+        ];
+        task::spawn_local(report_ingress(tables, shared.log.clone()));
         task::spawn_local(watch_operator(Rc::clone(shared)));
         task::spawn_local(watch_members(Rc::clone(shared)));
         task::spawn_local(run_succession(Rc::clone(shared)));
@@ -227,7 +244,8 @@
             .settings
             .stop_timeout
             .saturating_sub(LAST_ANSWERS_RESERVE);
-        while self.connections.open() > 0 && self.shared.now().saturating_sub(started_at) < longest
+        while self.connections.connection_count() > 0
+            && self.shared.now().saturating_sub(started_at) < longest
         {
             time::sleep(CONNECTION_CHECK_INTERVAL).await;
         }
@@ -299,7 +317,7 @@
 
 #[async_trait(?Send)]
 impl HttpHandler for ReadinessCheck {
-    async fn handle(&self, _request: Request<Incoming>) -> Response<Full<Bytes>> {
+    async fn handle(&self, _request: Request<RequestBody>) -> Response<Full<Bytes>> {
         let ready = !self.shared.is_stopping() && self.shared.configuration().is_some();
         let mut response = Response::new(Full::new(Bytes::new()));
         if !ready {
--- a/crates/fleet/src/fleet_log.rs
+++ b/crates/fleet/src/fleet_log.rs
@@ -81,6 +81,8 @@
     Dependency,
     /// A watch of the store failed.
     Watch,
+    /// Connections or requests were refused or closed, to stay within the limits of a listener.
+    Limit,
 }
 
 /// The structured log. Lines are buffered in memory up to a limit, and a thread writes them, so that a reader that
--- a/crates/fleet/src/fleet_settings.rs
+++ b/crates/fleet/src/fleet_settings.rs
@@ -8,6 +8,8 @@
 use jasminebend_base::DomainName;
 use jasminebend_dispatch::DispatchSettings;
 
+use crate::IngressSettings;
+
 /// The settings of a daemon on the platform.
 #[derive(Clone, Debug, PartialEq)]
 pub struct FleetSettings {
@@ -30,6 +32,8 @@
     /// The time that the platform requires between maintenance calls of two daemons for one VM: a new owner makes none
     /// for this long.
     pub maintenance_lease: Duration,
+    /// What the clients of each address may hold.
+    pub ingress: IngressSettings,
     /// The settings of the dispatcher.
     pub dispatch: DispatchSettings,
 }
--- a/crates/fleet/src/http_server.rs
+++ b/crates/fleet/src/http_server.rs
@@ -1,7 +1,6 @@
 //! An HTTP/1.1 server.
 
 use std::{
-    cell::Cell,
     convert::Infallible,
     io,
     net::SocketAddr,
@@ -12,18 +11,16 @@
 
 use async_trait::async_trait;
 use bytes::Bytes;
-use derive_more::Display;
 use http::{
     Request,
     Response, //
 };
-use http_body_util::{
-    BodyExt,
-    Full,
-    Limited, //
-};
+use http_body_util::Full;
 use hyper::{
-    body::Incoming,
+    body::{
+        Body,
+        Incoming, //
+    },
     server::conn::http1,
     service::service_fn, //
 };
@@ -31,9 +28,15 @@
     TokioIo,
     TokioTimer, //
 };
+use jasminebend_ingress::{
+    BodyError,
+    Connection,
+    ConnectionTable, //
+};
 use tokio::{
     net::{
         TcpListener,
+        TcpSocket,
         TcpStream, //
     },
     sync::watch,
@@ -44,6 +47,10 @@
 
 /// The pause after a failed accept, which is most likely due to a lack of file descriptors.
 const ACCEPT_RETRY_PAUSE: Duration = Duration::from_millis(50);
+/// The most connections that wait to be accepted.
+const BACKLOG: u32 = 1024;
+/// The size of the kernel's buffer for a connection's bytes that are not read yet.
+const RECEIVE_BUFFER_BYTES: u32 = 64 << 10;
 /// The timeout for a request's head to arrive.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
 /// The timeout for a request's whole body to arrive.
@@ -51,28 +58,44 @@
 /// The timeout after which a connection ends whose client sends no byte of a request, or reads no byte of an answer.
 const STALL_TIMEOUT: Duration = Duration::from_secs(10);
 
-/// Why reading a request's body failed.
-#[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
-pub enum BodyError {
-    /// The body is larger than allowed, or the connection ended.
-    #[display("the body is too large or ends early")]
-    Broken,
-    /// The body did not arrive in time.
-    #[display("the body took too long")]
-    Late,
+/// The body of a request, with the connection that it arrives on.
+pub struct RequestBody {
+    incoming: Incoming,
+    connection: Rc<Connection>,
 }
 
-/// Reads a request's body of at most `limit` bytes.
-///
-/// # Errors
-///
-/// Any [`BodyError`].
-pub async fn read_body(body: Incoming, limit: usize) -> Result<Bytes, BodyError> {
-    let collected = time::timeout(BODY_TIMEOUT, Limited::new(body, limit).collect()).await;
-    match collected {
-        Ok(Ok(collected)) => Ok(collected.to_bytes()),
-        Ok(Err(_)) => Err(BodyError::Broken),
-        Err(_) => Err(BodyError::Late),
+impl RequestBody {
+    /// Reads a body of at most `limit` bytes.
+    ///
+    /// # Errors
+    ///
+    /// Any [`BodyError`].
+    pub async fn read(&mut self, limit: usize) -> Result<Bytes, BodyError> {
+        let incoming = &mut self.incoming;
+        self.connection
+            .read_body(incoming, limit, BODY_TIMEOUT)
+            .await
+    }
+
+    /// Reads and drops a body of at most `limit` bytes.
+    ///
+    /// # Errors
+    ///
+    /// Any [`BodyError`] but [`BodyError::NoMemory`].
+    pub async fn skip(&mut self, limit: usize) -> Result<(), BodyError> {
+        let incoming = &mut self.incoming;
+        self.connection
+            .skip_body(incoming, limit, BODY_TIMEOUT)
+            .await
+    }
+
+    /// Counts further memory of the request until it is answered.
+    ///
+    /// # Errors
+    ///
+    /// [`BodyError::NoMemory`] if there is none.
+    pub fn reserve(&self, bytes: usize) -> Result<(), BodyError> {
+        self.connection.reserve(bytes)
     }
 }
 
@@ -80,20 +103,7 @@
 #[async_trait(?Send)]
 pub trait HttpHandler {
     /// Answers a request.
-    async fn handle(&self, request: Request<Incoming>) -> Response<Full<Bytes>>;
-}
-
-/// The number of a server's open connections; clones share the count.
-#[derive(Clone, Debug, Default)]
-pub struct ConnectionCount {
-    open: Rc<Cell<usize>>,
-}
-
-impl ConnectionCount {
-    /// Returns the number of open connections.
-    pub fn open(&self) -> usize {
-        self.open.get()
-    }
+    async fn handle(&self, request: Request<RequestBody>) -> Response<Full<Bytes>>;
 }
 
 /// Serves requests on an address until `stop` is true; each connection then ends after its current request.
@@ -105,55 +115,83 @@
     address: SocketAddr,
     handler: Rc<Handler>,
     stop: watch::Receiver<bool>,
-    count: ConnectionCount,
+    table: ConnectionTable,
 ) -> io::Result<()>
 where
     Handler: HttpHandler + 'static,
 {
-    let listener = TcpListener::bind(address)
-        .await
+    let listener = listen(address)
         .map_err(|error| io::Error::new(error.kind(), format!("{address}: {error}")))?;
-    serve_on(listener, handler, stop, count);
+    serve_on(listener, handler, stop, table);
     Ok(())
 }
 
+/// Binds an address. The kernel keeps no more than [`RECEIVE_BUFFER_BYTES`] of a client that is not read.
+fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+    let socket = match address {
+        SocketAddr::V4(_) => TcpSocket::new_v4(),
+        SocketAddr::V6(_) => TcpSocket::new_v6(),
+    }?;
+    socket.set_reuseaddr(true)?;
+    // Without it the kernel's own limit applies.
+    drop(socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES));
+    socket.bind(address)?;
+    socket.listen(BACKLOG)
+}
+
 /// Serves requests on a listener as [`serve`] does.
 pub fn serve_on<Handler>(
     listener: TcpListener,
     handler: Rc<Handler>,
     stop: watch::Receiver<bool>,
-    count: ConnectionCount,
+    table: ConnectionTable,
 ) where
     Handler: HttpHandler + 'static,
 {
-    task::spawn_local(accept_connections(listener, handler, stop, count));
+    task::spawn_local(accept_connections(listener, handler, stop, table));
 }
 
 async fn accept_connections<Handler>(
     listener: TcpListener,
     handler: Rc<Handler>,
     stop: watch::Receiver<bool>,
-    count: ConnectionCount,
+    table: ConnectionTable,
 ) where
     Handler: HttpHandler + 'static,
 {
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                let serving =
-                    serve_connection(stream, Rc::clone(&handler), stop.clone(), count.clone());
-                task::spawn_local(serving);
+                if let Some(connection) = table.open().await {
+                    let head_bytes = table.limits().head_bytes;
+                    let handler = Rc::clone(&handler);
+                    let serving =
+                        serve_connection(stream, handler, stop.clone(), connection, head_bytes);
+                    task::spawn_local(serving);
+                }
+            }
+            Err(error) => {
+                if is_lack_of_descriptors(&error) {
+                    table.close_longest_waiting();
+                }
+                time::sleep(ACCEPT_RETRY_PAUSE).await;
             }
-            Err(_) => time::sleep(ACCEPT_RETRY_PAUSE).await,
         }
     }
 }
 
+fn is_lack_of_descriptors(error: &io::Error) -> bool {
+    const ENFILE: i32 = 23;
+    const EMFILE: i32 = 24;
+    matches!(error.raw_os_error(), Some(ENFILE | EMFILE))
+}
+
 async fn serve_connection<Handler>(
     stream: TcpStream,
     handler: Rc<Handler>,
     mut stop: watch::Receiver<bool>,
-    count: ConnectionCount,
+    connection: Connection,
+    head_bytes: usize,
 ) where
     Handler: HttpHandler + 'static,
 {
@@ -162,25 +200,52 @@
     let mut stream = TimeoutStream::new(stream);
     stream.set_read_timeout(Some(STALL_TIMEOUT));
     stream.set_write_timeout(Some(STALL_TIMEOUT));
-    count.open.set(count.open.get() + 1);
+    let connection = Rc::new(connection);
     let service = service_fn(|request| {
-        let handler = Rc::clone(&handler);
-        async move { Ok::<_, Infallible>(handler.handle(request).await) }
+        let (handler, connection) = (Rc::clone(&handler), Rc::clone(&connection));
+        async move { Ok::<_, Infallible>(answer(&*handler, request, connection).await) }
     });
     let serving = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(HEAD_TIMEOUT)
+        .max_buf_size(head_bytes)
         .serve_connection(TokioIo::new(Box::pin(stream)), service);
     let mut serving = pin!(serving);
-    tokio::select! {
-        _ = serving.as_mut() => {}
-        () = until_stopped(&mut stop) => {
-            serving.as_mut().graceful_shutdown();
+    let mut is_stopping = false;
+    loop {
+        tokio::select! {
+            biased;
+            () = connection.evicted() => break,
             // The client sees an error on its connection; there is no one else to report it to.
-            drop(serving.await);
+            _ = serving.as_mut() => break,
+            () = until_stopped(&mut stop), if !is_stopping => {
+                is_stopping = true;
+                serving.as_mut().graceful_shutdown();
+            }
         }
     }
-    count.open.set(count.open.get().saturating_sub(1));
+}
+
+async fn answer<Handler>(
+    handler: &Handler,
+    request: Request<Incoming>,
+    connection: Rc<Connection>,
+) -> Response<Full<Bytes>>
+where
+    Handler: HttpHandler,
+{
+    connection.begin_request();
+    if request.body().is_end_stream() && connection.complete_request().is_err() {
+        // The connection closes before the answer is due.
+        std::future::pending::<()>().await;
+    }
+    let request = request.map(|incoming| RequestBody {
+        incoming,
+        connection: Rc::clone(&connection),
+    });
+    let response = handler.handle(request).await;
+    connection.end_request();
+    response
 }
 
 /// Waits until `stop` is true, forever if the sender is dropped before.
--- a/crates/fleet/src/job_api.rs
+++ b/crates/fleet/src/job_api.rs
@@ -50,6 +50,15 @@
 /// The most other daemons to which a request is forwarded.
 const MAX_PEERS_ASKED: usize = 2;
 
+/// The most copies of a job that a request holds while it waits: its own, that of the record, the encoded row, the call to the
+/// store, and the call to another daemon.
+const HELD_COPIES: usize = 5;
+
+/// Returns the memory that a request which submits or checks a job holds while it waits, in bytes.
+pub(crate) fn held_bytes(graph: &JobGraph) -> usize {
+    HELD_COPIES * graph.heap_bytes()
+}
+
 /// The API for callers, behind the HTTP front end.
 pub struct JobApi {
     shared: Rc<SharedState>,
@@ -113,6 +122,11 @@
         Self { shared }
     }
 
+    /// Returns the memory that the submission of a job holds while it waits, in bytes.
+    pub fn submission_bytes(graph: &JobGraph) -> usize {
+        held_bytes(graph)
+    }
+
     /// Returns the largest accepted body of a caller's request, in bytes.
     pub fn body_limit(&self) -> usize {
         const DEFAULT_BODY_LIMIT_BYTES: usize = 256 << 10;
@@ -123,6 +137,26 @@
             })
     }
 
+    /// Answers a submission whose body need not be read, from the host and the path alone.
+    pub fn answer_head(&self, host: &str, path: &str) -> Option<CallerAnswer> {
+        let answer = match self.shared.configuration() {
+            None => CallerAnswer::Refused(RETRY_WITHOUT_STORE),
+            Some(configuration) => match configuration.route(host, path) {
+                None => CallerAnswer::NoQueue,
+                Some(_) => return None,
+            },
+        };
+        self.record_submission(path, &answer);
+        Some(answer)
+    }
+
+    /// Answers a submission for which there is no memory. It may be the retry of one that was accepted, so that its outcome is
+    /// unknown.
+    pub fn answer_without_memory(&self, path: &str) -> CallerAnswer {
+        self.record_submission(path, &CallerAnswer::Unknown);
+        CallerAnswer::Unknown
+    }
+
     /// Answers a caller's request.
     pub async fn answer(&self, request: CallerRequest) -> CallerAnswer {
         self.answer_and_log(request, Forwarding::Allowed).await
@@ -139,17 +173,34 @@
         let verb = verb_label(&request.verb);
         let answer = self.route(request, forwarding).await;
         let took = self.shared.now().saturating_sub(started_at);
+        self.record(verb, &path, &answer, took, forwarding);
+        answer
+    }
+
+    fn record_submission(&self, path: &str, answer: &CallerAnswer) {
+        self.record("submit", path, answer, Duration::ZERO, Forwarding::Allowed);
+    }
+
+    /// Records an answer in the metrics and the log.
+    fn record(
+        &self,
+        verb: &'static str,
+        path: &str,
+        answer: &CallerAnswer,
+        took: Duration,
+        forwarding: Forwarding,
+    ) {
         metrics::histogram!("jasminebend_fleet_request_seconds", "verb" => verb)
             .record(took.as_secs_f64());
-        metrics::counter!("jasminebend_fleet_requests_total", "verb" => verb, "answer" => answer_label(&answer))
+        metrics::counter!("jasminebend_fleet_requests_total", "verb" => verb, "answer" => answer_label(answer))
             .increment(1);
         // Reads are not logged: they are no decisions.
-        if !is_read(&answer) {
+        if !is_read(answer) {
             self.shared.log.line(
                 LogEvent::Request,
                 RequestLine {
                     request: verb,
-                    path: &path,
+                    path,
                     outcome: format!("{answer:?}"),
                     config_version: self
                         .shared
@@ -163,7 +214,6 @@
                 },
             );
         }
-        answer
     }
 
     async fn route(&self, request: CallerRequest, forwarding: Forwarding) -> CallerAnswer {
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -15,6 +15,8 @@
 mod former_owner_bound;
 mod http_pool;
 mod http_server;
+mod ingress_report;
+mod ingress_settings;
 mod job_api;
 mod job_codec;
 mod job_reader;
@@ -97,13 +99,12 @@
         HttpReply, //
     },
     http_server::{
-        BodyError,
-        ConnectionCount,
         HttpHandler,
-        read_body,
+        RequestBody,
         serve,
         serve_on, //
     },
+    ingress_settings::IngressSettings,
     job_api::JobApi,
     job_codec::{
         decode_job,
--- a/crates/fleet/src/peer_api.rs
+++ b/crates/fleet/src/peer_api.rs
@@ -10,22 +10,25 @@
     StatusCode, //
 };
 use http_body_util::Full;
-use hyper::body::Incoming;
+use jasminebend_ingress::BodyError;
 
 use crate::{
+    CallerRequest,
+    CallerVerb,
     HttpHandler,
     JobApi,
     PeerAnswer,
     PeerHealth,
     PeerRequest,
+    RequestBody,
     admission_check::decide_as_owner,
     fleet_log::whole_millis,
-    read_body,
+    job_api::held_bytes,
     shared_state::SharedState, //
 };
 
-/// The largest accepted body of a peer's call, in bytes: a caller's body and its envelope.
-const MAX_CALL_BYTES: usize = 4 << 20;
+/// The size of a call beside the body of the caller's request that it carries, in bytes.
+const ENVELOPE_BYTES: usize = 64 << 10;
 
 /// The HTTP API for other daemons: probes, forwarded requests of callers, and admission decisions.
 pub(crate) struct PeerApi {
@@ -38,6 +41,21 @@
         Self { shared, job_api }
     }
 
+    async fn read_call(&self, body: &mut RequestBody) -> Result<PeerRequest, BodyError> {
+        let limit = self.job_api.body_limit() + ENVELOPE_BYTES;
+        let bytes = body.read(limit).await?;
+        let call = postcard::from_bytes(&bytes).map_err(|_| BodyError::Broken)?;
+        if let PeerRequest::Serve(CallerRequest {
+            verb: CallerVerb::Submit(graph),
+            ..
+        })
+        | PeerRequest::Admit { graph, .. } = &call
+        {
+            body.reserve(held_bytes(graph))?;
+        }
+        Ok(call)
+    }
+
     async fn answer(&self, call: PeerRequest) -> PeerAnswer {
         match call {
             PeerRequest::Probe { token } => {
@@ -77,11 +95,13 @@
 
 #[async_trait(?Send)]
 impl HttpHandler for PeerApi {
-    async fn handle(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
-        let body = read_body(request.into_body(), MAX_CALL_BYTES).await;
-        let call = body.ok().and_then(|body| postcard::from_bytes(&body).ok());
-        let Some(call) = call else {
-            return empty_response(StatusCode::BAD_REQUEST);
+    async fn handle(&self, request: Request<RequestBody>) -> Response<Full<Bytes>> {
+        let mut body = request.into_body();
+        let call = match self.read_call(&mut body).await {
+            Ok(call) => call,
+            // A peer takes an answer without a body for none: the call may have taken effect.
+            Err(BodyError::NoMemory) => return empty_response(StatusCode::SERVICE_UNAVAILABLE),
+            Err(_) => return empty_response(StatusCode::BAD_REQUEST),
         };
         match postcard::to_stdvec(&self.answer(call).await) {
             Ok(bytes) => Response::new(Full::new(Bytes::from(bytes))),
--- a/crates/fleet/tests/daemons/test_fleet.rs
+++ b/crates/fleet/tests/daemons/test_fleet.rs
@@ -45,7 +45,6 @@
     Response, //
 };
 use http_body_util::Full;
-use hyper::body::Incoming;
 use jasminebend_base::{
     DomainName,
     ResourceAmount, //
@@ -76,12 +75,14 @@
     FleetWorkers,
     HttpHandler,
     HttpPool,
+    IngressSettings,
     JobApi,
     MemberRecord,
     MemberSet,
     OwnerRecord,
     PeerAnswer,
     PeerRequest,
+    RequestBody,
     SetMember,
     StoreRow,
     StoreTable,
@@ -681,6 +682,7 @@
             cpu_millis: 100,
             stop_timeout: Duration::from_secs(4),
             maintenance_lease: Duration::from_secs(1),
+            ingress: IngressSettings::for_process(256 << 20, 4096),
             dispatch: DispatchSettings::default(),
         };
         let node = settings.node.clone();
@@ -824,7 +826,7 @@
 
 #[async_trait(?Send)]
 impl HttpHandler for EmptyResponder {
-    async fn handle(&self, _request: Request<Incoming>) -> Response<Full<Bytes>> {
+    async fn handle(&self, _request: Request<RequestBody>) -> Response<Full<Bytes>> {
         Response::new(Full::new(Bytes::new()))
     }
 }
--- a/crates/fleet/tests/http_server.rs
+++ b/crates/fleet/tests/http_server.rs
@@ -12,14 +12,13 @@
     Response, //
 };
 use http_body_util::Full;
-use hyper::body::Incoming;
 use jasminebend_fleet::{
-    ConnectionCount,
     HttpHandler,
-    read_body,
+    RequestBody,
     serve,
     serve_on, //
 };
+use jasminebend_ingress::ConnectionTable;
 use tokio::{
     io::AsyncWriteExt,
     net::{
@@ -43,8 +42,8 @@
 
 #[async_trait(?Send)]
 impl HttpHandler for LargeAnswerHandler {
-    async fn handle(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
-        drop(read_body(request.into_body(), 1000).await);
+    async fn handle(&self, request: Request<RequestBody>) -> Response<Full<Bytes>> {
+        drop(request.into_body().read(1000).await);
         Response::new(Full::new(Bytes::from(vec![0; ANSWER_BYTES])))
     }
 }
@@ -56,7 +55,7 @@
 {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
     let address = listener.local_addr().expect("it is bound");
-    let count = ConnectionCount::default();
+    let count = ConnectionTable::default();
     let (_stop, stopping) = watch::channel(false);
     serve_on(
         listener,
@@ -66,12 +65,12 @@
     );
     let mut caller = TcpStream::connect(address).await.expect("it listens");
     caller.write_all(sent).await.expect("it is open");
-    while count.open() == 0 {
+    while count.connection_count() == 0 {
         time::sleep(POLL_INTERVAL).await;
     }
     then(&mut caller).await;
     let closed = async {
-        while count.open() > 0 {
+        while count.connection_count() > 0 {
             time::sleep(POLL_INTERVAL).await;
         }
     };
@@ -125,7 +124,7 @@
     let taken = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
     let address = taken.local_addr().expect("it is bound");
     let (_stop, stopping) = watch::channel(false);
-    let count = ConnectionCount::default();
+    let count = ConnectionTable::default();
     let error = serve(address, Rc::new(LargeAnswerHandler), stopping, count)
         .await
         .expect_err("it is taken");
--- /dev/null
+++ b/crates/ingress/src/lib.rs
@@ -0,0 +1,16 @@
+//! Bounds what clients that are not under control can make a process hold: connections, and the memory of their requests.
+
+mod body_error;
+mod connection;
+mod connection_limits;
+mod connection_table;
+mod refusal_counts;
+mod table_state;
+
+pub use self::{
+    body_error::BodyError,
+    connection::Connection,
+    connection_limits::ConnectionLimits,
+    connection_table::ConnectionTable,
+    refusal_counts::RefusalCounts, //
+};
--- /dev/null
+++ b/crates/ingress/src/table_state.rs
@@ -0,0 +1,263 @@
+//! [`TableState`]: decides which connection is closed to stay within the limits.
+
+use std::{
+    collections::{
+        BTreeSet,
+        HashMap, //
+    },
+    mem,
+    sync::Arc, //
+};
+
+use tokio::sync::Notify;
+
+use crate::{
+    BodyError,
+    ConnectionLimits,
+    RefusalCounts, //
+};
+
+/// The size of a body's first buffer, in bytes.
+const MIN_BUFFER_BYTES: usize = 1 << 10;
+
+/// The open connections of a listener.
+///
+/// A connection waits while it is idle or a request on it is incomplete; only such a connection is ever closed, the one that
+/// has waited the longest first, and one that had no request answered yet before any other. A client that completes its
+/// requests is thereby served beside any number that do not.
+#[derive(Debug)]
+pub(crate) struct TableState {
+    limits: ConnectionLimits,
+    connections: HashMap<u64, ConnectionState>,
+    waiting: BTreeSet<WaitOrder>,
+    /// The bytes that all requests hold.
+    held_bytes: usize,
+    last_id: u64,
+    last_rank: u64,
+    refusals: RefusalCounts,
+}
+
+/// Orders waiting connections by when they are closed.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+struct WaitOrder {
+    has_answered: bool,
+    rank: u64,
+    id: u64,
+}
+
+#[derive(Debug, Default)]
+struct ConnectionState {
+    /// `None` while a complete request is in progress, and after the connection was closed for others.
+    wait: Option<WaitOrder>,
+    has_answered: bool,
+    is_evicted: bool,
+    /// The part of the body that has arrived.
+    buffer: Vec<u8>,
+    /// The bytes that the request holds.
+    held_bytes: usize,
+    /// Notified when the connection is to close.
+    evicted: Arc<Notify>,
+}
+
+/// Whether a connection may be opened.
+#[derive(Debug)]
+pub(crate) enum Admission {
+    /// The connection is open, under this identifier.
+    Opened(u64, Arc<Notify>),
+    /// Another connection is closing for it.
+    Pending,
+    /// Every connection has a request in progress.
+    Refused,
+}
+
+impl TableState {
+    pub(crate) fn new(limits: ConnectionLimits) -> Self {
+        Self {
+            limits,
+            connections: HashMap::new(),
+            waiting: BTreeSet::new(),
+            held_bytes: 0,
+            last_id: 0,
+            last_rank: 0,
+            refusals: RefusalCounts::default(),
+        }
+    }
+
+    pub(crate) fn connection_count(&self) -> usize {
+        self.connections.len()
+    }
+
+    pub(crate) fn held_bytes(&self) -> usize {
+        self.held_bytes
+    }
+
+    pub(crate) fn take_refusals(&mut self) -> RefusalCounts {
+        mem::take(&mut self.refusals)
+    }
+
+    /// Opens a connection, or closes another one for it.
+    pub(crate) fn open(&mut self) -> Admission {
+        if self.connections.len() < self.limits.connections {
+            return self.insert();
+        }
+        if self.connections.values().any(|other| other.is_evicted) || self.close_longest_waiting() {
+            return Admission::Pending;
+        }
+        self.refusals.refused_connections += 1;
+        Admission::Refused
+    }
+
+    fn insert(&mut self) -> Admission {
+        self.last_id += 1;
+        let id = self.last_id;
+        let connection = ConnectionState::default();
+        let evicted = Arc::clone(&connection.evicted);
+        self.connections.insert(id, connection);
+        self.set_waiting(id);
+        Admission::Opened(id, evicted)
+    }
+
+    /// Closes the connection that has waited the longest; returns false if none waits.
+    pub(crate) fn close_longest_waiting(&mut self) -> bool {
+        let Some(oldest) = self.waiting.first() else {
+            return false;
+        };
+        self.evict(oldest.id);
+        self.refusals.closed_for_connections += 1;
+        true
+    }
+
+    /// Records that the head of a request has arrived.
+    pub(crate) fn begin_request(&mut self, id: u64) {
+        self.set_waiting(id);
+    }
+
+    /// Appends a part of the body that has arrived.
+    pub(crate) fn append(&mut self, id: u64, part: &[u8], limit: usize) -> Result<(), BodyError> {
+        let Some(connection) = self.connections.get(&id) else {
+            return Err(BodyError::Broken);
+        };
+        let (len, capacity) = (connection.buffer.len(), connection.buffer.capacity());
+        let needed = len + part.len();
+        if needed > capacity {
+            let grown = needed.max(2 * capacity).max(MIN_BUFFER_BYTES);
+            let grown = grown.min(limit.max(needed));
+            self.reserve(id, grown - capacity)?;
+            if let Some(connection) = self.connections.get_mut(&id) {
+                connection.buffer.reserve_exact(grown - len);
+            }
+        }
+        if let Some(connection) = self.connections.get_mut(&id) {
+            connection.buffer.extend_from_slice(part);
+        }
+        Ok(())
+    }
+
+    /// Drops the part of the body that has arrived.
+    pub(crate) fn discard_body(&mut self, id: u64) {
+        if let Some(connection) = self.connections.get_mut(&id) {
+            self.held_bytes -= connection.held_bytes;
+            connection.held_bytes = 0;
+            connection.buffer = Vec::new();
+        }
+    }
+
+    /// Returns the complete body; from now on the connection is not closed for others. The body's bytes stay reserved until
+    /// the request is answered.
+    pub(crate) fn complete_body(&mut self, id: u64) -> Result<Vec<u8>, BodyError> {
+        let connection = self.connections.get_mut(&id).ok_or(BodyError::Broken)?;
+        if connection.is_evicted {
+            return Err(BodyError::Broken);
+        }
+        let body = mem::take(&mut connection.buffer);
+        if let Some(wait) = connection.wait.take() {
+            self.waiting.remove(&wait);
+        }
+        Ok(body)
+    }
+
+    /// Reserves bytes for a request, for which the connections with the oldest incomplete bodies are closed as needed.
+    pub(crate) fn reserve(&mut self, id: u64, bytes: usize) -> Result<(), BodyError> {
+        loop {
+            let Some(connection) = self.connections.get_mut(&id) else {
+                return Err(BodyError::Broken);
+            };
+            if connection.is_evicted {
+                return Err(BodyError::Broken);
+            }
+            let is_alone = self.held_bytes == connection.held_bytes;
+            if is_alone || self.held_bytes.saturating_add(bytes) <= self.limits.request_bytes {
+                connection.held_bytes += bytes;
+                self.held_bytes += bytes;
+                return Ok(());
+            }
+            if !self.close_oldest_body(id) {
+                self.refusals.refused_requests += 1;
+                return Err(BodyError::NoMemory);
+            }
+        }
+    }
+
+    /// Closes the connection with the oldest incomplete body but that of `id`; returns false if there is none.
+    fn close_oldest_body(&mut self, id: u64) -> bool {
+        let holds_body = |wait: &&WaitOrder| {
+            let connection = self.connections.get(&wait.id);
+            wait.id != id && connection.is_some_and(|connection| connection.held_bytes > 0)
+        };
+        let Some(oldest) = self.waiting.iter().find(holds_body) else {
+            return false;
+        };
+        self.evict(oldest.id);
+        self.refusals.closed_for_memory += 1;
+        true
+    }
+
+    /// Records that a request was answered, and releases its memory.
+    pub(crate) fn end_request(&mut self, id: u64) {
+        self.discard_body(id);
+        if let Some(connection) = self.connections.get_mut(&id) {
+            connection.has_answered = true;
+        }
+        self.set_waiting(id);
+    }
+
+    /// Records that a connection is closed.
+    pub(crate) fn close(&mut self, id: u64) {
+        self.discard_body(id);
+        if let Some(wait) = self.connections.remove(&id).and_then(|state| state.wait) {
+            self.waiting.remove(&wait);
+        }
+    }
+
+    fn set_waiting(&mut self, id: u64) {
+        let Some(connection) = self.connections.get_mut(&id) else {
+            return;
+        };
+        if let Some(wait) = connection.wait.take() {
+            self.waiting.remove(&wait);
+        }
+        if connection.is_evicted {
+            return;
+        }
+        self.last_rank += 1;
+        let wait = WaitOrder {
+            has_answered: connection.has_answered,
+            rank: self.last_rank,
+            id,
+        };
+        connection.wait = Some(wait);
+        self.waiting.insert(wait);
+    }
+
+    /// Releases the memory of a waiting connection, and has it closed.
+    fn evict(&mut self, id: u64) {
+        self.discard_body(id);
+        if let Some(connection) = self.connections.get_mut(&id) {
+            connection.is_evicted = true;
+            connection.evicted.notify_one();
+            if let Some(wait) = connection.wait.take() {
+                self.waiting.remove(&wait);
+            }
+        }
+    }
+}
--- a/crates/jasminebend/src/fleet_program.rs
+++ b/crates/jasminebend/src/fleet_program.rs
@@ -17,7 +17,6 @@
     }, //
 };
 use http_body_util::Full;
-use hyper::body::Incoming;
 use jasminebend_dispatch::PolicySwitches;
 use jasminebend_fleet::{
     FleetAdvice,
@@ -27,7 +26,8 @@
     FleetVms,
     HttpHandler,
     HttpPool,
-    LogEvent, //
+    LogEvent,
+    RequestBody, //
 };
 use jasminebend_platform::{
     AdviceClient,
@@ -168,7 +168,7 @@
 
 #[async_trait(?Send)]
 impl HttpHandler for MetricsHandler {
-    async fn handle(&self, _request: Request<Incoming>) -> Response<Full<Bytes>> {
+    async fn handle(&self, _request: Request<RequestBody>) -> Response<Full<Bytes>> {
         let mut response = Response::new(Full::new(Bytes::from(self.exporter.render())));
         response.headers_mut().insert(
             CONTENT_TYPE,
