Bound what callers and operators hold at the older daemon

Idle connections of callers locked ordinary ones out for 75 s, and 64 incomplete requests locked operators and the balancer out for as long as an operator's request may take.

Cause: the gateway reserved the declared size of a body and held slices of the buffers it was read into; the administration API read bodies of requests that need none, without a token, and held such slices too. At the limit of connections nothing that waited was closed.

Change: both use the connection table of `ingress`. Bodies are copied and counted as they arrive, the oldest incomplete one makes room; a response keeps its connection open until it is sent; a request body outlives its caller in the count if its delivery does. New settings `limits.request_memory` (64MiB as before) and `limits.administration_memory` (16MiB), metrics, one log line a second.

Three tests are replaced. `callers_beyond_the_limit_are_rejected` held the places with idle connections, and `connections_over_the_limit_wait` with one that had sent nothing: that these lock others out is the fault. Both now hold the places with requests in progress, with the same checks, and then check those requests' answers; `idle_callers_do_not_lock_others_out` and `idle_connections_close_for_new_ones` check the former cases. `the_bodies_buffered_in_memory_are_limited` held the memory with a body that declared its size and sent two bytes; it now holds it with a request in progress, and `incomplete_bodies_make_room_for_complete_ones` checks incomplete ones.

--- a/crates/gateway/src/caller_server.rs
+++ b/crates/gateway/src/caller_server.rs
@@ -19,7 +19,14 @@
     TokioIo,
     TokioTimer, //
 };
-use metrics::gauge;
+use jasminebend_ingress::{
+    Connection,
+    ConnectionTable, //
+};
+use metrics::{
+    counter,
+    gauge, //
+};
 use spdlog::warn;
 use tokio::{
     io::AsyncWriteExt,
@@ -27,19 +34,17 @@
         TcpListener,
         TcpStream, //
     },
-    sync::{
-        OwnedSemaphorePermit,
-        Semaphore,
-        watch, //
-    },
+    sync::watch,
     task::JoinSet,
     time::{
+        interval,
         sleep,
         timeout, //
     },
 };
 
 use crate::{
+    answer_body::AnswerBody,
     caller_stream::CallerStream,
     class_metrics::CALLERS_METRIC,
     gateway_state::GatewayState,
@@ -49,8 +54,9 @@
     },
 };
 
-/// The smallest buffer that hyper accepts.
-const MIN_BUFFER_BYTES: usize = 8 * 1024;
+const REFUSALS_METRIC: &str = "jasminebend_gateway_ingress_refusals_total";
+/// The interval between two reports of what was refused.
+const REPORT_INTERVAL: Duration = Duration::from_secs(1);
 /// How long to wait after a failed `accept`.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 /// How long writing the response to a caller beyond the limit may take.
@@ -69,27 +75,33 @@
     listener: TcpListener,
     mut stop: watch::Receiver<bool>,
 ) {
-    let connection_permits = Arc::new(Semaphore::new(shared.settings.max_callers));
+    let mut report_due = interval(REPORT_INTERVAL);
     let mut callers = JoinSet::new();
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
             _ = stop.wait_for(|stop| *stop) => break,
             Some(_) = callers.join_next() => continue,
+            _ = report_due.tick() => {
+                report_refusals(&shared.callers);
+                continue;
+            }
         };
         let Ok((stream, address)) = accepted else {
             // The likely cause is the limit of open files; retrying at once would be a busy loop.
             warn!("[gateway] Cannot accept callers for now.");
+            shared.callers.close_longest_waiting();
             sleep(ACCEPT_RETRY_DELAY).await;
             continue;
         };
-        match Arc::clone(&connection_permits).try_acquire_owned() {
-            Ok(permit) => {
+        match shared.callers.open().await {
+            Some(connection) => {
                 let shared = Arc::clone(&shared);
                 let stop = stop.clone();
-                callers.spawn(serve_caller(shared, stream, address, stop, permit));
+                let connection = Arc::new(connection);
+                callers.spawn(serve_caller(shared, stream, address, stop, connection));
             }
-            Err(_) => {
+            None => {
                 tokio::spawn(refuse_caller(stream));
             }
         }
@@ -103,7 +115,7 @@
     stream: TcpStream,
     address: SocketAddr,
     mut stop: watch::Receiver<bool>,
-    _permit: OwnedSemaphorePermit,
+    client: Arc<Connection>,
 ) {
     if stream.set_nodelay(true).is_err() {
         return;
@@ -112,30 +124,41 @@
     let settings = Arc::clone(&shared.settings);
     let stream = CallerStream::new(stream, &settings);
     let ambiguous_length = stream.ambiguous_length();
-    let service = service_fn(move |request| {
+    let head_bytes = shared.callers.limits().head_bytes;
+    let service = service_fn(|request| {
         let shared = Arc::clone(&shared);
+        let client = Arc::clone(&client);
         let caller = CallerInfo {
             address: address.ip(),
             ambiguous_length: ambiguous_length.load(Ordering::Relaxed),
+            connection: Arc::clone(&client),
         };
         // Boxed, because hyper reserves memory for the future in every connection, and an idle
         // connection needs none.
-        Box::pin(async move { Ok::<_, Infallible>(handle_request(shared, request, caller).await) })
+        Box::pin(async move {
+            client.begin_request();
+            let response = handle_request(shared, request, caller).await;
+            Ok::<_, Infallible>(response.map(|body| AnswerBody::new(body, client)))
+        })
     });
     let connection = Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(settings.caller_idle_timeout)
-        .max_buf_size(settings.max_head_bytes.max(MIN_BUFFER_BYTES))
+        .max_buf_size(head_bytes)
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = pin!(connection);
-    let stopped = tokio::select! {
-        // An error on this connection concerns only its caller.
-        _ = connection.as_mut() => false,
-        _ = stop.wait_for(|stop| *stop) => true,
-    };
-    if stopped {
-        connection.as_mut().graceful_shutdown();
-        connection.await.ok();
+    let mut is_stopping = false;
+    loop {
+        tokio::select! {
+            biased;
+            () = client.evicted() => break,
+            // An error on this connection concerns only its caller.
+            _ = connection.as_mut() => break,
+            _ = stop.wait_for(|stop| *stop), if !is_stopping => {
+                is_stopping = true;
+                connection.as_mut().graceful_shutdown();
+            }
+        }
     }
     gauge!(CALLERS_METRIC).decrement(1.0);
 }
@@ -149,3 +172,15 @@
     .await
     .ok();
 }
+
+/// Logs and counts the connections and requests that were closed or refused since the last call.
+fn report_refusals(callers: &ConnectionTable) {
+    let refusals = callers.take_refusals();
+    if refusals.is_empty() {
+        return;
+    }
+    for (reason, count) in refusals.by_reason() {
+        counter!(REFUSALS_METRIC, "reason" => reason).increment(count);
+    }
+    warn!("[gateway] Callers or requests were closed or refused at the limits: {refusals}.");
+}
--- a/crates/gateway/src/gateway_state.rs
+++ b/crates/gateway/src/gateway_state.rs
@@ -9,14 +9,15 @@
 
 use indexmap::IndexMap;
 use jasminebend_base::ServiceName;
+use jasminebend_ingress::{
+    ConnectionLimits,
+    ConnectionTable, //
+};
 use jasminebend_ports::{
     ClockSource,
     OwnershipView, //
 };
-use tokio::sync::{
-    Notify,
-    Semaphore, //
-};
+use tokio::sync::Notify;
 
 use crate::{
     gateway_ports::GatewayPorts,
@@ -28,6 +29,9 @@
     service_pool::ServicePool, //
 };
 
+/// The smallest buffer that hyper accepts.
+const MIN_HEAD_BYTES: usize = 8 * 1024;
+
 /// The state that the parts of the gateway share.
 pub(crate) struct GatewayState {
     /// The settings of the gateway.
@@ -47,8 +51,8 @@
     /// Set by a request that found the held shares as of the last refresh to be outdated; the next
     /// tick then refreshes all pools.
     pub(crate) refresh_requested: AtomicBool,
-    /// One permit for each byte that request bodies may still occupy in memory.
-    pub(crate) buffered_body_permits: Arc<Semaphore>,
+    /// The connections of callers, with the memory of the bodies that are buffered.
+    pub(crate) callers: ConnectionTable,
     routes: RwLock<Arc<RouteSnapshot>>,
     pools: RwLock<IndexMap<ServiceName, Arc<ServicePool>>>,
 }
@@ -61,7 +65,11 @@
             Arc::clone(&ports.clock),
             settings.key_retention,
         );
-        let buffered_body_permits = Arc::new(Semaphore::new(settings.max_total_buffered_bytes));
+        let callers = ConnectionTable::new(ConnectionLimits {
+            connections: settings.max_callers,
+            request_bytes: settings.max_total_buffered_bytes,
+            head_bytes: settings.max_head_bytes.max(MIN_HEAD_BYTES),
+        });
         Self {
             settings: Arc::new(settings),
             ownership: Arc::clone(&ports.ownership),
@@ -71,7 +79,7 @@
             seed: ports.seed,
             slot_idle: Arc::new(Notify::new()),
             refresh_requested: AtomicBool::new(false),
-            buffered_body_permits,
+            callers,
             routes: RwLock::default(),
             pools: RwLock::default(),
         }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -1,6 +1,7 @@
 //! The request path: accepts requests from callers over HTTP/1.1 and forwards each to an endpoint
 //! of its service.
 
+mod answer_body;
 mod body_error;
 mod caller_server;
 mod caller_stream;
--- a/crates/gateway/src/prepared_request.rs
+++ b/crates/gateway/src/prepared_request.rs
@@ -1,10 +1,6 @@
 //! [`PreparedRequest`]: converts the request of a caller into one for an endpoint.
 
-use std::{
-    net::IpAddr,
-    sync::Arc,
-    time::Duration, //
-};
+use std::sync::Arc;
 
 use bytes::Bytes;
 use http::{
@@ -13,15 +9,10 @@
     request::Parts, //
 };
 use http_body::Body;
-use http_body_util::{
-    BodyExt,
-    LengthLimitError,
-    Limited, //
-};
 use hyper::body::Incoming;
-use tokio::{
-    sync::OwnedSemaphorePermit,
-    time::timeout, //
+use jasminebend_ingress::{
+    BodyError,
+    Connection, //
 };
 
 use crate::{
@@ -29,7 +20,8 @@
     gateway_state::GatewayState,
     header_rules::prepare_request_head,
     refusal::Refusal,
-    request_body::RequestBody, //
+    request_body::RequestBody,
+    request_handler::CallerInfo, //
 };
 
 /// A request that is ready to be sent to an endpoint.
@@ -38,16 +30,16 @@
     pub(crate) request: Box<EndpointRequest>,
     /// The complete body if it was buffered; empty otherwise.
     pub(crate) body: Bytes,
-    /// Reserves the memory of the buffered body.
-    _permit: Option<OwnedSemaphorePermit>,
+    /// Counts the memory of the buffered body, also after the caller has left.
+    _connection: Arc<Connection>,
 }
 
 impl PreparedRequest {
-    fn new(head: Parts, body: RequestBody) -> Self {
+    fn new(head: Parts, body: RequestBody, connection: &Arc<Connection>) -> Self {
         Self {
             request: Box::new(Request::from_parts(head, body)),
             body: Bytes::new(),
-            _permit: None,
+            _connection: Arc::clone(connection),
         }
     }
 }
@@ -57,52 +49,51 @@
 pub(crate) async fn prepare_request(
     shared: &GatewayState,
     request: Request<Incoming>,
-    caller: IpAddr,
+    caller: &CallerInfo,
 ) -> Result<PreparedRequest, Refusal> {
     let settings = &shared.settings;
     let (mut head, body) = request.into_parts();
-    prepare_request_head(&mut head.uri, &mut head.headers, caller);
+    prepare_request_head(&mut head.uri, &mut head.headers, caller.address);
     head.version = Version::HTTP_11;
     head.extensions.clear();
+    let connection = &caller.connection;
     if body.is_end_stream() {
+        complete(connection)?;
         let body = RequestBody::buffered(Bytes::new());
-        return Ok(PreparedRequest::new(head, body));
+        return Ok(PreparedRequest::new(head, body, connection));
     }
     let size = body.size_hint().exact();
     if size.is_some_and(|size| size > settings.max_body_bytes) {
         return Err(Refusal::TooLarge);
     }
     let buffered_size = size.filter(|size| *size <= settings.max_buffered_body_bytes);
-    let Some(size) = buffered_size else {
+    if buffered_size.is_none() {
+        complete(connection)?;
         let body =
             RequestBody::streamed(body, settings.max_body_bytes, settings.body_stall_timeout);
-        return Ok(PreparedRequest::new(head, body));
-    };
-    let permits = u32::try_from(size).unwrap_or(u32::MAX);
-    let permit = Arc::clone(&shared.buffered_body_permits)
-        .try_acquire_many_owned(permits)
-        .map_err(|_| Refusal::MemoryFull)?;
-    let collected = collect(
-        body,
-        settings.max_buffered_body_bytes,
-        settings.body_stall_timeout,
-    )
-    .await?;
+        return Ok(PreparedRequest::new(head, body, connection));
+    }
+    let limit = usize::try_from(settings.max_buffered_body_bytes).unwrap_or(usize::MAX);
+    let collected = connection
+        .read_body(body, limit, settings.body_stall_timeout)
+        .await
+        .map_err(refusal)?;
     Ok(PreparedRequest {
         body: collected.clone(),
-        _permit: Some(permit),
-        ..PreparedRequest::new(head, RequestBody::buffered(collected))
+        ..PreparedRequest::new(head, RequestBody::buffered(collected), connection)
     })
 }
 
-async fn collect(body: Incoming, max_bytes: u64, time_limit: Duration) -> Result<Bytes, Refusal> {
-    let max_bytes = usize::try_from(max_bytes).unwrap_or(usize::MAX);
-    let collected = timeout(time_limit, Limited::new(body, max_bytes).collect())
-        .await
-        .map_err(|_| Refusal::BodyStalled)?;
-    match collected {
-        Ok(collected) => Ok(collected.to_bytes()),
-        Err(error) if error.is::<LengthLimitError>() => Err(Refusal::TooLarge),
-        Err(_) => Err(Refusal::Malformed("its body is cut short or badly framed")),
+/// Records that the connection is not closed for others until its request is answered.
+fn complete(connection: &Connection) -> Result<(), Refusal> {
+    connection.complete_request().map_err(refusal)
+}
+
+fn refusal(error: BodyError) -> Refusal {
+    match error {
+        BodyError::TooLarge => Refusal::TooLarge,
+        BodyError::Late => Refusal::BodyStalled,
+        BodyError::NoMemory => Refusal::MemoryFull,
+        BodyError::Broken => Refusal::Malformed("its body is cut short or badly framed"),
     }
 }
--- a/crates/gateway/src/request_handler.rs
+++ b/crates/gateway/src/request_handler.rs
@@ -16,6 +16,7 @@
 };
 use hyper::body::Incoming;
 use jasminebend_base::IdempotencyRule;
+use jasminebend_ingress::Connection;
 use metrics::counter;
 
 use crate::{
@@ -58,12 +59,14 @@
 };
 
 /// What is known about the caller of a request.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub(crate) struct CallerInfo {
     /// The IP address of the caller.
     pub(crate) address: IpAddr,
     /// Whether a request whose body length is ambiguous has arrived on its connection.
     pub(crate) ambiguous_length: bool,
+    /// The connection, which counts the memory of the request.
+    pub(crate) connection: Arc<Connection>,
 }
 
 /// Handles one request and returns its response; a refusal becomes a response as well.
@@ -113,7 +116,7 @@
     let forwarded = request.headers().contains_key(&FORWARDED);
     let trace = (shared.settings.traces_enabled)
         .then(|| RequestTrace::start(request.headers(), class.entry.class.as_str()));
-    let prepared = prepare_request(shared, request, caller.address).await?;
+    let prepared = prepare_request(shared, request, &caller).await?;
     let job = DeliveryJob {
         shared: Arc::clone(shared),
         plan: AttemptPlan {
--- a/crates/gateway/tests/requests/resource_limits.rs
+++ b/crates/gateway/tests/requests/resource_limits.rs
@@ -14,12 +14,13 @@
     open_and_send,
     send_raw,
     send_request,
+    wait_until,
     wait_until_answered, //
 };
 
 const TIMEOUT: Duration = Duration::from_millis(200);
 
-// Callers open ever more connections. Those beyond the limit are refused at once.
+// Callers open ever more connections, each with a request in progress. Those beyond the limit are refused at once.
 #[tokio::test]
 async fn callers_beyond_the_limit_are_rejected() {
     let endpoint = ScriptedEndpoint::start().await;
@@ -30,18 +31,46 @@
         .await;
     let mut held_streams = Vec::new();
     for _ in 0..3 {
+        endpoint.push_action(EndpointAction::Hold);
         held_streams
             .push(open_and_send(gateway.address, "GET /a HTTP/1.1\r\nhost: shop\r\n\r\n").await);
     }
-    for stream in &mut held_streams {
-        stream.read_exact(&mut [0; 8]).await.unwrap();
-    }
+    wait_until(|| endpoint.request_count() == 3).await;
     let refused = send_raw(gateway.address, "").await;
     assert_eq!((refused.status, refused.executed()), (503, Some("no")));
+    endpoint.release();
+    for stream in &mut held_streams {
+        let mut start = [0; 12];
+        stream.read_exact(&mut start).await.unwrap();
+        assert_eq!(&start, b"HTTP/1.1 200");
+    }
     drop(held_streams);
     wait_until_answered(async || gateway.get("/b").await).await;
 }
 
+// Callers hold all places with connections that are idle. The one that has been idle the longest closes for a new one.
+#[tokio::test]
+async fn idle_callers_do_not_lock_others_out() {
+    let endpoint = ScriptedEndpoint::start().await;
+    let builder = GatewayBuilder::new().with_endpoint(&endpoint, 4);
+    let gateway = builder
+        .with_settings(|settings| settings.with_caller_and_queue_limits(3, 10))
+        .start()
+        .await;
+    let mut idle_streams = Vec::new();
+    for _ in 0..3 {
+        let mut stream =
+            open_and_send(gateway.address, "GET /a HTTP/1.1\r\nhost: shop\r\n\r\n").await;
+        stream.read_exact(&mut [0; 8]).await.unwrap();
+        idle_streams.push(stream);
+    }
+    assert_eq!(gateway.get("/b").await.status, 200);
+    let mut oldest = Vec::new();
+    idle_streams[0].read_to_end(&mut oldest).await.ok();
+    assert_eq!(gateway.get("/c").await.status, 200);
+    drop(idle_streams);
+}
+
 // A caller sends its head byte by byte, or never completes its body. Neither occupies a slot.
 #[tokio::test]
 async fn slow_callers_hold_no_slot_and_are_disconnected() {
@@ -67,34 +96,57 @@
     assert_eq!(endpoint.request_count(), 1);
 }
 
-// Many callers begin a body and do not complete it. Their bodies are buffered in memory: beyond the
-// limit further requests are refused before memory is used for them.
+// Requests in progress hold all of the memory for bodies. Further requests are refused, those without a body are not.
 #[tokio::test]
 async fn the_bodies_buffered_in_memory_are_limited() {
     let endpoint = ScriptedEndpoint::start().await;
-    let builder = GatewayBuilder::new().with_endpoint(&endpoint, 1);
+    let builder = GatewayBuilder::new().with_endpoint(&endpoint, 2);
     let gateway = builder
         .with_settings(|settings| settings.with_max_buffered_bytes(1000))
         .start()
         .await;
-    let head = "POST /a HTTP/1.1\r\nhost: shop\r\ncontent-length: 900\r\n\r\nab";
-    let held_streams = open_and_send(gateway.address, head).await;
     let body = "x".repeat(900);
-    let refused = loop {
-        let reply = send_request(gateway.address, "POST /b", "", &body).await;
-        if reply.status != 200 {
-            break reply;
-        }
-    };
+    let request = format!("POST /a HTTP/1.1\r\nhost: shop\r\ncontent-length: 900\r\n\r\n{body}");
+    endpoint.push_action(EndpointAction::Hold);
+    let mut held_stream = open_and_send(gateway.address, &request).await;
+    wait_until(|| endpoint.request_count() == 1).await;
+    let refused = send_request(gateway.address, "POST /b", "", &body).await;
     assert_eq!(
         (refused.status, refused.reason()),
         (503, Some("memory_full"))
     );
+    assert_eq!(refused.executed(), Some("no"));
     assert_eq!(gateway.get("/c").await.status, 200);
-    drop(held_streams);
+    endpoint.release();
+    held_stream.read_exact(&mut [0; 8]).await.unwrap();
     wait_until_answered(async || send_request(gateway.address, "POST /b", "", &body).await).await;
 }
 
+// Many callers begin a body and do not complete it, so that they hold all of the memory for bodies. The oldest of them is
+// disconnected for a caller that completes its request.
+#[tokio::test]
+async fn incomplete_bodies_make_room_for_complete_ones() {
+    let endpoint = ScriptedEndpoint::start().await;
+    let builder = GatewayBuilder::new().with_endpoint(&endpoint, 1);
+    let gateway = builder
+        .with_settings(|settings| settings.with_max_buffered_bytes(4000))
+        .start()
+        .await;
+    let begun = "x".repeat(1800);
+    let request = format!("POST /a HTTP/1.1\r\nhost: shop\r\ncontent-length: 1900\r\n\r\n{begun}");
+    let mut incomplete = Vec::new();
+    for _ in 0..3 {
+        incomplete.push(open_and_send(gateway.address, &request).await);
+    }
+    let mut closed = Vec::new();
+    incomplete[0].read_to_end(&mut closed).await.ok();
+    let body = "x".repeat(1900);
+    let reply = send_request(gateway.address, "POST /b", "", &body).await;
+    assert_eq!(reply.status, 200);
+    assert_eq!(endpoint.request_count(), 1);
+    drop(incomplete);
+}
+
 // A caller reads nothing of a large response. It is disconnected, and the response is not buffered
 // in memory meanwhile: the endpoint is slowed down by backpressure.
 #[tokio::test]
--- a/crates/ingress/src/connection.rs
+++ b/crates/ingress/src/connection.rs
@@ -106,6 +106,15 @@
         self.table.state().reserve(self.id, bytes)
     }
 
+    /// Counts the memory of a request whose size is known anew, in place of what was counted before.
+    ///
+    /// # Errors
+    ///
+    /// [`BodyError::NoMemory`] if there is none.
+    pub fn hold(&self, bytes: usize) -> Result<(), BodyError> {
+        self.table.state().hold(self.id, bytes)
+    }
+
     /// Records that a request was answered, and releases its memory.
     pub fn end_request(&self) {
         self.table.record_answered(self.id);
--- a/crates/ingress/src/table_state.rs
+++ b/crates/ingress/src/table_state.rs
@@ -198,6 +198,19 @@
         }
     }
 
+    /// Reserves or releases bytes, so that a request holds this many.
+    pub(crate) fn hold(&mut self, id: u64, bytes: usize) -> Result<(), BodyError> {
+        let connection = self.connections.get_mut(&id).ok_or(BodyError::Broken)?;
+        match bytes.checked_sub(connection.held_bytes) {
+            Some(further) => self.reserve(id, further),
+            None => {
+                self.held_bytes -= connection.held_bytes - bytes;
+                connection.held_bytes = bytes;
+                Ok(())
+            }
+        }
+    }
+
     /// Closes the connection with the oldest incomplete body but that of `id`; returns false if there is none.
     fn close_oldest_body(&mut self, id: u64) -> bool {
         let holds_body = |wait: &&WaitOrder| {
--- a/crates/jasminebend/src/admin_error.rs
+++ b/crates/jasminebend/src/admin_error.rs
@@ -41,6 +41,8 @@
     BodyCut,
     #[display("the request did not arrive in time")]
     SlowRequest,
+    #[display("there is no memory for the request beside others; it was not carried out")]
+    MemoryFull,
     #[display("send `If-Match` with the version that the change was made from, such as `\"12\"`")]
     MissingVersion,
     #[from]
@@ -60,6 +62,7 @@
             Self::Forbidden { .. } => StatusCode::FORBIDDEN,
             Self::BodyTooLarge { .. } => StatusCode::PAYLOAD_TOO_LARGE,
             Self::SlowRequest => StatusCode::REQUEST_TIMEOUT,
+            Self::MemoryFull => StatusCode::SERVICE_UNAVAILABLE,
             Self::MissingVersion => StatusCode::PRECONDITION_REQUIRED,
             Self::Control(error) => control_status(error),
         }
--- a/crates/jasminebend/src/admin_route.rs
+++ b/crates/jasminebend/src/admin_route.rs
@@ -58,6 +58,11 @@
         }
     }
 
+    /// Returns whether a request carries a body that matters.
+    pub(crate) fn takes_body(&self) -> bool {
+        matches!(self, Self::ReplaceConfiguration | Self::SubmitJob)
+    }
+
     /// Returns the least role that the route requires; `None` if it needs no token.
     pub(crate) fn role(&self) -> Option<AccessRole> {
         match self {
--- a/crates/jasminebend/src/admin_service.rs
+++ b/crates/jasminebend/src/admin_service.rs
@@ -17,12 +17,11 @@
     header, //
 };
 use http_body::Body;
-use http_body_util::{
-    BodyExt,
-    LengthLimitError,
-    Limited, //
-};
 use jasminebend_base::ConfigurationVersion;
+use jasminebend_ingress::{
+    BodyError,
+    Connection, //
+};
 use jasminebend_ports::ClockSource;
 use opentelemetry::context::FutureExt;
 use spdlog::warn;
@@ -87,15 +86,14 @@
     pub(crate) async fn answer<Content>(
         &self,
         request: Request<Content>,
+        client: &Connection,
         peer: IpAddr,
         health_only: bool,
     ) -> AdminResponse
     where
         Content: Body + Send,
-        Content::Data: Send,
-        Content::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
     {
-        let answer = self.try_answer(request, peer, health_only).await;
+        let answer = self.try_answer(request, client, peer, health_only).await;
         let answer = answer.unwrap_or_else(|error| error_response(&error));
         let status = answer.status().as_str().to_owned();
         metrics::counter!(REQUESTS_METRIC, "status" => status).increment(1);
@@ -105,13 +103,12 @@
     async fn try_answer<Content>(
         &self,
         request: Request<Content>,
+        client: &Connection,
         peer: IpAddr,
         health_only: bool,
     ) -> Result<AdminResponse, AdminError>
     where
         Content: Body + Send,
-        Content::Data: Send,
-        Content::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
     {
         let (head, body) = request.into_parts();
         let route = AdminRoute::parse(&head.method, head.uri.path(), head.uri.query())?;
@@ -119,9 +116,7 @@
             return self.answer_health_request(route, head.uri.path());
         }
         let operator = self.authorize(&route, &head.headers, peer)?;
-        let limit = self.limits.administration_body;
-        let body = timeout(self.limits.administration_timeout, read_body(body, limit));
-        let body = body.await.map_err(|_| AdminError::SlowRequest)??;
+        let body = self.read_body(&route, body, client).await?;
         match route {
             AdminRoute::Health => Ok(text("alive\n".to_owned())),
             AdminRoute::Readiness => Ok(self.readiness_response()),
@@ -172,6 +167,33 @@
         }
     }
 
+    /// Reads the body of a request, and drops it where the route takes none.
+    async fn read_body<Content>(
+        &self,
+        route: &AdminRoute,
+        body: Content,
+        client: &Connection,
+    ) -> Result<Bytes, AdminError>
+    where
+        Content: Body + Send,
+    {
+        let limit = self.limits.administration_body;
+        let time = self.limits.administration_timeout;
+        let read = match route.takes_body() {
+            true => client.read_body(body, limit, time).await,
+            false => match client.skip_body(body, limit, time).await {
+                Ok(()) => client.complete_request().map(|()| Bytes::new()),
+                Err(error) => Err(error),
+            },
+        };
+        read.map_err(|error| match error {
+            BodyError::TooLarge => AdminError::BodyTooLarge { limit },
+            BodyError::Broken => AdminError::BodyCut,
+            BodyError::Late => AdminError::SlowRequest,
+            BodyError::NoMemory => AdminError::MemoryFull,
+        })
+    }
+
     /// Returns the operator who sent a request if their role allows the route.
     fn authorize(
         &self,
@@ -269,19 +291,6 @@
     }
 }
 
-async fn read_body<Content>(body: Content, limit: usize) -> Result<Bytes, AdminError>
-where
-    Content: Body,
-    Content::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
-{
-    let collected = Limited::new(body, limit).collect().await;
-    let body = collected.map_err(|error| match error.downcast_ref::<LengthLimitError>() {
-        Some(_) => AdminError::BodyTooLarge { limit },
-        None => AdminError::BodyCut,
-    })?;
-    Ok(body.to_bytes())
-}
-
 fn bearer_token(headers: &HeaderMap) -> Option<&str> {
     let value = headers.get(header::AUTHORIZATION)?.to_str().ok()?;
     let (scheme, token) = value.split_once(' ')?;
--- a/crates/jasminebend/src/limit_settings.rs
+++ b/crates/jasminebend/src/limit_settings.rs
@@ -24,6 +24,8 @@
 const BODY_SIZE_RANGE: RangeInclusive<ByteSize> = ByteSize::kib(1)..=ByteSize::gib(1);
 const HEADER_SIZE_FORMAT: &str = "a size from 8KiB to 1MiB with its unit, such as `16KiB`";
 const HEADER_SIZE_RANGE: RangeInclusive<ByteSize> = ByteSize::kib(8)..=ByteSize::mib(1);
+const MEMORY_FORMAT: &str = "a size from 1MiB to 64GiB with its unit, such as `64MiB`";
+const MEMORY_RANGE: RangeInclusive<ByteSize> = ByteSize::mib(1)..=ByteSize::gib(64);
 const CONNECTIONS_FORMAT: &str = "a whole number of connections from 1 to 65536";
 const TIMEOUT_FORMAT: &str = "a time from 100ms to 5m with its unit, such as `30s`";
 const LONGEST_REQUEST_FORMAT: &str = "a time from 1s to 10m with its unit, such as `30s`";
@@ -47,6 +49,10 @@
     pub longest_request: Duration,
     /// The greatest number of requests of one service that may wait for a slot.
     pub waiting_requests: usize,
+    /// The greatest memory of callers' buffered request bodies at a time, in bytes.
+    pub request_memory: usize,
+    /// The greatest memory of administration requests' bodies at a time, in bytes.
+    pub administration_memory: usize,
     /// The greatest number of connections to the administration API at a time.
     pub administration_connections: usize,
     /// The greatest size of a request's head, in bytes.
@@ -63,6 +69,8 @@
             longest_request: Duration::from_secs(30),
             waiting_requests: 1000,
             administration_body: 1 << 20,
+            request_memory: 64 << 20,
+            administration_memory: 16 << 20,
             administration_connections: 64,
             headers: 16 << 10,
             administration_timeout: Duration::from_secs(30),
@@ -79,6 +87,8 @@
     longest_request: OptionalKey<RawText>,
     waiting_requests: OptionalKey<RawText>,
     administration_body: OptionalKey<RawText>,
+    request_memory: OptionalKey<RawText>,
+    administration_memory: OptionalKey<RawText>,
     administration_connections: OptionalKey<RawText>,
     headers: OptionalKey<RawText>,
     administration_timeout: OptionalKey<RawText>,
@@ -127,6 +137,12 @@
         let request = section.parse("request_body", BODY_SIZE_FORMAT, request, |text| {
             parse_size(text, BODY_SIZE_RANGE)
         })?;
+        let memory = |key, raw: &OptionalKey<RawText>| {
+            let parse = |text: &str| parse_size(text, MEMORY_RANGE);
+            section.parse(key, MEMORY_FORMAT, raw.as_ref(), parse)
+        };
+        let request_memory = memory("request_memory", &self.request_memory)?;
+        let administration_memory = memory("administration_memory", &self.administration_memory)?;
         let default = LimitSettings::default();
         Ok(LimitSettings {
             request_body: request.unwrap_or(default.request_body),
@@ -134,6 +150,8 @@
             longest_request: longest.unwrap_or(default.longest_request),
             waiting_requests: waiting.unwrap_or(default.waiting_requests),
             administration_body: administration.unwrap_or(default.administration_body),
+            request_memory: request_memory.unwrap_or(default.request_memory),
+            administration_memory: administration_memory.unwrap_or(default.administration_memory),
             administration_connections: operators.unwrap_or(default.administration_connections),
             headers: headers.unwrap_or(default.headers),
             administration_timeout: timeout.unwrap_or(default.administration_timeout),
--- a/crates/jasminebend/tests/administration/api.rs
+++ b/crates/jasminebend/tests/administration/api.rs
@@ -226,13 +226,37 @@
         ..LimitSettings::default()
     };
     let harness = AdminHarness::start(&settings().with_limits(limits)).await;
-    let first = TcpStream::connect(harness.handle.address()).await.unwrap();
+    harness.control.set_configuration(two_domains());
+    harness.control.close_gate();
+    let mut first = TcpStream::connect(harness.handle.address()).await.unwrap();
+    let request = b"POST /v1/domains/a/out HTTP/1.1\r\nhost: a\r\ncontent-length: 0\r\n\r\n";
+    first.write_all(request).await.unwrap();
+    harness.control.wait_for_change_request().await;
     let second = harness.call(HttpRequest::new(Method::GET, "/healthz"));
     let mut second = std::pin::pin!(second);
     let early = timeout(Duration::from_millis(50), second.as_mut()).await;
     assert!(early.is_err());
-    drop(first);
+    harness.control.open_gate();
     assert_eq!(second.await.status.as_u16(), 200);
+    let mut answer = String::new();
+    first.read_to_string(&mut answer).await.ok();
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+}
+
+/// Guards against operators who get no answer as long as others hold all connections and send nothing.
+#[tokio::test]
+async fn idle_connections_close_for_new_ones() {
+    let limits = LimitSettings {
+        administration_connections: 1,
+        ..LimitSettings::default()
+    };
+    let harness = AdminHarness::start(&settings().with_limits(limits)).await;
+    let mut idle = TcpStream::connect(harness.handle.address()).await.unwrap();
+    let answer = harness.call(HttpRequest::new(Method::GET, "/healthz"));
+    assert_eq!(answer.await.status.as_u16(), 200);
+    let mut closed = Vec::new();
+    idle.read_to_end(&mut closed).await.ok();
+    assert!(closed.is_empty());
 }
 
 #[tokio::test]
--- a/crates/jasminebend/tests/daemon/program.rs
+++ b/crates/jasminebend/tests/daemon/program.rs
@@ -1,6 +1,7 @@
 //! The program `jasminebend` as a separate process.
 
 use std::{
+    ffi::OsString,
     io::{
         BufRead,
         BufReader, //
@@ -26,12 +27,18 @@
 
 /// A running daemon process and the log lines read from it.
 pub(crate) struct RunningProgram {
-    child: Child,
+    pub(crate) child: Child,
     log: Arc<Mutex<Vec<String>>>,
     pub(crate) callers: SocketAddr,
     pub(crate) admin: SocketAddr,
 }
 
+/// Returns the path of the program: that which `JASMINEBEND_SOAK_PROGRAM` names, or the one built with this test.
+fn program_path() -> OsString {
+    let built = || env!("CARGO_BIN_EXE_jasminebend").into();
+    std::env::var_os("JASMINEBEND_SOAK_PROGRAM").unwrap_or_else(built)
+}
+
 impl RunningProgram {
     /// Starts the program with a settings file, and reads its addresses from its log.
     pub(crate) fn start(settings: &Path) -> Self {
@@ -45,7 +52,7 @@
 
     /// Starts the program, and reads its log until `is_enough` returns true for the number of addresses read.
     fn start_read_until(settings: &Path, is_enough: fn(usize) -> bool) -> Self {
-        let mut child = Command::new(env!("CARGO_BIN_EXE_jasminebend"))
+        let mut child = Command::new(program_path())
             .arg("--settings")
             .arg(settings)
             .stderr(Stdio::piped())
