Bound the frames that peers of the older daemon leave incomplete

Cause: at the address for other daemons 1,024 connections could each hold an incomplete frame of 256 KiB, before any hash is checked; the queue of received frames was bounded by their number alone, and a small frame kept the buffer that it was read into. Further connections were closed, also those of members, while idle ones held the places.

--- a/crates/cluster/src/cluster_handle.rs
+++ b/crates/cluster/src/cluster_handle.rs
@@ -73,7 +73,10 @@
         settings: ClusterSettings,
         ports: ClusterPorts,
     ) -> Result<Self, ClusterError> {
-        let link = Arc::new(TcpLink::new(settings.peer_listen_address)?);
+        let link = Arc::new(TcpLink::with_limits(
+            settings.peer_listen_address,
+            settings.peer_limits,
+        )?);
         Self::start_with_link(settings, ports, link).await
     }
 
--- a/crates/cluster/src/cluster_settings.rs
+++ b/crates/cluster/src/cluster_settings.rs
@@ -9,12 +9,15 @@
     DomainName,
     VmName, //
 };
+use jasminebend_ingress::ConnectionLimits;
 use jasminebend_ownership::OwnershipSettings;
 use jasminebend_wire::{
     KeyRing,
     PeerKey, //
 };
 
+use crate::tcp_link::DEFAULT_PEER_LIMITS;
+
 const DEFAULT_SEATS: u8 = 7;
 const DEFAULT_SLOT_SHARES: u16 = 70;
 const DEFAULT_SHARDS: u16 = 7;
@@ -25,6 +28,8 @@
 pub struct ClusterSettings {
     /// The address on which to listen for peers.
     pub(crate) peer_listen_address: SocketAddr,
+    /// What the clients of that address may hold.
+    pub(crate) peer_limits: ConnectionLimits,
     /// The address of the administration API as shown in the status; `None` shows no address.
     pub(crate) admin_address: Option<SocketAddr>,
     /// The failure domain of this daemon.
@@ -52,6 +57,7 @@
     pub fn new(peer_listen_address: SocketAddr, domain: DomainName, key: PeerKey) -> Self {
         Self {
             peer_listen_address,
+            peer_limits: DEFAULT_PEER_LIMITS,
             admin_address: None,
             domain,
             vm: None,
@@ -65,6 +71,13 @@
         }
     }
 
+    /// Sets the most connections of peers, and the most bytes of their incomplete frames.
+    pub fn with_peer_limits(mut self, connections: usize, bytes: usize) -> Self {
+        self.peer_limits.connections = connections;
+        self.peer_limits.request_bytes = bytes;
+        self
+    }
+
     /// Sets the number of seats, from 1 to 64.
     pub fn with_seats(mut self, seats: u8) -> Self {
         self.ownership.seats = seats;
--- a/crates/cluster/src/frame_stream.rs
+++ b/crates/cluster/src/frame_stream.rs
@@ -1,11 +1,15 @@
 //! The framing of a connection: both sides exchange greetings, then each frame is preceded by its
 //! length.
 
-use std::io::{
-    self,
-    ErrorKind, //
+use std::{
+    io::{
+        self,
+        ErrorKind, //
+    },
+    sync::Arc, //
 };
 
+use jasminebend_ingress::Connection;
 use jasminebend_wire::MAX_FRAME_BYTES;
 use tokio::{
     io::{
@@ -16,9 +20,13 @@
 };
 use tokio_util::codec::{
     Framed,
+    FramedParts,
+    FramedRead,
     LengthDelimitedCodec, //
 };
 
+use crate::counted_codec::CountedCodec;
+
 /// A connection that carries frames.
 pub(crate) type FrameStream = Framed<TcpStream, LengthDelimitedCodec>;
 
@@ -37,9 +45,15 @@
     exchange_greetings(stream, SENDER_GREETING, RECEIVER_GREETING).await
 }
 
-/// Exchanges greetings with a peer that sends frames.
-pub(crate) async fn greet_sender(stream: TcpStream) -> io::Result<FrameStream> {
-    exchange_greetings(stream, RECEIVER_GREETING, SENDER_GREETING).await
+/// Exchanges greetings with a peer that sends frames, on a connection whose memory is counted.
+pub(crate) async fn greet_sender(
+    stream: TcpStream,
+    connection: Arc<Connection>,
+) -> io::Result<FramedRead<TcpStream, CountedCodec>> {
+    let stream = exchange_greetings(stream, RECEIVER_GREETING, SENDER_GREETING).await?;
+    let FramedParts { io, codec, .. } = stream.into_parts();
+    let codec = CountedCodec::new(codec, connection);
+    Ok(FramedRead::with_capacity(io, codec, INITIAL_BUFFER_BYTES))
 }
 
 /// Sends this side's greeting, and rejects the connection unless the peer sends the expected one.
--- a/crates/cluster/src/lib.rs
+++ b/crates/cluster/src/lib.rs
@@ -15,6 +15,7 @@
 mod cluster_status;
 mod configuration_change;
 mod configuration_edit;
+mod counted_codec;
 mod document_fetch;
 mod frame_receiver;
 mod frame_sender;
--- a/crates/cluster/src/tcp_link.rs
+++ b/crates/cluster/src/tcp_link.rs
@@ -17,6 +17,7 @@
 use async_trait::async_trait;
 use bytes::Bytes;
 use indexmap::IndexMap;
+use jasminebend_ingress::ConnectionLimits;
 use jasminebend_wire::MAX_FRAME_BYTES;
 use tokio::{
     net::TcpStream,
@@ -38,6 +39,12 @@
 const MAX_QUEUED_RECEIVED_FRAMES: usize = 512;
 /// The maximum number of frames that wait to be sent to a peer; further ones are dropped.
 const MAX_QUEUED_SENT_FRAMES: usize = 32;
+/// The default limits on what peers may hold: connections, and bytes of incomplete frames. Frames have no head.
+pub(crate) const DEFAULT_PEER_LIMITS: ConnectionLimits = ConnectionLimits {
+    connections: 1024,
+    request_bytes: 16 << 20,
+    head_bytes: 0,
+};
 /// The time limit of a probe.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(800);
 
@@ -89,6 +96,15 @@
     ///
     /// Returns [`ClusterError::Listen`] if the address cannot be bound.
     pub fn new(listen: SocketAddr) -> Result<Self, ClusterError> {
+        Self::with_limits(listen, DEFAULT_PEER_LIMITS)
+    }
+
+    /// Starts to listen as [`TcpLink::new`] does, with these limits on what peers may hold.
+    ///
+    /// # Errors
+    ///
+    /// As [`TcpLink::new`].
+    pub fn with_limits(listen: SocketAddr, limits: ConnectionLimits) -> Result<Self, ClusterError> {
         let listen_error = |cause| ClusterError::Listen {
             address: listen,
             cause,
@@ -96,7 +112,7 @@
         let listener = bind(listen).map_err(listen_error)?;
         let address = listener.local_addr().map_err(listen_error)?;
         let (sender, frames) = mpsc::channel(MAX_QUEUED_RECEIVED_FRAMES);
-        let receiver = FrameReceiver::new(listener, sender);
+        let receiver = FrameReceiver::new(listener, sender, limits);
         Ok(Self {
             address,
             receiver: tokio::spawn(receiver.run()).abort_handle(),
--- a/crates/ingress/tests/connection_table.rs
+++ b/crates/ingress/tests/connection_table.rs
@@ -214,6 +214,17 @@
     assert_eq!(table.held_bytes(), 0);
 }
 
+/// Guards against a count that keeps the largest size of a request that has shrunk.
+#[tokio::test]
+async fn a_request_holds_what_it_was_last_said_to() {
+    let table = table(9, 8000);
+    let connection = open(&table).await;
+    for bytes in [5000, 100, 7000, 0] {
+        assert_eq!(connection.hold(bytes), Ok(()));
+        assert_eq!(table.held_bytes(), bytes);
+    }
+}
+
 /// Guards against counts that drift, and against limits that some order of events exceeds.
 #[test]
 fn no_order_of_events_exceeds_the_limits() {
--- a/crates/jasminebend/src/entry_daemon.rs
+++ b/crates/jasminebend/src/entry_daemon.rs
@@ -192,6 +192,10 @@
         .with_shards(settings.shards)
         .with_longest_request(settings.limits.longest_request)
         .with_proposal_timeout(proposal_timeout(settings.limits.administration_timeout))
+        .with_peer_limits(
+            settings.limits.peer_connections,
+            settings.limits.peer_memory,
+        )
         .with_admin_address(admin);
     if let Some(next) = keys.next {
         cluster = cluster.with_next_key(next);
--- a/crates/jasminebend/src/limit_settings.rs
+++ b/crates/jasminebend/src/limit_settings.rs
@@ -51,6 +51,10 @@
     pub waiting_requests: usize,
     /// The greatest memory of callers' buffered request bodies at a time, in bytes.
     pub request_memory: usize,
+    /// The greatest number of other daemons' connections at a time.
+    pub peer_connections: usize,
+    /// The greatest memory of other daemons' incomplete frames at a time, in bytes.
+    pub peer_memory: usize,
     /// The greatest memory of administration requests' bodies at a time, in bytes.
     pub administration_memory: usize,
     /// The greatest number of connections to the administration API at a time.
@@ -70,6 +74,8 @@
             waiting_requests: 1000,
             administration_body: 1 << 20,
             request_memory: 64 << 20,
+            peer_connections: 1024,
+            peer_memory: 16 << 20,
             administration_memory: 16 << 20,
             administration_connections: 64,
             headers: 16 << 10,
@@ -88,6 +94,8 @@
     waiting_requests: OptionalKey<RawText>,
     administration_body: OptionalKey<RawText>,
     request_memory: OptionalKey<RawText>,
+    peer_connections: OptionalKey<RawText>,
+    peer_memory: OptionalKey<RawText>,
     administration_memory: OptionalKey<RawText>,
     administration_connections: OptionalKey<RawText>,
     headers: OptionalKey<RawText>,
@@ -143,6 +151,8 @@
         };
         let request_memory = memory("request_memory", &self.request_memory)?;
         let administration_memory = memory("administration_memory", &self.administration_memory)?;
+        let peer_connections = connections("peer_connections", &self.peer_connections)?;
+        let peer_memory = memory("peer_memory", &self.peer_memory)?;
         let default = LimitSettings::default();
         Ok(LimitSettings {
             request_body: request.unwrap_or(default.request_body),
@@ -151,6 +161,8 @@
             waiting_requests: waiting.unwrap_or(default.waiting_requests),
             administration_body: administration.unwrap_or(default.administration_body),
             request_memory: request_memory.unwrap_or(default.request_memory),
+            peer_connections: peer_connections.unwrap_or(default.peer_connections),
+            peer_memory: peer_memory.unwrap_or(default.peer_memory),
             administration_memory: administration_memory.unwrap_or(default.administration_memory),
             administration_connections: operators.unwrap_or(default.administration_connections),
             headers: headers.unwrap_or(default.headers),
--- a/crates/jasminebend/tests/crowd/main.rs
+++ b/crates/jasminebend/tests/crowd/main.rs
@@ -1,4 +1,4 @@
-//! Clients that do not behave, against the daemon as a real process: many clients send requests that stop just short of
+//! Clients that do not behave, against the daemon as a real process: many clients send requests or frames that stop just short of
 //! their end, and keep their connections open. Checked for each address: the process lives, its memory and its descriptors stay
 //! under a bound, and an ordinary request is answered beside the crowd.
 //!
@@ -55,13 +55,17 @@
 const SLOW_CROWD: usize = 40;
 const SLOW_BODY_BYTES: usize = 8 << 10;
 const SMALL_CHUNK: &[u8] = b"1\r\n \r\n";
-/// The number of clients that send large bodies.
+/// The number of clients that send large bodies or frames.
 const CROWD: usize = 640;
 /// Just below the largest body that is buffered.
 const BODY_BYTES: usize = 60 << 10;
+/// Just below the largest frame.
+const FRAME_BYTES: usize = 255 << 10;
 const PIECE_BYTES: usize = 1 << 10;
 /// How long an ordinary client tries.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(60);
+/// The greeting of a sender of frames.
+const SENDER_GREETING: [u8; 8] = [0, b'S', b'P', 0, 0, 0x50, 0, 0];
 
 /// Held by the test that runs.
 static ALONE: Mutex<()> = Mutex::new(());
@@ -144,6 +148,14 @@
     sent
 }
 
+/// Returns a frame of `FRAME_BYTES` bytes without its last byte.
+fn frame() -> Vec<u8> {
+    let mut sent = SENDER_GREETING.to_vec();
+    sent.extend_from_slice(&(FRAME_BYTES as u64).to_be_bytes());
+    sent.resize(sent.len() + FRAME_BYTES - 1, 0);
+    sent
+}
+
 /// Guards against a daemon that runs out of memory: the pieces of callers' bodies kept the buffers that they were read into.
 #[test]
 fn callers_with_bodies_in_pieces_stay_within_the_memory() {
@@ -180,3 +192,13 @@
         |_| (request("GET /healthz", BODY_BYTES), BODY_BYTES),
     ));
 }
+
+/// Guards against a daemon that runs out of memory: incomplete frames at the address for other daemons were not bounded.
+#[test]
+fn peers_with_incomplete_frames_stay_within_the_memory() {
+    run_alone(check_crowd(
+        |to| to.peers,
+        CROWD,
+        |_| (frame(), FRAME_BYTES),
+    ));
+}
