Copy answers as they arrive in the pool of connections

The parts of an answer were kept as slices of the buffers they were read into, so that an answer of 16 MiB in small segments could hold many times that. Stores, workers and other daemons send answers, not clients, and no test shows a fault: none was seen.

Change: the parts are copied into one buffer as they arrive, within the same limit. An answer of several parts was copied once before as well.

Result: the existing tests of the pool hold.

--- a/crates/fleet/src/http_pool.rs
+++ b/crates/fleet/src/http_pool.rs
@@ -18,12 +18,14 @@
 };
 use http_body_util::{
     BodyExt,
-    Full,
-    Limited, //
+    Full, //
 };
-use hyper::client::conn::http1::{
-    self,
-    SendRequest, //
+use hyper::{
+    body::Incoming,
+    client::conn::http1::{
+        self,
+        SendRequest, //
+    }, //
 };
 use hyper_util::rt::TokioIo;
 use tokio::{
@@ -319,16 +321,26 @@
         }
     };
     let status = response.status();
-    let body = response.into_body().map_frame(|frame| {
+    let body = collect_answer(response.into_body(), record_data).await?;
+    Ok(HttpReply { status, body })
+}
+
+/// Copies the parts of an answer as they arrive: each is a slice that keeps the whole buffer it was read into.
+async fn collect_answer(
+    mut body: Incoming,
+    record_data: impl Fn(),
+) -> Result<Bytes, ExchangeError> {
+    let mut collected = Vec::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|_| ExchangeError::Lost)?;
         record_data();
-        frame
-    });
-    let body = Limited::new(body, MAX_ANSWER_BYTES)
-        .collect()
-        .await
-        .map_err(|_| ExchangeError::Lost)?;
-    Ok(HttpReply {
-        status,
-        body: body.to_bytes(),
-    })
+        let Ok(part) = frame.into_data() else {
+            continue;
+        };
+        if collected.len() + part.len() > MAX_ANSWER_BYTES {
+            return Err(ExchangeError::Lost);
+        }
+        collected.extend_from_slice(&part);
+    }
+    Ok(Bytes::from(collected))
 }
