--- a/crates/cluster/src/frame_receiver.rs
+++ b/crates/cluster/src/frame_receiver.rs
@@ -124,10 +124,13 @@
                     continue;
                 }
             };
-            let Ok((stream, _)) = accepted else {
-                self.table.close_longest_waiting();
-                time::sleep(ACCEPT_RETRY_DELAY).await;
-                continue;
+            let stream = match accepted {
+                Ok((stream, _)) => stream,
+                Err(error) => {
+                    self.table.handle_accept_error(&error);
+                    time::sleep(ACCEPT_RETRY_DELAY).await;
+                    continue;
+                }
             };
             if let Some(connection) = self.table.open().await {
                 let queue = self.queue.clone();
--- a/crates/fleet/src/http_server.rs
+++ b/crates/fleet/src/http_server.rs
@@ -171,21 +171,13 @@
                 }
             }
             Err(error) => {
-                if is_lack_of_descriptors(&error) {
-                    table.close_longest_waiting();
-                }
+                table.handle_accept_error(&error);
                 time::sleep(ACCEPT_RETRY_PAUSE).await;
             }
         }
     }
 }
 
-fn is_lack_of_descriptors(error: &io::Error) -> bool {
-    const ENFILE: i32 = 23;
-    const EMFILE: i32 = 24;
-    matches!(error.raw_os_error(), Some(ENFILE | EMFILE))
-}
-
 async fn serve_connection<Handler>(
     stream: TcpStream,
     handler: Rc<Handler>,
--- a/crates/gateway/src/caller_server.rs
+++ b/crates/gateway/src/caller_server.rs
@@ -87,12 +87,15 @@
                 continue;
             }
         };
-        let Ok((stream, address)) = accepted else {
-            // The likely cause is the limit of open files; retrying at once would be a busy loop.
-            warn!("[gateway] Cannot accept callers for now.");
-            shared.callers.close_longest_waiting();
-            sleep(ACCEPT_RETRY_DELAY).await;
-            continue;
+        let (stream, address) = match accepted {
+            Ok(accepted) => accepted,
+            Err(error) => {
+                // The likely cause is the limit of open files; retrying at once would be a busy loop.
+                warn!("[gateway] Cannot accept callers for now.");
+                shared.callers.handle_accept_error(&error);
+                sleep(ACCEPT_RETRY_DELAY).await;
+                continue;
+            }
         };
         match shared.callers.open().await {
             Some(connection) => {
--- a/crates/ingress/src/connection_table.rs
+++ b/crates/ingress/src/connection_table.rs
@@ -1,10 +1,13 @@
 //! [`ConnectionTable`]: the open connections of a listener.
 
-use std::sync::{
-    Arc,
-    Mutex,
-    MutexGuard,
-    PoisonError, //
+use std::{
+    io,
+    sync::{
+        Arc,
+        Mutex,
+        MutexGuard,
+        PoisonError, //
+    }, //
 };
 
 use tokio::sync::Notify;
@@ -68,9 +71,14 @@
         }
     }
 
-    /// Closes the connection that has waited the longest, for the lack of a descriptor.
-    pub fn close_longest_waiting(&self) {
-        self.state().close_longest_waiting();
+    /// Closes a quarter of the connections, those that have waited the longest, if accepting one failed for the lack of a
+    /// descriptor: the process's own calls need some as well.
+    pub fn handle_accept_error(&self, error: &io::Error) {
+        const ENFILE: i32 = 23;
+        const EMFILE: i32 = 24;
+        if matches!(error.raw_os_error(), Some(ENFILE | EMFILE)) {
+            self.state().yield_descriptors();
+        }
     }
 
     /// Returns the number of open connections.
--- a/crates/ingress/src/table_state.rs
+++ b/crates/ingress/src/table_state.rs
@@ -117,8 +117,15 @@
         Admission::Opened(id, evicted)
     }
 
+    /// Closes those of the waiting connections that have waited the longest, a quarter of the open ones.
+    pub(crate) fn yield_descriptors(&mut self) {
+        for _ in 0..self.connections.len().div_ceil(4) {
+            self.close_longest_waiting();
+        }
+    }
+
     /// Closes the connection that has waited the longest; returns false if none waits.
-    pub(crate) fn close_longest_waiting(&mut self) -> bool {
+    fn close_longest_waiting(&mut self) -> bool {
         let Some(oldest) = self.waiting.first() else {
             return false;
         };
--- a/crates/ingress/tests/connection_table.rs
+++ b/crates/ingress/tests/connection_table.rs
@@ -3,6 +3,7 @@
 use std::{
     collections::VecDeque,
     convert::Infallible,
+    io,
     pin::{
         Pin,
         pin, //
@@ -142,6 +143,22 @@
     assert!(is_evicted(&idle) && !is_evicted(&ordinary));
 }
 
+/// Guards against a process whose own calls find no descriptor: one connection was closed for each that could not be accepted.
+#[tokio::test]
+async fn a_lack_of_descriptors_closes_a_quarter_of_the_connections() {
+    let table = table(20, 1000);
+    let mut connections = Vec::new();
+    for _ in 0..8 {
+        connections.push(open(&table).await);
+    }
+    table.handle_accept_error(&io::Error::from_raw_os_error(103));
+    assert!(!connections.iter().any(is_evicted));
+    table.handle_accept_error(&io::Error::from_raw_os_error(24));
+    let evicted: Vec<bool> = connections.iter().map(is_evicted).collect();
+    assert_eq!(evicted[..3], [true, true, false]);
+    assert_eq!(evicted.iter().filter(|evicted| **evicted).count(), 2);
+}
+
 /// Guards against a process that runs out of memory: each part of a body kept the whole buffer that it was read into.
 #[tokio::test]
 async fn small_parts_do_not_keep_the_buffers_they_were_read_into() {
--- a/crates/jasminebend/src/admin_server.rs
+++ b/crates/jasminebend/src/admin_server.rs
@@ -109,11 +109,14 @@
                 }
                 accepted = listener.accept() => accepted,
             };
-            let Ok((stream, peer)) = accepted else {
-                warn!("[administration] A connection could not be accepted.");
-                table.close_longest_waiting();
-                sleep(ACCEPT_RETRY_DELAY).await;
-                continue;
+            let (stream, peer) = match accepted {
+                Ok(accepted) => accepted,
+                Err(error) => {
+                    warn!("[administration] A connection could not be accepted.");
+                    table.handle_accept_error(&error);
+                    sleep(ACCEPT_RETRY_DELAY).await;
+                    continue;
+                }
             };
             // While every connection has a request in progress, further connections wait in the listen backlog.
             let connection = tokio::select! {
