Sample a process's descriptors only once it runs its own code

Cause: the check, not the daemon. The kernel lets the parent of a process go on before it closes the descriptors that are not inherited; a sample in between counts those of the test.

Change: sampling begins when the process listens. No client can connect before, so that nothing of a crowd escapes the check.

--- a/crates/jasminebend/tests/crowd/main.rs
+++ b/crates/jasminebend/tests/crowd/main.rs
@@ -101,7 +101,7 @@
     };
     configure(addresses.administration, &configuration()).await;
     wait_until_served(addresses.callers, "before").await;
-    let watch = ProcessWatch::start(program.child.id());
+    let watch = ProcessWatch::start(program.child.id(), addresses.callers);
     let crowd = Crowd::start(address(&addresses), count, writes);
     crowd.wait_until_sent().await;
     time::timeout(ANSWER_TIMEOUT, expect_answers(&addresses))
