Keep incomplete bodies from holding the slots of endpoints

What callers saw: beside clients that stop just short of the end of a chunked or large body, ordinary callers of the daemon for requests got 503 or no answer, for 10 s and up to 30 s more.

Cause: a body without a length, or of over 64 KiB, was forwarded as it arrived, and took a slot of an endpoint at once. A slot whose body did not arrive stays empty until the longest request is over, as the endpoint may work on a part of it. The connection counted as one with a complete request, so that it was not closed for others either.

Evidence: five crowds at the address for callers, fixed before the change (crates/jasminebend/tests/crowd, `longest_request: 10m`): large chunks, small chunks, a chunk a segment, large bodies whole and in pieces.

Change: a body without a length is read before a slot is taken if it has up to 64 KiB, as one with a length is. A larger one is forwarded as before, but until it has arrived its request needs a permit: half of the service's slots at the most, and one at the least, with the slots that such requests left behind. Its connection counts as waiting until then, so that it closes for others. New setting `limits.incomplete_slots_percent`, metric `incomplete_bodies`, refusal `too_many_incomplete` (503: nothing was sent), one log line a second and service. A complete body gives its permit back, so that large requests still take every slot. The fingerprint of a request with an idempotency key covers the same bodies as before.

Why it works: a body that has not arrived can hold no more than a fixed part of the slots, however many clients send one, and what it holds is given back with the slot and not before.

--- a/crates/gateway/src/class_metrics.rs
+++ b/crates/gateway/src/class_metrics.rs
@@ -19,6 +19,8 @@
 pub(crate) const SERVING_SLOTS_METRIC: &str = "jasminebend_gateway_serving_slots";
 /// Slots whose last request has an unknown outcome, by service.
 pub(crate) const UNKNOWN_SLOTS_METRIC: &str = "jasminebend_gateway_unknown_slots";
+/// Requests that may be sent although their large bodies are incomplete, by service.
+pub(crate) const INCOMPLETE_BODIES_METRIC: &str = "jasminebend_gateway_incomplete_bodies";
 /// Requests that wait for a slot, by service.
 pub(crate) const WAITING_REQUESTS_METRIC: &str = "jasminebend_gateway_waiting_requests";
 
--- a/crates/gateway/src/delivery.rs
+++ b/crates/gateway/src/delivery.rs
@@ -83,9 +83,12 @@
     /// Sends the request and returns the response, or the reason for which there is none.
     pub(crate) async fn run(
         mut self,
-        request: Box<EndpointRequest>,
+        mut request: Box<EndpointRequest>,
     ) -> Result<EndpointResponse, Refusal> {
         let queue = self.trace.map(RequestTrace::start_queue_span);
+        if let RequestBody::Streamed(body) = request.body_mut() {
+            body.set_permit(self.class.pool.acquire_stream(self.demand).await?);
+        }
         let lease = self.class.pool.acquire(self.demand).await?;
         drop(queue);
         let queue_time = self
@@ -123,6 +126,9 @@
         let mut last_refusal = Refusal::Unconnected;
         for _ in 0..MAX_ATTEMPTS {
             self.demand.avoid = Some(lease.address);
+            if let Some(permit) = request.body().stream_permit() {
+                lease.keep_permit(permit);
+            }
             let copy = buffered_copy(&request);
             let outcome = self.attempt_hedged(lease, request).await;
             (lease, request) = match outcome {
--- a/crates/gateway/src/endpoint_entry.rs
+++ b/crates/gateway/src/endpoint_entry.rs
@@ -15,7 +15,10 @@
     slot_share, //
 };
 
-use crate::endpoint_connection::EndpointConnection;
+use crate::{
+    endpoint_connection::EndpointConnection,
+    stream_limit::StreamPermit, //
+};
 
 /// The state of a slot.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -51,6 +54,8 @@
     pub(crate) connection: Option<EndpointConnection>,
     /// Until when each abandoned connection may still count at the endpoint.
     pub(crate) lingering_until: Vec<Duration>,
+    /// The permit of the request that uses the slot, if its body is forwarded as it arrives.
+    pub(crate) stream_permit: Option<StreamPermit>,
 }
 
 /// An endpoint and its slots, as stored in a pool.
@@ -155,9 +160,16 @@
             in_free_list: false,
             connection: None,
             lingering_until: Vec::new(),
+            stream_permit: None,
         }
     }
 
+    /// Marks the slot as used by no request.
+    pub(crate) fn set_idle(&mut self) {
+        self.phase = SlotPhase::Idle;
+        self.stream_permit = None;
+    }
+
     /// Records an abandoned connection whose end the endpoint may not have seen: a middlebox may
     /// have lost track of it, and the endpoint then counts it until its own timeout. Without this
     /// count, repeatedly replacing silent connections would exceed the connection limit of the
--- a/crates/gateway/src/gateway_settings.rs
+++ b/crates/gateway/src/gateway_settings.rs
@@ -31,6 +31,7 @@
     pub(crate) max_body_bytes: u64,
     pub(crate) max_buffered_body_bytes: u64,
     pub(crate) max_total_buffered_bytes: usize,
+    pub(crate) incomplete_slots_percent: u8,
     pub(crate) cross_domain_round_trip_time: Duration,
     pub(crate) refresh_interval: Duration,
     pub(crate) leaving_backoff: Duration,
@@ -64,6 +65,7 @@
             max_body_bytes: 16 * 1024 * 1024,
             max_buffered_body_bytes: 64 * 1024,
             max_total_buffered_bytes: 64 * 1024 * 1024,
+            incomplete_slots_percent: 50,
             cross_domain_round_trip_time: Duration::from_millis(2),
             refresh_interval: Duration::from_millis(50),
             leaving_backoff: Duration::from_secs(30),
@@ -155,6 +157,13 @@
         self
     }
 
+    /// Sets which part of the slots of a service requests with large incomplete bodies may take, in
+    /// percent. They may always take one.
+    pub fn with_incomplete_slots_percent(mut self, percent: u8) -> Self {
+        self.incomplete_slots_percent = percent;
+        self
+    }
+
     /// Sets the round-trip time to an endpoint in another failure domain, which the choice of an
     /// endpoint takes into account.
     pub fn with_cross_domain_round_trip_time(mut self, round_trip_time: Duration) -> Self {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -45,6 +45,7 @@
 mod service_pool;
 mod slot_key;
 mod slot_lease;
+mod stream_limit;
 
 pub use self::{
     gateway::Gateway,
--- a/crates/gateway/src/pool_outcome.rs
+++ b/crates/gateway/src/pool_outcome.rs
@@ -23,7 +23,9 @@
         outcome: ExchangeOutcome,
         now: Duration,
     ) {
-        self.slot(key).phase = SlotPhase::Idle;
+        if !matches!(outcome, ExchangeOutcome::Unknown) {
+            self.slot(key).set_idle();
+        }
         match outcome {
             ExchangeOutcome::NotSent { connection } => self.slot(key).connection = connection,
             ExchangeOutcome::TimedOut => self
--- a/crates/gateway/src/pool_refresh.rs
+++ b/crates/gateway/src/pool_refresh.rs
@@ -11,6 +11,7 @@
 
 use crate::{
     class_metrics::{
+        INCOMPLETE_BODIES_METRIC,
         SERVING_SLOTS_METRIC,
         UNKNOWN_SLOTS_METRIC,
         WAITING_REQUESTS_METRIC, //
@@ -57,6 +58,9 @@
             state.add_to_free_list(Some(key).filter(|_| usable));
         }
     }
+    if serving_slots > state.serving_slots {
+        pool.streams.notify_waiters();
+    }
     state.serving_slots = serving_slots;
     pool.set_can_serve(serving_slots > 0 || state.share_wait_deadline(now).is_some());
     if serving_slots == 0 && state.share_wait_deadline(now).is_none() {
@@ -92,7 +96,7 @@
     if let SlotPhase::Unknown { until } = slot.phase
         && until <= now
     {
-        slot.phase = SlotPhase::Idle;
+        slot.set_idle();
     }
     let held = slot.held || awaiting_shares;
     // Dropping a connection closes it, so that no more are open than slots are held.
@@ -107,5 +111,7 @@
     // CAST: the numbers of slots and requests are far below 2^52, and are exact as `f64`.
     gauge!(SERVING_SLOTS_METRIC, "service" => service.clone()).set(state.serving_slots as f64);
     gauge!(UNKNOWN_SLOTS_METRIC, "service" => service.clone()).set(unknown_slots as f64);
+    let incomplete_bodies = pool.streams.permit_count() as f64;
+    gauge!(INCOMPLETE_BODIES_METRIC, "service" => service.clone()).set(incomplete_bodies);
     gauge!(WAITING_REQUESTS_METRIC, "service" => service).set(state.queue.len() as f64);
 }
--- a/crates/gateway/src/pool_state.rs
+++ b/crates/gateway/src/pool_state.rs
@@ -80,6 +80,8 @@
     pub(crate) honor_leaving: bool,
     /// When a silent connection was last logged.
     pub(crate) silence_warned_at: Option<Duration>,
+    /// When a refusal of a request with an incomplete body was last logged.
+    pub(crate) incomplete_warned_at: Option<Duration>,
     retired_keys: Vec<EndpointKey>,
     rng: SmallRng,
     pick_count: u64,
@@ -113,6 +115,7 @@
             holds_shares: false,
             honor_leaving: true,
             silence_warned_at: None,
+            incomplete_warned_at: None,
             retired_keys: Vec::new(),
             rng: SmallRng::seed_from_u64(seed),
             pick_count: 0,
@@ -144,7 +147,7 @@
     /// Returns a slot that was taken and not used.
     pub(crate) fn release_unused(&mut self, key: SlotKey) {
         self.entry(key.endpoint).score.record_completion();
-        self.slot(key).phase = SlotPhase::Idle;
+        self.slot(key).set_idle();
         self.add_to_free_list(Some(key));
     }
 
--- a/crates/gateway/src/prepared_request.rs
+++ b/crates/gateway/src/prepared_request.rs
@@ -12,15 +12,20 @@
 use hyper::body::Incoming;
 use jasminebend_ingress::{
     BodyError,
+    BodyStart,
     Connection, //
 };
 
 use crate::{
     exchange::EndpointRequest,
+    gateway_settings::GatewaySettings,
     gateway_state::GatewayState,
     header_rules::prepare_request_head,
     refusal::Refusal,
-    request_body::RequestBody,
+    request_body::{
+        RequestBody,
+        StreamedBody, //
+    },
     request_handler::CallerInfo, //
 };
 
@@ -28,7 +33,7 @@
 pub(crate) struct PreparedRequest {
     /// The request.
     pub(crate) request: Box<EndpointRequest>,
-    /// The complete body if it was buffered; empty otherwise.
+    /// The complete body if its length was known and it was buffered; empty otherwise.
     pub(crate) body: Bytes,
     /// Counts the memory of the buffered body, also after the caller has left.
     _connection: Arc<Connection>,
@@ -44,8 +49,8 @@
     }
 }
 
-/// Converts a request for an endpoint. A small body of known length is read completely before a
-/// slot is taken, so that a slow caller occupies no slot; the memory of all such bodies is limited.
+/// Converts a request for an endpoint. A small body is read completely before a slot is taken, so
+/// that a slow caller occupies no slot; the memory of all such bodies is limited.
 pub(crate) async fn prepare_request(
     shared: &GatewayState,
     request: Request<Incoming>,
@@ -58,35 +63,77 @@
     head.extensions.clear();
     let connection = &caller.connection;
     if body.is_end_stream() {
-        complete(connection)?;
+        connection.complete_request().map_err(refusal)?;
         let body = RequestBody::buffered(Bytes::new());
         return Ok(PreparedRequest::new(head, body, connection));
     }
     let size = body.size_hint().exact();
-    if size.is_some_and(|size| size > settings.max_body_bytes) {
-        return Err(Refusal::TooLarge);
-    }
-    let buffered_size = size.filter(|size| *size <= settings.max_buffered_body_bytes);
-    if buffered_size.is_none() {
-        complete(connection)?;
-        let body =
-            RequestBody::streamed(body, settings.max_body_bytes, settings.body_stall_timeout);
-        return Ok(PreparedRequest::new(head, body, connection));
+    match size {
+        Some(size) if size > settings.max_body_bytes => Err(Refusal::TooLarge),
+        Some(size) if size > settings.max_buffered_body_bytes => {
+            let body = stream_body(settings, body, connection).into();
+            Ok(PreparedRequest::new(head, body, connection))
+        }
+        Some(_) => {
+            let bytes = read_body(settings, body, connection).await?;
+            let body = RequestBody::buffered(bytes.clone());
+            Ok(PreparedRequest {
+                body: bytes,
+                ..PreparedRequest::new(head, body, connection)
+            })
+        }
+        None => {
+            let body = begin_body(settings, body, connection).await?;
+            Ok(PreparedRequest::new(head, body, connection))
+        }
     }
-    let limit = usize::try_from(settings.max_buffered_body_bytes).unwrap_or(usize::MAX);
-    let collected = connection
-        .read_body(body, limit, settings.body_stall_timeout)
+}
+
+/// Reads a small body of known length.
+async fn read_body(
+    settings: &GatewaySettings,
+    body: Incoming,
+    connection: &Connection,
+) -> Result<Bytes, Refusal> {
+    connection
+        .read_body(body, buffer_limit(settings), settings.body_stall_timeout)
+        .await
+        .map_err(refusal)
+}
+
+/// Reads a body of unknown length if it is small; the beginning of a larger one otherwise.
+async fn begin_body(
+    settings: &GatewaySettings,
+    mut body: Incoming,
+    connection: &Arc<Connection>,
+) -> Result<RequestBody, Refusal> {
+    let start = connection
+        .read_start(
+            &mut body,
+            buffer_limit(settings),
+            settings.body_stall_timeout,
+        )
         .await
         .map_err(refusal)?;
-    Ok(PreparedRequest {
-        body: collected.clone(),
-        ..PreparedRequest::new(head, RequestBody::buffered(collected), connection)
+    Ok(match start {
+        BodyStart::Complete(bytes) => RequestBody::buffered(bytes),
+        BodyStart::Partial(bytes) => stream_body(settings, body, connection)
+            .with_start(bytes)
+            .into(),
     })
 }
 
-/// Records that the connection is not closed for others until its request is answered.
-fn complete(connection: &Connection) -> Result<(), Refusal> {
-    connection.complete_request().map_err(refusal)
+fn stream_body(
+    settings: &GatewaySettings,
+    body: Incoming,
+    connection: &Arc<Connection>,
+) -> StreamedBody {
+    let (max_bytes, stall_timeout) = (settings.max_body_bytes, settings.body_stall_timeout);
+    StreamedBody::new(body, connection, max_bytes, stall_timeout)
+}
+
+fn buffer_limit(settings: &GatewaySettings) -> usize {
+    usize::try_from(settings.max_buffered_body_bytes).unwrap_or(usize::MAX)
 }
 
 fn refusal(error: BodyError) -> Refusal {
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -44,6 +44,10 @@
     /// The memory for buffered bodies is full.
     #[display("Too many requests are being taken in; the request was not run.")]
     MemoryFull,
+    /// Incomplete bodies hold all of the slots that they may take, and the request would miss its
+    /// target while its body waits.
+    #[display("Too many large bodies are incomplete; the request was not run.")]
+    TooManyIncomplete,
     /// The request asks for an upgrade or a tunnel, which are not supported.
     #[display("Upgrades and tunnels are not offered here.")]
     UpgradeRefused,
@@ -103,6 +107,7 @@
             Self::BodyStalled => "body_stalled",
             Self::BodyFailed(_) => "body_failed",
             Self::MemoryFull => "memory_full",
+            Self::TooManyIncomplete => "too_many_incomplete",
             Self::UpgradeRefused => "upgrade_refused",
             Self::NoRoute => "no_route",
             Self::NoEndpoint => "no_endpoint",
@@ -132,6 +137,7 @@
             Self::QueueFull { .. } => StatusCode::TOO_MANY_REQUESTS,
             Self::NoEndpoint
             | Self::MemoryFull
+            | Self::TooManyIncomplete
             | Self::Overloaded { .. }
             | Self::QueueTimeout
             | Self::Unconnected
@@ -161,6 +167,7 @@
             Self::Overloaded { retry_after } | Self::QueueFull { retry_after } => retry_after,
             Self::NoEndpoint
             | Self::MemoryFull
+            | Self::TooManyIncomplete
             | Self::QueueTimeout
             | Self::Unconnected
             | Self::KeyUnreserved
@@ -180,6 +187,7 @@
                 | Self::BodyStalled
                 | Self::BodyFailed(_)
                 | Self::MemoryFull
+                | Self::TooManyIncomplete
                 | Self::UpgradeRefused
         )
     }
--- a/crates/gateway/src/request_body.rs
+++ b/crates/gateway/src/request_body.rs
@@ -2,6 +2,7 @@
 
 use std::{
     pin::Pin,
+    sync::Arc,
     task::{
         Context,
         Poll,
@@ -18,13 +19,17 @@
 };
 use http_body_util::Full;
 use hyper::body::Incoming;
+use jasminebend_ingress::Connection;
 use tokio::time::{
     Instant,
     Sleep,
     sleep, //
 };
 
-use crate::body_error::BodyError;
+use crate::{
+    body_error::BodyError,
+    stream_limit::StreamPermit, //
+};
 
 /// The body of a request that is sent to an endpoint.
 pub(crate) enum RequestBody {
@@ -36,7 +41,11 @@
 
 /// A body that is forwarded as it arrives.
 pub(crate) struct StreamedBody {
+    /// What has arrived of it before.
+    start: Option<Bytes>,
     incoming: Incoming,
+    connection: Arc<Connection>,
+    permit: Option<StreamPermit>,
     remaining_bytes: u64,
     stall_timeout: Duration,
     stall_timer: Pin<Box<Sleep>>,
@@ -48,20 +57,56 @@
         Self::Buffered(Full::new(bytes))
     }
 
-    /// Creates a body that is forwarded as it arrives. It fails beyond `max_bytes` bytes, and if
-    /// nothing arrives for `stall_timeout`.
-    pub(crate) fn streamed(incoming: Incoming, max_bytes: u64, stall_timeout: Duration) -> Self {
-        Self::Streamed(Box::new(StreamedBody {
+    /// Returns the permit to forward the body while it is incomplete, if it needs one.
+    pub(crate) fn stream_permit(&self) -> Option<&StreamPermit> {
+        match self {
+            Self::Buffered(_) => None,
+            Self::Streamed(body) => body.permit.as_ref(),
+        }
+    }
+}
+
+impl From<StreamedBody> for RequestBody {
+    fn from(body: StreamedBody) -> Self {
+        Self::Streamed(Box::new(body))
+    }
+}
+
+impl StreamedBody {
+    /// Creates a body of at most `max_bytes` bytes. It fails beyond them, and if nothing arrives for
+    /// `stall_timeout`.
+    pub(crate) fn new(
+        incoming: Incoming,
+        connection: &Arc<Connection>,
+        max_bytes: u64,
+        stall_timeout: Duration,
+    ) -> Self {
+        Self {
+            start: None,
             incoming,
+            connection: Arc::clone(connection),
+            permit: None,
             remaining_bytes: max_bytes,
             stall_timeout,
             stall_timer: Box::pin(sleep(stall_timeout)),
-        }))
+        }
+    }
+
+    /// Sets what has arrived of the body before.
+    pub(crate) fn with_start(mut self, start: Bytes) -> Self {
+        self.start = Some(start);
+        self
+    }
+
+    /// Sets the permit to forward the body while it is incomplete.
+    pub(crate) fn set_permit(&mut self, permit: StreamPermit) {
+        self.permit = Some(permit);
     }
-}
 
-impl StreamedBody {
     fn poll(&mut self, context: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        if let Some(start) = self.start.take() {
+            return Poll::Ready(Some(self.check_size(Frame::data(start))));
+        }
         let Poll::Ready(next) = Pin::new(&mut self.incoming).poll_frame(context) else {
             ready!(self.stall_timer.as_mut().poll(context));
             return Poll::Ready(Some(Err(BodyError::Stalled)));
@@ -69,6 +114,9 @@
         self.stall_timer
             .as_mut()
             .reset(Instant::now() + self.stall_timeout);
+        if self.incoming.is_end_stream() && !matches!(next, Some(Err(_))) && !self.complete() {
+            return Poll::Ready(Some(Err(BodyError::CutShort)));
+        }
         match next {
             None => Poll::Ready(None),
             Some(Err(_)) => Poll::Ready(Some(Err(BodyError::CutShort))),
@@ -76,6 +124,14 @@
         }
     }
 
+    /// Records that the body has arrived; returns false if its connection closes for others.
+    fn complete(&self) -> bool {
+        if let Some(permit) = &self.permit {
+            permit.release();
+        }
+        self.connection.complete_request().is_ok()
+    }
+
     /// Fails once the body exceeds its size limit.
     fn check_size(&mut self, frame: Frame<Bytes>) -> Result<Frame<Bytes>, BodyError> {
         let size = frame.data_ref().map_or(0, Bytes::len);
@@ -110,13 +166,14 @@
     fn is_end_stream(&self) -> bool {
         match self {
             Self::Buffered(body) => body.is_end_stream(),
-            Self::Streamed(body) => body.incoming.is_end_stream(),
+            Self::Streamed(body) => body.start.is_none() && body.incoming.is_end_stream(),
         }
     }
 
     fn size_hint(&self) -> SizeHint {
         match self {
             Self::Buffered(body) => body.size_hint(),
+            Self::Streamed(body) if body.start.is_some() => SizeHint::new(),
             Self::Streamed(body) => body.incoming.size_hint(),
         }
     }
--- a/crates/gateway/src/service_pool.rs
+++ b/crates/gateway/src/service_pool.rs
@@ -42,6 +42,10 @@
     refusal::Refusal,
     slot_key::SlotKey,
     slot_lease::SlotLease,
+    stream_limit::{
+        StreamLimit,
+        StreamPermit, //
+    },
 };
 
 /// An abandoned exchange counts as silent after this many times the latency quantile of the pool.
@@ -51,6 +55,8 @@
 /// How often a silent connection is logged for each service: a slow service would otherwise flood
 /// the log.
 const SILENCE_WARNING_INTERVAL: Duration = Duration::from_secs(10);
+/// How often the refusal of a request with an incomplete body is logged for each service.
+const INCOMPLETE_WARNING_INTERVAL: Duration = Duration::from_secs(1);
 /// The longest silence timeout.
 const MAX_SILENCE_TIMEOUT: Duration = Duration::from_secs(5);
 
@@ -70,6 +76,8 @@
     /// Idle connections on which nothing was received since this time, in nanoseconds on the
     /// monotonic clock, are replaced before use.
     suspect_before: AtomicU64,
+    /// Bounds the requests whose bodies are forwarded as they arrive.
+    pub(crate) streams: StreamLimit,
     state: Mutex<PoolState>,
 }
 
@@ -119,6 +127,7 @@
             slot_idle,
             can_serve: AtomicBool::new(false),
             suspect_before: AtomicU64::new(0),
+            streams: StreamLimit::default(),
             state: Mutex::new(state),
         }
     }
@@ -176,6 +185,36 @@
         }
     }
 
+    /// Waits for the permit to forward an incomplete body, until the target of its request passes.
+    /// Such requests take only a part of the slots: a slot whose body does not arrive is occupied
+    /// until the longest request is over.
+    pub(crate) async fn acquire_stream(&self, demand: SlotDemand) -> Result<StreamPermit, Refusal> {
+        let percent = usize::from(self.settings.incomplete_slots_percent);
+        let max_streams = || (self.lock().serving_slots * percent / 100).max(1);
+        let remaining = demand.deadline.saturating_sub(self.clock.monotonic());
+        let permit = timeout(remaining, self.streams.acquire(max_streams)).await;
+        permit.map_err(|_| {
+            self.warn_of_incomplete_bodies();
+            Refusal::TooManyIncomplete
+        })
+    }
+
+    fn warn_of_incomplete_bodies(&self) {
+        let now = self.clock.monotonic();
+        let mut state = self.lock();
+        let may_warn = state
+            .incomplete_warned_at
+            .is_none_or(|at| now >= at + INCOMPLETE_WARNING_INTERVAL);
+        if may_warn {
+            state.incomplete_warned_at = Some(now);
+            warn!(
+                "[gateway] Requests to {} were refused: incomplete bodies hold the slots that they \
+                 may take.",
+                self.service
+            );
+        }
+    }
+
     /// Releases a slot that was occupied for `hold_time`, and assigns it to a waiting request.
     pub(crate) fn release_slot(
         self: &Arc<Self>,
--- a/crates/gateway/src/slot_lease.rs
+++ b/crates/gateway/src/slot_lease.rs
@@ -15,7 +15,8 @@
     endpoint_connection::EndpointConnection,
     exchange_outcome::ExchangeOutcome,
     service_pool::ServicePool,
-    slot_key::SlotKey, //
+    slot_key::SlotKey,
+    stream_limit::StreamPermit, //
 };
 
 /// A slot that a request occupies. Dropping it releases the slot: as free if nothing was sent, and
@@ -68,6 +69,11 @@
         self.key
     }
 
+    /// Keeps the permit of the request's body until the slot is idle.
+    pub(crate) fn keep_permit(&self, permit: &StreamPermit) {
+        self.pool.lock().slot(self.key).stream_permit = Some(permit.clone());
+    }
+
     /// Releases the slot with the outcome of its exchange.
     pub(crate) fn release(mut self, outcome: ExchangeOutcome) {
         self.is_held = false;
--- a/crates/gateway/tests/requests/resource_limits.rs
+++ b/crates/gateway/tests/requests/resource_limits.rs
@@ -147,6 +147,128 @@
     drop(incomplete);
 }
 
+// Callers begin bodies without a length and do not complete them. The bodies took every slot, so that no one else was answered.
+#[tokio::test]
+async fn incomplete_bodies_without_a_length_hold_no_slot() {
+    let endpoint = ScriptedEndpoint::start().await;
+    let builder = GatewayBuilder::new().with_endpoint(&endpoint, 2);
+    let gateway = builder.start().await;
+    let request =
+        "POST /a HTTP/1.1\r\nhost: shop\r\ntransfer-encoding: chunked\r\n\r\n3\r\nabc\r\n";
+    let mut incomplete = Vec::new();
+    for _ in 0..4 {
+        incomplete.push(open_and_send(gateway.address, request).await);
+    }
+    for number in 0..8 {
+        let reply = gateway.get(&format!("/{number}")).await;
+        assert_eq!(reply.status, 200);
+    }
+    let mut completed = incomplete.swap_remove(0);
+    completed.write_all(b"0\r\n\r\n").await.unwrap();
+    let mut answer = String::new();
+    completed.read_to_string(&mut answer).await.unwrap();
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+}
+
+// Callers begin large bodies and do not complete them. The bodies took every slot, and kept it until the longest request was
+// over, so that no one else was answered.
+#[tokio::test]
+async fn large_incomplete_bodies_leave_half_of_the_slots() {
+    let endpoint = ScriptedEndpoint::start().await;
+    let builder = GatewayBuilder::new().with_endpoint(&endpoint, 4);
+    let gateway = builder.start().await;
+    let (body, rest) = (" ".repeat(90_000), " ".repeat(10_000));
+    let known = format!("POST /a HTTP/1.1\r\nhost: shop\r\ncontent-length: 100000\r\n\r\n{body}");
+    let chunked = format!(
+        "POST /a HTTP/1.1\r\nhost: shop\r\ntransfer-encoding: chunked\r\n\r\n{:x}\r\n{body}\r\n",
+        body.len()
+    );
+    let mut incomplete = Vec::new();
+    for request in [&known, &chunked, &known, &chunked, &known, &chunked] {
+        incomplete.push(open_and_send(gateway.address, request).await);
+        assert_eq!(gateway.get("/b").await.status, 200);
+    }
+    let mut completed = incomplete.swap_remove(0);
+    completed.write_all(rest.as_bytes()).await.unwrap();
+    let mut status = [0; 12];
+    completed.read_exact(&mut status).await.unwrap();
+    assert_eq!(&status, b"HTTP/1.1 200");
+    for stream in incomplete {
+        drop(stream);
+        assert_eq!(gateway.get("/c").await.status, 200);
+    }
+    assert_eq!(gateway.get("/d").await.status, 200);
+}
+
+// Incomplete bodies hold all slots that they may take. A further one is refused as not run when its target has passed.
+#[tokio::test]
+async fn large_incomplete_bodies_beyond_the_limit_are_refused() {
+    let endpoint = ScriptedEndpoint::start().await;
+    let builder = GatewayBuilder::new().with_endpoint(&endpoint, 4);
+    let gateway = builder
+        .with_target(TIMEOUT)
+        .with_settings(|settings| settings.with_incomplete_slots_percent(25))
+        .start()
+        .await;
+    let begun = " ".repeat(90_000);
+    let request =
+        format!("POST /a HTTP/1.1\r\nhost: shop\r\ncontent-length: 100000\r\n\r\n{begun}");
+    let held_stream = open_and_send(gateway.address, &request).await;
+    wait_until(|| endpoint.log().open_connections == 1).await;
+    let refused = send_raw(gateway.address, &request).await;
+    assert_eq!(
+        (refused.status, refused.reason()),
+        (503, Some("too_many_incomplete"))
+    );
+    assert_eq!(refused.executed(), Some("no"));
+    assert_eq!(gateway.get("/b").await.status, 200);
+    drop(held_stream);
+}
+
+// Large bodies that are complete take as many slots as other requests do.
+#[tokio::test]
+async fn large_complete_bodies_take_every_slot() {
+    let endpoint = ScriptedEndpoint::start().await;
+    endpoint.set_default_action(EndpointAction::Hold);
+    let builder = GatewayBuilder::new().with_endpoint(&endpoint, 4);
+    let gateway = builder.start().await;
+    let body = " ".repeat(100_000);
+    let request = format!("POST /a HTTP/1.1\r\nhost: shop\r\ncontent-length: 100000\r\n\r\n{body}");
+    let mut held_streams = Vec::new();
+    for _ in 0..4 {
+        held_streams.push(open_and_send(gateway.address, &request).await);
+    }
+    wait_until(|| endpoint.request_count() == 4).await;
+    endpoint.release();
+    for stream in &mut held_streams {
+        let mut status = [0; 12];
+        stream.read_exact(&mut status).await.unwrap();
+        assert_eq!(&status, b"HTTP/1.1 200");
+    }
+}
+
+// Callers hold all places with large bodies that they do not complete. They counted as requests in progress, so that further
+// callers were refused.
+#[tokio::test]
+async fn large_incomplete_bodies_do_not_lock_others_out() {
+    let endpoint = ScriptedEndpoint::start().await;
+    let builder = GatewayBuilder::new().with_endpoint(&endpoint, 8);
+    let gateway = builder
+        .with_settings(|settings| settings.with_caller_and_queue_limits(3, 10))
+        .start()
+        .await;
+    let begun = " ".repeat(90_000);
+    let request =
+        format!("POST /a HTTP/1.1\r\nhost: shop\r\ncontent-length: 100000\r\n\r\n{begun}");
+    let mut incomplete = Vec::new();
+    for _ in 0..3 {
+        incomplete.push(open_and_send(gateway.address, &request).await);
+    }
+    wait_until(|| endpoint.log().open_connections == 3).await;
+    let reply = gateway.get("/b").await;
+    assert_eq!((reply.status, reply.reason()), (200, None));
+}
+
 // A caller reads nothing of a large response. It is disconnected, and the response is not buffered
 // in memory meanwhile: the endpoint is slowed down by backpressure.
 #[tokio::test]
--- a/crates/ingress/src/connection.rs
+++ b/crates/ingress/src/connection.rs
@@ -18,6 +18,7 @@
 
 use crate::{
     BodyError,
+    BodyStart,
     ConnectionTable, //
 };
 
@@ -78,6 +79,29 @@
         read
     }
 
+    /// Reads a body of at most `limit` bytes, or the beginning of a larger one, as [`Connection::read_body`] does. The request
+    /// of a larger one is not complete: [`Connection::complete_request`] records when it is.
+    ///
+    /// # Errors
+    ///
+    /// Any [`BodyError`] but [`BodyError::TooLarge`].
+    pub async fn read_start<Content>(
+        &self,
+        body: &mut Content,
+        limit: usize,
+        timeout: Duration,
+    ) -> Result<BodyStart, BodyError>
+    where
+        Content: Body + Unpin,
+    {
+        let read = time::timeout(timeout, self.collect_start(body, limit)).await;
+        let read = read.map_err(|_| BodyError::Late).flatten();
+        if read.is_err() {
+            self.table.state().discard_body(self.id);
+        }
+        read
+    }
+
     /// Reads and drops the body of a request, so that a client that sends its body before it reads sees the answer.
     ///
     /// # Errors
@@ -120,6 +144,41 @@
         self.table.record_answered(self.id);
     }
 
+    async fn collect_start<Content>(
+        &self,
+        body: &mut Content,
+        limit: usize,
+    ) -> Result<BodyStart, BodyError>
+    where
+        Content: Body + Unpin,
+    {
+        let mut size = 0;
+        while let Some(frame) = body.frame().await {
+            let Ok(mut data) = frame.map_err(|_| BodyError::Broken)?.into_data() else {
+                continue;
+            };
+            size += data.remaining();
+            while data.has_remaining() {
+                let part = data.chunk();
+                let len = part.len();
+                let appended = self.table.state().append(self.id, part, limit);
+                if appended == Err(BodyError::NoMemory) {
+                    self.table.state().discard_body(self.id);
+                    // The client sees the answer even if the rest is not as expected.
+                    for_each_part(&mut *body, limit, |_| Ok(())).await.ok();
+                }
+                appended?;
+                data.advance(len);
+            }
+            if size > limit {
+                let start = self.table.state().take_buffer(self.id)?;
+                return Ok(BodyStart::Partial(Bytes::from(start)));
+            }
+        }
+        let body = self.table.state().complete_body(self.id)?;
+        Ok(BodyStart::Complete(Bytes::from(body)))
+    }
+
     /// Copies the parts of a body as they arrive: each is a slice that keeps the whole buffer it was read into.
     async fn collect<Content>(&self, body: Content, limit: usize) -> Result<Bytes, BodyError>
     where
--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -1,6 +1,7 @@
 //! Bounds what clients that are not under control can make a process hold: connections, and the memory of their requests.
 
 mod body_error;
+mod body_start;
 mod connection;
 mod connection_limits;
 mod connection_table;
@@ -9,6 +10,7 @@
 
 pub use self::{
     body_error::BodyError,
+    body_start::BodyStart,
     connection::Connection,
     connection_limits::ConnectionLimits,
     connection_table::ConnectionTable,
--- a/crates/ingress/src/table_state.rs
+++ b/crates/ingress/src/table_state.rs
@@ -50,6 +50,8 @@
     /// `None` while a complete request is in progress, and after the connection was closed for others.
     wait: Option<WaitOrder>,
     has_answered: bool,
+    /// Whether the last request was answered. The rest of its body may still arrive.
+    is_answered: bool,
     is_evicted: bool,
     /// The part of the body that has arrived.
     buffer: Vec<u8>,
@@ -137,6 +139,9 @@
     /// Records that the head of a request has arrived.
     pub(crate) fn begin_request(&mut self, id: u64) {
         self.set_waiting(id);
+        if let Some(connection) = self.connections.get_mut(&id) {
+            connection.is_answered = false;
+        }
     }
 
     /// Appends a part of the body that has arrived.
@@ -169,15 +174,21 @@
         }
     }
 
+    /// Returns the part of the body that has arrived. Its bytes stay reserved until the request is answered.
+    pub(crate) fn take_buffer(&mut self, id: u64) -> Result<Vec<u8>, BodyError> {
+        let connection = self.connections.get_mut(&id).ok_or(BodyError::Broken)?;
+        match connection.is_evicted {
+            true => Err(BodyError::Broken),
+            false => Ok(mem::take(&mut connection.buffer)),
+        }
+    }
+
     /// Returns the complete body; from now on the connection is not closed for others. The body's bytes stay reserved until
     /// the request is answered.
     pub(crate) fn complete_body(&mut self, id: u64) -> Result<Vec<u8>, BodyError> {
+        let body = self.take_buffer(id)?;
         let connection = self.connections.get_mut(&id).ok_or(BodyError::Broken)?;
-        if connection.is_evicted {
-            return Err(BodyError::Broken);
-        }
-        let body = mem::take(&mut connection.buffer);
-        if let Some(wait) = connection.wait.take() {
+        if let Some(wait) = connection.wait.take_if(|_| !connection.is_answered) {
             self.waiting.remove(&wait);
         }
         Ok(body)
@@ -237,6 +248,7 @@
         self.discard_body(id);
         if let Some(connection) = self.connections.get_mut(&id) {
             connection.has_answered = true;
+            connection.is_answered = true;
         }
         self.set_waiting(id);
     }
--- a/crates/ingress/tests/connection_table.rs
+++ b/crates/ingress/tests/connection_table.rs
@@ -23,6 +23,7 @@
 };
 use jasminebend_ingress::{
     BodyError,
+    BodyStart,
     Connection,
     ConnectionLimits,
     ConnectionTable, //
@@ -209,6 +210,43 @@
     assert_eq!(table.take_refusals().refused_requests, 1);
 }
 
+/// Guards against large bodies that are held in memory whole, and against small ones that count as incomplete.
+#[tokio::test]
+async fn the_start_of_a_large_body_is_read() {
+    let table = table(1, 1 << 20);
+    let connection = open(&table).await;
+    connection.begin_request();
+    let mut parts = VecDeque::new();
+    parts.resize(10, Bytes::from(vec![b'x'; 300]));
+    let mut large = PartsBody { parts, ends: true };
+    let start = connection.read_start(&mut large, 1000, TIMEOUT).await;
+    assert_eq!(start, Ok(BodyStart::Partial(vec![b'x'; 1200].into())));
+    assert_eq!(large.parts.len(), 6);
+    assert!((1200..=2400).contains(&table.held_bytes()));
+    assert!(poll_once(table.open()).is_pending());
+    assert!(is_evicted(&connection));
+
+    drop(connection);
+    let connection = open(&table).await;
+    connection.begin_request();
+    let mut small = complete(1000);
+    let start = connection.read_start(&mut small, 1000, TIMEOUT).await;
+    assert_eq!(start, Ok(BodyStart::Complete(vec![b'x'; 1000].into())));
+    assert!(table.open().await.is_none());
+}
+
+/// Guards against a connection that is never closed for others, because the rest of its body arrived after the answer.
+#[tokio::test]
+async fn a_body_that_ends_after_its_answer_does_not_keep_the_connection() {
+    let table = table(1, 1000);
+    let connection = open(&table).await;
+    connection.begin_request();
+    connection.end_request();
+    connection.complete_request().expect("it is open");
+    assert!(poll_once(table.open()).is_pending());
+    assert!(is_evicted(&connection));
+}
+
 /// Guards against a request within the limits that can never be served, because one body alone exceeds the memory for all.
 #[tokio::test]
 async fn a_request_alone_may_exceed_the_memory() {
--- a/crates/jasminebend/src/entry_daemon.rs
+++ b/crates/jasminebend/src/entry_daemon.rs
@@ -242,6 +242,7 @@
         .with_caller_and_queue_limits(limits.caller_connections, limits.waiting_requests)
         .with_size_limits(limits.headers, limits.request_body, MAX_BUFFERED_BODY_BYTES)
         .with_max_buffered_bytes(limits.request_memory)
+        .with_incomplete_slots_percent(limits.incomplete_slots_percent)
         .with_traces(settings.traces.is_some());
     let ports = GatewayPorts {
         ownership: cluster.ownership(),
--- a/crates/jasminebend/src/limit_settings.rs
+++ b/crates/jasminebend/src/limit_settings.rs
@@ -32,6 +32,7 @@
 const LONGEST_REQUEST_RANGE: RangeInclusive<Duration> =
     Duration::from_secs(1)..=Duration::from_secs(600);
 const WAITING_REQUESTS_FORMAT: &str = "a whole number of requests from 1 to 100000";
+const INCOMPLETE_SLOTS_FORMAT: &str = "a whole number of percent from 1 to 100";
 const TIMEOUT_RANGE: RangeInclusive<Duration> =
     Duration::from_millis(100)..=Duration::from_secs(300);
 
@@ -49,6 +50,8 @@
     pub longest_request: Duration,
     /// The greatest number of requests of one service that may wait for a slot.
     pub waiting_requests: usize,
+    /// The greatest part of a service's slots that requests with large incomplete bodies may take, in percent.
+    pub incomplete_slots_percent: u8,
     /// The greatest memory of callers' buffered request bodies at a time, in bytes.
     pub request_memory: usize,
     /// The greatest number of other daemons' connections at a time.
@@ -73,6 +76,7 @@
             longest_request: Duration::from_secs(30),
             waiting_requests: 1000,
             administration_body: 1 << 20,
+            incomplete_slots_percent: 50,
             request_memory: 64 << 20,
             peer_connections: 1024,
             peer_memory: 16 << 20,
@@ -93,6 +97,7 @@
     longest_request: OptionalKey<RawText>,
     waiting_requests: OptionalKey<RawText>,
     administration_body: OptionalKey<RawText>,
+    incomplete_slots_percent: OptionalKey<RawText>,
     request_memory: OptionalKey<RawText>,
     peer_connections: OptionalKey<RawText>,
     peer_memory: OptionalKey<RawText>,
@@ -131,6 +136,12 @@
             waiting,
             |text| parse_number(text, 1..=100_000),
         )?;
+        let incomplete_slots = section.parse(
+            "incomplete_slots_percent",
+            INCOMPLETE_SLOTS_FORMAT,
+            self.incomplete_slots_percent.as_ref(),
+            |text| parse_number(text, 1..=100),
+        )?;
         let callers = connections("caller_connections", &self.caller_connections)?;
         let operators = &self.administration_connections;
         let operators = connections("administration_connections", operators)?;
@@ -160,6 +171,7 @@
             longest_request: longest.unwrap_or(default.longest_request),
             waiting_requests: waiting.unwrap_or(default.waiting_requests),
             administration_body: administration.unwrap_or(default.administration_body),
+            incomplete_slots_percent: incomplete_slots.unwrap_or(default.incomplete_slots_percent),
             request_memory: request_memory.unwrap_or(default.request_memory),
             peer_connections: peer_connections.unwrap_or(default.peer_connections),
             peer_memory: peer_memory.unwrap_or(default.peer_memory),
--- a/crates/jasminebend/tests/crowd/main.rs
+++ b/crates/jasminebend/tests/crowd/main.rs
@@ -51,6 +51,9 @@
 /// Clients are limited to few connections, and those that stall are not disconnected before the test ends.
 const SETTINGS_LINES: &str = "limits:\n  caller_connections: 700\n  administration_timeout: 5m\n\
                               drain:\n  balancer_lag: 0s\n";
+/// As `SETTINGS_LINES`; slots whose request has an unknown outcome stay unused until the test ends.
+const SLOT_SETTINGS_LINES: &str = "limits:\n  caller_connections: 700\n  administration_timeout: 5m\n  \
+                                   longest_request: 10m\ndrain:\n  balancer_lag: 0s\n";
 /// The number of clients that send each byte of a body in a segment of its own.
 const SLOW_CROWD: usize = 40;
 const SLOW_BODY_BYTES: usize = 8 << 10;
@@ -59,6 +62,9 @@
 const CROWD: usize = 640;
 /// Just below the largest body that is buffered.
 const BODY_BYTES: usize = 60 << 10;
+/// The size of a body that is forwarded as it arrives.
+const LARGE_BODY_BYTES: usize = 255 << 10;
+const LARGE_CHUNK_BYTES: usize = 16 << 10;
 /// Just below the largest frame.
 const FRAME_BYTES: usize = 255 << 10;
 const PIECE_BYTES: usize = 1 << 10;
@@ -82,9 +88,28 @@
 async fn check_crowd<Writes>(address: fn(&Addresses) -> SocketAddr, count: usize, writes: Writes)
 where
     Writes: Fn(usize) -> (Vec<u8>, usize) + Send + 'static,
+{
+    check_crowd_with(SETTINGS_LINES, address, count, writes).await;
+}
+
+/// Sends a crowd to the address for callers as [`check_crowd`] does; slots that it takes are not returned.
+async fn check_slots<Writes>(count: usize, writes: Writes)
+where
+    Writes: Fn(usize) -> (Vec<u8>, usize) + Send + 'static,
+{
+    check_crowd_with(SLOT_SETTINGS_LINES, |to| to.callers, count, writes).await;
+}
+
+async fn check_crowd_with<Writes>(
+    settings_lines: &str,
+    address: fn(&Addresses) -> SocketAddr,
+    count: usize,
+    writes: Writes,
+) where
+    Writes: Fn(usize) -> (Vec<u8>, usize) + Send + 'static,
 {
     let platform = TestPlatform::start(Duration::from_millis(1)).await;
-    let settings = platform.settings_file(SETTINGS_LINES);
+    let settings = platform.settings_file(settings_lines);
     let ports = PortBlock::new().expect("free ports");
     let (peers, health) = (ports.address(), ports.address());
     let (peers, health) = (peers.expect("a port"), health.expect("a port"));
@@ -142,12 +167,27 @@
 
 /// Returns a request whose body has chunks of one byte, without the last chunk that ends it.
 fn chunked_request(line: &str) -> Vec<u8> {
-    let head = format!("{line} HTTP/1.1\r\nhost: shop\r\ntransfer-encoding: chunked\r\n\r\n");
-    let mut sent = head.into_bytes();
+    let mut sent = chunked_head(line);
     sent.extend(SMALL_CHUNK.repeat(SLOW_BODY_BYTES));
     sent
 }
 
+/// Returns a request with a large body in large chunks, without the last chunk that ends it.
+fn large_chunked_request(line: &str) -> Vec<u8> {
+    let mut sent = chunked_head(line);
+    for _ in 0..LARGE_BODY_BYTES / LARGE_CHUNK_BYTES {
+        sent.extend(format!("{LARGE_CHUNK_BYTES:x}\r\n").into_bytes());
+        sent.resize(sent.len() + LARGE_CHUNK_BYTES, b' ');
+        sent.extend(b"\r\n");
+    }
+    sent
+}
+
+fn chunked_head(line: &str) -> Vec<u8> {
+    let head = format!("{line} HTTP/1.1\r\nhost: shop\r\ntransfer-encoding: chunked\r\n\r\n");
+    head.into_bytes()
+}
+
 /// Returns a frame of `FRAME_BYTES` bytes without its last byte.
 fn frame() -> Vec<u8> {
     let mut sent = SENDER_GREETING.to_vec();
@@ -183,6 +223,50 @@
     ));
 }
 
+/// Guards against ordinary callers that find no slot: incomplete bodies in large chunks held all of them.
+#[test]
+fn callers_with_large_chunks_leave_slots() {
+    run_alone(check_slots(CROWD, |_| {
+        let sent = large_chunked_request("POST /orders");
+        let write_bytes = sent.len();
+        (sent, write_bytes)
+    }));
+}
+
+/// Guards against ordinary callers that find no slot: incomplete bodies in very small chunks held all of them.
+#[test]
+fn callers_with_small_chunks_leave_slots() {
+    run_alone(check_slots(CROWD, |_| {
+        let sent = chunked_request("POST /orders");
+        let write_bytes = sent.len();
+        (sent, write_bytes)
+    }));
+}
+
+/// Guards against ordinary callers that find no slot: incomplete bodies with a chunk a segment held all of them.
+#[test]
+fn callers_with_a_chunk_a_segment_leave_slots() {
+    run_alone(check_slots(SLOW_CROWD, |_| {
+        (chunked_request("POST /orders"), SMALL_CHUNK.len())
+    }));
+}
+
+/// Guards against ordinary callers that find no slot: large incomplete bodies held all of them.
+#[test]
+fn callers_with_large_bodies_leave_slots() {
+    run_alone(check_slots(CROWD, |_| {
+        (request("POST /orders", LARGE_BODY_BYTES), LARGE_BODY_BYTES)
+    }));
+}
+
+/// Guards against ordinary callers that find no slot: large incomplete bodies that arrive in pieces held all of them.
+#[test]
+fn callers_with_large_bodies_in_pieces_leave_slots() {
+    run_alone(check_slots(CROWD, |_| {
+        (request("POST /orders", LARGE_BODY_BYTES), PIECE_BYTES)
+    }));
+}
+
 /// Guards against operators who get no answer as long as others hold all connections with incomplete requests.
 #[test]
 fn operators_with_incomplete_requests_leave_places() {
--- a/crates/jasminebend/tests/settings_errors.rs
+++ b/crates/jasminebend/tests/settings_errors.rs
@@ -217,6 +217,11 @@
         "line 15: `limits.headers` cannot be `2MiB`; give a size from 8KiB to 1MiB with its unit, \
          such as `16KiB`",
     ),
+    (
+        "limits:\n  incomplete_slots_percent: 0",
+        "line 15: `limits.incomplete_slots_percent` cannot be `0`; give a whole number of percent \
+         from 1 to 100",
+    ),
     (
         "limits:\n  caller_connections: 0",
         "line 15: `limits.caller_connections` cannot be `0`; give a whole number of connections \
