Don't report a refused retry as not run

What callers saw: the retry of a booking that had run was told that it had not, where the memory for bodies was full or every place was taken (503, `Jasminebend-Executed: no`); an operator's repeated submission of an accepted job was told that nothing was changed.

Cause: these refusals are sent before the idempotency key or the job's key is looked up, or before anything is read at all. 503 promises that the request never runs.

Change: a request with an idempotency key that finds no memory, and a connection that finds no place, are answered 504 with `Jasminebend-Executed: unknown`; an operator's request without memory has an unknown outcome (504). A request without a key is still answered 503 `memory_full`, as it is itself what is not run.

`callers_beyond_the_limit_are_rejected` required the former answer, which can't be promised for a request that is not read. It now requires 504 and `unknown`, and in addition the reason and a Retry-After.

Why it works: no refusal that is decided before a retry can be told from a first attempt says that the request never runs.

--- a/crates/gateway/src/caller_server.rs
+++ b/crates/gateway/src/caller_server.rs
@@ -61,12 +61,13 @@
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 /// How long writing the response to a caller beyond the limit may take.
 const REFUSAL_WRITE_TIMEOUT: Duration = Duration::from_secs(1);
-/// The response to a caller beyond the limit of connections.
-const TOO_MANY_CALLERS_RESPONSE: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\n\
+/// The response to a caller beyond the limit of connections. Its request is not read: it may be the
+/// retry of one that was run.
+const TOO_MANY_CALLERS_RESPONSE: &[u8] = b"HTTP/1.1 504 Gateway Timeout\r\n\
     content-length: 0\r\n\
     connection: close\r\n\
     retry-after: 1\r\n\
-    jasminebend-executed: no\r\n\
+    jasminebend-executed: unknown\r\n\
     jasminebend-reason: too_many_callers\r\n\r\n";
 
 /// Serves callers until `stop` is true and every request in progress is answered.
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -44,6 +44,12 @@
     /// The memory for buffered bodies is full.
     #[display("Too many requests are being taken in; the request was not run.")]
     MemoryFull,
+    /// The memory for buffered bodies is full, and the request has an idempotency key, of which
+    /// nothing was read.
+    #[display(
+        "Too many requests are being taken in; whether one with this Idempotency-Key was run is not known."
+    )]
+    MemoryFullForKey,
     /// Incomplete bodies hold all of the slots that they may take, and the request would miss its
     /// target while its body waits.
     #[display("Too many large bodies are incomplete; the request was not run.")]
@@ -106,7 +112,7 @@
             Self::TooLarge => "too_large",
             Self::BodyStalled => "body_stalled",
             Self::BodyFailed(_) => "body_failed",
-            Self::MemoryFull => "memory_full",
+            Self::MemoryFull | Self::MemoryFullForKey => "memory_full",
             Self::TooManyIncomplete => "too_many_incomplete",
             Self::UpgradeRefused => "upgrade_refused",
             Self::NoRoute => "no_route",
@@ -145,7 +151,7 @@
             Self::KeyInUse | Self::KeyAnswered => StatusCode::CONFLICT,
             Self::KeyMismatch => StatusCode::UNPROCESSABLE_ENTITY,
             Self::EndpointFailed => StatusCode::BAD_GATEWAY,
-            Self::EndpointTimeout => StatusCode::GATEWAY_TIMEOUT,
+            Self::MemoryFullForKey | Self::EndpointTimeout => StatusCode::GATEWAY_TIMEOUT,
         }
     }
 
@@ -154,6 +160,7 @@
         !matches!(
             self,
             Self::BodyFailed(_)
+                | Self::MemoryFullForKey
                 | Self::KeyInUse
                 | Self::KeyAnswered
                 | Self::EndpointFailed
@@ -167,6 +174,7 @@
             Self::Overloaded { retry_after } | Self::QueueFull { retry_after } => retry_after,
             Self::NoEndpoint
             | Self::MemoryFull
+            | Self::MemoryFullForKey
             | Self::TooManyIncomplete
             | Self::QueueTimeout
             | Self::Unconnected
@@ -187,6 +195,7 @@
                 | Self::BodyStalled
                 | Self::BodyFailed(_)
                 | Self::MemoryFull
+                | Self::MemoryFullForKey
                 | Self::TooManyIncomplete
                 | Self::UpgradeRefused
         )
--- a/crates/gateway/src/request_handler.rs
+++ b/crates/gateway/src/request_handler.rs
@@ -116,7 +116,11 @@
     let forwarded = request.headers().contains_key(&FORWARDED);
     let trace = (shared.settings.traces_enabled)
         .then(|| RequestTrace::start(request.headers(), class.entry.class.as_str()));
-    let prepared = prepare_request(shared, request, &caller).await?;
+    let prepared = prepare_request(shared, request, &caller).await;
+    let prepared = prepared.map_err(|refusal| match refusal {
+        Refusal::MemoryFull if key.is_some() => Refusal::MemoryFullForKey,
+        refusal => refusal,
+    })?;
     let job = DeliveryJob {
         shared: Arc::clone(shared),
         plan: AttemptPlan {
--- a/crates/gateway/tests/requests/resource_limits.rs
+++ b/crates/gateway/tests/requests/resource_limits.rs
@@ -20,7 +20,8 @@
 
 const TIMEOUT: Duration = Duration::from_millis(200);
 
-// Callers open ever more connections, each with a request in progress. Those beyond the limit are refused at once.
+// Callers open ever more connections, each with a request in progress. Those beyond the limit are refused at once; what they
+// would have sent may be the retry of a request that was run.
 #[tokio::test]
 async fn callers_beyond_the_limit_are_rejected() {
     let endpoint = ScriptedEndpoint::start().await;
@@ -37,7 +38,9 @@
     }
     wait_until(|| endpoint.request_count() == 3).await;
     let refused = send_raw(gateway.address, "").await;
-    assert_eq!((refused.status, refused.executed()), (503, Some("no")));
+    assert_eq!((refused.status, refused.executed()), (504, Some("unknown")));
+    assert_eq!(refused.reason(), Some("too_many_callers"));
+    assert!(refused.header("retry-after").is_some());
     endpoint.release();
     for stream in &mut held_streams {
         let mut start = [0; 12];
@@ -122,6 +125,31 @@
     wait_until_answered(async || send_request(gateway.address, "POST /b", "", &body).await).await;
 }
 
+// Requests in progress hold all of the memory for bodies. The retry of a booking that was run finds none, and was told that it
+// was not run.
+#[tokio::test]
+async fn a_retry_without_memory_is_not_reported_as_not_run() {
+    let endpoint = ScriptedEndpoint::start().await;
+    let builder = GatewayBuilder::new().with_endpoint(&endpoint, 2);
+    let gateway = builder
+        .with_settings(|settings| settings.with_max_buffered_bytes(1000))
+        .start()
+        .await;
+    let body = "x".repeat(900);
+    let key = "idempotency-key: k1\r\n";
+    let first = send_request(gateway.address, "POST /bookings", key, &body).await;
+    assert_eq!(first.status, 200);
+    endpoint.push_action(EndpointAction::Hold);
+    let request = format!("POST /a HTTP/1.1\r\nhost: shop\r\ncontent-length: 900\r\n\r\n{body}");
+    let held_stream = open_and_send(gateway.address, &request).await;
+    wait_until(|| endpoint.request_count() == 2).await;
+    let retried = send_request(gateway.address, "POST /bookings", key, &body).await;
+    assert_eq!((retried.status, retried.executed()), (504, Some("unknown")));
+    assert_eq!(retried.reason(), Some("memory_full"));
+    endpoint.release();
+    drop(held_stream);
+}
+
 // Many callers begin a body and do not complete it, so that they hold all of the memory for bodies. The oldest of them is
 // disconnected for a caller that completes its request.
 #[tokio::test]
--- a/crates/jasminebend/src/admin_error.rs
+++ b/crates/jasminebend/src/admin_error.rs
@@ -41,7 +41,7 @@
     BodyCut,
     #[display("the request did not arrive in time")]
     SlowRequest,
-    #[display("there is no memory for the request beside others; it was not carried out")]
+    #[display("there is no memory for the request beside others")]
     MemoryFull,
     #[display("send `If-Match` with the version that the change was made from, such as `\"12\"`")]
     MissingVersion,
@@ -62,7 +62,7 @@
             Self::Forbidden { .. } => StatusCode::FORBIDDEN,
             Self::BodyTooLarge { .. } => StatusCode::PAYLOAD_TOO_LARGE,
             Self::SlowRequest => StatusCode::REQUEST_TIMEOUT,
-            Self::MemoryFull => StatusCode::SERVICE_UNAVAILABLE,
+            Self::MemoryFull => StatusCode::GATEWAY_TIMEOUT,
             Self::MissingVersion => StatusCode::PRECONDITION_REQUIRED,
             Self::Control(error) => control_status(error),
         }
@@ -74,6 +74,11 @@
             Self::Control(ControlError::Unknown { find_out }) => ChangeOutcome::Unknown {
                 find_out: find_out.clone(),
             },
+            Self::MemoryFull => ChangeOutcome::Unknown {
+                find_out: format!(
+                    "{self}; an earlier attempt of it may take effect, send it again"
+                ),
+            },
             other => ChangeOutcome::NotAccepted {
                 reason: other.to_string(),
             },
--- a/crates/jasminebend/tests/administration/api.rs
+++ b/crates/jasminebend/tests/administration/api.rs
@@ -243,6 +243,34 @@
     assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
 }
 
+/// Guards against a repeated submission of an accepted job that is reported as not accepted, because there is no memory for it.
+#[tokio::test]
+async fn a_request_without_memory_has_an_unknown_outcome() {
+    let limits = LimitSettings {
+        administration_memory: 1500,
+        ..LimitSettings::default()
+    };
+    let harness = AdminHarness::start(&settings().with_limits(limits)).await;
+    harness.control.set_configuration(two_domains());
+    harness.control.close_gate();
+    let read = HttpRequest::new(Method::GET, "/v1/configuration");
+    let body = format!("{:1000}", harness.call(read).await.body);
+    let first = harness.call(put_configuration("\"3\"", &body));
+    let repeated = async {
+        harness.control.wait_for_change_request().await;
+        let answer = harness.call(put_configuration("\"3\"", &body)).await;
+        harness.control.open_gate();
+        answer
+    };
+    let (first, repeated) = tokio::join!(first, repeated);
+    assert_eq!(repeated.status.as_u16(), 504);
+    let ChangeOutcome::Unknown { find_out } = repeated.outcome() else {
+        panic!("{repeated:?}");
+    };
+    assert!(find_out.contains("no memory"), "{find_out}");
+    assert_eq!(first.status.as_u16(), 200);
+}
+
 /// Guards against operators who get no answer as long as others hold all connections and send nothing.
 #[tokio::test]
 async fn idle_connections_close_for_new_ones() {
