Bound the kernel's receive buffer at every listener

What callers saw: nothing reported. By reading: bytes that are received and not read count as a process's memory on the users' machines, and only the fleet daemon's listeners bounded them.

Cause: the kernel lets the receive buffer of a connection that is read fast grow up to its own limit, 32 MiB here, and keeps it when the connection is read no more, as one is whose body waits for a slot.

Evidence: `the_receive_buffer_of_a_connection_does_not_grow` fails where the size is not set.

Change: `listen` moves from the fleet's server to `ingress`, and the daemon for requests and tasks binds its addresses for callers, administration, health and peers with it.

--- a/crates/cluster/src/tcp_link.rs
+++ b/crates/cluster/src/tcp_link.rs
@@ -2,10 +2,7 @@
 //! receives frames on the connections that its peers open.
 
 use std::{
-    io::{
-        self,
-        ErrorKind, //
-    },
+    io::ErrorKind,
     net::SocketAddr,
     sync::{
         Mutex,
@@ -109,7 +106,7 @@
             address: listen,
             cause,
         };
-        let listener = bind(listen).map_err(listen_error)?;
+        let listener = jasminebend_ingress::listen(listen).map_err(listen_error)?;
         let address = listener.local_addr().map_err(listen_error)?;
         let (sender, frames) = mpsc::channel(MAX_QUEUED_RECEIVED_FRAMES);
         let receiver = FrameReceiver::new(listener, sender, limits);
@@ -122,13 +119,6 @@
     }
 }
 
-/// Binds a listener without waiting.
-fn bind(listen: SocketAddr) -> io::Result<tokio::net::TcpListener> {
-    let listener = std::net::TcpListener::bind(listen)?;
-    listener.set_nonblocking(true)?;
-    tokio::net::TcpListener::from_std(listener)
-}
-
 #[async_trait]
 impl PeerLink for TcpLink {
     fn address(&self) -> SocketAddr {
--- a/crates/fleet/src/http_server.rs
+++ b/crates/fleet/src/http_server.rs
@@ -31,12 +31,12 @@
 use jasminebend_ingress::{
     BodyError,
     Connection,
-    ConnectionTable, //
+    ConnectionTable,
+    listen, //
 };
 use tokio::{
     net::{
         TcpListener,
-        TcpSocket,
         TcpStream, //
     },
     sync::watch,
@@ -47,10 +47,6 @@
 
 /// The pause after a failed accept, which is most likely due to a lack of file descriptors.
 const ACCEPT_RETRY_PAUSE: Duration = Duration::from_millis(50);
-/// The most connections that wait to be accepted.
-const BACKLOG: u32 = 1024;
-/// The size of the kernel's buffer for a connection's bytes that are not read yet.
-const RECEIVE_BUFFER_BYTES: u32 = 64 << 10;
 /// The timeout for a request's head to arrive.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
 /// The timeout for a request's whole body to arrive.
@@ -126,19 +122,6 @@
     Ok(())
 }
 
-/// Binds an address. The kernel keeps no more than [`RECEIVE_BUFFER_BYTES`] of a client that is not read.
-fn listen(address: SocketAddr) -> io::Result<TcpListener> {
-    let socket = match address {
-        SocketAddr::V4(_) => TcpSocket::new_v4(),
-        SocketAddr::V6(_) => TcpSocket::new_v6(),
-    }?;
-    socket.set_reuseaddr(true)?;
-    // Without it the kernel's own limit applies.
-    drop(socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES));
-    socket.bind(address)?;
-    socket.listen(BACKLOG)
-}
-
 /// Serves requests on a listener as [`serve`] does.
 pub fn serve_on<Handler>(
     listener: TcpListener,
--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -5,6 +5,7 @@
 mod connection;
 mod connection_limits;
 mod connection_table;
+mod listener;
 mod refusal_counts;
 mod table_state;
 
@@ -14,5 +15,6 @@
     connection::Connection,
     connection_limits::ConnectionLimits,
     connection_table::ConnectionTable,
+    listener::listen,
     refusal_counts::RefusalCounts, //
 };
--- a/crates/jasminebend/src/admin_listeners.rs
+++ b/crates/jasminebend/src/admin_listeners.rs
@@ -5,6 +5,7 @@
     sync::Arc, //
 };
 
+use jasminebend_ingress::listen;
 use jasminebend_ports::ClockSource;
 use tokio::{
     net::TcpListener,
@@ -52,9 +53,9 @@
         // creation of the watcher, so the files are read again.
         keys.reload()?;
         let listen = &settings.listen;
-        let main = bind("listen.administration", listen.administration).await?;
+        let main = bind("listen.administration", listen.administration)?;
         let health = match listen.health {
-            Some(address) => Some(bind("listen.health", address).await?),
+            Some(address) => Some(bind("listen.health", address)?),
             None => None,
         };
         Ok(Self {
@@ -106,12 +107,8 @@
 }
 
 /// Binds a listener; `key` is the settings key that an error names.
-pub(crate) async fn bind(
-    key: &'static str,
-    address: SocketAddr,
-) -> Result<TcpListener, DaemonError> {
-    let listener = TcpListener::bind(address).await;
-    listener.map_err(|source| DaemonError::Listen {
+pub(crate) fn bind(key: &'static str, address: SocketAddr) -> Result<TcpListener, DaemonError> {
+    listen(address).map_err(|source| DaemonError::Listen {
         key,
         address,
         source,
--- a/crates/jasminebend/src/entry_daemon.rs
+++ b/crates/jasminebend/src/entry_daemon.rs
@@ -86,7 +86,7 @@
     pub async fn start(settings: DaemonSettings, ports: DaemonPorts) -> Result<Self, DaemonError> {
         let metrics = MetricsExporter::install();
         let admin_listeners = AdminListeners::bind(&settings).await?;
-        let listener = bind("listen.callers", settings.listen.callers).await?;
+        let listener = bind("listen.callers", settings.listen.callers)?;
         let callers = local_address("listen.callers", &listener)?;
         let key_watcher = peer_key_watcher(&settings.peer_key);
         let keys = PeerKeys::read(&settings.peer_key)?;
