Close clients' connections where the daemon's own calls lack descriptors

What callers saw: nothing reported; by reading. A daemon that has many workers lost calls to the store, workers and other daemons beside clients that hold connections.

Connections of clients closed only if one of theirs could not be accepted. An own call that lacked a descriptor failed at once.

Change: the pools report a connection that lacks a descriptor, and try it again until it times out. Each listener then closes the quarter of its connections that has waited the longest, and accepts none for 50 ms, so that the crowd does not take what was freed.

Why it works: what clients hold is taken back as it is needed, so that no fixed part has to foresee how many workers there are.

--- a/crates/fleet/src/fleet_daemon.rs
+++ b/crates/fleet/src/fleet_daemon.rs
@@ -19,7 +19,10 @@
 };
 use http_body_util::Full;
 use indexmap::IndexMap;
-use jasminebend_ingress::ConnectionTable;
+use jasminebend_ingress::{
+    ConnectionTable,
+    DescriptorShortage, //
+};
 use jasminebend_ports::ClockSource;
 use serde::Serialize;
 use tokio::{
@@ -88,6 +91,8 @@
     pub vms: Option<Rc<dyn FleetVms>>,
     /// The connection pool for calls to other daemons, which the adapters of the other ports may share.
     pub pool: Rc<HttpPool>,
+    /// Where the pools report that the daemon's own calls lack descriptors.
+    pub shortage: DescriptorShortage,
     /// The log.
     pub log: FleetLog,
 }
@@ -98,6 +103,7 @@
     job_api: Rc<JobApi>,
     /// The open connections of callers.
     connections: ConnectionTable,
+    shortage: DescriptorShortage,
     /// Becomes true when the daemon is to stop.
     stop: watch::Receiver<bool>,
     /// Becomes true when the daemon's servers are to close their connections.
@@ -122,7 +128,8 @@
         let incarnation = new_incarnation(&*ports.clock);
         let succession = Succession::new(&settings.node);
         let store = MonitoredStore::new(ports.store, Rc::clone(&ports.clock), ports.log.clone());
-        let connections = ConnectionTable::new(settings.ingress.callers);
+        let connections =
+            ConnectionTable::new(settings.ingress.callers).with_shortage(&ports.shortage);
         let shared = Rc::new(SharedState {
             settings,
             incarnation,
@@ -147,6 +154,7 @@
             job_api: Rc::new(JobApi::new(Rc::clone(&shared))),
             shared,
             connections,
+            shortage: ports.shortage,
             stop,
             finish: watch::Sender::new(false),
         }
@@ -173,7 +181,8 @@
         let finish = self.finish.subscribe();
         let ingress = settings.ingress;
         let [peer_table, readiness_table, metrics_table] =
-            [ingress.peers, ingress.monitoring, ingress.monitoring].map(ConnectionTable::new);
+            [ingress.peers, ingress.monitoring, ingress.monitoring]
+                .map(|limits| ConnectionTable::new(limits).with_shortage(&self.shortage));
         let peers = Rc::new(PeerApi::new(Rc::clone(shared), self.job_api()));
         serve(
             settings.peer_address,
--- a/crates/fleet/src/http_pool.rs
+++ b/crates/fleet/src/http_pool.rs
@@ -6,6 +6,7 @@
         RefCell, //
     },
     collections::HashMap,
+    io,
     sync::Arc,
     time::Duration, //
 };
@@ -28,6 +29,7 @@
     }, //
 };
 use hyper_util::rt::TokioIo;
+use jasminebend_ingress::DescriptorShortage;
 use tokio::{
     net::TcpStream,
     sync::{
@@ -42,6 +44,8 @@
 
 /// The connect timeout. Connecting to the farthest VM takes a fraction of it; a VM that lost power never answers.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(700);
+/// The pause before a connection is opened again that lacked a descriptor.
+const DESCRIPTOR_RETRY_PAUSE: Duration = Duration::from_millis(10);
 /// The most idle connections that are kept to one address.
 const MAX_IDLE_PER_ADDRESS: usize = 6;
 /// How long a connection may stay idle: one to a VM that lost power would otherwise stay open forever.
@@ -86,6 +90,8 @@
     /// When a part of an answer last arrived, by address.
     data_arrivals: RefCell<HashMap<String, time::Instant>>,
     sweep_due: Cell<Option<time::Instant>>,
+    /// Where a lack of descriptors is reported, if clients of the process can make room.
+    shortage: Option<DescriptorShortage>,
 }
 
 #[derive(Debug)]
@@ -120,6 +126,12 @@
         }
     }
 
+    /// Sets where a lack of descriptors is reported. A connection that lacks one is tried again until it times out.
+    pub fn with_shortage(mut self, shortage: &DescriptorShortage) -> Self {
+        self.shortage = Some(shortage.clone());
+        self
+    }
+
     /// Sends a request once and reads the whole answer, within `timeout`. A call that waits for the limit until its
     /// timeout is not sent.
     ///
@@ -178,7 +190,8 @@
                 Err(ExchangeError::Lost) => return Err(HttpError::Unanswered),
             }
         }
-        let connection = time::timeout_at(deadline.within(CONNECT_TIMEOUT), connect(address)).await;
+        let connection =
+            time::timeout_at(deadline.within(CONNECT_TIMEOUT), self.connect(address)).await;
         let connection = connection.map_err(|_| HttpError::NotSent)??;
         match self.exchange(address, connection, request, deadline).await {
             Ok(reply) => Ok(reply),
@@ -187,6 +200,23 @@
         }
     }
 
+    async fn connect(&self, address: &str) -> Result<PooledConnection, HttpError> {
+        loop {
+            let error = match TcpStream::connect(address).await {
+                Ok(stream) => return open(stream).await,
+                Err(error) => error,
+            };
+            let shortage = self.shortage.as_ref();
+            if !shortage.is_some_and(|shortage| shortage.report(&error)) {
+                return Err(match error.kind() {
+                    io::ErrorKind::ConnectionRefused => HttpError::ConnectionRefused,
+                    _ => HttpError::NotSent,
+                });
+            }
+            time::sleep(DESCRIPTOR_RETRY_PAUSE).await;
+        }
+    }
+
     /// Closes the idle connections to an address.
     pub fn close_idle_connections(&self, address: &str) {
         self.idle.borrow_mut().remove(address);
@@ -284,13 +314,7 @@
     Lost,
 }
 
-async fn connect(address: &str) -> Result<PooledConnection, HttpError> {
-    let stream = TcpStream::connect(address).await.map_err(|error| {
-        match error.kind() == std::io::ErrorKind::ConnectionRefused {
-            true => HttpError::ConnectionRefused,
-            false => HttpError::NotSent,
-        }
-    })?;
+async fn open(stream: TcpStream) -> Result<PooledConnection, HttpError> {
     // With Nagle's algorithm a small request could wait for the acknowledgement of the previous one.
     drop(stream.set_nodelay(true));
     let (sender, connection) = http1::handshake(TokioIo::new(stream))
--- a/crates/fleet/src/http_server.rs
+++ b/crates/fleet/src/http_server.rs
@@ -45,8 +45,8 @@
 };
 use tokio_io_timeout::TimeoutStream;
 
-/// The pause after a failed accept, which is most likely due to a lack of file descriptors.
-const ACCEPT_RETRY_PAUSE: Duration = Duration::from_millis(50);
+/// The pause in accepting connections while descriptors are scarce.
+const SHORTAGE_PAUSE: Duration = Duration::from_millis(50);
 /// The timeout for a request's head to arrive.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
 /// The timeout for a request's whole body to arrive.
@@ -143,7 +143,15 @@
     Handler: HttpHandler + 'static,
 {
     loop {
-        match listener.accept().await {
+        let accepted = tokio::select! {
+            biased;
+            () = table.yield_on_shortage() => {
+                time::sleep(SHORTAGE_PAUSE).await;
+                continue;
+            }
+            accepted = listener.accept() => accepted,
+        };
+        match accepted {
             Ok((stream, _)) => {
                 if let Some(connection) = table.open().await {
                     let head_bytes = table.limits().head_bytes;
@@ -155,7 +163,7 @@
             }
             Err(error) => {
                 table.handle_accept_error(&error);
-                time::sleep(ACCEPT_RETRY_PAUSE).await;
+                time::sleep(SHORTAGE_PAUSE).await;
             }
         }
     }
--- a/crates/fleet/tests/daemons/test_fleet.rs
+++ b/crates/fleet/tests/daemons/test_fleet.rs
@@ -88,6 +88,7 @@
     StoreTable,
     WorkerAddress, //
 };
+use jasminebend_ingress::DescriptorShortage;
 use jasminebend_ports::{
     ClockSource,
     SuspensionMeter,
@@ -698,6 +699,7 @@
             advice: None,
             vms: self.vms.borrow().clone(),
             pool: Rc::new(HttpPool::new()),
+            shortage: DescriptorShortage::default(),
             log: FleetLog::discarding("test"),
         };
         let (stop, stopping) = watch::channel(false);
--- a/crates/ingress/src/connection_table.rs
+++ b/crates/ingress/src/connection_table.rs
@@ -15,7 +15,9 @@
 use crate::{
     Connection,
     ConnectionLimits,
+    DescriptorShortage,
     RefusalCounts,
+    descriptor_shortage::lacks_descriptor,
     table_state::{
         Admission,
         TableState, //
@@ -29,6 +31,7 @@
     state: Arc<Mutex<TableState>>,
     /// Notified when a connection has closed or waits again.
     freed: Arc<Notify>,
+    shortage: DescriptorShortage,
 }
 
 impl ConnectionTable {
@@ -38,9 +41,16 @@
             limits,
             state: Arc::new(Mutex::new(TableState::new(limits))),
             freed: Arc::default(),
+            shortage: DescriptorShortage::default(),
         }
     }
 
+    /// Sets where a lack of descriptors for the process's own calls is reported.
+    pub fn with_shortage(mut self, shortage: &DescriptorShortage) -> Self {
+        self.shortage = shortage.clone();
+        self
+    }
+
     /// Returns the limits.
     pub fn limits(&self) -> ConnectionLimits {
         self.limits
@@ -74,13 +84,18 @@
     /// Closes a quarter of the connections, those that have waited the longest, if accepting one failed for the lack of a
     /// descriptor: the process's own calls need some as well.
     pub fn handle_accept_error(&self, error: &io::Error) {
-        const ENFILE: i32 = 23;
-        const EMFILE: i32 = 24;
-        if matches!(error.raw_os_error(), Some(ENFILE | EMFILE)) {
+        if lacks_descriptor(error) {
             self.state().yield_descriptors();
         }
     }
 
+    /// Waits until the process's own calls lack a descriptor, and closes connections as
+    /// [`ConnectionTable::handle_accept_error`] does. None should be accepted for a moment then.
+    pub async fn yield_on_shortage(&self) {
+        self.shortage.reported().await;
+        self.state().yield_descriptors();
+    }
+
     /// Returns the number of open connections.
     pub fn connection_count(&self) -> usize {
         self.state().connection_count()
--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -5,6 +5,7 @@
 mod connection;
 mod connection_limits;
 mod connection_table;
+mod descriptor_shortage;
 mod listener;
 mod refusal_counts;
 mod table_state;
@@ -15,6 +16,7 @@
     connection::Connection,
     connection_limits::ConnectionLimits,
     connection_table::ConnectionTable,
+    descriptor_shortage::DescriptorShortage,
     listener::listen,
     refusal_counts::RefusalCounts, //
 };
--- a/crates/jasminebend/src/fleet_program.rs
+++ b/crates/jasminebend/src/fleet_program.rs
@@ -29,6 +29,7 @@
     LogEvent,
     RequestBody, //
 };
+use jasminebend_ingress::DescriptorShortage;
 use jasminebend_platform::{
     AdviceClient,
     CallerHandler,
@@ -89,7 +90,8 @@
 async fn run(settings: PlatformSettings) -> io::Result<()> {
     let log = FleetLog::new(&settings.fleet.node, io::stdout());
     let stop = stop_on_signals(&log, &settings)?;
-    let pool = Rc::new(HttpPool::new());
+    let shortage = DescriptorShortage::default();
+    let pool = Rc::new(HttpPool::new().with_shortage(&shortage));
     let advice = settings.advice_address.as_ref().map(|address| {
         let client = AdviceClient::new(Rc::clone(&pool), address);
         Rc::new(client) as Rc<dyn FleetAdvice>
@@ -101,10 +103,11 @@
     let ports = FleetPorts {
         clock: Rc::new(SystemClock::new()),
         store: Rc::new(StoreClient::new(Rc::clone(&pool), settings.store_address)),
-        workers: Rc::new(WorkerClient::new()),
+        workers: Rc::new(WorkerClient::new().with_shortage(&shortage)),
         advice,
         vms,
         pool,
+        shortage,
         log,
     };
     let metrics = Rc::new(MetricsHandler {
