Keep files for the older daemon's own calls

What callers saw: nothing reported; by reading.

Change: callers take at most half of the files that the process may open, other daemons an eighth, operators and health a sixteenth each. A line at the start says what applies. With twice the callers' connections, as documented, the limits stay as they are.

--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -5,6 +5,7 @@
 mod connection;
 mod connection_limits;
 mod connection_table;
+mod descriptor_limit;
 mod descriptor_shortage;
 mod listener;
 mod refusal_counts;
@@ -16,6 +17,7 @@
     connection::Connection,
     connection_limits::ConnectionLimits,
     connection_table::ConnectionTable,
+    descriptor_limit::descriptor_limit,
     descriptor_shortage::DescriptorShortage,
     listener::listen,
     refusal_counts::RefusalCounts, //
--- a/crates/jasminebend/src/entry_daemon.rs
+++ b/crates/jasminebend/src/entry_daemon.rs
@@ -16,6 +16,7 @@
     GatewayPorts,
     GatewaySettings, //
 };
+use jasminebend_ingress::descriptor_limit;
 use jasminebend_planner::{
     PlannerHandle,
     PlannerPorts,
@@ -84,6 +85,7 @@
     /// Returns a [`DaemonError`] if a key cannot be used, an address cannot be bound or the cluster part cannot be
     /// started.
     pub async fn start(settings: DaemonSettings, ports: DaemonPorts) -> Result<Self, DaemonError> {
+        let settings = limit_connections(settings);
         let metrics = MetricsExporter::install();
         let admin_listeners = AdminListeners::bind(&settings).await?;
         let listener = bind("listen.callers", settings.listen.callers)?;
@@ -228,6 +230,22 @@
     callers
 }
 
+/// Lowers the limits of connections to what the process's limit of open files allows.
+fn limit_connections(settings: DaemonSettings) -> DaemonSettings {
+    let Some(descriptors) = descriptor_limit() else {
+        return settings;
+    };
+    let limits = settings.limits.within_descriptors(descriptors);
+    if limits != settings.limits {
+        warn!(
+            "[daemon] The process may open {descriptors} files, so that it accepts at most {} connections of callers, {} of other daemons \
+             and {} of operators.",
+            limits.caller_connections, limits.peer_connections, limits.administration_connections
+        );
+    }
+    settings.with_limits(limits)
+}
+
 fn start_gateway(
     settings: &DaemonSettings,
     callers: SocketAddr,
--- a/crates/jasminebend/src/limit_settings.rs
+++ b/crates/jasminebend/src/limit_settings.rs
@@ -88,6 +88,21 @@
     }
 }
 
+impl LimitSettings {
+    /// Returns the limits that leave a quarter of the descriptors of a process, at least, to its own calls: callers take half of
+    /// them at the most, other daemons an eighth, and administration and health an eighth.
+    pub fn within_descriptors(self, descriptors: usize) -> Self {
+        let at_most =
+            |connections: usize, share: usize| connections.min((descriptors / share).max(1));
+        Self {
+            caller_connections: at_most(self.caller_connections, 2),
+            peer_connections: at_most(self.peer_connections, 8),
+            administration_connections: at_most(self.administration_connections, 16),
+            ..self
+        }
+    }
+}
+
 /// The unparsed section `limits`.
 #[derive(Debug, Default, Deserialize)]
 #[serde(default, deny_unknown_fields)]
