Bound the calls that callers' requests make

What callers saw: a daemon took more descriptors than its settings allow beside clients that complete cheap requests, and none was left for its own calls.

Cause: each request for the state of a job that a daemon does not know reads three parts of the store at once, and a submission writes one or forwards the request. Only the connections that are accepted were bounded, not those that are opened for them.

Change: at most a sixteenth of the descriptors' number of callers' requests calls the store at once, and as many call other daemons; further ones wait. A request that another daemon forwarded waits for the store alone, as daemons would wait for each other otherwise. New setting `ingress.caller_calls`.

--- a/crates/fleet/src/ingress_settings.rs
+++ b/crates/fleet/src/ingress_settings.rs
@@ -24,6 +24,9 @@
     pub peers: ConnectionLimits,
     /// The limits of readiness checks, and of requests for metrics.
     pub monitoring: ConnectionLimits,
+    /// The most callers' requests that call the store at once, and as many that call other daemons. Each that calls the store
+    /// takes up to three connections.
+    pub caller_calls: usize,
 }
 
 impl IngressSettings {
@@ -38,6 +41,7 @@
                 request_bytes: MONITORING_BYTES,
                 head_bytes: HEAD_BYTES,
             },
+            caller_calls: (descriptors / 16).max(MIN_CONNECTIONS),
         }
     }
 
--- a/crates/fleet/src/job_api.rs
+++ b/crates/fleet/src/job_api.rs
@@ -14,6 +14,10 @@
     QueueRule, //
 };
 use serde::Serialize;
+use tokio::sync::{
+    Semaphore,
+    SemaphorePermit, //
+};
 
 use crate::{
     CallerAnswer,
@@ -62,6 +66,10 @@
 /// The API for callers, behind the HTTP front end.
 pub struct JobApi {
     shared: Rc<SharedState>,
+    /// Bounds the requests that call the store at once, each of which takes descriptors.
+    store_calls: Semaphore,
+    /// Bounds the requests of this daemon's callers that call other daemons at once.
+    peer_calls: Semaphore,
 }
 
 /// Whether a request may be forwarded to other daemons.
@@ -119,7 +127,27 @@
 
 impl JobApi {
     pub(crate) fn new(shared: Rc<SharedState>) -> Self {
-        Self { shared }
+        let caller_calls = shared.settings.ingress.caller_calls;
+        Self {
+            shared,
+            store_calls: Semaphore::new(caller_calls),
+            peer_calls: Semaphore::new(caller_calls),
+        }
+    }
+
+    /// Waits for the permit to call the store.
+    async fn store_permit(&self) -> Option<SemaphorePermit<'_>> {
+        // `acquire` fails only on a closed semaphore, and these are never closed.
+        self.store_calls.acquire().await.ok()
+    }
+
+    /// Waits for the permit to call another daemon for a caller. A request that another daemon forwarded needs none: daemons would
+    /// wait for each other.
+    async fn peer_permit(&self, forwarding: Forwarding) -> Option<SemaphorePermit<'_>> {
+        match forwarding {
+            Forwarding::Allowed => self.peer_calls.acquire().await.ok(),
+            Forwarding::Forbidden => None,
+        }
     }
 
     /// Returns the memory that the submission of a job holds while it waits, in bytes.
@@ -268,8 +296,9 @@
             return CallerAnswer::Malformed("the job can't be kept".to_owned());
         };
         if !self.shared.store.is_lost()
-            && let Some(retry_after) =
-                check_admission(&self.shared, key, &queue.name, &record.graph).await
+            && let Some(retry_after) = self
+                .check_admission(key, queue, &record.graph, forwarding)
+                .await
         {
             return self.refuse(key, retry_after, request, forwarding).await;
         }
@@ -280,6 +309,18 @@
         }
     }
 
+    /// Returns the time after which the caller should retry if there is no free capacity for its job.
+    async fn check_admission(
+        &self,
+        key: JobKey,
+        queue: &QueueRule,
+        graph: &JobGraph,
+        forwarding: Forwarding,
+    ) -> Option<Duration> {
+        let _permit = self.peer_permit(forwarding).await;
+        check_admission(&self.shared, key, &queue.name, graph).await
+    }
+
     /// Refuses a job for which there is no free capacity, unless an earlier attempt of the same caller recorded it.
     async fn refuse(
         &self,
@@ -338,6 +379,7 @@
                 guards: vec![row.guard(0)],
                 writes: vec![row],
             };
+            let _permit = self.store_permit().await;
             match self.shared.store.commit(commit).await {
                 Ok(answer) => return Ok(answer),
                 Err(error) => {
@@ -372,6 +414,7 @@
         let (from, to) = (key.to_string(), format!("{key}~"));
         let [first, second, third] = job_row_parts(key);
         let store = &self.shared.store;
+        let _permit = self.store_permit().await;
         let (first, second, third) = tokio::join!(
             store.read_few(StoreTable::Jobs, &first, &from, Some(&to)),
             store.read_few(StoreTable::Jobs, &second, &from, Some(&to)),
@@ -417,6 +460,7 @@
             return Ok(None);
         }
         let (from, to) = (key.to_string(), format!("{key}~"));
+        let _permit = self.store_permit().await;
         let (progress_rows, _) = self
             .shared
             .store
@@ -468,6 +512,7 @@
             true => self.shared.peer_addresses(),
             false => self.shared.owner_address().into_iter().collect(),
         };
+        let _permit = self.peer_permit(forwarding).await;
         for address in peers.into_iter().take(MAX_PEERS_ASKED) {
             let forwarded =
                 self.shared
@@ -503,6 +548,7 @@
     async fn forward_write(&self, request: CallerRequest) -> CallerAnswer {
         let mut unknown = false;
         let peers = self.shared.peer_addresses();
+        let _permit = self.peer_permit(Forwarding::Allowed).await;
         for address in peers.into_iter().take(MAX_PEERS_ASKED) {
             let forwarded =
                 self.shared
