Keep clients that were answered once from taking every place

What callers saw: beside clients that complete one cheap request and stop short in the next, new ordinary clients whose requests take more than a moment to arrive were disconnected.

Cause: connections without an answered request closed before any other. Where the places are taken by clients that were answered, each new connection closed the one before it.

Change: a connection without an answered request closes where those are at least half of the ones that wait, and one that had an answer otherwise; for memory the same by what both kinds hold.

Why it works: whichever kind a crowd belongs to, it is the larger one, and closes for its own number.

--- a/crates/ingress/src/table_state.rs
+++ b/crates/ingress/src/table_state.rs
@@ -23,13 +23,15 @@
 /// The open connections of a listener.
 ///
 /// A connection waits while it is idle or a request on it is incomplete; only such a connection is ever closed, the one that
-/// has waited the longest first, and one that had no request answered yet before any other. A client that completes its
-/// requests is thereby served beside any number that do not.
+/// has waited the longest first: among those that had no request answered yet if they are at least half, among those that had
+/// otherwise. Neither kind can take the places of the other by its number.
 #[derive(Debug)]
 pub(crate) struct TableState {
     limits: ConnectionLimits,
     connections: HashMap<u64, ConnectionState>,
     waiting: BTreeSet<WaitOrder>,
+    /// How many of the waiting connections had no request answered yet.
+    new_waiting: usize,
     /// The bytes that all requests hold.
     held_bytes: usize,
     last_id: u64,
@@ -37,7 +39,7 @@
     refusals: RefusalCounts,
 }
 
-/// Orders waiting connections by when they are closed.
+/// Orders waiting connections: those that had no request answered yet, and those that had, each by how long they wait.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 struct WaitOrder {
     has_answered: bool,
@@ -45,6 +47,13 @@
     id: u64,
 }
 
+/// Comes before every connection that had a request answered.
+const FIRST_ANSWERED: WaitOrder = WaitOrder {
+    has_answered: true,
+    rank: 0,
+    id: 0,
+};
+
 #[derive(Debug, Default)]
 struct ConnectionState {
     /// `None` while a complete request is in progress, and after the connection was closed for others.
@@ -78,6 +87,7 @@
             limits,
             connections: HashMap::new(),
             waiting: BTreeSet::new(),
+            new_waiting: 0,
             held_bytes: 0,
             last_id: 0,
             last_rank: 0,
@@ -128,7 +138,13 @@
 
     /// Closes the connection that has waited the longest; returns false if none waits.
     fn close_longest_waiting(&mut self) -> bool {
-        let Some(oldest) = self.waiting.first() else {
+        let new = self.waiting.first();
+        let answered = self.waiting.range(FIRST_ANSWERED..).next();
+        let oldest = match 2 * self.new_waiting >= self.waiting.len() {
+            true => new,
+            false => answered,
+        };
+        let Some(oldest) = oldest else {
             return false;
         };
         self.evict(oldest.id);
@@ -188,9 +204,8 @@
     pub(crate) fn complete_body(&mut self, id: u64) -> Result<Vec<u8>, BodyError> {
         let body = self.take_buffer(id)?;
         let connection = self.connections.get_mut(&id).ok_or(BodyError::Broken)?;
-        if let Some(wait) = connection.wait.take_if(|_| !connection.is_answered) {
-            self.waiting.remove(&wait);
-        }
+        let wait = connection.wait.take_if(|_| !connection.is_answered);
+        self.remove_waiting(wait);
         Ok(body)
     }
 
@@ -231,11 +246,26 @@
 
     /// Closes the connection with the oldest incomplete body but that of `id`; returns false if there is none.
     fn close_oldest_body(&mut self, id: u64) -> bool {
-        let holds_body = |wait: &&WaitOrder| {
+        let (mut new, mut answered) = (None, None);
+        let (mut new_bytes, mut answered_bytes) = (0, 0);
+        for wait in &self.waiting {
             let connection = self.connections.get(&wait.id);
-            wait.id != id && connection.is_some_and(|connection| connection.held_bytes > 0)
+            let held_bytes = connection.map_or(0, |connection| connection.held_bytes);
+            if held_bytes == 0 || wait.id == id {
+                continue;
+            }
+            let (oldest, bytes) = match wait.has_answered {
+                true => (&mut answered, &mut answered_bytes),
+                false => (&mut new, &mut new_bytes),
+            };
+            oldest.get_or_insert(*wait);
+            *bytes += held_bytes;
+        }
+        let oldest = match new_bytes >= answered_bytes {
+            true => new,
+            false => answered,
         };
-        let Some(oldest) = self.waiting.iter().find(holds_body) else {
+        let Some(oldest) = oldest else {
             return false;
         };
         self.evict(oldest.id);
@@ -256,29 +286,35 @@
     /// Records that a connection is closed.
     pub(crate) fn close(&mut self, id: u64) {
         self.discard_body(id);
-        if let Some(wait) = self.connections.remove(&id).and_then(|state| state.wait) {
-            self.waiting.remove(&wait);
-        }
+        let wait = self.connections.remove(&id).and_then(|state| state.wait);
+        self.remove_waiting(wait);
     }
 
     fn set_waiting(&mut self, id: u64) {
         let Some(connection) = self.connections.get_mut(&id) else {
             return;
         };
-        if let Some(wait) = connection.wait.take() {
-            self.waiting.remove(&wait);
+        let former = connection.wait.take();
+        if !connection.is_evicted {
+            self.last_rank += 1;
+            let wait = WaitOrder {
+                has_answered: connection.has_answered,
+                rank: self.last_rank,
+                id,
+            };
+            connection.wait = Some(wait);
+            self.waiting.insert(wait);
+            self.new_waiting += usize::from(!wait.has_answered);
         }
-        if connection.is_evicted {
-            return;
+        self.remove_waiting(former);
+    }
+
+    fn remove_waiting(&mut self, wait: Option<WaitOrder>) {
+        if let Some(wait) = wait
+            && self.waiting.remove(&wait)
+        {
+            self.new_waiting -= usize::from(!wait.has_answered);
         }
-        self.last_rank += 1;
-        let wait = WaitOrder {
-            has_answered: connection.has_answered,
-            rank: self.last_rank,
-            id,
-        };
-        connection.wait = Some(wait);
-        self.waiting.insert(wait);
     }
 
     /// Releases the memory of a waiting connection, and has it closed.
@@ -287,9 +323,8 @@
         if let Some(connection) = self.connections.get_mut(&id) {
             connection.is_evicted = true;
             connection.evicted.notify_one();
-            if let Some(wait) = connection.wait.take() {
-                self.waiting.remove(&wait);
-            }
+            let wait = connection.wait.take();
+            self.remove_waiting(wait);
         }
     }
 }
--- a/crates/ingress/tests/connection_table.rs
+++ b/crates/ingress/tests/connection_table.rs
@@ -144,6 +144,45 @@
     assert!(is_evicted(&idle) && !is_evicted(&ordinary));
 }
 
+/// Guards against new clients that are closed for one another, because those that were answered once go before all of them.
+#[tokio::test]
+async fn new_clients_are_not_closed_beside_answered_ones() {
+    let table = table(4, 1000);
+    let mut answered = Vec::new();
+    for _ in 0..4 {
+        let connection = open(&table).await;
+        connection.begin_request();
+        connection.complete_request().expect("it is open");
+        connection.end_request();
+        answered.push(connection);
+    }
+    let mut new = Vec::new();
+    for _ in 0..2 {
+        assert!(poll_once(table.open()).is_pending());
+        answered.retain(|connection| !is_evicted(connection));
+        new.push(open(&table).await);
+        new[new.len() - 1].begin_request();
+    }
+    assert_eq!(answered.len(), 2);
+    assert!(poll_once(table.open()).is_pending());
+    assert!(is_evicted(&new[0]) && !is_evicted(&new[1]));
+    assert!(!answered.iter().any(is_evicted));
+}
+
+/// Guards against new clients whose bodies are given up for one another beside incomplete bodies of answered ones.
+#[tokio::test]
+async fn bodies_of_new_clients_are_kept_beside_those_of_answered_ones() {
+    let table = table(9, 8000);
+    let (answered, new, other) = (open(&table).await, open(&table).await, open(&table).await);
+    answered.begin_request();
+    answered.complete_request().expect("it is open");
+    answered.end_request();
+    let _answered_body = hold(&answered, 3900).await;
+    let _new_body = hold(&new, 3000).await;
+    let _other_body = hold(&other, 3000).await;
+    assert!(is_evicted(&answered) && !is_evicted(&new) && !is_evicted(&other));
+}
+
 /// Guards against a process whose own calls find no descriptor: one connection was closed for each that could not be accepted.
 #[tokio::test]
 async fn a_lack_of_descriptors_closes_a_quarter_of_the_connections() {
