Count a forwarded body without a length as complete when it has arrived

A large request without a length kept the permit of an incomplete body while its endpoint worked, so that half of the slots stayed unused, and its connection could be closed for others before it was answered.

Cause: hyper never says of a body without a length that it is at its end; only the end itself tells.

Evidence: `large_complete_bodies_take_every_slot`, now with such bodies and with a limit of connections: two of four requests did not arrive.

Change: the end of the body counts as well as the last part of one of known length, and once.

--- a/crates/gateway/src/request_body.rs
+++ b/crates/gateway/src/request_body.rs
@@ -46,6 +46,7 @@
     incoming: Incoming,
     connection: Arc<Connection>,
     permit: Option<StreamPermit>,
+    is_complete: bool,
     remaining_bytes: u64,
     stall_timeout: Duration,
     stall_timer: Pin<Box<Sleep>>,
@@ -86,6 +87,7 @@
             incoming,
             connection: Arc::clone(connection),
             permit: None,
+            is_complete: false,
             remaining_bytes: max_bytes,
             stall_timeout,
             stall_timer: Box::pin(sleep(stall_timeout)),
@@ -114,7 +116,12 @@
         self.stall_timer
             .as_mut()
             .reset(Instant::now() + self.stall_timeout);
-        if self.incoming.is_end_stream() && !matches!(next, Some(Err(_))) && !self.complete() {
+        let has_ended = match &next {
+            None => true,
+            Some(Ok(_)) => self.incoming.is_end_stream(),
+            Some(Err(_)) => false,
+        };
+        if has_ended && !self.complete() {
             return Poll::Ready(Some(Err(BodyError::CutShort)));
         }
         match next {
@@ -125,11 +132,15 @@
     }
 
     /// Records that the body has arrived; returns false if its connection closes for others.
-    fn complete(&self) -> bool {
+    fn complete(&mut self) -> bool {
+        if self.is_complete {
+            return true;
+        }
+        self.is_complete = self.connection.complete_request().is_ok();
         if let Some(permit) = &self.permit {
             permit.release();
         }
-        self.connection.complete_request().is_ok()
+        self.is_complete
     }
 
     /// Fails once the body exceeds its size limit.
--- a/crates/gateway/tests/requests/resource_limits.rs
+++ b/crates/gateway/tests/requests/resource_limits.rs
@@ -253,20 +253,29 @@
     drop(held_stream);
 }
 
-// Large bodies that are complete take as many slots as other requests do.
+// Large bodies that are complete take as many slots as other requests do, and their connections are not closed for others. Those
+// without a length counted as incomplete until they were answered.
 #[tokio::test]
 async fn large_complete_bodies_take_every_slot() {
     let endpoint = ScriptedEndpoint::start().await;
     endpoint.set_default_action(EndpointAction::Hold);
     let builder = GatewayBuilder::new().with_endpoint(&endpoint, 4);
-    let gateway = builder.start().await;
+    let gateway = builder
+        .with_settings(|settings| settings.with_caller_and_queue_limits(4, 10))
+        .start()
+        .await;
     let body = " ".repeat(100_000);
-    let request = format!("POST /a HTTP/1.1\r\nhost: shop\r\ncontent-length: 100000\r\n\r\n{body}");
+    let known = format!("POST /a HTTP/1.1\r\nhost: shop\r\ncontent-length: 100000\r\n\r\n{body}");
+    let chunked = format!(
+        "POST /a HTTP/1.1\r\nhost: shop\r\ntransfer-encoding: chunked\r\n\r\n186a0\r\n{body}\r\n0\r\n\r\n"
+    );
     let mut held_streams = Vec::new();
-    for _ in 0..4 {
-        held_streams.push(open_and_send(gateway.address, &request).await);
+    for request in [&known, &chunked, &known, &chunked] {
+        held_streams.push(open_and_send(gateway.address, request).await);
     }
     wait_until(|| endpoint.request_count() == 4).await;
+    let refused = send_raw(gateway.address, "").await;
+    assert_eq!(refused.reason(), Some("too_many_callers"));
     endpoint.release();
     for stream in &mut held_streams {
         let mut status = [0; 12];
