Report the calls of callers' requests that wait for others

What operators saw: nothing told that callers' requests waited for others to call the store or another daemon.

Change: `jasminebend_fleet_caller_calls`, `jasminebend_fleet_caller_call_waits_total`, and a `limit` line in each second in which one waited. The permits are in a type of their own.

--- a/crates/fleet/src/fleet_daemon.rs
+++ b/crates/fleet/src/fleet_daemon.rs
@@ -228,7 +228,7 @@
             ("readiness", readiness_table),
             ("metrics", metrics_table),
         ];
-        task::spawn_local(report_ingress(tables, shared.log.clone()));
+        task::spawn_local(report_ingress(tables, self.job_api(), shared.log.clone()));
         task::spawn_local(watch_operator(Rc::clone(shared)));
         task::spawn_local(watch_members(Rc::clone(shared)));
         task::spawn_local(run_succession(Rc::clone(shared)));
--- a/crates/fleet/src/ingress_report.rs
+++ b/crates/fleet/src/ingress_report.rs
@@ -1,6 +1,9 @@
 //! Reports what the clients of a daemon hold, and what was refused, in the log and the metrics.
 
-use std::time::Duration;
+use std::{
+    rc::Rc,
+    time::Duration, //
+};
 
 use jasminebend_ingress::{
     ConnectionTable,
@@ -11,7 +14,9 @@
 
 use crate::{
     FleetLog,
-    LogEvent, //
+    JobApi,
+    LogEvent,
+    call_limit::CallLimit, //
 };
 
 /// The interval between two reports, and so between two log lines of a listener.
@@ -34,14 +39,45 @@
     refused_requests: u64,
 }
 
-/// Reports the listeners at intervals.
-pub(crate) async fn report_ingress(tables: NamedTables, log: FleetLog) {
+/// How many callers' requests had to wait for others to call the store or other daemons, since the last line.
+#[derive(Serialize)]
+struct WaitLine {
+    calls: &'static str,
+    call_limit: usize,
+    waited: u64,
+}
+
+/// Reports the listeners, and the calls that callers' requests make, at intervals.
+pub(crate) async fn report_ingress(tables: NamedTables, job_api: Rc<JobApi>, log: FleetLog) {
     loop {
         time::sleep(REPORT_INTERVAL).await;
         for (listener, table) in &tables {
             report_listener(listener, table, &log);
         }
+        for (calls, limit) in job_api.call_limits() {
+            report_calls(calls, limit, &log);
+        }
+    }
+}
+
+fn report_calls(calls: &'static str, limit: &CallLimit, log: &FleetLog) {
+    // CAST: Exact up to 2^53.
+    metrics::gauge!("jasminebend_fleet_caller_calls", "calls" => calls)
+        .set(limit.in_progress() as f64);
+    let waited = limit.take_waited();
+    if waited == 0 {
+        return;
     }
+    metrics::counter!("jasminebend_fleet_caller_call_waits_total", "calls" => calls)
+        .increment(waited);
+    log.line(
+        LogEvent::Limit,
+        WaitLine {
+            calls,
+            call_limit: limit.limit(),
+            waited,
+        },
+    );
 }
 
 fn report_listener(listener: &'static str, table: &ConnectionTable, log: &FleetLog) {
--- a/crates/fleet/src/job_api.rs
+++ b/crates/fleet/src/job_api.rs
@@ -14,10 +14,7 @@
     QueueRule, //
 };
 use serde::Serialize;
-use tokio::sync::{
-    Semaphore,
-    SemaphorePermit, //
-};
+use tokio::sync::SemaphorePermit;
 
 use crate::{
     CallerAnswer,
@@ -31,6 +28,7 @@
     StoreRow,
     StoreTable,
     admission_check::check_admission,
+    call_limit::CallLimit,
     fleet_log::whole_millis,
     job_codec::encode_job,
     peer_client::PeerCallError,
@@ -66,10 +64,8 @@
 /// The API for callers, behind the HTTP front end.
 pub struct JobApi {
     shared: Rc<SharedState>,
-    /// Bounds the requests that call the store at once, each of which takes descriptors.
-    store_calls: Semaphore,
-    /// Bounds the requests of this daemon's callers that call other daemons at once.
-    peer_calls: Semaphore,
+    store_calls: CallLimit,
+    peer_calls: CallLimit,
 }
 
 /// Whether a request may be forwarded to other daemons.
@@ -130,22 +126,21 @@
         let caller_calls = shared.settings.ingress.caller_calls;
         Self {
             shared,
-            store_calls: Semaphore::new(caller_calls),
-            peer_calls: Semaphore::new(caller_calls),
+            store_calls: CallLimit::new(caller_calls),
+            peer_calls: CallLimit::new(caller_calls),
         }
     }
 
-    /// Waits for the permit to call the store.
-    async fn store_permit(&self) -> Option<SemaphorePermit<'_>> {
-        // `acquire` fails only on a closed semaphore, and these are never closed.
-        self.store_calls.acquire().await.ok()
+    /// Returns the limits on the calls that callers' requests make, by what they call.
+    pub(crate) fn call_limits(&self) -> [(&'static str, &CallLimit); 2] {
+        [("store", &self.store_calls), ("peers", &self.peer_calls)]
     }
 
     /// Waits for the permit to call another daemon for a caller. A request that another daemon forwarded needs none: daemons would
     /// wait for each other.
     async fn peer_permit(&self, forwarding: Forwarding) -> Option<SemaphorePermit<'_>> {
         match forwarding {
-            Forwarding::Allowed => self.peer_calls.acquire().await.ok(),
+            Forwarding::Allowed => self.peer_calls.acquire().await,
             Forwarding::Forbidden => None,
         }
     }
@@ -379,7 +374,7 @@
                 guards: vec![row.guard(0)],
                 writes: vec![row],
             };
-            let _permit = self.store_permit().await;
+            let _permit = self.store_calls.acquire().await;
             match self.shared.store.commit(commit).await {
                 Ok(answer) => return Ok(answer),
                 Err(error) => {
@@ -414,7 +409,7 @@
         let (from, to) = (key.to_string(), format!("{key}~"));
         let [first, second, third] = job_row_parts(key);
         let store = &self.shared.store;
-        let _permit = self.store_permit().await;
+        let _permit = self.store_calls.acquire().await;
         let (first, second, third) = tokio::join!(
             store.read_few(StoreTable::Jobs, &first, &from, Some(&to)),
             store.read_few(StoreTable::Jobs, &second, &from, Some(&to)),
@@ -460,7 +455,7 @@
             return Ok(None);
         }
         let (from, to) = (key.to_string(), format!("{key}~"));
-        let _permit = self.store_permit().await;
+        let _permit = self.store_calls.acquire().await;
         let (progress_rows, _) = self
             .shared
             .store
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod admission_check;
 mod answer_deadline;
+mod call_limit;
 mod caller_request;
 mod fleet_daemon;
 mod fleet_log;
