Hand over shares that had to stay idle as taken without a release

What callers would see: an endpoint works on more requests than it has slots, after a daemon ends and the one that took over its slot shares leaves within the longest request (30 s).

Cause: shares that are taken over without a release stay idle until requests of the former holder are over. A daemon that leaves, or has lost its seat, releases all shares; none of its own requests is in progress on an idle one, so that it was handed over as released and used at once.

Evidence: found by reading, while `moving_shares_never_exceed_an_endpoints_slots` was looked into, whose schedule does the same by itself. `shares_that_had_to_stay_idle_are_not_handed_over_as_released` failed before. No run with processes has shown it.

Change: such a share is handed over, or left without a holder, as one that was taken without a release. The next holder waits as long as the first would have.

--- a/crates/ownership/src/machine_balance.rs
+++ b/crates/ownership/src/machine_balance.rs
@@ -48,6 +48,8 @@
         let releasing = &self.releasing;
         self.released
             .retain(|resource| releasing.contains_key(resource));
+        self.released_idle
+            .retain(|resource| releasing.contains_key(resource));
         let Some(held_seat) = self.held_seat else {
             return;
         };
@@ -80,6 +82,10 @@
             else {
                 continue;
             };
+            let idle_until = self.idle_until.get(&resource);
+            if idle_until.is_some_and(|(epoch, until)| *epoch == entry.epoch && *until > now) {
+                self.released_idle.insert(resource);
+            }
             self.releasing.insert(resource, entry.epoch);
             actions.push(MemberAction::Release(resource));
         }
@@ -197,7 +203,7 @@
                 .is_some_and(|entry| entry.holder == Some(id));
             if held && let Some(receiver) = self.choose_receiver(members, row, *resource, Some(id))
             {
-                row.assign(*resource, receiver, false);
+                row.assign(*resource, receiver, self.released_idle.contains(resource));
             }
         }
     }
@@ -221,7 +227,7 @@
         for resource in orphans {
             let forced = row
                 .entry(resource)
-                .is_some_and(|entry| entry.holder.is_some());
+                .is_some_and(|entry| entry.holder.is_some() || entry.forced);
             if let Some(receiver) = self.choose_receiver(members, row, resource, None) {
                 row.assign(resource, receiver, forced);
             }
--- a/crates/ownership/src/machine_release_all.rs
+++ b/crates/ownership/src/machine_release_all.rs
@@ -22,9 +22,10 @@
                 has_unreleased = true;
                 continue;
             }
+            let is_idle = self.released_idle.contains(&resource);
             match self.choose_receiver(&table.members.row, &row, resource, None) {
-                Some(receiver) => row.assign(resource, receiver, false),
-                None => clear_holder(&mut row, resource),
+                Some(receiver) => row.assign(resource, receiver, is_idle),
+                None => clear_holder(&mut row, resource, is_idle),
             }
         }
         // The last read before the loss may lack resources that were assigned to this daemon just
@@ -36,6 +37,7 @@
             self.lost_holder_id = None;
             self.releasing.clear();
             self.released.clear();
+            self.released_idle.clear();
             return None;
         }
         self.ownership_write(row)
@@ -48,9 +50,10 @@
         let table = self.table.as_ref()?;
         let mut row = table.ownership.row.clone();
         for resource in &self.released {
+            let is_idle = self.released_idle.contains(resource);
             match self.choose_receiver(&table.members.row, &row, *resource, Some(held_seat.id)) {
-                Some(receiver) => row.assign(*resource, receiver, false),
-                None => clear_holder(&mut row, *resource),
+                Some(receiver) => row.assign(*resource, receiver, is_idle),
+                None => clear_holder(&mut row, *resource, is_idle),
             }
         }
         if row.held_by(held_seat.id).next().is_some() {
@@ -68,11 +71,11 @@
     }
 }
 
-/// Leaves a resource without a holder, under a new epoch.
-fn clear_holder(row: &mut OwnershipRow, resource: ResourceId) {
+/// Leaves a resource without a holder, under a new epoch; `forced` if requests of an earlier holder may run.
+fn clear_holder(row: &mut OwnershipRow, resource: ResourceId, forced: bool) {
     if let Some(entry) = row.entry_mut(resource) {
         entry.holder = None;
         entry.epoch = entry.epoch.next();
-        entry.forced = false;
+        entry.forced = forced;
     }
 }
--- a/crates/ownership/src/machine_table.rs
+++ b/crates/ownership/src/machine_table.rs
@@ -62,6 +62,7 @@
         if !self.settings.guards.is_enabled(Guard::ReleaseIsFinal) {
             self.releasing.clear();
             self.released.clear();
+            self.released_idle.clear();
         }
     }
 
--- a/crates/ownership/src/member_machine.rs
+++ b/crates/ownership/src/member_machine.rs
@@ -97,6 +97,9 @@
     pub(crate) releasing: IndexMap<ResourceId, OwnerEpoch>,
     /// The resources of `releasing` on which no work is in progress any more.
     pub(crate) released: IndexSet<ResourceId>,
+    /// The resources of `releasing` that still had to stay idle, so that requests of an earlier
+    /// holder may run.
+    pub(crate) released_idle: IndexSet<ResourceId>,
     /// By resource taken over without a release: the epoch under which it is held, and until when
     /// it stays idle.
     pub(crate) idle_until: IndexMap<ResourceId, (OwnerEpoch, Duration)>,
@@ -141,6 +144,7 @@
             configuration_confirmed_at: None,
             releasing: IndexMap::new(),
             released: IndexSet::new(),
+            released_idle: IndexSet::new(),
             idle_until: IndexMap::new(),
             orphans_first_seen_at: None,
             terminated: IndexSet::new(),
--- a/crates/ownership/tests/state_machine.rs
+++ b/crates/ownership/tests/state_machine.rs
@@ -231,3 +231,56 @@
         assert!(!actions.iter().any(commits), "{actions:?}");
     }
 }
+
+/// Returns the write of the resources' row among these actions.
+fn ownership_write(actions: &[MemberAction]) -> Option<OwnershipRow> {
+    actions.iter().find_map(|action| match action {
+        MemberAction::Commit(write) => write.ownership.as_ref().map(|row| row.row.clone()),
+        _ => None,
+    })
+}
+
+/// Guards against an endpoint that gets more requests than it has slots: a daemon took over slot shares without a release, left
+/// before it could use them, and handed them over as released. Requests of the holder before it may still run.
+#[test]
+fn shares_that_had_to_stay_idle_are_not_handed_over_as_released() {
+    let seconds = Duration::from_secs;
+    for seated in [&[SELF_NONCE, PEER_NONCE][..], &[SELF_NONCE]] {
+        let mut machine = new_machine(GuardSet::new());
+        let holder = HolderId {
+            seat: 0.into(),
+            incarnation: 1,
+        };
+        let mut ownership = OwnershipRow::new(3, 1);
+        ownership.assign(ResourceId::Slots(0), holder, true);
+        ownership.assign(ResourceId::Slots(1), holder, false);
+        ownership.assign(ResourceId::Slots(2), holder, false);
+        ownership.assign(ResourceId::Shard(0), holder, false);
+        let snapshot = |second| {
+            let mut snapshot = table_snapshot(second, 1, seated);
+            snapshot.ownership = VersionedRow {
+                version: Some(1),
+                row: ownership.clone(),
+            };
+            snapshot
+        };
+        machine.apply_snapshot(seconds(1), snapshot(1));
+        machine.apply_snapshot(seconds(3), snapshot(2));
+        machine.leave();
+        let actions = machine.tick(seconds(4));
+        for action in &actions {
+            if let MemberAction::Release(resource) = action {
+                machine.finish_release(*resource);
+            }
+        }
+        let write =
+            ownership_write(&actions).or_else(|| ownership_write(&machine.tick(seconds(5))));
+        let write = write.expect("the shares are handed over");
+        let forced = |share| write.entry(ResourceId::Slots(share)).unwrap().forced;
+        assert_eq!([forced(0), forced(1), forced(2)], [true, false, false]);
+        assert_ne!(
+            write.entry(ResourceId::Slots(0)).unwrap().holder,
+            Some(holder)
+        );
+    }
+}
