Say how to find out what became of an operator's request without memory

What operators saw: the advice to send the request again. A job without a key that had been accepted would then run twice.

Change: the advice is to read the configuration or the job first, as after a timeout.

--- a/crates/jasminebend/src/admin_error.rs
+++ b/crates/jasminebend/src/admin_error.rs
@@ -76,7 +76,8 @@
             },
             Self::MemoryFull => ChangeOutcome::Unknown {
                 find_out: format!(
-                    "{self}; an earlier attempt of it may take effect, send it again"
+                    "{self}; an earlier attempt may have taken effect: read the configuration or the job and compare before \
+                     trying again"
                 ),
             },
             other => ChangeOutcome::NotAccepted {
