Log which incarnation a call was meant for, and which one answered

Operators could not tell which call had set a worker's lease: `order` lines named neither the incarnation that a start was meant for nor the deadline that it carried, and a restart under the same identity left no line of its own.

`order` lines now have `worker_born_ms`, `worker_clock_ms` and `deadline_ms`; `worker` lines tell of restarts (`restarted`, `young`) with what the answered call carried, and of lost contacts with the lease and acknowledgement of the first call without an answer. The metric `jasminebend_fleet_worker_restarts_total` counts restarts. The answer to an order passes the reading of the worker's clock through the port.

No decision changes.

--- a/crates/fleet/src/fleet_workers.rs
+++ b/crates/fleet/src/fleet_workers.rs
@@ -27,6 +27,24 @@
     pub token: u64,
 }
 
+/// A worker's answer to an order.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct OrderReply {
+    /// The outcome of the order.
+    pub outcome: OrderOutcome,
+    /// The reading of the worker's clock, if it answered with one. It starts anew with each incarnation.
+    pub clock: Option<Duration>,
+}
+
+impl From<OrderOutcome> for OrderReply {
+    fn from(outcome: OrderOutcome) -> Self {
+        Self {
+            outcome,
+            clock: None,
+        }
+    }
+}
+
 /// The port of the workers.
 #[async_trait(?Send)]
 pub trait FleetWorkers {
@@ -47,10 +65,10 @@
         worker: &WorkerAddress,
         order: &StartOrder,
         deadline: Duration,
-    ) -> OrderOutcome;
+    ) -> OrderReply;
 
     /// Stops a run; a start order for it that arrives later is rejected.
-    async fn stop(&self, worker: &WorkerAddress, task: TaskKey, run: RunNumber) -> OrderOutcome;
+    async fn stop(&self, worker: &WorkerAddress, task: TaskKey, run: RunNumber) -> OrderReply;
 
     /// Throttles a run to `percent` of its full speed.
     async fn throttle(
@@ -59,7 +77,7 @@
         task: TaskKey,
         run: RunNumber,
         percent: u32,
-    ) -> OrderOutcome;
+    ) -> OrderReply;
 
     /// Closes the idle connections to an address.
     fn close_idle_connections(&self, address: &str);
--- a/crates/fleet/src/lease_renewal.rs
+++ b/crates/fleet/src/lease_renewal.rs
@@ -7,8 +7,10 @@
 
 use jasminebend_dispatch::{
     EndedRun,
+    LeaseRenewal,
     OrderOutcome,
     OrderRefusal,
+    RenewalReport,
     WorkerKey, //
 };
 use serde::Serialize;
@@ -16,6 +18,7 @@
 
 use crate::{
     LogEvent,
+    fleet_log::whole_millis,
     order_planning::worker_address,
     owner_term::OwnerTerm,
     shared_state::SharedState, //
@@ -29,6 +32,9 @@
 /// worker would answer at once with the same completions.
 const COMMIT_WAIT: Duration = Duration::from_millis(100);
 
+/// The age up to which an incarnation of a worker that this owner reaches for the first time is logged.
+const YOUNG_INCARNATION_AGE: Duration = Duration::from_secs(30);
+
 /// The end of a run, as a worker reported it.
 #[derive(Serialize)]
 struct RunEndLine<'a> {
@@ -40,17 +46,41 @@
     owner_token: u64,
 }
 
-/// Contact with a worker was lost or regained, after `failures` failed calls in a row.
+/// Contact with a worker was lost or regained, after `failures` failed calls in a row. The first of them, which may yet be
+/// carried out, carried the `deadline_ms` and `acknowledged`, both meant for the incarnation that began at `born_ms`.
 #[derive(Serialize)]
 struct ContactLine<'a> {
     worker: &'a str,
     change: &'static str,
     failures: u32,
+    born_ms: Option<u64>,
+    deadline_ms: Option<u64>,
+    acknowledged: u64,
+}
+
+/// A worker answered as another incarnation than the owner took it for, or, if `former_born_ms` is missing, for the first time as
+/// one that began a short time ago. The other fields tell what the answered call carried, meant for the former incarnation, and
+/// what the new one lists.
+#[derive(Serialize)]
+struct IncarnationLine<'a> {
+    worker: &'a str,
+    change: &'static str,
+    born_ms: Option<u64>,
+    former_born_ms: Option<u64>,
+    listed_born_ms: Option<u64>,
+    clock_ms: u64,
+    deadline_ms: Option<u64>,
+    acknowledged: u64,
+    running: usize,
+    ends: usize,
+    first_end: Option<u64>,
+    owner_token: u64,
 }
 
 /// Renews a worker's lease until the term is over, or the worker is retired.
 pub(crate) async fn renew_lease(shared: Rc<SharedState>, term: Rc<OwnerTerm>, key: WorkerKey) {
     let mut failures: u32 = 0;
+    let mut first_failed = None;
     loop {
         let address = worker_address(&term, key);
         let sent = shared.now();
@@ -67,9 +97,11 @@
         match result {
             Ok(report) => {
                 if failures > 1 {
-                    log_contact_change(&shared, &address.id, "regained", failures);
+                    log_contact_change(&shared, &term, key, "regained", failures, first_failed);
                 }
                 failures = 0;
+                first_failed = None;
+                log_new_incarnation(&shared, &term, key, &order, &report);
                 log_run_ends(&shared, &term, &address.id, &report.completions);
                 let now = shared.now();
                 term.dispatcher
@@ -84,8 +116,9 @@
             }
             Err(outcome) => {
                 failures += 1;
+                first_failed.get_or_insert(order);
                 if failures == 2 {
-                    log_contact_change(&shared, &address.id, "lost", failures);
+                    log_contact_change(&shared, &term, key, "lost", failures, first_failed);
                 }
                 term.dispatcher
                     .borrow_mut()
@@ -136,13 +169,67 @@
     }
 }
 
-fn log_contact_change(shared: &SharedState, worker: &str, change: &'static str, failures: u32) {
+/// Logs the first answer of a worker's incarnation if the worker has restarted, as far as this owner knows, or did so lately.
+fn log_new_incarnation(
+    shared: &SharedState,
+    term: &OwnerTerm,
+    key: WorkerKey,
+    order: &LeaseRenewal,
+    report: &RenewalReport,
+) {
+    let dispatcher = term.dispatcher.borrow();
+    let former = dispatcher.incarnation(key);
+    let is_first_answer = term.token() > 1 && dispatcher.last_answer_at(key).is_none();
+    let is_restarted = former.is_some() && former != report.incarnation;
+    let age = report
+        .incarnation
+        .map(|born| shared.wall().saturating_sub(born));
+    let is_young = is_first_answer && age.is_some_and(|age| age < YOUNG_INCARNATION_AGE);
+    if !is_restarted && !is_young {
+        return;
+    }
+    if is_restarted {
+        metrics::counter!("jasminebend_fleet_worker_restarts_total").increment(1);
+    }
+    let record = dispatcher.worker_record(key);
+    shared.log.line(
+        LogEvent::Worker,
+        IncarnationLine {
+            worker: &record.id,
+            change: if is_restarted { "restarted" } else { "young" },
+            born_ms: report.incarnation.map(whole_millis),
+            former_born_ms: former.map(whole_millis),
+            listed_born_ms: record.incarnation.map(whole_millis),
+            clock_ms: whole_millis(report.clock),
+            deadline_ms: order.deadline.map(whole_millis),
+            acknowledged: order.acknowledged,
+            running: report.running.len(),
+            ends: report.completions.len(),
+            first_end: report.completions.first().map(|end| end.number),
+            owner_token: term.token(),
+        },
+    );
+}
+
+fn log_contact_change(
+    shared: &SharedState,
+    term: &OwnerTerm,
+    key: WorkerKey,
+    change: &'static str,
+    failures: u32,
+    first_failed: Option<LeaseRenewal>,
+) {
+    let dispatcher = term.dispatcher.borrow();
+    let deadline = first_failed.and_then(|call| call.deadline);
     shared.log.line(
         LogEvent::Worker,
         ContactLine {
-            worker,
+            worker: &dispatcher.worker_record(key).id,
             change,
             failures,
+            born_ms: dispatcher.incarnation(key).map(whole_millis),
+            deadline_ms: deadline.map(whole_millis),
+            acknowledged: first_failed.map_or(0, |call| call.acknowledged),
         },
     );
 }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -88,6 +88,7 @@
         FleetWorkers,
         ListedVm,
         MaintenanceOutcome,
+        OrderReply,
         WorkerAddress, //
     },
     former_owner_bound::{
--- a/crates/fleet/src/order_planning.rs
+++ b/crates/fleet/src/order_planning.rs
@@ -29,6 +29,7 @@
 
 use crate::{
     LogEvent,
+    OrderReply,
     StoreRow,
     StoreTable,
     WorkerAddress,
@@ -58,6 +59,12 @@
     outcome: String,
     owner_token: u64,
     worker_heard_ms: Option<u64>,
+    /// When the incarnation began that the order was meant for, since 1970.
+    worker_born_ms: Option<u64>,
+    /// The reading of the worker's clock in the answer, which starts anew with each incarnation.
+    worker_clock_ms: Option<u64>,
+    /// The end of the lease that a start carried, on the clock of the incarnation that it was meant for.
+    deadline_ms: Option<u64>,
     job_age_ms: Option<u64>,
     #[serde(flatten)]
     basis: Option<StartBasis>,
@@ -272,16 +279,28 @@
         return;
     }
     let basis = start_basis(&term, &order);
-    let outcome = match &order {
-        WorkerOrder::Start(start) => send_start(&shared, &term, start).await,
+    let born = term.dispatcher.borrow().incarnation(order_worker(&order));
+    let mut deadline = None;
+    let reply = match &order {
+        WorkerOrder::Start(start) => {
+            deadline = term
+                .dispatcher
+                .borrow_mut()
+                .grant_order_deadline(start.worker, shared.now());
+            send_start(&shared, &term, start, deadline).await
+        }
         WorkerOrder::Stop { worker, task, run } => {
             let address = worker_address(&term, *worker);
-            let outcome = shared.workers.stop(&address, *task, *run).await;
+            let reply = shared.workers.stop(&address, *task, *run).await;
             let now = shared.now();
-            term.dispatcher
-                .borrow_mut()
-                .handle_stop_outcome(*worker, *task, *run, outcome, now);
-            outcome
+            term.dispatcher.borrow_mut().handle_stop_outcome(
+                *worker,
+                *task,
+                *run,
+                reply.outcome,
+                now,
+            );
+            reply
         }
         WorkerOrder::Throttle {
             worker,
@@ -290,19 +309,26 @@
             percent,
         } => {
             let address = worker_address(&term, *worker);
-            let outcome = shared
+            let reply = shared
                 .workers
                 .throttle(&address, *task, *run, *percent)
                 .await;
-            if outcome != OrderOutcome::Taken {
+            if reply.outcome != OrderOutcome::Taken {
                 term.dispatcher
                     .borrow_mut()
                     .invalidate_throttle(*worker, *task, *run);
             }
-            outcome
+            reply
         }
     };
-    log_order(&shared, &term, &order, basis, outcome);
+    let outcome = reply.outcome;
+    let call = OrderCall {
+        basis,
+        born,
+        deadline,
+        reply,
+    };
+    log_order(&shared, &term, &order, call);
     if outcome == OrderOutcome::Refused(OrderRefusal::Fenced) {
         term.end();
     }
@@ -338,25 +364,33 @@
     }
 }
 
-async fn send_start(shared: &SharedState, term: &OwnerTerm, start: &StartOrder) -> OrderOutcome {
+async fn send_start(
+    shared: &SharedState,
+    term: &OwnerTerm,
+    start: &StartOrder,
+    deadline: Option<Duration>,
+) -> OrderReply {
     let address = worker_address(term, start.worker);
-    let deadline = term
-        .dispatcher
-        .borrow_mut()
-        .grant_order_deadline(start.worker, shared.now());
-    let outcome = match deadline {
+    let reply = match deadline {
         Some(deadline) => shared.workers.start(&address, start, deadline).await,
-        None => OrderOutcome::Refused(OrderRefusal::Unsent),
+        None => OrderOutcome::Refused(OrderRefusal::Unsent).into(),
     };
     let now = shared.now();
     term.dispatcher.borrow_mut().handle_start_outcome(
         start.worker,
         start.task,
         start.run,
-        outcome,
+        reply.outcome,
         now,
     );
-    outcome
+    reply
+}
+
+fn order_worker(order: &WorkerOrder) -> WorkerKey {
+    match order {
+        WorkerOrder::Start(start) => start.worker,
+        WorkerOrder::Stop { worker, .. } | WorkerOrder::Throttle { worker, .. } => *worker,
+    }
 }
 
 async fn request_advice(shared: Rc<SharedState>, term: Rc<OwnerTerm>, request: AdviceRequest) {
@@ -384,13 +418,17 @@
     })
 }
 
-fn log_order(
-    shared: &SharedState,
-    term: &OwnerTerm,
-    order: &WorkerOrder,
+/// What was known of an order as it was sent, and the answer.
+struct OrderCall {
     basis: Option<StartBasis>,
-    outcome: OrderOutcome,
-) {
+    /// When the incarnation began that the order was meant for.
+    born: Option<Duration>,
+    deadline: Option<Duration>,
+    reply: OrderReply,
+}
+
+fn log_order(shared: &SharedState, term: &OwnerTerm, order: &WorkerOrder, call: OrderCall) {
+    let outcome = call.reply.outcome;
     let (name, worker, task, run) = match order {
         WorkerOrder::Start(start) => ("start", start.worker, start.task, start.run),
         WorkerOrder::Stop { worker, task, run } => ("stop", *worker, *task, *run),
@@ -413,8 +451,11 @@
             outcome: format!("{outcome:?}"),
             owner_token: term.token(),
             worker_heard_ms: last_answer_at.map(|at| whole_millis(now.saturating_sub(at))),
+            worker_born_ms: call.born.map(whole_millis),
+            worker_clock_ms: call.reply.clock.map(whole_millis),
+            deadline_ms: call.deadline.map(whole_millis),
             job_age_ms: dispatcher.job_age(task.job(), now).map(whole_millis),
-            basis,
+            basis: call.basis,
         },
     );
 }
--- a/crates/fleet/tests/daemons/test_fleet.rs
+++ b/crates/fleet/tests/daemons/test_fleet.rs
@@ -79,6 +79,7 @@
     JobApi,
     MemberRecord,
     MemberSet,
+    OrderReply,
     OwnerRecord,
     PeerAnswer,
     PeerRequest,
@@ -408,7 +409,7 @@
         worker: &WorkerAddress,
         order: &StartOrder,
         deadline: Duration,
-    ) -> OrderOutcome {
+    ) -> OrderReply {
         time::sleep(Duration::from_millis(1)).await;
         let work = TaskWork {
             run_time: self.run_time.get(),
@@ -420,12 +421,14 @@
             state.start(now, token, &order, deadline, work)
         })
         .await
+        .into()
     }
 
-    async fn stop(&self, worker: &WorkerAddress, task: TaskKey, run: RunNumber) -> OrderOutcome {
+    async fn stop(&self, worker: &WorkerAddress, task: TaskKey, run: RunNumber) -> OrderReply {
         let token = worker.token;
         self.deliver_order(worker, move |state, now| state.stop(now, token, task, run))
             .await
+            .into()
     }
 
     async fn throttle(
@@ -434,8 +437,8 @@
         _task: TaskKey,
         _run: RunNumber,
         _percent: u32,
-    ) -> OrderOutcome {
-        OrderOutcome::Taken
+    ) -> OrderReply {
+        OrderOutcome::Taken.into()
     }
 
     fn close_idle_connections(&self, _address: &str) {}
