Name the incarnation that a call to a worker is meant for

A call names the worker, but not its incarnation, so that no client could tell that another incarnation listens. The address of a worker carries the incarnation that the owner takes it for, and an order that was not sent since another one listens has an outcome of its own. Nothing produces it yet.

--- a/crates/dispatch/src/dispatcher_workers.rs
+++ b/crates/dispatch/src/dispatcher_workers.rs
@@ -613,7 +613,8 @@
         now: Duration,
     ) {
         match refusal {
-            OrderRefusal::Unsent | OrderRefusal::Closed => {
+            // A renewal for any incarnation, which tells of the restart, follows a call that failed.
+            OrderRefusal::Unsent | OrderRefusal::Closed | OrderRefusal::Restarted => {
                 self.worker_mut(key).record_unanswered(now);
             }
             OrderRefusal::Unwell | OrderRefusal::Room | OrderRefusal::Malformed => {
--- a/crates/dispatch/src/worker_order.rs
+++ b/crates/dispatch/src/worker_order.rs
@@ -79,8 +79,10 @@
     Room,
     /// The ticket is invalid or has expired.
     Ticket,
-    /// The worker is unhealthy, or another incarnation of it answered.
+    /// The worker is unhealthy.
     Unwell,
+    /// Another incarnation than the intended one listens at the worker's address; it was not sent the order.
+    Restarted,
     /// There was no connection, and no byte of the order was sent.
     Unsent,
     /// Nothing listens at the worker's address.
--- a/crates/fleet/src/fleet_workers.rs
+++ b/crates/fleet/src/fleet_workers.rs
@@ -25,6 +25,8 @@
     pub address: String,
     /// The owner's fencing token.
     pub token: u64,
+    /// When the incarnation began that the call is meant for, since 1970; `None` if any may carry it out.
+    pub incarnation: Option<Duration>,
 }
 
 /// A worker's answer to an order.
--- a/crates/fleet/src/order_planning.rs
+++ b/crates/fleet/src/order_planning.rs
@@ -269,6 +269,7 @@
         id: record.id.clone(),
         address: record.address.clone(),
         token: term.token(),
+        incarnation: dispatcher.incarnation(key),
     }
 }
 
