Send calls to workers only over connections to their incarnation

A connection ends with the process that accepted it. So the pool keeps with each connection the incarnation that answered on it, and sends an order, and a renewal with a deadline or an acknowledgement, only over one to the intended incarnation. A new connection is checked first, by a renewal without both and without wait, within the call's timeout and the limit of connections. If another incarnation answers, the call is not sent, and its outcome is `Restarted`; the next renewal follows without a pause and may be answered by any incarnation. A worker whose answers tell no incarnation is one of its own kind: calls for it go to no other. A check that fails proves that the call was not sent (`Unsent`), where a call over a new connection to a silent worker was `Unknown`. Calls that were not sent are counted.

The stand-in workers of the daemons' tests refuse a call for a former incarnation as well, and carry late ones out regardless. The test of restarted workers fails if they don't refuse (a lease of 10.2 s).

--- a/crates/dispatch/src/worker_order.rs
+++ b/crates/dispatch/src/worker_order.rs
@@ -102,3 +102,10 @@
     /// The longest time that the worker waits for a completion before it answers.
     pub max_wait: Duration,
 }
+
+impl LeaseRenewal {
+    /// Returns whether the renewal changes nothing in the worker, so that any of its incarnations may answer it.
+    pub fn is_read_only(&self) -> bool {
+        self.deadline.is_none() && self.acknowledged == 0
+    }
+}
--- a/crates/dispatch/tests/failed_starts.rs
+++ b/crates/dispatch/tests/failed_starts.rs
@@ -13,8 +13,12 @@
 };
 use jasminebend_base::ResourceAmount;
 use jasminebend_dispatch::{
+    OrderOutcome,
+    OrderRefusal,
+    StartOrder,
     StepKey,
-    TaskKey, //
+    TaskKey,
+    WorkerOrder, //
 };
 use jasminebend_standins::TaskWork;
 
@@ -119,3 +123,43 @@
         }
     }
 }
+
+const RESTARTED: OrderOutcome = OrderOutcome::Refused(OrderRefusal::Restarted);
+
+/// Returns the starts that the owner plans now.
+fn planned_starts(fleet: &mut Fleet) -> Vec<StartOrder> {
+    let now = fleet.now;
+    let orders = fleet.owner().dispatcher.plan(now).orders.into_iter();
+    let starts = orders.filter_map(|order| match order {
+        WorkerOrder::Start(start) => Some(start),
+        WorkerOrder::Stop { .. } | WorkerOrder::Throttle { .. } => None,
+    });
+    starts.collect()
+}
+
+/// Guards against starts that go on to a worker of which a start was not sent, as another incarnation listens, and against a run
+/// that counts as begun there.
+#[test]
+fn worker_found_restarted_takes_no_start_until_a_renewal_tells_of_it() {
+    let mut fleet = Fleet::new(1, 1).with_work(long_work);
+    fleet.run_for(ms(3000));
+    fleet.submit(1, graph(vec![step(1, &[])]));
+    let first = planned_starts(&mut fleet).pop().expect("a start");
+    let (key, now) = (first.worker, fleet.now);
+    let dispatcher = &mut fleet.owner().dispatcher;
+    dispatcher.handle_start_outcome(key, first.task, first.run, RESTARTED, now);
+    assert_eq!(planned_starts(&mut fleet), []);
+    let dispatcher = &mut fleet.owner().dispatcher;
+    assert!(dispatcher.next_renewal(key, true, now).is_read_only());
+    dispatcher.handle_renewal_failure(key, RESTARTED, now);
+    assert_eq!(planned_starts(&mut fleet), []);
+    fleet.workers[0].restart(now);
+    let renewal = fleet.owner().dispatcher.next_renewal(key, true, now);
+    assert!(renewal.is_read_only());
+    let report = fleet.workers[0].renew_lease(now, 1, renewal);
+    let report = report.expect("the worker answers");
+    let dispatcher = &mut fleet.owner().dispatcher;
+    dispatcher.handle_renewal_report(key, now, report, now);
+    let second = planned_starts(&mut fleet).pop().expect("a start");
+    assert_eq!(second.task, first.task);
+}
--- a/crates/fleet/src/fleet_workers.rs
+++ b/crates/fleet/src/fleet_workers.rs
@@ -25,7 +25,8 @@
     pub address: String,
     /// The owner's fencing token.
     pub token: u64,
-    /// When the incarnation began that the call is meant for, since 1970; `None` if any may carry it out.
+    /// When the incarnation began that the call is meant for, since 1970; `None` if the worker's answers do not tell. Any
+    /// incarnation may answer a renewal that is [read-only](LeaseRenewal::is_read_only).
     pub incarnation: Option<Duration>,
 }
 
@@ -47,7 +48,8 @@
     }
 }
 
-/// The port of the workers.
+/// The port of the workers. A call that meets another incarnation than the intended one is not sent, but refused as
+/// [`Restarted`](jasminebend_dispatch::OrderRefusal::Restarted).
 #[async_trait(?Send)]
 pub trait FleetWorkers {
     /// Renews a worker's lease, and returns its report of the runs that are active or have ended.
--- a/crates/fleet/src/http_pool.rs
+++ b/crates/fleet/src/http_pool.rs
@@ -40,7 +40,13 @@
     time, //
 };
 
-use crate::answer_deadline::AnswerDeadline;
+use crate::{
+    CheckedReply,
+    IncarnationCheck,
+    IncarnationReader,
+    PeerIncarnation,
+    answer_deadline::AnswerDeadline, //
+};
 
 /// The connect timeout. Connecting to the farthest VM takes a fraction of it; a VM that lost power never answers.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(700);
@@ -102,6 +108,8 @@
 
 #[derive(Debug)]
 struct PooledConnection {
+    /// The incarnation that answered on the connection, if it is known. The connection ends with it.
+    incarnation: Option<PeerIncarnation>,
     sender: SendRequest<Full<Bytes>>,
     task: JoinHandle<()>,
 }
@@ -145,7 +153,74 @@
         timeout: Duration,
     ) -> Result<HttpReply, HttpError> {
         let deadline = AnswerDeadline::after(timeout);
-        self.call_until(address, request, &deadline).await
+        self.call_until(address, request, &deadline, None).await
+    }
+
+    /// Sends a request once, to any incarnation, and reads the whole answer within `timeout`. What the answer tells of the
+    /// incarnation is kept with the connection.
+    ///
+    /// # Errors
+    ///
+    /// Any [`HttpError`], which shows whether a byte of the request may have been sent.
+    pub async fn call_any_incarnation(
+        &self,
+        address: &str,
+        request: Request<Full<Bytes>>,
+        reader: IncarnationReader,
+        timeout: Duration,
+    ) -> Result<HttpReply, HttpError> {
+        let deadline = AnswerDeadline::after(timeout);
+        self.call_until(address, request, &deadline, Some(reader))
+            .await
+    }
+
+    /// Sends a request once to the intended incarnation, and reads the whole answer, within `timeout`. It is sent only over a
+    /// connection on which that incarnation has answered; a new connection is checked first.
+    ///
+    /// # Errors
+    ///
+    /// Any [`HttpError`], which shows whether a byte of the request may have been sent.
+    pub async fn call_incarnation(
+        &self,
+        address: &str,
+        request: Request<Full<Bytes>>,
+        check: IncarnationCheck,
+        timeout: Duration,
+    ) -> Result<CheckedReply, HttpError> {
+        let deadline = AnswerDeadline::after(timeout);
+        let _permit = self.acquire_permit_until(address, &deadline).await?;
+        let intended = check.intended;
+        let mut request = request;
+        while let Some(connection) = self.take_idle_to(address, intended) {
+            match self.exchange(address, connection, request, &deadline).await {
+                Ok((reply, connection)) => {
+                    self.put_idle(address, connection);
+                    return Ok(CheckedReply::Answered(reply));
+                }
+                Err(ExchangeError::NotSent(unsent)) => request = *unsent,
+                Err(ExchangeError::Lost) => return Err(HttpError::Unanswered),
+            }
+        }
+        let connection = self.connect_until(address, &deadline).await?;
+        // The call itself has not been sent, whatever became of the check.
+        let (reply, mut connection) = self
+            .exchange(address, connection, check.request, &deadline)
+            .await
+            .map_err(|_| HttpError::NotSent)?;
+        connection.incarnation = (check.reader)(&reply);
+        if connection.incarnation != Some(intended) {
+            let is_refused = connection.incarnation.is_none();
+            self.put_idle(address, connection);
+            return Ok(match is_refused {
+                true => CheckedReply::CheckRefused(reply),
+                false => CheckedReply::OtherIncarnation,
+            });
+        }
+        let (reply, connection) = self
+            .exchange(address, connection, request, &deadline)
+            .await?;
+        self.put_idle(address, connection);
+        Ok(CheckedReply::Answered(reply))
     }
 
     /// Sends a request once and reads an answer that may be large. It is given up once no part of it has arrived for
@@ -161,7 +236,7 @@
         timeout: Duration,
     ) -> Result<HttpReply, HttpError> {
         let deadline = AnswerDeadline::after_stall(timeout);
-        self.call_until(address, request, &deadline).await
+        self.call_until(address, request, &deadline, None).await
     }
 
     /// Returns how long ago a part of an answer from the address arrived; `None` if none ever did.
@@ -175,29 +250,45 @@
         address: &str,
         request: Request<Full<Bytes>>,
         deadline: &AnswerDeadline,
+        reader: Option<IncarnationReader>,
     ) -> Result<HttpReply, HttpError> {
-        self.sweep_if_due();
-        let _permit = tokio::select! {
-            biased;
-            permit = self.acquire_permit(address) => permit,
-            () = deadline.passed() => return Err(HttpError::NotSent),
-        };
+        let _permit = self.acquire_permit_until(address, deadline).await?;
         let mut request = request;
         while let Some(connection) = self.take_idle(address) {
             match self.exchange(address, connection, request, deadline).await {
-                Ok(reply) => return Ok(reply),
+                Ok(answered) => return Ok(self.finish_call(address, answered, reader)),
                 Err(ExchangeError::NotSent(unsent)) => request = *unsent,
                 Err(ExchangeError::Lost) => return Err(HttpError::Unanswered),
             }
         }
-        let connection =
-            time::timeout_at(deadline.within(CONNECT_TIMEOUT), self.connect(address)).await;
-        let connection = connection.map_err(|_| HttpError::NotSent)??;
-        match self.exchange(address, connection, request, deadline).await {
-            Ok(reply) => Ok(reply),
-            Err(ExchangeError::NotSent(_)) => Err(HttpError::NotSent),
-            Err(ExchangeError::Lost) => Err(HttpError::Unanswered),
-        }
+        let connection = self.connect_until(address, deadline).await?;
+        let answered = self
+            .exchange(address, connection, request, deadline)
+            .await?;
+        Ok(self.finish_call(address, answered, reader))
+    }
+
+    /// Keeps the connection of an answered call, with what the answer tells of the incarnation.
+    fn finish_call(
+        &self,
+        address: &str,
+        (reply, mut connection): (HttpReply, PooledConnection),
+        reader: Option<IncarnationReader>,
+    ) -> HttpReply {
+        let told = reader.and_then(|read| read(&reply));
+        connection.incarnation = told.or(connection.incarnation);
+        self.put_idle(address, connection);
+        reply
+    }
+
+    async fn connect_until(
+        &self,
+        address: &str,
+        deadline: &AnswerDeadline,
+    ) -> Result<PooledConnection, HttpError> {
+        let due = deadline.within(CONNECT_TIMEOUT);
+        let connection = time::timeout_at(due, self.connect(address)).await;
+        connection.map_err(|_| HttpError::NotSent)?
     }
 
     async fn connect(&self, address: &str) -> Result<PooledConnection, HttpError> {
@@ -222,6 +313,20 @@
         self.idle.borrow_mut().remove(address);
     }
 
+    /// Waits for a permit to call the address until the deadline; returns `None` if the pool has no limit.
+    async fn acquire_permit_until(
+        &self,
+        address: &str,
+        deadline: &AnswerDeadline,
+    ) -> Result<Option<OwnedSemaphorePermit>, HttpError> {
+        self.sweep_if_due();
+        tokio::select! {
+            biased;
+            permit = self.acquire_permit(address) => Ok(permit),
+            () = deadline.passed() => Err(HttpError::NotSent),
+        }
+    }
+
     /// Waits for a permit to call the address; returns `None` if the pool has no limit.
     async fn acquire_permit(&self, address: &str) -> Option<OwnedSemaphorePermit> {
         let permits = {
@@ -245,6 +350,14 @@
         None
     }
 
+    /// Takes an idle connection on which this incarnation has answered, and closes those to others.
+    fn take_idle_to(&self, address: &str, intended: PeerIncarnation) -> Option<PooledConnection> {
+        if let Some(connections) = self.idle.borrow_mut().get_mut(address) {
+            connections.retain(|idle| idle.connection.incarnation == Some(intended));
+        }
+        self.take_idle(address)
+    }
+
     fn sweep_if_due(&self) {
         let now = time::Instant::now();
         if self.sweep_due.get().is_some_and(|due| now < due) {
@@ -280,7 +393,7 @@
         mut connection: PooledConnection,
         request: Request<Full<Bytes>>,
         deadline: &AnswerDeadline,
-    ) -> Result<HttpReply, ExchangeError> {
+    ) -> Result<(HttpReply, PooledConnection), ExchangeError> {
         let record_data = || {
             deadline.extend();
             self.record_data(address);
@@ -293,10 +406,7 @@
                 return Err(ExchangeError::Lost);
             }
         };
-        if answer.is_ok() {
-            self.put_idle(address, connection);
-        }
-        answer
+        Ok((answer?, connection))
     }
 
     fn record_data(&self, address: &str) {
@@ -314,6 +424,15 @@
     Lost,
 }
 
+impl From<ExchangeError> for HttpError {
+    fn from(error: ExchangeError) -> Self {
+        match error {
+            ExchangeError::NotSent(_) => Self::NotSent,
+            ExchangeError::Lost => Self::Unanswered,
+        }
+    }
+}
+
 async fn open(stream: TcpStream) -> Result<PooledConnection, HttpError> {
     // With Nagle's algorithm a small request could wait for the acknowledgement of the previous one.
     drop(stream.set_nodelay(true));
@@ -324,7 +443,11 @@
         // The calls on the connection report its errors.
         drop(connection.await);
     });
-    Ok(PooledConnection { sender, task })
+    Ok(PooledConnection {
+        incarnation: None,
+        sender,
+        task,
+    })
 }
 
 async fn send(
--- a/crates/fleet/src/lease_renewal.rs
+++ b/crates/fleet/src/lease_renewal.rs
@@ -35,6 +35,9 @@
 /// The age up to which an incarnation of a worker that this owner reaches for the first time is logged.
 const YOUNG_INCARNATION_AGE: Duration = Duration::from_secs(30);
 
+/// The outcome of a call that was not sent, as another incarnation listens.
+const RESTARTED: OrderOutcome = OrderOutcome::Refused(OrderRefusal::Restarted);
+
 /// The end of a run, as a worker reported it.
 #[derive(Serialize)]
 struct RunEndLine<'a> {
@@ -127,6 +130,10 @@
                     term.renewed_workers.borrow_mut().remove(&key);
                     return;
                 }
+                if outcome == RESTARTED {
+                    count_call_for_former_incarnation("renewal");
+                    continue;
+                }
                 let pause = FIRST_RETRY_PAUSE * 2u32.saturating_pow(failures.min(8) - 1);
                 time::sleep(pause.min(LONGEST_RETRY_PAUSE)).await;
             }
@@ -134,6 +141,12 @@
     }
 }
 
+/// Counts a call that was not sent, as another incarnation listens.
+pub(crate) fn count_call_for_former_incarnation(call: &'static str) {
+    metrics::counter!("jasminebend_fleet_calls_for_former_incarnations_total", "call" => call)
+        .increment(1);
+}
+
 async fn wait_for_commit(term: &OwnerTerm, key: WorkerKey) {
     let mut committed = term.committed.subscribe();
     if !term.dispatcher.borrow().has_pending_acknowledgements(key) {
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -16,6 +16,7 @@
 mod former_owner_bound;
 mod http_pool;
 mod http_server;
+mod incarnation_check;
 mod ingress_report;
 mod ingress_settings;
 mod job_api;
@@ -106,6 +107,12 @@
         serve,
         serve_on, //
     },
+    incarnation_check::{
+        CheckedReply,
+        IncarnationCheck,
+        IncarnationReader,
+        PeerIncarnation, //
+    },
     ingress_settings::IngressSettings,
     job_api::JobApi,
     job_codec::{
--- a/crates/fleet/src/order_planning.rs
+++ b/crates/fleet/src/order_planning.rs
@@ -34,6 +34,7 @@
     StoreTable,
     WorkerAddress,
     fleet_log::whole_millis,
+    lease_renewal::count_call_for_former_incarnation,
     owner_term::OwnerTerm,
     shared_state::{
         ENDS_SUFFIX,
@@ -439,6 +440,9 @@
     };
     metrics::counter!("jasminebend_fleet_orders_total", "order" => name, "end" => outcome_label(outcome))
         .increment(1);
+    if outcome == OrderOutcome::Refused(OrderRefusal::Restarted) {
+        count_call_for_former_incarnation(name);
+    }
     let now = shared.now();
     let dispatcher = term.dispatcher.borrow();
     let last_answer_at = dispatcher.last_answer_at(worker);
--- a/crates/fleet/tests/daemons/main.rs
+++ b/crates/fleet/tests/daemons/main.rs
@@ -13,6 +13,7 @@
 mod partial_outage;
 mod random_troubles;
 mod replacements;
+mod restarted_workers;
 mod store_silence;
 mod suspended_owner;
 mod takeover;
--- a/crates/fleet/tests/daemons/test_fleet.rs
+++ b/crates/fleet/tests/daemons/test_fleet.rs
@@ -56,6 +56,7 @@
     JobProgress,
     LeaseRenewal,
     OrderOutcome,
+    OrderRefusal,
     RenewalReport,
     RunNumber,
     StartOrder,
@@ -174,6 +175,9 @@
         let is_lost = self.is_affected();
         let is_late = self.is_affected();
         let is_unanswered = self.is_affected();
+        if self.has_restarted(worker) {
+            return RESTARTED;
+        }
         let mut answer = None;
         if is_late {
             let delay = self.random.borrow_mut().random_range(LATE_ORDER_DELAY_MS);
@@ -231,6 +235,17 @@
         }
     }
 
+    /// Returns whether a call reaches another incarnation than the one that it is meant for.
+    fn has_restarted(&self, address: &WorkerAddress) -> bool {
+        self.with_reachable_worker(address, |state, _| state.record().incarnation)
+            .is_some_and(|incarnation| incarnation != address.incarnation)
+    }
+
+    /// Returns a worker's present incarnation.
+    fn incarnation(&self, id: &str) -> Option<Duration> {
+        self.with_worker(id, |state, _| state.record().incarnation)?
+    }
+
     /// Returns whether a worker is down after a crash; restarts it once it was down for long enough.
     fn is_down(&self, id: &str) -> bool {
         let is_down = self.with_worker(id, |worker, now| {
@@ -263,6 +278,14 @@
         Some(act(workers.get_mut(id)?, now))
     }
 
+    /// Returns how much longer a worker's lease lasts.
+    pub(crate) fn lease(&self, id: &str) -> Duration {
+        let lease = self.with_worker(id, |worker, now| {
+            worker.lease_lapses_at().saturating_sub(now)
+        });
+        lease.unwrap_or_default()
+    }
+
     /// Partitions a worker from all daemons.
     pub(crate) fn partition(&self, id: &str) {
         self.partitioned.borrow_mut().insert(id.to_owned());
@@ -379,6 +402,8 @@
 
 /// The outcome of a call to a worker that is partitioned or does not exist.
 const UNANSWERED: OrderOutcome = OrderOutcome::Unknown;
+/// The outcome of a call that was not sent, as another incarnation listens.
+const RESTARTED: OrderOutcome = OrderOutcome::Refused(OrderRefusal::Restarted);
 
 #[async_trait(?Send)]
 impl FleetWorkers for MemoryWorkers {
@@ -392,9 +417,17 @@
         time::sleep(RENEWAL_LATENCY).await;
         let mut answer = Err(OrderOutcome::Unknown);
         if self.connection_losses.get() == connection_losses {
+            if !order.is_read_only() && self.has_restarted(worker) {
+                return Err(RESTARTED);
+            }
             // The lease is renewed before the wait.
             drop(self.renew_now(worker, order));
+            let incarnation = self.incarnation(&worker.id);
             self.wait_for_end(worker, &order).await;
+            if self.incarnation(&worker.id) != incarnation {
+                // The connection ended with the incarnation.
+                return Err(UNANSWERED);
+            }
             answer = self.renew_now(worker, order);
         }
         if self.connection_losses.get() != connection_losses {
@@ -433,12 +466,15 @@
 
     async fn throttle(
         &self,
-        _worker: &WorkerAddress,
+        worker: &WorkerAddress,
         _task: TaskKey,
         _run: RunNumber,
         _percent: u32,
     ) -> OrderReply {
-        OrderOutcome::Taken.into()
+        match self.has_restarted(worker) {
+            true => RESTARTED.into(),
+            false => OrderOutcome::Taken.into(),
+        }
     }
 
     fn close_idle_connections(&self, _address: &str) {}
