Test calls that a worker's next incarnation carries out late

A call without an answer may be carried out seconds later. One that was sent to a worker's former incarnation acts on the present one, also after that one has answered its owner: the tests let a renewal with deadline and acknowledgement, and a start, be carried out 4 s after the restart.

The simulated worker keeps the acknowledged number as a lasting mark now: completions up to it are forgotten also if they come later. It was more lenient: it forgot only those that were there.

--- /dev/null
+++ b/crates/dispatch/tests/late_calls.rs
@@ -0,0 +1,263 @@
+//! Calls that were sent to a worker's former incarnation and are carried out on the present one.
+
+#![expect(
+    clippy::unwrap_used,
+    reason = "a test's helpers panic as the test does"
+)]
+
+mod common;
+
+use std::time::Duration;
+
+use common::{
+    configuration,
+    graph,
+    ms,
+    step, //
+};
+use jasminebend_base::ResourceAmount;
+use jasminebend_dispatch::{
+    AcceptedJob,
+    DispatchSettings,
+    Dispatcher,
+    JobKey,
+    LeaseRenewal,
+    OrderOutcome,
+    StartOrder,
+    TaskKey,
+    WorkerKey,
+    WorkerOrder, //
+};
+use jasminebend_standins::{
+    SimulatedWorker,
+    TaskWork,
+    WorkerEvent, //
+};
+
+/// When the worker restarts.
+const RESTART: Duration = Duration::from_millis(103_000);
+/// The time between two calls.
+const TURN: Duration = Duration::from_millis(50);
+/// When a late call is carried out, after the restart.
+const LATE_BY: Duration = Duration::from_millis(4000);
+const SHORT_TASK: Duration = Duration::from_millis(300);
+const LONG_TASK: Duration = Duration::from_millis(60_000);
+
+/// An owner and a worker, of which the owner renews the lease.
+struct Scene {
+    now: Duration,
+    owner: Dispatcher,
+    worker: SimulatedWorker,
+    key: WorkerKey,
+    run_time: Duration,
+}
+
+/// A call to the worker with the token that it carries.
+struct Call {
+    token: u64,
+    order: CallOrder,
+}
+
+enum CallOrder {
+    Renewal(LeaseRenewal),
+    Start(StartOrder, Duration),
+}
+
+impl Scene {
+    fn new(run_time: Duration) -> Self {
+        let settings = DispatchSettings::default();
+        let capacity = ResourceAmount::new(4000, 4000);
+        let mut worker = SimulatedWorker::new("w0", capacity, 100, ms(1000));
+        worker.set_max_lease(settings.max_lease_duration);
+        let mut owner = Dispatcher::new(1, settings);
+        owner.set_configuration(configuration(3));
+        let key = owner.upsert_worker(worker.record().clone(), None);
+        Self {
+            now: RESTART - ms(2000),
+            owner,
+            worker,
+            key,
+            run_time,
+        }
+    }
+
+    fn worker_token(&self) -> u64 {
+        self.owner.token()
+    }
+
+    fn add_job(&mut self, number: u64) {
+        let queue = configuration(3).queues.keys().next().unwrap().clone();
+        let job = AcceptedJob {
+            queue,
+            rule: None,
+            graph: graph(vec![step(1, &[])]).into(),
+            accepted: self.now,
+            inherited: false,
+        };
+        self.owner.add_job(JobKey::new(number), job);
+    }
+
+    /// Returns the next renewal, which is not carried out yet.
+    fn next_renewal(&mut self) -> Call {
+        let token = self.worker_token();
+        let order = self.owner.next_renewal(self.key, true, self.now);
+        Call {
+            token,
+            order: CallOrder::Renewal(order),
+        }
+    }
+
+    /// Returns the starts that the owner orders now, which are not carried out yet.
+    fn plan_starts(&mut self) -> Vec<Call> {
+        let token = self.worker_token();
+        let orders = self.owner.plan(self.now).orders;
+        let mut starts = Vec::new();
+        for order in orders {
+            if let WorkerOrder::Start(start) = order {
+                let deadline = self.owner.grant_order_deadline(start.worker, self.now);
+                let order = CallOrder::Start(start, deadline.unwrap());
+                starts.push(Call { token, order });
+            }
+        }
+        starts
+    }
+
+    /// Lets the worker carry out a call whose answer is lost.
+    fn carry_out_late(&mut self, call: &Call) {
+        match &call.order {
+            CallOrder::Renewal(renewal) => {
+                drop(self.worker.renew_lease(self.now, call.token, *renewal));
+            }
+            CallOrder::Start(start, deadline) => drop(self.start(call.token, start, *deadline)),
+        }
+    }
+
+    fn start(&mut self, token: u64, start: &StartOrder, deadline: Duration) -> OrderOutcome {
+        let work = TaskWork {
+            run_time: self.run_time,
+            fails: false,
+            size: ResourceAmount::new(1000, 100),
+        };
+        self.worker.start(self.now, token, start, deadline, work)
+    }
+
+    /// Lets the worker answer a renewal, the owner commit, and the worker carry out the starts and stops that the owner orders.
+    fn turn(&mut self) {
+        self.now += TURN;
+        let call = self.next_renewal();
+        let CallOrder::Renewal(renewal) = call.order else {
+            unreachable!();
+        };
+        let now = self.now;
+        let report = self.worker.renew_lease(now, call.token, renewal).unwrap();
+        self.owner.handle_renewal_report(self.key, now, report, now);
+        if !self.owner.take_records_to_commit(10).is_empty() {
+            self.owner.confirm_commit();
+        }
+        for call in self.plan_starts() {
+            if let CallOrder::Start(start, deadline) = &call.order {
+                let outcome = self.start(call.token, start, *deadline);
+                self.owner
+                    .handle_start_outcome(self.key, start.task, start.run, outcome, now);
+            }
+        }
+    }
+
+    fn turn_for(&mut self, time: Duration) {
+        let until = self.now + time;
+        while self.now < until {
+            self.turn();
+        }
+    }
+
+    /// Restarts the worker; the calls that are under way have no answer.
+    fn restart(&mut self, calls: &[Call]) {
+        self.now = RESTART;
+        self.worker.restart(self.now);
+        for call in calls {
+            match &call.order {
+                CallOrder::Renewal(_) => {
+                    let unknown = OrderOutcome::Unknown;
+                    self.owner
+                        .handle_renewal_failure(self.key, unknown, self.now);
+                }
+                CallOrder::Start(start, _) => self.owner.handle_start_outcome(
+                    self.key,
+                    start.task,
+                    start.run,
+                    OrderOutcome::Unknown,
+                    self.now,
+                ),
+            }
+        }
+    }
+
+    /// Returns the tasks that the worker executes as the owner, which no longer reaches it, has given up its runs.
+    fn tasks_after_lapse(&mut self) -> Vec<TaskKey> {
+        while self.owner.total_run_count() > 0 {
+            self.now += TURN;
+            self.owner.expire_leases(self.now);
+            assert!(self.now < RESTART + ms(60_000), "the lease has not lapsed");
+        }
+        self.worker.advance_to(self.now);
+        self.worker.running_tasks()
+    }
+
+    fn start_count(&self) -> usize {
+        let events = self.worker.events().iter();
+        events
+            .filter(|(_, event)| matches!(event, WorkerEvent::Started(..)))
+            .count()
+    }
+}
+
+/// Guards against two runs of a task: a renewal of before the restart, carried out late, extended the new incarnation's lease
+/// beyond what the owner counts.
+#[test]
+fn late_renewal_extends_no_lease_of_the_next_incarnation() {
+    let mut scene = Scene::new(LONG_TASK);
+    scene.turn_for(ms(1900));
+    let late = scene.next_renewal();
+    scene.restart(std::slice::from_ref(&late));
+    scene.add_job(1);
+    scene.turn_for(LATE_BY);
+    assert_eq!(scene.worker.running_tasks().len(), 1);
+    scene.carry_out_late(&late);
+    assert_eq!(scene.tasks_after_lapse(), Vec::new());
+}
+
+/// Guards against two runs of a task: a start of before the restart, carried out late, extended the new incarnation's lease
+/// beyond what the owner counts.
+#[test]
+fn late_start_extends_no_lease_of_the_next_incarnation() {
+    let mut scene = Scene::new(LONG_TASK);
+    scene.turn_for(ms(1900));
+    scene.add_job(1);
+    let late = scene.plan_starts();
+    assert_eq!(late.len(), 1);
+    scene.restart(&late);
+    scene.add_job(2);
+    scene.turn_for(LATE_BY);
+    assert!(!scene.worker.running_tasks().is_empty());
+    scene.carry_out_late(&late[0]);
+    assert_eq!(scene.tasks_after_lapse(), Vec::new());
+}
+
+/// Guards against a task that runs again after it was done: a renewal of before the restart, carried out late, acknowledged ends
+/// of the new incarnation that nobody had read.
+#[test]
+fn late_acknowledgement_forgets_no_end_of_the_next_incarnation() {
+    let mut scene = Scene::new(SHORT_TASK);
+    for number in 1..=3 {
+        scene.add_job(number);
+    }
+    scene.turn_for(ms(1900));
+    assert_eq!(scene.start_count(), 3);
+    let late = scene.next_renewal();
+    scene.restart(std::slice::from_ref(&late));
+    scene.turn_for(ms(1000));
+    scene.carry_out_late(&late);
+    scene.add_job(4);
+    scene.turn_for(LATE_BY);
+    assert_eq!(scene.start_count(), 4);
+}
--- a/crates/standins/src/simulated_worker.rs
+++ b/crates/standins/src/simulated_worker.rs
@@ -92,6 +92,8 @@
     completions: Vec<EndedRun>,
     /// The number of the latest completion.
     completion_count: u64,
+    /// The highest number acknowledged. Completions up to it are forgotten, also those that come later.
+    acknowledged: u64,
     /// Returns how long after its start a task crashes the worker; `None` for most tasks.
     crash_rule: CrashRule,
     /// Whether the worker has crashed and was not restarted yet.
@@ -126,6 +128,7 @@
             highest_runs: IndexMap::new(),
             completions: Vec::new(),
             completion_count: 0,
+            acknowledged: 0,
             crash_rule: |_| None,
             down: false,
             events: Vec::new(),
@@ -310,9 +313,9 @@
         if let Some(deadline) = order.deadline {
             self.extend_lease(now, deadline);
         }
-        let acknowledged = self
-            .completions
-            .extract_if(.., |end| end.number <= order.acknowledged);
+        self.acknowledged = self.acknowledged.max(order.acknowledged);
+        let mark = self.acknowledged;
+        let acknowledged = self.completions.extract_if(.., |end| end.number <= mark);
         let acknowledged =
             acknowledged.map(|end| (now, WorkerEvent::Acknowledged(end.task, end.result)));
         self.events.extend(acknowledged);
@@ -389,13 +392,15 @@
         self.runs.swap_remove(&(task, run));
         self.record_highest_run(task, run);
         self.completion_count += 1;
-        self.completions.push(EndedRun {
-            number: self.completion_count,
-            task,
-            run,
-            result,
-            checkpoint: None::<Arc<str>>,
-        });
+        if self.completion_count > self.acknowledged {
+            self.completions.push(EndedRun {
+                number: self.completion_count,
+                task,
+                run,
+                result,
+                checkpoint: None::<Arc<str>>,
+            });
+        }
         self.events
             .push((at, WorkerEvent::Ended(task, run, result)));
     }
