Refuse calls for a worker's former incarnation by its own fencing token

Cause: all calls of an owner carried one token. A restarted worker has seen none, and took what was sent to its former incarnation and was carried out late: its deadline (on the former clock: the longest lease), its acknowledgement (ends numbered anew were forgotten unread), its start.

Change: a claim takes a range of 256 tokens; the row holds the highest, so that an older daemon, which claims row + 1, is above all of them, and run numbers rise over both versions. Calls to a worker begin at the lowest and carry a higher token after each restart that the owner sees. Until the worker has answered one of these it gets no start and no acknowledgement, and the longest lease counts from that answer. A refusal of a call that carried a lower token than the worker's present one doesn't end the term.

Why it works: from the first answered call with the higher token on, the worker refuses all that was sent to a former incarnation. It does nothing for calls that are carried out before that.

Tests: the three of late_calls.rs failed before and pass. The simulated fleet of the dispatcher's tests lost delayed orders whose worker had restarted; now it loses only those whose worker has not answered the sender since, and delayed stops carry their token as well. Tests that start a task on a restarted worker let it answer twice; tests that compare tokens count in ranges; the model of the member set mixes daemons of both versions; the soak's former owners lose calls by ranges.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -91,6 +91,8 @@
 pub struct Dispatcher {
     pub(crate) settings: DispatchSettings,
     pub(crate) fencing_token: u64,
+    /// The fencing token of the owner before, above which this owner's begin; `None` for the first owner.
+    former_token: Option<u64>,
     /// The number of run numbers allocated so far.
     pub(crate) run_count: u64,
     pub(crate) configuration: Arc<FleetConfiguration>,
@@ -185,11 +187,12 @@
 }
 
 impl Dispatcher {
-    /// Creates the dispatcher of the owner with this fencing token.
+    /// Creates the dispatcher of the owner with this fencing token alone, which is the first owner's if it is 1.
     pub fn new(fencing_token: u64, settings: DispatchSettings) -> Self {
         Self {
             settings,
             fencing_token,
+            former_token: (fencing_token > 1).then(|| fencing_token - 1),
             run_count: 0,
             configuration: Arc::new(FleetConfiguration::default()),
             queue_rules: IndexMap::new(),
@@ -240,11 +243,41 @@
         }
     }
 
-    /// Returns the owner's fencing token.
+    /// Sets the fencing token of the owner before, above which this owner's begin; `None` for the first owner.
+    pub fn with_former_token(self, former_token: Option<u64>) -> Self {
+        Self {
+            former_token,
+            knows_former_jobs: former_token.is_none(),
+            ..self
+        }
+    }
+
+    /// Returns the owner's fencing token, the highest of its term.
     pub fn token(&self) -> u64 {
         self.fencing_token
     }
 
+    /// Returns the fencing token of the owner before; `None` if this is the first owner.
+    pub fn former_token(&self) -> Option<u64> {
+        self.former_token
+    }
+
+    /// Returns the fencing token of calls to a worker. It rises with each restart of the worker, so that the new incarnation
+    /// refuses what was sent to the former one.
+    pub fn worker_token(&self, key: WorkerKey) -> u64 {
+        let token = self.incarnation_token(self.worker(key));
+        token.min(self.fencing_token)
+    }
+
+    /// Returns whether a worker has restarted so often that the term has no token of its own for the present incarnation.
+    pub(crate) fn has_spent_tokens(&self, worker: &WorkerState) -> bool {
+        self.incarnation_token(worker) > self.fencing_token
+    }
+
+    fn incarnation_token(&self, worker: &WorkerState) -> u64 {
+        self.former_token.unwrap_or(0) + 1 + worker.restarts
+    }
+
     /// Replaces the configuration. Rules of queues that it no longer contains stay in force for
     /// their remaining jobs.
     pub fn set_configuration(&mut self, configuration: Arc<FleetConfiguration>) {
--- a/crates/dispatch/src/dispatcher_admission.rs
+++ b/crates/dispatch/src/dispatcher_admission.rs
@@ -74,7 +74,7 @@
 
     /// Returns whether every grant of a former owner must be on record by now.
     fn former_grants_have_settled(&self, now: Duration) -> bool {
-        self.fencing_token <= 1
+        self.former_token().is_none()
             || self
                 .first_plan_at
                 .is_some_and(|since| now >= since + FORMER_GRANT_SETTLE_TIME)
--- a/crates/dispatch/src/dispatcher_placement.rs
+++ b/crates/dispatch/src/dispatcher_placement.rs
@@ -254,6 +254,7 @@
         worker.listed
             && self.is_recorded(worker)
             && worker.has_owner_token
+            && !self.has_spent_tokens(worker)
             && worker.unanswered == 0
             && worker.unknown_runs.is_empty()
             && worker.clock.is_known()
--- a/crates/dispatch/src/dispatcher_plan.rs
+++ b/crates/dispatch/src/dispatcher_plan.rs
@@ -122,6 +122,7 @@
             && worker.record.pool == rule.pool
             && !self.closed_domains.contains(&worker.record.domain)
             && worker.has_owner_token
+            && !self.has_spent_tokens(worker)
     }
 
     /// Sends the pending stops that were not sent yet or are due again.
--- a/crates/dispatch/src/dispatcher_workers.rs
+++ b/crates/dispatch/src/dispatcher_workers.rs
@@ -288,10 +288,10 @@
         // A call that may not arrive grants no lease: otherwise an owner that keeps calling a dead
         // worker would extend the lease forever.
         let may_grant = confirmed && worker.unanswered == 0;
-        let acknowledged = match worker.unanswered == 0 {
+        let acknowledged = match worker.unanswered == 0 && worker.has_owner_token {
             true => worker.last_acknowledged,
-            // After missed answers another incarnation may answer, whose completions use the same
-            // numbers.
+            // After missed answers another incarnation may answer, whose completions use the same numbers. One that has just
+            // restarted may have carried out acknowledgements of the former incarnation's.
             false => 0,
         };
         LeaseRenewal {
@@ -340,7 +340,7 @@
         let lease = self.settings.lease_duration;
         let max_lease = self.settings.max_lease_duration.max(lease);
         let ending_time = self.settings.max_stop_duration;
-        let has_former_owner = self.fencing_token > 1;
+        let has_former_owner = self.former_token().is_some();
         let longest_wait = WorkerClock::longest(self.settings.max_renewal_wait);
         let is_restarted =
             previous.is_some() && report.incarnation.is_some() && previous != report.incarnation;
@@ -359,10 +359,12 @@
             && report.incarnation != worker.record.incarnation;
         worker.incarnation = report.incarnation.or(worker.incarnation);
         worker.clock.hear(report.clock, now);
-        if is_restarted || !worker.clock.has_deadline() {
-            // A call that was sent before its restart was known may have granted the new incarnation the longest lease, as its
-            // deadline is one on the former clock; a former owner may have granted what is adopted below a whole lease.
-            let lease = match is_restarted || worker.restarted_in_takeover {
+        let is_unfenced = worker.restarts > 0 && !worker.has_owner_token;
+        if is_unfenced || !worker.clock.has_deadline() {
+            // Until this answer, a call that was sent before its restart was known may have granted the new incarnation the
+            // longest lease, as its deadline is one on the former clock; a former owner may have granted what is adopted below
+            // a whole lease.
+            let lease = match is_unfenced || worker.restarted_in_takeover {
                 true => max_lease + ending_time,
                 false if has_former_owner => lease + ending_time,
                 false => lease,
@@ -378,7 +380,8 @@
         }
         worker.connection_refused = false;
         if !worker.has_owner_token {
-            worker.has_owner_token = true;
+            // The call that tells of a restart carried the former incarnation's token.
+            worker.has_owner_token = !is_restarted;
             worker.following_since = now;
         }
         let hears_alone = sent >= worker.following_since + longest_wait;
--- a/crates/dispatch/src/worker_state.rs
+++ b/crates/dispatch/src/worker_state.rs
@@ -48,8 +48,10 @@
     /// Whether the worker is on record for a successor, which would otherwise not know what runs on it.
     pub(crate) recorded: bool,
     pub(crate) clock: WorkerClock,
-    /// Whether the worker's current incarnation has answered a call with this owner's fencing
-    /// token.
+    /// The number of restarts that this owner has seen.
+    pub(crate) restarts: u64,
+    /// Whether the worker's current incarnation has answered a call with the fencing token that this owner uses for it, so that
+    /// it refuses calls that were sent to a former incarnation.
     pub(crate) has_owner_token: bool,
     /// The time until which the worker may execute a former owner's orders; `None` once it has
     /// answered this owner.
@@ -145,6 +147,7 @@
             listed: true,
             recorded: false,
             clock: WorkerClock::default(),
+            restarts: 0,
             has_owner_token: false,
             inherited_until: None,
             last_answer_at: None,
@@ -386,6 +389,7 @@
     /// Discards everything that depends on the worker's previous incarnation.
     pub(crate) fn reset_incarnation(&mut self) {
         self.clock = WorkerClock::default();
+        self.restarts += 1;
         self.has_owner_token = false;
         self.inherited_until = None;
         self.has_unread_ends = false;
--- a/crates/dispatch/tests/common/fleet.rs
+++ b/crates/dispatch/tests/common/fleet.rs
@@ -55,6 +55,8 @@
     Duration::from_millis(400),
     Duration::from_millis(900),
 ];
+/// The number of fencing tokens of an owner.
+const TOKENS_PER_OWNER: u64 = 256;
 /// The time after which a worker that has crashed is back.
 const CRASH_DOWNTIME: Duration = Duration::from_millis(4000);
 
@@ -269,11 +271,12 @@
     /// Replaces the owner by one that takes over from the stored records. The former owner learns
     /// of it only from the workers.
     pub(crate) fn replace_owner(&mut self) {
-        let token = self.owners.len() as u64 + 1;
-        let mut dispatcher = Dispatcher::new(token, self.settings);
+        let former_token = self.owners.last().map(|former| former.dispatcher.token());
+        let token = former_token.unwrap_or(0) + TOKENS_PER_OWNER;
+        let mut dispatcher = Dispatcher::new(token, self.settings).with_former_token(former_token);
         dispatcher.set_configuration(self.configuration());
         let until = self.now + dispatcher.inherited_orders_lifetime(false);
-        let inherited = (token > 1).then_some(until);
+        let inherited = former_token.is_some().then_some(until);
         let mut keys: Vec<WorkerKey> = Vec::with_capacity(self.workers.len());
         for (index, worker) in self.workers.iter().enumerate() {
             // The former owner's record of the worker comes first, then that of the registry.
--- a/crates/dispatch/tests/common/fleet_messages.rs
+++ b/crates/dispatch/tests/common/fleet_messages.rs
@@ -29,12 +29,12 @@
 /// The time that a commit takes.
 const COMMIT_TIME: Duration = Duration::from_millis(6);
 
-/// A message or timer, with the index of the owner that it belongs to.
+/// A message or timer, with the index of the owner that it belongs to. Calls have the fencing token that they carry.
 #[derive(Clone, Debug)]
 pub(super) enum Event {
-    Order(usize, WorkerOrder, Duration),
-    OrderAnswer(usize, WorkerOrder, OrderOutcome),
-    Renewal(usize, WorkerKey, LeaseRenewal, Duration),
+    Order(usize, u64, WorkerOrder, Duration),
+    OrderAnswer(usize, u64, WorkerOrder, OrderOutcome),
+    Renewal(usize, u64, WorkerKey, LeaseRenewal, Duration),
     RenewalAnswer(
         usize,
         WorkerKey,
@@ -119,12 +119,13 @@
             WorkerOrder::Stop { .. } | WorkerOrder::Throttle { .. } => None,
         };
         let deadline = deadline.unwrap_or_default();
+        let token = dispatcher.worker_token(worker);
         let is_unreachable = now < self.unreachable_until[worker.index()]
             || self.is_out_of_reach(owner, worker.index());
         if is_unreachable || self.chance(self.faults.lost) {
             self.push(
                 CALL_TIMEOUT,
-                Event::OrderAnswer(owner, order, OrderOutcome::Unknown),
+                Event::OrderAnswer(owner, token, order, OrderOutcome::Unknown),
             );
             return;
         }
@@ -132,15 +133,12 @@
             let later = ms(self.random.random_range(2000..12_000));
             self.push(
                 CALL_TIMEOUT,
-                Event::OrderAnswer(owner, order.clone(), OrderOutcome::Unknown),
-            );
-            self.push(
-                later,
-                Event::Order(usize::MAX, tag_delayed_order(order, owner, now), deadline),
+                Event::OrderAnswer(owner, token, order.clone(), OrderOutcome::Unknown),
             );
+            self.push(later, Event::Order(usize::MAX, token, order, deadline));
             return;
         }
-        self.push(MESSAGE_DELAY, Event::Order(owner, order, deadline));
+        self.push(MESSAGE_DELAY, Event::Order(owner, token, order, deadline));
     }
 
     pub(super) fn deliver_due_events(&mut self) {
@@ -164,14 +162,18 @@
             return;
         }
         match event {
-            Event::Order(owner, order, deadline) => self.deliver_order(owner, order, deadline),
-            Event::OrderAnswer(owner, order, end) => self.handle_order_answer(owner, order, end),
+            Event::Order(owner, token, order, deadline) => {
+                self.deliver_order(owner, token, order, deadline);
+            }
+            Event::OrderAnswer(owner, token, order, end) => {
+                self.handle_order_answer(owner, token, order, end);
+            }
             Event::RenewalDue(owner, key) => self.send_renewal(owner, key),
-            Event::Renewal(owner, key, order, sent) => {
+            Event::Renewal(owner, token, key, order, sent) => {
                 let is_unreachable =
                     !self.is_reachable(key.index()) || self.is_out_of_reach(owner, key.index());
-                if !is_unreachable && self.delays_renewal(owner, key, &order, sent) {
-                    self.push(TICK, Event::Renewal(owner, key, order, sent));
+                if !is_unreachable && self.delays_renewal(token, key, &order, sent) {
+                    self.push(TICK, Event::Renewal(owner, token, key, order, sent));
                     return;
                 }
                 let answer = match is_unreachable {
@@ -179,7 +181,7 @@
                         Err(OrderOutcome::Refused(OrderRefusal::Closed))
                     }
                     true => Err(OrderOutcome::Unknown),
-                    false => self.workers[key.index()].renew_lease(now, owner as u64 + 1, order),
+                    false => self.workers[key.index()].renew_lease(now, token, order),
                 };
                 let answer = answer.map(|report| self.add_metrics(report));
                 let wait = if is_unreachable {
@@ -206,7 +208,7 @@
     /// Returns whether a worker that received a renewal goes on waiting for a run to end. The lease is renewed at once.
     fn delays_renewal(
         &mut self,
-        owner: usize,
+        token: u64,
         key: WorkerKey,
         order: &LeaseRenewal,
         sent: Duration,
@@ -216,7 +218,7 @@
             return false;
         }
         let worker = &mut self.workers[key.index()];
-        let report = worker.renew_lease(now, owner as u64 + 1, *order);
+        let report = worker.renew_lease(now, token, *order);
         report.is_ok_and(|report| report.completions.is_empty())
     }
 
@@ -241,17 +243,12 @@
         report
     }
 
-    /// Executes an order on its worker. A delayed order, marked by `usize::MAX`, carries its
-    /// owner's token in its payload and is not answered.
-    fn deliver_order(&mut self, owner: usize, order: WorkerOrder, deadline: Duration) {
+    /// Executes an order on its worker. A delayed order, marked by `usize::MAX`, is not answered.
+    fn deliver_order(&mut self, owner: usize, token: u64, order: WorkerOrder, deadline: Duration) {
         let now = self.now;
-        let (token, sent) = match owner {
-            usize::MAX => read_delayed_order_tag(&order),
-            owner => (owner as u64 + 1, now),
-        };
         let place = worker_of(&order).index();
-        // A delayed order is lost if its worker has restarted since it was sent.
-        if self.workers[place].record().incarnation > Some(sent) {
+        // A delayed order is lost if its worker has restarted and has not answered the owner that sent it since.
+        if owner == usize::MAX && !self.has_answered_sender(token, worker_of(&order)) {
             return;
         }
         self.workers[place].advance_to(now);
@@ -259,14 +256,17 @@
             if owner != usize::MAX {
                 self.push(
                     CALL_TIMEOUT,
-                    Event::OrderAnswer(owner, order, OrderOutcome::Unknown),
+                    Event::OrderAnswer(owner, token, order, OrderOutcome::Unknown),
                 );
             }
             return;
         }
         if owner != usize::MAX && self.chance(self.refused_orders) {
             let refused = OrderOutcome::Refused(OrderRefusal::Unwell);
-            self.push(MESSAGE_DELAY, Event::OrderAnswer(owner, order, refused));
+            self.push(
+                MESSAGE_DELAY,
+                Event::OrderAnswer(owner, token, order, refused),
+            );
             return;
         }
         let work = self.work;
@@ -291,16 +291,31 @@
         match self.chance(self.faults.unanswered) {
             true => self.push(
                 CALL_TIMEOUT,
-                Event::OrderAnswer(owner, order, OrderOutcome::Unknown),
+                Event::OrderAnswer(owner, token, order, OrderOutcome::Unknown),
             ),
-            false => self.push(MESSAGE_DELAY, Event::OrderAnswer(owner, order, end)),
+            false => self.push(MESSAGE_DELAY, Event::OrderAnswer(owner, token, order, end)),
         }
     }
 
-    fn handle_order_answer(&mut self, owner: usize, order: WorkerOrder, end: OrderOutcome) {
+    /// Returns whether the present incarnation of a worker has answered the owner that sends calls with this token.
+    fn has_answered_sender(&self, token: u64, worker: WorkerKey) -> bool {
+        let mut owners = self.owners.iter().map(|owner| &owner.dispatcher);
+        let sender = owners.find(|owner| token <= owner.token());
+        let incarnation = self.workers[worker.index()].record().incarnation;
+        sender.is_some_and(|sender| sender.incarnation(worker) == incarnation)
+    }
+
+    fn handle_order_answer(
+        &mut self,
+        owner: usize,
+        token: u64,
+        order: WorkerOrder,
+        end: OrderOutcome,
+    ) {
         let now = self.now;
         let state = &mut self.owners[owner];
-        state.deposed |= end == OrderOutcome::Refused(OrderRefusal::Fenced);
+        let is_present = state.dispatcher.worker_token(worker_of(&order)) == token;
+        state.deposed |= is_present && end == OrderOutcome::Refused(OrderRefusal::Fenced);
         match order {
             WorkerOrder::Start(start) => {
                 state.dispatcher.handle_start_outcome(
@@ -326,10 +341,10 @@
         }
         let now = self.now;
         let confirmed = self.confirm_ownership(owner);
-        let order = self.owners[owner]
-            .dispatcher
-            .next_renewal(key, confirmed, now);
-        self.push(MESSAGE_DELAY, Event::Renewal(owner, key, order, now));
+        let dispatcher = &mut self.owners[owner].dispatcher;
+        let order = dispatcher.next_renewal(key, confirmed, now);
+        let token = dispatcher.worker_token(key);
+        self.push(MESSAGE_DELAY, Event::Renewal(owner, token, key, order, now));
     }
 
     fn handle_renewal_answer(
@@ -391,27 +406,3 @@
         Event::Order(..) | Event::Renewal(..) => None,
     }
 }
-
-/// Stores the token and the send time of a delayed order in its payload.
-fn tag_delayed_order(order: WorkerOrder, owner: usize, now: Duration) -> WorkerOrder {
-    match order {
-        WorkerOrder::Start(mut start) => {
-            start.payload = format!("{} {}", owner + 1, now.as_millis()).into();
-            WorkerOrder::Start(start)
-        }
-        other => other,
-    }
-}
-
-/// Returns the token and send time of a delayed order. A delayed stop carries none, and is rejected
-/// once the worker follows an owner.
-fn read_delayed_order_tag(order: &WorkerOrder) -> (u64, Duration) {
-    let WorkerOrder::Start(start) = order else {
-        return (0, Duration::ZERO);
-    };
-    let mut parts = start
-        .payload
-        .split(' ')
-        .map(|part| part.parse().unwrap_or(0));
-    (parts.next().unwrap_or(0), ms(parts.next().unwrap_or(0)))
-}
--- a/crates/dispatch/tests/late_calls.rs
+++ b/crates/dispatch/tests/late_calls.rs
@@ -18,6 +18,7 @@
 use jasminebend_base::ResourceAmount;
 use jasminebend_dispatch::{
     AcceptedJob,
+    Admission,
     DispatchSettings,
     Dispatcher,
     JobKey,
@@ -34,6 +35,9 @@
     WorkerEvent, //
 };
 
+/// The token of the first owner, the highest of its term.
+const FIRST_OWNER: u64 = 256;
+const QUEUE: &str = "queue";
 /// When the worker restarts.
 const RESTART: Duration = Duration::from_millis(103_000);
 /// The time between two calls.
@@ -65,11 +69,15 @@
 
 impl Scene {
     fn new(run_time: Duration) -> Self {
+        Self::with_former_token(run_time, None)
+    }
+
+    fn with_former_token(run_time: Duration, former_token: Option<u64>) -> Self {
         let settings = DispatchSettings::default();
         let capacity = ResourceAmount::new(4000, 4000);
         let mut worker = SimulatedWorker::new("w0", capacity, 100, ms(1000));
         worker.set_max_lease(settings.max_lease_duration);
-        let mut owner = Dispatcher::new(1, settings);
+        let mut owner = Dispatcher::new(FIRST_OWNER, settings).with_former_token(former_token);
         owner.set_configuration(configuration(3));
         let key = owner.upsert_worker(worker.record().clone(), None);
         Self {
@@ -82,13 +90,12 @@
     }
 
     fn worker_token(&self) -> u64 {
-        self.owner.token()
+        self.owner.worker_token(self.key)
     }
 
     fn add_job(&mut self, number: u64) {
-        let queue = configuration(3).queues.keys().next().unwrap().clone();
         let job = AcceptedJob {
-            queue,
+            queue: QUEUE.into(),
             rule: None,
             graph: graph(vec![step(1, &[])]).into(),
             accepted: self.now,
@@ -261,3 +268,63 @@
     scene.turn_for(LATE_BY);
     assert_eq!(scene.start_count(), 4);
 }
+
+/// Guards against a start and an acknowledgement that reach a restarted worker before it refuses calls for its former incarnation.
+#[test]
+fn restarted_worker_gets_no_start_before_it_answers_with_its_own_token() {
+    let mut scene = Scene::new(LONG_TASK);
+    scene.turn_for(ms(1900));
+    let token = scene.worker_token();
+    scene.restart(&[]);
+    scene.add_job(1);
+    scene.turn();
+    assert_eq!(scene.start_count(), 0);
+    assert_eq!(scene.worker_token(), token + 1);
+    let renewal = scene.owner.next_renewal(scene.key, true, scene.now);
+    assert_eq!((renewal.acknowledged, renewal.max_wait), (0, ms(0)));
+    scene.turn();
+    assert_eq!(scene.start_count(), 1);
+    assert_eq!(scene.worker_token(), token + 1);
+}
+
+/// Guards against calls with a successor's token, and against runs that late calls reach, on a worker that has restarted more often
+/// than the term has tokens.
+#[test]
+fn worker_for_which_the_terms_tokens_are_used_up_gets_no_start() {
+    let tokens = 3;
+    let mut scene = Scene::with_former_token(LONG_TASK, Some(FIRST_OWNER - tokens));
+    scene.turn_for(ms(1900));
+    for restart in 1..=tokens {
+        scene.worker.restart(scene.now);
+        scene.turn_for(ms(200));
+        let token = FIRST_OWNER - tokens + 1 + restart;
+        assert_eq!(scene.worker_token(), token.min(FIRST_OWNER));
+        scene.add_job(restart);
+        scene.turn_for(ms(200));
+        let runs = scene.worker.run_count();
+        assert_eq!(runs > 0, restart < tokens, "after {restart} restarts");
+    }
+    let lapses_at = scene.worker.lease_lapses_at();
+    scene.turn_for(ms(2000));
+    assert!(scene.worker.lease_lapses_at() > lapses_at, "it is renewed");
+}
+
+/// Guards against a first owner that waits for orders of former ones, and a later one that does not, whatever its token.
+#[test]
+fn first_owner_is_the_one_without_a_former_one() {
+    let is_granted = |former_token: Option<u64>| {
+        let mut scene = Scene::with_former_token(LONG_TASK, former_token);
+        scene.turn();
+        assert!(scene.owner.is_takeover_complete());
+        let mut service = step(50, &[]);
+        service.long_running = true;
+        let service = graph(vec![service]);
+        let admission = scene
+            .owner
+            .admit(JobKey::new(9), QUEUE, &service, scene.now);
+        admission == Admission::Granted
+    };
+    assert!(!is_granted(None));
+    assert!(is_granted(Some(FIRST_OWNER - 1)));
+    assert!(is_granted(Some(0)));
+}
--- a/crates/dispatch/tests/repeated_stops.rs
+++ b/crates/dispatch/tests/repeated_stops.rs
@@ -108,7 +108,8 @@
 impl UnansweredStart {
     fn new() -> Self {
         let record = Fleet::new(1, 1).workers[0].record().clone();
-        let mut dispatcher = Dispatcher::new(1, DispatchSettings::default());
+        let mut dispatcher =
+            Dispatcher::new(256, DispatchSettings::default()).with_former_token(None);
         dispatcher.set_configuration(configuration(3));
         let worker = dispatcher.upsert_worker(record, None);
         let job = AcceptedJob {
--- a/crates/dispatch/tests/weak_signs.rs
+++ b/crates/dispatch/tests/weak_signs.rs
@@ -249,19 +249,22 @@
     let mut worker = SimulatedWorker::new("w0", capacity, 100, ms(1000));
     worker.set_max_lease(settings.max_lease_duration);
     let mut spare = SimulatedWorker::new("w1", capacity, 100, ms(1000));
-    let mut owner = Dispatcher::new(1, settings);
+    let mut owner = Dispatcher::new(256, settings).with_former_token(None);
     owner.set_configuration(configuration(3));
     let queue = configuration(3).queues.keys().next().unwrap().to_string();
     let key = owner.upsert_worker(worker.record().clone(), None);
     let renew = |owner: &mut Dispatcher, key, worker: &mut SimulatedWorker, at| {
         let order = owner.next_renewal(key, true, at);
-        let report = worker.renew_lease(at, 1, order).unwrap();
+        let report = worker
+            .renew_lease(at, owner.worker_token(key), order)
+            .unwrap();
         owner.handle_renewal_report(key, at, report, at);
     };
     renew(&mut owner, key, &mut worker, boot);
     renew(&mut owner, key, &mut worker, boot + ms(100));
     worker.restart(boot + ms(150));
     renew(&mut owner, key, &mut worker, boot + ms(200));
+    renew(&mut owner, key, &mut worker, boot + ms(205));
     let job_key = JobKey::new(7);
     owner.add_job(
         job_key,
@@ -276,7 +279,8 @@
         panic!("{orders:?}");
     };
     let deadline = owner.grant_order_deadline(key, now).unwrap();
-    let outcome = worker.start(now, 1, start, deadline, work(start.task));
+    let token = owner.worker_token(key);
+    let outcome = worker.start(now, token, start, deadline, work(start.task));
     assert_eq!(outcome, OrderOutcome::Taken);
     owner.handle_start_outcome(key, start.task, start.run, outcome, now);
     // The worker is cut off from here on; another one is there.
@@ -315,16 +319,19 @@
     let queue = configuration(3).queues.keys().next().unwrap().to_string();
     let renew = |owner: &mut Dispatcher, key, worker: &mut SimulatedWorker, at| {
         let order = owner.next_renewal(key, true, at);
-        let report = worker.renew_lease(at, owner.token(), order).unwrap();
+        let report = worker
+            .renew_lease(at, owner.worker_token(key), order)
+            .unwrap();
         owner.handle_renewal_report(key, at, report, at);
     };
-    let mut former = Dispatcher::new(1, settings);
+    let mut former = Dispatcher::new(256, settings).with_former_token(None);
     former.set_configuration(configuration(3));
     let key = former.upsert_worker(worker.record().clone(), None);
     renew(&mut former, key, &mut worker, boot);
     renew(&mut former, key, &mut worker, boot + ms(100));
     worker.restart(boot + ms(150));
     renew(&mut former, key, &mut worker, boot + ms(200));
+    renew(&mut former, key, &mut worker, boot + ms(205));
     former.add_job(
         JobKey::new(7),
         AcceptedJob {
@@ -338,9 +345,10 @@
         panic!("{orders:?}");
     };
     let deadline = former.grant_order_deadline(key, now).unwrap();
-    let outcome = worker.start(now, 1, start, deadline, work(start.task));
+    let token = former.worker_token(key);
+    let outcome = worker.start(now, token, start, deadline, work(start.task));
     assert_eq!(outcome, OrderOutcome::Taken);
-    let mut successor = Dispatcher::new(2, settings);
+    let mut successor = Dispatcher::new(512, settings).with_former_token(Some(256));
     successor.set_configuration(configuration(3));
     let until = now + successor.inherited_orders_lifetime(true);
     successor.upsert_worker(worker.record().clone(), Some(until));
--- a/crates/fleet/src/fleet_workers.rs
+++ b/crates/fleet/src/fleet_workers.rs
@@ -23,7 +23,7 @@
     pub id: Arc<str>,
     /// The host and port.
     pub address: String,
-    /// The owner's fencing token.
+    /// The fencing token of calls to the worker's present incarnation, one of the owner's.
     pub token: u64,
     /// When the incarnation began that the call is meant for, since 1970; `None` if the worker's answers do not tell. Any
     /// incarnation may answer a renewal that is [read-only](LeaseRenewal::is_read_only).
--- a/crates/fleet/src/lease_renewal.rs
+++ b/crates/fleet/src/lease_renewal.rs
@@ -78,6 +78,8 @@
     ends: usize,
     first_end: Option<u64>,
     owner_token: u64,
+    /// The token that the answered call carried.
+    worker_token: u64,
 }
 
 /// Renews a worker's lease until the term is over, or the worker is retired.
@@ -113,7 +115,9 @@
                 term.plan_wakeup.notify_one();
                 wait_for_commit(&term, key).await;
             }
-            Err(OrderOutcome::Refused(OrderRefusal::Fenced)) => {
+            Err(OrderOutcome::Refused(OrderRefusal::Fenced))
+                if term.uses_token(key, address.token) =>
+            {
                 term.end();
                 return;
             }
@@ -192,7 +196,8 @@
 ) {
     let dispatcher = term.dispatcher.borrow();
     let former = dispatcher.incarnation(key);
-    let is_first_answer = term.token() > 1 && dispatcher.last_answer_at(key).is_none();
+    let is_first_answer =
+        dispatcher.former_token().is_some() && dispatcher.last_answer_at(key).is_none();
     let is_restarted = former.is_some() && former != report.incarnation;
     let age = report
         .incarnation
@@ -220,6 +225,7 @@
             ends: report.completions.len(),
             first_end: report.completions.first().map(|end| end.number),
             owner_token: term.token(),
+            worker_token: dispatcher.worker_token(key),
         },
     );
 }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -129,7 +129,8 @@
     owner_record::{
         JobRecord,
         MemberRecord,
-        OwnerRecord, //
+        OwnerRecord,
+        TOKENS_PER_TERM, //
     },
     peer_message::{
         PeerAnswer,
--- a/crates/fleet/src/maintenance_waves.rs
+++ b/crates/fleet/src/maintenance_waves.rs
@@ -96,7 +96,7 @@
     let Some(vms) = shared.vms.clone() else {
         return term.until_over().await;
     };
-    if term.token() > 1 {
+    if !term.is_first_owner() {
         // The platform counts calls of two owners within this time as two concurrent lease holders.
         time::sleep(shared.settings.maintenance_lease).await;
     }
--- a/crates/fleet/src/member_set.rs
+++ b/crates/fleet/src/member_set.rs
@@ -10,7 +10,9 @@
     Serialize, //
 };
 
-/// The fencing token of the first owner, which has no predecessors.
+use crate::TOKENS_PER_TERM;
+
+/// The fencing token of the first owner, which has no predecessors, if its daemon is of an earlier version.
 const FIRST_TOKEN: u64 = 1;
 
 /// A member as the set counts it.
@@ -45,16 +47,19 @@
 }
 
 impl MemberSet {
-    /// Returns the set by which the owner with this token counts while the store holds none: all daemons that have enrolled. Only
-    /// the first owner is known to have been settled.
-    pub fn of_enrolled(members: Vec<SetMember>, token: u64) -> Self {
-        if token == FIRST_TOKEN {
+    /// Returns the set by which owners count while the store holds none: all daemons that have enrolled. Only the first owner is
+    /// known to have been settled. `former` is the token of the owner before the one that counts; `None` if that is the first.
+    pub fn of_enrolled(members: Vec<SetMember>, former: Option<u64>) -> Self {
+        let Some(former) = former else {
             return Self::default();
-        }
+        };
         Self {
             members,
             witnesses: Vec::new(),
-            settled_token: FIRST_TOKEN,
+            settled_token: match former {
+                TOKENS_PER_TERM => TOKENS_PER_TERM,
+                _ => FIRST_TOKEN,
+            },
         }
     }
 
--- a/crates/fleet/src/member_set_changes.rs
+++ b/crates/fleet/src/member_set_changes.rs
@@ -80,7 +80,7 @@
     }
     Ok(MemberSet::of_enrolled(
         enrolled_members(shared),
-        term.token(),
+        term.dispatcher.borrow().former_token(),
     ))
 }
 
--- a/crates/fleet/src/order_planning.rs
+++ b/crates/fleet/src/order_planning.rs
@@ -202,7 +202,7 @@
 
 /// Makes a plan after each event and at regular intervals, and sends its orders, until the term is over.
 pub(crate) async fn plan_orders(shared: Rc<SharedState>, term: Rc<OwnerTerm>) {
-    let mut is_complete = term.token() == 1;
+    let mut is_complete = term.is_first_owner();
     loop {
         // After the timeout a plan is made without an event.
         drop(time::timeout(LONGEST_PLAN_INTERVAL, term.plan_wakeup.notified()).await);
@@ -262,14 +262,14 @@
     }
 }
 
-/// Returns the worker's address, with the owner's fencing token.
+/// Returns the worker's address, with the fencing token of calls to its present incarnation.
 pub(crate) fn worker_address(term: &OwnerTerm, key: WorkerKey) -> WorkerAddress {
     let dispatcher = term.dispatcher.borrow();
     let record = dispatcher.worker_record(key);
     WorkerAddress {
         id: record.id.clone(),
         address: record.address.clone(),
-        token: term.token(),
+        token: dispatcher.worker_token(key),
         incarnation: dispatcher.incarnation(key),
     }
 }
@@ -281,7 +281,14 @@
         return;
     }
     let basis = start_basis(&term, &order);
-    let born = term.dispatcher.borrow().incarnation(order_worker(&order));
+    let worker = order_worker(&order);
+    let (born, token) = {
+        let dispatcher = term.dispatcher.borrow();
+        (
+            dispatcher.incarnation(worker),
+            dispatcher.worker_token(worker),
+        )
+    };
     let mut deadline = None;
     let reply = match &order {
         WorkerOrder::Start(start) => {
@@ -331,7 +338,7 @@
         reply,
     };
     log_order(&shared, &term, &order, call);
-    if outcome == OrderOutcome::Refused(OrderRefusal::Fenced) {
+    if outcome == OrderOutcome::Refused(OrderRefusal::Fenced) && term.uses_token(worker, token) {
         term.end();
     }
     if outcome != OrderOutcome::Taken || term.dispatcher.borrow().can_resume_starts() {
--- a/crates/fleet/src/owner_record.rs
+++ b/crates/fleet/src/owner_record.rs
@@ -5,6 +5,9 @@
     Serialize, //
 };
 
+/// The number of fencing tokens that a term takes: calls to a worker carry a higher one after each of its restarts.
+pub const TOKENS_PER_TERM: u64 = 256;
+
 /// The daemon that owns the jobs and workers of a shard.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct OwnerRecord {
@@ -14,7 +17,8 @@
     pub incarnation: u64,
     /// The daemon's address for other daemons.
     pub address: String,
-    /// The fencing token, which increases with each change of the owner.
+    /// The fencing token, which increases with each change of the owner: the highest of the term's tokens, so that a daemon of
+    /// an earlier version, which claims the next token, is above all of them.
     pub token: u64,
     /// Whether the daemon has given up the ownership.
     pub vacant: bool,
--- a/crates/fleet/src/owner_term.rs
+++ b/crates/fleet/src/owner_term.rs
@@ -119,6 +119,17 @@
         self.record.token
     }
 
+    /// Returns whether there was no owner before this one.
+    pub(crate) fn is_first_owner(&self) -> bool {
+        self.dispatcher.borrow().former_token().is_none()
+    }
+
+    /// Returns whether calls to a worker still carry this token. If they carry a higher one, as the worker has restarted, a
+    /// refusal of this one tells of no successor.
+    pub(crate) fn uses_token(&self, worker: WorkerKey, token: u64) -> bool {
+        self.dispatcher.borrow().worker_token(worker) == token
+    }
+
     /// Returns when the store had answered the claim that began the term.
     pub(crate) fn claimed_at(&self) -> Duration {
         self.claimed_at
--- a/crates/fleet/src/ownership_takeover.rs
+++ b/crates/fleet/src/ownership_takeover.rs
@@ -19,6 +19,7 @@
     RowCommit,
     StoreRow,
     StoreTable,
+    TOKENS_PER_TERM,
     job_watch::{
         JobWatchPosition,
         apply_job_row,
@@ -184,11 +185,12 @@
         let succession = shared.succession.borrow();
         (succession.owner_row().cloned(), shared.owner_version.get())
     };
+    let former_token = former.as_ref().map(|owner| owner.token);
     let record = OwnerRecord {
         node: shared.settings.node.clone(),
         incarnation: shared.incarnation,
         address: shared.settings.peer_address.to_string(),
-        token: former.as_ref().map_or(0, |owner| owner.token) + 1,
+        token: former_token.unwrap_or(0) + TOKENS_PER_TERM,
         vacant: false,
     };
     let value = postcard::to_stdvec(&record).ok()?;
@@ -210,7 +212,8 @@
     let guard = row.guard(version);
     let written = StoreRow { version, ..row };
     apply_owner_row(shared, Some(&written));
-    let dispatcher = Dispatcher::new(record.token, shared.settings.dispatch);
+    let dispatcher =
+        Dispatcher::new(record.token, shared.settings.dispatch).with_former_token(former_token);
     let term =
         OwnerTerm::new(record, guard, dispatcher, sent, shared.now()).with_page_count(page_count);
     let term = Rc::new(term);
@@ -249,7 +252,7 @@
 
 /// Passes the records of the former owner to the dispatcher.
 fn apply_records(shared: &SharedState, term: &OwnerTerm, records: TakeoverRecords) {
-    let is_first_owner = term.token() == 1;
+    let is_first_owner = term.is_first_owner();
     let progress = records.progress;
     let mut dispatcher = term.dispatcher.borrow_mut();
     let until = term
--- a/crates/fleet/tests/daemons/jobs_read_again.rs
+++ b/crates/fleet/tests/daemons/jobs_read_again.rs
@@ -15,7 +15,8 @@
     CallerVerb,
     JobRecord,
     StoreRow,
-    StoreTable, //
+    StoreTable,
+    TOKENS_PER_TERM, //
 };
 use tokio::time;
 
@@ -143,7 +144,11 @@
         owner.kill();
         submit(&successor.job_api, 2, &job(&[(1, &[])])).await;
         let claimed = time::Instant::now();
-        while fleet.store.owner().is_none_or(|owner| owner.token < 2) {
+        while fleet
+            .store
+            .owner()
+            .is_none_or(|owner| owner.token < 2 * TOKENS_PER_TERM)
+        {
             time::sleep(Duration::from_millis(50)).await;
         }
         eprintln!("claimed after {:?}", claimed.elapsed());
@@ -278,15 +283,16 @@
         failing.borrow_mut().push(first_part(1));
         successor.store_client.commit_latency.set(SLOW_CLAIM_TIME);
         first.kill();
-        wait_for_owner(&fleet, 2).await;
+        wait_for_owner(&fleet, 2 * TOKENS_PER_TERM).await;
         fleet.workers.run_time.set(SHORT_RUN_TIME);
         wait_until(|| successor.store_client.commits_under_way.get() == 1).await;
         failing.borrow_mut().clear();
         submit(&owner.job_api, 2, &job(&[(1, &[]), (1, &[0])])).await;
         wait_until(|| fleet.store.jobs_with_a_done_step() == 1).await;
         let token = fleet.store.owner().map(|owner| owner.token);
-        assert_eq!(token, Some(2), "the successor's claim is under way");
-        wait_for_owner(&fleet, 3).await;
+        let second = Some(2 * TOKENS_PER_TERM);
+        assert_eq!(token, second, "the successor's claim is under way");
+        wait_for_owner(&fleet, 3 * TOKENS_PER_TERM).await;
         successor.store_client.commit_latency.set(SHORT_LATENCY);
         time::sleep(Duration::from_secs(15)).await;
         assert_eq!(fleet.workers.started_runs(), 3);
--- a/crates/fleet/tests/daemons/main.rs
+++ b/crates/fleet/tests/daemons/main.rs
@@ -4,6 +4,7 @@
 mod admission;
 mod crashing_tasks;
 mod ended_jobs;
+mod fencing_tokens;
 mod jobs;
 mod jobs_read_again;
 mod large_jobs;
--- a/crates/fleet/tests/daemons/narrow_link.rs
+++ b/crates/fleet/tests/daemons/narrow_link.rs
@@ -10,7 +10,8 @@
 use jasminebend_fleet::{
     JobRecord,
     StoreRow,
-    StoreTable, //
+    StoreTable,
+    TOKENS_PER_TERM, //
 };
 use tokio::time;
 
@@ -117,6 +118,7 @@
         }
         time::sleep(SUCCESSION_TIME + transfer_time(NARROWEST_RATE)).await;
         assert_eq!(fleet.workers.started_runs(), 2);
-        assert_eq!(fleet.store.owner().map(|owner| owner.token), Some(2));
+        let token = fleet.store.owner().map(|owner| owner.token);
+        assert_eq!(token, Some(2 * TOKENS_PER_TERM));
     });
 }
--- a/crates/fleet/tests/daemons/partial_outage.rs
+++ b/crates/fleet/tests/daemons/partial_outage.rs
@@ -12,7 +12,8 @@
     CallerVerb,
     JobRecord,
     StoreRow,
-    StoreTable, //
+    StoreTable,
+    TOKENS_PER_TERM, //
 };
 use tokio::time;
 
@@ -248,7 +249,8 @@
         owner.kill();
         submit(&successors[0].job_api, 2, &job(&[(1, &[])])).await;
         time::sleep(Duration::from_secs(20)).await;
-        assert_eq!(fleet.store.owner().map(|owner| owner.token), Some(2));
+        let token = fleet.store.owner().map(|owner| owner.token);
+        assert_eq!(token, Some(2 * TOKENS_PER_TERM));
         for successor in &successors {
             mend_parts(successor);
         }
--- a/crates/fleet/tests/daemons/random_troubles.rs
+++ b/crates/fleet/tests/daemons/random_troubles.rs
@@ -5,6 +5,7 @@
     time::Duration, //
 };
 
+use jasminebend_fleet::TOKENS_PER_TERM;
 use rand::{
     RngExt,
     SeedableRng,
@@ -137,7 +138,9 @@
     fn cut_off_from_owner(&mut self, id: &str) {
         let token = self.fleet.store.owner().map_or(0, |owner| owner.token);
         let ahead = self.random.random_range(0..2);
-        self.fleet.workers.cut_off(id, token + ahead);
+        self.fleet
+            .workers
+            .cut_off(id, token + ahead * TOKENS_PER_TERM);
     }
 
     fn unlist_some_workers(&mut self) {
--- a/crates/fleet/tests/daemons/suspended_owner.rs
+++ b/crates/fleet/tests/daemons/suspended_owner.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use jasminebend_fleet::TOKENS_PER_TERM;
 use tokio::time;
 
 use crate::test_fleet::{
@@ -32,7 +33,7 @@
         time::sleep(STARTED_AFTER).await;
         assert_eq!(fleet.workers.running_tasks().len(), 9);
         for worker in FOLLOWERS {
-            fleet.workers.cut_off(worker, 1);
+            fleet.workers.cut_off(worker, TOKENS_PER_TERM);
         }
         owner.store_client.refuses_calls.set(true);
         machine.suspend_for(SUSPENDED_FOR).await;
--- a/crates/fleet/tests/daemons/takeover.rs
+++ b/crates/fleet/tests/daemons/takeover.rs
@@ -22,7 +22,8 @@
 use jasminebend_fleet::{
     JobRecord,
     StoreRow,
-    StoreTable, //
+    StoreTable,
+    TOKENS_PER_TERM, //
 };
 use jasminebend_standins::{
     TaskWork,
@@ -125,7 +126,7 @@
     // The daemon has enrolled by then, so that its next write is the claim.
     time::sleep(Duration::from_secs(1)).await;
     successor.store_client.lost_answers.set(1);
-    while fleet.store.owner().is_none_or(|owner| owner.token < 3) {
+    while (fleet.store.owner()).is_none_or(|owner| owner.token < 1 + 2 * TOKENS_PER_TERM) {
         time::sleep(POLL_INTERVAL).await;
     }
     assert_eq!(successor.store_client.lost_answers.get(), 0);
--- a/crates/fleet/tests/daemons/test_fleet.rs
+++ b/crates/fleet/tests/daemons/test_fleet.rs
@@ -88,6 +88,7 @@
     SetMember,
     StoreRow,
     StoreTable,
+    TOKENS_PER_TERM,
     WorkerAddress, //
 };
 use jasminebend_ingress::DescriptorShortage;
@@ -158,6 +159,8 @@
     cut_off: RefCell<BTreeSet<(String, u64)>>,
     /// When each worker that has crashed restarts.
     restarts: RefCell<BTreeMap<String, Duration>>,
+    /// How long an order is under way.
+    pub(crate) order_latency: Cell<Duration>,
     /// The share of orders that are lost, late, or without an answer, in percent each.
     pub(crate) order_fault_percent: Cell<u32>,
     late_orders: RefCell<Vec<LateOrder>>,
@@ -172,6 +175,7 @@
         worker: &WorkerAddress,
         act: impl FnOnce(&mut SimulatedWorker, Duration) -> OrderOutcome + 'static,
     ) -> OrderOutcome {
+        time::sleep(self.order_latency.get()).await;
         let is_lost = self.is_affected();
         let is_late = self.is_affected();
         let is_unanswered = self.is_affected();
@@ -228,7 +232,10 @@
         act: impl FnOnce(&mut SimulatedWorker, Duration) -> Answer,
     ) -> Option<Answer> {
         let id = address.id.as_ref();
-        let is_cut_off = (self.cut_off.borrow()).contains(&(id.to_owned(), address.token));
+        let is_cut_off = self.cut_off.borrow().iter().any(|(worker, owner_token)| {
+            let tokens = owner_token.saturating_sub(TOKENS_PER_TERM) + 1..=*owner_token;
+            worker == id && tokens.contains(&address.token)
+        });
         match is_cut_off || self.partitioned.borrow().contains(id) || self.is_down(id) {
             true => None,
             false => self.with_worker(id, act),
@@ -291,9 +298,9 @@
         self.partitioned.borrow_mut().insert(id.to_owned());
     }
 
-    /// Cuts a worker off from the owner with this token only.
-    pub(crate) fn cut_off(&self, id: &str, token: u64) {
-        self.cut_off.borrow_mut().insert((id.to_owned(), token));
+    /// Cuts a worker off from the owner with this token, the highest of its term, only.
+    pub(crate) fn cut_off(&self, id: &str, owner_token: u64) {
+        (self.cut_off.borrow_mut()).insert((id.to_owned(), owner_token));
     }
 
     /// Renews a worker's lease as the owner with this token would.
@@ -592,6 +599,7 @@
                 connection_losses: Cell::new(0),
                 partitioned: RefCell::default(),
                 cut_off: RefCell::default(),
+                order_latency: Cell::default(),
                 restarts: RefCell::default(),
                 order_fault_percent: Cell::new(0),
                 late_orders: RefCell::default(),
--- a/crates/fleet/tests/member_set.rs
+++ b/crates/fleet/tests/member_set.rs
@@ -18,6 +18,7 @@
     ProbeResult,
     SetMember,
     Succession,
+    TOKENS_PER_TERM,
     WitnessWorker, //
 };
 use rand::{
@@ -61,6 +62,7 @@
     owner: Option<OwnerRecord>,
     set: MemberSet,
     set_version: u64,
+    takeovers: u64,
     late: Vec<SetCommit>,
 }
 
@@ -337,7 +339,10 @@
             Some(owner) => self.takes_for_gone(node, owner),
             None => true,
         };
-        let token = self.store.token() + 1;
+        // Some daemons are of an earlier version, of which a term has a single token.
+        let has_range = node % 2 == 1;
+        let token = self.store.token() + if has_range { TOKENS_PER_TERM } else { 1 };
+        self.store.takeovers += 1;
         self.store.owner = Some(OwnerRecord {
             node: name(node),
             incarnation: self.nodes[node].incarnation,
@@ -351,14 +356,18 @@
         let is_recorded = self.store.set_version > 0;
         let set = match is_recorded {
             true => self.store.set.clone(),
-            false => MemberSet::of_enrolled((0..self.nodes.len()).map(set_member).collect(), token),
+            false => {
+                let members = (0..self.nodes.len()).map(set_member).collect();
+                MemberSet::of_enrolled(members, former.as_ref().map(|owner| owner.token))
+            }
         };
         let mut bound = FormerOwnerBound::new(self.now, set.clone());
         if !is_recorded {
             bound = bound.without_time_limits();
         }
         if is_gone {
-            bound.record_owner_stopped(token - 1, self.now);
+            let former_token = former.as_ref().map_or(0, |owner| owner.token);
+            bound.record_owner_stopped(former_token, self.now);
         }
         bound.record_told(&name(node), self.now);
         let state = &mut self.nodes[node];
@@ -611,7 +620,7 @@
                 panic!("seed {seed}: {violation}");
             }
         }
-        takeovers += model.store.token();
+        takeovers += model.store.takeovers;
         set_changes += model.store.set_version;
     }
     println!("{seeds} seeds: {takeovers} takeovers, {set_changes} changes of the set");
--- a/crates/fleet/tests/progress_codec.rs
+++ b/crates/fleet/tests/progress_codec.rs
@@ -13,6 +13,7 @@
     WorkerCrash, //
 };
 use jasminebend_fleet::{
+    TOKENS_PER_TERM,
     decode_progress,
     encode_progress, //
 };
@@ -228,7 +229,12 @@
         steps: vec![StepProgress {
             done: (0..10_000).collect(),
             failures: (10_000..20_000)
-                .map(|task| (task, RunNumber::new(1_000_000_000 + u64::from(task))))
+                .map(|task| {
+                    (
+                        task,
+                        RunNumber::of_owner(100 * TOKENS_PER_TERM, task.into()),
+                    )
+                })
                 .collect(),
             ..StepProgress::default()
         }],
