Show that a successor counts too short a lease on a restarted worker

Its owner sees the restart and is replaced. By then the registry, the record and the answer name the same incarnation, and the successor counts a regular lease.

--- a/crates/dispatch/tests/weak_signs.rs
+++ b/crates/dispatch/tests/weak_signs.rs
@@ -371,6 +371,79 @@
     panic!("the task has not started again");
 }
 
+/// Guards against two runs of a task: a start that was meant for the former incarnation of a restarted worker granted the new one the
+/// longest lease, and a successor, to which nothing tells of a restart, counts a regular one.
+#[test]
+fn run_that_a_start_for_a_former_incarnation_began_ends_before_a_successor_starts_the_task() {
+    let settings = DispatchSettings::default();
+    let boot = ms(100_000);
+    let capacity = ResourceAmount::new(4000, 4000);
+    let mut worker = SimulatedWorker::new("w0", capacity, 100, ms(1000));
+    worker.set_max_lease(settings.max_lease_duration);
+    let mut spare = SimulatedWorker::new("w1", capacity, 100, ms(1000));
+    let queue = configuration(3).queues.keys().next().unwrap().to_string();
+    let renew = |owner: &mut Dispatcher, key, worker: &mut SimulatedWorker, at| {
+        let order = owner.next_renewal(key, true, at);
+        let report = worker.renew_lease(at, owner.token(), order).unwrap();
+        owner.handle_renewal_report(key, at, report, at);
+    };
+    let mut former = Dispatcher::new(1, settings);
+    former.set_configuration(configuration(3));
+    let key = former.upsert_worker(worker.record().clone(), None);
+    renew(&mut former, key, &mut worker, boot);
+    renew(&mut former, key, &mut worker, boot + ms(100));
+    former.add_job(
+        JobKey::new(7),
+        AcceptedJob {
+            inherited: false,
+            ..job(&queue)
+        },
+    );
+    let orders = former.plan(boot + ms(110)).orders;
+    let [WorkerOrder::Start(start)] = &orders[..] else {
+        panic!("{orders:?}");
+    };
+    let deadline = former.grant_order_deadline(key, boot + ms(110)).unwrap();
+    worker.restart(boot + ms(150));
+    let outcome = worker.start(boot + ms(160), 1, start, deadline, work(start.task));
+    assert_eq!(outcome, OrderOutcome::Taken);
+    former.handle_start_outcome(key, start.task, start.run, outcome, boot + ms(160));
+    renew(&mut former, key, &mut worker, boot + ms(200));
+    former.upsert_worker(worker.record().clone(), None);
+    assert_eq!(former.incarnation(key), worker.record().incarnation);
+    let mut successor = Dispatcher::new(2, settings);
+    successor.set_configuration(configuration(3));
+    let claimed_at = boot + ms(1000);
+    let until = claimed_at + successor.inherited_orders_lifetime(true);
+    successor.upsert_worker(former.worker_record(key).clone(), Some(until));
+    let key = successor.upsert_worker(worker.record().clone(), Some(until));
+    let other = successor.upsert_worker(spare.record().clone(), Some(until));
+    successor.add_job(JobKey::new(7), job(&queue));
+    renew(&mut successor, key, &mut worker, claimed_at);
+    assert_eq!(worker.run_count(), 1);
+    // The worker is cut off from here on.
+    for turn in 1..200 {
+        let at = claimed_at + ms(100 * turn);
+        worker.advance_to(at);
+        renew(&mut successor, other, &mut spare, at);
+        if turn % 7 == 0 {
+            successor.next_renewal(key, true, at);
+            successor.handle_renewal_failure(key, OrderOutcome::Unknown, at);
+        }
+        successor.expire_leases(at);
+        let orders = successor.plan(at).orders;
+        if orders
+            .iter()
+            .any(|order| matches!(order, WorkerOrder::Start(_)))
+        {
+            let waited = at - claimed_at;
+            assert_eq!(worker.running_tasks(), Vec::new(), "after {waited:?}");
+            return;
+        }
+    }
+    panic!("the task has not started again");
+}
+
 /// Guards against two runs of a task where leases are short and workers end lapsed runs late.
 #[test]
 fn short_leases_leave_time_to_end_runs() {
