Count the longest lease on workers that restarted a short time ago

Cause: a call that was meant for the former incarnation of a worker, and is carried out by the new one, carries a deadline on another clock, so that the worker holds the longest lease (10 s). Its owner counts that, but a successor counted a regular lease unless registry, records and answers differed, which they no longer do soon after the restart. A successor that did not reach the worker did not count it either.

The dispatcher now learns the wall clock, and so the age of an incarnation: wall time minus `born`, less the largest skew (`max_skew_ms`). While the last lease that a call for the former incarnation may have granted has not lapsed (15 s, the longest lease and the skew after the start), or while the age is unknown, a successor counts the longest lease, both from the first answer and for a worker that it does not reach. The youngest of registry, record and answer counts.

So that a successor knows the age, an owner starts runs on an incarnation only once the registry and the records name it, or the longest lease has passed since its first answer; the records are written again, as the registry's change wakes their writer. A worker without `born` is of unknown age to a successor, and takes runs at once. A start that was planned before is dropped.

In the simulated fleets workers' `born` agrees with the owners' wall clocks, which differ by up to the skew; their workers accept the longest lease of the settings.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -182,6 +182,8 @@
     pub(crate) storeless: bool,
     /// Until when workers that this owner does not know may continue to execute a former owner's orders.
     pub(crate) unknown_workers_until: Option<Duration>,
+    /// The wall-clock time since 1970 at which this process's clock was zero, if it is known.
+    pub(crate) wall_origin: Option<Duration>,
     /// Whether runs start only on workers that are on record for a successor.
     pub(crate) requires_recorded_workers: bool,
 }
@@ -239,6 +241,7 @@
             isolation_turn: None,
             storeless: false,
             unknown_workers_until: None,
+            wall_origin: None,
             requires_recorded_workers: false,
         }
     }
--- a/crates/dispatch/src/dispatcher_plan.rs
+++ b/crates/dispatch/src/dispatcher_plan.rs
@@ -119,6 +119,7 @@
         !job.is_over()
             && run.is_some_and(|run| run.phase == RunPhase::Sent)
             && !worker.record.draining
+            && self.is_recorded(worker)
             && worker.record.pool == rule.pool
             && !self.closed_domains.contains(&worker.record.domain)
             && worker.has_owner_token
--- a/crates/dispatch/src/dispatcher_workers.rs
+++ b/crates/dispatch/src/dispatcher_workers.rs
@@ -50,6 +50,10 @@
 /// The time in which a worker that is up answers a renewal, beside the time for which it may delay the answer.
 const ANSWER_TIME: Duration = Duration::from_millis(50);
 
+/// The time after the start of a worker's incarnation within which calls that were meant for the former one are carried out: they
+/// were sent until the restart was noticed, and are carried out up to 12 s late.
+const FORMER_CALL_WINDOW: Duration = Duration::from_secs(15);
+
 /// The time without any activity of the process from which it counts as suspended. It plans several times within that.
 const SUSPENSION_THRESHOLD: Duration = Duration::from_millis(700);
 
@@ -66,8 +70,58 @@
         }
     }
 
+    /// Records the wall-clock time since 1970 at `now`, by which the ages of workers' incarnations are known.
+    pub fn note_wall(&mut self, wall: Duration, now: Duration) {
+        self.wall_origin = Some(wall.saturating_sub(now));
+    }
+
+    /// Returns the lease that a worker may hold at most.
+    fn longest_lease(&self) -> Duration {
+        let lease = self.settings.lease_duration;
+        self.settings.max_lease_duration.max(lease) + self.settings.max_stop_duration
+    }
+
+    /// Returns when, on this process's clock, the last lease lapses that a call for a former incarnation may have granted the
+    /// one that began at `incarnation`; `None` if that is unknown.
+    fn former_calls_until(&self, incarnation: Option<Duration>) -> Option<Duration> {
+        let began_at = incarnation?.saturating_add(self.settings.max_clock_skew);
+        let time = FORMER_CALL_WINDOW + WorkerClock::longest(self.longest_lease());
+        Some(
+            began_at
+                .saturating_add(time)
+                .saturating_sub(self.wall_origin?),
+        )
+    }
+
+    /// Returns the lease that a worker which a former owner knew may hold when its incarnation first answers this owner.
+    /// Calls that were meant for a former incarnation carry deadlines on another clock.
+    fn inherited_lease(&self, incarnation: Option<Duration>, now: Duration) -> Duration {
+        let regular = self.settings.lease_duration + self.settings.max_stop_duration;
+        let longest = self.longest_lease();
+        match self.former_calls_until(incarnation) {
+            Some(until) => until.saturating_sub(now).clamp(regular, longest),
+            None => longest,
+        }
+    }
+
+    /// Returns how much longer than usual a worker whose age is unknown may execute a former owner's orders.
+    fn unknown_age_extension(&self) -> Duration {
+        let longest = WorkerClock::longest(self.longest_lease());
+        longest.saturating_sub(self.inherited_orders_lifetime(true))
+    }
+
+    /// Returns the time until which a worker that has not answered may continue to execute a former owner's orders; `until` if it has
+    /// not restarted lately.
+    fn inherited_until(&self, worker: &WorkerState, until: Duration) -> Duration {
+        let extended = until.saturating_add(self.unknown_age_extension());
+        match self.former_calls_until(worker.latest_incarnation) {
+            Some(lapses_at) => lapses_at.clamp(until, extended),
+            None => extended,
+        }
+    }
+
     /// Sets the time until which workers that have not yet answered may continue to execute a
-    /// former owner's orders.
+    /// former owner's orders, unless they have restarted lately.
     pub fn set_inherited_until(&mut self, until: Duration) {
         let inherited = self.workers.iter_mut();
         for worker in inherited.filter(|worker| worker.inherited_until.is_some()) {
@@ -89,7 +143,7 @@
     }
 
     /// Adds or updates a worker that the registry lists. `inherited` is the time until which the
-    /// worker may continue to execute a former owner's orders, if there was one.
+    /// worker may continue to execute a former owner's orders, if there was one and the worker has not restarted lately.
     pub fn upsert_worker(&mut self, record: FleetWorker, inherited: Option<Duration>) -> WorkerKey {
         let key = match self.worker_keys.get(&record.id) {
             Some(&key) => {
@@ -103,6 +157,7 @@
         let mut state = WorkerState::new(record);
         state.unsettled_crashes = inherited_crashes.unwrap_or_default();
         state.inherited_until = inherited;
+        state.is_inherited = inherited.is_some();
         state.changed_in_plan = self.plan_count;
         self.workers.push(state);
         key
@@ -190,10 +245,14 @@
     /// Records that these workers are on record for a successor.
     pub fn finish_recording(&mut self, records: &[FleetWorker]) {
         for record in records {
-            if let Some(key) = self.worker_key(&record.id)
-                && !self.worker(key).recorded
-            {
-                self.worker_mut(key).recorded = true;
+            let Some(key) = self.worker_key(&record.id) else {
+                continue;
+            };
+            let worker = self.worker(key);
+            if !worker.recorded || worker.recorded_incarnation != record.incarnation {
+                let worker = self.worker_mut(key);
+                worker.recorded = true;
+                worker.recorded_incarnation = record.incarnation;
             }
         }
     }
@@ -206,7 +265,9 @@
 
     /// Returns whether runs may start on a worker as far as its record for a successor is concerned.
     pub(crate) fn is_recorded(&self, worker: &WorkerState) -> bool {
-        worker.recorded || !self.requires_recorded_workers
+        let is_recorded = worker.recorded
+            && (worker.requires_record_until.is_none() || worker.is_incarnation_recorded());
+        is_recorded || !self.requires_recorded_workers
     }
 
     /// Returns when a worker last answered, or `None` if it never did.
@@ -338,9 +399,10 @@
         let is_fresh = sent >= self.resumed_at;
         let previous = self.worker(key).incarnation;
         let lease = self.settings.lease_duration;
-        let max_lease = self.settings.max_lease_duration.max(lease);
+        let longest_lease = self.longest_lease();
         let ending_time = self.settings.max_stop_duration;
         let has_former_owner = self.former_token().is_some();
+        let may_be_unknown = self.unknown_workers_until.is_some();
         let longest_wait = WorkerClock::longest(self.settings.max_renewal_wait);
         let is_restarted =
             previous.is_some() && report.incarnation.is_some() && previous != report.incarnation;
@@ -358,16 +420,21 @@
             && worker.record.incarnation.is_some()
             && report.incarnation != worker.record.incarnation;
         worker.incarnation = report.incarnation.or(worker.incarnation);
+        worker.latest_incarnation = worker.latest_incarnation.max(report.incarnation);
+        let latest_incarnation = worker.latest_incarnation;
+        let inherited_lease = self.inherited_lease(latest_incarnation, now);
+        let worker = self.worker_mut(key);
         worker.clock.hear(report.clock, now);
         let is_unfenced = worker.restarts > 0 && !worker.has_owner_token;
         if is_unfenced || !worker.clock.has_deadline() {
             // Until this answer, a call that was sent before its restart was known may have granted the new incarnation the
             // longest lease, as its deadline is one on the former clock; a former owner may have granted what is adopted below
             // a whole lease.
-            let lease = match is_unfenced || worker.restarted_in_takeover {
-                true => max_lease + ending_time,
-                false if has_former_owner => lease + ending_time,
-                false => lease,
+            let lease = match () {
+                () if is_unfenced || worker.restarted_in_takeover => longest_lease,
+                () if worker.is_inherited || may_be_unknown => inherited_lease,
+                () if has_former_owner => lease + ending_time,
+                () => lease,
             };
             worker.clock.grant(lease, now);
         }
@@ -383,6 +450,7 @@
             // The call that tells of a restart carried the former incarnation's token.
             worker.has_owner_token = !is_restarted;
             worker.following_since = now;
+            worker.requires_record_until = Some(now + WorkerClock::longest(longest_lease));
         }
         let hears_alone = sent >= worker.following_since + longest_wait;
         let had_unknown_runs = worker.may_have_unknown_runs();
@@ -508,12 +576,23 @@
 
     /// Gives up the runs of workers whose lease has certainly lapsed.
     pub fn expire_leases(&mut self, now: Duration) {
-        self.unknown_workers_until = self.unknown_workers_until.filter(|until| now <= *until);
+        let extension = self.unknown_age_extension();
+        self.unknown_workers_until = self
+            .unknown_workers_until
+            .filter(|until| now <= until.saturating_add(extension));
         for index in 0..self.workers.len() {
             let key = WorkerKey::new(index);
             // Checking a worker must not mark it as changed.
+            let worker = &self.workers[index];
+            let inherited = worker.inherited_until;
+            let has_lapsed =
+                inherited.is_some_and(|until| now > self.inherited_until(worker, until));
+            let is_due = |until: Duration| now > until;
+            if worker.requires_record_until.is_some_and(is_due) {
+                self.worker_mut(key).requires_record_until = None;
+            }
             let worker = &mut self.workers[index];
-            if worker.inherited_until.is_some_and(|until| now > until) {
+            if has_lapsed {
                 worker.inherited_until = None;
                 self.lapsed_in_takeover.push(key);
             }
@@ -541,6 +620,10 @@
         worker.restarted_in_takeover |= worker.inherited_until.is_some()
             && record.incarnation.is_some()
             && record.incarnation != worker.record.incarnation;
+        worker.latest_incarnation = match record.incarnation {
+            Some(incarnation) => worker.latest_incarnation.max(Some(incarnation)),
+            None => worker.incarnation,
+        };
         worker.record = record;
         worker.listed = true;
         worker.unlisted_since = None;
--- a/crates/dispatch/src/worker_state.rs
+++ b/crates/dispatch/src/worker_state.rs
@@ -47,6 +47,11 @@
     pub(crate) listed: bool,
     /// Whether the worker is on record for a successor, which would otherwise not know what runs on it.
     pub(crate) recorded: bool,
+    /// When the incarnation began, since 1970, that is on record for a successor.
+    pub(crate) recorded_incarnation: Option<Duration>,
+    /// Until when runs start only if the worker's incarnation is on record for a successor, which would otherwise not know that
+    /// it holds a longer lease than usual; `None` once that lease has lapsed.
+    pub(crate) requires_record_until: Option<Duration>,
     pub(crate) clock: WorkerClock,
     /// The number of restarts that this owner has seen.
     pub(crate) restarts: u64,
@@ -56,6 +61,10 @@
     /// The time until which the worker may execute a former owner's orders; `None` once it has
     /// answered this owner.
     pub(crate) inherited_until: Option<Duration>,
+    /// Whether a former owner may have sent the worker orders.
+    pub(crate) is_inherited: bool,
+    /// When the latest known incarnation began, since 1970; `None` if its last record tells none.
+    pub(crate) latest_incarnation: Option<Duration>,
     /// When the worker last answered.
     pub(crate) last_answer_at: Option<Duration>,
     /// When the last call was sent that the worker answered.
@@ -143,13 +152,17 @@
 impl WorkerState {
     pub(crate) fn new(record: FleetWorker) -> Self {
         Self {
+            latest_incarnation: record.incarnation,
             record,
             listed: true,
             recorded: false,
+            recorded_incarnation: None,
+            requires_record_until: None,
             clock: WorkerClock::default(),
             restarts: 0,
             has_owner_token: false,
             inherited_until: None,
+            is_inherited: false,
             last_answer_at: None,
             last_answered_call_at: None,
             answer_due_at: None,
@@ -315,6 +328,19 @@
         self.restarted_in_takeover || (self.last_answer_at.is_none() && !self.listed)
     }
 
+    /// Returns whether a successor would know that the worker's incarnation may be young: both the registry and the records tell
+    /// when it began, or one of them tells nothing.
+    pub(crate) fn is_incarnation_recorded(&self) -> bool {
+        let known = [self.record.incarnation, self.recorded_incarnation];
+        let Some(incarnation) = self.incarnation else {
+            return true;
+        };
+        known
+            .into_iter()
+            .flatten()
+            .all(|known| known == incarnation)
+    }
+
     /// Returns the incarnation that certainly executes a run of a task, or `None` if that is unknown.
     pub(crate) fn incarnation_executing(&self, task: TaskKey) -> Option<Duration> {
         let mut runs = self.runs.iter().filter(|((of, _), _)| *of == task);
--- a/crates/dispatch/tests/common/fleet.rs
+++ b/crates/dispatch/tests/common/fleet.rs
@@ -13,6 +13,7 @@
     DispatchSettings,
     Dispatcher,
     FleetConfiguration,
+    FleetWorker,
     JobGraph,
     JobKey,
     JobProgress,
@@ -57,6 +58,17 @@
 ];
 /// The number of fencing tokens of an owner.
 const TOKENS_PER_OWNER: u64 = 256;
+/// The wall-clock time at the simulated time zero; the workers began at about the wall-clock time zero.
+const WALL_ORIGIN: Duration = Duration::from_secs(100);
+/// How far the owners' wall clocks are ahead of the workers', in turn, beside [`MAX_CLOCK_SKEW`].
+const CLOCK_SKEWS: [Duration; 3] = [
+    Duration::from_secs(5),
+    Duration::from_secs(10),
+    Duration::ZERO,
+];
+const MAX_CLOCK_SKEW: Duration = Duration::from_secs(5);
+/// The least time between two writes of the list of workers for a successor.
+const RECORDING_INTERVAL: Duration = Duration::from_millis(100);
 /// The time after which a worker that has crashed is back.
 const CRASH_DOWNTIME: Duration = Duration::from_millis(4000);
 
@@ -105,6 +117,12 @@
     pub(crate) workers: Vec<SimulatedWorker>,
     /// The time until which each worker is unreachable.
     pub(crate) unreachable_until: Vec<Duration>,
+    /// When the incarnation of each worker began that the registry knows.
+    registered: Vec<Option<Duration>>,
+    /// How long after its restart the registry holds a worker's new incarnation.
+    pub(crate) registration_delay: Duration,
+    /// The workers that are on record for a successor; `None` while the owner's knowledge counts as recorded.
+    recorded_workers: Option<Vec<FleetWorker>>,
     /// Whether each worker has left for good.
     pub(super) has_left: Vec<bool>,
     /// The workers that are cut off from the store, with the time at which their entries expire, and until when.
@@ -168,20 +186,30 @@
     /// worker are 2% slow.
     pub(crate) fn new(workers: usize, seed: u64) -> Self {
         let start = ms(1000);
+        let settings = DispatchSettings::default();
         let workers: Vec<SimulatedWorker> = (0..workers)
             .map(|number| {
                 let rate = if number % 2 == 0 { 98 } else { 100 };
-                SimulatedWorker::new(
+                let mut worker = SimulatedWorker::new(
                     &format!("worker-{number}"),
                     ResourceAmount::new(4000, 4000),
                     rate,
                     start,
-                )
+                );
+                worker.set_wall_origin(WALL_ORIGIN);
+                worker.set_max_lease(settings.max_lease_duration);
+                worker
             })
             .collect();
         let mut fleet = Self {
             now: start,
             unreachable_until: vec![Duration::ZERO; workers.len()],
+            registered: workers
+                .iter()
+                .map(|worker| worker.record().incarnation)
+                .collect(),
+            registration_delay: Duration::ZERO,
+            recorded_workers: None,
             has_left: vec![false; workers.len()],
             cut_off: Vec::new(),
             down_since: vec![None; workers.len()],
@@ -201,7 +229,7 @@
             attempts: 3,
             has_metrics: false,
             delays_renewals: false,
-            settings: DispatchSettings::default(),
+            settings,
             queue_is_removed: false,
             violations: Vec::new(),
             waits: Vec::new(),
@@ -251,6 +279,9 @@
     /// Replaces the first owner by one with these settings, which all later owners have too.
     pub(crate) fn with_settings(mut self, settings: DispatchSettings) -> Self {
         self.settings = settings;
+        for worker in &mut self.workers {
+            worker.set_max_lease(settings.max_lease_duration);
+        }
         self.owners.clear();
         self.events.clear();
         self.replace_owner();
@@ -275,18 +306,25 @@
         let token = former_token.unwrap_or(0) + TOKENS_PER_OWNER;
         let mut dispatcher = Dispatcher::new(token, self.settings).with_former_token(former_token);
         dispatcher.set_configuration(self.configuration());
+        dispatcher.note_wall(self.wall_of(self.owners.len()), self.now);
         let until = self.now + dispatcher.inherited_orders_lifetime(false);
         let inherited = former_token.is_some().then_some(until);
         let mut keys: Vec<WorkerKey> = Vec::with_capacity(self.workers.len());
-        for (index, worker) in self.workers.iter().enumerate() {
+        let recorded = self.recorded_workers.clone();
+        if recorded.is_some() {
+            dispatcher.require_recorded_workers();
+        }
+        let recorded = recorded.unwrap_or_else(|| self.workers_of_last_owner());
+        for index in 0..self.workers.len() {
+            let entry = self.entry(index);
             // The former owner's record of the worker comes first, then that of the registry.
-            let former = self.owners.last().map(|former| &former.dispatcher);
-            let recorded = former.map(|former| former.worker_record(WorkerKey::new(index)).clone());
-            let record = recorded.unwrap_or_else(|| worker.record().clone());
-            keys.push(dispatcher.upsert_worker(record, inherited));
+            let mut recorded = recorded.iter();
+            let recorded = recorded.find(|recorded| recorded.id == entry.id);
+            keys.push(dispatcher.upsert_worker(recorded.unwrap_or(&entry).clone(), inherited));
+            dispatcher.finish_recording(recorded.map(std::slice::from_ref).unwrap_or_default());
             match self.listed[index] {
-                true => drop(dispatcher.upsert_worker(worker.record().clone(), inherited)),
-                false => dispatcher.mark_unlisted(&worker.record().id),
+                true => drop(dispatcher.upsert_worker(entry, inherited)),
+                false => dispatcher.mark_unlisted(&entry.id),
             }
         }
         let unread = self.unread_jobs(self.owners.len());
@@ -371,10 +409,7 @@
     /// Lets a worker announce that it will leave; it accepts no more tasks.
     pub(crate) fn drain_worker(&mut self, worker: usize) {
         self.workers[worker].record_mut().draining = true;
-        let record = self.workers[worker].record().clone();
-        for owner in &mut self.owners {
-            owner.dispatcher.upsert_worker(record.clone(), None);
-        }
+        self.announce_entry(worker);
     }
 
     /// Lets a worker leave for good; another one with its labels joins.
@@ -414,15 +449,75 @@
         }
     }
 
-    /// Lists a worker in the registry again.
+    /// Lists a worker in the registry, as it is now.
     pub(crate) fn list_worker(&mut self, worker: usize) {
         self.listed[worker] = true;
-        let record = self.workers[worker].record().clone();
+        self.registered[worker] = self.workers[worker].record().incarnation;
+        self.announce_entry(worker);
+    }
+
+    /// Returns what the registry holds of a worker.
+    fn entry(&self, worker: usize) -> FleetWorker {
+        FleetWorker {
+            incarnation: self.registered[worker],
+            ..self.workers[worker].record().clone()
+        }
+    }
+
+    /// Lets the owners know what the registry holds of a worker.
+    fn announce_entry(&mut self, worker: usize) {
+        let entry = self.entry(worker);
         for owner in &mut self.owners {
-            owner.dispatcher.upsert_worker(record.clone(), None);
+            owner.dispatcher.upsert_worker(entry.clone(), None);
+        }
+    }
+
+    /// Updates the registry's entries of the workers that have restarted.
+    fn register_restarts(&mut self) {
+        for worker in 0..self.workers.len() {
+            let incarnation = self.workers[worker].record().incarnation;
+            let is_due = self.now >= self.workers[worker].booted_at() + self.registration_delay;
+            let is_known = self.registered[worker] == incarnation;
+            if is_due && !is_known && self.is_reachable(worker) && !self.store_is_away {
+                self.list_worker(worker);
+            }
         }
     }
 
+    /// Returns the wall-clock time of an owner.
+    pub(super) fn wall_of(&self, owner: usize) -> Duration {
+        let skew = CLOCK_SKEWS[owner % CLOCK_SKEWS.len()];
+        (self.now + WALL_ORIGIN + skew).saturating_sub(MAX_CLOCK_SKEW)
+    }
+
+    /// Lets runs start only on workers that are on record for a successor, with their incarnation.
+    pub(crate) fn with_recorded_workers(mut self) -> Self {
+        self.owner().dispatcher.require_recorded_workers();
+        self.recorded_workers = Some(Vec::new());
+        self
+    }
+
+    fn workers_of_last_owner(&self) -> Vec<FleetWorker> {
+        let Some(former) = self.owners.last() else {
+            return Vec::new();
+        };
+        let keys = (0..former.dispatcher.worker_count()).map(WorkerKey::new);
+        keys.map(|key| former.dispatcher.worker_record(key).clone())
+            .collect()
+    }
+
+    /// Puts the workers of the current owner on record for a successor, at intervals.
+    pub(super) fn record_workers(&mut self) {
+        let interval = RECORDING_INTERVAL.as_millis();
+        let is_due = self.now.as_millis().is_multiple_of(interval);
+        if self.recorded_workers.is_none() || self.store_is_away || !is_due {
+            return;
+        }
+        let records = self.owner().dispatcher.begin_recording();
+        self.owner().dispatcher.finish_recording(&records);
+        self.recorded_workers = Some(records);
+    }
+
     /// Drops a worker from the registry.
     pub(crate) fn unlist_worker(&mut self, worker: usize) {
         self.listed[worker] = false;
@@ -447,6 +542,7 @@
             self.learn_due_jobs();
             self.follow_crashes();
             self.follow_cuts();
+            self.register_restarts();
             for owner in 0..self.owners.len() {
                 self.run_owner(owner);
             }
@@ -464,10 +560,7 @@
         };
         self.tolerated[worker] = (self.now + SHRINK_GRACE, tolerated);
         self.workers[worker].record_mut().capacity = capacity;
-        let record = self.workers[worker].record().clone();
-        for owner in &mut self.owners {
-            owner.dispatcher.upsert_worker(record.clone(), None);
-        }
+        self.announce_entry(worker);
     }
 
     /// Returns whether what a worker executes exceeds what a start may bring it to.
@@ -532,7 +625,6 @@
                 self.workers[worker].restart(now);
                 self.unreachable_until[worker] = now;
                 self.down_since[worker] = None;
-                self.list_worker(worker);
             }
             CrashMode::NewIdentity | CrashMode::Silent => {
                 self.has_left[worker] = true;
@@ -548,9 +640,12 @@
         let capacity = ResourceAmount::new(4000, 4000);
         let mut worker = SimulatedWorker::new(&format!("worker-{number}"), capacity, 100, self.now);
         worker.set_crash_rule(self.crash_rule);
+        worker.set_max_lease(self.settings.max_lease_duration);
+        worker.set_wall_origin(WALL_ORIGIN);
         worker.record_mut().labels = labels;
         let record = worker.record().clone();
         self.workers.push(worker);
+        self.registered.push(record.incarnation);
         self.unreachable_until.push(Duration::ZERO);
         self.has_left.push(false);
         self.down_since.push(None);
@@ -571,13 +666,10 @@
 
     /// Distributes the workers over this many racks.
     pub(crate) fn spread_over_racks(&mut self, racks: usize) {
-        for (number, worker) in self.workers.iter_mut().enumerate() {
+        for number in 0..self.workers.len() {
             let rack = format!("rack-{}", number % racks);
-            worker.record_mut().labels = vec!["a".into(), rack.into()];
-            let record = worker.record().clone();
-            for owner in &mut self.owners {
-                owner.dispatcher.upsert_worker(record.clone(), None);
-            }
+            self.workers[number].record_mut().labels = vec!["a".into(), rack.into()];
+            self.announce_entry(number);
         }
     }
 
--- a/crates/dispatch/tests/common/fleet_messages.rs
+++ b/crates/dispatch/tests/common/fleet_messages.rs
@@ -54,6 +54,8 @@
             return;
         }
         state.dispatcher.note_activity(now);
+        let wall = self.wall_of(owner);
+        self.owners[owner].dispatcher.note_wall(wall, now);
         if !self.confirm_ownership(owner) {
             return;
         }
@@ -71,6 +73,9 @@
         for order in outcome.orders {
             self.send(owner, order);
         }
+        if owner + 1 == self.owners.len() {
+            self.record_workers();
+        }
         let state = &mut self.owners[owner];
         if !state.committing {
             let records = state.dispatcher.take_records_to_commit(45);
--- a/crates/dispatch/tests/common/lease_lapses.rs
+++ b/crates/dispatch/tests/common/lease_lapses.rs
@@ -34,7 +34,7 @@
     pub(super) fn follow(&mut self, workers: &[SimulatedWorker], now: Duration) {
         self.workers.resize(workers.len(), WorkerLapses::default());
         for (worker, state) in workers.iter().zip(&mut self.workers) {
-            let born = worker.record().incarnation.unwrap_or_default();
+            let born = worker.booted_at();
             if state.births.last() != Some(&born) {
                 state.births.push(born);
             }
--- a/crates/dispatch/tests/failed_starts.rs
+++ b/crates/dispatch/tests/failed_starts.rs
@@ -156,7 +156,18 @@
     fleet.workers[0].restart(now);
     let renewal = fleet.owner().dispatcher.next_renewal(key, true, now);
     assert!(renewal.is_read_only());
-    let report = fleet.workers[0].renew_lease(now, 1, renewal);
+    let token = fleet.owner().dispatcher.worker_token(key);
+    let report = fleet.workers[0].renew_lease(now, token, renewal);
+    let report = report.expect("the worker answers");
+    let dispatcher = &mut fleet.owner().dispatcher;
+    dispatcher.handle_renewal_report(key, now, report, now);
+    assert_eq!(planned_starts(&mut fleet), [], "not fenced yet");
+    let dispatcher = &mut fleet.owner().dispatcher;
+    let (renewal, token) = (
+        dispatcher.next_renewal(key, true, now),
+        dispatcher.worker_token(key),
+    );
+    let report = fleet.workers[0].renew_lease(now, token, renewal);
     let report = report.expect("the worker answers");
     let dispatcher = &mut fleet.owner().dispatcher;
     dispatcher.handle_renewal_report(key, now, report, now);
--- /dev/null
+++ b/crates/dispatch/tests/young_incarnations.rs
@@ -0,0 +1,271 @@
+//! Leases and starts on workers whose incarnation began a short time ago, and may execute calls for the former one.
+
+mod common;
+
+use std::time::Duration;
+
+use common::{
+    configuration,
+    graph,
+    ms,
+    step, //
+};
+use jasminebend_base::ResourceAmount;
+use jasminebend_dispatch::{
+    AcceptedJob,
+    DispatchSettings,
+    Dispatcher,
+    JobKey,
+    LeaseRenewal,
+    OrderOutcome,
+    RunNumber,
+    StartOrder,
+    StepKey,
+    TaskKey,
+    WorkerClock,
+    WorkerKey,
+    WorkerOrder, //
+};
+use jasminebend_standins::{
+    SimulatedWorker,
+    TaskWork, //
+};
+
+/// When the owner of a test begins to act; its wall clock reads the same.
+const BEGINS_AT: Duration = Duration::from_secs(200);
+/// The interval between two plans.
+const TURN: Duration = Duration::from_millis(50);
+
+fn accept(owner: &mut Dispatcher, inherited: bool) {
+    let configuration = configuration(3);
+    owner.set_configuration(configuration.clone());
+    let queue = configuration.queues.keys().next().expect("there is one");
+    let job = AcceptedJob {
+        queue: queue.clone(),
+        rule: None,
+        graph: graph(vec![step(1, &[])]).into(),
+        accepted: BEGINS_AT,
+        inherited,
+    };
+    owner.add_job(JobKey::new(7), job);
+}
+
+fn first_task() -> TaskKey {
+    let step = StepKey {
+        job: JobKey::new(7),
+        occurrence: 0,
+        step: 0,
+    };
+    step.task(0)
+}
+
+fn renew(owner: &mut Dispatcher, key: WorkerKey, worker: &mut SimulatedWorker, at: Duration) {
+    let order = owner.next_renewal(key, true, at);
+    let report = worker.renew_lease(at, owner.worker_token(key), order);
+    let report = report.expect("the owner is not fenced");
+    owner.handle_renewal_report(key, at, report, at);
+}
+
+fn starts(owner: &mut Dispatcher, at: Duration) -> bool {
+    owner.expire_leases(at);
+    let orders = owner.plan(at).orders;
+    orders
+        .iter()
+        .any(|order| matches!(order, WorkerOrder::Start(_)))
+}
+
+fn simulated_worker(id: &str, born: Duration) -> SimulatedWorker {
+    SimulatedWorker::new(id, ResourceAmount::new(4000, 4000), 100, born)
+}
+
+/// Returns how long a successor waits for a lease of a worker of this age, which it reaches once if `is_reached`, before it starts
+/// the worker's task again.
+fn wait_for_worker(age: Option<Duration>, is_reached: bool, is_wall_known: bool) -> Duration {
+    let settings = DispatchSettings::default();
+    let born = BEGINS_AT.saturating_sub(age.unwrap_or_default());
+    let mut worker = simulated_worker("w0", born);
+    worker.set_max_lease(settings.max_lease_duration);
+    if age.is_none() {
+        worker.record_mut().incarnation = None;
+    }
+    let start = StartOrder {
+        worker: WorkerKey::new(0),
+        task: first_task(),
+        run: RunNumber::of_owner(1, 1),
+        payload: "".into(),
+        checkpoint: None,
+        ticket: None,
+    };
+    let work = TaskWork {
+        run_time: Duration::MAX,
+        fails: false,
+        size: ResourceAmount::new(1000, 100),
+    };
+    let far_deadline = Duration::from_secs(10_000);
+    let outcome = worker.start(BEGINS_AT, 1, &start, far_deadline, work);
+    assert_eq!(outcome, OrderOutcome::Taken);
+    let mut spare = simulated_worker("w1", ms(1000));
+    let mut successor = Dispatcher::new(2, settings);
+    if is_wall_known {
+        successor.note_wall(BEGINS_AT, BEGINS_AT);
+    }
+    let until = BEGINS_AT + successor.inherited_orders_lifetime(true);
+    let key = successor.upsert_worker(worker.record().clone(), Some(until));
+    let other = successor.upsert_worker(spare.record().clone(), Some(until));
+    accept(&mut successor, true);
+    if is_reached {
+        renew(&mut successor, key, &mut worker, BEGINS_AT);
+    }
+    let mut at = BEGINS_AT;
+    while !starts(&mut successor, at) {
+        at += TURN;
+        renew(&mut successor, other, &mut spare, at);
+        assert!(at < BEGINS_AT + ms(60_000), "the task starts again");
+    }
+    at - BEGINS_AT
+}
+
+/// Guards against two runs of a task: an incarnation that began lately executes calls for the former one, under the longest lease.
+#[test]
+fn successor_waits_for_the_longest_lease_of_a_young_worker() {
+    let settings = DispatchSettings::default();
+    let longest = settings.max_lease_duration + settings.max_stop_duration;
+    for is_reached in [false, true] {
+        for age in [Some(ms(0)), Some(ms(2000)), Some(ms(19_000)), None] {
+            let wait = wait_for_worker(age, is_reached, true);
+            assert!(wait >= longest, "{age:?}, {is_reached}: {wait:?}");
+        }
+        let wait = wait_for_worker(Some(ms(60_000)), is_reached, false);
+        assert!(wait >= longest, "unknown wall, {is_reached}: {wait:?}");
+    }
+}
+
+/// Guards against tasks of lost workers that wait longer than usual although nothing has restarted.
+#[test]
+fn successor_waits_for_a_regular_lease_of_an_old_worker() {
+    let settings = DispatchSettings::default();
+    let regular = WorkerClock::longest(settings.lease_duration + settings.max_stop_duration);
+    for is_reached in [false, true] {
+        let wait = wait_for_worker(Some(ms(33_000)), is_reached, true);
+        assert!(wait <= regular + 2 * TURN, "{is_reached}: {wait:?}");
+    }
+}
+
+/// An owner that starts runs only on recorded workers, and a worker that has just restarted in its term.
+struct RestartedWorker {
+    owner: Dispatcher,
+    key: WorkerKey,
+    worker: SimulatedWorker,
+    now: Duration,
+}
+
+impl RestartedWorker {
+    fn new(is_born_known: bool) -> Self {
+        let mut worker = simulated_worker("w0", ms(1000));
+        if !is_born_known {
+            worker.record_mut().incarnation = None;
+        }
+        let owner = Dispatcher::new(256, DispatchSettings::default());
+        let mut owner = owner.with_former_token(None);
+        owner.note_wall(BEGINS_AT, BEGINS_AT);
+        owner.require_recorded_workers();
+        let key = owner.upsert_worker(worker.record().clone(), None);
+        let mut this = Self {
+            owner,
+            key,
+            worker,
+            now: BEGINS_AT,
+        };
+        this.record();
+        this.renew();
+        this.now += ms(100);
+        this.worker.restart(this.now);
+        if !is_born_known {
+            this.worker.record_mut().incarnation = None;
+        }
+        this.renew();
+        accept(&mut this.owner, false);
+        this
+    }
+
+    fn record(&mut self) {
+        let records = self.owner.begin_recording();
+        self.owner.finish_recording(&records);
+    }
+
+    fn register(&mut self) {
+        let record = self.worker.record().clone();
+        self.owner.upsert_worker(record, None);
+    }
+
+    fn renew(&mut self) {
+        renew(&mut self.owner, self.key, &mut self.worker, self.now);
+    }
+
+    /// Returns whether the task starts within `time`.
+    fn starts_within(&mut self, time: Duration) -> bool {
+        let until = self.now + time;
+        while self.now < until {
+            self.now += TURN;
+            self.renew();
+            if starts(&mut self.owner, self.now) {
+                return true;
+            }
+        }
+        false
+    }
+}
+
+/// Guards against two runs of a task: a successor learns neither from the registry nor from the records that a worker has restarted.
+#[test]
+fn runs_start_on_a_restarted_worker_once_a_successor_would_know_of_it() {
+    let mut restarted = RestartedWorker::new(true);
+    assert!(!restarted.starts_within(ms(1000)));
+    restarted.record();
+    assert!(!restarted.starts_within(ms(1000)), "not registered");
+    restarted.register();
+    assert!(!restarted.starts_within(ms(1000)), "not recorded");
+    restarted.record();
+    assert!(restarted.starts_within(ms(100)));
+}
+
+/// Guards against a restarted worker that stays idle while the store is away.
+#[test]
+fn runs_start_on_a_restarted_worker_once_its_longest_lease_has_passed() {
+    let mut restarted = RestartedWorker::new(true);
+    assert!(!restarted.starts_within(ms(10_000)));
+    assert!(restarted.starts_within(ms(2000)));
+}
+
+/// Guards against a worker that stays idle since nothing tells when it began.
+#[test]
+fn runs_start_on_a_worker_of_unknown_age() {
+    assert!(RestartedWorker::new(false).starts_within(ms(100)));
+}
+
+/// Guards against an order that is sent to a worker after its owner has learnt of its restart.
+#[test]
+fn planned_start_is_dropped_when_its_worker_has_restarted() {
+    let mut restarted = RestartedWorker::new(true);
+    restarted.register();
+    restarted.record();
+    restarted.now += TURN;
+    restarted.renew();
+    let orders = restarted.owner.plan(restarted.now).orders;
+    let [WorkerOrder::Start(start)] = &orders[..] else {
+        panic!("{orders:?}");
+    };
+    restarted.worker.restart(restarted.now);
+    let order = LeaseRenewal {
+        deadline: None,
+        acknowledged: 0,
+        max_wait: Duration::ZERO,
+    };
+    let report = restarted.worker.renew_lease(restarted.now, 1, order);
+    let report = report.expect("the owner is not fenced");
+    let (key, now) = (restarted.key, restarted.now);
+    restarted
+        .owner
+        .handle_renewal_report(key, now - TURN, report, now);
+    assert!(!restarted.owner.is_start_still_valid(start));
+}
--- a/crates/fleet/src/lease_renewal.rs
+++ b/crates/fleet/src/lease_renewal.rs
@@ -136,6 +136,8 @@
                 }
                 if outcome == RESTARTED {
                     count_call_for_former_incarnation("renewal");
+                }
+                if outcome == RESTARTED && failures == 1 {
                     continue;
                 }
                 let pause = FIRST_RETRY_PAUSE * 2u32.saturating_pow(failures.min(8) - 1);
--- a/crates/fleet/src/order_planning.rs
+++ b/crates/fleet/src/order_planning.rs
@@ -210,7 +210,11 @@
         time::sleep(PLAN_DELAY).await;
         let now = shared.now();
         let lag = now.saturating_sub(woken_at + PLAN_DELAY);
-        term.dispatcher.borrow_mut().note_activity(now);
+        {
+            let mut dispatcher = term.dispatcher.borrow_mut();
+            dispatcher.note_activity(now);
+            dispatcher.note_wall(shared.wall(), now);
+        }
         if !shared.may_send_orders(&term) {
             continue;
         }
--- a/crates/fleet/src/ownership_takeover.rs
+++ b/crates/fleet/src/ownership_takeover.rs
@@ -212,8 +212,9 @@
     let guard = row.guard(version);
     let written = StoreRow { version, ..row };
     apply_owner_row(shared, Some(&written));
-    let dispatcher =
+    let mut dispatcher =
         Dispatcher::new(record.token, shared.settings.dispatch).with_former_token(former_token);
+    dispatcher.note_wall(shared.wall(), shared.now());
     let term =
         OwnerTerm::new(record, guard, dispatcher, sent, shared.now()).with_page_count(page_count);
     let term = Rc::new(term);
--- a/crates/fleet/tests/daemons/test_fleet.rs
+++ b/crates/fleet/tests/daemons/test_fleet.rs
@@ -222,8 +222,7 @@
     }
 
     fn now(&self) -> Duration {
-        // The workers booted 10 s before the daemons.
-        self.clock.monotonic() + Duration::from_secs(10)
+        self.clock.monotonic() + WORKER_HEAD_START
     }
 
     fn with_reachable_worker<Answer>(
@@ -580,14 +579,15 @@
 
     fn with_clock(workers: usize, clock: Rc<dyn ClockSource>) -> Self {
         let run_time = Duration::from_millis(150);
+        let wall = clock.wall().duration_since(SystemTime::UNIX_EPOCH);
+        let wall_origin = wall.unwrap() - clock.monotonic() - WORKER_HEAD_START;
         let mut all = BTreeMap::new();
         for number in 0..workers {
             let id = format!("worker-{number}");
             let capacity = ResourceAmount::new(4000, 4000);
-            all.insert(
-                id.clone(),
-                SimulatedWorker::new(&id, capacity, 98, Duration::from_secs(1)),
-            );
+            let mut worker = SimulatedWorker::new(&id, capacity, 98, Duration::from_secs(1));
+            worker.set_wall_origin(wall_origin);
+            all.insert(id.clone(), worker);
         }
         let listed = all.values().map(|worker| worker.record().clone()).collect();
         Self {
@@ -777,6 +777,8 @@
     }
 }
 
+/// How long before the daemons the workers booted.
+const WORKER_HEAD_START: Duration = Duration::from_secs(10);
 /// The number of members that claim the ownership before a daemon of the test.
 const EARLIER_CLAIMANTS: u32 = 500;
 
--- a/crates/standins/src/simulated_worker.rs
+++ b/crates/standins/src/simulated_worker.rs
@@ -75,8 +75,10 @@
     record: FleetWorker,
     /// The rate of the worker's clock, in hundredths of the true rate.
     clock_rate_percent: u32,
-    /// The true time at which the worker's clock was zero.
+    /// The true time at which the incarnation began.
     booted_at: Duration,
+    /// The wall-clock time since 1970 at the true time zero.
+    wall_origin: Duration,
     /// The highest fencing token seen.
     token: u64,
     /// When the lease lapses, on the worker's clock.
@@ -120,6 +122,7 @@
             },
             clock_rate_percent,
             booted_at: now,
+            wall_origin: Duration::ZERO,
             token: 0,
             lease_end: Duration::ZERO,
             lapse_delay: Duration::ZERO,
@@ -175,6 +178,16 @@
         self.local_time(now)
     }
 
+    /// Sets the wall-clock time since 1970 at the true time zero, by which the worker dates its next incarnations.
+    pub fn set_wall_origin(&mut self, wall_origin: Duration) {
+        self.wall_origin = wall_origin;
+    }
+
+    /// Returns the true time at which the incarnation began.
+    pub fn booted_at(&self) -> Duration {
+        self.booted_at
+    }
+
     /// Replaces the run time, measured from its start, of a run in progress.
     pub fn set_run_time(&mut self, task: TaskKey, run: RunNumber, run_time: Duration) {
         if let Some(run) = self.runs.get_mut(&(task, run)) {
@@ -231,9 +244,10 @@
         }
         let mut fresh = Self::new("", self.record.capacity, self.clock_rate_percent, now);
         fresh.record = FleetWorker {
-            incarnation: Some(now),
+            incarnation: Some(self.wall_origin + now),
             ..self.record.clone()
         };
+        fresh.wall_origin = self.wall_origin;
         fresh.crash_rule = self.crash_rule;
         fresh.lapse_delay = self.lapse_delay;
         fresh.max_lease = self.max_lease;
