--- a/crates/dispatch/tests/advice.rs
+++ b/crates/dispatch/tests/advice.rs
@@ -364,3 +364,37 @@
     assert!(site.requests.windows(2).all(is_apart));
     assert!(site.requests.len() >= 15);
 }
+
+/// Guards against starts that the worker refuses: a ticket was issued for a former incarnation of the worker.
+#[test]
+fn ticket_of_a_former_incarnation_is_not_used() {
+    let mut dispatcher = Dispatcher::new(1, DispatchSettings::default());
+    dispatcher.set_configuration(configuration_with_advice());
+    let key = dispatcher.upsert_worker(worker(0), None);
+    let answer = |dispatcher: &mut Dispatcher, born: Duration, now: Duration| {
+        dispatcher.next_renewal(key, true, now);
+        let report = RenewalReport {
+            clock: now,
+            incarnation: Some(born),
+            running: Vec::new(),
+            completions: Vec::new(),
+        };
+        dispatcher.handle_renewal_report(key, now, report, now);
+    };
+    let job = AcceptedJob {
+        queue: "queue".into(),
+        rule: None,
+        graph: Arc::new(graph(vec![step(1, &[])])),
+        accepted: ms(1000),
+        inherited: false,
+    };
+    dispatcher.add_job(JobKey::new(1), job);
+    answer(&mut dispatcher, ms(500), ms(1000));
+    let requests = dispatcher.plan(ms(1000)).advice_requests;
+    assert_eq!(requests.len(), 1);
+    let ticket = (worker_id(0), Arc::from("ticket"));
+    dispatcher.store_tickets(requests[0].step, vec![ticket], ms(1100) + VALIDITY);
+    answer(&mut dispatcher, ms(1150), ms(1200));
+    let orders = dispatcher.plan(ms(1200)).orders;
+    assert!(orders.is_empty(), "{orders:?}");
+}
--- a/crates/fleet/tests/daemons/members.rs
+++ b/crates/fleet/tests/daemons/members.rs
@@ -93,3 +93,20 @@
         assert_eq!(fleet.store.members(), 1);
     });
 }
+
+/// Guards against a daemon that the others call at a former address: a write that its former incarnation left unanswered was
+/// applied late and replaced its row.
+#[test]
+fn a_late_enrollment_of_a_former_incarnation_does_not_last() {
+    run_simulated(async {
+        let fleet = TestFleet::with_runtime_clock(0);
+        let _owner = fleet.daemon();
+        time::sleep(SETTLING_TIME).await;
+        let daemon = fleet.daemon();
+        time::sleep(SETTLING_TIME).await;
+        let enrolled = fleet.store.member(daemon.node());
+        fleet.enroll_former_incarnation(daemon.node());
+        time::sleep(SETTLING_TIME).await;
+        assert_eq!(fleet.store.member(daemon.node()), enrolled);
+    });
+}
--- a/crates/fleet/tests/daemons/memory_store.rs
+++ b/crates/fleet/tests/daemons/memory_store.rs
@@ -24,6 +24,7 @@
     CommitOutcome,
     FleetStore,
     MaintenanceWave,
+    MemberRecord,
     MemberSet,
     OperatorChange,
     OwnerRecord,
@@ -297,6 +298,14 @@
         set.unwrap_or_default()
     }
 
+    /// Returns the row of a member; `None` if there is none.
+    pub(crate) fn member(&self, node: &str) -> Option<MemberRecord> {
+        let rows = self.rows.borrow();
+        let mut members = rows.iter().filter(|((_, part, _), _)| part == "members");
+        let (_, row) = members.find(|((_, _, key), _)| key == node)?;
+        postcard::from_bytes(&row.value).ok()
+    }
+
     /// Returns the number of members.
     pub(crate) fn members(&self) -> usize {
         let rows = self.rows.borrow();
--- a/crates/fleet/tests/daemons/test_fleet.rs
+++ b/crates/fleet/tests/daemons/test_fleet.rs
@@ -562,6 +562,8 @@
     pub(crate) workers: Rc<MemoryWorkers>,
     /// The platform's VMs for the daemons started from now on.
     pub(crate) vms: RefCell<Option<Rc<dyn FleetVms>>>,
+    /// The log of the daemons started from now on.
+    pub(crate) log: RefCell<FleetLog>,
     clock: Rc<dyn ClockSource>,
     count: Cell<u32>,
     started_at: time::Instant,
@@ -606,6 +608,7 @@
                 random: RefCell::new(StdRng::seed_from_u64(0)),
             }),
             vms: RefCell::default(),
+            log: RefCell::new(FleetLog::discarding("test")),
             clock,
             count: Cell::new(0),
             started_at: time::Instant::now(),
@@ -671,6 +674,18 @@
         self.store.write(rows.collect());
     }
 
+    /// Writes the row of a member's former incarnation, which had another address.
+    pub(crate) fn enroll_former_incarnation(&self, node: &str) {
+        let member = MemberRecord {
+            node: node.to_owned(),
+            incarnation: 1,
+            address: free_address().to_string(),
+            cpu_millis: 1000,
+        };
+        self.store
+            .write(vec![row(StoreTable::Fleet, "members", node, &member)]);
+    }
+
     /// Starts a daemon.
     pub(crate) fn daemon(&self) -> TestDaemon {
         self.start_daemon(None, None, None)
@@ -747,7 +762,7 @@
             vms: self.vms.borrow().clone(),
             pool: Rc::new(HttpPool::new()),
             shortage: DescriptorShortage::default(),
-            log: FleetLog::discarding("test"),
+            log: self.log.borrow().clone(),
         };
         let (stop, stopping) = watch::channel(false);
         let daemon = FleetDaemon::new(settings, ports, stopping);
