Write a daemon's row as a member again over a late write of its former one

What peers would see: a daemon that restarted at another address is called at its former one, for up to 30 s, or for good if it owns the jobs.

Cause: a daemon enrolls without a guard, and the store may apply a write that got no answer seconds later. A row that a former incarnation wrote late replaced the new one and stayed, as the daemon only checked that it has a row.

Evidence: members::a_late_enrollment_of_a_former_incarnation_does_not_last failed before. Not seen with processes.

Change: a daemon whose row names an earlier incarnation than its own enrolls again. A later incarnation's row stays, so that two daemons of one name don't replace each other's rows in turn.

--- a/crates/fleet/src/member_watch.rs
+++ b/crates/fleet/src/member_watch.rs
@@ -56,7 +56,7 @@
         match result {
             Ok(version) => {
                 after = Some(version);
-                if !shared.members.borrow().contains_key(&shared.settings.node) {
+                if !is_enrolled(&shared) {
                     enroll(&shared).await;
                 }
             }
@@ -92,14 +92,25 @@
         && !shared.store.is_lost()
 }
 
-/// Writes this daemon's member row, with retries until the store accepts it.
-async fn enroll(shared: &SharedState) {
-    let member = MemberRecord {
+fn own_record(shared: &SharedState) -> MemberRecord {
+    MemberRecord {
         node: shared.settings.node.clone(),
         incarnation: shared.incarnation,
         address: shared.settings.peer_address.to_string(),
         cpu_millis: shared.settings.cpu_millis,
-    };
+    }
+}
+
+/// Returns whether this daemon has a row that no former incarnation wrote: the store may apply such a write late.
+fn is_enrolled(shared: &SharedState) -> bool {
+    let members = shared.members.borrow();
+    let row = members.get(&shared.settings.node);
+    row.is_some_and(|row| row.incarnation >= shared.incarnation)
+}
+
+/// Writes this daemon's member row, with retries until the store accepts it.
+async fn enroll(shared: &SharedState) {
+    let member = own_record(shared);
     let Ok(value) = postcard::to_stdvec(&member) else {
         return;
     };
