Discard the tickets of a worker that has restarted

What callers would see: a task waits for a start that its worker refuses, and for advice after that.

Cause: a ticket is valid for one incarnation of a worker, and the owner kept those of the former one.

Evidence: ticket_of_a_former_incarnation_is_not_used failed before: the start carried the former incarnation's ticket. Not seen with processes.

Change: a restart discards the worker's tickets, so that advice is asked for before the next start there.

--- a/crates/dispatch/src/dispatcher_advice.rs
+++ b/crates/dispatch/src/dispatcher_advice.rs
@@ -53,6 +53,17 @@
         }
     }
 
+    /// Discards the tickets for a worker, which are valid for one incarnation of it.
+    pub(crate) fn discard_tickets(&mut self, worker: WorkerKey) {
+        let occurrences = self
+            .jobs
+            .values_mut()
+            .flat_map(|job| job.occurrences.values_mut());
+        for step in occurrences.flat_map(|occurrence| &mut occurrence.steps) {
+            step.tickets.swap_remove(&worker);
+        }
+    }
+
     /// Requests advice for a step if valid tickets exist for fewer than half as many workers as it
     /// has unfinished tasks, or for none with room for a task.
     pub(crate) fn request_advice(
--- a/crates/dispatch/src/dispatcher_workers.rs
+++ b/crates/dispatch/src/dispatcher_workers.rs
@@ -412,6 +412,7 @@
             // up here: `drop_missing_runs` below drops those that the new incarnation does not
             // have.
             worker.reset_incarnation();
+            self.discard_tickets(key);
             self.detach_held_ends(key);
         }
         let worker = self.worker_mut(key);
