Log and count the ends that a restarted worker lists first

Cause: ends are numbered from 1 in each incarnation. The first answer of a new one was compared with the numbers of the former one, so that an end counted as processed before.

Evidence: log_lines::ends_that_a_restarted_worker_lists_first_are_logged failed before.

Change: an end counts as processed only if it is one of the incarnation whose ends were.

--- a/crates/dispatch/src/dispatcher_workers.rs
+++ b/crates/dispatch/src/dispatcher_workers.rs
@@ -275,10 +275,17 @@
         self.worker(key).last_answer_at
     }
 
-    /// Returns whether a completion of this number from a worker was processed already.
-    pub fn has_processed_completion(&self, id: &str, number: u64) -> bool {
-        self.worker_key(id)
-            .is_some_and(|key| number <= self.worker(key).last_processed)
+    /// Returns whether a completion of this number from this incarnation of a worker was processed already.
+    pub fn has_processed_completion(
+        &self,
+        id: &str,
+        incarnation: Option<Duration>,
+        number: u64,
+    ) -> bool {
+        self.worker_key(id).is_some_and(|key| {
+            let worker = self.worker(key);
+            worker.incarnation == incarnation && number <= worker.last_processed
+        })
     }
 
     /// Sets whether the owner may soon depend on the workers' word that they follow it.
--- a/crates/fleet/src/lease_renewal.rs
+++ b/crates/fleet/src/lease_renewal.rs
@@ -6,7 +6,6 @@
 };
 
 use jasminebend_dispatch::{
-    EndedRun,
     LeaseRenewal,
     OrderOutcome,
     OrderRefusal,
@@ -107,7 +106,7 @@
                 failures = 0;
                 first_failed = None;
                 log_new_incarnation(&shared, &term, key, &order, &report);
-                log_run_ends(&shared, &term, &address.id, &report.completions);
+                log_run_ends(&shared, &term, &address.id, &report);
                 let now = shared.now();
                 term.dispatcher
                     .borrow_mut()
@@ -163,12 +162,12 @@
     drop(time::timeout(COMMIT_WAIT, committed.changed()).await);
 }
 
-fn log_run_ends(shared: &SharedState, term: &OwnerTerm, worker: &str, ended: &[EndedRun]) {
-    for end in ended {
+fn log_run_ends(shared: &SharedState, term: &OwnerTerm, worker: &str, report: &RenewalReport) {
+    for end in &report.completions {
         if term
             .dispatcher
             .borrow()
-            .has_processed_completion(worker, end.number)
+            .has_processed_completion(worker, report.incarnation, end.number)
         {
             continue;
         }
