--- a/crates/standins/src/simulated_worker.rs
+++ b/crates/standins/src/simulated_worker.rs
@@ -79,6 +79,8 @@
     booted_at: Duration,
     /// The wall-clock time since 1970 at the true time zero.
     wall_origin: Duration,
+    /// The reading of the worker's clock when the incarnation began.
+    clock_origin: Duration,
     /// The highest fencing token seen.
     token: u64,
     /// When the lease lapses, on the worker's clock.
@@ -94,7 +96,7 @@
     completions: Vec<EndedRun>,
     /// The number of the latest completion.
     completion_count: u64,
-    /// The highest number acknowledged. Completions up to it are forgotten, also those that come later.
+    /// The highest number that was acknowledged. Completions up to it are never reported, also those that come later.
     acknowledged: u64,
     /// Returns how long after its start a task crashes the worker; `None` for most tasks.
     crash_rule: CrashRule,
@@ -123,6 +125,7 @@
             clock_rate_percent,
             booted_at: now,
             wall_origin: Duration::ZERO,
+            clock_origin: Duration::ZERO,
             token: 0,
             lease_end: Duration::ZERO,
             lapse_delay: Duration::ZERO,
@@ -168,6 +171,12 @@
         self.max_lease = max_lease;
     }
 
+    /// Replaces the reading that the worker's clock had at its start, before anything grants a lease.
+    pub fn set_clock_origin(&mut self, clock_origin: Duration) {
+        self.clock_origin = clock_origin;
+        self.lease_end = clock_origin;
+    }
+
     /// Returns the true time at which the lease lapses or has lapsed.
     pub fn lease_lapses_at(&self) -> Duration {
         self.true_time(self.lease_end)
@@ -235,8 +244,8 @@
             .fold(ResourceAmount::default(), |sum, run| sum + run.work.size)
     }
 
-    /// Restarts the worker under the same identity at `now`: its runs end as lapsed and its state is lost. The recorded
-    /// events and the rule by which tasks crash it stay.
+    /// Restarts the worker under the same identity at `now`: its runs end as lapsed, its state is lost, and its clock reads
+    /// zero. The recorded events and the rule by which tasks crash it stay.
     pub fn restart(&mut self, now: Duration) {
         for (task, run) in self.runs.keys().copied().collect::<Vec<_>>() {
             self.events
@@ -406,17 +415,20 @@
         self.runs.swap_remove(&(task, run));
         self.record_highest_run(task, run);
         self.completion_count += 1;
-        if self.completion_count > self.acknowledged {
-            self.completions.push(EndedRun {
-                number: self.completion_count,
-                task,
-                run,
-                result,
-                checkpoint: None::<Arc<str>>,
-            });
-        }
         self.events
             .push((at, WorkerEvent::Ended(task, run, result)));
+        if self.completion_count <= self.acknowledged {
+            self.events
+                .push((at, WorkerEvent::Acknowledged(task, result)));
+            return;
+        }
+        self.completions.push(EndedRun {
+            number: self.completion_count,
+            task,
+            run,
+            result,
+            checkpoint: None::<Arc<str>>,
+        });
     }
 
     fn refuse_token(&mut self, token: u64) -> Option<OrderOutcome> {
@@ -438,11 +450,12 @@
     }
 
     fn local_time(&self, now: Duration) -> Duration {
-        now.saturating_sub(self.booted_at) * self.clock_rate_percent / 100
+        self.clock_origin + now.saturating_sub(self.booted_at) * self.clock_rate_percent / 100
     }
 
     fn true_time(&self, local_time: Duration) -> Duration {
-        self.booted_at + local_time * 100 / self.clock_rate_percent
+        let passed = local_time.saturating_sub(self.clock_origin);
+        self.booted_at + passed * 100 / self.clock_rate_percent
     }
 }
 
