Give a call the whole timeout after the check of its connection

What callers would see: no run starts on a worker that takes 200 ms to answer, or is a few round trips away.

Cause: connecting, the check of the connection and the order shared one timeout of 350 ms, and a timeout closes the connection, so that the next order had to be checked again.

Change: the call has its own timeout once the connection is checked. The immediate renewal after a restart is sent once, so that a worker whose answers stop telling its incarnation is not called without a pause.

The test of an owner whose own late start is refused let the stand-in check for the restart as the order arrived, so that the worker never refused it: it passed whatever the owner made of a refusal. The stand-in now checks as the order is sent; with `OwnerTerm::uses_token` always true the test fails.

--- a/crates/fleet/src/http_pool.rs
+++ b/crates/fleet/src/http_pool.rs
@@ -175,7 +175,7 @@
     }
 
     /// Sends a request once to the intended incarnation, and reads the whole answer, within `timeout`. It is sent only over a
-    /// connection on which that incarnation has answered; a new connection is checked first.
+    /// connection on which that incarnation has answered; a new connection is checked first, within as long a timeout.
     ///
     /// # Errors
     ///
@@ -216,6 +216,8 @@
                 false => CheckedReply::OtherIncarnation,
             });
         }
+        // A worker that is slow to answer the check is as slow to answer the call.
+        let deadline = AnswerDeadline::after(timeout);
         let (reply, connection) = self
             .exchange(address, connection, request, &deadline)
             .await?;
--- a/crates/fleet/src/lease_renewal.rs
+++ b/crates/fleet/src/lease_renewal.rs
@@ -84,6 +84,7 @@
 /// Renews a worker's lease until the term is over, or the worker is retired.
 pub(crate) async fn renew_lease(shared: Rc<SharedState>, term: Rc<OwnerTerm>, key: WorkerKey) {
     let mut failures: u32 = 0;
+    let mut was_restarted = false;
     let mut first_failed = None;
     loop {
         let address = worker_address(&term, key);
@@ -105,6 +106,7 @@
                 }
                 failures = 0;
                 first_failed = None;
+                was_restarted &= order.is_read_only();
                 log_new_incarnation(&shared, &term, key, &order, &report);
                 log_run_ends(&shared, &term, &address.id, &report);
                 let now = shared.now();
@@ -136,7 +138,9 @@
                 if outcome == RESTARTED {
                     count_call_for_former_incarnation("renewal");
                 }
-                if outcome == RESTARTED && failures == 1 {
+                // The next renewal tells of the new incarnation, unless its answers don't tell which it is.
+                if outcome == RESTARTED && !was_restarted {
+                    was_restarted = true;
                     continue;
                 }
                 let pause = FIRST_RETRY_PAUSE * 2u32.saturating_pow(failures.min(8) - 1);
--- a/crates/fleet/tests/daemons/test_fleet.rs
+++ b/crates/fleet/tests/daemons/test_fleet.rs
@@ -175,12 +175,18 @@
         worker: &WorkerAddress,
         act: impl FnOnce(&mut SimulatedWorker, Duration) -> OrderOutcome + 'static,
     ) -> OrderOutcome {
+        if self.has_restarted(worker) {
+            return RESTARTED;
+        }
         time::sleep(self.order_latency.get()).await;
         let is_lost = self.is_affected();
         let is_late = self.is_affected();
         let is_unanswered = self.is_affected();
-        if self.has_restarted(worker) {
-            return RESTARTED;
+        let has_seen_token = |state: &mut SimulatedWorker, _| state.has_seen_token();
+        if self.has_restarted(worker)
+            && self.with_reachable_worker(worker, has_seen_token) != Some(true)
+        {
+            return UNANSWERED;
         }
         let mut answer = None;
         if is_late {
--- a/crates/standins/src/simulated_worker.rs
+++ b/crates/standins/src/simulated_worker.rs
@@ -177,6 +177,11 @@
         self.lease_end = clock_origin;
     }
 
+    /// Returns whether the present incarnation has received a call with a fencing token.
+    pub fn has_seen_token(&self) -> bool {
+        self.token > 0
+    }
+
     /// Returns the true time at which the lease lapses or has lapsed.
     pub fn lease_lapses_at(&self) -> Duration {
         self.true_time(self.lease_end)
