Don't wait the longest lease for each young worker that falls silent

Cause: a successor counted the longest lease for every young worker that it didn't reach. Every worker is young once, and no record tells a new one from one that has restarted.

Change: without an answer the longest lease counts only if the registry shows another incarnation than the record.

The lease before an answer is a function of its own, and two functions are named for what they return.

--- a/crates/dispatch/src/dispatcher_workers.rs
+++ b/crates/dispatch/src/dispatcher_workers.rs
@@ -51,7 +51,7 @@
 const ANSWER_TIME: Duration = Duration::from_millis(50);
 
 /// The time after the start of a worker's incarnation within which calls that were meant for the former one are carried out: they
-/// were sent until the restart was noticed, and are carried out up to 12 s late.
+/// were sent until the restart was noticed, at most some 2 s, and are carried out up to 12 s late.
 const FORMER_CALL_WINDOW: Duration = Duration::from_secs(15);
 
 /// The time without any activity of the process from which it counts as suspended. It plans several times within that.
@@ -83,7 +83,7 @@
 
     /// Returns when, on this process's clock, the last lease lapses that a call for a former incarnation may have granted the
     /// one that began at `incarnation`; `None` if that is unknown.
-    fn former_calls_until(&self, incarnation: Option<Duration>) -> Option<Duration> {
+    fn former_call_leases_until(&self, incarnation: Option<Duration>) -> Option<Duration> {
         let began_at = incarnation?.saturating_add(self.settings.max_clock_skew);
         let time = FORMER_CALL_WINDOW + WorkerClock::longest(self.longest_lease());
         Some(
@@ -98,7 +98,7 @@
     fn inherited_lease(&self, incarnation: Option<Duration>, now: Duration) -> Duration {
         let regular = self.settings.lease_duration + self.settings.max_stop_duration;
         let longest = self.longest_lease();
-        match self.former_calls_until(incarnation) {
+        match self.former_call_leases_until(incarnation) {
             Some(until) => until.saturating_sub(now).clamp(regular, longest),
             None => longest,
         }
@@ -110,11 +110,15 @@
         longest.saturating_sub(self.inherited_orders_lifetime(true))
     }
 
-    /// Returns the time until which a worker that has not answered may continue to execute a former owner's orders; `until` if it has
-    /// not restarted lately.
-    fn inherited_until(&self, worker: &WorkerState, until: Duration) -> Duration {
+    /// Returns the time until which a worker that has not answered may continue to execute a former owner's orders; `until` unless the
+    /// registry shows that it has restarted lately. Every worker is young once, and waiting for the longest lease of each that falls
+    /// silent at a takeover would hold up all tasks.
+    fn inherited_orders_end(&self, worker: &WorkerState, until: Duration) -> Duration {
+        if !worker.restarted_in_takeover {
+            return until;
+        }
         let extended = until.saturating_add(self.unknown_age_extension());
-        match self.former_calls_until(worker.latest_incarnation) {
+        match self.former_call_leases_until(worker.latest_incarnation) {
             Some(lapses_at) => lapses_at.clamp(until, extended),
             None => extended,
         }
@@ -394,6 +398,24 @@
         Some(deadline.saturating_sub(ending_time))
     }
 
+    /// Returns the lease that a worker may hold as it answers for the first time, or for the last time before it refuses calls for
+    /// its former incarnation. Until then such a call may have granted the longest lease, as its deadline is one on another clock,
+    /// and a former owner a whole lease.
+    fn lease_before_answer(&self, key: WorkerKey, now: Duration) -> Duration {
+        let worker = self.worker(key);
+        let lease = self.settings.lease_duration;
+        if worker.is_unfenced() || worker.restarted_in_takeover {
+            return self.longest_lease();
+        }
+        if worker.is_inherited || self.unknown_workers_until.is_some() {
+            return self.inherited_lease(worker.latest_incarnation, now);
+        }
+        match self.former_token() {
+            Some(_) => lease + self.settings.max_stop_duration,
+            None => lease,
+        }
+    }
+
     /// Processes a worker's answer to a lease renewal that was sent at `sent`.
     pub fn handle_renewal_report(
         &mut self,
@@ -405,11 +427,7 @@
         self.detect_suspension(now);
         let is_fresh = sent >= self.resumed_at;
         let previous = self.worker(key).incarnation;
-        let lease = self.settings.lease_duration;
         let longest_lease = self.longest_lease();
-        let ending_time = self.settings.max_stop_duration;
-        let has_former_owner = self.former_token().is_some();
-        let may_be_unknown = self.unknown_workers_until.is_some();
         let longest_wait = WorkerClock::longest(self.settings.max_renewal_wait);
         let is_restarted =
             previous.is_some() && report.incarnation.is_some() && previous != report.incarnation;
@@ -429,23 +447,12 @@
             && report.incarnation != worker.record.incarnation;
         worker.incarnation = report.incarnation.or(worker.incarnation);
         worker.latest_incarnation = worker.latest_incarnation.max(report.incarnation);
-        let latest_incarnation = worker.latest_incarnation;
-        let inherited_lease = self.inherited_lease(latest_incarnation, now);
-        let worker = self.worker_mut(key);
         worker.clock.hear(report.clock, now);
-        let is_unfenced = worker.restarts > 0 && !worker.has_owner_token;
-        if is_unfenced || !worker.clock.has_deadline() {
-            // Until this answer, a call that was sent before its restart was known may have granted the new incarnation the
-            // longest lease, as its deadline is one on the former clock; a former owner may have granted what is adopted below
-            // a whole lease.
-            let lease = match () {
-                () if is_unfenced || worker.restarted_in_takeover => longest_lease,
-                () if worker.is_inherited || may_be_unknown => inherited_lease,
-                () if has_former_owner => lease + ending_time,
-                () => lease,
-            };
-            worker.clock.grant(lease, now);
+        if worker.is_unfenced() || !worker.clock.has_deadline() {
+            let lease = self.lease_before_answer(key, now);
+            self.worker_mut(key).clock.grant(lease, now);
         }
+        let worker = self.worker_mut(key);
         worker.last_answer_at = Some(now);
         worker.answer_due_at = None;
         worker.last_answered_call_at = worker.last_answered_call_at.max(Some(sent));
@@ -594,7 +601,7 @@
             let worker = &self.workers[index];
             let inherited = worker.inherited_until;
             let has_lapsed =
-                inherited.is_some_and(|until| now > self.inherited_until(worker, until));
+                inherited.is_some_and(|until| now > self.inherited_orders_end(worker, until));
             let is_due = |until: Duration| now > until;
             if worker.requires_record_until.is_some_and(is_due) {
                 self.worker_mut(key).requires_record_until = None;
--- a/crates/dispatch/src/worker_state.rs
+++ b/crates/dispatch/src/worker_state.rs
@@ -317,6 +317,11 @@
         self.update_service_use(now);
     }
 
+    /// Returns whether the worker has restarted, and may still carry out calls for its former incarnation.
+    pub(crate) fn is_unfenced(&self) -> bool {
+        self.restarts > 0 && !self.has_owner_token
+    }
+
     /// Returns whether a former owner may have started runs on the worker that this owner does not know.
     pub(crate) fn may_have_unknown_runs(&self) -> bool {
         self.inherited_until.is_some() || self.has_unread_ends
--- a/crates/dispatch/tests/late_calls.rs
+++ b/crates/dispatch/tests/late_calls.rs
@@ -328,3 +328,36 @@
     assert!(is_granted(Some(FIRST_OWNER - 1)));
     assert!(is_granted(Some(0)));
 }
+
+/// Guards against two runs of a task: a worker that was heard once since its restart, and is cut off before it follows the new
+/// token, carries out a start for its former incarnation.
+#[test]
+fn late_start_on_a_worker_that_was_cut_off_before_its_fence_ends_first() {
+    let mut scene = Scene::new(LONG_TASK);
+    scene.turn_for(ms(1900));
+    scene.add_job(1);
+    let late = scene.plan_starts();
+    scene.restart(&late);
+    scene.turn();
+    scene.now += ms(5000);
+    scene.carry_out_late(&late[0]);
+    assert_eq!(scene.worker.running_tasks().len(), 1, "carried out");
+    assert_eq!(scene.tasks_after_lapse(), Vec::new());
+}
+
+/// Guards against two runs of a task: a worker that nobody has heard since its restart carries out a start for its former
+/// incarnation.
+#[test]
+fn late_start_on_a_worker_that_is_silent_since_its_restart_ends_first() {
+    let mut scene = Scene::new(LONG_TASK);
+    scene.turn_for(ms(1900));
+    scene.add_job(1);
+    let late = scene.plan_starts();
+    scene.restart(&late);
+    scene.now += ms(3000);
+    let record = scene.worker.record().clone();
+    scene.owner.upsert_worker(record, None);
+    scene.carry_out_late(&late[0]);
+    assert_eq!(scene.worker.running_tasks().len(), 1, "carried out");
+    assert_eq!(scene.tasks_after_lapse(), Vec::new());
+}
--- a/crates/fleet/src/fleet_workers.rs
+++ b/crates/fleet/src/fleet_workers.rs
@@ -35,7 +35,7 @@
 pub struct OrderReply {
     /// The outcome of the order.
     pub outcome: OrderOutcome,
-    /// The reading of the worker's clock, if it answered with one. It starts anew with each incarnation.
+    /// The reading of the worker's clock, if it answered with one. Each incarnation has another one.
     pub clock: Option<Duration>,
 }
 
--- a/crates/fleet/src/order_planning.rs
+++ b/crates/fleet/src/order_planning.rs
@@ -62,7 +62,7 @@
     worker_heard_ms: Option<u64>,
     /// When the incarnation began that the order was meant for, since 1970.
     worker_born_ms: Option<u64>,
-    /// The reading of the worker's clock in the answer, which starts anew with each incarnation.
+    /// The reading of the worker's clock in the answer; each incarnation has another one.
     worker_clock_ms: Option<u64>,
     /// The end of the lease that a start carried, on the clock of the incarnation that it was meant for.
     deadline_ms: Option<u64>,
