Hold starts that a restarted worker may carry out late

Callers saw (in tests alone; the users' record shows no late call) two runs of a task, or a done task started again: a worker received a start, restarted under its identity, and its next process carried the start out before it had answered anyone. Its token was the highest that this process had seen, and its deadline, on the former clock, granted the longest lease.

Cause: an owner counted time from its last grant, not from the last moment at which an unanswered call may be carried out; and what it knew of restarts ended with its term.

Change: an owner that knows of a restart holds runs whose starts are unanswered until the new incarnation has answered with its token, or 15 s and the longest lease after the last such call; runs that the former incarnation had begun are given up as before. Rows of workers end with a section that marks restarts and whether calls may yet act (earlier versions ignore it); a successor waits for marked workers that it does not reach. `loss` lines tell `unfenced`, `records` lines `recorded_restarts`.

Why it works: a call that this owner may have outstanding has left a trace when it went unanswered; a call that was answered has been executed; and what a new owner can't ask the worker is in the row that it reads anyway.

A late acknowledgement that is carried out in the same gap is another fault, newly listed (late_acknowledgement_before_the_first_answer_...).

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -186,6 +186,8 @@
     pub(crate) wall_origin: Option<Duration>,
     /// Whether runs start only on workers that are on record for a successor.
     pub(crate) requires_recorded_workers: bool,
+    /// Whether restarts of workers are known that are not on record as they are.
+    pub(crate) has_changed_restarts: bool,
 }
 
 impl Dispatcher {
@@ -243,6 +245,7 @@
             unknown_workers_until: None,
             wall_origin: None,
             requires_recorded_workers: false,
+            has_changed_restarts: false,
         }
     }
 
--- a/crates/dispatch/src/dispatcher_crashes.rs
+++ b/crates/dispatch/src/dispatcher_crashes.rs
@@ -249,6 +249,7 @@
             connection_refused: worker.connection_refused,
             listed: worker.listed,
             other_runs: worker.runs.len() - 1,
+            is_unfenced: worker.has_unfenced_restart(),
         };
         let is_restarted = cause == LossCause::Restarted || state.is_orphaned;
         // An answer to a later call shows that the start, if it arrived by then, did not crash the worker.
--- a/crates/dispatch/src/dispatcher_runs.rs
+++ b/crates/dispatch/src/dispatcher_runs.rs
@@ -276,6 +276,7 @@
             connection_refused: worker.connection_refused,
             listed: worker.listed,
             other_runs: worker.runs.len() - 1,
+            is_unfenced: worker.has_unfenced_restart(),
         };
         self.pending_losses.push(loss);
     }
@@ -300,9 +301,14 @@
         }
     }
 
-    /// Counts all runs of a worker as over, so that their tasks can start elsewhere.
-    pub(crate) fn drop_all_runs(&mut self, key: WorkerKey, cause: LossCause, now: Duration) {
-        let runs: Vec<(TaskKey, RunNumber)> = self.worker(key).runs.keys().copied().collect();
+    /// Counts runs of a worker as over, so that their tasks can start elsewhere.
+    pub(crate) fn drop_runs(
+        &mut self,
+        key: WorkerKey,
+        runs: Vec<(TaskKey, RunNumber)>,
+        cause: LossCause,
+        now: Duration,
+    ) {
         self.record_losses(key, &runs, cause, now);
         for (task, run) in runs {
             self.release_run(key, task, run, EarlierRun::Lost(cause), now);
--- a/crates/dispatch/src/dispatcher_workers.rs
+++ b/crates/dispatch/src/dispatcher_workers.rs
@@ -18,6 +18,7 @@
     OrderOutcome,
     OrderRefusal,
     RenewalReport,
+    RestartMark,
     RunNumber,
     TaskKey,
     WorkerClock,
@@ -110,20 +111,94 @@
         longest.saturating_sub(self.inherited_orders_lifetime(true))
     }
 
-    /// Returns the time until which a worker that has not answered may continue to execute a former owner's orders; `until` unless the
-    /// registry shows that it has restarted lately. Every worker is young once, and waiting for the longest lease of each that falls
-    /// silent at a takeover would hold up all tasks.
+    /// Returns the time until which a worker that has not answered may continue to execute a former owner's orders; `until` unless it
+    /// is known to have restarted lately. Every worker is young once, and waiting for the longest lease of each that falls silent at
+    /// a takeover would hold up all tasks.
     fn inherited_orders_end(&self, worker: &WorkerState, until: Duration) -> Duration {
-        if !worker.restarted_in_takeover {
+        let Some(mark) = worker.restart else {
             return until;
-        }
+        };
         let extended = until.saturating_add(self.unknown_age_extension());
-        match self.former_call_leases_until(worker.latest_incarnation) {
-            Some(lapses_at) => lapses_at.clamp(until, extended),
-            None => extended,
+        let latest = match mark.may_act_late {
+            true => extended.saturating_add(FORMER_CALL_WINDOW),
+            false => extended,
+        };
+        let lapses_at = self.former_call_leases_until(Some(mark.incarnation));
+        lapses_at.unwrap_or(latest).clamp(until, latest)
+    }
+
+    /// Returns when the last lease lapses that a call of this owner for a former incarnation may yet grant the present one; `None`
+    /// if no such call is outstanding, or a known incarnation refuses it.
+    fn late_grants_lapse_at(&self, worker: &WorkerState) -> Option<Duration> {
+        let unanswered_at = worker
+            .former_grant_at
+            .filter(|_| worker.has_unfenced_restart())?;
+        Some(unanswered_at + FORMER_CALL_WINDOW + WorkerClock::longest(self.longest_lease()))
+    }
+
+    /// Records that a worker has restarted.
+    fn note_restart(&mut self, key: WorkerKey, incarnation: Duration) {
+        let worker = self.worker_mut(key);
+        if worker.restart.map(|mark| mark.incarnation) == Some(incarnation) {
+            return;
+        }
+        let mark = RestartMark {
+            incarnation,
+            may_act_late: true,
+        };
+        worker.restart = Some(mark);
+        worker.former_grant_at = worker.unanswered_grant_at;
+        self.has_changed_restarts = true;
+    }
+
+    /// Records that a call which grants a worker a lease has no answer. `is_former` tells whether it was meant for an incarnation
+    /// before the last known restart.
+    fn note_unanswered_grant(&mut self, key: WorkerKey, is_former: bool, now: Duration) {
+        let worker = self.worker_mut(key);
+        worker.unanswered_grant_at = Some(now);
+        if is_former {
+            worker.former_grant_at = Some(now);
+            self.has_changed_restarts = true;
+        }
+    }
+
+    /// Records a worker's restart that a former owner has noticed.
+    pub fn inherit_restart(&mut self, id: &str, mark: RestartMark) {
+        if let Some(&key) = self.worker_keys.get(id) {
+            self.worker_mut(key).restart = Some(mark);
         }
     }
 
+    /// Returns the restarts that a successor must know of: those of which calls for the former incarnation may still act.
+    pub fn restart_marks(&self, now: Duration) -> IndexMap<Arc<str>, RestartMark> {
+        let mut marks = IndexMap::new();
+        for worker in &self.workers {
+            let Some(mark) = worker.restart else {
+                continue;
+            };
+            let lapses_at = self.former_call_leases_until(Some(mark.incarnation));
+            if lapses_at.is_some_and(|lapses_at| now >= lapses_at) {
+                continue;
+            }
+            // Before an answer it is not known which calls of a former owner are outstanding.
+            let is_outstanding = worker.last_answer_at.is_none()
+                || worker
+                    .former_grant_at
+                    .is_some_and(|at| now < at + FORMER_CALL_WINDOW);
+            let mark = RestartMark {
+                may_act_late: mark.may_act_late && is_outstanding,
+                ..mark
+            };
+            marks.insert(Arc::clone(&worker.record.id), mark);
+        }
+        marks
+    }
+
+    /// Returns whether the restarts that a successor must know of have changed since the last call.
+    pub fn take_changed_restarts(&mut self) -> bool {
+        std::mem::take(&mut self.has_changed_restarts)
+    }
+
     /// Sets the time until which workers that have not yet answered may continue to execute a
     /// former owner's orders, unless they have restarted lately.
     pub fn set_inherited_until(&mut self, until: Duration) {
@@ -439,6 +514,9 @@
             worker.reset_incarnation();
             self.discard_tickets(key);
             self.detach_held_ends(key);
+            if let Some(incarnation) = report.incarnation {
+                self.note_restart(key, incarnation);
+            }
         }
         let worker = self.worker_mut(key);
         worker.restarted_in_takeover |= worker.inherited_until.is_some()
@@ -466,7 +544,10 @@
             worker.has_owner_token = !is_restarted;
             worker.following_since = now;
             worker.requires_record_until = Some(now + WorkerClock::longest(longest_lease));
+            let is_new = worker.has_owner_token && worker.fence_restart();
+            self.has_changed_restarts |= is_new;
         }
+        let worker = self.worker_mut(key);
         let hears_alone = sent >= worker.following_since + longest_wait;
         let had_unknown_runs = worker.may_have_unknown_runs();
         worker.inherited_until = None;
@@ -524,6 +605,12 @@
 
     /// Records that a renewal failed.
     pub fn handle_renewal_failure(&mut self, key: WorkerKey, outcome: OrderOutcome, now: Duration) {
+        // After a call without an answer renewals grant nothing until one is answered.
+        let known = self.worker(key);
+        if outcome == OrderOutcome::Unknown && known.unanswered == 0 {
+            let is_former = known.has_unfenced_restart() && !known.has_answered_since_restart();
+            self.note_unanswered_grant(key, is_former, now);
+        }
         let worker = self.worker_mut(key);
         worker.record_unanswered(now);
         worker.connection_refused = outcome == OrderOutcome::Refused(OrderRefusal::Closed);
@@ -551,6 +638,9 @@
                 }
             }
             OrderOutcome::Unknown => {
+                // Nothing starts on a worker that may carry out calls for a former incarnation.
+                let is_former = self.worker(key).has_unfenced_restart();
+                self.note_unanswered_grant(key, is_former, now);
                 if let Some(state) = self.worker_mut(key).runs.get_mut(&(task, run)) {
                     state.phase = RunPhase::Unsure;
                     self.stop_run(key, task, run);
@@ -616,20 +706,41 @@
             }
             worker.unknown_runs.clear();
             worker.has_unread_ends = false;
-            if worker.runs.is_empty() {
+            let runs = self.lapsed_runs(&self.workers[index], now);
+            if runs.is_empty() {
                 continue;
             }
-            let cause = match worker.seems_to_have_left() {
+            let cause = match self.workers[index].seems_to_have_left() {
                 true => LossCause::Left,
                 false => LossCause::Lapsed,
             };
-            self.drop_all_runs(key, cause, now);
+            self.drop_runs(key, runs, cause, now);
         }
         self.count_unlisted_crashes();
     }
 
+    /// Returns the runs that are certainly over on a worker whose lease has lapsed as far as this owner has granted it. If the worker
+    /// has restarted, a start that its former incarnation received may yet begin, and take the longest lease.
+    fn lapsed_runs(&self, worker: &WorkerState, now: Duration) -> Vec<(TaskKey, RunNumber)> {
+        let lapse_at = self.late_grants_lapse_at(worker);
+        let may_act_late = lapse_at.is_some_and(|lapse_at| now <= lapse_at);
+        let runs = worker.runs.iter();
+        runs.filter(|(_, run)| !may_act_late || worker.has_ended_with_former_incarnation(run))
+            .map(|(id, _)| *id)
+            .collect()
+    }
+
     /// Replaces a listed worker's record; moves its long-running tasks if it starts to drain.
     fn update_record(&mut self, key: WorkerKey, record: FleetWorker) {
+        let known = self.worker(key);
+        let former = known.record.incarnation;
+        let listed = record.incarnation.filter(|_| former.is_some());
+        if let Some(incarnation) = listed
+            && listed != former
+            && listed != known.incarnation
+        {
+            self.note_restart(key, incarnation);
+        }
         let worker = self.worker_mut(key);
         let starts_draining = record.draining && !worker.record.draining;
         worker.restarted_in_takeover |= worker.inherited_until.is_some()
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -57,6 +57,7 @@
 mod progress_record;
 mod queue_rule;
 mod renewal_report;
+mod restart_mark;
 mod run_loss;
 mod run_number;
 mod run_result;
@@ -146,6 +147,7 @@
         RenewalReport,
         RunningTask, //
     },
+    restart_mark::RestartMark,
     run_loss::{
         LossCause,
         RunLoss, //
--- a/crates/dispatch/src/run_loss.rs
+++ b/crates/dispatch/src/run_loss.rs
@@ -52,4 +52,6 @@
     pub listed: bool,
     /// The number of other runs that were on the worker.
     pub other_runs: usize,
+    /// Whether the worker is known to have restarted, and not to refuse calls that its former incarnation received.
+    pub is_unfenced: bool,
 }
--- a/crates/dispatch/src/worker_state.rs
+++ b/crates/dispatch/src/worker_state.rs
@@ -11,6 +11,7 @@
 
 use crate::{
     FleetWorker,
+    RestartMark,
     RunNumber,
     RunningTask,
     TaskKey,
@@ -53,6 +54,12 @@
     /// it holds a longer lease than usual; `None` once that lease has lapsed.
     pub(crate) requires_record_until: Option<Duration>,
     pub(crate) clock: WorkerClock,
+    /// The last known restart, which this owner or a former one has noticed.
+    pub(crate) restart: Option<RestartMark>,
+    /// When a call that grants a lease was last found to have no answer, so that it may be carried out later.
+    pub(crate) unanswered_grant_at: Option<Duration>,
+    /// When this was last found of a call that was meant for an incarnation before the last known restart.
+    pub(crate) former_grant_at: Option<Duration>,
     /// The number of restarts that this owner has seen.
     pub(crate) restarts: u64,
     /// Whether the worker's current incarnation has answered a call with the fencing token that this owner uses for it, so that
@@ -159,6 +166,9 @@
             recorded_incarnation: None,
             requires_record_until: None,
             clock: WorkerClock::default(),
+            restart: None,
+            unanswered_grant_at: None,
+            former_grant_at: None,
             restarts: 0,
             has_owner_token: false,
             inherited_until: None,
@@ -322,6 +332,38 @@
         self.restarts > 0 && !self.has_owner_token
     }
 
+    /// Returns whether the worker is known to have restarted, and its incarnation may carry out calls for former ones.
+    pub(crate) fn has_unfenced_restart(&self) -> bool {
+        self.restart.is_some_and(|mark| mark.may_act_late)
+    }
+
+    /// Returns whether the incarnation that answered last is the one that followed the last known restart.
+    pub(crate) fn has_answered_since_restart(&self) -> bool {
+        self.restart.map(|mark| mark.incarnation) == self.incarnation
+    }
+
+    /// Records that the incarnation which has answered refuses calls for former ones; returns whether that is new.
+    pub(crate) fn fence_restart(&mut self) -> bool {
+        let (Some(mark), Some(incarnation)) = (self.restart, self.incarnation) else {
+            return false;
+        };
+        // An earlier incarnation may have answered before it restarted.
+        if incarnation < mark.incarnation {
+            return false;
+        }
+        let fenced = RestartMark {
+            incarnation,
+            may_act_late: false,
+        };
+        self.restart.replace(fenced) != Some(fenced)
+    }
+
+    /// Returns whether a run certainly ended with an incarnation that has restarted since: that one had begun it, so that no start of
+    /// it is outstanding.
+    pub(crate) fn has_ended_with_former_incarnation(&self, run: &RunState) -> bool {
+        run.has_begun && (run.is_orphaned || !self.has_answered_since_restart())
+    }
+
     /// Returns whether a former owner may have started runs on the worker that this owner does not know.
     pub(crate) fn may_have_unknown_runs(&self) -> bool {
         self.inherited_until.is_some() || self.has_unread_ends
--- a/crates/dispatch/tests/late_calls.rs
+++ b/crates/dispatch/tests/late_calls.rs
@@ -361,3 +361,41 @@
     assert_eq!(scene.worker.running_tasks().len(), 1, "carried out");
     assert_eq!(scene.tasks_after_lapse(), Vec::new());
 }
+
+/// Guards against tasks that wait for late calls although their starts were answered: they ended with the incarnation that ran them.
+#[test]
+fn answered_starts_end_with_their_incarnation_whatever_is_outstanding() {
+    let mut scene = Scene::new(LONG_TASK);
+    scene.turn_for(ms(1000));
+    scene.add_job(1);
+    scene.turn_for(ms(900));
+    assert_eq!(scene.worker.running_tasks().len(), 1);
+    scene.add_job(2);
+    let late = scene.plan_starts();
+    scene.restart(&late);
+    let record = scene.worker.record().clone();
+    scene.owner.upsert_worker(record, None);
+    assert_eq!(scene.owner.total_run_count(), 2);
+    scene.now += ms(6000);
+    scene.owner.expire_leases(scene.now);
+    assert_eq!(scene.owner.total_run_count(), 1);
+}
+
+/// Guards against a task that runs again after it was done: a renewal of before the restart, carried out before the new incarnation
+/// has answered anyone, acknowledged ends of it that nobody had read.
+#[test]
+fn late_acknowledgement_before_the_first_answer_forgets_no_end() {
+    let mut scene = Scene::new(SHORT_TASK);
+    for number in 1..=3 {
+        scene.add_job(number);
+    }
+    scene.turn_for(ms(1900));
+    assert_eq!(scene.start_count(), 3);
+    let late = scene.next_renewal();
+    scene.restart(std::slice::from_ref(&late));
+    scene.carry_out_late(&late);
+    scene.turn_for(ms(1000));
+    scene.add_job(4);
+    scene.turn_for(LATE_BY);
+    assert_eq!(scene.start_count(), 4);
+}
--- a/crates/dispatch/tests/weak_signs.rs
+++ b/crates/dispatch/tests/weak_signs.rs
@@ -353,6 +353,9 @@
     let until = now + successor.inherited_orders_lifetime(true);
     successor.upsert_worker(worker.record().clone(), Some(until));
     let other = successor.upsert_worker(spare.record().clone(), Some(until));
+    for (id, mark) in former.restart_marks(now) {
+        successor.inherit_restart(&id, mark);
+    }
     successor.add_job(JobKey::new(7), job(&queue));
     for turn in 1..200 {
         let at = now + ms(100 * turn);
--- a/crates/dispatch/tests/young_incarnations.rs
+++ b/crates/dispatch/tests/young_incarnations.rs
@@ -18,6 +18,7 @@
     JobKey,
     LeaseRenewal,
     OrderOutcome,
+    RestartMark,
     RunNumber,
     StartOrder,
     StepKey,
@@ -298,12 +299,30 @@
     assert!(!restarted.owner.is_start_still_valid(start));
 }
 
+/// How a successor learns that a worker has restarted, which it does not reach.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum RestartSign {
+    /// The former owner has it on record.
+    Recorded,
+    /// The registry lists another incarnation than the former owner's record.
+    Listed,
+}
+
 /// Guards against two runs of a task: a young worker that a successor doesn't reach carries out a start for its former incarnation
 /// after the former owners have stopped.
 #[test]
 fn late_start_on_a_young_worker_that_is_not_reached_ends_first() {
+    for sign in [RestartSign::Recorded, RestartSign::Listed] {
+        for is_wall_known in [false, true] {
+            check_late_start(sign, is_wall_known);
+        }
+    }
+}
+
+fn check_late_start(sign: RestartSign, is_wall_known: bool) {
     let settings = DispatchSettings::default();
-    let mut worker = simulated_worker("w0", BEGINS_AT - ms(1000));
+    let born = BEGINS_AT - ms(1000);
+    let mut worker = simulated_worker("w0", born);
     worker.set_max_lease(settings.max_lease_duration);
     let start = StartOrder {
         worker: WorkerKey::new(0),
@@ -320,8 +339,22 @@
     };
     let mut spare = simulated_worker("w1", ms(1000));
     let mut successor = Dispatcher::new(2, settings);
-    successor.note_wall(BEGINS_AT, BEGINS_AT);
+    if is_wall_known {
+        successor.note_wall(BEGINS_AT, BEGINS_AT);
+    }
     let until = BEGINS_AT + successor.inherited_orders_lifetime(true);
+    let mut recorded = worker.record().clone();
+    if sign == RestartSign::Listed {
+        recorded.incarnation = Some(ms(1000));
+    }
+    successor.upsert_worker(recorded, Some(until));
+    if sign == RestartSign::Recorded {
+        let mark = RestartMark {
+            incarnation: born,
+            may_act_late: true,
+        };
+        successor.inherit_restart("w0", mark);
+    }
     successor.upsert_worker(worker.record().clone(), Some(until));
     let other = successor.upsert_worker(spare.record().clone(), Some(until));
     accept(&mut successor, true);
@@ -340,3 +373,33 @@
     worker.advance_to(at);
     assert_eq!(worker.running_tasks(), Vec::new(), "{:?}", at - BEGINS_AT);
 }
+
+/// Guards against a takeover that waits for late calls although the worker refuses them, or none is outstanding.
+#[test]
+fn restart_of_which_no_call_can_act_late_is_recorded_as_such() {
+    let may_act_late = |owner: &Dispatcher, now| {
+        let marks = owner.restart_marks(now);
+        marks.get("w0").map(|mark| mark.may_act_late)
+    };
+    let mut answered = RestartedWorker::new(true);
+    assert_eq!(may_act_late(&answered.owner, answered.now), Some(false));
+    assert!(answered.owner.take_changed_restarts());
+    assert!(!answered.owner.take_changed_restarts());
+    answered
+        .owner
+        .handle_renewal_failure(answered.key, OrderOutcome::Unknown, answered.now);
+    answered.now += ms(100);
+    answered.worker.restart(answered.now);
+    answered.register();
+    assert_eq!(may_act_late(&answered.owner, answered.now), Some(true));
+    answered.renew();
+    assert_eq!(may_act_late(&answered.owner, answered.now), Some(true));
+    answered.owner.take_changed_restarts();
+    answered.renew();
+    assert_eq!(may_act_late(&answered.owner, answered.now), Some(false));
+    assert!(answered.owner.take_changed_restarts());
+    assert_eq!(
+        may_act_late(&answered.owner, answered.now + ms(40_000)),
+        None
+    );
+}
--- a/crates/fleet/src/order_planning.rs
+++ b/crates/fleet/src/order_planning.rs
@@ -153,7 +153,8 @@
 }
 
 /// The loss of a run together with its worker. `ran_ms` is how long the run is known to have been executing; `listed`
-/// whether the registry still lists the worker; `others` the number of other runs that were on it.
+/// whether the registry still lists the worker; `others` the number of other runs that were on it; `unfenced` whether the worker
+/// is known to have restarted, and may carry out calls that its former incarnation received.
 #[derive(Serialize)]
 struct LossLine<'a> {
     task: String,
@@ -166,6 +167,7 @@
     refused: bool,
     listed: bool,
     others: usize,
+    unfenced: bool,
     owner_token: u64,
 }
 
@@ -555,6 +557,7 @@
             refused: loss.connection_refused,
             listed: loss.listed,
             others: loss.other_runs,
+            unfenced: loss.is_unfenced,
             owner_token: term.token(),
         },
     );
--- a/crates/fleet/src/ownership_takeover.rs
+++ b/crates/fleet/src/ownership_takeover.rs
@@ -90,6 +90,7 @@
     change: &'static str,
     token: u64,
     recorded_workers: usize,
+    recorded_restarts: usize,
     listed_workers: usize,
     progress_rows: usize,
     /// The progress rows of jobs that are not known yet.
@@ -278,6 +279,9 @@
         dispatcher.upsert_worker(worker.clone(), Some(until));
         dispatcher.mark_unlisted(&id);
     }
+    for (id, mark) in &recorded.restarts {
+        dispatcher.inherit_restart(id, *mark);
+    }
     dispatcher.finish_recording(&recorded.workers);
     let is_listed = |change: &&RegistryChange| matches!(change, RegistryChange::Listed(_));
     let listed_workers = records.registry.items.iter().filter(is_listed).count();
@@ -302,6 +306,7 @@
             change: "records",
             token: term.token(),
             recorded_workers: recorded.workers.len(),
+            recorded_restarts: recorded.restarts.len(),
             listed_workers,
             progress_rows: progress.len(),
             early_rows: term.dispatcher.borrow().early_record_count(),
--- a/crates/fleet/src/progress_codec.rs
+++ b/crates/fleet/src/progress_codec.rs
@@ -214,7 +214,7 @@
 
 /// Returns a section and the bytes that follow it. Records of earlier versions lack the last ones. One that can't be read is no
 /// empty one: done steps may follow.
-fn take_section<Section>(bytes: &[u8]) -> Result<(Section, &[u8]), postcard::Error>
+pub(crate) fn take_section<Section>(bytes: &[u8]) -> Result<(Section, &[u8]), postcard::Error>
 where
     Section: Default + DeserializeOwned,
 {
--- a/crates/fleet/src/takeover_records.rs
+++ b/crates/fleet/src/takeover_records.rs
@@ -4,14 +4,20 @@
 
 use std::{
     rc::Rc,
+    sync::Arc,
     time::Duration, //
 };
 
+use indexmap::IndexMap;
 use jasminebend_dispatch::{
     Dispatcher,
-    FleetWorker, //
+    FleetWorker,
+    RestartMark, //
+};
+use serde::{
+    Deserialize,
+    Serialize, //
 };
-use serde::Serialize;
 use tokio::time;
 
 use crate::{
@@ -24,6 +30,7 @@
     fleet_log::whole_millis,
     member_watch::apply_owner_row,
     owner_term::OwnerTerm,
+    progress_codec::take_section,
     shared_state::{
         LEARNED_KEY,
         SHARD_PART,
@@ -44,6 +51,13 @@
 /// The largest record of learned interference, in bytes; a larger one is not written.
 const MAX_LEARNED_BYTES: usize = 48 << 10;
 
+/// The part of a row that follows its workers: those of them that have restarted lately, by their places in the row. A daemon of an
+/// earlier version ignores it.
+#[derive(Default, Deserialize, Serialize)]
+struct RestartSection {
+    restarts: Vec<(u32, RestartMark)>,
+}
+
 /// The workers could not be written, or were `late_ms` after the first attempt. No run starts on the `unrecorded` ones.
 #[derive(Serialize)]
 struct WorkerRecordLine {
@@ -66,7 +80,7 @@
     loop {
         // A successor must find the rows that this owner could not read.
         let may_write = !term.dispatcher.borrow().expects_unknown_workers();
-        if may_write && term.workers_changed.replace(false) {
+        if may_write && take_worker_changes(&term) {
             record_workers(&shared, &term, &mut failing_since).await;
         }
         if shared.now() >= learned_at + LEARNED_WRITE_INTERVAL {
@@ -79,6 +93,12 @@
     }
 }
 
+/// Returns whether the workers, or what a successor must know of their restarts, have changed since the last call.
+fn take_worker_changes(term: &OwnerTerm) -> bool {
+    let has_changed_restarts = term.dispatcher.borrow_mut().take_changed_restarts();
+    term.workers_changed.replace(false) || has_changed_restarts
+}
+
 /// Writes the rows that list the workers. Each row's version is required, so that a write that was not answered can't
 /// replace a later one.
 async fn record_workers(
@@ -88,8 +108,9 @@
 ) {
     let started_at = shared.now();
     let records = term.dispatcher.borrow_mut().begin_recording();
+    let restarts = term.dispatcher.borrow().restart_marks(started_at);
     let mut versions = term.worker_row_versions.borrow().clone();
-    let writes = worker_rows(&records, versions.len());
+    let writes = worker_rows(&records, &restarts, versions.len());
     versions.resize(writes.len(), 0);
     let row_count = writes.len();
     let rows = writes.iter().zip(&versions);
@@ -176,6 +197,8 @@
 #[derive(Default)]
 pub(crate) struct RecordedWorkers {
     pub(crate) workers: Vec<FleetWorker>,
+    /// The workers that have restarted lately, by identity.
+    pub(crate) restarts: IndexMap<Arc<str>, RestartMark>,
     /// The keys of the rows that can't be read, each of which may list any workers.
     pub(crate) unreadable_rows: Vec<String>,
 }
@@ -184,13 +207,25 @@
     pub(crate) fn decode(rows: &[StoreRow]) -> Self {
         let mut recorded = Self::default();
         for (_, row) in numbered_worker_rows(rows) {
-            match postcard::from_bytes::<Vec<FleetWorker>>(&row.value) {
-                Ok(workers) => recorded.workers.extend(workers),
-                Err(_) => recorded.unreadable_rows.push(row.key.clone()),
+            if recorded.add_row(&row.value).is_err() {
+                recorded.unreadable_rows.push(row.key.clone());
             }
         }
         recorded
     }
+
+    /// Adds the workers of a row, also if what follows them can't be read.
+    fn add_row(&mut self, value: &[u8]) -> Result<(), postcard::Error> {
+        let (workers, rest) = postcard::take_from_bytes::<Vec<FleetWorker>>(value)?;
+        let section = take_section::<RestartSection>(rest);
+        for (place, mark) in section.iter().flat_map(|(section, _)| &section.restarts) {
+            if let Some(worker) = workers.get(*place as usize) {
+                self.restarts.insert(Arc::clone(&worker.id), *mark);
+            }
+        }
+        self.workers.extend(workers);
+        section.map(drop)
+    }
 }
 
 /// Returns the versions of the rows that list the workers, by the rows' numbers; 0 for a row that does not exist.
@@ -220,19 +255,40 @@
     }
 }
 
-/// Returns rows of a bounded size that list the workers; formerly used rows that are no longer needed become empty.
-fn worker_rows(workers: &[FleetWorker], rows_used: usize) -> Vec<StoreRow> {
+/// Returns rows of a bounded size that list the workers and their restarts; formerly used rows that are no longer needed become
+/// empty.
+fn worker_rows(
+    workers: &[FleetWorker],
+    restarts: &IndexMap<Arc<str>, RestartMark>,
+    rows_used: usize,
+) -> Vec<StoreRow> {
     let chunks = split_into_rows(workers);
     let count = chunks.len().max(rows_used).max(1);
     let rows = (0..count).filter_map(|number| {
         let chunk = chunks.get(number).map_or(&[][..], Vec::as_slice);
-        let value = postcard::to_stdvec(chunk).ok()?;
+        let value = encode_workers(chunk, restarts).ok()?;
         let key = format!("{WORKERS_KEY_PREFIX}{number:04}");
         Some(StoreRow::new(StoreTable::Progress, SHARD_PART, key, value))
     });
     rows.collect()
 }
 
+fn encode_workers(
+    workers: &[&FleetWorker],
+    restarts: &IndexMap<Arc<str>, RestartMark>,
+) -> Result<Vec<u8>, postcard::Error> {
+    let value = postcard::to_stdvec(workers)?;
+    let marked = (0..).zip(workers);
+    let marked = marked.filter_map(|(place, worker)| Some((place, *restarts.get(&worker.id)?)));
+    let section = RestartSection {
+        restarts: marked.collect(),
+    };
+    match section.restarts.is_empty() {
+        true => Ok(value),
+        false => postcard::to_extend(&section, value),
+    }
+}
+
 /// Splits the workers into rows that the store accepts.
 fn split_into_rows(workers: &[FleetWorker]) -> Vec<Vec<&FleetWorker>> {
     let mut rows: Vec<Vec<&FleetWorker>> = Vec::new();
--- a/crates/fleet/tests/daemons/memory_store.rs
+++ b/crates/fleet/tests/daemons/memory_store.rs
@@ -200,6 +200,16 @@
         known.version = self.next_version();
     }
 
+    /// Lets the registry list a worker that has restarted.
+    pub(crate) fn list_restarted(&self, restarted: &FleetWorker) {
+        let mut known = self.workers.borrow_mut();
+        let mut entries = known.value.iter_mut();
+        if let Some(entry) = entries.find(|entry| entry.id == restarted.id) {
+            entry.incarnation = restarted.incarnation;
+        }
+        known.version = self.next_version();
+    }
+
     /// Returns the workers in the rows that the owner keeps for a successor, row by row.
     pub(crate) fn recorded_workers(&self) -> Vec<Vec<FleetWorker>> {
         let rows = self.rows_of(StoreTable::Progress, "s0", "workers-", Some("workers."));
--- a/crates/fleet/tests/daemons/restarted_workers.rs
+++ b/crates/fleet/tests/daemons/restarted_workers.rs
@@ -3,7 +3,10 @@
 
 use std::time::Duration;
 
-use jasminebend_dispatch::DispatchSettings;
+use jasminebend_dispatch::{
+    DispatchSettings,
+    LeaseRenewal, //
+};
 use tokio::time;
 
 use crate::test_fleet::{
@@ -14,12 +17,76 @@
 };
 
 const RESTARTED_WORKER: &str = "worker-0";
+const OTHER_WORKER: &str = "worker-1";
 /// Longer than the longest interval between lease renewals, so that the worker restarts in every phase of a renewal.
 const RENEWAL_ROUND_MS: u64 = 2100;
 const PHASE_STEP_MS: usize = 20;
 const CHECK_INTERVAL: Duration = Duration::from_millis(5);
 /// Long enough for the owner to notice the restart, and to grant leases.
 const OBSERVATION_TIME: Duration = Duration::from_secs(3);
+/// Long enough for the members to know each other.
+const SETTLING_TIME: Duration = Duration::from_secs(5);
+const LONGEST_LEASE: Duration = Duration::from_secs(10);
+/// After this time the tasks of a lost worker run elsewhere.
+const RESUMED_AFTER: Duration = Duration::from_secs(25);
+/// The token of calls to workers that have not restarted in the first term.
+const FIRST_TOKEN: u64 = 1;
+
+/// Restarts a worker, which at once carries out a renewal for its former incarnation, and is listed by the registry.
+fn restart_with_late_renewal(fleet: &TestFleet) {
+    let restarted = fleet.workers.with_worker(RESTARTED_WORKER, |worker, now| {
+        worker.restart(now);
+        let late_renewal = LeaseRenewal {
+            deadline: Some(now * 100),
+            acknowledged: 0,
+            max_wait: Duration::ZERO,
+        };
+        drop(worker.renew_lease(now, FIRST_TOKEN, late_renewal));
+        worker.record().clone()
+    });
+    fleet
+        .store
+        .list_restarted(&restarted.expect("the worker exists"));
+}
+
+/// Guards against a successor that does not learn from the former owner's records that a worker has restarted, which holds a longer
+/// lease than usual, and starts its tasks while they run there.
+#[test]
+fn a_successor_outlasts_the_lease_of_a_restarted_worker_that_it_does_not_reach() {
+    run_simulated(async {
+        let fleet = TestFleet::with_runtime_clock(2);
+        fleet.workers.run_time.set(Duration::MAX);
+        fleet.workers.with_worker(RESTARTED_WORKER, |worker, _| {
+            worker.set_max_lease(LONGEST_LEASE);
+        });
+        let owner = fleet.daemon_on_vm();
+        time::sleep(SETTLING_TIME).await;
+        let successor = fleet.daemon();
+        time::sleep(SETTLING_TIME).await;
+        fleet.workers.partition(OTHER_WORKER);
+        restart_with_late_renewal(&fleet);
+        submit(&owner.job_api, 1, &job(&[(1, &[])])).await;
+        while fleet.workers.is_idle(RESTARTED_WORKER) {
+            time::sleep(CHECK_INTERVAL).await;
+        }
+        let recorded = fleet.store.recorded_workers().concat();
+        assert_eq!(recorded.len(), 2, "an earlier version reads the row");
+        fleet.workers.heal();
+        fleet.workers.partition(RESTARTED_WORKER);
+        let _killed = owner.kill_process().await;
+        let runs = fleet.workers.started_runs();
+        let until = time::Instant::now() + RESUMED_AFTER;
+        while time::Instant::now() < until {
+            fleet.workers.check_single_runs();
+            time::sleep(CHECK_INTERVAL).await;
+        }
+        assert!(
+            fleet.workers.started_runs() > runs,
+            "{} resumes the tasks",
+            successor.node()
+        );
+    });
+}
 
 /// Guards against a deadline on the clock of the former incarnation: the new one takes it for the longest lease that it accepts.
 #[test]
