List a late start whose stop the former incarnation had confirmed

What callers see: a run after the task was done.

late_start_whose_stop_a_former_incarnation_confirmed_ends_first shows the same in simulated time, with one owner: it fails, and both are listed.

--- a/crates/dispatch/tests/late_calls.rs
+++ b/crates/dispatch/tests/late_calls.rs
@@ -399,3 +399,34 @@
     scene.turn_for(LATE_BY);
     assert_eq!(scene.start_count(), 4);
 }
+
+/// Guards against two runs of a task: a worker confirmed the stop of a start that it had left unanswered, so that the task started
+/// again, and its next incarnation, which knows of no stop, carries the start out.
+#[test]
+fn late_start_whose_stop_a_former_incarnation_confirmed_ends_first() {
+    let mut scene = Scene::new(LONG_TASK);
+    scene.turn_for(ms(1000));
+    scene.add_job(1);
+    let late = scene.plan_starts();
+    let CallOrder::Start(start, _) = &late[0].order else {
+        unreachable!();
+    };
+    let (task, run, now) = (start.task, start.run, scene.now);
+    let unknown = OrderOutcome::Unknown;
+    scene
+        .owner
+        .handle_start_outcome(scene.key, task, run, unknown, now);
+    let stopped = scene.worker.stop(now, late[0].token, task, run);
+    scene
+        .owner
+        .handle_stop_outcome(scene.key, task, run, stopped, now);
+    scene.turn_for(ms(900));
+    assert_eq!(scene.worker.running_tasks(), vec![task], "started again");
+    scene.restart(&[]);
+    let record = scene.worker.record().clone();
+    scene.owner.upsert_worker(record, None);
+    scene.now += ms(3000);
+    scene.carry_out_late(&late[0]);
+    assert_eq!(scene.worker.running_tasks().len(), 1, "carried out");
+    assert_eq!(scene.tasks_after_lapse(), Vec::new());
+}
