Don't take a late entry of the registry for a worker's restart

A worker restarts twice; its owner learns of the second restart by an answer, and then reads the entry of the first incarnation in the registry. The owner took that for another restart: the row of workers named the earlier birth, after which a successor that does not reach the worker counts, so that it could start the worker's tasks too early.

An entry now marks a restart only if its incarnation is later than all that are known of the worker. A worker whose clock is set back as it restarts is noticed by its first answer.

late_entry_of_an_earlier_incarnation_marks_no_restart failed before (born 200.1 s in place of 200.2 s).

--- a/crates/dispatch/src/dispatcher_workers.rs
+++ b/crates/dispatch/src/dispatcher_workers.rs
@@ -733,11 +733,11 @@
     /// Replaces a listed worker's record; moves its long-running tasks if it starts to drain.
     fn update_record(&mut self, key: WorkerKey, record: FleetWorker) {
         let known = self.worker(key);
-        let former = known.record.incarnation;
-        let listed = record.incarnation.filter(|_| former.is_some());
-        if let Some(incarnation) = listed
-            && listed != former
-            && listed != known.incarnation
+        let marked = known.restart.map(|mark| mark.incarnation);
+        let latest = known.record.incarnation.max(known.incarnation).max(marked);
+        // The registry may list an incarnation that has restarted since.
+        if let Some(incarnation) = record.incarnation
+            && latest.is_some_and(|latest| incarnation > latest)
         {
             self.note_restart(key, incarnation);
         }
--- a/crates/dispatch/tests/young_incarnations.rs
+++ b/crates/dispatch/tests/young_incarnations.rs
@@ -403,3 +403,21 @@
         None
     );
 }
+
+/// Guards against a restart that a successor takes for an earlier one: the registry lists an incarnation that has restarted since.
+#[test]
+fn late_entry_of_an_earlier_incarnation_marks_no_restart() {
+    let mut restarted = RestartedWorker::new(true);
+    let entry = restarted.worker.record().clone();
+    restarted.now += ms(100);
+    restarted.worker.restart(restarted.now);
+    restarted.renew();
+    restarted.renew();
+    restarted.owner.upsert_worker(entry, None);
+    let marks = restarted.owner.restart_marks(restarted.now);
+    let mark = RestartMark {
+        incarnation: restarted.now,
+        may_act_late: false,
+    };
+    assert_eq!(marks.get("w0"), Some(&mark));
+}
