Test a list of restarted workers that can't be read

A row of workers whose section of restarts is damaged counts as unreadable, though its workers are known. Without that a successor takes it for an empty list and starts a task beside its run: with the error dropped, a_successor_that_cannot_read_which_workers_restarted_outlasts_ their_leases fails (runs twice).

--- a/crates/fleet/tests/daemons/restarted_workers.rs
+++ b/crates/fleet/tests/daemons/restarted_workers.rs
@@ -7,6 +7,10 @@
     DispatchSettings,
     LeaseRenewal, //
 };
+use jasminebend_fleet::{
+    StoreRow,
+    StoreTable, //
+};
 use tokio::time;
 
 use crate::test_fleet::{
@@ -53,6 +57,25 @@
 /// lease than usual, and starts its tasks while they run there.
 #[test]
 fn a_successor_outlasts_the_lease_of_a_restarted_worker_that_it_does_not_reach() {
+    check_takeover_beside_restarted_worker(|_| {});
+}
+
+/// Guards against a successor that takes a list of restarted workers which it can't read for an empty one.
+#[test]
+fn a_successor_that_cannot_read_which_workers_restarted_outlasts_their_leases() {
+    check_takeover_beside_restarted_worker(damage_restarts);
+}
+
+/// Replaces what follows the workers in their row by a length that no bytes follow.
+fn damage_restarts(fleet: &TestFleet) {
+    let workers = fleet.store.recorded_workers().concat();
+    let mut value = postcard::to_stdvec(&workers).expect("workers can be encoded");
+    value.extend([0xff, 0x7f]);
+    let row = StoreRow::new(StoreTable::Progress, "s0", "workers-0000", value);
+    fleet.store.write(vec![row]);
+}
+
+fn check_takeover_beside_restarted_worker(disturb: fn(&TestFleet)) {
     run_simulated(async {
         let fleet = TestFleet::with_runtime_clock(2);
         fleet.workers.run_time.set(Duration::MAX);
@@ -74,6 +97,7 @@
         fleet.workers.heal();
         fleet.workers.partition(RESTARTED_WORKER);
         let _killed = owner.kill_process().await;
+        disturb(&fleet);
         let runs = fleet.workers.started_runs();
         let until = time::Instant::now() + RESUMED_AFTER;
         while time::Instant::now() < until {
