Tell in end and loss lines which incarnation they are about

Operators who saw a task start again after a noted end could not tell a call for a former incarnation from a lease that outlasted its owner's count: neither end nor loss lines named the worker's incarnation, an end line did not tell whether the owner still held the run, and jbctl explain named nothing, as the first end is listed after the second start.

end lines get worker_born_ms and held, loss lines worker_born_ms, a counter counts ends of runs that were not held, and jbctl explain names an end after a loss with both incarnations.

--- a/crates/dispatch/src/dispatcher_workers.rs
+++ b/crates/dispatch/src/dispatcher_workers.rs
@@ -367,6 +367,12 @@
         })
     }
 
+    /// Returns whether a run counts as present on a worker: it was neither given up nor seen to end, and this owner knows of it.
+    pub fn holds_run(&self, id: &str, task: TaskKey, run: RunNumber) -> bool {
+        self.worker_key(id)
+            .is_some_and(|key| self.worker(key).runs.contains_key(&(task, run)))
+    }
+
     /// Sets whether the owner may soon depend on the workers' word that they follow it.
     pub fn set_storeless(&mut self, storeless: bool) {
         self.storeless = storeless;
--- a/crates/fleet/src/lease_renewal.rs
+++ b/crates/fleet/src/lease_renewal.rs
@@ -37,14 +37,17 @@
 /// The outcome of a call that was not sent, as another incarnation listens.
 const RESTARTED: OrderOutcome = OrderOutcome::Refused(OrderRefusal::Restarted);
 
-/// The end of a run, as a worker reported it.
+/// The end of a run, as a worker reported it. `held` tells whether the run still counted as present there.
 #[derive(Serialize)]
 struct RunEndLine<'a> {
     task: String,
     run: u64,
     worker: &'a str,
+    /// When the incarnation began that listed the end, since 1970.
+    worker_born_ms: Option<u64>,
     end: String,
     number: u64,
+    held: bool,
     owner_token: u64,
 }
 
@@ -175,16 +178,26 @@
         {
             continue;
         }
+        let held = term
+            .dispatcher
+            .borrow()
+            .holds_run(worker, end.task, end.run);
         metrics::counter!("jasminebend_fleet_ends_total", "end" => end.result.to_string())
             .increment(1);
+        if !held {
+            metrics::counter!("jasminebend_fleet_ends_of_runs_not_held_total", "end" => end.result.to_string())
+                .increment(1);
+        }
         shared.log.line(
             LogEvent::End,
             RunEndLine {
                 task: end.task.to_string(),
                 run: end.run.value(),
                 worker,
+                worker_born_ms: report.incarnation.map(whole_millis),
                 end: end.result.to_string(),
                 number: end.number,
+                held,
                 owner_token: term.token(),
             },
         );
--- a/crates/fleet/src/order_planning.rs
+++ b/crates/fleet/src/order_planning.rs
@@ -152,7 +152,8 @@
     fillers: Vec<(String, Option<&'a str>, f64)>,
 }
 
-/// The loss of a run together with its worker. `ran_ms` is how long the run is known to have been executing; `listed`
+/// The loss of a run together with its worker. `worker_born_ms` tells which incarnation answered last; `ran_ms` is how long the run
+/// is known to have been executing; `listed`
 /// whether the registry still lists the worker; `others` the number of other runs that were on it; `unfenced` whether the worker
 /// is known to have restarted, and may carry out calls that its former incarnation received.
 #[derive(Serialize)]
@@ -160,6 +161,7 @@
     task: String,
     run: u64,
     worker: &'a str,
+    worker_born_ms: Option<u64>,
     cause: String,
     placed_ms_ago: u64,
     ran_ms: Option<u64>,
@@ -550,6 +552,7 @@
             task: loss.task.to_string(),
             run: loss.run.value(),
             worker: &dispatcher.worker_record(loss.worker).id,
+            worker_born_ms: dispatcher.incarnation(loss.worker).map(whole_millis),
             cause: loss.cause.to_string(),
             placed_ms_ago: since(loss.placed_at),
             ran_ms: ran,
--- a/crates/fleet/tests/daemons/log_lines.rs
+++ b/crates/fleet/tests/daemons/log_lines.rs
@@ -104,6 +104,7 @@
         });
         fleet.workers.heal();
         time::sleep(SETTLING_TIME).await;
-        assert!(is_logged(&chunks, &["\"event\":\"end\"", "\"run\":99,"]));
+        let end = ["\"event\":\"end\"", "\"run\":99,", "\"held\":false"];
+        assert!(is_logged(&chunks, &end));
     });
 }
--- a/crates/jbctl/src/job_timeline.rs
+++ b/crates/jbctl/src/job_timeline.rs
@@ -107,6 +107,29 @@
         /// What the owner knew of the task's run before, as logged.
         earlier: String,
     },
+    /// A run went on after its owner had given it up, so that the task may have run twice.
+    #[display(
+        "run {run} of task {task} on {worker} ended as `{end}` after {node} had given it up as `{loss}`; its start was meant for the \
+         worker's incarnation of {intended_born_ms}, the end is listed by that of {listing_born_ms}"
+    )]
+    EndedAfterLoss {
+        /// The name of the daemon that was the owner.
+        node: String,
+        /// The task's key.
+        task: String,
+        /// The run's number.
+        run: u64,
+        /// The worker's identity.
+        worker: String,
+        /// How the run ended.
+        end: String,
+        /// The cause of the loss, as logged.
+        loss: String,
+        /// When the incarnation began that the start was meant for, in milliseconds since the Unix epoch; 0 if unknown.
+        intended_born_ms: u64,
+        /// When the incarnation began that lists the end, in milliseconds since the Unix epoch; 0 if unknown.
+        listing_born_ms: u64,
+    },
     /// The end of a run was acknowledged without a record, since its owner did not know the job.
     #[display(
         "the end of run {run} of task {task} on {worker}, `{end}`, is on no record: {node} did not know the job"
@@ -213,6 +236,7 @@
                 "wait" => Some(wait_cause(line)),
                 "overdue" => Some(overdue_cause(line)),
                 "order" => self.repeated_start_cause(line),
+                "end" => self.late_end_cause(line),
                 "unknown_end" if line.str_field("outcome") == "dropped" => {
                     Some(dropped_end_cause(line))
                 }
@@ -287,6 +311,31 @@
         })
     }
 
+    /// Returns the cause that the end of a run shows which had been given up.
+    fn late_end_cause(&self, line: &LogLine) -> Option<DiagnosedCause> {
+        let is_same_run = |other: &&LogLine| {
+            ["task", "worker"]
+                .iter()
+                .all(|field| other.str_field(field) == line.str_field(field))
+                && other.u64_field("run") == line.u64_field("run")
+                && other.timestamp_s <= line.timestamp_s
+        };
+        let mut run_lines = self.lines.iter().filter(is_same_run);
+        let loss = run_lines.find(|other| other.str_field("event") == "loss")?;
+        let mut run_lines = self.lines.iter().filter(is_same_run);
+        let start = run_lines.find(|other| other.str_field("order") == "start");
+        Some(DiagnosedCause::EndedAfterLoss {
+            node: loss.str_field("node").to_owned(),
+            task: line.str_field("task").to_owned(),
+            run: line.u64_field("run"),
+            worker: line.str_field("worker").to_owned(),
+            end: line.str_field("end").to_owned(),
+            loss: loss.str_field("cause").to_owned(),
+            intended_born_ms: start.map_or(0, |start| start.u64_field("worker_born_ms")),
+            listing_born_ms: line.u64_field("worker_born_ms"),
+        })
+    }
+
     /// Returns the reason for which the job was given up, or counts its failed runs and their workers.
     fn failure_cause(&self, line: &LogLine) -> DiagnosedCause {
         let is_given_up = |line: &LogLine| line.is_true("gives_up");
--- a/crates/jbctl/tests/job_timelines.rs
+++ b/crates/jbctl/tests/job_timelines.rs
@@ -167,3 +167,22 @@
     let known = start.replace("\"none\"", "\"ended_done\"");
     assert_eq!(timeline(&[&known]).causes(), []);
 }
+
+/// Guards against two runs of a task without a trace of why: the first was given up and went on, in an incarnation that its start was
+/// not meant for.
+#[test]
+fn an_end_after_a_loss_names_both_incarnations() {
+    let start = r#"{"ts":6.0,"node":"edge-a","event":"order","order":"start","task":"5c0e7a21d94b36f8.0.0.9","run":1000001520,"worker":"i-1","outcome":"Taken","owner_token":1,"worker_born_ms":700,"earlier":"none"}"#;
+    let loss = r#"{"ts":11.2,"node":"edge-a","event":"loss","task":"5c0e7a21d94b36f8.0.0.9","run":1000001520,"worker":"i-1","worker_born_ms":700,"cause":"lapsed","owner_token":1}"#;
+    let second = r#"{"ts":11.2,"node":"edge-a","event":"order","order":"start","task":"5c0e7a21d94b36f8.0.0.9","run":1000002214,"worker":"i-2","outcome":"Taken","owner_token":1,"worker_born_ms":650,"earlier":"lost_lapsed"}"#;
+    let end = r#"{"ts":14.7,"node":"edge-a","event":"end","task":"5c0e7a21d94b36f8.0.0.9","run":1000001520,"worker":"i-1","worker_born_ms":5600,"end":"done","number":3,"held":false,"owner_token":1}"#;
+    let other = r#"{"ts":12.3,"node":"edge-a","event":"end","task":"5c0e7a21d94b36f8.0.0.9","run":1000002214,"worker":"i-2","worker_born_ms":650,"end":"done","number":8,"held":true,"owner_token":1}"#;
+    let causes = timeline(&[start, loss, second, end, other]).causes();
+    let causes: Vec<String> = causes.iter().map(ToString::to_string).collect();
+    assert_eq!(
+        causes,
+        [
+            "run 1000001520 of task 5c0e7a21d94b36f8.0.0.9 on i-1 ended as `done` after edge-a had given it up as `lapsed`; its start was meant for the worker's incarnation of 700, the end is listed by that of 5600"
+        ]
+    );
+}
