Count calls under way at a restart as outstanding

Callers would see two runs of a task: a worker restarts while a start or a renewal for its former incarnation is under way, the owner learns of the restart from the registry, writes the worker's mark, and is killed before it finds the call unanswered (350 ms for a start, its wait and 700 ms for a renewal). The mark told the successor that no such call may act, so that it waited for the longest lease only, and started the task again beside the late start. Found by reading; not seen by users.

Cause: the mark was written from calls that had been found unanswered. A run now tells whether the outcome of its start is known, and note_restart counts starts and granting renewals whose outcome is not known like those without an answer, for the owner's own count of late grants too. The renewal whose answer tells of the restart is no longer under way.

In restart_of_which_no_call_can_act_late_is_recorded_as_such a closure became a function that the new tests share; its checks are as before.

--- a/crates/dispatch/src/dispatcher_workers.rs
+++ b/crates/dispatch/src/dispatcher_workers.rs
@@ -136,7 +136,7 @@
         Some(unanswered_at + FORMER_CALL_WINDOW + WorkerClock::longest(self.longest_lease()))
     }
 
-    /// Records that a worker has restarted.
+    /// Records that a worker has restarted. Calls that are under way may yet turn out to have no answer.
     fn note_restart(&mut self, key: WorkerKey, incarnation: Duration) {
         let worker = self.worker_mut(key);
         if worker.restart.map(|mark| mark.incarnation) == Some(incarnation) {
@@ -147,7 +147,7 @@
             may_act_late: true,
         };
         worker.restart = Some(mark);
-        worker.former_grant_at = worker.unanswered_grant_at;
+        worker.former_grant_at = worker.unanswered_grant_at.max(worker.grant_under_way_at());
         self.has_changed_restarts = true;
     }
 
@@ -513,6 +513,7 @@
         let is_restarted =
             previous.is_some() && report.incarnation.is_some() && previous != report.incarnation;
         let worker = self.worker_mut(key);
+        worker.answer_due_at = None;
         if is_restarted {
             // A start sent a moment ago may run in the new incarnation, so the runs are not given
             // up here: `drop_missing_runs` below drops those that the new incarnation does not
@@ -538,7 +539,6 @@
         }
         let worker = self.worker_mut(key);
         worker.last_answer_at = Some(now);
-        worker.answer_due_at = None;
         worker.last_answered_call_at = worker.last_answered_call_at.max(Some(sent));
         // An answer to a call from before a suspension does not show that the worker has not restarted since.
         if is_fresh {
@@ -633,6 +633,9 @@
         now: Duration,
     ) {
         self.order_window.record_start_answered();
+        if let Some(state) = self.worker_mut(key).runs.get_mut(&(task, run)) {
+            state.is_start_under_way = false;
+        }
         match outcome {
             OrderOutcome::Taken => {
                 if let Some(state) = self.worker_mut(key).runs.get_mut(&(task, run))
--- a/crates/dispatch/src/run_state.rs
+++ b/crates/dispatch/src/run_state.rs
@@ -40,6 +40,8 @@
 pub(crate) struct RunState {
     pub(crate) task: TaskKey,
     pub(crate) phase: RunPhase,
+    /// Whether the outcome of the start is not known yet.
+    pub(crate) is_start_under_way: bool,
     pub(crate) kind: WorkKind,
     /// The capacity that the run reserves.
     pub(crate) reserved: ResourceAmount,
@@ -98,6 +100,7 @@
         Self {
             task,
             phase,
+            is_start_under_way: phase == RunPhase::Sent,
             kind: spec.kind(),
             reserved: spec.reserved(),
             filler_cpu: if spec.filler { spec.size.cpu_millis } else { 0 },
--- a/crates/dispatch/src/worker_state.rs
+++ b/crates/dispatch/src/worker_state.rs
@@ -58,7 +58,8 @@
     pub(crate) restart: Option<RestartMark>,
     /// When a call that grants a lease was last found to have no answer, so that it may be carried out later.
     pub(crate) unanswered_grant_at: Option<Duration>,
-    /// When this was last found of a call that was meant for an incarnation before the last known restart.
+    /// When such a call that was meant for an incarnation before the last known restart was last found to have no answer, or was
+    /// under way as the restart became known.
     pub(crate) former_grant_at: Option<Duration>,
     /// The number of restarts that this owner has seen.
     pub(crate) restarts: u64,
@@ -337,6 +338,14 @@
         self.restart.is_some_and(|mark| mark.may_act_late)
     }
 
+    /// Returns when a call that grants a lease was last sent, or its answer is due, whose outcome is not known yet.
+    pub(crate) fn grant_under_way_at(&self) -> Option<Duration> {
+        // After a call without an answer renewals grant nothing until one is answered.
+        let renewal = self.answer_due_at.filter(|_| self.unanswered == 0);
+        let starts = self.runs.values().filter(|run| run.is_start_under_way);
+        renewal.max(starts.map(|run| run.placed_at).max())
+    }
+
     /// Returns whether the incarnation that answered last is the one that followed the last known restart.
     pub(crate) fn has_answered_since_restart(&self) -> bool {
         self.restart.map(|mark| mark.incarnation) == self.incarnation
--- a/crates/dispatch/tests/young_incarnations.rs
+++ b/crates/dispatch/tests/young_incarnations.rs
@@ -75,6 +75,13 @@
         .any(|order| matches!(order, WorkerOrder::Start(_)))
 }
 
+/// Returns whether a successor would learn that calls for the worker's former incarnation may yet act; `None` if it would not learn
+/// of a restart.
+fn may_act_late(owner: &Dispatcher, now: Duration) -> Option<bool> {
+    let marks = owner.restart_marks(now);
+    marks.get("w0").map(|mark| mark.may_act_late)
+}
+
 fn simulated_worker(id: &str, born: Duration) -> SimulatedWorker {
     SimulatedWorker::new(id, ResourceAmount::new(4000, 4000), 100, born)
 }
@@ -377,10 +384,6 @@
 /// Guards against a takeover that waits for late calls although the worker refuses them, or none is outstanding.
 #[test]
 fn restart_of_which_no_call_can_act_late_is_recorded_as_such() {
-    let may_act_late = |owner: &Dispatcher, now| {
-        let marks = owner.restart_marks(now);
-        marks.get("w0").map(|mark| mark.may_act_late)
-    };
     let mut answered = RestartedWorker::new(true);
     assert_eq!(may_act_late(&answered.owner, answered.now), Some(false));
     assert!(answered.owner.take_changed_restarts());
@@ -421,3 +424,60 @@
     };
     assert_eq!(marks.get("w0"), Some(&mark));
 }
+
+/// Guards against two runs of a task: calls were under way as the registry told of a restart, their owner was killed before it
+/// found them unanswered, and its successor waits as if none could act late.
+#[test]
+fn calls_under_way_at_a_restart_are_recorded_as_outstanding() {
+    for (is_renewing, is_starting) in [(false, false), (true, false), (false, true)] {
+        let mut restarted = RestartedWorker::new(true);
+        restarted.register();
+        restarted.record();
+        restarted.renew();
+        assert_eq!(
+            may_act_late(&restarted.owner, restarted.now),
+            Some(false),
+            "the worker follows its token"
+        );
+        restarted.now += TURN;
+        if is_starting {
+            assert!(starts(&mut restarted.owner, restarted.now));
+        }
+        if is_renewing {
+            restarted
+                .owner
+                .next_renewal(restarted.key, true, restarted.now);
+        }
+        restarted.now += TURN;
+        restarted.worker.restart(restarted.now);
+        restarted.register();
+        assert_eq!(
+            may_act_late(&restarted.owner, restarted.now),
+            Some(is_renewing || is_starting),
+            "renewal {is_renewing}, start {is_starting}"
+        );
+    }
+}
+
+/// Guards against a takeover that waits for a start which the worker had answered as the registry told of its restart.
+#[test]
+fn answered_start_is_not_recorded_as_outstanding() {
+    let mut restarted = RestartedWorker::new(true);
+    restarted.register();
+    restarted.record();
+    restarted.renew();
+    restarted.now += TURN;
+    let orders = restarted.owner.plan(restarted.now).orders;
+    let [WorkerOrder::Start(start)] = &orders[..] else {
+        panic!("{orders:?}");
+    };
+    let (key, now) = (restarted.key, restarted.now);
+    let (task, run) = (start.task, start.run);
+    restarted
+        .owner
+        .handle_start_outcome(key, task, run, OrderOutcome::Taken, now);
+    restarted.now += TURN;
+    restarted.worker.restart(restarted.now);
+    restarted.register();
+    assert_eq!(may_act_late(&restarted.owner, restarted.now), Some(false));
+}
--- a/crates/fleet/tests/daemons/restarted_workers.rs
+++ b/crates/fleet/tests/daemons/restarted_workers.rs
@@ -3,14 +3,22 @@
 
 use std::time::Duration;
 
+use jasminebend_base::ResourceAmount;
 use jasminebend_dispatch::{
     DispatchSettings,
-    LeaseRenewal, //
+    JobKey,
+    LeaseRenewal,
+    OrderOutcome,
+    RunNumber,
+    StartOrder,
+    StepKey,
+    WorkerKey, //
 };
 use jasminebend_fleet::{
     StoreRow,
     StoreTable, //
 };
+use jasminebend_standins::TaskWork;
 use tokio::time;
 
 use crate::test_fleet::{
@@ -33,6 +41,14 @@
 const LONGEST_LEASE: Duration = Duration::from_secs(10);
 /// After this time the tasks of a lost worker run elsewhere.
 const RESUMED_AFTER: Duration = Duration::from_secs(25);
+/// After this time they also run where calls for a former incarnation may act late.
+const RESUMED_BESIDE_LATE_CALLS_AFTER: Duration = Duration::from_secs(40);
+/// How long a start is under way, within the time for which its owner waits for an answer.
+const START_LATENCY: Duration = Duration::from_millis(340);
+/// How long the owner lives after it has sent the start: it learns of the restart and writes that down.
+const OWNER_LIFETIME: Duration = Duration::from_millis(300);
+/// When the start is carried out late, after the owner's loss.
+const LATE_BY: Duration = Duration::from_secs(7);
 /// The token of calls to workers that have not restarted in the first term.
 const FIRST_TOKEN: u64 = 1;
 
@@ -145,3 +161,82 @@
         });
     }
 }
+
+/// Guards against two runs of a task: its owner was killed within the time of a start that was under way as it learned that the
+/// worker had restarted, and told its successor that nothing could act late there.
+#[test]
+fn a_successor_outlasts_a_start_that_was_under_way_as_its_owner_learned_of_a_restart() {
+    run_simulated(async {
+        let fleet = TestFleet::with_runtime_clock(2);
+        fleet.workers.run_time.set(Duration::MAX);
+        fleet.workers.with_worker(RESTARTED_WORKER, |worker, _| {
+            worker.set_max_lease(LONGEST_LEASE);
+        });
+        let owner = fleet.daemon_on_vm();
+        time::sleep(SETTLING_TIME).await;
+        let successor = fleet.daemon();
+        time::sleep(SETTLING_TIME).await;
+        fleet.workers.partition(OTHER_WORKER);
+        time::sleep(SETTLING_TIME).await;
+        fleet.workers.order_latency.set(START_LATENCY);
+        submit(&owner.job_api, 1, &job(&[(1, &[])])).await;
+        restart_and_list(&fleet);
+        fleet.workers.partition(RESTARTED_WORKER);
+        time::sleep(OWNER_LIFETIME).await;
+        let _killed = owner.kill_process().await;
+        fleet.workers.order_latency.set(Duration::ZERO);
+        fleet.workers.heal();
+        fleet.workers.partition(RESTARTED_WORKER);
+        assert_eq!(fleet.workers.started_runs(), 0, "the start is under way");
+        time::sleep(LATE_BY).await;
+        carry_out_first_start(&fleet);
+        let until = time::Instant::now() + RESUMED_BESIDE_LATE_CALLS_AFTER;
+        while time::Instant::now() < until {
+            fleet.workers.check_single_runs();
+            time::sleep(CHECK_INTERVAL).await;
+        }
+        assert_eq!(
+            fleet.workers.started_runs(),
+            2,
+            "{} resumes the task",
+            successor.node()
+        );
+    });
+}
+
+/// Restarts a worker, and lists its incarnation.
+fn restart_and_list(fleet: &TestFleet) {
+    let restarted = fleet.workers.with_worker(RESTARTED_WORKER, |worker, now| {
+        worker.restart(now);
+        worker.record().clone()
+    });
+    fleet
+        .store
+        .list_restarted(&restarted.expect("the worker exists"));
+}
+
+/// Lets the restarted worker carry out the start of the first owner's first run, with a deadline on the former clock.
+fn carry_out_first_start(fleet: &TestFleet) {
+    let step = StepKey {
+        job: JobKey::new(1),
+        occurrence: 0,
+        step: 0,
+    };
+    let start = StartOrder {
+        worker: WorkerKey::new(0),
+        task: step.task(0),
+        run: RunNumber::of_owner(FIRST_TOKEN, 1),
+        payload: "payload".into(),
+        checkpoint: None,
+        ticket: None,
+    };
+    let work = TaskWork {
+        run_time: Duration::MAX,
+        fails: false,
+        size: ResourceAmount::new(1000, 100),
+    };
+    let outcome = fleet.workers.with_worker(RESTARTED_WORKER, |worker, now| {
+        worker.start(now, FIRST_TOKEN, &start, now * 100, work)
+    });
+    assert_eq!(outcome, Some(OrderOutcome::Taken));
+}
