Count jobs as waiting until a run of them has begun

Cause: a job counted as started as soon as a start was ordered, before a worker had taken it, and nothing took that back if the start got no answer or was refused.

Change: a job has begun once a worker has taken a start of it, lists a run of it, or has ended one other than by a stop, or once a record says so. waiting and the state queued follow that. The rank of steps goes on by what was ordered.

Why it works: these are the only ways in which an owner learns that a run has begun; until then at most too many jobs are counted, for as long as an answer takes.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -322,6 +322,7 @@
             accepted: job.accepted,
             inherited: job.inherited,
             started: false,
+            has_begun: false,
             cancelled: false,
             outcome: None,
             failure: None,
@@ -406,11 +407,11 @@
         job.recorded_outcome.and(job.failure.as_ref())
     }
 
-    /// Returns the number of a queue's accepted jobs that have neither started nor ended.
+    /// Returns the number of a queue's accepted jobs of which no run is known to have begun, and that have not ended.
     pub fn waiting_job_count(&self, queue: &str) -> usize {
         self.jobs
             .values()
-            .filter(|job| job.queue.as_ref() == queue && !job.started && !job.is_over())
+            .filter(|job| job.queue.as_ref() == queue && !job.has_begun && !job.is_over())
             .count()
     }
 
--- a/crates/dispatch/src/dispatcher_announcements.rs
+++ b/crates/dispatch/src/dispatcher_announcements.rs
@@ -75,8 +75,11 @@
         }
     }
 
-    /// Adds to the announcement of a task's start, if there is one, that the worker has begun to execute it.
+    /// Records that a worker has begun to execute a task, in its job and in the announcement of its start, if there is one.
     pub(crate) fn record_begin(&mut self, key: WorkerKey, task: TaskKey) {
+        if let Some(job) = self.jobs.get_mut(&task.job()) {
+            job.has_begun = true;
+        }
         let worker = self.worker(key);
         let id = Arc::clone(&worker.record.id);
         let Some(begun_in) = worker.incarnation_executing(task) else {
--- a/crates/dispatch/src/dispatcher_completions.rs
+++ b/crates/dispatch/src/dispatcher_completions.rs
@@ -54,6 +54,12 @@
         };
         self.open_occurrence(step.job, step.occurrence);
         self.inherited_starts.swap_remove(&ended.task);
+        // A run that was stopped may not have begun.
+        if ended.result != RunResult::Stopped
+            && let Some(job) = self.jobs.get_mut(&step.job)
+        {
+            job.has_begun = true;
+        }
         match ended.result {
             RunResult::Done => self.worker_mut(key).health.record_success(),
             RunResult::Failed => self.worker_mut(key).health.record_failure(ended.task, now),
--- a/crates/dispatch/src/dispatcher_records.rs
+++ b/crates/dispatch/src/dispatcher_records.rs
@@ -124,7 +124,10 @@
         let Some(job) = self.jobs.get_mut(&key) else {
             return;
         };
-        job.started = job.started || !record.steps.is_empty() || !record.crashes.is_empty();
+        let is_on_record = !record.steps.is_empty() || !record.crashes.is_empty();
+        job.started |= is_on_record;
+        let has_begun = |task: &TaskCrashes| task.begun_in.is_some() || !task.crashes.is_empty();
+        job.has_begun |= !record.steps.is_empty() || record.crashes.iter().any(has_begun);
         if !job.cancelled {
             job.outcome = record.outcome;
             job.recorded_outcome = record.outcome;
--- a/crates/dispatch/src/dispatcher_runs.rs
+++ b/crates/dispatch/src/dispatcher_runs.rs
@@ -164,6 +164,7 @@
             let over = job.is_over();
             let spec = job.graph.steps.get(usize::from(step.step))?.clone();
             job.started = true;
+            job.has_begun = true;
             Some((over, spec))
         });
         let Some((over, spec)) = requested else {
--- a/crates/dispatch/src/job_state.rs
+++ b/crates/dispatch/src/job_state.rs
@@ -34,8 +34,10 @@
     pub(crate) accepted: Duration,
     /// Whether a former owner may have started some of the job's tasks.
     pub(crate) inherited: bool,
-    /// Whether a run of the job was ever started.
+    /// Whether a start of a run was ever ordered, whatever came of it.
     pub(crate) started: bool,
+    /// Whether a run of the job has certainly begun.
+    pub(crate) has_begun: bool,
     pub(crate) cancelled: bool,
     /// How the job ended, whether or not that is on record.
     pub(crate) outcome: Option<JobOutcome>,
@@ -176,7 +178,7 @@
             None if self.cancelled && self.outcome.is_none() => {
                 JobProgress::Ended(JobOutcome::Cancelled)
             }
-            None if self.started => JobProgress::Running,
+            None if self.has_begun => JobProgress::Running,
             None => JobProgress::Queued,
         }
     }
