Let no rule of a queue end the owner

What callers would see: with a queue whose `stretch` or `slo_ms` is very large, nothing starts any more: the owner panics as it plans, and so does each successor, as jobs' rows carry the rule.

Cause: the objective was computed with operations on durations that panic on overflow. A limit of bodies near the largest number overflowed too, as the size of an envelope was added to it.

Evidence: extreme_rules_of_a_queue_end_no_owner failed before (a panic in `Duration`). Not seen with processes: the store accepts only valid configurations, and where it draws that line is not known.

Change: objectives saturate. The overflow of the limit is by reading.

--- a/crates/dispatch/src/step_rank.rs
+++ b/crates/dispatch/src/step_rank.rs
@@ -81,7 +81,8 @@
             .copied()
             .unwrap_or_default();
         let objective = rule.map_or(longest, |rule| {
-            longest.mul_f64(rule.duration_factor.max(1.0)) + rule.duration_allowance
+            let stretched = saturating_mul(longest, rule.duration_factor.max(1.0));
+            stretched.saturating_add(rule.duration_allowance)
         });
         let start = job.occurrence_start(step.occurrence, self.clock_origin);
         let remaining = job
@@ -90,18 +91,23 @@
             .copied()
             .unwrap_or_default();
         let finish_estimate = now + remaining;
+        let due_at = start.saturating_add(objective);
+        let expires_at = start.saturating_add(saturating_mul(objective, EXPIRED_OBJECTIVE_FACTOR));
         let lateness = match () {
-            () if finish_estimate > start + objective.mul_f64(EXPIRED_OBJECTIVE_FACTOR) => {
-                Lateness::Expired
-            }
-            () if finish_estimate > start + objective => Lateness::Late,
+            () if finish_estimate > expires_at => Lateness::Expired,
+            () if finish_estimate > due_at => Lateness::Late,
             () => Lateness::InTime,
         };
         StepRank {
             priority,
             lateness,
             is_unstarted: !job.started && switches.has(PolicyPart::StartedJobsFirst),
-            latest_start: (start + objective).saturating_sub(remaining),
+            latest_start: due_at.saturating_sub(remaining),
         }
     }
 }
+
+/// Multiplies a duration by a factor of at least 1; a product that is too large becomes the longest duration.
+fn saturating_mul(duration: Duration, factor: f64) -> Duration {
+    Duration::try_from_secs_f64(duration.as_secs_f64() * factor).unwrap_or(Duration::MAX)
+}
--- a/crates/fleet/src/peer_api.rs
+++ b/crates/fleet/src/peer_api.rs
@@ -42,7 +42,7 @@
     }
 
     async fn read_call(&self, body: &mut RequestBody) -> Result<PeerRequest, BodyError> {
-        let limit = self.job_api.body_limit() + ENVELOPE_BYTES;
+        let limit = self.job_api.body_limit().saturating_add(ENVELOPE_BYTES);
         let bytes = body.read(limit).await?;
         let call = postcard::from_bytes(&bytes).map_err(|_| BodyError::Broken)?;
         if let PeerRequest::Serve(CallerRequest {
