Let no row of another writer stop the owners

What callers would see: nothing starts any more, whichever daemon owns the jobs, while a row that no daemon wrote lies in one of our tables: a job with a step after one that does not exist, or a list of workers with a number that no owner writes.

Cause: jobs are checked as they are accepted, not as they are read, and the order of steps was computed with an index out of range. The numbers of workers' rows were taken for positions in a list without a limit; by reading, one from 49 on also makes the owner write more rows than the store accepts.

Change: a job without an order of its steps counts as unreadable, and workers' rows beyond the 49 that fit in a commit are not ours.

--- a/crates/dispatch/src/job_graph.rs
+++ b/crates/dispatch/src/job_graph.rs
@@ -99,6 +99,11 @@
         chains
     }
 
+    /// Returns whether the steps can be ordered by their dependencies.
+    pub fn has_order(&self) -> bool {
+        self.check_order().is_ok()
+    }
+
     fn check_counts(&self) -> Result<(), GraphError> {
         for (number, step) in self.steps.iter().enumerate() {
             if step.count == 0 {
--- a/crates/fleet/src/job_watch.rs
+++ b/crates/fleet/src/job_watch.rs
@@ -99,7 +99,9 @@
     let Ok(key) = row.key.parse::<JobKey>() else {
         return;
     };
-    let Ok((record, rule)) = decode_job(&row.value) else {
+    // A record that no daemon wrote may have steps without an order.
+    let decoded = decode_job(&row.value).ok();
+    let Some((record, rule)) = decoded.filter(|(record, _)| record.graph.has_order()) else {
         if dispatcher.mark_unreadable(key) {
             log_unreadable(shared, term, &row.key);
         }
--- a/crates/fleet/src/takeover_records.rs
+++ b/crates/fleet/src/takeover_records.rs
@@ -48,6 +48,8 @@
 /// The most workers in a row, usually about 100 bytes each, and the most bytes of their encoding: the store accepts 64 KiB.
 const MAX_WORKERS_PER_ROW: usize = 200;
 const MAX_WORKER_BYTES_PER_ROW: usize = 60 << 10;
+/// The most rows: each needs a guard and a write, and the store accepts 100 entries with the owner's guard.
+const MAX_WORKER_ROWS: usize = 49;
 /// The largest record of learned interference, in bytes; a larger one is not written.
 const MAX_LEARNED_BYTES: usize = 48 << 10;
 
@@ -240,10 +242,11 @@
     versions
 }
 
+/// Returns the rows that list the workers, with their numbers; a number that no owner writes is left out.
 fn numbered_worker_rows(rows: &[StoreRow]) -> impl Iterator<Item = (usize, &StoreRow)> {
     rows.iter().filter_map(|row| {
-        let number = row.key.strip_prefix(WORKERS_KEY_PREFIX)?;
-        Some((number.parse().ok()?, row))
+        let number = row.key.strip_prefix(WORKERS_KEY_PREFIX)?.parse().ok()?;
+        (number < MAX_WORKER_ROWS).then_some((number, row))
     })
 }
 
--- a/crates/fleet/tests/daemons/unreadable_records.rs
+++ b/crates/fleet/tests/daemons/unreadable_records.rs
@@ -176,8 +176,71 @@
     });
 }
 
+/// Writes rows that no daemon writes into all tables: jobs without an order of their steps, numbers that are too large, unknown
+/// keys, and values that can't be read.
+fn write_foreign_rows(fleet: &TestFleet, first_job: u64) {
+    for (number, dependencies) in [(first_job, [7]), (first_job + 1, [0])] {
+        let record = JobRecord {
+            queue: "queue".to_owned(),
+            accepted_ms: u64::MAX,
+            graph: job(&[(1, &dependencies), (1, &[0])]),
+        };
+        let value = postcard::to_stdvec(&record).expect("it can be encoded");
+        write_row_of(fleet, JobKey::new(number), value);
+    }
+    let rows = [
+        (StoreTable::Jobs, "j0"),
+        (StoreTable::Progress, OWNER_PART),
+        (StoreTable::Fleet, "members"),
+        (StoreTable::Fleet, OWNER_PART),
+    ];
+    let keys = [
+        "",
+        "x",
+        ".c",
+        "x.ends",
+        "learned",
+        "workers-",
+        "workers-x",
+        "workers-0077",
+        "workers-18446744073709551615",
+        "00000000000000ff",
+        "00000000000000ff.ends",
+    ];
+    for (table, part) in rows {
+        for key in keys {
+            let row = StoreRow::new(table, part, key, [0xff; 64].to_vec());
+            fleet.store.write(vec![row]);
+        }
+    }
+}
+
+/// Guards against owners that end one after another at a row of another writer, or start nothing beside it.
+#[test]
+fn rows_of_other_writers_stop_no_owner() {
+    run_simulated(async {
+        let fleet = TestFleet::with_runtime_clock(1);
+        let owner = fleet.daemon_on_vm();
+        time::sleep(SETTLING_TIME).await;
+        write_foreign_rows(&fleet, 10);
+        time::sleep(SETTLING_TIME).await;
+        submit(&owner.job_api, 1, &job(&[(1, &[])])).await;
+        let completed = JobProgress::Ended(JobOutcome::Completed);
+        wait_for_progress(&owner.job_api, 1, completed).await;
+        let _hanging = owner.lose_vm().await;
+        write_foreign_rows(&fleet, 20);
+        let successor = fleet.daemon();
+        time::sleep(TAKEOVER_TIME).await;
+        submit(&successor.job_api, 2, &job(&[(1, &[])])).await;
+        wait_for_progress(&successor.job_api, 2, completed).await;
+    });
+}
+
 fn write_job_row(fleet: &TestFleet, value: Vec<u8>) {
-    let key = JobKey::new(1);
+    write_row_of(fleet, JobKey::new(1), value);
+}
+
+fn write_row_of(fleet: &TestFleet, key: JobKey, value: Vec<u8>) {
     let part = format!("j{}", key.partition(16));
     let row = StoreRow::new(StoreTable::Jobs, &part, key.to_string(), value);
     fleet.store.write(vec![row]);
