Write a wave's status over the version that is known

What operators would see: a completed wave is shown as running, for good.

Cause: the status was guarded by the owner's row alone, which stays the same for a term. The store may apply a write without an answer seconds later, so that `running` replaced the `completed` that the same owner had written meanwhile, and was not written again.

Evidence: late_write_of_a_status_does_not_replace_a_later_one failed before (with the version not checked).

Change: the status is written over the version that the owner knows, none at first; a conflict tells the present one, and the next step writes again. a_successor_writes_the_status_of_a_wave shows that a former owner's status is no obstacle.

--- a/crates/fleet/src/fleet_store.rs
+++ b/crates/fleet/src/fleet_store.rs
@@ -18,7 +18,9 @@
     RowCommit,
     RowGuard,
     StoreRow,
-    StoreTable, //
+    StoreTable,
+    WaveStatus,
+    WaveStatusOutcome, //
 };
 
 /// Why a call to the store failed.
@@ -173,15 +175,14 @@
     /// Returns how long ago a part of an answer from the store arrived; `None` if none ever did.
     fn data_age(&self) -> Option<Duration>;
 
-    /// Writes for the operator whether a wave is completed, if the guard holds.
+    /// Writes the status of a wave for the operator, if the guard holds and the present status has the expected version.
     ///
     /// # Errors
     ///
     /// As [`FleetStore::commit`].
     async fn write_wave_status(
         &self,
-        wave: u64,
-        completed: bool,
+        status: WaveStatus,
         guard: RowGuard,
-    ) -> Result<CommitOutcome, StoreError>;
+    ) -> Result<WaveStatusOutcome, StoreError>;
 }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -56,6 +56,7 @@
 mod takeover_reader;
 mod takeover_records;
 mod term_confirmation;
+mod wave_status;
 mod worker_drains;
 
 pub use self::{
@@ -154,6 +155,10 @@
         ProbeResult,
         Succession, //
     },
+    wave_status::{
+        WaveStatus,
+        WaveStatusOutcome, //
+    },
 };
 
 use self::peer_client::PeerClient;
--- a/crates/fleet/src/maintenance_waves.rs
+++ b/crates/fleet/src/maintenance_waves.rs
@@ -19,6 +19,8 @@
     LogEvent,
     MaintenanceOutcome,
     MaintenanceWave,
+    WaveStatus,
+    WaveStatusOutcome,
     owner_term::OwnerTerm,
     shared_state::SharedState,
     worker_drains::WorkerDrains, //
@@ -54,6 +56,8 @@
     paused_until: Duration,
     /// The completion status last written to the store; `None` before the first write.
     written_status: Option<bool>,
+    /// The store's version of the status as far as known; 0 if there is none.
+    status_version: u64,
 }
 
 impl WaveState {
@@ -267,11 +271,19 @@
         return;
     }
     let store = &shared.store;
-    let guard = term.guard.clone();
-    let call = store
-        .port()
-        .write_wave_status(wave.number, completed, guard);
-    if store.call(call).await.is_ok() {
-        state.written_status = Some(completed);
+    let status = WaveStatus {
+        wave: wave.number,
+        completed,
+        version: state.status_version,
+    };
+    let call = store.port().write_wave_status(status, term.guard.clone());
+    match store.call(call).await {
+        Ok(WaveStatusOutcome::Written(version)) => {
+            state.status_version = version;
+            state.written_status = Some(completed);
+        }
+        // A former owner wrote it, or an earlier write without an answer was applied.
+        Ok(WaveStatusOutcome::Conflict(version)) => state.status_version = version,
+        Err(_) => {}
     }
 }
--- a/crates/fleet/tests/daemons/memory_store.rs
+++ b/crates/fleet/tests/daemons/memory_store.rs
@@ -36,6 +36,8 @@
     StoreError,
     StoreRow,
     StoreTable,
+    WaveStatus,
+    WaveStatusOutcome,
     decode_progress, //
 };
 use tokio::{
@@ -81,6 +83,8 @@
     pub(crate) waves: RefCell<Vec<MaintenanceWave>>,
     /// The identities of workers that the registry does not list.
     unlisted_workers: RefCell<Vec<Arc<str>>>,
+    /// Whether each wave is completed, as the operator reads it.
+    wave_statuses: RefCell<IndexMap<u64, Versioned<bool>>>,
 }
 
 /// One daemon's client of the store, with the faults injected for this daemon.
@@ -96,6 +100,10 @@
     pub(crate) lost_answers: Cell<u32>,
     /// How many of the next writes of the workers' list are not answered, and carried out late.
     pub(crate) late_worker_writes: Cell<u32>,
+    /// How many of the next writes of jobs are not answered, and carried out late.
+    pub(crate) late_job_writes: Cell<u32>,
+    /// How many of the next writes of a wave's status are not answered, and carried out late.
+    pub(crate) late_status_writes: Cell<u32>,
     /// Whether calls are lost on their way to the store.
     silent: Cell<bool>,
     /// The latency of a read, except of jobs.
@@ -135,6 +143,7 @@
             }),
             waves: RefCell::default(),
             unlisted_workers: RefCell::default(),
+            wave_statuses: RefCell::default(),
         }
     }
 
@@ -336,6 +345,31 @@
         self.write(empty.collect());
     }
 
+    /// Writes a wave's status, if the guard holds and the present status has the expected version.
+    fn write_status(&self, status: WaveStatus, guard: &RowGuard) -> WaveStatusOutcome {
+        let rows = self.rows_of(guard.table, &guard.part, &guard.key, None);
+        let is_owner = rows
+            .iter()
+            .any(|row| row.key == guard.key && row.version == guard.version);
+        let mut statuses = self.wave_statuses.borrow_mut();
+        let present = statuses.get(&status.wave).map_or(0, |known| known.version);
+        if !is_owner || present != status.version {
+            return WaveStatusOutcome::Conflict(present);
+        }
+        let version = self.next_version();
+        let value = status.completed;
+        statuses.insert(status.wave, Versioned { value, version });
+        WaveStatusOutcome::Written(version)
+    }
+
+    /// Returns whether a wave is shown as completed; `None` if it has no status.
+    pub(crate) fn is_shown_completed(&self, wave: u64) -> Option<bool> {
+        self.wave_statuses
+            .borrow()
+            .get(&wave)
+            .map(|status| status.value)
+    }
+
     /// Returns the number of a table's rows.
     pub(crate) fn count(&self, table: StoreTable) -> usize {
         let rows = self.rows.borrow();
@@ -354,6 +388,8 @@
             slow_parts: RefCell::new(Vec::new()),
             lost_answers: Cell::new(0),
             late_worker_writes: Cell::new(0),
+            late_job_writes: Cell::new(0),
+            late_status_writes: Cell::new(0),
             silent: Cell::new(false),
             read_latency: Cell::new(Duration::from_millis(2)),
             job_read_latency: Cell::new(Duration::from_millis(2)),
@@ -493,9 +529,17 @@
                 .writes
                 .iter()
                 .any(|row| row.key.starts_with("workers-"));
-            if is_worker_write && self.late_worker_writes.get() > 0 {
-                self.late_worker_writes
-                    .set(self.late_worker_writes.get() - 1);
+            let is_job_write = commit
+                .writes
+                .iter()
+                .any(|row| row.table == StoreTable::Jobs);
+            let late_writes = match (is_worker_write, is_job_write) {
+                (true, _) => Some(&self.late_worker_writes),
+                (_, true) => Some(&self.late_job_writes),
+                _ => None,
+            };
+            if let Some(count) = late_writes.filter(|count| count.get() > 0) {
+                count.set(count.get() - 1);
                 let store = Rc::clone(&self.store);
                 spawn_local(async move {
                     time::sleep(LATE_WRITE_DELAY).await;
@@ -619,11 +663,26 @@
 
     async fn write_wave_status(
         &self,
-        _wave: u64,
-        _completed: bool,
-        _guard: RowGuard,
-    ) -> Result<CommitOutcome, StoreError> {
-        Ok(CommitOutcome::Applied(self.store.version.get()))
+        status: WaveStatus,
+        guard: RowGuard,
+    ) -> Result<WaveStatusOutcome, StoreError> {
+        let call = async {
+            time::sleep(self.commit_latency.get()).await;
+            self.check_reachable()?;
+            if self.late_status_writes.get() == 0 {
+                return Ok(self.store.write_status(status, &guard));
+            }
+            self.late_status_writes
+                .set(self.late_status_writes.get() - 1);
+            let store = Rc::clone(&self.store);
+            spawn_local(async move {
+                time::sleep(LATE_WRITE_DELAY).await;
+                store.write_status(status, &guard);
+            });
+            time::sleep(CALL_TIMEOUT).await;
+            Err(StoreError::Unknown)
+        };
+        self.deliver(CALL_TIMEOUT, call).await
     }
 }
 
--- a/crates/fleet/tests/daemons/waves.rs
+++ b/crates/fleet/tests/daemons/waves.rs
@@ -259,6 +259,43 @@
     });
 }
 
+/// Guards against an operator who is told for good that a completed wave is running: an earlier write of its status got no answer,
+/// and was applied late.
+#[test]
+fn late_write_of_a_status_does_not_replace_a_later_one() {
+    run_simulated(async {
+        let fleet = TestFleet::with_runtime_clock(1);
+        let vms = FixedVms::new(1, MaintenanceOutcome::Refused);
+        let owner = daemon_with_wave(&fleet, &vms);
+        owner.store_client.late_status_writes.set(1);
+        while owner.store_client.late_status_writes.get() > 0 {
+            time::sleep(Duration::from_millis(10)).await;
+        }
+        vms.outcome.set(MaintenanceOutcome::Begun);
+        time::sleep(Duration::from_millis(2500)).await;
+        assert_eq!(fleet.store.is_shown_completed(1), Some(true));
+        time::sleep(Duration::from_secs(20)).await;
+        assert_eq!(fleet.store.is_shown_completed(1), Some(true));
+    });
+}
+
+/// Guards against a wave whose status is not written by a successor: a former owner had written one.
+#[test]
+fn a_successor_writes_the_status_of_a_wave() {
+    run_simulated(async {
+        let fleet = TestFleet::with_runtime_clock(1);
+        let vms = FixedVms::new(1, MaintenanceOutcome::Refused);
+        let owner = daemon_with_wave(&fleet, &vms);
+        time::sleep(Duration::from_secs(5)).await;
+        assert_eq!(fleet.store.is_shown_completed(1), Some(false));
+        let _successor = fleet.daemon();
+        owner.kill();
+        vms.outcome.set(MaintenanceOutcome::Begun);
+        time::sleep(Duration::from_secs(60)).await;
+        assert_eq!(fleet.store.is_shown_completed(1), Some(true));
+    });
+}
+
 /// Guards against a worker that stays drained beside a long-running task that may never be unavailable.
 #[test]
 fn worker_that_can_never_be_drained_takes_tasks() {
