Let no job run that was cancelled before its row was written

What callers see: a job runs, if it is long-running for good, although its cancellation was answered with 410. Its submission had got no answer (504).

Cause: the store may apply a write without an answer seconds later. Until then no row told of the job, so that its cancellation was answered as that of a job that does not exist, and left nothing behind. A repetition of the submission, at any daemon, let the job run in the same way.

Evidence: both tests of late_writes.rs failed before (a run was started). Not seen with processes.

Change: the cancellation of a job without a row is written like any other, and only then answered as before. A row that is written late belongs to a cancelled job from its first moment, for a successor too.

Without the store's answer to it such a call is no longer answered with 410.

--- a/crates/fleet/src/job_api.rs
+++ b/crates/fleet/src/job_api.rs
@@ -340,18 +340,19 @@
         request: CallerRequest,
         forwarding: Forwarding,
     ) -> CallerAnswer {
-        match self.read_job_rows(key).await {
-            Ok(rows) if rows.contains_job(key) => {}
-            Ok(rows) if rows.complete => return CallerAnswer::NoJob,
+        let answer = match self.read_job_rows(key).await {
+            Ok(rows) if rows.contains_job(key) => CallerAnswer::Done,
+            // A submission without an answer may still be written, and must not run after this.
+            Ok(rows) if rows.complete => CallerAnswer::NoJob,
             _ => {
                 return self
                     .forward_after_failure(request, forwarding, StoreError::Refused)
                     .await;
             }
-        }
+        };
         let name = format!("{key}{CANCELLATION_SUFFIX}");
         match self.insert(key, name, Vec::new()).await {
-            Ok(_) => CallerAnswer::Done,
+            Ok(_) => answer,
             Err(error) => self.forward_after_failure(request, forwarding, error).await,
         }
     }
--- a/crates/fleet/tests/daemons/main.rs
+++ b/crates/fleet/tests/daemons/main.rs
@@ -8,6 +8,7 @@
 mod jobs;
 mod jobs_read_again;
 mod large_jobs;
+mod late_writes;
 mod log_lines;
 mod members;
 mod memory_store;
