Tell the number of waiting jobs only while the term is confirmed

What callers see: a number of waiting jobs from before the daemon was suspended or cut off, though it may be 2 s old at most.

Cause: a daemon told the number from its memory until it knew that its term was over. One that was suspended answers as it resumes, before it has probed anyone, and one that is cut off from the store and all members never learns of its successor.

Evidence: a_replaced_owner_tells_no_number_from_before_its_suspension failed before (1 was told where 9 jobs waited).

Change: the owner tells the number only while it may send orders, that is within 2 s of a confirmation; after that it is refused, as on any daemon that reaches no owner.

--- a/crates/fleet/src/job_api.rs
+++ b/crates/fleet/src/job_api.rs
@@ -484,7 +484,9 @@
         request: CallerRequest,
         forwarding: Forwarding,
     ) -> CallerAnswer {
-        if let Some(term) = self.shared.loaded_term() {
+        // A replaced owner may not know it yet, and its count would be of any age.
+        let term = self.shared.loaded_term();
+        if let Some(term) = term.filter(|term| self.shared.may_send_orders(term)) {
             return CallerAnswer::Waiting(term.dispatcher.borrow().waiting_job_count(queue) as u64);
         }
         match self.read_from_peers(&request, forwarding).await {
--- a/crates/fleet/tests/daemons/suspended_owner.rs
+++ b/crates/fleet/tests/daemons/suspended_owner.rs
@@ -2,11 +2,15 @@
 
 use std::time::Duration;
 
-use jasminebend_fleet::TOKENS_PER_TERM;
+use jasminebend_fleet::{
+    CallerAnswer,
+    TOKENS_PER_TERM, //
+};
 use tokio::time;
 
 use crate::test_fleet::{
     TestFleet,
+    count_waiting,
     job,
     run_simulated,
     submit, //
@@ -44,3 +48,32 @@
         assert!(fleet.workers.is_idle(OUT_OF_REACH));
     });
 }
+
+/// Guards against a number of waiting jobs that is older than callers were promised: a suspended owner told it as it resumed, before
+/// it knew of its successor.
+#[test]
+fn a_replaced_owner_tells_no_number_from_before_its_suspension() {
+    run_simulated(async {
+        let fleet = TestFleet::with_runtime_clock(0);
+        let (owner, machine) = fleet.suspendable_daemon();
+        submit(&owner.job_api, 1, &job(&[(1, &[])])).await;
+        time::sleep(STARTED_AFTER).await;
+        let counted = count_waiting(&owner.job_api, "/queue/").await;
+        assert_eq!(counted, CallerAnswer::Waiting(1));
+        let successor = fleet.daemon();
+        let submitted = async {
+            time::sleep(SUSPENDED_FOR / 2).await;
+            for number in 2..10 {
+                submit(&successor.job_api, number, &job(&[(1, &[])])).await;
+            }
+        };
+        tokio::join!(machine.suspend_for(SUSPENDED_FOR), submitted);
+        let counted = count_waiting(&owner.job_api, "/queue/").await;
+        assert_ne!(counted, CallerAnswer::Waiting(1));
+        time::sleep(STARTED_AFTER).await;
+        for daemon in [&owner, &successor] {
+            let counted = count_waiting(&daemon.job_api, "/queue/").await;
+            assert_eq!(counted, CallerAnswer::Waiting(9));
+        }
+    });
+}
