Count an answer to a member's probe for the member that gave it

What peers would see: a daemon that is gone for good stays a member, and one of those that rank for the ownership, as long as another daemon has its address.

Cause: whoever answered at a member's address kept it enrolled. Addresses are used again after 2 s.

Evidence: members_whose_address_another_daemon_has_are_removed failed before (6 members instead of 3). Not seen with processes. It cost no safety: a former owner and its successor count the same addresses, and each is answered by one daemon.

Change: the answer counts if it comes from the incarnation in the member's row. A daemon that restarts writes a row of its own.

--- a/crates/fleet/src/member_set_changes.rs
+++ b/crates/fleet/src/member_set_changes.rs
@@ -121,7 +121,8 @@
         let peers = shared.peers.clone();
         probes.spawn_local(async move {
             let probe = peers.probe(&member.address, token).await;
-            (member, matches!(probe, ProbeResult::Answered(_)))
+            let answered = answers_as(&member, probe);
+            (member, answered)
         });
     }
     for (member, answered) in probes.join_all().await {
@@ -129,6 +130,11 @@
     }
 }
 
+/// Returns whether a member itself has answered: another daemon may have its address by now.
+fn answers_as(member: &MemberRecord, probe: ProbeResult) -> bool {
+    matches!(probe, ProbeResult::Answered(health) if health.incarnation == member.incarnation)
+}
+
 /// Writes the set of members if it has changed. A commit without an answer is repeated until its outcome is known.
 async fn update_member_set(shared: &SharedState, term: &OwnerTerm, silence: &MemberSilence) {
     let (pending, committed) = {
--- a/crates/fleet/tests/daemons/members.rs
+++ b/crates/fleet/tests/daemons/members.rs
@@ -81,6 +81,22 @@
     });
 }
 
+/// Guards against members that are never removed: another daemon has the address of each, and answers there.
+#[test]
+fn members_whose_address_another_daemon_has_are_removed() {
+    run_simulated(async {
+        let fleet = TestFleet::with_runtime_clock(0);
+        let daemons = [fleet.daemon(), fleet.daemon(), fleet.daemon()];
+        time::sleep(SETTLING_TIME).await;
+        fleet.enroll(daemons[0].peer_address(), 2);
+        fleet.enroll_as("elsewhere", daemons[1].peer_address());
+        time::sleep(SETTLING_TIME).await;
+        assert_eq!(fleet.store.member_set().members.len(), 3);
+        time::sleep(BEYOND_EXPIRY).await;
+        assert_eq!(fleet.store.members(), 3);
+    });
+}
+
 /// Guards against a daemon that stays removed: it was unreachable for long enough to be removed as a member.
 #[test]
 fn a_removed_member_enrolls_again() {
--- a/crates/fleet/tests/daemons/test_fleet.rs
+++ b/crates/fleet/tests/daemons/test_fleet.rs
@@ -536,6 +536,11 @@
         &self.node
     }
 
+    /// Returns the daemon's address for other daemons.
+    pub(crate) fn peer_address(&self) -> SocketAddr {
+        self.peers
+    }
+
     /// Probes the daemon as the owner with this token would, and returns the token that it reports.
     pub(crate) async fn known_token(&self, token: u64) -> u64 {
         let body = postcard::to_stdvec(&PeerRequest::Probe { token }).unwrap();
@@ -682,10 +687,15 @@
 
     /// Writes the row of a member's former incarnation, which had another address.
     pub(crate) fn enroll_former_incarnation(&self, node: &str) {
+        self.enroll_as(node, free_address());
+    }
+
+    /// Writes the row of a member with this name and address.
+    pub(crate) fn enroll_as(&self, node: &str, address: SocketAddr) {
         let member = MemberRecord {
             node: node.to_owned(),
             incarnation: 1,
-            address: free_address().to_string(),
+            address: address.to_string(),
             cpu_millis: 1000,
         };
         self.store
