Send a throttle order again once a late one has taken effect

What callers see: a filler works at a quarter of its speed for good beside no service, or disturbs a service at full speed while its owner counts it as throttled.

Cause: an order without an answer was sent again at once, but may be carried out up to 12 s later, after the later ones, and the workers' lists do not tell at which share a task works.

Not seen with processes.

Change: 15 s after an order without an answer the factor counts as unknown once more, so that it is sent again: one call for each lost order. Until then the late order may be in effect.

--- a/crates/dispatch/src/dispatcher_throttling.rs
+++ b/crates/dispatch/src/dispatcher_throttling.rs
@@ -8,6 +8,7 @@
 use crate::{
     Dispatcher,
     FillerEviction,
+    OrderOutcome,
     PolicyPart,
     RunNumber,
     TaskKey,
@@ -45,6 +46,8 @@
 const FILLER_BACKOFF: Duration = Duration::from_millis(700);
 /// The time after its start during which a filler is suspected first.
 const NEWCOMER_PERIOD: Duration = Duration::from_millis(2500);
+/// The time after an order without an answer within which it is carried out, as far as is known.
+const LATE_CALL_WINDOW: Duration = Duration::from_secs(15);
 /// The factor from a share to percent.
 const PERCENT_PER_UNIT: f64 = 100.0;
 
@@ -141,7 +144,7 @@
             .violations
             .record_fillers(has_fillers, now);
         if !self.worker(key).has_services() {
-            self.set_throttle_factors(key, &[], 100);
+            self.set_throttle_factors(key, &[], 100, now);
             return;
         }
         self.learn_interference(key, now);
@@ -223,7 +226,7 @@
     /// than needed; evicts them if the necessary throttle factor is too low.
     fn throttle_causes(&mut self, key: WorkerKey, now: Duration) {
         let Some((service, share)) = self.most_constrained_service(key, now) else {
-            self.set_throttle_factors(key, &[], 100);
+            self.set_throttle_factors(key, &[], 100, now);
             return;
         };
         let image = self.run_image(key, service);
@@ -237,7 +240,8 @@
             // CAST: A share between 0 and 1.
             let percent =
                 (share * PERCENT_PER_UNIT) as u32 / THROTTLE_STEP_PERCENT * THROTTLE_STEP_PERCENT;
-            self.set_throttle_factors(key, &causes, percent.clamp(THROTTLE_STEP_PERCENT, 100));
+            let percent = percent.clamp(THROTTLE_STEP_PERCENT, 100);
+            self.set_throttle_factors(key, &causes, percent, now);
             return;
         }
         for &(task, run) in &causes {
@@ -366,12 +370,20 @@
         key: WorkerKey,
         causes: &[(TaskKey, RunNumber)],
         percent: u32,
+        now: Duration,
     ) {
         let mut changed = Vec::new();
         for (&(task, run), state) in &mut self.worker_mut(key).runs {
             if !state.is_filler() || !state.is_confirmed() {
                 continue;
             }
+            if state
+                .throttle_uncertain_until
+                .is_some_and(|until| now >= until)
+            {
+                state.throttle_uncertain_until = None;
+                state.throttle_percent = u32::MAX;
+            }
             let target_percent = if causes.contains(&(task, run)) {
                 percent
             } else {
@@ -392,10 +404,25 @@
         }
     }
 
-    /// Records that a throttle order may not be in effect, so that it is sent again.
-    pub fn invalidate_throttle(&mut self, worker: WorkerKey, task: TaskKey, run: RunNumber) {
-        if let Some(state) = self.worker_mut(worker).runs.get_mut(&(task, run)) {
-            state.throttle_percent = u32::MAX;
+    /// Records the outcome of a throttle order. One that may not be in effect is sent again, and once more when one without an
+    /// answer can no longer take effect after that.
+    pub fn handle_throttle_outcome(
+        &mut self,
+        worker: WorkerKey,
+        task: TaskKey,
+        run: RunNumber,
+        outcome: OrderOutcome,
+        now: Duration,
+    ) {
+        let Some(state) = self.worker_mut(worker).runs.get_mut(&(task, run)) else {
+            return;
+        };
+        if outcome == OrderOutcome::Taken {
+            return;
+        }
+        state.throttle_percent = u32::MAX;
+        if outcome == OrderOutcome::Unknown {
+            state.throttle_uncertain_until = Some(now + LATE_CALL_WINDOW);
         }
     }
 }
--- a/crates/dispatch/src/run_state.rs
+++ b/crates/dispatch/src/run_state.rs
@@ -80,6 +80,8 @@
     pub(crate) load: Option<LoadEstimate>,
     /// The throttle factor last ordered, in percent; 100 is unthrottled, `u32::MAX` unknown.
     pub(crate) throttle_percent: u32,
+    /// Until when a throttle order without an answer may still take effect, after later ones; `None` if there is none.
+    pub(crate) throttle_uncertain_until: Option<Duration>,
     /// When a stop was first planned.
     pub(crate) stop_requested_at: Option<Duration>,
     /// When the stop was last logged as overdue.
@@ -119,6 +121,7 @@
             metric: None,
             load: None,
             throttle_percent: 100,
+            throttle_uncertain_until: None,
             stop_requested_at: None,
             stop_reported_at: None,
             stop_sent_at: None,
--- a/crates/dispatch/tests/fillers.rs
+++ b/crates/dispatch/tests/fillers.rs
@@ -64,8 +64,15 @@
     tail_by_task: Option<fn(Duration, TaskKey, f64) -> u64>,
     /// The CPU in millicores that an unthrottled filler reports to use.
     filler_cpu_millis: u64,
+    /// How many of the next throttle orders get no answer, and are carried out late.
+    late_throttle_count: usize,
+    /// The throttle orders that are carried out late, each with its time.
+    late_throttles: Vec<(Duration, (WorkerKey, TaskKey, RunNumber), u32)>,
 }
 
+/// How late a late order is carried out.
+const ORDER_DELAY: Duration = Duration::from_secs(8);
+
 impl Pool {
     fn new(workers: usize, tail: fn(f64) -> u64) -> Self {
         let mut dispatcher = Dispatcher::new(1, DispatchSettings::default());
@@ -80,6 +87,8 @@
             tail,
             tail_by_task: None,
             filler_cpu_millis: 4000,
+            late_throttle_count: 0,
+            late_throttles: Vec::new(),
         };
         for _ in 0..workers {
             pool.add_worker();
@@ -156,11 +165,47 @@
                     task,
                     run,
                     percent,
-                } => {
-                    self.running.insert((worker, task, run), percent);
-                }
+                } => self.throttle((worker, task, run), percent),
             }
         }
+        let now = self.now;
+        let due = self.late_throttles.extract_if(.., |(due, ..)| *due <= now);
+        for (_, id, percent) in due.collect::<Vec<_>>() {
+            self.set_throttle(id, percent);
+        }
+    }
+
+    fn throttle(&mut self, id: (WorkerKey, TaskKey, RunNumber), percent: u32) {
+        let mut outcome = OrderOutcome::Taken;
+        if self.late_throttle_count > 0 {
+            self.late_throttle_count -= 1;
+            let due = self.now + ORDER_DELAY;
+            self.late_throttles.push((due, id, percent));
+            outcome = OrderOutcome::Unknown;
+        } else {
+            self.set_throttle(id, percent);
+        }
+        let (worker, task, run) = id;
+        self.dispatcher
+            .handle_throttle_outcome(worker, task, run, outcome, self.now);
+    }
+
+    fn set_throttle(&mut self, id: (WorkerKey, TaskKey, RunNumber), percent: u32) {
+        if let Some(known) = self.running.get_mut(&id) {
+            *known = percent;
+        }
+    }
+
+    /// Ends a service that its caller has cancelled.
+    fn end_service(&mut self) {
+        self.running.retain(|(_, task, _), _| !is_service(*task));
+    }
+
+    fn throttled_fillers(&self) -> usize {
+        let percents = self.running.iter();
+        percents
+            .filter(|((_, task, _), percent)| !is_service(*task) && **percent < 100)
+            .count()
     }
 
     fn start(&mut self, start: &StartOrder) {
@@ -1021,3 +1066,27 @@
         assert_eq!(has_run, may_run, "{services_per_worker}");
     }
 }
+
+/// Guards against fillers that stay throttled for good: an order without an answer was carried out after the later one that ended
+/// the throttling.
+#[test]
+fn late_throttle_order_does_not_last() {
+    let mut pool = Pool::new(1, queue_tail_ms);
+    pool.late_throttle_count = 1;
+    pool.submit(1, service("service-a", 2));
+    pool.run_for(ms(1000));
+    pool.submit(10, filler("harmful", 4));
+    while pool.late_throttle_count > 0 {
+        pool.run_for(ms(500));
+    }
+    pool.dispatcher.cancel_job(JobKey::new(1));
+    pool.run_for(ms(1500));
+    pool.end_service();
+    pool.run_for(ms(2000));
+    assert_eq!(pool.throttled_fillers(), 0);
+    pool.run_for(ORDER_DELAY);
+    assert!(pool.late_throttles.is_empty());
+    assert!(pool.throttled_fillers() > 0, "the late order did nothing");
+    pool.run_for(ms(20_000));
+    assert_eq!(pool.throttled_fillers(), 0);
+}
--- a/crates/fleet/src/order_planning.rs
+++ b/crates/fleet/src/order_planning.rs
@@ -330,11 +330,14 @@
                 .workers
                 .throttle(&address, *task, *run, *percent)
                 .await;
-            if reply.outcome != OrderOutcome::Taken {
-                term.dispatcher
-                    .borrow_mut()
-                    .invalidate_throttle(*worker, *task, *run);
-            }
+            let now = shared.now();
+            term.dispatcher.borrow_mut().handle_throttle_outcome(
+                *worker,
+                *task,
+                *run,
+                reply.outcome,
+                now,
+            );
             reply
         }
     };
@@ -376,7 +379,7 @@
         WorkerOrder::Throttle {
             worker, task, run, ..
         } => {
-            dispatcher.invalidate_throttle(*worker, *task, *run);
+            dispatcher.handle_throttle_outcome(*worker, *task, *run, outcome, now);
         }
     }
 }
