Let no throttling outlast the owner that ordered it

What callers see: after a takeover, fillers that the former owner had throttled work at a quarter of their speed until they end, though the service beside them is gone.

Cause: a successor took the runs that it adopts for unthrottled, so that it ordered nothing; the workers' lists do not tell at which share a task works.

Change: the factor of an adopted filler is unknown, so that the first evaluation orders one: a call for each filler after a takeover.

--- a/crates/dispatch/src/dispatcher_runs.rs
+++ b/crates/dispatch/src/dispatcher_runs.rs
@@ -178,6 +178,8 @@
         state.metric = running.metric;
         state.last_listed_at = Some(now);
         state.is_adopted = true;
+        // A former owner may have throttled it.
+        state.throttle_percent = u32::MAX;
         state.has_begun = true;
         self.worker_mut(key).add_run(running.run, state);
         let mut surplus = over.then_some(SurplusCause::JobOver);
--- a/crates/dispatch/tests/fillers.rs
+++ b/crates/dispatch/tests/fillers.rs
@@ -196,6 +196,16 @@
         }
     }
 
+    /// Replaces the owner by one that knows the workers, but not what it has ordered.
+    fn replace_owner(&mut self) {
+        let mut successor = Dispatcher::new(2, DispatchSettings::default());
+        successor.set_configuration(configuration(3));
+        for &worker in &self.workers {
+            successor.upsert_worker(self.dispatcher.worker_record(worker).clone(), None);
+        }
+        self.dispatcher = successor;
+    }
+
     /// Ends a service that its caller has cancelled.
     fn end_service(&mut self) {
         self.running.retain(|(_, task, _), _| !is_service(*task));
@@ -1067,6 +1077,22 @@
     }
 }
 
+/// Guards against fillers that stay throttled for good: the owner that had throttled them was replaced, and the service is gone.
+#[test]
+fn fillers_that_a_former_owner_throttled_work_at_full_speed_without_services() {
+    let mut pool = Pool::new(1, queue_tail_ms);
+    pool.submit(1, service("service-a", 2));
+    pool.run_for(ms(1000));
+    pool.submit(10, filler("harmful", 4));
+    pool.run_for(ms(20_000));
+    assert!(pool.throttled_fillers() > 0);
+    pool.replace_owner();
+    pool.end_service();
+    pool.submit(10, filler("harmful", 4));
+    pool.run_for(ms(3000));
+    assert_eq!(pool.throttled_fillers(), 0);
+}
+
 /// Guards against fillers that stay throttled for good: an order without an answer was carried out after the later one that ended
 /// the throttling.
 #[test]
