Discard the tickets that are under way as their worker restarts

What callers see: a task waits for a start that its worker refuses for its ticket, and for advice after that.

Cause: the restart of a worker discarded the tickets that the owner held. The answer to a request from before the restart, which arrived after it, was kept.

Evidence: ticket_that_was_requested_before_a_restart_is_not_used failed before (a start with that ticket).

Change: a ticket for a worker that has restarted since the request counts as none; advice is requested again.

ticket_of_a_former_incarnation_is_not_used held with the discarding of tickets removed: its owner had one fencing token, and so no start for any restarted worker. It has a whole term of them now, a second answer of the new incarnation, and fails without the discarding.

--- a/crates/dispatch/src/advice_history.rs
+++ b/crates/dispatch/src/advice_history.rs
@@ -22,6 +22,8 @@
     requested_at: Duration,
     /// The workers that the unanswered request names.
     awaited: Vec<WorkerKey>,
+    /// Those of them that have restarted since, so that the answer is about their former incarnations.
+    restarted: IndexSet<WorkerKey>,
     /// When each worker was last named in a request that was answered.
     named_at: IndexMap<WorkerKey, Duration>,
     /// The workers that may run the step, as far as known.
@@ -56,9 +58,22 @@
         self.requested_at = now;
         self.next_request_at = now + ADVICE_RETRY_INTERVAL;
         self.awaited = workers.to_vec();
+        self.restarted.clear();
         !workers.is_empty()
     }
 
+    /// Records that a worker has restarted.
+    pub(crate) fn record_restart(&mut self, worker: WorkerKey) {
+        if self.awaited.contains(&worker) {
+            self.restarted.insert(worker);
+        }
+    }
+
+    /// Returns whether a worker has restarted since the unanswered request was made.
+    pub(crate) fn has_restarted(&self, worker: WorkerKey) -> bool {
+        self.restarted.contains(&worker)
+    }
+
     /// Records that the last request was answered, and which workers are permitted.
     pub(crate) fn record_answer<Permitted>(&mut self, permitted: Permitted)
     where
--- a/crates/dispatch/src/dispatcher_advice.rs
+++ b/crates/dispatch/src/dispatcher_advice.rs
@@ -48,12 +48,15 @@
                 .advice
                 .record_answer(by_worker.iter().map(|(key, _)| *key));
             for (key, ticket) in by_worker {
-                state.tickets.insert(key, (ticket, until));
+                // A ticket is valid for one incarnation of the worker.
+                if !state.advice.has_restarted(key) {
+                    state.tickets.insert(key, (ticket, until));
+                }
             }
         }
     }
 
-    /// Discards the tickets for a worker, which are valid for one incarnation of it.
+    /// Discards the tickets for a worker, which are valid for one incarnation of it, also those that are under way.
     pub(crate) fn discard_tickets(&mut self, worker: WorkerKey) {
         let occurrences = self
             .jobs
@@ -61,6 +64,7 @@
             .flat_map(|job| job.occurrences.values_mut());
         for step in occurrences.flat_map(|occurrence| &mut occurrence.steps) {
             step.tickets.swap_remove(&worker);
+            step.advice.record_restart(worker);
         }
     }
 
--- a/crates/dispatch/tests/advice.rs
+++ b/crates/dispatch/tests/advice.rs
@@ -36,6 +36,8 @@
     WorkerOrder, //
 };
 
+/// Leaves a term tokens for each incarnation of a worker that restarts.
+const FENCING_TOKEN: u64 = 256;
 const VALIDITY: Duration = Duration::from_secs(5);
 
 fn worker_id(number: usize) -> Arc<str> {
@@ -365,10 +367,107 @@
     assert!(site.requests.len() >= 15);
 }
 
+/// An owner with a job of one task, and one worker that restarts.
+struct RestartingSite {
+    dispatcher: Dispatcher,
+    key: WorkerKey,
+    born: Duration,
+}
+
+impl RestartingSite {
+    fn new() -> Self {
+        let mut dispatcher =
+            Dispatcher::new(FENCING_TOKEN, DispatchSettings::default()).with_former_token(None);
+        dispatcher.set_configuration(configuration_with_advice());
+        let key = dispatcher.upsert_worker(worker(0), None);
+        let job = AcceptedJob {
+            queue: "queue".into(),
+            rule: None,
+            graph: Arc::new(graph(vec![step(1, &[])])),
+            accepted: ms(1000),
+            inherited: false,
+        };
+        dispatcher.add_job(JobKey::new(1), job);
+        Self {
+            dispatcher,
+            key,
+            born: ms(500),
+        }
+    }
+
+    /// Restarts the worker; the registry lists its new incarnation.
+    fn restart(&mut self, now: Duration) {
+        self.born = now;
+        let listed = FleetWorker {
+            incarnation: Some(now),
+            ..worker(0)
+        };
+        self.dispatcher.upsert_worker(listed, None);
+    }
+
+    /// Answers a renewal, and returns the number of starts that are ordered, and the requests for advice.
+    fn plan(&mut self, now: Duration) -> (usize, Vec<AdviceRequest>) {
+        self.dispatcher.next_renewal(self.key, true, now);
+        let report = RenewalReport {
+            clock: now,
+            incarnation: Some(self.born),
+            running: Vec::new(),
+            completions: Vec::new(),
+        };
+        self.dispatcher
+            .handle_renewal_report(self.key, now, report, now);
+        let outcome = self.dispatcher.plan(now);
+        let is_start = |order: &&WorkerOrder| matches!(order, WorkerOrder::Start(_));
+        let starts = outcome.orders.iter().filter(is_start).count();
+        (starts, outcome.advice_requests)
+    }
+
+    fn store_ticket(&mut self, request: &AdviceRequest, now: Duration) {
+        let ticket = (worker_id(0), Arc::from("ticket"));
+        self.dispatcher
+            .store_tickets(request.step, vec![ticket], now + VALIDITY);
+    }
+}
+
+/// Guards against starts that the worker refuses: it restarted after its ticket was issued, or while the
+/// request was under way that the ticket answers.
+#[test]
+fn ticket_that_was_requested_before_a_restart_is_not_used() {
+    for (restarts, answered_at) in [(false, 1300), (true, 1050), (true, 1300)] {
+        let mut site = RestartingSite::new();
+        let (_, requests) = site.plan(ms(1000));
+        assert_eq!(requests.len(), 1);
+        if answered_at < 1100 {
+            site.store_ticket(&requests[0], ms(answered_at));
+        }
+        if restarts {
+            site.restart(ms(1100));
+        }
+        site.plan(ms(1200));
+        if answered_at > 1100 {
+            site.store_ticket(&requests[0], ms(answered_at));
+        }
+        let mut asked = Vec::new();
+        let mut starts = 0;
+        for turn in 0..25 {
+            let (ordered, requests) = site.plan(ms(1400 + turn * 100));
+            starts += ordered;
+            asked.extend(requests);
+        }
+        assert_eq!(starts, usize::from(!restarts));
+        if restarts {
+            let request = asked.last().expect("advice is requested again");
+            site.store_ticket(request, ms(4000));
+            assert_eq!(site.plan(ms(4000)).0, 1, "the next ticket is not used");
+        }
+    }
+}
+
 /// Guards against starts that the worker refuses: a ticket was issued for a former incarnation of the worker.
 #[test]
 fn ticket_of_a_former_incarnation_is_not_used() {
-    let mut dispatcher = Dispatcher::new(1, DispatchSettings::default());
+    let mut dispatcher =
+        Dispatcher::new(FENCING_TOKEN, DispatchSettings::default()).with_former_token(None);
     dispatcher.set_configuration(configuration_with_advice());
     let key = dispatcher.upsert_worker(worker(0), None);
     let answer = |dispatcher: &mut Dispatcher, born: Duration, now: Duration| {
@@ -394,7 +493,9 @@
     assert_eq!(requests.len(), 1);
     let ticket = (worker_id(0), Arc::from("ticket"));
     dispatcher.store_tickets(requests[0].step, vec![ticket], ms(1100) + VALIDITY);
-    answer(&mut dispatcher, ms(1150), ms(1200));
-    let orders = dispatcher.plan(ms(1200)).orders;
+    for now in [ms(1200), ms(1250)] {
+        answer(&mut dispatcher, ms(1150), now);
+    }
+    let orders = dispatcher.plan(ms(1250)).orders;
     assert!(orders.is_empty(), "{orders:?}");
 }
