Record what was done for a maintenance wave, for a successor

What operators see: more machines of a wave are down at a time than its cap allows, after a takeover; each machine of the wave is called, and its worker drained, once more.

Cause: what was sent into maintenance, and which call got no answer, was in the owner's memory alone. A call without an answer may be carried out up to 12 s later, and a fencing token holds for each machine separately, so that its machine goes down beside the one that the successor has chosen.

Change: before each such call the owner writes a row, wave-N, guarded by its own row and the version that it knows, with the machines that were handled and those whose calls may still act. A successor goes on from it, and counts the latter as down for 13 s after their calls, and the clocks' largest difference. Where the row can't be read it waits for 13 s.

Cost: a write for each machine. A wave stands still while the store does not take it. The rows are kept.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -56,6 +56,7 @@
 mod takeover_reader;
 mod takeover_records;
 mod term_confirmation;
+mod wave_records;
 mod wave_status;
 mod worker_drains;
 
--- a/crates/fleet/src/maintenance_waves.rs
+++ b/crates/fleet/src/maintenance_waves.rs
@@ -23,6 +23,12 @@
     WaveStatusOutcome,
     owner_term::OwnerTerm,
     shared_state::SharedState,
+    wave_records::{
+        WaveRecord,
+        WaveRow,
+        read_wave_rows,
+        write_wave_row, //
+    },
     worker_drains::WorkerDrains, //
 };
 
@@ -58,9 +64,45 @@
     written_status: Option<bool>,
     /// The store's version of the status as far as known; 0 if there is none.
     status_version: u64,
+    /// The store's version of the record for a successor as far as known; 0 if there is none.
+    record_version: u64,
 }
 
 impl WaveState {
+    /// Creates the state that a former owner recorded, at `now`, which is `wall` since 1970 at least. Calls of that owner may
+    /// still be carried out; if its record can't be read, for any VM.
+    fn inherited(record: Option<WaveRecord>, version: u64, now: Duration, wall: Duration) -> Self {
+        let paused_until = match record {
+            Some(_) => Duration::ZERO,
+            None => now + ASSUMED_DOWN_TIME,
+        };
+        let record = record.unwrap_or_default();
+        let maybe_down = record.maybe_down.into_iter().map(|(vm, sent)| {
+            let age = wall.saturating_sub(sent);
+            (vm, now.saturating_sub(age))
+        });
+        Self {
+            handled: record.handled.into_iter().collect(),
+            maybe_down: maybe_down.collect(),
+            paused_until,
+            record_version: version,
+            ..Self::default()
+        }
+    }
+
+    /// Returns the record for a successor, with a call for `vm` that is sent at `now`, at `wall` since 1970.
+    fn record_with_call(&self, vm: &Arc<str>, now: Duration, wall: Duration) -> WaveRecord {
+        let calls = self.maybe_down.iter().chain(std::iter::once((vm, &now)));
+        let maybe_down = calls.map(|(vm, sent)| {
+            let age = now.saturating_sub(*sent);
+            (Arc::clone(vm), wall.saturating_sub(age))
+        });
+        WaveRecord {
+            handled: self.handled.iter().cloned().collect(),
+            maybe_down: maybe_down.collect(),
+        }
+    }
+
     /// Puts off the next calls if a VM was busy, or the platform has refused calls for long.
     fn put_off_refused_calls(&mut self, vm: &Arc<str>, outcome: MaintenanceOutcome, now: Duration) {
         if outcome == MaintenanceOutcome::Busy {
@@ -104,7 +146,7 @@
         // The platform counts calls of two owners within this time as two concurrent lease holders.
         time::sleep(shared.settings.maintenance_lease).await;
     }
-    let mut states: IndexMap<u64, WaveState> = IndexMap::new();
+    let mut states = inherit_states(&shared, &term).await;
     let mut drains = WorkerDrains::default();
     loop {
         let began = shared.now();
@@ -138,6 +180,28 @@
     }
 }
 
+/// Returns the states of waves that former owners recorded; none if the term is over before.
+async fn inherit_states(shared: &Rc<SharedState>, term: &OwnerTerm) -> IndexMap<u64, WaveState> {
+    let mut rows: Vec<WaveRow> = Vec::new();
+    while !term.is_over() {
+        match read_wave_rows(shared).await {
+            Ok(read) => {
+                rows = read;
+                break;
+            }
+            Err(_) => shared.store.wait_to_retry().await,
+        }
+    }
+    let now = shared.now();
+    let wall = shared
+        .wall()
+        .saturating_sub(shared.settings.dispatch.max_clock_skew);
+    let states = rows
+        .into_iter()
+        .map(|(wave, record, version)| (wave, WaveState::inherited(record, version, now, wall)));
+    states.collect()
+}
+
 async fn advance_wave(
     shared: &SharedState,
     term: &OwnerTerm,
@@ -179,7 +243,8 @@
             dispatcher.prepare_maintenance(worker, now)
         });
         term.plan_wakeup.notify_one();
-        if ready && shared.may_send_orders(term) {
+        if ready && record_call(shared, term, wave, state, vm).await && shared.may_send_orders(term)
+        {
             let outcome = start_maintenance(shared, term, vms, wave, state, vm, down).await;
             state.put_off_refused_calls(vm, outcome, shared.now());
             if let Some(worker) = &listed_vm.worker {
@@ -204,6 +269,25 @@
     down.count()
 }
 
+/// Records a call for a successor before it is sent; returns whether it may be sent.
+async fn record_call(
+    shared: &SharedState,
+    term: &OwnerTerm,
+    wave: &MaintenanceWave,
+    state: &mut WaveState,
+    vm: &Arc<str>,
+) -> bool {
+    let record = state.record_with_call(vm, shared.now(), shared.wall());
+    write_wave_row(
+        shared,
+        term,
+        wave.number,
+        &record,
+        &mut state.record_version,
+    )
+    .await
+}
+
 async fn start_maintenance(
     shared: &SharedState,
     term: &OwnerTerm,
--- a/crates/fleet/tests/daemons/memory_store.rs
+++ b/crates/fleet/tests/daemons/memory_store.rs
@@ -104,6 +104,8 @@
     pub(crate) late_job_writes: Cell<u32>,
     /// How many of the next writes of a wave's status are not answered, and carried out late.
     pub(crate) late_status_writes: Cell<u32>,
+    /// Whether writes of what was done for a wave are refused.
+    pub(crate) refuses_wave_records: Cell<bool>,
     /// Whether calls are lost on their way to the store.
     silent: Cell<bool>,
     /// The latency of a read, except of jobs.
@@ -390,6 +392,7 @@
             late_worker_writes: Cell::new(0),
             late_job_writes: Cell::new(0),
             late_status_writes: Cell::new(0),
+            refuses_wave_records: Cell::new(false),
             silent: Cell::new(false),
             read_latency: Cell::new(Duration::from_millis(2)),
             job_read_latency: Cell::new(Duration::from_millis(2)),
@@ -525,6 +528,10 @@
                 self.check_part_reachable(&row.part)?;
             }
             check_size(&commit)?;
+            let mut writes = commit.writes.iter();
+            if self.refuses_wave_records.get() && writes.any(|row| row.key.starts_with("wave-")) {
+                return Err(StoreError::Refused);
+            }
             let is_worker_write = commit
                 .writes
                 .iter()
