Ask the store for a job's state once the term is not confirmed

What callers see: a job is shown as running after it was shown as completed.

Cause: a daemon told a job's state from its memory until it knew that its term was over. One that was suspended answers as it resumes, before it has probed anyone.

Evidence: a_replaced_owner_tells_no_state_from_before_its_suspension failed before (Running instead of Completed).

--- a/crates/fleet/src/job_api.rs
+++ b/crates/fleet/src/job_api.rs
@@ -432,8 +432,12 @@
         forwarding: Forwarding,
     ) -> CallerAnswer {
         let term = self.shared.loaded_term();
+        // A replaced owner may not know it yet.
+        let is_confirmed = term
+            .as_ref()
+            .is_some_and(|term| self.shared.may_send_orders(term));
         let known = term.and_then(|term| read_progress(&term.dispatcher.borrow(), key));
-        if let Some(answer) = known {
+        if let Some(answer) = known.clone().filter(|_| is_confirmed) {
             return answer;
         }
         if let Some(answer) = self.read_from_peers(&request, forwarding).await {
@@ -442,7 +446,7 @@
         match self.read_from_store(key).await {
             Ok(Some(answer)) => answer,
             Ok(None) => CallerAnswer::NoJob,
-            Err(_) => CallerAnswer::Refused(RETRY_WITHOUT_STORE),
+            Err(_) => known.unwrap_or(CallerAnswer::Refused(RETRY_WITHOUT_STORE)),
         }
     }
 
--- a/crates/fleet/tests/daemons/suspended_owner.rs
+++ b/crates/fleet/tests/daemons/suspended_owner.rs
@@ -2,8 +2,13 @@
 
 use std::time::Duration;
 
+use jasminebend_dispatch::{
+    JobOutcome,
+    JobProgress, //
+};
 use jasminebend_fleet::{
     CallerAnswer,
+    CallerVerb,
     TOKENS_PER_TERM, //
 };
 use tokio::time;
@@ -13,6 +18,7 @@
     count_waiting,
     job,
     run_simulated,
+    send_request,
     submit, //
 };
 
@@ -77,3 +83,23 @@
         }
     });
 }
+
+/// Guards against a job that is shown as running after it was shown as completed: a suspended owner told its state as it resumed,
+/// before it knew of its successor.
+#[test]
+fn a_replaced_owner_tells_no_state_from_before_its_suspension() {
+    run_simulated(async {
+        let fleet = TestFleet::with_runtime_clock(1);
+        fleet.workers.run_time.set(STARTED_AFTER * 2);
+        let (owner, machine) = fleet.suspendable_daemon();
+        submit(&owner.job_api, 1, &job(&[(1, &[])])).await;
+        time::sleep(STARTED_AFTER).await;
+        let successor = fleet.daemon();
+        machine.suspend_for(SUSPENDED_FOR).await;
+        let completed = CallerAnswer::Progress(JobProgress::Ended(JobOutcome::Completed));
+        let told = send_request(&owner.job_api, 1, CallerVerb::Read).await;
+        assert_eq!(told, completed);
+        let told = send_request(&successor.job_api, 1, CallerVerb::Read).await;
+        assert_eq!(told, completed);
+    });
+}
