Play restarts that nobody knows of before the lease has lapsed

What callers would see: two runs of a task at once, or a done task that is started again. A worker is cut off from the daemons and the store, restarts under its identity, and carries out a start that its former incarnation had received and left unanswered. Neither an answer nor the registry tells of the restart, so that its owner, or a successor, gives the start up with a regular lease.

Tried, not kept: an owner holds starts without an answer on any silent worker for 15 s and the longest lease. An entry that the registry keeps is no cheaper evidence: the worker may restart after its lease has lapsed, while the call may still come.

--- a/crates/dispatch/tests/late_calls.rs
+++ b/crates/dispatch/tests/late_calls.rs
@@ -430,3 +430,18 @@
     assert_eq!(scene.worker.running_tasks().len(), 1, "carried out");
     assert_eq!(scene.tasks_after_lapse(), Vec::new());
 }
+
+/// Guards against two runs of a task: a worker restarts and is silent since, and neither an answer nor the registry tells of that
+/// before its lease has lapsed; it carries out a start for its former incarnation.
+#[test]
+fn late_start_after_a_restart_that_nobody_knows_of_ends_first() {
+    let mut scene = Scene::new(LONG_TASK);
+    scene.turn_for(ms(1900));
+    scene.add_job(1);
+    let late = scene.plan_starts();
+    scene.restart(&late);
+    scene.now += ms(3000);
+    scene.carry_out_late(&late[0]);
+    assert_eq!(scene.worker.running_tasks().len(), 1, "carried out");
+    assert_eq!(scene.tasks_after_lapse(), Vec::new());
+}
