Repeat a start without an answer as the same run

What callers saw: two runs of a task at once, or a run after its end. A worker left a start unanswered and confirmed its stop, so that the task started again; the worker restarted under its identity and carried the first start out before it had answered a call with its token, as it knew of no stop.

Cause: each start without an answer was followed by a stop and by a start with a higher run number, on any worker. The stop is known to the incarnation that confirmed it alone. A start that was carried out although its answer was lost was stopped, too.

Change: once the worker's report shows that the run has not begun, the start is repeated for the same worker and run, which the worker executes once however many of the calls it carries out. A refusal of a repetition ends no run. After eight starts, or where the worker may not take one now, or for a task that has crashed workers, the run is stopped as before. While a start without an answer may yet be carried out, the task starts on that worker only (after eight nowhere), and what it runs there is held while a known restart is not fenced: until 15 s after the last such start and an answer to a later call, until the restarted worker has answered with its token, or until its lease has lapsed without a known restart. Steps that allow copies are exempt. A start that a report shows as carried out no longer counts. Tasks that are bound to a worker are placed before the others of their step, hold up none of them, and count as `other` in `wait` lines.

Why it works: within one life a worker refuses a run that was stopped or has ended there, and takes a run that is there already without starting it again; over a restart all outstanding calls of a task are for one run of one worker, whose runs the owner holds until it refuses them.

Weighed: a stop as before, and the next start on the same worker with a higher run (built: `starts_that_are_carried_out_together_execute_one_run` fails, the next incarnation executes both); holding each task with an unanswered start for 15 s; repeating at once instead of after a report (built: tasks that crash their workers were started once too often in weak_signs.rs).

Open, by reading: a run that a repetition began and that has ended before the restart; a successor does not know of the starts.

Tests: of outstanding_starts.rs six of 14 failed before the change, and `late_start_whose_stop_a_former_incarnation_confirmed_ends_first`; all hold. repeated_stops.rs: `UnansweredStart` relied on a stop after the first start without an answer; it now answers none until the owner orders the stop, and checks that it does. Its assertions stand; the changed file also passes on the code before the change.

--- a/crates/dispatch/src/dispatcher_gangs.rs
+++ b/crates/dispatch/src/dispatcher_gangs.rs
@@ -56,9 +56,11 @@
             }
             return Vec::new();
         }
-        let mut awaits_isolation = false;
+        let mut awaits_other = false;
         for &index in pending {
-            awaits_isolation |= self.awaits_isolation(step.task(index), now);
+            let task = step.task(index);
+            awaits_other |= self.awaits_isolation(task, now);
+            awaits_other |= self.outstanding_start(task, now).is_some();
         }
         if self.is_losing_patience(step, pending, now) && self.has_places(step, spec, pending, now)
         {
@@ -66,7 +68,7 @@
         }
         // A later member for which no worker is found proves nothing: the members before it held
         // capacity.
-        if placed.is_empty() && !awaits_isolation && !search.is_starving {
+        if placed.is_empty() && !awaits_other && !search.is_starving {
             self.unplaceable
                 .insert(&search.demand, self.plan_count, now);
         }
--- a/crates/dispatch/src/job_state.rs
+++ b/crates/dispatch/src/job_state.rs
@@ -20,7 +20,8 @@
     advice_history::AdviceHistory,
     crash_history::CrashHistory,
     dispatcher::StepOrigin,
-    load_estimate::LoadEstimate, //
+    load_estimate::LoadEstimate,
+    outstanding_start::OutstandingStart, //
 };
 
 /// The owner's view of a job.
@@ -99,6 +100,8 @@
     pub(crate) runs: Vec<(WorkerKey, RunNumber)>,
     /// What is known of the task's last run that is over.
     pub(crate) earlier: EarlierRun,
+    /// The starts without an answer.
+    pub(crate) outstanding_start: Option<OutstandingStart>,
     /// The worker on which the task last failed.
     pub(crate) failed_on: Option<WorkerKey>,
     /// The crashes of workers under the task.
