Show that a late start of a former owner still runs beside another

What callers would see: two runs of a task. A worker leaves a start unanswered, the owner is replaced, and the successor, which does not know of the start, starts the task elsewhere; the worker restarts and carries the start out before it has answered anyone.

No row of the store holds the starts without an answer of an owner, so that this is open.

--- a/crates/dispatch/tests/outstanding_starts.rs
+++ b/crates/dispatch/tests/outstanding_starts.rs
@@ -105,16 +105,25 @@
     }
 
     fn add_job(&mut self, number: u64, spec: StepSpec) {
-        let job = AcceptedJob {
-            queue: "queue".into(),
-            rule: None,
-            graph: graph(vec![spec]).into(),
-            accepted: self.now,
-            inherited: false,
-        };
+        let job = accepted(spec, self.now, false);
         self.owner.add_job(JobKey::new(number), job);
     }
 
+    /// Replaces the owner by one that knows its jobs, each of which has one step like this.
+    fn replace_owner(&mut self, jobs: u64, spec: &StepSpec) {
+        let mut owner =
+            Dispatcher::new(2 * TOKEN, DispatchSettings::default()).with_former_token(Some(TOKEN));
+        owner.set_configuration(configuration(3));
+        let until = self.now + owner.inherited_orders_lifetime(true);
+        for worker in &self.workers {
+            owner.upsert_worker(worker.record().clone(), Some(until));
+        }
+        for number in 1..=jobs {
+            owner.add_job(JobKey::new(number), accepted(spec.clone(), self.now, true));
+        }
+        self.owner = owner;
+    }
+
     /// Adds a job of which one start is left unanswered; returns the worker that has received it.
     fn add_job_with_late_start(&mut self, spec: StepSpec, index: u32) -> usize {
         self.unanswered_index = index;
@@ -271,6 +280,16 @@
     }
 }
 
+fn accepted(spec: StepSpec, accepted: Duration, inherited: bool) -> AcceptedJob {
+    AcceptedJob {
+        queue: "queue".into(),
+        rule: None,
+        graph: graph(vec![spec]).into(),
+        accepted,
+        inherited,
+    }
+}
+
 fn capacity(tasks: u64) -> ResourceAmount {
     ResourceAmount::new(tasks * 1000, tasks * 1000)
 }
@@ -491,3 +510,23 @@
     scene.turn_for(START_TIME);
     assert_eq!(scene.run_count(), 1);
 }
+
+/// Guards against two runs of a task: the owner was replaced after a worker had left a start unanswered, and the worker restarted
+/// and carried that out.
+#[test]
+fn late_start_of_a_former_owner_executes_no_second_run() {
+    let mut scene = Scene::new(&[2, 2]);
+    let spec = step(1, &[]);
+    let worker = scene.add_job_with_late_start(spec.clone(), 0);
+    scene.drain(worker);
+    scene.replace_owner(1, &spec);
+    scene.turn_for(ms(4000));
+    scene.workers[worker].restart(scene.now);
+    scene.list(worker);
+    scene.is_silent[worker] = true;
+    scene.turn_for(ms(3000));
+    scene.carry_out_late_starts();
+    scene.turn_for(ms(40_000));
+    assert_eq!(scene.doubled, Vec::new());
+    assert_eq!(scene.run_count(), 1);
+}
