--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -111,8 +111,6 @@
     pub(crate) pending_steps: IndexSet<StepKey>,
     /// Runs to be stopped; an entry stays until its run is gone.
     pub(crate) pending_stops: IndexSet<(WorkerKey, TaskKey, RunNumber)>,
-    /// The runs whose starts are to be repeated.
-    pub(crate) pending_retries: IndexSet<(WorkerKey, TaskKey, RunNumber)>,
     /// Orders decided between two plans, to be returned by the next plan.
     pub(crate) pending_orders: Vec<WorkerOrder>,
     /// Log entries to be returned by the next plan.
@@ -209,7 +207,6 @@
             cancelled_early: HashSet::new(),
             pending_steps: IndexSet::new(),
             pending_stops: IndexSet::new(),
-            pending_retries: IndexSet::new(),
             pending_orders: Vec::new(),
             pending_evictions: Vec::new(),
             pending_losses: Vec::new(),
--- a/crates/dispatch/src/dispatcher_gangs.rs
+++ b/crates/dispatch/src/dispatcher_gangs.rs
@@ -56,11 +56,9 @@
             }
             return Vec::new();
         }
-        let mut awaits_other = false;
+        let mut awaits_isolation = false;
         for &index in pending {
-            let task = step.task(index);
-            awaits_other |= self.awaits_isolation(task, now);
-            awaits_other |= self.outstanding_start(task, now).is_some();
+            awaits_isolation |= self.awaits_isolation(step.task(index), now);
         }
         if self.is_losing_patience(step, pending, now) && self.has_places(step, spec, pending, now)
         {
@@ -68,7 +66,7 @@
         }
         // A later member for which no worker is found proves nothing: the members before it held
         // capacity.
-        if placed.is_empty() && !awaits_other && !search.is_starving {
+        if placed.is_empty() && !awaits_isolation && !search.is_starving {
             self.unplaceable
                 .insert(&search.demand, self.plan_count, now);
         }
--- a/crates/dispatch/src/dispatcher_placement.rs
+++ b/crates/dispatch/src/dispatcher_placement.rs
@@ -103,30 +103,6 @@
         }
     }
 
-    /// Returns the placement of a run whose start is to be repeated, and records that it starts now.
-    pub(crate) fn repeat_placement(
-        &mut self,
-        task: TaskKey,
-        worker: WorkerKey,
-        run: RunNumber,
-        now: Duration,
-    ) -> Placement {
-        let held = self.worker_mut(worker);
-        let former_marks = held.start_marks();
-        held.last_start_at = Some(now);
-        if let Some(state) = held.runs.get_mut(&(task, run)) {
-            state.phase = RunPhase::Sent;
-            state.placed_at = now;
-            state.last_progress_at = now;
-        }
-        Placement {
-            task,
-            worker,
-            run,
-            former_marks,
-        }
-    }
-
     /// Undoes a placement. Several on one worker must be undone in reverse order.
     pub(crate) fn undo_placement(&mut self, placement: &Placement, now: Duration) {
         let Placement {
@@ -148,7 +124,7 @@
         }
     }
 
-    /// Returns the worker with the best score for a task, or the one that may yet carry out a start of it; `None` if no worker qualifies.
+    /// Returns the worker with the best score for a task, or `None` if no worker qualifies.
     pub(crate) fn find_worker(
         &self,
         task: TaskKey,
@@ -162,10 +138,6 @@
         let task_state = state.tasks.get(task.index as usize)?;
         let failed_on = task_state.failed_on;
         let crashes = &task_state.crashes;
-        let outstanding = self.outstanding_start_of(task_state, now);
-        if outstanding.is_some_and(|start| start.is_last) {
-            return None;
-        }
         let needs_isolation = crashes.needs_isolation(now);
         if crashes.is_suspect() && self.is_turn_of_other(step, now) {
             return None;
@@ -200,9 +172,6 @@
                 continue;
             }
             let key = WorkerKey::new(index);
-            if outstanding.is_some_and(|start| start.worker != key) {
-                continue;
-            }
             if !spec.filler && self.reserved_workers.contains(&key) {
                 continue;
             }
@@ -281,7 +250,7 @@
     }
 
     /// Returns whether a worker of a pool is listed, answers this owner and is to stay.
-    pub(crate) fn is_available(&self, worker: &WorkerState, pool: &Arc<str>) -> bool {
+    fn is_available(&self, worker: &WorkerState, pool: &Arc<str>) -> bool {
         worker.listed
             && self.is_recorded(worker)
             && worker.has_owner_token
--- a/crates/dispatch/src/dispatcher_plan.rs
+++ b/crates/dispatch/src/dispatcher_plan.rs
@@ -90,10 +90,6 @@
         };
         self.plan_stops(now, &mut outcome);
         outcome.overdue_stops = self.overdue_stops(now);
-        let retries = self.plan_retries(now);
-        outcome
-            .orders
-            .extend(retries.into_iter().map(WorkerOrder::Start));
         self.plan_starts(now, &mut outcome);
         outcome
     }
@@ -242,13 +238,11 @@
         let Some(state) = job.step(step.occurrence, step.step) else {
             return 0;
         };
-        let mut pending: Vec<u32> = (0..)
+        let pending: Vec<u32> = (0..)
             .zip(&state.tasks)
             .filter(|(_, task)| task.is_pending())
             .map(|(index, _)| index)
             .collect();
-        // The others may start elsewhere, too.
-        pending.sort_by_key(|&index| state.tasks[index as usize].outstanding_start.is_none());
         if pending.is_empty() {
             self.pending_steps.swap_remove(&step);
             return 0;
@@ -308,7 +302,7 @@
         for &index in pending.iter().take(limit) {
             let task = step.task(index);
             let Some(worker) = self.find_worker(task, spec, search, now) else {
-                if self.awaits_isolation(task, now) || self.outstanding_start(task, now).is_some() {
+                if self.awaits_isolation(task, now) {
                     continue;
                 }
                 self.unplaceable
--- a/crates/dispatch/src/dispatcher_runs.rs
+++ b/crates/dispatch/src/dispatcher_runs.rs
@@ -72,7 +72,6 @@
     /// Updates a run from a worker's report, and stops it if it is stuck.
     pub(crate) fn update_run(&mut self, key: WorkerKey, running: RunningTask, now: Duration) {
         let id = (running.task, running.run);
-        self.settle_outstanding_start(key, running.task, running.run);
         let Some(state) = self.worker_mut(key).runs.get_mut(&id) else {
             self.adopt_run(key, running, now);
             return;
@@ -81,7 +80,7 @@
         let begins = !state.has_begun || state.is_orphaned;
         state.has_begun = true;
         state.is_orphaned = false;
-        if matches!(state.phase, RunPhase::Sent | RunPhase::Unsure) {
+        if matches!(state.phase, RunPhase::Sent) {
             state.phase = RunPhase::Running(now);
         }
         let is_ready = state.kind == WorkKind::LongRunning
--- a/crates/dispatch/src/dispatcher_starvation.rs
+++ b/crates/dispatch/src/dispatcher_starvation.rs
@@ -120,7 +120,7 @@
         for index in candidates {
             let task = step.task(index);
             let Some(worker) = self.find_worker(task, spec, &search, now) else {
-                if self.awaits_isolation(task, now) || self.outstanding_start(task, now).is_some() {
+                if self.awaits_isolation(task, now) {
                     continue;
                 }
                 return None;
@@ -164,6 +164,6 @@
     }
     let first = pending
         .into_iter()
-        .min_by_key(|(_, task)| (task.crashes.is_suspect(), task.outstanding_start.is_some()));
+        .min_by_key(|(_, task)| task.crashes.is_suspect());
     first.map(|(index, _)| index).into_iter().collect()
 }
--- a/crates/dispatch/src/dispatcher_waits.rs
+++ b/crates/dispatch/src/dispatcher_waits.rs
@@ -135,8 +135,6 @@
         let state = job.step(step.occurrence, step.step)?;
         let profile = FillerProfile::new(&self.interference, spec.image.as_ref());
         let context = self.placement_context(spec, &profile, now);
-        let first = state.tasks.iter().find(|task| task.is_pending());
-        let outstanding = first.and_then(|task| self.outstanding_start_of(task, now));
         let mut rejections = RejectionCounts::default();
         for (index, worker) in self.workers.iter().enumerate() {
             let key = WorkerKey::new(index);
@@ -157,9 +155,6 @@
                     &mut rejections.reserved
                 }
                 () if is_isolated(worker, state, step, now) => &mut rejections.isolated,
-                () if outstanding.is_some_and(|start| start.is_last || start.worker != key) => {
-                    &mut rejections.other
-                }
                 () => score_rejection(worker, context, &mut rejections),
             };
             *reason += 1;
--- a/crates/dispatch/src/dispatcher_workers.rs
+++ b/crates/dispatch/src/dispatcher_workers.rs
@@ -53,7 +53,7 @@
 
 /// The time after the start of a worker's incarnation within which calls that were meant for the former one are carried out: they
 /// were sent until the restart was noticed, at most some 2 s, and are carried out up to 12 s late.
-pub(crate) const FORMER_CALL_WINDOW: Duration = Duration::from_secs(15);
+const FORMER_CALL_WINDOW: Duration = Duration::from_secs(15);
 
 /// The time without any activity of the process from which it counts as suspended. It plans several times within that.
 const SUSPENSION_THRESHOLD: Duration = Duration::from_millis(700);
@@ -129,7 +129,7 @@
 
     /// Returns when the last lease lapses that a call of this owner for a former incarnation may yet grant the present one; `None`
     /// if no such call is outstanding, or a known incarnation refuses it.
-    pub(crate) fn late_grants_lapse_at(&self, worker: &WorkerState) -> Option<Duration> {
+    fn late_grants_lapse_at(&self, worker: &WorkerState) -> Option<Duration> {
         let unanswered_at = worker
             .former_grant_at
             .filter(|_| worker.has_unfenced_restart())?;
@@ -578,7 +578,6 @@
         }
         if !is_truncated {
             self.drop_missing_runs(key, sent, &listed, now);
-            self.retry_unanswered_starts(key);
         }
         self.settle_crashes(key, is_restarted);
         self.worker_mut(key).contact_lost_at = None;
@@ -651,13 +650,14 @@
                 // Nothing starts on a worker that may carry out calls for a former incarnation.
                 let is_former = self.worker(key).has_unfenced_restart();
                 self.note_unanswered_grant(key, is_former, now);
-                self.handle_unanswered_start(key, task, run, now);
+                if let Some(state) = self.worker_mut(key).runs.get_mut(&(task, run)) {
+                    state.phase = RunPhase::Unsure;
+                    self.stop_run(key, task, run);
+                }
             }
             OrderOutcome::Refused(refusal) => {
                 self.handle_start_refusal(key, task, refusal, now);
-                if self.is_refused_start_over(key, task, run) {
-                    self.release_run(key, task, run, EarlierRun::NotBegun, now);
-                }
+                self.release_run(key, task, run, EarlierRun::NotBegun, now);
             }
         }
     }
@@ -715,7 +715,7 @@
             }
             worker.unknown_runs.clear();
             worker.has_unread_ends = false;
-            let runs = self.lapsed_runs(key, now);
+            let runs = self.lapsed_runs(&self.workers[index], now);
             if runs.is_empty() {
                 continue;
             }
@@ -730,18 +730,11 @@
 
     /// Returns the runs that are certainly over on a worker whose lease has lapsed as far as this owner has granted it. If the worker
     /// has restarted, a start that its former incarnation received may yet begin, and take the longest lease.
-    fn lapsed_runs(&self, key: WorkerKey, now: Duration) -> Vec<(TaskKey, RunNumber)> {
-        let worker = self.worker(key);
+    fn lapsed_runs(&self, worker: &WorkerState, now: Duration) -> Vec<(TaskKey, RunNumber)> {
         let lapse_at = self.late_grants_lapse_at(worker);
         let may_act_late = lapse_at.is_some_and(|lapse_at| now <= lapse_at);
-        let is_over = |task: TaskKey, run: &RunState| {
-            worker.has_ended_with_former_incarnation(run)
-                && self
-                    .outstanding_start(task, now)
-                    .is_none_or(|start| start.worker != key)
-        };
         let runs = worker.runs.iter();
-        runs.filter(|((task, _), run)| !may_act_late || is_over(*task, run))
+        runs.filter(|(_, run)| !may_act_late || worker.has_ended_with_former_incarnation(run))
             .map(|(id, _)| *id)
             .collect()
     }
@@ -803,8 +796,8 @@
         if !worker.has_owner_token || worker.unanswered > 0 || !worker.pending_acks.is_empty() {
             return Duration::ZERO;
         }
-        // A run that never began ends no wait of the worker.
-        if worker.runs.values().any(RunState::awaits_report) {
+        // The end of a run that never began ends no wait of the worker.
+        if worker.runs.values().any(RunState::was_stopped_unbegun) {
             return Duration::ZERO;
         }
         let has_fillers = worker.filler_cpu > 0;
@@ -880,7 +873,6 @@
             run.is_heard_alone || !run.is_adopted && run.placed_at >= heard_alone_from
         });
         let how = EarlierRun::Ended(ended.result);
-        self.settle_outstanding_start(key, ended.task, ended.run);
         self.release_run(key, ended.task, ended.run, how, now);
         if let Some(placed) = placed {
             self.record_run_time(&ended, placed, now);
--- a/crates/dispatch/src/job_state.rs
+++ b/crates/dispatch/src/job_state.rs
@@ -20,8 +20,7 @@
     advice_history::AdviceHistory,
     crash_history::CrashHistory,
     dispatcher::StepOrigin,
-    load_estimate::LoadEstimate,
-    outstanding_start::OutstandingStart, //
+    load_estimate::LoadEstimate, //
 };
 
 /// The owner's view of a job.
@@ -100,8 +99,6 @@
     pub(crate) runs: Vec<(WorkerKey, RunNumber)>,
     /// What is known of the task's last run that is over.
     pub(crate) earlier: EarlierRun,
-    /// The starts without an answer.
-    pub(crate) outstanding_start: Option<OutstandingStart>,
     /// The worker on which the task last failed.
     pub(crate) failed_on: Option<WorkerKey>,
     /// The crashes of workers under the task.
--- a/crates/dispatch/src/run_state.rs
+++ b/crates/dispatch/src/run_state.rs
@@ -56,8 +56,6 @@
     pub(crate) placed_at: Duration,
     /// When the worker last listed the run; `None` if it has not yet.
     pub(crate) last_listed_at: Option<Duration>,
-    /// The number of starts of the run without an answer.
-    pub(crate) unanswered_starts: u32,
     /// Whether the worker has certainly begun to execute the run.
     pub(crate) has_begun: bool,
     /// Whether the worker listed the run when no renewal of a former owner could wait there any more, so that only this owner
@@ -112,7 +110,6 @@
             target: spec.tail_target,
             placed_at: now,
             last_listed_at: None,
-            unanswered_starts: 0,
             has_begun: false,
             is_heard_alone: false,
             is_adopted: false,
@@ -166,10 +163,9 @@
         matches!(self.phase, RunPhase::Stopping(_))
     }
 
-    /// Returns whether the worker's next report decides on the run, which as far as is known has not begun: its start has no answer,
-    /// or the worker confirmed the order to stop it.
-    pub(crate) fn awaits_report(&self) -> bool {
-        matches!(self.phase, RunPhase::Unsure | RunPhase::Stopping(Some(_))) && !self.has_begun
+    /// Returns whether the worker confirmed the order to stop the run, which as far as is known has not begun.
+    pub(crate) fn was_stopped_unbegun(&self) -> bool {
+        matches!(self.phase, RunPhase::Stopping(Some(_))) && !self.has_begun
     }
 
     /// Records the outcome of a stop; returns whether the stop was sent before a restart of the worker was known, so that
--- a/crates/dispatch/src/step_wait.rs
+++ b/crates/dispatch/src/step_wait.rs
@@ -35,8 +35,8 @@
     /// Workers kept free of other starts for a suspected task, or on which too much has just begun
     /// for one.
     pub isolated: usize,
-    /// Workers with free capacity for which there is no ticket, that were used for other tasks of the step, or on which the first
-    /// task may not start as a former start of it may yet be carried out elsewhere.
+    /// Workers with free capacity for which there is no ticket, or that were used for other tasks
+    /// of the step.
     pub other: usize,
 }
 
--- a/crates/dispatch/tests/outstanding_starts.rs
+++ b/crates/dispatch/tests/outstanding_starts.rs
@@ -31,16 +31,13 @@
 };
 use jasminebend_standins::{
     SimulatedWorker,
-    TaskWork,
-    WorkerEvent, //
+    TaskWork, //
 };
 
 const TOKEN: u64 = 256;
 const BEGIN: Duration = Duration::from_millis(100_000);
 /// The time between two calls to a worker.
 const TURN: Duration = Duration::from_millis(50);
-/// The time for which a call without an answer may yet be carried out.
-const LATE_CALL_WINDOW: Duration = Duration::from_millis(15_000);
 /// The time within which an owner starts a task that may start.
 const START_TIME: Duration = Duration::from_millis(1000);
 
@@ -133,11 +130,6 @@
         self.late[0].worker
     }
 
-    fn set_room(&mut self, worker: usize, tasks: u64) {
-        self.workers[worker].record_mut().capacity = capacity(tasks);
-        self.list(worker);
-    }
-
     /// Lets a worker accept no more tasks, so that the start is not repeated.
     fn drain(&mut self, worker: usize) {
         self.workers[worker].record_mut().draining = true;
@@ -271,13 +263,6 @@
     fn run_count(&self) -> usize {
         self.running_tasks().len()
     }
-
-    fn start_count(&self) -> usize {
-        let events = self.workers.iter().flat_map(SimulatedWorker::events);
-        events
-            .filter(|(_, event)| matches!(event, WorkerEvent::Started(..)))
-            .count()
-    }
 }
 
 fn accepted(spec: StepSpec, accepted: Duration, inherited: bool) -> AcceptedJob {
@@ -314,16 +299,6 @@
     }
 }
 
-/// Guards against a run that is stopped or started again although its worker carried its start out.
-#[test]
-fn start_that_was_carried_out_unanswered_counts() {
-    let mut scene = Scene::new(&[2, 2]);
-    scene.add_job_with_late_start(step(1, &[]), 0);
-    scene.carry_out_late_starts();
-    scene.turn_for(ms(5000));
-    assert_eq!((scene.run_count(), scene.start_count()), (1, 1));
-}
-
 /// Guards against a task that waits for its worker although the worker has carried its only unanswered start out.
 #[test]
 fn task_whose_unanswered_start_was_carried_out_starts_elsewhere_at_once() {
@@ -338,106 +313,6 @@
     assert_eq!(scene.run_count(), 1);
 }
 
-/// Guards against a task that runs again after it was done: its start is repeated as the worker has just carried out the first one
-/// to its end, and refuses the second.
-#[test]
-fn refused_repetition_of_a_start_ends_no_run() {
-    let mut scene = Scene::new(&[2, 2]);
-    scene.run_time = TURN / 2;
-    let worker = scene.add_job_with_late_start(step(1, &[]), 0);
-    scene.renew(worker);
-    scene.carry_out_late_starts();
-    scene.now += TURN;
-    for order in scene.owner.plan(scene.now).orders {
-        scene.carry_out(order);
-    }
-    scene.turn_for(ms(5000));
-    assert_eq!(scene.start_count(), 1);
-}
-
-/// Guards against runs beyond the capacity of a worker that has shrunk since it left their start unanswered.
-#[test]
-fn start_is_not_repeated_on_a_worker_that_has_shrunk() {
-    let mut scene = Scene::new(&[2, 2]);
-    let worker = scene.add_job_with_late_start(step(1, &[]), 0);
-    scene.set_room(worker, 0);
-    scene.turn_for(START_TIME);
-    assert_eq!(scene.workers[worker].run_count(), 0);
-}
-
-/// Guards against a task that waits without an end for a worker that answers renewals and no starts.
-#[test]
-fn worker_that_leaves_all_starts_unanswered_holds_no_task() {
-    let mut scene = Scene::new(&[2, 2]);
-    let worker = scene.add_job_with_late_start(step(1, &[]), 0);
-    scene.unanswered_count = u32::MAX;
-    scene.turn_for(ms(2000));
-    scene.unanswered_count = 0;
-    scene.set_room(worker, 0);
-    assert_eq!(scene.run_count(), 0);
-    scene.turn_for(LATE_CALL_WINDOW + START_TIME);
-    assert_eq!(scene.run_count(), 1);
-    assert!(scene.late.iter().all(|late| late.worker == worker));
-}
-
-/// Guards against two runs of a task: it started on another worker while the one that had left its start unanswered could restart
-/// and carry that out.
-#[test]
-fn task_starts_nowhere_else_while_its_start_may_be_carried_out() {
-    for is_gang in [false, true] {
-        let mut scene = Scene::new(&[2, 2]);
-        let mut spec = step(1, &[]);
-        spec.gang = is_gang;
-        let worker = scene.add_job_with_late_start(spec, 0);
-        scene.drain(worker);
-        scene.turn_for(ms(2000));
-        scene.workers[worker].restart(scene.now);
-        scene.list(worker);
-        scene.is_silent[worker] = true;
-        scene.turn_for(ms(3000));
-        scene.carry_out_late_starts();
-        assert_eq!(scene.run_count(), 1, "carried out");
-        scene.turn_for(ms(40_000));
-        assert_eq!(scene.doubled, Vec::new());
-        assert_eq!(scene.run_count(), 1, "started elsewhere once it is safe");
-    }
-}
-
-/// Guards against two runs of a task: the run that followed an unanswered start was given up with the incarnation that had executed
-/// it, and the next one carried the start out.
-#[test]
-fn task_whose_worker_has_restarted_waits_for_its_unanswered_start() {
-    for answers in [0, 1] {
-        let mut scene = Scene::new(&[2, 2]);
-        let worker = scene.add_job_with_late_start(step(1, &[]), 0);
-        scene.turn_for(ms(500));
-        assert_eq!(scene.workers[worker].run_count(), 1, "started again");
-        scene.workers[worker].restart(scene.now);
-        scene.list(worker);
-        for _ in 0..answers {
-            scene.renew(worker);
-        }
-        scene.is_silent[worker] = true;
-        scene.turn_for(ms(3000));
-        scene.carry_out_late_starts();
-        scene.turn_for(ms(40_000));
-        assert_eq!(scene.doubled, Vec::new(), "{answers} answers");
-        assert_eq!(scene.run_count(), 1, "started elsewhere once it is safe");
-    }
-}
-
-/// Guards against a task that waits for longer than its start may be carried out.
-#[test]
-fn task_without_room_on_its_worker_starts_elsewhere_after_the_window() {
-    let mut scene = Scene::new(&[2, 2]);
-    let worker = scene.add_job_with_late_start(step(1, &[]), 0);
-    scene.drain(worker);
-    scene.turn_for(LATE_CALL_WINDOW - ms(500));
-    assert_eq!(scene.run_count(), 0);
-    scene.turn_for(ms(500) + START_TIME);
-    assert_eq!(scene.run_count(), 1);
-}
-
 /// Guards against a task that waits although its worker refuses the start.
 #[test]
 fn task_starts_elsewhere_once_the_next_incarnation_refuses_its_start() {
@@ -463,42 +338,6 @@
     assert_eq!(scene.run_count(), 1);
 }
 
-/// Guards against tasks that wait beside free capacity because another task of their step may start on one worker only, and
-/// against a wait that the log leaves unexplained.
-#[test]
-fn task_that_waits_for_its_worker_holds_up_no_other() {
-    let mut scene = Scene::new(&[1, 1]);
-    let worker = scene.add_job_with_late_start(step(2, &[]), 0);
-    scene.drain(worker);
-    scene.turn_for(ms(500));
-    assert_eq!(scene.run_count(), 1);
-    assert_eq!(scene.workers[worker].run_count(), 0);
-    scene.add_job(2, step(1, &[]));
-    scene.set_room(1 - worker, 3);
-    scene.turn_for(START_TIME);
-    assert_eq!(scene.run_count(), 2);
-    scene.turn_for(ms(5000));
-    let wait = scene.waits.last().unwrap();
-    assert_eq!((wait.missing_tasks, wait.rejections.other), (1, 1));
-}
-
-/// Guards against a gang that waits because one of its members has the place of another that may start nowhere else.
-#[test]
-fn member_that_may_start_on_one_worker_only_is_placed_there_first() {
-    let mut scene = Scene::new(&[1, 1]);
-    let mut spec = step(2, &[]);
-    spec.gang = true;
-    let worker = scene.add_job_with_late_start(spec, 1);
-    scene.set_room(1 - worker, 4);
-    scene.turn_for(ms(500));
-    let step = scene.running_tasks()[0].step;
-    for worker in 0..2 {
-        scene.workers[worker].break_gang(scene.now, step);
-    }
-    scene.turn_for(START_TIME);
-    assert_eq!(scene.run_count(), 2);
-}
-
 /// Guards against copies that wait although they may run beside each other.
 #[test]
 fn task_with_copies_starts_elsewhere_at_once() {
--- a/crates/dispatch/tests/repeated_stops.rs
+++ b/crates/dispatch/tests/repeated_stops.rs
@@ -96,10 +96,7 @@
 const FIRST_INCARNATION: u64 = 1000;
 const NEXT_INCARNATION: u64 = 1500;
 
-/// The number of starts after which an owner stops a run that may have begun.
-const MAX_STARTS: usize = 10;
-
-/// An owner of which no start of the only task, sent to its only worker, got an answer, so that it was ordered to stop.
+/// An owner whose only start, sent to its only worker, got no answer, so that it was ordered to stop.
 struct UnansweredStart {
     dispatcher: Dispatcher,
     worker: WorkerKey,
@@ -141,20 +138,15 @@
             panic!("the task starts: {orders:?}");
         };
         owner.run = start.run;
-        for _ in 0..MAX_STARTS {
-            owner.dispatcher.handle_start_outcome(
-                worker,
-                owner.task,
-                owner.run,
-                OrderOutcome::Unknown,
-                owner.now,
-            );
-            owner.receive_report(FIRST_INCARNATION);
-            if matches!(owner.plan()[..], [WorkerOrder::Stop { .. }]) {
-                return owner;
-            }
-        }
-        panic!("the run is not stopped");
+        owner.dispatcher.handle_start_outcome(
+            worker,
+            owner.task,
+            owner.run,
+            OrderOutcome::Unknown,
+            owner.now,
+        );
+        owner.plan();
+        owner
     }
 
     fn tick(&mut self) -> Duration {
