Don't repeat an acknowledgement that a worker has answered

Callers would see a done task run again: a renewal that a worker had received before it restarted is carried out by its next incarnation before that has answered anyone. Numbers of ends start at 1 in each life, so that it acknowledges ends of the new one that nobody has read; where a worker keeps the mark for ends that come later, their runs count as `missing`. Not seen by users.

Cause: every renewal repeated the last acknowledgement, so that one was under way at nearly every restart. A renewal now carries it until the worker has answered one with it, or again while the worker still lists an end that it covers. The protocol's acknowledgement is a limit up to which ends are forgotten: a later 0 brings none back, on the users' page and in the stand-ins.

Left: the first renewal after an end, if it has no answer.

No check was relaxed.

--- a/crates/dispatch/src/dispatcher_workers.rs
+++ b/crates/dispatch/src/dispatcher_workers.rs
@@ -441,12 +441,7 @@
         // A call that may not arrive grants no lease: otherwise an owner that keeps calling a dead
         // worker would extend the lease forever.
         let may_grant = confirmed && worker.unanswered == 0;
-        let acknowledged = match worker.unanswered == 0 && worker.has_owner_token {
-            true => worker.last_acknowledged,
-            // After missed answers another incarnation may answer, whose completions use the same numbers. One that has just
-            // restarted may have carried out acknowledgements of the former incarnation's.
-            false => 0,
-        };
+        let acknowledged = worker.take_acknowledgement();
         LeaseRenewal {
             deadline: may_grant.then(|| self.grant_lease(key, now)).flatten(),
             acknowledged,
@@ -543,6 +538,7 @@
         // An answer to a call from before a suspension does not show that the worker has not restarted since.
         if is_fresh {
             worker.unanswered = 0;
+            worker.settle_acknowledgement(&report.completions);
         }
         worker.connection_refused = false;
         if !worker.has_owner_token {
--- a/crates/dispatch/src/worker_order.rs
+++ b/crates/dispatch/src/worker_order.rs
@@ -97,7 +97,7 @@
     /// The time until which the worker may execute its runs, on the worker's clock; `None` on the
     /// first contact, when that clock is unknown, and if no lease is granted.
     pub deadline: Option<Duration>,
-    /// The number of the last completion that is on record; 0 for none.
+    /// The number of the last completion that is on record; 0 for none, and once the worker has answered a renewal with it.
     pub acknowledged: u64,
     /// The longest time that the worker waits for a completion before it answers.
     pub max_wait: Duration,
--- a/crates/dispatch/src/worker_state.rs
+++ b/crates/dispatch/src/worker_state.rs
@@ -10,6 +10,7 @@
 use jasminebend_base::ResourceAmount;
 
 use crate::{
+    EndedRun,
     FleetWorker,
     RestartMark,
     RunNumber,
@@ -122,6 +123,10 @@
     pub(crate) last_processed: u64,
     /// The number of the last completion that is on record and may be acknowledged.
     pub(crate) last_acknowledged: u64,
+    /// The acknowledgement that the renewal under way carries; 0 for none.
+    pub(crate) sent_acknowledgement: u64,
+    /// The last acknowledgement that the worker has certainly carried out.
+    pub(crate) settled_acknowledgement: u64,
     /// Completions processed but not yet on record, in the order of their numbers.
     pub(crate) pending_acks: VecDeque<PendingAck>,
     /// Whether the worker has answered this owner, but did not list all ends of a former owner's runs yet.
@@ -198,6 +203,8 @@
             following_since: Duration::ZERO,
             last_processed: 0,
             last_acknowledged: 0,
+            sent_acknowledgement: 0,
+            settled_acknowledgement: 0,
             pending_acks: VecDeque::new(),
             has_unread_ends: false,
             in_maintenance: false,
@@ -478,6 +485,8 @@
         self.unknown_runs.clear();
         self.last_processed = 0;
         self.last_acknowledged = 0;
+        self.sent_acknowledgement = 0;
+        self.settled_acknowledgement = 0;
         self.pending_acks.clear();
         self.health = WorkerHealth::default();
         self.violations = TargetViolationTracker::default();
@@ -498,6 +507,30 @@
         }
     }
 
+    /// Returns the acknowledgement that the next renewal carries, and records it as sent. One that the worker has carried out is not
+    /// repeated: a renewal that a later incarnation carries out would forget completions that nobody has read.
+    pub(crate) fn take_acknowledgement(&mut self) -> u64 {
+        // After missed answers another incarnation may answer, whose completions use the same numbers. One that has just
+        // restarted may have carried out acknowledgements of the former incarnation's.
+        let may_acknowledge = self.unanswered == 0 && self.has_owner_token;
+        let is_settled = self.last_acknowledged <= self.settled_acknowledgement;
+        self.sent_acknowledgement = match may_acknowledge && !is_settled {
+            true => self.last_acknowledged,
+            false => 0,
+        };
+        self.sent_acknowledgement
+    }
+
+    /// Records which acknowledgement the worker has carried out as it answered with these completions.
+    pub(crate) fn settle_acknowledgement(&mut self, completions: &[EndedRun]) {
+        let settled = self.settled_acknowledgement.max(self.sent_acknowledgement);
+        let first_listed = completions.iter().map(|ended| ended.number).min();
+        self.settled_acknowledgement = match first_listed {
+            Some(number) => settled.min(number.saturating_sub(1)),
+            None => settled,
+        };
+    }
+
     /// Sets the change that must be on record before a completion is acknowledged.
     pub(crate) fn set_pending_change(&mut self, number: u64, change: u64) {
         let mut pending = self.pending_acks.iter_mut();
--- a/crates/dispatch/tests/late_calls.rs
+++ b/crates/dispatch/tests/late_calls.rs
@@ -67,6 +67,15 @@
     Start(StartOrder, Duration),
 }
 
+impl Call {
+    fn acknowledged(&self) -> u64 {
+        match &self.order {
+            CallOrder::Renewal(renewal) => renewal.acknowledged,
+            CallOrder::Start(..) => 0,
+        }
+    }
+}
+
 impl Scene {
     fn new(run_time: Duration) -> Self {
         Self::with_former_token(run_time, None)
@@ -152,6 +161,22 @@
     fn turn(&mut self) {
         self.now += TURN;
         let call = self.next_renewal();
+        self.answer(call);
+    }
+
+    /// Takes turns until a renewal acknowledges an end, and returns it; it is not carried out yet.
+    fn next_acknowledgement(&mut self) -> Call {
+        loop {
+            self.now += TURN;
+            let call = self.next_renewal();
+            if call.acknowledged() > 0 {
+                return call;
+            }
+            self.answer(call);
+        }
+    }
+
+    fn answer(&mut self, call: Call) {
         let CallOrder::Renewal(renewal) = call.order else {
             unreachable!();
         };
@@ -258,9 +283,8 @@
     for number in 1..=3 {
         scene.add_job(number);
     }
-    scene.turn_for(ms(1900));
+    let late = scene.next_acknowledgement();
     assert_eq!(scene.start_count(), 3);
-    let late = scene.next_renewal();
     scene.restart(std::slice::from_ref(&late));
     scene.turn_for(ms(1000));
     scene.carry_out_late(&late);
@@ -400,6 +424,47 @@
     assert_eq!(scene.start_count(), 4);
 }
 
+/// Guards against a task that runs again after it was done: an acknowledgement that no renewal had carried before the restart was
+/// carried out before the new incarnation had answered anyone.
+#[test]
+fn late_new_acknowledgement_before_the_first_answer_forgets_no_end() {
+    let mut scene = Scene::new(SHORT_TASK);
+    for number in 1..=3 {
+        scene.add_job(number);
+    }
+    let late = scene.next_acknowledgement();
+    assert_eq!(scene.start_count(), 3);
+    scene.restart(std::slice::from_ref(&late));
+    scene.carry_out_late(&late);
+    scene.turn_for(ms(1000));
+    scene.add_job(4);
+    scene.turn_for(LATE_BY);
+    assert_eq!(scene.start_count(), 4);
+}
+
+/// Guards against ends that stay with their worker for good: the renewal that acknowledged them had no answer. Guards also against
+/// a renewal that repeats an answered acknowledgement, which a later incarnation may carry out.
+#[test]
+fn acknowledgement_is_repeated_until_it_is_answered() {
+    let mut scene = Scene::new(SHORT_TASK);
+    scene.add_job(1);
+    for _ in 0..3 {
+        let lost = scene.next_acknowledgement();
+        assert_eq!(lost.acknowledged(), 1);
+        let (key, now) = (scene.key, scene.now);
+        scene
+            .owner
+            .handle_renewal_failure(key, OrderOutcome::Unknown, now);
+    }
+    let answered = scene.next_acknowledgement();
+    assert_eq!(answered.acknowledged(), 1);
+    scene.answer(answered);
+    assert_eq!(scene.next_renewal().acknowledged(), 0);
+    let events = scene.worker.events().iter();
+    let acknowledged = events.filter(|(_, event)| matches!(event, WorkerEvent::Acknowledged(..)));
+    assert_eq!(acknowledged.count(), 1);
+}
+
 /// Guards against two runs of a task: a worker confirmed the stop of a start that it had left unanswered, so that the task started
 /// again, and its next incarnation, which knows of no stop, carries the start out.
 #[test]
