--- a/crates/fleet/src/lease_renewal.rs
+++ b/crates/fleet/src/lease_renewal.rs
@@ -43,12 +43,12 @@
     task: String,
     run: u64,
     worker: &'a str,
-    /// When the incarnation began that listed the end, since 1970.
-    worker_born_ms: Option<u64>,
     end: String,
     number: u64,
-    held: bool,
     owner_token: u64,
+    /// When the incarnation began that listed the end, since 1970.
+    worker_born_ms: Option<u64>,
+    held: bool,
 }
 
 /// Contact with a worker was lost or regained, after `failures` failed calls in a row. The first of them, which may yet be
@@ -194,11 +194,11 @@
                 task: end.task.to_string(),
                 run: end.run.value(),
                 worker,
-                worker_born_ms: report.incarnation.map(whole_millis),
                 end: end.result.to_string(),
                 number: end.number,
-                held,
                 owner_token: term.token(),
+                worker_born_ms: report.incarnation.map(whole_millis),
+                held,
             },
         );
     }
--- a/crates/fleet/src/order_planning.rs
+++ b/crates/fleet/src/order_planning.rs
@@ -161,7 +161,6 @@
     task: String,
     run: u64,
     worker: &'a str,
-    worker_born_ms: Option<u64>,
     cause: String,
     placed_ms_ago: u64,
     ran_ms: Option<u64>,
@@ -171,6 +170,7 @@
     others: usize,
     unfenced: bool,
     owner_token: u64,
+    worker_born_ms: Option<u64>,
 }
 
 /// A run that a worker lists, that this owner has not started, and that is to be stopped: `cause` is `job_over`, `done` (the task)
@@ -555,7 +555,6 @@
             task: loss.task.to_string(),
             run: loss.run.value(),
             worker: &dispatcher.worker_record(loss.worker).id,
-            worker_born_ms: dispatcher.incarnation(loss.worker).map(whole_millis),
             cause: loss.cause.to_string(),
             placed_ms_ago: since(loss.placed_at),
             ran_ms: ran,
@@ -565,6 +564,7 @@
             others: loss.other_runs,
             unfenced: loss.is_unfenced,
             owner_token: term.token(),
+            worker_born_ms: dispatcher.incarnation(loss.worker).map(whole_millis),
         },
     );
 }
