Take a crash back once the registry shows that the worker outlived its runs

Callers saw: an innocent job may be given up ("workers crashed while they executed it") after its worker was cut off from the daemons until its lease had lapsed, ended the runs by itself, and restarted for another reason later. restart_after_the_lapse_proves_no_crash, listed in KNOWN-RED: both tasks had a crash with the evidence `restarted` on record, though none of their runs was left when the worker went down.

Cause: a lapsed run leaves a possible crash that waits for the worker's next answer, however long that takes, and any other incarnation proved it. When the incarnation began proves nothing: a worker may be down for long after a crash. That the registry went on listing the former incarnation was not looked at. Class: a weak sign is taken for a proof.

Change: the possible crash keeps when its run was certainly over. The registry, read without a failure, refutes it once it has listed the same incarnation without a gap for three heartbeats and 3 s after that (a crashed worker's entry lasts for three heartbeats after its last one, which may arrive late). A successor does the same for crashes that a former owner counted. A later incarnation, known from an answer or the registry, ends that. The limits on crashes, and what proves one, are as before.

Why it works: runs end with their lease, so that what brings down a worker that is up after that is not one of them.

--- a/crates/dispatch/src/crash_finding.rs
+++ b/crates/dispatch/src/crash_finding.rs
@@ -12,7 +12,7 @@
     Suspected,
     /// The registry went on without the worker, or the worker has restarted.
     Confirmed,
-    /// The worker answered again as the same incarnation: it was unreachable.
+    /// The same incarnation answered again, or the registry went on listing it: the worker was unreachable.
     Dismissed,
 }
 
--- a/crates/dispatch/src/dispatch_settings.rs
+++ b/crates/dispatch/src/dispatch_settings.rs
@@ -15,6 +15,8 @@
     pub max_lease_duration: Duration,
     /// The largest difference between this process's wall clock and a worker's.
     pub max_clock_skew: Duration,
+    /// The longest time for which the registry lists a worker after its last heartbeat.
+    pub registration_expiry: Duration,
     /// The time after its last renewal at which a draining worker is told to end its runs. Only the lapse of its lease shows
     /// that it has left; the shorter the lease, the sooner its tasks start elsewhere, and the sooner a takeover outlasts it.
     pub draining_lease_duration: Duration,
@@ -42,6 +44,7 @@
             lease_duration: Duration::from_secs(5),
             max_lease_duration: Duration::from_secs(10),
             max_clock_skew: Duration::from_secs(5),
+            registration_expiry: Duration::from_millis(4500),
             draining_lease_duration: Duration::from_secs(2),
             max_renewal_wait: Duration::from_secs(2),
             unconfirmed_grace: Duration::from_millis(2000),
--- a/crates/dispatch/src/dispatcher_announcements.rs
+++ b/crates/dispatch/src/dispatcher_announcements.rs
@@ -147,6 +147,6 @@
             incarnation: start.begun_in,
         };
         self.confirm_crash(task, crash.clone());
-        self.inherit_crashes(task, &[crash]);
+        self.inherit_crashes(task, &[crash], now);
     }
 }
--- a/crates/dispatch/src/dispatcher_crashes.rs
+++ b/crates/dispatch/src/dispatcher_crashes.rs
@@ -31,6 +31,8 @@
 const WIDESPREAD_WINDOW: Duration = Duration::from_secs(1);
 /// How long after the store's return, as the owner sees it, the entry of a worker that is up may still be missing.
 const RELISTING_TIME: Duration = Duration::from_millis(2500);
+/// How long after a worker's crash its last heartbeat may still reach the registry.
+const LATE_HEARTBEAT_TIME: Duration = Duration::from_secs(3);
 
 impl Dispatcher {
     /// Records that runs are lost together with their worker, before they are released.
@@ -63,16 +65,17 @@
                 false => self.keep_unsettled(UnsettledCrash {
                     task,
                     crash,
+                    over_at: now,
                     is_counted: false,
                 }),
             }
         }
     }
 
-    /// Counts the possible crashes of workers that the registry no longer lists. A worker that is cut off from the store is
-    /// not listed either, so that they are proven only once the registry had time to list again what had merely expired,
-    /// and are taken back if the worker returns.
-    pub(crate) fn count_unlisted_crashes(&mut self) {
+    /// Counts the possible crashes of workers that the registry no longer lists, and takes back those of workers that it goes on
+    /// listing. A worker that is cut off from the store is not listed either, so that crashes are proven only once the registry had
+    /// time to list again what had merely expired, and are taken back if the worker returns.
+    pub(crate) fn settle_crashes_by_registry(&mut self) {
         let read_at = self.registry_read_at;
         let is_gone_since = |since: Option<Duration>| {
             let times = since.zip(read_at);
@@ -87,7 +90,11 @@
         }
         for index in 0..self.workers.len() {
             let worker = &self.workers[index];
-            if worker.listed || worker.unsettled_crashes.is_empty() {
+            if worker.unsettled_crashes.is_empty() {
+                continue;
+            }
+            if worker.listed {
+                self.dismiss_outlived_crashes(index);
                 continue;
             }
             let is_gone = is_gone_since(worker.unlisted_since);
@@ -97,6 +104,30 @@
         }
     }
 
+    /// Takes back the possible crashes of a listed worker that the same incarnation has outlived: it has sent heartbeats since the
+    /// runs were over, so that a later restart proves nothing.
+    fn dismiss_outlived_crashes(&mut self, index: usize) {
+        let worker = &mut self.workers[index];
+        let times = worker.listed_since.zip(self.registry_read_at);
+        let (Some((listed_since, read_at)), Some(listed)) = (times, worker.record.incarnation)
+        else {
+            return;
+        };
+        if worker.restart.is_some_and(|mark| mark.incarnation > listed) {
+            return;
+        }
+        let listing_time = self.settings.registration_expiry + LATE_HEARTBEAT_TIME;
+        let is_outlived = |unsettled: &mut UnsettledCrash| {
+            let is_same = unsettled.crash.incarnation == Some(listed);
+            is_same && read_at >= unsettled.over_at.max(listed_since) + listing_time
+        };
+        let crashes = worker.unsettled_crashes.extract_if(.., is_outlived);
+        let outlived: Vec<UnsettledCrash> = crashes.collect();
+        for unsettled in outlived {
+            self.dismiss_crash(unsettled);
+        }
+    }
+
     /// Counts the possible crash of an unlisted worker; returns whether it remains to be settled.
     fn count_unlisted_crash(&mut self, unsettled: &mut UnsettledCrash, is_gone: bool) -> bool {
         let crash = &mut unsettled.crash;
@@ -143,6 +174,7 @@
             task,
             mut crash,
             is_counted,
+            ..
         } = unsettled;
         let history = self.crash_history(task);
         if is_counted && !history.is_some_and(|history| history.contains(crash.run)) {
@@ -174,8 +206,14 @@
         });
     }
 
-    /// Keeps crashes that a former owner counted until their workers answer: the same incarnation refutes them.
-    pub(crate) fn inherit_crashes(&mut self, task: TaskKey, crashes: &[WorkerCrash]) {
+    /// Keeps crashes that a former owner counted until their workers answer: the same incarnation refutes them. `over_at` is when
+    /// their runs were certainly over.
+    pub(crate) fn inherit_crashes(
+        &mut self,
+        task: TaskKey,
+        crashes: &[WorkerCrash],
+        over_at: Duration,
+    ) {
         let is_refutable = |crash: &&WorkerCrash| {
             crash.evidence != CrashEvidence::Restarted && crash.incarnation.is_some()
         };
@@ -183,6 +221,7 @@
             let unsettled = UnsettledCrash {
                 task,
                 crash: crash.clone(),
+                over_at,
                 is_counted: true,
             };
             self.keep_unsettled(unsettled);
--- a/crates/dispatch/src/dispatcher_records.rs
+++ b/crates/dispatch/src/dispatcher_records.rs
@@ -119,7 +119,8 @@
             }
         }
         for stored in &record.crashes {
-            self.inherit_crashes(stored.task(key), &stored.crashes);
+            // The former owner counted them once their runs were over.
+            self.inherit_crashes(stored.task(key), &stored.crashes, Duration::ZERO);
         }
         let Some(job) = self.jobs.get_mut(&key) else {
             return;
--- a/crates/dispatch/src/dispatcher_workers.rs
+++ b/crates/dispatch/src/dispatcher_workers.rs
@@ -273,9 +273,14 @@
     pub fn note_registry_read(&mut self, now: Duration) {
         self.registry_read_at = Some(now);
         self.registry_read_since.get_or_insert(now);
-        let unlisted = self.workers.iter_mut().filter(|worker| !worker.listed);
-        for worker in unlisted {
-            worker.unlisted_since.get_or_insert(now);
+        for worker in &mut self.workers {
+            match worker.listed {
+                true => drop(worker.listed_since.get_or_insert(now)),
+                false => {
+                    worker.listed_since = None;
+                    worker.unlisted_since.get_or_insert(now);
+                }
+            }
         }
     }
 
@@ -286,6 +291,7 @@
         self.registry_read_since = None;
         for worker in &mut self.workers {
             worker.unlisted_since = None;
+            worker.listed_since = None;
         }
     }
 
@@ -721,7 +727,7 @@
             };
             self.drop_runs(key, runs, cause, now);
         }
-        self.count_unlisted_crashes();
+        self.settle_crashes_by_registry();
     }
 
     /// Returns the runs that are certainly over on a worker whose lease has lapsed as far as this owner has granted it. If the worker
--- a/crates/dispatch/src/worker_state.rs
+++ b/crates/dispatch/src/worker_state.rs
@@ -93,6 +93,8 @@
     pub(crate) unsettled_crashes: Vec<UnsettledCrash>,
     /// Since when the registry is known not to list the worker.
     pub(crate) unlisted_since: Option<Duration>,
+    /// Since when the registry is known to list the worker without a gap.
+    pub(crate) listed_since: Option<Duration>,
     /// Whether the incarnation that a former owner knew has restarted.
     pub(crate) restarted_in_takeover: bool,
     /// When a run last began.
@@ -188,6 +190,7 @@
             crashed_with_suspect: false,
             unsettled_crashes: Vec::new(),
             unlisted_since: None,
+            listed_since: None,
             restarted_in_takeover: false,
             last_start_at: None,
             isolation: None,
--- a/crates/dispatch/tests/weak_signs.rs
+++ b/crates/dispatch/tests/weak_signs.rs
@@ -790,3 +790,56 @@
     let record = fleet.records.get(&job).cloned().unwrap_or_default();
     assert_eq!(record.crashes, Vec::new());
 }
+
+/// Guards against a crash that is taken back because the worker's last heartbeat reaches the registry late.
+#[test]
+fn late_heartbeat_of_a_crashed_worker_refutes_no_crash() {
+    let mut fleet = Fleet::new(2, 3).with_work(work);
+    fleet.crash_mode = CrashMode::Silent;
+    let job = fleet.submit(1, graph(vec![step(1, &[])]));
+    fleet.run_for(ms(1500));
+    let host = (0..2).find(|&n| fleet.workers[n].run_count() > 0).unwrap();
+    let entry = fleet.workers[host].record().clone();
+    fleet.kill_worker(host);
+    fleet.run_for(ms(15_000));
+    assert_eq!(fleet.recorded_crashes(first_task(job)), 1);
+    fleet.owner().dispatcher.upsert_worker(entry.clone(), None);
+    fleet.run_for(ms(3300));
+    fleet.owner().dispatcher.mark_unlisted(&entry.id);
+    fleet.run_for(ms(10_000));
+    assert_eq!(fleet.recorded_crashes(first_task(job)), 1);
+}
+
+/// Guards against an innocent job that a successor gives up for a crash of a worker that the registry lists, but no owner reaches.
+#[test]
+fn registry_refutes_a_crash_that_a_former_owner_counted() {
+    let mut fleet = Fleet::new(2, 3).with_work(work);
+    fleet.crash_mode = CrashMode::SameIdentity;
+    let job = fleet.submit(1, graph(vec![step(1, &[])]));
+    fleet.run_for(ms(1500));
+    let host = (0..2).find(|&n| fleet.workers[n].run_count() > 0).unwrap();
+    let cut_until = fleet.now + ms(12_000);
+    fleet.cut_worker_off(host, cut_until);
+    fleet.run_for(ms(12_100));
+    fleet.unreachable_until[host] = fleet.now + ms(60_000);
+    assert_eq!(fleet.recorded_crashes(first_task(job)), 1);
+    fleet.replace_owner();
+    fleet.run_for(ms(20_000));
+    assert_eq!(fleet.recorded_crashes(first_task(job)), 0);
+}
+
+/// Guards against a crash that is taken back because the registry drops a crashed worker only after its lease has lapsed.
+#[test]
+fn entry_that_outlasts_a_lease_refutes_no_crash() {
+    let mut fleet = Fleet::new(2, 3).with_work(work);
+    fleet.crash_mode = CrashMode::SameIdentity;
+    let job = fleet.submit(1, graph(vec![step(1, &[])]));
+    fleet.run_for(ms(1500));
+    let host = (0..2).find(|&n| fleet.workers[n].run_count() > 0).unwrap();
+    fleet.unreachable_until[host] = fleet.now + ms(60_000);
+    fleet.run_for(ms(3500));
+    assert_eq!(fleet.workers[host].run_count(), 1, "its lease goes on");
+    fleet.kill_worker(host);
+    fleet.run_for(ms(20_000));
+    assert_eq!(fleet.recorded_crashes(first_task(job)), 1);
+}
