List a late start after an acknowledged end

What callers would see: a done task that is started again.

The worker confirms its stop, as a run that never began, so that the task starts elsewhere, is done, and the end is acknowledged with the job's outcome on record. The worker crashes and restarts under its identity. Its first answer, which tells of the restart, is to a renewal with the former token; the late start comes 20 and 40 ms after that and 50 and 30 ms before the first renewal with the next token. The new incarnation knows of no stop and no higher token, and the deadline is on another clock. The owner stops the run as it lists it, 110 and 90 ms after its start.

late_start_of_a_stopped_run_begins_no_task_that_is_done shows the same by itself. Not mended: no hold of the second run helps, as that has ended by then. What would is to keep the task from starting until the first start can't be carried out any more, or a fence that the worker's first call since the restart carries; the second leaves starts that come before that call.

--- a/crates/dispatch/tests/outstanding_starts.rs
+++ b/crates/dispatch/tests/outstanding_starts.rs
@@ -22,6 +22,7 @@
     Dispatcher,
     JobKey,
     OrderOutcome,
+    RunResult,
     StartOrder,
     StepSpec,
     StepWait,
@@ -31,7 +32,8 @@
 };
 use jasminebend_standins::{
     SimulatedWorker,
-    TaskWork, //
+    TaskWork,
+    WorkerEvent, //
 };
 
 const TOKEN: u64 = 256;
@@ -263,6 +265,11 @@
     fn run_count(&self) -> usize {
         self.running_tasks().len()
     }
+
+    fn event_count(&self, is_counted: impl Fn(&WorkerEvent) -> bool) -> usize {
+        let events = self.workers.iter().flat_map(SimulatedWorker::events);
+        events.filter(|(_, event)| is_counted(event)).count()
+    }
 }
 
 fn accepted(spec: StepSpec, accepted: Duration, inherited: bool) -> AcceptedJob {
@@ -369,3 +376,24 @@
     assert_eq!(scene.doubled, Vec::new());
     assert_eq!(scene.run_count(), 1);
 }
+
+/// Guards against a task that begins again after its end was acknowledged: a worker had left a start of it unanswered and confirmed
+/// its stop, so that the task was done elsewhere, and carried the start out after it had restarted.
+#[test]
+fn late_start_of_a_stopped_run_begins_no_task_that_is_done() {
+    let mut scene = Scene::new(&[2, 2]);
+    scene.run_time = ms(300);
+    let worker = scene.add_job_with_late_start(step(1, &[]), 0);
+    scene.drain(worker);
+    scene.turn_for(ms(2000));
+    let is_noted =
+        |event: &WorkerEvent| matches!(event, WorkerEvent::Acknowledged(_, RunResult::Done));
+    assert_eq!(scene.event_count(is_noted), 1, "done elsewhere");
+    scene.workers[worker].restart(scene.now);
+    // The renewal that tells of the restart carries the former incarnation's token.
+    scene.now += TURN;
+    scene.renew(worker);
+    scene.carry_out_late_starts();
+    let has_begun = |event: &WorkerEvent| matches!(event, WorkerEvent::Started(..));
+    assert_eq!(scene.event_count(has_begun), 1);
+}
